--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+PYTHON ?= python3
+VENV = .venv
+BIN = $(VENV)/bin
+STAMP = $(VENV)/installed
+
+.PHONY: demo test lint format binary clean
+
+$(STAMP): requirements/development.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --require-hashes -r requirements/development.txt
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/python -m egretcart demo
+
+test: $(STAMP)
+	$(BIN)/python tools/run_tests.py
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check egretcart tests tools
+	$(BIN)/ruff check egretcart tests tools
+	$(BIN)/mypy
+
+format: $(STAMP)
+	$(BIN)/ruff check --fix egretcart tests tools
+	$(BIN)/ruff format egretcart tests tools
+
+binary: $(STAMP)
+	$(BIN)/python tools/build_binary.py
+
+clean:
+	rm -rf $(VENV) dist build *.egg-info
--- /dev/null
+++ b/egretcart/connection/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one connection: messages, codec, framing, HTTP."""
--- /dev/null
+++ b/egretcart/connection/http_client.py
@@ -0,0 +1,201 @@
+"""HTTP client side, by h11, with a verdict for every broken exchange."""
+
+import dataclasses
+import select
+
+import h11
+import trio
+
+from egretcart.request.verdict import Verdict
+
+RECEIVE_BYTES = 64 * 1024
+MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+
+
+class ExchangeError(Exception):
+    """An exchange that has brought no whole response.
+
+    Attributes
+    ----------
+    verdict : Verdict
+        `NOT_RUN` if no byte of the request was sent.
+    """
+
+    def __init__(self, reason: str, verdict: Verdict) -> None:
+        super().__init__(reason)
+        self.verdict = verdict
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ClientResponse:
+    """A whole response."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+class HttpClient:
+    """Exchanges with one server over kept-alive connections.
+
+    Parameters
+    ----------
+    host : str
+    port : int
+    max_connections : int
+        Connections open at a time, idle ones included.
+    """
+
+    def __init__(self, *, host: str, port: int, max_connections: int) -> None:
+        self.host = host
+        self.port = port
+        self.idle: list[trio.SocketStream] = []
+        self.limiter = trio.CapacityLimiter(max_connections)
+
+    async def exchange(
+        self,
+        method: str,
+        path: str,
+        *,
+        body: bytes = b"",
+        headers: tuple[tuple[str, str], ...] = (),
+        time_limit_s: float,
+    ) -> ClientResponse:
+        """Send one request and return its response.
+
+        Parameters
+        ----------
+        method, path : str
+        body : bytes, optional
+        headers : tuple of pairs of str, optional
+        time_limit_s : float
+            For the whole exchange, in seconds.
+
+        Returns
+        -------
+        ClientResponse
+
+        Raises
+        ------
+        ExchangeError
+            If no whole response arrived; its verdict tells whether the
+            server may have acted on the request.
+        """
+        progress = _ExchangeProgress()
+        async with self.limiter:
+            with trio.move_on_after(time_limit_s):
+                return await self._exchange(
+                    method, path, body, headers, progress
+                )
+        raise ExchangeError(
+            f"no response in {time_limit_s:.3f} s", progress.verdict
+        )
+
+    async def _exchange(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        headers: tuple[tuple[str, str], ...],
+        progress: "_ExchangeProgress",
+    ) -> ClientResponse:
+        stream = self._idle_stream()
+        if stream is None:
+            try:
+                stream = await trio.open_tcp_stream(self.host, self.port)
+            except OSError as error:
+                raise ExchangeError(str(error), Verdict.NOT_RUN) from error
+        request = h11.Request(
+            method=method,
+            target=path,
+            headers=[
+                ("Host", f"{self.host}:{self.port}"),
+                ("Content-Length", str(len(body))),
+                *headers,
+            ],
+        )
+        protocol = h11.Connection(our_role=h11.CLIENT)
+        data = (protocol.send(request) or b"") + (
+            protocol.send(h11.Data(data=body)) or b""
+        )
+        data += protocol.send(h11.EndOfMessage()) or b""
+        kept = False
+        try:
+            progress.verdict = Verdict.MAY_HAVE_RUN
+            await stream.send_all(data)
+            response = await _receive_response(stream, protocol)
+            kept = (
+                protocol.our_state is h11.DONE
+                and protocol.their_state is h11.DONE
+            )
+            return response
+        except (
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+            h11.RemoteProtocolError,
+        ) as error:
+            raise ExchangeError(
+                f"the exchange broke: {error!r}", Verdict.MAY_HAVE_RUN
+            ) from error
+        finally:
+            if kept:
+                self.idle.append(stream)
+            else:
+                with trio.CancelScope(shield=True):
+                    await trio.aclose_forcefully(stream)
+
+    def _idle_stream(self) -> trio.SocketStream | None:
+        """Return a kept connection that the server has not closed."""
+        while self.idle:
+            stream = self.idle.pop()
+            if not _is_readable(stream):
+                return stream
+            stream.socket.close()
+        return None
+
+    async def aclose(self) -> None:
+        """Close all idle connections."""
+        while self.idle:
+            await trio.aclose_forcefully(self.idle.pop())
+
+
+@dataclasses.dataclass(slots=True)
+class _ExchangeProgress:
+    verdict: Verdict = Verdict.NOT_RUN
+
+
+def _is_readable(stream: trio.SocketStream) -> bool:
+    """Return whether an idle connection has ended or has stray data."""
+    poll = select.poll()
+    poll.register(stream.socket.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
+async def _receive_response(
+    stream: trio.SocketStream, protocol: h11.Connection
+) -> ClientResponse:
+    head: h11.Response | None = None
+    parts: list[bytes] = []
+    size = 0
+    while True:
+        event = protocol.next_event()
+        if event is h11.NEED_DATA:
+            protocol.receive_data(await stream.receive_some(RECEIVE_BYTES))
+        elif isinstance(event, h11.Response):
+            head = event
+        elif isinstance(event, h11.Data):
+            parts.append(bytes(event.data))
+            size += len(event.data)
+            if size > MAX_RESPONSE_BYTES:
+                raise h11.RemoteProtocolError("the response is too large")
+        elif isinstance(event, h11.EndOfMessage) and head is not None:
+            return ClientResponse(
+                status=head.status_code,
+                headers={
+                    name.decode(): value.decode("latin-1")
+                    for name, value in head.headers
+                },
+                body=b"".join(parts),
+            )
+        elif isinstance(event, h11.ConnectionClosed):
+            raise trio.BrokenResourceError
--- /dev/null
+++ b/egretcart/connection/messages.py
@@ -0,0 +1,338 @@
+"""Typed messages between egretcart's processes.
+
+Each class mirrors the struct of the same name in ``wire.thrift``; a field
+that an older process leaves out takes the default given here.
+"""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, order=True, slots=True)
+class Term:
+    """A fencing token: a leader's reign over a cell.
+
+    Attributes
+    ----------
+    counter : int
+        Raised by every takeover.
+    holder : int
+        Incarnation of the entry that holds the term; breaks ties.
+    """
+
+    counter: int = 0
+    holder: int = 0
+
+
+NO_TERM = Term()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RosterMember:
+    """An agent of a cell and the incarnation in which it was added."""
+
+    agent_id: str = ""
+    incarnation: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Roster:
+    """The agents of a cell, agreed through the platform's store.
+
+    Attributes
+    ----------
+    version : int
+        Raised by one with every change; 0 means that none is known.
+    members : tuple of RosterMember
+    lost_before_ms : int
+        Unknown jobs made before this Unix time may have run on a member
+        that has been removed.
+    """
+
+    version: int = 0
+    members: tuple[RosterMember, ...] = ()
+    lost_before_ms: int = 0
+
+    @property
+    def agent_ids(self) -> frozenset[str]:
+        """The identifiers of all members."""
+        return frozenset(member.agent_id for member in self.members)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class EntryAddress:
+    """Where other processes reach an entry."""
+
+    entry_id: str = ""
+    host: str = ""
+    port: int = 0
+    weight: int = 1
+    failure_domain: str = ""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class AgentHello:
+    """An agent announces its backend server to an entry."""
+
+    agent_id: str = ""
+    incarnation: int = 0
+    service_name: str = ""
+    failure_domain: str = ""
+    slots: int = 0
+    connections: int = 0
+    draining: bool = False
+    started_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class TaskRecord:
+    """What a ledger knows of one task; `state` is a `RecordState`."""
+
+    index: int = 0
+    attempt: int = 0
+    state: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class JobRecord:
+    """What a ledger knows of one job."""
+
+    job_id: bytes = b""
+    digest: bytes = b""
+    tasks: tuple[TaskRecord, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class FenceReply:
+    """An agent's answer to a fence.
+
+    Attributes
+    ----------
+    term : Term
+        The highest term that the agent has promised, after the fence.
+    accepted : bool
+    stamp_us : int
+        The agent's monotonic clock in microseconds.
+    roster : Roster
+        The newest roster that the agent knows.
+    records : tuple of JobRecord
+        The whole ledger if accepted, else empty.
+    incarnation : int
+    """
+
+    term: Term = NO_TERM
+    accepted: bool = False
+    stamp_us: int = 0
+    roster: Roster = Roster()
+    records: tuple[JobRecord, ...] = ()
+    incarnation: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class HeartbeatReply:
+    """An agent confirms the term that it has promised."""
+
+    term: Term = NO_TERM
+    round: int = 0
+    stamp_us: int = 0
+    roster_version: int = 0
+    running: int = 0
+    queued: int = 0
+    draining: bool = False
+    config_version: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class TaskResult:
+    """How one attempt at a task has ended.
+
+    Attributes
+    ----------
+    job_id : bytes
+    task, attempt : int
+    term : Term
+        The term of the start that this answers.
+    verdict : str
+        Value of a `Verdict`.
+    succeeded : bool
+    body : bytes
+        The backend server's answer.
+    content_type : str
+    error : str
+        Why the attempt failed; empty if it succeeded.
+    run_time_us : int
+        Duration of the exchange in microseconds.
+    retained : bool
+        False if the answer's body is no longer kept.
+    """
+
+    job_id: bytes = b""
+    task: int = 0
+    attempt: int = 0
+    term: Term = NO_TERM
+    verdict: str = "may_have_run"
+    succeeded: bool = False
+    body: bytes = b""
+    content_type: str = ""
+    error: str = ""
+    run_time_us: int = 0
+    retained: bool = True
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Fence:
+    """A leader asks an agent to promise its term."""
+
+    term: Term = NO_TERM
+    cell: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Heartbeat:
+    """A leader's round, and the newest stamp that a majority has proven.
+
+    Attributes
+    ----------
+    term : Term
+    round : int
+        To be confirmed by a `HeartbeatReply`; 0 asks for none.
+    proven_stamp_us : int
+        A stamp of the receiving agent; 0 if none is proven yet.
+    roster : Roster or None
+        Sent while the agent has an older one.
+    config_version : int
+    """
+
+    term: Term = NO_TERM
+    round: int = 0
+    proven_stamp_us: int = 0
+    roster: Roster | None = None
+    config_version: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Start:
+    """A leader asks an agent to start one attempt at a task."""
+
+    term: Term = NO_TERM
+    job_id: bytes = b""
+    digest: bytes = b""
+    task: int = 0
+    attempt: int = 0
+    kind: str = ""
+    payload: bytes = b""
+    idempotent: bool = False
+    time_left_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CancelJob:
+    """A leader asks an agent to end all work of a job."""
+
+    term: Term = NO_TERM
+    job_id: bytes = b""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class FetchJob:
+    """A leader asks an agent for the results of a job it has finished."""
+
+    term: Term = NO_TERM
+    job_id: bytes = b""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class EntryList:
+    """The entries that the sender knows to be live."""
+
+    entries: tuple[EntryAddress, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class EntryHello:
+    """An entry introduces itself to another process."""
+
+    address: EntryAddress = EntryAddress()
+    incarnation: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CellLeader:
+    """A cell that the sender leads."""
+
+    service_name: str = ""
+    cell: int = 0
+    term: Term = NO_TERM
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class EntryBeat:
+    """Heartbeat between entries."""
+
+    config_version: int = 0
+    leading: tuple[CellLeader, ...] = ()
+    leaving: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Forward:
+    """An entry passes a caller's request to the leader of its cell."""
+
+    request_id: int = 0
+    action: str = ""
+    service_name: str = ""
+    job_id: bytes = b""
+    body: bytes = b""
+    time_left_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ForwardReply:
+    """The leader's answer to a forwarded request.
+
+    Attributes
+    ----------
+    request_id : int
+    outcome : str
+        Value of a `ReplyOutcome`.
+    body : bytes
+        JSON for the caller.
+    status : int
+        HTTP status code for the caller.
+    retry_after_ms : int
+        When the caller may come back; 0 if that is of no use.
+    """
+
+    request_id: int = 0
+    outcome: str = ""
+    body: bytes = b""
+    status: int = 0
+    retry_after_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ConfigRequest:
+    """Asks for the configuration if the receiver's is newer."""
+
+    version: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ConfigDocument:
+    """An accepted configuration version, as JSON."""
+
+    version: int = 0
+    document: bytes = b""
+
+
+AgentMessage = AgentHello | FenceReply | HeartbeatReply | TaskResult
+LeaderMessage = Fence | Heartbeat | Start | CancelJob | FetchJob
+EntryMessage = (
+    EntryList
+    | EntryHello
+    | EntryBeat
+    | Forward
+    | ForwardReply
+    | ConfigRequest
+    | ConfigDocument
+)
+Message = AgentMessage | LeaderMessage | EntryMessage
--- /dev/null
+++ b/egretcart/process/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one process: its decision logic and its shells."""
--- /dev/null
+++ b/egretcart/process/agent.py
@@ -0,0 +1,463 @@
+"""Decision logic of an agent: which starts it admits, and when.
+
+Free of I/O. The shell passes in messages, ended exchanges and timer ticks
+and carries out the effects that the methods return.
+"""
+
+import dataclasses
+
+from egretcart.connection.messages import AgentHello
+from egretcart.connection.messages import AgentMessage
+from egretcart.connection.messages import CancelJob
+from egretcart.connection.messages import Fence
+from egretcart.connection.messages import FenceReply
+from egretcart.connection.messages import FetchJob
+from egretcart.connection.messages import Heartbeat
+from egretcart.connection.messages import HeartbeatReply
+from egretcart.connection.messages import LeaderMessage
+from egretcart.connection.messages import NO_TERM
+from egretcart.connection.messages import Roster
+from egretcart.connection.messages import Start
+from egretcart.connection.messages import TaskResult
+from egretcart.process.clock import Clock
+from egretcart.process.ledger import Ledger
+from egretcart.process.ledger import LedgerTask
+from egretcart.process.ledger import RecordState
+from egretcart.request.identity import JobId
+from egretcart.request.verdict import Verdict
+
+US_PER_S = 1_000_000
+MS_PER_S = 1000
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class AgentIdentity:
+    """Who an agent is and what its backend server can take.
+
+    Attributes
+    ----------
+    agent_id : str
+        Stays the same over restarts at the same place.
+    incarnation : int
+        Differs with every start of the process.
+    service, failure_domain : str
+    slots : int
+        Tasks that the backend server runs at a time.
+    connections : int
+        Connections that the backend server accepts.
+    """
+
+    agent_id: str
+    incarnation: int
+    service: str
+    failure_domain: str
+    slots: int
+    connections: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class AgentLimits:
+    """Bounds of an agent's state and of its promises.
+
+    Attributes
+    ----------
+    lease_s : float
+        How long a proof that a majority promised the leader's term lets
+        the agent begin tasks, in seconds.
+    window_s : float
+        Age up to which a job id may be resubmitted, in seconds.
+    max_deadline_s : float
+        Longest time from submission to the last start, in seconds.
+    clock_skew_s : float
+        Largest difference between two machines' wall clocks, in seconds.
+    max_queued : int
+        Starts kept waiting for a slot.
+    max_result_bytes : int
+        Result bodies kept for resubmissions.
+    """
+
+    lease_s: float = 1.2
+    window_s: float = 300.0
+    max_deadline_s: float = 120.0
+    clock_skew_s: float = 1.0
+    max_queued: int = 64
+    max_result_bytes: int = 64 * 1024 * 1024
+
+    @property
+    def record_age_s(self) -> float:
+        """Age of a job id up to which its records are kept, in seconds."""
+        return self.window_s + self.max_deadline_s + 2 * self.clock_skew_s
+
+
+TaskKey = tuple[bytes, int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendToEntry:
+    """Effect: send a message to an entry."""
+
+    entry_id: str
+    message: AgentMessage
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BeginExchange:
+    """Effect: begin the exchange with the backend server at once."""
+
+    start: Start
+    time_limit_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AbortExchange:
+    """Effect: break off a running exchange."""
+
+    key: TaskKey
+
+
+AgentEffect = SendToEntry | BeginExchange | AbortExchange
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ExchangeOutcome:
+    """How an exchange with the backend server has ended.
+
+    Attributes
+    ----------
+    succeeded : bool
+        Whether the backend server answered with a 2xx status.
+    verdict : Verdict
+    body : bytes
+    content_type : str
+    error : str
+    run_time_s : float
+    """
+
+    succeeded: bool
+    verdict: Verdict
+    body: bytes = b""
+    content_type: str = ""
+    error: str = ""
+    run_time_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QueuedStart:
+    """An admitted start that waits for a slot."""
+
+    start: Start
+    received: float
+
+
+class Agent:
+    """Admits starts under the promised term and keeps the ledger.
+
+    Parameters
+    ----------
+    identity : AgentIdentity
+    limits : AgentLimits
+    clock : Clock
+
+    Attributes
+    ----------
+    promised : Term
+        Highest term promised; starts of any other term are refused.
+    leader : str or None
+        Entry that holds the promised term.
+    lease_until : float
+        Monotonic time up to which starts may begin.
+    """
+
+    def __init__(
+        self, *, identity: AgentIdentity, limits: AgentLimits, clock: Clock
+    ) -> None:
+        self.identity = identity
+        self.limits = limits
+        self.clock = clock
+        self.started_ms = clock.unix_ms()
+        self.promised = NO_TERM
+        self.leader: str | None = None
+        self.lease_until = float("-inf")
+        self.roster = Roster()
+        self.draining = False
+        self.config_version = 0
+        self.ledger = Ledger(max_result_bytes=limits.max_result_bytes)
+        self.queued: dict[TaskKey, QueuedStart] = {}
+        self.running: dict[TaskKey, Start] = {}
+
+    def hello(self) -> AgentHello:
+        """Return the announcement for a new connection."""
+        return AgentHello(
+            agent_id=self.identity.agent_id,
+            incarnation=self.identity.incarnation,
+            service_name=self.identity.service,
+            failure_domain=self.identity.failure_domain,
+            slots=self.identity.slots,
+            connections=self.identity.connections,
+            draining=self.draining,
+            started_ms=self.started_ms,
+        )
+
+    def receive(
+        self, entry_id: str, message: LeaderMessage
+    ) -> list[AgentEffect]:
+        """Handle a message from an entry.
+
+        Parameters
+        ----------
+        entry_id : str
+            The entry at the other end of the connection.
+        message : LeaderMessage
+
+        Returns
+        -------
+        list of AgentEffect
+        """
+        if isinstance(message, Start):
+            return self._start(entry_id, message)
+        if isinstance(message, Heartbeat):
+            return self._heartbeat(entry_id, message)
+        if isinstance(message, Fence):
+            return self._fence(entry_id, message)
+        if isinstance(message, CancelJob):
+            return self._cancel(entry_id, message)
+        return self._fetch(entry_id, message)
+
+    def disconnected(self, entry_id: str) -> None:
+        """Handle the loss of a connection to an entry.
+
+        Starts that wait for a slot are dropped: the leader learns from
+        the next fence that they were not run.
+        """
+        if entry_id == self.leader:
+            self.leader = None
+            self.lease_until = float("-inf")
+            self.queued.clear()
+
+    def exchange_ended(
+        self, key: TaskKey, outcome: ExchangeOutcome
+    ) -> list[AgentEffect]:
+        """Handle the end of an exchange and use the free slot.
+
+        Parameters
+        ----------
+        key : tuple of bytes and int
+            Job id and task index.
+        outcome : ExchangeOutcome
+
+        Returns
+        -------
+        list of AgentEffect
+        """
+        start = self.running.pop(key)
+        result = TaskResult(
+            job_id=start.job_id,
+            task=start.task,
+            attempt=start.attempt,
+            term=start.term,
+            verdict=outcome.verdict.value,
+            succeeded=outcome.succeeded,
+            body=outcome.body,
+            content_type=outcome.content_type,
+            error=outcome.error,
+            run_time_us=int(outcome.run_time_s * US_PER_S),
+        )
+        if outcome.verdict is Verdict.NOT_RUN:
+            self.ledger.forget(*key)
+        else:
+            self.ledger.finish(result)
+        effects = self._to_leader(result)
+        effects += self._begin_queued()
+        return effects
+
+    def drain(self) -> list[AgentEffect]:
+        """Stop admitting starts; what runs is finished."""
+        self.draining = True
+        effects: list[AgentEffect] = []
+        for queued in list(self.queued.values()):
+            effects += self._refuse(queued.start, "the agent is draining")
+        self.queued.clear()
+        effects += self._to_leader(self._heartbeat_reply(round_number=0))
+        return effects
+
+    def tick(self) -> list[AgentEffect]:
+        """Prune the ledger and refuse queued starts that came too late."""
+        keep_s = self.limits.record_age_s
+        self.ledger.prune(self.clock.unix_ms() - int(keep_s * MS_PER_S))
+        return self._begin_queued()
+
+    def _stamp_us(self) -> int:
+        return int(self.clock.monotonic() * US_PER_S)
+
+    def _to_leader(self, message: AgentMessage) -> list[AgentEffect]:
+        if self.leader is None:
+            return []
+        return [SendToEntry(self.leader, message)]
+
+    def _fence(self, entry_id: str, fence: Fence) -> list[AgentEffect]:
+        accepted = fence.term >= self.promised
+        if accepted:
+            self.promised = fence.term
+            self.leader = entry_id
+            self.lease_until = float("-inf")
+            self.queued.clear()
+        reply = FenceReply(
+            term=self.promised,
+            accepted=accepted,
+            stamp_us=self._stamp_us(),
+            roster=self.roster,
+            records=self.ledger.summary() if accepted else (),
+            incarnation=self.identity.incarnation,
+        )
+        return [SendToEntry(entry_id, reply)]
+
+    def _heartbeat(
+        self, entry_id: str, heartbeat: Heartbeat
+    ) -> list[AgentEffect]:
+        effects: list[AgentEffect] = []
+        if heartbeat.term == self.promised and entry_id == self.leader:
+            self._adopt(heartbeat)
+            effects += self._begin_queued()
+        if heartbeat.round:
+            reply = self._heartbeat_reply(round_number=heartbeat.round)
+            effects.append(SendToEntry(entry_id, reply))
+        return effects
+
+    def _adopt(self, heartbeat: Heartbeat) -> None:
+        roster = heartbeat.roster
+        if roster is not None and roster.version > self.roster.version:
+            self.roster = roster
+        if heartbeat.proven_stamp_us:
+            proven_s = heartbeat.proven_stamp_us / US_PER_S
+            self.lease_until = max(
+                self.lease_until, proven_s + self.limits.lease_s
+            )
+
+    def _heartbeat_reply(self, *, round_number: int) -> HeartbeatReply:
+        return HeartbeatReply(
+            term=self.promised,
+            round=round_number,
+            stamp_us=self._stamp_us(),
+            roster_version=self.roster.version,
+            running=len(self.running),
+            queued=len(self.queued),
+            draining=self.draining,
+            config_version=self.config_version,
+        )
+
+    def _start(self, entry_id: str, start: Start) -> list[AgentEffect]:
+        reason = self._reason_to_refuse(entry_id, start)
+        if reason is not None:
+            refusal = self._refusal(start, reason)
+            return [SendToEntry(entry_id, refusal)]
+        key = (start.job_id, start.task)
+        self.queued[key] = QueuedStart(start, self.clock.monotonic())
+        return self._begin_queued()
+
+    def _reason_to_refuse(self, entry_id: str, start: Start) -> str | None:
+        """Return why a start is refused as not run, or None."""
+        if start.term != self.promised or entry_id != self.leader:
+            return (
+                f"the start's term {start.term} is not the promised "
+                f"{self.promised}"
+            )
+        if self.draining:
+            return "the agent is draining"
+        if self.clock.monotonic() >= self.lease_until:
+            return "the lease on the leader's term has lapsed"
+        age_s = (
+            self.clock.unix_ms() - JobId(start.job_id).created_ms
+        ) / MS_PER_S
+        if age_s > self.limits.window_s + self.limits.max_deadline_s:
+            return f"the job id is {age_s:.0f} s old"
+        key = (start.job_id, start.task)
+        if key in self.queued or key in self.running:
+            return "an attempt at the task is queued or running"
+        record = self.ledger.find(start.job_id, start.task)
+        if record is not None and not self._may_repeat(record, start):
+            return f"the task was started: {record.state.name}"
+        if len(self.queued) >= self.limits.max_queued:
+            return f"{len(self.queued)} starts are queued"
+        return None
+
+    @staticmethod
+    def _may_repeat(record: LedgerTask, start: Start) -> bool:
+        return (
+            start.idempotent
+            and record.state is RecordState.FAILED
+            and start.attempt > record.attempt
+        )
+
+    def _begin_queued(self) -> list[AgentEffect]:
+        """Begin queued starts while slots are free."""
+        effects: list[AgentEffect] = []
+        while self.queued and len(self.running) < self.identity.slots:
+            key = next(iter(self.queued))
+            queued = self.queued.pop(key)
+            effects += self._begin(queued)
+        return effects
+
+    def _begin(self, queued: QueuedStart) -> list[AgentEffect]:
+        start = queued.start
+        now = self.clock.monotonic()
+        if now >= self.lease_until or start.term != self.promised:
+            return self._refuse(start, "the lease lapsed in the queue")
+        time_left_s = start.time_left_ms / MS_PER_S - (now - queued.received)
+        if time_left_s <= 0:
+            return self._refuse(start, "the time limit passed in the queue")
+        self.ledger.begin(
+            job_id=start.job_id,
+            digest=start.digest,
+            task=start.task,
+            attempt=start.attempt,
+        )
+        self.running[(start.job_id, start.task)] = start
+        return [BeginExchange(start, time_left_s)]
+
+    def _refusal(self, start: Start, reason: str) -> TaskResult:
+        return TaskResult(
+            job_id=start.job_id,
+            task=start.task,
+            attempt=start.attempt,
+            term=start.term,
+            verdict=Verdict.NOT_RUN.value,
+            succeeded=False,
+            error=reason,
+        )
+
+    def _refuse(self, start: Start, reason: str) -> list[AgentEffect]:
+        return self._to_leader(self._refusal(start, reason))
+
+    def _cancel(self, entry_id: str, cancel: CancelJob) -> list[AgentEffect]:
+        if cancel.term != self.promised or entry_id != self.leader:
+            return []
+        effects: list[AgentEffect] = []
+        for key in [k for k in self.queued if k[0] == cancel.job_id]:
+            queued = self.queued.pop(key)
+            effects += self._refuse(queued.start, "the job is cancelled")
+        for key in self.running:
+            if key[0] == cancel.job_id:
+                effects.append(AbortExchange(key))
+        return effects
+
+    def _fetch(self, entry_id: str, fetch: FetchJob) -> list[AgentEffect]:
+        if fetch.term != self.promised or entry_id != self.leader:
+            return []
+        job = self.ledger.jobs.get(fetch.job_id)
+        if job is None:
+            return []
+        effects: list[AgentEffect] = []
+        for index, record in job.tasks.items():
+            if record.state is RecordState.BEGUN:
+                continue
+            result = record.result or TaskResult(
+                job_id=fetch.job_id,
+                task=index,
+                attempt=record.attempt,
+                verdict=record.verdict,
+                succeeded=record.state is RecordState.SUCCEEDED,
+                retained=False,
+            )
+            result = dataclasses.replace(result, term=fetch.term)
+            effects.append(SendToEntry(entry_id, result))
+        return effects
--- /dev/null
+++ b/egretcart/process/agent_process.py
@@ -0,0 +1,201 @@
+"""The agent's process: moves bytes for `Agent`."""
+
+from collections.abc import Iterable
+import json
+import sys
+
+import trio
+
+from egretcart.connection.http_client import ExchangeError
+from egretcart.connection.http_client import HttpClient
+from egretcart.connection.link import Link
+from egretcart.connection.messages import EntryAddress
+from egretcart.connection.messages import EntryHello
+from egretcart.connection.messages import EntryList
+from egretcart.connection.messages import LeaderMessage
+from egretcart.connection.messages import Message
+from egretcart.connection.messages import Start
+from egretcart.process.agent import AbortExchange
+from egretcart.process.agent import Agent
+from egretcart.process.agent import AgentEffect
+from egretcart.process.agent import AgentIdentity
+from egretcart.process.agent import AgentLimits
+from egretcart.process.agent import BeginExchange
+from egretcart.process.agent import ExchangeOutcome
+from egretcart.process.agent import SendToEntry
+from egretcart.process.agent import TaskKey
+from egretcart.process.clock import Clock
+from egretcart.process.settings import AgentSettings
+from egretcart.request.identity import JobId
+from egretcart.request.verdict import Verdict
+
+TICK_S = 0.1
+REDIAL_S = 0.1
+SUCCESS_STATUSES = range(200, 300)
+MS_PER_S = 1000
+
+
+class AgentProcess:
+    """Runs one agent.
+
+    Parameters
+    ----------
+    settings : AgentSettings
+    limits : AgentLimits
+    clock : Clock
+    """
+
+    def __init__(
+        self, *, settings: AgentSettings, limits: AgentLimits, clock: Clock
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.agent = Agent(
+            identity=AgentIdentity(
+                agent_id=settings.agent_id,
+                incarnation=clock.unix_ms(),
+                service=settings.service,
+                failure_domain=settings.failure_domain,
+                slots=settings.slots,
+                connections=settings.connections,
+            ),
+            limits=limits,
+            clock=clock,
+        )
+        self.client = HttpClient(
+            host=settings.backend.host,
+            port=settings.backend.port,
+            max_connections=settings.connections,
+        )
+        self.links: dict[str, Link] = {}
+        self.exchanges: dict[TaskKey, trio.CancelScope] = {}
+        self.targets: set[tuple[str, int]] = set()
+        self.nursery: trio.Nursery
+
+    async def run(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Run until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self.nursery = nursery
+            for seed in self.settings.seeds:
+                self._ensure_dialled(seed.host, seed.port)
+            nursery.start_soon(self._tick)
+            task_status.started()
+
+    async def announce(self) -> None:
+        """Print that the process runs."""
+        print(json.dumps({"role": "agent", "id": self.settings.agent_id}))
+        sys.stdout.flush()
+
+    def _ensure_dialled(self, host: str, port: int) -> None:
+        if (host, port) not in self.targets:
+            self.targets.add((host, port))
+            self.nursery.start_soon(self._dial, host, port)
+
+    async def _dial(self, host: str, port: int) -> None:
+        while (host, port) in self.targets:
+            try:
+                stream = await trio.open_tcp_stream(host, port)
+            except OSError:
+                await trio.sleep(REDIAL_S)
+                continue
+            await self._converse(stream)
+            await trio.sleep(REDIAL_S)
+
+    async def _converse(self, stream: trio.SocketStream) -> None:
+        link = Link(stream=stream)
+        entry_id: str | None = None
+
+        def handle(message: Message) -> None:
+            nonlocal entry_id
+            if isinstance(message, EntryHello):
+                entry_id = message.address.entry_id
+                former = self.links.get(entry_id)
+                if former is not None:
+                    former.close()
+                self.links[entry_id] = link
+            elif isinstance(message, EntryList):
+                self._learn_entries(message.entries)
+            elif entry_id is not None and isinstance(message, LeaderMessage):
+                self._carry_out(self.agent.receive(entry_id, message))
+
+        await link.run(handle, first=[self.agent.hello()])
+        if entry_id is not None and self.links.get(entry_id) is link:
+            del self.links[entry_id]
+            self.agent.disconnected(entry_id)
+
+    def _learn_entries(self, entries: Iterable[EntryAddress]) -> None:
+        for entry in entries:
+            self._ensure_dialled(entry.host, entry.port)
+
+    def _carry_out(self, effects: Iterable[AgentEffect]) -> None:
+        for effect in effects:
+            if isinstance(effect, SendToEntry):
+                link = self.links.get(effect.entry_id)
+                if link is not None:
+                    link.send(effect.message)
+            elif isinstance(effect, BeginExchange):
+                scope = trio.CancelScope()
+                key = (effect.start.job_id, effect.start.task)
+                self.exchanges[key] = scope
+                self.nursery.start_soon(
+                    self._exchange, effect.start, effect.time_limit_s, scope
+                )
+            elif isinstance(effect, AbortExchange):
+                self.exchanges[effect.key].cancel()
+
+    async def _exchange(
+        self, start: Start, time_limit_s: float, scope: trio.CancelScope
+    ) -> None:
+        """Run one task as an HTTP exchange with the backend server."""
+        key = (start.job_id, start.task)
+        began = self.clock.monotonic()
+        outcome = ExchangeOutcome(
+            succeeded=False,
+            verdict=Verdict.MAY_HAVE_RUN,
+            error="the exchange was broken off",
+        )
+        with scope:
+            outcome = await self._post(start, time_limit_s, began)
+        del self.exchanges[key]
+        self._carry_out(self.agent.exchange_ended(key, outcome))
+
+    async def _post(
+        self, start: Start, time_limit_s: float, began: float
+    ) -> ExchangeOutcome:
+        job_id = JobId(start.job_id)
+        headers = (
+            ("Idempotency-Key", f"{job_id}/{start.task}"),
+            ("Egretcart-Time-Left-Ms", str(int(time_limit_s * MS_PER_S))),
+            ("Egretcart-Kind", start.kind),
+        )
+        try:
+            response = await self.client.exchange(
+                "POST",
+                self.settings.backend_path,
+                body=start.payload,
+                headers=headers,
+                time_limit_s=time_limit_s,
+            )
+        except ExchangeError as error:
+            return ExchangeOutcome(
+                succeeded=False,
+                verdict=error.verdict,
+                error=str(error),
+                run_time_s=self.clock.monotonic() - began,
+            )
+        succeeded = response.status in SUCCESS_STATUSES
+        return ExchangeOutcome(
+            succeeded=succeeded,
+            verdict=Verdict.RAN,
+            body=response.body if succeeded else b"",
+            content_type=response.headers.get("content-type", ""),
+            error="" if succeeded else f"status {response.status}",
+            run_time_s=self.clock.monotonic() - began,
+        )
+
+    async def _tick(self) -> None:
+        while True:
+            self._carry_out(self.agent.tick())
+            await trio.sleep(TICK_S)
--- /dev/null
+++ b/egretcart/process/answers.py
@@ -0,0 +1,59 @@
+"""Answers kept for resubmissions, bounded in bytes and in age."""
+
+from collections import OrderedDict
+import dataclasses
+
+from egretcart.request.identity import JobId
+from egretcart.request.reply import Reply
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class RetainedAnswer:
+    """The final answer of one job; `reply` is None once evicted."""
+
+    digest: bytes
+    reply: Reply | None
+
+
+class AnswerCache:
+    """Final answers by job id.
+
+    Parameters
+    ----------
+    max_bytes : int
+        Bodies kept in all; the oldest are evicted, and their ids stay
+        until they are pruned.
+    """
+
+    def __init__(self, *, max_bytes: int) -> None:
+        self.max_bytes = max_bytes
+        self.bytes_kept = 0
+        self.answers: dict[bytes, RetainedAnswer] = {}
+        self.evictable: OrderedDict[bytes, int] = OrderedDict()
+
+    def add(self, job_id: JobId, digest: bytes, reply: Reply) -> None:
+        """Keep a final answer."""
+        key = job_id.value
+        self._evict(key)
+        self.answers[key] = RetainedAnswer(digest=digest, reply=reply)
+        self.evictable[key] = len(reply.body)
+        self.bytes_kept += len(reply.body)
+        while self.bytes_kept > self.max_bytes:
+            self._evict(next(iter(self.evictable)))
+
+    def find(self, job_id: JobId) -> RetainedAnswer | None:
+        """Return what is kept of a job, or None if nothing is."""
+        return self.answers.get(job_id.value)
+
+    def prune(self, made_before_ms: int) -> None:
+        """Forget jobs whose identifiers are older than a Unix time."""
+        for key in list(self.answers):
+            if JobId(key).created_ms < made_before_ms:
+                self._evict(key)
+                del self.answers[key]
+
+    def _evict(self, key: bytes) -> None:
+        size = self.evictable.pop(key, None)
+        if size is not None:
+            self.bytes_kept -= size
+            self.answers[key].reply = None
--- /dev/null
+++ b/egretcart/process/caller_api.py
@@ -0,0 +1,142 @@
+"""The HTTP API of an entry."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import re
+
+import msgspec
+import trio
+
+from egretcart.connection.http_server import HttpRequest
+from egretcart.connection.http_server import HttpResponse
+from egretcart.connection.http_server import problem_response
+from egretcart.process.entry import CANCEL
+from egretcart.process.entry import Entry
+from egretcart.process.entry import EntryEffect
+from egretcart.process.entry import READ
+from egretcart.process.entry import SUBMIT
+from egretcart.request.identity import parse_job_id
+from egretcart.request.problem import bad_request
+from egretcart.request.problem import MEDIA_TYPE
+from egretcart.request.reply import JSON_TYPE
+from egretcart.request.reply import Reply
+
+JOB_PATH = re.compile(r"/v1/services/([^/?]+)/jobs/([^/?]+)")
+ACTION_OF_METHOD = {"PUT": SUBMIT, "GET": READ, "DELETE": CANCEL}
+ERROR_STATUS_FROM = 400
+
+
+class CallerApi:
+    """Answers callers and operators over HTTP.
+
+    Parameters
+    ----------
+    entry : Entry
+    carry_out : callable
+        Carries out the entry's effects.
+    """
+
+    def __init__(
+        self,
+        *,
+        entry: Entry,
+        carry_out: Callable[[Iterable[EntryEffect]], None],
+    ) -> None:
+        self.entry = entry
+        self.carry_out = carry_out
+        self.replies: dict[int, Reply] = {}
+        self.waiters: dict[int, trio.Event] = {}
+
+    def replied(self, request_id: int, reply: Reply) -> None:
+        """Hand a reply to the connection that waits for it."""
+        self.replies[request_id] = reply
+        waiter = self.waiters.get(request_id)
+        if waiter is not None:
+            waiter.set()
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one HTTP request."""
+        path = request.path.partition("?")[0]
+        job_path = JOB_PATH.fullmatch(path)
+        if job_path is not None:
+            return await self._handle_job(
+                request, job_path.group(1), job_path.group(2)
+            )
+        if request.method != "GET":
+            return problem_response(
+                bad_request(f"no {request.method} of {path}", status=404)
+            )
+        if path == "/healthz":
+            return HttpResponse(body=b'{"healthy":true}')
+        if path == "/readyz":
+            return self._readiness()
+        if path == "/v1/status":
+            return HttpResponse(body=msgspec.json.encode(self._status()))
+        return problem_response(
+            bad_request(f"there is nothing at {path!r}", status=404)
+        )
+
+    async def _handle_job(
+        self, request: HttpRequest, service: str, job_id_text: str
+    ) -> HttpResponse:
+        action = ACTION_OF_METHOD.get(request.method)
+        if action is None:
+            return problem_response(
+                bad_request(
+                    f"method {request.method}; accepted are "
+                    f"{sorted(ACTION_OF_METHOD)}",
+                    status=405,
+                )
+            )
+        job_id = parse_job_id(job_id_text)
+        if job_id.is_err():
+            return problem_response(bad_request(job_id.unwrap_err()))
+        request_id, effects = self.entry.request(
+            action, service, job_id.unwrap(), request.body
+        )
+        waiter = trio.Event()
+        self.waiters[request_id] = waiter
+        try:
+            self.carry_out(effects)
+            await waiter.wait()
+            reply = self.replies.pop(request_id)
+        finally:
+            del self.waiters[request_id]
+            self.entry.caller_gone(request_id)
+        is_error = reply.status >= ERROR_STATUS_FROM
+        return HttpResponse(
+            status=reply.status,
+            body=reply.body,
+            content_type=MEDIA_TYPE if is_error else JSON_TYPE,
+            retry_after_s=reply.retry_after_s,
+        )
+
+    def _readiness(self) -> HttpResponse:
+        ready = (
+            self.entry.configuration.version > 0
+            and not self.entry.directory.leaving
+        )
+        return HttpResponse(
+            status=200 if ready else 503,
+            body=msgspec.json.encode({"ready": ready}),
+        )
+
+    def _status(self) -> dict[str, object]:
+        entry = self.entry
+        return {
+            "entry_id": entry.address.entry_id,
+            "config_version": entry.configuration.version,
+            "agents": sorted(entry.agents),
+            "peers": sorted(entry.directory.peers),
+            "leading": [
+                {
+                    "service": cell.service,
+                    "cell": cell.index,
+                    "term": leadership.term.counter,
+                    "phase": leadership.phase.value,
+                    "jobs": len(leadership.book.jobs),
+                    "roster_version": leadership.quorum.roster.version,
+                }
+                for cell, leadership in sorted(entry.leaderships.items())
+            ],
+        }
--- /dev/null
+++ b/egretcart/process/entry.py
@@ -0,0 +1,657 @@
+"""Decision logic of an entry: callers, forwarding, leadership of cells.
+
+Free of I/O. The shell passes in requests, messages and timer ticks and
+carries out the effects that the methods return.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+
+from result import Result
+
+from egretcart.connection.messages import AgentHello
+from egretcart.connection.messages import AgentMessage
+from egretcart.connection.messages import CellLeader
+from egretcart.connection.messages import EntryAddress
+from egretcart.connection.messages import EntryBeat
+from egretcart.connection.messages import EntryList
+from egretcart.connection.messages import FenceReply
+from egretcart.connection.messages import Forward
+from egretcart.connection.messages import ForwardReply
+from egretcart.connection.messages import HeartbeatReply
+from egretcart.connection.messages import NO_TERM
+from egretcart.connection.messages import Roster
+from egretcart.connection.messages import Term
+from egretcart.process.answers import AnswerCache
+from egretcart.process.clock import Clock
+from egretcart.process.directory import Cell
+from egretcart.process.directory import cell_of_agent
+from egretcart.process.directory import cell_of_job
+from egretcart.process.directory import Directory
+from egretcart.process.effects import LeaderEffect
+from egretcart.process.effects import RequestToken
+from egretcart.process.effects import SendReply
+from egretcart.process.effects import SendToAgent
+from egretcart.process.effects import StepDown
+from egretcart.process.leadership import Leadership
+from egretcart.process.leadership import Phase
+from egretcart.process.limits import LeaderLimits
+from egretcart.request.identity import JobId
+from egretcart.request.job import Job
+from egretcart.request.job import parse_job
+from egretcart.request.problem import bad_request
+from egretcart.request.problem import unavailable
+from egretcart.request.reply import NOT_LEADER
+from egretcart.request.reply import problem_reply
+from egretcart.request.reply import Reply
+from egretcart.request.reply import ReplyOutcome
+from egretcart.request.verdict import Verdict
+from egretcart.version.document import Configuration
+
+MS_PER_S = 1000
+REQUEST_ID_BITS = 20
+SUBMIT = "submit"
+READ = "read"
+CANCEL = "cancel"
+ACTIONS = (SUBMIT, READ, CANCEL)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class EntryLimits:
+    """Times and bounds of an entry.
+
+    Attributes
+    ----------
+    beat_interval_s : float
+        Time between heartbeats to the other entries.
+    peer_timeout_s : float
+        Silence after which another entry is taken for dead.
+    settle_s : float
+        Wait after the start before this entry takes a cell over.
+    leaderless_limit_s : float
+        Wait for a leader before a request is given up.
+    leaderless_retry_s : float
+        When a caller may come back after that.
+    takeover_backoff_s : float
+        Pause after a failed takeover.
+    max_answer_bytes : int
+        Answers kept for resubmissions.
+    """
+
+    beat_interval_s: float = 0.25
+    peer_timeout_s: float = 0.7
+    settle_s: float = 0.5
+    leaderless_limit_s: float = 3.0
+    leaderless_retry_s: float = 1.0
+    takeover_backoff_s: float = 0.2
+    max_answer_bytes: int = 64 * 1024 * 1024
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendToPeer:
+    """Effect: send a message to another entry."""
+
+    entry_id: str
+    message: Forward | ForwardReply | EntryBeat
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendEntryList:
+    """Effect: tell an agent which entries are live."""
+
+    agent_id: str
+    message: EntryList
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReplyToCaller:
+    """Effect: answer the caller of a request."""
+
+    request_id: int
+    reply: Reply
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WriteCellRoster:
+    """Effect: write a cell's roster to the platform's store."""
+
+    cell: Cell
+    roster: Roster
+
+
+EntryEffect = (
+    SendToPeer | SendToAgent | SendEntryList | ReplyToCaller | WriteCellRoster
+)
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class PendingRequest:
+    """A request whose caller waits at this entry.
+
+    Attributes
+    ----------
+    request_id : int
+    action : str
+        One of `ACTIONS`.
+    service : str
+    job_id : JobId
+    body : bytes
+        Kept whole, so that it can be forwarded again.
+    cell : Cell
+    routed_to : str or None
+        Entry that has the request.
+    leaderless_since : float
+        Monotonic time since which no leader has had it.
+    """
+
+    request_id: int
+    action: str
+    service: str
+    job_id: JobId
+    body: bytes
+    cell: Cell
+    routed_to: str | None = None
+    leaderless_since: float = 0.0
+
+
+class Entry:
+    """One entry's decisions.
+
+    Parameters
+    ----------
+    address : EntryAddress
+    incarnation : int
+    configuration : Configuration
+    limits : EntryLimits
+    leader_limits : LeaderLimits
+    clock : Clock
+    """
+
+    def __init__(
+        self,
+        *,
+        address: EntryAddress,
+        incarnation: int,
+        configuration: Configuration,
+        limits: EntryLimits,
+        leader_limits: LeaderLimits,
+        clock: Clock,
+    ) -> None:
+        self.address = address
+        self.incarnation = incarnation
+        self.configuration = configuration
+        self.limits = limits
+        self.leader_limits = leader_limits
+        self.clock = clock
+        self.started_at = clock.monotonic()
+        self.directory = Directory(
+            own=address, peer_timeout_s=limits.peer_timeout_s
+        )
+        self.answers = AnswerCache(max_bytes=limits.max_answer_bytes)
+        self.agents: dict[str, AgentHello] = {}
+        self.leaderships: dict[Cell, Leadership] = {}
+        self.rosters: dict[Cell, Roster] = {}
+        self.highest_terms: dict[Cell, Term] = {}
+        self.not_before: dict[Cell, float] = {}
+        self.pending: dict[int, PendingRequest] = {}
+        # Numbers of an earlier incarnation are never used again.
+        self.next_request_id = (incarnation << REQUEST_ID_BITS) + 1
+        self.next_beat = float("-inf")
+        self.leading_told: tuple[CellLeader, ...] = ()
+        self.addresses_told: tuple[EntryAddress, ...] = ()
+
+    # Callers.
+
+    def request(
+        self, action: str, service: str, job_id: JobId, body: bytes = b""
+    ) -> tuple[int, list[EntryEffect]]:
+        """Take a caller's request.
+
+        Parameters
+        ----------
+        action : str
+            One of `ACTIONS`.
+        service : str
+        job_id : JobId
+        body : bytes, optional
+            The submission; empty for other actions.
+
+        Returns
+        -------
+        int
+            Number of the request, which `ReplyToCaller` will name.
+        list of EntryEffect
+        """
+        request_id = self.next_request_id
+        self.next_request_id += 1
+        found = self.configuration.find_service(service)
+        if found is None:
+            refusal = bad_request(
+                f"service {service!r} is not configured; configured are "
+                f"{sorted(s.name for s in self.configuration.services)}",
+                status=404,
+            )
+            return request_id, [
+                ReplyToCaller(request_id, problem_reply(refusal))
+            ]
+        if action == SUBMIT:
+            parsed = self._parse(service, job_id, body)
+            if parsed.is_err():
+                refusal = bad_request(parsed.unwrap_err())
+                return request_id, [
+                    ReplyToCaller(request_id, problem_reply(refusal))
+                ]
+        pending = PendingRequest(
+            request_id=request_id,
+            action=action,
+            service=service,
+            job_id=job_id,
+            body=body,
+            cell=cell_of_job(service, job_id, found.cells),
+            leaderless_since=self.clock.monotonic(),
+        )
+        self.pending[request_id] = pending
+        return request_id, self._route(pending)
+
+    def caller_gone(self, request_id: int) -> None:
+        """Forget a request whose caller has closed the connection."""
+        self.pending.pop(request_id, None)
+
+    def _parse(
+        self, service: str, job_id: JobId, body: bytes
+    ) -> Result[Job, str]:
+        return parse_job(
+            job_id=job_id,
+            service=service,
+            body=body,
+            max_tasks=self.configuration.max_tasks_per_job,
+        )
+
+    def _route(self, pending: PendingRequest) -> list[EntryEffect]:
+        """Give a request to the leader of its cell, if there is one."""
+        leader = self._leader_of(pending.cell)
+        pending.routed_to = leader
+        if leader is None:
+            return []
+        if leader != self.address.entry_id:
+            forward = Forward(
+                request_id=pending.request_id,
+                action=pending.action,
+                service_name=pending.service,
+                job_id=pending.job_id.value,
+                body=pending.body,
+            )
+            return [SendToPeer(leader, forward)]
+        token = RequestToken(self.address.entry_id, pending.request_id)
+        return self._lead_request(
+            pending.cell,
+            token,
+            pending.action,
+            pending.job_id,
+            pending.body,
+        )
+
+    def _leader_of(self, cell: Cell) -> str | None:
+        """Return the entry that leads or is taking over a cell."""
+        now = self.clock.monotonic()
+        claim = self.directory.claimant(cell, now)
+        own = self.leaderships.get(cell)
+        if own is not None and (claim is None or own.term > claim[0]):
+            return self.address.entry_id
+        return claim[1] if claim is not None else None
+
+    def _lead_request(
+        self,
+        cell: Cell,
+        token: RequestToken,
+        action: str,
+        job_id: JobId,
+        body: bytes,
+    ) -> list[EntryEffect]:
+        leadership = self.leaderships.get(cell)
+        if leadership is None:
+            return self._deliver(token, NOT_LEADER)
+        if action == READ:
+            return self._carry_out(cell, leadership.read(token, job_id))
+        if action == CANCEL:
+            return self._carry_out(cell, leadership.cancel(token, job_id))
+        parsed = self._parse(cell.service, job_id, body)
+        if parsed.is_err():
+            refusal = bad_request(parsed.unwrap_err())
+            return self._deliver(token, problem_reply(refusal))
+        job: Job = parsed.unwrap()
+        return self._carry_out(cell, leadership.submit(token, job))
+
+    def _deliver(self, token: RequestToken, reply: Reply) -> list[EntryEffect]:
+        """Pass a leader's reply to the entry that holds the caller."""
+        if token.entry_id == self.address.entry_id:
+            return self._replied(token.request_id, reply)
+        retry_after_ms = 0
+        if reply.retry_after_s is not None:
+            retry_after_ms = int(reply.retry_after_s * MS_PER_S)
+        message = ForwardReply(
+            request_id=token.request_id,
+            outcome=reply.outcome.value,
+            body=reply.body,
+            status=reply.status,
+            retry_after_ms=retry_after_ms,
+        )
+        return [SendToPeer(token.entry_id, message)]
+
+    def _replied(self, request_id: int, reply: Reply) -> list[EntryEffect]:
+        pending = self.pending.get(request_id)
+        if pending is None:
+            return []
+        if reply.outcome is ReplyOutcome.NOT_LEADER:
+            pending.routed_to = None
+            return []
+        del self.pending[request_id]
+        return [ReplyToCaller(request_id, reply)]
+
+    # Other entries.
+
+    def peer_connected(
+        self, address: EntryAddress, incarnation: int
+    ) -> list[EntryEffect]:
+        """Handle another entry's introduction."""
+        now = self.clock.monotonic()
+        self.directory.heard_hello(address, incarnation, now)
+        return [SendToPeer(address.entry_id, self._beat())]
+
+    def peer_lost(self, entry_id: str) -> list[EntryEffect]:
+        """Handle the loss of a connection to another entry."""
+        self.directory.lost(entry_id)
+        for pending in self.pending.values():
+            if pending.routed_to == entry_id:
+                self._lose_leader(pending)
+        return self._steer()
+
+    def peer_message(
+        self, entry_id: str, message: EntryBeat | Forward | ForwardReply
+    ) -> list[EntryEffect]:
+        """Handle a message from another entry."""
+        if isinstance(message, EntryBeat):
+            self.directory.heard_beat(
+                entry_id,
+                leading=message.leading,
+                config_version=message.config_version,
+                leaving=message.leaving,
+                now=self.clock.monotonic(),
+            )
+            return self._steer()
+        if isinstance(message, Forward):
+            return self._forwarded(entry_id, message)
+        retry_after_s = None
+        if message.retry_after_ms:
+            retry_after_s = message.retry_after_ms / MS_PER_S
+        reply = Reply(
+            outcome=ReplyOutcome(message.outcome),
+            status=message.status,
+            body=message.body,
+            retry_after_s=retry_after_s,
+        )
+        pending = self.pending.get(message.request_id)
+        if pending is None or pending.routed_to != entry_id:
+            return []
+        return self._replied(message.request_id, reply)
+
+    def _forwarded(self, entry_id: str, message: Forward) -> list[EntryEffect]:
+        token = RequestToken(entry_id, message.request_id)
+        service = self.configuration.find_service(message.service_name)
+        if service is None:
+            return self._deliver(token, NOT_LEADER)
+        job_id = JobId(message.job_id)
+        cell = cell_of_job(message.service_name, job_id, service.cells)
+        return self._lead_request(
+            cell, token, message.action, job_id, message.body
+        )
+
+    def _lose_leader(self, pending: PendingRequest) -> None:
+        pending.routed_to = None
+        pending.leaderless_since = self.clock.monotonic()
+
+    def _beat(self) -> EntryBeat:
+        return EntryBeat(
+            config_version=self.configuration.version,
+            leading=self._claims(),
+            leaving=self.directory.leaving,
+        )
+
+    def _claims(self) -> tuple[CellLeader, ...]:
+        return tuple(
+            CellLeader(
+                service_name=cell.service,
+                cell=cell.index,
+                term=leadership.term,
+            )
+            for cell, leadership in sorted(self.leaderships.items())
+        )
+
+    # Agents.
+
+    def agent_connected(self, hello: AgentHello) -> list[EntryEffect]:
+        """Handle an agent's announcement."""
+        self.agents[hello.agent_id] = hello
+        addresses = self.directory.addresses(self.clock.monotonic())
+        effects: list[EntryEffect] = [
+            SendEntryList(hello.agent_id, EntryList(entries=addresses))
+        ]
+        cell = self._cell_of(hello)
+        leadership = self.leaderships.get(cell)
+        if leadership is not None:
+            effects += self._carry_out(cell, leadership.agent_connected(hello))
+        return effects
+
+    def agent_disconnected(self, agent_id: str) -> list[EntryEffect]:
+        """Handle the loss of an agent's connection."""
+        hello = self.agents.pop(agent_id, None)
+        if hello is None:
+            return []
+        leadership = self.leaderships.get(self._cell_of(hello))
+        if leadership is not None:
+            leadership.agent_disconnected(agent_id)
+        return []
+
+    def agent_message(
+        self, agent_id: str, message: AgentMessage
+    ) -> list[EntryEffect]:
+        """Handle a message from an agent."""
+        hello = self.agents.get(agent_id)
+        if hello is None:
+            return []
+        cell = self._cell_of(hello)
+        if isinstance(message, FenceReply | HeartbeatReply):
+            self._saw_term(cell, message.term)
+        leadership = self.leaderships.get(cell)
+        if leadership is None:
+            return []
+        return self._carry_out(cell, leadership.receive(agent_id, message))
+
+    def _cell_of(self, hello: AgentHello) -> Cell:
+        service = self.configuration.find_service(hello.service_name)
+        cells = service.cells if service is not None else 1
+        return cell_of_agent(hello.service_name, hello.agent_id, cells)
+
+    def _saw_term(self, cell: Cell, term: Term) -> None:
+        highest = self.highest_terms.get(cell, NO_TERM)
+        self.highest_terms[cell] = max(highest, term)
+
+    # The platform.
+
+    def roster_known(
+        self, cell: Cell, roster: Roster | None
+    ) -> list[EntryEffect]:
+        """Handle the end of a roster write or read.
+
+        Parameters
+        ----------
+        cell : Cell
+        roster : Roster or None
+            The roster in the platform's store; None if it did not answer.
+
+        Returns
+        -------
+        list of EntryEffect
+        """
+        known = self.rosters.get(cell, Roster())
+        if roster is not None and roster.version > known.version:
+            self.rosters[cell] = roster
+        leadership = self.leaderships.get(cell)
+        if leadership is None:
+            return []
+        return self._carry_out(cell, leadership.roster_written(roster))
+
+    # Time.
+
+    def tick(self) -> list[EntryEffect]:
+        """Do what is due by now."""
+        now = self.clock.monotonic()
+        effects: list[EntryEffect] = []
+        for cell, leadership in list(self.leaderships.items()):
+            effects += self._carry_out(cell, leadership.tick())
+        effects += self._steer()
+        effects += self._give_up(now)
+        effects += self._tell_addresses(now)
+        if now >= self.next_beat:
+            effects += self._send_beats(now)
+        return effects
+
+    def _send_beats(self, now: float) -> list[EntryEffect]:
+        self.next_beat = now + self.limits.beat_interval_s
+        beat = self._beat()
+        self.leading_told = beat.leading
+        return [
+            SendToPeer(entry_id, beat) for entry_id in self.directory.peers
+        ]
+
+    def _tell_addresses(self, now: float) -> list[EntryEffect]:
+        addresses = self.directory.addresses(now)
+        if addresses == self.addresses_told:
+            return []
+        self.addresses_told = addresses
+        message = EntryList(entries=addresses)
+        return [SendEntryList(agent_id, message) for agent_id in self.agents]
+
+    def _give_up(self, now: float) -> list[EntryEffect]:
+        """Answer requests that found no leader for too long."""
+        effects: list[EntryEffect] = []
+        limit_s = self.limits.leaderless_limit_s
+        for pending in list(self.pending.values()):
+            if pending.routed_to is not None:
+                continue
+            if now < pending.leaderless_since + limit_s:
+                continue
+            del self.pending[pending.request_id]
+            problem = unavailable(
+                f"no leader for service {pending.service!r} was found in "
+                f"{limit_s} s",
+                verdict=Verdict.MAY_HAVE_RUN,
+                retry_after_s=self.limits.leaderless_retry_s,
+            )
+            effects.append(
+                ReplyToCaller(pending.request_id, problem_reply(problem))
+            )
+        return effects
+
+    # Leadership.
+
+    def _steer(self) -> list[EntryEffect]:
+        """Take over cells that need it and route what waits for a leader."""
+        now = self.clock.monotonic()
+        effects: list[EntryEffect] = []
+        for cell in self._cells_with_agents():
+            if self._should_take_over(cell, now):
+                effects += self._take_over(cell)
+        for pending in list(self.pending.values()):
+            routed = pending.routed_to
+            if routed is not None and routed != self.address.entry_id:
+                if routed not in self.directory.peers:
+                    self._lose_leader(pending)
+                elif self._leader_of(pending.cell) not in (routed, None):
+                    pending.routed_to = None
+            if pending.routed_to is None:
+                effects += self._route(pending)
+        if self._claims() != self.leading_told:
+            effects += self._send_beats(now)
+        return effects
+
+    def _cells_with_agents(self) -> list[Cell]:
+        return sorted(
+            {
+                self._cell_of(hello)
+                for hello in self.agents.values()
+                if self.configuration.find_service(hello.service_name)
+            }
+        )
+
+    def _should_take_over(self, cell: Cell, now: float) -> bool:
+        if cell in self.leaderships or self.directory.leaving:
+            return False
+        if now < self.started_at + self.limits.settle_s:
+            return False
+        if now < self.not_before.get(cell, float("-inf")):
+            return False
+        if self.directory.claimant(cell, now) is not None:
+            return False
+        preferred = self.directory.preferred(cell, now)
+        return preferred == self.address.entry_id
+
+    def _take_over(self, cell: Cell) -> list[EntryEffect]:
+        highest = self.highest_terms.get(cell, NO_TERM)
+        term = Term(highest.counter + 1, self.incarnation)
+        self._saw_term(cell, term)
+        leadership = Leadership(
+            service=cell.service,
+            cell=cell.index,
+            term=term,
+            roster=self.rosters.get(cell, Roster()),
+            limits=self.leader_limits,
+            clock=self.clock,
+            answers=self.answers,
+        )
+        self.leaderships[cell] = leadership
+        effects: list[EntryEffect] = []
+        for hello in list(self.agents.values()):
+            if self._cell_of(hello) == cell:
+                effects += self._carry_out(
+                    cell, leadership.agent_connected(hello)
+                )
+        return effects
+
+    def _carry_out(
+        self, cell: Cell, effects: Iterable[LeaderEffect]
+    ) -> list[EntryEffect]:
+        """Translate a leadership's effects into the entry's own."""
+        translated: list[EntryEffect] = []
+        for effect in effects:
+            if isinstance(effect, SendToAgent):
+                translated.append(effect)
+            elif isinstance(effect, SendReply):
+                translated += self._deliver(effect.token, effect.reply)
+            elif isinstance(effect, StepDown):
+                self._stepped_down(cell, effect)
+            else:
+                translated.append(WriteCellRoster(cell, effect.roster))
+        return translated
+
+    def _stepped_down(self, cell: Cell, effect: StepDown) -> None:
+        leadership = self.leaderships.pop(cell)
+        roster = leadership.quorum.roster
+        if roster.version > self.rosters.get(cell, Roster()).version:
+            self.rosters[cell] = roster
+        self._saw_term(cell, effect.seen)
+        pause_s = self.limits.takeover_backoff_s
+        self.not_before[cell] = self.clock.monotonic() + pause_s
+
+    # Planned stop.
+
+    def leave(self) -> list[EntryEffect]:
+        """Resign from every cell; requests are forwarded from now on."""
+        self.directory.leaving = True
+        effects: list[EntryEffect] = []
+        for cell, leadership in list(self.leaderships.items()):
+            if leadership.phase is not Phase.ENDED:
+                effects += self._carry_out(
+                    cell, leadership.resign("planned stop")
+                )
+        return effects + self._send_beats(self.clock.monotonic())
--- /dev/null
+++ b/egretcart/process/entry_process.py
@@ -0,0 +1,289 @@
+"""The entry's process: moves bytes for `Entry`."""
+
+from collections.abc import Iterable
+import contextlib
+import json
+import sys
+
+import msgspec
+import trio
+
+from egretcart.connection.http_server import Handler
+from egretcart.connection.http_server import HttpConnection
+from egretcart.connection.http_server import HttpLimits
+from egretcart.connection.link import Link
+from egretcart.connection.messages import AgentHello
+from egretcart.connection.messages import EntryAddress
+from egretcart.connection.messages import EntryBeat
+from egretcart.connection.messages import EntryHello
+from egretcart.connection.messages import FenceReply
+from egretcart.connection.messages import Forward
+from egretcart.connection.messages import ForwardReply
+from egretcart.connection.messages import HeartbeatReply
+from egretcart.connection.messages import Message
+from egretcart.connection.messages import Roster
+from egretcart.connection.messages import TaskResult
+from egretcart.process.caller_api import CallerApi
+from egretcart.process.clock import Clock
+from egretcart.process.directory import Cell
+from egretcart.process.effects import SendToAgent
+from egretcart.process.entry import Entry
+from egretcart.process.entry import EntryEffect
+from egretcart.process.entry import EntryLimits
+from egretcart.process.entry import ReplyToCaller
+from egretcart.process.entry import SendEntryList
+from egretcart.process.entry import SendToPeer
+from egretcart.process.limits import LeaderLimits
+from egretcart.process.platform import EtcdPlatform
+from egretcart.process.platform import Platform
+from egretcart.process.platform import PlatformError
+from egretcart.process.rosters import read_roster
+from egretcart.process.rosters import write_roster
+from egretcart.process.settings import EntrySettings
+from egretcart.version.document import Configuration
+
+TICK_S = 0.02
+REDIAL_S = 0.1
+CONFIG_POLL_S = 1.0
+PLATFORM_PAUSE_S = 0.5
+CONFIG_KEY = "egretcart/config"
+
+
+class EntryProcess:
+    """Runs one entry.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+    limits : EntryLimits
+    leader_limits : LeaderLimits
+    clock : Clock
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: EntrySettings,
+        limits: EntryLimits,
+        leader_limits: LeaderLimits,
+        clock: Clock,
+    ) -> None:
+        self.settings = settings
+        self.limits = limits
+        self.leader_limits = leader_limits
+        self.clock = clock
+        self.platform: Platform | None = None
+        if settings.platform is not None:
+            self.platform = EtcdPlatform(
+                host=settings.platform.host, port=settings.platform.port
+            )
+        self.entry: Entry
+        self.api: CallerApi
+        self.address: EntryAddress
+        self.http_port = 0
+        self.incarnation = clock.unix_ms()
+        self.dialled_links: dict[str, Link] = {}
+        self.accepted_links: dict[str, Link] = {}
+        self.agent_links: dict[str, Link] = {}
+        self.targets: set[tuple[str, int]] = set()
+        self.nursery: trio.Nursery
+
+    async def run(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Run until cancelled."""
+        peer = self.settings.peer
+        peer_listeners = await trio.open_tcp_listeners(
+            peer.port, host=peer.host
+        )
+        http = self.settings.http
+        http_listeners = await trio.open_tcp_listeners(
+            http.port, host=http.host
+        )
+        peer_port = peer_listeners[0].socket.getsockname()[1]
+        self.http_port = http_listeners[0].socket.getsockname()[1]
+        self.address = EntryAddress(
+            entry_id=self.settings.entry_id,
+            host=peer.host,
+            port=peer_port,
+            weight=self.settings.weight,
+            failure_domain=self.settings.failure_domain,
+        )
+        self.entry = Entry(
+            address=self.address,
+            incarnation=self.incarnation,
+            configuration=Configuration(),
+            limits=self.limits,
+            leader_limits=self.leader_limits,
+            clock=self.clock,
+        )
+        self.api = CallerApi(entry=self.entry, carry_out=self.carry_out)
+        async with trio.open_nursery() as nursery:
+            self.nursery = nursery
+            nursery.start_soon(
+                trio.serve_listeners, self._accept, peer_listeners
+            )
+            nursery.start_soon(
+                trio.serve_listeners, self._serve_http, http_listeners
+            )
+            for seed in self.settings.seeds:
+                self._ensure_dialled(seed.host, seed.port)
+            nursery.start_soon(self._follow_configuration)
+            nursery.start_soon(self._tick)
+            task_status.started()
+
+    async def announce(self) -> None:
+        """Print where the process listens."""
+        ports = {
+            "role": "entry",
+            "id": self.settings.entry_id,
+            "http_port": self.http_port,
+            "peer_port": self.address.port,
+        }
+        print(json.dumps(ports))
+        sys.stdout.flush()
+
+    async def _serve_http(self, stream: trio.SocketStream) -> None:
+        handler: Handler = self.api.handle
+        connection = HttpConnection(
+            stream=stream, handler=handler, limits=HttpLimits()
+        )
+        await connection.serve()
+
+    # Links.
+
+    def _hello(self) -> EntryHello:
+        return EntryHello(address=self.address, incarnation=self.incarnation)
+
+    def _ensure_dialled(self, host: str, port: int) -> None:
+        own = (self.address.host, self.address.port)
+        if (host, port) in self.targets or (host, port) == own:
+            return
+        self.targets.add((host, port))
+        self.nursery.start_soon(self._dial, host, port)
+
+    async def _dial(self, host: str, port: int) -> None:
+        while True:
+            try:
+                stream = await trio.open_tcp_stream(host, port)
+            except OSError:
+                await trio.sleep(REDIAL_S)
+                continue
+            await self._converse(stream, self.dialled_links)
+            await trio.sleep(REDIAL_S)
+
+    async def _accept(self, stream: trio.SocketStream) -> None:
+        await self._converse(stream, self.accepted_links)
+
+    async def _converse(
+        self, stream: trio.SocketStream, entry_links: dict[str, Link]
+    ) -> None:
+        link = Link(stream=stream)
+        name = ""
+        links: dict[str, Link] = {}
+
+        def handle(message: Message) -> None:
+            nonlocal name, links
+            if isinstance(message, AgentHello):
+                name, links = message.agent_id, self.agent_links
+                self._register(name, links, link)
+                self.carry_out(self.entry.agent_connected(message))
+            elif isinstance(message, EntryHello):
+                name, links = message.address.entry_id, entry_links
+                self._register(name, links, link)
+                self._peer_hello(message)
+            elif links is self.agent_links:
+                self._agent_message(name, message)
+            elif links is entry_links:
+                self._peer_message(name, message)
+
+        await link.run(handle, first=[self._hello()])
+        if links.get(name) is not link:
+            return
+        del links[name]
+        if links is self.agent_links:
+            self.carry_out(self.entry.agent_disconnected(name))
+        else:
+            self.carry_out(self.entry.peer_lost(name))
+
+    def _register(self, name: str, links: dict[str, Link], link: Link) -> None:
+        former = links.get(name)
+        links[name] = link
+        if former is None or former is link:
+            return
+        former.close()
+        if links is self.agent_links:
+            self.carry_out(self.entry.agent_disconnected(name))
+
+    def _peer_hello(self, hello: EntryHello) -> None:
+        address = hello.address
+        self._ensure_dialled(address.host, address.port)
+        self.carry_out(self.entry.peer_connected(address, hello.incarnation))
+
+    def _agent_message(self, agent_id: str, message: Message) -> None:
+        if isinstance(message, FenceReply | HeartbeatReply | TaskResult):
+            self.carry_out(self.entry.agent_message(agent_id, message))
+
+    def _peer_message(self, entry_id: str, message: Message) -> None:
+        if isinstance(message, EntryBeat | Forward | ForwardReply):
+            self.carry_out(self.entry.peer_message(entry_id, message))
+
+    # Effects.
+
+    def carry_out(self, effects: Iterable[EntryEffect]) -> None:
+        """Carry out what the decision logic asks for."""
+        for effect in effects:
+            if isinstance(effect, SendToAgent | SendEntryList):
+                link = self.agent_links.get(effect.agent_id)
+                if link is not None:
+                    link.send(effect.message)
+            elif isinstance(effect, SendToPeer):
+                self._send_to_peer(effect)
+            elif isinstance(effect, ReplyToCaller):
+                self.api.replied(effect.request_id, effect.reply)
+            else:
+                self.nursery.start_soon(
+                    self._write_roster, effect.cell, effect.roster
+                )
+
+    def _send_to_peer(self, effect: SendToPeer) -> None:
+        link = self.dialled_links.get(
+            effect.entry_id
+        ) or self.accepted_links.get(effect.entry_id)
+        if link is not None:
+            link.send(effect.message)
+
+    async def _write_roster(self, cell: Cell, roster: Roster) -> None:
+        stored = None
+        if self.platform is not None:
+            stored = await write_roster(self.platform, cell, roster)
+        if stored is None:
+            await trio.sleep(PLATFORM_PAUSE_S)
+        self.carry_out(self.entry.roster_known(cell, stored))
+
+    async def _follow_configuration(self) -> None:
+        if self.platform is None:
+            return
+        while True:
+            with contextlib.suppress(PlatformError):
+                await self._read_configuration(self.platform)
+            await trio.sleep(CONFIG_POLL_S)
+
+    async def _read_configuration(self, platform: Platform) -> None:
+        stored = await platform.get(CONFIG_KEY)
+        if stored is None:
+            return
+        configuration = msgspec.json.decode(stored.data, type=Configuration)
+        if configuration.version <= self.entry.configuration.version:
+            return
+        for service in configuration.services:
+            for index in range(service.cells):
+                cell = Cell(service.name, index)
+                roster = await read_roster(platform, cell)
+                self.entry.rosters.setdefault(cell, roster)
+        self.entry.configuration = configuration
+
+    async def _tick(self) -> None:
+        while True:
+            self.carry_out(self.entry.tick())
+            await trio.sleep(TICK_S)
--- /dev/null
+++ b/egretcart/process/leadership.py
@@ -0,0 +1,474 @@
+"""Decision logic of a cell's leader, for one term.
+
+Free of I/O. A leadership lives from its first fence until a higher term
+or a loss of the majority ends it; the entry then forwards the requests
+again, to whoever leads next.
+"""
+
+import dataclasses
+import enum
+
+from egretcart.connection.messages import AgentHello
+from egretcart.connection.messages import AgentMessage
+from egretcart.connection.messages import Fence
+from egretcart.connection.messages import FenceReply
+from egretcart.connection.messages import Heartbeat
+from egretcart.connection.messages import HeartbeatReply
+from egretcart.connection.messages import Roster
+from egretcart.connection.messages import RosterMember
+from egretcart.connection.messages import TaskResult
+from egretcart.connection.messages import Term
+from egretcart.process.answers import AnswerCache
+from egretcart.process.clock import Clock
+from egretcart.process.effects import LeaderEffect
+from egretcart.process.effects import RequestToken
+from egretcart.process.effects import SendReply
+from egretcart.process.effects import SendToAgent
+from egretcart.process.effects import StepDown
+from egretcart.process.effects import WriteRoster
+from egretcart.process.jobs import JobBook
+from egretcart.process.limits import LeaderLimits
+from egretcart.process.quorum import Quorum
+from egretcart.process.scheduler import AgentLoad
+from egretcart.request import outcomes
+from egretcart.request.identity import JobId
+from egretcart.request.job import Job
+from egretcart.request.reply import NOT_LEADER
+from egretcart.request.reply import problem_reply
+
+MS_PER_S = 1000
+# Share of the lease up to which the leader counts on it, so that a start
+# that travels does not find it lapsed.
+LEASE_USABLE_SHARE = 0.8
+
+
+class Phase(enum.Enum):
+    """How far a leadership has come."""
+
+    FENCING = "fencing"
+    WAITING = "waiting"
+    SERVING = "serving"
+    ENDED = "ended"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EarlyRequest:
+    """A submission that came before the takeover was over."""
+
+    token: RequestToken
+    job: Job
+
+
+class Leadership:
+    """Leads one cell for one term.
+
+    Parameters
+    ----------
+    service : str
+    cell : int
+    term : Term
+    roster : Roster
+        Newest roster that the entry knows.
+    limits : LeaderLimits
+    clock : Clock
+    answers : AnswerCache
+        Kept by the process over its leaderships.
+
+    Attributes
+    ----------
+    phase : Phase
+    quorum : Quorum
+    book : JobBook
+    agents : dict of str to AgentHello
+        Connected agents, whether they promised the term or not.
+    """
+
+    def __init__(
+        self,
+        *,
+        service: str,
+        cell: int,
+        term: Term,
+        roster: Roster,
+        limits: LeaderLimits,
+        clock: Clock,
+        answers: AnswerCache,
+    ) -> None:
+        self.service = service
+        self.cell = cell
+        self.term = term
+        self.limits = limits
+        self.clock = clock
+        self.phase = Phase.FENCING
+        self.started_at = clock.monotonic()
+        self.majority_at = float("inf")
+        self.incomplete_since = float("inf")
+        self.quorum = Quorum(roster=roster)
+        self.book = JobBook(
+            term=term, limits=limits, clock=clock, answers=answers
+        )
+        self.agents: dict[str, AgentHello] = {}
+        self.absent_since: dict[str, float] = {}
+        self.early: list[EarlyRequest] = []
+        self.roster_write_pending = False
+        self.next_heartbeat = float("-inf")
+
+    # Requests.
+
+    def submit(self, token: RequestToken, job: Job) -> list[LeaderEffect]:
+        """Accept a submission, or keep it until the takeover is over."""
+        if self.phase is Phase.ENDED:
+            return [SendReply(token, NOT_LEADER)]
+        refusal = self._id_refusal(job.job_id)
+        if refusal is not None:
+            return [SendReply(token, problem_reply(refusal))]
+        if self.phase is not Phase.SERVING:
+            self.early.append(EarlyRequest(token, job))
+            return []
+        return self.book.submit(token, job) + self._place()
+
+    def read(self, token: RequestToken, job_id: JobId) -> list[LeaderEffect]:
+        """Reply with a retained answer or with how far a job has come."""
+        if self.phase is not Phase.SERVING:
+            return [SendReply(token, NOT_LEADER)]
+        return self.book.read(token, job_id)
+
+    def cancel(self, token: RequestToken, job_id: JobId) -> list[LeaderEffect]:
+        """End a job at its caller's wish."""
+        if self.phase is not Phase.SERVING:
+            return [SendReply(token, NOT_LEADER)]
+        return self.book.cancel(token, job_id) + self._place()
+
+    def _id_refusal(self, job_id: JobId) -> outcomes.Problem | None:
+        age_s = (self.clock.unix_ms() - job_id.created_ms) / MS_PER_S
+        if age_s > self.limits.window_s:
+            return outcomes.id_expired(job_id, age_s, self.limits.window_s)
+        if -age_s > self.limits.clock_skew_s:
+            return outcomes.id_in_future(
+                job_id, -age_s, self.limits.clock_skew_s
+            )
+        return None
+
+    # Agents.
+
+    def agent_connected(self, hello: AgentHello) -> list[LeaderEffect]:
+        """Handle an agent's announcement on a new connection."""
+        if self.phase is Phase.ENDED:
+            return []
+        self.agents[hello.agent_id] = hello
+        fence = Fence(term=self.term, cell=self.cell)
+        return [SendToAgent(hello.agent_id, fence)]
+
+    def agent_disconnected(self, agent_id: str) -> None:
+        """Handle the loss of an agent's connection."""
+        self.agents.pop(agent_id, None)
+        self.quorum.remove(agent_id)
+        self.book.agent_lost(agent_id)
+        self.absent_since[agent_id] = self.clock.monotonic()
+
+    def receive(
+        self, agent_id: str, message: AgentMessage
+    ) -> list[LeaderEffect]:
+        """Handle a message from a connected agent."""
+        if self.phase is Phase.ENDED or agent_id not in self.agents:
+            return []
+        if isinstance(message, TaskResult):
+            effects = self.book.task_result(agent_id, message)
+        elif isinstance(message, HeartbeatReply):
+            effects = self._heartbeat_reply(agent_id, message)
+        elif isinstance(message, FenceReply):
+            effects = self._fence_reply(agent_id, message)
+        else:
+            effects = self.agent_connected(message)
+        return effects + self._place()
+
+    def tick(self) -> list[LeaderEffect]:
+        """Do what is due by now."""
+        now = self.clock.monotonic()
+        effects: list[LeaderEffect] = []
+        if self.phase in (Phase.FENCING, Phase.WAITING):
+            effects += self._advance_takeover(now)
+        if self.phase is Phase.SERVING:
+            effects += self._check_quorum(now)
+        if self.phase is Phase.SERVING:
+            effects += self.book.tick()
+            effects += self._change_roster(now)
+        if self.phase is Phase.ENDED:
+            return effects
+        if now >= self.next_heartbeat:
+            effects += self._open_round(now)
+        return effects + self._place()
+
+    def resign(self, reason: str) -> list[LeaderEffect]:
+        """End the leadership on purpose."""
+        return self._end(self.term, reason, retry=False)
+
+    # Takeover.
+
+    def _fence_reply(
+        self, agent_id: str, reply: FenceReply
+    ) -> list[LeaderEffect]:
+        if not reply.accepted:
+            return self._end(reply.term, "a higher term was promised")
+        if reply.term != self.term:
+            return []
+        now = self.clock.monotonic()
+        if reply.roster.version > self.quorum.roster.version:
+            self.quorum.roster = reply.roster
+        serving = self.phase is Phase.SERVING
+        add = self.quorum.add_joining if serving else self.quorum.add_fenced
+        add(
+            agent_id,
+            incarnation=reply.incarnation,
+            stamp_us=reply.stamp_us,
+            now=now,
+        )
+        self.absent_since.pop(agent_id, None)
+        effects = self.book.agent_fenced(
+            self._new_load(agent_id), reply.records
+        )
+        if serving:
+            return effects + self._open_round(now)
+        return effects + self._advance_takeover(now)
+
+    def _new_load(self, agent_id: str) -> AgentLoad:
+        hello = self.agents[agent_id]
+        return AgentLoad(
+            agent_id=agent_id,
+            incarnation=hello.incarnation,
+            failure_domain=hello.failure_domain,
+            slots=hello.slots,
+            queue_depth=self.limits.queue_depth,
+            draining=hello.draining,
+        )
+
+    def _advance_takeover(self, now: float) -> list[LeaderEffect]:
+        """Serve once every start of former leaders is accounted for."""
+        if self.quorum.roster.version == 0:
+            return self._bootstrap(now)
+        if self.quorum.is_complete():
+            return self._serve(now, self._complete_barrier_ms())
+        if not self.quorum.has_majority():
+            self.majority_at = float("inf")
+            if now >= self.started_at + self.limits.fence_limit_s:
+                return self._end(
+                    self.term, "no majority of the roster", retry=True
+                )
+            return []
+        self.majority_at = min(self.majority_at, now)
+        wait_s = max(self.limits.takeover_wait_s, self.limits.fence_patience_s)
+        if now < self.majority_at + wait_s:
+            self.phase = Phase.WAITING
+            return []
+        skew_ms = int(self.limits.clock_skew_s * MS_PER_S)
+        return self._serve(now, self.clock.unix_ms() + skew_ms)
+
+    def _bootstrap(self, now: float) -> list[LeaderEffect]:
+        """Write the first roster of a cell."""
+        waited = now >= self.started_at + self.limits.bootstrap_wait_s
+        if not waited or self.roster_write_pending:
+            return []
+        members = [
+            RosterMember(
+                agent_id=member.agent_id, incarnation=member.incarnation
+            )
+            for member in self.quorum.members.values()
+        ]
+        if not members:
+            return []
+        self.roster_write_pending = True
+        return [WriteRoster(Roster(version=1, members=tuple(members)))]
+
+    def _complete_barrier_ms(self) -> int:
+        """Return the barrier when every member has replied.
+
+        A member that was restarted since it was added has lost what its
+        former incarnation started.
+        """
+        roster = self.quorum.roster
+        barrier_ms = roster.lost_before_ms
+        skew_ms = int(self.limits.clock_skew_s * MS_PER_S)
+        for member in roster.members:
+            hello = self.agents[member.agent_id]
+            if hello.incarnation != member.incarnation:
+                barrier_ms = max(barrier_ms, hello.started_ms + skew_ms)
+        return barrier_ms
+
+    def _serve(self, now: float, barrier_ms: int) -> list[LeaderEffect]:
+        self.phase = Phase.SERVING
+        self.book.barrier_ms = barrier_ms
+        self.book.serving_since = now
+        for member in self.quorum.roster.members:
+            if member.agent_id not in self.quorum.members:
+                self.absent_since.setdefault(member.agent_id, now)
+        effects = self._open_round(now)
+        early, self.early = self.early, []
+        for request in early:
+            effects += self.book.submit(request.token, request.job)
+        return effects
+
+    # Rounds and leases.
+
+    def _open_round(self, now: float) -> list[LeaderEffect]:
+        self.next_heartbeat = now + self.limits.heartbeat_interval_s
+        round_number = self.quorum.open_round()
+        return [
+            SendToAgent(agent_id, self._heartbeat(agent_id, round_number))
+            for agent_id in self.quorum.members
+        ]
+
+    def _heartbeat(self, agent_id: str, round_number: int) -> Heartbeat:
+        member = self.quorum.members[agent_id]
+        roster = self.quorum.roster
+        return Heartbeat(
+            term=self.term,
+            round=round_number,
+            proven_stamp_us=member.proven_stamp_us,
+            roster=roster if member.roster_version < roster.version else None,
+        )
+
+    def _heartbeat_reply(
+        self, agent_id: str, reply: HeartbeatReply
+    ) -> list[LeaderEffect]:
+        if reply.term > self.term:
+            return self._end(reply.term, "a higher term was promised")
+        load = self.book.loads.get(agent_id)
+        if reply.term != self.term or load is None:
+            return []
+        load.draining = reply.draining
+        proven_before = self.quorum.proven_round
+        self.quorum.confirm(
+            agent_id,
+            round_number=reply.round,
+            stamp_us=reply.stamp_us,
+            roster_version=reply.roster_version,
+            now=self.clock.monotonic(),
+        )
+        if self.quorum.proven_round == proven_before:
+            return []
+        return self._grant_leases()
+
+    def _grant_leases(self) -> list[LeaderEffect]:
+        return [
+            SendToAgent(agent_id, self._heartbeat(agent_id, 0))
+            for agent_id, member in self.quorum.members.items()
+            if self.quorum.is_counted(agent_id) and member.proven_stamp_us
+        ]
+
+    def _check_quorum(self, now: float) -> list[LeaderEffect]:
+        """End a term that lost its majority or can't take a member back."""
+        if self.quorum.has_majority() and not self.quorum.has_unvouched():
+            self.incomplete_since = float("inf")
+            return []
+        self.incomplete_since = min(self.incomplete_since, now)
+        if now < self.incomplete_since + self.limits.fence_limit_s:
+            return []
+        return self._end(
+            self.term, "the term can't be confirmed any more", retry=True
+        )
+
+    def _usable(self) -> set[str]:
+        """Return the agents whose lease is surely still valid."""
+        oldest = self.clock.monotonic() - (
+            self.limits.lease_s * LEASE_USABLE_SHARE
+        )
+        return {
+            agent_id
+            for agent_id, member in self.quorum.members.items()
+            if member.proven_received > oldest
+            and self.quorum.is_counted(agent_id)
+        }
+
+    def _place(self) -> list[LeaderEffect]:
+        if self.phase is not Phase.SERVING:
+            return []
+        if not self.book.scheduler.waiting:
+            return []
+        return self.book.place(self._usable())
+
+    # Roster.
+
+    def _change_roster(self, now: float) -> list[LeaderEffect]:
+        """Add or remove one member, if the last change is recorded."""
+        if self.roster_write_pending or not self.quorum.is_roster_recorded():
+            return []
+        roster = self._roster_with_joined() or self._roster_without_lost(now)
+        if roster is None:
+            return []
+        self.roster_write_pending = True
+        return [WriteRoster(roster)]
+
+    def _roster_with_joined(self) -> Roster | None:
+        roster = self.quorum.roster
+        for agent_id, member in self.quorum.members.items():
+            if agent_id in roster.agent_ids:
+                continue
+            joined = RosterMember(
+                agent_id=agent_id, incarnation=member.incarnation
+            )
+            return dataclasses.replace(
+                roster,
+                version=roster.version + 1,
+                members=(*roster.members, joined),
+            )
+        return None
+
+    def _roster_without_lost(self, now: float) -> Roster | None:
+        roster = self.quorum.roster
+        for lost in roster.members:
+            absent_since = self.absent_since.get(lost.agent_id)
+            if lost.agent_id in self.quorum.members or absent_since is None:
+                continue
+            if now < absent_since + self.limits.member_removal_s:
+                continue
+            kept = tuple(m for m in roster.members if m != lost)
+            skew_ms = int(self.limits.clock_skew_s * MS_PER_S)
+            return dataclasses.replace(
+                roster,
+                version=roster.version + 1,
+                members=kept,
+                lost_before_ms=self.clock.unix_ms() + skew_ms,
+            )
+        return None
+
+    def roster_written(self, accepted: Roster | None) -> list[LeaderEffect]:
+        """Handle the end of a roster write.
+
+        Parameters
+        ----------
+        accepted : Roster or None
+            The roster now in the platform's store, this leader's or
+            another's; None if the store did not answer.
+
+        Returns
+        -------
+        list of LeaderEffect
+        """
+        self.roster_write_pending = False
+        if self.phase is Phase.ENDED or accepted is None:
+            return []
+        if accepted.version > self.quorum.roster.version:
+            self.quorum.roster = accepted
+        now = self.clock.monotonic()
+        if self.phase is not Phase.SERVING:
+            return self._advance_takeover(now)
+        return self._open_round(now)
+
+    # End.
+
+    def _end(
+        self, seen: Term, reason: str, *, retry: bool = False
+    ) -> list[LeaderEffect]:
+        """End the term; the entries forward the open requests again."""
+        self.phase = Phase.ENDED
+        tokens = [request.token for request in self.early]
+        for waiting in self.book.tokens.values():
+            tokens += waiting
+        effects: list[LeaderEffect] = [
+            SendReply(token, NOT_LEADER) for token in tokens
+        ]
+        self.early = []
+        self.book.tokens = {}
+        self.book.jobs = {}
+        effects.append(StepDown(max(seen, self.term), reason, retry))
+        return effects
--- /dev/null
+++ b/egretcart/process/limits.py
@@ -0,0 +1,63 @@
+"""Times and bounds of a leadership."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LeaderLimits:
+    """Times and bounds of a leadership.
+
+    Attributes
+    ----------
+    lease_s : float
+        Lease of the agents, in seconds.
+    clock_drift : float
+        Largest relative difference between two monotonic clocks.
+    heartbeat_interval_s : float
+    fence_patience_s : float
+        Wait for members that have not replied, once a majority has.
+    fence_limit_s : float
+        Wait for a majority.
+    bootstrap_wait_s : float
+        Wait for agents before the first roster of a cell is written.
+    member_grace_s : float
+        Wait for a lost agent to reconnect before its tasks are settled.
+    member_removal_s : float
+        Absence after which a member is removed from the roster.
+    window_s : float
+        Age up to which a job id may be submitted.
+    clock_skew_s : float
+    default_deadline_s : float
+        Time for a job that states no deadline.
+    max_deadline_s : float
+    attempt_limit_s : float
+        Time limit of one attempt at the backend server.
+    refusal_pause_s : float
+        Pause before a task that an agent refused is placed again.
+    max_attempts : int
+        Attempts that may have run, for an idempotent task.
+    queue_depth : int
+        Starts that may wait at an agent beyond its slots.
+    """
+
+    lease_s: float = 1.2
+    clock_drift: float = 0.01
+    heartbeat_interval_s: float = 0.25
+    fence_patience_s: float = 0.3
+    fence_limit_s: float = 1.5
+    bootstrap_wait_s: float = 0.3
+    member_grace_s: float = 1.0
+    member_removal_s: float = 60.0
+    window_s: float = 300.0
+    clock_skew_s: float = 1.0
+    default_deadline_s: float = 60.0
+    max_deadline_s: float = 120.0
+    attempt_limit_s: float = 10.0
+    refusal_pause_s: float = 0.02
+    max_attempts: int = 3
+    queue_depth: int = 2
+
+    @property
+    def takeover_wait_s(self) -> float:
+        """Wait after an incomplete takeover, in seconds."""
+        return self.lease_s * (1 + self.clock_drift)
--- /dev/null
+++ b/egretcart/process/quorum.py
@@ -0,0 +1,285 @@
+"""Which agents count for a term, and which stamps a majority has proven.
+
+The lease rule: an agent's stamp is proven once a majority of the roster
+has confirmed the term in a round that was opened after the stamp arrived.
+Any later leader's majority shares a member with that majority, and that
+member promised the later term after the stamp was taken; so whatever the
+agent starts within the lease after the stamp ends at most one lease after
+the later leader's majority.
+"""
+
+import dataclasses
+
+from egretcart.connection.messages import Roster
+
+
+def majority_of(size: int) -> int:
+    """Return how many members make a majority.
+
+    Parameters
+    ----------
+    size : int
+        Members of the roster.
+
+    Returns
+    -------
+    int
+    """
+    return size // 2 + 1
+
+
+def witnesses_needed(size: int) -> int:
+    """Return how many other members must vouch for a joining member.
+
+    That many others share a member with every majority, even when the
+    joining member had been part of it and has forgotten its promise.
+
+    Parameters
+    ----------
+    size : int
+        Members of the roster, with the joining one.
+
+    Returns
+    -------
+    int
+    """
+    return size - majority_of(size) + 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PendingStamp:
+    """A stamp, and the first round that can prove it.
+
+    Attributes
+    ----------
+    provable_from_round : int
+    stamp_us : int
+        The agent's clock.
+    received : float
+        The leader's monotonic clock when the stamp arrived.
+    """
+
+    provable_from_round: int
+    stamp_us: int
+    received: float
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class QuorumMember:
+    """What the leader knows of one agent that promised its term.
+
+    Attributes
+    ----------
+    agent_id : str
+    incarnation : int
+    counted : bool
+        Whether the member counts towards majorities.
+    vouched_from_round : int
+        First round whose confirmations by others vouch for the member.
+    confirmed_round : int
+        Newest round that the member has confirmed.
+    roster_version : int
+        Newest roster that the member has confirmed to know.
+    pending : list of PendingStamp
+    proven_stamp_us : int
+        Newest stamp that a majority has proven.
+    proven_received : float
+        The leader's monotonic clock when that stamp arrived.
+    """
+
+    agent_id: str
+    incarnation: int
+    counted: bool
+    vouched_from_round: int = 0
+    confirmed_round: int = 0
+    roster_version: int = 0
+    pending: list[PendingStamp] = dataclasses.field(default_factory=list)
+    proven_stamp_us: int = 0
+    proven_received: float = float("-inf")
+
+
+class Quorum:
+    """Counts promises and confirmations for one term.
+
+    Parameters
+    ----------
+    roster : Roster
+        The newest known roster of the cell.
+
+    Attributes
+    ----------
+    members : dict of str to QuorumMember
+        Connected agents that promised the term.
+    opened_round : int
+        Newest round that was opened.
+    proven_round : int
+        Newest round that a majority has confirmed.
+    """
+
+    def __init__(self, *, roster: Roster) -> None:
+        self.roster = roster
+        self.members: dict[str, QuorumMember] = {}
+        self.opened_round = 0
+        self.proven_round = 0
+
+    @property
+    def size(self) -> int:
+        """Members of the roster."""
+        return len(self.roster.members)
+
+    def has_majority(self) -> bool:
+        """Return whether counted members make a majority."""
+        return self.size > 0 and self._counted() >= majority_of(self.size)
+
+    def is_complete(self) -> bool:
+        """Return whether every member of the roster is counted."""
+        return self.size > 0 and self._counted() == self.size
+
+    def has_unvouched(self) -> bool:
+        """Return whether a member of the roster waits to be counted."""
+        return any(
+            not member.counted and member.agent_id in self.roster.agent_ids
+            for member in self.members.values()
+        )
+
+    def add_fenced(
+        self,
+        agent_id: str,
+        *,
+        incarnation: int,
+        stamp_us: int,
+        now: float,
+    ) -> None:
+        """Add a member that promised the term during the takeover."""
+        member = QuorumMember(
+            agent_id=agent_id, incarnation=incarnation, counted=True
+        )
+        self.members[agent_id] = member
+        self._add_stamp(member, stamp_us, now)
+
+    def add_joining(
+        self,
+        agent_id: str,
+        *,
+        incarnation: int,
+        stamp_us: int,
+        now: float,
+    ) -> None:
+        """Add a member that promised the term after the takeover.
+
+        It counts once enough others have confirmed the term in a round
+        that is opened from now on.
+        """
+        member = QuorumMember(
+            agent_id=agent_id,
+            incarnation=incarnation,
+            counted=False,
+            vouched_from_round=self.opened_round + 1,
+        )
+        self.members[agent_id] = member
+        self._add_stamp(member, stamp_us, now)
+
+    def remove(self, agent_id: str) -> None:
+        """Remove a member whose connection is lost."""
+        self.members.pop(agent_id, None)
+
+    def open_round(self) -> int:
+        """Open a round and return its number."""
+        self.opened_round += 1
+        return self.opened_round
+
+    def confirm(
+        self,
+        agent_id: str,
+        *,
+        round_number: int,
+        stamp_us: int,
+        roster_version: int,
+        now: float,
+    ) -> None:
+        """Record that a member confirmed the term in a round."""
+        member = self.members.get(agent_id)
+        if member is None or round_number > self.opened_round:
+            return
+        member.confirmed_round = max(member.confirmed_round, round_number)
+        member.roster_version = max(member.roster_version, roster_version)
+        self._add_stamp(member, stamp_us, now)
+        self._count_vouched()
+        self._prove()
+
+    def is_roster_recorded(self) -> bool:
+        """Return whether a majority has confirmed the newest roster."""
+        version = self.roster.version
+        recorded = sum(
+            member.roster_version >= version for member in self._counting()
+        )
+        return recorded >= majority_of(self.size)
+
+    def is_counted(self, agent_id: str) -> bool:
+        """Return whether an agent may be given starts."""
+        member = self.members.get(agent_id)
+        return (
+            member is not None
+            and member.counted
+            and agent_id in self.roster.agent_ids
+        )
+
+    def _counting(self) -> list[QuorumMember]:
+        agent_ids = self.roster.agent_ids
+        return [
+            member
+            for member in self.members.values()
+            if member.counted and member.agent_id in agent_ids
+        ]
+
+    def _counted(self) -> int:
+        return len(self._counting())
+
+    def _add_stamp(
+        self, member: QuorumMember, stamp_us: int, now: float
+    ) -> None:
+        pending = PendingStamp(self.opened_round + 1, stamp_us, now)
+        if (
+            member.pending
+            and member.pending[-1].provable_from_round
+            == pending.provable_from_round
+        ):
+            member.pending[-1] = pending
+        else:
+            member.pending.append(pending)
+
+    def _count_vouched(self) -> None:
+        needed = witnesses_needed(self.size)
+        for member in self.members.values():
+            if member.counted or member.agent_id not in (
+                self.roster.agent_ids
+            ):
+                continue
+            witnesses = sum(
+                other.confirmed_round >= member.vouched_from_round
+                for other in self._counting()
+            )
+            if witnesses >= needed:
+                member.counted = True
+
+    def _prove(self) -> None:
+        rounds = sorted(
+            (member.confirmed_round for member in self._counting()),
+            reverse=True,
+        )
+        needed = majority_of(self.size)
+        if len(rounds) < needed:
+            return
+        self.proven_round = max(self.proven_round, rounds[needed - 1])
+        for member in self._counting():
+            self._prove_stamps(member)
+
+    def _prove_stamps(self, member: QuorumMember) -> None:
+        while (
+            member.pending
+            and member.pending[0].provable_from_round <= self.proven_round
+        ):
+            stamp = member.pending.pop(0)
+            if stamp.stamp_us > member.proven_stamp_us:
+                member.proven_stamp_us = stamp.stamp_us
+                member.proven_received = stamp.received
--- /dev/null
+++ b/egretcart/process/rosters.py
@@ -0,0 +1,67 @@
+"""Rosters of cells in the platform's store."""
+
+import dataclasses
+
+import msgspec
+
+from egretcart.connection.messages import Roster
+from egretcart.process.directory import Cell
+from egretcart.process.platform import Platform
+from egretcart.process.platform import PlatformError
+
+
+def roster_key(cell: Cell) -> str:
+    """Return the key under which a cell's roster is stored."""
+    return f"egretcart/rosters/{cell.service}/{cell.index}"
+
+
+async def read_roster(platform: Platform, cell: Cell) -> Roster:
+    """Return the stored roster of a cell; version 0 if there is none.
+
+    Raises
+    ------
+    PlatformError
+        If the store gave no answer.
+    """
+    stored = await platform.get(roster_key(cell))
+    if stored is None:
+        return Roster()
+    return msgspec.json.decode(stored.data, type=Roster)
+
+
+async def write_roster(
+    platform: Platform, cell: Cell, roster: Roster
+) -> Roster | None:
+    """Write a roster if the stored one is its predecessor.
+
+    Parameters
+    ----------
+    platform : Platform
+    cell : Cell
+    roster : Roster
+
+    Returns
+    -------
+    Roster or None
+        The roster that is stored now, read back when the answer to the
+        write was lost; None if the store gives no answer.
+    """
+    key = roster_key(cell)
+    data = msgspec.json.encode(dataclasses.asdict(roster))
+    try:
+        stored = await platform.get(key)
+        if stored is not None:
+            current = msgspec.json.decode(stored.data, type=Roster)
+            if current.version != roster.version - 1:
+                return current
+        elif roster.version != 1:
+            return None
+        revision = stored.revision if stored is not None else 0
+        try:
+            if await platform.compare_and_swap(key, data, revision):
+                return roster
+        except PlatformError:
+            pass
+        return await read_roster(platform, cell)
+    except PlatformError:
+        return None
--- /dev/null
+++ b/egretcart/process/settings.py
@@ -0,0 +1,139 @@
+"""Settings of each process, read from JSON files."""
+
+import pathlib
+from typing import Annotated
+from typing import TypeVar
+
+import msgspec
+from result import Err
+from result import Ok
+from result import Result
+
+Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
+Text = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
+Positive = Annotated[int, msgspec.Meta(ge=1, le=100_000)]
+
+
+class SettingsBase(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Base of all settings: frozen, unknown fields are errors."""
+
+
+class Address(SettingsBase, frozen=True, kw_only=True):
+    """Where a process listens or is reached.
+
+    Attributes
+    ----------
+    host : str
+        An IP number.
+    port : int
+        0 lets the system choose one.
+    """
+
+    host: Text
+    port: Port
+
+
+class EntrySettings(SettingsBase, frozen=True, kw_only=True):
+    """Settings of an entry.
+
+    Attributes
+    ----------
+    entry_id : str
+    failure_domain : str
+    http : Address
+        Where callers and operators connect.
+    peer : Address
+        Where agents and other entries connect.
+    weight : int
+        Share of the cells that it should lead, relative to others.
+    seeds : tuple of Address
+        Peer addresses of other entries.
+    platform : Address or None
+        The platform's store.
+    """
+
+    entry_id: Text
+    failure_domain: Text
+    http: Address
+    peer: Address
+    weight: Positive = 1
+    seeds: tuple[Address, ...] = ()
+    platform: Address | None = None
+
+
+class AgentSettings(SettingsBase, frozen=True, kw_only=True):
+    """Settings of an agent.
+
+    Attributes
+    ----------
+    agent_id : str
+        Stays the same over restarts at the same place.
+    failure_domain : str
+    service : str
+    slots : int
+        Tasks that the backend server runs at a time.
+    connections : int
+        Connections that the backend server accepts.
+    backend : Address
+    backend_path : str
+        Path that tasks are posted to.
+    seeds : tuple of Address
+        Peer addresses of entries.
+    """
+
+    agent_id: Text
+    failure_domain: Text
+    service: Text
+    slots: Positive
+    connections: Positive
+    backend: Address
+    backend_path: Text = "/"
+    seeds: Annotated[tuple[Address, ...], msgspec.Meta(min_length=1)]
+
+
+class PlatformStandInSettings(SettingsBase, frozen=True, kw_only=True):
+    """Settings of the platform stand-in."""
+
+    listen: Address
+
+
+class BackendStandInSettings(SettingsBase, frozen=True, kw_only=True):
+    """Settings of the backend server stand-in.
+
+    Attributes
+    ----------
+    listen : Address
+    speed : float
+        Run times are divided by this.
+    """
+
+    listen: Address
+    speed: Annotated[float, msgspec.Meta(gt=0)] = 1.0
+
+
+S = TypeVar("S")
+
+
+def load_settings(path: pathlib.Path, kind: type[S]) -> Result[S, str]:
+    """Read and check a settings file.
+
+    Parameters
+    ----------
+    path : pathlib.Path
+    kind : type
+        Settings class to fill.
+
+    Returns
+    -------
+    Result of settings or str
+        The error names the file, the path of the wrong field, the value's
+        type and what is accepted.
+    """
+    try:
+        return Ok(msgspec.json.decode(path.read_bytes(), type=kind))
+    except OSError as error:
+        return Err(f"{path}: {error.strerror}")
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return Err(f"{path}: {error}")
--- /dev/null
+++ b/egretcart/request/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one submission: identity, job, task, verdict, problem."""
--- /dev/null
+++ b/egretcart/request/outcomes.py
@@ -0,0 +1,130 @@
+"""The problems that end a job or refuse a request about one."""
+
+from collections.abc import Collection
+
+from egretcart.request.identity import JobId
+from egretcart.request.job import Job
+from egretcart.request.problem import Problem
+from egretcart.request.progress import JobProgress
+from egretcart.request.verdict import Verdict
+
+# When to ask again for a job whose fate depends on a lost agent.
+UNSETTLED_RETRY_S = 2.0
+
+
+def conflict(job_id: JobId) -> Problem:
+    """Return the problem for an id that names another body."""
+    return Problem(
+        status=409,
+        title="Conflict",
+        detail=f"job {job_id} was submitted with another body",
+        verdict=Verdict.NOT_RUN,
+    )
+
+
+def answer_gone(job_id: JobId) -> Problem:
+    """Return the problem for an answer that is no longer kept."""
+    return Problem(
+        status=410,
+        title="Answer Gone",
+        detail=f"job {job_id} ran, but its answer is no longer kept",
+        verdict=Verdict.RAN,
+    )
+
+
+def unknown_job(job_id: JobId, verdict: Verdict) -> Problem:
+    """Return the problem for a read of a job that is not known."""
+    return Problem(
+        status=404,
+        title="Not Found",
+        detail=f"job {job_id} is not known",
+        verdict=verdict,
+    )
+
+
+def id_expired(job_id: JobId, age_s: float, window_s: float) -> Problem:
+    """Return the problem for an id older than the idempotency window."""
+    return Problem(
+        status=410,
+        title="Job Id Expired",
+        detail=(
+            f"job id {job_id} is {age_s:.1f} s old; at most "
+            f"{window_s:.0f} s are accepted"
+        ),
+        verdict=Verdict.MAY_HAVE_RUN,
+    )
+
+
+def id_in_future(job_id: JobId, ahead_s: float, skew_s: float) -> Problem:
+    """Return the problem for an id dated too far ahead."""
+    return Problem(
+        status=400,
+        title="Job Id In Future",
+        detail=(
+            f"job id {job_id} is dated {ahead_s:.1f} s ahead; at most "
+            f"{skew_s:.1f} s are accepted"
+        ),
+        verdict=Verdict.NOT_RUN,
+    )
+
+
+def unsettled(job: Job, known: Collection[int]) -> Problem:
+    """Return the problem for a job that may have run on a lost agent.
+
+    Parameters
+    ----------
+    job : Job
+    known : collection of int
+        Indices of the tasks that some reachable agent has started.
+
+    Returns
+    -------
+    Problem
+    """
+    return Problem(
+        status=503,
+        title="Outcome Unknown",
+        detail=(
+            f"{len(job.tasks) - len(known)} tasks of job {job.job_id} may "
+            "have run on a backend server that can't be reached"
+        ),
+        verdict=Verdict.MAY_HAVE_RUN,
+        retry_after_s=UNSETTLED_RETRY_S,
+        tasks=tuple(Verdict.MAY_HAVE_RUN for _ in job.tasks),
+    )
+
+
+def cancelled(progress: JobProgress) -> Problem:
+    """Return the problem that ends a cancelled job."""
+    return Problem(
+        status=409,
+        title="Cancelled",
+        detail=f"job {progress.job.job_id} was cancelled by its caller",
+        verdict=progress.verdict(),
+        tasks=progress.verdicts(),
+    )
+
+
+def task_failed(progress: JobProgress, index: int, error: str) -> Problem:
+    """Return the problem that ends a job of which one task failed."""
+    return Problem(
+        status=502,
+        title="Task Failed",
+        detail=f"task {index} of job {progress.job.job_id} failed: {error}",
+        verdict=progress.verdict(),
+        tasks=progress.verdicts(),
+    )
+
+
+def deadline_passed(progress: JobProgress) -> Problem:
+    """Return the problem that ends a job at its deadline."""
+    return Problem(
+        status=504,
+        title="Deadline Passed",
+        detail=(
+            f"{progress.open_tasks} of {len(progress.tasks)} tasks of job "
+            f"{progress.job.job_id} were not done by its deadline"
+        ),
+        verdict=progress.verdict(),
+        tasks=progress.verdicts(),
+    )
--- /dev/null
+++ b/egretcart/request/problem.py
@@ -0,0 +1,106 @@
+"""Problem documents (RFC 9457) that carry a verdict."""
+
+import dataclasses
+import http
+
+import msgspec
+
+from egretcart.request.verdict import Verdict
+
+MEDIA_TYPE = "application/problem+json"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Problem:
+    """Why a request was refused or has failed.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status code.
+    title : str
+        Short, constant summary of the kind of problem.
+    detail : str
+        What was found in this request and what is accepted.
+    verdict : Verdict
+        Whether any task of the request may have run.
+    retry_after_s : float or None
+        When to come back, in seconds; None if coming back is useless.
+    tasks : tuple of Verdict
+        One verdict a task in task order, where they are known.
+    """
+
+    status: int
+    title: str
+    detail: str
+    verdict: Verdict
+    retry_after_s: float | None = None
+    tasks: tuple[Verdict, ...] = ()
+
+    def to_json(self) -> bytes:
+        """Return the problem document as JSON bytes."""
+        document: dict[str, object] = {
+            "type": "about:blank",
+            "title": self.title,
+            "status": self.status,
+            "detail": self.detail,
+            "verdict": self.verdict.value,
+        }
+        if self.retry_after_s is not None:
+            document["retry_after_s"] = round(self.retry_after_s, 3)
+        if self.tasks:
+            document["tasks"] = [verdict.value for verdict in self.tasks]
+        return msgspec.json.encode(document)
+
+
+def bad_request(
+    detail: str, *, status: int = http.HTTPStatus.BAD_REQUEST
+) -> Problem:
+    """Return the problem for a request that can never be accepted.
+
+    Parameters
+    ----------
+    detail : str
+        What was found and what is accepted.
+    status : int, optional
+        HTTP status code, 400 by default.
+
+    Returns
+    -------
+    Problem
+        With verdict `NOT_RUN` and no time to come back.
+    """
+    known = http.HTTPStatus(status)
+    return Problem(
+        status=int(known),
+        title=known.phrase,
+        detail=detail,
+        verdict=Verdict.NOT_RUN,
+    )
+
+
+def unavailable(
+    detail: str, *, verdict: Verdict, retry_after_s: float
+) -> Problem:
+    """Return the problem for work that can't be done at the moment.
+
+    Parameters
+    ----------
+    detail : str
+        What is missing.
+    verdict : Verdict
+        Whether the work may have run.
+    retry_after_s : float
+        When to come back, in seconds.
+
+    Returns
+    -------
+    Problem
+    """
+    return Problem(
+        status=503,
+        title="Service Unavailable",
+        detail=detail,
+        verdict=verdict,
+        retry_after_s=retry_after_s,
+    )
--- /dev/null
+++ b/egretcart/request/reply.py
@@ -0,0 +1,111 @@
+"""What a caller is told at the end of its request."""
+
+import base64
+import dataclasses
+import enum
+
+import msgspec
+
+from egretcart.request.identity import JobId
+from egretcart.request.problem import Problem
+
+JSON_TYPE = "application/json"
+HTTP_OK = 200
+HTTP_ACCEPTED = 202
+
+
+class ReplyOutcome(enum.Enum):
+    """Whether a reply is final for the caller."""
+
+    ANSWERED = "answered"
+    NOT_LEADER = "not_leader"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Reply:
+    """A reply to one request about a job.
+
+    Attributes
+    ----------
+    outcome : ReplyOutcome
+        `NOT_LEADER` asks the entry to forward the request again.
+    status : int
+        HTTP status code.
+    body : bytes
+        JSON text.
+    retry_after_s : float or None
+        When to come back, in seconds.
+    """
+
+    outcome: ReplyOutcome
+    status: int = HTTP_OK
+    body: bytes = b""
+    retry_after_s: float | None = None
+
+
+NOT_LEADER = Reply(outcome=ReplyOutcome.NOT_LEADER)
+
+
+def problem_reply(problem: Problem) -> Reply:
+    """Return the reply that carries a problem document."""
+    return Reply(
+        outcome=ReplyOutcome.ANSWERED,
+        status=problem.status,
+        body=problem.to_json(),
+        retry_after_s=problem.retry_after_s,
+    )
+
+
+def running_reply(job_id: JobId) -> Reply:
+    """Return the reply to a read of a job that still runs."""
+    body = msgspec.json.encode({"id": str(job_id), "state": "running"})
+    return Reply(
+        outcome=ReplyOutcome.ANSWERED, status=HTTP_ACCEPTED, body=body
+    )
+
+
+def complete_reply(job_id: JobId, results: list[msgspec.Raw]) -> Reply:
+    """Return the whole answer of a job.
+
+    Parameters
+    ----------
+    job_id : JobId
+    results : list of msgspec.Raw
+        One JSON value a task, in task order.
+
+    Returns
+    -------
+    Reply
+    """
+    body = msgspec.json.encode(
+        {"id": str(job_id), "state": "complete", "results": results}
+    )
+    return Reply(outcome=ReplyOutcome.ANSWERED, body=body)
+
+
+def result_value(body: bytes, content_type: str) -> msgspec.Raw:
+    """Return a backend server's answer as a JSON value.
+
+    Parameters
+    ----------
+    body : bytes
+    content_type : str
+        Content type that the backend server gave.
+
+    Returns
+    -------
+    msgspec.Raw
+        The body itself if it is JSON, a string if it is other text, else
+        ``{"base64": ...}``.
+    """
+    if content_type.partition(";")[0].strip() == JSON_TYPE:
+        try:
+            msgspec.json.decode(body)
+            return msgspec.Raw(body)
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+            pass
+    try:
+        return msgspec.Raw(msgspec.json.encode(body.decode()))
+    except UnicodeDecodeError:
+        encoded = base64.b64encode(body).decode()
+        return msgspec.Raw(msgspec.json.encode({"base64": encoded}))
--- /dev/null
+++ b/egretcart/version/release.py
@@ -0,0 +1,3 @@
+"""The release of this package."""
+
+RELEASE = "0.1.0"
--- /dev/null
+++ b/tests/features/codec.feature
@@ -0,0 +1,10 @@
+Feature: Frames between processes
+
+  Scenario: Every message comes back as it was sent
+    Then any batch of messages survives encoding and decoding
+
+  Scenario: A stream split anywhere yields the same messages
+    Then any split of a stream of frames yields the same messages
+
+  Scenario: Garbage is refused and raises nothing but a frame error
+    Then any garbage bytes are refused with a frame error or ignored
--- /dev/null
+++ b/tests/features/steps/processes.py
@@ -0,0 +1,201 @@
+"""Deployments of separate processes, for scenarios."""
+
+import http.client
+import json
+import pathlib
+import subprocess
+import sys
+import tempfile
+import time
+
+from egretcart.request.identity import new_job_id
+
+HOST = "127.0.0.1"
+ROOT = pathlib.Path(__file__).resolve().parents[3]
+READY_LIMIT_S = 30
+
+
+class RunningProcess:
+    """One of the project's processes, started by a scenario."""
+
+    def __init__(self, folder, name, role, settings):
+        path = pathlib.Path(folder) / f"{name}.json"
+        path.write_text(json.dumps(settings))
+        self.name = name
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "egretcart", *role, str(path)],
+            cwd=ROOT,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        line = self.process.stdout.readline()
+        assert line, f"{name} did not start"
+        self.ready = json.loads(line)
+
+    def kill(self):
+        self.process.kill()
+        self.process.wait()
+
+    def signal(self, number):
+        self.process.send_signal(number)
+
+
+def request(port, method, path, body=None, limit_s=60):
+    """Return the status, headers and JSON body of one HTTP exchange."""
+    connection = http.client.HTTPConnection(HOST, port, timeout=limit_s)
+    try:
+        connection.request(method, path, body)
+        response = connection.getresponse()
+        data = response.read()
+        return response.status, dict(response.getheaders()), json.loads(data)
+    finally:
+        connection.close()
+
+
+def eventually(check, limit_s=READY_LIMIT_S):
+    """Return the first true result of a check, or fail."""
+    end = time.monotonic() + limit_s
+    while time.monotonic() < end:
+        found = check()
+        if found:
+            return found
+        time.sleep(0.05)
+    raise AssertionError(f"{check} was not true in {limit_s} s")
+
+
+class Deployment:
+    """Platform, entries, agents and backend servers on loopback."""
+
+    def __init__(self, entries, agents, *, service="snapcheck"):
+        self.folder = tempfile.TemporaryDirectory()
+        self.service = service
+        self.processes = []
+        self.platform = self.start(
+            "platform",
+            ["standin", "platform"],
+            {"listen": {"host": HOST, "port": 0}},
+        )
+        self.apply({"version": 1, "services": [{"name": service}]})
+        self.entries = []
+        for number in range(entries):
+            self.entries.append(self.start_entry(f"entry-{number}"))
+        self.backends = []
+        self.agents = []
+        for number in range(agents):
+            self.add_agent(f"agent-{number}")
+        self.wait_until_serving()
+
+    def start(self, name, role, settings):
+        process = RunningProcess(self.folder.name, name, role, settings)
+        self.processes.append(process)
+        return process
+
+    def apply(self, configuration):
+        import base64
+
+        encode = lambda data: base64.b64encode(data).decode()  # noqa: E731
+        key = encode(b"egretcart/config")
+        value = encode(json.dumps(configuration).encode())
+        request(
+            self.platform.ready["port"],
+            "POST",
+            "/v3/kv/txn",
+            json.dumps(
+                {"success": [{"request_put": {"key": key, "value": value}}]}
+            ),
+        )
+
+    def peer_seeds(self):
+        return [
+            {"host": HOST, "port": entry.ready["peer_port"]}
+            for entry in self.entries
+        ]
+
+    def start_entry(self, name):
+        return self.start(
+            name,
+            ["entry"],
+            {
+                "entry_id": name,
+                "failure_domain": "kl-putra",
+                "http": {"host": HOST, "port": 0},
+                "peer": {"host": HOST, "port": 0},
+                "seeds": self.peer_seeds(),
+                "platform": {
+                    "host": HOST,
+                    "port": self.platform.ready["port"],
+                },
+            },
+        )
+
+    def add_agent(self, name):
+        backend = self.start(
+            f"backend-{name}",
+            ["standin", "backend"],
+            {"listen": {"host": HOST, "port": 0}},
+        )
+        agent = self.start(
+            name,
+            ["agent"],
+            {
+                "agent_id": name,
+                "failure_domain": "kl-putra",
+                "service": self.service,
+                "slots": 8,
+                "connections": 64,
+                "backend": {"host": HOST, "port": backend.ready["port"]},
+                "seeds": self.peer_seeds(),
+            },
+        )
+        self.backends.append(backend)
+        self.agents.append(agent)
+
+    def wait_until_serving(self):
+        def serving():
+            return any(
+                cell["phase"] == "serving"
+                and cell["roster_version"] > 0
+                and len(self.status(entry)["agents"]) == len(self.agents)
+                for entry in self.entries
+                if entry.process.poll() is None
+                for cell in self.status(entry)["leading"]
+            )
+
+        eventually(serving)
+
+    def status(self, entry):
+        return request(entry.ready["http_port"], "GET", "/v1/status")[2]
+
+    def leader(self):
+        """Return the entry that leads the only cell."""
+        for entry in self.entries:
+            if entry.process.poll() is None and self.status(entry)["leading"]:
+                return entry
+        raise AssertionError("no entry leads")
+
+    def submit(self, entry, tasks, *, job_id=None, **options):
+        """Submit a job and return status and answer."""
+        job_id = job_id or str(new_job_id())
+        body = json.dumps({"tasks": tasks, **options})
+        path = f"/v1/services/{self.service}/jobs/{job_id}"
+        status, _, answer = request(
+            entry.ready["http_port"], "PUT", path, body
+        )
+        return status, answer
+
+    def recorded_starts(self):
+        """Return how often each idempotency key was started."""
+        counts = {}
+        for backend in self.backends:
+            if backend.process.poll() is not None:
+                continue
+            report = request(backend.ready["port"], "GET", "/starts")[2]
+            for key, _, _ in report["starts"]:
+                counts[key] = counts.get(key, 0) + 1
+        return counts
+
+    def close(self):
+        for process in self.processes:
+            process.kill()
+            process.process.stdout.close()
+        self.folder.cleanup()
--- /dev/null
+++ b/tests/features/whole_path.feature
@@ -0,0 +1,13 @@
+Feature: A job travels the whole path through separate processes
+
+  Scenario: A caller gets its whole answer in task order
+    Given a deployment of 2 entries and 3 agents
+    When a job of 40 tasks is submitted through each entry
+    Then every answer is complete and in task order
+    And no task was started twice
+
+  Scenario: A resubmission through another entry starts nothing again
+    Given a deployment of 2 entries and 3 agents
+    When the same job of 10 tasks is submitted through every entry at once
+    Then every answer is complete and in task order
+    And no task was started twice
