--- a/egretcart/process/entry.py
+++ b/egretcart/process/entry.py
@@ -200,6 +200,29 @@
         self.leading_told: tuple[CellLeader, ...] = ()
         self.addresses_told: tuple[EntryAddress, ...] = ()
 
+    # Configuration.
+
+    def configure(self, configuration: Configuration) -> list[EntryEffect]:
+        """Put a configuration in force if it is newer than the present.
+
+        Parameters
+        ----------
+        configuration : Configuration
+
+        Returns
+        -------
+        list of EntryEffect
+        """
+        if configuration.version <= self.configuration.version:
+            return []
+        self.configuration = configuration
+        effects: list[EntryEffect] = []
+        for cell, leadership in list(self.leaderships.items()):
+            effects += self._carry_out(
+                cell, leadership.configure(configuration)
+            )
+        return effects + self._steer()
+
     # Callers.
 
     def request(
@@ -605,6 +628,7 @@
             cell=cell.index,
             term=term,
             roster=self.rosters.get(cell, Roster()),
+            configuration=self.configuration,
             limits=self.leader_limits,
             clock=self.clock,
             answers=self.answers,
--- a/egretcart/process/entry_process.py
+++ b/egretcart/process/entry_process.py
@@ -281,7 +281,7 @@
                 cell = Cell(service.name, index)
                 roster = await read_roster(platform, cell)
                 self.entry.rosters.setdefault(cell, roster)
-        self.entry.configuration = configuration
+        self.carry_out(self.entry.configure(configuration))
 
     async def _tick(self) -> None:
         while True:
--- a/egretcart/process/leadership.py
+++ b/egretcart/process/leadership.py
@@ -35,6 +35,7 @@
 from egretcart.request.job import Job
 from egretcart.request.reply import NOT_LEADER
 from egretcart.request.reply import problem_reply
+from egretcart.version.document import Configuration
 
 MS_PER_S = 1000
 # Share of the lease up to which the leader counts on it, so that a start
@@ -69,6 +70,7 @@
     term : Term
     roster : Roster
         Newest roster that the entry knows.
+    configuration : Configuration
     limits : LeaderLimits
     clock : Clock
     answers : AnswerCache
@@ -90,6 +92,7 @@
         cell: int,
         term: Term,
         roster: Roster,
+        configuration: Configuration,
         limits: LeaderLimits,
         clock: Clock,
         answers: AnswerCache,
@@ -97,6 +100,7 @@
         self.service = service
         self.cell = cell
         self.term = term
+        self.configuration = configuration
         self.limits = limits
         self.clock = clock
         self.phase = Phase.FENCING
@@ -113,6 +117,11 @@
         self.roster_write_pending = False
         self.next_heartbeat = float("-inf")
 
+    def configure(self, configuration: Configuration) -> list[LeaderEffect]:
+        """Put a newer configuration in force."""
+        self.configuration = configuration
+        return self._place()
+
     # Requests.
 
     def submit(self, token: RequestToken, job: Job) -> list[LeaderEffect]:
