Count messages, waste and jobs in every process, and define the measures

Cause: no figure could be taken from the processes. Metrics are plain integers behind a Protocol, read through OpenTelemetry's Prometheus reader when GET /metrics asks; no thread. Waste is told by watching the messages that pass at the leader, so that it holds for any placement policy.

The counters showed a fault at once: 10 to 20 starts of 80 were refused after agents had joined, because a stamp could be proven without a new round, and then no lease was granted before the starts.

--- a/egretcart/connection/link.py
+++ b/egretcart/connection/link.py
@@ -9,6 +9,7 @@
 from egretcart.connection.codec import FrameBuffer
 from egretcart.connection.codec import FrameError
 from egretcart.connection.messages import Message
+from egretcart.connection.traffic import Traffic
 
 RECEIVE_BYTES = 256 * 1024
 MAX_WAITING_MESSAGES = 100_000
@@ -22,24 +23,22 @@
     Parameters
     ----------
     stream : trio.abc.Stream
+    traffic : Traffic, optional
+        Counts of the process.
 
     Attributes
     ----------
     outbox : list of Message
-    bytes_sent, frames_sent, messages_sent : int
-    bytes_received, messages_received : int
     """
 
-    def __init__(self, *, stream: trio.abc.Stream) -> None:
+    def __init__(
+        self, *, stream: trio.abc.Stream, traffic: Traffic | None = None
+    ) -> None:
         self.stream = stream
+        self.traffic = traffic or Traffic()
         self.outbox: list[Message] = []
         self.wake = trio.Event()
         self.scope = trio.CancelScope()
-        self.bytes_sent = 0
-        self.frames_sent = 0
-        self.messages_sent = 0
-        self.bytes_received = 0
-        self.messages_received = 0
 
     def send(self, message: Message) -> None:
         """Queue a message; a peer that does not read loses the link."""
@@ -83,12 +82,11 @@
             data = await self.stream.receive_some(RECEIVE_BYTES)
             if not data:
                 return
-            self.bytes_received += len(data)
+            self.traffic.bytes_received += len(data)
             try:
                 received = frames.feed(bytes(data))
             except FrameError:
                 return
-            self.messages_received += len(received)
             for message in received:
                 handle(message)
 
@@ -100,7 +98,5 @@
             if not batch:
                 continue
             frame = encode_frame(batch)
-            self.bytes_sent += len(frame)
-            self.frames_sent += 1
-            self.messages_sent += len(batch)
+            self.traffic.sent(batch, len(frame))
             await self.stream.send_all(frame)
--- /dev/null
+++ b/egretcart/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load for a deployment, and the measures taken under it."""
--- /dev/null
+++ b/egretcart/process/agent_observer.py
@@ -0,0 +1,87 @@
+"""Counts and logs what an agent's process does, and serves its metrics."""
+
+from egretcart.connection.http_server import HttpRequest
+from egretcart.connection.http_server import HttpResponse
+from egretcart.connection.http_server import problem_response
+from egretcart.connection.messages import TaskResult
+from egretcart.process.agent import Agent
+from egretcart.process.agent import AgentEffect
+from egretcart.process.agent import BeginExchange
+from egretcart.process.agent import SendToEntry
+from egretcart.process.logs import EventLog
+from egretcart.process.metric_table import LEASE_LAPSES
+from egretcart.process.metric_table import RESULTS
+from egretcart.process.metric_table import STARTS
+from egretcart.process.metric_table import STATE_CHANGES
+from egretcart.process.metric_table import TASKS_QUEUED
+from egretcart.process.metric_table import TASKS_RUNNING
+from egretcart.process.metrics import Metrics
+from egretcart.process.metrics import TEXT_TYPE
+from egretcart.process.transitions import Change
+from egretcart.process.transitions import ChangeKind
+from egretcart.request.problem import bad_request
+
+SUCCEEDED = "succeeded"
+
+
+class AgentObserver:
+    """Watches an agent's effects and state.
+
+    Parameters
+    ----------
+    agent : Agent
+    metrics : Metrics
+    log : EventLog
+    """
+
+    def __init__(
+        self, *, agent: Agent, metrics: Metrics, log: EventLog
+    ) -> None:
+        self.agent = agent
+        self.metrics = metrics
+        self.log = log
+        self.had_lease = False
+        self.was_draining = False
+        metrics.gauge(TASKS_RUNNING, lambda: len(agent.running))
+        metrics.gauge(TASKS_QUEUED, lambda: len(agent.queued))
+
+    def effect(self, effect: AgentEffect) -> None:
+        """Take note of an effect before it is carried out."""
+        if isinstance(effect, BeginExchange):
+            self.metrics.add(STARTS)
+        elif isinstance(effect, SendToEntry):
+            message = effect.message
+            if isinstance(message, TaskResult):
+                label = SUCCEEDED if message.succeeded else message.verdict
+                self.metrics.add(RESULTS, label=label)
+
+    def look(self) -> None:
+        """Count and log the changes of state since the last look."""
+        agent = self.agent
+        has_lease = agent.clock.monotonic() < agent.lease_until
+        if self.had_lease and not has_lease:
+            self.metrics.add(LEASE_LAPSES)
+            self._changed(ChangeKind.LEASE_LAPSED, str(agent.promised))
+        if agent.draining and not self.was_draining:
+            self._changed(ChangeKind.DRAINING, "agent")
+        self.had_lease = has_lease
+        self.was_draining = agent.draining
+
+    def _changed(self, kind: ChangeKind, subject: str) -> None:
+        self.metrics.add(STATE_CHANGES, label=kind.value)
+        self.log.record(self.agent.identity.agent_id, Change(kind, subject))
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one HTTP request."""
+        if request.method == "GET" and request.path == "/metrics":
+            return HttpResponse(
+                body=self.metrics.render(), content_type=TEXT_TYPE
+            )
+        if request.method == "GET" and request.path == "/healthz":
+            return HttpResponse(body=b'{"healthy":true}')
+        refusal = bad_request(
+            f"there is nothing at {request.path!r}; served are /healthz "
+            "and /metrics",
+            status=404,
+        )
+        return problem_response(refusal)
--- a/egretcart/process/agent_process.py
+++ b/egretcart/process/agent_process.py
@@ -8,6 +8,8 @@
 
 from egretcart.connection.http_client import ExchangeError
 from egretcart.connection.http_client import HttpClient
+from egretcart.connection.http_server import HttpConnection
+from egretcart.connection.http_server import HttpLimits
 from egretcart.connection.link import Link
 from egretcart.connection.messages import EntryAddress
 from egretcart.connection.messages import EntryHello
@@ -15,6 +17,7 @@
 from egretcart.connection.messages import LeaderMessage
 from egretcart.connection.messages import Message
 from egretcart.connection.messages import Start
+from egretcart.connection.traffic import Traffic
 from egretcart.process.agent import AbortExchange
 from egretcart.process.agent import Agent
 from egretcart.process.agent import AgentEffect
@@ -24,7 +27,12 @@
 from egretcart.process.agent import ExchangeOutcome
 from egretcart.process.agent import SendToEntry
 from egretcart.process.agent import TaskKey
+from egretcart.process.agent_observer import AgentObserver
 from egretcart.process.clock import Clock
+from egretcart.process.logs import EventLog
+from egretcart.process.logs import NullLog
+from egretcart.process.metrics import Metrics
+from egretcart.process.metrics import ProcessMetrics
 from egretcart.process.settings import AgentSettings
 from egretcart.request.identity import JobId
 from egretcart.request.verdict import Verdict
@@ -43,10 +51,16 @@
     settings : AgentSettings
     limits : AgentLimits
     clock : Clock
+    log : EventLog, optional
     """
 
     def __init__(
-        self, *, settings: AgentSettings, limits: AgentLimits, clock: Clock
+        self,
+        *,
+        settings: AgentSettings,
+        limits: AgentLimits,
+        clock: Clock,
+        log: EventLog | None = None,
     ) -> None:
         self.settings = settings
         self.clock = clock
@@ -62,6 +76,12 @@
             limits=limits,
             clock=clock,
         )
+        self.traffic = Traffic()
+        self.metrics: Metrics = ProcessMetrics(traffic=self.traffic)
+        self.observer = AgentObserver(
+            agent=self.agent, metrics=self.metrics, log=log or NullLog()
+        )
+        self.http_port = 0
         self.client = HttpClient(
             host=settings.backend.host,
             port=settings.backend.port,
@@ -78,6 +98,7 @@
         """Run until cancelled."""
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
+            await self._listen()
             for seed in self.settings.seeds:
                 self._ensure_dialled(seed.host, seed.port)
             nursery.start_soon(self._tick)
@@ -85,9 +106,33 @@
 
     async def announce(self) -> None:
         """Print that the process runs."""
-        print(json.dumps({"role": "agent", "id": self.settings.agent_id}))
+        ready = {
+            "role": "agent",
+            "id": self.settings.agent_id,
+            "http_port": self.http_port,
+        }
+        print(json.dumps(ready))
         sys.stdout.flush()
 
+    async def _listen(self) -> None:
+        """Serve health and metrics if the settings ask for it."""
+        address = self.settings.http
+        if address is None:
+            return
+        listeners = await trio.open_tcp_listeners(
+            address.port, host=address.host
+        )
+        self.http_port = listeners[0].socket.getsockname()[1]
+        self.nursery.start_soon(
+            trio.serve_listeners, self._serve_http, listeners
+        )
+
+    async def _serve_http(self, stream: trio.SocketStream) -> None:
+        connection = HttpConnection(
+            stream=stream, handler=self.observer.handle, limits=HttpLimits()
+        )
+        await connection.serve()
+
     def _ensure_dialled(self, host: str, port: int) -> None:
         if (host, port) not in self.targets:
             self.targets.add((host, port))
@@ -104,7 +149,7 @@
             await trio.sleep(REDIAL_S)
 
     async def _converse(self, stream: trio.SocketStream) -> None:
-        link = Link(stream=stream)
+        link = Link(stream=stream, traffic=self.traffic)
         entry_id: str | None = None
 
         def handle(message: Message) -> None:
@@ -131,6 +176,7 @@
 
     def _carry_out(self, effects: Iterable[AgentEffect]) -> None:
         for effect in effects:
+            self.observer.effect(effect)
             if isinstance(effect, SendToEntry):
                 link = self.links.get(effect.entry_id)
                 if link is not None:
@@ -198,4 +244,5 @@
     async def _tick(self) -> None:
         while True:
             self._carry_out(self.agent.tick())
+            self.observer.look()
             await trio.sleep(TICK_S)
--- a/egretcart/process/caller_api.py
+++ b/egretcart/process/caller_api.py
@@ -10,16 +10,25 @@
 from egretcart.connection.http_server import HttpRequest
 from egretcart.connection.http_server import HttpResponse
 from egretcart.connection.http_server import problem_response
+from egretcart.process.clock import Clock
 from egretcart.process.entry import CANCEL
 from egretcart.process.entry import Entry
 from egretcart.process.entry import EntryEffect
 from egretcart.process.entry import READ
 from egretcart.process.entry import SUBMIT
+from egretcart.process.metric_table import HTTP_REQUESTS
+from egretcart.process.metric_table import JOBS
+from egretcart.process.metric_table import REFUSALS
+from egretcart.process.metric_table import RESPONSE_TIME
+from egretcart.process.metrics import Metrics
+from egretcart.process.metrics import TEXT_TYPE
 from egretcart.request.identity import parse_job_id
 from egretcart.request.problem import bad_request
 from egretcart.request.problem import MEDIA_TYPE
+from egretcart.request.problem import problem_verdict
 from egretcart.request.reply import JSON_TYPE
 from egretcart.request.reply import Reply
+from egretcart.request.verdict import Verdict
 
 JOB_PATH = re.compile(r"/v1/services/([^/?]+)/jobs/([^/?]+)")
 ACTION_OF_METHOD = {"PUT": SUBMIT, "GET": READ, "DELETE": CANCEL}
@@ -34,6 +43,8 @@
     entry : Entry
     carry_out : callable
         Carries out the entry's effects.
+    metrics : Metrics
+    clock : Clock
     """
 
     def __init__(
@@ -41,9 +52,13 @@
         *,
         entry: Entry,
         carry_out: Callable[[Iterable[EntryEffect]], None],
+        metrics: Metrics,
+        clock: Clock,
     ) -> None:
         self.entry = entry
         self.carry_out = carry_out
+        self.metrics = metrics
+        self.clock = clock
         self.replies: dict[int, Reply] = {}
         self.waiters: dict[int, trio.Event] = {}
 
@@ -56,6 +71,7 @@
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one HTTP request."""
+        self.metrics.add(HTTP_REQUESTS, label=request.method)
         path = request.path.partition("?")[0]
         job_path = JOB_PATH.fullmatch(path)
         if job_path is not None:
@@ -70,6 +86,10 @@
             return HttpResponse(body=b'{"healthy":true}')
         if path == "/readyz":
             return self._readiness()
+        if path == "/metrics":
+            return HttpResponse(
+                body=self.metrics.render(), content_type=TEXT_TYPE
+            )
         if path == "/v1/status":
             return HttpResponse(body=msgspec.json.encode(self._status()))
         return problem_response(
@@ -91,6 +111,7 @@
         job_id = parse_job_id(job_id_text)
         if job_id.is_err():
             return problem_response(bad_request(job_id.unwrap_err()))
+        began = self.clock.monotonic()
         request_id, effects = self.entry.request(
             action, service, job_id.unwrap(), request.body
         )
@@ -103,6 +124,8 @@
         finally:
             del self.waiters[request_id]
             self.entry.caller_gone(request_id)
+        if action == SUBMIT:
+            self._count(reply, self.clock.monotonic() - began)
         is_error = reply.status >= ERROR_STATUS_FROM
         return HttpResponse(
             status=reply.status,
@@ -111,6 +134,17 @@
             retry_after_s=reply.retry_after_s,
         )
 
+    def _count(self, reply: Reply, elapsed_s: float) -> None:
+        """Count how a submission was answered."""
+        if reply.status < ERROR_STATUS_FROM:
+            self.metrics.add(JOBS, label="complete")
+            self.metrics.observe(RESPONSE_TIME, elapsed_s)
+            return
+        verdict = problem_verdict(reply.body)
+        outcome = "refused" if verdict is Verdict.NOT_RUN else "failed"
+        self.metrics.add(JOBS, label=outcome)
+        self.metrics.add(REFUSALS, label=verdict.value)
+
     def _readiness(self) -> HttpResponse:
         ready = (
             self.entry.configuration.version > 0
--- a/egretcart/process/cli.py
+++ b/egretcart/process/cli.py
@@ -17,6 +17,7 @@
 from egretcart.process.entry import EntryLimits
 from egretcart.process.entry_process import EntryProcess
 from egretcart.process.limits import LeaderLimits
+from egretcart.process.logs import log_to_stderr
 from egretcart.process.settings import AgentSettings
 from egretcart.process.settings import BackendStandInSettings
 from egretcart.process.settings import EntrySettings
@@ -106,6 +107,7 @@
         limits=EntryLimits(),
         leader_limits=LeaderLimits(),
         clock=SystemClock(),
+        log=log_to_stderr(),
     )
     async with trio.open_nursery() as nursery:
         await nursery.start(process.run)
@@ -114,7 +116,10 @@
 
 async def _run_agent(settings: AgentSettings) -> None:
     process = AgentProcess(
-        settings=settings, limits=AgentLimits(), clock=SystemClock()
+        settings=settings,
+        limits=AgentLimits(),
+        clock=SystemClock(),
+        log=log_to_stderr(),
     )
     async with trio.open_nursery() as nursery:
         await nursery.start(process.run)
--- /dev/null
+++ b/egretcart/process/entry_observer.py
@@ -0,0 +1,92 @@
+"""Counts and logs what an entry's process does."""
+
+from egretcart.connection.messages import AgentMessage
+from egretcart.connection.messages import Forward
+from egretcart.connection.messages import ForwardReply
+from egretcart.process.effects import SendToAgent
+from egretcart.process.entry import Entry
+from egretcart.process.entry import EntryEffect
+from egretcart.process.entry import SendToPeer
+from egretcart.process.entry import WriteCellRoster
+from egretcart.process.logs import EventLog
+from egretcart.process.metric_table import AGENTS_CONNECTED
+from egretcart.process.metric_table import MESSAGES_WASTED
+from egretcart.process.metric_table import REQUESTS_OPEN
+from egretcart.process.metric_table import ROSTER_CHANGES
+from egretcart.process.metric_table import STATE_CHANGES
+from egretcart.process.metric_table import TAKEOVERS
+from egretcart.process.metrics import Metrics
+from egretcart.process.transitions import ChangeKind
+from egretcart.process.transitions import changes_between
+from egretcart.process.transitions import EntryState
+from egretcart.process.transitions import state_of
+from egretcart.process.waste import WasteCause
+from egretcart.process.waste import WasteObserver
+from egretcart.request.reply import ReplyOutcome
+
+
+class EntryObserver:
+    """Watches an entry's effects and messages.
+
+    Parameters
+    ----------
+    entry : Entry
+    metrics : Metrics
+    log : EventLog
+    """
+
+    def __init__(
+        self, *, entry: Entry, metrics: Metrics, log: EventLog
+    ) -> None:
+        self.entry = entry
+        self.metrics = metrics
+        self.log = log
+        self.state = EntryState()
+        self.waste = WasteObserver(count=self._wasted)
+        # Requests that have been forwarded and wait for their reply.
+        self.forwarded: set[int] = set()
+        metrics.gauge(AGENTS_CONNECTED, lambda: len(entry.agents))
+        metrics.gauge(REQUESTS_OPEN, lambda: len(entry.pending))
+
+    def effect(self, effect: EntryEffect) -> None:
+        """Take note of an effect before it is carried out."""
+        if isinstance(effect, SendToAgent):
+            self.waste.sent(effect.agent_id, effect.message)
+        elif isinstance(effect, SendToPeer):
+            self._to_peer(effect)
+        elif isinstance(effect, WriteCellRoster):
+            self.metrics.add(ROSTER_CHANGES)
+
+    def agent_message(self, agent_id: str, message: AgentMessage) -> None:
+        """Take note of an agent's message before it is handled."""
+        self.waste.received(agent_id, message)
+
+    def agent_lost(self, agent_id: str) -> None:
+        """Take note of a lost connection to an agent."""
+        self.waste.agent_lost(agent_id)
+
+    def look(self) -> None:
+        """Count and log the changes of state since the last look."""
+        state = state_of(self.entry)
+        for change in changes_between(self.state, state):
+            self.metrics.add(STATE_CHANGES, label=change.kind.value)
+            if change.kind is ChangeKind.TOOK_OVER:
+                self.metrics.add(TAKEOVERS)
+            self.log.record(self.entry.address.entry_id, change)
+        self.state = state
+        self.forwarded &= self.entry.pending.keys()
+
+    def _to_peer(self, effect: SendToPeer) -> None:
+        message = effect.message
+        if isinstance(message, Forward):
+            if message.request_id in self.forwarded:
+                self._wasted(WasteCause.REFORWARD, 1)
+            self.forwarded.add(message.request_id)
+        elif (
+            isinstance(message, ForwardReply)
+            and message.outcome == ReplyOutcome.NOT_LEADER.value
+        ):
+            self._wasted(WasteCause.REFORWARD, 1)
+
+    def _wasted(self, cause: WasteCause, messages: int) -> None:
+        self.metrics.add(MESSAGES_WASTED, messages, label=cause.value)
--- a/egretcart/process/entry_process.py
+++ b/egretcart/process/entry_process.py
@@ -23,6 +23,7 @@
 from egretcart.connection.messages import Message
 from egretcart.connection.messages import Roster
 from egretcart.connection.messages import TaskResult
+from egretcart.connection.traffic import Traffic
 from egretcart.process.caller_api import CallerApi
 from egretcart.process.clock import Clock
 from egretcart.process.directory import Cell
@@ -33,7 +34,12 @@
 from egretcart.process.entry import ReplyToCaller
 from egretcart.process.entry import SendEntryList
 from egretcart.process.entry import SendToPeer
+from egretcart.process.entry_observer import EntryObserver
 from egretcart.process.limits import LeaderLimits
+from egretcart.process.logs import EventLog
+from egretcart.process.logs import NullLog
+from egretcart.process.metrics import Metrics
+from egretcart.process.metrics import ProcessMetrics
 from egretcart.process.platform import EtcdPlatform
 from egretcart.process.platform import Platform
 from egretcart.process.platform import PlatformError
@@ -58,6 +64,7 @@
     limits : EntryLimits
     leader_limits : LeaderLimits
     clock : Clock
+    log : EventLog, optional
     """
 
     def __init__(
@@ -67,8 +74,13 @@
         limits: EntryLimits,
         leader_limits: LeaderLimits,
         clock: Clock,
+        log: EventLog | None = None,
     ) -> None:
         self.settings = settings
+        self.log = log or NullLog()
+        self.traffic = Traffic()
+        self.metrics: Metrics = ProcessMetrics(traffic=self.traffic)
+        self.observer: EntryObserver
         self.limits = limits
         self.leader_limits = leader_limits
         self.clock = clock
@@ -117,7 +129,15 @@
             leader_limits=self.leader_limits,
             clock=self.clock,
         )
-        self.api = CallerApi(entry=self.entry, carry_out=self.carry_out)
+        self.observer = EntryObserver(
+            entry=self.entry, metrics=self.metrics, log=self.log
+        )
+        self.api = CallerApi(
+            entry=self.entry,
+            carry_out=self.carry_out,
+            metrics=self.metrics,
+            clock=self.clock,
+        )
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
             nursery.start_soon(
@@ -178,7 +198,7 @@
     async def _converse(
         self, stream: trio.SocketStream, entry_links: dict[str, Link]
     ) -> None:
-        link = Link(stream=stream)
+        link = Link(stream=stream, traffic=self.traffic)
         name = ""
         links: dict[str, Link] = {}
 
@@ -202,6 +222,7 @@
             return
         del links[name]
         if links is self.agent_links:
+            self.observer.agent_lost(name)
             self.carry_out(self.entry.agent_disconnected(name))
         else:
             self.carry_out(self.entry.peer_lost(name))
@@ -213,6 +234,7 @@
             return
         former.close()
         if links is self.agent_links:
+            self.observer.agent_lost(name)
             self.carry_out(self.entry.agent_disconnected(name))
 
     def _peer_hello(self, hello: EntryHello) -> None:
@@ -222,6 +244,7 @@
 
     def _agent_message(self, agent_id: str, message: Message) -> None:
         if isinstance(message, FenceReply | HeartbeatReply | TaskResult):
+            self.observer.agent_message(agent_id, message)
             self.carry_out(self.entry.agent_message(agent_id, message))
 
     def _peer_message(self, entry_id: str, message: Message) -> None:
@@ -233,6 +256,7 @@
     def carry_out(self, effects: Iterable[EntryEffect]) -> None:
         """Carry out what the decision logic asks for."""
         for effect in effects:
+            self.observer.effect(effect)
             if isinstance(effect, SendToAgent | SendEntryList):
                 link = self.agent_links.get(effect.agent_id)
                 if link is not None:
@@ -286,4 +310,5 @@
     async def _tick(self) -> None:
         while True:
             self.carry_out(self.entry.tick())
+            self.observer.look()
             await trio.sleep(TICK_S)
--- a/egretcart/process/leadership.py
+++ b/egretcart/process/leadership.py
@@ -345,7 +345,6 @@
         if reply.term != self.term or load is None:
             return []
         load.draining = reply.draining
-        proven_before = self.quorum.proven_round
         self.quorum.confirm(
             agent_id,
             round_number=reply.round,
@@ -353,16 +352,17 @@
             roster_version=reply.roster_version,
             now=self.clock.monotonic(),
         )
-        if self.quorum.proven_round == proven_before:
-            return []
         return self._grant_leases()
 
     def _grant_leases(self) -> list[LeaderEffect]:
-        return [
-            SendToAgent(agent_id, self._heartbeat(agent_id, 0))
-            for agent_id, member in self.quorum.members.items()
-            if self.quorum.is_counted(agent_id) and member.proven_stamp_us
-        ]
+        """Tell each member its newest proven stamp, before any start."""
+        effects: list[LeaderEffect] = []
+        for agent_id, member in self.quorum.members.items():
+            if member.proven_stamp_us <= member.granted_stamp_us:
+                continue
+            member.granted_stamp_us = member.proven_stamp_us
+            effects.append(SendToAgent(agent_id, self._heartbeat(agent_id, 0)))
+        return effects
 
     def _check_quorum(self, now: float) -> list[LeaderEffect]:
         """End a term that lost its majority or can't take a member back."""
--- /dev/null
+++ b/egretcart/process/metric_table.py
@@ -0,0 +1,170 @@
+"""The table of all metrics; docs/metrics.md shows it."""
+
+import dataclasses
+import enum
+
+
+class MetricKind(enum.Enum):
+    """How a metric's values are to be read."""
+
+    COUNTER = "counter"
+    GAUGE = "gauge"
+    HISTOGRAM = "histogram"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, eq=False)
+class Metric:
+    """One metric of a process.
+
+    Attributes
+    ----------
+    name : str
+        OpenTelemetry name.
+    kind : MetricKind
+    unit : str
+        UCUM unit.
+    label : str
+        Name of its only label; empty if it has none.
+    meaning : str
+    """
+
+    name: str
+    kind: MetricKind
+    unit: str
+    label: str = ""
+    meaning: str
+
+
+def _counter(name: str, unit: str, meaning: str, label: str = "") -> Metric:
+    return Metric(
+        name=name,
+        kind=MetricKind.COUNTER,
+        unit=unit,
+        label=label,
+        meaning=meaning,
+    )
+
+
+def _gauge(name: str, unit: str, meaning: str) -> Metric:
+    return Metric(name=name, kind=MetricKind.GAUGE, unit=unit, meaning=meaning)
+
+
+MESSAGES_SENT = _counter(
+    "egretcart.messages.sent",
+    "{message}",
+    "messages to the system's other processes, at the sender",
+    "type",
+)
+FRAMES_SENT = _counter(
+    "egretcart.frames.sent", "{frame}", "batches that carried the messages"
+)
+BYTES_SENT = _counter("egretcart.traffic.sent", "By", "bytes of frames sent")
+BYTES_RECEIVED = _counter(
+    "egretcart.traffic.received", "By", "bytes of frames received"
+)
+MESSAGES_WASTED = _counter(
+    "egretcart.messages.wasted",
+    "{message}",
+    "messages that brought no answer nearer, see docs/measures.md",
+    "cause",
+)
+HTTP_REQUESTS = _counter(
+    "egretcart.http.requests",
+    "{request}",
+    "HTTP requests received from callers and operators",
+    "method",
+)
+STARTS = _counter(
+    "egretcart.starts", "{start}", "exchanges begun with the backend server"
+)
+RESULTS = _counter(
+    "egretcart.results",
+    "{result}",
+    "results that an agent sent: succeeded, or the failure's verdict",
+    "verdict",
+)
+JOBS = _counter(
+    "egretcart.jobs",
+    "{job}",
+    "submissions answered: complete, refused (not run) or failed",
+    "outcome",
+)
+REFUSALS = _counter(
+    "egretcart.refusals",
+    "{job}",
+    "submissions answered with a problem, by its verdict",
+    "verdict",
+)
+RESPONSE_TIME = Metric(
+    name="egretcart.response.time",
+    kind=MetricKind.HISTOGRAM,
+    unit="s",
+    meaning="time from a whole submission to its complete answer",
+)
+TAKEOVERS = _counter(
+    "egretcart.takeovers", "{takeover}", "cells that began to be served"
+)
+LEASE_LAPSES = _counter(
+    "egretcart.lease.lapses", "{lapse}", "leases that lapsed at an agent"
+)
+ROSTER_CHANGES = _counter(
+    "egretcart.roster.changes", "{change}", "rosters written to the store"
+)
+STATE_CHANGES = _counter(
+    "egretcart.state.changes",
+    "{change}",
+    "changes of state, as in the log",
+    "change",
+)
+AGENTS_CONNECTED = _gauge(
+    "egretcart.agents.connected", "{agent}", "agents linked to the entry"
+)
+REQUESTS_OPEN = _gauge(
+    "egretcart.requests.open", "{request}", "callers that wait at the entry"
+)
+TASKS_RUNNING = _gauge(
+    "egretcart.tasks.running", "{task}", "exchanges open at the agent"
+)
+TASKS_QUEUED = _gauge(
+    "egretcart.tasks.queued", "{task}", "starts that wait at the agent"
+)
+CPU_TIME = _counter(
+    "egretcart.cpu.time", "s", "processor time used by the process"
+)
+
+ALL_METRICS = (
+    MESSAGES_SENT,
+    FRAMES_SENT,
+    BYTES_SENT,
+    BYTES_RECEIVED,
+    MESSAGES_WASTED,
+    HTTP_REQUESTS,
+    STARTS,
+    RESULTS,
+    JOBS,
+    REFUSALS,
+    RESPONSE_TIME,
+    TAKEOVERS,
+    LEASE_LAPSES,
+    ROSTER_CHANGES,
+    STATE_CHANGES,
+    AGENTS_CONNECTED,
+    REQUESTS_OPEN,
+    TASKS_RUNNING,
+    TASKS_QUEUED,
+    CPU_TIME,
+)
+
+
+def markdown_table() -> str:
+    """Return the table of docs/metrics.md."""
+    lines = [
+        "| metric | kind | unit | label | meaning |",
+        "|---|---|---|---|---|",
+    ]
+    lines += [
+        f"| `{metric.name}` | {metric.kind.value} | `{metric.unit}` | "
+        f"{metric.label or '-'} | {metric.meaning} |"
+        for metric in ALL_METRICS
+    ]
+    return "\n".join(lines) + "\n"
--- /dev/null
+++ b/egretcart/process/metrics.py
@@ -0,0 +1,153 @@
+"""Metrics of a process by OpenTelemetry, collected on the loop.
+
+Counters are plain integers until they are read, so that counting costs a
+dictionary update and no thread is needed.
+"""
+
+from collections import defaultdict
+from collections.abc import Callable
+from collections.abc import Iterable
+import functools
+import time
+from typing import Protocol
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import CallbackOptions
+from opentelemetry.metrics import Histogram
+from opentelemetry.metrics import Observation
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.resources import Resource
+from prometheus_client import CollectorRegistry
+from prometheus_client import generate_latest
+
+from egretcart.connection.traffic import Traffic
+from egretcart.process.metric_table import ALL_METRICS
+from egretcart.process.metric_table import BYTES_RECEIVED
+from egretcart.process.metric_table import BYTES_SENT
+from egretcart.process.metric_table import CPU_TIME
+from egretcart.process.metric_table import FRAMES_SENT
+from egretcart.process.metric_table import MESSAGES_SENT
+from egretcart.process.metric_table import Metric
+from egretcart.process.metric_table import MetricKind
+
+TEXT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+RESPONSE_TIME_BUCKETS_S = (
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60,
+)  # fmt: skip
+
+
+class Metrics(Protocol):
+    """Where a process counts."""
+
+    def add(
+        self, metric: Metric, amount: float = 1, *, label: str = ""
+    ) -> None:
+        """Raise a counter."""
+
+    def observe(self, metric: Metric, value: float) -> None:
+        """Record a value in a histogram."""
+
+    def gauge(self, metric: Metric, read: Callable[[], float]) -> None:
+        """State how a gauge is read."""
+
+    def render(self) -> bytes:
+        """Return all metrics in Prometheus' text format."""
+
+
+class ProcessMetrics:
+    """`Metrics` of one process.
+
+    Parameters
+    ----------
+    traffic : Traffic
+        Counts of the process's links.
+
+    Attributes
+    ----------
+    counts : dict of (Metric, str) to float
+        Value of each counter and label.
+    """
+
+    def __init__(self, *, traffic: Traffic) -> None:
+        self.traffic = traffic
+        self.counts: dict[tuple[Metric, str], float] = defaultdict(int)
+        self.gauges: dict[Metric, Callable[[], float]] = {}
+        self.histograms: dict[Metric, Histogram] = {}
+        self.registry = CollectorRegistry()
+        reader = PrometheusMetricReader(
+            disable_target_info=True,
+            scope_info_enabled=False,
+            registry=self.registry,
+        )
+        provider = MeterProvider(
+            metric_readers=[reader],
+            resource=Resource({}),
+            shutdown_on_exit=False,
+        )
+        self.meter = provider.get_meter("egretcart")
+        for metric in ALL_METRICS:
+            self._register(metric)
+
+    def _register(self, metric: Metric) -> None:
+        if metric.kind is MetricKind.HISTOGRAM:
+            self.histograms[metric] = self.meter.create_histogram(
+                metric.name,
+                unit=metric.unit,
+                description=metric.meaning,
+                explicit_bucket_boundaries_advisory=RESPONSE_TIME_BUCKETS_S,
+            )
+            return
+        create = self.meter.create_observable_counter
+        if metric.kind is MetricKind.GAUGE:
+            create = self.meter.create_observable_gauge  # type: ignore
+        create(
+            metric.name,
+            callbacks=[functools.partial(self._read, metric)],
+            unit=metric.unit,
+            description=metric.meaning,
+        )
+
+    def _read(
+        self, metric: Metric, _options: CallbackOptions
+    ) -> Iterable[Observation]:
+        read = self.gauges.get(metric)
+        if read is not None:
+            yield Observation(read())
+        for (counted, label), value in self.counts.items():
+            if counted is metric:
+                yield Observation(
+                    value, {metric.label: label} if metric.label else {}
+                )
+
+    def add(
+        self, metric: Metric, amount: float = 1, *, label: str = ""
+    ) -> None:
+        """Raise a counter.
+
+        Parameters
+        ----------
+        metric : Metric
+        amount : float, optional
+            In the metric's unit.
+        label : str, optional
+            Value of the metric's label.
+        """
+        self.counts[metric, label] += amount
+
+    def observe(self, metric: Metric, value: float) -> None:
+        """Record a value in a histogram, in the metric's unit."""
+        self.histograms[metric].record(value)
+
+    def gauge(self, metric: Metric, read: Callable[[], float]) -> None:
+        """State how a gauge is read when it is collected."""
+        self.gauges[metric] = read
+
+    def render(self) -> bytes:
+        """Return all metrics in Prometheus' text format."""
+        for message_type, count in self.traffic.messages.items():
+            self.counts[MESSAGES_SENT, message_type.__name__] = count
+        self.counts[FRAMES_SENT, ""] = self.traffic.frames_sent
+        self.counts[BYTES_SENT, ""] = self.traffic.bytes_sent
+        self.counts[BYTES_RECEIVED, ""] = self.traffic.bytes_received
+        self.counts[CPU_TIME, ""] = time.process_time()
+        return generate_latest(self.registry)
--- a/egretcart/process/quorum.py
+++ b/egretcart/process/quorum.py
@@ -85,6 +85,8 @@
         Newest stamp that a majority has proven.
     proven_received : float
         The leader's monotonic clock when that stamp arrived.
+    granted_stamp_us : int
+        Newest proven stamp that the member was told.
     """
 
     agent_id: str
@@ -96,6 +98,7 @@
     pending: list[PendingStamp] = dataclasses.field(default_factory=list)
     proven_stamp_us: int = 0
     proven_received: float = float("-inf")
+    granted_stamp_us: int = 0
 
 
 class Quorum:
--- a/egretcart/process/settings.py
+++ b/egretcart/process/settings.py
@@ -81,6 +81,8 @@
         Path that tasks are posted to.
     seeds : tuple of Address
         Peer addresses of entries.
+    http : Address or None
+        Where health and metrics are served.
     """
 
     agent_id: Text
@@ -91,6 +93,7 @@
     backend: Address
     backend_path: Text = "/"
     seeds: Annotated[tuple[Address, ...], msgspec.Meta(min_length=1)]
+    http: Address | None = None
 
 
 class PlatformStandInSettings(SettingsBase, frozen=True, kw_only=True):
--- /dev/null
+++ b/egretcart/process/transitions.py
@@ -0,0 +1,117 @@
+"""Changes of state between two moments of a process.
+
+Free of I/O. Only these are logged.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Set
+import dataclasses
+import enum
+
+from egretcart.process.directory import Cell
+from egretcart.process.entry import Entry
+from egretcart.process.leadership import Phase
+
+
+class ChangeKind(enum.Enum):
+    """What has changed."""
+
+    TOOK_OVER = "took_over"
+    STEPPED_DOWN = "stepped_down"
+    AGENT_JOINED = "agent_joined"
+    AGENT_LOST = "agent_lost"
+    PEER_JOINED = "peer_joined"
+    PEER_LOST = "peer_lost"
+    LEASE_LAPSED = "lease_lapsed"
+    DRAINING = "draining"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """One change of state, and what it is about."""
+
+    kind: ChangeKind
+    subject: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class EntryState:
+    """What of an entry's state is logged when it changes.
+
+    Attributes
+    ----------
+    serving : frozenset of (Cell, int)
+        Cells that it serves, with the term's counter.
+    agents, peers : frozenset of str
+    leaving : bool
+    """
+
+    serving: frozenset[tuple[Cell, int]] = frozenset()
+    agents: frozenset[str] = frozenset()
+    peers: frozenset[str] = frozenset()
+    leaving: bool = False
+
+
+def state_of(entry: Entry) -> EntryState:
+    """Return the logged state of an entry."""
+    return EntryState(
+        serving=frozenset(
+            (cell, leadership.term.counter)
+            for cell, leadership in entry.leaderships.items()
+            if leadership.phase is Phase.SERVING
+        ),
+        agents=frozenset(entry.agents),
+        peers=frozenset(entry.directory.peers),
+        leaving=entry.directory.leaving,
+    )
+
+
+def changes_between(before: EntryState, after: EntryState) -> list[Change]:
+    """Return what has changed, in a fixed order.
+
+    Parameters
+    ----------
+    before, after : EntryState
+
+    Returns
+    -------
+    list of Change
+    """
+    if before == after:
+        return []
+    changes = [
+        Change(ChangeKind.STEPPED_DOWN, _cell_name(*served))
+        for served in sorted(before.serving - after.serving)
+    ]
+    changes += [
+        Change(ChangeKind.TOOK_OVER, _cell_name(*served))
+        for served in sorted(after.serving - before.serving)
+    ]
+    changes += _moves(
+        before.agents,
+        after.agents,
+        ChangeKind.AGENT_JOINED,
+        ChangeKind.AGENT_LOST,
+    )
+    changes += _moves(
+        before.peers,
+        after.peers,
+        ChangeKind.PEER_JOINED,
+        ChangeKind.PEER_LOST,
+    )
+    if after.leaving and not before.leaving:
+        changes.append(Change(ChangeKind.DRAINING, "entry"))
+    return changes
+
+
+def _moves(
+    before: Set[str], after: Set[str], joined: ChangeKind, lost: ChangeKind
+) -> Iterable[Change]:
+    for name in sorted(before - after):
+        yield Change(lost, name)
+    for name in sorted(after - before):
+        yield Change(joined, name)
+
+
+def _cell_name(cell: Cell, counter: int) -> str:
+    return f"{cell.service}/{cell.index} term {counter}"
--- /dev/null
+++ b/egretcart/process/waste.py
@@ -0,0 +1,135 @@
+"""Which messages between a leader and its agents were wasted, and why.
+
+Free of I/O. It watches the messages that pass, so that it holds for any
+policy; docs/measures.md has the definitions.
+"""
+
+from collections.abc import Callable
+import enum
+
+from egretcart.connection.messages import AgentMessage
+from egretcart.connection.messages import CancelJob
+from egretcart.connection.messages import LeaderMessage
+from egretcart.connection.messages import Start
+from egretcart.connection.messages import TaskResult
+from egretcart.request.verdict import Verdict
+
+MAX_ENDED = 10_000
+# A start and its result.
+ATTEMPT_MESSAGES = 2
+
+AttemptKey = tuple[bytes, int]
+
+
+class WasteCause(enum.Enum):
+    """Why a message was wasted."""
+
+    REFUSED_START = "refused_start"
+    DUPLICATE_ANSWER = "duplicate_answer"
+    RETRY = "retry"
+    HEDGE_LOSER = "hedge_loser"
+    CANCELLED = "cancelled"
+    LOST_AGENT = "lost_agent"
+    REFORWARD = "reforward"
+
+
+class WasteObserver:
+    """Counts the wasted messages of the cells that an entry leads.
+
+    Parameters
+    ----------
+    count : callable
+        Called with a cause and a number of messages.
+
+    Attributes
+    ----------
+    in_flight : dict of str to dict
+        Attempts without a result, by agent.
+    open_attempts : dict of AttemptKey to int
+        How many attempts at a task are in flight.
+    refused : set of AttemptKey
+        Tasks whose last attempt was refused and not tried again yet.
+    ended : dict of AttemptKey to bool
+        The latest tasks that brought a result, and if it succeeded.
+    """
+
+    def __init__(self, *, count: Callable[[WasteCause, int], None]) -> None:
+        self.count = count
+        self.in_flight: dict[str, dict[AttemptKey, int]] = {}
+        self.open_attempts: dict[AttemptKey, int] = {}
+        self.refused: set[AttemptKey] = set()
+        self.ended: dict[AttemptKey, bool] = {}
+        self.cancelled: dict[bytes, bool] = {}
+
+    def sent(self, agent_id: str, message: LeaderMessage) -> None:
+        """Take note of a message that the leader sends."""
+        if isinstance(message, Start):
+            self._started(agent_id, message)
+        elif isinstance(message, CancelJob):
+            self.count(WasteCause.CANCELLED, 1)
+            self.cancelled[message.job_id] = True
+            _trim(self.cancelled)
+
+    def received(self, agent_id: str, message: AgentMessage) -> None:
+        """Take note of a message that the leader receives."""
+        if isinstance(message, TaskResult):
+            self._result(agent_id, message)
+
+    def agent_lost(self, agent_id: str) -> None:
+        """Take note that an agent's results will not come."""
+        lost = self.in_flight.pop(agent_id, {})
+        for key in lost:
+            self._close(key)
+        if lost:
+            self.count(WasteCause.LOST_AGENT, len(lost))
+
+    def _started(self, agent_id: str, start: Start) -> None:
+        key = (start.job_id, start.task)
+        if key in self.refused:
+            self.refused.discard(key)
+        elif start.attempt > 1 and key not in self.open_attempts:
+            self.count(WasteCause.RETRY, ATTEMPT_MESSAGES)
+        self.in_flight.setdefault(agent_id, {})[key] = start.attempt
+        self.open_attempts[key] = self.open_attempts.get(key, 0) + 1
+
+    def _result(self, agent_id: str, result: TaskResult) -> None:
+        key = (result.job_id, result.task)
+        attempts = self.in_flight.get(agent_id, {})
+        if attempts.get(key) != result.attempt:
+            if key in self.ended:
+                self.count(WasteCause.DUPLICATE_ANSWER, 1)
+            return
+        del attempts[key]
+        self._close(key)
+        cause = self._cause(key, result)
+        if cause is not None:
+            self.count(cause, ATTEMPT_MESSAGES)
+        if cause is WasteCause.REFUSED_START:
+            self.refused.add(key)
+            if len(self.refused) > MAX_ENDED:
+                self.refused.pop()
+        elif not self.ended.get(key, False):
+            self.ended[key] = result.succeeded
+            _trim(self.ended)
+
+    def _cause(self, key: AttemptKey, result: TaskResult) -> WasteCause | None:
+        if result.job_id in self.cancelled:
+            return WasteCause.CANCELLED
+        if self.ended.get(key, False):
+            return WasteCause.HEDGE_LOSER
+        if result.verdict == Verdict.NOT_RUN.value:
+            return WasteCause.REFUSED_START
+        return None
+
+    def _close(self, key: AttemptKey) -> None:
+        left = self.open_attempts.get(key, 1) - 1
+        if left:
+            self.open_attempts[key] = left
+        else:
+            self.open_attempts.pop(key, None)
+
+
+def _trim(latest: dict[bytes, bool] | dict[AttemptKey, bool]) -> None:
+    """Forget the oldest item of a dictionary that has grown too long."""
+    if len(latest) > MAX_ENDED:
+        del latest[next(iter(latest))]  # type: ignore[arg-type]
--- a/egretcart/request/problem.py
+++ b/egretcart/request/problem.py
@@ -53,6 +53,29 @@
         return msgspec.json.encode(document)
 
 
+class _VerdictOnly(msgspec.Struct, frozen=True, kw_only=True):
+    verdict: Verdict = Verdict.MAY_HAVE_RUN
+
+
+def problem_verdict(body: bytes) -> Verdict:
+    """Return the verdict of a problem document.
+
+    Parameters
+    ----------
+    body : bytes
+        JSON text.
+
+    Returns
+    -------
+    Verdict
+        `MAY_HAVE_RUN` if the document states none.
+    """
+    try:
+        return msgspec.json.decode(body, type=_VerdictOnly).verdict
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return Verdict.MAY_HAVE_RUN
+
+
 def bad_request(
     detail: str, *, status: int = http.HTTPStatus.BAD_REQUEST
 ) -> Problem:
--- /dev/null
+++ b/tests/features/steps/lease_grant_steps.py
@@ -0,0 +1,120 @@
+from collections import deque
+
+from behave import then
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from egretcart.connection.messages import Roster
+from egretcart.connection.messages import RosterMember
+from egretcart.connection.messages import TaskResult
+from egretcart.connection.messages import Term
+from egretcart.process.agent import Agent
+from egretcart.process.agent import AgentIdentity
+from egretcart.process.agent import AgentLimits
+from egretcart.process.agent import SendToEntry
+from egretcart.process.answers import AnswerCache
+from egretcart.process.effects import RequestToken
+from egretcart.process.effects import SendToAgent
+from egretcart.process.effects import WriteRoster
+from egretcart.process.leadership import Leadership
+from egretcart.process.limits import LeaderLimits
+from egretcart.request.identity import job_id_at
+from egretcart.request.job import parse_job
+from egretcart.testing.clock import ManualClock
+from egretcart.version.document import Configuration
+from egretcart.version.document import Service
+
+AGENTS = ("a", "b", "c", "d")
+# All ticks together stay below the lease, so that none lapses by itself.
+TICKS = 10
+TICK_S = 0.1
+
+
+class Cell:
+    """A leader and its agents, with one queue for each direction."""
+
+    def __init__(self):
+        self.clock = ManualClock()
+        members = (RosterMember(agent_id=AGENTS[0], incarnation=1),)
+        self.leader = Leadership(
+            service="s",
+            cell=0,
+            term=Term(1, 1),
+            roster=Roster(version=1, members=members),
+            configuration=Configuration(services=(Service(name="s"),)),
+            limits=LeaderLimits(),
+            clock=self.clock,
+            answers=AnswerCache(max_bytes=1000),
+        )
+        self.agents = {a: self.new_agent(a) for a in AGENTS}
+        self.down = {a: deque() for a in AGENTS}
+        self.up = {a: deque() for a in AGENTS}
+        self.refusals = []
+
+    def new_agent(self, agent_id):
+        identity = AgentIdentity(
+            agent_id=agent_id,
+            incarnation=1,
+            service="s",
+            failure_domain="d",
+            slots=8,
+            connections=8,
+        )
+        return Agent(identity=identity, limits=AgentLimits(), clock=self.clock)
+
+    def job(self):
+        tasks = ",".join(['{"payload":1}'] * 40)
+        return parse_job(
+            job_id=job_id_at(self.clock.unix_ms(), 1),
+            service="s",
+            body=f'{{"tasks":[{tasks}]}}'.encode(),
+            max_tasks=99,
+        ).unwrap()
+
+    def send(self, effects):
+        for effect in effects:
+            if isinstance(effect, SendToAgent):
+                self.down[effect.agent_id].append(effect.message)
+            elif isinstance(effect, WriteRoster):
+                self.send(self.leader.roster_written(effect.roster))
+
+    def tick(self):
+        self.clock.advance(TICK_S)
+        self.send(self.leader.tick())
+
+    def step(self, agent_id, downwards):
+        queue = (self.down if downwards else self.up)[agent_id]
+        if not queue:
+            return
+        message = queue.popleft()
+        if not downwards:
+            self.send(self.leader.receive(agent_id, message))
+            return
+        for effect in self.agents[agent_id].receive("leader", message):
+            if isinstance(effect, SendToEntry):
+                if isinstance(effect.message, TaskResult):
+                    self.refusals.append(effect.message.error)
+                self.up[agent_id].append(effect.message)
+
+
+@then("in any order of messages, joining agents refuse no start")
+def check_grants(context):
+    turn = st.lists(st.tuples(st.sampled_from(AGENTS), st.booleans()))
+
+    @settings(max_examples=200)
+    @given(st.lists(turn, min_size=TICKS, max_size=TICKS))
+    def holds(turns):
+        cell = Cell()
+        for agent in cell.agents.values():
+            cell.send(cell.leader.agent_connected(agent.hello()))
+        cell.step(AGENTS[0], True)
+        cell.step(AGENTS[0], False)
+        cell.send(cell.leader.submit(RequestToken("leader", 1), cell.job()))
+        for turn in turns:
+            for agent_id, downwards in turn:
+                cell.step(agent_id, downwards)
+            cell.tick()
+        assert not cell.refusals, cell.refusals[0]
+
+    holds()
--- a/tests/features/steps/processes.py
+++ b/tests/features/steps/processes.py
@@ -22,14 +22,17 @@
         path = pathlib.Path(folder) / f"{name}.json"
         path.write_text(json.dumps(settings))
         self.name = name
-        self.process = subprocess.Popen(
-            [sys.executable, "-m", "egretcart", *role, str(path)],
-            cwd=ROOT,
-            stdout=subprocess.PIPE,
-            text=True,
-        )
+        self.log_path = path.with_suffix(".log")
+        with self.log_path.open("w") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "egretcart", *role, str(path)],
+                cwd=ROOT,
+                stdout=subprocess.PIPE,
+                stderr=log,
+                text=True,
+            )
         line = self.process.stdout.readline()
-        assert line, f"{name} did not start"
+        assert line, f"{name} did not start: {self.log_path.read_text()}"
         self.ready = json.loads(line)
 
     def kill(self):
@@ -145,6 +148,7 @@
                 "connections": 64,
                 "backend": {"host": HOST, "port": backend.ready["port"]},
                 "seeds": self.peer_seeds(),
+                "http": {"host": HOST, "port": 0},
             },
         )
         self.backends.append(backend)
