Add submit, load, the naive version and backends that fail on demand

A profile states the work as a share of the servers' capacity, so the load does not depend on the draw of sizes; a run is bounded in tasks and time.

Ruled out: the ideal as the preemptive lower bound (for 100 equal tasks on 88 slots no dispatcher can reach it); a measured round trip in the ideal (a slow dispatcher would raise its own ideal), it is a constant of the profile.

--- /dev/null
+++ b/egretcart/connection/caller.py
@@ -0,0 +1,149 @@
+"""A caller's side of a job: submit, come back, give up."""
+
+from collections.abc import Sequence
+import dataclasses
+
+import msgspec
+import trio
+
+from egretcart.connection.http_client import ClientResponse
+from egretcart.connection.http_client import ExchangeError
+from egretcart.connection.http_client import HttpClient
+from egretcart.request.identity import JobId
+
+BROKEN_PAUSE_S = 0.1
+MAX_CONNECTIONS = 4096
+
+
+class _ComeBack(msgspec.Struct, frozen=True, kw_only=True):
+    retry_after_s: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CallerAnswer:
+    """How a submission has ended for its caller.
+
+    Attributes
+    ----------
+    status : int
+        Last HTTP status; 0 if no entry answered.
+    body : bytes
+    tries : int
+        Times that the job was submitted.
+    last_try_s : float
+        Duration of the last exchange, in seconds.
+    """
+
+    status: int
+    body: bytes
+    tries: int
+    last_try_s: float = 0.0
+
+
+def retry_after_s(response: ClientResponse) -> float | None:
+    """Return when a response asks to come back, in seconds, or None."""
+    try:
+        stated = msgspec.json.decode(response.body, type=_ComeBack)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        stated = _ComeBack()
+    if stated.retry_after_s is not None:
+        return stated.retry_after_s
+    header = response.headers.get("retry-after", "")
+    return float(header) if header.isdigit() else None
+
+
+class Caller:
+    """Submits jobs to entries over kept-alive connections.
+
+    Parameters
+    ----------
+    addresses : sequence of (str, int)
+        Host and port of each entry's HTTP address.
+    service : str
+    """
+
+    def __init__(
+        self, *, addresses: Sequence[tuple[str, int]], service: str
+    ) -> None:
+        self.service = service
+        self.clients = [
+            HttpClient(host=host, port=port, max_connections=MAX_CONNECTIONS)
+            for host, port in addresses
+        ]
+
+    def path(self, job_id: JobId) -> str:
+        """Return the path of a job."""
+        return f"/v1/services/{self.service}/jobs/{job_id}"
+
+    async def submit(
+        self,
+        job_id: JobId,
+        body: bytes,
+        *,
+        give_up_s: float,
+        time_limit_s: float,
+        first: int = 0,
+    ) -> CallerAnswer:
+        """Submit a job, and again with the same id while that helps.
+
+        Parameters
+        ----------
+        job_id : JobId
+        body : bytes
+            The submission.
+        give_up_s : float
+            Time from now up to which the job may be submitted again.
+        time_limit_s : float
+            For each exchange.
+        first : int, optional
+            Entry that is asked first.
+
+        Returns
+        -------
+        CallerAnswer
+        """
+        give_up_at = trio.current_time() + give_up_s
+        tries = 0
+        while True:
+            client = self.clients[(first + tries) % len(self.clients)]
+            tries += 1
+            began = trio.current_time()
+            try:
+                response = await client.exchange(
+                    "PUT",
+                    self.path(job_id),
+                    body=body,
+                    time_limit_s=time_limit_s,
+                )
+            except ExchangeError:
+                answer = CallerAnswer(status=0, body=b"", tries=tries)
+                pause_s: float | None = BROKEN_PAUSE_S
+            else:
+                answer = CallerAnswer(
+                    status=response.status,
+                    body=response.body,
+                    tries=tries,
+                    last_try_s=trio.current_time() - began,
+                )
+                pause_s = retry_after_s(response)
+            if pause_s is None or trio.current_time() + pause_s > give_up_at:
+                return answer
+            await trio.sleep(pause_s)
+
+    async def cancel(
+        self, job_id: JobId, *, time_limit_s: float, entry: int = 0
+    ) -> int:
+        """Cancel a job and return the status; 0 if no entry answered."""
+        client = self.clients[entry % len(self.clients)]
+        try:
+            response = await client.exchange(
+                "DELETE", self.path(job_id), time_limit_s=time_limit_s
+            )
+        except ExchangeError:
+            return 0
+        return response.status
+
+    async def aclose(self) -> None:
+        """Close all idle connections."""
+        for client in self.clients:
+            await client.aclose()
--- /dev/null
+++ b/egretcart/load/command.py
@@ -0,0 +1,157 @@
+"""The command ``egretcart load``."""
+
+import json
+import pathlib
+import sys
+
+import msgspec
+import trio
+
+from egretcart.connection.http_client import ExchangeError
+from egretcart.connection.http_client import HttpClient
+from egretcart.load.counters import Counters
+from egretcart.load.counters import read_counters
+from egretcart.load.profile import LoadProfile
+from egretcart.load.report import LoadReport
+from egretcart.load.report import make_report
+from egretcart.load.report import ProcessCounts
+from egretcart.load.report import render_text
+from egretcart.load.runner import LoadRunner
+from egretcart.process.clock import SystemClock
+from egretcart.process.settings import Address
+from egretcart.process.settings import load_settings
+
+EXIT_OK = 0
+EXIT_UNSOUND = 1
+EXIT_USAGE = 2
+READ_LIMIT_S = 5.0
+
+
+class BackendCounts(msgspec.Struct, frozen=True, kw_only=True):
+    """Starts that a stand-in of a backend server has seen."""
+
+    starts: int = 0
+    repeated: int = 0
+
+
+async def _read_backend(address: Address) -> BackendCounts | None:
+    client = HttpClient(
+        host=address.host, port=address.port, max_connections=1
+    )
+    try:
+        response = await client.exchange(
+            "GET", "/counts", time_limit_s=READ_LIMIT_S
+        )
+    except ExchangeError:
+        return None
+    finally:
+        await client.aclose()
+    return msgspec.json.decode(response.body, type=BackendCounts)
+
+
+class _Snapshot:
+    """All counters of a deployment at one moment."""
+
+    def __init__(self) -> None:
+        self.entries: dict[str, Counters] = {}
+        self.agents: dict[str, Counters] = {}
+        self.backends: dict[Address, BackendCounts] = {}
+
+    @property
+    def size(self) -> int:
+        """Processes that have answered."""
+        return len(self.entries) + len(self.agents) + len(self.backends)
+
+    async def take(self, profile: LoadProfile) -> None:
+        self.entries = await read_counters(profile.entries)
+        self.agents = await read_counters(profile.agents)
+        for address in profile.backends:
+            counts = await _read_backend(address)
+            if counts is not None:
+                self.backends[address] = counts
+
+
+def _difference(
+    before: dict[str, Counters], after: dict[str, Counters]
+) -> Counters:
+    changed = Counters()
+    for name, counters in after.items():
+        changed.add(counters)
+        if name in before:
+            changed.add(before[name], sign=-1)
+    return changed
+
+
+def _count(before: _Snapshot, after: _Snapshot) -> ProcessCounts:
+    agents = _difference(before.agents, after.agents)
+    starts = repeated = 0
+    for address, counts in after.backends.items():
+        earlier = before.backends.get(address, BackendCounts())
+        starts += counts.starts - earlier.starts
+        repeated += counts.repeated - earlier.repeated
+    return ProcessCounts(
+        entries=_difference(before.entries, after.entries),
+        agents=agents,
+        starts=starts or round(agents.total("egretcart_starts")),
+        repeated_starts=repeated,
+        silent=before.size - after.size,
+    )
+
+
+async def run_profile(
+    profile: LoadProfile, *, show_progress: bool = True
+) -> LoadReport:
+    """Run a profile and return its report.
+
+    Parameters
+    ----------
+    profile : LoadProfile
+    show_progress : bool, optional
+        Whether lines of progress go to standard error.
+
+    Returns
+    -------
+    LoadReport
+    """
+
+    def show(line: str) -> None:
+        if show_progress:
+            print(line, file=sys.stderr, flush=True)
+
+    runner = LoadRunner(profile=profile, clock=SystemClock(), show=show)
+    before, after = _Snapshot(), _Snapshot()
+    await before.take(profile)
+    await runner.run()
+    await after.take(profile)
+    return make_report(runner, _count(before, after))
+
+
+def load_command(path: pathlib.Path, *, as_json: bool) -> int:
+    """Run a profile and print its report.
+
+    Parameters
+    ----------
+    path : pathlib.Path
+        The profile.
+    as_json : bool
+
+    Returns
+    -------
+    int
+        Exit code: 0 if every job was answered rightly, 1 if not, 2 if the
+        profile is wrong.
+    """
+    loaded = load_settings(path, LoadProfile)
+    if loaded.is_err():
+        print(loaded.unwrap_err(), file=sys.stderr)
+        return EXIT_USAGE
+    try:
+        report = trio.run(run_profile, loaded.unwrap())
+    except ValueError as error:
+        print(f"{path}: {error}", file=sys.stderr)
+        return EXIT_USAGE
+    if as_json:
+        print(json.dumps(msgspec.to_builtins(report), indent=2))
+    else:
+        print(render_text(report))
+    return EXIT_OK if report.is_sound else EXIT_UNSOUND
--- /dev/null
+++ b/egretcart/load/ideal.py
@@ -0,0 +1,47 @@
+"""Ideal response time of a job, see docs/measures.md."""
+
+from collections.abc import Iterable
+import heapq
+
+from egretcart.load.profile import ServerGroup
+
+MS_PER_S = 1000
+
+
+def ideal_response_s(
+    run_ms: Iterable[float],
+    servers: Iterable[ServerGroup],
+    *,
+    round_trip_ms: float,
+) -> float:
+    """Return how long a job would take alone, in seconds.
+
+    Parameters
+    ----------
+    run_ms : iterable of float
+        True run time of each task at speed 1, in milliseconds.
+    servers : iterable of ServerGroup
+    round_trip_ms : float
+
+    Returns
+    -------
+    float
+
+    Examples
+    --------
+    >>> two_slots = [ServerGroup(count=1, slots=2)]
+    >>> ideal_response_s([100, 100, 100], two_slots, round_trip_ms=1)
+    0.201
+    """
+    free_at = [
+        (group.speed, [0.0] * (group.count * group.slots)) for group in servers
+    ]
+    last_ms = 0.0
+    for task_ms in sorted(run_ms, reverse=True):
+        speed, slots = min(
+            free_at, key=lambda group: group[1][0] + task_ms / group[0]
+        )
+        ends_ms = slots[0] + task_ms / speed
+        heapq.heapreplace(slots, ends_ms)
+        last_ms = max(last_ms, ends_ms)
+    return (last_ms + round_trip_ms) / MS_PER_S
--- /dev/null
+++ b/egretcart/load/report.py
@@ -0,0 +1,310 @@
+"""What a load run has shown."""
+
+from collections import Counter as CountOf
+from collections.abc import Iterable
+
+from hdrh.histogram import HdrHistogram
+import msgspec
+
+from egretcart.load.counters import Counters
+from egretcart.load.ideal import ideal_response_s
+from egretcart.load.profile import LoadProfile
+from egretcart.load.runner import is_right
+from egretcart.load.runner import JobRun
+from egretcart.load.runner import LoadRunner
+from egretcart.request.problem import problem_verdict
+
+SCALE = 1000
+HIGHEST = 3_600_000
+SIGNIFICANT_DIGITS = 3
+LARGE_JOB_TASKS = 10
+RECOVERY_S = 2.0
+US_PER_S = 1_000_000
+
+
+class Quantiles(msgspec.Struct, frozen=True, kw_only=True):
+    """Quantiles of a histogram; 0 if it is empty."""
+
+    count: int = 0
+    p50: float = 0.0
+    p90: float = 0.0
+    p99: float = 0.0
+    max: float = 0.0
+
+
+class LoadReport(msgspec.Struct, frozen=True, kw_only=True):
+    """Figures of one load run; docs/measures.md defines them.
+
+    Attributes
+    ----------
+    jobs, tasks : int
+        Planned.
+    outcomes : dict of str to int
+        Jobs that are complete, cancelled, refused (not run), failed or
+        unanswered.
+    problems : dict of str to int
+        Problem answers by verdict.
+    wrong_answers : int
+        Complete answers that are not whole, in order and to their job.
+    resubmissions : int
+    differing_answers : int
+        Jobs of which two callers got different complete answers.
+    ratio, ratio_large_jobs : Quantiles
+        Response time over ideal, of all jobs and of jobs of 10 tasks or
+        more.
+    ratio_after_bursts : Quantiles
+        Of jobs submitted 2 s after the last burst or later.
+    refusal_ms : Quantiles
+        How long refusals took.
+    elapsed_s, goodput : float
+    messages, control_messages : dict of str to int or int
+        By type.
+    messages_per_task, wasted_share : float
+    wasted : dict of str to int
+        By cause.
+    starts, repeated_starts : int
+        What the backend servers saw; a repeated start has a key that was
+        seen before.
+    cpu_us_per_start : dict of str to float
+        Processor time by role.
+    silent_processes : int
+        Processes whose counters could not be read after the run.
+    """
+
+    jobs: int
+    tasks: int
+    outcomes: dict[str, int]
+    problems: dict[str, int]
+    wrong_answers: int
+    resubmissions: int
+    differing_answers: int
+    ratio: Quantiles
+    ratio_large_jobs: Quantiles
+    ratio_after_bursts: Quantiles
+    refusal_ms: Quantiles
+    elapsed_s: float
+    goodput: float
+    messages: dict[str, int]
+    control_messages: int
+    messages_per_task: float
+    wasted: dict[str, int]
+    wasted_share: float
+    starts: int
+    repeated_starts: int
+    cpu_us_per_start: dict[str, float]
+    silent_processes: int
+
+    @property
+    def is_sound(self) -> bool:
+        """Whether no answer was lost, wrong or contradictory."""
+        return not (
+            self.outcomes.get("unanswered")
+            or self.wrong_answers
+            or self.differing_answers
+        )
+
+
+class ProcessCounts(msgspec.Struct, frozen=True, kw_only=True):
+    """What the processes counted during a run."""
+
+    entries: Counters
+    agents: Counters
+    starts: int
+    repeated_starts: int
+    silent: int
+
+
+def quantiles(values: Iterable[float]) -> Quantiles:
+    """Return the quantiles of values up to 3600."""
+    histogram = HdrHistogram(1, HIGHEST, SIGNIFICANT_DIGITS)
+    for value in values:
+        histogram.record_value(min(HIGHEST, max(1, round(value * SCALE))))
+    if not histogram.get_total_count():
+        return Quantiles()
+
+    def at(percentile: float) -> float:
+        return histogram.get_value_at_percentile(percentile) / SCALE
+
+    return Quantiles(
+        count=histogram.get_total_count(),
+        p50=at(50),
+        p90=at(90),
+        p99=at(99),
+        max=at(100),
+    )
+
+
+def outcome_of(run: JobRun) -> str:
+    """Return how a job has ended for its caller."""
+    if run.answer is None or run.answer.status == 0:
+        return "cancelled" if run.cancelled else "unanswered"
+    if run.is_complete:
+        return "complete"
+    if run.cancelled:
+        return "cancelled"
+    verdict = problem_verdict(run.answer.body).value
+    return "refused" if verdict == "not_run" else "failed"
+
+
+def response_ratio(run: JobRun, profile: LoadProfile) -> float:
+    """Return the response time of a job over its ideal."""
+    ideal_s = ideal_response_s(
+        run.plan.run_ms, profile.servers, round_trip_ms=profile.round_trip_ms
+    )
+    return (run.ended_s - run.began_s) / ideal_s
+
+
+def _ratios(
+    runs: Iterable[JobRun], profile: LoadProfile
+) -> tuple[Quantiles, Quantiles, Quantiles]:
+    ratios = [(run, response_ratio(run, profile)) for run in runs]
+    large = [
+        ratio
+        for run, ratio in ratios
+        if len(run.plan.run_ms) >= LARGE_JOB_TASKS
+    ]
+    after: list[float] = []
+    if profile.bursts:
+        calm_s = max(burst.at_s for burst in profile.bursts) + RECOVERY_S
+        after = [ratio for run, ratio in ratios if run.began_s >= calm_s]
+    return (
+        quantiles(ratio for _, ratio in ratios),
+        quantiles(large),
+        quantiles(after),
+    )
+
+
+def _differs(run: JobRun) -> bool:
+    """Return whether two callers got different complete answers."""
+    if run.repeated is None or run.answer is None:
+        return False
+    both = {run.answer.status, run.repeated.status}
+    return both == {200} and run.answer.body != run.repeated.body
+
+
+def _whole(counts: dict[str, float]) -> dict[str, int]:
+    return {name: round(count) for name, count in sorted(counts.items())}
+
+
+def make_report(runner: LoadRunner, counts: ProcessCounts) -> LoadReport:
+    """Return the report of a run.
+
+    Parameters
+    ----------
+    runner : LoadRunner
+        After its run.
+    counts : ProcessCounts
+
+    Returns
+    -------
+    LoadReport
+    """
+    profile = runner.profile
+    complete = [run for run in runner.runs if run.is_complete]
+    problems = [
+        run.answer
+        for run in runner.runs
+        if run.answer is not None and not run.is_complete and run.answer.status
+    ]
+    ratio, large, after = _ratios(complete, profile)
+    work_s = sum(run.plan.work_s for run in complete)
+    all_counts = Counters()
+    all_counts.add(counts.entries)
+    all_counts.add(counts.agents)
+    messages = all_counts.messages(control=False)
+    wasted = all_counts.by_label("egretcart_messages_wasted")
+    tasks_answered = sum(len(run.plan.run_ms) for run in complete)
+    starts = counts.starts
+    return LoadReport(
+        jobs=len(runner.runs),
+        tasks=sum(len(run.plan.run_ms) for run in runner.runs),
+        outcomes=dict(CountOf(outcome_of(run) for run in runner.runs)),
+        problems=dict(
+            CountOf(problem_verdict(a.body).value for a in problems)
+        ),
+        wrong_answers=sum(
+            not is_right(run, run.answer)
+            for run in complete
+            if run.answer is not None
+        ),
+        resubmissions=sum(run.repeated is not None for run in runner.runs),
+        differing_answers=sum(_differs(run) for run in runner.runs),
+        ratio=ratio,
+        ratio_large_jobs=large,
+        ratio_after_bursts=after,
+        refusal_ms=quantiles(
+            answer.last_try_s * 1000
+            for answer in problems
+            if problem_verdict(answer.body).value == "not_run"
+        ),
+        elapsed_s=runner.elapsed_s,
+        goodput=work_s / (profile.capacity * runner.elapsed_s),
+        messages=_whole(all_counts.by_label("egretcart_messages_sent")),
+        control_messages=round(all_counts.messages(control=True)),
+        messages_per_task=messages / max(1, tasks_answered),
+        wasted=_whole(wasted),
+        wasted_share=sum(wasted.values()) / max(1, messages),
+        starts=starts,
+        repeated_starts=counts.repeated_starts,
+        cpu_us_per_start={
+            role: counters.total("egretcart_cpu_time_seconds")
+            * US_PER_S
+            / max(1, starts)
+            for role, counters in (
+                ("entry", counts.entries),
+                ("agent", counts.agents),
+            )
+        },
+        silent_processes=counts.silent,
+    )
+
+
+def render_text(report: LoadReport) -> str:
+    """Return a report as text for people."""
+    outcomes = _listed(report.outcomes)
+    lines = [
+        f"jobs                 {report.jobs} of {report.tasks} tasks: "
+        f"{outcomes}",
+        f"problems by verdict  {_listed(report.problems)}",
+        f"wrong answers        {report.wrong_answers}",
+        f"resubmissions        {report.resubmissions}, "
+        f"{report.differing_answers} with differing answers",
+        "",
+        "response time over ideal      p50      p90      p99      max",
+        _row("  all jobs", report.ratio),
+        _row("  10 tasks and more", report.ratio_large_jobs),
+    ]
+    if report.ratio_after_bursts.count:
+        lines.append(_row("  2 s after bursts", report.ratio_after_bursts))
+    if report.refusal_ms.count:
+        lines.append(_row("refusals, ms", report.refusal_ms))
+    lines += [
+        "",
+        f"goodput              {report.goodput:.3f} of capacity over "
+        f"{report.elapsed_s:.1f} s",
+        f"messages a task      {report.messages_per_task:.2f}, and "
+        f"{report.control_messages} control messages",
+        f"wasted messages      {report.wasted_share:.2%}: "
+        f"{_listed(report.wasted)}",
+        f"starts               {report.starts}, "
+        f"{report.repeated_starts} with a key seen before",
+    ]
+    lines += [
+        f"processor time       {us:.0f} us a start, role {role}"
+        for role, us in report.cpu_us_per_start.items()
+    ]
+    if report.silent_processes:
+        lines.append(f"silent processes     {report.silent_processes}")
+    return "\n".join(lines)
+
+
+def _listed(counts: dict[str, int]) -> str:
+    if not counts:
+        return "none"
+    return ", ".join(f"{count} {name}" for name, count in counts.items())
+
+
+def _row(name: str, row: Quantiles) -> str:
+    return (
+        f"{name:<24}{row.p50:9.2f}{row.p90:9.2f}{row.p99:9.2f}{row.max:9.2f}"
+    )
--- /dev/null
+++ b/egretcart/load/runner.py
@@ -0,0 +1,192 @@
+"""Runs the jobs of a profile against a deployment."""
+
+from collections.abc import Callable
+import dataclasses
+import random
+
+import msgspec
+import trio
+
+from egretcart.connection.caller import Caller
+from egretcart.connection.caller import CallerAnswer
+from egretcart.load.profile import CancelWave
+from egretcart.load.profile import LoadProfile
+from egretcart.load.workload import echo_of
+from egretcart.load.workload import plan_jobs
+from egretcart.load.workload import PlannedJob
+from egretcart.process.clock import Clock
+from egretcart.request.identity import job_id_at
+from egretcart.request.identity import JobId
+
+HTTP_OK = 200
+CANCEL_LIMIT_S = 10.0
+PROGRESS_S = 1.0
+
+
+class _Answer(msgspec.Struct, frozen=True, kw_only=True):
+    results: list[dict[str, object]] = []
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class JobRun:
+    """One planned job and how it went.
+
+    Attributes
+    ----------
+    plan : PlannedJob
+    job_id : JobId or None
+        Known once it was submitted.
+    began_s : float
+        Time of the first submission, from the start of the run.
+    ended_s : float
+        Time of the last answer, from the start of the run.
+    answer : CallerAnswer or None
+    repeated : CallerAnswer or None
+        What the second caller got.
+    cancelled : bool
+        Whether it was in a cancel wave.
+    """
+
+    plan: PlannedJob
+    job_id: JobId | None = None
+    began_s: float = 0.0
+    ended_s: float = 0.0
+    answer: CallerAnswer | None = None
+    repeated: CallerAnswer | None = None
+    cancelled: bool = False
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether the caller has an answer with status 200."""
+        return self.answer is not None and self.answer.status == HTTP_OK
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the caller waits for an answer."""
+        return self.job_id is not None and self.answer is None
+
+
+def is_right(run: JobRun, answer: CallerAnswer) -> bool:
+    """Return whether an answer is whole, in order and to this job."""
+    decoded = msgspec.json.decode(answer.body, type=_Answer)
+    expected = [
+        {"echo": echo_of(run.plan.number, task)}
+        for task in range(len(run.plan.run_ms))
+    ]
+    return decoded.results == expected
+
+
+class LoadRunner:
+    """Submits each planned job at its time.
+
+    Parameters
+    ----------
+    profile : LoadProfile
+    clock : Clock
+    show : callable
+        Called with a line of progress about once a second.
+
+    Attributes
+    ----------
+    runs : list of JobRun
+    elapsed_s : float
+        Until the last answer, at least the profile's duration.
+    """
+
+    def __init__(
+        self,
+        *,
+        profile: LoadProfile,
+        clock: Clock,
+        show: Callable[[str], None],
+    ) -> None:
+        self.profile = profile
+        self.clock = clock
+        self.show = show
+        self.caller = Caller(
+            addresses=[(e.host, e.port) for e in profile.entries],
+            service=profile.service,
+        )
+        self.runs = [JobRun(plan=plan) for plan in plan_jobs(profile)]
+        self.random = random.Random(profile.seed + 1)
+        self.began = 0.0
+        self.elapsed_s = 0.0
+
+    async def run(self) -> None:
+        """Run until all jobs are answered or the time is over."""
+        self.began = trio.current_time()
+        profile = self.profile
+        with trio.move_on_after(profile.duration_s + profile.drain_s):
+            async with trio.open_nursery() as watching:
+                watching.start_soon(self._show_progress)
+                async with trio.open_nursery() as nursery:
+                    for wave in profile.cancel_waves:
+                        nursery.start_soon(self._cancel_wave, wave)
+                    await self._submit_all(nursery)
+                watching.cancel_scope.cancel()
+        ends = [run.ended_s for run in self.runs]
+        self.elapsed_s = max([profile.duration_s, *ends])
+        with trio.CancelScope(shield=True):
+            await self.caller.aclose()
+
+    def _now_s(self) -> float:
+        return trio.current_time() - self.began
+
+    async def _submit_all(self, nursery: trio.Nursery) -> None:
+        for run in self.runs:
+            await trio.sleep_until(self.began + run.plan.at_s)
+            run.job_id = job_id_at(self.clock.unix_ms(), run.plan.suffix)
+            run.began_s = self._now_s()
+            nursery.start_soon(self._submit, run, run.job_id)
+            if run.plan.resubmit_after_s is not None:
+                nursery.start_soon(self._resubmit, run, run.job_id)
+
+    async def _submit(self, run: JobRun, job_id: JobId) -> None:
+        run.answer = await self._exchange(run, job_id, run.plan.number)
+        run.ended_s = self._now_s()
+
+    async def _resubmit(self, run: JobRun, job_id: JobId) -> None:
+        await trio.sleep(run.plan.resubmit_after_s or 0.0)
+        run.repeated = await self._exchange(run, job_id, run.plan.number + 1)
+
+    async def _exchange(
+        self, run: JobRun, job_id: JobId, first: int
+    ) -> CallerAnswer:
+        profile = self.profile
+        return await self.caller.submit(
+            job_id,
+            run.plan.body,
+            give_up_s=profile.come_back_s,
+            time_limit_s=profile.duration_s + profile.drain_s,
+            first=first,
+        )
+
+    async def _cancel_wave(self, wave: CancelWave) -> None:
+        await trio.sleep_until(self.began + wave.at_s)
+        open_runs = [run for run in self.runs if run.is_open]
+        chosen = self.random.sample(
+            open_runs, round(len(open_runs) * wave.share)
+        )
+        async with trio.open_nursery() as nursery:
+            for run in chosen:
+                run.cancelled = True
+                nursery.start_soon(self._cancel, run)
+
+    async def _cancel(self, run: JobRun) -> None:
+        if run.job_id is not None:
+            await self.caller.cancel(
+                run.job_id,
+                time_limit_s=CANCEL_LIMIT_S,
+                entry=run.plan.number,
+            )
+
+    async def _show_progress(self) -> None:
+        while True:
+            await trio.sleep(PROGRESS_S)
+            submitted = sum(run.job_id is not None for run in self.runs)
+            complete = sum(run.is_complete for run in self.runs)
+            still_open = sum(run.is_open for run in self.runs)
+            self.show(
+                f"{self._now_s():.0f} s: {submitted} of {len(self.runs)} jobs "
+                f"submitted, {complete} complete, {still_open} open"
+            )
--- a/egretcart/process/cli.py
+++ b/egretcart/process/cli.py
@@ -10,6 +10,7 @@
 import docopt
 import trio
 
+from egretcart.load.command import load_command
 from egretcart.process.agent import AgentLimits
 from egretcart.process.agent_process import AgentProcess
 from egretcart.process.clock import SystemClock
@@ -22,9 +23,12 @@
 from egretcart.process.settings import BackendStandInSettings
 from egretcart.process.settings import EntrySettings
 from egretcart.process.settings import load_settings
+from egretcart.process.settings import NaiveSettings
 from egretcart.process.settings import PlatformStandInSettings
 from egretcart.process.settings import SettingsBase
+from egretcart.process.submit import submit_command
 from egretcart.testing.backend import BackendStandIn
+from egretcart.testing.naive import run_naive
 from egretcart.testing.platform import PlatformStandIn
 
 USAGE = """egretcart: a dispatcher for floods of sub-second tasks.
@@ -34,6 +38,9 @@
   egretcart agent SETTINGS
   egretcart standin platform SETTINGS
   egretcart standin backend SETTINGS
+  egretcart standin naive SETTINGS
+  egretcart submit FILE
+  egretcart load PROFILE [--json]
   egretcart demo
   egretcart (-h | --help)
 
@@ -42,6 +49,9 @@
   agent             Run the agent beside one backend server.
   standin platform  Run a stand-in of the platform's key-value service.
   standin backend   Run a stand-in of a backend server.
+  standin naive     Run the naive version that measures are compared with.
+  submit            Submit the job of a file and print its answer.
+  load              Submit the jobs of a profile and print the measures.
   demo              Run a whole deployment in one process and one job on it.
 
 Exit codes:
@@ -75,6 +85,13 @@
         return EXIT_USAGE
     if parsed["demo"]:
         return trio.run(run_demo)
+    if parsed["submit"]:
+        return submit_command(pathlib.Path(parsed["FILE"]))
+    if parsed["load"]:
+        profile = pathlib.Path(parsed["PROFILE"])
+        return load_command(profile, as_json=parsed["--json"])
+    if parsed["naive"]:
+        return _run_role(parsed, NaiveSettings, run_naive)
     if parsed["entry"]:
         return _run_role(parsed, EntrySettings, _run_entry)
     if parsed["agent"]:
@@ -137,7 +154,9 @@
     standin = BackendStandIn(
         host=settings.listen.host,
         port=settings.listen.port,
-        speed=settings.speed,
+        slots=settings.slots,
+        behaviour=settings.behaviour,
+        seed=settings.seed,
     )
     await _run_standin("backend", standin)
 
--- a/egretcart/process/settings.py
+++ b/egretcart/process/settings.py
@@ -9,6 +9,8 @@
 from result import Ok
 from result import Result
 
+from egretcart.testing.backend import BackendBehaviour
+
 Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
 Text = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
 Positive = Annotated[int, msgspec.Meta(ge=1, le=100_000)]
@@ -108,12 +110,37 @@
     Attributes
     ----------
     listen : Address
-    speed : float
-        Run times are divided by this.
+    slots : int
+        Tasks that run at a time; more wait.
+    seed : int
+        Decides which starts are stragglers.
+    behaviour : BackendBehaviour
     """
 
     listen: Address
-    speed: Annotated[float, msgspec.Meta(gt=0)] = 1.0
+    slots: Positive = 8
+    seed: int = 0
+    behaviour: BackendBehaviour = BackendBehaviour()
+
+
+class NaiveSettings(SettingsBase, frozen=True, kw_only=True):
+    """Settings of the naive version, the baseline of comparisons.
+
+    Attributes
+    ----------
+    http : Address
+        Where callers connect.
+    backends : tuple of Address
+    slots : int
+        Tasks that each backend server runs at a time.
+    connections : int
+        Connections that each backend server accepts.
+    """
+
+    http: Address
+    backends: Annotated[tuple[Address, ...], msgspec.Meta(min_length=1)]
+    slots: Positive = 8
+    connections: Positive = 64
 
 
 S = TypeVar("S")
--- a/egretcart/testing/backend.py
+++ b/egretcart/testing/backend.py
@@ -1,6 +1,11 @@
-"""Stand-in of a backend server, which records every start."""
+"""Stand-in of a backend server, which records every start.
+
+Its ways to fail are switched by its settings or by ``PUT /control``.
+"""
 
 import dataclasses
+import random
+from typing import Annotated
 
 import msgspec
 import trio
@@ -9,8 +14,11 @@
 from egretcart.connection.http_server import HttpLimits
 from egretcart.connection.http_server import HttpRequest
 from egretcart.connection.http_server import HttpResponse
+from egretcart.connection.http_server import problem_response
+from egretcart.request.problem import bad_request
 
 MS_PER_S = 1000
+BLACK_HOLE_STATUS = 500
 
 
 class StandInPayload(msgspec.Struct, frozen=True, kw_only=True):
@@ -31,6 +39,29 @@
     echo: str = ""
 
 
+class BackendBehaviour(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """How a stand-in serves its tasks.
+
+    Attributes
+    ----------
+    speed : float
+        Run times are divided by this.
+    black_hole : bool
+        Whether every task fails at once.
+    straggler_share : float
+        Share of the starts that take longer.
+    straggler_factor : float
+        How many times longer.
+    """
+
+    speed: Annotated[float, msgspec.Meta(gt=0)] = 1.0
+    black_hole: bool = False
+    straggler_share: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
+    straggler_factor: Annotated[float, msgspec.Meta(ge=1)] = 10.0
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class RecordedStart:
     """One start that the backend server saw."""
@@ -49,10 +80,18 @@
     port : int, optional
     speed : float, optional
         Run times are divided by this.
+    slots : int, optional
+        Tasks that run at a time; more wait. Not bounded by default.
+    behaviour : BackendBehaviour, optional
+        Takes the place of `speed`.
+    seed : int, optional
+        Decides which starts are stragglers.
 
     Attributes
     ----------
     starts : list of RecordedStart
+    repeated : int
+        Starts with a key that was seen before.
     """
 
     def __init__(
@@ -61,11 +100,18 @@
         host: str = "127.0.0.1",
         port: int = 0,
         speed: float = 1.0,
+        slots: float = float("inf"),
+        behaviour: BackendBehaviour | None = None,
+        seed: int = 0,
     ) -> None:
         self.host = host
         self.port = port
-        self.speed = speed
+        self.behaviour = behaviour or BackendBehaviour(speed=speed)
+        self.limiter = trio.CapacityLimiter(slots)
+        self.random = random.Random(seed)
         self.starts: list[RecordedStart] = []
+        self.keys: set[str] = set()
+        self.repeated = 0
 
     async def run(
         self, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED
@@ -83,25 +129,56 @@
         await connection.serve()
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
-        """Run one task, or report the starts seen."""
+        """Run one task, report the starts seen, or change the behaviour."""
         if request.method == "GET":
+            if request.path == "/counts":
+                return HttpResponse(body=self._counts())
             return HttpResponse(body=self._report())
-        start = RecordedStart(
-            key=request.headers.get("idempotency-key", ""),
-            began=trio.current_time(),
-        )
-        self.starts.append(start)
+        if request.method == "PUT":
+            return self._control(request)
+        start = self._record(request.headers.get("idempotency-key", ""))
         try:
             payload = msgspec.json.decode(request.body, type=StandInPayload)
         except (msgspec.DecodeError, UnicodeDecodeError):
             payload = StandInPayload()
-        await trio.sleep(payload.run_ms / MS_PER_S / self.speed)
+        if self.behaviour.black_hole:
+            start.ended = trio.current_time()
+            return HttpResponse(status=BLACK_HOLE_STATUS)
+        async with self.limiter:
+            await trio.sleep(self._run_time_s(payload))
         start.ended = trio.current_time()
         return HttpResponse(
             status=payload.status,
             body=msgspec.json.encode({"echo": payload.echo}),
         )
 
+    def _record(self, key: str) -> RecordedStart:
+        start = RecordedStart(key=key, began=trio.current_time())
+        self.starts.append(start)
+        self.repeated += key in self.keys
+        self.keys.add(key)
+        return start
+
+    def _run_time_s(self, payload: StandInPayload) -> float:
+        run_s = payload.run_ms / MS_PER_S / self.behaviour.speed
+        if self.random.random() < self.behaviour.straggler_share:
+            run_s *= self.behaviour.straggler_factor
+        return run_s
+
+    def _control(self, request: HttpRequest) -> HttpResponse:
+        try:
+            self.behaviour = msgspec.json.decode(
+                request.body, type=BackendBehaviour
+            )
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            return problem_response(bad_request(str(error)))
+        return HttpResponse(body=msgspec.json.encode(self.behaviour))
+
+    def _counts(self) -> bytes:
+        return msgspec.json.encode(
+            {"starts": len(self.starts), "repeated": self.repeated}
+        )
+
     def _report(self) -> bytes:
         return msgspec.json.encode(
             {"starts": [[s.key, s.began, s.ended] for s in self.starts]}
--- /dev/null
+++ b/egretcart/testing/naive.py
@@ -0,0 +1,230 @@
+"""The naive version: the baseline that measures are compared with.
+
+One process dispatches to backend servers directly: tasks in order of
+arrival, each to a random backend server with a free slot, again after any
+error, and without memory of submissions. Its HTTP API is the entry's.
+"""
+
+from collections import deque
+import json
+import random
+import re
+
+import msgspec
+import trio
+
+from egretcart.connection.http_client import ExchangeError
+from egretcart.connection.http_client import HttpClient
+from egretcart.connection.http_server import HttpConnection
+from egretcart.connection.http_server import HttpLimits
+from egretcart.connection.http_server import HttpRequest
+from egretcart.connection.http_server import HttpResponse
+from egretcart.connection.http_server import problem_response
+from egretcart.connection.messages import Start
+from egretcart.connection.messages import TaskResult
+from egretcart.connection.traffic import Traffic
+from egretcart.process.metric_table import MESSAGES_WASTED
+from egretcart.process.metric_table import STARTS
+from egretcart.process.metrics import ProcessMetrics
+from egretcart.process.metrics import TEXT_TYPE
+from egretcart.process.settings import NaiveSettings
+from egretcart.process.waste import ATTEMPT_MESSAGES
+from egretcart.process.waste import WasteCause
+from egretcart.request.identity import JobId
+from egretcart.request.identity import parse_job_id
+from egretcart.request.job import Job
+from egretcart.request.job import parse_job
+from egretcart.request.problem import bad_request
+from egretcart.request.problem import Problem
+from egretcart.request.reply import complete_reply
+from egretcart.request.reply import result_value
+from egretcart.request.verdict import Verdict
+
+JOB_PATH = re.compile(r"/v1/services/([^/?]+)/jobs/([^/?]+)")
+ATTEMPT_LIMIT_S = 10.0
+JOB_LIMIT_S = 60.0
+MAX_TASKS = 2000
+SUCCESS_STATUSES = range(200, 300)
+
+
+class NaiveJob:
+    """One submission; the same id again is another one."""
+
+    def __init__(self, job: Job) -> None:
+        self.job = job
+        self.results: dict[int, msgspec.Raw] = {}
+        self.ended = trio.Event()
+        self.cancelled = False
+
+
+class NaiveDispatcher:
+    """Dispatches tasks to backend servers without any cleverness.
+
+    Parameters
+    ----------
+    settings : NaiveSettings
+    """
+
+    def __init__(self, *, settings: NaiveSettings) -> None:
+        self.settings = settings
+        self.clients = [
+            HttpClient(
+                host=backend.host,
+                port=backend.port,
+                max_connections=settings.connections,
+            )
+            for backend in settings.backends
+        ]
+        self.free = [settings.slots] * len(self.clients)
+        self.waiting: deque[tuple[NaiveJob, int]] = deque()
+        self.jobs: dict[bytes, list[NaiveJob]] = {}
+        self.started: set[tuple[bytes, int]] = set()
+        self.random = random.Random(0)
+        self.traffic = Traffic()
+        self.metrics = ProcessMetrics(traffic=self.traffic)
+        self.nursery: trio.Nursery
+
+    async def run(
+        self, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve until cancelled; reports the port when it listens."""
+        address = self.settings.http
+        listeners = await trio.open_tcp_listeners(
+            address.port, host=address.host
+        )
+        async with trio.open_nursery() as nursery:
+            self.nursery = nursery
+            nursery.start_soon(trio.serve_listeners, self._serve, listeners)
+            task_status.started(listeners[0].socket.getsockname()[1])
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        connection = HttpConnection(
+            stream=stream, handler=self.handle, limits=HttpLimits()
+        )
+        await connection.serve()
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one HTTP request."""
+        if request.path == "/metrics":
+            return HttpResponse(
+                body=self.metrics.render(), content_type=TEXT_TYPE
+            )
+        found = JOB_PATH.fullmatch(request.path)
+        job_id = parse_job_id(found.group(2)) if found else None
+        if found is None or job_id is None or job_id.is_err():
+            return problem_response(bad_request(f"no job at {request.path!r}"))
+        if request.method == "DELETE":
+            return self._cancel(job_id.unwrap())
+        parsed = parse_job(
+            job_id=job_id.unwrap(),
+            service=found.group(1),
+            body=request.body,
+            max_tasks=MAX_TASKS,
+        )
+        if parsed.is_err():
+            return problem_response(bad_request(parsed.unwrap_err()))
+        return await self._run_job(NaiveJob(parsed.unwrap()))
+
+    async def _run_job(self, running: NaiveJob) -> HttpResponse:
+        job = running.job
+        same_id = self.jobs.setdefault(job.job_id.value, [])
+        same_id.append(running)
+        self.waiting.extend((running, n) for n in range(len(job.tasks)))
+        self._dispatch()
+        with trio.move_on_after(JOB_LIMIT_S):
+            await running.ended.wait()
+        same_id.remove(running)
+        if len(running.results) < len(job.tasks):
+            running.cancelled = True
+            return problem_response(_failed(job.job_id))
+        results = [running.results[n] for n in range(len(job.tasks))]
+        reply = complete_reply(job.job_id, results)
+        return HttpResponse(status=reply.status, body=reply.body)
+
+    def _cancel(self, job_id: JobId) -> HttpResponse:
+        for running in self.jobs.get(job_id.value, ()):
+            running.cancelled = True
+            running.ended.set()
+        return problem_response(_failed(job_id))
+
+    def _dispatch(self) -> None:
+        while self.waiting:
+            if self.waiting[0][0].cancelled:
+                self.waiting.popleft()
+                continue
+            servers = [n for n, free in enumerate(self.free) if free]
+            if not servers:
+                return
+            server = self.random.choice(servers)
+            self.free[server] -= 1
+            running, index = self.waiting.popleft()
+            self.nursery.start_soon(self._attempt, server, running, index)
+
+    async def _attempt(
+        self, server: int, running: NaiveJob, index: int
+    ) -> None:
+        job = running.job
+        self.metrics.add(STARTS)
+        self.traffic.messages[Start] += 1
+        self.traffic.messages[TaskResult] += 1
+        key = (job.job_id.value, index)
+        repeated = key in self.started
+        self.started.add(key)
+        result: msgspec.Raw | None = None
+        try:
+            response = await self.clients[server].exchange(
+                "POST",
+                "/",
+                body=job.tasks[index].payload,
+                headers=(("Idempotency-Key", f"{job.job_id}/{index}"),),
+                time_limit_s=ATTEMPT_LIMIT_S,
+            )
+            if response.status in SUCCESS_STATUSES:
+                content_type = response.headers.get("content-type", "")
+                result = result_value(response.body, content_type)
+        except ExchangeError:
+            await trio.lowlevel.checkpoint()
+        self.free[server] += 1
+        self._ended(running, index, result, repeated=repeated)
+        self._dispatch()
+
+    def _ended(
+        self,
+        running: NaiveJob,
+        index: int,
+        result: msgspec.Raw | None,
+        *,
+        repeated: bool,
+    ) -> None:
+        if running.cancelled:
+            self._wasted(WasteCause.CANCELLED)
+        elif result is None:
+            self.started.discard((running.job.job_id.value, index))
+            self._wasted(WasteCause.RETRY)
+            self.waiting.append((running, index))
+        else:
+            if repeated:
+                self._wasted(WasteCause.DUPLICATE_ANSWER)
+            running.results[index] = result
+            if len(running.results) == len(running.job.tasks):
+                running.ended.set()
+
+    def _wasted(self, cause: WasteCause) -> None:
+        self.metrics.add(MESSAGES_WASTED, ATTEMPT_MESSAGES, label=cause.value)
+
+
+def _failed(job_id: JobId) -> Problem:
+    return Problem(
+        status=504,
+        title="Not Done",
+        detail=f"job {job_id} was cancelled or not done in time",
+        verdict=Verdict.MAY_HAVE_RUN,
+    )
+
+
+async def run_naive(settings: NaiveSettings) -> None:
+    """Run the naive version until cancelled."""
+    dispatcher = NaiveDispatcher(settings=settings)
+    async with trio.open_nursery() as nursery:
+        port = await nursery.start(dispatcher.run)
+        print(json.dumps({"role": "naive", "http_port": port}), flush=True)
