--- /dev/null
+++ b/tests/features/steps/example_steps.py
@@ -0,0 +1,113 @@
+import json
+import pathlib
+import subprocess
+import sys
+
+from behave import given
+from behave import then
+from behave import when
+import msgspec
+
+from egretcart.load.profile import LoadProfile
+from egretcart.process.settings import AgentSettings
+from egretcart.process.settings import BackendStandInSettings
+from egretcart.process.settings import EntrySettings
+from egretcart.process.settings import load_settings
+from egretcart.process.settings import PlatformStandInSettings
+from egretcart.process.submit import Submission
+from egretcart.request.identity import new_job_id
+from egretcart.request.job import parse_job
+from egretcart.version.document import Configuration
+
+ROOT = pathlib.Path(__file__).resolve().parents[3]
+sys.path.insert(0, str(ROOT / "tools"))
+
+from deployment import Deployment  # noqa: E402
+
+EXAMPLES = ROOT / "examples"
+DOMAINS = {
+    "snapcheck": {"kl-putra", "kl-cyber", "kl-bangsar"},
+    "muffa-casa": {f"emilia-z{n}" for n in (1, 2, 3, 4)},
+}
+KINDS = {
+    "agents": AgentSettings,
+    "backends": BackendStandInSettings,
+    "configuration.json": Configuration,
+    "entries": EntrySettings,
+    "load.json": LoadProfile,
+    "platform.json": PlatformStandInSettings,
+    "submission.json": Submission,
+}
+RUN_LIMIT_S = 90
+
+
+def load_example(path):
+    kind = KINDS[path.relative_to(EXAMPLES).parts[1]]
+    return load_settings(path, kind).unwrap()
+
+
+@then("every example file is accepted by the part that reads it")
+def check_files(context):
+    files = sorted(EXAMPLES.glob("*/**/*.json"))
+    assert files
+    for path in files:
+        loaded = load_example(path)
+        if isinstance(loaded, Submission):
+            parse_job(
+                job_id=new_job_id(),
+                service=loaded.service,
+                body=bytes(loaded.job),
+                max_tasks=2000,
+            ).unwrap()
+
+
+@then("the examples have today's sizes")
+def check_sizes(context):
+    for service, domains in DOMAINS.items():
+        folder = EXAMPLES / service
+        agents = [load_example(p) for p in (folder / "agents").iterdir()]
+        entries = [load_example(p) for p in (folder / "entries").iterdir()]
+        configuration = load_example(folder / "configuration.json")
+        assert len(agents) == 11
+        assert len(entries) == 3
+        assert {(a.slots, a.connections) for a in agents} == {(8, 64)}
+        assert {a.failure_domain for a in agents} == domains
+        assert {a.service for a in agents} == {service}
+        assert configuration.find_service(service)
+        job = load_example(folder / "submission.json").job
+        document = msgspec.json.decode(job)
+        assert configuration.find_team(document["team"])
+        assert configuration.find_urgency(document["urgency"])
+
+
+@given("the snapcheck example is started on loopback")
+def start_example(context):
+    context.example = Deployment(EXAMPLES / "snapcheck")
+    context.add_cleanup(context.example.close)
+    context.example.start_backends()
+    context.example.start_system()
+
+
+@when("its load profile is run")
+def run_profile(context):
+    path = context.example.work / "profile.json"
+    path.write_text(json.dumps(context.example.profile))
+    context.finished = subprocess.run(
+        [sys.executable, "-m", "egretcart", "load", str(path), "--json"],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=RUN_LIMIT_S,
+        check=False,
+    )
+
+
+@then("all 1000 tasks are answered and none was started twice")
+def check_load(context):
+    assert context.finished.returncode == 0, context.finished.stderr
+    report = json.loads(context.finished.stdout)
+    assert report["tasks"] == 1000
+    assert report["outcomes"] == {"complete": report["jobs"]}, report
+    assert report["starts"] >= 1000
+    assert report["repeated_starts"] == 0
+    assert report["silent_processes"] == 0
