Measure the system and the naive version in one run

Another checkout can be measured in the same run.

The time of a change counts from the first line of progress; counting from the start of the load process put it 0.5 s too early.

A message round from the leader to an agent and back is now a histogram of the entry, taken from its heartbeats.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN = $(VENV)/bin
 STAMP = $(VENV)/installed
 
-.PHONY: demo test lint format binary clean
+.PHONY: demo test lint format binary measures clean
 
 $(STAMP): requirements/development.txt
 	$(PYTHON) -m venv $(VENV)
@@ -28,5 +28,8 @@
 binary: $(STAMP)
 	$(BIN)/python tools/build_binary.py
 
+measures: $(STAMP)
+	$(BIN)/python tools/experiment.py
+
 clean:
 	rm -rf $(VENV) dist build *.egg-info
--- a/egretcart/load/report.py
+++ b/egretcart/load/report.py
@@ -67,6 +67,8 @@
         seen before.
     cpu_us_per_start : dict of str to float
         Processor time by role.
+    message_round_ms : float
+        Mean of a message round from the leader to an agent and back.
     silent_processes : int
         Processes whose counters could not be read after the run.
     """
@@ -92,6 +94,7 @@
     starts: int
     repeated_starts: int
     cpu_us_per_start: dict[str, float]
+    message_round_ms: float
     silent_processes: int
 
     @property
@@ -186,6 +189,11 @@
     return {name: round(count) for name, count in sorted(counts.items())}
 
 
+def _mean_ms(counters: Counters, histogram: str) -> float:
+    count = counters.total(f"{histogram}_count")
+    return 1000 * counters.total(f"{histogram}_sum") / max(1, count)
+
+
 def make_report(runner: LoadRunner, counts: ProcessCounts) -> LoadReport:
     """Return the report of a run.
 
@@ -255,6 +263,9 @@
                 ("agent", counts.agents),
             )
         },
+        message_round_ms=_mean_ms(
+            counts.entries, "egretcart_heartbeat_time_seconds"
+        ),
         silent_processes=counts.silent,
     )
 
@@ -293,6 +304,9 @@
         f"processor time       {us:.0f} us a start, role {role}"
         for role, us in report.cpu_us_per_start.items()
     ]
+    lines.append(
+        f"message round        {report.message_round_ms:.2f} ms on average"
+    )
     if report.silent_processes:
         lines.append(f"silent processes     {report.silent_processes}")
     return "\n".join(lines)
--- a/egretcart/load/runner.py
+++ b/egretcart/load/runner.py
@@ -182,7 +182,6 @@
 
     async def _show_progress(self) -> None:
         while True:
-            await trio.sleep(PROGRESS_S)
             submitted = sum(run.job_id is not None for run in self.runs)
             complete = sum(run.is_complete for run in self.runs)
             still_open = sum(run.is_open for run in self.runs)
@@ -190,3 +189,4 @@
                 f"{self._now_s():.0f} s: {submitted} of {len(self.runs)} jobs "
                 f"submitted, {complete} complete, {still_open} open"
             )
+            await trio.sleep(PROGRESS_S)
--- a/egretcart/process/entry_observer.py
+++ b/egretcart/process/entry_observer.py
@@ -3,6 +3,8 @@
 from egretcart.connection.messages import AgentMessage
 from egretcart.connection.messages import Forward
 from egretcart.connection.messages import ForwardReply
+from egretcart.connection.messages import Heartbeat
+from egretcart.connection.messages import HeartbeatReply
 from egretcart.process.effects import SendToAgent
 from egretcart.process.entry import Entry
 from egretcart.process.entry import EntryEffect
@@ -10,6 +12,7 @@
 from egretcart.process.entry import WriteCellRoster
 from egretcart.process.logs import EventLog
 from egretcart.process.metric_table import AGENTS_CONNECTED
+from egretcart.process.metric_table import HEARTBEAT_TIME
 from egretcart.process.metric_table import MESSAGES_WASTED
 from egretcart.process.metric_table import REQUESTS_OPEN
 from egretcart.process.metric_table import ROSTER_CHANGES
@@ -45,6 +48,8 @@
         self.waste = WasteObserver(count=self._wasted)
         # Requests that have been forwarded and wait for their reply.
         self.forwarded: set[int] = set()
+        # Newest round sent to each agent, and when.
+        self.rounds: dict[str, tuple[int, float]] = {}
         metrics.gauge(AGENTS_CONNECTED, lambda: len(entry.agents))
         metrics.gauge(REQUESTS_OPEN, lambda: len(entry.pending))
 
@@ -52,6 +57,9 @@
         """Take note of an effect before it is carried out."""
         if isinstance(effect, SendToAgent):
             self.waste.sent(effect.agent_id, effect.message)
+            if isinstance(effect.message, Heartbeat) and effect.message.round:
+                sent_at = self.entry.clock.monotonic()
+                self.rounds[effect.agent_id] = (effect.message.round, sent_at)
         elif isinstance(effect, SendToPeer):
             self._to_peer(effect)
         elif isinstance(effect, WriteCellRoster):
@@ -60,10 +68,16 @@
     def agent_message(self, agent_id: str, message: AgentMessage) -> None:
         """Take note of an agent's message before it is handled."""
         self.waste.received(agent_id, message)
+        if isinstance(message, HeartbeatReply):
+            round_number, sent_at = self.rounds.get(agent_id, (0, 0.0))
+            if message.round and message.round == round_number:
+                elapsed_s = self.entry.clock.monotonic() - sent_at
+                self.metrics.observe(HEARTBEAT_TIME, elapsed_s)
 
     def agent_lost(self, agent_id: str) -> None:
         """Take note of a lost connection to an agent."""
         self.waste.agent_lost(agent_id)
+        self.rounds.pop(agent_id, None)
 
     def look(self) -> None:
         """Count and log the changes of state since the last look."""
--- a/egretcart/process/metric_table.py
+++ b/egretcart/process/metric_table.py
@@ -26,6 +26,8 @@
     label : str
         Name of its only label; empty if it has none.
     meaning : str
+    buckets : tuple of float
+        Upper bounds of a histogram's buckets, in its unit.
     """
 
     name: str
@@ -33,6 +35,7 @@
     unit: str
     label: str = ""
     meaning: str
+    buckets: tuple[float, ...] = ()
 
 
 def _counter(name: str, unit: str, meaning: str, label: str = "") -> Metric:
@@ -100,7 +103,19 @@
     kind=MetricKind.HISTOGRAM,
     unit="s",
     meaning="time from a whole submission to its complete answer",
-)
+    buckets=(
+        0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60,
+    ),
+)  # fmt: skip
+HEARTBEAT_TIME = Metric(
+    name="egretcart.heartbeat.time",
+    kind=MetricKind.HISTOGRAM,
+    unit="s",
+    meaning="message round from the leader to an agent and back",
+    buckets=(
+        0.0002, 0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.5, 1,
+    ),
+)  # fmt: skip
 TAKEOVERS = _counter(
     "egretcart.takeovers", "{takeover}", "cells that began to be served"
 )
@@ -144,6 +159,7 @@
     JOBS,
     REFUSALS,
     RESPONSE_TIME,
+    HEARTBEAT_TIME,
     TAKEOVERS,
     LEASE_LAPSES,
     ROSTER_CHANGES,
--- a/egretcart/process/metrics.py
+++ b/egretcart/process/metrics.py
@@ -31,9 +31,6 @@
 from egretcart.process.metric_table import MetricKind
 
 TEXT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
-RESPONSE_TIME_BUCKETS_S = (
-    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60,
-)  # fmt: skip
 
 
 class Metrics(Protocol):
@@ -94,7 +91,7 @@
                 metric.name,
                 unit=metric.unit,
                 description=metric.meaning,
-                explicit_bucket_boundaries_advisory=RESPONSE_TIME_BUCKETS_S,
+                explicit_bucket_boundaries_advisory=metric.buckets,
             )
             return
         create = self.meter.create_observable_counter
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -55,7 +55,13 @@
     """
 
     def __init__(
-        self, folder: pathlib.Path, name: str, role: list[str], doc: Document
+        self,
+        *,
+        folder: pathlib.Path,
+        name: str,
+        role: list[str],
+        doc: Document,
+        tree: pathlib.Path,
     ) -> None:
         path = folder / f"{name}.json"
         path.write_text(json.dumps(doc))
@@ -65,7 +71,7 @@
         with self.log_path.open("w") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "egretcart", *role, str(path)],
-                cwd=ROOT,
+                cwd=tree,
                 stdout=subprocess.PIPE,
                 stderr=log,
                 text=True,
@@ -109,6 +115,8 @@
     ----------
     example : pathlib.Path
         A folder like examples/snapcheck.
+    tree : pathlib.Path, optional
+        Checkout that the processes run from.
 
     Attributes
     ----------
@@ -117,8 +125,11 @@
         The example's load profile, with the true addresses.
     """
 
-    def __init__(self, example: pathlib.Path) -> None:
+    def __init__(
+        self, example: pathlib.Path, *, tree: pathlib.Path = ROOT
+    ) -> None:
         self.example = example
+        self.tree = tree
         self.folder = tempfile.TemporaryDirectory()
         self.work = pathlib.Path(self.folder.name)
         self.processes: list[StartedProcess] = []
@@ -133,7 +144,9 @@
         self, name: str, role: list[str], doc: Document
     ) -> StartedProcess:
         """Start one process."""
-        process = StartedProcess(self.work, name, role, doc)
+        process = StartedProcess(
+            folder=self.work, name=name, role=role, doc=doc, tree=self.tree
+        )
         self.processes.append(process)
         return process
 
--- /dev/null
+++ b/tools/experiment.py
@@ -0,0 +1,209 @@
+"""Measures the system and the naive version under the same load.
+
+Usage:
+  experiment.py [--cases=NAMES] [--also=NAME=TREE] [--trial=FOLDER]
+                [EXPERIMENT]
+
+Options:
+  --cases=NAMES     Only these cases, divided by commas.
+  --also=NAME=TREE  Measure a checkout of another version as well.
+  --trial=FOLDER    Write the results there, and leave docs/ as it is.
+
+Without an EXPERIMENT file, tools/measures.json is taken. The results go to
+docs/measures.json, docs/measures.svg and the table in docs/measures.md.
+"""
+
+import datetime
+import json
+import os
+import pathlib
+import subprocess
+import sys
+import threading
+import time
+from typing import Any
+
+from deployment import Deployment
+from deployment import ROOT
+import docopt
+from measures_page import write_page
+
+NAIVE = "naive"
+SYSTEM = "egretcart"
+RUN_LIMIT_S = 120
+
+Document = dict[str, Any]
+
+
+def commit() -> str:
+    """Return the checked out commit, marked if files have changed."""
+    command = ["git", "describe", "--always", "--dirty"]
+    found = subprocess.run(
+        command, cwd=ROOT, capture_output=True, text=True, check=False
+    )
+    return found.stdout.strip() or "unknown"
+
+
+class Case:
+    """One condition, run against one version.
+
+    Parameters
+    ----------
+    experiment, case : dict
+        From the experiment's file.
+    system : str
+        `NAIVE`, `SYSTEM` or the name of another version.
+    tree : pathlib.Path
+        Checkout that the version's processes run from.
+    """
+
+    def __init__(
+        self,
+        *,
+        experiment: Document,
+        case: Document,
+        system: str,
+        tree: pathlib.Path,
+    ) -> None:
+        self.experiment = experiment
+        self.case = case
+        self.system = system
+        example = ROOT / "examples" / experiment["example"]
+        self.deployment = Deployment(example, tree=tree)
+
+    def run(self) -> Document:
+        """Start a deployment, load it and return the report."""
+        deployment = self.deployment
+        try:
+            deployment.start_backends()
+            if self.system == NAIVE:
+                deployment.start_naive()
+            else:
+                deployment.start_system()
+            for change in self.case.get("before", ()):
+                self._change(change)
+            return self._load()
+        finally:
+            deployment.close()
+
+    def _load(self) -> Document:
+        deployment = self.deployment
+        profile = (
+            deployment.profile
+            | self.experiment["profile"]
+            | self.case.get("profile", {})
+        )
+        path = deployment.work / "profile.json"
+        path.write_text(json.dumps(profile))
+        with subprocess.Popen(
+            [sys.executable, "-m", "egretcart", "load", path, "--json"],
+            cwd=ROOT,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            text=True,
+        ) as load:
+            output, errors = self._wait(load)
+        if not output:
+            raise RuntimeError(errors[-2000:])
+        report: Document = json.loads(output)
+        return report
+
+    def _wait(self, load: "subprocess.Popen[str]") -> tuple[str, str]:
+        """Make the changes that are due, and return what load printed."""
+        assert load.stderr is not None
+        # The first line of progress comes when the first job is due.
+        first = load.stderr.readline()
+        stopped = threading.Event()
+        changes = threading.Thread(target=self._change_later, args=[stopped])
+        changes.start()
+        try:
+            output, errors = load.communicate(timeout=RUN_LIMIT_S)
+        except subprocess.TimeoutExpired:
+            load.kill()
+            raise
+        finally:
+            stopped.set()
+            changes.join()
+        return output, first + errors
+
+    def _change_later(self, stopped: threading.Event) -> None:
+        began = time.monotonic()
+        for change in self.case.get("during", ()):
+            due = began + change["at_s"]
+            if stopped.wait(max(0.0, due - time.monotonic())):
+                return
+            self._change(change)
+
+    def _change(self, change: Document) -> None:
+        """Change backend servers' behaviour, or lose their workers."""
+        for number in change["backends"]:
+            if not change.get("lost"):
+                self.deployment.control(number, **change["behaviour"])
+                continue
+            self.deployment.backends[number].kill()
+            if self.deployment.agents:
+                self.deployment.agents[number].kill()
+
+
+def run_case(**parameters: Any) -> Document:
+    """Return a case's result; a case that breaks is reported as such."""
+    load_average = os.getloadavg()[0]
+    result: Document = {
+        "case": parameters["case"]["name"],
+        "system": parameters["system"],
+        "load_average": round(load_average, 2),
+    }
+    try:
+        result["report"] = Case(**parameters).run()
+    except (OSError, RuntimeError, subprocess.TimeoutExpired) as error:
+        result["error"] = str(error)
+    return result
+
+
+def show(result: Document) -> None:
+    """Print one result on a line."""
+    report = result.get("report")
+    summary = result.get("error", "")
+    if report is not None:
+        ratio = report["ratio_large_jobs"]
+        summary = (
+            f"{report['outcomes']} p50 {ratio['p50']:.2f} "
+            f"p99 {ratio['p99']:.2f} wasted {report['wasted_share']:.2%}"
+        )
+    print(f"{result['case']:<14} {result['system']:<10} {summary}", flush=True)
+
+
+def main() -> int:
+    """Run all cases and write the results; return 0 if none broke."""
+    options = docopt.docopt(__doc__)
+    file = options["EXPERIMENT"] or ROOT / "tools" / "measures.json"
+    experiment = json.loads(pathlib.Path(file).read_text())
+    trees = {SYSTEM: ROOT, NAIVE: ROOT}
+    if options["--also"]:
+        name, _, tree = options["--also"].partition("=")
+        trees[name] = pathlib.Path(tree)
+    chosen = options["--cases"].split(",") if options["--cases"] else None
+    results = []
+    for case in experiment["cases"]:
+        if chosen is not None and case["name"] not in chosen:
+            continue
+        for system, tree in trees.items():
+            result = run_case(
+                experiment=experiment, case=case, system=system, tree=tree
+            )
+            results.append(result)
+            show(result)
+    document = {
+        "commit": commit(),
+        "date": datetime.datetime.now(datetime.UTC).strftime("%Y-%m-%d"),
+        "processors": os.cpu_count(),
+        "example": experiment["example"],
+        "results": results,
+    }
+    folder = pathlib.Path(options["--trial"] or ROOT / "docs")
+    write_page(document, folder)
+    return 1 if any("error" in result for result in results) else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
