--- a/egretcart/__init__.py
+++ b/egretcart/__init__.py
@@ -1,5 +1,6 @@
 """A dispatcher for floods of sub-second tasks."""
 
+import egretcart.bootstrap  # noqa: F401
 from egretcart.process.agent import Agent
 from egretcart.process.clock import Clock
 from egretcart.process.clock import SystemClock
--- a/egretcart/process/demo.py
+++ b/egretcart/process/demo.py
@@ -1,18 +1,23 @@
 """A whole deployment in one process on loopback."""
 
 import json
-from typing import Any
 
 import msgspec
 import trio
 
-from egretcart.connection.http_client import HttpClient
+from egretcart.connection.caller import Caller
+from egretcart.connection.caller import CallerAnswer
+from egretcart.load.counters import Counters
+from egretcart.load.counters import parse_counters
+from egretcart.load.ideal import ideal_response_s
+from egretcart.load.profile import ServerGroup
 from egretcart.process.agent import AgentLimits
 from egretcart.process.agent_process import AgentProcess
 from egretcart.process.clock import SystemClock
 from egretcart.process.entry import EntryLimits
 from egretcart.process.entry_process import CONFIG_KEY
 from egretcart.process.entry_process import EntryProcess
+from egretcart.process.leadership import Phase
 from egretcart.process.limits import LeaderLimits
 from egretcart.process.platform import EtcdPlatform
 from egretcart.process.settings import Address
@@ -27,10 +32,15 @@
 HOST = "127.0.0.1"
 SERVICE = "snapcheck"
 SPEEDS = (1.0, 2.0, 0.5)
+SLOTS = 4
 TASKS = 24
 RUN_MS = 50
 ENTRIES = 2
+ROUND_TRIP_MS = 1.0
 ANSWER_LIMIT_S = 30.0
+READY_POLLS = 750
+POLL_S = 0.02
+HTTP_OK = 200
 
 
 async def _start_entries(
@@ -61,17 +71,17 @@
 
 async def _start_agents(
     nursery: trio.Nursery, entries: list[EntryProcess]
-) -> list[BackendStandIn]:
-    backends: list[BackendStandIn] = []
+) -> list[AgentProcess]:
+    agents: list[AgentProcess] = []
     for number, speed in enumerate(SPEEDS):
-        backend = BackendStandIn(speed=speed)
+        backend = BackendStandIn(speed=speed, slots=SLOTS)
         port = await nursery.start(backend.run)
         agent = AgentProcess(
             settings=AgentSettings(
                 agent_id=f"agent-{number}",
                 failure_domain="demo",
                 service=SERVICE,
-                slots=4,
+                slots=SLOTS,
                 connections=16,
                 backend=Address(host=HOST, port=port),
                 seeds=tuple(
@@ -83,8 +93,25 @@
             clock=SystemClock(),
         )
         await nursery.start(agent.run)
-        backends.append(backend)
-    return backends
+        agents.append(agent)
+    return agents
+
+
+def _is_ready(entry: EntryProcess) -> bool:
+    """Return whether an entry leads all agents."""
+    return any(
+        leadership.phase is Phase.SERVING
+        and leadership.quorum.size == len(SPEEDS)
+        and leadership.quorum.is_complete()
+        for leadership in entry.entry.leaderships.values()
+    )
+
+
+async def _wait_ready(entries: list[EntryProcess]) -> None:
+    for _ in range(READY_POLLS):
+        if any(_is_ready(entry) for entry in entries):
+            return
+        await trio.sleep(POLL_S)
 
 
 async def run_demo() -> int:
@@ -95,7 +122,6 @@
     int
         Exit code.
     """
-    status = 0
     async with trio.open_nursery() as nursery:
         platform = PlatformStandIn()
         platform_port = await nursery.start(platform.run)
@@ -107,34 +133,63 @@
             CONFIG_KEY, msgspec.json.encode(configuration), 0
         )
         entries = await _start_entries(nursery, platform_port)
-        backends = await _start_agents(nursery, entries)
-        answer, elapsed_s = await _submit(entries[-1].http_port)
-        print(json.dumps(answer, indent=2))
-        starts = sum(len(backend.starts) for backend in backends)
-        print(
-            f"{TASKS} tasks, {starts} starts at {len(backends)} backend "
-            f"servers, answered in {elapsed_s * 1000:.0f} ms"
-        )
-        if answer.get("state") != "complete":
-            status = 1
+        agents = await _start_agents(nursery, entries)
+        await _wait_ready(entries)
+        answer, elapsed_s = await _submit(entries)
+        print(json.dumps(json.loads(answer.body or b"{}"), indent=2))
+        _print_measures(entries, agents, elapsed_s)
         nursery.cancel_scope.cancel()
-    return status
+    return 0 if answer.status == HTTP_OK else 1
 
 
-async def _submit(http_port: int) -> tuple[dict[str, Any], float]:
-    client = HttpClient(host=HOST, port=http_port, max_connections=1)
+async def _submit(entries: list[EntryProcess]) -> tuple[CallerAnswer, float]:
+    caller = Caller(
+        addresses=[(HOST, entry.http_port) for entry in entries],
+        service=SERVICE,
+    )
     tasks = [
         {"payload": {"run_ms": RUN_MS, "echo": f"page-{n}"}}
         for n in range(TASKS)
     ]
-    path = f"/v1/services/{SERVICE}/jobs/{new_job_id()}"
-    body = msgspec.json.encode({"tasks": tasks})
-    while True:
-        began = trio.current_time()
-        response = await client.exchange(
-            "PUT", path, body=body, time_limit_s=ANSWER_LIMIT_S
+    began = trio.current_time()
+    answer = await caller.submit(
+        new_job_id(),
+        msgspec.json.encode({"tasks": tasks}),
+        give_up_s=ANSWER_LIMIT_S,
+        time_limit_s=ANSWER_LIMIT_S,
+    )
+    elapsed_s = trio.current_time() - began
+    await caller.aclose()
+    return answer, elapsed_s
+
+
+def _print_measures(
+    entries: list[EntryProcess], agents: list[AgentProcess], elapsed_s: float
+) -> None:
+    """Print the job's measures, from the counters of all processes."""
+    counters = Counters()
+    processes: list[EntryProcess | AgentProcess] = [*entries, *agents]
+    for process in processes:
+        counters.add(parse_counters(process.metrics.render()))
+    ideal_s = ideal_response_s(
+        [RUN_MS] * TASKS,
+        [ServerGroup(count=1, slots=SLOTS, speed=s) for s in SPEEDS],
+        round_trip_ms=ROUND_TRIP_MS,
+    )
+    messages = counters.messages(control=False)
+    wasted = counters.total("egretcart_messages_wasted")
+    print(
+        f"\n{TASKS} tasks of {RUN_MS} ms on {len(SPEEDS)} backend servers "
+        f"of {SLOTS} slots\n"
+        f"response time   {1000 * elapsed_s:.0f} ms, "
+        f"{elapsed_s / ideal_s:.2f} of the ideal {1000 * ideal_s:.0f} ms\n"
+        f"messages        {messages:.0f}, {messages / TASKS:.2f} a task; "
+        f"{wasted:.0f} wasted; "
+        f"{counters.messages(control=True):.0f} control messages"
+    )
+    for agent, speed in zip(agents, SPEEDS, strict=True):
+        own = parse_counters(agent.metrics.render())
+        print(
+            f"{agent.settings.agent_id:<15} "
+            f"{own.total('egretcart_starts'):.0f} starts at speed {speed}"
         )
-        answer = msgspec.json.decode(response.body)
-        if "retry_after_s" not in answer and response.status != 404:
-            return answer, trio.current_time() - began
-        await trio.sleep(answer.get("retry_after_s", 0.2))
