Wait on while an entry does not answer yet

A status request that fails while a deployment starts is now taken for not serving; that this was the cause is not shown.

--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -246,7 +246,10 @@
 
     def _serves(self, entry: StartedProcess) -> bool:
         port = entry.ready["http_port"]
-        status = request(port, "GET", "/v1/status")
+        try:
+            status = request(port, "GET", "/v1/status")
+        except OSError:
+            return False
         # The roster grows by one member at a time.
         return len(status["agents"]) == len(self.agents) and any(
             cell["phase"] == "serving" and cell["roster_version"] > 1
