Learn of results that come before a resubmission

Cause: a new leader adopts the tasks that the agents' ledgers report as begun and waits for their results. A result that arrived before the job was resubmitted changed nothing in what the leader knew, so the resubmission waited until its deadline for a result that had passed. The same held for an agent that reconnected with the task failed or forgotten as not run.

Ruled out: a start lost with its connection (the fence settles those), a pruned ledger (the job was 60 s old).

The records are now settled by results and dropped before an agent reports its ledger anew.

--- a/egretcart/process/jobs.py
+++ b/egretcart/process/jobs.py
@@ -187,6 +187,7 @@
         self.loads[load.agent_id] = load
         effects: list[LeaderEffect] = []
         recorded: set[TaskKey] = set()
+        self.known.drop(load.agent_id, load.incarnation)
         for record in records:
             known = self.known.add(load.agent_id, load.incarnation, record)
             for task in record.tasks:
@@ -361,6 +362,7 @@
             return []
         if load.in_flight.get(key) == result.attempt:
             del load.in_flight[key]
+        self.known.settle(agent_id, load.incarnation, result)
         progress = self.jobs.get(result.job_id)
         if progress is None or result.task >= len(progress.tasks):
             return []
--- a/egretcart/process/takeover.py
+++ b/egretcart/process/takeover.py
@@ -3,7 +3,9 @@
 import dataclasses
 
 from egretcart.connection.messages import JobRecord
+from egretcart.connection.messages import TaskResult
 from egretcart.process.ledger import RecordState
+from egretcart.request.verdict import Verdict
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -64,6 +66,38 @@
                 job.tasks[task.index] = known
         return job
 
+    def drop(self, agent_id: str, incarnation: int) -> None:
+        """Forget an agent's records before it reports them anew."""
+        for job in self.jobs.values():
+            for index, task in list(job.tasks.items()):
+                if (task.agent_id, task.incarnation) == (
+                    agent_id,
+                    incarnation,
+                ):
+                    del job.tasks[index]
+
+    def settle(
+        self, agent_id: str, incarnation: int, result: TaskResult
+    ) -> None:
+        """Record the end of an attempt that was known as begun."""
+        job = self.jobs.get(result.job_id)
+        known = job.tasks.get(result.task) if job is not None else None
+        if job is None or known is None:
+            return
+        if (known.agent_id, known.incarnation, known.attempt) != (
+            agent_id,
+            incarnation,
+            result.attempt,
+        ):
+            return
+        if result.verdict == Verdict.NOT_RUN.value:
+            del job.tasks[result.task]
+            return
+        state = RecordState.FAILED
+        if result.succeeded:
+            state = RecordState.SUCCEEDED
+        job.tasks[result.task] = dataclasses.replace(known, state=state)
+
     def find(self, job_id: bytes) -> KnownJob | None:
         """Return what is known of a job, or None."""
         return self.jobs.get(job_id)
--- /dev/null
+++ b/tests/features/steps/late_resubmission_steps.py
@@ -0,0 +1,102 @@
+from behave import given
+from behave import then
+from behave import when
+
+from egretcart.connection.messages import FetchJob
+from egretcart.connection.messages import JobRecord
+from egretcart.connection.messages import Start
+from egretcart.connection.messages import TaskRecord
+from egretcart.connection.messages import TaskResult
+from egretcart.connection.messages import Term
+from egretcart.process.answers import AnswerCache
+from egretcart.process.effects import RequestToken
+from egretcart.process.jobs import JobBook
+from egretcart.process.ledger import RecordState
+from egretcart.process.limits import LeaderLimits
+from egretcart.process.scheduler import AgentLoad
+from egretcart.request.identity import new_job_id
+from egretcart.request.job import parse_job
+from egretcart.testing.clock import ManualClock
+
+
+def load():
+    return AgentLoad(
+        agent_id="a",
+        incarnation=1,
+        failure_domain="kl-putra",
+        slots=1,
+        queue_depth=1,
+        draining=False,
+    )
+
+
+def record(job, state):
+    task = TaskRecord(index=0, attempt=1, state=state.value)
+    return JobRecord(job_id=job.job_id.value, digest=job.digest, tasks=(task,))
+
+
+def result(job, verdict, *, succeeded):
+    return TaskResult(
+        job_id=job.job_id.value,
+        task=0,
+        attempt=1,
+        verdict=verdict,
+        succeeded=succeeded,
+    )
+
+
+@given("a new leader that learnt of a begun task from a ledger")
+def learn_begun(context):
+    context.book = JobBook(
+        term=Term(2, 2),
+        limits=LeaderLimits(),
+        clock=ManualClock(),
+        answers=AnswerCache(max_bytes=1000),
+    )
+    context.job = parse_job(
+        job_id=new_job_id(),
+        service="snapcheck",
+        body=b'{"tasks": [{"payload": 1}]}',
+        max_tasks=1,
+    ).unwrap()
+    began = record(context.job, RecordState.BEGUN)
+    context.book.agent_fenced(load(), [began])
+
+
+@when("the task succeeds")
+def succeed(context):
+    ended = result(context.job, "ran", succeeded=True)
+    context.book.task_result("a", ended)
+
+
+@when("the task proves not to have run")
+def not_run(context):
+    ended = result(context.job, "not_run", succeeded=False)
+    context.book.task_result("a", ended)
+
+
+@when("the agent reconnects with it failed")
+def reconnect_failed(context):
+    context.book.agent_lost("a")
+    failed = record(context.job, RecordState.FAILED)
+    context.book.agent_fenced(load(), [failed])
+
+
+@when("the agent reconnects without its record")
+def reconnect_forgotten(context):
+    context.book.agent_lost("a")
+    context.book.agent_fenced(load(), [])
+
+
+@when("the job is resubmitted to the new leader")
+def resubmit(context):
+    book = context.book
+    context.effects = book.submit(RequestToken("e", 1), context.job)
+    context.effects += book.place({"a"})
+
+
+@then("the new leader {action} the task")
+def check_action(context, action):
+    expected = {"fetches": FetchJob, "starts": Start}[action]
+    kinds = [type(effect.message) for effect in context.effects]
+    assert kinds == [expected], context.effects
