Prove the first promises with separate processes and real faults

Scenarios kill, freeze, cut and stall entries, agents, connections and the platform under callers that resubmit the same id through another entry. The witness is the backend stand-ins' own record of starts. A setting for the advertised peer address lets a relay stand between the processes; the status document tells the size of the roster, so that a scenario starts with all agents recorded.

--- a/egretcart/process/caller_api.py
+++ b/egretcart/process/caller_api.py
@@ -136,6 +136,7 @@
                     "phase": leadership.phase.value,
                     "jobs": len(leadership.book.jobs),
                     "roster_version": leadership.quorum.roster.version,
+                    "members": len(leadership.quorum.roster.members),
                 }
                 for cell, leadership in sorted(entry.leaderships.items())
             ],
--- a/egretcart/process/entry_process.py
+++ b/egretcart/process/entry_process.py
@@ -81,6 +81,7 @@
         self.api: CallerApi
         self.address: EntryAddress
         self.http_port = 0
+        self.peer_port = 0
         self.incarnation = clock.unix_ms()
         self.dialled_links: dict[str, Link] = {}
         self.accepted_links: dict[str, Link] = {}
@@ -100,12 +101,13 @@
         http_listeners = await trio.open_tcp_listeners(
             http.port, host=http.host
         )
-        peer_port = peer_listeners[0].socket.getsockname()[1]
+        self.peer_port = peer_listeners[0].socket.getsockname()[1]
         self.http_port = http_listeners[0].socket.getsockname()[1]
+        advertised = self.settings.advertised
         self.address = EntryAddress(
             entry_id=self.settings.entry_id,
-            host=peer.host,
-            port=peer_port,
+            host=advertised.host if advertised else peer.host,
+            port=advertised.port if advertised else self.peer_port,
             weight=self.settings.weight,
             failure_domain=self.settings.failure_domain,
         )
@@ -138,7 +140,7 @@
             "role": "entry",
             "id": self.settings.entry_id,
             "http_port": self.http_port,
-            "peer_port": self.address.port,
+            "peer_port": self.peer_port,
         }
         print(json.dumps(ports))
         sys.stdout.flush()
--- a/egretcart/process/settings.py
+++ b/egretcart/process/settings.py
@@ -46,6 +46,8 @@
         Where callers and operators connect.
     peer : Address
         Where agents and other entries connect.
+    advertised : Address or None
+        Peer address that others are told, if it is not `peer`.
     weight : int
         Share of the cells that it should lead, relative to others.
     seeds : tuple of Address
@@ -58,6 +60,7 @@
     failure_domain: Text
     http: Address
     peer: Address
+    advertised: Address | None = None
     weight: Positive = 1
     seeds: tuple[Address, ...] = ()
     platform: Address | None = None
--- /dev/null
+++ b/tests/features/promise_at_most_once.feature
@@ -0,0 +1,48 @@
+Feature: A non-idempotent request runs at most once
+
+  Scenario: An agent is killed in the middle of non-idempotent jobs
+    Given a deployment of 2 entries and 3 agents
+    When callers submit 100 non-idempotent jobs of 10 tasks through every entry
+    And 20 % are answered
+    And an agent is killed
+    And 50 % are answered
+    And the killed agent is replaced
+    And the callers are done
+    Then every caller has its own whole answer or a failure with a verdict
+    And the backend servers saw no task start twice
+    And the backend servers saw nothing that was refused as not run
+
+  Scenario: An agent and the leader are killed at once
+    Given a deployment of 3 entries and 3 agents
+    When callers submit 100 non-idempotent jobs of 10 tasks through every entry
+    And 20 % are answered
+    And an agent is killed
+    And the leader's entry is killed
+    And the killed agent is replaced
+    And the callers are done
+    Then every caller has its own whole answer or a failure with a verdict
+    And the backend servers saw no task start twice
+    And the backend servers saw nothing that was refused as not run
+
+  Scenario: The platform is killed before the leader's entry is
+    Given a deployment of 3 entries and 3 agents
+    When callers submit 100 non-idempotent jobs of 10 tasks through every entry
+    And the platform is killed
+    And 20 % are answered
+    And the leader's entry is killed
+    And the callers are done
+    Then every caller has its own whole answer
+    And the backend servers saw no task start twice
+
+  Scenario: The platform is frozen before an agent and the leader are killed
+    Given a deployment of 3 entries and 3 agents
+    When callers submit 100 non-idempotent jobs of 10 tasks through every entry
+    And the platform is frozen
+    And 20 % are answered
+    And an agent is killed
+    And the leader's entry is killed
+    And the killed agent is replaced
+    And the callers are done
+    Then every caller has its own whole answer or a failure with a verdict
+    And the backend servers saw no task start twice
+    And the backend servers saw nothing that was refused as not run
--- /dev/null
+++ b/tests/features/steps/callers.py
@@ -0,0 +1,148 @@
+"""Callers that submit under faults and resubmit what they lost."""
+
+import dataclasses
+import http.client
+import itertools
+import threading
+import time
+
+from egretcart.request.identity import new_job_id
+
+VERDICTS = ("not_run", "may_have_run", "ran")
+UNAVAILABLE = 503
+MAX_TRIES = 12
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Outcome:
+    """What one caller was told in the end, and when."""
+
+    job_id: str
+    tasks: int
+    tries: int
+    status: int
+    answer: dict
+    began: float
+    ended: float
+
+    @property
+    def is_whole(self):
+        expected = [{"echo": f"{self.job_id}/{n}"} for n in range(self.tasks)]
+        return self.status == 200 and self.answer["results"] == expected
+
+
+class Callers:
+    """Threads that submit jobs, each again elsewhere until it is answered.
+
+    A caller whose tries are used up takes the last refusal as its answer;
+    with `resubmits=False` that is the first.
+    """
+
+    def __init__(
+        self,
+        deployment,
+        entries,
+        *,
+        jobs,
+        tasks,
+        run_ms=5,
+        threads=12,
+        idempotent=False,
+        resubmits=True,
+        limit_s=8,
+    ):
+        self.deployment = deployment
+        self.entries = entries
+        self.jobs = jobs
+        self.tasks = tasks
+        self.run_ms = run_ms
+        self.idempotent = idempotent
+        self.tries = MAX_TRIES if resubmits else 1
+        self.limit_s = limit_s
+        self.numbers = iter(range(jobs))
+        self.outcomes = []
+        self.errors = []
+        self.stopped = False
+        self.threads = [
+            threading.Thread(target=self._work, daemon=True)
+            for _ in range(threads)
+        ]
+        for thread in self.threads:
+            thread.start()
+
+    def _work(self):
+        while not self.stopped:
+            try:
+                number = next(self.numbers)
+            except StopIteration:
+                return
+            try:
+                self.outcomes.append(self._carry_job(number))
+            except Exception as error:
+                self.errors.append(repr(error))
+
+    def _carry_job(self, number):
+        job_id = str(new_job_id())
+        tasks = [
+            {"payload": {"run_ms": self.run_ms, "echo": f"{job_id}/{n}"}}
+            for n in range(self.tasks)
+        ]
+        began = time.monotonic()
+        ports = itertools.cycle(e.ready["http_port"] for e in self.entries)
+        ports = itertools.islice(ports, number % len(self.entries), None)
+        error = refusal = None
+        for tries in range(1, self.tries + 1):
+            try:
+                status, answer = self.deployment.submit_to(
+                    next(ports),
+                    tasks,
+                    job_id=job_id,
+                    limit_s=self.limit_s,
+                    idempotent=self.idempotent,
+                )
+            except (OSError, http.client.HTTPException) as problem:
+                error = problem
+                time.sleep(0.05)
+                continue
+            outcome = Outcome(
+                job_id=job_id,
+                tasks=self.tasks,
+                tries=tries,
+                status=status,
+                answer=answer,
+                began=began,
+                ended=time.monotonic(),
+            )
+            if status != UNAVAILABLE:
+                return outcome
+            refusal = outcome
+            if tries < self.tries:
+                time.sleep(min(answer.get("retry_after_s", 0.2), 0.5))
+        if refusal is None:
+            raise AssertionError(f"job {job_id}: no answer: {error!r}")
+        return refusal
+
+    def wait_for(self, answers, limit_s=120):
+        """Wait until so many jobs are answered."""
+        end = time.monotonic() + limit_s
+        while len(self.outcomes) < answers:
+            assert time.monotonic() < end, (
+                f"{len(self.outcomes)} of {answers} answered; {self.errors}"
+            )
+            time.sleep(0.005)
+
+    def finish(self, limit_s=240):
+        end = time.monotonic() + limit_s
+        for thread in self.threads:
+            thread.join(max(0, end - time.monotonic()))
+            assert not thread.is_alive(), "a caller got no answer"
+
+    def gap_s(self, since, until):
+        """Return the longest time without an answer in a span."""
+        times = sorted(
+            outcome.ended
+            for outcome in self.outcomes
+            if since <= outcome.ended <= until and outcome.is_whole
+        )
+        times = [since, *times]
+        return max(b - a for a, b in itertools.pairwise(times))
--- /dev/null
+++ b/tests/features/steps/fault_steps.py
@@ -0,0 +1,229 @@
+"""Real faults in separate processes, under callers that resubmit."""
+
+import os
+import signal
+import sys
+import time
+
+from behave import given
+from behave import then
+from behave import when
+from callers import Callers
+from callers import VERDICTS
+from processes import Deployment
+from processes import eventually
+
+SCALE = int(os.environ.get("EGRETCART_FAULT_SCALE", "1"))
+# Longer than every lease and timeout of the system.
+FREEZE_S = 2.5
+AFTER_S = 3.0
+
+
+def figure(text):
+    """Show a measured figure, whatever becomes of the scenario."""
+    print(f"    figure: {text}", file=sys.__stderr__, flush=True)
+
+
+@given("a relayed deployment of {entries:d} entries and {agents:d} agents")
+def start_relayed(context, entries, agents):
+    context.deployment = Deployment(entries, agents, relayed=True)
+    context.add_cleanup(context.deployment.close)
+
+
+def start_callers(context, entries, **options):
+    context.callers = Callers(context.deployment, entries, **options)
+    context.faulted_at = []
+
+
+@when(
+    "callers submit {jobs:d} {kind} jobs of {tasks:d} tasks "
+    "through every entry"
+)
+def submit_everywhere(context, jobs, kind, tasks):
+    start_callers(
+        context,
+        context.deployment.entries,
+        jobs=jobs * SCALE,
+        tasks=tasks,
+        idempotent=kind == "idempotent",
+    )
+
+
+@when(
+    "callers submit {jobs:d} {kind} jobs of {tasks:d} tasks "
+    "through the other entries only"
+)
+def submit_elsewhere(context, jobs, kind, tasks):
+    leader = context.deployment.leader()
+    start_callers(
+        context,
+        [e for e in context.deployment.entries if e is not leader],
+        jobs=jobs * SCALE,
+        tasks=tasks,
+        idempotent=kind == "idempotent",
+        resubmits=False,
+        limit_s=60,
+    )
+
+
+@when("{percent:d} % are answered")
+def wait_for_share(context, percent):
+    total = context.callers.jobs
+    context.callers.wait_for(total * percent // 100)
+
+
+@when("the leader's entry is killed")
+def kill_leader(context):
+    context.faulted_at.append(time.monotonic())
+    context.deployment.leader().kill()
+
+
+@when("an entry that does not lead is killed")
+def kill_other(context):
+    leader = context.deployment.leader()
+    entries = context.deployment.running_entries()
+    context.faulted_at.append(time.monotonic())
+    next(e for e in entries if e is not leader).kill()
+
+
+@when("the leader's entry is frozen for longer than every lease")
+def freeze_leader(context):
+    frozen = context.deployment.leader()
+    context.faulted_at.append(time.monotonic())
+    frozen.signal(signal.SIGSTOP)
+    time.sleep(FREEZE_S)
+    frozen.signal(signal.SIGCONT)
+
+
+@when("an agent is killed")
+def kill_agent(context):
+    context.faulted_at.append(time.monotonic())
+    context.deployment.agents[0].kill()
+
+
+@when("an agent is frozen for longer than every lease")
+def freeze_agent(context):
+    frozen = context.deployment.agents[0]
+    context.faulted_at.append(time.monotonic())
+    frozen.signal(signal.SIGSTOP)
+    time.sleep(FREEZE_S)
+    frozen.signal(signal.SIGCONT)
+
+
+@when("the killed agent is replaced")
+def replace_agent(context):
+    deployment = context.deployment
+    backend = deployment.backends[0]
+    agent = deployment.start_agent("agent-0", backend)
+    assert agent.ready
+    deployment.agents[0] = agent
+
+
+@when("all connections are cut {count:d} times")
+def cut_connections(context, count):
+    for _ in range(count):
+        for relay in context.deployment.relays.values():
+            relay.cut()
+        time.sleep(0.4)
+
+
+@when("the connections of the leader stall for longer than every lease")
+def stall_leader(context):
+    deployment = context.deployment
+    relay = deployment.relays[deployment.leader().name]
+    context.faulted_at.append(time.monotonic())
+    relay.pause()
+    time.sleep(FREEZE_S)
+    relay.resume()
+
+
+@when("the platform is killed")
+def kill_platform(context):
+    context.deployment.platform.kill()
+
+
+@when("the platform is frozen")
+def freeze_platform(context):
+    context.deployment.platform.signal(signal.SIGSTOP)
+
+
+@when("the callers are done")
+def callers_done(context):
+    context.callers.finish()
+    callers = context.callers
+    whole = sum(outcome.is_whole for outcome in callers.outcomes)
+    again = sum(outcome.tries > 1 for outcome in callers.outcomes)
+    figure(
+        f"{context.scenario.name}: {len(callers.outcomes)} jobs of "
+        f"{callers.tasks} tasks, {whole} whole, {again} resubmitted"
+    )
+    for since in context.faulted_at:
+        gap_s = callers.gap_s(since, since + AFTER_S)
+        figure(f"longest time without an answer: {gap_s * 1000:.0f} ms")
+
+
+@then("every caller has its own whole answer or a failure with a verdict")
+def check_outcomes(context):
+    callers = context.callers
+    assert not callers.errors, callers.errors[:3]
+    assert len(callers.outcomes) == callers.jobs
+    for outcome in callers.outcomes:
+        if not outcome.is_whole:
+            assert outcome.status >= 400, outcome
+            assert outcome.answer["verdict"] in VERDICTS, outcome
+
+
+@then("every caller has its own whole answer")
+def check_whole(context):
+    callers = context.callers
+    assert not callers.errors, callers.errors[:3]
+    assert len(callers.outcomes) == callers.jobs
+    failed = [o for o in callers.outcomes if not o.is_whole]
+    assert not failed, (len(failed), failed[:3])
+
+
+@then("no answer was needed twice")
+def check_tries(context):
+    again = [o for o in context.callers.outcomes if o.tries > 1]
+    assert not again, (len(again), again[:3])
+
+
+@then("the backend servers saw no task start twice")
+def check_starts_once(context):
+    starts = context.deployment.recorded_starts()
+    twice = {key: count for key, count in starts.items() if count > 1}
+    assert not twice, twice
+
+
+@then("the backend servers saw every whole job's tasks")
+def check_whole_jobs_started(context):
+    starts = context.deployment.recorded_starts()
+    for outcome in context.callers.outcomes:
+        if outcome.is_whole:
+            for number in range(outcome.tasks):
+                assert starts[f"{outcome.job_id}/{number}"] >= 1
+
+
+@then("the backend servers saw nothing that was refused as not run")
+def check_not_run(context):
+    started = {
+        key.partition("/")[0] for key in context.deployment.recorded_starts()
+    }
+    for outcome in context.callers.outcomes:
+        if outcome.answer.get("verdict") == "not_run":
+            assert outcome.job_id not in started, outcome
+
+
+@then("one entry leads in the end")
+def check_one_leader(context):
+    deployment = context.deployment
+
+    def one_leads():
+        leading = [
+            entry
+            for entry in deployment.running_entries()
+            if deployment.status(entry)["leading"]
+        ]
+        return len(leading) == 1
+
+    eventually(one_leads)
--- a/tests/features/steps/processes.py
+++ b/tests/features/steps/processes.py
@@ -1,5 +1,6 @@
 """Deployments of separate processes, for scenarios."""
 
+import functools
 import http.client
 import json
 import pathlib
@@ -8,6 +9,8 @@
 import tempfile
 import time
 
+from relay import Relay
+
 from egretcart.request.identity import new_job_id
 
 HOST = "127.0.0.1"
@@ -28,9 +31,17 @@
             stdout=subprocess.PIPE,
             text=True,
         )
+
+    @functools.cached_property
+    def ready(self):
+        """Where the process listens, once it does."""
         line = self.process.stdout.readline()
-        assert line, f"{name} did not start"
-        self.ready = json.loads(line)
+        assert line, f"{self.name} did not start"
+        return json.loads(line)
+
+    @property
+    def runs(self):
+        return self.process.poll() is None
 
     def kill(self):
         self.process.kill()
@@ -66,10 +77,15 @@
 class Deployment:
     """Platform, entries, agents and backend servers on loopback."""
 
-    def __init__(self, entries, agents, *, service="snapcheck"):
+    def __init__(self, entries, agents, *, service="snapcheck", relayed=False):
+        self.relayed = relayed
         self.folder = tempfile.TemporaryDirectory()
         self.service = service
         self.processes = []
+        self.relays = {}
+        self.backends = [
+            self.start_backend(f"backend-{number}") for number in range(agents)
+        ]
         self.platform = self.start(
             "platform",
             ["standin", "platform"],
@@ -79,10 +95,11 @@
         self.entries = []
         for number in range(entries):
             self.entries.append(self.start_entry(f"entry-{number}"))
-        self.backends = []
         self.agents = []
-        for number in range(agents):
-            self.add_agent(f"agent-{number}")
+        for number, backend in enumerate(self.backends):
+            self.agents.append(self.start_agent(f"agent-{number}", backend))
+        for agent in self.agents:
+            assert agent.ready
         self.wait_until_serving()
 
     def start(self, name, role, settings):
@@ -106,35 +123,38 @@
         )
 
     def peer_seeds(self):
-        return [
-            {"host": HOST, "port": entry.ready["peer_port"]}
-            for entry in self.entries
-        ]
+        ports = {
+            entry.name: entry.ready["peer_port"]
+            for entry in self.running_entries()
+        }
+        for name in ports:
+            if name in self.relays:
+                ports[name] = self.relays[name].port
+        return [{"host": HOST, "port": port} for port in ports.values()]
 
     def start_entry(self, name):
+        settings = {
+            "entry_id": name,
+            "failure_domain": "kl-putra",
+            "http": {"host": HOST, "port": 0},
+            "peer": {"host": HOST, "port": 0},
+            "seeds": self.peer_seeds(),
+            "platform": {"host": HOST, "port": self.platform.ready["port"]},
+        }
+        if self.relayed:
+            relay = self.relays[name] = Relay()
+            settings["advertised"] = {"host": HOST, "port": relay.port}
+        entry = self.start(name, ["entry"], settings)
+        if self.relayed:
+            relay.target = entry.ready["peer_port"]
+        return entry
+
+    def start_backend(self, name):
+        listen = {"host": HOST, "port": 0}
+        return self.start(name, ["standin", "backend"], {"listen": listen})
+
+    def start_agent(self, name, backend):
         return self.start(
-            name,
-            ["entry"],
-            {
-                "entry_id": name,
-                "failure_domain": "kl-putra",
-                "http": {"host": HOST, "port": 0},
-                "peer": {"host": HOST, "port": 0},
-                "seeds": self.peer_seeds(),
-                "platform": {
-                    "host": HOST,
-                    "port": self.platform.ready["port"],
-                },
-            },
-        )
-
-    def add_agent(self, name):
-        backend = self.start(
-            f"backend-{name}",
-            ["standin", "backend"],
-            {"listen": {"host": HOST, "port": 0}},
-        )
-        agent = self.start(
             name,
             ["agent"],
             {
@@ -147,17 +167,18 @@
                 "seeds": self.peer_seeds(),
             },
         )
-        self.backends.append(backend)
-        self.agents.append(agent)
+
+    def running_entries(self):
+        return [entry for entry in self.entries if entry.runs]
 
     def wait_until_serving(self):
+        """Wait until one leader has every agent in its roster."""
+        expected = sum(agent.runs for agent in self.agents)
+
         def serving():
             return any(
-                cell["phase"] == "serving"
-                and cell["roster_version"] > 0
-                and len(self.status(entry)["agents"]) == len(self.agents)
-                for entry in self.entries
-                if entry.process.poll() is None
+                cell["phase"] == "serving" and cell["members"] >= expected
+                for entry in self.running_entries()
                 for cell in self.status(entry)["leading"]
             )
 
@@ -168,26 +189,27 @@
 
     def leader(self):
         """Return the entry that leads the only cell."""
-        for entry in self.entries:
-            if entry.process.poll() is None and self.status(entry)["leading"]:
+        for entry in self.running_entries():
+            if self.status(entry)["leading"]:
                 return entry
         raise AssertionError("no entry leads")
 
-    def submit(self, entry, tasks, *, job_id=None, **options):
+    def submit(self, entry, tasks, **options):
         """Submit a job and return status and answer."""
+        return self.submit_to(entry.ready["http_port"], tasks, **options)
+
+    def submit_to(self, port, tasks, *, job_id=None, limit_s=60, **options):
         job_id = job_id or str(new_job_id())
         body = json.dumps({"tasks": tasks, **options})
         path = f"/v1/services/{self.service}/jobs/{job_id}"
-        status, _, answer = request(
-            entry.ready["http_port"], "PUT", path, body
-        )
+        status, _, answer = request(port, "PUT", path, body, limit_s)
         return status, answer
 
     def recorded_starts(self):
         """Return how often each idempotency key was started."""
         counts = {}
         for backend in self.backends:
-            if backend.process.poll() is not None:
+            if not backend.runs:
                 continue
             report = request(backend.ready["port"], "GET", "/starts")[2]
             for key, _, _ in report["starts"]:
@@ -198,4 +220,6 @@
         for process in self.processes:
             process.kill()
             process.process.stdout.close()
+        for relay in self.relays.values():
+            relay.close()
         self.folder.cleanup()
