--- a/Makefile
+++ b/Makefile
@@ -17,13 +17,13 @@
 	$(BIN)/python tools/run_tests.py
 
 lint: $(STAMP)
-	$(BIN)/ruff format --check egretcart tests tools
-	$(BIN)/ruff check egretcart tests tools
+	$(BIN)/ruff format --check egretcart tests tools examples
+	$(BIN)/ruff check egretcart tests tools examples
 	$(BIN)/mypy
 
 format: $(STAMP)
-	$(BIN)/ruff check --fix egretcart tests tools
-	$(BIN)/ruff format egretcart tests tools
+	$(BIN)/ruff check --fix egretcart tests tools examples
+	$(BIN)/ruff format egretcart tests tools examples
 
 binary: $(STAMP)
 	$(BIN)/python tools/build_binary.py
--- /dev/null
+++ b/tools/measure_capacity.py
@@ -0,0 +1,367 @@
+"""Measures the slopes behind docs/CAPACITY.md.
+
+Drives the real decision logic and codec with made-up agents, in one
+process and without a network, and prints one JSON document.
+"""
+
+from collections.abc import Callable
+import functools
+import gc
+import json
+import resource
+from statistics import linear_regression
+import time
+import tracemalloc
+
+from egretcart.connection.codec import encode_frame
+from egretcart.connection.codec import FrameBuffer
+from egretcart.connection.messages import CellLeader
+from egretcart.connection.messages import EntryAddress
+from egretcart.connection.messages import EntryBeat
+from egretcart.connection.messages import FenceReply
+from egretcart.connection.messages import Heartbeat
+from egretcart.connection.messages import HeartbeatReply
+from egretcart.connection.messages import Message
+from egretcart.connection.messages import Start
+from egretcart.connection.messages import TaskResult
+from egretcart.connection.messages import Term
+from egretcart.process.agent import Agent
+from egretcart.process.agent import AgentIdentity
+from egretcart.process.agent import AgentLimits
+from egretcart.process.agent import BeginExchange
+from egretcart.process.agent import ExchangeOutcome
+from egretcart.process.agent import SendToEntry
+from egretcart.process.clock import SystemClock
+from egretcart.process.effects import SendToAgent
+from egretcart.process.entry import Entry
+from egretcart.process.entry import EntryLimits
+from egretcart.process.entry import ReplyToCaller
+from egretcart.process.entry import SUBMIT
+from egretcart.process.entry import WriteCellRoster
+from egretcart.process.ledger import Ledger
+from egretcart.process.limits import LeaderLimits
+from egretcart.request.identity import job_id_at
+from egretcart.request.identity import new_job_id
+from egretcart.request.verdict import Verdict
+from egretcart.testing.clock import ManualClock
+from egretcart.version.document import Configuration
+from egretcart.version.document import Service
+
+SERVICE = "snapcheck"
+TERM = Term(7, 1_700_000_000_000)
+PACKET_OVERHEAD_BYTES = 66
+TICK_S = 0.02
+RESULT_BODY = b'{"difference":0.0125,"pages":["a","b","c"]}'
+PAYLOAD = b'{"run_ms":200,"echo":"https://portal.example/page"}'
+
+
+def cpu_us(action: Callable[[], object], repeats: int) -> float:
+    """Return the processor time of one call, in microseconds."""
+    action()
+    gc.collect()
+    began = time.process_time()
+    for _ in range(repeats):
+        action()
+    return (time.process_time() - began) / repeats * 1e6
+
+
+def grown_bytes(action: Callable[[], object]) -> int:
+    """Return by how much an action makes the process's memory grow."""
+    gc.collect()
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    kept = action()
+    gc.collect()
+    grown = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    del kept
+    return grown
+
+
+def feed_frame(frame: bytes) -> list[Message]:
+    """Return the messages of one frame."""
+    return FrameBuffer().feed(frame)
+
+
+def slope(points: dict[int, float]) -> float:
+    """Return the slope of a line through measured points."""
+    fitted = linear_regression(list(points), list(points.values()))
+    return fitted.slope
+
+
+class Cell:
+    """One entry that leads real agents, without a network.
+
+    Parameters
+    ----------
+    size : int
+        Agents of the cell.
+    """
+
+    def __init__(self, *, size: int) -> None:
+        self.clock = ManualClock()
+        self.entry = Entry(
+            address=EntryAddress(entry_id="entry-0"),
+            incarnation=self.clock.unix_ms(),
+            configuration=Configuration(
+                version=1, services=(Service(name=SERVICE),)
+            ),
+            limits=EntryLimits(),
+            leader_limits=LeaderLimits(),
+            clock=self.clock,
+        )
+        self.agents: dict[str, Agent] = {}
+        self.replies: list[ReplyToCaller] = []
+        self.sent: list[Message] = []
+        for number in range(size):
+            self.add_agent(f"agent-{number:04}")
+        for _ in range(200):
+            self.turn()
+
+    def add_agent(self, agent_id: str) -> None:
+        """Connect one more agent."""
+        agent = Agent(
+            identity=AgentIdentity(
+                agent_id=agent_id,
+                incarnation=1,
+                service=SERVICE,
+                failure_domain=f"domain-{len(self.agents) % 4}",
+                slots=8,
+                connections=64,
+            ),
+            limits=AgentLimits(),
+            clock=self.clock,
+        )
+        self.agents[agent_id] = agent
+        self.deliver(self.entry.agent_connected(agent.hello()))
+
+    def deliver(self, effects: list) -> None:
+        """Carry out an entry's effects until nothing is left to do."""
+        waiting = list(effects)
+        while waiting:
+            effect = waiting.pop(0)
+            if isinstance(effect, WriteCellRoster):
+                waiting += self.entry.roster_known(effect.cell, effect.roster)
+            elif isinstance(effect, ReplyToCaller):
+                self.replies.append(effect)
+            elif isinstance(effect, SendToAgent):
+                self.sent.append(effect.message)
+                agent = self.agents[effect.agent_id]
+                waiting += self.agent_effects(
+                    agent, agent.receive("entry-0", effect.message)
+                )
+
+    def agent_effects(self, agent: Agent, effects: list) -> list:
+        """Carry out an agent's effects; exchanges end at once."""
+        produced = []
+        waiting = list(effects)
+        while waiting:
+            effect = waiting.pop(0)
+            if isinstance(effect, SendToEntry):
+                self.sent.append(effect.message)
+                produced += self.entry.agent_message(
+                    agent.identity.agent_id, effect.message
+                )
+            elif isinstance(effect, BeginExchange):
+                key = (effect.start.job_id, effect.start.task)
+                outcome = ExchangeOutcome(
+                    succeeded=True,
+                    verdict=Verdict.RAN,
+                    body=RESULT_BODY,
+                    content_type="application/json",
+                    run_time_s=0.2,
+                )
+                waiting += agent.exchange_ended(key, outcome)
+        return produced
+
+    def turn(self) -> None:
+        """Let one tick pass."""
+        self.clock.advance(TICK_S)
+        self.deliver(self.entry.tick())
+
+    def run_job(self, tasks: int) -> None:
+        """Submit one job and run it to its end."""
+        now_ms = self.clock.unix_ms()
+        job_id = job_id_at(now_ms, hash(new_job_id()))
+        body = json.dumps(
+            {"tasks": [{"payload": PAYLOAD.decode()} for _ in range(tasks)]}
+        ).encode()
+        answered = len(self.replies)
+        _, effects = self.entry.request(SUBMIT, SERVICE, job_id, body)
+        self.deliver(effects)
+        while len(self.replies) == answered:
+            self.turn()
+
+
+def control_at_rest() -> dict[str, float]:
+    """Measure leaders and agents that have no work."""
+    seconds = 4
+    turns = int(seconds / TICK_S)
+    cpu: dict[int, float] = {}
+    memory: dict[int, float] = {}
+    frames: dict[int, float] = {}
+    for size in (8, 16, 32, 64):
+        cells: list[Cell] = []
+
+        def build(size: int = size, cells: list[Cell] = cells) -> Cell:
+            cells.append(Cell(size=size))
+            return cells[0]
+
+        memory[size] = grown_bytes(build)
+        cell = cells[0]
+        cell.sent.clear()
+        began = time.process_time()
+        for _ in range(turns):
+            cell.turn()
+        cpu[size] = (time.process_time() - began) / seconds
+        frames[size] = len(cell.sent) / seconds
+    heartbeat = encode_frame(
+        [Heartbeat(term=TERM, round=9, proven_stamp_us=1)]
+    )
+    reply = encode_frame([HeartbeatReply(term=TERM, round=9, stamp_us=1)])
+    frame_bytes = (len(heartbeat) + len(reply)) / 2 + PACKET_OVERHEAD_BYTES
+    codec_us = cpu_us(lambda: FrameBuffer().feed(heartbeat), 2000) + cpu_us(
+        lambda: encode_frame([HeartbeatReply(term=TERM, round=9)]), 2000
+    )
+    return {
+        "logic_core_share_per_agent": slope(cpu),
+        "messages_per_agent_s": slope(frames),
+        "bytes_per_agent_s": slope(frames) * frame_bytes,
+        "codec_us_per_message": codec_us / 2,
+        "leader_and_agent_bytes_per_agent": slope(memory),
+    }
+
+
+def cost_per_task() -> dict[str, float]:
+    """Measure the logic and the codec for one task."""
+    cell = Cell(size=16)
+    tasks = 100
+    logic_us = cpu_us(lambda: cell.run_job(tasks), 20) / tasks
+    start = Start(
+        term=TERM, job_id=b"j" * 16, digest=b"d" * 16, payload=PAYLOAD
+    )
+    result = TaskResult(
+        job_id=b"j" * 16, term=TERM, succeeded=True, body=RESULT_BODY
+    )
+    batch = 20
+    starts = encode_frame([start] * batch)
+    results = encode_frame([result] * batch)
+    return {
+        "leader_and_agent_logic_us": logic_us,
+        "start_encode_us": cpu_us(lambda: encode_frame([start] * batch), 300)
+        / batch,
+        "start_decode_us": cpu_us(lambda: FrameBuffer().feed(starts), 300)
+        / batch,
+        "result_decode_us": cpu_us(lambda: FrameBuffer().feed(results), 300)
+        / batch,
+        "start_bytes": len(starts) / batch,
+        "result_bytes": len(results) / batch,
+    }
+
+
+def retained_memory() -> dict[str, float]:
+    """Measure ledgers and retained answers."""
+    ledger_points: dict[int, float] = {}
+    for jobs in (1000, 2000, 4000):
+
+        def fill(jobs: int = jobs) -> Ledger:
+            ledger = Ledger(max_result_bytes=1 << 30)
+            for number in range(jobs):
+                job_id = job_id_at(1, number).value
+                for task in range(2):
+                    ledger.begin(
+                        job_id=job_id, digest=b"d" * 16, task=task, attempt=1
+                    )
+                    ledger.finish(
+                        TaskResult(
+                            job_id=job_id,
+                            task=task,
+                            attempt=1,
+                            succeeded=True,
+                            body=bytes(RESULT_BODY),
+                        )
+                    )
+            return ledger
+
+        ledger_points[jobs * 2] = grown_bytes(fill)
+    cell = Cell(size=8)
+    answer_points: dict[int, float] = {}
+    done = 0
+    grown = 0.0
+    for _ in range(3):
+
+        def more() -> None:
+            for _ in range(200):
+                cell.run_job(10)
+            cell.sent.clear()
+            cell.replies.clear()
+
+        grown += grown_bytes(more)
+        done += 200
+        answer_points[done] = grown
+    return {
+        "ledger_bytes_per_record": slope(ledger_points),
+        "entry_and_agent_bytes_per_job_of_10": slope(answer_points),
+    }
+
+
+def takeover_cost() -> dict[str, float]:
+    """Measure what a fence reply costs by the records that it carries."""
+    size_points: dict[int, float] = {}
+    time_points: dict[int, float] = {}
+    for jobs in (500, 1000, 2000):
+        ledger = Ledger(max_result_bytes=1 << 30)
+        for number in range(jobs):
+            job_id = job_id_at(1, number).value
+            for task in range(2):
+                ledger.begin(
+                    job_id=job_id, digest=b"d" * 16, task=task, attempt=1
+                )
+        from_ledger = ledger.summary()
+        reply = FenceReply(term=TERM, accepted=True, records=from_ledger)
+        frame = encode_frame([reply])
+        size_points[jobs * 2] = len(frame)
+        decode = functools.partial(feed_frame, frame)
+        time_points[jobs * 2] = cpu_us(decode, 3)
+    return {
+        "bytes_per_record": slope(size_points),
+        "decode_us_per_record": slope(time_points),
+    }
+
+
+def entry_beats() -> dict[str, float]:
+    """Measure heartbeats between entries."""
+    sizes: dict[int, float] = {}
+    for cells in (0, 1, 4, 8):
+        claims = tuple(
+            CellLeader(service_name=SERVICE, cell=n, term=TERM)
+            for n in range(cells)
+        )
+        sizes[cells] = len(encode_frame([EntryBeat(leading=claims)]))
+    limits = EntryLimits()
+    return {
+        "beat_bytes": sizes[0] + PACKET_OVERHEAD_BYTES,
+        "beat_bytes_per_cell": slope(sizes),
+        "beats_per_peer_s": 1 / limits.beat_interval_s,
+    }
+
+
+def main() -> None:
+    """Print all measured slopes as JSON."""
+    resident_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    clock = SystemClock()
+    began = clock.monotonic()
+    document = {
+        "resident_mb_after_imports": resident_kb / 1024,
+        "control_at_rest": control_at_rest(),
+        "task": cost_per_task(),
+        "retained": retained_memory(),
+        "takeover": takeover_cost(),
+        "entry_beats": entry_beats(),
+    }
+    document["measured_in_s"] = clock.monotonic() - began
+    print(json.dumps(document, indent=2))
+
+
+if __name__ == "__main__":
+    main()
