Let only candidates for the same cell watch each other closely

Cause: every entry sent four heartbeats a second to every other; with 30 entries that is 116 a second, 13 KB/s with packet headers, against the 7 KB/s that a node may spend on control.

The first three candidates of each cell watch each other closely, all others get a heartbeat every 2 s and every change of leadership at once. A heartbeat announces when the next one follows, and the receiver judges silence by that, so two entries that disagree about the candidates do not suspect each other. Ruled out: a ring of watchers that spread suspicion, since a successor needs to know first-hand anyway.

--- a/egretcart/connection/messages.py
+++ b/egretcart/connection/messages.py
@@ -266,11 +266,22 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class EntryBeat:
-    """Heartbeat between entries."""
+    """Heartbeat between entries.
+
+    Attributes
+    ----------
+    config_version : int
+    leading : tuple of CellLeader
+        All cells that the sender leads.
+    leaving : bool
+    interval_ms : int
+        When the next heartbeat to this receiver follows at the latest.
+    """
 
     config_version: int = 0
     leading: tuple[CellLeader, ...] = ()
     leaving: bool = False
+    interval_ms: int = 250
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/egretcart/connection/wire.thrift
+++ b/egretcart/connection/wire.thrift
@@ -110,6 +110,7 @@
   1: optional i64 config_version
   2: optional list<CellLeader> leading
   3: optional bool leaving
+  10: optional i64 interval_ms
 }
 struct Forward {
   1: optional i64 request_id
--- a/egretcart/process/directory.py
+++ b/egretcart/process/directory.py
@@ -6,8 +6,8 @@
 
 import xxhash
 
-from egretcart.connection.messages import CellLeader
 from egretcart.connection.messages import EntryAddress
+from egretcart.connection.messages import EntryBeat
 from egretcart.connection.messages import Term
 from egretcart.request.identity import JobId
 
@@ -91,6 +91,13 @@
     )
 
 
+MS_PER_S = 1000
+# Heartbeats that a peer may miss before it is taken for dead.
+MISSED_BEATS = 2.8
+# Entries that watch each other closely for the sake of one cell.
+CANDIDATES_PER_CELL = 3
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Peer:
     """Another entry.
@@ -100,7 +107,10 @@
     address : EntryAddress
     incarnation : int
     last_heard : float
-        Monotonic time of its last message.
+        Monotonic time of its last heartbeat.
+    timeout_s : float
+        Silence after which it is taken for dead, from the interval that
+        it has announced.
     leading : dict of Cell to Term
     config_version : int
     leaving : bool
@@ -109,6 +119,7 @@
     address: EntryAddress
     incarnation: int
     last_heard: float
+    timeout_s: float
     leading: dict[Cell, Term] = dataclasses.field(default_factory=dict)
     config_version: int = 0
     leaving: bool = False
@@ -121,7 +132,7 @@
     ----------
     own : EntryAddress
     peer_timeout_s : float
-        Silence after which a peer is taken for dead, in seconds.
+        Time for a new peer's first heartbeat, in seconds.
 
     Attributes
     ----------
@@ -141,16 +152,17 @@
     ) -> None:
         """Record that a peer connected."""
         self.peers[address.entry_id] = Peer(
-            address=address, incarnation=incarnation, last_heard=now
+            address=address,
+            incarnation=incarnation,
+            last_heard=now,
+            timeout_s=self.peer_timeout_s,
         )
 
     def heard_beat(
         self,
         entry_id: str,
         *,
-        leading: Iterable[CellLeader],
-        config_version: int,
-        leaving: bool,
+        beat: EntryBeat,
         now: float,
     ) -> None:
         """Record a peer's heartbeat."""
@@ -158,11 +170,12 @@
         if peer is None:
             return
         peer.last_heard = now
-        peer.config_version = config_version
-        peer.leaving = leaving
+        peer.timeout_s = beat.interval_ms / MS_PER_S * MISSED_BEATS
+        peer.config_version = beat.config_version
+        peer.leaving = beat.leaving
         peer.leading = {
             Cell(claim.service_name, claim.cell): claim.term
-            for claim in leading
+            for claim in beat.leading
         }
 
     def lost(self, entry_id: str) -> None:
@@ -171,11 +184,38 @@
 
     def live_peers(self, now: float) -> list[Peer]:
         """Return the peers that were heard lately."""
-        oldest = now - self.peer_timeout_s
         return [
-            peer for peer in self.peers.values() if peer.last_heard > oldest
+            peer
+            for peer in self.peers.values()
+            if now < peer.last_heard + peer.timeout_s
         ]
 
+    def close_peers(self, cells: Iterable[Cell]) -> set[str]:
+        """Return the peers to which this entry owes frequent heartbeats.
+
+        The first candidates for a cell watch each other closely, so that
+        a leader's successor notices its death. All others need to know
+        only who leads, which is told at once when it changes.
+
+        Parameters
+        ----------
+        cells : iterable of Cell
+
+        Returns
+        -------
+        set of str
+            Entry ids.
+        """
+        entries = [self.own] + [peer.address for peer in self.peers.values()]
+        close: set[str] = set()
+        for cell in cells:
+            ranked = rank_entries(cell, entries)[:CANDIDATES_PER_CELL]
+            candidates = {entry.entry_id for entry in ranked}
+            if self.own.entry_id in candidates:
+                close |= candidates
+        close.discard(self.own.entry_id)
+        return close
+
     def claimant(self, cell: Cell, now: float) -> tuple[Term, str] | None:
         """Return the highest term that a live peer claims for a cell.
 
--- a/egretcart/process/entry.py
+++ b/egretcart/process/entry.py
@@ -63,9 +63,11 @@
     Attributes
     ----------
     beat_interval_s : float
-        Time between heartbeats to the other entries.
+        Time between heartbeats to entries that may lead the same cells.
+    distant_beat_interval_s : float
+        Time between heartbeats to all other entries.
     peer_timeout_s : float
-        Silence after which another entry is taken for dead.
+        Time for a new peer's first heartbeat.
     settle_s : float
         Wait after the start before this entry takes a cell over.
     leaderless_limit_s : float
@@ -79,6 +81,7 @@
     """
 
     beat_interval_s: float = 0.25
+    distant_beat_interval_s: float = 2.0
     peer_timeout_s: float = 0.7
     settle_s: float = 0.5
     leaderless_limit_s: float = 3.0
@@ -197,6 +200,7 @@
         # Numbers of an earlier incarnation are never used again.
         self.next_request_id = (incarnation << REQUEST_ID_BITS) + 1
         self.next_beat = float("-inf")
+        self.next_distant_beat = float("-inf")
         self.leading_told: tuple[CellLeader, ...] = ()
         self.addresses_told: tuple[EntryAddress, ...] = ()
 
@@ -379,7 +383,8 @@
         """Handle another entry's introduction."""
         now = self.clock.monotonic()
         self.directory.heard_hello(address, incarnation, now)
-        return [SendToPeer(address.entry_id, self._beat())]
+        interval_s = self.limits.distant_beat_interval_s
+        return [SendToPeer(address.entry_id, self._beat(interval_s))]
 
     def peer_lost(self, entry_id: str) -> list[EntryEffect]:
         """Handle the loss of a connection to another entry."""
@@ -396,9 +401,7 @@
         if isinstance(message, EntryBeat):
             self.directory.heard_beat(
                 entry_id,
-                leading=message.leading,
-                config_version=message.config_version,
-                leaving=message.leaving,
+                beat=message,
                 now=self.clock.monotonic(),
             )
             return self._steer()
@@ -433,8 +436,9 @@
         pending.routed_to = None
         pending.leaderless_since = self.clock.monotonic()
 
-    def _beat(self) -> EntryBeat:
+    def _beat(self, interval_s: float) -> EntryBeat:
         return EntryBeat(
+            interval_ms=int(interval_s * MS_PER_S),
             config_version=self.configuration.version,
             leading=self._claims(),
             leaving=self.directory.leaving,
@@ -540,11 +544,28 @@
         return effects
 
     def _send_beats(self, now: float) -> list[EntryEffect]:
-        self.next_beat = now + self.limits.beat_interval_s
-        beat = self._beat()
-        self.leading_told = beat.leading
+        """Send the heartbeats that are due, or all if leadership changed."""
+        limits = self.limits
+        close = self.directory.close_peers(self._configured_cells())
+        everyone = now >= self.next_distant_beat
+        everyone = everyone or self._claims() != self.leading_told
+        near = self._beat(limits.beat_interval_s)
+        distant = self._beat(limits.distant_beat_interval_s)
+        self.next_beat = now + limits.beat_interval_s
+        if everyone:
+            self.next_distant_beat = now + limits.distant_beat_interval_s
+        self.leading_told = near.leading
         return [
-            SendToPeer(entry_id, beat) for entry_id in self.directory.peers
+            SendToPeer(entry_id, near if entry_id in close else distant)
+            for entry_id in self.directory.peers
+            if everyone or entry_id in close
+        ]
+
+    def _configured_cells(self) -> list[Cell]:
+        return [
+            Cell(service.name, index)
+            for service in self.configuration.services
+            for index in range(service.cells)
         ]
 
     def _tell_addresses(self, now: float) -> list[EntryEffect]:
@@ -678,4 +699,5 @@
                 effects += self._carry_out(
                     cell, leadership.resign("planned stop")
                 )
+        self.next_distant_beat = float("-inf")
         return effects + self._send_beats(self.clock.monotonic())
