--- a/tests/features/steps/processes.py
+++ b/tests/features/steps/processes.py
@@ -25,18 +25,21 @@
         path = pathlib.Path(folder) / f"{name}.json"
         path.write_text(json.dumps(settings))
         self.name = name
-        self.process = subprocess.Popen(
-            [sys.executable, "-m", "egretcart", *role, str(path)],
-            cwd=ROOT,
-            stdout=subprocess.PIPE,
-            text=True,
-        )
+        self.log_path = path.with_suffix(".log")
+        with self.log_path.open("w") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "egretcart", *role, str(path)],
+                cwd=ROOT,
+                stdout=subprocess.PIPE,
+                stderr=log,
+                text=True,
+            )
 
     @functools.cached_property
     def ready(self):
         """Where the process listens, once it does."""
         line = self.process.stdout.readline()
-        assert line, f"{self.name} did not start"
+        assert line, f"{self.name} failed: {self.log_path.read_text()}"
         return json.loads(line)
 
     @property
@@ -165,6 +168,7 @@
                 "connections": 64,
                 "backend": {"host": HOST, "port": backend.ready["port"]},
                 "seeds": self.peer_seeds(),
+                "http": {"host": HOST, "port": 0},
             },
         )
 
