--- a/egretcart/connection/http_server.py
+++ b/egretcart/connection/http_server.py
@@ -1,5 +1,6 @@
 """HTTP server side, by h11."""
 
+from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
@@ -49,12 +50,23 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class HttpResponse:
-    """A response that is sent whole, with its length."""
+    """A response that is sent whole, with its length.
+
+    Attributes
+    ----------
+    status : int
+    body : bytes
+    content_type : str
+    retry_after_s : float or None
+    chunks : async iterator of bytes, optional
+        Sent one by one in place of a body, as they come.
+    """
 
     status: int = 200
     body: bytes = b""
     content_type: str = JSON_TYPE
     retry_after_s: float | None = None
+    chunks: AsyncIterator[bytes] | None = None
 
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
@@ -201,6 +213,9 @@
     async def _send(self, response: HttpResponse) -> None:
         if self.protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
+        if response.chunks is not None:
+            await self._send_chunks(response, response.chunks)
+            return
         headers = [
             ("Content-Type", response.content_type),
             ("Content-Length", str(len(response.body))),
@@ -220,6 +235,20 @@
         )
         await self.stream.send_all(data)
 
+    async def _send_chunks(
+        self, response: HttpResponse, chunks: AsyncIterator[bytes]
+    ) -> None:
+        headers = [
+            ("Content-Type", response.content_type),
+            ("Transfer-Encoding", "chunked"),
+        ]
+        await self._send_event(
+            h11.Response(status_code=response.status, headers=headers)
+        )
+        async for chunk in chunks:
+            await self._send_event(h11.Data(data=chunk))
+        await self._send_event(h11.EndOfMessage())
+
     async def _send_event(self, event: h11.Event) -> None:
         data = self.protocol.send(event)
         if data:
--- a/egretcart/process/cli.py
+++ b/egretcart/process/cli.py
@@ -123,7 +123,9 @@
 
 async def _run_platform(settings: PlatformStandInSettings) -> None:
     standin = PlatformStandIn(
-        host=settings.listen.host, port=settings.listen.port
+        host=settings.listen.host,
+        port=settings.listen.port,
+        path=pathlib.Path(settings.file) if settings.file else None,
     )
     await _run_standin("platform", standin)
 
--- a/egretcart/process/settings.py
+++ b/egretcart/process/settings.py
@@ -94,9 +94,17 @@
 
 
 class PlatformStandInSettings(SettingsBase, frozen=True, kw_only=True):
-    """Settings of the platform stand-in."""
+    """Settings of the platform stand-in.
+
+    Attributes
+    ----------
+    listen : Address
+    file : str or None
+        Keeps the data over a restart of the stand-in.
+    """
 
     listen: Address
+    file: Annotated[str, msgspec.Meta(min_length=1)] | None = None
 
 
 class BackendStandInSettings(SettingsBase, frozen=True, kw_only=True):
--- a/egretcart/testing/platform.py
+++ b/egretcart/testing/platform.py
@@ -1,11 +1,13 @@
 """Stand-in of the platform's key-value service.
 
 It serves the JSON gateway of the etcd v3 API, as far as the project uses
-it.
+it, and a control path that switches faults.
 """
 
-import base64
-import dataclasses
+from collections import Counter
+from collections.abc import AsyncIterator
+import pathlib
+from typing import Annotated
 from typing import Any
 
 import msgspec
@@ -17,44 +19,93 @@
 from egretcart.connection.http_server import HttpResponse
 from egretcart.connection.http_server import problem_response
 from egretcart.request.problem import bad_request
+from egretcart.testing.platform_store import key_range
+from egretcart.testing.platform_store import PlatformStore
 
+LAPSE_CHECK_S = 0.1
+PROGRESS_S = 5.0
+MS_PER_S = 1000
+NOT_FOUND = 404
+TOO_MANY_REQUESTS = 429
+FAULTS_PATH = "/control/faults"
+CALLS_PATH = "/control/calls"
+TXN_PATH = "/v3/kv/txn"
+WATCH_PATH = "/v3/watch"
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StoredPair:
-    """A value with the revision of its last change."""
+NotNegative = Annotated[int, msgspec.Meta(ge=0)]
 
-    value: bytes
-    mod_revision: int
+
+class Faults(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """Faults of the stand-in, switched over HTTP.
+
+    Attributes
+    ----------
+    down : bool
+        Connections are closed without an answer, watches are broken.
+    delay_ms : int
+        Added to each answer.
+    calls_per_s : int or None
+        Calls beyond this are refused with status 429.
+    lost_replies : int
+        So many transactions take effect without an answer.
+    """
+
+    down: bool = False
+    delay_ms: NotNegative = 0
+    calls_per_s: NotNegative | None = None
+    lost_replies: NotNegative = 0
 
 
 class PlatformStandIn:
-    """A key-value service in memory.
+    """A key-value service in memory, and in a file if one is given.
+
+    Parameters
+    ----------
+    host : str, optional
+    port : int, optional
+    path : pathlib.Path, optional
+        File that keeps the data over a restart.
 
     Attributes
     ----------
-    pairs : dict of bytes to StoredPair
-    revision : int
+    store : PlatformStore
+    faults : Faults
     calls : int
-        Requests served.
+        Requests served, refused ones included.
     port : int
         Known once `run` has started.
     """
 
-    def __init__(self, *, host: str = "127.0.0.1", port: int = 0) -> None:
+    def __init__(
+        self,
+        *,
+        host: str = "127.0.0.1",
+        port: int = 0,
+        path: pathlib.Path | None = None,
+    ) -> None:
         self.host = host
         self.port = port
-        self.pairs: dict[bytes, StoredPair] = {}
-        self.revision = 0
+        self.path = path
+        self.store = PlatformStore()
+        self.faults = Faults()
         self.calls = 0
+        self.calls_by_path: Counter[str] = Counter()
+        self.calls_in_second: Counter[int] = Counter()
+        self.changed = trio.Event()
 
     async def run(
         self, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Serve until cancelled; reports the port when it listens."""
+        if self.path is not None and self.path.exists():
+            document = msgspec.json.decode(self.path.read_bytes())
+            self.store.load_document(document, trio.current_time())
         listeners = await trio.open_tcp_listeners(self.port, host=self.host)
         self.port = listeners[0].socket.getsockname()[1]
-        task_status.started(self.port)
-        await trio.serve_listeners(self._serve, listeners)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._lapse_leases)
+            task_status.started(self.port)
+            await trio.serve_listeners(self._serve, listeners)
 
     async def _serve(self, stream: trio.SocketStream) -> None:
         connection = HttpConnection(
@@ -62,48 +113,102 @@
         )
         await connection.serve()
 
+    async def _lapse_leases(self) -> None:
+        while True:
+            await trio.sleep(LAPSE_CHECK_S)
+            if self.store.lapse(trio.current_time()):
+                self._after_change()
+
+    def _after_change(self) -> None:
+        if self.path is not None:
+            document = self.store.to_document(trio.current_time())
+            draft = self.path.with_suffix(".draft")
+            draft.write_bytes(msgspec.json.encode(document))
+            draft.replace(self.path)
+        self.changed.set()
+        self.changed = trio.Event()
+
     async def handle(self, request: HttpRequest) -> HttpResponse:
-        """Answer one API call."""
+        """Answer one API call or one call of the control path."""
+        if request.path == FAULTS_PATH:
+            return self._switch(request)
+        if request.path == CALLS_PATH:
+            report = {"calls": self.calls, "by_path": self.calls_by_path}
+            return HttpResponse(body=msgspec.json.encode(report))
         self.calls += 1
-        handlers = {"/v3/kv/range": self._range, "/v3/kv/txn": self._txn}
-        handler = handlers.get(request.path)
-        if handler is None:
-            return problem_response(
-                bad_request(f"there is nothing at {request.path!r}")
-            )
+        self.calls_by_path[request.path] += 1
+        if self.faults.down:
+            raise trio.BrokenResourceError("switched off")
+        await trio.sleep(self.faults.delay_ms / MS_PER_S)
+        if self._over_rate():
+            return HttpResponse(status=TOO_MANY_REQUESTS, body=b"{}")
         document = msgspec.json.decode(request.body, type=dict[str, Any])
-        return HttpResponse(body=msgspec.json.encode(handler(document)))
-
-    def _range(self, document: dict[str, Any]) -> dict[str, Any]:
-        key = base64.b64decode(document["key"])
-        pair = self.pairs.get(key)
-        if pair is None:
-            return {"header": self._header()}
-        return {
-            "header": self._header(),
-            "kvs": [
-                {
-                    "key": document["key"],
-                    "value": base64.b64encode(pair.value).decode(),
-                    "mod_revision": str(pair.mod_revision),
-                }
-            ],
-            "count": "1",
-        }
-
-    def _txn(self, document: dict[str, Any]) -> dict[str, Any]:
-        for compare in document.get("compare", ()):
-            pair = self.pairs.get(base64.b64decode(compare["key"]))
-            revision = pair.mod_revision if pair is not None else 0
-            if revision != int(compare["mod_revision"]):
-                return {"header": self._header()}
-        self.revision += 1
-        for operation in document.get("success", ()):
-            put = operation["request_put"]
-            self.pairs[base64.b64decode(put["key"])] = StoredPair(
-                base64.b64decode(put["value"]), self.revision
+        if request.path == WATCH_PATH:
+            return HttpResponse(chunks=self._watch(document["create_request"]))
+        return self._answer(request.path, document)
+
+    def _switch(self, request: HttpRequest) -> HttpResponse:
+        try:
+            self.faults = msgspec.json.decode(request.body, type=Faults)
+        except msgspec.DecodeError as error:
+            return problem_response(bad_request(str(error)))
+        self.changed.set()
+        self.changed = trio.Event()
+        return HttpResponse(body=msgspec.json.encode(self.faults))
+
+    def _over_rate(self) -> bool:
+        if self.faults.calls_per_s is None:
+            return False
+        second = int(trio.current_time())
+        self.calls_in_second[second] += 1
+        return self.calls_in_second[second] > self.faults.calls_per_s
+
+    def _answer(self, path: str, document: dict[str, Any]) -> HttpResponse:
+        now = trio.current_time()
+        if path == "/v3/kv/range":
+            return HttpResponse(
+                body=msgspec.json.encode(self.store.find(document))
             )
-        return {"header": self._header(), "succeeded": True}
-
-    def _header(self) -> dict[str, str]:
-        return {"revision": str(self.revision)}
+        if path == TXN_PATH:
+            answer = self.store.transact(document)
+        elif path == "/v3/lease/grant":
+            answer = self.store.grant(document, now)
+        elif path == "/v3/lease/keepalive":
+            answer = self.store.keep_alive(document, now)
+        elif path == "/v3/lease/revoke":
+            answer = self.store.revoke(document)
+        else:
+            return problem_response(
+                bad_request(f"there is nothing at {path!r}", status=404)
+            )
+        self._after_change()
+        if path == TXN_PATH and self.faults.lost_replies:
+            self.faults.lost_replies -= 1
+            raise trio.BrokenResourceError("the reply is lost")
+        status = 200 if "error" not in answer else NOT_FOUND
+        return HttpResponse(status=status, body=msgspec.json.encode(answer))
+
+    async def _watch(self, document: dict[str, Any]) -> AsyncIterator[bytes]:
+        start, end = key_range(document)
+        revision = int(document.get("start_revision", 0))
+        revision = revision or self.store.revision + 1
+        header = self.store.header()
+        yield _line({"header": header, "created": True})
+        while not self.faults.down:
+            changed = self.changed
+            events = self.store.events(start, end, revision)
+            revision = max(revision, self.store.revision + 1)
+            if events:
+                header = self.store.header()
+                await trio.sleep(self.faults.delay_ms / MS_PER_S)
+                yield _line({"header": header, "events": events})
+                continue
+            with trio.move_on_after(PROGRESS_S) as quiet:
+                await changed.wait()
+            if quiet.cancelled_caught:
+                yield _line({"header": self.store.header()})
+        raise trio.BrokenResourceError("switched off")
+
+
+def _line(result: dict[str, Any]) -> bytes:
+    return msgspec.json.encode({"result": result}) + b"\n"
--- /dev/null
+++ b/egretcart/testing/platform_store.py
@@ -0,0 +1,217 @@
+"""Data of the platform stand-in: values, leases and past changes.
+
+Free of I/O; the clock's time is passed in.
+"""
+
+import base64
+import dataclasses
+from typing import Any
+
+MAX_PAST_CHANGES = 10_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredPair:
+    """A value with the revision of its last change and its lease."""
+
+    value: bytes
+    mod_revision: int
+    lease: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PastChange:
+    """A change of one key; a value of None removed it."""
+
+    revision: int
+    key: bytes
+    value: bytes | None
+
+
+@dataclasses.dataclass(slots=True)
+class Lease:
+    """A lease and the monotonic time at which it lapses."""
+
+    time_to_live_s: float
+    lapses_at: float
+
+
+def _encode(data: bytes) -> str:
+    return base64.b64encode(data).decode()
+
+
+class PlatformStore:
+    """A key-value store with compare-and-swap, leases and a past.
+
+    Attributes
+    ----------
+    pairs : dict of bytes to StoredPair
+    leases : dict of int to Lease
+    changes : list of PastChange
+    revision : int
+    """
+
+    def __init__(self) -> None:
+        self.pairs: dict[bytes, StoredPair] = {}
+        self.leases: dict[int, Lease] = {}
+        self.changes: list[PastChange] = []
+        self.revision = 1
+        self.next_lease = 1
+
+    def find(self, document: dict[str, Any]) -> dict[str, Any]:
+        """Answer a range call."""
+        start, end = key_range(document)
+        kvs = [
+            {
+                "key": _encode(key),
+                "value": _encode(pair.value),
+                "mod_revision": str(pair.mod_revision),
+            }
+            for key, pair in sorted(self.pairs.items())
+            if in_range(key, start, end)
+        ]
+        if not kvs:
+            return {"header": self.header()}
+        return {
+            "header": self.header(),
+            "kvs": kvs,
+            "count": str(len(kvs)),
+        }
+
+    def transact(self, document: dict[str, Any]) -> dict[str, Any]:
+        """Answer a transaction of compares and puts."""
+        for compare in document.get("compare", ()):
+            pair = self.pairs.get(base64.b64decode(compare["key"]))
+            revision = pair.mod_revision if pair is not None else 0
+            if revision != int(compare["mod_revision"]):
+                return {"header": self.header()}
+        puts = [
+            operation["request_put"]
+            for operation in document.get("success", ())
+        ]
+        leases = [int(put.get("lease", 0)) for put in puts]
+        if any(lease and lease not in self.leases for lease in leases):
+            return {"error": "requested lease not found", "code": 5}
+        self.revision += 1
+        for put, lease in zip(puts, leases, strict=True):
+            key = base64.b64decode(put["key"])
+            value = base64.b64decode(put["value"])
+            self.pairs[key] = StoredPair(value, self.revision, lease)
+            self._record(key, value)
+        return {"header": self.header(), "succeeded": True}
+
+    def grant(self, document: dict[str, Any], now: float) -> dict[str, Any]:
+        """Answer the grant of a lease."""
+        time_to_live_s = float(document["TTL"])
+        lease = self.next_lease
+        self.next_lease += 1
+        self.leases[lease] = Lease(time_to_live_s, now + time_to_live_s)
+        return {
+            "header": self.header(),
+            "ID": str(lease),
+            "TTL": str(int(time_to_live_s)),
+        }
+
+    def keep_alive(
+        self, document: dict[str, Any], now: float
+    ) -> dict[str, Any]:
+        """Answer the renewal of a lease."""
+        lease = self.leases.get(int(document["ID"]))
+        if lease is None:
+            return {"result": {"header": self.header(), "TTL": "0"}}
+        lease.lapses_at = now + lease.time_to_live_s
+        ttl = str(int(lease.time_to_live_s))
+        return {"result": {"header": self.header(), "TTL": ttl}}
+
+    def revoke(self, document: dict[str, Any]) -> dict[str, Any]:
+        """Answer the end of a lease."""
+        self._end_lease(int(document["ID"]))
+        return {"header": self.header()}
+
+    def lapse(self, now: float) -> bool:
+        """End the leases that are due; return whether there were any."""
+        due = [
+            number
+            for number, lease in self.leases.items()
+            if lease.lapses_at <= now
+        ]
+        for number in due:
+            self._end_lease(number)
+        return bool(due)
+
+    def _end_lease(self, number: int) -> None:
+        self.leases.pop(number, None)
+        held = [k for k, pair in self.pairs.items() if pair.lease == number]
+        if number and held:
+            self.revision += 1
+            for key in held:
+                del self.pairs[key]
+                self._record(key, None)
+
+    def _record(self, key: bytes, value: bytes | None) -> None:
+        self.changes.append(PastChange(self.revision, key, value))
+        del self.changes[:-MAX_PAST_CHANGES]
+
+    def events(
+        self, start: bytes, end: bytes, revision: int
+    ) -> list[dict[str, Any]]:
+        """Return the changes of a range from a revision on."""
+        events: list[dict[str, Any]] = []
+        for change in reversed(self.changes):
+            if change.revision < revision:
+                break
+            if not in_range(change.key, start, end):
+                continue
+            pair = {
+                "key": _encode(change.key),
+                "mod_revision": str(change.revision),
+            }
+            if change.value is None:
+                events.append({"type": "DELETE", "kv": pair})
+            else:
+                pair["value"] = _encode(change.value)
+                events.append({"kv": pair})
+        events.reverse()
+        return events
+
+    def header(self) -> dict[str, str]:
+        """Return the header of an answer."""
+        return {"revision": str(self.revision)}
+
+    def to_document(self, now: float) -> dict[str, Any]:
+        """Return all data, for a file; leases by the time that is left."""
+        return {
+            "revision": self.revision,
+            "next_lease": self.next_lease,
+            "pairs": [
+                [_encode(key), _encode(p.value), p.mod_revision, p.lease]
+                for key, p in self.pairs.items()
+            ],
+            "leases": [
+                [number, lease.time_to_live_s, lease.lapses_at - now]
+                for number, lease in self.leases.items()
+            ],
+        }
+
+    def load_document(self, document: dict[str, Any], now: float) -> None:
+        """Take over the data that `to_document` returned."""
+        self.revision = document["revision"]
+        self.next_lease = document["next_lease"]
+        for key, value, revision, lease in document["pairs"]:
+            self.pairs[base64.b64decode(key)] = StoredPair(
+                base64.b64decode(value), revision, lease
+            )
+        for number, time_to_live_s, left_s in document["leases"]:
+            self.leases[number] = Lease(time_to_live_s, now + left_s)
+
+
+def key_range(document: dict[str, Any]) -> tuple[bytes, bytes]:
+    """Return the bounds of a call's keys; no end means a single key."""
+    start = base64.b64decode(document["key"])
+    end = base64.b64decode(document.get("range_end", ""))
+    return start, end or start + b"\0"
+
+
+def in_range(key: bytes, start: bytes, end: bytes) -> bool:
+    """Return whether a key lies in a range."""
+    return start <= key < end
--- /dev/null
+++ b/tests/features/platform.feature
@@ -0,0 +1,34 @@
+Feature: The platform's store, its client and its stand-in
+
+  Scenario: The client keeps below its cap on calls
+    Then no pattern of platform calls exceeds the cap in any span of time
+
+  Scenario: The client's circuit lets only probes through
+    Then an unanswering platform gets probes alone until one is answered
+
+  Scenario: The client's retries stay within their budget
+    Then platform retries never exceed what successes have earned
+
+  Scenario: Conditional writes change the store or leave it whole
+    Then any transactions on the stand-in agree with a plain dictionary
+
+  Scenario: A lease that lapses takes its keys along and the watch tells
+    Given a platform stand-in on loopback
+    When a key is held under a lease that is not renewed
+    Then its watch reports the key and then its end
+    And the lapsed lease can't be renewed or used
+
+  Scenario: A write whose answer is lost has taken effect
+    Given a platform stand-in on loopback
+    When the answer to a conditional write is lost
+    Then the write is reported as may-have-run and can be read back
+
+  Scenario: Faults end calls within their time limits
+    Given a platform stand-in on loopback
+    Then calls to a platform that is down, slow or rate limited fail in time
+    And the platform answers again after each fault
+
+  Scenario: The stand-in's data outlives a restart
+    Given a platform stand-in that keeps its data in a file
+    When it is restarted after a write under a lease
+    Then the value, its revision and the lease are still there
--- /dev/null
+++ b/tests/features/steps/platform_steps.py
@@ -0,0 +1,314 @@
+import base64
+import contextlib
+import math
+import pathlib
+import random
+import tempfile
+
+from behave import given
+from behave import then
+from behave import when
+from hypothesis import given as each
+from hypothesis import strategies
+import msgspec
+import trio
+
+from egretcart.connection.http_client import HttpClient
+from egretcart.process.platform import EtcdPlatform
+from egretcart.process.platform import keys_below
+from egretcart.process.platform import PlatformError
+from egretcart.process.platform import PlatformRefusal
+from egretcart.process.platform import Put
+from egretcart.process.platform_guard import CallGuard
+from egretcart.process.platform_guard import Circuit
+from egretcart.process.platform_guard import PlatformLimits
+from egretcart.request.verdict import Verdict
+from egretcart.testing.clock import ManualClock
+from egretcart.testing.platform import PlatformStandIn
+from egretcart.testing.platform_store import PlatformStore
+
+HOST = "127.0.0.1"
+LIMIT_S = 30
+PAUSES = strategies.floats(0, 2)
+
+
+def new_guard(clock, **limits):
+    return CallGuard(
+        limits=PlatformLimits(**limits),
+        clock=clock,
+        source=random.Random(1),
+    )
+
+
+@then("no pattern of platform calls exceeds the cap in any span of time")
+def check_cap(context):
+    @each(strategies.lists(strategies.sampled_from([0, 0, 0, 0.01, 0.3, 3])))
+    def run(pauses):
+        clock = ManualClock()
+        guard = new_guard(clock, calls_per_s=5.0, burst=3.0)
+        times = []
+        for pause in pauses:
+            clock.advance(pause)
+            wait_s = guard.admit()
+            if wait_s is not None:
+                times.append(clock.monotonic() + wait_s)
+        for first, start in enumerate(times):
+            for last in range(first, len(times)):
+                span_s = times[last] - start
+                allowed = 3 + math.ceil(5 * span_s + 1e-6)
+                assert last - first + 1 <= allowed, times
+
+    run()
+
+
+@then("an unanswering platform gets probes alone until one is answered")
+def check_circuit(context):
+    @each(strategies.lists(PAUSES, min_size=1, max_size=40))
+    def run(pauses):
+        clock = ManualClock()
+        guard = new_guard(clock, calls_per_s=1e6, burst=1e6)
+        for _ in range(guard.limits.open_after):
+            assert guard.admit() is not None
+            guard.failed()
+        assert guard.circuit is Circuit.OPEN
+        last_probe = clock.monotonic()
+        for pause in pauses:
+            clock.advance(pause)
+            if guard.admit() is None:
+                continue
+            gap_s = clock.monotonic() - last_probe
+            assert gap_s >= guard.limits.probe_s / 2, gap_s
+            assert guard.admit() is None, "two probes at once"
+            guard.failed()
+            last_probe = clock.monotonic()
+        clock.advance(guard.limits.max_probe_s)
+        assert guard.admit() is not None, "no probe in time"
+        guard.succeeded()
+        assert guard.circuit is Circuit.CLOSED
+        assert guard.admit() is not None
+
+    run()
+
+
+@then("platform retries never exceed what successes have earned")
+def check_budget(context):
+    @each(strategies.lists(strategies.booleans(), max_size=300))
+    def run(answers):
+        guard = new_guard(ManualClock(), open_after=10**6)
+        for number, answered in enumerate(answers, 1):
+            if answered:
+                guard.succeeded()
+            else:
+                guard.failed()
+                guard.retry_after_s(1)
+            earned = guard.limits.retry_share * answers[:number].count(True)
+            saved = guard.limits.max_retries_saved
+            assert guard.retries <= saved + earned + 1e-6
+
+    run()
+
+
+def encode(data):
+    return base64.b64encode(data).decode()
+
+
+@then("any transactions on the stand-in agree with a plain dictionary")
+def check_transactions(context):
+    keys = strategies.sampled_from([b"a", b"b", b"c"])
+    transaction = strategies.tuples(
+        strategies.dictionaries(keys, strategies.booleans()),
+        strategies.dictionaries(keys, strategies.binary(max_size=2)),
+    )
+
+    @each(strategies.lists(transaction, max_size=30))
+    def run(transactions):
+        store = PlatformStore()
+        model = {}
+        for compares, puts in transactions:
+            revision = store.revision
+            answer = store.transact(
+                {
+                    "compare": [
+                        {
+                            "key": encode(key),
+                            "mod_revision": model.get(key, (0, 0))[0]
+                            if right
+                            else 10**6,
+                        }
+                        for key, right in compares.items()
+                    ],
+                    "success": [
+                        {
+                            "request_put": {
+                                "key": encode(key),
+                                "value": encode(value),
+                            }
+                        }
+                        for key, value in puts.items()
+                    ],
+                }
+            )
+            holds = all(compares.values())
+            assert answer.get("succeeded", False) is holds
+            if holds:
+                for key, value in puts.items():
+                    model[key] = (revision + 1, value)
+        found = {
+            key: (pair.mod_revision, pair.value)
+            for key, pair in store.pairs.items()
+        }
+        assert found == model
+
+    run()
+
+
+@given("a platform stand-in on loopback")
+def platform_on_loopback(context):
+    context.platform_file = None
+
+
+@given("a platform stand-in that keeps its data in a file")
+def platform_with_file(context):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.platform_file = pathlib.Path(folder.name) / "data.json"
+
+
+@contextlib.asynccontextmanager
+async def running(path=None, **limits):
+    standin = PlatformStandIn(path=path)
+    async with trio.open_nursery() as nursery:
+        port = await nursery.start(standin.run)
+        with trio.fail_after(LIMIT_S):
+            yield (
+                standin,
+                EtcdPlatform(
+                    host=HOST, port=port, limits=PlatformLimits(**limits)
+                ),
+            )
+        nursery.cancel_scope.cancel()
+
+
+@when("a key is held under a lease that is not renewed")
+def hold_key(context):
+    async def run():
+        context.lapsed = []
+        send, changes = trio.open_memory_channel(10)
+        async with running() as (_, platform), trio.open_nursery() as nursery:
+            nursery.start_soon(
+                platform.watch, keys_below("held/"), 1, send.send_nowait
+            )
+            lease = await platform.grant_lease(1)
+            put = Put(key="held/a", data=b"x", lease=lease)
+            assert await platform.transact({}, (put,))
+            context.changes = [await changes.receive() for _ in range(2)]
+            assert await platform.get("held/a") is None
+            context.lapsed.append(await platform.keep_alive(lease))
+            try:
+                await platform.transact({}, (put,))
+            except PlatformRefusal as error:
+                context.lapsed.append(error.verdict)
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
+@then("its watch reports the key and then its end")
+def check_watch(context):
+    put, gone = context.changes
+    assert (put.key, put.value.data) == ("held/a", b"x")
+    assert (gone.key, gone.value) == ("held/a", None)
+
+
+@then("the lapsed lease can't be renewed or used")
+def check_lapsed(context):
+    assert context.lapsed == [False, Verdict.NOT_RUN]
+
+
+@when("the answer to a conditional write is lost")
+def lose_answer(context):
+    async def run():
+        async with running() as (standin, platform):
+            standin.faults.lost_replies = 1
+            try:
+                await platform.compare_and_swap("k", b"new", 0)
+            except PlatformError as error:
+                context.lost = error.verdict
+            context.read_back = await platform.get("k")
+
+    trio.run(run)
+
+
+@then("the write is reported as may-have-run and can be read back")
+def check_lost(context):
+    assert context.lost is Verdict.MAY_HAVE_RUN
+    assert context.read_back.data == b"new"
+
+
+async def control(standin, **faults):
+    client = HttpClient(host=HOST, port=standin.port, max_connections=1)
+    body = msgspec.json.encode(faults)
+    response = await client.exchange(
+        "POST", "/control/faults", body=body, time_limit_s=LIMIT_S
+    )
+    assert response.status == 200, response.body
+    await client.aclose()
+
+
+@then("calls to a platform that is down, slow or rate limited fail in time")
+def check_faults(context):
+    async def run():
+        limits = {"call_limit_s": 0.1, "probe_s": 0.02}
+        async with running(**limits) as (standin, platform):
+            context.recovered = []
+            for fault in ({"down": True}, {"delay_ms": 60_000}):
+                await check_fault(standin, platform, fault)
+                context.recovered.append(await recover(standin, platform))
+            await check_fault(standin, platform, {"calls_per_s": 0})
+            context.recovered.append(await recover(standin, platform))
+
+    async def check_fault(standin, platform, fault):
+        await control(standin, **fault)
+        for _ in range(6):
+            try:
+                await platform.get("k")
+            except PlatformError:
+                continue
+            raise AssertionError(f"answered despite {fault}")
+
+    async def recover(standin, platform):
+        await control(standin)
+        while True:
+            with contextlib.suppress(PlatformError):
+                await platform.get("k")
+                return True
+            await trio.sleep(0.02)
+
+    trio.run(run)
+
+
+@then("the platform answers again after each fault")
+def check_recovered(context):
+    assert context.recovered == [True, True, True]
+
+
+@when("it is restarted after a write under a lease")
+def restart_standin(context):
+    async def write():
+        async with running(context.platform_file) as (_, platform):
+            lease = await platform.grant_lease(3600)
+            put = Put(key="k", data=b"kept", lease=lease)
+            assert await platform.transact({}, (put,))
+            return lease, await platform.get("k")
+
+    async def read(lease):
+        async with running(context.platform_file) as (_, platform):
+            return await platform.get("k"), await platform.keep_alive(lease)
+
+    lease, context.before = trio.run(write)
+    context.after = trio.run(read, lease)
+
+
+@then("the value, its revision and the lease are still there")
+def check_kept(context):
+    assert context.after == (context.before, True)
