--- a/egretcart/connection/messages.py
+++ b/egretcart/connection/messages.py
@@ -67,6 +67,8 @@
     port: int = 0
     weight: int = 1
     failure_domain: str = ""
+    http_host: str = ""
+    http_port: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -316,12 +318,45 @@
     version: int = 0
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CellRoster:
+    """The newest roster of a cell that the sender knows."""
+
+    service_name: str = ""
+    cell: int = 0
+    roster: Roster | None = None
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class ConfigDocument:
-    """An accepted configuration version, as JSON."""
+    """An accepted configuration version, as JSON.
+
+    Attributes
+    ----------
+    version : int
+    document : bytes
+    rosters : tuple of CellRoster
+        For a process that can't read them from the platform's store.
+    """
 
     version: int = 0
     document: bytes = b""
+    rosters: tuple[CellRoster, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class AgentConfig:
+    """What an agent needs to know of a configuration version.
+
+    Attributes
+    ----------
+    version : int
+    drained : bool
+        Whether the receiving agent gets no new work.
+    """
+
+    version: int = 0
+    drained: bool = False
 
 
 AgentMessage = AgentHello | FenceReply | HeartbeatReply | TaskResult
@@ -334,5 +369,6 @@
     | ForwardReply
     | ConfigRequest
     | ConfigDocument
+    | AgentConfig
 )
 Message = AgentMessage | LeaderMessage | EntryMessage
--- a/egretcart/connection/wire.thrift
+++ b/egretcart/connection/wire.thrift
@@ -17,6 +17,8 @@
   3: optional i32 port
   4: optional i32 weight
   5: optional string failure_domain
+  6: optional string http_host
+  7: optional i32 http_port
 }
 
 // Agent to entry.
@@ -127,7 +129,17 @@
   5: optional i64 retry_after_ms
 }
 struct ConfigRequest { 1: optional i64 version }
-struct ConfigDocument { 1: optional i64 version, 2: optional binary document }
+struct CellRoster {
+  1: optional string service_name
+  2: optional i32 cell
+  3: optional Roster roster
+}
+struct ConfigDocument {
+  1: optional i64 version
+  2: optional binary document
+  3: optional list<CellRoster> rosters
+}
+struct AgentConfig { 1: optional i64 version, 2: optional bool drained }
 
 struct Message {
   1: optional AgentHello agent_hello
@@ -146,5 +158,6 @@
   14: optional ForwardReply forward_reply
   15: optional ConfigRequest config_request
   16: optional ConfigDocument config_document
+  17: optional AgentConfig agent_config
 }
 struct Frame { 1: optional list<Message> messages }
--- a/egretcart/process/agent.py
+++ b/egretcart/process/agent.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 
+from egretcart.connection.messages import AgentConfig
 from egretcart.connection.messages import AgentHello
 from egretcart.connection.messages import AgentMessage
 from egretcart.connection.messages import CancelJob
@@ -180,6 +181,7 @@
         self.lease_until = float("-inf")
         self.roster = Roster()
         self.draining = False
+        self.drained_by_config = False
         self.config_version = 0
         self.ledger = Ledger(max_result_bytes=limits.max_result_bytes)
         self.queued: dict[TaskKey, QueuedStart] = {}
@@ -194,7 +196,7 @@
             failure_domain=self.identity.failure_domain,
             slots=self.identity.slots,
             connections=self.identity.connections,
-            draining=self.draining,
+            draining=self.is_draining,
             started_ms=self.started_ms,
         )
 
@@ -273,6 +275,24 @@
     def drain(self) -> list[AgentEffect]:
         """Stop admitting starts; what runs is finished."""
         self.draining = True
+        return self._refuse_queued()
+
+    def configure(self, config: AgentConfig) -> list[AgentEffect]:
+        """Put a configuration version in force if it is newer."""
+        if config.version <= self.config_version:
+            return []
+        self.config_version = config.version
+        self.drained_by_config = config.drained
+        if self.drained_by_config:
+            return self._refuse_queued()
+        return self._to_leader(self._heartbeat_reply(round_number=0))
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether new starts are refused."""
+        return self.draining or self.drained_by_config
+
+    def _refuse_queued(self) -> list[AgentEffect]:
         effects: list[AgentEffect] = []
         for queued in list(self.queued.values()):
             effects += self._refuse(queued.start, "the agent is draining")
@@ -341,7 +361,7 @@
             roster_version=self.roster.version,
             running=len(self.running),
             queued=len(self.queued),
-            draining=self.draining,
+            draining=self.is_draining,
             config_version=self.config_version,
         )
 
@@ -361,7 +381,7 @@
                 f"the start's term {start.term} is not the promised "
                 f"{self.promised}"
             )
-        if self.draining:
+        if self.is_draining:
             return "the agent is draining"
         if self.clock.monotonic() >= self.lease_until:
             return "the lease on the leader's term has lapsed"
--- a/egretcart/process/agent_process.py
+++ b/egretcart/process/agent_process.py
@@ -9,6 +9,7 @@
 from egretcart.connection.http_client import ExchangeError
 from egretcart.connection.http_client import HttpClient
 from egretcart.connection.link import Link
+from egretcart.connection.messages import AgentConfig
 from egretcart.connection.messages import EntryAddress
 from egretcart.connection.messages import EntryHello
 from egretcart.connection.messages import EntryList
@@ -117,6 +118,8 @@
                 self.links[entry_id] = link
             elif isinstance(message, EntryList):
                 self._learn_entries(message.entries)
+            elif isinstance(message, AgentConfig):
+                self._carry_out(self.agent.configure(message))
             elif entry_id is not None and isinstance(message, LeaderMessage):
                 self._carry_out(self.agent.receive(entry_id, message))
 
--- a/egretcart/process/caller_api.py
+++ b/egretcart/process/caller_api.py
@@ -15,6 +15,7 @@
 from egretcart.process.entry import EntryEffect
 from egretcart.process.entry import READ
 from egretcart.process.entry import SUBMIT
+from egretcart.process.operator_api import OperatorApi
 from egretcart.request.identity import parse_job_id
 from egretcart.request.problem import bad_request
 from egretcart.request.problem import MEDIA_TYPE
@@ -34,6 +35,7 @@
     entry : Entry
     carry_out : callable
         Carries out the entry's effects.
+    operators : OperatorApi
     """
 
     def __init__(
@@ -41,8 +43,10 @@
         *,
         entry: Entry,
         carry_out: Callable[[Iterable[EntryEffect]], None],
+        operators: OperatorApi,
     ) -> None:
         self.entry = entry
+        self.operators = operators
         self.carry_out = carry_out
         self.replies: dict[int, Reply] = {}
         self.waiters: dict[int, trio.Event] = {}
@@ -62,6 +66,8 @@
             return await self._handle_job(
                 request, job_path.group(1), job_path.group(2)
             )
+        if self.operators.serves(path):
+            return await self.operators.handle(request)
         if request.method != "GET":
             return problem_response(
                 bad_request(f"no {request.method} of {path}", status=404)
--- a/egretcart/process/cli.py
+++ b/egretcart/process/cli.py
@@ -17,6 +17,8 @@
 from egretcart.process.entry import EntryLimits
 from egretcart.process.entry_process import EntryProcess
 from egretcart.process.limits import LeaderLimits
+from egretcart.process.operator_commands import OPERATOR_COMMANDS
+from egretcart.process.operator_commands import run_operator_command
 from egretcart.process.settings import AgentSettings
 from egretcart.process.settings import BackendStandInSettings
 from egretcart.process.settings import EntrySettings
@@ -34,6 +36,16 @@
   egretcart standin platform SETTINGS
   egretcart standin backend SETTINGS
   egretcart demo
+  egretcart check FILE...
+  egretcart schema
+  egretcart diff FILE [--platform=ADDRESS | --entry=ADDRESS]
+  egretcart apply FILE --reason=TEXT [--yes] [--base=VERSION] [--change=ID]
+            [--as=NAME] [--platform=ADDRESS | --entry=ADDRESS]
+  egretcart show [--version=VERSION] [--platform=ADDRESS | --entry=ADDRESS]
+  egretcart history [--last=COUNT] [--platform=ADDRESS | --entry=ADDRESS]
+  egretcart status [--platform=ADDRESS | --entry=ADDRESS]
+  egretcart drain AGENT [--undo] [--reason=TEXT] [--yes] [--as=NAME]
+            [--platform=ADDRESS | --entry=ADDRESS]
   egretcart (-h | --help)
 
 Commands:
@@ -42,11 +54,35 @@
   standin platform  Run a stand-in of the platform's key-value service.
   standin backend   Run a stand-in of a backend server.
   demo              Run a whole deployment in one process and one job on it.
+  check             Check configuration and settings files, and together.
+  schema            Print the JSON schema of the configuration.
+  diff              Compare a configuration file with what is in force.
+  apply             Put a configuration file in force, as a whole.
+  show              Print the configuration that is in force, or a former one.
+  history           Print who changed what, when and why.
+  status            Print each process's version, role, terms and load.
+  drain             Give an agent no new work, or --undo that.
+
+Options:
+  --platform=ADDRESS  HOST:PORT of the platform's store; the environment
+                      variable EGRETCART_PLATFORM is the default.
+  --entry=ADDRESS     HOST:PORT of any entry's HTTP API, in place of it; the
+                      default is EGRETCART_ENTRY.
+  --reason=TEXT       Why, for the audit trail.
+  --yes               Do not ask before the change is made.
+  --base=VERSION      Version that the file was made from; by default the
+                      version that the file states.
+  --change=ID         Ask again for a change whose outcome was not known.
+  --as=NAME           Who, for the audit trail; by default user and host.
+  --version=VERSION   A version of the history.
+  --last=COUNT        Versions to print [default: 20].
+  --undo              Give the agent work again.
 
 Exit codes:
   0  done
   1  the command failed
   2  the command line or a file is wrong
+  3  the outcome is not known: ask again with --change
 """
 
 EXIT_OK = 0
@@ -74,6 +110,8 @@
         return EXIT_USAGE
     if parsed["demo"]:
         return trio.run(run_demo)
+    if any(parsed[name] for name in OPERATOR_COMMANDS):
+        return run_operator_command(parsed)
     if parsed["entry"]:
         return _run_role(parsed, EntrySettings, _run_entry)
     if parsed["agent"]:
--- /dev/null
+++ b/egretcart/process/config_store.py
@@ -0,0 +1,178 @@
+"""The configuration and its audit trail in the platform's store."""
+
+from typing import Protocol
+from typing import TypeVar
+
+import msgspec
+import trio
+
+from egretcart.process.platform import KeyRange
+from egretcart.process.platform import keys_below
+from egretcart.process.platform import Platform
+from egretcart.process.platform import PlatformError
+from egretcart.process.platform import Put
+from egretcart.request.verdict import Verdict
+from egretcart.version.change import AuditEntry
+from egretcart.version.change import ChangeAttempt
+from egretcart.version.change import CurrentVersion
+from egretcart.version.change import Ended
+from egretcart.version.change import ProposedChange
+from egretcart.version.change import ReadCurrent
+from egretcart.version.change import ReadEntry
+from egretcart.version.change import Step
+from egretcart.version.change import WriteVersion
+from egretcart.version.document import Configuration
+
+CONFIG_KEY = "egretcart/config"
+HISTORY_PREFIX = "egretcart/history/"
+SETTLE_PAUSE_S = 0.2
+
+
+def history_key(version: int) -> str:
+    """Return the key of a version's audit entry; keys sort by version."""
+    return f"{HISTORY_PREFIX}{version:010d}"
+
+
+class ConfigStore(Protocol):
+    """Where versions are kept.
+
+    Every method raises `PlatformError` if there is no answer.
+    """
+
+    async def read_current(self) -> CurrentVersion | None:
+        """Return the current document, or None if there is none."""
+
+    async def read_entry(self, version: int) -> AuditEntry | None:
+        """Return the audit entry of a version, or None."""
+
+    async def read_history(self, first_version: int) -> tuple[AuditEntry, ...]:
+        """Return the audit entries from a version on, oldest first."""
+
+    async def write(self, entry: AuditEntry, revision: int) -> bool:
+        """Write a version if the current document's revision holds."""
+
+
+class PlatformConfigStore:
+    """A `ConfigStore` in the platform's store.
+
+    Parameters
+    ----------
+    platform : Platform
+    """
+
+    def __init__(self, *, platform: Platform) -> None:
+        self.platform = platform
+
+    async def read_current(self) -> CurrentVersion | None:
+        """Return the current document, or None if there is none."""
+        stored = await self.platform.get(CONFIG_KEY)
+        if stored is None:
+            return None
+        document = decode_configuration(stored.data)
+        return CurrentVersion(document=document, revision=stored.revision)
+
+    async def read_entry(self, version: int) -> AuditEntry | None:
+        """Return the audit entry of a version, or None."""
+        stored = await self.platform.get(history_key(version))
+        if stored is None:
+            return None
+        return _decode(stored.data, AuditEntry)
+
+    async def read_history(self, first_version: int) -> tuple[AuditEntry, ...]:
+        """Return the audit entries from a version on, oldest first."""
+        everything = keys_below(HISTORY_PREFIX)
+        keys = KeyRange(history_key(first_version), everything.end)
+        listing = await self.platform.list_range(keys)
+        return tuple(
+            _decode(value.data, AuditEntry)
+            for _, value in sorted(listing.values.items())
+        )
+
+    async def write(self, entry: AuditEntry, revision: int) -> bool:
+        """Write a version if the current document's revision holds."""
+        document = msgspec.json.encode(entry.document)
+        history = history_key(entry.version)
+        return await self.platform.transact(
+            {CONFIG_KEY: revision, history: 0},
+            (
+                Put(key=CONFIG_KEY, data=document),
+                Put(key=history, data=msgspec.json.encode(entry)),
+            ),
+        )
+
+
+def decode_configuration(data: bytes) -> Configuration:
+    """Decode a stored document.
+
+    Raises
+    ------
+    PlatformError
+        If the store holds something else.
+    """
+    return _decode(data, Configuration)
+
+
+T = TypeVar("T")
+
+
+def _decode(data: bytes, kind: type[T]) -> T:
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except msgspec.DecodeError as error:
+        raise PlatformError(
+            f"the store holds no {kind.__name__}: {error}", Verdict.NOT_RUN
+        ) from error
+
+
+async def apply_change(
+    store: ConfigStore,
+    change: ProposedChange,
+    *,
+    time_limit_s: float,
+) -> Ended:
+    """Lead a change to its outcome.
+
+    Parameters
+    ----------
+    store : ConfigStore
+    change : ProposedChange
+    time_limit_s : float
+        After which a store that does not answer is given up, in seconds.
+
+    Returns
+    -------
+    Accepted, Unchanged, Conflict, Refused, NotReached or Undecided
+    """
+    attempt = ChangeAttempt(change=change)
+    step: Step = attempt.begin()
+    reason = f"no answer in {time_limit_s:.1f} s"
+    with trio.move_on_after(time_limit_s):
+        while not isinstance(step, Ended):
+            try:
+                step = await _take_step(store, attempt, step)
+            except PlatformError as error:
+                reason = str(error)
+                step = ReadCurrent()
+                await trio.sleep(SETTLE_PAUSE_S)
+        return step
+    return attempt.gave_up(reason)
+
+
+async def _take_step(
+    store: ConfigStore, attempt: ChangeAttempt, step: Step
+) -> Step:
+    if isinstance(step, ReadCurrent):
+        return attempt.current_read(await store.read_current())
+    if isinstance(step, ReadEntry):
+        return attempt.entry_read(await store.read_entry(step.version))
+    assert isinstance(step, WriteVersion)
+    try:
+        succeeded = await store.write(step.entry, step.revision)
+    except PlatformError as error:
+        if error.verdict is not Verdict.NOT_RUN:
+            attempt.write_lost()
+        raise
+    except trio.Cancelled:
+        attempt.write_lost()
+        raise
+    return attempt.write_ended(succeeded=succeeded)
--- /dev/null
+++ b/egretcart/process/config_sync.py
@@ -0,0 +1,153 @@
+"""Decision logic of how an entry learns configuration versions.
+
+Free of I/O. Versions come from the platform's store and from other
+entries; every message between processes names the sender's version, so
+that whoever is behind notices and asks.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+
+import msgspec
+
+from egretcart.process.clock import Clock
+from egretcart.version.document import Configuration
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SyncLimits:
+    """Times of the dissemination.
+
+    Attributes
+    ----------
+    settle_s : float
+        Time after the start in which peers are heard, if the store does
+        not answer.
+    max_settle_s : float
+        Time after the start up to which a store that has neither
+        answered nor failed, or a peer known to be ahead, is waited for.
+    request_interval_s : float
+        Time between requests to peers while this entry is behind.
+    max_asked : int
+        Peers asked at a time.
+    """
+
+    settle_s: float = 0.5
+    max_settle_s: float = 2.0
+    request_interval_s: float = 0.2
+    max_asked: int = 3
+
+
+class ConfigSync:
+    """What one entry knows of configuration versions.
+
+    Parameters
+    ----------
+    limits : SyncLimits
+    clock : Clock
+    has_platform : bool
+        Whether there is a store to hear from.
+
+    Attributes
+    ----------
+    candidate : Configuration
+        Newest document held, in force or not.
+    highest_heard : int
+        Highest version that any process has named.
+    """
+
+    def __init__(
+        self, *, limits: SyncLimits, clock: Clock, has_platform: bool
+    ) -> None:
+        self.limits = limits
+        self.clock = clock
+        self.started_at = clock.monotonic()
+        self.platform_pending = has_platform
+        self.candidate = Configuration()
+        self.highest_heard = 0
+        self.released = False
+        self.next_request = float("-inf")
+
+    @property
+    def is_behind(self) -> bool:
+        """Whether a newer version than the one held is known to exist."""
+        return self.highest_heard > self.candidate.version
+
+    def heard(self, version: int) -> None:
+        """Take in the version that another process has named."""
+        self.highest_heard = max(self.highest_heard, version)
+
+    def offer(self, document: Configuration) -> None:
+        """Take in a document; an older one than held is dropped."""
+        self.heard(document.version)
+        if document.version > self.candidate.version:
+            self.candidate = document
+
+    def platform_read(self, document: Configuration | None) -> None:
+        """Take in the store's document; None if it holds none."""
+        if document is not None:
+            self.offer(document)
+        self.platform_pending = False
+        # What the store holds is the newest version that is accepted.
+        self.released = True
+
+    def platform_failed(self) -> None:
+        """Take in that the store gives no answer."""
+        self.platform_pending = False
+
+    def in_force(self) -> Configuration | None:
+        """Return the document to put in force, or None while it waits.
+
+        After its start a process waits for a newer version than the
+        first it finds: it must not serve one that it could have known to
+        be old.
+        """
+        if not self.released and not self._may_release():
+            return None
+        self.released = True
+        return self.candidate
+
+    def _may_release(self) -> bool:
+        age_s = self.clock.monotonic() - self.started_at
+        if self.candidate.version == 0 or age_s < self.limits.settle_s:
+            return False
+        if age_s >= self.limits.max_settle_s:
+            return True
+        return not self.platform_pending and not self.is_behind
+
+    def peers_to_ask(self, versions: Iterable[tuple[str, int]]) -> list[str]:
+        """Return the peers to ask for a newer document now.
+
+        Parameters
+        ----------
+        versions : iterable of tuple of str and int
+            Live peers and the versions that they named.
+
+        Returns
+        -------
+        list of str
+        """
+        now = self.clock.monotonic()
+        if not self.is_behind or now < self.next_request:
+            return []
+        ranked = sorted(versions, key=lambda peer: peer[1], reverse=True)
+        if not ranked:
+            return []
+        self.next_request = now + self.limits.request_interval_s
+        return [peer for peer, _ in ranked[: self.limits.max_asked]]
+
+
+def encode_document(document: Configuration) -> bytes:
+    """Return a document as it travels between processes."""
+    return msgspec.json.encode(document)
+
+
+def decode_document(data: bytes) -> Configuration | None:
+    """Return a document that another process sent, or None.
+
+    A process of a later release may use fields that this one lacks.
+    """
+    try:
+        return msgspec.json.decode(data, type=Configuration)
+    except msgspec.DecodeError:
+        return None
--- a/egretcart/process/demo.py
+++ b/egretcart/process/demo.py
@@ -10,8 +10,8 @@
 from egretcart.process.agent import AgentLimits
 from egretcart.process.agent_process import AgentProcess
 from egretcart.process.clock import SystemClock
+from egretcart.process.config_store import CONFIG_KEY
 from egretcart.process.entry import EntryLimits
-from egretcart.process.entry_process import CONFIG_KEY
 from egretcart.process.entry_process import EntryProcess
 from egretcart.process.limits import LeaderLimits
 from egretcart.process.platform import EtcdPlatform
--- a/egretcart/process/entry.py
+++ b/egretcart/process/entry.py
@@ -9,9 +9,13 @@
 
 from result import Result
 
+from egretcart.connection.messages import AgentConfig
 from egretcart.connection.messages import AgentHello
 from egretcart.connection.messages import AgentMessage
 from egretcart.connection.messages import CellLeader
+from egretcart.connection.messages import CellRoster
+from egretcart.connection.messages import ConfigDocument
+from egretcart.connection.messages import ConfigRequest
 from egretcart.connection.messages import EntryAddress
 from egretcart.connection.messages import EntryBeat
 from egretcart.connection.messages import EntryList
@@ -24,6 +28,10 @@
 from egretcart.connection.messages import Term
 from egretcart.process.answers import AnswerCache
 from egretcart.process.clock import Clock
+from egretcart.process.config_sync import ConfigSync
+from egretcart.process.config_sync import decode_document
+from egretcart.process.config_sync import encode_document
+from egretcart.process.config_sync import SyncLimits
 from egretcart.process.directory import Cell
 from egretcart.process.directory import cell_of_agent
 from egretcart.process.directory import cell_of_job
@@ -87,12 +95,22 @@
     max_answer_bytes: int = 64 * 1024 * 1024
 
 
+PeerMessage = (
+    EntryBeat
+    | EntryList
+    | Forward
+    | ForwardReply
+    | ConfigRequest
+    | ConfigDocument
+)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SendToPeer:
     """Effect: send a message to another entry."""
 
     entry_id: str
-    message: Forward | ForwardReply | EntryBeat
+    message: PeerMessage
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -103,6 +121,14 @@
     message: EntryList
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendAgentConfig:
+    """Effect: tell an agent what it needs of the configuration."""
+
+    agent_id: str
+    message: AgentConfig
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReplyToCaller:
     """Effect: answer the caller of a request."""
@@ -120,7 +146,12 @@
 
 
 EntryEffect = (
-    SendToPeer | SendToAgent | SendEntryList | ReplyToCaller | WriteCellRoster
+    SendToPeer
+    | SendToAgent
+    | SendEntryList
+    | SendAgentConfig
+    | ReplyToCaller
+    | WriteCellRoster
 )
 
 
@@ -165,6 +196,8 @@
     limits : EntryLimits
     leader_limits : LeaderLimits
     clock : Clock
+    has_platform : bool, optional
+        Whether the shell follows the platform's store.
     """
 
     def __init__(
@@ -176,6 +209,7 @@
         limits: EntryLimits,
         leader_limits: LeaderLimits,
         clock: Clock,
+        has_platform: bool = False,
     ) -> None:
         self.address = address
         self.incarnation = incarnation
@@ -188,7 +222,12 @@
             own=address, peer_timeout_s=limits.peer_timeout_s
         )
         self.answers = AnswerCache(max_bytes=limits.max_answer_bytes)
+        self.sync = ConfigSync(
+            limits=SyncLimits(), clock=clock, has_platform=has_platform
+        )
+        self.sync.offer(configuration)
         self.agents: dict[str, AgentHello] = {}
+        self.agent_heartbeats: dict[str, HeartbeatReply] = {}
         self.leaderships: dict[Cell, Leadership] = {}
         self.rosters: dict[Cell, Roster] = {}
         self.highest_terms: dict[Cell, Term] = {}
@@ -215,14 +254,91 @@
         """
         if configuration.version <= self.configuration.version:
             return []
+        self.sync.offer(configuration)
         self.configuration = configuration
-        effects: list[EntryEffect] = []
+        effects: list[EntryEffect] = [
+            self._agent_config(agent_id) for agent_id in self.agents
+        ]
         for cell, leadership in list(self.leaderships.items()):
             effects += self._carry_out(
                 cell, leadership.configure(configuration)
             )
+        effects += self._send_beats(self.clock.monotonic())
         return effects + self._steer()
 
+    def platform_configuration(
+        self, document: Configuration | None
+    ) -> list[EntryEffect]:
+        """Handle the stored document; None if the store holds none."""
+        self.sync.platform_read(document)
+        return self._follow_versions()
+
+    def platform_failed(self) -> list[EntryEffect]:
+        """Handle a platform's store that does not answer."""
+        self.sync.platform_failed()
+        return self._follow_versions()
+
+    def _follow_versions(self) -> list[EntryEffect]:
+        """Ask whoever is ahead, and put the newest version in force."""
+        effects: list[EntryEffect] = []
+        if self.sync.is_behind:
+            live = self.directory.live_peers(self.clock.monotonic())
+            versions = [(p.address.entry_id, p.config_version) for p in live]
+            request = ConfigRequest(version=self.sync.candidate.version)
+            effects += [
+                SendToPeer(entry_id, request)
+                for entry_id in self.sync.peers_to_ask(versions)
+            ]
+        document = self.sync.in_force()
+        if document is not None:
+            effects += self.configure(document)
+        return effects
+
+    def _config_requested(
+        self, entry_id: str, request: ConfigRequest
+    ) -> list[EntryEffect]:
+        document = self.sync.candidate
+        if document.version <= request.version:
+            return []
+        rosters = dict(self.rosters)
+        for cell, leadership in self.leaderships.items():
+            rosters[cell] = leadership.quorum.roster
+        message = ConfigDocument(
+            version=document.version,
+            document=encode_document(document),
+            rosters=tuple(
+                CellRoster(
+                    service_name=cell.service, cell=cell.index, roster=roster
+                )
+                for cell, roster in sorted(rosters.items())
+            ),
+        )
+        return [SendToPeer(entry_id, message)]
+
+    def _config_received(self, message: ConfigDocument) -> list[EntryEffect]:
+        for known in message.rosters:
+            if known.roster is not None:
+                self.learn_roster(
+                    Cell(known.service_name, known.cell), known.roster
+                )
+        document = decode_document(message.document)
+        if document is not None:
+            self.sync.offer(document)
+        return self._follow_versions()
+
+    def learn_roster(self, cell: Cell, roster: Roster) -> None:
+        """Keep a roster for a later takeover if it is newer."""
+        known = self.rosters.get(cell, Roster())
+        if roster.version > known.version:
+            self.rosters[cell] = roster
+
+    def _agent_config(self, agent_id: str) -> EntryEffect:
+        config = AgentConfig(
+            version=self.configuration.version,
+            drained=agent_id in self.configuration.drained,
+        )
+        return SendAgentConfig(agent_id, config)
+
     # Callers.
 
     def request(
@@ -248,6 +364,15 @@
         request_id = self.next_request_id
         self.next_request_id += 1
         found = self.configuration.find_service(service)
+        if self.configuration.version == 0:
+            refusal = unavailable(
+                "the entry has not learned the configuration yet",
+                verdict=Verdict.NOT_RUN,
+                retry_after_s=self.limits.leaderless_retry_s,
+            )
+            return request_id, [
+                ReplyToCaller(request_id, problem_reply(refusal))
+            ]
         if found is None:
             refusal = bad_request(
                 f"service {service!r} is not configured; configured are "
@@ -379,7 +504,11 @@
         """Handle another entry's introduction."""
         now = self.clock.monotonic()
         self.directory.heard_hello(address, incarnation, now)
-        return [SendToPeer(address.entry_id, self._beat())]
+        entries = EntryList(entries=self.directory.addresses(now))
+        return [
+            SendToPeer(address.entry_id, self._beat()),
+            SendToPeer(address.entry_id, entries),
+        ]
 
     def peer_lost(self, entry_id: str) -> list[EntryEffect]:
         """Handle the loss of a connection to another entry."""
@@ -390,9 +519,19 @@
         return self._steer()
 
     def peer_message(
-        self, entry_id: str, message: EntryBeat | Forward | ForwardReply
+        self,
+        entry_id: str,
+        message: EntryBeat
+        | Forward
+        | ForwardReply
+        | ConfigRequest
+        | ConfigDocument,
     ) -> list[EntryEffect]:
         """Handle a message from another entry."""
+        if isinstance(message, ConfigRequest):
+            return self._config_requested(entry_id, message)
+        if isinstance(message, ConfigDocument):
+            return self._config_received(message)
         if isinstance(message, EntryBeat):
             self.directory.heard_beat(
                 entry_id,
@@ -401,7 +540,8 @@
                 leaving=message.leaving,
                 now=self.clock.monotonic(),
             )
-            return self._steer()
+            self.sync.heard(message.config_version)
+            return self._follow_versions() + self._steer()
         if isinstance(message, Forward):
             return self._forwarded(entry_id, message)
         retry_after_s = None
@@ -459,6 +599,8 @@
         effects: list[EntryEffect] = [
             SendEntryList(hello.agent_id, EntryList(entries=addresses))
         ]
+        if self.configuration.version > 0:
+            effects.append(self._agent_config(hello.agent_id))
         cell = self._cell_of(hello)
         leadership = self.leaderships.get(cell)
         if leadership is not None:
@@ -468,6 +610,7 @@
     def agent_disconnected(self, agent_id: str) -> list[EntryEffect]:
         """Handle the loss of an agent's connection."""
         hello = self.agents.pop(agent_id, None)
+        self.agent_heartbeats.pop(agent_id, None)
         if hello is None:
             return []
         leadership = self.leaderships.get(self._cell_of(hello))
@@ -485,6 +628,9 @@
         cell = self._cell_of(hello)
         if isinstance(message, FenceReply | HeartbeatReply):
             self._saw_term(cell, message.term)
+        if isinstance(message, HeartbeatReply):
+            self.agent_heartbeats[agent_id] = message
+            self.sync.heard(message.config_version)
         leadership = self.leaderships.get(cell)
         if leadership is None:
             return []
@@ -516,9 +662,8 @@
         -------
         list of EntryEffect
         """
-        known = self.rosters.get(cell, Roster())
-        if roster is not None and roster.version > known.version:
-            self.rosters[cell] = roster
+        if roster is not None:
+            self.learn_roster(cell, roster)
         leadership = self.leaderships.get(cell)
         if leadership is None:
             return []
@@ -532,6 +677,7 @@
         effects: list[EntryEffect] = []
         for cell, leadership in list(self.leaderships.items()):
             effects += self._carry_out(cell, leadership.tick())
+        effects += self._follow_versions()
         effects += self._steer()
         effects += self._give_up(now)
         effects += self._tell_addresses(now)
--- a/egretcart/process/entry_process.py
+++ b/egretcart/process/entry_process.py
@@ -1,11 +1,10 @@
 """The entry's process: moves bytes for `Entry`."""
 
 from collections.abc import Iterable
-import contextlib
 import json
+import random
 import sys
 
-import msgspec
 import trio
 
 from egretcart.connection.http_server import Handler
@@ -13,9 +12,12 @@
 from egretcart.connection.http_server import HttpLimits
 from egretcart.connection.link import Link
 from egretcart.connection.messages import AgentHello
+from egretcart.connection.messages import ConfigDocument
+from egretcart.connection.messages import ConfigRequest
 from egretcart.connection.messages import EntryAddress
 from egretcart.connection.messages import EntryBeat
 from egretcart.connection.messages import EntryHello
+from egretcart.connection.messages import EntryList
 from egretcart.connection.messages import FenceReply
 from egretcart.connection.messages import Forward
 from egretcart.connection.messages import ForwardReply
@@ -31,22 +33,25 @@
 from egretcart.process.entry import EntryEffect
 from egretcart.process.entry import EntryLimits
 from egretcart.process.entry import ReplyToCaller
+from egretcart.process.entry import SendAgentConfig
 from egretcart.process.entry import SendEntryList
 from egretcart.process.entry import SendToPeer
 from egretcart.process.limits import LeaderLimits
+from egretcart.process.operator_api import OperatorApi
 from egretcart.process.platform import EtcdPlatform
 from egretcart.process.platform import Platform
-from egretcart.process.platform import PlatformError
-from egretcart.process.rosters import read_roster
+from egretcart.process.platform_follower import PlatformFollower
+from egretcart.process.registration import Registrar
 from egretcart.process.rosters import write_roster
 from egretcart.process.settings import EntrySettings
 from egretcart.version.document import Configuration
 
 TICK_S = 0.02
 REDIAL_S = 0.1
-CONFIG_POLL_S = 1.0
 PLATFORM_PAUSE_S = 0.5
-CONFIG_KEY = "egretcart/config"
+# A process that has been gone for so long is dialled no more, unless it
+# is a seed or someone names it again.
+FORGET_S = 30.0
 
 
 class EntryProcess:
@@ -87,6 +92,7 @@
         self.agent_links: dict[str, Link] = {}
         self.targets: set[tuple[str, int]] = set()
         self.nursery: trio.Nursery
+        self.registrar: Registrar | None = None
 
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
@@ -108,6 +114,8 @@
             port=peer_port,
             weight=self.settings.weight,
             failure_domain=self.settings.failure_domain,
+            http_host=http.host,
+            http_port=self.http_port,
         )
         self.entry = Entry(
             address=self.address,
@@ -116,8 +124,13 @@
             limits=self.limits,
             leader_limits=self.leader_limits,
             clock=self.clock,
+            has_platform=self.platform is not None,
+        )
+        self.api = CallerApi(
+            entry=self.entry,
+            carry_out=self.carry_out,
+            operators=OperatorApi(entry=self.entry, platform=self.platform),
         )
-        self.api = CallerApi(entry=self.entry, carry_out=self.carry_out)
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
             nursery.start_soon(
@@ -128,7 +141,8 @@
             )
             for seed in self.settings.seeds:
                 self._ensure_dialled(seed.host, seed.port)
-            nursery.start_soon(self._follow_configuration)
+            if self.platform is not None:
+                self._follow_platform(self.platform)
             nursery.start_soon(self._tick)
             task_status.started()
 
@@ -163,13 +177,20 @@
         self.nursery.start_soon(self._dial, host, port)
 
     async def _dial(self, host: str, port: int) -> None:
+        seeds = {(seed.host, seed.port) for seed in self.settings.seeds}
+        heard_at = self.clock.monotonic()
         while True:
             try:
                 stream = await trio.open_tcp_stream(host, port)
             except OSError:
+                gone_s = self.clock.monotonic() - heard_at
+                if gone_s > FORGET_S and (host, port) not in seeds:
+                    self.targets.discard((host, port))
+                    return
                 await trio.sleep(REDIAL_S)
                 continue
             await self._converse(stream, self.dialled_links)
+            heard_at = self.clock.monotonic()
             await trio.sleep(REDIAL_S)
 
     async def _accept(self, stream: trio.SocketStream) -> None:
@@ -225,7 +246,17 @@
             self.carry_out(self.entry.agent_message(agent_id, message))
 
     def _peer_message(self, entry_id: str, message: Message) -> None:
-        if isinstance(message, EntryBeat | Forward | ForwardReply):
+        if isinstance(message, EntryList):
+            for address in message.entries:
+                self._ensure_dialled(address.host, address.port)
+        elif isinstance(
+            message,
+            EntryBeat
+            | Forward
+            | ForwardReply
+            | ConfigRequest
+            | ConfigDocument,
+        ):
             self.carry_out(self.entry.peer_message(entry_id, message))
 
     # Effects.
@@ -233,7 +264,9 @@
     def carry_out(self, effects: Iterable[EntryEffect]) -> None:
         """Carry out what the decision logic asks for."""
         for effect in effects:
-            if isinstance(effect, SendToAgent | SendEntryList):
+            if isinstance(
+                effect, SendToAgent | SendEntryList | SendAgentConfig
+            ):
                 link = self.agent_links.get(effect.agent_id)
                 if link is not None:
                     link.send(effect.message)
@@ -261,27 +294,26 @@
             await trio.sleep(PLATFORM_PAUSE_S)
         self.carry_out(self.entry.roster_known(cell, stored))
 
-    async def _follow_configuration(self) -> None:
-        if self.platform is None:
-            return
-        while True:
-            with contextlib.suppress(PlatformError):
-                await self._read_configuration(self.platform)
-            await trio.sleep(CONFIG_POLL_S)
-
-    async def _read_configuration(self, platform: Platform) -> None:
-        stored = await platform.get(CONFIG_KEY)
-        if stored is None:
-            return
-        configuration = msgspec.json.decode(stored.data, type=Configuration)
-        if configuration.version <= self.entry.configuration.version:
-            return
-        for service in configuration.services:
-            for index in range(service.cells):
-                cell = Cell(service.name, index)
-                roster = await read_roster(platform, cell)
-                self.entry.rosters.setdefault(cell, roster)
-        self.carry_out(self.entry.configure(configuration))
+    def _follow_platform(self, platform: Platform) -> None:
+        source = random.Random()
+        entry = self.entry
+        follower = PlatformFollower(
+            platform=platform,
+            source=source,
+            on_configuration=lambda document: self.carry_out(
+                entry.platform_configuration(document)
+            ),
+            on_entry=lambda address: self._ensure_dialled(
+                address.host, address.port
+            ),
+            on_roster=entry.learn_roster,
+            on_failure=lambda: self.carry_out(entry.platform_failed()),
+        )
+        self.registrar = Registrar(
+            platform=platform, address=self.address, source=source
+        )
+        self.nursery.start_soon(follower.run)
+        self.nursery.start_soon(self.registrar.run)
 
     async def _tick(self) -> None:
         while True:
--- a/egretcart/process/leadership.py
+++ b/egretcart/process/leadership.py
@@ -116,12 +116,22 @@
         self.early: list[EarlyRequest] = []
         self.roster_write_pending = False
         self.next_heartbeat = float("-inf")
+        self.barred: set[str] = set()
 
     def configure(self, configuration: Configuration) -> list[LeaderEffect]:
         """Put a newer configuration in force."""
         self.configuration = configuration
+        for agent_id in self.agents:
+            self._bar(agent_id)
         return self._place()
 
+    def _bar(self, agent_id: str) -> None:
+        """Keep new work from an agent that the configuration rules out."""
+        if self.configuration.admits(self.service, agent_id):
+            self.barred.discard(agent_id)
+        else:
+            self.barred.add(agent_id)
+
     # Requests.
 
     def submit(self, token: RequestToken, job: Job) -> list[LeaderEffect]:
@@ -165,6 +175,7 @@
         if self.phase is Phase.ENDED:
             return []
         self.agents[hello.agent_id] = hello
+        self._bar(hello.agent_id)
         fence = Fence(term=self.term, cell=self.cell)
         return [SendToAgent(hello.agent_id, fence)]
 
@@ -334,6 +345,7 @@
             round=round_number,
             proven_stamp_us=member.proven_stamp_us,
             roster=roster if member.roster_version < roster.version else None,
+            config_version=self.configuration.version,
         )
 
     def _heartbeat_reply(
@@ -386,6 +398,7 @@
             for agent_id, member in self.quorum.members.items()
             if member.proven_received > oldest
             and self.quorum.is_counted(agent_id)
+            and agent_id not in self.barred
         }
 
     def _place(self) -> list[LeaderEffect]:
--- /dev/null
+++ b/egretcart/process/operator_api.py
@@ -0,0 +1,119 @@
+"""The part of an entry's HTTP API that serves operators."""
+
+import re
+from typing import Any
+from urllib.parse import parse_qs
+from urllib.parse import urlsplit
+
+import msgspec
+
+from egretcart.connection.http_server import HttpRequest
+from egretcart.connection.http_server import HttpResponse
+from egretcart.connection.http_server import problem_response
+from egretcart.process.config_store import apply_change
+from egretcart.process.config_store import PlatformConfigStore
+from egretcart.process.entry import Entry
+from egretcart.process.platform import Platform
+from egretcart.process.platform import PlatformError
+from egretcart.process.reports import report_processes
+from egretcart.request.problem import bad_request
+from egretcart.request.problem import unavailable
+from egretcart.request.verdict import Verdict
+from egretcart.version.change import CurrentVersion
+from egretcart.version.change import ProposedChange
+from egretcart.version.check import decode_checked
+
+CONFIGURATION_PATH = "/v1/configuration"
+HISTORY_PATH = "/v1/configuration/history"
+PROCESSES_PATH = "/v1/processes"
+ENTRY_PATH = re.compile(HISTORY_PATH + r"/(\d{1,10})")
+APPLY_LIMIT_S = 5.0
+RETRY_AFTER_S = 2.0
+FIRST_FIELD = "first"
+
+
+class OperatorApi:
+    """Answers the operators' commands.
+
+    Parameters
+    ----------
+    entry : Entry
+    platform : Platform or None
+    """
+
+    def __init__(self, *, entry: Entry, platform: Platform | None) -> None:
+        self.entry = entry
+        self.store: PlatformConfigStore | None = None
+        if platform is not None:
+            self.store = PlatformConfigStore(platform=platform)
+
+    def serves(self, path: str) -> bool:
+        """Return whether a path belongs to this API."""
+        return path == PROCESSES_PATH or path.startswith(CONFIGURATION_PATH)
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one HTTP request."""
+        path = urlsplit(request.path).path
+        if request.method == "GET" and path == PROCESSES_PATH:
+            return _json(report_processes(self.entry))
+        if request.method == "GET" and path == CONFIGURATION_PATH:
+            return await self._current()
+        try:
+            return await self._handle_stored(request, path)
+        except PlatformError as error:
+            return problem_response(
+                unavailable(
+                    f"the platform's store: {error}",
+                    verdict=error.verdict,
+                    retry_after_s=RETRY_AFTER_S,
+                )
+            )
+
+    async def _current(self) -> HttpResponse:
+        """Answer with the stored document, or else the one in force."""
+        in_force = self.entry.configuration
+        if self.store is not None:
+            try:
+                return _json(await self.store.read_current())
+            except PlatformError:
+                pass
+        return _json(CurrentVersion(document=in_force, revision=0))
+
+    async def _handle_stored(
+        self, request: HttpRequest, path: str
+    ) -> HttpResponse:
+        if self.store is None:
+            raise PlatformError("the entry has none", Verdict.NOT_RUN)
+        version = ENTRY_PATH.fullmatch(path)
+        if request.method == "GET" and version is not None:
+            return _json(await self.store.read_entry(int(version.group(1))))
+        if request.method == "GET" and path == HISTORY_PATH:
+            fields = parse_qs(urlsplit(request.path).query)
+            first = fields.get(FIRST_FIELD, ["0"])[0]
+            if not first.isdecimal():
+                return problem_response(
+                    bad_request(f"first is {first!r}; accepted: a version")
+                )
+            return _json(await self.store.read_history(int(first)))
+        if request.method == "POST" and path == CONFIGURATION_PATH:
+            return await self._apply(self.store, request.body)
+        return problem_response(
+            bad_request(f"no {request.method} of {path}", status=404)
+        )
+
+    async def _apply(
+        self, store: PlatformConfigStore, body: bytes
+    ) -> HttpResponse:
+        decoded = decode_checked(body, ProposedChange)
+        if decoded.is_err():
+            return problem_response(
+                bad_request(decoded.unwrap_err().to_line())
+            )
+        outcome = await apply_change(
+            store, decoded.unwrap(), time_limit_s=APPLY_LIMIT_S
+        )
+        return _json(outcome)
+
+
+def _json(value: Any) -> HttpResponse:
+    return HttpResponse(body=msgspec.json.encode(value))
--- /dev/null
+++ b/egretcart/process/operator_client.py
@@ -0,0 +1,268 @@
+"""How operators' commands reach the configuration and the processes."""
+
+from collections.abc import Iterable
+import dataclasses
+from typing import Any
+from typing import Protocol
+from typing import TypeVar
+
+import msgspec
+import trio
+
+from egretcart.connection.http_client import ClientResponse
+from egretcart.connection.http_client import ExchangeError
+from egretcart.connection.http_client import HttpClient
+from egretcart.process.config_store import apply_change
+from egretcart.process.config_store import PlatformConfigStore
+from egretcart.process.operator_api import APPLY_LIMIT_S
+from egretcart.process.operator_api import CONFIGURATION_PATH
+from egretcart.process.operator_api import FIRST_FIELD
+from egretcart.process.operator_api import HISTORY_PATH
+from egretcart.process.operator_api import PROCESSES_PATH
+from egretcart.process.platform import EtcdPlatform
+from egretcart.process.platform import PlatformError
+from egretcart.process.registration import list_entries
+from egretcart.process.reports import ProcessesReport
+from egretcart.process.settings import Address
+from egretcart.request.verdict import Verdict
+from egretcart.version.change import AuditEntry
+from egretcart.version.change import CurrentVersion
+from egretcart.version.change import Ended
+from egretcart.version.change import NotReached
+from egretcart.version.change import ProposedChange
+from egretcart.version.change import Undecided
+
+HTTP_OK = 200
+READ_LIMIT_S = 5.0
+REPORT_LIMIT_S = 2.0
+RETRY_PAUSE_S = 0.3
+
+T = TypeVar("T")
+
+
+class OperatorClient(Protocol):
+    """What the commands need.
+
+    Methods but `apply` raise `PlatformError` if there is no answer.
+    """
+
+    async def read_current(self) -> CurrentVersion | None:
+        """Return the current document, or None if there is none."""
+
+    async def read_entry(self, version: int) -> AuditEntry | None:
+        """Return the audit entry of a version, or None."""
+
+    async def read_history(self, first_version: int) -> tuple[AuditEntry, ...]:
+        """Return the audit entries from a version on, oldest first."""
+
+    async def apply(
+        self, change: ProposedChange, *, time_limit_s: float
+    ) -> Ended:
+        """Lead a change to its outcome."""
+
+    async def entry_addresses(self) -> tuple[Address, ...]:
+        """Return HTTP addresses of entries to ask for their reports."""
+
+
+class PlatformClient:
+    """An `OperatorClient` that talks to the platform's store.
+
+    Parameters
+    ----------
+    address : Address
+    """
+
+    def __init__(self, *, address: Address) -> None:
+        self.platform = EtcdPlatform(host=address.host, port=address.port)
+        self.store = PlatformConfigStore(platform=self.platform)
+
+    async def read_current(self) -> CurrentVersion | None:
+        """Return the current document, or None if there is none."""
+        return await self.store.read_current()
+
+    async def read_entry(self, version: int) -> AuditEntry | None:
+        """Return the audit entry of a version, or None."""
+        return await self.store.read_entry(version)
+
+    async def read_history(self, first_version: int) -> tuple[AuditEntry, ...]:
+        """Return the audit entries from a version on, oldest first."""
+        return await self.store.read_history(first_version)
+
+    async def apply(
+        self, change: ProposedChange, *, time_limit_s: float
+    ) -> Ended:
+        """Lead a change to its outcome."""
+        return await apply_change(
+            self.store, change, time_limit_s=time_limit_s
+        )
+
+    async def entry_addresses(self) -> tuple[Address, ...]:
+        """Return HTTP addresses of the entries that are registered."""
+        entries = await list_entries(self.platform)
+        return tuple(
+            Address(host=entry.http_host, port=entry.http_port)
+            for entry in entries
+        )
+
+
+class EntryClient:
+    """An `OperatorClient` that talks to an entry.
+
+    Parameters
+    ----------
+    address : Address
+    """
+
+    def __init__(self, *, address: Address) -> None:
+        self.address = address
+        self.http = HttpClient(
+            host=address.host, port=address.port, max_connections=1
+        )
+
+    async def read_current(self) -> CurrentVersion | None:
+        """Return the current document, or None if there is none."""
+        return await self._get(CONFIGURATION_PATH, CurrentVersion | None)
+
+    async def read_entry(self, version: int) -> AuditEntry | None:
+        """Return the audit entry of a version, or None."""
+        return await self._get(f"{HISTORY_PATH}/{version}", AuditEntry | None)
+
+    async def read_history(self, first_version: int) -> tuple[AuditEntry, ...]:
+        """Return the audit entries from a version on, oldest first."""
+        path = f"{HISTORY_PATH}?{FIRST_FIELD}={first_version}"
+        return await self._get(path, tuple[AuditEntry, ...])
+
+    async def apply(
+        self, change: ProposedChange, *, time_limit_s: float
+    ) -> Ended:
+        """Lead a change to its outcome.
+
+        An entry that breaks off is asked again under the same change id.
+        """
+        outcome: Ended = NotReached(reason="no time")
+        unsettled = True
+        with trio.move_on_after(time_limit_s):
+            while True:
+                unsettled = True
+                outcome = await self._post(change)
+                if not isinstance(outcome, NotReached | Undecided):
+                    return outcome
+                unsettled = change.resumed or isinstance(outcome, Undecided)
+                change = msgspec.structs.replace(change, resumed=unsettled)
+                await trio.sleep(RETRY_PAUSE_S)
+        if not unsettled or not isinstance(outcome, NotReached | Undecided):
+            return outcome
+        return Undecided(change_id=change.change_id, reason=outcome.reason)
+
+    async def read_processes(self) -> ProcessesReport:
+        """Return what the entry knows of all processes."""
+        report: ProcessesReport = await self._get(
+            PROCESSES_PATH, ProcessesReport
+        )
+        return report
+
+    async def entry_addresses(self) -> tuple[Address, ...]:
+        """Return this entry's HTTP address."""
+        return (self.address,)
+
+    async def _post(self, change: ProposedChange) -> Ended:
+        try:
+            outcome: Ended = await self._exchange(
+                "POST",
+                CONFIGURATION_PATH,
+                Ended,
+                msgspec.json.encode(change),
+                APPLY_LIMIT_S * 2,
+            )
+        except PlatformError as error:
+            if error.verdict is Verdict.NOT_RUN:
+                return NotReached(reason=str(error))
+            return Undecided(change_id=change.change_id, reason=str(error))
+        return outcome
+
+    async def _get(self, path: str, kind: Any) -> Any:
+        return await self._exchange("GET", path, kind, b"", READ_LIMIT_S)
+
+    async def _exchange(
+        self, method: str, path: str, kind: Any, body: bytes, limit_s: float
+    ) -> Any:
+        try:
+            response = await self.http.exchange(
+                method, path, body=body, time_limit_s=limit_s
+            )
+            if response.status != HTTP_OK:
+                raise _refusal(response)
+            return msgspec.json.decode(response.body, type=kind)
+        except ExchangeError as error:
+            raise PlatformError(
+                f"entry {self.address.host}:{self.address.port}: {error}",
+                error.verdict,
+            ) from error
+        except msgspec.DecodeError as error:
+            raise PlatformError(f"the entry answered: {error}") from error
+
+
+class _ProblemBody(msgspec.Struct, kw_only=True):
+    detail: str = ""
+    verdict: Verdict = Verdict.MAY_HAVE_RUN
+
+
+def _refusal(response: ClientResponse) -> PlatformError:
+    try:
+        problem = msgspec.json.decode(response.body, type=_ProblemBody)
+    except msgspec.DecodeError:
+        return PlatformError(f"the entry answered {response.status}")
+    return PlatformError(problem.detail, problem.verdict)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Overview:
+    """Reports of all entries, and the addresses that gave none."""
+
+    reports: tuple[ProcessesReport, ...]
+    silent: tuple[str, ...]
+
+
+async def ask_all_entries(first: Iterable[Address]) -> Overview:
+    """Ask entries for their reports, and all others that they name.
+
+    Parameters
+    ----------
+    first : iterable of Address
+        HTTP addresses to begin with.
+
+    Returns
+    -------
+    Overview
+    """
+    waiting = list(first)
+    asked: set[tuple[str, int]] = set()
+    reports: dict[str, ProcessesReport] = {}
+    silent: list[str] = []
+    while waiting:
+        address = waiting.pop()
+        key = (address.host, address.port)
+        if key in asked or not address.port:
+            continue
+        asked.add(key)
+        report = await _ask_entry(address)
+        if report is None:
+            silent.append(f"{address.host}:{address.port}")
+            continue
+        reports[report.entry.entry_id] = report
+        waiting += [
+            Address(host=peer.http_host, port=peer.http_port)
+            for peer in report.peers
+        ]
+    ordered = tuple(report for _, report in sorted(reports.items()))
+    return Overview(reports=ordered, silent=tuple(silent))
+
+
+async def _ask_entry(address: Address) -> ProcessesReport | None:
+    client = EntryClient(address=address)
+    with trio.move_on_after(REPORT_LIMIT_S):
+        try:
+            return await client.read_processes()
+        except PlatformError:
+            return None
+    return None
--- /dev/null
+++ b/egretcart/process/platform_follower.py
@@ -0,0 +1,123 @@
+"""Follows the platform's store for an entry: configuration, entries, rosters.
+
+One range call and one waiting watch cover configuration and entries,
+another pair the rosters; both are renewed now and then, so that a watch
+that died unnoticed is replaced.
+"""
+
+from collections.abc import Callable
+import random
+
+import msgspec
+import trio
+
+from egretcart.connection.messages import EntryAddress
+from egretcart.connection.messages import Roster
+from egretcart.process.config_store import CONFIG_KEY
+from egretcart.process.config_store import decode_configuration
+from egretcart.process.directory import Cell
+from egretcart.process.platform import Change
+from egretcart.process.platform import KeyRange
+from egretcart.process.platform import keys_below
+from egretcart.process.platform import Listing
+from egretcart.process.platform import Platform
+from egretcart.process.platform import PlatformError
+from egretcart.process.registration import decode_address
+from egretcart.process.registration import ENTRIES_PREFIX
+from egretcart.process.rosters import cell_of_key
+from egretcart.process.rosters import ROSTERS_PREFIX
+from egretcart.version.document import Configuration
+
+WATCH_RENEW_S = 60.0
+RETRY_S = 1.0
+# Configuration and entries are neighbours in the order of the keys.
+STATE_RANGE = KeyRange(CONFIG_KEY, keys_below(ENTRIES_PREFIX).end)
+ROSTERS_RANGE = keys_below(ROSTERS_PREFIX)
+
+
+class PlatformFollower:
+    """Hands over what the store holds, and each change of it.
+
+    Parameters
+    ----------
+    platform : Platform
+    source : random.Random
+        Source of jitter, so that entries do not call at the same time.
+    on_configuration : callable
+        Called with the stored document; None if there is none.
+    on_entry : callable
+        Called with the address of each registered entry.
+    on_roster : callable
+        Called with each cell and its roster.
+    on_failure : callable
+        Called whenever the store gives no answer.
+    """
+
+    def __init__(
+        self,
+        *,
+        platform: Platform,
+        source: random.Random,
+        on_configuration: Callable[[Configuration | None], None],
+        on_entry: Callable[[EntryAddress], None],
+        on_roster: Callable[[Cell, Roster], None],
+        on_failure: Callable[[], None],
+    ) -> None:
+        self.platform = platform
+        self.source = source
+        self.on_configuration = on_configuration
+        self.on_entry = on_entry
+        self.on_roster = on_roster
+        self.on_failure = on_failure
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._follow, ROSTERS_RANGE)
+            nursery.start_soon(self._follow, STATE_RANGE)
+
+    async def _follow(self, keys: KeyRange) -> None:
+        while True:
+            try:
+                await self._read_and_watch(keys)
+            except PlatformError:
+                self.on_failure()
+            await trio.sleep(RETRY_S * self.source.uniform(0.1, 1.0))
+
+    async def _read_and_watch(self, keys: KeyRange) -> None:
+        listing = await self.platform.list_range(keys)
+        self._take_listing(keys, listing)
+        renew_s = WATCH_RENEW_S * self.source.uniform(0.75, 1.25)
+        with trio.move_on_after(renew_s):
+            await self.platform.watch(
+                keys, listing.revision + 1, self._take_change
+            )
+
+    def _take_listing(self, keys: KeyRange, listing: Listing) -> None:
+        for key, value in listing.values.items():
+            self._take_value(key, value.data)
+        if keys is STATE_RANGE and CONFIG_KEY not in listing.values:
+            self.on_configuration(None)
+
+    def _take_change(self, change: Change) -> None:
+        if change.value is not None:
+            self._take_value(change.key, change.value.data)
+
+    def _take_value(self, key: str, data: bytes) -> None:
+        if key == CONFIG_KEY:
+            self.on_configuration(decode_configuration(data))
+        elif key.startswith(ENTRIES_PREFIX):
+            address = decode_address(data)
+            if address is not None:
+                self.on_entry(address)
+        elif key.startswith(ROSTERS_PREFIX):
+            self._take_roster(key, data)
+
+    def _take_roster(self, key: str, data: bytes) -> None:
+        cell = cell_of_key(key)
+        try:
+            roster = msgspec.json.decode(data, type=Roster)
+        except msgspec.DecodeError:
+            return
+        if cell is not None:
+            self.on_roster(cell, roster)
--- /dev/null
+++ b/egretcart/process/registration.py
@@ -0,0 +1,111 @@
+"""Registration of live entries in the platform's store, under leases."""
+
+import dataclasses
+import random
+
+import msgspec
+import trio
+
+from egretcart.connection.messages import EntryAddress
+from egretcart.process.platform import keys_below
+from egretcart.process.platform import Platform
+from egretcart.process.platform import PlatformError
+from egretcart.process.platform import PlatformRefusal
+from egretcart.process.platform import Put
+
+ENTRIES_PREFIX = "egretcart/entries/"
+TIME_TO_LIVE_S = 30
+RENEW_S = 10.0
+RETRY_S = 1.0
+
+
+def entry_key(entry_id: str) -> str:
+    """Return the key under which an entry is registered."""
+    return f"{ENTRIES_PREFIX}{entry_id}"
+
+
+def decode_address(data: bytes) -> EntryAddress | None:
+    """Return a registered address, or None if it can't be read."""
+    try:
+        return msgspec.json.decode(data, type=EntryAddress)
+    except msgspec.DecodeError:
+        return None
+
+
+async def list_entries(platform: Platform) -> tuple[EntryAddress, ...]:
+    """Return the addresses of all registered entries."""
+    listing = await platform.list_range(keys_below(ENTRIES_PREFIX))
+    found = [decode_address(value.data) for value in listing.values.values()]
+    return tuple(address for address in found if address is not None)
+
+
+class Registrar:
+    """Keeps one entry registered while its process runs.
+
+    Parameters
+    ----------
+    platform : Platform
+    address : EntryAddress
+    source : random.Random
+        Source of jitter, so that entries do not call at the same time.
+
+    Attributes
+    ----------
+    lease : int
+        0 while the entry is not registered.
+    """
+
+    def __init__(
+        self,
+        *,
+        platform: Platform,
+        address: EntryAddress,
+        source: random.Random,
+    ) -> None:
+        self.platform = platform
+        self.address = address
+        self.source = source
+        self.lease = 0
+
+    async def run(self) -> None:
+        """Register and renew until cancelled."""
+        while True:
+            try:
+                await self.renew()
+                pause_s = RENEW_S
+            except PlatformRefusal:
+                self.lease = 0
+                pause_s = RETRY_S
+            except PlatformError:
+                pause_s = RETRY_S
+            await trio.sleep(pause_s * self.source.uniform(0.5, 1.0))
+
+    async def renew(self) -> None:
+        """Renew the registration, or register again if it has lapsed.
+
+        Raises
+        ------
+        PlatformError
+            If the store gives no answer.
+        """
+        if self.lease and not await self.platform.keep_alive(self.lease):
+            self.lease = 0
+        if self.lease:
+            return
+        lease = await self.platform.grant_lease(TIME_TO_LIVE_S)
+        value = msgspec.json.encode(dataclasses.asdict(self.address))
+        key = entry_key(self.address.entry_id)
+        await self.platform.transact(
+            {}, (Put(key=key, data=value, lease=lease),)
+        )
+        self.lease = lease
+
+    async def leave(self) -> None:
+        """End the registration; a store that is down lets it lapse."""
+        lease, self.lease = self.lease, 0
+        if not lease:
+            return
+        try:
+            await self.platform.revoke_lease(lease)
+        except PlatformError:
+            return
--- /dev/null
+++ b/egretcart/process/reports.py
@@ -0,0 +1,128 @@
+"""What processes report of themselves to operators."""
+
+import msgspec
+
+from egretcart.process.entry import Entry
+
+
+class CellReport(msgspec.Struct, frozen=True, kw_only=True):
+    """A cell that an entry leads."""
+
+    service: str
+    cell: int
+    term: int
+    phase: str
+    jobs: int
+
+
+class EntryReport(msgspec.Struct, frozen=True, kw_only=True):
+    """An entry as it knows itself."""
+
+    entry_id: str
+    config_version: int
+    leaving: bool
+    cells: tuple[CellReport, ...]
+
+
+class PeerReport(msgspec.Struct, frozen=True, kw_only=True):
+    """An entry as another one knows it."""
+
+    entry_id: str
+    config_version: int
+    http_host: str
+    http_port: int
+
+
+class AgentReport(msgspec.Struct, frozen=True, kw_only=True):
+    """An agent as an entry knows it.
+
+    Attributes
+    ----------
+    agent_id, service, failure_domain : str
+    slots : int
+    config_version, term, running, queued : int
+        From its last heartbeat; 0 where `is_led` is false.
+    draining : bool
+    is_led : bool
+        Whether the reporting entry leads it.
+    """
+
+    agent_id: str
+    service: str
+    failure_domain: str
+    slots: int
+    config_version: int = 0
+    term: int = 0
+    running: int = 0
+    queued: int = 0
+    draining: bool = False
+    is_led: bool = False
+
+
+class ProcessesReport(msgspec.Struct, frozen=True, kw_only=True):
+    """All processes that an entry knows."""
+
+    entry: EntryReport
+    peers: tuple[PeerReport, ...]
+    agents: tuple[AgentReport, ...]
+
+
+def report_processes(entry: Entry) -> ProcessesReport:
+    """Return what an entry knows of all processes."""
+    return ProcessesReport(
+        entry=_report_entry(entry),
+        peers=tuple(
+            PeerReport(
+                entry_id=entry_id,
+                config_version=peer.config_version,
+                http_host=peer.address.http_host,
+                http_port=peer.address.http_port,
+            )
+            for entry_id, peer in sorted(entry.directory.peers.items())
+        ),
+        agents=tuple(
+            _report_agent(entry, agent_id) for agent_id in sorted(entry.agents)
+        ),
+    )
+
+
+def _report_entry(entry: Entry) -> EntryReport:
+    cells = tuple(
+        CellReport(
+            service=cell.service,
+            cell=cell.index,
+            term=leadership.term.counter,
+            phase=leadership.phase.value,
+            jobs=len(leadership.book.jobs),
+        )
+        for cell, leadership in sorted(entry.leaderships.items())
+    )
+    return EntryReport(
+        entry_id=entry.address.entry_id,
+        config_version=entry.configuration.version,
+        leaving=entry.directory.leaving,
+        cells=cells,
+    )
+
+
+def _report_agent(entry: Entry, agent_id: str) -> AgentReport:
+    hello = entry.agents[agent_id]
+    report = AgentReport(
+        agent_id=agent_id,
+        service=hello.service_name,
+        failure_domain=hello.failure_domain,
+        slots=hello.slots,
+        draining=hello.draining,
+    )
+    heartbeat = entry.agent_heartbeats.get(agent_id)
+    if heartbeat is None:
+        return report
+    return msgspec.structs.replace(
+        report,
+        config_version=heartbeat.config_version,
+        term=heartbeat.term.counter,
+        running=heartbeat.running,
+        queued=heartbeat.queued,
+        draining=heartbeat.draining,
+        is_led=True,
+    )
--- a/egretcart/process/rosters.py
+++ b/egretcart/process/rosters.py
@@ -9,10 +9,20 @@
 from egretcart.process.platform import Platform
 from egretcart.process.platform import PlatformError
 
+ROSTERS_PREFIX = "egretcart/rosters/"
+
 
 def roster_key(cell: Cell) -> str:
     """Return the key under which a cell's roster is stored."""
-    return f"egretcart/rosters/{cell.service}/{cell.index}"
+    return f"{ROSTERS_PREFIX}{cell.service}/{cell.index}"
+
+
+def cell_of_key(key: str) -> Cell | None:
+    """Return the cell whose roster a key holds, or None."""
+    service, _, index = key.removeprefix(ROSTERS_PREFIX).rpartition("/")
+    if not service or not index.isdecimal():
+        return None
+    return Cell(service, int(index))
 
 
 async def read_roster(platform: Platform, cell: Cell) -> Roster:
--- a/egretcart/process/settings.py
+++ b/egretcart/process/settings.py
@@ -6,9 +6,10 @@
 
 import msgspec
 from result import Err
-from result import Ok
 from result import Result
 
+from egretcart.version.check import decode_checked
+
 Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
 Text = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
 Positive = Annotated[int, msgspec.Meta(ge=1, le=100_000)]
@@ -136,12 +137,13 @@
     Returns
     -------
     Result of settings or str
-        The error names the file, the path of the wrong field, the value's
-        type and what is accepted.
+        The error names the file, the path of the wrong field, the value
+        found and what is accepted.
     """
     try:
-        return Ok(msgspec.json.decode(path.read_bytes(), type=kind))
+        data = path.read_bytes()
     except OSError as error:
         return Err(f"{path}: {error.strerror}")
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return Err(f"{path}: {error}")
+    return decode_checked(data, kind).map_err(
+        lambda finding: f"{path}: {finding.to_line()}"
+    )
--- /dev/null
+++ b/egretcart/process/status_command.py
@@ -0,0 +1,101 @@
+"""The command `status`: every process's version, role, terms and load."""
+
+from collections.abc import Iterable
+
+from egretcart.process.operator_client import ask_all_entries
+from egretcart.process.operator_client import OperatorClient
+from egretcart.process.operator_client import Overview
+from egretcart.process.platform import PlatformError
+from egretcart.process.reports import AgentReport
+from egretcart.process.reports import EntryReport
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+
+
+async def print_status(client: OperatorClient) -> int:
+    """Print a line a process; return 1 if one lags or is silent."""
+    stored = 0
+    try:
+        current = await client.read_current()
+        if current is not None:
+            stored = current.document.version
+    except PlatformError as error:
+        print(f"the platform's store gives no answer: {error}")
+    overview = await ask_all_entries(await client.entry_addresses())
+    lines, lagging = describe(overview, stored)
+    for line in lines:
+        print(line)
+    return EXIT_FAILED if lagging or overview.silent else EXIT_OK
+
+
+def describe(overview: Overview, stored: int) -> tuple[list[str], int]:
+    """Return a line a process, and how many processes lag.
+
+    Parameters
+    ----------
+    overview : Overview
+    stored : int
+        Version in the platform's store; 0 if it is not known.
+
+    Returns
+    -------
+    list of str
+    int
+    """
+    entries = [report.entry for report in overview.reports]
+    agents = merge_agents(
+        agent for report in overview.reports for agent in report.agents
+    )
+    newest = max([stored, *(entry.config_version for entry in entries)])
+    lines = [f"version {newest} is the newest known"]
+    lagging = 0
+    for entry in entries:
+        lag = _lag(entry.config_version, newest)
+        lagging += bool(lag)
+        lines.append(_entry_line(entry) + lag)
+    for agent in agents:
+        lag = _lag(agent.config_version, newest) if agent.is_led else ""
+        lagging += bool(lag)
+        lines.append(_agent_line(agent) + lag)
+    lines += [f"entry at {address}: no answer" for address in overview.silent]
+    return lines, lagging
+
+
+def merge_agents(reports: Iterable[AgentReport]) -> list[AgentReport]:
+    """Return one report an agent, its leader's if there is one."""
+    merged: dict[str, AgentReport] = {}
+    for report in reports:
+        known = merged.get(report.agent_id)
+        if known is None or (report.is_led, report.term) > (
+            known.is_led,
+            known.term,
+        ):
+            merged[report.agent_id] = report
+    return [merged[agent_id] for agent_id in sorted(merged)]
+
+
+def _lag(version: int, newest: int) -> str:
+    return f"  LAGS BY {newest - version}" if version < newest else ""
+
+
+def _entry_line(entry: EntryReport) -> str:
+    cells = "".join(
+        f"  leads {cell.service}/{cell.cell} term {cell.term} "
+        f"{cell.phase} {cell.jobs} jobs"
+        for cell in entry.cells
+    )
+    leaving = "  leaving" if entry.leaving else ""
+    version = entry.config_version
+    return f"entry {entry.entry_id}  version {version}{leaving}{cells}"
+
+
+def _agent_line(agent: AgentReport) -> str:
+    if not agent.is_led:
+        return f"agent {agent.agent_id}  {agent.service}  no leader"
+    draining = "  draining" if agent.draining else ""
+    return (
+        f"agent {agent.agent_id}  version {agent.config_version}  "
+        f"{agent.service}  term {agent.term}  running {agent.running}/"
+        f"{agent.slots}  queued {agent.queued}{draining}"
+    )
--- /dev/null
+++ b/egretcart/version/change.py
@@ -0,0 +1,247 @@
+"""Decision logic of a change of the configuration.
+
+Free of I/O. A change is accepted by one atomic write of the document and
+its audit entry, conditional on the version that the change was made from.
+A write whose answer was lost is settled by reading the audit entry back
+and comparing its change id.
+"""
+
+import msgspec
+
+from egretcart.version.check import check_change
+from egretcart.version.check import check_document
+from egretcart.version.check import Finding
+from egretcart.version.difference import Difference
+from egretcart.version.difference import find_differences
+from egretcart.version.difference import is_same_content
+from egretcart.version.document import Configuration
+
+
+class ProposedChange(msgspec.Struct, frozen=True, kw_only=True):
+    """What an operator wants to put in force.
+
+    Attributes
+    ----------
+    change_id : str
+        Names this change; the same change may be proposed again.
+    base : int
+        Version that the document was made from.
+    document : Configuration
+        Its own version is ignored.
+    who, why : str
+    when : str
+        Time of the proposal, RFC 3339.
+    resumed : bool
+        Whether it was proposed before, with an unknown outcome.
+    """
+
+    change_id: str
+    base: int
+    document: Configuration
+    who: str
+    why: str
+    when: str
+    resumed: bool = False
+
+
+class AuditEntry(msgspec.Struct, frozen=True, kw_only=True):
+    """What the audit trail keeps of an accepted version.
+
+    Attributes
+    ----------
+    version, base : int
+    change_id, who, why, when : str
+    difference : tuple of Difference
+        To the base version.
+    document : Configuration
+    """
+
+    version: int
+    base: int
+    change_id: str
+    who: str
+    why: str
+    when: str
+    difference: tuple[Difference, ...]
+    document: Configuration
+
+
+class CurrentVersion(msgspec.Struct, frozen=True, kw_only=True):
+    """The document in the store and the store's revision of it."""
+
+    document: Configuration
+    revision: int
+
+
+NOTHING_STORED = CurrentVersion(document=Configuration(), revision=0)
+
+
+class ReadCurrent(msgspec.Struct, frozen=True):
+    """Step: read the current document."""
+
+
+class ReadEntry(msgspec.Struct, frozen=True):
+    """Step: read the audit entry of a version."""
+
+    version: int
+
+
+class WriteVersion(msgspec.Struct, frozen=True):
+    """Step: write document and audit entry if the revision still holds."""
+
+    entry: AuditEntry
+    revision: int
+
+
+class Outcome(msgspec.Struct, frozen=True, kw_only=True, tag=True):
+    """Base of all ends of a change."""
+
+
+class Accepted(Outcome, frozen=True, kw_only=True, tag=True):
+    """The change is committed as a version."""
+
+    version: int
+
+
+class Unchanged(Outcome, frozen=True, kw_only=True, tag=True):
+    """The document says what is in force; nothing was written."""
+
+    version: int
+
+
+class Conflict(Outcome, frozen=True, kw_only=True, tag=True):
+    """Not accepted: another version than the base is in force.
+
+    Attributes
+    ----------
+    version : int
+        In force now.
+    who, why : str
+        Of the version that followed the base; empty if not known.
+    difference : tuple of Difference
+        From what is in force to the proposed document.
+    """
+
+    version: int
+    who: str = ""
+    why: str = ""
+    difference: tuple[Difference, ...] = ()
+
+
+class Refused(Outcome, frozen=True, kw_only=True, tag=True):
+    """Not accepted: the document must not follow what is in force."""
+
+    findings: tuple[Finding, ...]
+
+
+class NotReached(Outcome, frozen=True, kw_only=True, tag=True):
+    """Not accepted: the store did not answer before anything was written."""
+
+    reason: str
+
+
+class Undecided(Outcome, frozen=True, kw_only=True, tag=True):
+    """The store went silent after a write; ask again with the change id."""
+
+    change_id: str
+    reason: str
+
+
+Ended = Accepted | Unchanged | Conflict | Refused | NotReached | Undecided
+Step = ReadCurrent | ReadEntry | WriteVersion | Ended
+
+
+class ChangeAttempt:
+    """Leads one change to its outcome, step by step.
+
+    Each method takes the result of the step that was asked for last and
+    returns the next one.
+
+    Parameters
+    ----------
+    change : ProposedChange
+
+    Attributes
+    ----------
+    may_be_written : bool
+        Whether a write of this change may have taken effect.
+    """
+
+    def __init__(self, *, change: ProposedChange) -> None:
+        self.change = change
+        self.may_be_written = change.resumed
+        self.refuted = False
+        self.current = NOTHING_STORED
+
+    def begin(self) -> Step:
+        """Return the first step."""
+        return ReadCurrent()
+
+    def current_read(self, current: CurrentVersion | None) -> Step:
+        """Take in the current document; None if there is none."""
+        self.current = current or NOTHING_STORED
+        in_force = self.current.document
+        if in_force.version > self.change.base or self.refuted:
+            return ReadEntry(self.change.base + 1)
+        if is_same_content(in_force, self.change.document):
+            return Unchanged(version=in_force.version)
+        if in_force.version < self.change.base:
+            return self._conflict(None)
+        findings = check_document(self.change.document)
+        findings += check_change(in_force, self.change.document)
+        if findings:
+            return Refused(findings=findings)
+        return WriteVersion(self._entry(in_force), self.current.revision)
+
+    def entry_read(self, entry: AuditEntry | None) -> Step:
+        """Take in the audit entry of the version after the base."""
+        if entry is not None and entry.change_id == self.change.change_id:
+            return Accepted(version=entry.version)
+        in_force = self.current.document
+        if is_same_content(in_force, self.change.document):
+            return Unchanged(version=in_force.version)
+        return self._conflict(entry)
+
+    def write_ended(self, *, succeeded: bool) -> Step:
+        """Take in the store's answer to the write."""
+        if succeeded:
+            return Accepted(version=self.change.base + 1)
+        # An earlier write of this change may be what refuted this one.
+        self.refuted = True
+        return ReadCurrent()
+
+    def write_lost(self) -> Step:
+        """Take in that a write may or may not have taken effect."""
+        self.may_be_written = True
+        return ReadCurrent()
+
+    def gave_up(self, reason: str) -> Ended:
+        """Return the outcome if the store does not answer any more."""
+        if self.may_be_written:
+            return Undecided(change_id=self.change.change_id, reason=reason)
+        return NotReached(reason=reason)
+
+    def _entry(self, in_force: Configuration) -> AuditEntry:
+        version = self.change.base + 1
+        document = msgspec.structs.replace(
+            self.change.document, version=version
+        )
+        return AuditEntry(
+            version=version,
+            base=self.change.base,
+            change_id=self.change.change_id,
+            who=self.change.who,
+            why=self.change.why,
+            when=self.change.when,
+            difference=find_differences(in_force, document),
+            document=document,
+        )
+
+    def _conflict(self, entry: AuditEntry | None) -> Conflict:
+        in_force = self.current.document
+        return Conflict(
+            version=in_force.version,
+            who=entry.who if entry is not None else "",
+            why=entry.why if entry is not None else "",
+            difference=find_differences(in_force, self.change.document),
+        )
--- /dev/null
+++ b/egretcart/version/difference.py
@@ -0,0 +1,102 @@
+"""Differences between two documents, each with its path."""
+
+from collections.abc import Iterable
+from typing import Any
+
+import msgspec
+
+from egretcart.version.document import Configuration
+
+VERSION_FIELD = "version"
+NAME_FIELD = "name"
+
+
+class Difference(msgspec.Struct, frozen=True, kw_only=True):
+    """One value that differs.
+
+    Attributes
+    ----------
+    path : str
+        Such as ``services[snapcheck].cells``.
+    before, after : any JSON value
+        None where the value is missing.
+    """
+
+    path: str
+    before: Any = None
+    after: Any = None
+
+    def to_line(self) -> str:
+        """Return the difference as a line for people."""
+        before = msgspec.json.encode(self.before).decode()
+        after = msgspec.json.encode(self.after).decode()
+        if self.before is None:
+            return f"+ {self.path}: {after}"
+        if self.after is None:
+            return f"- {self.path}: {before}"
+        return f"~ {self.path}: {before} -> {after}"
+
+
+def find_differences(
+    before: Configuration, after: Configuration
+) -> tuple[Difference, ...]:
+    """Return what differs between two documents but for their versions.
+
+    Parts of a list that have names are matched by name, whatever their
+    order.
+
+    Parameters
+    ----------
+    before, after : Configuration
+
+    Returns
+    -------
+    tuple of Difference
+        In the order of the paths.
+    """
+    found = _compare("", _builtins(before), _builtins(after))
+    return tuple(sorted(found, key=lambda difference: difference.path))
+
+
+def is_same_content(one: Configuration, other: Configuration) -> bool:
+    """Return whether two documents say the same but for their versions."""
+    return not find_differences(one, other)
+
+
+def _builtins(document: Configuration) -> dict[str, Any]:
+    values: dict[str, Any] = msgspec.to_builtins(document)
+    del values[VERSION_FIELD]
+    return values
+
+
+def _compare(path: str, before: Any, after: Any) -> Iterable[Difference]:
+    before, after = _by_name(before), _by_name(after)
+    if before == after:
+        return
+    if not (isinstance(before, dict) and isinstance(after, dict)):
+        yield Difference(path=path, before=before, after=after)
+        return
+    for key in sorted(before.keys() | after.keys()):
+        below = _join(path, key)
+        yield from _compare(below, before.get(key), after.get(key))
+
+
+def _join(path: str, key: str) -> str:
+    if not path or key.startswith("["):
+        return path + key
+    return f"{path}.{key}"
+
+
+def _by_name(value: Any) -> Any:
+    """Return a list of named parts as a dict by name."""
+    if not isinstance(value, list):
+        return value
+    names = [
+        item.get(NAME_FIELD) if isinstance(item, dict) else None
+        for item in value
+    ]
+    if None in names or len(set(names)) < len(names):
+        return value
+    if not names:
+        return {}
+    return {f"[{name}]": item for name, item in zip(names, value, strict=True)}
--- a/egretcart/version/document.py
+++ b/egretcart/version/document.py
@@ -1,5 +1,6 @@
 """The configuration document that operators apply as a whole."""
 
+import fnmatch
 from typing import Annotated
 
 import msgspec
@@ -11,6 +12,8 @@
 Name = Annotated[
     str, msgspec.Meta(pattern="^[a-z0-9][a-z0-9-]{0,62}$", max_length=63)
 ]
+AgentId = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
+Pattern = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
 Milliseconds = Annotated[float, msgspec.Meta(gt=0, le=86_400_000)]
 Count = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
@@ -143,7 +146,7 @@
 
     name: Name
     cells: Annotated[int, msgspec.Meta(ge=1, le=1024)] = 1
-    backends: tuple[str, ...] = ("*",)
+    backends: tuple[Pattern, ...] = ("*",)
     kinds: tuple[Kind, ...] = ()
     retry: RetryPolicy = RetryPolicy()
     hedge: HedgePolicy = HedgePolicy()
@@ -152,6 +155,12 @@
     default_deadline_ms: Milliseconds = 60_000.0
     max_deadline_ms: Milliseconds = 120_000.0
 
+    def may_use(self, agent_id: str) -> bool:
+        """Return whether the service may use an agent."""
+        return any(
+            fnmatch.fnmatchcase(agent_id, pattern) for pattern in self.backends
+        )
+
     def find_kind(self, name: str) -> Kind:
         """Return a kind by name, or the defaults if it is not listed."""
         for kind in self.kinds:
@@ -172,6 +181,8 @@
         A class named "normal" is understood if none is listed.
     teams : tuple of Team
         A team named "default" without slots is understood.
+    drained : tuple of str
+        Agents that get no new work.
     max_tasks_per_job : int
     """
 
@@ -179,6 +190,7 @@
     services: tuple[Service, ...] = ()
     urgency: tuple[UrgencyClass, ...] = ()
     teams: tuple[Team, ...] = ()
+    drained: tuple[AgentId, ...] = ()
     max_tasks_per_job: Annotated[int, msgspec.Meta(ge=1, le=100_000)] = 2000
 
     def find_service(self, name: str) -> Service | None:
@@ -188,6 +200,14 @@
                 return service
         return None
 
+    def admits(self, service_name: str, agent_id: str) -> bool:
+        """Return whether an agent may get new work of a service."""
+        if agent_id in self.drained:
+            return False
+        service = self.find_service(service_name)
+        # The accepted jobs of a service that was removed still finish.
+        return service is None or service.may_use(agent_id)
+
     def find_urgency(self, name: str) -> UrgencyClass | None:
         """Return an urgency class by name, or None if it is unknown."""
         for urgency in self.urgency:
