--- a/egretcart/connection/traffic.py
+++ b/egretcart/connection/traffic.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Iterable
 
+from egretcart.connection.messages import AgentConfig
 from egretcart.connection.messages import AgentHello
 from egretcart.connection.messages import ConfigDocument
 from egretcart.connection.messages import ConfigRequest
@@ -18,6 +19,7 @@
 CONTROL_TYPES = frozenset(
     message_type.__name__
     for message_type in (
+        AgentConfig,
         AgentHello,
         ConfigDocument,
         ConfigRequest,
--- a/egretcart/process/agent_process.py
+++ b/egretcart/process/agent_process.py
@@ -11,6 +11,7 @@
 from egretcart.connection.http_server import HttpConnection
 from egretcart.connection.http_server import HttpLimits
 from egretcart.connection.link import Link
+from egretcart.connection.messages import AgentConfig
 from egretcart.connection.messages import EntryAddress
 from egretcart.connection.messages import EntryHello
 from egretcart.connection.messages import EntryList
@@ -162,6 +163,8 @@
                 self.links[entry_id] = link
             elif isinstance(message, EntryList):
                 self._learn_entries(message.entries)
+            elif isinstance(message, AgentConfig):
+                self._carry_out(self.agent.configure(message))
             elif entry_id is not None and isinstance(message, LeaderMessage):
                 self._carry_out(self.agent.receive(entry_id, message))
 
--- a/egretcart/process/caller_api.py
+++ b/egretcart/process/caller_api.py
@@ -22,6 +22,7 @@
 from egretcart.process.metric_table import RESPONSE_TIME
 from egretcart.process.metrics import Metrics
 from egretcart.process.metrics import TEXT_TYPE
+from egretcart.process.operator_api import OperatorApi
 from egretcart.request.identity import parse_job_id
 from egretcart.request.problem import bad_request
 from egretcart.request.problem import MEDIA_TYPE
@@ -45,6 +46,7 @@
         Carries out the entry's effects.
     metrics : Metrics
     clock : Clock
+    operators : OperatorApi
     """
 
     def __init__(
@@ -54,8 +56,10 @@
         carry_out: Callable[[Iterable[EntryEffect]], None],
         metrics: Metrics,
         clock: Clock,
+        operators: OperatorApi,
     ) -> None:
         self.entry = entry
+        self.operators = operators
         self.carry_out = carry_out
         self.metrics = metrics
         self.clock = clock
@@ -78,6 +82,8 @@
             return await self._handle_job(
                 request, job_path.group(1), job_path.group(2)
             )
+        if self.operators.serves(path):
+            return await self.operators.handle(request)
         if request.method != "GET":
             return problem_response(
                 bad_request(f"no {request.method} of {path}", status=404)
