Split the leader's jobs into table, attempts and book

Requests and ledgers stay in JobBook, starts and results go to Attempts, the jobs and their ends to JobTable. No behaviour changes.

--- a/egretcart/process/jobs.py
+++ b/egretcart/process/jobs.py
@@ -9,22 +9,21 @@
 import dataclasses
 import heapq
 
-from egretcart.connection.messages import CancelJob
 from egretcart.connection.messages import FetchJob
 from egretcart.connection.messages import JobRecord
-from egretcart.connection.messages import Start
 from egretcart.connection.messages import TaskResult
 from egretcart.connection.messages import Term
 from egretcart.process.answers import AnswerCache
+from egretcart.process.attempts import Attempts
 from egretcart.process.clock import Clock
 from egretcart.process.effects import LeaderEffect
 from egretcart.process.effects import RequestToken
 from egretcart.process.effects import SendReply
 from egretcart.process.effects import SendToAgent
+from egretcart.process.job_table import JobTable
 from egretcart.process.ledger import RecordState
 from egretcart.process.limits import LeaderLimits
 from egretcart.process.scheduler import AgentLoad
-from egretcart.process.scheduler import FifoScheduler
 from egretcart.process.scheduler import TaskKey
 from egretcart.process.takeover import KnownJob
 from egretcart.process.takeover import KnownJobs
@@ -34,12 +33,8 @@
 from egretcart.request.job import Job
 from egretcart.request.progress import JobProgress
 from egretcart.request.progress import new_progress
-from egretcart.request.progress import TaskProgress
 from egretcart.request.progress import TaskState
-from egretcart.request.reply import complete_reply
 from egretcart.request.reply import problem_reply
-from egretcart.request.reply import Reply
-from egretcart.request.reply import result_value
 from egretcart.request.reply import running_reply
 from egretcart.request.verdict import Verdict
 
@@ -92,12 +87,12 @@
         self.barrier_ms = 0
         self.serving_since = float("inf")
         self.known = KnownJobs()
-        self.jobs: dict[bytes, JobProgress] = {}
-        self.tokens: dict[bytes, list[RequestToken]] = {}
-        self.loads: dict[str, AgentLoad] = {}
+        self.table = JobTable(term=term, answers=answers)
+        self.jobs = self.table.jobs
+        self.tokens = self.table.tokens
+        self.loads = self.table.loads
         self.lost: dict[str, LostAgent] = {}
-        self.scheduler = FifoScheduler()
-        self.delayed: list[tuple[float, TaskKey]] = []
+        self.attempts = Attempts(table=self.table, limits=limits, clock=clock)
         self.deadlines: list[tuple[float, bytes]] = []
 
     # Requests.
@@ -141,7 +136,7 @@
         if progress is None:
             return self.read(token, job_id)
         self.tokens[job_id.value].append(token)
-        return self._fail(progress, outcomes.cancelled(progress))
+        return self.table.fail(progress, outcomes.cancelled(progress))
 
     def _verdict_of_unknown(self, job_id: JobId) -> Verdict:
         if job_id.created_ms < self.barrier_ms:
@@ -175,7 +170,7 @@
         if key in self.jobs:
             for index, task in enumerate(progress.tasks):
                 if task.state is TaskState.WAITING:
-                    self._queue((key, index), task)
+                    self.attempts.queue((key, index), task)
         return effects
 
     # Ledgers and lost agents.
@@ -283,7 +278,7 @@
         task = progress.tasks[key[1]]
         if task.state is TaskState.PLACED and task.attempt == attempt:
             task.state = TaskState.WAITING
-            self._queue(key, task)
+            self.attempts.queue(key, task)
 
     def _lost_attempt(self, key: TaskKey, attempt: int) -> list[LeaderEffect]:
         """Handle an attempt of which nothing more will be heard."""
@@ -293,181 +288,42 @@
         task = progress.tasks[key[1]]
         if task.state is not TaskState.PLACED or task.attempt != attempt:
             return []
-        return self._attempt_failed(
+        return self.attempts.attempt_failed(
             progress, key, Verdict.MAY_HAVE_RUN, "its agent was lost"
         )
 
-    # Attempts.
-
-    def place(self, usable: Set[str]) -> list[LeaderEffect]:
-        """Send waiting tasks to agents that can take them.
-
-        Parameters
-        ----------
-        usable : set of str
-            Agents that hold a lease on the term.
-
-        Returns
-        -------
-        list of LeaderEffect
-        """
-        effects: list[LeaderEffect] = []
-        while self.scheduler.waiting:
-            key = self.scheduler.waiting[0]
-            progress = self.jobs.get(key[0])
-            if progress is None:
-                self.scheduler.waiting.popleft()
-                continue
-            agent_id = self.scheduler.choose(self.loads, usable)
-            if agent_id is None:
-                break
-            self.scheduler.waiting.popleft()
-            effects.append(self._start(progress, key, agent_id))
-        return effects
-
-    def _start(
-        self, progress: JobProgress, key: TaskKey, agent_id: str
-    ) -> LeaderEffect:
-        now = self.clock.monotonic()
-        job = progress.job
-        task = progress.tasks[key[1]]
-        task.state = TaskState.PLACED
-        task.attempt += 1
-        task.agent_id = agent_id
-        task.placed_at = now
-        self.loads[agent_id].in_flight[key] = task.attempt
-        time_left_s = min(self.limits.attempt_limit_s, progress.deadline - now)
-        definition = job.tasks[key[1]]
-        start = Start(
-            term=self.term,
-            job_id=key[0],
-            digest=job.digest,
-            task=key[1],
-            attempt=task.attempt,
-            kind=definition.kind,
-            payload=definition.payload,
-            idempotent=job.idempotent,
-            time_left_ms=int(time_left_s * MS_PER_S),
-        )
-        return SendToAgent(agent_id, start)
-
-    def task_result(
-        self, agent_id: str, result: TaskResult
-    ) -> list[LeaderEffect]:
-        """Handle the end of an attempt."""
-        key = (result.job_id, result.task)
-        load = self.loads.get(agent_id)
-        if load is None:
-            return []
-        if load.in_flight.get(key) == result.attempt:
-            del load.in_flight[key]
-        progress = self.jobs.get(result.job_id)
-        if progress is None or result.task >= len(progress.tasks):
-            return []
-        task = progress.tasks[result.task]
-        if task.state is TaskState.DONE:
-            return []
-        if result.succeeded:
-            return self._attempt_succeeded(progress, result)
-        if task.attempt != result.attempt or task.agent_id != agent_id:
-            return []
-        verdict = Verdict(result.verdict)
-        return self._attempt_failed(progress, key, verdict, result.error)
-
-    def _attempt_succeeded(
-        self, progress: JobProgress, result: TaskResult
-    ) -> list[LeaderEffect]:
-        job_id = progress.job.job_id
-        if not result.retained:
-            return self._fail(progress, outcomes.answer_gone(job_id))
-        value = result_value(result.body, result.content_type)
-        progress.finish_task(result.task, value)
-        if not progress.is_complete:
-            return []
-        return self._finish(
-            progress, complete_reply(job_id, progress.results())
-        )
-
-    def _attempt_failed(
-        self,
-        progress: JobProgress,
-        key: TaskKey,
-        verdict: Verdict,
-        error: str,
-    ) -> list[LeaderEffect]:
-        task = progress.tasks[key[1]]
-        now = self.clock.monotonic()
-        if verdict is Verdict.NOT_RUN:
-            task.state = TaskState.WAITING
-            task.not_before = now + self.limits.refusal_pause_s
-            self._queue(key, task)
-            return []
-        task.verdict = verdict
-        task.state = TaskState.FAILED
-        if progress.job.idempotent and task.attempt < self.limits.max_attempts:
-            task.state = TaskState.WAITING
-            if verdict is Verdict.MAY_HAVE_RUN:
-                task.not_before = task.placed_at + self.limits.attempt_limit_s
-            self._queue(key, task)
-            return []
-        return self._fail(
-            progress, outcomes.task_failed(progress, key[1], error)
-        )
-
-    def _queue(self, key: TaskKey, task: TaskProgress) -> None:
-        if task.not_before > self.clock.monotonic():
-            heapq.heappush(self.delayed, (task.not_before, key))
-        else:
-            self.scheduler.add([key])
-
     # Time.
 
     def tick(self) -> list[LeaderEffect]:
         """Do what is due by now."""
         now = self.clock.monotonic()
         effects = self._settle_lost(now)
-        while self.delayed and self.delayed[0][0] <= now:
-            _, key = heapq.heappop(self.delayed)
-            self.scheduler.add([key])
+        self.attempts.tick(now)
         while self.deadlines and self.deadlines[0][0] <= now:
             _, job_key = heapq.heappop(self.deadlines)
             progress = self.jobs.get(job_key)
             if progress is not None:
-                effects += self._fail(
+                effects += self.table.fail(
                     progress, outcomes.deadline_passed(progress)
                 )
         return effects
 
-    # Ends.
+    # Attempts.
+
+    @property
+    def has_waiting(self) -> bool:
+        """Whether any task may start now."""
+        return bool(self.attempts.scheduler.waiting)
 
-    def _fail(
-        self, progress: JobProgress, problem: outcomes.Problem
-    ) -> list[LeaderEffect]:
-        return self._finish(progress, problem_reply(problem))
+    def place(self, usable: Set[str]) -> list[LeaderEffect]:
+        """Send waiting tasks to agents that hold a lease on the term."""
+        return self.attempts.place(usable)
 
-    def _finish(
-        self, progress: JobProgress, reply: Reply
+    def task_result(
+        self, agent_id: str, result: TaskResult
     ) -> list[LeaderEffect]:
-        """Answer all who wait and end what still runs."""
-        job_id = progress.job.job_id
-        del self.jobs[job_id.value]
-        if progress.verdict() is not Verdict.NOT_RUN:
-            self.answers.add(job_id, progress.job.digest, reply)
-        effects: list[LeaderEffect] = [
-            SendReply(token, reply) for token in self.tokens.pop(job_id.value)
-        ]
-        busy = sorted(
-            {
-                task.agent_id
-                for task in progress.tasks
-                if task.state is TaskState.PLACED and task.agent_id
-            }
-        )
-        cancel = CancelJob(term=self.term, job_id=job_id.value)
-        for agent_id in busy:
-            if agent_id in self.loads:
-                effects.append(SendToAgent(agent_id, cancel))
-        return effects
+        """Handle the end of an attempt."""
+        return self.attempts.task_result(agent_id, result)
 
 
 def _reply(token: RequestToken, problem: outcomes.Problem) -> SendReply:
--- a/egretcart/process/leadership.py
+++ b/egretcart/process/leadership.py
@@ -391,7 +391,7 @@
     def _place(self) -> list[LeaderEffect]:
         if self.phase is not Phase.SERVING:
             return []
-        if not self.book.scheduler.waiting:
+        if not self.book.has_waiting:
             return []
         return self.book.place(self._usable())
 
@@ -477,7 +477,7 @@
             SendReply(token, NOT_LEADER) for token in tokens
         ]
         self.early = []
-        self.book.tokens = {}
-        self.book.jobs = {}
+        self.book.tokens.clear()
+        self.book.jobs.clear()
         effects.append(StepDown(max(seen, self.term), reason, retry))
         return effects
