--- a/egretcart/connection/messages.py
+++ b/egretcart/connection/messages.py
@@ -24,6 +24,7 @@
 
 
 NO_TERM = Term()
+WHOLE_JOB = -1
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -225,11 +226,19 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class CancelJob:
-    """A leader asks an agent to end all work of a job."""
+class CancelledTask:
+    """One task of a cancel; the task `WHOLE_JOB` stands for all."""
 
-    term: Term = NO_TERM
     job_id: bytes = b""
+    task: int = WHOLE_JOB
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CancelTasks:
+    """A leader asks an agent to end work, of many jobs at a time."""
+
+    term: Term = NO_TERM
+    tasks: tuple[CancelledTask, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -325,7 +334,7 @@
 
 
 AgentMessage = AgentHello | FenceReply | HeartbeatReply | TaskResult
-LeaderMessage = Fence | Heartbeat | Start | CancelJob | FetchJob
+LeaderMessage = Fence | Heartbeat | Start | CancelTasks | FetchJob
 EntryMessage = (
     EntryList
     | EntryHello
--- a/egretcart/connection/wire.thrift
+++ b/egretcart/connection/wire.thrift
@@ -92,7 +92,11 @@
   8: optional bool idempotent
   9: optional i64 time_left_ms
 }
-struct CancelJob { 1: optional Term term, 2: optional binary job_id }
+struct CancelledTask { 1: optional binary job_id, 2: optional i32 task }
+struct CancelTasks {
+  1: optional Term term
+  2: optional list<CancelledTask> tasks
+}
 struct FetchJob { 1: optional Term term, 2: optional binary job_id }
 
 // Between entries, and from entries to agents.
@@ -137,7 +141,7 @@
   5: optional Fence fence
   6: optional Heartbeat heartbeat
   7: optional Start start
-  8: optional CancelJob cancel_job
+  8: optional CancelTasks cancel_tasks
   9: optional FetchJob fetch_job
   10: optional EntryList entry_list
   11: optional EntryHello entry_hello
--- a/egretcart/process/agent.py
+++ b/egretcart/process/agent.py
@@ -8,7 +8,7 @@
 
 from egretcart.connection.messages import AgentHello
 from egretcart.connection.messages import AgentMessage
-from egretcart.connection.messages import CancelJob
+from egretcart.connection.messages import CancelTasks
 from egretcart.connection.messages import Fence
 from egretcart.connection.messages import FenceReply
 from egretcart.connection.messages import FetchJob
@@ -19,6 +19,7 @@
 from egretcart.connection.messages import Roster
 from egretcart.connection.messages import Start
 from egretcart.connection.messages import TaskResult
+from egretcart.connection.messages import WHOLE_JOB
 from egretcart.process.clock import Clock
 from egretcart.process.ledger import Ledger
 from egretcart.process.ledger import LedgerTask
@@ -219,7 +220,7 @@
             return self._heartbeat(entry_id, message)
         if isinstance(message, Fence):
             return self._fence(entry_id, message)
-        if isinstance(message, CancelJob):
+        if isinstance(message, CancelTasks):
             return self._cancel(entry_id, message)
         return self._fetch(entry_id, message)
 
@@ -428,15 +429,20 @@
     def _refuse(self, start: Start, reason: str) -> list[AgentEffect]:
         return self._to_leader(self._refusal(start, reason))
 
-    def _cancel(self, entry_id: str, cancel: CancelJob) -> list[AgentEffect]:
+    def _cancel(self, entry_id: str, cancel: CancelTasks) -> list[AgentEffect]:
         if cancel.term != self.promised or entry_id != self.leader:
             return []
+        cancelled = {(task.job_id, task.task) for task in cancel.tasks}
+
+        def is_cancelled(key: TaskKey) -> bool:
+            return key in cancelled or (key[0], WHOLE_JOB) in cancelled
+
         effects: list[AgentEffect] = []
-        for key in [k for k in self.queued if k[0] == cancel.job_id]:
+        for key in [k for k in self.queued if is_cancelled(k)]:
             queued = self.queued.pop(key)
             effects += self._refuse(queued.start, "the job is cancelled")
         for key in self.running:
-            if key[0] == cancel.job_id:
+            if is_cancelled(key):
                 effects.append(AbortExchange(key))
         return effects
 
--- a/egretcart/process/job_table.py
+++ b/egretcart/process/job_table.py
@@ -1,12 +1,15 @@
 """The unanswered jobs of a cell, and how they end."""
 
-from egretcart.connection.messages import CancelJob
+from egretcart.connection.messages import CancelledTask
+from egretcart.connection.messages import CancelTasks
 from egretcart.connection.messages import Term
+from egretcart.connection.messages import WHOLE_JOB
 from egretcart.process.answers import AnswerCache
 from egretcart.process.effects import LeaderEffect
 from egretcart.process.effects import RequestToken
 from egretcart.process.effects import SendReply
 from egretcart.process.effects import SendToAgent
+from egretcart.process.policy.ordering import TaskOrder
 from egretcart.process.scheduler import AgentLoad
 from egretcart.request.problem import Problem
 from egretcart.request.progress import JobProgress
@@ -23,6 +26,7 @@
     ----------
     term : Term
     answers : AnswerCache
+    order : TaskOrder
 
     Attributes
     ----------
@@ -31,14 +35,20 @@
         Requests that wait for each job's answer.
     loads : dict of str to AgentLoad
         Connected agents that promised the term.
+    cancels : dict of str to list of CancelledTask
+        What each agent is to be told at the next tick.
     """
 
-    def __init__(self, *, term: Term, answers: AnswerCache) -> None:
+    def __init__(
+        self, *, term: Term, answers: AnswerCache, order: TaskOrder
+    ) -> None:
         self.term = term
         self.answers = answers
+        self.order = order
         self.jobs: dict[bytes, JobProgress] = {}
         self.tokens: dict[bytes, list[RequestToken]] = {}
         self.loads: dict[str, AgentLoad] = {}
+        self.cancels: dict[str, list[CancelledTask]] = {}
 
     def fail(
         self, progress: JobProgress, problem: Problem
@@ -52,20 +62,37 @@
         """Answer all who wait and end what still runs."""
         job_id = progress.job.job_id
         del self.jobs[job_id.value]
+        self.order.remove_job(job_id.value)
         if progress.verdict() is not Verdict.NOT_RUN:
             self.answers.add(job_id, progress.job.digest, reply)
-        effects: list[LeaderEffect] = [
+        busy: set[str] = set()
+        for task in progress.tasks:
+            if task.state is TaskState.PLACED and task.agent_id:
+                busy.add(task.agent_id)
+            if task.hedge is not None:
+                busy.add(task.hedge.agent_id)
+        for agent_id in busy:
+            self.cancel(agent_id, job_id.value, WHOLE_JOB)
+        return [
             SendReply(token, reply) for token in self.tokens.pop(job_id.value)
         ]
-        busy = sorted(
-            {
-                task.agent_id
-                for task in progress.tasks
-                if task.state is TaskState.PLACED and task.agent_id
-            }
-        )
-        cancel = CancelJob(term=self.term, job_id=job_id.value)
-        for agent_id in busy:
-            if agent_id in self.loads:
-                effects.append(SendToAgent(agent_id, cancel))
+
+    def cancel(self, agent_id: str, job_id: bytes, task: int) -> None:
+        """Let the next tick tell an agent to end a task or a job.
+
+        The slots stay taken until the agent has reported the ends.
+        """
+        cancelled = CancelledTask(job_id=job_id, task=task)
+        self.cancels.setdefault(agent_id, []).append(cancelled)
+
+    def flush_cancels(self) -> list[LeaderEffect]:
+        """Return one message for each agent that has work to end."""
+        effects: list[LeaderEffect] = [
+            SendToAgent(
+                agent_id, CancelTasks(term=self.term, tasks=tuple(tasks))
+            )
+            for agent_id, tasks in sorted(self.cancels.items())
+            if agent_id in self.loads
+        ]
+        self.cancels.clear()
         return effects
--- a/egretcart/process/jobs.py
+++ b/egretcart/process/jobs.py
@@ -23,6 +23,7 @@
 from egretcart.process.job_table import JobTable
 from egretcart.process.ledger import RecordState
 from egretcart.process.limits import LeaderLimits
+from egretcart.process.policy.bundle import Policy
 from egretcart.process.scheduler import AgentLoad
 from egretcart.process.scheduler import TaskKey
 from egretcart.process.takeover import KnownJob
@@ -31,12 +32,14 @@
 from egretcart.request import outcomes
 from egretcart.request.identity import JobId
 from egretcart.request.job import Job
+from egretcart.request.problem import Problem
 from egretcart.request.progress import JobProgress
 from egretcart.request.progress import new_progress
 from egretcart.request.progress import TaskState
 from egretcart.request.reply import problem_reply
 from egretcart.request.reply import running_reply
 from egretcart.request.verdict import Verdict
+from egretcart.version.document import Configuration
 
 MS_PER_S = 1000
 
@@ -59,6 +62,7 @@
     limits : LeaderLimits
     clock : Clock
     answers : AnswerCache
+    policy : Policy
 
     Attributes
     ----------
@@ -79,6 +83,7 @@
         limits: LeaderLimits,
         clock: Clock,
         answers: AnswerCache,
+        policy: Policy,
     ) -> None:
         self.term = term
         self.limits = limits
@@ -87,14 +92,22 @@
         self.barrier_ms = 0
         self.serving_since = float("inf")
         self.known = KnownJobs()
-        self.table = JobTable(term=term, answers=answers)
+        self.policy = policy
+        self.table = JobTable(term=term, answers=answers, order=policy.order)
         self.jobs = self.table.jobs
         self.tokens = self.table.tokens
         self.loads = self.table.loads
         self.lost: dict[str, LostAgent] = {}
-        self.attempts = Attempts(table=self.table, limits=limits, clock=clock)
+        self.attempts = Attempts(
+            table=self.table, policy=policy, limits=limits, clock=clock
+        )
         self.deadlines: list[tuple[float, bytes]] = []
 
+    def configure(self, configuration: Configuration, service: str) -> None:
+        """Put a configuration in force for the jobs that wait."""
+        slots = sum(load.slots for load in self.loads.values())
+        self.policy.configure(configuration, service, slots=slots)
+
     # Requests.
 
     def submit(self, token: RequestToken, job: Job) -> list[LeaderEffect]:
@@ -147,23 +160,27 @@
         self, token: RequestToken, job: Job, known: KnownJob | None
     ) -> list[LeaderEffect]:
         now = self.clock.monotonic()
-        limit_s = self.limits.default_deadline_s
-        if job.deadline_ms is not None:
-            limit_s = job.deadline_ms / MS_PER_S
-        limit_s = min(limit_s, self.limits.max_deadline_s)
-        progress = new_progress(job, arrived=now, deadline=now + limit_s)
+        deadline = now + self.attempts.time_left_s(job)
+        progress = new_progress(job, arrived=now, deadline=deadline)
         key = job.job_id.value
         if job.job_id.created_ms < self.barrier_ms:
             known_tasks = known.tasks if known else {}
             unknown = len(job.tasks) - len(known_tasks)
             if unknown and not job.idempotent:
                 return [_reply(token, outcomes.unsettled(job, known_tasks))]
-            earliest = self.serving_since + self.limits.attempt_limit_s
-            for task in progress.tasks:
-                task.not_before = earliest
+            for task, definition in zip(
+                progress.tasks, job.tasks, strict=True
+            ):
+                limit_s = self.attempts.longest_limit_s(definition.kind)
+                task.not_before = self.serving_since + limit_s
+        elif known is None:
+            problem = self.attempts.refusal(job)
+            if problem is not None:
+                return self.refuse(token, problem)
         self.jobs[key] = progress
         self.tokens[key] = [token]
         heapq.heappush(self.deadlines, (progress.deadline, key))
+        self.attempts.add_job(progress)
         effects: list[LeaderEffect] = []
         if known is not None:
             effects += self._merge(progress, known)
@@ -173,6 +190,12 @@
                     self.attempts.queue((key, index), task)
         return effects
 
+    def refuse(
+        self, token: RequestToken, problem: Problem
+    ) -> list[LeaderEffect]:
+        """Refuse a job that was never placed, as not run."""
+        return [_reply(token, problem)]
+
     # Ledgers and lost agents.
 
     def agent_fenced(
@@ -180,6 +203,8 @@
     ) -> list[LeaderEffect]:
         """Take in the ledger of an agent that promised the term."""
         self.loads[load.agent_id] = load
+        self.policy.health.connected(load.agent_id)
+        self.attempts.agents_changed()
         effects: list[LeaderEffect] = []
         recorded: set[TaskKey] = set()
         for record in records:
@@ -213,6 +238,8 @@
             lost_at=self.clock.monotonic(),
             in_flight=load.in_flight,
         )
+        self.policy.health.disconnected(agent_id, now=self.clock.monotonic())
+        self.attempts.agents_changed()
 
     def _merge(
         self, progress: JobProgress, known: KnownJob
@@ -229,10 +256,13 @@
                 continue
             if record.attempt < task.attempt:
                 continue
-            task.state = TaskState.PLACED
-            task.attempt = record.attempt
-            task.agent_id = record.agent_id
-            task.placed_at = self.clock.monotonic()
+            self.policy.order.started((key, index))
+            hedge = task.hedge
+            if hedge is None or hedge.attempt != record.attempt:
+                task.state = TaskState.PLACED
+                task.attempt = record.attempt
+                task.agent_id = record.agent_id
+                task.placed_at = self.clock.monotonic()
             effects += self._adopt((key, index), record, fetch_from)
             if key not in self.jobs:
                 return effects
@@ -266,6 +296,7 @@
             if now < lost.lost_at + grace_s:
                 continue
             del self.lost[agent_id]
+            self.policy.run_times.forget(agent_id)
             for key, attempt in lost.in_flight.items():
                 effects += self._lost_attempt(key, attempt)
         return effects
@@ -276,6 +307,8 @@
         if progress is None:
             return
         task = progress.tasks[key[1]]
+        if self.attempts.attempt_gone(task, attempt):
+            return
         if task.state is TaskState.PLACED and task.attempt == attempt:
             task.state = TaskState.WAITING
             self.attempts.queue(key, task)
@@ -286,6 +319,8 @@
         if progress is None:
             return []
         task = progress.tasks[key[1]]
+        if self.attempts.attempt_gone(task, attempt):
+            return []
         if task.state is not TaskState.PLACED or task.attempt != attempt:
             return []
         return self.attempts.attempt_failed(
@@ -306,14 +341,14 @@
                 effects += self.table.fail(
                     progress, outcomes.deadline_passed(progress)
                 )
-        return effects
+        return effects + self.table.flush_cancels()
 
     # Attempts.
 
     @property
     def has_waiting(self) -> bool:
         """Whether any task may start now."""
-        return bool(self.attempts.scheduler.waiting)
+        return self.attempts.has_due
 
     def place(self, usable: Set[str]) -> list[LeaderEffect]:
         """Send waiting tasks to agents that hold a lease on the term."""
@@ -326,5 +361,5 @@
         return self.attempts.task_result(agent_id, result)
 
 
-def _reply(token: RequestToken, problem: outcomes.Problem) -> SendReply:
+def _reply(token: RequestToken, problem: Problem) -> SendReply:
     return SendReply(token, problem_reply(problem))
--- a/egretcart/process/leadership.py
+++ b/egretcart/process/leadership.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import enum
+import random
 
 from egretcart.connection.messages import AgentHello
 from egretcart.connection.messages import AgentMessage
@@ -28,6 +29,7 @@
 from egretcart.process.effects import WriteRoster
 from egretcart.process.jobs import JobBook
 from egretcart.process.limits import LeaderLimits
+from egretcart.process.policy.bundle import standard_policy
 from egretcart.process.quorum import Quorum
 from egretcart.process.scheduler import AgentLoad
 from egretcart.request import outcomes
@@ -109,8 +111,13 @@
         self.incomplete_since = float("inf")
         self.quorum = Quorum(roster=roster)
         self.book = JobBook(
-            term=term, limits=limits, clock=clock, answers=answers
+            term=term,
+            limits=limits,
+            clock=clock,
+            answers=answers,
+            policy=standard_policy(rng=random.Random(repr(term))),
         )
+        self.book.configure(configuration, service)
         self.agents: dict[str, AgentHello] = {}
         self.absent_since: dict[str, float] = {}
         self.early: list[EarlyRequest] = []
@@ -120,6 +127,7 @@
     def configure(self, configuration: Configuration) -> list[LeaderEffect]:
         """Put a newer configuration in force."""
         self.configuration = configuration
+        self.book.configure(configuration, self.service)
         return self._place()
 
     # Requests.
--- a/egretcart/process/limits.py
+++ b/egretcart/process/limits.py
@@ -27,15 +27,9 @@
     window_s : float
         Age up to which a job id may be submitted.
     clock_skew_s : float
-    default_deadline_s : float
-        Time for a job that states no deadline.
     max_deadline_s : float
     attempt_limit_s : float
         Time limit of one attempt at the backend server.
-    refusal_pause_s : float
-        Pause before a task that an agent refused is placed again.
-    max_attempts : int
-        Attempts that may have run, for an idempotent task.
     queue_depth : int
         Starts that may wait at an agent beyond its slots.
     """
@@ -50,11 +44,8 @@
     member_removal_s: float = 60.0
     window_s: float = 300.0
     clock_skew_s: float = 1.0
-    default_deadline_s: float = 60.0
     max_deadline_s: float = 120.0
     attempt_limit_s: float = 10.0
-    refusal_pause_s: float = 0.02
-    max_attempts: int = 3
     queue_depth: int = 2
 
     @property
--- /dev/null
+++ b/egretcart/process/policy/bundle.py
@@ -0,0 +1,123 @@
+"""All parts of the policy together."""
+
+import dataclasses
+import fnmatch
+import random
+
+from egretcart.process.policy.admission import Admission
+from egretcart.process.policy.admission import BoundedWait
+from egretcart.process.policy.estimates import LearnedRunTimes
+from egretcart.process.policy.estimates import RunTimes
+from egretcart.process.policy.health import Health
+from egretcart.process.policy.health import OutlierEjection
+from egretcart.process.policy.hedging import BudgetedHedging
+from egretcart.process.policy.hedging import Hedging
+from egretcart.process.policy.ordering import FairOrder
+from egretcart.process.policy.ordering import TaskOrder
+from egretcart.process.policy.placement import LeastExpectedCompletion
+from egretcart.process.policy.placement import Placement
+from egretcart.process.policy.retries import BudgetedRetries
+from egretcart.process.policy.retries import Retries
+from egretcart.version.document import Configuration
+from egretcart.version.document import Kind
+from egretcart.version.document import Service
+
+
+class ServiceTables:
+    """Look-ups in the configuration of one service.
+
+    Attributes
+    ----------
+    configuration : Configuration
+    service : Service
+    """
+
+    def __init__(self) -> None:
+        self.configuration = Configuration()
+        self.service = Service(name="unknown")
+        self.kinds: dict[str, Kind] = {}
+        self.allowed: dict[str, bool] = {}
+
+    def configure(self, configuration: Configuration, service: str) -> None:
+        """Put a configuration in force."""
+        found = configuration.find_service(service)
+        self.configuration = configuration
+        self.service = found if found is not None else Service(name=service)
+        self.kinds.clear()
+        self.allowed.clear()
+
+    def find_kind(self, name: str) -> Kind:
+        """Return a kind's configuration."""
+        kind = self.kinds.get(name)
+        if kind is None:
+            kind = self.kinds[name] = self.service.find_kind(name)
+        return kind
+
+    def allows(self, agent_id: str) -> bool:
+        """Return whether the service may use an agent."""
+        allowed = self.allowed.get(agent_id)
+        if allowed is None:
+            allowed = self.allowed[agent_id] = any(
+                fnmatch.fnmatchcase(agent_id, pattern)
+                for pattern in self.service.backends
+            )
+        return allowed
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Policy:
+    """The parts that decide for one cell."""
+
+    tables: ServiceTables
+    run_times: RunTimes
+    order: TaskOrder
+    placement: Placement
+    admission: Admission
+    retries: Retries
+    hedging: Hedging
+    health: Health
+
+    def configure(
+        self, configuration: Configuration, service: str, *, slots: int
+    ) -> None:
+        """Put a configuration in force for a cell of some slots."""
+        self.tables.configure(configuration, service)
+        self.admission.configure(configuration, service)
+        self.hedging.configure(self.tables.service.hedge)
+        self.health.configure(self.tables.service.ejection)
+        self.resize(slots)
+
+    def resize(self, slots: int) -> None:
+        """Take in how many slots the cell has."""
+        cells = self.tables.service.cells
+        self.order.configure(
+            self.tables.configuration, slots=slots, cells=cells
+        )
+        self.retries.configure(self.tables.service.retry, slots)
+
+
+def standard_policy(*, rng: random.Random) -> Policy:
+    """Return the policy that a leader uses.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Spreads the times at which refused callers come back.
+
+    Returns
+    -------
+    Policy
+    """
+    tables = ServiceTables()
+    run_times = LearnedRunTimes(find_kind=tables.find_kind)
+    order = FairOrder()
+    return Policy(
+        tables=tables,
+        run_times=run_times,
+        order=order,
+        placement=LeastExpectedCompletion(run_times=run_times),
+        admission=BoundedWait(order=order, run_times=run_times, rng=rng),
+        retries=BudgetedRetries(),
+        hedging=BudgetedHedging(),
+        health=OutlierEjection(),
+    )
--- /dev/null
+++ b/egretcart/process/policy/estimates.py
@@ -0,0 +1,212 @@
+"""Run times learned per agent and kind of task."""
+
+from collections.abc import Callable
+import dataclasses
+import math
+from typing import Protocol
+
+from egretcart.version.document import Kind
+
+# Least share of a new observation's residual that each part takes over.
+KIND_RATE = 0.05
+AGENT_RATE = 0.02
+# Mean slowness, as a logarithm, from which the scale is moved.
+MAX_OFF_CENTER = 0.05
+ERROR_RATE = 0.1
+MEAN_RATE = 0.05
+MAX_MEAN_RESIDUAL = math.log(20.0)
+# A residual beyond this factor is taken for this factor.
+MAX_RESIDUAL = math.log(4.0)
+# Bounds of an agent's slowness relative to the cell.
+MAX_SLOWNESS = math.log(20.0)
+# Errors assumed before anything has been observed.
+FIRST_KIND_ERROR = math.log(1.5)
+FIRST_DECLARED_ERROR = math.log(8.0)
+# Observations after which an estimate counts as learned.
+LEARNED_AFTER = 8
+MIN_RUN_TIME_MS = 0.1
+
+
+class RunTimes(Protocol):
+    """What the policy asks about run times."""
+
+    def task_ms(self, kind: str, declared_ms: float | None) -> float:
+        """Return a task's expected run time on an average agent."""
+
+    def slowness(self, agent_id: str) -> float:
+        """Return the factor by which an agent is slower than average."""
+
+    def is_learned(self, kind: str) -> bool:
+        """Return whether enough tasks of a kind have been observed."""
+
+    def observe(
+        self,
+        agent_id: str,
+        kind: str,
+        declared_ms: float | None,
+        run_ms: float,
+    ) -> None:
+        """Learn from a task that succeeded."""
+
+    def forget(self, agent_id: str) -> None:
+        """Forget an agent that has left."""
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class KindEstimate:
+    """What is known of one kind; times are natural logarithms of ms.
+
+    Attributes
+    ----------
+    run_time : float
+    error : float
+        Mean absolute residual of the kind's own estimate.
+    mean_ratio : float
+        Mean of the run times over their geometric mean.
+    declared_bias : float
+        Mean of run time over declared run time.
+    declared_error : float
+        Mean absolute residual of the declared run times so corrected.
+    observations : int
+    declared_observations : int
+    """
+
+    run_time: float
+    error: float = FIRST_KIND_ERROR
+    mean_ratio: float = 1.0
+    declared_bias: float = 0.0
+    declared_error: float = FIRST_DECLARED_ERROR
+    observations: int = 0
+    declared_observations: int = 0
+
+    @property
+    def declared_weight(self) -> float:
+        """How far a declared run time is trusted, from 0 to 1."""
+        own = self.error * self.error
+        declared = self.declared_error * self.declared_error
+        return own / (own + declared + 1e-9)
+
+
+def _clip(value: float, bound: float) -> float:
+    return max(-bound, min(bound, value))
+
+
+class LearnedRunTimes:
+    """Estimates as the product of a time per kind and a factor per agent.
+
+    Both are moving averages of clipped logarithms, so that neither a
+    straggler nor an agent that answers at once moves them far.
+
+    Parameters
+    ----------
+    find_kind : callable
+        Returns a kind's configuration by name.
+    """
+
+    def __init__(self, *, find_kind: Callable[[str], Kind]) -> None:
+        self.find_kind = find_kind
+        self.kinds: dict[str, KindEstimate] = {}
+        self.agents: dict[str, float] = {}
+        self.observations: dict[str, int] = {}
+
+    def task_ms(self, kind: str, declared_ms: float | None) -> float:
+        """Return a task's expected run time on an average agent, in ms."""
+        estimate = self._kind(kind)
+        typical_ms = math.exp(self._expected(estimate, declared_ms))
+        return typical_ms * estimate.mean_ratio
+
+    def slowness(self, agent_id: str) -> float:
+        """Return the factor by which an agent is slower than average."""
+        return math.exp(self.agents.get(agent_id, 0.0))
+
+    def is_learned(self, kind: str) -> bool:
+        """Return whether enough tasks of a kind have been observed."""
+        return self._kind(kind).observations >= LEARNED_AFTER
+
+    def observe(
+        self,
+        agent_id: str,
+        kind: str,
+        declared_ms: float | None,
+        run_ms: float,
+    ) -> None:
+        """Learn from a task that succeeded.
+
+        Parameters
+        ----------
+        agent_id, kind : str
+        declared_ms : float or None
+            Run time that the caller declared, in milliseconds.
+        run_ms : float
+            Run time observed at the agent, in milliseconds.
+        """
+        estimate = self._kind(kind)
+        slowness = self.agents.get(agent_id, 0.0)
+        observed = math.log(max(run_ms, MIN_RUN_TIME_MS))
+        expected = self._expected(estimate, declared_ms)
+        residual = observed - expected - slowness
+        agent_residual = _clip(residual, MAX_RESIDUAL)
+        ratio = math.exp(_clip(residual, MAX_MEAN_RESIDUAL))
+        estimate.mean_ratio += MEAN_RATE * (ratio - estimate.mean_ratio)
+        count = self.observations.get(agent_id, 0) + 1
+        self.observations[agent_id] = count
+        rate = max(AGENT_RATE, 1 / (count + 1))
+        self.agents[agent_id] = _clip(
+            slowness + rate * agent_residual, MAX_SLOWNESS
+        )
+        self._learn_kind(estimate, observed - slowness)
+        if declared_ms is not None:
+            self._learn_declared(estimate, observed - slowness, declared_ms)
+        self._center()
+
+    def forget(self, agent_id: str) -> None:
+        """Forget an agent that has left."""
+        self.agents.pop(agent_id, None)
+        self.observations.pop(agent_id, None)
+
+    def _kind(self, name: str) -> KindEstimate:
+        estimate = self.kinds.get(name)
+        if estimate is None:
+            first_ms = self.find_kind(name).run_time_ms
+            estimate = KindEstimate(run_time=math.log(first_ms))
+            self.kinds[name] = estimate
+        return estimate
+
+    @staticmethod
+    def _expected(estimate: KindEstimate, declared_ms: float | None) -> float:
+        if declared_ms is None:
+            return estimate.run_time
+        weight = estimate.declared_weight
+        declared = math.log(declared_ms) + estimate.declared_bias
+        return weight * declared + (1 - weight) * estimate.run_time
+
+    @staticmethod
+    def _learn_kind(estimate: KindEstimate, observed: float) -> None:
+        estimate.observations += 1
+        residual = observed - estimate.run_time
+        rate = max(KIND_RATE, 1 / estimate.observations)
+        estimate.run_time += rate * _clip(residual, MAX_RESIDUAL)
+        estimate.error += ERROR_RATE * (abs(residual) - estimate.error)
+
+    @staticmethod
+    def _learn_declared(
+        estimate: KindEstimate, observed: float, declared_ms: float
+    ) -> None:
+        estimate.declared_observations += 1
+        residual = observed - math.log(declared_ms) - estimate.declared_bias
+        rate = max(KIND_RATE, 1 / estimate.declared_observations)
+        estimate.declared_bias += rate * _clip(residual, 2 * MAX_RESIDUAL)
+        estimate.declared_error += ERROR_RATE * (
+            abs(residual) - estimate.declared_error
+        )
+
+    def _center(self) -> None:
+        """Keep the mean slowness at 1, so that kinds keep their scale."""
+        mean = sum(self.agents.values()) / len(self.agents)
+        if abs(mean) < MAX_OFF_CENTER:
+            return
+        for agent_id in self.agents:
+            self.agents[agent_id] -= mean
+        for estimate in self.kinds.values():
+            estimate.run_time += mean
+            estimate.declared_bias += mean
--- /dev/null
+++ b/egretcart/process/policy/hedging.py
@@ -0,0 +1,93 @@
+"""When a straggler is started a second time elsewhere."""
+
+import heapq
+from typing import Protocol
+
+from egretcart.process.policy.retries import ShareBudget
+from egretcart.process.scheduler import TaskKey
+from egretcart.version.document import HedgePolicy
+
+MS_PER_S = 1000
+# Hedges that may be made before the successes have paid for them.
+RESERVE = 4
+
+Watch = tuple[float, TaskKey, int]
+
+
+class Hedging(Protocol):
+    """Decides on second attempts at stragglers."""
+
+    def configure(self, policy: HedgePolicy) -> None:
+        """Put a policy in force."""
+
+    def succeeded(self) -> None:
+        """Count an attempt that succeeded."""
+
+    def watch(
+        self, key: TaskKey, attempt: int, *, expected_ms: float, now: float
+    ) -> None:
+        """Watch an attempt that may be hedged."""
+
+    def has_due(self, now: float) -> bool:
+        """Return whether `due` would return any."""
+
+    def due(self, now: float) -> list[tuple[TaskKey, int]]:
+        """Return the watched attempts that by now are stragglers."""
+
+    def spend(self) -> bool:
+        """Take one hedge out of the budget, if there is one."""
+
+
+class BudgetedHedging:
+    """Hedges attempts that last a multiple of the expected run time."""
+
+    def __init__(self) -> None:
+        self.policy = HedgePolicy()
+        self.budget = ShareBudget(
+            share=self.policy.budget_share, reserve=RESERVE
+        )
+        self.watched: list[Watch] = []
+
+    def configure(self, policy: HedgePolicy) -> None:
+        """Put a policy in force."""
+        self.policy = policy
+        self.budget.share = policy.budget_share
+        if not policy.budget_share:
+            self.budget.saved = 0.0
+
+    def succeeded(self) -> None:
+        """Count an attempt that succeeded."""
+        self.budget.earn()
+
+    def watch(
+        self, key: TaskKey, attempt: int, *, expected_ms: float, now: float
+    ) -> None:
+        """Watch an attempt that may be hedged.
+
+        Parameters
+        ----------
+        key : TaskKey
+        attempt : int
+        expected_ms : float
+            Expected run time at its agent, in milliseconds.
+        now : float
+            Monotonic time in seconds.
+        """
+        after_s = self.policy.after_factor * expected_ms / MS_PER_S
+        heapq.heappush(self.watched, (now + after_s, key, attempt))
+
+    def has_due(self, now: float) -> bool:
+        """Return whether `due` would return any."""
+        return bool(self.watched) and self.watched[0][0] <= now
+
+    def due(self, now: float) -> list[tuple[TaskKey, int]]:
+        """Return the watched attempts that by now are stragglers."""
+        stragglers: list[tuple[TaskKey, int]] = []
+        while self.watched and self.watched[0][0] <= now:
+            _, key, attempt = heapq.heappop(self.watched)
+            stragglers.append((key, attempt))
+        return stragglers
+
+    def spend(self) -> bool:
+        """Take one hedge out of the budget, if there is one."""
+        return self.budget.spend()
--- /dev/null
+++ b/egretcart/process/policy/placement.py
@@ -0,0 +1,230 @@
+"""Which agent a task is sent to."""
+
+from collections.abc import Iterable
+from collections.abc import Set
+import dataclasses
+import heapq
+import math
+from typing import Protocol
+
+from egretcart.process.policy.estimates import RunTimes
+from egretcart.process.scheduler import AgentLoad
+
+# Agents whose speed differs by less than this share count as equal.
+SPEED_STEP = math.log(1.25)
+# Time that a start and its result travel, with both loops' turns.
+ROUND_TRIP_MS = 6.0
+MS_PER_S = 1000
+# A slower agent is used once waiting would take this share of its time.
+HOLD_FACTOR = 1.0
+# Tasks wait only for agents that are faster by this factor.
+HOLD_MIN_GAIN = 1.6
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Candidate:
+    """An agent that may be sent starts.
+
+    Attributes
+    ----------
+    load : AgentLoad
+    limit : int
+        Starts that it may have in flight.
+    """
+
+    load: AgentLoad
+    limit: int
+
+
+class Placement(Protocol):
+    """Chooses agents for one batch of tasks after the other."""
+
+    def survey(
+        self, candidates: Iterable[Candidate], *, mean_ms: float
+    ) -> None:
+        """Take in the speeds of all agents, now and then."""
+
+    def open_batch(
+        self, candidates: Iterable[Candidate], *, now: float
+    ) -> None:
+        """Begin a batch with the agents that may have room."""
+
+    def choose(
+        self,
+        *,
+        waiting: int,
+        avoid: Set[str] = frozenset(),
+        exclude: Set[str] = frozenset(),
+    ) -> str | None:
+        """Return the agent for the next task, or None to let it wait."""
+
+    def placed(self, agent_id: str) -> None:
+        """Take in that the chosen agent has the task in flight."""
+
+
+class LeastExpectedCompletion:
+    """The agent that is expected to finish the task first.
+
+    A task waits for a faster agent if it would be done sooner there, the
+    tasks that wait with it included.
+
+    Parameters
+    ----------
+    run_times : RunTimes
+
+    Attributes
+    ----------
+    held_since : float
+        Monotonic time since which tasks wait though slots are free.
+    """
+
+    def __init__(self, *, run_times: RunTimes) -> None:
+        self.run_times = run_times
+        self.held_since = float("inf")
+        self.now = 0.0
+        self.mean_ms = 1.0
+        self.slowness: dict[str, float] = {}
+        self.rates: list[tuple[float, float]] = []
+        self.batch: dict[str, Candidate] = {}
+        self.heap: list[tuple[float, float, str]] = []
+
+    def survey(
+        self, candidates: Iterable[Candidate], *, mean_ms: float
+    ) -> None:
+        """Take in the speeds of all agents, now and then.
+
+        Parameters
+        ----------
+        candidates : iterable of Candidate
+            All agents that may be sent tasks, full ones included.
+        mean_ms : float
+            Mean run time of the tasks, in milliseconds.
+        """
+        self.mean_ms = mean_ms
+        self.slowness.clear()
+        rates: dict[float, float] = {}
+        for candidate in candidates:
+            load = candidate.load
+            slowness = self._slowness(load.agent_id)
+            slots = min(candidate.limit, load.slots)
+            if slots > 0:
+                rates[slowness] = rates.get(slowness, 0.0) + slots / slowness
+        self.rates = sorted(rates.items())
+
+    def open_batch(
+        self, candidates: Iterable[Candidate], *, now: float
+    ) -> None:
+        """Begin a batch with the agents that may have room.
+
+        Parameters
+        ----------
+        candidates : iterable of Candidate
+        now : float
+            Monotonic time in seconds.
+        """
+        self.now = now
+        self.batch = {
+            candidate.load.agent_id: candidate
+            for candidate in candidates
+            if self._has_room(candidate)
+        }
+        self.heap = [self._entry(c) for c in self.batch.values()]
+        heapq.heapify(self.heap)
+
+    def choose(
+        self,
+        *,
+        waiting: int,
+        avoid: Set[str] = frozenset(),
+        exclude: Set[str] = frozenset(),
+    ) -> str | None:
+        """Return the agent for the next task, or None to let it wait.
+
+        Parameters
+        ----------
+        waiting : int
+            Tasks that wait, this one included.
+        avoid : set of str
+            Agents that are taken only if no other is free.
+        exclude : set of str
+            Agents that are not taken at all.
+
+        Returns
+        -------
+        str or None
+        """
+        entries = self.heap
+        if exclude:
+            entries = [e for e in entries if e[2] not in exclude]
+        if not entries:
+            self.held_since = float("inf")
+            return None
+        if avoid:
+            entries = [e for e in entries if e[2] not in avoid] or entries
+        is_heap = entries is self.heap
+        score, _, agent_id = entries[0] if is_heap else min(entries)
+        if self._should_hold(score, self._slowness(agent_id), waiting):
+            return None
+        self.held_since = float("inf")
+        return agent_id
+
+    def placed(self, agent_id: str) -> None:
+        """Take in that the chosen agent has the task in flight."""
+        candidate = self.batch[agent_id]
+        if self.heap[0][2] != agent_id:
+            self.heap = [e for e in self.heap if e[2] != agent_id]
+            if self._has_room(candidate):
+                self.heap.append(self._entry(candidate))
+            heapq.heapify(self.heap)
+        elif self._has_room(candidate):
+            heapq.heapreplace(self.heap, self._entry(candidate))
+        else:
+            heapq.heappop(self.heap)
+
+    def _slowness(self, agent_id: str) -> float:
+        slowness = self.slowness.get(agent_id)
+        if slowness is None:
+            slowness = _step(self.run_times.slowness(agent_id))
+            self.slowness[agent_id] = slowness
+        return slowness
+
+    def _has_room(self, candidate: Candidate) -> bool:
+        load = candidate.load
+        in_flight = len(load.in_flight)
+        if in_flight < load.slots:
+            return in_flight < candidate.limit
+        depth = min(load.queue_depth, self._queue_depth(load))
+        return in_flight < min(candidate.limit, load.slots + depth)
+
+    def _queue_depth(self, load: AgentLoad) -> int:
+        """Return how many slots are freed during a round trip."""
+        run_ms = self.mean_ms * self._slowness(load.agent_id)
+        return round(load.slots * ROUND_TRIP_MS / run_ms)
+
+    def _entry(self, candidate: Candidate) -> tuple[float, float, str]:
+        """Return the heap entry: completion in mean run times, load, id."""
+        load = candidate.load
+        in_flight = len(load.in_flight)
+        queued = max(0, in_flight + 1 - load.slots)
+        slowness = self._slowness(load.agent_id)
+        completion = slowness * (1 + queued / load.slots)
+        return completion, in_flight / load.slots, load.agent_id
+
+    def _should_hold(
+        self, score: float, slowness: float, waiting: int
+    ) -> bool:
+        """Return whether the task is done sooner if it waits."""
+        enough = slowness / HOLD_MIN_GAIN
+        faster_rate = sum(rate for step, rate in self.rates if step <= enough)
+        if faster_rate <= 0.0:
+            return False
+        if waiting / faster_rate + self.rates[0][0] >= HOLD_FACTOR * score:
+            return False
+        self.held_since = min(self.held_since, self.now)
+        limit_s = slowness * self.mean_ms / MS_PER_S
+        return self.now < self.held_since + limit_s
+
+
+def _step(slowness: float) -> float:
+    """Return a slowness rounded to whole steps."""
+    return math.exp(round(math.log(slowness) / SPEED_STEP) * SPEED_STEP)
--- a/egretcart/process/scheduler.py
+++ b/egretcart/process/scheduler.py
@@ -1,8 +1,5 @@
-"""Which waiting task goes to which agent next."""
+"""What the leader knows of an agent's load."""
 
-from collections import deque
-from collections.abc import Iterable
-from collections.abc import Set
 import dataclasses
 
 TaskKey = tuple[bytes, int]
@@ -38,47 +35,3 @@
     def free(self) -> int:
         """Starts that the agent may still be sent."""
         return self.slots + self.queue_depth - len(self.in_flight)
-
-
-class FifoScheduler:
-    """First come, first served, to the agent with the least load.
-
-    Attributes
-    ----------
-    waiting : deque of TaskKey
-    """
-
-    def __init__(self) -> None:
-        self.waiting: deque[TaskKey] = deque()
-
-    def add(self, keys: Iterable[TaskKey]) -> None:
-        """Add tasks that may start now."""
-        self.waiting.extend(keys)
-
-    def choose(
-        self, loads: dict[str, AgentLoad], usable: Set[str]
-    ) -> str | None:
-        """Return the agent for the next task, or None if all are full.
-
-        Parameters
-        ----------
-        loads : dict of str to AgentLoad
-        usable : set of str
-            Agents that hold a lease on the leader's term.
-
-        Returns
-        -------
-        str or None
-        """
-        candidates = [
-            load
-            for agent_id, load in loads.items()
-            if agent_id in usable and not load.draining and load.free > 0
-        ]
-        if not candidates:
-            return None
-        best = min(
-            candidates,
-            key=lambda load: (len(load.in_flight) / load.slots, load.agent_id),
-        )
-        return best.agent_id
--- a/egretcart/request/outcomes.py
+++ b/egretcart/request/outcomes.py
@@ -128,3 +128,64 @@
         verdict=progress.verdict(),
         tasks=progress.verdicts(),
     )
+
+
+def queue_full(
+    job: Job, waiting: int, most: int, retry_after_s: float
+) -> Problem:
+    """Return the problem for a job that finds too many tasks waiting."""
+    return Problem(
+        status=503,
+        title="Queue Full",
+        detail=(
+            f"{waiting} tasks wait; with the {len(job.tasks)} of job "
+            f"{job.job_id} more than {most} would"
+        ),
+        verdict=Verdict.NOT_RUN,
+        retry_after_s=retry_after_s,
+    )
+
+
+def overloaded(
+    job: Job, wait_ms: float, limit_ms: float, retry_after_s: float
+) -> Problem:
+    """Return the problem for a job that would wait too long.
+
+    Parameters
+    ----------
+    job : Job
+    wait_ms, limit_ms : float
+        Expected and longest accepted wait, in milliseconds.
+    retry_after_s : float
+        When to come back, in seconds.
+
+    Returns
+    -------
+    Problem
+    """
+    return Problem(
+        status=503,
+        title="Overloaded",
+        detail=(
+            f"job {job.job_id} of urgency {job.urgency!r} and team "
+            f"{job.team!r} would wait {wait_ms:.0f} ms; at most "
+            f"{max(0.0, limit_ms):.0f} ms are accepted"
+        ),
+        verdict=Verdict.NOT_RUN,
+        retry_after_s=retry_after_s,
+    )
+
+
+def deadline_unmeetable(
+    job: Job, longest_ms: float, time_left_s: float
+) -> Problem:
+    """Return the problem for a job that no agent can finish in time."""
+    return Problem(
+        status=422,
+        title="Deadline Unmeetable",
+        detail=(
+            f"a task of job {job.job_id} takes {longest_ms:.0f} ms on the "
+            f"fastest agent; its deadline leaves {time_left_s * 1000:.0f} ms"
+        ),
+        verdict=Verdict.NOT_RUN,
+    )
--- a/egretcart/request/progress.py
+++ b/egretcart/request/progress.py
@@ -19,6 +19,26 @@
     FAILED = "failed"
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class HedgeAttempt:
+    """A second attempt that runs beside the newest one.
+
+    Attributes
+    ----------
+    attempt : int
+    agent_id : str
+    placed_at : float
+        Monotonic time.
+    limit_s : float
+        Time limit of the attempt, in seconds.
+    """
+
+    attempt: int
+    agent_id: str
+    placed_at: float
+    limit_s: float
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class TaskProgress:
     """One task at the leader.
@@ -32,6 +52,17 @@
         Agent that has the newest attempt.
     placed_at : float
         Monotonic time of the newest placement.
+    limit_s : float
+        Time limit of the newest attempt; 0 if a former leader made it.
+    hedge : HedgeAttempt or None
+    issued : int
+        Highest attempt number given out.
+    tries : int
+        Attempts that have failed and may have run.
+    refusals : int
+        Attempts that were refused as not run, in a row.
+    failed_on : tuple of str
+        Agents on which attempts have failed that may have run.
     not_before : float
         Monotonic time before which no further attempt may start.
     verdict : Verdict
@@ -44,6 +75,12 @@
     attempt: int = 0
     agent_id: str | None = None
     placed_at: float = 0.0
+    limit_s: float = 0.0
+    hedge: HedgeAttempt | None = None
+    issued: int = 0
+    tries: int = 0
+    refusals: int = 0
+    failed_on: tuple[str, ...] = ()
     not_before: float = float("-inf")
     verdict: Verdict = Verdict.NOT_RUN
     result: msgspec.Raw | None = None
@@ -61,6 +98,8 @@
     tasks : list of TaskProgress
     open_tasks : int
         Tasks that are not done yet.
+    failed_on : set of str
+        Agents on which tasks have failed.
     """
 
     job: Job
@@ -68,6 +107,7 @@
     deadline: float
     tasks: list[TaskProgress]
     open_tasks: int
+    failed_on: set[str] = dataclasses.field(default_factory=set)
 
     @property
     def is_complete(self) -> bool:
@@ -80,8 +120,14 @@
         task.state = TaskState.DONE
         task.verdict = Verdict.RAN
         task.result = result
+        task.hedge = None
         self.open_tasks -= 1
 
+    @property
+    def is_proven(self) -> bool:
+        """Whether some task is done, so that the job can run."""
+        return self.open_tasks < len(self.tasks)
+
     def results(self) -> list[msgspec.Raw]:
         """Return all answers in task order."""
         return [task.result for task in self.tasks if task.result is not None]
--- /dev/null
+++ b/tests/features/steps/policy_fake.py
@@ -0,0 +1,339 @@
+"""A discrete-event fake of agents around one cell's jobs."""
+
+from collections import deque
+import dataclasses
+import heapq
+import itertools
+import random
+
+import msgspec
+
+from egretcart.connection.messages import CancelTasks
+from egretcart.connection.messages import Start
+from egretcart.connection.messages import TaskResult
+from egretcart.connection.messages import Term
+from egretcart.connection.messages import WHOLE_JOB
+from egretcart.process.answers import AnswerCache
+from egretcart.process.effects import RequestToken
+from egretcart.process.effects import SendReply
+from egretcart.process.jobs import JobBook
+from egretcart.process.limits import LeaderLimits
+from egretcart.process.policy.bundle import standard_policy
+from egretcart.process.scheduler import AgentLoad
+from egretcart.request.identity import job_id_at
+from egretcart.request.job import Job
+from egretcart.request.job import Task
+from egretcart.testing.clock import ManualClock
+from egretcart.testing.naive import naive_policy
+from egretcart.version.document import Configuration
+from egretcart.version.document import Service
+
+SERVICE = "service"
+ONE_WAY_S = 0.0005
+TICK_S = 0.02
+
+
+def make_configuration(*, urgency=(), teams=(), **service):
+    return Configuration(
+        version=1,
+        services=(Service(name=SERVICE, **service),),
+        urgency=urgency,
+        teams=teams,
+    )
+
+
+CONFIGURATION = make_configuration()
+
+
+@dataclasses.dataclass(kw_only=True)
+class FakeAgent:
+    """A backend server with its agent; `mode` is ok, fail or instant."""
+
+    agent_id: str
+    domain: str
+    slots: int = 8
+    slowness: float = 1.0
+    mode: str = "ok"
+    queue: deque = dataclasses.field(default_factory=deque)
+    running: dict = dataclasses.field(default_factory=dict)
+    started: int = 0
+    most_held: int = 0
+
+
+@dataclasses.dataclass(kw_only=True)
+class FakeJob:
+    """A submission with what became of it."""
+
+    job: Job
+    submitted: float
+    answered: float | None = None
+    status: int | None = None
+    body: dict | None = None
+    retry_after_s: float | None = None
+
+    @property
+    def true_ms(self):
+        return [float(task.payload.split()[0]) for task in self.job.tasks]
+
+
+def make_agents(count=11, *, slow=0, slowness=4.0, slots=8):
+    return [
+        FakeAgent(
+            agent_id=f"agent-{index}",
+            domain=f"domain-{index // 3}",
+            slots=slots,
+            slowness=slowness if index < slow else 1.0,
+        )
+        for index in range(count)
+    ]
+
+
+class World:
+    """Runs jobs against fake agents under a policy, in simulated time."""
+
+    def __init__(
+        self, agents, *, policy=None, naive=False, configuration=CONFIGURATION,
+        seed=1, straggler_share=0.0, straggler_factor=20.0,
+    ):  # fmt: skip
+        self.clock = ManualClock()
+        self.rng = random.Random(seed)
+        make = naive_policy if naive else standard_policy
+        self.policy = policy or make(rng=random.Random(seed))
+        self.book = JobBook(
+            term=Term(1, 1),
+            limits=LeaderLimits(),
+            clock=self.clock,
+            answers=AnswerCache(max_bytes=1 << 24),
+            policy=self.policy,
+        )
+        self.book.configure(configuration, SERVICE)
+        self.book.serving_since = 0.0
+        self.agents = {agent.agent_id: agent for agent in agents}
+        self.usable = set(self.agents)
+        self.events = []
+        self.numbers = itertools.count()
+        self.jobs = []
+        self.straggler_share = straggler_share
+        self.straggler_factor = straggler_factor
+        self.starts = 0
+        self.cancels = 0
+        self.begun = []
+        for agent in agents:
+            self.join(agent)
+        self.at(TICK_S, self.tick)
+
+    def join(self, agent):
+        load = AgentLoad(
+            agent_id=agent.agent_id,
+            incarnation=1,
+            failure_domain=agent.domain,
+            slots=agent.slots,
+            queue_depth=2,
+        )
+        self.usable.add(agent.agent_id)
+        self.carry_out(self.book.agent_fenced(load, ()))
+
+    def lose(self, agent_id):
+        agent = self.agents[agent_id]
+        agent.running.clear()
+        agent.queue.clear()
+        agent.mode = "lost"
+        self.usable.discard(agent_id)
+        self.book.agent_lost(agent_id)
+
+    def at(self, when, call, *arguments):
+        heapq.heappush(
+            self.events, (when, next(self.numbers), call, arguments)
+        )
+
+    def now(self):
+        return self.clock.monotonic()
+
+    def run(self, until):
+        """Run events up to a time, then stand there."""
+        while self.events and self.events[0][0] <= until:
+            when, _, call, arguments = heapq.heappop(self.events)
+            self.clock.advance(when - self.now())
+            call(*arguments)
+        self.clock.advance(max(0.0, until - self.now()))
+
+    def carry_out(self, effects):
+        for effect in effects:
+            if isinstance(effect, SendReply):
+                self.reply(effect)
+            else:
+                self.at(
+                    self.now() + ONE_WAY_S, self.receive,
+                    effect.agent_id, effect.message,
+                )  # fmt: skip
+        if self.book.has_waiting:
+            placed = self.book.place(self.usable)
+            if placed:
+                self.carry_out(placed)
+
+    def tick(self):
+        self.at(self.now() + TICK_S, self.tick)
+        self.carry_out(self.book.tick())
+
+    # Callers.
+
+    def submit(
+        self, run_ms, *, team="default", urgency="normal", idempotent=True,
+        deadline_ms=None, kind="default", declared_ms=None, outcome="ok",
+    ):  # fmt: skip
+        """Submit a job now; `run_ms` holds each task's true run time."""
+        number = len(self.jobs)
+        declared_ms = declared_ms or [None] * len(run_ms)
+        tasks = tuple(
+            Task(
+                kind=kind,
+                payload=f"{ms} {outcome} {number}/{index}".encode(),
+                run_time_ms=declared,
+            )
+            for index, (ms, declared) in enumerate(
+                zip(run_ms, declared_ms, strict=True)
+            )
+        )
+        job = Job(
+            job_id=job_id_at(self.clock.unix_ms(), number),
+            service=SERVICE,
+            team=team,
+            urgency=urgency,
+            idempotent=idempotent,
+            deadline_ms=deadline_ms,
+            tasks=tasks,
+            digest=b"",
+        )
+        fake = FakeJob(job=job, submitted=self.now())
+        self.jobs.append(fake)
+        token = RequestToken("entry", number)
+        self.carry_out(self.book.submit(token, job))
+        return fake
+
+    def cancel(self, fake):
+        token = RequestToken("entry", self.jobs.index(fake))
+        self.carry_out(self.book.cancel(token, fake.job.job_id))
+
+    def reply(self, effect):
+        fake = self.jobs[effect.token.request_id]
+        if fake.status is None:
+            fake.answered = self.now()
+            fake.status = effect.reply.status
+            fake.body = msgspec.json.decode(effect.reply.body)
+            fake.retry_after_s = effect.reply.retry_after_s
+
+    # Agents.
+
+    def receive(self, agent_id, message):
+        agent = self.agents[agent_id]
+        if agent.mode == "lost":
+            return
+        if isinstance(message, Start):
+            self.starts += 1
+            agent.queue.append(message)
+            held = len(agent.queue) + len(agent.running)
+            agent.most_held = max(agent.most_held, held)
+            self.begin(agent)
+        elif isinstance(message, CancelTasks):
+            self.cancels += 1
+            self.cancel_at(agent, message)
+
+    def cancel_at(self, agent, message):
+        cancelled = {(task.job_id, task.task) for task in message.tasks}
+        for start in [*agent.queue, *agent.running.values()]:
+            whole = (start.job_id, WHOLE_JOB) in cancelled
+            if not whole and (start.job_id, start.task) not in cancelled:
+                continue
+            if start in agent.queue:
+                agent.queue.remove(start)
+                self.end(agent, start, "not_run", 0.0)
+            else:
+                del agent.running[(start.job_id, start.task)]
+                self.end(agent, start, "may_have_run", 0.0)
+        self.begin(agent)
+
+    def begin(self, agent):
+        while agent.queue and len(agent.running) < agent.slots:
+            start = agent.queue.popleft()
+            key = (start.job_id, start.task)
+            assert key not in agent.running
+            agent.running[key] = start
+            agent.started += 1
+            self.begun.append((start.job_id, start.task, agent.agent_id))
+            run_s = self.run_s(agent, start)
+            self.at(self.now() + run_s, self.done, agent, start, run_s)
+
+    def run_s(self, agent, start):
+        if agent.mode in ("fail", "instant"):
+            return 0.001
+        run_s = float(start.payload.split()[0]) / 1000 * agent.slowness
+        if self.rng.random() < self.straggler_share:
+            run_s *= self.straggler_factor
+        return min(run_s, start.time_left_ms / 1000)
+
+    def done(self, agent, start, run_s):
+        key = (start.job_id, start.task)
+        if agent.running.get(key) is not start:
+            return
+        del agent.running[key]
+        failed = agent.mode == "fail" or b"fail" in start.payload
+        self.end(agent, start, "failed" if failed else "ran", run_s)
+        self.begin(agent)
+
+    def end(self, agent, start, verdict, run_s):
+        succeeded = verdict == "ran"
+        result = TaskResult(
+            job_id=start.job_id,
+            task=start.task,
+            attempt=start.attempt,
+            term=start.term,
+            verdict="ran" if verdict == "failed" else verdict,
+            succeeded=succeeded,
+            body=start.payload if succeeded else b"",
+            error="" if succeeded else verdict,
+            run_time_us=int(run_s * 1e6),
+            retained=True,
+        )
+        self.at(self.now() + ONE_WAY_S, self.result, agent.agent_id, result)
+
+    def result(self, agent_id, result):
+        if agent_id in self.usable:
+            self.carry_out(self.book.task_result(agent_id, result))
+
+    # Measures.
+
+    def ideal_s(self, fake):
+        """Return the time in an empty cell, on its fastest agents first."""
+        rate = sum(a.slots / a.slowness for a in self.agents.values())
+        work = fake.true_ms
+        return max(max(work), sum(work) / rate) / 1000 + 2 * ONE_WAY_S
+
+    def ratios(self, *, since=0.0):
+        """Return response time over ideal of the complete jobs."""
+        return sorted(
+            (fake.answered - fake.submitted) / self.ideal_s(fake)
+            for fake in self.jobs
+            if fake.status == 200 and fake.submitted >= since
+        )
+
+    def load(self, share, seconds, *, tasks=(10, 10), mean_ms=200.0, **job):
+        """Schedule jobs at a share of the capacity, with random arrivals."""
+        rate = sum(a.slots / a.slowness for a in self.agents.values())
+        per_s = share * rate * 1000 / mean_ms / (sum(tasks) / 2)
+        when = self.now()
+        while True:
+            when += self.rng.expovariate(per_s)
+            if when > self.now() + seconds:
+                return
+            count = self.rng.randint(*tasks)
+            run_ms = [run_time_ms(self.rng, mean_ms) for _ in range(count)]
+            self.at(when, lambda ms=run_ms: self.submit(ms, **job))
+
+
+def run_time_ms(rng, mean_ms):
+    """Return a run time between a quarter and five times the mean."""
+    return round(mean_ms * min(5.0, 0.25 + rng.expovariate(1 / 0.75)), 1)
+
+
+def quantile(values, share):
+    return values[min(len(values) - 1, int(share * len(values)))]
