Prove the policy's guards by breaking each on a scratch copy

Four first survived and got sharper tests: quotas (now across classes), the spread of the times to come back (now a burst of 700 jobs), the loser's cancel, and a late answer to a task that waits again. The check in Attempts.tick alone survives, since place() checks the same again.

--- a/tests/features/policy.feature
+++ b/tests/features/policy.feature
@@ -46,6 +46,19 @@
     Then every idempotent job is answered and the worker got few tasks
     And the worker is used as before once it is well
 
+  Scenario: A probe risks no job that may run once only
+    When a worker that fails everything is probed under mixed load
+    Then only idempotent tasks were its probes
+
+  Scenario: An agent that refuses starts is not asked again and again
+    When one agent of 11 refuses every start for 5 seconds
+    Then it was asked few times and every job is answered
+
+  Scenario: A late answer ends a task that waits for another try
+    When an agent that was given up answers after all
+    Then the job is complete and its task is not begun again
+    And a task that waits for a slot is not begun after its late answer
+
   Scenario: A worker that answers at once is left out
     When one worker of 11 answers everything at once for 10 seconds
     Then the worker that answers at once got few tasks
--- a/tests/features/steps/policy_fake.py
+++ b/tests/features/steps/policy_fake.py
@@ -47,7 +47,7 @@
 
 @dataclasses.dataclass(kw_only=True)
 class FakeAgent:
-    """A backend server with its agent; `mode` is ok, fail or instant."""
+    """A backend server with its agent; `mode` says how it acts."""
 
     agent_id: str
     domain: str
@@ -57,6 +57,7 @@
     queue: deque = dataclasses.field(default_factory=deque)
     running: dict = dataclasses.field(default_factory=dict)
     started: int = 0
+    refused: int = 0
     most_held: int = 0
 
 
@@ -122,7 +123,7 @@
             self.join(agent)
         self.at(TICK_S, self.tick)
 
-    def join(self, agent):
+    def join(self, agent, *, leased=True):
         load = AgentLoad(
             agent_id=agent.agent_id,
             incarnation=1,
@@ -130,7 +131,8 @@
             slots=agent.slots,
             queue_depth=2,
         )
-        self.usable.add(agent.agent_id)
+        if leased:
+            self.usable.add(agent.agent_id)
         self.carry_out(self.book.agent_fenced(load, ()))
 
     def lose(self, agent_id):
@@ -230,6 +232,10 @@
             return
         if isinstance(message, Start):
             self.starts += 1
+            if agent.mode == "refuse":
+                agent.refused += 1
+                self.end(agent, message, "not_run", 0.0)
+                return
             agent.queue.append(message)
             held = len(agent.queue) + len(agent.running)
             agent.most_held = max(agent.most_held, held)
--- a/tests/features/steps/policy_steps.py
+++ b/tests/features/steps/policy_steps.py
@@ -11,6 +11,7 @@
 from policy_fake import quantile
 from policy_fake import World
 
+from egretcart.connection.messages import TaskResult
 from egretcart.process.policy.estimates import LearnedRunTimes
 from egretcart.process.policy.hedging import RESERVE as HEDGE_RESERVE
 from egretcart.version.document import HedgePolicy
@@ -212,16 +213,17 @@
 @when("a team floods a cell in which another has a quota")
 def flood_team(context):
     teams = (Team(name="quota", slots=6), Team(name="flood", slots=2))
+    urgency = classes(low=1, high=50)
     world = World(
         make_agents(2, slots=8),
-        configuration=make_configuration(teams=teams, urgency=PATIENT),
+        configuration=make_configuration(teams=teams, urgency=urgency),
     )
     for _ in range(300):
-        world.submit([100.0] * 2, team="flood")
+        world.submit([100.0] * 2, team="flood", urgency="high")
     world.run(1.0)
     context.borrowed = len(running_jobs(world))
     for _ in range(100):
-        world.submit([100.0] * 2, team="quota")
+        world.submit([100.0] * 2, team="quota", urgency="low")
     world.run(1.25)
     context.running = running_jobs(world)
 
@@ -230,7 +232,7 @@
 def check_quota(context):
     assert context.borrowed == 16, context.borrowed
     quota = sum(job.team == "quota" for job in context.running)
-    assert quota >= 6, quota
+    assert 6 <= quota <= 7, quota
 
 
 # Admission.
@@ -272,8 +274,15 @@
     refused = [j for j in context.world.jobs if j.status == 503]
     times = sorted(j.submitted + j.retry_after_s for j in refused)
     assert len({round(moment, 3) for moment in times}) > 0.9 * len(times)
-    work_s = sum(sum(j.true_ms) for j in refused) / 1000 / SLOTS
-    assert times[-1] - times[0] > 0.5 * min(work_s, 30.0)
+    burst = World(make_agents())
+    for _ in range(700):
+        burst.submit([200.0] * 10)
+    refused = [j for j in burst.jobs if j.status == 503]
+    returning = collections.Counter()
+    for fake in refused:
+        moment = fake.submitted + fake.retry_after_s
+        returning[int(moment)] += sum(fake.true_ms) / 1000
+    assert max(returning.values()) < 1.5 * SLOTS, returning
     assert all(0.1 <= j.retry_after_s <= 37.5 for j in refused)
 
 
@@ -387,6 +396,100 @@
     assert started > total / 30 / 11 * 10 * 0.5, (started, total)
 
 
+@when("a worker that fails everything is probed under mixed load")
+def run_probes(context):
+    world = World(make_agents())
+    world.load(0.3, 30)
+    world.load(0.3, 30, idempotent=False)
+    world.run(2)
+    world.agents["agent-0"].mode = "fail"
+    world.run(3)
+    context.begun_before = len(world.begun)
+    world.run(30)
+    context.world = world
+
+
+@then("only idempotent tasks were its probes")
+def check_probes(context):
+    world = context.world
+    jobs = {j.job.job_id.value: j.job for j in world.jobs}
+    probes = [
+        jobs[job]
+        for job, _, agent_id in world.begun[context.begun_before :]
+        if agent_id == "agent-0"
+    ]
+    assert 1 <= len(probes) <= 14, len(probes)
+    assert all(job.idempotent for job in probes)
+
+
+@when("one agent of 11 refuses every start for 5 seconds")
+def run_refusing(context):
+    context.world = World(make_agents())
+    context.world.load(0.5, 10)
+    context.world.run(2)
+    context.world.agents["agent-0"].mode = "refuse"
+    context.world.run(7)
+    context.world.agents["agent-0"].mode = "ok"
+    context.world.run(30)
+
+
+@then("it was asked few times and every job is answered")
+def check_refusing(context):
+    refused = context.world.agents["agent-0"].refused
+    assert 8 <= refused <= 120, refused
+    assert {j.status for j in context.world.jobs} == {200}
+
+
+@when("an agent that was given up answers after all")
+def answer_late(context):
+    world = World(make_agents(2, slots=1))
+    world.submit([9000.0])
+    context.fake = world.submit([1500.0, 9950.0])
+    world.run(0.1)
+    agent = world.agents[world.begun[1][2]]
+    world.usable.discard(agent.agent_id)
+    world.book.agent_lost(agent.agent_id)
+    world.run(1.4)
+    world.join(agent)
+    world.run(40)
+    context.world = world
+
+
+@then("the job is complete and its task is not begun again")
+def check_late_answer(context):
+    assert context.fake.status == 200
+    assert 11.3 < context.fake.answered < 11.6
+    assert set(begun_times(context.world).values()) == {1}
+    assert context.world.policy.order.waiting == 0
+
+
+@then("a task that waits for a slot is not begun after its late answer")
+def check_late_answer_in_queue(context):
+    kinds = (Kind(name="default", attempt_limit_ms=1000.0),)
+    world = World(
+        make_agents(2, slots=1), configuration=make_configuration(kinds=kinds)
+    )
+    world.submit([5000.0], kind="long")
+    fake = world.submit([2000.0, 500.0])
+    world.run(0.1)
+    agent = world.agents[world.begun[1][2]]
+    start = next(iter(agent.running.values()))
+    world.usable.discard(agent.agent_id)
+    world.book.agent_lost(agent.agent_id)
+    world.run(2.0)
+    world.join(agent, leased=False)
+    world.run(3.0)
+    assert world.policy.order.waiting == 2
+    answer = TaskResult(
+        job_id=start.job_id, task=0, attempt=start.attempt, term=start.term,
+        verdict="ran", succeeded=True, body=b"late", retained=True,
+    )  # fmt: skip
+    world.carry_out(world.book.task_result(agent.agent_id, answer))
+    world.run(20)
+    assert fake.status == 200
+    assert set(begun_times(world).values()) == {1}
+
+
 @when("one worker of 11 answers everything at once for 10 seconds")
 def run_instant(context):
     run_bad_worker(context, "instant")
@@ -462,6 +565,8 @@
     extra = sum(count - 1 for count in counts.values())
     assert 0 < extra <= HEDGE_RESERVE + 0.02 * len(counts)
     assert set(begun_times(without).values()) == {1}
+    assert without.cancels == 0
+    assert hedged.cancels > 0.5 * extra, (hedged.cancels, extra)
     for load in hedged.book.loads.values():
         assert not load.in_flight
     for agent in hedged.agents.values():
