--- a/egretcart/process/leadership.py
+++ b/egretcart/process/leadership.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import enum
+import random
 
 from egretcart.connection.messages import AgentHello
 from egretcart.connection.messages import AgentMessage
@@ -28,6 +29,7 @@
 from egretcart.process.effects import WriteRoster
 from egretcart.process.jobs import JobBook
 from egretcart.process.limits import LeaderLimits
+from egretcart.process.policy.bundle import standard_policy
 from egretcart.process.quorum import Quorum
 from egretcart.process.scheduler import AgentLoad
 from egretcart.request import outcomes
@@ -109,8 +111,13 @@
         self.incomplete_since = float("inf")
         self.quorum = Quorum(roster=roster)
         self.book = JobBook(
-            term=term, limits=limits, clock=clock, answers=answers
+            term=term,
+            limits=limits,
+            clock=clock,
+            answers=answers,
+            policy=standard_policy(rng=random.Random(repr(term))),
         )
+        self.book.configure(configuration, service)
         self.agents: dict[str, AgentHello] = {}
         self.absent_since: dict[str, float] = {}
         self.early: list[EarlyRequest] = []
@@ -123,6 +130,7 @@
         self.configuration = configuration
         for agent_id in self.agents:
             self._bar(agent_id)
+        self.book.configure(configuration, self.service)
         return self._place()
 
     def _bar(self, agent_id: str) -> None:
@@ -404,7 +412,7 @@
     def _place(self) -> list[LeaderEffect]:
         if self.phase is not Phase.SERVING:
             return []
-        if not self.book.scheduler.waiting:
+        if not self.book.has_waiting:
             return []
         return self.book.place(self._usable())
 
@@ -490,7 +498,7 @@
             SendReply(token, NOT_LEADER) for token in tokens
         ]
         self.early = []
-        self.book.tokens = {}
-        self.book.jobs = {}
+        self.book.tokens.clear()
+        self.book.jobs.clear()
         effects.append(StepDown(max(seen, self.term), reason, retry))
         return effects
--- a/egretcart/process/waste.py
+++ b/egretcart/process/waste.py
@@ -8,10 +8,11 @@
 import enum
 
 from egretcart.connection.messages import AgentMessage
-from egretcart.connection.messages import CancelJob
+from egretcart.connection.messages import CancelTasks
 from egretcart.connection.messages import LeaderMessage
 from egretcart.connection.messages import Start
 from egretcart.connection.messages import TaskResult
+from egretcart.connection.messages import WHOLE_JOB
 from egretcart.request.verdict import Verdict
 
 MAX_ENDED = 10_000
@@ -65,9 +66,11 @@
         """Take note of a message that the leader sends."""
         if isinstance(message, Start):
             self._started(agent_id, message)
-        elif isinstance(message, CancelJob):
+        elif isinstance(message, CancelTasks):
             self.count(WasteCause.CANCELLED, 1)
-            self.cancelled[message.job_id] = True
+            for task in message.tasks:
+                if task.task == WHOLE_JOB:
+                    self.cancelled[task.job_id] = True
             _trim(self.cancelled)
 
     def received(self, agent_id: str, message: AgentMessage) -> None:
--- a/tests/features/steps/metrics_steps.py
+++ b/tests/features/steps/metrics_steps.py
@@ -8,7 +8,8 @@
 from hypothesis import strategies as st
 from processes import HOST
 
-from egretcart.connection.messages import CancelJob
+from egretcart.connection.messages import CancelledTask
+from egretcart.connection.messages import CancelTasks
 from egretcart.connection.messages import Start
 from egretcart.connection.messages import TaskResult
 from egretcart.connection.traffic import CONTROL_TYPES
@@ -130,7 +131,9 @@
 def check_cancelled(context):
     broken = answer(verdict="may_have_run", succeeded=False)
     counts = wasted(
-        ("a", start()), ("a", CancelJob(job_id=JOB)), ("a", broken)
+        ("a", start()),
+        ("a", CancelTasks(tasks=(CancelledTask(job_id=JOB),))),
+        ("a", broken),
     )
     assert counts == {WasteCause.CANCELLED: 3}
 
