Split attempts into fleet, starts and judged results

Fleet says which agents can take tasks, Starts sends them, Attempts judges results. No behaviour changes.

--- /dev/null
+++ b/egretcart/process/fleet.py
@@ -0,0 +1,117 @@
+"""The agents of a cell as the policy sees them."""
+
+from collections.abc import Iterator
+from collections.abc import Set
+
+from egretcart.process.policy.admission import Capacity
+from egretcart.process.policy.bundle import Policy
+from egretcart.process.policy.placement import Candidate
+from egretcart.process.scheduler import AgentLoad
+from egretcart.request.job import Job
+
+# Time between two looks at the speeds of all agents, in seconds.
+SURVEY_INTERVAL_S = 0.1
+MEAN_RUN_TIME_RATE = 0.02
+FIRST_MEAN_RUN_TIME_MS = 200.0
+
+
+class Fleet:
+    """Says which agents can take tasks, and how much they can do.
+
+    Parameters
+    ----------
+    loads : dict of str to AgentLoad
+        Connected agents; owned by the caller.
+    policy : Policy
+
+    Attributes
+    ----------
+    capacity : Capacity
+        What the agents can do, as of the last survey.
+    mean_ms : float
+        Mean expected run time of the tasks started.
+    """
+
+    def __init__(self, *, loads: dict[str, AgentLoad], policy: Policy) -> None:
+        self.loads = loads
+        self.policy = policy
+        self.capacity = Capacity(slots=0, rate=0.0, least_slowness=1.0)
+        self.next_survey = float("-inf")
+        self.mean_ms = FIRST_MEAN_RUN_TIME_MS
+
+    def task_started(self, expected_ms: float) -> None:
+        """Take in the expected run time of a task that was started."""
+        self.mean_ms += MEAN_RUN_TIME_RATE * (expected_ms - self.mean_ms)
+
+    def agents_changed(self) -> None:
+        """Take in that agents have come or gone."""
+        slots = sum(load.slots for load in self.loads.values())
+        self.policy.resize(slots)
+        self.next_survey = float("-inf")
+
+    def survey(self, now: float) -> None:
+        """Take in what the agents can do, if it is time to."""
+        if now < self.next_survey:
+            return
+        self.next_survey = now + SURVEY_INTERVAL_S
+        candidates = [
+            self._candidate(load, now)
+            for load in self.loads.values()
+            if not load.draining and self.policy.tables.allows(load.agent_id)
+        ]
+        self.policy.placement.survey(candidates, mean_ms=self.mean_ms)
+        slots = 0
+        rate = 0.0
+        fastest = float("inf")
+        for candidate in candidates:
+            usable = min(candidate.limit, candidate.load.slots)
+            if not usable:
+                continue
+            slowness = self.policy.run_times.slowness(candidate.load.agent_id)
+            slots += usable
+            rate += usable / slowness
+            fastest = min(fastest, slowness)
+        self.capacity = Capacity(
+            slots=slots,
+            rate=rate,
+            least_slowness=fastest if slots else 1.0,
+        )
+
+    def _candidate(self, load: AgentLoad, now: float) -> Candidate:
+        most = load.slots + load.queue_depth
+        limit = self.policy.health.limit(load.agent_id, most, now=now)
+        return Candidate(load=load, limit=limit)
+
+    def candidates(self, usable: Set[str], now: float) -> Iterator[Candidate]:
+        """Yield the agents that may have room."""
+        for agent_id, load in self.loads.items():
+            if load.free <= 0 or load.draining or agent_id not in usable:
+                continue
+            if not self.policy.tables.allows(agent_id):
+                continue
+            candidate = self._candidate(load, now)
+            if candidate.limit > 0:
+                yield candidate
+
+    def domains_of(self, failed_on: tuple[str, ...]) -> Set[str]:
+        """Return the agents of the failure domains where a task failed."""
+        if not failed_on:
+            return frozenset()
+        domains = {
+            self.loads[a].failure_domain for a in failed_on if a in self.loads
+        }
+        return {
+            load.agent_id
+            for load in self.loads.values()
+            if load.failure_domain in domains or load.agent_id in failed_on
+        }
+
+    def probed_agents(self, job: Job, now: float) -> Set[str]:
+        """Return the agents that must not be probed with a job's tasks."""
+        if job.idempotent or not self.policy.health.has_ejected:
+            return frozenset()
+        return {
+            agent_id
+            for agent_id in self.loads
+            if self.policy.health.is_probe(agent_id, now=now)
+        }
--- a/egretcart/process/jobs.py
+++ b/egretcart/process/jobs.py
@@ -187,7 +187,7 @@
         if key in self.jobs:
             for index, task in enumerate(progress.tasks):
                 if task.state is TaskState.WAITING:
-                    self.attempts.queue((key, index), task)
+                    self.attempts.starts.queue((key, index), task)
         return effects
 
     def refuse(
@@ -204,7 +204,7 @@
         """Take in the ledger of an agent that promised the term."""
         self.loads[load.agent_id] = load
         self.policy.health.connected(load.agent_id)
-        self.attempts.agents_changed()
+        self.attempts.fleet.agents_changed()
         effects: list[LeaderEffect] = []
         recorded: set[TaskKey] = set()
         for record in records:
@@ -239,7 +239,7 @@
             in_flight=load.in_flight,
         )
         self.policy.health.disconnected(agent_id, now=self.clock.monotonic())
-        self.attempts.agents_changed()
+        self.attempts.fleet.agents_changed()
 
     def _merge(
         self, progress: JobProgress, known: KnownJob
@@ -311,7 +311,7 @@
             return
         if task.state is TaskState.PLACED and task.attempt == attempt:
             task.state = TaskState.WAITING
-            self.attempts.queue(key, task)
+            self.attempts.starts.queue(key, task)
 
     def _lost_attempt(self, key: TaskKey, attempt: int) -> list[LeaderEffect]:
         """Handle an attempt of which nothing more will be heard."""
@@ -333,7 +333,7 @@
         """Do what is due by now."""
         now = self.clock.monotonic()
         effects = self._settle_lost(now)
-        self.attempts.tick(now)
+        self.attempts.starts.tick(now)
         while self.deadlines and self.deadlines[0][0] <= now:
             _, job_key = heapq.heappop(self.deadlines)
             progress = self.jobs.get(job_key)
@@ -348,11 +348,11 @@
     @property
     def has_waiting(self) -> bool:
         """Whether any task may start now."""
-        return self.attempts.has_due
+        return self.attempts.starts.has_due
 
     def place(self, usable: Set[str]) -> list[LeaderEffect]:
         """Send waiting tasks to agents that hold a lease on the term."""
-        return self.attempts.place(usable)
+        return self.attempts.starts.place(usable)
 
     def task_result(
         self, agent_id: str, result: TaskResult
--- a/egretcart/process/policy/bundle.py
+++ b/egretcart/process/policy/bundle.py
@@ -22,6 +22,8 @@
 from egretcart.version.document import Kind
 from egretcart.version.document import Service
 
+MS_PER_S = 1000
+
 
 class ServiceTables:
     """Look-ups in the configuration of one service.
@@ -53,6 +55,10 @@
             kind = self.kinds[name] = self.service.find_kind(name)
         return kind
 
+    def attempt_limit_s(self, kind: str) -> float:
+        """Return the time limit of an attempt at a task of a kind."""
+        return self.find_kind(kind).attempt_limit_ms / MS_PER_S
+
     def allows(self, agent_id: str) -> bool:
         """Return whether the service may use an agent."""
         allowed = self.allowed.get(agent_id)
--- /dev/null
+++ b/egretcart/process/starts.py
@@ -0,0 +1,204 @@
+"""Starts of waiting tasks, and of stragglers a second time."""
+
+from collections.abc import Set
+import heapq
+
+from egretcart.connection.messages import Start
+from egretcart.process.clock import Clock
+from egretcart.process.effects import LeaderEffect
+from egretcart.process.effects import SendToAgent
+from egretcart.process.fleet import Fleet
+from egretcart.process.job_table import JobTable
+from egretcart.process.policy.bundle import Policy
+from egretcart.process.scheduler import TaskKey
+from egretcart.request.progress import HedgeAttempt
+from egretcart.request.progress import JobProgress
+from egretcart.request.progress import TaskProgress
+from egretcart.request.progress import TaskState
+
+MS_PER_S = 1000
+
+
+class Starts:
+    """Sends tasks to agents once they may start.
+
+    Parameters
+    ----------
+    table : JobTable
+    policy : Policy
+    fleet : Fleet
+    clock : Clock
+
+    Attributes
+    ----------
+    delayed : list of (float, TaskKey)
+        Heap of tasks that may start at a monotonic time.
+    """
+
+    def __init__(
+        self,
+        *,
+        table: JobTable,
+        policy: Policy,
+        fleet: Fleet,
+        clock: Clock,
+    ) -> None:
+        self.table = table
+        self.policy = policy
+        self.fleet = fleet
+        self.clock = clock
+        self.delayed: list[tuple[float, TaskKey]] = []
+
+    def queue(self, key: TaskKey, task: TaskProgress) -> None:
+        """Let a task start once its pause has passed."""
+        if task.not_before > self.clock.monotonic():
+            heapq.heappush(self.delayed, (task.not_before, key))
+        else:
+            self.policy.order.push(key, again=task.issued > 0)
+
+    def tick(self, now: float) -> None:
+        """Queue the tasks whose pause has passed."""
+        while self.delayed and self.delayed[0][0] <= now:
+            _, key = heapq.heappop(self.delayed)
+            progress = self.table.jobs.get(key[0])
+            if progress is None:
+                continue
+            task = progress.tasks[key[1]]
+            if task.state is TaskState.WAITING:
+                self.policy.order.push(key, again=task.issued > 0)
+
+    @property
+    def has_due(self) -> bool:
+        """Whether any task may start now."""
+        if self.policy.order.waiting:
+            return True
+        return self.policy.hedging.has_due(self.clock.monotonic())
+
+    def place(self, usable: Set[str]) -> list[LeaderEffect]:
+        """Send waiting tasks to agents that can take them.
+
+        Parameters
+        ----------
+        usable : set of str
+            Agents that hold a lease on the term.
+
+        Returns
+        -------
+        list of LeaderEffect
+        """
+        now = self.clock.monotonic()
+        order = self.policy.order
+        placement = self.policy.placement
+        self.fleet.survey(now)
+        placement.open_batch(self.fleet.candidates(usable, now), now=now)
+        effects: list[LeaderEffect] = []
+        while (key := order.peek()) is not None:
+            progress = self.table.jobs[key[0]]
+            task = progress.tasks[key[1]]
+            if task.state is not TaskState.WAITING:
+                order.take()
+                if task.state is not TaskState.PLACED:
+                    order.stopped(key, done=False)
+                continue
+            agent_id = placement.choose(
+                waiting=order.waiting,
+                avoid=self.fleet.domains_of(task.failed_on),
+                exclude=self.fleet.probed_agents(progress.job, now),
+            )
+            if agent_id is None:
+                break
+            order.take()
+            effects.append(self._place_task(progress, key, agent_id, now))
+            placement.placed(agent_id)
+        if not order.waiting:
+            effects += self._hedge(now)
+        return effects
+
+    def _place_task(
+        self, progress: JobProgress, key: TaskKey, agent_id: str, now: float
+    ) -> LeaderEffect:
+        task = progress.tasks[key[1]]
+        attempt = max(task.attempt, task.issued) + 1
+        task.state = TaskState.PLACED
+        task.attempt = attempt
+        task.agent_id = agent_id
+        task.placed_at = now
+        start = self._start(progress, key, agent_id, now)
+        task.limit_s = start.time_left_ms / MS_PER_S
+        kind = self.policy.tables.find_kind(start.kind)
+        definition = progress.job.tasks[key[1]]
+        expected_ms = self.policy.run_times.task_ms(
+            definition.kind, definition.run_time_ms
+        )
+        self.fleet.task_started(expected_ms)
+        if kind.hedge and progress.job.idempotent:
+            slowness = self.policy.run_times.slowness(agent_id)
+            self.policy.hedging.watch(
+                key, attempt, expected_ms=expected_ms * slowness, now=now
+            )
+        return SendToAgent(agent_id, start)
+
+    def _start(
+        self, progress: JobProgress, key: TaskKey, agent_id: str, now: float
+    ) -> Start:
+        """Return the start of a new attempt and count it as in flight."""
+        job = progress.job
+        task = progress.tasks[key[1]]
+        task.issued = max(task.attempt, task.issued + 1)
+        self.table.loads[agent_id].in_flight[key] = task.issued
+        definition = job.tasks[key[1]]
+        time_left_s = min(
+            self.policy.tables.attempt_limit_s(definition.kind),
+            progress.deadline - now,
+        )
+        return Start(
+            term=self.table.term,
+            job_id=key[0],
+            digest=job.digest,
+            task=key[1],
+            attempt=task.issued,
+            kind=definition.kind,
+            payload=definition.payload,
+            idempotent=job.idempotent,
+            time_left_ms=int(time_left_s * MS_PER_S),
+        )
+
+    def _hedge(self, now: float) -> list[LeaderEffect]:
+        """Start stragglers a second time while slots are idle."""
+        effects: list[LeaderEffect] = []
+        for key, attempt in self.policy.hedging.due(now):
+            progress = self.table.jobs.get(key[0])
+            if progress is None:
+                continue
+            task = progress.tasks[key[1]]
+            if task.state is not TaskState.PLACED or task.attempt != attempt:
+                continue
+            if task.hedge is None and task.agent_id is not None:
+                effects += self._hedge_task(progress, key, now)
+        return effects
+
+    def _hedge_task(
+        self, progress: JobProgress, key: TaskKey, now: float
+    ) -> list[LeaderEffect]:
+        task = progress.tasks[key[1]]
+        definition = progress.job.tasks[key[1]]
+        expected_ms = self.policy.run_times.task_ms(
+            definition.kind, definition.run_time_ms
+        )
+        if now + expected_ms / MS_PER_S > progress.deadline:
+            return []
+        used = (task.agent_id or "",)
+        agent_id = self.policy.placement.choose(
+            waiting=1, avoid=self.fleet.domains_of(used), exclude=set(used)
+        )
+        if agent_id is None or not self.policy.hedging.spend():
+            return []
+        start = self._start(progress, key, agent_id, now)
+        task.hedge = HedgeAttempt(
+            attempt=start.attempt,
+            agent_id=agent_id,
+            placed_at=now,
+            limit_s=start.time_left_ms / MS_PER_S,
+        )
+        self.policy.placement.placed(agent_id)
+        return [SendToAgent(agent_id, start)]
