Stop entries and agents as planned, and bound every connection

Cause: SIGTERM ended a process at once and cut off its callers; a silent or frozen peer kept its link for ever; a caller could send its header as slowly as it liked, or never read; a frozen agent kept its tasks.

An entry puts readiness off, resigns once another entry can lead, keeps accepting for a grace time, answers every caller and leaves within a bound. An agent drains, finishes what runs and tells its leader. The second signal or the bound ends both with problem documents. Links lose peers that do not introduce themselves in 5 s, do not answer a heartbeat in 3 s, or do not read (64 MiB waiting); keepalive finds dead hosts, and messages are checked before the decision logic sees them.

--- a/egretcart/connection/http_client.py
+++ b/egretcart/connection/http_client.py
@@ -1,11 +1,11 @@
 """HTTP client side, by h11, with a verdict for every broken exchange."""
 
 import dataclasses
-import select
 
 import h11
 import trio
 
+from egretcart.connection.readable import is_readable
 from egretcart.request.verdict import Verdict
 
 RECEIVE_BYTES = 64 * 1024
@@ -148,7 +148,7 @@
         """Return a kept connection that the server has not closed."""
         while self.idle:
             stream = self.idle.pop()
-            if not _is_readable(stream):
+            if not is_readable(stream):
                 return stream
             stream.socket.close()
         return None
@@ -164,13 +164,6 @@
     verdict: Verdict = Verdict.NOT_RUN
 
 
-def _is_readable(stream: trio.SocketStream) -> bool:
-    """Return whether an idle connection has ended or has stray data."""
-    poll = select.poll()
-    poll.register(stream.socket.fileno(), select.POLLIN)
-    return bool(poll.poll(0))
-
-
 async def _receive_response(
     stream: trio.SocketStream, protocol: h11.Connection
 ) -> ClientResponse:
--- /dev/null
+++ b/egretcart/connection/http_listener.py
@@ -0,0 +1,95 @@
+"""The connections of an HTTP server, bounded and closed in order."""
+
+import trio
+
+from egretcart.connection.http_server import Handler
+from egretcart.connection.http_server import HttpConnection
+from egretcart.connection.http_server import HttpLimits
+from egretcart.request.problem import unavailable
+from egretcart.request.verdict import Verdict
+
+REFUSED_CONNECTIONS = 256
+REFUSED_RETRY_S = 1.0
+POLL_S = 0.02
+
+
+class HttpListener:
+    """Accepts and serves HTTP connections.
+
+    Parameters
+    ----------
+    handler : callable
+        Takes an `HttpRequest`, returns an `HttpResponse`.
+    limits : HttpLimits
+
+    Attributes
+    ----------
+    connections : set of HttpConnection
+    stopping : bool
+        Whether connections are closed after their response.
+    """
+
+    def __init__(self, *, handler: Handler, limits: HttpLimits) -> None:
+        self.handler = handler
+        self.limits = limits
+        self.connections: set[HttpConnection] = set()
+        self.refused = 0
+        self.stopping = False
+        self.accept_scope = trio.CancelScope()
+
+    async def serve(
+        self, listeners: list[trio.SocketListener], nursery: trio.Nursery
+    ) -> None:
+        """Accept connections until `close`; `nursery` runs them."""
+        with self.accept_scope:
+            await trio.serve_listeners(
+                self._serve, listeners, handler_nursery=nursery
+            )
+        for listener in listeners:
+            await listener.aclose()
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        connection = HttpConnection(
+            stream=stream,
+            handler=self.handler,
+            limits=self.limits,
+            is_stopping=lambda: self.stopping,
+        )
+        if len(self.connections) >= self.limits.max_connections:
+            await self._refuse(connection)
+            return
+        self.connections.add(connection)
+        try:
+            await connection.serve()
+        finally:
+            self.connections.discard(connection)
+
+    async def _refuse(self, connection: HttpConnection) -> None:
+        if self.refused >= REFUSED_CONNECTIONS:
+            await trio.aclose_forcefully(connection.stream)
+            return
+        self.refused += 1
+        try:
+            await connection.refuse(
+                unavailable(
+                    f"{len(self.connections)} connections are open; at most "
+                    f"{self.limits.max_connections} are accepted",
+                    verdict=Verdict.NOT_RUN,
+                    retry_after_s=REFUSED_RETRY_S,
+                )
+            )
+        finally:
+            self.refused -= 1
+
+    async def close(self) -> None:
+        """Accept nothing more and wait until all requests are answered."""
+        self.accept_scope.cancel()
+        while self.connections:
+            for connection in list(self.connections):
+                connection.close_if_idle()
+            await trio.sleep(POLL_S)
+
+    def abort_receiving(self) -> None:
+        """Refuse the requests that have not arrived whole."""
+        for connection in list(self.connections):
+            connection.abort_receiving()
--- a/egretcart/connection/http_server.py
+++ b/egretcart/connection/http_server.py
@@ -9,14 +9,18 @@
 import h11
 import trio
 
+from egretcart.connection.readable import is_readable
 from egretcart.request.problem import bad_request
 from egretcart.request.problem import MEDIA_TYPE
 from egretcart.request.problem import Problem
+from egretcart.request.problem import unavailable
 from egretcart.request.reply import JSON_TYPE
+from egretcart.request.verdict import Verdict
 
 RECEIVE_BYTES = 64 * 1024
 MAX_HEADER_BYTES = 16 * 1024
-ERROR_STATUS_FROM = 400
+REFUSAL_LIMIT_S = 2.0
+LEAVING_RETRY_S = 0.2
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -30,11 +34,17 @@
         Time for a request to arrive whole, from its first byte.
     idle_timeout_s : float
         Time without a request after which a connection is closed.
+    send_timeout_s : float
+        Time in which the other side must read a response.
+    max_connections : int
+        Connections served at a time; more are refused.
     """
 
     max_body_bytes: int = 16 * 1024 * 1024
     request_timeout_s: float = 10.0
     idle_timeout_s: float = 120.0
+    send_timeout_s: float = 30.0
+    max_connections: int = 4096
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -83,7 +93,7 @@
 
     Parameters
     ----------
-    stream : trio.abc.Stream
+    stream : trio.SocketStream
     handler : callable
         Takes an `HttpRequest`, returns an `HttpResponse`.
     limits : HttpLimits
@@ -94,7 +104,7 @@
     def __init__(
         self,
         *,
-        stream: trio.abc.Stream,
+        stream: trio.SocketStream,
         handler: Handler,
         limits: HttpLimits,
         is_stopping: Callable[[], bool] = lambda: False,
@@ -103,6 +113,8 @@
         self.handler = handler
         self.limits = limits
         self.is_stopping = is_stopping
+        self.idle_scope = trio.CancelScope()
+        self.receive_scope = trio.CancelScope()
         self.protocol = h11.Connection(
             our_role=h11.SERVER,
             max_incomplete_event_size=MAX_HEADER_BYTES,
@@ -118,43 +130,134 @@
         finally:
             await trio.aclose_forcefully(self.stream)
 
+    async def refuse(self, problem: Problem) -> None:
+        """Refuse the first request of a connection and close it."""
+        with trio.move_on_after(REFUSAL_LIMIT_S):
+            try:
+                await self._send(problem_response(problem), close=True)
+                await self._discard()
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                pass
+        await trio.aclose_forcefully(self.stream)
+
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request is under way."""
+        self.idle_scope.cancel()
+
+    def abort_receiving(self) -> None:
+        """Refuse a request that has not arrived whole."""
+        self.idle_scope.cancel()
+        self.receive_scope.cancel()
+
     async def _serve_one(self) -> bool:
         """Serve one request; return whether another may follow."""
+        if not await self._has_first_byte():
+            return False
         try:
             request = await self._receive()
         except h11.RemoteProtocolError as error:
-            problem = bad_request(
-                str(error), status=http.HTTPStatus(error.error_status_hint)
+            await self._refuse_broken(
+                bad_request(
+                    str(error),
+                    status=http.HTTPStatus(error.error_status_hint),
+                )
             )
-            await self._send(problem_response(problem))
             return False
         except RefusedRequest as error:
-            await self._send(problem_response(error.problem))
+            await self._refuse_broken(error.problem)
             return False
         if request is None:
             return False
-        response = await self.handler(request)
+        response = await self._handle(request)
+        if response is None:
+            return False
         await self._send(response)
         return (
             self.protocol.our_state is h11.DONE
             and self.protocol.their_state is h11.DONE
         )
 
+    async def _refuse_broken(self, problem: Problem) -> None:
+        await self._send(problem_response(problem), close=True)
+        with trio.move_on_after(REFUSAL_LIMIT_S):
+            await self._discard()
+
+    async def _discard(self) -> None:
+        """Read until the caller closes, lest a reset overtakes the refusal."""
+        await self.stream.send_eof()
+        while await self.stream.receive_some(RECEIVE_BYTES):
+            pass
+
+    async def _handle(self, request: HttpRequest) -> HttpResponse | None:
+        """Run the handler; None if the connection breaks meanwhile."""
+        response: HttpResponse | None = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch, nursery.cancel_scope)
+            response = await self.handler(request)
+            nursery.cancel_scope.cancel()
+        return response
+
+    async def _watch(self, scope: trio.CancelScope) -> None:
+        """Keep pipelined data and cancel if the connection breaks.
+
+        An end of the caller's data alone may be a half-closed connection
+        that still waits for its response.
+        """
+        kept = len(self.protocol.trailing_data[0])
+        while kept < MAX_HEADER_BYTES:
+            try:
+                data = await self.stream.receive_some(RECEIVE_BYTES)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                scope.cancel()
+                return
+            self.protocol.receive_data(bytes(data))
+            kept += len(data)
+            if not data:
+                return
+
+    async def _has_first_byte(self) -> bool:
+        """Wait for a request; return False if none comes."""
+        data, has_ended = self.protocol.trailing_data
+        if data or has_ended:
+            return bool(data)
+        received = b""
+        with trio.CancelScope() as self.idle_scope:
+            self.idle_scope.deadline = (
+                trio.current_time() + self.limits.idle_timeout_s
+            )
+            received = bytes(await self.stream.receive_some(RECEIVE_BYTES))
+        if self.idle_scope.cancelled_caught and is_readable(self.stream):
+            received = bytes(await self.stream.receive_some(RECEIVE_BYTES))
+        if received:
+            self.protocol.receive_data(received)
+        return bool(received)
+
     async def _receive(self) -> HttpRequest | None:
-        with trio.move_on_after(self.limits.idle_timeout_s) as idle:
-            head = await self._next_event()
-        if idle.cancelled_caught or not isinstance(head, h11.Request):
-            return None
-        with trio.move_on_after(self.limits.request_timeout_s) as slow:
-            body = await self._receive_body()
-        if slow.cancelled_caught:
+        with trio.CancelScope() as self.receive_scope:
+            deadline = trio.current_time() + self.limits.request_timeout_s
+            self.receive_scope.deadline = deadline
+            return await self._receive_whole()
+        if trio.current_time() < deadline:
             raise RefusedRequest(
-                bad_request(
-                    "the request did not arrive whole in "
-                    f"{self.limits.request_timeout_s} s",
-                    status=http.HTTPStatus.REQUEST_TIMEOUT,
+                unavailable(
+                    "this entry is leaving; others accept the request",
+                    verdict=Verdict.NOT_RUN,
+                    retry_after_s=LEAVING_RETRY_S,
                 )
             )
+        raise RefusedRequest(
+            bad_request(
+                "the request did not arrive whole in "
+                f"{self.limits.request_timeout_s} s",
+                status=http.HTTPStatus.REQUEST_TIMEOUT,
+            )
+        )
+
+    async def _receive_whole(self) -> HttpRequest | None:
+        head = await self._next_event()
+        if not isinstance(head, h11.Request):
+            return None
+        body = await self._receive_body()
         return HttpRequest(
             method=head.method.decode(),
             path=head.target.decode(),
@@ -198,7 +301,9 @@
             data = await self.stream.receive_some(RECEIVE_BYTES)
             self.protocol.receive_data(bytes(data))
 
-    async def _send(self, response: HttpResponse) -> None:
+    async def _send(
+        self, response: HttpResponse, *, close: bool = False
+    ) -> None:
         if self.protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         headers = [
@@ -208,7 +313,7 @@
         if response.retry_after_s is not None:
             seconds = str(max(1, math.ceil(response.retry_after_s)))
             headers.append(("Retry-After", seconds))
-        if self.is_stopping():
+        if close or self.is_stopping():
             headers.append(("Connection", "close"))
         data = b"".join(
             self.protocol.send(event) or b""
@@ -218,9 +323,15 @@
                 h11.EndOfMessage(),
             )
         )
-        await self.stream.send_all(data)
+        await self._send_all(data)
 
     async def _send_event(self, event: h11.Event) -> None:
         data = self.protocol.send(event)
         if data:
+            await self._send_all(data)
+
+    async def _send_all(self, data: bytes) -> None:
+        with trio.move_on_after(self.limits.send_timeout_s):
             await self.stream.send_all(data)
+            return
+        raise trio.BrokenResourceError("the peer does not read")
--- a/egretcart/connection/link.py
+++ b/egretcart/connection/link.py
@@ -2,16 +2,59 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+import operator
+import socket
 
 import trio
 
 from egretcart.connection.codec import encode_frame
 from egretcart.connection.codec import FrameBuffer
 from egretcart.connection.codec import FrameError
+from egretcart.connection.messages import Forward
+from egretcart.connection.messages import ForwardReply
 from egretcart.connection.messages import Message
+from egretcart.connection.messages import Start
+from egretcart.connection.messages import TaskResult
+from egretcart.connection.validation import find_fault
 
 RECEIVE_BYTES = 256 * 1024
-MAX_WAITING_MESSAGES = 100_000
+MAX_WAITING_BYTES = 64 * 1024 * 1024
+BATCH_BYTES = 8 * 1024 * 1024
+MESSAGE_OVERHEAD_BYTES = 256
+HELLO_LIMIT_S = 5.0
+WATCH_INTERVAL_S = 1.0
+KEEPALIVE_IDLE_S = 5
+KEEPALIVE_INTERVAL_S = 2
+KEEPALIVE_PROBES = 3
+UNACKNOWLEDGED_LIMIT_MS = 10_000
+BODY_FIELDS = {
+    Start: operator.attrgetter("payload"),
+    TaskResult: operator.attrgetter("body"),
+    Forward: operator.attrgetter("body"),
+    ForwardReply: operator.attrgetter("body"),
+}
+
+
+def message_bytes(message: Message) -> int:
+    """Return about how much memory a message takes."""
+    body_of = BODY_FIELDS.get(type(message))
+    if body_of is None:
+        return MESSAGE_OVERHEAD_BYTES
+    return MESSAGE_OVERHEAD_BYTES + len(body_of(message))
+
+
+def detect_dead_peer(stream: trio.abc.Stream) -> None:
+    """Let the system end the connection if the other host is gone."""
+    if not isinstance(stream, trio.SocketStream):
+        return
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS),
+    ):
+        stream.setsockopt(socket.IPPROTO_TCP, option, value)
 
 
 class Link:
@@ -26,6 +69,11 @@
     Attributes
     ----------
     outbox : list of Message
+    waiting_bytes : int
+        About the size of the outbox.
+    expected_by : float
+        Time of the loop's clock by which something must be received; a
+        peer that stays silent loses the link.
     bytes_sent, frames_sent, messages_sent : int
     bytes_received, messages_received : int
     """
@@ -33,6 +81,11 @@
     def __init__(self, *, stream: trio.abc.Stream) -> None:
         self.stream = stream
         self.outbox: list[Message] = []
+        self.waiting_bytes = 0
+        self.is_sending = False
+        self.expected_by = float("inf")
+        self.silence_limit_s = float("inf")
+        self.introduced = False
         self.wake = trio.Event()
         self.scope = trio.CancelScope()
         self.bytes_sent = 0
@@ -44,10 +97,37 @@
     def send(self, message: Message) -> None:
         """Queue a message; a peer that does not read loses the link."""
         self.outbox.append(message)
-        if len(self.outbox) > MAX_WAITING_MESSAGES:
+        self.waiting_bytes += message_bytes(message)
+        if self.waiting_bytes > MAX_WAITING_BYTES and self.is_sending:
             self.close()
         self.wake.set()
 
+    @property
+    def is_flushed(self) -> bool:
+        """Whether all messages were handed to the system."""
+        return not self.outbox and not self.is_sending
+
+    def introduce(self, *, silence_limit_s: float = float("inf")) -> None:
+        """Note the peer's introduction.
+
+        Parameters
+        ----------
+        silence_limit_s : float, optional
+            Longest time between two receptions from now on.
+        """
+        self.introduced = True
+        self.silence_limit_s = silence_limit_s
+        self._note_reception()
+
+    def expect_reply(self, limit_s: float) -> None:
+        """Close the link unless something is received in time."""
+        limit = trio.current_time() + limit_s
+        self.expected_by = min(self.expected_by, limit)
+
+    def _note_reception(self) -> None:
+        if self.introduced:
+            self.expected_by = trio.current_time() + self.silence_limit_s
+
     def close(self) -> None:
         """Break the connection off."""
         self.scope.cancel()
@@ -64,13 +144,18 @@
         first : iterable of Message
             Sent before anything else.
         """
-        self.outbox[:0] = first
+        for message in reversed(list(first)):
+            self.outbox.insert(0, message)
+            self.waiting_bytes += message_bytes(message)
         if self.outbox:
             self.wake.set()
+        detect_dead_peer(self.stream)
+        self.expect_reply(HELLO_LIMIT_S)
         with self.scope:
             try:
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(self._write)
+                    nursery.start_soon(self._watch)
                     await self._read(handle)
                     nursery.cancel_scope.cancel()
             except* (trio.BrokenResourceError, trio.ClosedResourceError):
@@ -89,18 +174,53 @@
             except FrameError:
                 return
             self.messages_received += len(received)
+            self._note_reception()
             for message in received:
+                if find_fault(message) is not None:
+                    return
                 handle(message)
 
+    async def _watch(self) -> None:
+        """Close the link to a peer that is silent for too long.
+
+        The second look spares a peer whose data waits because this process
+        itself was paused.
+        """
+        overdue = False
+        while True:
+            await trio.sleep(WATCH_INTERVAL_S)
+            was_overdue = overdue
+            overdue = trio.current_time() > self.expected_by
+            if overdue and was_overdue:
+                self.close()
+
     async def _write(self) -> None:
         while True:
             await self.wake.wait()
             self.wake = trio.Event()
+            self.is_sending = True
+            while self.outbox:
+                await self._send_batch(self._take_batch())
+            self.is_sending = False
+
+    def _take_batch(self) -> list[Message]:
+        if self.waiting_bytes <= BATCH_BYTES:
             batch, self.outbox = self.outbox, []
-            if not batch:
-                continue
-            frame = encode_frame(batch)
-            self.bytes_sent += len(frame)
-            self.frames_sent += 1
-            self.messages_sent += len(batch)
-            await self.stream.send_all(frame)
+            self.waiting_bytes = 0
+            return batch
+        size = count = 0
+        for message in self.outbox:
+            size += message_bytes(message)
+            count += 1
+            if size >= BATCH_BYTES:
+                break
+        batch, self.outbox = self.outbox[:count], self.outbox[count:]
+        self.waiting_bytes -= size
+        return batch
+
+    async def _send_batch(self, batch: list[Message]) -> None:
+        frame = encode_frame(batch)
+        self.bytes_sent += len(frame)
+        self.frames_sent += 1
+        self.messages_sent += len(batch)
+        await self.stream.send_all(frame)
--- a/egretcart/process/agent_process.py
+++ b/egretcart/process/agent_process.py
@@ -25,12 +25,14 @@
 from egretcart.process.agent import SendToEntry
 from egretcart.process.agent import TaskKey
 from egretcart.process.clock import Clock
+from egretcart.process.planned_stop import poll_until
 from egretcart.process.settings import AgentSettings
 from egretcart.request.identity import JobId
 from egretcart.request.verdict import Verdict
 
 TICK_S = 0.1
 REDIAL_S = 0.1
+FLUSH_LIMIT_S = 1.0
 SUCCESS_STATUSES = range(200, 300)
 MS_PER_S = 1000
 
@@ -49,6 +51,7 @@
         self, *, settings: AgentSettings, limits: AgentLimits, clock: Clock
     ) -> None:
         self.settings = settings
+        self.stop_limit_s = settings.stop_limit_s
         self.clock = clock
         self.agent = Agent(
             identity=AgentIdentity(
@@ -83,6 +86,25 @@
             nursery.start_soon(self._tick)
             task_status.started()
 
+    async def stop(self) -> None:
+        """Finish what runs, take nothing new, and tell the leader."""
+        self._carry_out(self.agent.drain())
+        await poll_until(lambda: not self.exchanges)
+        await self._flush()
+
+    async def abort(self) -> None:
+        """Break off what runs and tell the leader."""
+        for scope in self.exchanges.values():
+            scope.cancel()
+        await poll_until(lambda: not self.exchanges)
+        await self._flush()
+
+    async def _flush(self) -> None:
+        with trio.move_on_after(FLUSH_LIMIT_S):
+            await poll_until(
+                lambda: all(link.is_flushed for link in self.links.values())
+            )
+
     async def announce(self) -> None:
         """Print that the process runs."""
         print(json.dumps({"role": "agent", "id": self.settings.agent_id}))
@@ -111,6 +133,7 @@
             nonlocal entry_id
             if isinstance(message, EntryHello):
                 entry_id = message.address.entry_id
+                link.introduce()
                 former = self.links.get(entry_id)
                 if former is not None:
                     former.close()
--- a/egretcart/process/caller_api.py
+++ b/egretcart/process/caller_api.py
@@ -18,12 +18,16 @@
 from egretcart.request.identity import parse_job_id
 from egretcart.request.problem import bad_request
 from egretcart.request.problem import MEDIA_TYPE
+from egretcart.request.problem import unavailable
 from egretcart.request.reply import JSON_TYPE
+from egretcart.request.reply import problem_reply
 from egretcart.request.reply import Reply
+from egretcart.request.verdict import Verdict
 
 JOB_PATH = re.compile(r"/v1/services/([^/?]+)/jobs/([^/?]+)")
 ACTION_OF_METHOD = {"PUT": SUBMIT, "GET": READ, "DELETE": CANCEL}
 ERROR_STATUS_FROM = 400
+LEAVING_RETRY_S = 0.2
 
 
 class CallerApi:
@@ -46,6 +50,7 @@
         self.carry_out = carry_out
         self.replies: dict[int, Reply] = {}
         self.waiters: dict[int, trio.Event] = {}
+        self.stopping = False
 
     def replied(self, request_id: int, reply: Reply) -> None:
         """Hand a reply to the connection that waits for it."""
@@ -54,6 +59,17 @@
         if waiter is not None:
             waiter.set()
 
+    def give_up(self) -> None:
+        """Answer all who wait that their work may have run."""
+        problem = unavailable(
+            "this entry has ended before the job was done; submit the same "
+            "id to another",
+            verdict=Verdict.MAY_HAVE_RUN,
+            retry_after_s=LEAVING_RETRY_S,
+        )
+        for request_id in list(self.waiters):
+            self.replied(request_id, problem_reply(problem))
+
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one HTTP request."""
         path = request.path.partition("?")[0]
@@ -113,7 +129,8 @@
 
     def _readiness(self) -> HttpResponse:
         ready = (
-            self.entry.configuration.version > 0
+            not self.stopping
+            and self.entry.configuration.version > 0
             and not self.entry.directory.leaving
         )
         return HttpResponse(
--- a/egretcart/process/cli.py
+++ b/egretcart/process/cli.py
@@ -17,6 +17,7 @@
 from egretcart.process.entry import EntryLimits
 from egretcart.process.entry_process import EntryProcess
 from egretcart.process.limits import LeaderLimits
+from egretcart.process.planned_stop import stop_on_signal
 from egretcart.process.settings import AgentSettings
 from egretcart.process.settings import BackendStandInSettings
 from egretcart.process.settings import EntrySettings
@@ -109,6 +110,7 @@
     )
     async with trio.open_nursery() as nursery:
         await nursery.start(process.run)
+        nursery.start_soon(stop_on_signal, process, nursery.cancel_scope)
         await process.announce()
 
 
@@ -118,6 +120,7 @@
     )
     async with trio.open_nursery() as nursery:
         await nursery.start(process.run)
+        nursery.start_soon(stop_on_signal, process, nursery.cancel_scope)
         await process.announce()
 
 
--- a/egretcart/process/entry_process.py
+++ b/egretcart/process/entry_process.py
@@ -8,8 +8,7 @@
 import msgspec
 import trio
 
-from egretcart.connection.http_server import Handler
-from egretcart.connection.http_server import HttpConnection
+from egretcart.connection.http_listener import HttpListener
 from egretcart.connection.http_server import HttpLimits
 from egretcart.connection.link import Link
 from egretcart.connection.messages import AgentHello
@@ -19,6 +18,7 @@
 from egretcart.connection.messages import FenceReply
 from egretcart.connection.messages import Forward
 from egretcart.connection.messages import ForwardReply
+from egretcart.connection.messages import Heartbeat
 from egretcart.connection.messages import HeartbeatReply
 from egretcart.connection.messages import Message
 from egretcart.connection.messages import Roster
@@ -34,6 +34,7 @@
 from egretcart.process.entry import SendEntryList
 from egretcart.process.entry import SendToPeer
 from egretcart.process.limits import LeaderLimits
+from egretcart.process.planned_stop import poll_until
 from egretcart.process.platform import EtcdPlatform
 from egretcart.process.platform import Platform
 from egretcart.process.platform import PlatformError
@@ -46,6 +47,11 @@
 REDIAL_S = 0.1
 CONFIG_POLL_S = 1.0
 PLATFORM_PAUSE_S = 0.5
+FLUSH_LIMIT_S = 1.0
+HEARTBEAT_REPLY_LIMIT_S = 3.0
+# Covers three of the longest intervals between heartbeats of entries.
+PEER_SILENCE_LIMIT_S = 7.0
+MAX_PEER_LINKS = 4096
 CONFIG_KEY = "egretcart/config"
 
 
@@ -79,6 +85,8 @@
             )
         self.entry: Entry
         self.api: CallerApi
+        self.http: HttpListener
+        self.stop_limit_s = settings.stop_limit_s
         self.address: EntryAddress
         self.http_port = 0
         self.peer_port = 0
@@ -86,6 +94,7 @@
         self.dialled_links: dict[str, Link] = {}
         self.accepted_links: dict[str, Link] = {}
         self.agent_links: dict[str, Link] = {}
+        self.open_peer_links = 0
         self.targets: set[tuple[str, int]] = set()
         self.nursery: trio.Nursery
 
@@ -120,14 +129,13 @@
             clock=self.clock,
         )
         self.api = CallerApi(entry=self.entry, carry_out=self.carry_out)
+        self.http = HttpListener(handler=self.api.handle, limits=HttpLimits())
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
             nursery.start_soon(
                 trio.serve_listeners, self._accept, peer_listeners
             )
-            nursery.start_soon(
-                trio.serve_listeners, self._serve_http, http_listeners
-            )
+            nursery.start_soon(self.http.serve, http_listeners, nursery)
             for seed in self.settings.seeds:
                 self._ensure_dialled(seed.host, seed.port)
             nursery.start_soon(self._follow_configuration)
@@ -145,12 +153,42 @@
         print(json.dumps(ports))
         sys.stdout.flush()
 
-    async def _serve_http(self, stream: trio.SocketStream) -> None:
-        handler: Handler = self.api.handle
-        connection = HttpConnection(
-            stream=stream, handler=handler, limits=HttpLimits()
-        )
-        await connection.serve()
+    # Planned stop.
+
+    async def stop(self) -> None:
+        """Hand over and answer the callers; return when all are answered."""
+        self.api.stopping = True
+        self.http.stopping = True
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._hand_over)
+            await trio.sleep(self.settings.stop_grace_s)
+            await self.http.close()
+            nursery.cancel_scope.cancel()
+        await self._flush()
+
+    async def _hand_over(self) -> None:
+        """Resign as soon as another entry can take over."""
+        await poll_until(self._has_successor)
+        self.carry_out(self.entry.leave())
+
+    def _has_successor(self) -> bool:
+        peers = self.entry.directory.live_peers(self.clock.monotonic())
+        return any(not peer.leaving for peer in peers)
+
+    async def abort(self) -> None:
+        """Tell the callers that wait that their work may have run."""
+        self.api.give_up()
+        self.http.abort_receiving()
+        await self.http.close()
+
+    async def _flush(self) -> None:
+        links = [
+            *self.dialled_links.values(),
+            *self.accepted_links.values(),
+            *self.agent_links.values(),
+        ]
+        with trio.move_on_after(FLUSH_LIMIT_S):
+            await poll_until(lambda: all(link.is_flushed for link in links))
 
     # Links.
 
@@ -175,7 +213,14 @@
             await trio.sleep(REDIAL_S)
 
     async def _accept(self, stream: trio.SocketStream) -> None:
-        await self._converse(stream, self.accepted_links)
+        if self.open_peer_links >= MAX_PEER_LINKS:
+            await trio.aclose_forcefully(stream)
+            return
+        self.open_peer_links += 1
+        try:
+            await self._converse(stream, self.accepted_links)
+        finally:
+            self.open_peer_links -= 1
 
     async def _converse(
         self, stream: trio.SocketStream, entry_links: dict[str, Link]
@@ -188,10 +233,12 @@
             nonlocal name, links
             if isinstance(message, AgentHello):
                 name, links = message.agent_id, self.agent_links
+                link.introduce()
                 self._register(name, links, link)
                 self.carry_out(self.entry.agent_connected(message))
             elif isinstance(message, EntryHello):
                 name, links = message.address.entry_id, entry_links
+                link.introduce(silence_limit_s=PEER_SILENCE_LIMIT_S)
                 self._register(name, links, link)
                 self._peer_hello(message)
             elif links is self.agent_links:
@@ -238,7 +285,7 @@
             if isinstance(effect, SendToAgent | SendEntryList):
                 link = self.agent_links.get(effect.agent_id)
                 if link is not None:
-                    link.send(effect.message)
+                    self._send_to_agent(link, effect.message)
             elif isinstance(effect, SendToPeer):
                 self._send_to_peer(effect)
             elif isinstance(effect, ReplyToCaller):
@@ -248,6 +295,11 @@
                     self._write_roster, effect.cell, effect.roster
                 )
 
+    def _send_to_agent(self, link: Link, message: Message) -> None:
+        link.send(message)
+        if isinstance(message, Heartbeat) and message.round:
+            link.expect_reply(HEARTBEAT_REPLY_LIMIT_S)
+
     def _send_to_peer(self, effect: SendToPeer) -> None:
         link = self.dialled_links.get(
             effect.entry_id
--- /dev/null
+++ b/egretcart/process/planned_stop.py
@@ -0,0 +1,68 @@
+"""Planned stop of a process on SIGTERM or SIGINT."""
+
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+import signal
+from typing import Protocol
+
+import trio
+
+ABORT_LIMIT_S = 3.0
+POLL_S = 0.02
+
+
+class Stoppable(Protocol):
+    """A process that can be stopped without cutting off a request.
+
+    Attributes
+    ----------
+    stop_limit_s : float
+        Bound of `stop`, in seconds.
+    """
+
+    stop_limit_s: float
+
+    async def stop(self) -> None:
+        """Hand over and finish; returns when nothing is left to do."""
+
+    async def abort(self) -> None:
+        """Answer what is left with a verdict, at once."""
+
+
+async def poll_until(condition: Callable[[], bool]) -> None:
+    """Return once a condition holds."""
+    while True:
+        if condition():
+            return
+        await trio.sleep(POLL_S)
+
+
+async def stop_on_signal(process: Stoppable, scope: trio.CancelScope) -> None:
+    """Stop a process at the first signal, abort it at the second.
+
+    Parameters
+    ----------
+    process : Stoppable
+    scope : trio.CancelScope
+        Cancelled at the end.
+    """
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        await anext(signals)
+        finished = False
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_cancel_at_next, signals, nursery.cancel_scope)
+            with trio.move_on_after(process.stop_limit_s):
+                await process.stop()
+                finished = True
+            nursery.cancel_scope.cancel()
+        if not finished:
+            with trio.move_on_after(ABORT_LIMIT_S):
+                await process.abort()
+    scope.cancel()
+
+
+async def _cancel_at_next(
+    signals: AsyncIterator[int], scope: trio.CancelScope
+) -> None:
+    await anext(signals)
+    scope.cancel()
--- a/egretcart/process/settings.py
+++ b/egretcart/process/settings.py
@@ -12,6 +12,7 @@
 Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
 Text = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
 Positive = Annotated[int, msgspec.Meta(ge=1, le=100_000)]
+Seconds = Annotated[float, msgspec.Meta(ge=0, le=3600)]
 
 
 class SettingsBase(
@@ -50,6 +51,11 @@
         Peer address that others are told, if it is not `peer`.
     weight : int
         Share of the cells that it should lead, relative to others.
+    stop_grace_s : float
+        Time from a planned stop's start, when readiness goes off, until no
+        new connections are accepted, in seconds.
+    stop_limit_s : float
+        Bound of a planned stop, in seconds.
     seeds : tuple of Address
         Peer addresses of other entries.
     platform : Address or None
@@ -62,6 +68,8 @@
     peer: Address
     advertised: Address | None = None
     weight: Positive = 1
+    stop_grace_s: Seconds = 2.0
+    stop_limit_s: Seconds = 25.0
     seeds: tuple[Address, ...] = ()
     platform: Address | None = None
 
@@ -82,6 +90,8 @@
     backend : Address
     backend_path : str
         Path that tasks are posted to.
+    stop_limit_s : float
+        Bound of a planned stop, in seconds.
     seeds : tuple of Address
         Peer addresses of entries.
     """
@@ -93,6 +103,7 @@
     connections: Positive
     backend: Address
     backend_path: Text = "/"
+    stop_limit_s: Seconds = 15.0
     seeds: Annotated[tuple[Address, ...], msgspec.Meta(min_length=1)]
 
 
--- a/tests/features/steps/callers.py
+++ b/tests/features/steps/callers.py
@@ -50,6 +50,7 @@
         idempotent=False,
         resubmits=True,
         limit_s=8,
+        pause_s=0.0,
     ):
         self.deployment = deployment
         self.entries = entries
@@ -63,6 +64,7 @@
         self.outcomes = []
         self.errors = []
         self.stopped = False
+        self.pause_s = pause_s
         self.threads = [
             threading.Thread(target=self._work, daemon=True)
             for _ in range(threads)
@@ -78,6 +80,7 @@
                 return
             try:
                 self.outcomes.append(self._carry_job(number))
+                time.sleep(self.pause_s)
             except Exception as error:
                 self.errors.append(repr(error))
 
--- a/tests/features/steps/processes.py
+++ b/tests/features/steps/processes.py
@@ -47,6 +47,12 @@
         self.process.kill()
         self.process.wait()
 
+    def wait_stopped(self, limit_s=30):
+        """Return the exit code and the seconds until the end."""
+        began = time.monotonic()
+        code = self.process.wait(limit_s)
+        return code, time.monotonic() - began
+
     def signal(self, number):
         self.process.send_signal(number)
 
@@ -74,6 +80,19 @@
     raise AssertionError(f"{check} was not true in {limit_s} s")
 
 
+class BalancedEntries:
+    """The entries of a deployment that are in use at the moment."""
+
+    def __init__(self, deployment):
+        self.deployment = deployment
+
+    def __len__(self):
+        return len(self.deployment.entries)
+
+    def __iter__(self):
+        return iter(list(self.deployment.entries))
+
+
 class Deployment:
     """Platform, entries, agents and backend servers on loopback."""
 
@@ -139,6 +158,7 @@
             "http": {"host": HOST, "port": 0},
             "peer": {"host": HOST, "port": 0},
             "seeds": self.peer_seeds(),
+            "stop_grace_s": 0.5,
             "platform": {"host": HOST, "port": self.platform.ready["port"]},
         }
         if self.relayed:
@@ -171,6 +191,14 @@
     def running_entries(self):
         return [entry for entry in self.entries if entry.runs]
 
+    def balanced(self):
+        """Return the ready entries, as a balancer would see them."""
+        return BalancedEntries(self)
+
+    def is_ready(self, entry):
+        status, _, _ = request(entry.ready["http_port"], "GET", "/readyz")
+        return status == 200
+
     def wait_until_serving(self):
         """Wait until one leader has every agent in its roster."""
         expected = sum(agent.runs for agent in self.agents)
