Close the doors to bad input, and fuzz them

Cause: nothing showed what malformed HTTP, garbage frames, nonsense from peers, slow or vanished callers do to an entry and to the other requests.

Decision: the end of a caller's data is a half-closed connection and is still answered, a reset frees the request, and the job goes on in both cases.

--- a/egretcart/connection/http_server.py
+++ b/egretcart/connection/http_server.py
@@ -257,17 +257,30 @@
         head = await self._next_event()
         if not isinstance(head, h11.Request):
             return None
+        headers = {
+            name.decode(): value.decode("latin-1")
+            for name, value in head.headers
+        }
+        self._check_size(int(headers.get("content-length", 0)))
         body = await self._receive_body()
         return HttpRequest(
-            method=head.method.decode(),
-            path=head.target.decode(),
-            headers={
-                name.decode(): value.decode("latin-1")
-                for name, value in head.headers
-            },
+            method=head.method.decode("latin-1"),
+            path=head.target.decode("latin-1"),
+            headers=headers,
             body=body,
         )
 
+    def _check_size(self, size: int) -> None:
+        if size <= self.limits.max_body_bytes:
+            return
+        raise RefusedRequest(
+            bad_request(
+                f"a body of {size} bytes or more; at most "
+                f"{self.limits.max_body_bytes} bytes are accepted",
+                status=http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+            )
+        )
+
     async def _receive_body(self) -> bytes:
         parts: list[bytes] = []
         size = 0
@@ -281,14 +294,7 @@
             if not isinstance(event, h11.Data):
                 raise trio.BrokenResourceError
             size += len(event.data)
-            if size > self.limits.max_body_bytes:
-                raise RefusedRequest(
-                    bad_request(
-                        "the body is too large; at most "
-                        f"{self.limits.max_body_bytes} bytes are accepted",
-                        status=http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-                    )
-                )
+            self._check_size(size)
             parts.append(bytes(event.data))
 
     async def _next_event(
--- a/egretcart/connection/link.py
+++ b/egretcart/connection/link.py
@@ -65,6 +65,8 @@
     Parameters
     ----------
     stream : trio.abc.Stream
+    hello_limit_s : float, optional
+        Time for the peer to introduce itself.
 
     Attributes
     ----------
@@ -78,8 +80,14 @@
     bytes_received, messages_received : int
     """
 
-    def __init__(self, *, stream: trio.abc.Stream) -> None:
+    def __init__(
+        self,
+        *,
+        stream: trio.abc.Stream,
+        hello_limit_s: float = HELLO_LIMIT_S,
+    ) -> None:
         self.stream = stream
+        self.hello_limit_s = hello_limit_s
         self.outbox: list[Message] = []
         self.waiting_bytes = 0
         self.is_sending = False
@@ -96,6 +104,8 @@
 
     def send(self, message: Message) -> None:
         """Queue a message; a peer that does not read loses the link."""
+        if self.scope.cancel_called:
+            return
         self.outbox.append(message)
         self.waiting_bytes += message_bytes(message)
         if self.waiting_bytes > MAX_WAITING_BYTES and self.is_sending:
@@ -129,7 +139,9 @@
             self.expected_by = trio.current_time() + self.silence_limit_s
 
     def close(self) -> None:
-        """Break the connection off."""
+        """Break the connection off; what waits is dropped."""
+        self.outbox.clear()
+        self.waiting_bytes = 0
         self.scope.cancel()
 
     async def run(
@@ -150,7 +162,7 @@
         if self.outbox:
             self.wake.set()
         detect_dead_peer(self.stream)
-        self.expect_reply(HELLO_LIMIT_S)
+        self.expect_reply(self.hello_limit_s)
         with self.scope:
             try:
                 async with trio.open_nursery() as nursery:
--- a/egretcart/process/caller_api.py
+++ b/egretcart/process/caller_api.py
@@ -145,6 +145,7 @@
             "config_version": entry.configuration.version,
             "agents": sorted(entry.agents),
             "peers": sorted(entry.directory.peers),
+            "waiting_callers": len(self.waiters),
             "leading": [
                 {
                     "service": cell.service,
--- /dev/null
+++ b/tests/features/connection_bounds.feature
@@ -0,0 +1,21 @@
+Feature: Connections are bounded in number, time and memory
+
+  Scenario: Slow senders and idle readers lose their connection only
+    Given an HTTP server with short limits
+    When one connection sends half a header, one half a body, one reads nothing
+    Then the senders get status 408 and the reader is dropped
+    And the server answers a good request
+
+  Scenario: More connections than the bound are refused
+    Given an HTTP server with short limits
+    When one connection more than the bound is opened
+    Then it gets status 503 and the others are served
+
+  Scenario: A link drops a peer that never reads
+    Given a link to a peer that never reads
+    When more than the bound is sent to it
+    Then the link has ended and holds no more than the bound
+
+  Scenario: A link drops a peer that never introduces itself
+    Given a link to a peer that says nothing
+    Then the link ends by itself
--- /dev/null
+++ b/tests/features/doors.feature
@@ -0,0 +1,75 @@
+Feature: Bad input gets a clear refusal and harms no other request
+
+  Scenario Outline: An entry refuses a bad request
+    Given an entry with open doors
+    When a connection sends <input>
+    Then it gets status <status> with verdict not_run
+    And a good job is still answered
+
+    Examples:
+      | input                       | status |
+      | a malformed request line    | 400    |
+      | an oversized header         | 431    |
+      | an oversized body           | 413    |
+      | an endless chunked body     | 413    |
+      | a broken chunk              | 400    |
+      | half a body and its end     | 400    |
+      | a path that is not text     | 400    |
+      | an unknown method           | 405    |
+      | a job id that is none       | 400    |
+      | a body that is not JSON     | 400    |
+      | a body nested too deeply    | 400    |
+      | an unknown field            | 400    |
+      | more tasks than are allowed | 400    |
+      | no tasks                    | 400    |
+      | a service that is unknown   | 404    |
+
+  Scenario: Whatever bytes callers send, the entry serves the next one
+    Given an entry with open doors
+    When connections send bytes that Hypothesis makes up
+    Then a good job is still answered
+
+  Scenario: Whatever documents callers send, they get an answer
+    Given an entry with open doors
+    When callers send documents that Hypothesis makes up
+    Then a good job is still answered
+
+  Scenario: Whatever peers send, the entry serves the next caller
+    Given an entry with open doors
+    When peers send frames that Hypothesis makes up
+    Then a good job is still answered
+
+  Scenario Outline: An entry drops a peer that announces nonsense
+    Given an entry with open doors
+    When a peer announces <nonsense>
+    Then the entry closes the peer's connection
+    And a good job is still answered
+
+    Examples:
+      | nonsense                  |
+      | an agent without slots    |
+      | an agent without a name   |
+      | an entry without a port   |
+      | a verdict that is none    |
+
+  Scenario: An agent of another service gets no tasks of this one
+    Given an entry with open doors
+    When a peer announces an agent of another service
+    Then a good job is still answered
+    And the peer got no start
+
+  Scenario: A job goes on when its caller resets the connection
+    Given an entry with open doors
+    When a caller resets its connection while its job runs
+    Then the entry holds no caller
+    And the job's answer can be read later
+
+  Scenario: A half-closed connection gets its answer
+    Given an entry with open doors
+    When a caller half-closes its connection after its job
+    Then it gets its whole answer
+
+  Scenario: Pipelined requests are answered in order
+    Given an entry with open doors
+    When a caller sends two jobs at once on one connection
+    Then it gets both answers in order
--- /dev/null
+++ b/tests/features/steps/connection_bounds_steps.py
@@ -0,0 +1,182 @@
+import functools
+
+from behave import given
+from behave import then
+from behave import when
+import trio
+import trio.lowlevel
+
+from egretcart.connection.http_listener import HttpListener
+from egretcart.connection.http_server import HttpLimits
+from egretcart.connection.http_server import HttpResponse
+from egretcart.connection.link import Link
+from egretcart.connection.link import MAX_WAITING_BYTES
+from egretcart.connection.messages import Forward
+from egretcart.process.planned_stop import poll_until
+
+HOST = "127.0.0.1"
+LIMITS = HttpLimits(
+    request_timeout_s=0.3, send_timeout_s=0.3, max_connections=3
+)
+GOOD = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+LARGE_BODY = bytes(32 << 20)
+BODY_BYTES = 1 << 20
+LIMIT_S = 20
+
+
+async def answer(request):
+    body = LARGE_BODY if request.path == "/large" else b"{}"
+    return HttpResponse(body=body)
+
+
+async def receive_all(stream):
+    data = b""
+    while chunk := await stream.receive_some(65536):
+        data += chunk
+    return data
+
+
+async def receive_head(stream):
+    data = b""
+    while b"\r\n\r\n{}" not in data:
+        data += await stream.receive_some(65536)
+    return data
+
+
+def status_of(data):
+    return int(data.split()[1])
+
+
+def with_server(scenario):
+    """Run an async function against a server, passing port and server."""
+
+    async def main():
+        server = HttpListener(handler=answer, limits=LIMITS)
+        listeners = await trio.open_tcp_listeners(0, host=HOST)
+        port = listeners[0].socket.getsockname()[1]
+        connect = functools.partial(trio.open_tcp_stream, HOST, port)
+        with trio.fail_after(LIMIT_S):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(server.serve, listeners, nursery)
+                result = await scenario(connect, server)
+                nursery.cancel_scope.cancel()
+        return result
+
+    return trio.run(main)
+
+
+@given("an HTTP server with short limits")
+def short_limits(context):
+    context.run = with_server
+
+
+@when("one connection sends half a header, one half a body, one reads nothing")
+def send_slowly(context):
+    async def scenario(connect, server):
+        header, body, reader = [await connect() for _ in range(3)]
+        await header.send_all(GOOD[:10])
+        await body.send_all(GOOD[:-2] + b"Content-Length: 9\r\n\r\nhalf")
+        await reader.send_all(GOOD.replace(b"/ ", b"/large ", 1))
+        statuses = [
+            status_of(await receive_all(slow)) for slow in (header, body)
+        ]
+        await poll_until(lambda: not server.connections)
+        good = await connect()
+        await good.send_all(GOOD)
+        return statuses, status_of(await receive_head(good))
+
+    context.statuses, context.good = context.run(scenario)
+
+
+@then("the senders get status 408 and the reader is dropped")
+def check_slow(context):
+    assert context.statuses == [408, 408]
+
+
+@then("the server answers a good request")
+def check_good(context):
+    assert context.good == 200
+
+
+@when("one connection more than the bound is opened")
+def open_too_many(context):
+    async def scenario(connect, server):
+        kept = [await connect() for _ in range(LIMITS.max_connections)]
+        bound = LIMITS.max_connections
+        await poll_until(lambda: len(server.connections) == bound)
+        refused = await connect()
+        await refused.send_all(GOOD)
+        answers = [await receive_all(refused)]
+        for stream in kept:
+            await stream.send_all(GOOD)
+            answers.append(await receive_head(stream))
+        return answers
+
+    context.answers = context.run(scenario)
+
+
+@then("it gets status 503 and the others are served")
+def check_too_many(context):
+    assert [status_of(a) for a in context.answers] == [503, 200, 200, 200]
+    assert b'"verdict":"not_run"' in context.answers[0]
+    assert b"Retry-After" in context.answers[0]
+
+
+async def socket_pair():
+    listeners = await trio.open_tcp_listeners(0, host=HOST)
+    port = listeners[0].socket.getsockname()[1]
+    near = await trio.open_tcp_stream(HOST, port)
+    far = await listeners[0].accept()
+    await listeners[0].aclose()
+    return near, far
+
+
+@given("a link to a peer that never reads")
+def link_to_deaf_peer(context):
+    context.limits = {}
+
+
+@when("more than the bound is sent to it")
+def send_too_much(context):
+    async def main():
+        near, far = await socket_pair()
+        link = Link(stream=near)
+        most = 0
+        with trio.fail_after(LIMIT_S):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(
+                    functools.partial(link.run, print, first=[])
+                )
+                for _ in range(MAX_WAITING_BYTES // BODY_BYTES + 32):
+                    link.send(Forward(body=bytes(BODY_BYTES)))
+                    most = max(most, link.waiting_bytes)
+                    await trio.lowlevel.checkpoint()
+        await far.aclose()
+        return link, most
+
+    context.link, context.most_waiting = trio.run(main)
+
+
+@then("the link has ended and holds no more than the bound")
+def check_ended(context):
+    assert context.link.scope.cancelled_caught
+    assert context.link.waiting_bytes == len(context.link.outbox) == 0
+    assert context.most_waiting <= MAX_WAITING_BYTES + 2 * BODY_BYTES
+
+
+@given("a link to a peer that says nothing")
+def link_to_silent_peer(context):
+    async def main():
+        near, far = await socket_pair()
+        link = Link(stream=near, hello_limit_s=0.1)
+        with trio.move_on_after(LIMIT_S):
+            await link.run(print, first=[])
+        await far.aclose()
+        return link
+
+    context.link = trio.run(main)
+
+
+@then("the link ends by itself")
+def check_silent_ended(context):
+    assert context.link.scope.cancelled_caught
