Give every broken exchange with a backend server its verdict

Cause: a body that ends with the connection was taken for whole, so a backend server that died midway gave half an answer; a wait for a free connection was outside the time limit; a kept connection that the server closes under a request cost a non-idempotent task; a task's kind with a line break ended every agent that it was sent to.

Responses without a length are refused, the limit covers the wait, connections idle for more than 1.5 s are not used again, kinds travel quoted. An exchange on a kept connection that breaks is never repeated.

--- a/egretcart/connection/http_client.py
+++ b/egretcart/connection/http_client.py
@@ -9,7 +9,11 @@
 from egretcart.request.verdict import Verdict
 
 RECEIVE_BYTES = 64 * 1024
-MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+# Servers that close idle connections do so after two seconds or more; a
+# request that meets the close would have an unknown outcome.
+MAX_IDLE_S = 1.5
+BODILESS_STATUSES = (204, 304)
 
 
 class ExchangeError(Exception):
@@ -35,6 +39,14 @@
     body: bytes
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class IdleConnection:
+    """A kept-alive connection and the time since which it is idle."""
+
+    stream: trio.SocketStream
+    since: float
+
+
 class HttpClient:
     """Exchanges with one server over kept-alive connections.
 
@@ -49,7 +61,7 @@
     def __init__(self, *, host: str, port: int, max_connections: int) -> None:
         self.host = host
         self.port = port
-        self.idle: list[trio.SocketStream] = []
+        self.idle: list[IdleConnection] = []
         self.limiter = trio.CapacityLimiter(max_connections)
 
     async def exchange(
@@ -82,8 +94,8 @@
             server may have acted on the request.
         """
         progress = _ExchangeProgress()
-        async with self.limiter:
-            with trio.move_on_after(time_limit_s):
+        with trio.move_on_after(time_limit_s):
+            async with self.limiter:
                 return await self._exchange(
                     method, path, body, headers, progress
                 )
@@ -139,24 +151,26 @@
             ) from error
         finally:
             if kept:
-                self.idle.append(stream)
+                idle = IdleConnection(stream, trio.current_time())
+                self.idle.append(idle)
             else:
                 with trio.CancelScope(shield=True):
                     await trio.aclose_forcefully(stream)
 
     def _idle_stream(self) -> trio.SocketStream | None:
         """Return a kept connection that the server has not closed."""
+        oldest = trio.current_time() - MAX_IDLE_S
         while self.idle:
-            stream = self.idle.pop()
-            if not is_readable(stream):
-                return stream
-            stream.socket.close()
+            kept = self.idle.pop()
+            if kept.since >= oldest and not is_readable(kept.stream):
+                return kept.stream
+            kept.stream.socket.close()
         return None
 
     async def aclose(self) -> None:
         """Close all idle connections."""
         while self.idle:
-            await trio.aclose_forcefully(self.idle.pop())
+            await trio.aclose_forcefully(self.idle.pop().stream)
 
 
 @dataclasses.dataclass(slots=True)
@@ -164,6 +178,18 @@
     verdict: Verdict = Verdict.NOT_RUN
 
 
+def _check_framing(head: h11.Response) -> None:
+    """Refuse a body whose end can't be told from a broken connection."""
+    if head.status_code in BODILESS_STATUSES:
+        return
+    names = {name for name, _ in head.headers}
+    if names.isdisjoint((b"content-length", b"transfer-encoding")):
+        raise h11.RemoteProtocolError(
+            "a response without Content-Length or Transfer-Encoding; a body "
+            "that ends with the connection is not accepted"
+        )
+
+
 async def _receive_response(
     stream: trio.SocketStream, protocol: h11.Connection
 ) -> ClientResponse:
@@ -176,6 +202,7 @@
             protocol.receive_data(await stream.receive_some(RECEIVE_BYTES))
         elif isinstance(event, h11.Response):
             head = event
+            _check_framing(head)
         elif isinstance(event, h11.Data):
             parts.append(bytes(event.data))
             size += len(event.data)
--- a/egretcart/process/agent_process.py
+++ b/egretcart/process/agent_process.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 import json
 import sys
+import urllib.parse
 
 import trio
 
@@ -191,7 +192,7 @@
         headers = (
             ("Idempotency-Key", f"{job_id}/{start.task}"),
             ("Egretcart-Time-Left-Ms", str(int(time_limit_s * MS_PER_S))),
-            ("Egretcart-Kind", start.kind),
+            ("Egretcart-Kind", urllib.parse.quote(start.kind)),
         )
         try:
             response = await self.client.exchange(
--- /dev/null
+++ b/tests/features/backend_exchange.feature
@@ -0,0 +1,50 @@
+Feature: Every way in which an exchange breaks has its verdict
+
+  Scenario Outline: A broken exchange
+    Given a backend server that <fault>
+    When a task is posted to it
+    Then the exchange fails as <verdict>
+    And the backend server saw at most one request
+
+    Examples:
+      | fault                                     | verdict      |
+      | refuses connections                       | not_run      |
+      | resets before the first byte              | may_have_run |
+      | closes before the first byte              | may_have_run |
+      | resets within the status line             | may_have_run |
+      | resets within the body                    | may_have_run |
+      | answers with garbage                      | may_have_run |
+      | truncates a body of known length          | may_have_run |
+      | truncates a chunked body                  | may_have_run |
+      | sends a body without a length             | may_have_run |
+      | sends too much                            | may_have_run |
+      | answers too late                          | may_have_run |
+      | never ends its answer                     | may_have_run |
+
+  Scenario: A whole response travels whole, however it is split
+    Given a backend server that sends its answer byte by byte
+    When a task is posted to it
+    Then the response is whole
+
+  Scenario: A kept connection that the server has closed is not used
+    Given a backend server that closes after its answer
+    When a task is posted to it twice
+    Then the response is whole
+    And the backend server saw two connections
+
+  Scenario: A kept connection that breaks under a request is not retried
+    Given a backend server that closes at its second request
+    When a task is posted to it twice
+    Then the exchange fails as may_have_run
+    And the backend server saw one request more
+
+  Scenario: A kept connection that was idle for long is not used
+    Given a backend server that closes at its second request
+    When a task is posted to it, and again much later
+    Then the response is whole
+    And the backend server saw two connections
+
+  Scenario: Waiting for a free connection is part of the time limit
+    Given a backend server that answers too late
+    When two tasks are posted over its only connection
+    Then the second exchange fails as not_run
--- a/tests/features/doors.feature
+++ b/tests/features/doors.feature
@@ -52,6 +52,12 @@
       | an entry without a port   |
       | a verdict that is none    |
 
+  Scenario: A kind that no header can hold harms no agent
+    Given an entry with open doors
+    When a job's kind holds line breaks and other scripts
+    Then it gets its whole answer
+    And a good job is still answered
+
   Scenario: An agent of another service gets no tasks of this one
     Given an entry with open doors
     When a peer announces an agent of another service
--- /dev/null
+++ b/tests/features/steps/backend_exchange_steps.py
@@ -0,0 +1,194 @@
+import socket
+import struct
+
+from behave import given
+from behave import then
+from behave import when
+import trio
+import trio.lowlevel
+from trio.testing import MockClock
+
+from egretcart.connection.http_client import ExchangeError
+from egretcart.connection.http_client import HttpClient
+from egretcart.connection.http_client import MAX_IDLE_S
+from egretcart.connection.http_client import MAX_RESPONSE_BYTES
+
+HOST = "127.0.0.1"
+LIMIT_S = 1.0
+OK = b"HTTP/1.1 200 OK\r\n"
+WHOLE = OK + b"Content-Length: 4\r\n\r\ndone"
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+ANSWERS = {
+    "resets before the first byte": b"",
+    "closes before the first byte": b"",
+    "resets within the status line": b"HTTP/1.1 2",
+    "resets within the body": WHOLE[:-1],
+    "answers with garbage": b"\x00\xffnonsense\r\n\r\n",
+    "truncates a body of known length": WHOLE[:-1],
+    "truncates a chunked body": OK
+    + b"Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n",
+    "sends a body without a length": OK + b"Connection: close\r\n\r\ndone",
+    "sends too much": OK
+    + f"Content-Length: {MAX_RESPONSE_BYTES + 1}\r\n\r\n".encode()
+    + bytes(MAX_RESPONSE_BYTES + 1),
+    "closes after its answer": WHOLE,
+    "closes at its second request": WHOLE,
+}
+
+
+class FaultyBackend:
+    """Breaks exchanges in the way that a scenario names."""
+
+    def __init__(self, fault):
+        self.fault = fault
+        self.connections = 0
+        self.requests = 0
+
+    async def serve(self, stream):
+        self.connections += 1
+        try:
+            await self.converse(stream)
+        except trio.BrokenResourceError:
+            pass
+        finally:
+            if self.fault.startswith("resets"):
+                linger = struct.pack("ii", 1, 0)
+                stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            stream.socket.close()
+
+    async def converse(self, stream):
+        received = b""
+        while b"\r\n\r\ntask" not in received:
+            received += await stream.receive_some(65536)
+        self.requests += 1
+        if self.fault == "answers too late":
+            await trio.sleep(LIMIT_S * 2)
+            await stream.send_all(WHOLE)
+        elif self.fault == "never ends its answer":
+            await stream.send_all(OK + b"Content-Length: 1000000\r\n\r\n")
+            while True:
+                await stream.send_all(b".")
+                await trio.sleep(LIMIT_S / 10)
+        elif self.fault == "sends its answer byte by byte":
+            for byte in CONTINUE + WHOLE:
+                await stream.send_all(bytes([byte]))
+                await trio.lowlevel.checkpoint()
+        else:
+            await stream.send_all(ANSWERS[self.fault])
+        if self.fault == "closes at its second request":
+            data = await stream.receive_some(65536)
+            self.requests += bool(data)
+
+
+def run(context, scenario, *, clock=None):
+    """Run posts against the backend; keep the last response or error."""
+
+    async def main():
+        listeners = await trio.open_tcp_listeners(0, host=HOST)
+        port = listeners[0].socket.getsockname()[1]
+        if context.backend.fault == "refuses connections":
+            await listeners[0].aclose()
+        client = HttpClient(host=HOST, port=port, max_connections=1)
+        async with trio.open_nursery() as nursery:
+            if context.backend.fault != "refuses connections":
+                nursery.start_soon(
+                    trio.serve_listeners, context.backend.serve, listeners
+                )
+            await scenario(client)
+            await client.aclose()
+            nursery.cancel_scope.cancel()
+
+    context.response = context.error = None
+    trio.run(main, clock=clock)
+
+
+async def post(context, client):
+    context.response = context.error = None
+    try:
+        context.response = await client.exchange(
+            "POST", "/", body=b"task", time_limit_s=LIMIT_S
+        )
+    except ExchangeError as error:
+        context.error = error
+
+
+@given("a backend server that {fault}")
+def faulty_backend(context, fault):
+    context.backend = FaultyBackend(fault)
+
+
+@when("a task is posted to it")
+def post_once(context):
+    run(context, lambda client: post(context, client))
+
+
+@when("a task is posted to it twice")
+def post_twice(context):
+    async def scenario(client):
+        await post(context, client)
+        assert context.response
+        await trio.sleep(0.05)
+        await post(context, client)
+
+    run(context, scenario)
+
+
+@when("a task is posted to it, and again much later")
+def post_later(context):
+    async def scenario(client):
+        await post(context, client)
+        assert context.response
+        await trio.sleep(MAX_IDLE_S * 1.1)
+        await post(context, client)
+
+    run(context, scenario, clock=MockClock(rate=20))
+
+
+@when("two tasks are posted over its only connection")
+def post_both(context):
+    async def scenario(client):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(post, context, client)
+            await trio.sleep(0.01)
+            with trio.fail_after(LIMIT_S):
+                try:
+                    await client.exchange(
+                        "POST", "/", body=b"task", time_limit_s=LIMIT_S / 4
+                    )
+                except ExchangeError as error:
+                    context.second_error = error
+
+    run(context, scenario)
+
+
+@then("the exchange fails as {verdict}")
+def check_verdict(context, verdict):
+    assert context.error is not None, context.response
+    assert context.error.verdict.value == verdict, context.error
+
+
+@then("the second exchange fails as {verdict}")
+def check_second(context, verdict):
+    assert context.second_error.verdict.value == verdict
+
+
+@then("the backend server saw at most one request")
+def check_requests(context):
+    assert context.backend.requests <= 1
+
+
+@then("the backend server saw one request more")
+def check_one_more(context):
+    assert context.backend.requests == 2, context.backend.requests
+
+
+@then("the backend server saw two connections")
+def check_connections(context):
+    assert context.backend.connections == 2
+
+
+@then("the response is whole")
+def check_whole_response(context):
+    assert context.response is not None, context.error
+    assert context.response.status == 200
+    assert context.response.body == b"done"
--- a/tests/features/steps/door_steps.py
+++ b/tests/features/steps/door_steps.py
@@ -335,6 +335,13 @@
     assert eventually(answer, 10)["results"] == [{"echo": "x"}]
 
 
+@when("a job's kind holds line breaks and other scripts")
+def send_odd_kind(context):
+    task = {"payload": {"echo": "x"}, "kind": "a\r\nb: \u0436"}
+    context.connection = connect(context.http_port)
+    context.connection.sendall(put(json.dumps({"tasks": [task]}).encode()))
+
+
 @when("a caller half-closes its connection after its job")
 def half_close(context):
     context.connection = start_long_job(context)
