--- a/egretcart/process/agent_process.py
+++ b/egretcart/process/agent_process.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 import json
 import sys
+import urllib.parse
 
 import trio
 
@@ -34,12 +35,14 @@
 from egretcart.process.logs import NullLog
 from egretcart.process.metrics import Metrics
 from egretcart.process.metrics import ProcessMetrics
+from egretcart.process.planned_stop import poll_until
 from egretcart.process.settings import AgentSettings
 from egretcart.request.identity import JobId
 from egretcart.request.verdict import Verdict
 
 TICK_S = 0.1
 REDIAL_S = 0.1
+FLUSH_LIMIT_S = 1.0
 SUCCESS_STATUSES = range(200, 300)
 MS_PER_S = 1000
 
@@ -64,6 +67,7 @@
         log: EventLog | None = None,
     ) -> None:
         self.settings = settings
+        self.stop_limit_s = settings.stop_limit_s
         self.clock = clock
         self.agent = Agent(
             identity=AgentIdentity(
@@ -105,6 +109,25 @@
             nursery.start_soon(self._tick)
             task_status.started()
 
+    async def stop(self) -> None:
+        """Finish what runs, take nothing new, and tell the leader."""
+        self._carry_out(self.agent.drain())
+        await poll_until(lambda: not self.exchanges)
+        await self._flush()
+
+    async def abort(self) -> None:
+        """Break off what runs and tell the leader."""
+        for scope in self.exchanges.values():
+            scope.cancel()
+        await poll_until(lambda: not self.exchanges)
+        await self._flush()
+
+    async def _flush(self) -> None:
+        with trio.move_on_after(FLUSH_LIMIT_S):
+            await poll_until(
+                lambda: all(link.is_flushed for link in self.links.values())
+            )
+
     async def announce(self) -> None:
         """Print that the process runs."""
         ready = {
@@ -157,6 +180,7 @@
             nonlocal entry_id
             if isinstance(message, EntryHello):
                 entry_id = message.address.entry_id
+                link.introduce()
                 former = self.links.get(entry_id)
                 if former is not None:
                     former.close()
@@ -217,7 +241,7 @@
         headers = (
             ("Idempotency-Key", f"{job_id}/{start.task}"),
             ("Egretcart-Time-Left-Ms", str(int(time_limit_s * MS_PER_S))),
-            ("Egretcart-Kind", start.kind),
+            ("Egretcart-Kind", urllib.parse.quote(start.kind)),
         )
         try:
             response = await self.client.exchange(
--- a/egretcart/process/cli.py
+++ b/egretcart/process/cli.py
@@ -20,6 +20,7 @@
 from egretcart.process.logs import log_to_stderr
 from egretcart.process.operator_commands import OPERATOR_COMMANDS
 from egretcart.process.operator_commands import run_operator_command
+from egretcart.process.planned_stop import stop_on_signal
 from egretcart.process.settings import AgentSettings
 from egretcart.process.settings import BackendStandInSettings
 from egretcart.process.settings import EntrySettings
@@ -149,6 +150,7 @@
     )
     async with trio.open_nursery() as nursery:
         await nursery.start(process.run)
+        nursery.start_soon(stop_on_signal, process, nursery.cancel_scope)
         await process.announce()
 
 
@@ -161,6 +163,7 @@
     )
     async with trio.open_nursery() as nursery:
         await nursery.start(process.run)
+        nursery.start_soon(stop_on_signal, process, nursery.cancel_scope)
         await process.announce()
 
 
