--- a/egretcart/version/difference.py
+++ b/egretcart/version/difference.py
@@ -70,15 +70,15 @@
 
 
 def _compare(path: str, before: Any, after: Any) -> Iterable[Difference]:
-    before, after = _by_name(before), _by_name(after)
-    if before == after:
+    old, new = _by_name(before), _by_name(after)
+    if old == new:
         return
-    if not (isinstance(before, dict) and isinstance(after, dict)):
+    if not (isinstance(old, dict) and isinstance(new, dict)):
         yield Difference(path=path, before=before, after=after)
         return
-    for key in sorted(before.keys() | after.keys()):
+    for key in sorted(old.keys() | new.keys()):
         below = _join(path, key)
-        yield from _compare(below, before.get(key), after.get(key))
+        yield from _compare(below, old.get(key), new.get(key))
 
 
 def _join(path: str, key: str) -> str:
