Find entries without seeds and prove dissemination in processes

Why: processes without seeds could not find each other, and dead addresses were dialled for ever.

An agent whose settings name the platform asks it for entries while it is connected to none, with back-off, and never otherwise. Addresses that are gone for 30 s are forgotten unless they are seeds.

--- a/egretcart/process/agent_process.py
+++ b/egretcart/process/agent_process.py
@@ -1,7 +1,9 @@
 """The agent's process: moves bytes for `Agent`."""
 
 from collections.abc import Iterable
+import contextlib
 import json
+import random
 import sys
 
 import trio
@@ -26,6 +28,10 @@
 from egretcart.process.agent import SendToEntry
 from egretcart.process.agent import TaskKey
 from egretcart.process.clock import Clock
+from egretcart.process.platform import EtcdPlatform
+from egretcart.process.platform import PlatformError
+from egretcart.process.registration import list_entries
+from egretcart.process.settings import Address
 from egretcart.process.settings import AgentSettings
 from egretcart.request.identity import JobId
 from egretcart.request.verdict import Verdict
@@ -34,6 +40,11 @@
 REDIAL_S = 0.1
 SUCCESS_STATUSES = range(200, 300)
 MS_PER_S = 1000
+# An entry that has been gone for so long is dialled no more, unless it is
+# a seed or someone names it again.
+FORGET_S = 30.0
+FIND_ENTRIES_S = 1.0
+MAX_FIND_ENTRIES_S = 15.0
 
 
 class AgentProcess:
@@ -81,6 +92,8 @@
             self.nursery = nursery
             for seed in self.settings.seeds:
                 self._ensure_dialled(seed.host, seed.port)
+            if self.settings.platform is not None:
+                nursery.start_soon(self._find_entries, self.settings.platform)
             nursery.start_soon(self._tick)
             task_status.started()
 
@@ -94,14 +107,34 @@
             self.targets.add((host, port))
             self.nursery.start_soon(self._dial, host, port)
 
+    async def _find_entries(self, address: Address) -> None:
+        """Ask the platform's store for entries while none is connected."""
+        platform = EtcdPlatform(host=address.host, port=address.port)
+        pause_s = FIND_ENTRIES_S
+        while True:
+            if self.links:
+                pause_s = FIND_ENTRIES_S
+            else:
+                with contextlib.suppress(PlatformError):
+                    self._learn_entries(await list_entries(platform))
+                pause_s = min(MAX_FIND_ENTRIES_S, pause_s * 2)
+            await trio.sleep(pause_s * random.uniform(0.5, 1.0))
+
     async def _dial(self, host: str, port: int) -> None:
-        while (host, port) in self.targets:
+        seeds = {(seed.host, seed.port) for seed in self.settings.seeds}
+        heard_at = self.clock.monotonic()
+        while True:
             try:
                 stream = await trio.open_tcp_stream(host, port)
             except OSError:
+                gone_s = self.clock.monotonic() - heard_at
+                if gone_s > FORGET_S and (host, port) not in seeds:
+                    self.targets.discard((host, port))
+                    return
                 await trio.sleep(REDIAL_S)
                 continue
             await self._converse(stream)
+            heard_at = self.clock.monotonic()
             await trio.sleep(REDIAL_S)
 
     async def _converse(self, stream: trio.SocketStream) -> None:
--- a/egretcart/process/operator_client.py
+++ b/egretcart/process/operator_client.py
@@ -139,20 +139,18 @@
 
         An entry that breaks off is asked again under the same change id.
         """
-        outcome: Ended = NotReached(reason="no time")
-        unsettled = True
+        outcome: Ended = Undecided(
+            change_id=change.change_id,
+            reason=f"no answer in {time_limit_s:.1f} s",
+        )
         with trio.move_on_after(time_limit_s):
             while True:
-                unsettled = True
                 outcome = await self._post(change)
-                if not isinstance(outcome, NotReached | Undecided):
+                if not isinstance(outcome, Undecided):
                     return outcome
-                unsettled = change.resumed or isinstance(outcome, Undecided)
-                change = msgspec.structs.replace(change, resumed=unsettled)
+                change = msgspec.structs.replace(change, resumed=True)
                 await trio.sleep(RETRY_PAUSE_S)
-        if not unsettled or not isinstance(outcome, NotReached | Undecided):
-            return outcome
-        return Undecided(change_id=change.change_id, reason=outcome.reason)
+        return outcome
 
     async def read_processes(self) -> ProcessesReport:
         """Return what the entry knows of all processes."""
@@ -175,7 +173,7 @@
                 APPLY_LIMIT_S * 2,
             )
         except PlatformError as error:
-            if error.verdict is Verdict.NOT_RUN:
+            if error.verdict is Verdict.NOT_RUN and not change.resumed:
                 return NotReached(reason=str(error))
             return Undecided(change_id=change.change_id, reason=str(error))
         return outcome
--- a/egretcart/process/settings.py
+++ b/egretcart/process/settings.py
@@ -82,6 +82,8 @@
         Path that tasks are posted to.
     seeds : tuple of Address
         Peer addresses of entries.
+    platform : Address or None
+        The platform's store; only asked for entries while none is known.
     """
 
     agent_id: Text
@@ -91,7 +93,13 @@
     connections: Positive
     backend: Address
     backend_path: Text = "/"
-    seeds: Annotated[tuple[Address, ...], msgspec.Meta(min_length=1)]
+    seeds: tuple[Address, ...] = ()
+    platform: Address | None = None
+
+    def __post_init__(self) -> None:
+        """Refuse settings without any way to find an entry."""
+        if not self.seeds and self.platform is None:
+            raise ValueError("Expected `seeds`, `platform` or both")
 
 
 class PlatformStandInSettings(SettingsBase, frozen=True, kw_only=True):
--- /dev/null
+++ b/tests/features/steps/configuration_steps.py
@@ -0,0 +1,375 @@
+from concurrent.futures import ThreadPoolExecutor
+import json
+import pathlib
+import random
+import signal
+import subprocess
+import sys
+import time
+
+from behave import given
+from behave import then
+from behave import when
+from platform_steps import HOST
+from platform_steps import running
+from processes import Deployment
+from processes import eventually
+from processes import request
+from processes import ROOT
+import trio
+
+from egretcart.connection.messages import EntryAddress
+from egretcart.process.config_store import apply_change
+from egretcart.process.config_store import PlatformConfigStore
+from egretcart.process.platform import EtcdPlatform
+from egretcart.process.registration import list_entries
+from egretcart.process.registration import Registrar
+from egretcart.request.identity import new_job_id
+from egretcart.version.change import Accepted
+from egretcart.version.change import NOTHING_STORED
+from egretcart.version.change import ProposedChange
+from egretcart.version.document import Configuration
+from egretcart.version.document import Service
+
+COMMAND_LIMIT_S = 60
+RACERS = 40
+
+
+class ConfiguredDeployment(Deployment):
+    """A deployment whose platform keeps its data, with the commands."""
+
+    def start(self, name, role, settings):
+        if name == "platform":
+            kept = pathlib.Path(self.folder.name) / "platform-data.json"
+            settings = {**settings, "file": str(kept)}
+        return super().start(name, role, settings)
+
+    def restart_platform(self):
+        port = self.platform.ready["port"]
+        address = {"host": HOST, "port": port}
+        self.platform = self.start(
+            "platform", ["standin", "platform"], {"listen": address}
+        )
+
+    def command(self, *arguments, entry=None):
+        """Return exit code and output of a command."""
+        where = ["--platform", f"{HOST}:{self.platform.ready['port']}"]
+        if entry is not None:
+            where = ["--entry", f"{HOST}:{entry.ready['http_port']}"]
+        done = subprocess.run(
+            [sys.executable, "-m", "egretcart", *arguments, *where],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            timeout=COMMAND_LIMIT_S,
+            check=False,
+        )
+        return done.returncode, done.stdout + done.stderr
+
+    def write_file(self, **changes):
+        """Write the document in force with changes; return its path."""
+        entry = self.entries[0].ready["http_port"]
+        current = request(entry, "GET", "/v1/configuration")[2]
+        path = pathlib.Path(self.folder.name) / "configuration.json"
+        path.write_text(json.dumps({**current["document"], **changes}))
+        return str(path)
+
+    def apply_file(self, *options, entry=None, **changes):
+        path = self.write_file(**changes)
+        options = ("--reason", "test", "--yes", *options)
+        return self.command("apply", path, *options, entry=entry)
+
+    def versions(self):
+        """Return the version of every live process."""
+        found = {}
+        for entry in self.entries:
+            if entry.process.poll() is not None:
+                continue
+            port = entry.ready["http_port"]
+            report = request(port, "GET", "/v1/processes")[2]
+            found[entry.name] = report["entry"]["config_version"]
+            for agent in report["agents"]:
+                if agent["is_led"]:
+                    found[agent["agent_id"]] = agent["config_version"]
+        return found
+
+    def wait_for_version(self, version):
+        processes = len(self.entries) + len(self.agents)
+
+        def reached():
+            found = self.versions()
+            return len(found) == processes and set(found.values()) == {version}
+
+        eventually(reached)
+
+
+def racing_change(number, base):
+    return ProposedChange(
+        change_id=f"change-{number}",
+        base=base,
+        document=Configuration(
+            services=(Service(name="snapcheck"),), max_tasks_per_job=number
+        ),
+        who="x",
+        why="y",
+        when="z",
+    )
+
+
+@when("200 applies race while every tenth answer is lost")
+def race(context):
+    async def operator(port, numbers, outcomes):
+        platform = EtcdPlatform(host=HOST, port=port)
+        store = PlatformConfigStore(platform=platform)
+        for number in numbers:
+            current = await store.read_current() or NOTHING_STORED
+            change = racing_change(number, current.document.version)
+            outcomes[change.change_id] = await apply_change(
+                store, change, time_limit_s=COMMAND_LIMIT_S
+            )
+
+    async def lose_answers(standin):
+        source = random.Random(1)
+        while True:
+            await trio.sleep(0.01)
+            standin.faults.lost_replies = int(source.random() < 0.1)
+
+    async def run():
+        context.outcomes = {}
+        async with running() as (standin, platform):
+            async with trio.open_nursery() as faults:
+                faults.start_soon(lose_answers, standin)
+                async with trio.open_nursery() as operators:
+                    for first in range(1, RACERS + 1):
+                        operators.start_soon(
+                            operator,
+                            standin.port,
+                            range(first, 201, RACERS),
+                            context.outcomes,
+                        )
+                faults.cancel_scope.cancel()
+            standin.faults.lost_replies = 0
+            store = PlatformConfigStore(platform=platform)
+            context.current = await store.read_current()
+            context.history = await store.read_history(0)
+
+    trio.run(run)
+
+
+@then("the history is one line without a gap of just the accepted ones")
+def check_history(context):
+    assert len(context.outcomes) == 200
+    accepted = {
+        outcome.version: change_id
+        for change_id, outcome in context.outcomes.items()
+        if isinstance(outcome, Accepted)
+    }
+    recorded = {e.version: e.change_id for e in context.history}
+    assert recorded == accepted
+    assert sorted(recorded) == list(range(1, len(recorded) + 1))
+    assert all(entry.base == entry.version - 1 for entry in context.history)
+    assert context.current.document == context.history[-1].document
+
+
+@given("a configured deployment of {entries:d} entries and {agents:d} agents")
+def configured_deployment(context, entries, agents):
+    context.deployment = ConfiguredDeployment(entries, agents)
+    context.add_cleanup(context.deployment.close)
+
+
+def answer_through_every_entry(deployment, tasks=24):
+    payloads = [{"payload": {"run_ms": 20, "echo": n}} for n in range(tasks)]
+    with ThreadPoolExecutor() as pool:
+        answers = list(
+            pool.map(
+                lambda entry: deployment.submit(entry, payloads),
+                deployment.entries,
+            )
+        )
+    for status, answer in answers:
+        assert status == 200, answer
+
+
+def starts_at(deployment, agent_id):
+    names = [agent.name for agent in deployment.agents]
+    backend = deployment.backends[names.index(agent_id)]
+    report = request(backend.ready["port"], "GET", "/starts")[2]
+    return len(report["starts"])
+
+
+@when("an agent is drained by the command")
+def drain(context):
+    deployment = context.deployment
+    status, output = deployment.command("drain", "agent-1", "--yes")
+    assert status == 0, output
+    assert "accepted: version 2" in output, output
+
+
+@then("every process names the same version")
+def check_versions(context):
+    context.deployment.wait_for_version(2)
+    status, output = context.deployment.command("status")
+    assert status == 0, output
+    assert output.count("version 2") >= 5, output
+
+
+@then("jobs start nothing at the drained agent")
+def check_drained(context):
+    deployment = context.deployment
+    before = starts_at(deployment, "agent-1")
+    answer_through_every_entry(deployment)
+    assert starts_at(deployment, "agent-1") == before
+
+
+@then("jobs start tasks there again once the drain is undone")
+def check_undrained(context):
+    deployment = context.deployment
+    entry = deployment.entries[0]
+    command = ("drain", "agent-1", "--undo", "--yes")
+    status, output = deployment.command(*command, entry=entry)
+    assert status == 0, output
+    deployment.wait_for_version(3)
+    before = starts_at(deployment, "agent-1")
+    answer_through_every_entry(deployment)
+    assert starts_at(deployment, "agent-1") > before
+
+
+@when("the platform is killed and another entry is started")
+def kill_platform(context):
+    deployment = context.deployment
+    status, output = deployment.apply_file(max_tasks_per_job=99)
+    assert status == 0, output
+    deployment.wait_for_version(2)
+    deployment.platform.kill()
+    # One seed must do: the others are learned from it.
+    seeds = deployment.peer_seeds()[:1]
+    deployment.peer_seeds = lambda: seeds
+    deployment.entries.append(deployment.start_entry("entry-late"))
+
+
+@then("the new entry serves the version in force without the platform")
+def check_late_entry(context):
+    deployment = context.deployment
+    deployment.wait_for_version(2)
+    late = deployment.entries[-1]
+    eventually(lambda: len(deployment.status(late)["peers"]) == 2)
+    eventually(lambda: len(deployment.status(late)["agents"]) == 3)
+    answer_through_every_entry(deployment)
+
+
+@then("an apply ends as not accepted with nothing written")
+def check_apply_without_platform(context):
+    deployment = context.deployment
+    late = deployment.entries[-1]
+    status, output = deployment.apply_file(max_tasks_per_job=98, entry=late)
+    assert status == 1, output
+    assert "not accepted, nothing was written" in output, output
+
+
+@then("after the platform's return the next version is in force everywhere")
+def check_return(context):
+    deployment = context.deployment
+    deployment.restart_platform()
+    status, output = deployment.apply_file(max_tasks_per_job=97)
+    assert status == 0, output
+    deployment.wait_for_version(3)
+
+
+@when("the platform is frozen during an apply")
+def freeze_platform(context):
+    deployment = context.deployment
+    context.change_id = str(new_job_id())
+    context.path = deployment.write_file(max_tasks_per_job=96)
+    deployment.platform.signal(signal.SIGSTOP)
+    options = ("--reason", "test", "--yes", "--change", context.change_id)
+    status, output = deployment.command("apply", context.path, *options)
+    assert status == 3, output
+    assert f"--base 1 --change {context.change_id}" in output, output
+
+
+@then("jobs are answered through every entry")
+def check_jobs(context):
+    answer_through_every_entry(context.deployment)
+
+
+@then("the change is settled by its id once the platform thaws")
+def settle(context):
+    deployment = context.deployment
+    deployment.platform.signal(signal.SIGCONT)
+    options = ("--reason", "test", "--yes", "--change", context.change_id)
+    status, output = deployment.command("apply", context.path, *options)
+    assert status == 0, output
+    assert "accepted: version 2" in output, output
+    deployment.wait_for_version(2)
+
+
+@then("a slow platform still accepts a change")
+def check_slow(context):
+    deployment = context.deployment
+    faults = json.dumps({"delay_ms": 400})
+    port = deployment.platform.ready["port"]
+    request(port, "POST", "/control/faults", faults)
+    status, output = deployment.apply_file(max_tasks_per_job=95)
+    assert status == 0, output
+    deployment.wait_for_version(3)
+
+
+@when("an entry and an agent are started without seeds")
+def start_without_seeds(context):
+    deployment = context.deployment
+    deployment.peer_seeds = list
+    deployment.entries.append(deployment.start_entry("entry-new"))
+    original = deployment.start
+
+    def start(name, role, settings):
+        if role == ["agent"]:
+            address = {"host": HOST, "port": deployment.platform.ready["port"]}
+            settings = {**settings, "platform": address}
+        return original(name, role, settings)
+
+    deployment.start = start
+    deployment.add_agent("agent-new")
+
+
+@then("every entry knows the newcomers")
+def check_newcomers(context):
+    deployment = context.deployment
+
+    def known():
+        found = [deployment.status(entry) for entry in deployment.entries]
+        return all(
+            len(status["peers"]) == 2 and "agent-new" in status["agents"]
+            for status in found
+        )
+
+    eventually(known)
+
+
+@when("a registered entry sleeps until its lease has lapsed")
+def sleep_past_lease(context):
+    async def run():
+        address = EntryAddress(entry_id="entry-a", host=HOST, port=1)
+        async with running() as (standin, platform):
+            registrar = Registrar(
+                platform=platform, address=address, source=random.Random(1)
+            )
+            await registrar.renew()
+            context.before = await list_entries(platform)
+            standin.store.lapse(time.monotonic() + 10**6)
+            context.asleep = await list_entries(platform)
+            await registrar.renew()
+            context.awake = await list_entries(platform)
+            await registrar.renew()
+            await registrar.leave()
+            context.left = await list_entries(platform)
+            context.address = address
+
+    trio.run(run)
+
+
+@then("the entry is found again after it wakes")
+def check_woken(context):
+    assert context.before == (context.address,)
+    assert context.asleep == ()
+    assert context.awake == (context.address,)
+    assert context.left == ()
