--- a/egretcart/process/entry_process.py
+++ b/egretcart/process/entry_process.py
@@ -77,7 +77,7 @@
         self.limits = limits
         self.leader_limits = leader_limits
         self.clock = clock
-        self.platform: Platform | None = None
+        self.platform: EtcdPlatform | None = None
         if settings.platform is not None:
             self.platform = EtcdPlatform(
                 host=settings.platform.host, port=settings.platform.port
@@ -129,7 +129,11 @@
         self.api = CallerApi(
             entry=self.entry,
             carry_out=self.carry_out,
-            operators=OperatorApi(entry=self.entry, platform=self.platform),
+            operators=OperatorApi(
+                entry=self.entry,
+                platform=self.platform,
+                guard=self.platform.guard if self.platform else None,
+            ),
         )
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
--- a/egretcart/process/operator_api.py
+++ b/egretcart/process/operator_api.py
@@ -15,6 +15,7 @@
 from egretcart.process.entry import Entry
 from egretcart.process.platform import Platform
 from egretcart.process.platform import PlatformError
+from egretcart.process.platform_guard import CallGuard
 from egretcart.process.reports import report_processes
 from egretcart.request.problem import bad_request
 from egretcart.request.problem import unavailable
@@ -39,10 +40,19 @@
     ----------
     entry : Entry
     platform : Platform or None
+    guard : CallGuard, optional
+        Of the platform's client, for the report.
     """
 
-    def __init__(self, *, entry: Entry, platform: Platform | None) -> None:
+    def __init__(
+        self,
+        *,
+        entry: Entry,
+        platform: Platform | None,
+        guard: CallGuard | None = None,
+    ) -> None:
         self.entry = entry
+        self.guard = guard
         self.store: PlatformConfigStore | None = None
         if platform is not None:
             self.store = PlatformConfigStore(platform=platform)
@@ -55,7 +65,7 @@
         """Answer one HTTP request."""
         path = urlsplit(request.path).path
         if request.method == "GET" and path == PROCESSES_PATH:
-            return _json(report_processes(self.entry))
+            return _json(report_processes(self.entry, self.guard))
         if request.method == "GET" and path == CONFIGURATION_PATH:
             return await self._current()
         try:
--- a/egretcart/process/reports.py
+++ b/egretcart/process/reports.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from egretcart.process.entry import Entry
+from egretcart.process.platform_guard import CallGuard
 
 
 class CellReport(msgspec.Struct, frozen=True, kw_only=True):
@@ -59,17 +60,29 @@
     is_led: bool = False
 
 
+class PlatformReport(msgspec.Struct, frozen=True, kw_only=True):
+    """An entry's calls to the platform's store since its start."""
+
+    circuit: str
+    calls: int
+    failures: int
+    retries: int
+    refused: int
+
+
 class ProcessesReport(msgspec.Struct, frozen=True, kw_only=True):
     """All processes that an entry knows."""
 
     entry: EntryReport
     peers: tuple[PeerReport, ...]
     agents: tuple[AgentReport, ...]
+    platform: PlatformReport | None = None
 
 
-def report_processes(entry: Entry) -> ProcessesReport:
-    """Return what an entry knows of all processes."""
+def report_processes(entry: Entry, guard: CallGuard | None) -> ProcessesReport:
+    """Return what an entry knows of all processes and of the store."""
     return ProcessesReport(
+        platform=_report_platform(guard) if guard is not None else None,
         entry=_report_entry(entry),
         peers=tuple(
             PeerReport(
@@ -86,6 +99,16 @@
     )
 
 
+def _report_platform(guard: CallGuard) -> PlatformReport:
+    return PlatformReport(
+        circuit=guard.circuit.value,
+        calls=guard.calls,
+        failures=guard.failures,
+        retries=guard.retries,
+        refused=guard.refused,
+    )
+
+
 def _report_entry(entry: Entry) -> EntryReport:
     cells = tuple(
         CellReport(
--- a/egretcart/process/status_command.py
+++ b/egretcart/process/status_command.py
@@ -7,7 +7,7 @@
 from egretcart.process.operator_client import Overview
 from egretcart.process.platform import PlatformError
 from egretcart.process.reports import AgentReport
-from egretcart.process.reports import EntryReport
+from egretcart.process.reports import ProcessesReport
 
 EXIT_OK = 0
 EXIT_FAILED = 1
@@ -50,10 +50,10 @@
     newest = max([stored, *(entry.config_version for entry in entries)])
     lines = [f"version {newest} is the newest known"]
     lagging = 0
-    for entry in entries:
-        lag = _lag(entry.config_version, newest)
+    for report in overview.reports:
+        lag = _lag(report.entry.config_version, newest)
         lagging += bool(lag)
-        lines.append(_entry_line(entry) + lag)
+        lines.append(_entry_line(report) + lag)
     for agent in agents:
         lag = _lag(agent.config_version, newest) if agent.is_led else ""
         lagging += bool(lag)
@@ -79,15 +79,19 @@
     return f"  LAGS BY {newest - version}" if version < newest else ""
 
 
-def _entry_line(entry: EntryReport) -> str:
+def _entry_line(report: ProcessesReport) -> str:
+    entry = report.entry
     cells = "".join(
         f"  leads {cell.service}/{cell.cell} term {cell.term} "
         f"{cell.phase} {cell.jobs} jobs"
         for cell in entry.cells
     )
     leaving = "  leaving" if entry.leaving else ""
-    version = entry.config_version
-    return f"entry {entry.entry_id}  version {version}{leaving}{cells}"
+    circuit = report.platform.circuit if report.platform else "none"
+    return (
+        f"entry {entry.entry_id}  version {entry.config_version}  "
+        f"circuit {circuit}{leaving}{cells}"
+    )
 
 
 def _agent_line(agent: AgentReport) -> str:
--- /dev/null
+++ b/tools/measure_configuration.py
@@ -0,0 +1,247 @@
+"""Measures how soon a configuration version is in force everywhere.
+
+Starts a platform stand-in, entries and agents as separate processes on
+loopback, applies versions one after another and asks the entries which
+version each process has. Then counts the calls to the platform at rest.
+"""
+
+import json
+import pathlib
+import subprocess
+import sys
+import tempfile
+from typing import Any
+import uuid
+
+import docopt
+import trio
+
+from egretcart.connection.http_client import HttpClient
+from egretcart.process.config_store import apply_change
+from egretcart.process.config_store import PlatformConfigStore
+from egretcart.process.operator_client import EntryClient
+from egretcart.process.platform import EtcdPlatform
+from egretcart.process.platform_guard import PlatformLimits
+from egretcart.process.settings import Address
+from egretcart.version.change import Accepted
+from egretcart.version.change import ProposedChange
+from egretcart.version.document import Configuration
+from egretcart.version.document import Service
+
+USAGE = """Measure the configuration's way.
+
+Usage:
+  measure_configuration.py [--entries=N] [--agents=N] [--versions=N]
+                           [--rest=SECONDS]
+
+Options:
+  --entries=N      [default: 3]
+  --agents=N       [default: 33]
+  --versions=N     [default: 100]
+  --rest=SECONDS   Time at rest in which calls are counted [default: 75].
+"""
+
+HOST = "127.0.0.1"
+SERVICE = "snapcheck"
+START_LIMIT_S = 60.0
+VERSION_LIMIT_S = 10.0
+POLL_S = 0.01
+PAUSE_S = 0.1
+MS_PER_S = 1000
+
+
+class Fleet:
+    """The processes of the measurement."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.folder = folder
+        self.processes: list[subprocess.Popen[str]] = []
+
+    def start(
+        self, name: str, role: list[str], settings: dict[str, Any]
+    ) -> dict[str, Any]:
+        """Start a process and return what it announces."""
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(settings))
+        process = subprocess.Popen(
+            [sys.executable, "-m", "egretcart", *role, str(path)],
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        self.processes.append(process)
+        assert process.stdout is not None
+        announced: dict[str, Any] = json.loads(process.stdout.readline())
+        return announced
+
+    def stop(self) -> None:
+        """End all processes that were started."""
+        for process in self.processes:
+            process.kill()
+            process.wait()
+
+
+def start_fleet(
+    fleet: Fleet, entry_count: int, agent_count: int
+) -> tuple[int, list[Address]]:
+    """Start all; return the platform's port and the entries' addresses."""
+    local = {"host": HOST, "port": 0}
+    platform = fleet.start(
+        "platform", ["standin", "platform"], {"listen": local}
+    )
+    backend = fleet.start("backend", ["standin", "backend"], {"listen": local})
+    store = {"host": HOST, "port": platform["port"]}
+    seeds: list[dict[str, Any]] = []
+    addresses: list[Address] = []
+    for number in range(entry_count):
+        entry = fleet.start(
+            f"entry-{number}",
+            ["entry"],
+            {
+                "entry_id": f"entry-{number}",
+                "failure_domain": "kl-putra",
+                "http": local,
+                "peer": local,
+                "seeds": seeds,
+                "platform": store,
+            },
+        )
+        seeds = [*seeds, {"host": HOST, "port": entry["peer_port"]}]
+        addresses.append(Address(host=HOST, port=entry["http_port"]))
+    for number in range(agent_count):
+        fleet.start(
+            f"agent-{number}",
+            ["agent"],
+            {
+                "agent_id": f"agent-{number}",
+                "failure_domain": "kl-putra",
+                "service": SERVICE,
+                "slots": 8,
+                "connections": 64,
+                "backend": {"host": HOST, "port": backend["port"]},
+                "seeds": seeds,
+            },
+        )
+    return platform["port"], addresses
+
+
+async def read_versions(clients: list[EntryClient]) -> dict[str, int]:
+    """Return each process's version."""
+    found: dict[str, int] = {}
+    for client in clients:
+        report = await client.read_processes()
+        found[report.entry.entry_id] = report.entry.config_version
+        for agent in report.agents:
+            if agent.is_led:
+                found[agent.agent_id] = agent.config_version
+    return found
+
+
+async def apply_version(
+    store: PlatformConfigStore, base: int, task_limit: int
+) -> float:
+    """Apply a version; return when it was accepted."""
+    change = ProposedChange(
+        change_id=str(uuid.uuid4()),
+        base=base,
+        document=Configuration(
+            services=(Service(name=SERVICE),), max_tasks_per_job=task_limit
+        ),
+        who="measurement",
+        why="measurement",
+        when="",
+    )
+    outcome = await apply_change(store, change, time_limit_s=VERSION_LIMIT_S)
+    assert isinstance(outcome, Accepted), outcome
+    return trio.current_time()
+
+
+async def time_version(
+    clients: list[EntryClient], version: int, since: float, processes: int
+) -> list[float]:
+    """Return the times until each process was seen to have a version."""
+    seen: dict[str, float] = {}
+    with trio.fail_after(START_LIMIT_S):
+        while len(seen) < processes:
+            found = await read_versions(clients)
+            now = trio.current_time()
+            for name, reported in found.items():
+                if reported >= version:
+                    seen.setdefault(name, now - since)
+            await trio.sleep(POLL_S)
+    return list(seen.values())
+
+
+def quantile(values: list[float], share: float) -> float:
+    """Return the smallest value that a share of all do not exceed."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+async def count_calls(port: int, seconds: float) -> dict[str, float]:
+    """Return the calls a second that the platform served, by path."""
+    client = HttpClient(host=HOST, port=port, max_connections=1)
+
+    async def read() -> dict[str, int]:
+        answer = await client.exchange("GET", "/control/calls", time_limit_s=5)
+        counts: dict[str, int] = json.loads(answer.body)["by_path"]
+        return counts
+
+    before = await read()
+    await trio.sleep(seconds)
+    after = await read()
+    return {
+        path: (count - before.get(path, 0)) / seconds
+        for path, count in after.items()
+        if count > before.get(path, 0)
+    }
+
+
+async def measure(
+    port: int, addresses: list[Address], options: dict[str, Any]
+) -> None:
+    """Apply versions, then rest; print the figures."""
+    processes = len(addresses) + int(options["--agents"])
+    clients = [EntryClient(address=address) for address in addresses]
+    # The tool itself must not be held back by the client's cap.
+    limits = PlatformLimits(calls_per_s=1000.0, burst=1000.0)
+    platform = EtcdPlatform(host=HOST, port=port, limits=limits)
+    store = PlatformConfigStore(platform=platform)
+    accepted = await apply_version(store, 0, 1)
+    await time_version(clients, 1, accepted, processes)
+    each: list[float] = []
+    slowest: list[float] = []
+    for version in range(2, int(options["--versions"]) + 2):
+        accepted = await apply_version(store, version - 1, version)
+        times = await time_version(clients, version, accepted, processes)
+        each += times
+        slowest.append(max(times))
+        await trio.sleep(PAUSE_S)
+    print(f"{processes} processes, {len(slowest)} versions")
+    for name, values in (("each process", each), ("the last one", slowest)):
+        figures = "  ".join(
+            f"p{share * 100:.0f} {quantile(values, share) * MS_PER_S:.0f} ms"
+            for share in (0.5, 0.99)
+        )
+        print(f"{name}: {figures}  max {max(values) * MS_PER_S:.0f} ms")
+    rates = await count_calls(port, float(options["--rest"]))
+    print(f"calls at rest: {sum(rates.values()):.2f} a second in all")
+    for path, rate in sorted(rates.items()):
+        print(f"  {path}: {rate:.3f} a second")
+
+
+def main() -> None:
+    """Run the measurement."""
+    options = docopt.docopt(USAGE)
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = Fleet(pathlib.Path(folder))
+        try:
+            port, addresses = start_fleet(
+                fleet, int(options["--entries"]), int(options["--agents"])
+            )
+            trio.run(measure, port, addresses, options)
+        finally:
+            fleet.stop()
+
+
+if __name__ == "__main__":
+    main()
