Survey the agents at most ten times a second

Cause: every placement looked at every agent's health, pattern and speed. The survey now keeps each agent's limit for 0.1 s, or until the health of one changes; leases, draining and free slots are still read each time. Ruled out: one heap kept over batches, as leases and drains change under it.

--- a/egretcart/process/fleet.py
+++ b/egretcart/process/fleet.py
@@ -1,6 +1,6 @@
 """The agents of a cell as the policy sees them."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable
 from collections.abc import Set
 
 from egretcart.process.policy.admission import Capacity
@@ -28,6 +28,8 @@
     ----------
     capacity : Capacity
         What the agents can do, as of the last survey.
+    surveyed : list of Candidate
+        Agents that may be used, as of the last survey.
     mean_ms : float
         Mean expected run time of the tasks started.
     """
@@ -36,7 +38,9 @@
         self.loads = loads
         self.policy = policy
         self.capacity = Capacity(slots=0, rate=0.0, least_slowness=1.0)
+        self.surveyed: list[Candidate] = []
         self.next_survey = float("-inf")
+        self.health_changes = 0
         self.mean_ms = FIRST_MEAN_RUN_TIME_MS
 
     def task_started(self, expected_ms: float) -> None:
@@ -45,21 +49,36 @@
 
     def agents_changed(self) -> None:
         """Take in that agents have come or gone."""
-        slots = sum(load.slots for load in self.loads.values())
-        self.policy.resize(slots)
+        self.policy.resize(sum(load.slots for load in self.loads.values()))
+        self.invalidate()
+
+    def invalidate(self) -> None:
+        """Survey the agents anew before the next decision."""
         self.next_survey = float("-inf")
 
     def survey(self, now: float) -> None:
         """Take in what the agents can do, if it is time to."""
-        if now < self.next_survey:
+        changes = self.policy.health.changes
+        if now < self.next_survey and changes == self.health_changes:
             return
         self.next_survey = now + SURVEY_INTERVAL_S
+        self.health_changes = changes
         candidates = [
             self._candidate(load, now)
             for load in self.loads.values()
             if not load.draining and self.policy.tables.allows(load.agent_id)
         ]
-        self.policy.placement.survey(candidates, mean_ms=self.mean_ms)
+        self.surveyed = self.policy.placement.survey(
+            candidates, mean_ms=self.mean_ms
+        )
+        self.capacity = self._sum_capacity(candidates)
+
+    def _candidate(self, load: AgentLoad, now: float) -> Candidate:
+        most = load.slots + load.queue_depth
+        limit = self.policy.health.limit(load.agent_id, most, now=now)
+        return Candidate(load=load, limit=limit)
+
+    def _sum_capacity(self, candidates: Iterable[Candidate]) -> Capacity:
         slots = 0
         rate = 0.0
         fastest = float("inf")
@@ -71,27 +90,21 @@
             slots += usable
             rate += usable / slowness
             fastest = min(fastest, slowness)
-        self.capacity = Capacity(
+        return Capacity(
             slots=slots,
             rate=rate,
             least_slowness=fastest if slots else 1.0,
         )
 
-    def _candidate(self, load: AgentLoad, now: float) -> Candidate:
-        most = load.slots + load.queue_depth
-        limit = self.policy.health.limit(load.agent_id, most, now=now)
-        return Candidate(load=load, limit=limit)
-
-    def candidates(self, usable: Set[str], now: float) -> Iterator[Candidate]:
-        """Yield the agents that may have room."""
-        for agent_id, load in self.loads.items():
-            if load.free <= 0 or load.draining or agent_id not in usable:
-                continue
-            if not self.policy.tables.allows(agent_id):
-                continue
-            candidate = self._candidate(load, now)
-            if candidate.limit > 0:
-                yield candidate
+    def candidates(self, usable: Set[str]) -> list[Candidate]:
+        """Return the agents with room, of those that hold a lease."""
+        return [
+            candidate
+            for candidate in self.surveyed
+            if len(candidate.load.in_flight) < candidate.limit
+            and not candidate.load.draining
+            and candidate.load.agent_id in usable
+        ]
 
     def domains_of(self, failed_on: tuple[str, ...]) -> Set[str]:
         """Return the agents of the failure domains where a task failed."""
--- a/egretcart/process/jobs.py
+++ b/egretcart/process/jobs.py
@@ -107,6 +107,7 @@
         """Put a configuration in force for the jobs that wait."""
         slots = sum(load.slots for load in self.loads.values())
         self.policy.configure(configuration, service, slots=slots)
+        self.attempts.fleet.invalidate()
 
     # Requests.
 
--- a/egretcart/process/policy/health.py
+++ b/egretcart/process/policy/health.py
@@ -113,6 +113,10 @@
     def has_ejected(self) -> bool:
         """Whether any agent was ever ejected."""
 
+    @property
+    def changes(self) -> int:
+        """Grows whenever `limit` may return something else than before."""
+
     def configure(self, policy: EjectionPolicy) -> None:
         """Put a policy in force."""
 
@@ -159,6 +163,8 @@
         Connected agents.
     has_ejected : bool
         Whether any agent has been ejected; stays true from then on.
+    changes : int
+        Grows whenever `limit` may return something else than before.
     """
 
     def __init__(self) -> None:
@@ -166,6 +172,7 @@
         self.agents: dict[str, AgentHealth] = {}
         self.present: set[str] = set()
         self.has_ejected = False
+        self.changes = 0
 
     def configure(self, policy: EjectionPolicy) -> None:
         """Put a policy in force."""
@@ -249,6 +256,7 @@
                 self._eject(health, now)
             return False
         suspicious = health.suspicious + 1 if share < SUSPICIOUS_SHARE else 0
+        self.changes += health.suspect
         health.clear()
         health.suspicious = suspicious
         self._recover(health)
@@ -279,6 +287,7 @@
             Monotonic time in seconds.
         """
         health = self._health(agent_id)
+        self.changes += 1
         if health.is_out:
             if now >= health.probe_at:
                 self._eject(health, now)
@@ -303,6 +312,7 @@
 
     def refused(self, agent_id: str, *, now: float) -> None:
         """Take in a start that was refused as not run."""
+        self.changes += 1
         self._health(agent_id).pause(now)
 
     def ejected(self) -> set[str]:
@@ -359,6 +369,7 @@
 
     def _recover(self, health: AgentHealth) -> None:
         """Widen the use of an agent that came back."""
+        self.changes += health.state is not HealthState.HEALTHY
         if health.is_out:
             health.state = HealthState.RETURNING
             health.limit = 1
@@ -376,6 +387,7 @@
                 return
         health.state = HealthState.EJECTED
         self.has_ejected = True
+        self.changes += 1
         health.ejections += 1
         health.clear()
         health.probe_at = now + self._interval_s(health)
--- a/egretcart/process/policy/placement.py
+++ b/egretcart/process/policy/placement.py
@@ -35,19 +35,24 @@
     load: AgentLoad
     limit: int
 
+    @property
+    def has_room(self) -> bool:
+        """Whether another start may be sent."""
+        return len(self.load.in_flight) < self.limit
+
 
 class Placement(Protocol):
     """Chooses agents for one batch of tasks after the other."""
 
     def survey(
         self, candidates: Iterable[Candidate], *, mean_ms: float
-    ) -> None:
-        """Take in the speeds of all agents, now and then."""
+    ) -> list[Candidate]:
+        """Take in the agents, now and then, and set their limits."""
 
     def open_batch(
         self, candidates: Iterable[Candidate], *, now: float
     ) -> None:
-        """Begin a batch with the agents that may have room."""
+        """Begin a batch with the agents that have room."""
 
     def choose(
         self,
@@ -90,8 +95,8 @@
 
     def survey(
         self, candidates: Iterable[Candidate], *, mean_ms: float
-    ) -> None:
-        """Take in the speeds of all agents, now and then.
+    ) -> list[Candidate]:
+        """Take in the agents, now and then, and set their limits.
 
         Parameters
         ----------
@@ -99,22 +104,31 @@
             All agents that may be sent tasks, full ones included.
         mean_ms : float
             Mean run time of the tasks, in milliseconds.
+
+        Returns
+        -------
+        list of Candidate
+            The agents with the starts that they should hold at most.
         """
         self.mean_ms = mean_ms
         self.slowness.clear()
         rates: dict[float, float] = {}
+        limited: list[Candidate] = []
         for candidate in candidates:
             load = candidate.load
             slowness = self._slowness(load.agent_id)
             slots = min(candidate.limit, load.slots)
             if slots > 0:
                 rates[slowness] = rates.get(slowness, 0.0) + slots / slowness
+            limit = min(candidate.limit, load.slots + self._queue_depth(load))
+            limited.append(Candidate(load=load, limit=limit))
         self.rates = sorted(rates.items())
+        return limited
 
     def open_batch(
         self, candidates: Iterable[Candidate], *, now: float
     ) -> None:
-        """Begin a batch with the agents that may have room.
+        """Begin a batch with the agents that have room.
 
         Parameters
         ----------
@@ -123,11 +137,7 @@
             Monotonic time in seconds.
         """
         self.now = now
-        self.batch = {
-            candidate.load.agent_id: candidate
-            for candidate in candidates
-            if self._has_room(candidate)
-        }
+        self.batch = {c.load.agent_id: c for c in candidates}
         self.heap = [self._entry(c) for c in self.batch.values()]
         heapq.heapify(self.heap)
 
@@ -173,10 +183,10 @@
         candidate = self.batch[agent_id]
         if self.heap[0][2] != agent_id:
             self.heap = [e for e in self.heap if e[2] != agent_id]
-            if self._has_room(candidate):
+            if candidate.has_room:
                 self.heap.append(self._entry(candidate))
             heapq.heapify(self.heap)
-        elif self._has_room(candidate):
+        elif candidate.has_room:
             heapq.heapreplace(self.heap, self._entry(candidate))
         else:
             heapq.heappop(self.heap)
@@ -188,18 +198,11 @@
             self.slowness[agent_id] = slowness
         return slowness
 
-    def _has_room(self, candidate: Candidate) -> bool:
-        load = candidate.load
-        in_flight = len(load.in_flight)
-        if in_flight < load.slots:
-            return in_flight < candidate.limit
-        depth = min(load.queue_depth, self._queue_depth(load))
-        return in_flight < min(candidate.limit, load.slots + depth)
-
     def _queue_depth(self, load: AgentLoad) -> int:
         """Return how many slots are freed during a round trip."""
         run_ms = self.mean_ms * self._slowness(load.agent_id)
-        return round(load.slots * ROUND_TRIP_MS / run_ms)
+        freed = round(load.slots * ROUND_TRIP_MS / run_ms)
+        return min(load.queue_depth, freed)
 
     def _entry(self, candidate: Candidate) -> tuple[float, float, str]:
         """Return the heap entry: completion in mean run times, load, id."""
--- a/egretcart/process/starts.py
+++ b/egretcart/process/starts.py
@@ -90,7 +90,7 @@
         order = self.policy.order
         placement = self.policy.placement
         self.fleet.survey(now)
-        placement.open_batch(self.fleet.candidates(usable, now), now=now)
+        placement.open_batch(self.fleet.candidates(usable), now=now)
         effects: list[LeaderEffect] = []
         while (key := order.peek()) is not None:
             progress = self.table.jobs[key[0]]
--- a/egretcart/testing/naive.py
+++ b/egretcart/testing/naive.py
@@ -3,6 +3,7 @@
 from collections import deque
 from collections.abc import Iterable
 from collections.abc import Set
+import dataclasses
 import random
 
 from egretcart.process.policy.admission import Capacity
@@ -61,14 +62,18 @@
 
     def survey(
         self, candidates: Iterable[Candidate], *, mean_ms: float
-    ) -> None:
-        """Take in nothing."""
+    ) -> list[Candidate]:
+        """Return the candidates with no more than their slots."""
+        return [
+            dataclasses.replace(c, limit=min(c.limit, c.load.slots))
+            for c in candidates
+        ]
 
     def open_batch(
         self, candidates: Iterable[Candidate], *, now: float
     ) -> None:
         """Begin a batch with the agents that may have room."""
-        self.batch = [c for c in candidates if self._has_room(c)]
+        self.batch = list(candidates)
 
     def choose(
         self,
@@ -84,12 +89,7 @@
 
     def placed(self, agent_id: str) -> None:
         """Take in that the chosen agent has the task in flight."""
-        self.batch = [c for c in self.batch if self._has_room(c)]
-
-    @staticmethod
-    def _has_room(candidate: Candidate) -> bool:
-        slots = min(candidate.limit, candidate.load.slots)
-        return len(candidate.load.in_flight) < slots
+        self.batch = [c for c in self.batch if c.has_room]
 
 
 class FifoOrder:
@@ -203,6 +203,7 @@
     """Takes every agent for healthy."""
 
     has_ejected = False
+    changes = 0
 
     def configure(self, policy: EjectionPolicy) -> None:
         """Put nothing in force."""
