Never retry a task on the agent where it failed, if there is another

Such a task is now set aside for 20 ms and lets others pass. Ruled out: waiting at the head of the queue, which would block the tasks behind it.

--- a/egretcart/process/fleet.py
+++ b/egretcart/process/fleet.py
@@ -119,6 +119,16 @@
             if load.failure_domain in domains or load.agent_id in failed_on
         }
 
+    def failed_agents(self, failed_on: tuple[str, ...]) -> Set[str]:
+        """Return the agents on which a task failed, if there are others."""
+        if not failed_on:
+            return frozenset()
+        others = any(
+            candidate.limit and candidate.load.agent_id not in failed_on
+            for candidate in self.surveyed
+        )
+        return frozenset(failed_on) if others else frozenset()
+
     def probed_agents(self, job: Job, now: float) -> Set[str]:
         """Return the agents that must not be probed with a job's tasks."""
         if job.idempotent or not self.policy.health.has_ejected:
--- a/egretcart/process/policy/ordering.py
+++ b/egretcart/process/policy/ordering.py
@@ -12,7 +12,7 @@
 MAX_QUOTA_SHARE = 0.9
 # Milliseconds of remaining work, spread over the cell's slots, that a
 # millisecond of age makes up for.
-AGEING = 0.25
+AGEING = 0.1
 MS_PER_S = 1000
 # A job's rank is renewed once its remaining work has shrunk to this share.
 RERANK_SHARE = 0.8
@@ -103,6 +103,9 @@
     def take(self) -> None:
         """Count the task that `peek` returned as started."""
 
+    def skip(self) -> None:
+        """Drop the task that `peek` returned."""
+
     def started(self, key: TaskKey) -> None:
         """Count a task as started that did not wait here."""
 
@@ -132,9 +135,16 @@
     Among classes the slots' time is shared by weight, among the teams of a
     class it goes to the one with the least use of its quota, and among a
     team's jobs to the one with the least remaining work, aged by its wait.
+
+    Parameters
+    ----------
+    ageing : float, optional
+        Milliseconds of remaining work that a millisecond of age makes up
+        for.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, ageing: float = AGEING) -> None:
+        self.ageing = ageing
         self.configuration = Configuration()
         self.slots = 1
         self.quotas: dict[str, int] = {}
@@ -220,6 +230,19 @@
 
     def take(self) -> None:
         """Count the task that `peek` returned as started."""
+        key = self._pop()
+        job = self.jobs[key[0]]
+        urgency = job.lane[0]
+        work_ms = job.work_ms[key[1]]
+        self.virtual_ms = max(self.virtual_ms, self.served_ms[urgency])
+        self.served_ms[urgency] += work_ms / self._weight(urgency)
+        self.started(key)
+
+    def skip(self) -> None:
+        """Drop the task that `peek` returned."""
+        self._pop()
+
+    def _pop(self) -> TaskKey:
         key = self.peek()
         assert key is not None
         job = self.jobs[key[0]]
@@ -228,10 +251,8 @@
         job.waiting_ms -= work_ms
         self.lanes[job.lane].waiting_ms -= work_ms
         self.waiting -= 1
-        urgency = job.lane[0]
-        self.virtual_ms = max(self.virtual_ms, self.served_ms[urgency])
-        self.served_ms[urgency] += work_ms / self._weight(urgency)
-        self.started(key)
+        self.head = None
+        return key
 
     def started(self, key: TaskKey) -> None:
         """Count a task as started that did not wait here."""
@@ -309,7 +330,8 @@
     def _rank(self, job: QueuedJob, lane: LaneQueue) -> None:
         job.ranked_ms = job.remaining_ms
         job.rank = (
-            job.remaining_ms / self.slots + AGEING * job.arrived * MS_PER_S
+            job.remaining_ms / self.slots
+            + self.ageing * job.arrived * MS_PER_S
         )
         heapq.heappush(lane.heap, (job.rank, job.key))
 
--- a/egretcart/process/starts.py
+++ b/egretcart/process/starts.py
@@ -17,6 +17,8 @@
 from egretcart.request.progress import TaskState
 
 MS_PER_S = 1000
+# Pause of a task that may not go to the agents that are free.
+SET_ASIDE_S = 0.02
 
 
 class Starts:
@@ -96,15 +98,17 @@
             progress = self.table.jobs[key[0]]
             task = progress.tasks[key[1]]
             if task.state is not TaskState.WAITING:
-                order.take()
-                if task.state is not TaskState.PLACED:
-                    order.stopped(key, done=False)
+                order.skip()
                 continue
+            exclude = self.fleet.probed_agents(progress.job, now)
             agent_id = placement.choose(
                 waiting=order.waiting,
                 avoid=self.fleet.domains_of(task.failed_on),
-                exclude=self.fleet.probed_agents(progress.job, now),
+                exclude=exclude | self.fleet.failed_agents(task.failed_on),
             )
+            if agent_id is None and task.failed_on:
+                self._set_aside(key, task, now)
+                continue
             if agent_id is None:
                 break
             order.take()
@@ -114,6 +118,12 @@
             effects += self._hedge(now)
         return effects
 
+    def _set_aside(self, key: TaskKey, task: TaskProgress, now: float) -> None:
+        """Let others pass a task that only some agents may take."""
+        self.policy.order.skip()
+        task.not_before = now + SET_ASIDE_S
+        heapq.heappush(self.delayed, (task.not_before, key))
+
     def _place_task(
         self, progress: JobProgress, key: TaskKey, agent_id: str, now: float
     ) -> LeaderEffect:
@@ -191,7 +201,12 @@
         agent_id = self.policy.placement.choose(
             waiting=1, avoid=self.fleet.domains_of(used), exclude=set(used)
         )
-        if agent_id is None or not self.policy.hedging.spend():
+        if agent_id is None:
+            self.policy.hedging.watch(
+                key, task.attempt, expected_ms=expected_ms / 4, now=now
+            )
+            return []
+        if not self.policy.hedging.spend():
             return []
         start = self._start(progress, key, agent_id, now)
         task.hedge = HedgeAttempt(
--- a/egretcart/testing/naive.py
+++ b/egretcart/testing/naive.py
@@ -135,6 +135,10 @@
         """Count the task that `peek` returned as started."""
         self.queue.popleft()
 
+    def skip(self) -> None:
+        """Drop the task that `peek` returned."""
+        self.queue.popleft()
+
     def started(self, key: TaskKey) -> None:
         """Count nothing."""
 
--- a/tests/features/policy.feature
+++ b/tests/features/policy.feature
@@ -40,6 +40,7 @@
   Scenario: A retry goes to another failure domain
     When a worker fails one task
     Then its second attempt begins in another failure domain
+    And a retry waits for another agent rather than return to the same
 
   Scenario: A worker that fails everything is left out and brought back
     When one worker of 11 fails everything for 10 seconds
--- a/tests/features/steps/policy_steps.py
+++ b/tests/features/steps/policy_steps.py
@@ -359,6 +359,22 @@
     assert domains[0] != domains[1]
 
 
+@then("a retry waits for another agent rather than return to the same")
+def check_not_the_same(context):
+    world = World(make_agents(2, slots=1))
+    world.submit([300.0])
+    fake = world.submit([50.0])
+    world.run(0.01)
+    failing = world.begun[1][2]
+    world.agents[failing].mode = "fail"
+    other = world.submit([10.0], idempotent=False)
+    world.run(2)
+    assert fake.status == 200
+    assert other.status == 502
+    counts = collections.Counter(agent for _, _, agent in world.begun)
+    assert counts[failing] == 2, counts
+
+
 # Health.
 
 
