--- a/egretcart/connection/wire.thrift
+++ b/egretcart/connection/wire.thrift
@@ -17,6 +17,8 @@
   3: optional i32 port
   4: optional i32 weight
   5: optional string failure_domain
+  6: optional string http_host
+  7: optional i32 http_port
 }
 
 // Agent to entry.
@@ -92,7 +94,11 @@
   8: optional bool idempotent
   9: optional i64 time_left_ms
 }
-struct CancelJob { 1: optional Term term, 2: optional binary job_id }
+struct CancelledTask { 1: optional binary job_id, 2: optional i32 task }
+struct CancelTasks {
+  1: optional Term term
+  2: optional list<CancelledTask> tasks
+}
 struct FetchJob { 1: optional Term term, 2: optional binary job_id }
 
 // Between entries, and from entries to agents.
@@ -110,6 +116,7 @@
   1: optional i64 config_version
   2: optional list<CellLeader> leading
   3: optional bool leaving
+  10: optional i64 interval_ms
 }
 struct Forward {
   1: optional i64 request_id
@@ -127,7 +134,17 @@
   5: optional i64 retry_after_ms
 }
 struct ConfigRequest { 1: optional i64 version }
-struct ConfigDocument { 1: optional i64 version, 2: optional binary document }
+struct CellRoster {
+  1: optional string service_name
+  2: optional i32 cell
+  3: optional Roster roster
+}
+struct ConfigDocument {
+  1: optional i64 version
+  2: optional binary document
+  3: optional list<CellRoster> rosters
+}
+struct AgentConfig { 1: optional i64 version, 2: optional bool drained }
 
 struct Message {
   1: optional AgentHello agent_hello
@@ -137,7 +154,7 @@
   5: optional Fence fence
   6: optional Heartbeat heartbeat
   7: optional Start start
-  8: optional CancelJob cancel_job
+  8: optional CancelTasks cancel_tasks
   9: optional FetchJob fetch_job
   10: optional EntryList entry_list
   11: optional EntryHello entry_hello
@@ -146,5 +163,6 @@
   14: optional ForwardReply forward_reply
   15: optional ConfigRequest config_request
   16: optional ConfigDocument config_document
+  17: optional AgentConfig agent_config
 }
 struct Frame { 1: optional list<Message> messages }
--- a/egretcart/process/agent_process.py
+++ b/egretcart/process/agent_process.py
@@ -1,8 +1,11 @@
 """The agent's process: moves bytes for `Agent`."""
 
 from collections.abc import Iterable
+import contextlib
 import json
+import random
 import sys
+import urllib.parse
 
 import trio
 
@@ -11,6 +14,7 @@
 from egretcart.connection.http_server import HttpConnection
 from egretcart.connection.http_server import HttpLimits
 from egretcart.connection.link import Link
+from egretcart.connection.messages import AgentConfig
 from egretcart.connection.messages import EntryAddress
 from egretcart.connection.messages import EntryHello
 from egretcart.connection.messages import EntryList
@@ -33,14 +37,25 @@
 from egretcart.process.logs import NullLog
 from egretcart.process.metrics import Metrics
 from egretcart.process.metrics import ProcessMetrics
+from egretcart.process.planned_stop import poll_until
+from egretcart.process.platform import EtcdPlatform
+from egretcart.process.platform import PlatformError
+from egretcart.process.registration import list_entries
+from egretcart.process.settings import Address
 from egretcart.process.settings import AgentSettings
 from egretcart.request.identity import JobId
 from egretcart.request.verdict import Verdict
 
 TICK_S = 0.1
 REDIAL_S = 0.1
+FLUSH_LIMIT_S = 1.0
 SUCCESS_STATUSES = range(200, 300)
 MS_PER_S = 1000
+# An entry that has been gone for so long is dialled no more, unless it is
+# a seed or someone names it again.
+FORGET_S = 30.0
+FIND_ENTRIES_S = 1.0
+MAX_FIND_ENTRIES_S = 15.0
 
 
 class AgentProcess:
@@ -63,6 +78,7 @@
         log: EventLog | None = None,
     ) -> None:
         self.settings = settings
+        self.stop_limit_s = settings.stop_limit_s
         self.clock = clock
         self.agent = Agent(
             identity=AgentIdentity(
@@ -101,9 +117,30 @@
             await self._listen()
             for seed in self.settings.seeds:
                 self._ensure_dialled(seed.host, seed.port)
+            if self.settings.platform is not None:
+                nursery.start_soon(self._find_entries, self.settings.platform)
             nursery.start_soon(self._tick)
             task_status.started()
 
+    async def stop(self) -> None:
+        """Finish what runs, take nothing new, and tell the leader."""
+        self._carry_out(self.agent.drain())
+        await poll_until(lambda: not self.exchanges)
+        await self._flush()
+
+    async def abort(self) -> None:
+        """Break off what runs and tell the leader."""
+        for scope in self.exchanges.values():
+            scope.cancel()
+        await poll_until(lambda: not self.exchanges)
+        await self._flush()
+
+    async def _flush(self) -> None:
+        with trio.move_on_after(FLUSH_LIMIT_S):
+            await poll_until(
+                lambda: all(link.is_flushed for link in self.links.values())
+            )
+
     async def announce(self) -> None:
         """Print that the process runs."""
         ready = {
@@ -138,14 +175,34 @@
             self.targets.add((host, port))
             self.nursery.start_soon(self._dial, host, port)
 
+    async def _find_entries(self, address: Address) -> None:
+        """Ask the platform's store for entries while none is connected."""
+        platform = EtcdPlatform(host=address.host, port=address.port)
+        pause_s = FIND_ENTRIES_S
+        while True:
+            if self.links:
+                pause_s = FIND_ENTRIES_S
+            else:
+                with contextlib.suppress(PlatformError):
+                    self._learn_entries(await list_entries(platform))
+                pause_s = min(MAX_FIND_ENTRIES_S, pause_s * 2)
+            await trio.sleep(pause_s * random.uniform(0.5, 1.0))
+
     async def _dial(self, host: str, port: int) -> None:
-        while (host, port) in self.targets:
+        seeds = {(seed.host, seed.port) for seed in self.settings.seeds}
+        heard_at = self.clock.monotonic()
+        while True:
             try:
                 stream = await trio.open_tcp_stream(host, port)
             except OSError:
+                gone_s = self.clock.monotonic() - heard_at
+                if gone_s > FORGET_S and (host, port) not in seeds:
+                    self.targets.discard((host, port))
+                    return
                 await trio.sleep(REDIAL_S)
                 continue
             await self._converse(stream)
+            heard_at = self.clock.monotonic()
             await trio.sleep(REDIAL_S)
 
     async def _converse(self, stream: trio.SocketStream) -> None:
@@ -156,12 +213,15 @@
             nonlocal entry_id
             if isinstance(message, EntryHello):
                 entry_id = message.address.entry_id
+                link.introduce()
                 former = self.links.get(entry_id)
                 if former is not None:
                     former.close()
                 self.links[entry_id] = link
             elif isinstance(message, EntryList):
                 self._learn_entries(message.entries)
+            elif isinstance(message, AgentConfig):
+                self._carry_out(self.agent.configure(message))
             elif entry_id is not None and isinstance(message, LeaderMessage):
                 self._carry_out(self.agent.receive(entry_id, message))
 
@@ -214,7 +274,7 @@
         headers = (
             ("Idempotency-Key", f"{job_id}/{start.task}"),
             ("Egretcart-Time-Left-Ms", str(int(time_limit_s * MS_PER_S))),
-            ("Egretcart-Kind", start.kind),
+            ("Egretcart-Kind", urllib.parse.quote(start.kind)),
         )
         try:
             response = await self.client.exchange(
--- a/egretcart/process/caller_api.py
+++ b/egretcart/process/caller_api.py
@@ -22,17 +22,21 @@
 from egretcart.process.metric_table import RESPONSE_TIME
 from egretcart.process.metrics import Metrics
 from egretcart.process.metrics import TEXT_TYPE
+from egretcart.process.operator_api import OperatorApi
 from egretcart.request.identity import parse_job_id
 from egretcart.request.problem import bad_request
 from egretcart.request.problem import MEDIA_TYPE
 from egretcart.request.problem import problem_verdict
+from egretcart.request.problem import unavailable
 from egretcart.request.reply import JSON_TYPE
+from egretcart.request.reply import problem_reply
 from egretcart.request.reply import Reply
 from egretcart.request.verdict import Verdict
 
 JOB_PATH = re.compile(r"/v1/services/([^/?]+)/jobs/([^/?]+)")
 ACTION_OF_METHOD = {"PUT": SUBMIT, "GET": READ, "DELETE": CANCEL}
 ERROR_STATUS_FROM = 400
+LEAVING_RETRY_S = 0.2
 
 
 class CallerApi:
@@ -45,6 +49,7 @@
         Carries out the entry's effects.
     metrics : Metrics
     clock : Clock
+    operators : OperatorApi
     """
 
     def __init__(
@@ -54,13 +59,16 @@
         carry_out: Callable[[Iterable[EntryEffect]], None],
         metrics: Metrics,
         clock: Clock,
+        operators: OperatorApi,
     ) -> None:
         self.entry = entry
+        self.operators = operators
         self.carry_out = carry_out
         self.metrics = metrics
         self.clock = clock
         self.replies: dict[int, Reply] = {}
         self.waiters: dict[int, trio.Event] = {}
+        self.stopping = False
 
     def replied(self, request_id: int, reply: Reply) -> None:
         """Hand a reply to the connection that waits for it."""
@@ -69,6 +77,17 @@
         if waiter is not None:
             waiter.set()
 
+    def give_up(self) -> None:
+        """Answer all who wait that their work may have run."""
+        problem = unavailable(
+            "this entry has ended before the job was done; submit the same "
+            "id to another",
+            verdict=Verdict.MAY_HAVE_RUN,
+            retry_after_s=LEAVING_RETRY_S,
+        )
+        for request_id in list(self.waiters):
+            self.replied(request_id, problem_reply(problem))
+
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one HTTP request."""
         self.metrics.add(HTTP_REQUESTS, label=request.method)
@@ -78,6 +97,8 @@
             return await self._handle_job(
                 request, job_path.group(1), job_path.group(2)
             )
+        if self.operators.serves(path):
+            return await self.operators.handle(request)
         if request.method != "GET":
             return problem_response(
                 bad_request(f"no {request.method} of {path}", status=404)
@@ -147,7 +168,8 @@
 
     def _readiness(self) -> HttpResponse:
         ready = (
-            self.entry.configuration.version > 0
+            not self.stopping
+            and self.entry.configuration.version > 0
             and not self.entry.directory.leaving
         )
         return HttpResponse(
@@ -162,6 +184,7 @@
             "config_version": entry.configuration.version,
             "agents": sorted(entry.agents),
             "peers": sorted(entry.directory.peers),
+            "waiting_callers": len(self.waiters),
             "leading": [
                 {
                     "service": cell.service,
@@ -170,6 +193,7 @@
                     "phase": leadership.phase.value,
                     "jobs": len(leadership.book.jobs),
                     "roster_version": leadership.quorum.roster.version,
+                    "members": len(leadership.quorum.roster.members),
                 }
                 for cell, leadership in sorted(entry.leaderships.items())
             ],
--- a/tests/features/steps/metrics_steps.py
+++ b/tests/features/steps/metrics_steps.py
@@ -8,7 +8,8 @@
 from hypothesis import strategies as st
 from processes import HOST
 
-from egretcart.connection.messages import CancelJob
+from egretcart.connection.messages import CancelledTask
+from egretcart.connection.messages import CancelTasks
 from egretcart.connection.messages import Start
 from egretcart.connection.messages import TaskResult
 from egretcart.connection.traffic import CONTROL_TYPES
@@ -120,17 +121,21 @@
 
 @then("the loser of a hedge is wasted")
 def check_hedge(context):
-    counts = wasted(
-        ("a", start()), ("b", start(2)), ("b", answer(2)), ("a", answer())
-    )
-    assert counts == {WasteCause.HEDGE_LOSER: 2}
+    hedge = [("a", start()), ("b", start(2)), ("b", answer(2))]
+    assert wasted(*hedge, ("a", answer())) == {WasteCause.HEDGE_LOSER: 2}
+    cancel = CancelTasks(tasks=(CancelledTask(job_id=JOB, task=0),))
+    broken = answer(verdict="may_have_run", succeeded=False)
+    counts = wasted(*hedge, ("a", cancel), ("a", broken))
+    assert counts == {WasteCause.HEDGE_LOSER: 3}
 
 
 @then("what a cancelled job had started is wasted")
 def check_cancelled(context):
     broken = answer(verdict="may_have_run", succeeded=False)
     counts = wasted(
-        ("a", start()), ("a", CancelJob(job_id=JOB)), ("a", broken)
+        ("a", start()),
+        ("a", CancelTasks(tasks=(CancelledTask(job_id=JOB),))),
+        ("a", broken),
     )
     assert counts == {WasteCause.CANCELLED: 3}
 
