--- a/tests/features/steps/example_steps.py
+++ b/tests/features/steps/example_steps.py
@@ -80,6 +80,23 @@
         assert configuration.find_urgency(document["urgency"])
 
 
+@then("the check command accepts each example's files together")
+def check_together(context):
+    for service in DOMAINS:
+        folder = EXAMPLES / service
+        files = [
+            folder / "configuration.json",
+            *sorted((folder / "entries").iterdir()),
+            *sorted((folder / "agents").iterdir()),
+        ]
+        subprocess.run(
+            [sys.executable, "-m", "egretcart", "check", *files],
+            cwd=ROOT,
+            timeout=RUN_LIMIT_S,
+            check=True,
+        )
+
+
 @given("the snapcheck example is started on loopback")
 def start_example(context):
     context.example = Deployment(EXAMPLES / "snapcheck")
