--- a/egretcart/connection/messages.py
+++ b/egretcart/connection/messages.py
@@ -24,6 +24,7 @@
 
 
 NO_TERM = Term()
+WHOLE_JOB = -1
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -227,11 +228,19 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class CancelJob:
-    """A leader asks an agent to end all work of a job."""
+class CancelledTask:
+    """One task of a cancel; the task `WHOLE_JOB` stands for all."""
 
-    term: Term = NO_TERM
     job_id: bytes = b""
+    task: int = WHOLE_JOB
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CancelTasks:
+    """A leader asks an agent to end work, of many jobs at a time."""
+
+    term: Term = NO_TERM
+    tasks: tuple[CancelledTask, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -268,11 +277,22 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class EntryBeat:
-    """Heartbeat between entries."""
+    """Heartbeat between entries.
+
+    Attributes
+    ----------
+    config_version : int
+    leading : tuple of CellLeader
+        All cells that the sender leads.
+    leaving : bool
+    interval_ms : int
+        When the next heartbeat to this receiver follows at the latest.
+    """
 
     config_version: int = 0
     leading: tuple[CellLeader, ...] = ()
     leaving: bool = False
+    interval_ms: int = 250
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -360,7 +380,7 @@
 
 
 AgentMessage = AgentHello | FenceReply | HeartbeatReply | TaskResult
-LeaderMessage = Fence | Heartbeat | Start | CancelJob | FetchJob
+LeaderMessage = Fence | Heartbeat | Start | CancelTasks | FetchJob
 EntryMessage = (
     EntryList
     | EntryHello
--- a/egretcart/process/caller_api.py
+++ b/egretcart/process/caller_api.py
@@ -10,17 +10,26 @@
 from egretcart.connection.http_server import HttpRequest
 from egretcart.connection.http_server import HttpResponse
 from egretcart.connection.http_server import problem_response
+from egretcart.process.clock import Clock
 from egretcart.process.entry import CANCEL
 from egretcart.process.entry import Entry
 from egretcart.process.entry import EntryEffect
 from egretcart.process.entry import READ
 from egretcart.process.entry import SUBMIT
+from egretcart.process.metric_table import HTTP_REQUESTS
+from egretcart.process.metric_table import JOBS
+from egretcart.process.metric_table import REFUSALS
+from egretcart.process.metric_table import RESPONSE_TIME
+from egretcart.process.metrics import Metrics
+from egretcart.process.metrics import TEXT_TYPE
 from egretcart.process.operator_api import OperatorApi
 from egretcart.request.identity import parse_job_id
 from egretcart.request.problem import bad_request
 from egretcart.request.problem import MEDIA_TYPE
+from egretcart.request.problem import problem_verdict
 from egretcart.request.reply import JSON_TYPE
 from egretcart.request.reply import Reply
+from egretcart.request.verdict import Verdict
 
 JOB_PATH = re.compile(r"/v1/services/([^/?]+)/jobs/([^/?]+)")
 ACTION_OF_METHOD = {"PUT": SUBMIT, "GET": READ, "DELETE": CANCEL}
@@ -35,6 +44,8 @@
     entry : Entry
     carry_out : callable
         Carries out the entry's effects.
+    metrics : Metrics
+    clock : Clock
     operators : OperatorApi
     """
 
@@ -43,11 +54,15 @@
         *,
         entry: Entry,
         carry_out: Callable[[Iterable[EntryEffect]], None],
+        metrics: Metrics,
+        clock: Clock,
         operators: OperatorApi,
     ) -> None:
         self.entry = entry
         self.operators = operators
         self.carry_out = carry_out
+        self.metrics = metrics
+        self.clock = clock
         self.replies: dict[int, Reply] = {}
         self.waiters: dict[int, trio.Event] = {}
 
@@ -60,6 +75,7 @@
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one HTTP request."""
+        self.metrics.add(HTTP_REQUESTS, label=request.method)
         path = request.path.partition("?")[0]
         job_path = JOB_PATH.fullmatch(path)
         if job_path is not None:
@@ -76,6 +92,10 @@
             return HttpResponse(body=b'{"healthy":true}')
         if path == "/readyz":
             return self._readiness()
+        if path == "/metrics":
+            return HttpResponse(
+                body=self.metrics.render(), content_type=TEXT_TYPE
+            )
         if path == "/v1/status":
             return HttpResponse(body=msgspec.json.encode(self._status()))
         return problem_response(
@@ -97,6 +117,7 @@
         job_id = parse_job_id(job_id_text)
         if job_id.is_err():
             return problem_response(bad_request(job_id.unwrap_err()))
+        began = self.clock.monotonic()
         request_id, effects = self.entry.request(
             action, service, job_id.unwrap(), request.body
         )
@@ -109,6 +130,8 @@
         finally:
             del self.waiters[request_id]
             self.entry.caller_gone(request_id)
+        if action == SUBMIT:
+            self._count(reply, self.clock.monotonic() - began)
         is_error = reply.status >= ERROR_STATUS_FROM
         return HttpResponse(
             status=reply.status,
@@ -117,6 +140,17 @@
             retry_after_s=reply.retry_after_s,
         )
 
+    def _count(self, reply: Reply, elapsed_s: float) -> None:
+        """Count how a submission was answered."""
+        if reply.status < ERROR_STATUS_FROM:
+            self.metrics.add(JOBS, label="complete")
+            self.metrics.observe(RESPONSE_TIME, elapsed_s)
+            return
+        verdict = problem_verdict(reply.body)
+        outcome = "refused" if verdict is Verdict.NOT_RUN else "failed"
+        self.metrics.add(JOBS, label=outcome)
+        self.metrics.add(REFUSALS, label=verdict.value)
+
     def _readiness(self) -> HttpResponse:
         ready = (
             self.entry.configuration.version > 0
@@ -142,6 +176,7 @@
                     "phase": leadership.phase.value,
                     "jobs": len(leadership.book.jobs),
                     "roster_version": leadership.quorum.roster.version,
+                    "members": len(leadership.quorum.roster.members),
                 }
                 for cell, leadership in sorted(entry.leaderships.items())
             ],
--- a/egretcart/process/entry_process.py
+++ b/egretcart/process/entry_process.py
@@ -25,6 +25,7 @@
 from egretcart.connection.messages import Message
 from egretcart.connection.messages import Roster
 from egretcart.connection.messages import TaskResult
+from egretcart.connection.traffic import Traffic
 from egretcart.process.caller_api import CallerApi
 from egretcart.process.clock import Clock
 from egretcart.process.directory import Cell
@@ -36,7 +37,12 @@
 from egretcart.process.entry import SendAgentConfig
 from egretcart.process.entry import SendEntryList
 from egretcart.process.entry import SendToPeer
+from egretcart.process.entry_observer import EntryObserver
 from egretcart.process.limits import LeaderLimits
+from egretcart.process.logs import EventLog
+from egretcart.process.logs import NullLog
+from egretcart.process.metrics import Metrics
+from egretcart.process.metrics import ProcessMetrics
 from egretcart.process.operator_api import OperatorApi
 from egretcart.process.platform import EtcdPlatform
 from egretcart.process.platform import Platform
@@ -63,6 +69,7 @@
     limits : EntryLimits
     leader_limits : LeaderLimits
     clock : Clock
+    log : EventLog, optional
     """
 
     def __init__(
@@ -72,8 +79,13 @@
         limits: EntryLimits,
         leader_limits: LeaderLimits,
         clock: Clock,
+        log: EventLog | None = None,
     ) -> None:
         self.settings = settings
+        self.log = log or NullLog()
+        self.traffic = Traffic()
+        self.metrics: Metrics = ProcessMetrics(traffic=self.traffic)
+        self.observer: EntryObserver
         self.limits = limits
         self.leader_limits = leader_limits
         self.clock = clock
@@ -86,6 +98,7 @@
         self.api: CallerApi
         self.address: EntryAddress
         self.http_port = 0
+        self.peer_port = 0
         self.incarnation = clock.unix_ms()
         self.dialled_links: dict[str, Link] = {}
         self.accepted_links: dict[str, Link] = {}
@@ -106,12 +119,13 @@
         http_listeners = await trio.open_tcp_listeners(
             http.port, host=http.host
         )
-        peer_port = peer_listeners[0].socket.getsockname()[1]
+        self.peer_port = peer_listeners[0].socket.getsockname()[1]
         self.http_port = http_listeners[0].socket.getsockname()[1]
+        advertised = self.settings.advertised
         self.address = EntryAddress(
             entry_id=self.settings.entry_id,
-            host=peer.host,
-            port=peer_port,
+            host=advertised.host if advertised else peer.host,
+            port=advertised.port if advertised else self.peer_port,
             weight=self.settings.weight,
             failure_domain=self.settings.failure_domain,
             http_host=http.host,
@@ -126,6 +140,9 @@
             clock=self.clock,
             has_platform=self.platform is not None,
         )
+        self.observer = EntryObserver(
+            entry=self.entry, metrics=self.metrics, log=self.log
+        )
         self.api = CallerApi(
             entry=self.entry,
             carry_out=self.carry_out,
@@ -134,6 +151,8 @@
                 platform=self.platform,
                 guard=self.platform.guard if self.platform else None,
             ),
+            metrics=self.metrics,
+            clock=self.clock,
         )
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
@@ -156,7 +175,7 @@
             "role": "entry",
             "id": self.settings.entry_id,
             "http_port": self.http_port,
-            "peer_port": self.address.port,
+            "peer_port": self.peer_port,
         }
         print(json.dumps(ports))
         sys.stdout.flush()
@@ -203,7 +222,7 @@
     async def _converse(
         self, stream: trio.SocketStream, entry_links: dict[str, Link]
     ) -> None:
-        link = Link(stream=stream)
+        link = Link(stream=stream, traffic=self.traffic)
         name = ""
         links: dict[str, Link] = {}
 
@@ -227,6 +246,7 @@
             return
         del links[name]
         if links is self.agent_links:
+            self.observer.agent_lost(name)
             self.carry_out(self.entry.agent_disconnected(name))
         else:
             self.carry_out(self.entry.peer_lost(name))
@@ -238,6 +258,7 @@
             return
         former.close()
         if links is self.agent_links:
+            self.observer.agent_lost(name)
             self.carry_out(self.entry.agent_disconnected(name))
 
     def _peer_hello(self, hello: EntryHello) -> None:
@@ -247,6 +268,7 @@
 
     def _agent_message(self, agent_id: str, message: Message) -> None:
         if isinstance(message, FenceReply | HeartbeatReply | TaskResult):
+            self.observer.agent_message(agent_id, message)
             self.carry_out(self.entry.agent_message(agent_id, message))
 
     def _peer_message(self, entry_id: str, message: Message) -> None:
@@ -268,6 +290,7 @@
     def carry_out(self, effects: Iterable[EntryEffect]) -> None:
         """Carry out what the decision logic asks for."""
         for effect in effects:
+            self.observer.effect(effect)
             if isinstance(
                 effect, SendToAgent | SendEntryList | SendAgentConfig
             ):
@@ -322,4 +345,5 @@
     async def _tick(self) -> None:
         while True:
             self.carry_out(self.entry.tick())
+            self.observer.look()
             await trio.sleep(TICK_S)
--- /dev/null
+++ b/egretcart/process/job_table.py
@@ -0,0 +1,98 @@
+"""The unanswered jobs of a cell, and how they end."""
+
+from egretcart.connection.messages import CancelledTask
+from egretcart.connection.messages import CancelTasks
+from egretcart.connection.messages import Term
+from egretcart.connection.messages import WHOLE_JOB
+from egretcart.process.answers import AnswerCache
+from egretcart.process.effects import LeaderEffect
+from egretcart.process.effects import RequestToken
+from egretcart.process.effects import SendReply
+from egretcart.process.effects import SendToAgent
+from egretcart.process.policy.ordering import TaskOrder
+from egretcart.process.scheduler import AgentLoad
+from egretcart.request.problem import Problem
+from egretcart.request.progress import JobProgress
+from egretcart.request.progress import TaskState
+from egretcart.request.reply import problem_reply
+from egretcart.request.reply import Reply
+from egretcart.request.verdict import Verdict
+
+
+class JobTable:
+    """Jobs, the callers that wait for them, and the agents' load.
+
+    Parameters
+    ----------
+    term : Term
+    answers : AnswerCache
+    order : TaskOrder
+
+    Attributes
+    ----------
+    jobs : dict of bytes to JobProgress
+    tokens : dict of bytes to list of RequestToken
+        Requests that wait for each job's answer.
+    loads : dict of str to AgentLoad
+        Connected agents that promised the term.
+    cancels : dict of str to list of CancelledTask
+        What each agent is to be told at the next tick.
+    """
+
+    def __init__(
+        self, *, term: Term, answers: AnswerCache, order: TaskOrder
+    ) -> None:
+        self.term = term
+        self.answers = answers
+        self.order = order
+        self.jobs: dict[bytes, JobProgress] = {}
+        self.tokens: dict[bytes, list[RequestToken]] = {}
+        self.loads: dict[str, AgentLoad] = {}
+        self.cancels: dict[str, list[CancelledTask]] = {}
+
+    def fail(
+        self, progress: JobProgress, problem: Problem
+    ) -> list[LeaderEffect]:
+        """End a job with a problem."""
+        return self.finish(progress, problem_reply(problem))
+
+    def finish(
+        self, progress: JobProgress, reply: Reply
+    ) -> list[LeaderEffect]:
+        """Answer all who wait and end what still runs."""
+        job_id = progress.job.job_id
+        del self.jobs[job_id.value]
+        self.order.remove_job(job_id.value)
+        if progress.verdict() is not Verdict.NOT_RUN:
+            self.answers.add(job_id, progress.job.digest, reply)
+        busy: set[str] = set()
+        for task in progress.tasks:
+            if task.state is TaskState.PLACED and task.agent_id:
+                busy.add(task.agent_id)
+            if task.hedge is not None:
+                busy.add(task.hedge.agent_id)
+        for agent_id in busy:
+            self.cancel(agent_id, job_id.value, WHOLE_JOB)
+        return [
+            SendReply(token, reply) for token in self.tokens.pop(job_id.value)
+        ]
+
+    def cancel(self, agent_id: str, job_id: bytes, task: int) -> None:
+        """Let the next tick tell an agent to end a task or a job.
+
+        The slots stay taken until the agent has reported the ends.
+        """
+        cancelled = CancelledTask(job_id=job_id, task=task)
+        self.cancels.setdefault(agent_id, []).append(cancelled)
+
+    def flush_cancels(self) -> list[LeaderEffect]:
+        """Return one message for each agent that has work to end."""
+        effects: list[LeaderEffect] = [
+            SendToAgent(
+                agent_id, CancelTasks(term=self.term, tasks=tuple(tasks))
+            )
+            for agent_id, tasks in sorted(self.cancels.items())
+            if agent_id in self.loads
+        ]
+        self.cancels.clear()
+        return effects
--- a/egretcart/process/settings.py
+++ b/egretcart/process/settings.py
@@ -47,6 +47,8 @@
         Where callers and operators connect.
     peer : Address
         Where agents and other entries connect.
+    advertised : Address or None
+        Peer address that others are told, if it is not `peer`.
     weight : int
         Share of the cells that it should lead, relative to others.
     seeds : tuple of Address
@@ -59,6 +61,7 @@
     failure_domain: Text
     http: Address
     peer: Address
+    advertised: Address | None = None
     weight: Positive = 1
     seeds: tuple[Address, ...] = ()
     platform: Address | None = None
@@ -84,6 +87,8 @@
         Peer addresses of entries.
     platform : Address or None
         The platform's store; only asked for entries while none is known.
+    http : Address or None
+        Where health and metrics are served.
     """
 
     agent_id: Text
@@ -95,6 +100,7 @@
     backend_path: Text = "/"
     seeds: tuple[Address, ...] = ()
     platform: Address | None = None
+    http: Address | None = None
 
     def __post_init__(self) -> None:
         """Refuse settings without any way to find an entry."""
--- a/tests/features/steps/configuration_steps.py
+++ b/tests/features/steps/configuration_steps.py
@@ -328,7 +328,8 @@
         return original(name, role, settings)
 
     deployment.start = start
-    deployment.add_agent("agent-new")
+    backend = deployment.start_backend("agent-new")
+    deployment.agents.append(deployment.start_agent("agent-new", backend))
 
 
 @then("every entry knows the newcomers")
