Bound the calls around an outage; trust no store that lags the peers

Why: nothing proved that an outage's end brings no herd, and a process that started beside a store that had lost its newest data served the older version at once, though its peers named a newer one.

--- a/egretcart/process/config_sync.py
+++ b/egretcart/process/config_sync.py
@@ -63,6 +63,7 @@
         self.clock = clock
         self.started_at = clock.monotonic()
         self.platform_pending = has_platform
+        self.platform_answered = False
         self.candidate = Configuration()
         self.highest_heard = 0
         self.released = False
@@ -88,8 +89,7 @@
         if document is not None:
             self.offer(document)
         self.platform_pending = False
-        # What the store holds is the newest version that is accepted.
-        self.released = True
+        self.platform_answered = True
 
     def platform_failed(self) -> None:
         """Take in that the store gives no answer."""
@@ -108,12 +108,15 @@
         return self.candidate
 
     def _may_release(self) -> bool:
-        age_s = self.clock.monotonic() - self.started_at
-        if self.candidate.version == 0 or age_s < self.limits.settle_s:
+        if self.candidate.version == 0:
             return False
+        age_s = self.clock.monotonic() - self.started_at
         if age_s >= self.limits.max_settle_s:
             return True
-        return not self.platform_pending and not self.is_behind
+        # A store that lost its newest data may be behind the peers.
+        if self.platform_pending or self.is_behind:
+            return False
+        return self.platform_answered or age_s >= self.limits.settle_s
 
     def peers_to_ask(self, versions: Iterable[tuple[str, int]]) -> list[str]:
         """Return the peers to ask for a newer document now.
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -32,3 +32,9 @@
     Given a platform stand-in that keeps its data in a file
     When it is restarted after a write under a lease
     Then the value, its revision and the lease are still there
+
+  Scenario: An outage and its end bring no herd of calls
+    Given a platform stand-in on loopback
+    When 30 entries follow and register through an outage of the platform
+    Then each of them has made a few probes during the outage
+    And each of them has made a few calls after its end
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -14,14 +14,18 @@
 import trio
 
 from egretcart.connection.http_client import HttpClient
+from egretcart.connection.messages import EntryAddress
 from egretcart.process.platform import EtcdPlatform
 from egretcart.process.platform import keys_below
 from egretcart.process.platform import PlatformError
 from egretcart.process.platform import PlatformRefusal
 from egretcart.process.platform import Put
+from egretcart.process.platform_follower import PlatformFollower
 from egretcart.process.platform_guard import CallGuard
 from egretcart.process.platform_guard import Circuit
 from egretcart.process.platform_guard import PlatformLimits
+from egretcart.process.registration import list_entries
+from egretcart.process.registration import Registrar
 from egretcart.request.verdict import Verdict
 from egretcart.testing.clock import ManualClock
 from egretcart.testing.platform import PlatformStandIn
@@ -312,3 +316,75 @@
 @then("the value, its revision and the lease are still there")
 def check_kept(context):
     assert context.after == (context.before, True)
+
+
+@when("30 entries follow and register through an outage of the platform")
+def outage(context):
+    async def entry(name, port):
+        platform = EtcdPlatform(host=HOST, port=port)
+        follower = PlatformFollower(
+            platform=platform,
+            source=random.Random(name),
+            on_configuration=lambda document: None,
+            on_entry=lambda address: None,
+            on_roster=lambda cell, roster: None,
+            on_failure=lambda: None,
+        )
+        registrar = Registrar(
+            platform=platform,
+            address=EntryAddress(entry_id=name, host=HOST, port=1),
+            source=random.Random(name),
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(follower.run)
+            nursery.start_soon(registrar.run)
+
+    async def registered(platform):
+        while True:
+            with contextlib.suppress(PlatformError):
+                if len(await list_entries(platform)) == 30:
+                    return
+            await trio.sleep(0.1)
+
+    async def run():
+        async with (
+            running() as (standin, platform),
+            trio.open_nursery() as nursery,
+        ):
+            for number in range(30):
+                nursery.start_soon(entry, f"e{number}", standin.port)
+            await registered(platform)
+            await control(standin, down=True)
+            before = standin.calls
+            began = trio.current_time()
+            await trio.sleep(8)
+            context.outage_s = trio.current_time() - began
+            context.calls_in_outage = standin.calls - before
+            standin.store.lapse(trio.current_time() + 10**6)
+            await control(standin)
+            before = standin.calls
+            await registered(platform)
+            context.calls_after = standin.calls - before
+            nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
+@then("each of them has made a few probes during the outage")
+def check_probes(context):
+    limits = PlatformLimits()
+    probes, left_s, pause_s = 0, context.outage_s, limits.probe_s
+    while left_s > 0:
+        probes += 1
+        left_s -= pause_s / 2
+        pause_s = min(limits.max_probe_s, pause_s * 2)
+    callers = 3
+    allowed = limits.open_after + callers + probes
+    assert context.calls_in_outage <= 30 * allowed, context.calls_in_outage
+
+
+@then("each of them has made a few calls after its end")
+def check_calls_after(context):
+    # Two ranges, two watches, a renewal, a grant, a put, and retries.
+    polls = 100
+    assert context.calls_after <= 30 * 10 + polls, context.calls_after
