--- a/tests/features/configuration.feature
+++ b/tests/features/configuration.feature
@@ -26,6 +26,12 @@
     And the change is settled by its id once the platform thaws
     And a slow platform still accepts a change
 
+  Scenario: No process steps back while others pause, die and start
+    Given a configured deployment of 3 entries and 3 agents
+    When applies race while an entry is frozen and another is replaced
+    Then no process was ever seen with an older version than before
+    And every live process has the last accepted version
+
   Scenario: Processes find each other through the platform alone
     Given a configured deployment of 2 entries and 3 agents
     When an entry and an agent are started without seeds
--- a/tests/features/steps/configuration_steps.py
+++ b/tests/features/steps/configuration_steps.py
@@ -1,10 +1,13 @@
 from concurrent.futures import ThreadPoolExecutor
+import contextlib
+import http.client
 import json
 import pathlib
 import random
 import signal
 import subprocess
 import sys
+import threading
 import time
 
 from behave import given
@@ -314,6 +317,93 @@
     deployment.wait_for_version(3)
 
 
+class VersionWatcher:
+    """Asks entries for all versions, again and again, on a thread."""
+
+    def __init__(self, entries):
+        self.stopping = threading.Event()
+        self.seen = {}
+        self.steps_back = []
+        self.thread = threading.Thread(target=self.run, args=(entries,))
+        self.thread.start()
+
+    def run(self, entries):
+        while not self.stopping.wait(0.02):
+            for entry in entries:
+                with contextlib.suppress(OSError, http.client.HTTPException):
+                    self.ask(entry)
+
+    def ask(self, entry):
+        port = entry.ready["http_port"]
+        report = request(port, "GET", "/v1/processes", limit_s=0.5)[2]
+        self.note((entry.name, port), report["entry"]["config_version"])
+        for agent in report["agents"]:
+            if agent["is_led"]:
+                key = (entry.name, port, agent["agent_id"], agent["term"])
+                self.note(key, agent["config_version"])
+
+    def note(self, key, version):
+        if version < self.seen.get(key, 0):
+            self.steps_back.append((key, self.seen[key], version))
+        self.seen[key] = version
+
+    def stop(self):
+        self.stopping.set()
+        self.thread.join()
+
+
+@when("applies race while an entry is frozen and another is replaced")
+def race_with_faults(context):
+    deployment = context.deployment
+    frozen, replaced, kept = deployment.entries
+    watcher = VersionWatcher([frozen, replaced, kept])
+
+    async def operator(store, numbers):
+        for number in numbers:
+            current = await store.read_current()
+            change = racing_change(number, current.document.version)
+            await apply_change(store, change, time_limit_s=COMMAND_LIMIT_S)
+            await trio.sleep(0.05)
+
+    async def run():
+        port = deployment.platform.ready["port"]
+        async with trio.open_nursery() as nursery:
+            for first in range(4):
+                platform = EtcdPlatform(host=HOST, port=port)
+                store = PlatformConfigStore(platform=platform)
+                numbers = range(1 + first, 101, 4)
+                nursery.start_soon(operator, store, numbers)
+            await trio.sleep(0.3)
+            frozen.signal(signal.SIGSTOP)
+            replaced.kill()
+            await trio.sleep(1.5)
+            frozen.signal(signal.SIGCONT)
+        context.last = (await store.read_current()).document.version
+
+    try:
+        trio.run(run)
+        deployment.entries = [frozen, kept]
+        deployment.entries.append(deployment.start_entry(replaced.name))
+        deployment.wait_for_version(context.last)
+    finally:
+        watcher.stop()
+    context.watcher = watcher
+
+
+@then("no process was ever seen with an older version than before")
+def check_no_step_back(context):
+    watcher = context.watcher
+    assert not watcher.steps_back, watcher.steps_back
+    assert len(watcher.seen) >= 6, watcher.seen
+
+
+@then("every live process has the last accepted version")
+def check_last(context):
+    found = context.deployment.versions()
+    assert set(found.values()) == {context.last}, (found, context.last)
+    assert context.last > 10, context.last
+
+
 @when("an entry and an agent are started without seeds")
 def start_without_seeds(context):
     deployment = context.deployment
