--- a/tests/features/promise_whole_answer.feature
+++ b/tests/features/promise_whole_answer.feature
@@ -19,6 +19,17 @@
     And the backend servers saw no task start twice
     And the backend servers saw nothing that was refused as not run
 
+  Scenario: An agent is frozen and stays so
+    Given a deployment of 2 entries and 3 agents
+    When callers submit 100 non-idempotent jobs of 10 tasks through every entry
+    And 20 % are answered
+    And an agent is frozen for good
+    And the callers are done
+    Then every caller has its own whole answer or a failure with a verdict
+    And no caller waited for a job's whole deadline
+    And the backend servers saw no task start twice
+    And the backend servers saw nothing that was refused as not run
+
   Scenario: Callers at another entry see nothing of the leader's death
     Given a deployment of 3 entries and 3 agents
     When callers submit 1500 non-idempotent jobs of 1 tasks through the other entries only
--- a/tests/features/steps/callers.py
+++ b/tests/features/steps/callers.py
@@ -51,6 +51,7 @@
         resubmits=True,
         limit_s=8,
         pause_s=0.0,
+        deadline_ms=None,
     ):
         self.deployment = deployment
         self.entries = entries
@@ -65,6 +66,7 @@
         self.errors = []
         self.stopped = False
         self.pause_s = pause_s
+        self.deadline_ms = deadline_ms
         self.threads = [
             threading.Thread(target=self._work, daemon=True)
             for _ in range(threads)
@@ -102,6 +104,7 @@
                     job_id=job_id,
                     limit_s=self.limit_s,
                     idempotent=self.idempotent,
+                    deadline_ms=self.deadline_ms,
                 )
             except (OSError, http.client.HTTPException) as problem:
                 error = problem
--- a/tests/features/steps/fault_steps.py
+++ b/tests/features/steps/fault_steps.py
@@ -30,6 +30,11 @@
     context.add_cleanup(context.deployment.close)
 
 
+def note_fault(context):
+    faults = getattr(context, "faulted_at", [])
+    context.faulted_at = [*faults, time.monotonic()]
+
+
 def start_callers(context, entries, **options):
     context.callers = Callers(context.deployment, entries, **options)
     context.faulted_at = []
@@ -66,6 +71,36 @@
     )
 
 
+@when(
+    "callers submit {jobs:d} jobs of {tasks:d} tasks that may take {ms:d} ms"
+)
+def submit_urgent(context, jobs, tasks, ms):
+    start_callers(
+        context,
+        context.deployment.entries,
+        jobs=jobs,
+        tasks=tasks,
+        run_ms=40,
+        deadline_ms=ms,
+    )
+
+
+@when(
+    "callers submit {jobs:d} non-idempotent jobs of {tasks:d} tasks "
+    "that take {ms:d} ms"
+)
+def submit_long(context, jobs, tasks, ms):
+    start_callers(
+        context,
+        context.deployment.entries,
+        jobs=jobs,
+        tasks=tasks,
+        run_ms=ms,
+        resubmits=False,
+        limit_s=60,
+    )
+
+
 @when("{percent:d} % are answered")
 def wait_for_share(context, percent):
     total = context.callers.jobs
@@ -74,7 +109,7 @@
 
 @when("the leader's entry is killed")
 def kill_leader(context):
-    context.faulted_at.append(time.monotonic())
+    note_fault(context)
     context.deployment.leader().kill()
 
 
@@ -82,14 +117,14 @@
 def kill_other(context):
     leader = context.deployment.leader()
     entries = context.deployment.running_entries()
-    context.faulted_at.append(time.monotonic())
+    note_fault(context)
     next(e for e in entries if e is not leader).kill()
 
 
 @when("the leader's entry is frozen for longer than every lease")
 def freeze_leader(context):
     frozen = context.deployment.leader()
-    context.faulted_at.append(time.monotonic())
+    note_fault(context)
     frozen.signal(signal.SIGSTOP)
     time.sleep(FREEZE_S)
     frozen.signal(signal.SIGCONT)
@@ -97,19 +132,83 @@
 
 @when("an agent is killed")
 def kill_agent(context):
-    context.faulted_at.append(time.monotonic())
+    note_fault(context)
     context.deployment.agents[0].kill()
 
 
 @when("an agent is frozen for longer than every lease")
 def freeze_agent(context):
     frozen = context.deployment.agents[0]
-    context.faulted_at.append(time.monotonic())
+    note_fault(context)
     frozen.signal(signal.SIGSTOP)
     time.sleep(FREEZE_S)
     frozen.signal(signal.SIGCONT)
 
 
+@when("an agent is frozen for good")
+def freeze_agent_for_good(context):
+    note_fault(context)
+    context.deployment.agents[0].signal(signal.SIGSTOP)
+
+
+@then("no caller waited for a job's whole deadline")
+def check_waits(context):
+    for outcome in context.callers.outcomes:
+        assert outcome.answer.get("status") != 504, outcome
+
+
+@when("an agent is told to stop")
+def tell_agent_to_stop(context):
+    deployment = context.deployment
+    deployment.agents[0].process.terminate()
+    context.leaving = deployment.backends[0]
+    time.sleep(1)
+    context.leaving_starts = deployment.starts_at(context.leaving)
+
+
+@then("the leaving backend server got no new work after a second")
+def check_leaving(context):
+    starts = context.deployment.starts_at(context.leaving)
+    assert starts == context.leaving_starts
+    assert context.deployment.agents[0].wait_stopped()[0] == 0
+
+
+@when("configuration version {version:d} is applied")
+def apply_version(context, version):
+    services = [{"name": "snapcheck"}, {"name": f"service-{version}"}]
+    context.deployment.apply({"version": version, "services": services})
+
+
+@when("an older document is put into the platform's store")
+def put_older(context):
+    services = [{"name": "snapcheck"}]
+    context.deployment.apply({"version": 1, "services": services})
+    time.sleep(1.5)
+
+
+@then("every entry has version {version:d} in force")
+def check_version(context, version):
+    deployment = context.deployment
+
+    def in_force():
+        versions = {
+            deployment.status(entry)["config_version"]
+            for entry in deployment.running_entries()
+        }
+        return versions == {version}
+
+    eventually(in_force, 5)
+
+
+@then("every entry still serves")
+def check_serves(context):
+    deployment = context.deployment
+    for entry in deployment.running_entries():
+        assert deployment.is_ready(entry)
+        status, answer = deployment.submit(entry, [{"payload": {}}])
+        assert status == 200, answer
+
+
 @when("the killed agent is replaced")
 def replace_agent(context):
     deployment = context.deployment
@@ -131,7 +230,7 @@
 def stall_leader(context):
     deployment = context.deployment
     relay = deployment.relays[deployment.leader().name]
-    context.faulted_at.append(time.monotonic())
+    note_fault(context)
     relay.pause()
     time.sleep(FREEZE_S)
     relay.resume()
@@ -206,12 +305,21 @@
 
 @then("the backend servers saw nothing that was refused as not run")
 def check_not_run(context):
-    started = {
-        key.partition("/")[0] for key in context.deployment.recorded_starts()
-    }
+    starts = context.deployment.recorded_starts()
+    jobs = {key.partition("/")[0] for key in starts}
     for outcome in context.callers.outcomes:
         if outcome.answer.get("verdict") == "not_run":
-            assert outcome.job_id not in started, outcome
+            assert outcome.job_id not in jobs, outcome
+        for number, verdict in enumerate(outcome.answer.get("tasks", ())):
+            key = f"{outcome.job_id}/{number}"
+            assert verdict != "not_run" or key not in starts, (key, outcome)
+            assert verdict != "ran" or key in starts, (key, outcome)
+
+
+@then("some answers say that tasks were not run")
+def check_some_not_run(context):
+    outcomes = context.callers.outcomes
+    assert any("not_run" in o.answer.get("tasks", ()) for o in outcomes)
 
 
 @then("one entry leads in the end")
--- a/tests/features/steps/processes.py
+++ b/tests/features/steps/processes.py
@@ -239,11 +239,15 @@
         for backend in self.backends:
             if not backend.runs:
                 continue
-            report = request(backend.ready["port"], "GET", "/starts")[2]
-            for key, _, _ in report["starts"]:
+            for key in self.starts_at(backend):
                 counts[key] = counts.get(key, 0) + 1
         return counts
 
+    def starts_at(self, backend):
+        """Return the idempotency keys that a backend server was sent."""
+        report = request(backend.ready["port"], "GET", "/starts")[2]
+        return [key for key, _, _ in report["starts"]]
+
     def close(self):
         for process in self.processes:
             process.kill()
