--- a/egretcart/connection/link.py
+++ b/egretcart/connection/link.py
@@ -15,6 +15,7 @@
 from egretcart.connection.messages import Message
 from egretcart.connection.messages import Start
 from egretcart.connection.messages import TaskResult
+from egretcart.connection.traffic import Traffic
 from egretcart.connection.validation import find_fault
 
 RECEIVE_BYTES = 256 * 1024
@@ -67,6 +68,8 @@
     stream : trio.abc.Stream
     hello_limit_s : float, optional
         Time for the peer to introduce itself.
+    traffic : Traffic, optional
+        Counts of the process.
 
     Attributes
     ----------
@@ -76,8 +79,6 @@
     expected_by : float
         Time of the loop's clock by which something must be received; a
         peer that stays silent loses the link.
-    bytes_sent, frames_sent, messages_sent : int
-    bytes_received, messages_received : int
     """
 
     def __init__(
@@ -85,9 +86,11 @@
         *,
         stream: trio.abc.Stream,
         hello_limit_s: float = HELLO_LIMIT_S,
+        traffic: Traffic | None = None,
     ) -> None:
         self.stream = stream
         self.hello_limit_s = hello_limit_s
+        self.traffic = traffic or Traffic()
         self.outbox: list[Message] = []
         self.waiting_bytes = 0
         self.is_sending = False
@@ -96,11 +99,6 @@
         self.introduced = False
         self.wake = trio.Event()
         self.scope = trio.CancelScope()
-        self.bytes_sent = 0
-        self.frames_sent = 0
-        self.messages_sent = 0
-        self.bytes_received = 0
-        self.messages_received = 0
 
     def send(self, message: Message) -> None:
         """Queue a message; a peer that does not read loses the link."""
@@ -180,12 +178,11 @@
             data = await self.stream.receive_some(RECEIVE_BYTES)
             if not data:
                 return
-            self.bytes_received += len(data)
+            self.traffic.bytes_received += len(data)
             try:
                 received = frames.feed(bytes(data))
             except FrameError:
                 return
-            self.messages_received += len(received)
             self._note_reception()
             for message in received:
                 if find_fault(message) is not None:
@@ -232,7 +229,5 @@
 
     async def _send_batch(self, batch: list[Message]) -> None:
         frame = encode_frame(batch)
-        self.bytes_sent += len(frame)
-        self.frames_sent += 1
-        self.messages_sent += len(batch)
+        self.traffic.sent(batch, len(frame))
         await self.stream.send_all(frame)
--- a/egretcart/connection/messages.py
+++ b/egretcart/connection/messages.py
@@ -24,6 +24,7 @@
 
 
 NO_TERM = Term()
+WHOLE_JOB = -1
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -67,6 +68,8 @@
     port: int = 0
     weight: int = 1
     failure_domain: str = ""
+    http_host: str = ""
+    http_port: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -225,11 +228,19 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class CancelJob:
-    """A leader asks an agent to end all work of a job."""
+class CancelledTask:
+    """One task of a cancel; the task `WHOLE_JOB` stands for all."""
 
-    term: Term = NO_TERM
     job_id: bytes = b""
+    task: int = WHOLE_JOB
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CancelTasks:
+    """A leader asks an agent to end work, of many jobs at a time."""
+
+    term: Term = NO_TERM
+    tasks: tuple[CancelledTask, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -327,16 +338,49 @@
     version: int = 0
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CellRoster:
+    """The newest roster of a cell that the sender knows."""
+
+    service_name: str = ""
+    cell: int = 0
+    roster: Roster | None = None
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class ConfigDocument:
-    """An accepted configuration version, as JSON."""
+    """An accepted configuration version, as JSON.
+
+    Attributes
+    ----------
+    version : int
+    document : bytes
+    rosters : tuple of CellRoster
+        For a process that can't read them from the platform's store.
+    """
 
     version: int = 0
     document: bytes = b""
+    rosters: tuple[CellRoster, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class AgentConfig:
+    """What an agent needs to know of a configuration version.
+
+    Attributes
+    ----------
+    version : int
+    drained : bool
+        Whether the receiving agent gets no new work.
+    """
+
+    version: int = 0
+    drained: bool = False
 
 
 AgentMessage = AgentHello | FenceReply | HeartbeatReply | TaskResult
-LeaderMessage = Fence | Heartbeat | Start | CancelJob | FetchJob
+LeaderMessage = Fence | Heartbeat | Start | CancelTasks | FetchJob
 EntryMessage = (
     EntryList
     | EntryHello
@@ -345,5 +389,6 @@
     | ForwardReply
     | ConfigRequest
     | ConfigDocument
+    | AgentConfig
 )
 Message = AgentMessage | LeaderMessage | EntryMessage
--- a/egretcart/process/leadership.py
+++ b/egretcart/process/leadership.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import enum
+import random
 
 from egretcart.connection.messages import AgentHello
 from egretcart.connection.messages import AgentMessage
@@ -28,6 +29,7 @@
 from egretcart.process.effects import WriteRoster
 from egretcart.process.jobs import JobBook
 from egretcart.process.limits import LeaderLimits
+from egretcart.process.policy.bundle import standard_policy
 from egretcart.process.quorum import Quorum
 from egretcart.process.scheduler import AgentLoad
 from egretcart.request import outcomes
@@ -109,19 +111,35 @@
         self.incomplete_since = float("inf")
         self.quorum = Quorum(roster=roster)
         self.book = JobBook(
-            term=term, limits=limits, clock=clock, answers=answers
+            term=term,
+            limits=limits,
+            clock=clock,
+            answers=answers,
+            policy=standard_policy(rng=random.Random(repr(term))),
         )
+        self.book.configure(configuration, service)
         self.agents: dict[str, AgentHello] = {}
         self.absent_since: dict[str, float] = {}
         self.early: list[EarlyRequest] = []
         self.roster_write_pending = False
         self.next_heartbeat = float("-inf")
+        self.barred: set[str] = set()
 
     def configure(self, configuration: Configuration) -> list[LeaderEffect]:
         """Put a newer configuration in force."""
         self.configuration = configuration
+        for agent_id in self.agents:
+            self._bar(agent_id)
+        self.book.configure(configuration, self.service)
         return self._place()
 
+    def _bar(self, agent_id: str) -> None:
+        """Keep new work from an agent that the configuration rules out."""
+        if self.configuration.admits(self.service, agent_id):
+            self.barred.discard(agent_id)
+        else:
+            self.barred.add(agent_id)
+
     # Requests.
 
     def submit(self, token: RequestToken, job: Job) -> list[LeaderEffect]:
@@ -165,6 +183,7 @@
         if self.phase is Phase.ENDED:
             return []
         self.agents[hello.agent_id] = hello
+        self._bar(hello.agent_id)
         fence = Fence(term=self.term, cell=self.cell)
         return [SendToAgent(hello.agent_id, fence)]
 
@@ -334,6 +353,7 @@
             round=round_number,
             proven_stamp_us=member.proven_stamp_us,
             roster=roster if member.roster_version < roster.version else None,
+            config_version=self.configuration.version,
         )
 
     def _heartbeat_reply(
@@ -345,7 +365,6 @@
         if reply.term != self.term or load is None:
             return []
         load.draining = reply.draining
-        proven_before = self.quorum.proven_round
         self.quorum.confirm(
             agent_id,
             round_number=reply.round,
@@ -353,16 +372,17 @@
             roster_version=reply.roster_version,
             now=self.clock.monotonic(),
         )
-        if self.quorum.proven_round == proven_before:
-            return []
         return self._grant_leases()
 
     def _grant_leases(self) -> list[LeaderEffect]:
-        return [
-            SendToAgent(agent_id, self._heartbeat(agent_id, 0))
-            for agent_id, member in self.quorum.members.items()
-            if self.quorum.is_counted(agent_id) and member.proven_stamp_us
-        ]
+        """Tell each member its newest proven stamp, before any start."""
+        effects: list[LeaderEffect] = []
+        for agent_id, member in self.quorum.members.items():
+            if member.proven_stamp_us <= member.granted_stamp_us:
+                continue
+            member.granted_stamp_us = member.proven_stamp_us
+            effects.append(SendToAgent(agent_id, self._heartbeat(agent_id, 0)))
+        return effects
 
     def _check_quorum(self, now: float) -> list[LeaderEffect]:
         """End a term that lost its majority or can't take a member back."""
@@ -386,12 +406,13 @@
             for agent_id, member in self.quorum.members.items()
             if member.proven_received > oldest
             and self.quorum.is_counted(agent_id)
+            and agent_id not in self.barred
         }
 
     def _place(self) -> list[LeaderEffect]:
         if self.phase is not Phase.SERVING:
             return []
-        if not self.book.scheduler.waiting:
+        if not self.book.has_waiting:
             return []
         return self.book.place(self._usable())
 
@@ -477,7 +498,7 @@
             SendReply(token, NOT_LEADER) for token in tokens
         ]
         self.early = []
-        self.book.tokens = {}
-        self.book.jobs = {}
+        self.book.tokens.clear()
+        self.book.jobs.clear()
         effects.append(StepDown(max(seen, self.term), reason, retry))
         return effects
--- a/tests/features/steps/late_resubmission_steps.py
+++ b/tests/features/steps/late_resubmission_steps.py
@@ -1,3 +1,5 @@
+import random
+
 from behave import given
 from behave import then
 from behave import when
@@ -13,10 +15,13 @@
 from egretcart.process.jobs import JobBook
 from egretcart.process.ledger import RecordState
 from egretcart.process.limits import LeaderLimits
+from egretcart.process.policy.bundle import standard_policy
 from egretcart.process.scheduler import AgentLoad
 from egretcart.request.identity import new_job_id
 from egretcart.request.job import parse_job
 from egretcart.testing.clock import ManualClock
+from egretcart.version.document import Configuration
+from egretcart.version.document import Service
 
 
 def load():
@@ -52,6 +57,11 @@
         limits=LeaderLimits(),
         clock=ManualClock(),
         answers=AnswerCache(max_bytes=1000),
+        policy=standard_policy(rng=random.Random(1)),
+    )
+    context.book.configure(
+        Configuration(version=1, services=(Service(name="snapcheck"),)),
+        "snapcheck",
     )
     context.job = parse_job(
         job_id=new_job_id(),
