Take a leaving agent off the roster before it leaves

Cause: a stopped agent stayed a member of its cell's roster for 60 s. With one of two agents stopped there was no majority, so nothing could be led and nobody could remove it: 78 of 120 jobs were refused with "no leader" after a planned stop (promise_leaving_backend.feature, seen before this change). The leader now removes a draining member that has nothing in flight by the same single change and raises the horizon as for a lost one; the agent waits for that, at most 3 s if the platform is down. The last member is never removed. Readiness waits until an entry may lead, as a replacement that was ready too early left a gap of 348 ms.

--- a/egretcart/process/agent.py
+++ b/egretcart/process/agent.py
@@ -301,6 +301,12 @@
         effects += self._to_leader(self._heartbeat_reply(round_number=0))
         return effects
 
+    @property
+    def is_roster_member(self) -> bool:
+        """Whether the cell counts on this agent besides others."""
+        others = self.roster.agent_ids - {self.identity.agent_id}
+        return bool(others) and others != self.roster.agent_ids
+
     def tick(self) -> list[AgentEffect]:
         """Prune the ledger and refuse queued starts that came too late."""
         keep_s = self.limits.record_age_s
--- a/egretcart/process/agent_process.py
+++ b/egretcart/process/agent_process.py
@@ -43,6 +43,7 @@
 TICK_S = 0.1
 REDIAL_S = 0.1
 FLUSH_LIMIT_S = 1.0
+REMOVAL_LIMIT_S = 3.0
 SUCCESS_STATUSES = range(200, 300)
 MS_PER_S = 1000
 
@@ -113,6 +114,10 @@
         """Finish what runs, take nothing new, and tell the leader."""
         self._carry_out(self.agent.drain())
         await poll_until(lambda: not self.exchanges)
+        # Without the removal the cell would miss a vote until it gives the
+        # agent up; with the platform down it can't be had.
+        with trio.move_on_after(REMOVAL_LIMIT_S):
+            await poll_until(lambda: not self.agent.is_roster_member)
         await self._flush()
 
     async def abort(self) -> None:
--- a/egretcart/process/caller_api.py
+++ b/egretcart/process/caller_api.py
@@ -169,6 +169,7 @@
     def _readiness(self) -> HttpResponse:
         ready = (
             not self.stopping
+            and self.entry.has_settled
             and self.entry.configuration.version > 0
             and not self.entry.directory.leaving
         )
--- a/egretcart/process/entry.py
+++ b/egretcart/process/entry.py
@@ -243,6 +243,12 @@
         self.leading_told: tuple[CellLeader, ...] = ()
         self.addresses_told: tuple[EntryAddress, ...] = ()
 
+    @property
+    def has_settled(self) -> bool:
+        """Whether this entry may take cells over, so soon after its start."""
+        settled_at = self.started_at + self.limits.settle_s
+        return self.clock.monotonic() >= settled_at
+
     # Configuration.
 
     def configure(self, configuration: Configuration) -> list[EntryEffect]:
@@ -777,7 +783,7 @@
     def _should_take_over(self, cell: Cell, now: float) -> bool:
         if cell in self.leaderships or self.directory.leaving:
             return False
-        if now < self.started_at + self.limits.settle_s:
+        if not self.has_settled:
             return False
         if now < self.not_before.get(cell, float("-inf")):
             return False
--- a/egretcart/process/leadership.py
+++ b/egretcart/process/leadership.py
@@ -431,7 +431,7 @@
     def _roster_with_joined(self) -> Roster | None:
         roster = self.quorum.roster
         for agent_id, member in self.quorum.members.items():
-            if agent_id in roster.agent_ids:
+            if agent_id in roster.agent_ids or self._is_draining(agent_id):
                 continue
             joined = RosterMember(
                 agent_id=agent_id, incarnation=member.incarnation
@@ -446,10 +446,7 @@
     def _roster_without_lost(self, now: float) -> Roster | None:
         roster = self.quorum.roster
         for lost in roster.members:
-            absent_since = self.absent_since.get(lost.agent_id)
-            if lost.agent_id in self.quorum.members or absent_since is None:
-                continue
-            if now < absent_since + self.limits.member_removal_s:
+            if not self._is_to_be_removed(lost.agent_id, now):
                 continue
             kept = tuple(m for m in roster.members if m != lost)
             skew_ms = int(self.limits.clock_skew_s * MS_PER_S)
@@ -461,6 +458,22 @@
             )
         return None
 
+    def _is_to_be_removed(self, agent_id: str, now: float) -> bool:
+        """Return whether a member is leaving or was lost for long."""
+        if self._is_draining(agent_id):
+            idle = not self.book.loads[agent_id].in_flight
+            return idle and self.quorum.size > 1
+        if agent_id in self.quorum.members:
+            return False
+        absent_since = self.absent_since.get(agent_id)
+        if absent_since is None:
+            return False
+        return now >= absent_since + self.limits.member_removal_s
+
+    def _is_draining(self, agent_id: str) -> bool:
+        load = self.book.loads.get(agent_id)
+        return load is not None and load.draining
+
     def roster_written(self, accepted: Roster | None) -> list[LeaderEffect]:
         """Handle the end of a roster write.
 
