Learn terms from the heartbeats of other entries

Cause: an entry that had never led took over with term 1, was refused by the agents and paused 200 ms before it tried a higher one: 348 and 351 ms without an answer at a planned stop of the leader. Ruled out: the wait after the start (readiness covers it), late heartbeats (leave() sends them to all at once).

--- a/egretcart/process/entry.py
+++ b/egretcart/process/entry.py
@@ -549,6 +549,9 @@
                 beat=message,
                 now=self.clock.monotonic(),
             )
+            for claim in message.leading:
+                cell = Cell(claim.service_name, claim.cell)
+                self._saw_term(cell, claim.term)
             self.sync.heard(message.config_version)
             return self._follow_versions() + self._steer()
         if isinstance(message, Forward):
