Drop only the link on which a peer should send

Cause: two entries keep two links, and each sends on the one that it dialled. The limit on silence closed the other one every seven seconds; its loss counts as the peer's, so the other entry took over although the leader lived.

Ruled out: late heartbeats under load (the peers' silence at each such takeover was none, the link had ended as overdue), a wrong horizon.

The new scenario of doors.feature fails with the limit set on both links ("the link was closed").

--- a/egretcart/process/entry_process.py
+++ b/egretcart/process/entry_process.py
@@ -263,6 +263,9 @@
     async def _converse(
         self, stream: trio.SocketStream, entry_links: dict[str, Link]
     ) -> None:
+        # Each entry sends on the link that it dialled itself.
+        receives = entry_links is self.accepted_links
+        silence_limit_s = PEER_SILENCE_LIMIT_S if receives else float("inf")
         link = Link(stream=stream, traffic=self.traffic)
         name = ""
         links: dict[str, Link] = {}
@@ -276,7 +279,7 @@
                 self.carry_out(self.entry.agent_connected(message))
             elif isinstance(message, EntryHello):
                 name, links = message.address.entry_id, entry_links
-                link.introduce(silence_limit_s=PEER_SILENCE_LIMIT_S)
+                link.introduce(silence_limit_s=silence_limit_s)
                 self._register(name, links, link)
                 self._peer_hello(message)
             elif links is self.agent_links:
--- a/tests/features/doors.feature
+++ b/tests/features/doors.feature
@@ -64,6 +64,13 @@
     Then a good job is still answered
     And the peer got no start
 
+  Scenario: Only the link on which a peer should send is dropped for silence
+    Given an entry with open doors
+    When another entry sends heartbeats on the link that it dialled
+    Then the entry keeps its own link to it for 9 s
+    When the other entry falls silent
+    Then the entry closes the peer's connection
+
   Scenario: A job goes on when its caller resets the connection
     Given an entry with open doors
     When a caller resets its connection while its job runs
--- a/tests/features/steps/door_steps.py
+++ b/tests/features/steps/door_steps.py
@@ -3,6 +3,7 @@
 import json
 import socket
 import struct
+import time
 
 from behave import given
 from behave import then
@@ -19,6 +20,7 @@
 from egretcart.connection.codec import FrameBuffer
 from egretcart.connection.messages import AgentHello
 from egretcart.connection.messages import EntryAddress
+from egretcart.connection.messages import EntryBeat
 from egretcart.connection.messages import EntryHello
 from egretcart.connection.messages import FenceReply
 from egretcart.connection.messages import Forward
@@ -296,6 +298,38 @@
     assert not any(isinstance(m, Start) for m in messages), messages
 
 
+@when("another entry sends heartbeats on the link that it dialled")
+def send_beats(context):
+    listener = socket.create_server((HOST, 0))
+    listener.settimeout(LIMIT_S)
+    address = EntryAddress(
+        entry_id="other", host=HOST, port=listener.getsockname()[1]
+    )
+    hello = encode_frame([EntryHello(address=address, incarnation=1)])
+    context.peer = connect(context.peer_port)
+    context.peer.sendall(hello)
+    with listener:
+        context.own_link, _ = listener.accept()
+    context.own_link.sendall(hello)
+    context.add_cleanup(context.peer.close)
+    context.add_cleanup(context.own_link.close)
+
+
+@then("the entry keeps its own link to it for {seconds:d} s")
+def check_kept(context, seconds):
+    end = time.monotonic() + seconds
+    context.own_link.settimeout(0.5)
+    while time.monotonic() < end:
+        context.peer.sendall(encode_frame([EntryBeat()]))
+        with contextlib.suppress(TimeoutError):
+            assert context.own_link.recv(65536), "the link was closed"
+
+
+@when("the other entry falls silent")
+def fall_silent(context):
+    context.peer.settimeout(12)
+
+
 def start_long_job(context):
     context.job_path = f"{SERVICE_PATH}/{new_job_id()}"
     connection = connect(context.http_port)
