--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN = $(VENV)/bin
 STAMP = $(VENV)/installed
 
-.PHONY: demo test lint format binary clean
+.PHONY: demo test lint format binary measures clean
 
 $(STAMP): requirements/development.txt
 	$(PYTHON) -m venv $(VENV)
@@ -17,16 +17,19 @@
 	$(BIN)/python tools/run_tests.py
 
 lint: $(STAMP)
-	$(BIN)/ruff format --check egretcart tests tools
-	$(BIN)/ruff check egretcart tests tools
+	$(BIN)/ruff format --check egretcart tests tools examples
+	$(BIN)/ruff check egretcart tests tools examples
 	$(BIN)/mypy
 
 format: $(STAMP)
-	$(BIN)/ruff check --fix egretcart tests tools
-	$(BIN)/ruff format egretcart tests tools
+	$(BIN)/ruff check --fix egretcart tests tools examples
+	$(BIN)/ruff format egretcart tests tools examples
 
 binary: $(STAMP)
 	$(BIN)/python tools/build_binary.py
 
+measures: $(STAMP)
+	$(BIN)/python tools/experiment.py
+
 clean:
 	rm -rf $(VENV) dist build *.egg-info
--- a/egretcart/process/cli.py
+++ b/egretcart/process/cli.py
@@ -10,6 +10,7 @@
 import docopt
 import trio
 
+from egretcart.load.command import load_command
 from egretcart.process.agent import AgentLimits
 from egretcart.process.agent_process import AgentProcess
 from egretcart.process.clock import SystemClock
@@ -17,13 +18,20 @@
 from egretcart.process.entry import EntryLimits
 from egretcart.process.entry_process import EntryProcess
 from egretcart.process.limits import LeaderLimits
+from egretcart.process.logs import log_to_stderr
+from egretcart.process.operator_commands import OPERATOR_COMMANDS
+from egretcart.process.operator_commands import run_operator_command
+from egretcart.process.planned_stop import stop_on_signal
 from egretcart.process.settings import AgentSettings
 from egretcart.process.settings import BackendStandInSettings
 from egretcart.process.settings import EntrySettings
 from egretcart.process.settings import load_settings
+from egretcart.process.settings import NaiveSettings
 from egretcart.process.settings import PlatformStandInSettings
 from egretcart.process.settings import SettingsBase
+from egretcart.process.submit import submit_command
 from egretcart.testing.backend import BackendStandIn
+from egretcart.testing.naive import run_naive
 from egretcart.testing.platform import PlatformStandIn
 
 USAGE = """egretcart: a dispatcher for floods of sub-second tasks.
@@ -33,7 +41,20 @@
   egretcart agent SETTINGS
   egretcart standin platform SETTINGS
   egretcart standin backend SETTINGS
+  egretcart standin naive SETTINGS
+  egretcart submit FILE
+  egretcart load PROFILE [--json]
   egretcart demo
+  egretcart check FILE...
+  egretcart schema
+  egretcart diff FILE [--platform=ADDRESS | --entry=ADDRESS]
+  egretcart apply FILE --reason=TEXT [--yes] [--base=VERSION] [--change=ID]
+            [--as=NAME] [--platform=ADDRESS | --entry=ADDRESS]
+  egretcart show [--version=VERSION] [--platform=ADDRESS | --entry=ADDRESS]
+  egretcart history [--last=COUNT] [--platform=ADDRESS | --entry=ADDRESS]
+  egretcart status [--platform=ADDRESS | --entry=ADDRESS]
+  egretcart drain AGENT [--undo] [--reason=TEXT] [--yes] [--as=NAME]
+            [--platform=ADDRESS | --entry=ADDRESS]
   egretcart (-h | --help)
 
 Commands:
@@ -41,12 +62,39 @@
   agent             Run the agent beside one backend server.
   standin platform  Run a stand-in of the platform's key-value service.
   standin backend   Run a stand-in of a backend server.
+  standin naive     Run the naive version that measures are compared with.
+  submit            Submit the job of a file and print its answer.
+  load              Submit the jobs of a profile and print the measures.
   demo              Run a whole deployment in one process and one job on it.
+  check             Check configuration and settings files, and together.
+  schema            Print the JSON schema of the configuration.
+  diff              Compare a configuration file with what is in force.
+  apply             Put a configuration file in force, as a whole.
+  show              Print the configuration that is in force, or a former one.
+  history           Print who changed what, when and why.
+  status            Print each process's version, role, terms and load.
+  drain             Give an agent no new work, or --undo that.
+
+Options:
+  --platform=ADDRESS  HOST:PORT of the platform's store; the environment
+                      variable EGRETCART_PLATFORM is the default.
+  --entry=ADDRESS     HOST:PORT of any entry's HTTP API, in place of it; the
+                      default is EGRETCART_ENTRY.
+  --reason=TEXT       Why, for the audit trail.
+  --yes               Do not ask before the change is made.
+  --base=VERSION      Version that the file was made from; by default the
+                      version that the file states.
+  --change=ID         Ask again for a change whose outcome was not known.
+  --as=NAME           Who, for the audit trail; by default user and host.
+  --version=VERSION   A version of the history.
+  --last=COUNT        Versions to print [default: 20].
+  --undo              Give the agent work again.
 
 Exit codes:
   0  done
   1  the command failed
   2  the command line or a file is wrong
+  3  the outcome is not known: ask again with --change
 """
 
 EXIT_OK = 0
@@ -74,6 +122,15 @@
         return EXIT_USAGE
     if parsed["demo"]:
         return trio.run(run_demo)
+    if any(parsed[name] for name in OPERATOR_COMMANDS):
+        return run_operator_command(parsed)
+    if parsed["submit"]:
+        return submit_command(pathlib.Path(parsed["FILE"]))
+    if parsed["load"]:
+        profile = pathlib.Path(parsed["PROFILE"])
+        return load_command(profile, as_json=parsed["--json"])
+    if parsed["naive"]:
+        return _run_role(parsed, NaiveSettings, run_naive)
     if parsed["entry"]:
         return _run_role(parsed, EntrySettings, _run_entry)
     if parsed["agent"]:
@@ -106,24 +163,32 @@
         limits=EntryLimits(),
         leader_limits=LeaderLimits(),
         clock=SystemClock(),
+        log=log_to_stderr(),
     )
     async with trio.open_nursery() as nursery:
         await nursery.start(process.run)
+        nursery.start_soon(stop_on_signal, process, nursery.cancel_scope)
         await process.announce()
 
 
 async def _run_agent(settings: AgentSettings) -> None:
     process = AgentProcess(
-        settings=settings, limits=AgentLimits(), clock=SystemClock()
+        settings=settings,
+        limits=AgentLimits(),
+        clock=SystemClock(),
+        log=log_to_stderr(),
     )
     async with trio.open_nursery() as nursery:
         await nursery.start(process.run)
+        nursery.start_soon(stop_on_signal, process, nursery.cancel_scope)
         await process.announce()
 
 
 async def _run_platform(settings: PlatformStandInSettings) -> None:
     standin = PlatformStandIn(
-        host=settings.listen.host, port=settings.listen.port
+        host=settings.listen.host,
+        port=settings.listen.port,
+        path=pathlib.Path(settings.file) if settings.file else None,
     )
     await _run_standin("platform", standin)
 
@@ -132,7 +197,9 @@
     standin = BackendStandIn(
         host=settings.listen.host,
         port=settings.listen.port,
-        speed=settings.speed,
+        slots=settings.slots,
+        behaviour=settings.behaviour,
+        seed=settings.seed,
     )
     await _run_standin("backend", standin)
 
--- a/egretcart/process/entry_process.py
+++ b/egretcart/process/entry_process.py
@@ -1,28 +1,31 @@
 """The entry's process: moves bytes for `Entry`."""
 
 from collections.abc import Iterable
-import contextlib
 import json
+import random
 import sys
 
-import msgspec
 import trio
 
-from egretcart.connection.http_server import Handler
-from egretcart.connection.http_server import HttpConnection
+from egretcart.connection.http_listener import HttpListener
 from egretcart.connection.http_server import HttpLimits
 from egretcart.connection.link import Link
 from egretcart.connection.messages import AgentHello
+from egretcart.connection.messages import ConfigDocument
+from egretcart.connection.messages import ConfigRequest
 from egretcart.connection.messages import EntryAddress
 from egretcart.connection.messages import EntryBeat
 from egretcart.connection.messages import EntryHello
+from egretcart.connection.messages import EntryList
 from egretcart.connection.messages import FenceReply
 from egretcart.connection.messages import Forward
 from egretcart.connection.messages import ForwardReply
+from egretcart.connection.messages import Heartbeat
 from egretcart.connection.messages import HeartbeatReply
 from egretcart.connection.messages import Message
 from egretcart.connection.messages import Roster
 from egretcart.connection.messages import TaskResult
+from egretcart.connection.traffic import Traffic
 from egretcart.process.caller_api import CallerApi
 from egretcart.process.clock import Clock
 from egretcart.process.directory import Cell
@@ -31,22 +34,36 @@
 from egretcart.process.entry import EntryEffect
 from egretcart.process.entry import EntryLimits
 from egretcart.process.entry import ReplyToCaller
+from egretcart.process.entry import SendAgentConfig
 from egretcart.process.entry import SendEntryList
 from egretcart.process.entry import SendToPeer
+from egretcart.process.entry_observer import EntryObserver
 from egretcart.process.limits import LeaderLimits
+from egretcart.process.logs import EventLog
+from egretcart.process.logs import NullLog
+from egretcart.process.metrics import Metrics
+from egretcart.process.metrics import ProcessMetrics
+from egretcart.process.operator_api import OperatorApi
+from egretcart.process.planned_stop import poll_until
 from egretcart.process.platform import EtcdPlatform
 from egretcart.process.platform import Platform
-from egretcart.process.platform import PlatformError
-from egretcart.process.rosters import read_roster
+from egretcart.process.platform_follower import PlatformFollower
+from egretcart.process.registration import Registrar
 from egretcart.process.rosters import write_roster
 from egretcart.process.settings import EntrySettings
 from egretcart.version.document import Configuration
 
 TICK_S = 0.02
 REDIAL_S = 0.1
-CONFIG_POLL_S = 1.0
 PLATFORM_PAUSE_S = 0.5
-CONFIG_KEY = "egretcart/config"
+# A process that has been gone for so long is dialled no more, unless it
+# is a seed or someone names it again.
+FORGET_S = 30.0
+FLUSH_LIMIT_S = 1.0
+HEARTBEAT_REPLY_LIMIT_S = 3.0
+# Covers three of the longest intervals between heartbeats of entries.
+PEER_SILENCE_LIMIT_S = 7.0
+MAX_PEER_LINKS = 4096
 
 
 class EntryProcess:
@@ -58,6 +75,7 @@
     limits : EntryLimits
     leader_limits : LeaderLimits
     clock : Clock
+    log : EventLog, optional
     """
 
     def __init__(
@@ -67,8 +85,13 @@
         limits: EntryLimits,
         leader_limits: LeaderLimits,
         clock: Clock,
+        log: EventLog | None = None,
     ) -> None:
         self.settings = settings
+        self.log = log or NullLog()
+        self.traffic = Traffic()
+        self.metrics: Metrics = ProcessMetrics(traffic=self.traffic)
+        self.observer: EntryObserver
         self.limits = limits
         self.leader_limits = leader_limits
         self.clock = clock
@@ -79,14 +102,19 @@
             )
         self.entry: Entry
         self.api: CallerApi
+        self.http: HttpListener
+        self.stop_limit_s = settings.stop_limit_s
         self.address: EntryAddress
         self.http_port = 0
+        self.peer_port = 0
         self.incarnation = clock.unix_ms()
         self.dialled_links: dict[str, Link] = {}
         self.accepted_links: dict[str, Link] = {}
         self.agent_links: dict[str, Link] = {}
+        self.open_peer_links = 0
         self.targets: set[tuple[str, int]] = set()
         self.nursery: trio.Nursery
+        self.registrar: Registrar | None = None
 
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
@@ -100,14 +128,17 @@
         http_listeners = await trio.open_tcp_listeners(
             http.port, host=http.host
         )
-        peer_port = peer_listeners[0].socket.getsockname()[1]
+        self.peer_port = peer_listeners[0].socket.getsockname()[1]
         self.http_port = http_listeners[0].socket.getsockname()[1]
+        advertised = self.settings.advertised
         self.address = EntryAddress(
             entry_id=self.settings.entry_id,
-            host=peer.host,
-            port=peer_port,
+            host=advertised.host if advertised else peer.host,
+            port=advertised.port if advertised else self.peer_port,
             weight=self.settings.weight,
             failure_domain=self.settings.failure_domain,
+            http_host=http.host,
+            http_port=self.http_port,
         )
         self.entry = Entry(
             address=self.address,
@@ -116,19 +147,29 @@
             limits=self.limits,
             leader_limits=self.leader_limits,
             clock=self.clock,
+            has_platform=self.platform is not None,
         )
-        self.api = CallerApi(entry=self.entry, carry_out=self.carry_out)
+        self.observer = EntryObserver(
+            entry=self.entry, metrics=self.metrics, log=self.log
+        )
+        self.api = CallerApi(
+            entry=self.entry,
+            carry_out=self.carry_out,
+            operators=OperatorApi(entry=self.entry, platform=self.platform),
+            metrics=self.metrics,
+            clock=self.clock,
+        )
+        self.http = HttpListener(handler=self.api.handle, limits=HttpLimits())
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
             nursery.start_soon(
                 trio.serve_listeners, self._accept, peer_listeners
             )
-            nursery.start_soon(
-                trio.serve_listeners, self._serve_http, http_listeners
-            )
+            nursery.start_soon(self.http.serve, http_listeners, nursery)
             for seed in self.settings.seeds:
                 self._ensure_dialled(seed.host, seed.port)
-            nursery.start_soon(self._follow_configuration)
+            if self.platform is not None:
+                self._follow_platform(self.platform)
             nursery.start_soon(self._tick)
             task_status.started()
 
@@ -138,17 +179,47 @@
             "role": "entry",
             "id": self.settings.entry_id,
             "http_port": self.http_port,
-            "peer_port": self.address.port,
+            "peer_port": self.peer_port,
         }
         print(json.dumps(ports))
         sys.stdout.flush()
 
-    async def _serve_http(self, stream: trio.SocketStream) -> None:
-        handler: Handler = self.api.handle
-        connection = HttpConnection(
-            stream=stream, handler=handler, limits=HttpLimits()
-        )
-        await connection.serve()
+    # Planned stop.
+
+    async def stop(self) -> None:
+        """Hand over and answer the callers; return when all are answered."""
+        self.api.stopping = True
+        self.http.stopping = True
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._hand_over)
+            await trio.sleep(self.settings.stop_grace_s)
+            await self.http.close()
+            nursery.cancel_scope.cancel()
+        await self._flush()
+
+    async def _hand_over(self) -> None:
+        """Resign as soon as another entry can take over."""
+        await poll_until(self._has_successor)
+        self.carry_out(self.entry.leave())
+
+    def _has_successor(self) -> bool:
+        peers = self.entry.directory.live_peers(self.clock.monotonic())
+        return any(not peer.leaving for peer in peers)
+
+    async def abort(self) -> None:
+        """Tell the callers that wait that their work may have run."""
+        self.api.give_up()
+        self.http.abort_receiving()
+        await self.http.close()
+
+    async def _flush(self) -> None:
+        links = [
+            *self.dialled_links.values(),
+            *self.accepted_links.values(),
+            *self.agent_links.values(),
+        ]
+        with trio.move_on_after(FLUSH_LIMIT_S):
+            await poll_until(lambda: all(link.is_flushed for link in links))
 
     # Links.
 
@@ -163,22 +234,36 @@
         self.nursery.start_soon(self._dial, host, port)
 
     async def _dial(self, host: str, port: int) -> None:
+        seeds = {(seed.host, seed.port) for seed in self.settings.seeds}
+        heard_at = self.clock.monotonic()
         while True:
             try:
                 stream = await trio.open_tcp_stream(host, port)
             except OSError:
+                gone_s = self.clock.monotonic() - heard_at
+                if gone_s > FORGET_S and (host, port) not in seeds:
+                    self.targets.discard((host, port))
+                    return
                 await trio.sleep(REDIAL_S)
                 continue
             await self._converse(stream, self.dialled_links)
+            heard_at = self.clock.monotonic()
             await trio.sleep(REDIAL_S)
 
     async def _accept(self, stream: trio.SocketStream) -> None:
-        await self._converse(stream, self.accepted_links)
+        if self.open_peer_links >= MAX_PEER_LINKS:
+            await trio.aclose_forcefully(stream)
+            return
+        self.open_peer_links += 1
+        try:
+            await self._converse(stream, self.accepted_links)
+        finally:
+            self.open_peer_links -= 1
 
     async def _converse(
         self, stream: trio.SocketStream, entry_links: dict[str, Link]
     ) -> None:
-        link = Link(stream=stream)
+        link = Link(stream=stream, traffic=self.traffic)
         name = ""
         links: dict[str, Link] = {}
 
@@ -186,10 +271,12 @@
             nonlocal name, links
             if isinstance(message, AgentHello):
                 name, links = message.agent_id, self.agent_links
+                link.introduce()
                 self._register(name, links, link)
                 self.carry_out(self.entry.agent_connected(message))
             elif isinstance(message, EntryHello):
                 name, links = message.address.entry_id, entry_links
+                link.introduce(silence_limit_s=PEER_SILENCE_LIMIT_S)
                 self._register(name, links, link)
                 self._peer_hello(message)
             elif links is self.agent_links:
@@ -202,6 +289,7 @@
             return
         del links[name]
         if links is self.agent_links:
+            self.observer.agent_lost(name)
             self.carry_out(self.entry.agent_disconnected(name))
         else:
             self.carry_out(self.entry.peer_lost(name))
@@ -213,6 +301,7 @@
             return
         former.close()
         if links is self.agent_links:
+            self.observer.agent_lost(name)
             self.carry_out(self.entry.agent_disconnected(name))
 
     def _peer_hello(self, hello: EntryHello) -> None:
@@ -222,10 +311,21 @@
 
     def _agent_message(self, agent_id: str, message: Message) -> None:
         if isinstance(message, FenceReply | HeartbeatReply | TaskResult):
+            self.observer.agent_message(agent_id, message)
             self.carry_out(self.entry.agent_message(agent_id, message))
 
     def _peer_message(self, entry_id: str, message: Message) -> None:
-        if isinstance(message, EntryBeat | Forward | ForwardReply):
+        if isinstance(message, EntryList):
+            for address in message.entries:
+                self._ensure_dialled(address.host, address.port)
+        elif isinstance(
+            message,
+            EntryBeat
+            | Forward
+            | ForwardReply
+            | ConfigRequest
+            | ConfigDocument,
+        ):
             self.carry_out(self.entry.peer_message(entry_id, message))
 
     # Effects.
@@ -233,10 +333,13 @@
     def carry_out(self, effects: Iterable[EntryEffect]) -> None:
         """Carry out what the decision logic asks for."""
         for effect in effects:
-            if isinstance(effect, SendToAgent | SendEntryList):
+            self.observer.effect(effect)
+            if isinstance(
+                effect, SendToAgent | SendEntryList | SendAgentConfig
+            ):
                 link = self.agent_links.get(effect.agent_id)
                 if link is not None:
-                    link.send(effect.message)
+                    self._send_to_agent(link, effect.message)
             elif isinstance(effect, SendToPeer):
                 self._send_to_peer(effect)
             elif isinstance(effect, ReplyToCaller):
@@ -246,6 +349,11 @@
                     self._write_roster, effect.cell, effect.roster
                 )
 
+    def _send_to_agent(self, link: Link, message: Message) -> None:
+        link.send(message)
+        if isinstance(message, Heartbeat) and message.round:
+            link.expect_reply(HEARTBEAT_REPLY_LIMIT_S)
+
     def _send_to_peer(self, effect: SendToPeer) -> None:
         link = self.dialled_links.get(
             effect.entry_id
@@ -261,29 +369,29 @@
             await trio.sleep(PLATFORM_PAUSE_S)
         self.carry_out(self.entry.roster_known(cell, stored))
 
-    async def _follow_configuration(self) -> None:
-        if self.platform is None:
-            return
-        while True:
-            with contextlib.suppress(PlatformError):
-                await self._read_configuration(self.platform)
-            await trio.sleep(CONFIG_POLL_S)
-
-    async def _read_configuration(self, platform: Platform) -> None:
-        stored = await platform.get(CONFIG_KEY)
-        if stored is None:
-            return
-        configuration = msgspec.json.decode(stored.data, type=Configuration)
-        if configuration.version <= self.entry.configuration.version:
-            return
-        for service in configuration.services:
-            for index in range(service.cells):
-                cell = Cell(service.name, index)
-                roster = await read_roster(platform, cell)
-                self.entry.rosters.setdefault(cell, roster)
-        self.carry_out(self.entry.configure(configuration))
+    def _follow_platform(self, platform: Platform) -> None:
+        source = random.Random()
+        entry = self.entry
+        follower = PlatformFollower(
+            platform=platform,
+            source=source,
+            on_configuration=lambda document: self.carry_out(
+                entry.platform_configuration(document)
+            ),
+            on_entry=lambda address: self._ensure_dialled(
+                address.host, address.port
+            ),
+            on_roster=entry.learn_roster,
+            on_failure=lambda: self.carry_out(entry.platform_failed()),
+        )
+        self.registrar = Registrar(
+            platform=platform, address=self.address, source=source
+        )
+        self.nursery.start_soon(follower.run)
+        self.nursery.start_soon(self.registrar.run)
 
     async def _tick(self) -> None:
         while True:
             self.carry_out(self.entry.tick())
+            self.observer.look()
             await trio.sleep(TICK_S)
--- a/egretcart/process/jobs.py
+++ b/egretcart/process/jobs.py
@@ -208,6 +208,7 @@
         self.attempts.fleet.agents_changed()
         effects: list[LeaderEffect] = []
         recorded: set[TaskKey] = set()
+        self.known.drop(load.agent_id, load.incarnation)
         for record in records:
             known = self.known.add(load.agent_id, load.incarnation, record)
             for task in record.tasks:
@@ -359,6 +360,10 @@
         self, agent_id: str, result: TaskResult
     ) -> list[LeaderEffect]:
         """Handle the end of an attempt."""
+        load = self.loads.get(agent_id)
+        if load is None:
+            return []
+        self.known.settle(agent_id, load.incarnation, result)
         return self.attempts.task_result(agent_id, result)
 
 
--- a/egretcart/process/leadership.py
+++ b/egretcart/process/leadership.py
@@ -123,13 +123,23 @@
         self.early: list[EarlyRequest] = []
         self.roster_write_pending = False
         self.next_heartbeat = float("-inf")
+        self.barred: set[str] = set()
 
     def configure(self, configuration: Configuration) -> list[LeaderEffect]:
         """Put a newer configuration in force."""
         self.configuration = configuration
+        for agent_id in self.agents:
+            self._bar(agent_id)
         self.book.configure(configuration, self.service)
         return self._place()
 
+    def _bar(self, agent_id: str) -> None:
+        """Keep new work from an agent that the configuration rules out."""
+        if self.configuration.admits(self.service, agent_id):
+            self.barred.discard(agent_id)
+        else:
+            self.barred.add(agent_id)
+
     # Requests.
 
     def submit(self, token: RequestToken, job: Job) -> list[LeaderEffect]:
@@ -173,6 +183,7 @@
         if self.phase is Phase.ENDED:
             return []
         self.agents[hello.agent_id] = hello
+        self._bar(hello.agent_id)
         fence = Fence(term=self.term, cell=self.cell)
         return [SendToAgent(hello.agent_id, fence)]
 
@@ -342,6 +353,7 @@
             round=round_number,
             proven_stamp_us=member.proven_stamp_us,
             roster=roster if member.roster_version < roster.version else None,
+            config_version=self.configuration.version,
         )
 
     def _heartbeat_reply(
@@ -353,7 +365,6 @@
         if reply.term != self.term or load is None:
             return []
         load.draining = reply.draining
-        proven_before = self.quorum.proven_round
         self.quorum.confirm(
             agent_id,
             round_number=reply.round,
@@ -361,16 +372,17 @@
             roster_version=reply.roster_version,
             now=self.clock.monotonic(),
         )
-        if self.quorum.proven_round == proven_before:
-            return []
         return self._grant_leases()
 
     def _grant_leases(self) -> list[LeaderEffect]:
-        return [
-            SendToAgent(agent_id, self._heartbeat(agent_id, 0))
-            for agent_id, member in self.quorum.members.items()
-            if self.quorum.is_counted(agent_id) and member.proven_stamp_us
-        ]
+        """Tell each member its newest proven stamp, before any start."""
+        effects: list[LeaderEffect] = []
+        for agent_id, member in self.quorum.members.items():
+            if member.proven_stamp_us <= member.granted_stamp_us:
+                continue
+            member.granted_stamp_us = member.proven_stamp_us
+            effects.append(SendToAgent(agent_id, self._heartbeat(agent_id, 0)))
+        return effects
 
     def _check_quorum(self, now: float) -> list[LeaderEffect]:
         """End a term that lost its majority or can't take a member back."""
@@ -394,6 +406,7 @@
             for agent_id, member in self.quorum.members.items()
             if member.proven_received > oldest
             and self.quorum.is_counted(agent_id)
+            and agent_id not in self.barred
         }
 
     def _place(self) -> list[LeaderEffect]:
--- a/tests/policy_figures.py
+++ b/tests/policy_figures.py
@@ -24,7 +24,7 @@
 from egretcart.process.policy import placement  # noqa: E402
 from egretcart.process.policy.bundle import standard_policy  # noqa: E402
 from egretcart.process.policy.ordering import FairOrder  # noqa: E402
-from egretcart.testing import naive  # noqa: E402
+from egretcart.testing import naive_policy as naive  # noqa: E402
 from egretcart.version.document import HedgePolicy  # noqa: E402
 from egretcart.version.document import Kind  # noqa: E402
 from egretcart.version.document import UrgencyClass  # noqa: E402
