Start no try before the newest of a task's pauses is over

Cause: found by reading: a task that was lost, adopted again and lost once more had two entries among the delayed tasks, and the older one let it start before its latest attempt had surely ended.

Run: the new step fails with the check taken out and passes with it; tests/features/policy.feature, 23 passed.

--- a/egretcart/process/starts.py
+++ b/egretcart/process/starts.py
@@ -66,7 +66,7 @@
             if progress is None:
                 continue
             task = progress.tasks[key[1]]
-            if task.state is TaskState.WAITING:
+            if _is_due(task, now):
                 self.policy.order.push(key, again=task.issued > 0)
 
     @property
@@ -97,7 +97,7 @@
         while (key := order.peek()) is not None:
             progress = self.table.jobs[key[0]]
             task = progress.tasks[key[1]]
-            if task.state is not TaskState.WAITING:
+            if not _is_due(task, now):
                 order.skip()
                 continue
             exclude = self.fleet.probed_agents(progress.job, now)
@@ -217,3 +217,8 @@
         )
         self.policy.placement.placed(agent_id)
         return [SendToAgent(agent_id, start)]
+
+
+def _is_due(task: TaskProgress, now: float) -> bool:
+    """Return whether a task waits and no former attempt may still run."""
+    return task.state is TaskState.WAITING and task.not_before <= now
--- a/tests/features/policy.feature
+++ b/tests/features/policy.feature
@@ -59,6 +59,7 @@
     When an agent that was given up answers after all
     Then the job is complete and its task is not begun again
     And a task that waits for a slot is not begun after its late answer
+    And an agent that is lost twice puts the next try off twice
 
   Scenario: A worker that answers at once is left out
     When one worker of 11 answers everything at once for 10 seconds
--- a/tests/features/steps/policy_fake.py
+++ b/tests/features/steps/policy_fake.py
@@ -123,7 +123,7 @@
             self.join(agent)
         self.at(TICK_S, self.tick)
 
-    def join(self, agent, *, leased=True):
+    def join(self, agent, *, leased=True, records=()):
         load = AgentLoad(
             agent_id=agent.agent_id,
             incarnation=1,
@@ -133,7 +133,7 @@
         )
         if leased:
             self.usable.add(agent.agent_id)
-        self.carry_out(self.book.agent_fenced(load, ()))
+        self.carry_out(self.book.agent_fenced(load, records))
 
     def lose(self, agent_id):
         agent = self.agents[agent_id]
--- a/tests/features/steps/policy_steps.py
+++ b/tests/features/steps/policy_steps.py
@@ -11,7 +11,11 @@
 from policy_fake import quantile
 from policy_fake import World
 
+from egretcart.connection.messages import JobRecord
+from egretcart.connection.messages import TaskRecord
 from egretcart.connection.messages import TaskResult
+from egretcart.process.ledger import RecordState
+from egretcart.process.limits import LeaderLimits
 from egretcart.process.policy.estimates import LearnedRunTimes
 from egretcart.process.policy.hedging import RESERVE as HEDGE_RESERVE
 from egretcart.version.document import HedgePolicy
@@ -375,6 +379,31 @@
     assert counts[failing] == 2, counts
 
 
+@then("an agent that is lost twice puts the next try off twice")
+def check_lost_twice(context):
+    kinds = (Kind(name="default", attempt_limit_ms=4000.0),)
+    configuration = make_configuration(kinds=kinds)
+    world = World(make_agents(2, slots=1), configuration=configuration)
+    fake = world.submit([3000.0])
+    world.run(0.1)
+    agent = world.agents[world.begun[0][2]]
+    record = JobRecord(
+        job_id=fake.job.job_id.value,
+        tasks=(TaskRecord(index=0, attempt=1, state=RecordState.BEGUN),),
+    )
+    world.usable.discard(agent.agent_id)
+    world.book.agent_lost(agent.agent_id)
+    world.run(1.5)
+    world.join(agent, leased=False, records=(record,))
+    world.run(1.6)
+    world.book.agent_lost(agent.agent_id)
+    world.run(1.5 + 4.0 + LeaderLimits().lease_s - 0.1)
+    assert len(world.begun) == 1
+    world.run(12)
+    assert fake.status == 200
+    assert len(world.begun) == 2
+
+
 # Health.
 
 
