--- a/egretcart/process/policy/ordering.py
+++ b/egretcart/process/policy/ordering.py
@@ -57,16 +57,18 @@
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class LaneQueue:
-    """The jobs of one urgency class and team.
+    """The jobs of one urgency class and team that have waiting tasks.
 
     Attributes
     ----------
+    waiting : int
     heap : list of (float, bytes)
         Ranks and keys of jobs; entries of former ranks may remain.
     waiting_ms : float
         Expected run time of the waiting tasks.
     """
 
+    waiting: int = 0
     heap: list[tuple[float, bytes]] = dataclasses.field(default_factory=list)
     waiting_ms: float = 0.0
 
@@ -211,14 +213,16 @@
         self.stopped(key, done=False)
         job = self.jobs[key[0]]
         work_ms = job.work_ms[key[1]]
-        lane = self.lanes.setdefault(job.lane, LaneQueue())
         if not job.waiting:
             self._resume_class(job.lane[0])
+        lane = self.lanes.setdefault(job.lane, LaneQueue())
+        if not job.waiting:
             self._rank(job, lane)
         priority = float("-inf") if again else -work_ms
         heapq.heappush(job.waiting, (priority, key[1]))
         job.waiting_ms += work_ms
         lane.waiting_ms += work_ms
+        lane.waiting += 1
         self.waiting += 1
         self.head = None
 
@@ -249,11 +253,19 @@
         heapq.heappop(job.waiting)
         work_ms = job.work_ms[key[1]]
         job.waiting_ms -= work_ms
-        self.lanes[job.lane].waiting_ms -= work_ms
-        self.waiting -= 1
-        self.head = None
+        self._leave(job.lane, 1, work_ms)
         return key
 
+    def _leave(self, lane: Lane, tasks: int, work_ms: float) -> None:
+        """Count tasks as no longer waiting; an empty lane is dropped."""
+        queue = self.lanes[lane]
+        queue.waiting -= tasks
+        queue.waiting_ms -= work_ms
+        if not queue.waiting:
+            del self.lanes[lane]
+        self.waiting -= tasks
+        self.head = None
+
     def started(self, key: TaskKey) -> None:
         """Count a task as started that did not wait here."""
         job = self.jobs.get(key[0])
@@ -291,10 +303,8 @@
             return
         for index in range(len(job.work_ms)):
             self.stopped((key, index), done=False)
-        self.waiting -= len(job.waiting)
         if job.waiting:
-            self.lanes[job.lane].waiting_ms -= job.waiting_ms
-        self.head = None
+            self._leave(job.lane, len(job.waiting), job.waiting_ms)
 
     def waiting_ms(self, urgency: str) -> float:
         """Return the expected run time of a class's waiting tasks."""
@@ -314,7 +324,7 @@
 
     def share(self, urgency: str) -> float:
         """Return the share of the slots that a class would get now."""
-        waiting = {lane[0] for lane in self.lanes if self._head_of(lane)}
+        waiting = {lane[0] for lane in self.lanes}
         waiting.add(urgency)
         total = sum(self._weight(name) for name in waiting)
         return self._weight(urgency) / total
@@ -337,22 +347,20 @@
 
     def _resume_class(self, urgency: str) -> None:
         """Let a class that was idle claim no time of the past."""
-        for lane in self.lanes:
-            if lane[0] == urgency and self._head_of(lane) is not None:
-                return
+        if any(lane[0] == urgency for lane in self.lanes):
+            return
         served = self.served_ms.get(urgency, 0.0)
         self.served_ms[urgency] = max(served, self.virtual_ms)
 
-    def _head_of(self, lane: Lane) -> QueuedJob | None:
-        """Return the first job of a lane that has a waiting task."""
+    def _head_of(self, lane: Lane) -> QueuedJob:
+        """Return the first job of a lane."""
         heap = self.lanes[lane].heap
-        while heap:
+        while True:
             rank, key = heap[0]
             job = self.jobs.get(key)
             if job is not None and job.waiting and job.rank == rank:
                 return job
             heapq.heappop(heap)
-        return None
 
     def _below_quota(self, lane: Lane) -> bool:
         return self.in_use.get(lane[1], 0) < self.quotas.get(lane[1], 0)
@@ -362,8 +370,8 @@
         return self.in_use.get(lane[1], 0) / quota
 
     def _select(self) -> TaskKey:
-        lanes = [lane for lane in self.lanes if self._head_of(lane)]
-        lanes = [lane for lane in lanes if self._below_quota(lane)] or lanes
+        below = [lane for lane in self.lanes if self._below_quota(lane)]
+        lanes = below or list(self.lanes)
         urgency = min(
             {lane[0] for lane in lanes},
             key=lambda name: (self.served_ms[name], name),
@@ -373,5 +381,4 @@
             key=lambda lane: (self._usage(lane), lane),
         )
         job = self._head_of(lane)
-        assert job is not None
         return job.key, job.waiting[0][1]
--- a/tests/policy_figures.py
+++ b/tests/policy_figures.py
@@ -316,7 +316,7 @@
     print(f"\n{title}\n")
     print("| " + " | ".join(columns) + " |")
     print("|" + " --- |" * len(columns))
-    with ProcessPoolExecutor(4) as pool:
+    with ProcessPoolExecutor(2) as pool:
         futures = [
             [pool.submit(run, *row, seed) for seed in SEEDS] for row in rows
         ]
