Print the test report so that a file keeps it whole

Cause: the progress formatter reopened standard output by its name; when that is a file, the reopened file overwrote what behave and the runner print after it, the closing line too. The JSON report takes the only outfile now.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -40,17 +40,16 @@
     """Run the tests; return 0 unless a scenario fails unexpectedly."""
     with tempfile.TemporaryDirectory() as folder:
         report = pathlib.Path(folder) / "report.json"
+        # The only outfile goes to the first format; the second one prints.
         command = [
             sys.executable,
             "-m",
             "behave",
-            "--format=progress3",
             "--format=json",
             f"--outfile={report}",
+            "--format=progress3",
             *sys.argv[1:],
         ]
-        # The second format takes the outfile; the first goes to stdout.
-        command[4:6] = ["--outfile=/dev/stdout", "--format=json", command[5]]
         finished = subprocess.run(command, cwd=ROOT, check=False)
         results = list(scenarios(report)) if report.exists() else []
     expected = known_red()
