Hold refusals until the term is confirmed; close gaps in takeover

Cause: a state machine over the real Entry and Agent, and reading the protocol against every pair of leaders, showed ways in which a leader said not run of work that had been begun, or could begin it again. - A fenced leader gave refusals as not run. Replies that say so now wait until a majority confirms the term in a round opened after the request; rounds are coalesced to one in 5 ms; else the request is forwarded again. - A member could be given starts before a majority had recorded the roster that names it; a later leader would not have asked it. - A member restarted during a takeover counted at once, and a takeover of all members served without waiting though a promise was forgotten. - Ids dated ahead passed the barrier: it now covers the allowance of the accepting leader and the skew between two leaders' clocks. - Witnesses for a joining member did not cover a roster that differs by one member (even sizes). - An attempt refused by the backend server erased the record of the one before it; a late end of a job nobody had submitted yet was forgotten, so that its resubmission waited for its deadline. - A record of a returned agent took a task over from its running attempt, and a task queued twice could be placed while it ran. - The refusal of a start whose task is in the ledger says may have run. - A request that a leader had kept for long was given up at the first step-down instead of being forwarded again.

--- a/egretcart/process/agent.py
+++ b/egretcart/process/agent.py
@@ -351,6 +351,13 @@
             refusal = self._refusal(start, reason)
             return [SendToEntry(entry_id, refusal)]
         key = (start.job_id, start.task)
+        started = self._reason_started(key, start)
+        if started is not None:
+            refusal = dataclasses.replace(
+                self._refusal(start, started),
+                verdict=Verdict.MAY_HAVE_RUN.value,
+            )
+            return [SendToEntry(entry_id, refusal)]
         self.queued[key] = QueuedStart(start, self.clock.monotonic())
         return self._begin_queued()
 
@@ -370,14 +377,17 @@
         ) / MS_PER_S
         if age_s > self.limits.window_s + self.limits.max_deadline_s:
             return f"the job id is {age_s:.0f} s old"
-        key = (start.job_id, start.task)
+        if len(self.queued) >= self.limits.max_queued:
+            return f"{len(self.queued)} starts are queued"
+        return None
+
+    def _reason_started(self, key: TaskKey, start: Start) -> str | None:
+        """Return why a task may have run already, or None."""
         if key in self.queued or key in self.running:
             return "an attempt at the task is queued or running"
         record = self.ledger.find(start.job_id, start.task)
         if record is not None and not self._may_repeat(record, start):
             return f"the task was started: {record.state.name}"
-        if len(self.queued) >= self.limits.max_queued:
-            return f"{len(self.queued)} starts are queued"
         return None
 
     @staticmethod
--- a/egretcart/process/entry.py
+++ b/egretcart/process/entry.py
@@ -140,6 +140,8 @@
     cell : Cell
     routed_to : str or None
         Entry that has the request.
+    routed_at : float
+        Monotonic time at which it was given to that entry.
     leaderless_since : float
         Monotonic time since which no leader has had it.
     """
@@ -151,6 +153,7 @@
     body: bytes
     cell: Cell
     routed_to: str | None = None
+    routed_at: float = float("-inf")
     leaderless_since: float = 0.0
 
 
@@ -253,6 +256,7 @@
                 f"service {service!r} is not configured; configured are "
                 f"{sorted(s.name for s in self.configuration.services)}",
                 status=404,
+                verdict=Verdict.MAY_HAVE_RUN,
             )
             return request_id, [
                 ReplyToCaller(request_id, problem_reply(refusal))
@@ -296,6 +300,7 @@
         pending.routed_to = leader
         if leader is None:
             return []
+        pending.routed_at = self.clock.monotonic()
         if leader != self.address.entry_id:
             forward = Forward(
                 request_id=pending.request_id,
@@ -366,7 +371,7 @@
         if pending is None:
             return []
         if reply.outcome is ReplyOutcome.NOT_LEADER:
-            pending.routed_to = None
+            self._returned(pending)
             return []
         del self.pending[request_id]
         return [ReplyToCaller(request_id, reply)]
@@ -429,6 +434,17 @@
             cell, token, message.action, job_id, message.body
         )
 
+    def _returned(self, pending: PendingRequest) -> None:
+        """Take back a request from an entry that does not lead any more.
+
+        The wait for a leader starts anew only for a request that a leader
+        has kept for long, so that no request goes round for ever.
+        """
+        now = self.clock.monotonic()
+        pending.routed_to = None
+        if now >= pending.routed_at + self.limits.leaderless_limit_s:
+            pending.leaderless_since = now
+
     def _lose_leader(self, pending: PendingRequest) -> None:
         pending.routed_to = None
         pending.leaderless_since = self.clock.monotonic()
@@ -591,7 +607,7 @@
                 if routed not in self.directory.peers:
                     self._lose_leader(pending)
                 elif self._leader_of(pending.cell) not in (routed, None):
-                    pending.routed_to = None
+                    self._returned(pending)
             if pending.routed_to is None:
                 effects += self._route(pending)
         if self._claims() != self.leading_told:
--- a/egretcart/process/jobs.py
+++ b/egretcart/process/jobs.py
@@ -108,21 +108,38 @@
         answer = self.answers.find(job.job_id)
         if answer is not None:
             if answer.digest != job.digest:
-                return [_reply(token, outcomes.conflict(job.job_id))]
+                return [self._conflict(token, job.job_id)]
             if answer.reply is None:
                 return [_reply(token, outcomes.answer_gone(job.job_id))]
             return [SendReply(token, answer.reply)]
         progress = self.jobs.get(key)
         if progress is not None:
             if progress.job.digest != job.digest:
-                return [_reply(token, outcomes.conflict(job.job_id))]
+                return [self._conflict(token, job.job_id)]
             self.tokens[key].append(token)
             return []
         known = self.known.find(key)
         if known is not None and known.digest != job.digest:
-            return [_reply(token, outcomes.conflict(job.job_id))]
+            return [self._conflict(token, job.job_id)]
+        refusal = self._future_refusal(job.job_id, known)
+        if refusal is not None:
+            return [_reply(token, refusal)]
         return self._accept(token, job, known)
 
+    def _conflict(self, token: RequestToken, job_id: JobId) -> LeaderEffect:
+        verdict = self._verdict_of_unknown(job_id)
+        return _reply(token, outcomes.conflict(job_id, verdict))
+
+    def _future_refusal(
+        self, job_id: JobId, known: KnownJob | None
+    ) -> outcomes.Problem | None:
+        ahead_s = (job_id.created_ms - self.clock.unix_ms()) / MS_PER_S
+        skew_s = self.limits.clock_skew_s
+        if known is not None or ahead_s <= skew_s:
+            return None
+        verdict = self._verdict_of_unknown(job_id)
+        return outcomes.id_in_future(job_id, ahead_s, skew_s, verdict)
+
     def read(self, token: RequestToken, job_id: JobId) -> list[LeaderEffect]:
         """Reply with a retained answer or with how far a job has come."""
         answer = self.answers.find(job_id)
@@ -163,7 +180,7 @@
             unknown = len(job.tasks) - len(known_tasks)
             if unknown and not job.idempotent:
                 return [_reply(token, outcomes.unsettled(job, known_tasks))]
-            earliest = self.serving_since + self.limits.attempt_limit_s
+            earliest = self.serving_since + self.limits.attempt_over_s
             for task in progress.tasks:
                 task.not_before = earliest
         self.jobs[key] = progress
@@ -184,6 +201,7 @@
         self, load: AgentLoad, records: Iterable[JobRecord]
     ) -> list[LeaderEffect]:
         """Take in the ledger of an agent that promised the term."""
+        self.agent_lost(load.agent_id)
         self.loads[load.agent_id] = load
         effects: list[LeaderEffect] = []
         recorded: set[TaskKey] = set()
@@ -232,7 +250,7 @@
             task = progress.tasks[index]
             if task.state not in (TaskState.WAITING, TaskState.PLACED):
                 continue
-            if record.attempt < task.attempt:
+            if not _supersedes(record, task):
                 continue
             task.state = TaskState.PLACED
             task.attempt = record.attempt
@@ -258,8 +276,7 @@
             return []
         if load.incarnation != record.incarnation:
             return self._lost_attempt(key, record.attempt)
-        if record.state is not RecordState.BEGUN:
-            fetch_from.add(record.agent_id)
+        fetch_from.add(record.agent_id)
         load.in_flight[key] = record.attempt
         return []
 
@@ -315,7 +332,7 @@
         while self.scheduler.waiting:
             key = self.scheduler.waiting[0]
             progress = self.jobs.get(key[0])
-            if progress is None:
+            if progress is None or not self._is_due(progress, key[1]):
                 self.scheduler.waiting.popleft()
                 continue
             agent_id = self.scheduler.choose(self.loads, usable)
@@ -325,6 +342,13 @@
             effects.append(self._start(progress, key, agent_id))
         return effects
 
+    def _is_due(self, progress: JobProgress, index: int) -> bool:
+        task = progress.tasks[index]
+        return (
+            task.state is TaskState.WAITING
+            and task.not_before <= self.clock.monotonic()
+        )
+
     def _start(
         self, progress: JobProgress, key: TaskKey, agent_id: str
     ) -> LeaderEffect:
@@ -361,6 +385,7 @@
             return []
         if load.in_flight.get(key) == result.attempt:
             del load.in_flight[key]
+        self.known.ended(agent_id, load.incarnation, result)
         progress = self.jobs.get(result.job_id)
         if progress is None or result.task >= len(progress.tasks):
             return []
@@ -407,7 +432,7 @@
         if progress.job.idempotent and task.attempt < self.limits.max_attempts:
             task.state = TaskState.WAITING
             if verdict is Verdict.MAY_HAVE_RUN:
-                task.not_before = task.placed_at + self.limits.attempt_limit_s
+                task.not_before = task.placed_at + self.limits.attempt_over_s
             self._queue(key, task)
             return []
         return self._fail(
@@ -470,5 +495,14 @@
         return effects
 
 
+def _supersedes(record: KnownTask, task: TaskProgress) -> bool:
+    """Return whether a record tells more of a task than the leader knows."""
+    if record.state is RecordState.SUCCEEDED:
+        return True
+    if record.attempt < task.attempt:
+        return False
+    return task.state is TaskState.WAITING or task.agent_id == record.agent_id
+
+
 def _reply(token: RequestToken, problem: outcomes.Problem) -> SendReply:
     return SendReply(token, problem_reply(problem))
--- a/egretcart/process/leadership.py
+++ b/egretcart/process/leadership.py
@@ -41,6 +41,8 @@
 # Share of the lease up to which the leader counts on it, so that a start
 # that travels does not find it lapsed.
 LEASE_USABLE_SHARE = 0.8
+# Shortest time between two rounds that replies wait for, in seconds.
+CONFIRM_INTERVAL_S = 0.005
 
 
 class Phase(enum.Enum):
@@ -60,6 +62,24 @@
     job: Job
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeldReply:
+    """A reply that says not run, until the term is confirmed.
+
+    Attributes
+    ----------
+    effect : SendReply
+    round_number : int
+        First round whose confirmation releases the reply.
+    since : float
+        Monotonic time from which it waits.
+    """
+
+    effect: SendReply
+    round_number: int
+    since: float
+
+
 class Leadership:
     """Leads one cell for one term.
 
@@ -114,13 +134,15 @@
         self.agents: dict[str, AgentHello] = {}
         self.absent_since: dict[str, float] = {}
         self.early: list[EarlyRequest] = []
+        self.held: list[HeldReply] = []
+        self.last_round_at = float("-inf")
         self.roster_write_pending = False
         self.next_heartbeat = float("-inf")
 
     def configure(self, configuration: Configuration) -> list[LeaderEffect]:
         """Put a newer configuration in force."""
         self.configuration = configuration
-        return self._place()
+        return self._hold(self._place())
 
     # Requests.
 
@@ -128,35 +150,63 @@
         """Accept a submission, or keep it until the takeover is over."""
         if self.phase is Phase.ENDED:
             return [SendReply(token, NOT_LEADER)]
-        refusal = self._id_refusal(job.job_id)
-        if refusal is not None:
-            return [SendReply(token, problem_reply(refusal))]
+        age_s = (self.clock.unix_ms() - job.job_id.created_ms) / MS_PER_S
+        window_s = self.limits.window_s
+        if age_s > window_s:
+            expired = outcomes.id_expired(job.job_id, age_s, window_s)
+            return [SendReply(token, problem_reply(expired))]
         if self.phase is not Phase.SERVING:
             self.early.append(EarlyRequest(token, job))
             return []
-        return self.book.submit(token, job) + self._place()
+        return self._hold(self.book.submit(token, job) + self._place())
 
     def read(self, token: RequestToken, job_id: JobId) -> list[LeaderEffect]:
         """Reply with a retained answer or with how far a job has come."""
         if self.phase is not Phase.SERVING:
             return [SendReply(token, NOT_LEADER)]
-        return self.book.read(token, job_id)
+        return self._hold(self.book.read(token, job_id))
 
     def cancel(self, token: RequestToken, job_id: JobId) -> list[LeaderEffect]:
         """End a job at its caller's wish."""
         if self.phase is not Phase.SERVING:
             return [SendReply(token, NOT_LEADER)]
-        return self.book.cancel(token, job_id) + self._place()
-
-    def _id_refusal(self, job_id: JobId) -> outcomes.Problem | None:
-        age_s = (self.clock.unix_ms() - job_id.created_ms) / MS_PER_S
-        if age_s > self.limits.window_s:
-            return outcomes.id_expired(job_id, age_s, self.limits.window_s)
-        if -age_s > self.limits.clock_skew_s:
-            return outcomes.id_in_future(
-                job_id, -age_s, self.limits.clock_skew_s
-            )
-        return None
+        return self._hold(self.book.cancel(token, job_id) + self._place())
+
+    # Replies that say not run.
+
+    def _hold(self, effects: list[LeaderEffect]) -> list[LeaderEffect]:
+        """Keep back replies that only an unfenced leader may give.
+
+        A later leader may have begun the job unless a majority confirms
+        the term in a round that is opened from now on.
+        """
+        if self.phase is Phase.ENDED:
+            return effects
+        now = self.clock.monotonic()
+        passed: list[LeaderEffect] = []
+        for effect in effects:
+            if isinstance(effect, SendReply) and effect.reply.not_run:
+                first = self.quorum.opened_round + 1
+                self.held.append(HeldReply(effect, first, now))
+            else:
+                passed.append(effect)
+        return passed + self._confirm_held(now)
+
+    def _confirm_held(self, now: float) -> list[LeaderEffect]:
+        """Open the round that the newest held replies wait for."""
+        if not self.held:
+            return []
+        if self.held[-1].round_number <= self.quorum.opened_round:
+            return []
+        if now < self.last_round_at + CONFIRM_INTERVAL_S:
+            return []
+        return self._open_round(now)
+
+    def _release_held(self) -> list[LeaderEffect]:
+        proven = self.quorum.proven_round
+        released = [h for h in self.held if h.round_number <= proven]
+        self.held = [h for h in self.held if h.round_number > proven]
+        return [held.effect for held in released]
 
     # Agents.
 
@@ -189,7 +239,7 @@
             effects = self._fence_reply(agent_id, message)
         else:
             effects = self.agent_connected(message)
-        return effects + self._place()
+        return self._hold(effects + self._place()) + self._release_held()
 
     def tick(self) -> list[LeaderEffect]:
         """Do what is due by now."""
@@ -206,7 +256,7 @@
             return effects
         if now >= self.next_heartbeat:
             effects += self._open_round(now)
-        return effects + self._place()
+        return self._hold(effects + self._place())
 
     def resign(self, reason: str) -> list[LeaderEffect]:
         """End the leadership on purpose."""
@@ -255,8 +305,9 @@
         """Serve once every start of former leaders is accounted for."""
         if self.quorum.roster.version == 0:
             return self._bootstrap(now)
-        if self.quorum.is_complete():
-            return self._serve(now, self._complete_barrier_ms())
+        restarted = self.quorum.restarted()
+        if self.quorum.is_complete() and not restarted:
+            return self._serve(now, self.quorum.roster.lost_before_ms)
         if not self.quorum.has_majority():
             self.majority_at = float("inf")
             if now >= self.started_at + self.limits.fence_limit_s:
@@ -265,12 +316,15 @@
                 )
             return []
         self.majority_at = min(self.majority_at, now)
+        # A restarted member may have promised a higher term before.
+        since = max(
+            [self.majority_at, *(member.promised_at for member in restarted)]
+        )
         wait_s = max(self.limits.takeover_wait_s, self.limits.fence_patience_s)
-        if now < self.majority_at + wait_s:
+        if now < since + wait_s:
             self.phase = Phase.WAITING
             return []
-        skew_ms = int(self.limits.clock_skew_s * MS_PER_S)
-        return self._serve(now, self.clock.unix_ms() + skew_ms)
+        return self._serve(now, self._barrier_ms())
 
     def _bootstrap(self, now: float) -> list[LeaderEffect]:
         """Write the first roster of a cell."""
@@ -288,20 +342,26 @@
         self.roster_write_pending = True
         return [WriteRoster(Roster(version=1, members=tuple(members)))]
 
-    def _complete_barrier_ms(self) -> int:
-        """Return the barrier when every member has replied.
+    def _barrier_ms(self) -> int:
+        """Return the barrier after a takeover that waited a lease."""
+        if self.quorum.is_complete() and not self.quorum.may_be_stale():
+            return max(
+                self.quorum.roster.lost_before_ms,
+                *(
+                    self._forgotten_before_ms(member.agent_id)
+                    for member in self.quorum.restarted()
+                ),
+            )
+        return self.clock.unix_ms() + self.limits.id_horizon_ms
+
+    def _forgotten_before_ms(self, agent_id: str) -> int:
+        """Return up to when an agent's lost incarnation matters.
 
-        A member that was restarted since it was added has lost what its
-        former incarnation started.
+        Leases that were proven with its help outlive it.
         """
-        roster = self.quorum.roster
-        barrier_ms = roster.lost_before_ms
-        skew_ms = int(self.limits.clock_skew_s * MS_PER_S)
-        for member in roster.members:
-            hello = self.agents[member.agent_id]
-            if hello.incarnation != member.incarnation:
-                barrier_ms = max(barrier_ms, hello.started_ms + skew_ms)
-        return barrier_ms
+        lease_ms = int(self.limits.takeover_wait_s * MS_PER_S)
+        started_ms = self.agents[agent_id].started_ms
+        return started_ms + lease_ms + self.limits.id_horizon_ms
 
     def _serve(self, now: float, barrier_ms: int) -> list[LeaderEffect]:
         self.phase = Phase.SERVING
@@ -320,6 +380,7 @@
 
     def _open_round(self, now: float) -> list[LeaderEffect]:
         self.next_heartbeat = now + self.limits.heartbeat_interval_s
+        self.last_round_at = now
         round_number = self.quorum.open_round()
         return [
             SendToAgent(agent_id, self._heartbeat(agent_id, round_number))
@@ -366,11 +427,16 @@
 
     def _check_quorum(self, now: float) -> list[LeaderEffect]:
         """End a term that lost its majority or can't take a member back."""
+        limit_s = self.limits.fence_limit_s
+        if self.held and now >= self.held[0].since + limit_s:
+            return self._end(
+                self.term, "a round was not confirmed", retry=True
+            )
         if self.quorum.has_majority() and not self.quorum.has_unvouched():
             self.incomplete_since = float("inf")
             return []
         self.incomplete_since = min(self.incomplete_since, now)
-        if now < self.incomplete_since + self.limits.fence_limit_s:
+        if now < self.incomplete_since + limit_s:
             return []
         return self._end(
             self.term, "the term can't be confirmed any more", retry=True
@@ -401,7 +467,11 @@
         """Add or remove one member, if the last change is recorded."""
         if self.roster_write_pending or not self.quorum.is_roster_recorded():
             return []
-        roster = self._roster_with_joined() or self._roster_without_lost(now)
+        roster = (
+            self._roster_with_joined()
+            or self._roster_with_restarted()
+            or self._roster_without_lost(now)
+        )
         if roster is None:
             return []
         self.roster_write_pending = True
@@ -422,6 +492,28 @@
             )
         return None
 
+    def _roster_with_restarted(self) -> Roster | None:
+        roster = self.quorum.roster
+        restarted = self.quorum.restarted()
+        if not restarted:
+            return None
+        renewed = RosterMember(
+            agent_id=restarted[0].agent_id,
+            incarnation=restarted[0].incarnation,
+        )
+        return dataclasses.replace(
+            roster,
+            version=roster.version + 1,
+            members=tuple(
+                renewed if m.agent_id == renewed.agent_id else m
+                for m in roster.members
+            ),
+            lost_before_ms=max(
+                roster.lost_before_ms,
+                self._forgotten_before_ms(renewed.agent_id),
+            ),
+        )
+
     def _roster_without_lost(self, now: float) -> Roster | None:
         roster = self.quorum.roster
         for lost in roster.members:
@@ -431,12 +523,12 @@
             if now < absent_since + self.limits.member_removal_s:
                 continue
             kept = tuple(m for m in roster.members if m != lost)
-            skew_ms = int(self.limits.clock_skew_s * MS_PER_S)
+            now_ms = self.clock.unix_ms()
             return dataclasses.replace(
                 roster,
                 version=roster.version + 1,
                 members=kept,
-                lost_before_ms=self.clock.unix_ms() + skew_ms,
+                lost_before_ms=now_ms + self.limits.id_horizon_ms,
             )
         return None
 
@@ -460,7 +552,7 @@
             self.quorum.roster = accepted
         now = self.clock.monotonic()
         if self.phase is not Phase.SERVING:
-            return self._advance_takeover(now)
+            return self._hold(self._advance_takeover(now))
         return self._open_round(now)
 
     # End.
@@ -471,12 +563,14 @@
         """End the term; the entries forward the open requests again."""
         self.phase = Phase.ENDED
         tokens = [request.token for request in self.early]
+        tokens += [held.effect.token for held in self.held]
         for waiting in self.book.tokens.values():
             tokens += waiting
         effects: list[LeaderEffect] = [
             SendReply(token, NOT_LEADER) for token in tokens
         ]
         self.early = []
+        self.held = []
         self.book.tokens = {}
         self.book.jobs = {}
         effects.append(StepDown(max(seen, self.term), reason, retry))
--- a/egretcart/process/ledger.py
+++ b/egretcart/process/ledger.py
@@ -30,12 +30,15 @@
         None while the task runs, and once the result is evicted.
     verdict : str
         Verdict of the ended attempt.
+    former : LedgerTask or None
+        The attempt before, which counts if this one was not begun.
     """
 
     attempt: int
     state: RecordState
     result: TaskResult | None = None
     verdict: str = ""
+    former: "LedgerTask | None" = None
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -84,13 +87,20 @@
             job = LedgerJob(digest=digest, tasks={})
             self.jobs[job_id] = job
         self._drop_result(job_id, task)
-        job.tasks[task] = LedgerTask(attempt=attempt, state=RecordState.BEGUN)
+        former = job.tasks.get(task)
+        if former is not None:
+            former.former = None
+        job.tasks[task] = LedgerTask(
+            attempt=attempt, state=RecordState.BEGUN, former=former
+        )
 
     def forget(self, job_id: bytes, task: int) -> None:
-        """Remove a task that provably was not started after all."""
+        """Remove an attempt that provably was not started after all."""
         job = self.jobs[job_id]
         self._drop_result(job_id, task)
-        del job.tasks[task]
+        former = job.tasks.pop(task).former
+        if former is not None:
+            job.tasks[task] = former
         if not job.tasks:
             del self.jobs[job_id]
 
@@ -103,6 +113,7 @@
             RecordState.SUCCEEDED if result.succeeded else RecordState.FAILED
         )
         record.verdict = result.verdict
+        record.former = None
         record.result = result
         self.retained[(result.job_id, result.task)] = len(result.body)
         self.result_bytes += len(result.body)
--- a/egretcart/process/limits.py
+++ b/egretcart/process/limits.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+MS_PER_S = 1000
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class LeaderLimits:
@@ -61,3 +63,21 @@
     def takeover_wait_s(self) -> float:
         """Wait after an incomplete takeover, in seconds."""
         return self.lease_s * (1 + self.clock_drift)
+
+    @property
+    def attempt_over_s(self) -> float:
+        """Time from placing an attempt to its end at the latest.
+
+        A start may travel and wait for as long as the agent's lease lasts;
+        the agent's clock may be slow.
+        """
+        return (self.lease_s + self.attempt_limit_s) * (1 + self.clock_drift)
+
+    @property
+    def id_horizon_ms(self) -> int:
+        """How far ahead of any clock an accepted id may be dated.
+
+        A leader accepts ids up to the skew ahead of its own clock, which
+        may itself be ahead of another's by as much.
+        """
+        return int(2 * self.clock_skew_s * MS_PER_S)
--- a/egretcart/process/quorum.py
+++ b/egretcart/process/quorum.py
@@ -32,7 +32,8 @@
     """Return how many other members must vouch for a joining member.
 
     That many others share a member with every majority, even when the
-    joining member had been part of it and has forgotten its promise.
+    joining member had been part of it and has forgotten its promise, and
+    when the other leader's roster differs by one member.
 
     Parameters
     ----------
@@ -43,7 +44,7 @@
     -------
     int
     """
-    return size - majority_of(size) + 1
+    return size - majority_of(size + 1) + 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,6 +75,8 @@
     incarnation : int
     counted : bool
         Whether the member counts towards majorities.
+    promised_at : float
+        The leader's monotonic clock when it learnt of the promise.
     vouched_from_round : int
         First round whose confirmations by others vouch for the member.
     confirmed_round : int
@@ -90,6 +93,7 @@
     agent_id: str
     incarnation: int
     counted: bool
+    promised_at: float
     vouched_from_round: int = 0
     confirmed_round: int = 0
     roster_version: int = 0
@@ -114,6 +118,9 @@
         Newest round that was opened.
     proven_round : int
         Newest round that a majority has confirmed.
+    recorded_ids : frozenset of str
+        Members of the newest roster that a majority has recorded. Only
+        they are given starts: any later leader learns of them.
     """
 
     def __init__(self, *, roster: Roster) -> None:
@@ -121,6 +128,7 @@
         self.members: dict[str, QuorumMember] = {}
         self.opened_round = 0
         self.proven_round = 0
+        self.recorded_ids: frozenset[str] = frozenset()
 
     @property
     def size(self) -> int:
@@ -135,6 +143,27 @@
         """Return whether every member of the roster is counted."""
         return self.size > 0 and self._counted() == self.size
 
+    def restarted(self) -> list[QuorumMember]:
+        """Return members that have forgotten what the roster's did."""
+        incarnations = {
+            member.agent_id: member.incarnation
+            for member in self.roster.members
+        }
+        return [
+            member
+            for member in self._counting()
+            if member.incarnation != incarnations[member.agent_id]
+        ]
+
+    def may_be_stale(self) -> bool:
+        """Return whether all who recorded a newer roster may have forgotten.
+
+        A newer roster was recorded by a majority of its members, of which
+        at most one is not in this roster.
+        """
+        recorders = majority_of(self.size + 1) - 1
+        return len(self.restarted()) >= recorders
+
     def has_unvouched(self) -> bool:
         """Return whether a member of the roster waits to be counted."""
         return any(
@@ -152,7 +181,10 @@
     ) -> None:
         """Add a member that promised the term during the takeover."""
         member = QuorumMember(
-            agent_id=agent_id, incarnation=incarnation, counted=True
+            agent_id=agent_id,
+            incarnation=incarnation,
+            counted=True,
+            promised_at=now,
         )
         self.members[agent_id] = member
         self._add_stamp(member, stamp_us, now)
@@ -174,6 +206,7 @@
             agent_id=agent_id,
             incarnation=incarnation,
             counted=False,
+            promised_at=now,
             vouched_from_round=self.opened_round + 1,
         )
         self.members[agent_id] = member
@@ -206,6 +239,8 @@
         self._add_stamp(member, stamp_us, now)
         self._count_vouched()
         self._prove()
+        if self.is_roster_recorded():
+            self.recorded_ids = self.roster.agent_ids
 
     def is_roster_recorded(self) -> bool:
         """Return whether a majority has confirmed the newest roster."""
@@ -222,6 +257,7 @@
             member is not None
             and member.counted
             and agent_id in self.roster.agent_ids
+            and agent_id in self.recorded_ids
         )
 
     def _counting(self) -> list[QuorumMember]:
--- a/egretcart/process/takeover.py
+++ b/egretcart/process/takeover.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from egretcart.connection.messages import JobRecord
+from egretcart.connection.messages import TaskResult
 from egretcart.process.ledger import RecordState
 
 
@@ -15,6 +16,11 @@
     attempt: int
     state: RecordState
 
+    @property
+    def source(self) -> tuple[str, int]:
+        """The agent and the incarnation that keep the record."""
+        return (self.agent_id, self.incarnation)
+
     @property
     def weight(self) -> tuple[bool, bool, int]:
         """Order among records of one task: the greatest one decides."""
@@ -60,10 +66,25 @@
                 state=RecordState(task.state),
             )
             former = job.tasks.get(task.index)
-            if former is None or known.weight > former.weight:
+            if (
+                former is None
+                or former.source == known.source
+                or known.weight > former.weight
+            ):
                 job.tasks[task.index] = known
         return job
 
+    def ended(self, agent_id: str, incarnation: int, end: TaskResult) -> None:
+        """Record the end of an attempt that was known to have begun."""
+        job = self.jobs.get(end.job_id)
+        known = job.tasks.get(end.task) if job is not None else None
+        if job is None or known is None or known.attempt != end.attempt:
+            return
+        if known.source != (agent_id, incarnation):
+            return
+        state = RecordState.SUCCEEDED if end.succeeded else RecordState.FAILED
+        job.tasks[end.task] = dataclasses.replace(known, state=state)
+
     def find(self, job_id: bytes) -> KnownJob | None:
         """Return what is known of a job, or None."""
         return self.jobs.get(job_id)
--- a/egretcart/request/outcomes.py
+++ b/egretcart/request/outcomes.py
@@ -12,13 +12,24 @@
 UNSETTLED_RETRY_S = 2.0
 
 
-def conflict(job_id: JobId) -> Problem:
-    """Return the problem for an id that names another body."""
+def conflict(job_id: JobId, verdict: Verdict) -> Problem:
+    """Return the problem for an id that names another body.
+
+    Parameters
+    ----------
+    job_id : JobId
+    verdict : Verdict
+        Whether this body may have run, under an earlier leader.
+
+    Returns
+    -------
+    Problem
+    """
     return Problem(
         status=409,
         title="Conflict",
         detail=f"job {job_id} was submitted with another body",
-        verdict=Verdict.NOT_RUN,
+        verdict=verdict,
     )
 
 
@@ -55,7 +66,9 @@
     )
 
 
-def id_in_future(job_id: JobId, ahead_s: float, skew_s: float) -> Problem:
+def id_in_future(
+    job_id: JobId, ahead_s: float, skew_s: float, verdict: Verdict
+) -> Problem:
     """Return the problem for an id dated too far ahead."""
     return Problem(
         status=400,
@@ -64,7 +77,7 @@
             f"job id {job_id} is dated {ahead_s:.1f} s ahead; at most "
             f"{skew_s:.1f} s are accepted"
         ),
-        verdict=Verdict.NOT_RUN,
+        verdict=verdict,
     )
 
 
--- a/egretcart/request/problem.py
+++ b/egretcart/request/problem.py
@@ -37,6 +37,11 @@
     retry_after_s: float | None = None
     tasks: tuple[Verdict, ...] = ()
 
+    @property
+    def claims_not_run(self) -> bool:
+        """Whether it says of the request or of a task that it did not run."""
+        return Verdict.NOT_RUN in (self.verdict, *self.tasks)
+
     def to_json(self) -> bytes:
         """Return the problem document as JSON bytes."""
         document: dict[str, object] = {
@@ -54,7 +59,10 @@
 
 
 def bad_request(
-    detail: str, *, status: int = http.HTTPStatus.BAD_REQUEST
+    detail: str,
+    *,
+    status: int = http.HTTPStatus.BAD_REQUEST,
+    verdict: Verdict = Verdict.NOT_RUN,
 ) -> Problem:
     """Return the problem for a request that can never be accepted.
 
@@ -64,18 +72,19 @@
         What was found and what is accepted.
     status : int, optional
         HTTP status code, 400 by default.
+    verdict : Verdict, optional
 
     Returns
     -------
     Problem
-        With verdict `NOT_RUN` and no time to come back.
+        With no time to come back.
     """
     known = http.HTTPStatus(status)
     return Problem(
         status=int(known),
         title=known.phrase,
         detail=detail,
-        verdict=Verdict.NOT_RUN,
+        verdict=verdict,
     )
 
 
--- a/egretcart/request/reply.py
+++ b/egretcart/request/reply.py
@@ -35,12 +35,15 @@
         JSON text.
     retry_after_s : float or None
         When to come back, in seconds.
+    not_run : bool
+        Whether the reply says that nothing of the request was run.
     """
 
     outcome: ReplyOutcome
     status: int = HTTP_OK
     body: bytes = b""
     retry_after_s: float | None = None
+    not_run: bool = False
 
 
 NOT_LEADER = Reply(outcome=ReplyOutcome.NOT_LEADER)
@@ -53,6 +56,7 @@
         status=problem.status,
         body=problem.to_json(),
         retry_after_s=problem.retry_after_s,
+        not_run=problem.claims_not_run,
     )
 
 
