Keep bodies of one id apart; never narrow a task's verdict

A task below the barrier or known from a ledger starts out as may have run; a ledger keeps one body an id, and records and results of another body are left out.

--- a/egretcart/process/agent.py
+++ b/egretcart/process/agent.py
@@ -385,6 +385,9 @@
         """Return why a task may have run already, or None."""
         if key in self.queued or key in self.running:
             return "an attempt at the task is queued or running"
+        job = self.ledger.jobs.get(start.job_id)
+        if job is not None and job.digest != start.digest:
+            return "the job was started with another body"
         record = self.ledger.find(start.job_id, start.task)
         if record is not None and not self._may_repeat(record, start):
             return f"the task was started: {record.state.name}"
--- a/egretcart/process/jobs.py
+++ b/egretcart/process/jobs.py
@@ -75,6 +75,8 @@
     loads : dict of str to AgentLoad
         Connected agents that promised the term.
     lost : dict of str to LostAgent
+    foreign : set of tuple of str and bytes
+        Agents that have started another body under a job's id.
     """
 
     def __init__(
@@ -96,6 +98,7 @@
         self.tokens: dict[bytes, list[RequestToken]] = {}
         self.loads: dict[str, AgentLoad] = {}
         self.lost: dict[str, LostAgent] = {}
+        self.foreign: set[tuple[str, bytes]] = set()
         self.scheduler = FifoScheduler()
         self.delayed: list[tuple[float, TaskKey]] = []
         self.deadlines: list[tuple[float, bytes]] = []
@@ -128,6 +131,9 @@
 
     def _conflict(self, token: RequestToken, job_id: JobId) -> LeaderEffect:
         verdict = self._verdict_of_unknown(job_id)
+        known = self.known.find(job_id.value)
+        if known is not None and known.has_other_body:
+            verdict = Verdict.MAY_HAVE_RUN
         return _reply(token, outcomes.conflict(job_id, verdict))
 
     def _future_refusal(
@@ -183,6 +189,7 @@
             earliest = self.serving_since + self.limits.attempt_over_s
             for task in progress.tasks:
                 task.not_before = earliest
+                task.verdict = Verdict.MAY_HAVE_RUN
         self.jobs[key] = progress
         self.tokens[key] = [token]
         heapq.heappush(self.deadlines, (progress.deadline, key))
@@ -207,13 +214,19 @@
         recorded: set[TaskKey] = set()
         for record in records:
             known = self.known.add(load.agent_id, load.incarnation, record)
+            if known.digest != record.digest:
+                self.foreign.add((load.agent_id, record.job_id))
             for task in record.tasks:
                 key = (record.job_id, task.index)
                 recorded.add(key)
                 if task.state == RecordState.BEGUN:
                     load.in_flight[key] = task.attempt
             progress = self.jobs.get(record.job_id)
-            if progress is not None:
+            if progress is None:
+                continue
+            if progress.job.digest != record.digest:
+                self.foreign.add((load.agent_id, record.job_id))
+            else:
                 effects += self._merge(progress, known)
         lost = self.lost.pop(load.agent_id, None)
         if lost is not None:
@@ -253,6 +266,7 @@
             if not _supersedes(record, task):
                 continue
             task.state = TaskState.PLACED
+            task.verdict = Verdict.MAY_HAVE_RUN
             task.attempt = record.attempt
             task.agent_id = record.agent_id
             task.placed_at = self.clock.monotonic()
@@ -385,6 +399,8 @@
             return []
         if load.in_flight.get(key) == result.attempt:
             del load.in_flight[key]
+        if (agent_id, result.job_id) in self.foreign:
+            return []
         self.known.ended(agent_id, load.incarnation, result)
         progress = self.jobs.get(result.job_id)
         if progress is None or result.task >= len(progress.tasks):
--- a/egretcart/process/takeover.py
+++ b/egretcart/process/takeover.py
@@ -33,10 +33,19 @@
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class KnownJob:
-    """The started tasks of one job, from all ledgers."""
+    """The started tasks of one job, from all ledgers.
+
+    Attributes
+    ----------
+    digest : bytes
+    tasks : dict of int to KnownTask
+    has_other_body : bool
+        Whether some agent has started another body under the same id.
+    """
 
     digest: bytes
     tasks: dict[int, KnownTask]
+    has_other_body: bool = False
 
 
 class KnownJobs:
@@ -53,11 +62,18 @@
     def add(
         self, agent_id: str, incarnation: int, record: JobRecord
     ) -> KnownJob:
-        """Merge one record and return the job as now known."""
+        """Merge one record and return the job as now known.
+
+        A record of another body than the first one known is left out; the
+        job's digest tells.
+        """
         job = self.jobs.get(record.job_id)
         if job is None:
             job = KnownJob(digest=record.digest, tasks={})
             self.jobs[record.job_id] = job
+        if job.digest != record.digest:
+            job.has_other_body = True
+            return job
         for task in record.tasks:
             known = KnownTask(
                 agent_id=agent_id,
--- a/tests/features/steps/safety_machine.py
+++ b/tests/features/steps/safety_machine.py
@@ -72,6 +72,9 @@
 
     @rule(ahead_s=AHEAD_S, idempotent=st.booleans(), reach=st.booleans())
     def submit_everywhere(self, ahead_s, idempotent, reach):
+        self.flood(ahead_s, idempotent, reach)
+
+    def flood(self, ahead_s, idempotent, reach):
         job = self.world.make_job(
             ahead_s=ahead_s, tasks=2, idempotent=idempotent
         )
@@ -126,12 +129,49 @@
     def isolate(self, entry, hosts):
         """Cut an entry off from some hosts."""
         target = pick(self.world.entries.values(), entry)
-        for host in {pick(self.world.hosts, i) for i in sorted(hosts)}:
-            for pair in ((target, host), (host, target)):
-                self.world.cut.add(pair)
-        for connection in self.world.connections:
-            if connection.ends in self.world.cut:
-                connection.break_off(0)
+        others = [pick(self.world.hosts, i) for i in sorted(hosts)]
+        self.world.cut_off(target, others, kept=0)
+
+    @rule(
+        agents=st.sets(INDEX, max_size=3),
+        apart=st.booleans(),
+        stall=st.booleans(),
+        freeze=st.booleans(),
+        submit=st.booleans(),
+        idempotent=st.booleans(),
+        seconds=st.sampled_from((0.0, 0.5, 1.0, 2.0, 3.0)),
+    )
+    def split(self, agents, apart, stall, freeze, submit, idempotent, seconds):
+        """Part the leader from the other entries and from some agents."""
+        world = self.world
+        leader = world.leader()
+        if leader is None:
+            return
+        if stall:
+            for connection in world.connections_of(leader):
+                connection.stalled.add(connection.other(leader))
+        if submit:
+            self.flood(0.0, idempotent, reach=True)
+        peers = [e for e in world.entries.values() if e is not leader]
+        lost = [pick(world.agents.values(), i) for i in sorted(agents)]
+        world.cut_off(leader, [*peers, *lost], kept=100)
+        for agent in world.agents.values():
+            if apart and agent not in lost:
+                world.cut_off(agent, peers, kept=0)
+        leader.frozen = freeze
+        if seconds:
+            world.run(seconds, finish=False)
+
+    @precondition(lambda self: self.world.jobs)
+    @rule(job=INDEX)
+    def submit_again_everywhere(self, job):
+        chosen = self.world.jobs[-1 - job % 2 :][0]
+        for entry in range(len(self.world.entries)):
+            self.send(entry, SUBMIT, chosen)
+
+    @rule()
+    def release_stalled(self):
+        self.world.release()
 
     @rule()
     def reconnect(self):
--- a/tests/features/steps/simulated_world.py
+++ b/tests/features/steps/simulated_world.py
@@ -107,6 +107,7 @@
         self.frames = {dialler: deque(), acceptor: deque()}
         self.open = {dialler: True, acceptor: True}
         self.broken = False
+        self.stalled = set()
 
     def other(self, end):
         return self.ends[self.ends[0] is end]
@@ -333,11 +334,15 @@
                         connection.send(end, end.hello())
 
     def queues(self):
+        """Return what may be delivered, but for stalled directions."""
         return [
             (connection, end)
             for connection in self.connections
             for end in connection.ends
-            if end.running and connection.open[end] and connection.frames[end]
+            if end.running
+            and connection.open[end]
+            and connection.frames[end]
+            and end not in connection.stalled
         ]
 
     def deliver(self, connection, end, count=1):
@@ -363,6 +368,27 @@
                 for exchange in list(self.exchanges):
                     self.finish(exchange, succeeded=True)
 
+    def leader(self):
+        """Return the entry that leads under the highest term."""
+        leading = [
+            (entry.core.leaderships[CELL].term, entry.name)
+            for entry in self.entries.values()
+            if entry.running and CELL in entry.core.leaderships
+        ]
+        return self.entries[max(leading)[1]] if leading else None
+
+    def cut_off(self, host, others, *, kept):
+        """Break connections and let none be made until `heal`."""
+        for other in others:
+            self.cut |= {(host, other), (other, host)}
+        for connection in self.connections:
+            if connection.ends in self.cut:
+                connection.break_off(kept)
+
+    def release(self):
+        for connection in self.connections:
+            connection.stalled.clear()
+
     def advance(self, seconds):
         self.clock.advance(seconds)
         now = self.clock.monotonic()
@@ -532,6 +558,7 @@
 
     def heal(self):
         self.cut.clear()
+        self.release()
         self.platform_mode = "up"
         for host in self.hosts:
             host.frozen = False
