--- a/egretcart/connection/messages.py
+++ b/egretcart/connection/messages.py
@@ -24,6 +24,7 @@
 
 
 NO_TERM = Term()
+WHOLE_JOB = -1
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -67,6 +68,8 @@
     port: int = 0
     weight: int = 1
     failure_domain: str = ""
+    http_host: str = ""
+    http_port: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -225,11 +228,19 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class CancelJob:
-    """A leader asks an agent to end all work of a job."""
+class CancelledTask:
+    """One task of a cancel; the task `WHOLE_JOB` stands for all."""
 
-    term: Term = NO_TERM
     job_id: bytes = b""
+    task: int = WHOLE_JOB
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CancelTasks:
+    """A leader asks an agent to end work, of many jobs at a time."""
+
+    term: Term = NO_TERM
+    tasks: tuple[CancelledTask, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -266,11 +277,22 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class EntryBeat:
-    """Heartbeat between entries."""
+    """Heartbeat between entries.
+
+    Attributes
+    ----------
+    config_version : int
+    leading : tuple of CellLeader
+        All cells that the sender leads.
+    leaving : bool
+    interval_ms : int
+        When the next heartbeat to this receiver follows at the latest.
+    """
 
     config_version: int = 0
     leading: tuple[CellLeader, ...] = ()
     leaving: bool = False
+    interval_ms: int = 250
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -316,16 +338,49 @@
     version: int = 0
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CellRoster:
+    """The newest roster of a cell that the sender knows."""
+
+    service_name: str = ""
+    cell: int = 0
+    roster: Roster | None = None
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class ConfigDocument:
-    """An accepted configuration version, as JSON."""
+    """An accepted configuration version, as JSON.
+
+    Attributes
+    ----------
+    version : int
+    document : bytes
+    rosters : tuple of CellRoster
+        For a process that can't read them from the platform's store.
+    """
 
     version: int = 0
     document: bytes = b""
+    rosters: tuple[CellRoster, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class AgentConfig:
+    """What an agent needs to know of a configuration version.
+
+    Attributes
+    ----------
+    version : int
+    drained : bool
+        Whether the receiving agent gets no new work.
+    """
+
+    version: int = 0
+    drained: bool = False
 
 
 AgentMessage = AgentHello | FenceReply | HeartbeatReply | TaskResult
-LeaderMessage = Fence | Heartbeat | Start | CancelJob | FetchJob
+LeaderMessage = Fence | Heartbeat | Start | CancelTasks | FetchJob
 EntryMessage = (
     EntryList
     | EntryHello
@@ -334,5 +389,6 @@
     | ForwardReply
     | ConfigRequest
     | ConfigDocument
+    | AgentConfig
 )
 Message = AgentMessage | LeaderMessage | EntryMessage
--- a/egretcart/process/agent.py
+++ b/egretcart/process/agent.py
@@ -6,9 +6,10 @@
 
 import dataclasses
 
+from egretcart.connection.messages import AgentConfig
 from egretcart.connection.messages import AgentHello
 from egretcart.connection.messages import AgentMessage
-from egretcart.connection.messages import CancelJob
+from egretcart.connection.messages import CancelTasks
 from egretcart.connection.messages import Fence
 from egretcart.connection.messages import FenceReply
 from egretcart.connection.messages import FetchJob
@@ -19,6 +20,7 @@
 from egretcart.connection.messages import Roster
 from egretcart.connection.messages import Start
 from egretcart.connection.messages import TaskResult
+from egretcart.connection.messages import WHOLE_JOB
 from egretcart.process.clock import Clock
 from egretcart.process.ledger import Ledger
 from egretcart.process.ledger import LedgerTask
@@ -180,6 +182,7 @@
         self.lease_until = float("-inf")
         self.roster = Roster()
         self.draining = False
+        self.drained_by_config = False
         self.config_version = 0
         self.ledger = Ledger(max_result_bytes=limits.max_result_bytes)
         self.queued: dict[TaskKey, QueuedStart] = {}
@@ -194,7 +197,7 @@
             failure_domain=self.identity.failure_domain,
             slots=self.identity.slots,
             connections=self.identity.connections,
-            draining=self.draining,
+            draining=self.is_draining,
             started_ms=self.started_ms,
         )
 
@@ -219,7 +222,7 @@
             return self._heartbeat(entry_id, message)
         if isinstance(message, Fence):
             return self._fence(entry_id, message)
-        if isinstance(message, CancelJob):
+        if isinstance(message, CancelTasks):
             return self._cancel(entry_id, message)
         return self._fetch(entry_id, message)
 
@@ -273,6 +276,24 @@
     def drain(self) -> list[AgentEffect]:
         """Stop admitting starts; what runs is finished."""
         self.draining = True
+        return self._refuse_queued()
+
+    def configure(self, config: AgentConfig) -> list[AgentEffect]:
+        """Put a configuration version in force if it is newer."""
+        if config.version <= self.config_version:
+            return []
+        self.config_version = config.version
+        self.drained_by_config = config.drained
+        if self.drained_by_config:
+            return self._refuse_queued()
+        return self._to_leader(self._heartbeat_reply(round_number=0))
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether new starts are refused."""
+        return self.draining or self.drained_by_config
+
+    def _refuse_queued(self) -> list[AgentEffect]:
         effects: list[AgentEffect] = []
         for queued in list(self.queued.values()):
             effects += self._refuse(queued.start, "the agent is draining")
@@ -280,6 +301,12 @@
         effects += self._to_leader(self._heartbeat_reply(round_number=0))
         return effects
 
+    @property
+    def is_roster_member(self) -> bool:
+        """Whether the cell counts on this agent besides others."""
+        others = self.roster.agent_ids - {self.identity.agent_id}
+        return bool(others) and others != self.roster.agent_ids
+
     def tick(self) -> list[AgentEffect]:
         """Prune the ledger and refuse queued starts that came too late."""
         keep_s = self.limits.record_age_s
@@ -341,7 +368,7 @@
             roster_version=self.roster.version,
             running=len(self.running),
             queued=len(self.queued),
-            draining=self.draining,
+            draining=self.is_draining,
             config_version=self.config_version,
         )
 
@@ -368,7 +395,7 @@
                 f"the start's term {start.term} is not the promised "
                 f"{self.promised}"
             )
-        if self.draining:
+        if self.is_draining:
             return "the agent is draining"
         if self.clock.monotonic() >= self.lease_until:
             return "the lease on the leader's term has lapsed"
@@ -441,15 +468,20 @@
     def _refuse(self, start: Start, reason: str) -> list[AgentEffect]:
         return self._to_leader(self._refusal(start, reason))
 
-    def _cancel(self, entry_id: str, cancel: CancelJob) -> list[AgentEffect]:
+    def _cancel(self, entry_id: str, cancel: CancelTasks) -> list[AgentEffect]:
         if cancel.term != self.promised or entry_id != self.leader:
             return []
+        cancelled = {(task.job_id, task.task) for task in cancel.tasks}
+
+        def is_cancelled(key: TaskKey) -> bool:
+            return key in cancelled or (key[0], WHOLE_JOB) in cancelled
+
         effects: list[AgentEffect] = []
-        for key in [k for k in self.queued if k[0] == cancel.job_id]:
+        for key in [k for k in self.queued if is_cancelled(k)]:
             queued = self.queued.pop(key)
             effects += self._refuse(queued.start, "the job is cancelled")
         for key in self.running:
-            if key[0] == cancel.job_id:
+            if is_cancelled(key):
                 effects.append(AbortExchange(key))
         return effects
 
--- a/egretcart/process/agent_process.py
+++ b/egretcart/process/agent_process.py
@@ -1,20 +1,27 @@
 """The agent's process: moves bytes for `Agent`."""
 
 from collections.abc import Iterable
+import contextlib
 import json
+import random
 import sys
+import urllib.parse
 
 import trio
 
 from egretcart.connection.http_client import ExchangeError
 from egretcart.connection.http_client import HttpClient
+from egretcart.connection.http_server import HttpConnection
+from egretcart.connection.http_server import HttpLimits
 from egretcart.connection.link import Link
+from egretcart.connection.messages import AgentConfig
 from egretcart.connection.messages import EntryAddress
 from egretcart.connection.messages import EntryHello
 from egretcart.connection.messages import EntryList
 from egretcart.connection.messages import LeaderMessage
 from egretcart.connection.messages import Message
 from egretcart.connection.messages import Start
+from egretcart.connection.traffic import Traffic
 from egretcart.process.agent import AbortExchange
 from egretcart.process.agent import Agent
 from egretcart.process.agent import AgentEffect
@@ -24,15 +31,32 @@
 from egretcart.process.agent import ExchangeOutcome
 from egretcart.process.agent import SendToEntry
 from egretcart.process.agent import TaskKey
+from egretcart.process.agent_observer import AgentObserver
 from egretcart.process.clock import Clock
+from egretcart.process.logs import EventLog
+from egretcart.process.logs import NullLog
+from egretcart.process.metrics import Metrics
+from egretcart.process.metrics import ProcessMetrics
+from egretcart.process.planned_stop import poll_until
+from egretcart.process.platform import EtcdPlatform
+from egretcart.process.platform import PlatformError
+from egretcart.process.registration import list_entries
+from egretcart.process.settings import Address
 from egretcart.process.settings import AgentSettings
 from egretcart.request.identity import JobId
 from egretcart.request.verdict import Verdict
 
 TICK_S = 0.1
 REDIAL_S = 0.1
+FLUSH_LIMIT_S = 1.0
+REMOVAL_LIMIT_S = 3.0
 SUCCESS_STATUSES = range(200, 300)
 MS_PER_S = 1000
+# An entry that has been gone for so long is dialled no more, unless it is
+# a seed or someone names it again.
+FORGET_S = 30.0
+FIND_ENTRIES_S = 1.0
+MAX_FIND_ENTRIES_S = 15.0
 
 
 class AgentProcess:
@@ -43,12 +67,19 @@
     settings : AgentSettings
     limits : AgentLimits
     clock : Clock
+    log : EventLog, optional
     """
 
     def __init__(
-        self, *, settings: AgentSettings, limits: AgentLimits, clock: Clock
+        self,
+        *,
+        settings: AgentSettings,
+        limits: AgentLimits,
+        clock: Clock,
+        log: EventLog | None = None,
     ) -> None:
         self.settings = settings
+        self.stop_limit_s = settings.stop_limit_s
         self.clock = clock
         self.agent = Agent(
             identity=AgentIdentity(
@@ -62,6 +93,12 @@
             limits=limits,
             clock=clock,
         )
+        self.traffic = Traffic()
+        self.metrics: Metrics = ProcessMetrics(traffic=self.traffic)
+        self.observer = AgentObserver(
+            agent=self.agent, metrics=self.metrics, log=log or NullLog()
+        )
+        self.http_port = 0
         self.client = HttpClient(
             host=settings.backend.host,
             port=settings.backend.port,
@@ -78,45 +115,118 @@
         """Run until cancelled."""
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
+            await self._listen()
             for seed in self.settings.seeds:
                 self._ensure_dialled(seed.host, seed.port)
+            if self.settings.platform is not None:
+                nursery.start_soon(self._find_entries, self.settings.platform)
             nursery.start_soon(self._tick)
             task_status.started()
 
+    async def stop(self) -> None:
+        """Finish what runs, take nothing new, and tell the leader."""
+        self._carry_out(self.agent.drain())
+        await poll_until(lambda: not self.exchanges)
+        # Without the removal the cell would miss a vote until it gives the
+        # agent up; with the platform down it can't be had.
+        with trio.move_on_after(REMOVAL_LIMIT_S):
+            await poll_until(lambda: not self.agent.is_roster_member)
+        await self._flush()
+
+    async def abort(self) -> None:
+        """Break off what runs and tell the leader."""
+        for scope in self.exchanges.values():
+            scope.cancel()
+        await poll_until(lambda: not self.exchanges)
+        await self._flush()
+
+    async def _flush(self) -> None:
+        with trio.move_on_after(FLUSH_LIMIT_S):
+            await poll_until(
+                lambda: all(link.is_flushed for link in self.links.values())
+            )
+
     async def announce(self) -> None:
         """Print that the process runs."""
-        print(json.dumps({"role": "agent", "id": self.settings.agent_id}))
+        ready = {
+            "role": "agent",
+            "id": self.settings.agent_id,
+            "http_port": self.http_port,
+        }
+        print(json.dumps(ready))
         sys.stdout.flush()
 
+    async def _listen(self) -> None:
+        """Serve health and metrics if the settings ask for it."""
+        address = self.settings.http
+        if address is None:
+            return
+        listeners = await trio.open_tcp_listeners(
+            address.port, host=address.host
+        )
+        self.http_port = listeners[0].socket.getsockname()[1]
+        self.nursery.start_soon(
+            trio.serve_listeners, self._serve_http, listeners
+        )
+
+    async def _serve_http(self, stream: trio.SocketStream) -> None:
+        connection = HttpConnection(
+            stream=stream, handler=self.observer.handle, limits=HttpLimits()
+        )
+        await connection.serve()
+
     def _ensure_dialled(self, host: str, port: int) -> None:
         if (host, port) not in self.targets:
             self.targets.add((host, port))
             self.nursery.start_soon(self._dial, host, port)
 
+    async def _find_entries(self, address: Address) -> None:
+        """Ask the platform's store for entries while none is connected."""
+        platform = EtcdPlatform(host=address.host, port=address.port)
+        pause_s = FIND_ENTRIES_S
+        while True:
+            if self.links:
+                pause_s = FIND_ENTRIES_S
+            else:
+                with contextlib.suppress(PlatformError):
+                    self._learn_entries(await list_entries(platform))
+                pause_s = min(MAX_FIND_ENTRIES_S, pause_s * 2)
+            await trio.sleep(pause_s * random.uniform(0.5, 1.0))
+
     async def _dial(self, host: str, port: int) -> None:
-        while (host, port) in self.targets:
+        seeds = {(seed.host, seed.port) for seed in self.settings.seeds}
+        heard_at = self.clock.monotonic()
+        while True:
             try:
                 stream = await trio.open_tcp_stream(host, port)
             except OSError:
+                gone_s = self.clock.monotonic() - heard_at
+                if gone_s > FORGET_S and (host, port) not in seeds:
+                    self.targets.discard((host, port))
+                    return
                 await trio.sleep(REDIAL_S)
                 continue
             await self._converse(stream)
+            heard_at = self.clock.monotonic()
             await trio.sleep(REDIAL_S)
 
     async def _converse(self, stream: trio.SocketStream) -> None:
-        link = Link(stream=stream)
+        link = Link(stream=stream, traffic=self.traffic)
         entry_id: str | None = None
 
         def handle(message: Message) -> None:
             nonlocal entry_id
             if isinstance(message, EntryHello):
                 entry_id = message.address.entry_id
+                link.introduce()
                 former = self.links.get(entry_id)
                 if former is not None:
                     former.close()
                 self.links[entry_id] = link
             elif isinstance(message, EntryList):
                 self._learn_entries(message.entries)
+            elif isinstance(message, AgentConfig):
+                self._carry_out(self.agent.configure(message))
             elif entry_id is not None and isinstance(message, LeaderMessage):
                 self._carry_out(self.agent.receive(entry_id, message))
 
@@ -131,6 +241,7 @@
 
     def _carry_out(self, effects: Iterable[AgentEffect]) -> None:
         for effect in effects:
+            self.observer.effect(effect)
             if isinstance(effect, SendToEntry):
                 link = self.links.get(effect.entry_id)
                 if link is not None:
@@ -168,7 +279,7 @@
         headers = (
             ("Idempotency-Key", f"{job_id}/{start.task}"),
             ("Egretcart-Time-Left-Ms", str(int(time_limit_s * MS_PER_S))),
-            ("Egretcart-Kind", start.kind),
+            ("Egretcart-Kind", urllib.parse.quote(start.kind)),
         )
         try:
             response = await self.client.exchange(
@@ -198,4 +309,5 @@
     async def _tick(self) -> None:
         while True:
             self._carry_out(self.agent.tick())
+            self.observer.look()
             await trio.sleep(TICK_S)
--- /dev/null
+++ b/egretcart/process/attempts.py
@@ -0,0 +1,332 @@
+"""Attempts at tasks: judged and, where allowed, made again."""
+
+from egretcart.connection.messages import TaskResult
+from egretcart.process.clock import Clock
+from egretcart.process.effects import LeaderEffect
+from egretcart.process.fleet import Fleet
+from egretcart.process.job_table import JobTable
+from egretcart.process.limits import LeaderLimits
+from egretcart.process.policy.bundle import Policy
+from egretcart.process.policy.retries import FailedAttempt
+from egretcart.process.scheduler import TaskKey
+from egretcart.process.starts import Starts
+from egretcart.request import outcomes
+from egretcart.request.job import Job
+from egretcart.request.problem import Problem
+from egretcart.request.progress import JobProgress
+from egretcart.request.progress import TaskProgress
+from egretcart.request.progress import TaskState
+from egretcart.request.reply import complete_reply
+from egretcart.request.reply import result_value
+from egretcart.request.verdict import Verdict
+
+MS_PER_S = 1000
+US_PER_MS = 1000
+
+
+class Attempts:
+    """Judges the ends of attempts and makes failed ones again.
+
+    Parameters
+    ----------
+    table : JobTable
+    policy : Policy
+    limits : LeaderLimits
+    clock : Clock
+
+    Attributes
+    ----------
+    fleet : Fleet
+    starts : Starts
+    """
+
+    def __init__(
+        self,
+        *,
+        table: JobTable,
+        policy: Policy,
+        limits: LeaderLimits,
+        clock: Clock,
+    ) -> None:
+        self.table = table
+        self.policy = policy
+        self.limits = limits
+        self.clock = clock
+        self.fleet = Fleet(loads=table.loads, policy=policy)
+        self.starts = Starts(
+            table=table, policy=policy, fleet=self.fleet, clock=clock
+        )
+
+    def work_ms(self, job: Job) -> list[float]:
+        """Return the expected run time of each task, in milliseconds."""
+        task_ms = self.policy.run_times.task_ms
+        return [task_ms(task.kind, task.run_time_ms) for task in job.tasks]
+
+    def time_left_s(self, job: Job) -> float:
+        """Return the time that a job has from now on, in seconds."""
+        service = self.policy.tables.service
+        limit_ms = job.deadline_ms or service.default_deadline_ms
+        limit_s = min(limit_ms, service.max_deadline_ms) / MS_PER_S
+        return min(limit_s, self.limits.max_deadline_s)
+
+    def refusal(self, job: Job) -> Problem | None:
+        """Return why a job that was never placed is refused, or None."""
+        now = self.clock.monotonic()
+        self.fleet.survey(now)
+        return self.policy.admission.refusal(
+            job,
+            work_ms=self.work_ms(job),
+            time_left_s=self.time_left_s(job),
+            capacity=self.fleet.capacity,
+            now=now,
+        )
+
+    def add_job(self, progress: JobProgress) -> None:
+        """Take in a job of which nothing waits yet."""
+        job = progress.job
+        self.policy.order.add_job(
+            job.job_id.value,
+            urgency=job.urgency,
+            team=job.team,
+            work_ms=self.work_ms(job),
+            now=progress.arrived,
+        )
+
+    def longest_limit_s(self, kind: str) -> float:
+        """Return the time limit that a former leader may have given."""
+        return max(
+            self.limits.attempt_limit_s,
+            self.policy.tables.attempt_limit_s(kind),
+        )
+
+    def task_result(
+        self, agent_id: str, result: TaskResult
+    ) -> list[LeaderEffect]:
+        """Handle the end of an attempt."""
+        key = (result.job_id, result.task)
+        load = self.table.loads.get(agent_id)
+        if load is None:
+            return []
+        if load.in_flight.get(key) == result.attempt:
+            del load.in_flight[key]
+        progress = self.table.jobs.get(result.job_id)
+        if progress is None or result.task >= len(progress.tasks):
+            return []
+        task = progress.tasks[result.task]
+        if task.state is TaskState.DONE:
+            return []
+        if result.succeeded:
+            return self._attempt_succeeded(progress, agent_id, result)
+        if not self._is_current(task, agent_id, result.attempt):
+            return []
+        verdict = Verdict(result.verdict)
+        self._blame(progress, task, agent_id, verdict)
+        if self.attempt_gone(task, result.attempt):
+            task.verdict = _more_certain(task.verdict, verdict)
+            return []
+        return self.attempt_failed(progress, key, verdict, result.error)
+
+    @staticmethod
+    def _is_current(task: TaskProgress, agent_id: str, attempt: int) -> bool:
+        if task.state is not TaskState.PLACED:
+            return False
+        hedge = task.hedge
+        if hedge is not None and hedge.attempt == attempt:
+            return hedge.agent_id == agent_id
+        return task.attempt == attempt and task.agent_id == agent_id
+
+    def _attempt_succeeded(
+        self, progress: JobProgress, agent_id: str, result: TaskResult
+    ) -> list[LeaderEffect]:
+        job_id = progress.job.job_id
+        if not result.retained:
+            return self.table.fail(progress, outcomes.answer_gone(job_id))
+        self._learn(progress.job, agent_id, result)
+        self._cancel_others(progress, result.task, agent_id)
+        value = result_value(result.body, result.content_type)
+        progress.finish_task(result.task, value)
+        key = (result.job_id, result.task)
+        self.policy.order.stopped(key, done=True)
+        if not progress.is_complete:
+            return []
+        return self.table.finish(
+            progress, complete_reply(job_id, progress.results())
+        )
+
+    def _learn(self, job: Job, agent_id: str, result: TaskResult) -> None:
+        definition = job.tasks[result.task]
+        run_times = self.policy.run_times
+        declared_ms = definition.run_time_ms
+        run_ms = result.run_time_us / US_PER_MS
+        expected_ms = run_times.task_ms(definition.kind, declared_ms)
+        share = 1.0
+        if run_times.is_learned(definition.kind):
+            share = run_ms / expected_ms
+        self.policy.retries.succeeded()
+        self.policy.hedging.succeeded()
+        credible = self.policy.health.succeeded(
+            agent_id, share=share, now=self.clock.monotonic()
+        )
+        if credible and run_ms > 0:
+            run_times.observe(agent_id, definition.kind, declared_ms, run_ms)
+
+    def _cancel_others(
+        self, progress: JobProgress, index: int, winner: str
+    ) -> None:
+        """End the other attempts at a task that has succeeded."""
+        task = progress.tasks[index]
+        others: set[str] = set()
+        if task.state is TaskState.PLACED and task.agent_id is not None:
+            others.add(task.agent_id)
+        if task.hedge is not None:
+            others.add(task.hedge.agent_id)
+        for agent_id in others - {winner}:
+            self.table.cancel(agent_id, progress.job.job_id.value, index)
+
+    def _blame(
+        self,
+        progress: JobProgress,
+        task: TaskProgress,
+        agent_id: str,
+        verdict: Verdict,
+    ) -> None:
+        """Tell the agent's failures from the work's by crossing them."""
+        health = self.policy.health
+        now = self.clock.monotonic()
+        if verdict is Verdict.NOT_RUN:
+            health.refused(agent_id, now=now)
+            return
+        others = set(task.failed_on)
+        if not progress.is_proven:
+            others |= progress.failed_on
+        others = {a for a in others - {agent_id} if health.is_healthy(a)}
+        task.failed_on = (*task.failed_on, agent_id)
+        progress.failed_on.add(agent_id)
+        health.failed(
+            agent_id,
+            job=progress.job.job_id.value,
+            proven=progress.is_proven,
+            others=others,
+            now=now,
+        )
+
+    def attempt_failed(
+        self,
+        progress: JobProgress,
+        key: TaskKey,
+        verdict: Verdict,
+        error: str,
+    ) -> list[LeaderEffect]:
+        """Make a failed attempt again, or end its job.
+
+        Parameters
+        ----------
+        progress : JobProgress
+        key : TaskKey
+            A task that has no other attempt running.
+        verdict : Verdict
+        error : str
+
+        Returns
+        -------
+        list of LeaderEffect
+        """
+        task = progress.tasks[key[1]]
+        now = self.clock.monotonic()
+        if verdict is Verdict.NOT_RUN:
+            task.refusals += 1
+            pause_s = self.policy.retries.refusal_pause_s(task.refusals)
+            self._again(key, task, now + pause_s)
+            return []
+        task.refusals = 0
+        task.tries += 1
+        task.verdict = _more_certain(task.verdict, verdict)
+        task.state = TaskState.FAILED
+        earliest = now
+        if verdict is Verdict.MAY_HAVE_RUN:
+            earliest = max(now, self._surely_ended(progress, key))
+        failed = self._failed_attempt(progress, key, verdict, earliest)
+        if self.policy.retries.allows(failed):
+            self._again(key, task, earliest)
+            return []
+        return self.table.fail(
+            progress, outcomes.task_failed(progress, key[1], error)
+        )
+
+    def _surely_ended(self, progress: JobProgress, key: TaskKey) -> float:
+        """Return when the newest attempt has surely reached its limit.
+
+        A start begins within the lease after it was sent, if at all.
+        """
+        task = progress.tasks[key[1]]
+        kind = progress.job.tasks[key[1]].kind
+        limit_s = task.limit_s or self.longest_limit_s(kind)
+        return task.placed_at + self.limits.attempt_over_s(limit_s)
+
+    def _failed_attempt(
+        self,
+        progress: JobProgress,
+        key: TaskKey,
+        verdict: Verdict,
+        earliest: float,
+    ) -> FailedAttempt:
+        task = progress.tasks[key[1]]
+        definition = progress.job.tasks[key[1]]
+        health = self.policy.health
+        healthy = {a for a in set(task.failed_on) if health.is_healthy(a)}
+        expected_ms = self.policy.run_times.task_ms(
+            definition.kind, definition.run_time_ms
+        )
+        return FailedAttempt(
+            verdict=verdict,
+            idempotent=progress.job.idempotent,
+            attempts=task.tries,
+            ran_on=len(healthy) if verdict is Verdict.RAN else 0,
+            earliest=earliest,
+            expected_s=expected_ms
+            * self.fleet.capacity.least_slowness
+            / MS_PER_S,
+            deadline=progress.deadline,
+        )
+
+    def attempt_gone(self, task: TaskProgress, attempt: int) -> bool:
+        """Forget one of two attempts; return whether one is left.
+
+        Parameters
+        ----------
+        task : TaskProgress
+        attempt : int
+            The attempt that has failed or was lost.
+
+        Returns
+        -------
+        bool
+        """
+        hedge = task.hedge
+        if hedge is None or attempt not in (task.attempt, hedge.attempt):
+            return False
+        task.hedge = None
+        if hedge.attempt == attempt:
+            return True
+        task.attempt = hedge.attempt
+        task.agent_id = hedge.agent_id
+        task.placed_at = hedge.placed_at
+        task.limit_s = hedge.limit_s
+        return True
+
+    def _again(
+        self, key: TaskKey, task: TaskProgress, not_before: float
+    ) -> None:
+        task.state = TaskState.WAITING
+        task.not_before = not_before
+        self.policy.order.stopped(key, done=False)
+        self.starts.queue(key, task)
+
+
+def _more_certain(former: Verdict, latest: Verdict) -> Verdict:
+    """Return what two attempts at one task tell together."""
+    if Verdict.RAN in (former, latest):
+        return Verdict.RAN
+    if Verdict.MAY_HAVE_RUN in (former, latest):
+        return Verdict.MAY_HAVE_RUN
+    return Verdict.NOT_RUN
--- a/egretcart/process/leadership.py
+++ b/egretcart/process/leadership.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import enum
+import random
 
 from egretcart.connection.messages import AgentHello
 from egretcart.connection.messages import AgentMessage
@@ -28,6 +29,7 @@
 from egretcart.process.effects import WriteRoster
 from egretcart.process.jobs import JobBook
 from egretcart.process.limits import LeaderLimits
+from egretcart.process.policy.bundle import standard_policy
 from egretcart.process.quorum import Quorum
 from egretcart.process.scheduler import AgentLoad
 from egretcart.request import outcomes
@@ -129,8 +131,13 @@
         self.incomplete_since = float("inf")
         self.quorum = Quorum(roster=roster)
         self.book = JobBook(
-            term=term, limits=limits, clock=clock, answers=answers
+            term=term,
+            limits=limits,
+            clock=clock,
+            answers=answers,
+            policy=standard_policy(rng=random.Random(repr(term))),
         )
+        self.book.configure(configuration, service)
         self.agents: dict[str, AgentHello] = {}
         self.absent_since: dict[str, float] = {}
         self.early: list[EarlyRequest] = []
@@ -138,12 +145,23 @@
         self.last_round_at = float("-inf")
         self.roster_write_pending = False
         self.next_heartbeat = float("-inf")
+        self.barred: set[str] = set()
 
     def configure(self, configuration: Configuration) -> list[LeaderEffect]:
         """Put a newer configuration in force."""
         self.configuration = configuration
+        for agent_id in self.agents:
+            self._bar(agent_id)
+        self.book.configure(configuration, self.service)
         return self._hold(self._place())
 
+    def _bar(self, agent_id: str) -> None:
+        """Keep new work from an agent that the configuration rules out."""
+        if self.configuration.admits(self.service, agent_id):
+            self.barred.discard(agent_id)
+        else:
+            self.barred.add(agent_id)
+
     # Requests.
 
     def submit(self, token: RequestToken, job: Job) -> list[LeaderEffect]:
@@ -215,6 +233,7 @@
         if self.phase is Phase.ENDED:
             return []
         self.agents[hello.agent_id] = hello
+        self._bar(hello.agent_id)
         fence = Fence(term=self.term, cell=self.cell)
         return [SendToAgent(hello.agent_id, fence)]
 
@@ -395,6 +414,7 @@
             round=round_number,
             proven_stamp_us=member.proven_stamp_us,
             roster=roster if member.roster_version < roster.version else None,
+            config_version=self.configuration.version,
         )
 
     def _heartbeat_reply(
@@ -406,7 +426,6 @@
         if reply.term != self.term or load is None:
             return []
         load.draining = reply.draining
-        proven_before = self.quorum.proven_round
         self.quorum.confirm(
             agent_id,
             round_number=reply.round,
@@ -414,16 +433,17 @@
             roster_version=reply.roster_version,
             now=self.clock.monotonic(),
         )
-        if self.quorum.proven_round == proven_before:
-            return []
         return self._grant_leases()
 
     def _grant_leases(self) -> list[LeaderEffect]:
-        return [
-            SendToAgent(agent_id, self._heartbeat(agent_id, 0))
-            for agent_id, member in self.quorum.members.items()
-            if self.quorum.is_counted(agent_id) and member.proven_stamp_us
-        ]
+        """Tell each member its newest proven stamp, before any start."""
+        effects: list[LeaderEffect] = []
+        for agent_id, member in self.quorum.members.items():
+            if member.proven_stamp_us <= member.granted_stamp_us:
+                continue
+            member.granted_stamp_us = member.proven_stamp_us
+            effects.append(SendToAgent(agent_id, self._heartbeat(agent_id, 0)))
+        return effects
 
     def _check_quorum(self, now: float) -> list[LeaderEffect]:
         """End a term that lost its majority or can't take a member back."""
@@ -452,12 +472,13 @@
             for agent_id, member in self.quorum.members.items()
             if member.proven_received > oldest
             and self.quorum.is_counted(agent_id)
+            and agent_id not in self.barred
         }
 
     def _place(self) -> list[LeaderEffect]:
         if self.phase is not Phase.SERVING:
             return []
-        if not self.book.scheduler.waiting:
+        if not self.book.has_waiting:
             return []
         return self.book.place(self._usable())
 
@@ -480,7 +501,7 @@
     def _roster_with_joined(self) -> Roster | None:
         roster = self.quorum.roster
         for agent_id, member in self.quorum.members.items():
-            if agent_id in roster.agent_ids:
+            if agent_id in roster.agent_ids or self._is_draining(agent_id):
                 continue
             joined = RosterMember(
                 agent_id=agent_id, incarnation=member.incarnation
@@ -517,10 +538,7 @@
     def _roster_without_lost(self, now: float) -> Roster | None:
         roster = self.quorum.roster
         for lost in roster.members:
-            absent_since = self.absent_since.get(lost.agent_id)
-            if lost.agent_id in self.quorum.members or absent_since is None:
-                continue
-            if now < absent_since + self.limits.member_removal_s:
+            if not self._is_to_be_removed(lost.agent_id, now):
                 continue
             kept = tuple(m for m in roster.members if m != lost)
             now_ms = self.clock.unix_ms()
@@ -532,6 +550,22 @@
             )
         return None
 
+    def _is_to_be_removed(self, agent_id: str, now: float) -> bool:
+        """Return whether a member is leaving or was lost for long."""
+        if self._is_draining(agent_id):
+            idle = not self.book.loads[agent_id].in_flight
+            return idle and self.quorum.size > 1
+        if agent_id in self.quorum.members:
+            return False
+        absent_since = self.absent_since.get(agent_id)
+        if absent_since is None:
+            return False
+        return now >= absent_since + self.limits.member_removal_s
+
+    def _is_draining(self, agent_id: str) -> bool:
+        load = self.book.loads.get(agent_id)
+        return load is not None and load.draining
+
     def roster_written(self, accepted: Roster | None) -> list[LeaderEffect]:
         """Handle the end of a roster write.
 
@@ -571,7 +605,7 @@
         ]
         self.early = []
         self.held = []
-        self.book.tokens = {}
-        self.book.jobs = {}
+        self.book.tokens.clear()
+        self.book.jobs.clear()
         effects.append(StepDown(max(seen, self.term), reason, retry))
         return effects
--- a/egretcart/process/limits.py
+++ b/egretcart/process/limits.py
@@ -29,15 +29,9 @@
     window_s : float
         Age up to which a job id may be submitted.
     clock_skew_s : float
-    default_deadline_s : float
-        Time for a job that states no deadline.
     max_deadline_s : float
     attempt_limit_s : float
         Time limit of one attempt at the backend server.
-    refusal_pause_s : float
-        Pause before a task that an agent refused is placed again.
-    max_attempts : int
-        Attempts that may have run, for an idempotent task.
     queue_depth : int
         Starts that may wait at an agent beyond its slots.
     """
@@ -52,11 +46,8 @@
     member_removal_s: float = 60.0
     window_s: float = 300.0
     clock_skew_s: float = 1.0
-    default_deadline_s: float = 60.0
     max_deadline_s: float = 120.0
     attempt_limit_s: float = 10.0
-    refusal_pause_s: float = 0.02
-    max_attempts: int = 3
     queue_depth: int = 2
 
     @property
@@ -64,14 +55,22 @@
         """Wait after an incomplete takeover, in seconds."""
         return self.lease_s * (1 + self.clock_drift)
 
-    @property
-    def attempt_over_s(self) -> float:
-        """Time from placing an attempt to its end at the latest.
+    def attempt_over_s(self, limit_s: float) -> float:
+        """Return the time from placing an attempt to its end at the latest.
 
         A start may travel and wait for as long as the agent's lease lasts;
         the agent's clock may be slow.
+
+        Parameters
+        ----------
+        limit_s : float
+            Time limit of the attempt, in seconds.
+
+        Returns
+        -------
+        float
         """
-        return (self.lease_s + self.attempt_limit_s) * (1 + self.clock_drift)
+        return (self.lease_s + limit_s) * (1 + self.clock_drift)
 
     @property
     def id_horizon_ms(self) -> int:
--- a/egretcart/process/takeover.py
+++ b/egretcart/process/takeover.py
@@ -5,6 +5,7 @@
 from egretcart.connection.messages import JobRecord
 from egretcart.connection.messages import TaskResult
 from egretcart.process.ledger import RecordState
+from egretcart.request.verdict import Verdict
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -90,16 +91,38 @@
                 job.tasks[task.index] = known
         return job
 
-    def ended(self, agent_id: str, incarnation: int, end: TaskResult) -> None:
-        """Record the end of an attempt that was known to have begun."""
-        job = self.jobs.get(end.job_id)
-        known = job.tasks.get(end.task) if job is not None else None
-        if job is None or known is None or known.attempt != end.attempt:
+    def drop(self, agent_id: str, incarnation: int) -> None:
+        """Forget an agent's records before it reports them anew."""
+        for job in self.jobs.values():
+            for index, task in list(job.tasks.items()):
+                if (task.agent_id, task.incarnation) == (
+                    agent_id,
+                    incarnation,
+                ):
+                    del job.tasks[index]
+
+    def settle(
+        self, agent_id: str, incarnation: int, result: TaskResult
+    ) -> None:
+        """Record the end of an attempt that was known as begun."""
+        job = self.jobs.get(result.job_id)
+        known = job.tasks.get(result.task) if job is not None else None
+        if job is None or known is None:
             return
-        if known.source != (agent_id, incarnation):
+        if (known.agent_id, known.incarnation, known.attempt) != (
+            agent_id,
+            incarnation,
+            result.attempt,
+        ):
             return
-        state = RecordState.SUCCEEDED if end.succeeded else RecordState.FAILED
-        job.tasks[end.task] = dataclasses.replace(known, state=state)
+        is_first = result.attempt == 1
+        if result.verdict == Verdict.NOT_RUN.value and is_first:
+            del job.tasks[result.task]
+            return
+        state = RecordState.FAILED
+        if result.succeeded:
+            state = RecordState.SUCCEEDED
+        job.tasks[result.task] = dataclasses.replace(known, state=state)
 
     def find(self, job_id: bytes) -> KnownJob | None:
         """Return what is known of a job, or None."""
