--- a/tests/features/steps/safety_machine.py
+++ b/tests/features/steps/safety_machine.py
@@ -135,11 +135,11 @@
     @rule(
         agents=st.sets(INDEX, max_size=3),
         apart=st.booleans(),
-        stall=st.booleans(),
+        stall=st.sampled_from(("none", "from leader", "to leader")),
         freeze=st.booleans(),
         submit=st.booleans(),
         idempotent=st.booleans(),
-        seconds=st.sampled_from((0.0, 0.5, 1.0, 2.0, 3.0)),
+        seconds=st.sampled_from((0.0, 0.5, 2.0, 3.0, 6.0)),
     )
     def split(self, agents, apart, stall, freeze, submit, idempotent, seconds):
         """Part the leader from the other entries and from some agents."""
@@ -147,9 +147,11 @@
         leader = world.leader()
         if leader is None:
             return
-        if stall:
-            for connection in world.connections_of(leader):
+        for connection in world.connections_of(leader):
+            if stall == "from leader":
                 connection.stalled.add(connection.other(leader))
+            elif stall == "to leader":
+                connection.stalled.add(leader)
         if submit:
             self.flood(0.0, idempotent, reach=True)
         peers = [e for e in world.entries.values() if e is not leader]
@@ -169,6 +171,14 @@
         for entry in range(len(self.world.entries)):
             self.send(entry, SUBMIT, chosen)
 
+    @precondition(lambda self: self.world.jobs)
+    @rule(action=st.sampled_from((READ, CANCEL)), seconds=st.floats(0.0, 1.0))
+    def ask_everywhere(self, action, seconds):
+        for entry in range(len(self.world.entries)):
+            self.send(entry, action, self.world.jobs[-1])
+        if seconds:
+            self.world.run(seconds)
+
     @rule()
     def release_stalled(self):
         self.world.release()
