--- a/egretcart/process/attempts.py
+++ b/egretcart/process/attempts.py
@@ -261,7 +261,7 @@
         task = progress.tasks[key[1]]
         kind = progress.job.tasks[key[1]].kind
         limit_s = task.limit_s or self.longest_limit_s(kind)
-        return task.placed_at + limit_s + self.limits.lease_s
+        return task.placed_at + self.limits.attempt_over_s(limit_s)
 
     def _failed_attempt(
         self,
--- a/egretcart/process/jobs.py
+++ b/egretcart/process/jobs.py
@@ -35,6 +35,7 @@
 from egretcart.request.problem import Problem
 from egretcart.request.progress import JobProgress
 from egretcart.request.progress import new_progress
+from egretcart.request.progress import TaskProgress
 from egretcart.request.progress import TaskState
 from egretcart.request.reply import problem_reply
 from egretcart.request.reply import running_reply
@@ -74,6 +75,8 @@
     loads : dict of str to AgentLoad
         Connected agents that promised the term.
     lost : dict of str to LostAgent
+    foreign : set of tuple of str and bytes
+        Agents that have started another body under a job's id.
     """
 
     def __init__(
@@ -98,6 +101,7 @@
         self.tokens = self.table.tokens
         self.loads = self.table.loads
         self.lost: dict[str, LostAgent] = {}
+        self.foreign: set[tuple[str, bytes]] = set()
         self.attempts = Attempts(
             table=self.table, policy=policy, limits=limits, clock=clock
         )
@@ -117,21 +121,41 @@
         answer = self.answers.find(job.job_id)
         if answer is not None:
             if answer.digest != job.digest:
-                return [_reply(token, outcomes.conflict(job.job_id))]
+                return [self._conflict(token, job.job_id)]
             if answer.reply is None:
                 return [_reply(token, outcomes.answer_gone(job.job_id))]
             return [SendReply(token, answer.reply)]
         progress = self.jobs.get(key)
         if progress is not None:
             if progress.job.digest != job.digest:
-                return [_reply(token, outcomes.conflict(job.job_id))]
+                return [self._conflict(token, job.job_id)]
             self.tokens[key].append(token)
             return []
         known = self.known.find(key)
         if known is not None and known.digest != job.digest:
-            return [_reply(token, outcomes.conflict(job.job_id))]
+            return [self._conflict(token, job.job_id)]
+        refusal = self._future_refusal(job.job_id, known)
+        if refusal is not None:
+            return [_reply(token, refusal)]
         return self._accept(token, job, known)
 
+    def _conflict(self, token: RequestToken, job_id: JobId) -> LeaderEffect:
+        verdict = self._verdict_of_unknown(job_id)
+        known = self.known.find(job_id.value)
+        if known is not None and known.has_other_body:
+            verdict = Verdict.MAY_HAVE_RUN
+        return _reply(token, outcomes.conflict(job_id, verdict))
+
+    def _future_refusal(
+        self, job_id: JobId, known: KnownJob | None
+    ) -> outcomes.Problem | None:
+        ahead_s = (job_id.created_ms - self.clock.unix_ms()) / MS_PER_S
+        skew_s = self.limits.clock_skew_s
+        if known is not None or ahead_s <= skew_s:
+            return None
+        verdict = self._verdict_of_unknown(job_id)
+        return outcomes.id_in_future(job_id, ahead_s, skew_s, verdict)
+
     def read(self, token: RequestToken, job_id: JobId) -> list[LeaderEffect]:
         """Reply with a retained answer or with how far a job has come."""
         answer = self.answers.find(job_id)
@@ -173,7 +197,9 @@
                 progress.tasks, job.tasks, strict=True
             ):
                 limit_s = self.attempts.longest_limit_s(definition.kind)
-                task.not_before = self.serving_since + limit_s
+                over_s = self.limits.attempt_over_s(limit_s)
+                task.not_before = self.serving_since + over_s
+                task.verdict = Verdict.MAY_HAVE_RUN
         elif known is None:
             problem = self.attempts.refusal(job)
             if problem is not None:
@@ -203,6 +229,7 @@
         self, load: AgentLoad, records: Iterable[JobRecord]
     ) -> list[LeaderEffect]:
         """Take in the ledger of an agent that promised the term."""
+        self.agent_lost(load.agent_id)
         self.loads[load.agent_id] = load
         self.policy.health.connected(load.agent_id)
         self.attempts.fleet.agents_changed()
@@ -211,13 +238,19 @@
         self.known.drop(load.agent_id, load.incarnation)
         for record in records:
             known = self.known.add(load.agent_id, load.incarnation, record)
+            if known.digest != record.digest:
+                self.foreign.add((load.agent_id, record.job_id))
             for task in record.tasks:
                 key = (record.job_id, task.index)
                 recorded.add(key)
                 if task.state == RecordState.BEGUN:
                     load.in_flight[key] = task.attempt
             progress = self.jobs.get(record.job_id)
-            if progress is not None:
+            if progress is None:
+                continue
+            if progress.job.digest != record.digest:
+                self.foreign.add((load.agent_id, record.job_id))
+            elif known.digest == record.digest:
                 effects += self._merge(progress, known)
         lost = self.lost.pop(load.agent_id, None)
         if lost is not None:
@@ -256,8 +289,10 @@
             task = progress.tasks[index]
             if task.state not in (TaskState.WAITING, TaskState.PLACED):
                 continue
-            if record.attempt < task.attempt:
+            if not _supersedes(record, task):
                 continue
+            if task.verdict is Verdict.NOT_RUN:
+                task.verdict = Verdict.MAY_HAVE_RUN
             self.policy.order.started((key, index))
             hedge = task.hedge
             if hedge is None or hedge.attempt != record.attempt:
@@ -285,8 +320,7 @@
             return []
         if load.incarnation != record.incarnation:
             return self._lost_attempt(key, record.attempt)
-        if record.state is not RecordState.BEGUN:
-            fetch_from.add(record.agent_id)
+        fetch_from.add(record.agent_id)
         load.in_flight[key] = record.attempt
         return []
 
@@ -363,9 +397,26 @@
         load = self.loads.get(agent_id)
         if load is None:
             return []
+        if (agent_id, result.job_id) in self.foreign:
+            load.in_flight.pop((result.job_id, result.task), None)
+            return []
         self.known.settle(agent_id, load.incarnation, result)
         return self.attempts.task_result(agent_id, result)
 
 
+def _supersedes(record: KnownTask, task: TaskProgress) -> bool:
+    """Return whether a record tells more of a task than the leader knows."""
+    if record.state is RecordState.SUCCEEDED:
+        return True
+    if record.attempt < task.attempt:
+        return False
+    if task.state is TaskState.WAITING:
+        return True
+    hedge = task.hedge
+    if hedge is not None and hedge.attempt == record.attempt:
+        return True
+    return task.agent_id == record.agent_id
+
+
 def _reply(token: RequestToken, problem: Problem) -> SendReply:
     return SendReply(token, problem_reply(problem))
--- a/egretcart/process/limits.py
+++ b/egretcart/process/limits.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+MS_PER_S = 1000
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class LeaderLimits:
@@ -52,3 +54,29 @@
     def takeover_wait_s(self) -> float:
         """Wait after an incomplete takeover, in seconds."""
         return self.lease_s * (1 + self.clock_drift)
+
+    def attempt_over_s(self, limit_s: float) -> float:
+        """Return the time from placing an attempt to its end at the latest.
+
+        A start may travel and wait for as long as the agent's lease lasts;
+        the agent's clock may be slow.
+
+        Parameters
+        ----------
+        limit_s : float
+            Time limit of the attempt, in seconds.
+
+        Returns
+        -------
+        float
+        """
+        return (self.lease_s + limit_s) * (1 + self.clock_drift)
+
+    @property
+    def id_horizon_ms(self) -> int:
+        """How far ahead of any clock an accepted id may be dated.
+
+        A leader accepts ids up to the skew ahead of its own clock, which
+        may itself be ahead of another's by as much.
+        """
+        return int(2 * self.clock_skew_s * MS_PER_S)
--- a/egretcart/process/takeover.py
+++ b/egretcart/process/takeover.py
@@ -17,6 +17,11 @@
     attempt: int
     state: RecordState
 
+    @property
+    def source(self) -> tuple[str, int]:
+        """The agent and the incarnation that keep the record."""
+        return (self.agent_id, self.incarnation)
+
     @property
     def weight(self) -> tuple[bool, bool, int]:
         """Order among records of one task: the greatest one decides."""
@@ -29,10 +34,19 @@
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class KnownJob:
-    """The started tasks of one job, from all ledgers."""
+    """The started tasks of one job, from all ledgers.
+
+    Attributes
+    ----------
+    digest : bytes
+    tasks : dict of int to KnownTask
+    has_other_body : bool
+        Whether some agent has started another body under the same id.
+    """
 
     digest: bytes
     tasks: dict[int, KnownTask]
+    has_other_body: bool = False
 
 
 class KnownJobs:
@@ -49,11 +63,18 @@
     def add(
         self, agent_id: str, incarnation: int, record: JobRecord
     ) -> KnownJob:
-        """Merge one record and return the job as now known."""
+        """Merge one record and return the job as now known.
+
+        A record of another body than the first one known is left out; the
+        job's digest tells.
+        """
         job = self.jobs.get(record.job_id)
         if job is None:
             job = KnownJob(digest=record.digest, tasks={})
             self.jobs[record.job_id] = job
+        if job.digest != record.digest:
+            job.has_other_body = True
+            return job
         for task in record.tasks:
             known = KnownTask(
                 agent_id=agent_id,
@@ -62,7 +83,11 @@
                 state=RecordState(task.state),
             )
             former = job.tasks.get(task.index)
-            if former is None or known.weight > former.weight:
+            if (
+                former is None
+                or former.source == known.source
+                or known.weight > former.weight
+            ):
                 job.tasks[task.index] = known
         return job
 
@@ -90,7 +115,8 @@
             result.attempt,
         ):
             return
-        if result.verdict == Verdict.NOT_RUN.value:
+        is_first = result.attempt == 1
+        if result.verdict == Verdict.NOT_RUN.value and is_first:
             del job.tasks[result.task]
             return
         state = RecordState.FAILED
