--- a/egretcart/process/entry_process.py
+++ b/egretcart/process/entry_process.py
@@ -95,7 +95,7 @@
         self.limits = limits
         self.leader_limits = leader_limits
         self.clock = clock
-        self.platform: Platform | None = None
+        self.platform: EtcdPlatform | None = None
         if settings.platform is not None:
             self.platform = EtcdPlatform(
                 host=settings.platform.host, port=settings.platform.port
@@ -155,9 +155,13 @@
         self.api = CallerApi(
             entry=self.entry,
             carry_out=self.carry_out,
-            operators=OperatorApi(entry=self.entry, platform=self.platform),
             metrics=self.metrics,
             clock=self.clock,
+            operators=OperatorApi(
+                entry=self.entry,
+                platform=self.platform,
+                guard=self.platform.guard if self.platform else None,
+            ),
         )
         self.http = HttpListener(handler=self.api.handle, limits=HttpLimits())
         async with trio.open_nursery() as nursery:
@@ -263,6 +267,9 @@
     async def _converse(
         self, stream: trio.SocketStream, entry_links: dict[str, Link]
     ) -> None:
+        # Each entry sends on the link that it dialled itself.
+        receives = entry_links is self.accepted_links
+        silence_limit_s = PEER_SILENCE_LIMIT_S if receives else float("inf")
         link = Link(stream=stream, traffic=self.traffic)
         name = ""
         links: dict[str, Link] = {}
@@ -276,7 +283,7 @@
                 self.carry_out(self.entry.agent_connected(message))
             elif isinstance(message, EntryHello):
                 name, links = message.address.entry_id, entry_links
-                link.introduce(silence_limit_s=PEER_SILENCE_LIMIT_S)
+                link.introduce(silence_limit_s=silence_limit_s)
                 self._register(name, links, link)
                 self._peer_hello(message)
             elif links is self.agent_links:
--- a/egretcart/process/settings.py
+++ b/egretcart/process/settings.py
@@ -98,6 +98,8 @@
         Peer addresses of entries.
     http : Address or None
         Where health and metrics are served.
+    platform : Address or None
+        The platform's store; only asked for entries while none is known.
     """
 
     agent_id: Text
@@ -108,8 +110,14 @@
     backend: Address
     backend_path: Text = "/"
     stop_limit_s: Seconds = 15.0
-    seeds: Annotated[tuple[Address, ...], msgspec.Meta(min_length=1)]
     http: Address | None = None
+    seeds: tuple[Address, ...] = ()
+    platform: Address | None = None
+
+    def __post_init__(self) -> None:
+        """Refuse settings without any way to find an entry."""
+        if not self.seeds and self.platform is None:
+            raise ValueError("Expected `seeds`, `platform` or both")
 
 
 class PlatformStandInSettings(SettingsBase, frozen=True, kw_only=True):
--- a/egretcart/process/waste.py
+++ b/egretcart/process/waste.py
@@ -67,11 +67,7 @@
         if isinstance(message, Start):
             self._started(agent_id, message)
         elif isinstance(message, CancelTasks):
-            self.count(WasteCause.CANCELLED, 1)
-            for task in message.tasks:
-                if task.task == WHOLE_JOB:
-                    self.cancelled[task.job_id] = True
-            _trim(self.cancelled)
+            self._cancels(message)
 
     def received(self, agent_id: str, message: AgentMessage) -> None:
         """Take note of a message that the leader receives."""
@@ -95,6 +91,15 @@
         self.in_flight.setdefault(agent_id, {})[key] = start.attempt
         self.open_attempts[key] = self.open_attempts.get(key, 0) + 1
 
+    def _cancels(self, message: CancelTasks) -> None:
+        """Count a cancel: of whole jobs, or only of hedges' losers."""
+        jobs = [t.job_id for t in message.tasks if t.task == WHOLE_JOB]
+        cause = WasteCause.CANCELLED if jobs else WasteCause.HEDGE_LOSER
+        self.count(cause, 1)
+        for job_id in jobs:
+            self.cancelled[job_id] = True
+        _trim(self.cancelled)
+
     def _result(self, agent_id: str, result: TaskResult) -> None:
         key = (result.job_id, result.task)
         attempts = self.in_flight.get(agent_id, {})
@@ -116,10 +121,10 @@
             _trim(self.ended)
 
     def _cause(self, key: AttemptKey, result: TaskResult) -> WasteCause | None:
-        if result.job_id in self.cancelled:
-            return WasteCause.CANCELLED
         if self.ended.get(key, False):
             return WasteCause.HEDGE_LOSER
+        if result.job_id in self.cancelled:
+            return WasteCause.CANCELLED
         if result.verdict == Verdict.NOT_RUN.value:
             return WasteCause.REFUSED_START
         return None
@@ -133,6 +138,6 @@
 
 
 def _trim(latest: dict[bytes, bool] | dict[AttemptKey, bool]) -> None:
-    """Forget the oldest item of a dictionary that has grown too long."""
-    if len(latest) > MAX_ENDED:
+    """Forget the oldest items of a dictionary that has grown too long."""
+    while len(latest) > MAX_ENDED:
         del latest[next(iter(latest))]  # type: ignore[arg-type]
--- a/tests/features/steps/policy_steps.py
+++ b/tests/features/steps/policy_steps.py
@@ -665,10 +665,11 @@
     world = World(make_agents(4))
     world.load(0.4, 10)
     world.run(2)
-    world.book.loads["agent-0"].draining = True
     excluding = make_configuration(backends=("agent-[023]",))
     world.book.configure(excluding, "service")
-    world.run(2.01)
+    world.run(2.55)
+    world.book.loads["agent-0"].draining = True
+    world.run(2.551)
     context.leaving = [world.agents["agent-0"], world.agents["agent-1"]]
     context.before = [agent.started for agent in context.leaving]
     world.run(40)
