--- a/tests/features/steps/policy_steps.py
+++ b/tests/features/steps/policy_steps.py
@@ -663,7 +663,7 @@
 @when("one backend server drains and another is excluded")
 def run_leaving(context):
     world = World(make_agents(4))
-    world.load(0.4, 10)
+    world.load(0.7, 10)
     world.run(2)
     excluding = make_configuration(backends=("agent-[023]",))
     world.book.configure(excluding, "service")
