Test cancels at the agent and flapping agents

Broken on a scratch copy, each of ejecting flapping agents, of sparing other tasks and of cancelling whole jobs fails its step.

--- a/tests/features/policy.feature
+++ b/tests/features/policy.feature
@@ -84,6 +84,13 @@
     When 30 % of the jobs are cancelled within one turn
     Then each agent gets one cancel and every slot is free in the end
 
+  Scenario: An agent ends what is cancelled and nothing else
+    Then one cancelled task and one cancelled job leave the rest running
+
+  Scenario: A flapping agent is probed before it is used again
+    When one agent of 4 loses its connection three times in 3 seconds
+    Then it is left out until a probe succeeds
+
   Scenario: Excluded and draining backend servers get nothing new
     When one backend server drains and another is excluded
     Then neither is sent a start and the jobs are answered
--- a/tests/features/steps/policy_steps.py
+++ b/tests/features/steps/policy_steps.py
@@ -11,13 +11,24 @@
 from policy_fake import quantile
 from policy_fake import World
 
+from egretcart.connection.messages import CancelledTask
+from egretcart.connection.messages import CancelTasks
 from egretcart.connection.messages import JobRecord
+from egretcart.connection.messages import Start
 from egretcart.connection.messages import TaskRecord
 from egretcart.connection.messages import TaskResult
+from egretcart.connection.messages import Term
+from egretcart.process.agent import AbortExchange
+from egretcart.process.agent import Agent
+from egretcart.process.agent import AgentIdentity
+from egretcart.process.agent import AgentLimits
+from egretcart.process.agent import SendToEntry
 from egretcart.process.ledger import RecordState
 from egretcart.process.limits import LeaderLimits
 from egretcart.process.policy.estimates import LearnedRunTimes
 from egretcart.process.policy.hedging import RESERVE as HEDGE_RESERVE
+from egretcart.request.identity import job_id_at
+from egretcart.testing.clock import ManualClock
 from egretcart.version.document import HedgePolicy
 from egretcart.version.document import Kind
 from egretcart.version.document import Team
@@ -660,6 +671,67 @@
         assert not load.in_flight
 
 
+@then("one cancelled task and one cancelled job leave the rest running")
+def check_agent_cancel(context):
+    clock = ManualClock()
+    identity = AgentIdentity(
+        agent_id="a", incarnation=1, service="service", failure_domain="d",
+        slots=4, connections=8,
+    )  # fmt: skip
+    agent = Agent(identity=identity, limits=AgentLimits(), clock=clock)
+    agent.promised, agent.leader = Term(1, 1), "entry"
+    agent.lease_until = float("inf")
+    jobs = [job_id_at(clock.unix_ms(), number).value for number in range(2)]
+    for job_id in jobs:
+        for task in range(3):
+            start = Start(
+                term=Term(1, 1), job_id=job_id, task=task, attempt=1,
+                time_left_ms=1000,
+            )  # fmt: skip
+            agent.receive("entry", start)
+    cancelled = (CancelledTask(job_id=jobs[0], task=1),
+                 CancelledTask(job_id=jobs[1]))  # fmt: skip
+    effects = agent.receive(
+        "entry", CancelTasks(term=Term(1, 1), tasks=cancelled)
+    )
+    aborted = {e.key for e in effects if isinstance(e, AbortExchange)}
+    refused = {
+        (e.message.job_id, e.message.task, e.message.verdict)
+        for e in effects
+        if isinstance(e, SendToEntry)
+    }
+    assert aborted == {(jobs[0], 1), (jobs[1], 0)}, aborted
+    assert refused == {(jobs[1], t, "not_run") for t in (1, 2)}, refused
+
+
+@when("one agent of 4 loses its connection three times in 3 seconds")
+def run_flapping(context):
+    world = World(make_agents(4))
+    world.load(0.3, 10)
+    agent = world.agents["agent-0"]
+    for second in (1, 2, 3):
+        world.run(second)
+        world.usable.discard("agent-0")
+        world.book.agent_lost("agent-0")
+        world.run(second + 0.2)
+        agent.running.clear()
+        agent.queue.clear()
+        world.join(agent)
+    context.world, context.before = world, agent.started
+
+
+@then("it is left out until a probe succeeds")
+def check_flapping(context):
+    world = context.world
+    agent = world.agents["agent-0"]
+    world.run(4.9)
+    assert agent.started == context.before
+    assert world.policy.health.ejected() == {"agent-0"}
+    world.run(9)
+    assert agent.started > context.before + 5
+    assert not world.policy.health.ejected()
+
+
 @when("one backend server drains and another is excluded")
 def run_leaving(context):
     world = World(make_agents(4))
