--- a/tests/features/steps/config_machine.py
+++ b/tests/features/steps/config_machine.py
@@ -257,6 +257,7 @@
                 continue
             if queue is not None:
                 queue.append(effect.message)
+        self.observe(name)
 
     @rule(link=strategies.sampled_from(LINKS + AGENT_LINKS))
     def deliver(self, link):
@@ -325,6 +326,13 @@
         self.drain((first, name))
         self.time_passes(name, pause_s)
 
+    @rule(link=strategies.sampled_from(LINKS))
+    def converse(self, link):
+        sender, receiver = link
+        self.drain((sender, receiver))
+        self.drain((receiver, sender))
+        self.drain((sender, receiver))
+
     def drain(self, link):
         while self.queues[link]:
             self.deliver(link)
@@ -346,12 +354,8 @@
 
     @invariant()
     def no_process_steps_back(self):
-        for name, entry in self.entries.items():
-            document = entry.configuration
-            assert document.version >= self.served[name], name
-            assert document == self.accepted[document.version]
-            self.check_first_version(name, entry)
-            self.served[name] = document.version
+        for name in self.entries:
+            self.observe(name)
         for name, agent in self.agents.items():
             version = agent.config_version
             assert version >= self.served[name], name
@@ -359,6 +363,15 @@
             assert agent.is_draining is drained
             self.served[name] = version
 
+    def observe(self, name):
+        """Check an entry; done after each message that it handles."""
+        entry = self.entries[name]
+        document = entry.configuration
+        assert document.version >= self.served[name], name
+        assert document == self.accepted[document.version]
+        self.check_first_version(name, entry)
+        self.served[name] = document.version
+
     def check_first_version(self, name, entry):
         """A started process serves nothing that it knows to be old."""
         if self.served[name] or not entry.configuration.version:
