--- a/egretcart/__init__.py
+++ b/egretcart/__init__.py
@@ -5,6 +5,7 @@
 back. docs/embedding.md shows how.
 """
 
+import egretcart.bootstrap  # noqa: F401
 from egretcart.connection.messages import EntryAddress
 from egretcart.connection.messages import Term
 from egretcart.process.agent import AbortExchange
--- a/egretcart/process/cli.py
+++ b/egretcart/process/cli.py
@@ -10,6 +10,7 @@
 import docopt
 import trio
 
+from egretcart.load.command import load_command
 from egretcart.process.agent import AgentLimits
 from egretcart.process.agent_process import AgentProcess
 from egretcart.process.clock import SystemClock
@@ -20,13 +21,17 @@
 from egretcart.process.logs import log_to_stderr
 from egretcart.process.operator_commands import OPERATOR_COMMANDS
 from egretcart.process.operator_commands import run_operator_command
+from egretcart.process.planned_stop import stop_on_signal
 from egretcart.process.settings import AgentSettings
 from egretcart.process.settings import BackendStandInSettings
 from egretcart.process.settings import EntrySettings
 from egretcart.process.settings import load_settings
+from egretcart.process.settings import NaiveSettings
 from egretcart.process.settings import PlatformStandInSettings
 from egretcart.process.settings import SettingsBase
+from egretcart.process.submit import submit_command
 from egretcart.testing.backend import BackendStandIn
+from egretcart.testing.naive import run_naive
 from egretcart.testing.platform import PlatformStandIn
 
 USAGE = """egretcart: a dispatcher for floods of sub-second tasks.
@@ -36,6 +41,9 @@
   egretcart agent SETTINGS
   egretcart standin platform SETTINGS
   egretcart standin backend SETTINGS
+  egretcart standin naive SETTINGS
+  egretcart submit JOB
+  egretcart load PROFILE [--json]
   egretcart demo
   egretcart check FILE...
   egretcart schema
@@ -54,6 +62,9 @@
   agent             Run the agent beside one backend server.
   standin platform  Run a stand-in of the platform's key-value service.
   standin backend   Run a stand-in of a backend server.
+  standin naive     Run the naive version that measures are compared with.
+  submit            Submit the job of a file and print its answer.
+  load              Submit the jobs of a profile and print the measures.
   demo              Run a whole deployment in one process and one job on it.
   check             Check configuration and settings files, and together.
   schema            Print the JSON schema of the configuration.
@@ -113,6 +124,13 @@
         return trio.run(run_demo)
     if any(parsed[name] for name in OPERATOR_COMMANDS):
         return run_operator_command(parsed)
+    if parsed["submit"]:
+        return submit_command(pathlib.Path(parsed["JOB"]))
+    if parsed["load"]:
+        profile = pathlib.Path(parsed["PROFILE"])
+        return load_command(profile, as_json=parsed["--json"])
+    if parsed["naive"]:
+        return _run_role(parsed, NaiveSettings, run_naive)
     if parsed["entry"]:
         return _run_role(parsed, EntrySettings, _run_entry)
     if parsed["agent"]:
@@ -149,6 +167,7 @@
     )
     async with trio.open_nursery() as nursery:
         await nursery.start(process.run)
+        nursery.start_soon(stop_on_signal, process, nursery.cancel_scope)
         await process.announce()
 
 
@@ -161,6 +180,7 @@
     )
     async with trio.open_nursery() as nursery:
         await nursery.start(process.run)
+        nursery.start_soon(stop_on_signal, process, nursery.cancel_scope)
         await process.announce()
 
 
@@ -177,7 +197,9 @@
     standin = BackendStandIn(
         host=settings.listen.host,
         port=settings.listen.port,
-        speed=settings.speed,
+        slots=settings.slots,
+        behaviour=settings.behaviour,
+        seed=settings.seed,
     )
     await _run_standin("backend", standin)
 
--- a/egretcart/process/entry_process.py
+++ b/egretcart/process/entry_process.py
@@ -7,8 +7,7 @@
 
 import trio
 
-from egretcart.connection.http_server import Handler
-from egretcart.connection.http_server import HttpConnection
+from egretcart.connection.http_listener import HttpListener
 from egretcart.connection.http_server import HttpLimits
 from egretcart.connection.link import Link
 from egretcart.connection.messages import AgentHello
@@ -21,6 +20,7 @@
 from egretcart.connection.messages import FenceReply
 from egretcart.connection.messages import Forward
 from egretcart.connection.messages import ForwardReply
+from egretcart.connection.messages import Heartbeat
 from egretcart.connection.messages import HeartbeatReply
 from egretcart.connection.messages import Message
 from egretcart.connection.messages import Roster
@@ -44,6 +44,7 @@
 from egretcart.process.metrics import Metrics
 from egretcart.process.metrics import ProcessMetrics
 from egretcart.process.operator_api import OperatorApi
+from egretcart.process.planned_stop import poll_until
 from egretcart.process.platform import EtcdPlatform
 from egretcart.process.platform import Platform
 from egretcart.process.platform_follower import PlatformFollower
@@ -58,6 +59,11 @@
 # A process that has been gone for so long is dialled no more, unless it
 # is a seed or someone names it again.
 FORGET_S = 30.0
+FLUSH_LIMIT_S = 1.0
+HEARTBEAT_REPLY_LIMIT_S = 3.0
+# Covers three of the longest intervals between heartbeats of entries.
+PEER_SILENCE_LIMIT_S = 7.0
+MAX_PEER_LINKS = 4096
 
 
 class EntryProcess:
@@ -96,6 +102,8 @@
             )
         self.entry: Entry
         self.api: CallerApi
+        self.http: HttpListener
+        self.stop_limit_s = settings.stop_limit_s
         self.address: EntryAddress
         self.http_port = 0
         self.peer_port = 0
@@ -103,6 +111,7 @@
         self.dialled_links: dict[str, Link] = {}
         self.accepted_links: dict[str, Link] = {}
         self.agent_links: dict[str, Link] = {}
+        self.open_peer_links = 0
         self.targets: set[tuple[str, int]] = set()
         self.nursery: trio.Nursery
         self.registrar: Registrar | None = None
@@ -146,22 +155,21 @@
         self.api = CallerApi(
             entry=self.entry,
             carry_out=self.carry_out,
+            metrics=self.metrics,
+            clock=self.clock,
             operators=OperatorApi(
                 entry=self.entry,
                 platform=self.platform,
                 guard=self.platform.guard if self.platform else None,
             ),
-            metrics=self.metrics,
-            clock=self.clock,
         )
+        self.http = HttpListener(handler=self.api.handle, limits=HttpLimits())
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
             nursery.start_soon(
                 trio.serve_listeners, self._accept, peer_listeners
             )
-            nursery.start_soon(
-                trio.serve_listeners, self._serve_http, http_listeners
-            )
+            nursery.start_soon(self.http.serve, http_listeners, nursery)
             for seed in self.settings.seeds:
                 self._ensure_dialled(seed.host, seed.port)
             if self.platform is not None:
@@ -180,12 +188,42 @@
         print(json.dumps(ports))
         sys.stdout.flush()
 
-    async def _serve_http(self, stream: trio.SocketStream) -> None:
-        handler: Handler = self.api.handle
-        connection = HttpConnection(
-            stream=stream, handler=handler, limits=HttpLimits()
-        )
-        await connection.serve()
+    # Planned stop.
+
+    async def stop(self) -> None:
+        """Hand over and answer the callers; return when all are answered."""
+        self.api.stopping = True
+        self.http.stopping = True
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._hand_over)
+            await trio.sleep(self.settings.stop_grace_s)
+            await self.http.close()
+            nursery.cancel_scope.cancel()
+        await self._flush()
+
+    async def _hand_over(self) -> None:
+        """Resign as soon as another entry can take over."""
+        await poll_until(self._has_successor)
+        self.carry_out(self.entry.leave())
+
+    def _has_successor(self) -> bool:
+        peers = self.entry.directory.live_peers(self.clock.monotonic())
+        return any(not peer.leaving for peer in peers)
+
+    async def abort(self) -> None:
+        """Tell the callers that wait that their work may have run."""
+        self.api.give_up()
+        self.http.abort_receiving()
+        await self.http.close()
+
+    async def _flush(self) -> None:
+        links = [
+            *self.dialled_links.values(),
+            *self.accepted_links.values(),
+            *self.agent_links.values(),
+        ]
+        with trio.move_on_after(FLUSH_LIMIT_S):
+            await poll_until(lambda: all(link.is_flushed for link in links))
 
     # Links.
 
@@ -217,11 +255,21 @@
             await trio.sleep(REDIAL_S)
 
     async def _accept(self, stream: trio.SocketStream) -> None:
-        await self._converse(stream, self.accepted_links)
+        if self.open_peer_links >= MAX_PEER_LINKS:
+            await trio.aclose_forcefully(stream)
+            return
+        self.open_peer_links += 1
+        try:
+            await self._converse(stream, self.accepted_links)
+        finally:
+            self.open_peer_links -= 1
 
     async def _converse(
         self, stream: trio.SocketStream, entry_links: dict[str, Link]
     ) -> None:
+        # Each entry sends on the link that it dialled itself.
+        receives = entry_links is self.accepted_links
+        silence_limit_s = PEER_SILENCE_LIMIT_S if receives else float("inf")
         link = Link(stream=stream, traffic=self.traffic)
         name = ""
         links: dict[str, Link] = {}
@@ -230,10 +278,12 @@
             nonlocal name, links
             if isinstance(message, AgentHello):
                 name, links = message.agent_id, self.agent_links
+                link.introduce()
                 self._register(name, links, link)
                 self.carry_out(self.entry.agent_connected(message))
             elif isinstance(message, EntryHello):
                 name, links = message.address.entry_id, entry_links
+                link.introduce(silence_limit_s=silence_limit_s)
                 self._register(name, links, link)
                 self._peer_hello(message)
             elif links is self.agent_links:
@@ -296,7 +346,7 @@
             ):
                 link = self.agent_links.get(effect.agent_id)
                 if link is not None:
-                    link.send(effect.message)
+                    self._send_to_agent(link, effect.message)
             elif isinstance(effect, SendToPeer):
                 self._send_to_peer(effect)
             elif isinstance(effect, ReplyToCaller):
@@ -306,6 +356,11 @@
                     self._write_roster, effect.cell, effect.roster
                 )
 
+    def _send_to_agent(self, link: Link, message: Message) -> None:
+        link.send(message)
+        if isinstance(message, Heartbeat) and message.round:
+            link.expect_reply(HEARTBEAT_REPLY_LIMIT_S)
+
     def _send_to_peer(self, effect: SendToPeer) -> None:
         link = self.dialled_links.get(
             effect.entry_id
--- a/egretcart/process/settings.py
+++ b/egretcart/process/settings.py
@@ -8,11 +8,13 @@
 from result import Err
 from result import Result
 
+from egretcart.testing.backend import BackendBehaviour
 from egretcart.version.check import decode_checked
 
 Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
 Text = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
 Positive = Annotated[int, msgspec.Meta(ge=1, le=100_000)]
+Seconds = Annotated[float, msgspec.Meta(ge=0, le=3600)]
 
 
 class SettingsBase(
@@ -51,6 +53,11 @@
         Peer address that others are told, if it is not `peer`.
     weight : int
         Share of the cells that it should lead, relative to others.
+    stop_grace_s : float
+        Time from a planned stop's start, when readiness goes off, until no
+        new connections are accepted, in seconds.
+    stop_limit_s : float
+        Bound of a planned stop, in seconds.
     seeds : tuple of Address
         Peer addresses of other entries.
     platform : Address or None
@@ -63,6 +70,8 @@
     peer: Address
     advertised: Address | None = None
     weight: Positive = 1
+    stop_grace_s: Seconds = 2.0
+    stop_limit_s: Seconds = 25.0
     seeds: tuple[Address, ...] = ()
     platform: Address | None = None
 
@@ -83,12 +92,14 @@
     backend : Address
     backend_path : str
         Path that tasks are posted to.
+    stop_limit_s : float
+        Bound of a planned stop, in seconds.
     seeds : tuple of Address
         Peer addresses of entries.
-    platform : Address or None
-        The platform's store; only asked for entries while none is known.
     http : Address or None
         Where health and metrics are served.
+    platform : Address or None
+        The platform's store; only asked for entries while none is known.
     """
 
     agent_id: Text
@@ -98,9 +109,10 @@
     connections: Positive
     backend: Address
     backend_path: Text = "/"
+    stop_limit_s: Seconds = 15.0
+    http: Address | None = None
     seeds: tuple[Address, ...] = ()
     platform: Address | None = None
-    http: Address | None = None
 
     def __post_init__(self) -> None:
         """Refuse settings without any way to find an entry."""
@@ -128,12 +140,37 @@
     Attributes
     ----------
     listen : Address
-    speed : float
-        Run times are divided by this.
+    slots : int
+        Tasks that run at a time; more wait.
+    seed : int
+        Decides which starts are stragglers.
+    behaviour : BackendBehaviour
     """
 
     listen: Address
-    speed: Annotated[float, msgspec.Meta(gt=0)] = 1.0
+    slots: Positive = 8
+    seed: int = 0
+    behaviour: BackendBehaviour = BackendBehaviour()
+
+
+class NaiveSettings(SettingsBase, frozen=True, kw_only=True):
+    """Settings of the naive version, the baseline of comparisons.
+
+    Attributes
+    ----------
+    http : Address
+        Where callers connect.
+    backends : tuple of Address
+    slots : int
+        Tasks that each backend server runs at a time.
+    connections : int
+        Connections that each backend server accepts.
+    """
+
+    http: Address
+    backends: Annotated[tuple[Address, ...], msgspec.Meta(min_length=1)]
+    slots: Positive = 8
+    connections: Positive = 64
 
 
 S = TypeVar("S")
--- a/tests/features/policy.feature
+++ b/tests/features/policy.feature
@@ -40,6 +40,7 @@
   Scenario: A retry goes to another failure domain
     When a worker fails one task
     Then its second attempt begins in another failure domain
+    And a retry waits for another agent rather than return to the same
 
   Scenario: A worker that fails everything is left out and brought back
     When one worker of 11 fails everything for 10 seconds
@@ -58,6 +59,7 @@
     When an agent that was given up answers after all
     Then the job is complete and its task is not begun again
     And a task that waits for a slot is not begun after its late answer
+    And an agent that is lost twice puts the next try off twice
 
   Scenario: A worker that answers at once is left out
     When one worker of 11 answers everything at once for 10 seconds
--- a/tests/features/steps/callers.py
+++ b/tests/features/steps/callers.py
@@ -50,6 +50,8 @@
         idempotent=False,
         resubmits=True,
         limit_s=8,
+        pause_s=0.0,
+        deadline_ms=None,
     ):
         self.deployment = deployment
         self.entries = entries
@@ -63,6 +65,8 @@
         self.outcomes = []
         self.errors = []
         self.stopped = False
+        self.pause_s = pause_s
+        self.deadline_ms = deadline_ms
         self.threads = [
             threading.Thread(target=self._work, daemon=True)
             for _ in range(threads)
@@ -78,6 +82,7 @@
                 return
             try:
                 self.outcomes.append(self._carry_job(number))
+                time.sleep(self.pause_s)
             except Exception as error:
                 self.errors.append(repr(error))
 
@@ -99,6 +104,7 @@
                     job_id=job_id,
                     limit_s=self.limit_s,
                     idempotent=self.idempotent,
+                    deadline_ms=self.deadline_ms,
                 )
             except (OSError, http.client.HTTPException) as problem:
                 error = problem
