--- a/tools/measures_page.py
+++ b/tools/measures_page.py
@@ -131,13 +131,15 @@
     results = folder / "measures.json"
     results.write_text(json.dumps(document, indent=1) + "\n")
     _plot(document, folder / "measures.svg")
+    averages = [r["load_average"] for r in document["results"]]
     section = "\n\n".join(
         [
             BEGIN,
             f"Commit {document['commit']}, {document['date']}, "
-            f"{document['processors']} processors shared with other work, "
-            f"example {document['example']}. Response times over ideal are "
-            "those of jobs of 10 tasks and more.",
+            f"{document['processors']} processors shared with other work "
+            f"(load average {min(averages):.0f} to {max(averages):.0f} at "
+            f"the cases' start), example {document['example']}. Response "
+            "times over ideal are those of jobs of 10 tasks and more.",
             results_table(document),
             "![Response time and waste](measures.svg)",
             "Costs of the system, from its counters; the processor time is "
