--- a/egretcart/connection/http_server.py
+++ b/egretcart/connection/http_server.py
@@ -137,7 +137,7 @@
         try:
             while await self._serve_one():
                 self.protocol.start_next_cycle()
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
+        except* (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
         finally:
             await trio.aclose_forcefully(self.stream)
--- a/egretcart/connection/link.py
+++ b/egretcart/connection/link.py
@@ -66,10 +66,10 @@
     Parameters
     ----------
     stream : trio.abc.Stream
-    hello_limit_s : float, optional
-        Time for the peer to introduce itself.
     traffic : Traffic, optional
         Counts of the process.
+    hello_limit_s : float, optional
+        Time for the peer to introduce itself.
 
     Attributes
     ----------
@@ -85,12 +85,12 @@
         self,
         *,
         stream: trio.abc.Stream,
-        hello_limit_s: float = HELLO_LIMIT_S,
         traffic: Traffic | None = None,
+        hello_limit_s: float = HELLO_LIMIT_S,
     ) -> None:
         self.stream = stream
-        self.hello_limit_s = hello_limit_s
         self.traffic = traffic or Traffic()
+        self.hello_limit_s = hello_limit_s
         self.outbox: list[Message] = []
         self.waiting_bytes = 0
         self.is_sending = False
--- a/egretcart/process/entry_process.py
+++ b/egretcart/process/entry_process.py
@@ -56,14 +56,14 @@
 TICK_S = 0.02
 REDIAL_S = 0.1
 PLATFORM_PAUSE_S = 0.5
+# A process that has been gone for so long is dialled no more, unless it
+# is a seed or someone names it again.
+FORGET_S = 30.0
 FLUSH_LIMIT_S = 1.0
 HEARTBEAT_REPLY_LIMIT_S = 3.0
 # Covers three of the longest intervals between heartbeats of entries.
 PEER_SILENCE_LIMIT_S = 7.0
 MAX_PEER_LINKS = 4096
-# A process that has been gone for so long is dialled no more, unless it
-# is a seed or someone names it again.
-FORGET_S = 30.0
 
 
 class EntryProcess:
@@ -95,7 +95,7 @@
         self.limits = limits
         self.leader_limits = leader_limits
         self.clock = clock
-        self.platform: Platform | None = None
+        self.platform: EtcdPlatform | None = None
         if settings.platform is not None:
             self.platform = EtcdPlatform(
                 host=settings.platform.host, port=settings.platform.port
@@ -155,9 +155,13 @@
         self.api = CallerApi(
             entry=self.entry,
             carry_out=self.carry_out,
-            operators=OperatorApi(entry=self.entry, platform=self.platform),
             metrics=self.metrics,
             clock=self.clock,
+            operators=OperatorApi(
+                entry=self.entry,
+                platform=self.platform,
+                guard=self.platform.guard if self.platform else None,
+            ),
         )
         self.http = HttpListener(handler=self.api.handle, limits=HttpLimits())
         async with trio.open_nursery() as nursery:
--- a/egretcart/testing/naive.py
+++ b/egretcart/testing/naive.py
@@ -1,266 +1,230 @@
-"""A naive policy, against which the leader's own one is tested."""
+"""The naive version: the baseline that measures are compared with.
+
+One process dispatches to backend servers directly: tasks in order of
+arrival, each to a random backend server with a free slot, again after any
+error, and without memory of submissions. Its HTTP API is the entry's.
+"""
 
 from collections import deque
-from collections.abc import Iterable
-from collections.abc import Set
+import json
 import random
-
-from egretcart.process.policy.admission import Capacity
-from egretcart.process.policy.bundle import Policy
-from egretcart.process.policy.bundle import ServiceTables
-from egretcart.process.policy.hedging import BudgetedHedging
-from egretcart.process.policy.placement import Candidate
-from egretcart.process.policy.retries import FailedAttempt
-from egretcart.process.scheduler import TaskKey
+import re
+
+import msgspec
+import trio
+
+from egretcart.connection.http_client import ExchangeError
+from egretcart.connection.http_client import HttpClient
+from egretcart.connection.http_server import HttpConnection
+from egretcart.connection.http_server import HttpLimits
+from egretcart.connection.http_server import HttpRequest
+from egretcart.connection.http_server import HttpResponse
+from egretcart.connection.http_server import problem_response
+from egretcart.connection.messages import Start
+from egretcart.connection.messages import TaskResult
+from egretcart.connection.traffic import Traffic
+from egretcart.process.metric_table import MESSAGES_WASTED
+from egretcart.process.metric_table import STARTS
+from egretcart.process.metrics import ProcessMetrics
+from egretcart.process.metrics import TEXT_TYPE
+from egretcart.process.settings import NaiveSettings
+from egretcart.process.waste import ATTEMPT_MESSAGES
+from egretcart.process.waste import WasteCause
+from egretcart.request.identity import JobId
+from egretcart.request.identity import parse_job_id
 from egretcart.request.job import Job
+from egretcart.request.job import parse_job
+from egretcart.request.problem import bad_request
 from egretcart.request.problem import Problem
-from egretcart.version.document import Configuration
-from egretcart.version.document import EjectionPolicy
-from egretcart.version.document import HedgePolicy
-from egretcart.version.document import RetryPolicy
-
-RUN_TIME_MS = 200.0
-REFUSAL_PAUSE_S = 0.02
-MAX_ATTEMPTS = 3
-
-
-class FixedRunTimes:
-    """Every task takes the same time on every agent."""
-
-    def task_ms(self, kind: str, declared_ms: float | None) -> float:
-        """Return a constant."""
-        return RUN_TIME_MS
-
-    def slowness(self, agent_id: str) -> float:
-        """Return 1."""
-        return 1.0
-
-    def is_learned(self, kind: str) -> bool:
-        """Return False."""
-        return False
-
-    def observe(
-        self,
-        agent_id: str,
-        kind: str,
-        declared_ms: float | None,
-        run_ms: float,
-    ) -> None:
-        """Learn nothing."""
-
-    def forget(self, agent_id: str) -> None:
-        """Forget nothing."""
-
-
-class RandomPlacement:
-    """Any agent with a free slot, at random."""
-
-    def __init__(self, *, rng: random.Random) -> None:
-        self.rng = rng
-        self.batch: list[Candidate] = []
-
-    def survey(
-        self, candidates: Iterable[Candidate], *, mean_ms: float
-    ) -> None:
-        """Take in nothing."""
-
-    def open_batch(
-        self, candidates: Iterable[Candidate], *, now: float
+from egretcart.request.reply import complete_reply
+from egretcart.request.reply import result_value
+from egretcart.request.verdict import Verdict
+
+JOB_PATH = re.compile(r"/v1/services/([^/?]+)/jobs/([^/?]+)")
+ATTEMPT_LIMIT_S = 10.0
+JOB_LIMIT_S = 60.0
+MAX_TASKS = 2000
+SUCCESS_STATUSES = range(200, 300)
+
+
+class NaiveJob:
+    """One submission; the same id again is another one."""
+
+    def __init__(self, job: Job) -> None:
+        self.job = job
+        self.results: dict[int, msgspec.Raw] = {}
+        self.ended = trio.Event()
+        self.cancelled = False
+
+
+class NaiveDispatcher:
+    """Dispatches tasks to backend servers without any cleverness.
+
+    Parameters
+    ----------
+    settings : NaiveSettings
+    """
+
+    def __init__(self, *, settings: NaiveSettings) -> None:
+        self.settings = settings
+        self.clients = [
+            HttpClient(
+                host=backend.host,
+                port=backend.port,
+                max_connections=settings.connections,
+            )
+            for backend in settings.backends
+        ]
+        self.free = [settings.slots] * len(self.clients)
+        self.waiting: deque[tuple[NaiveJob, int]] = deque()
+        self.jobs: dict[bytes, list[NaiveJob]] = {}
+        self.started: set[tuple[bytes, int]] = set()
+        self.random = random.Random(0)
+        self.traffic = Traffic()
+        self.metrics = ProcessMetrics(traffic=self.traffic)
+        self.nursery: trio.Nursery
+
+    async def run(
+        self, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED
     ) -> None:
-        """Begin a batch with the agents that may have room."""
-        self.batch = [c for c in candidates if self._has_room(c)]
-
-    def choose(
-        self,
-        *,
-        waiting: int,
-        avoid: Set[str] = frozenset(),
-        exclude: Set[str] = frozenset(),
-    ) -> str | None:
-        """Return any agent with a free slot."""
-        free = [c.load.agent_id for c in self.batch]
-        free = [agent_id for agent_id in free if agent_id not in exclude]
-        return self.rng.choice(free) if free else None
-
-    def placed(self, agent_id: str) -> None:
-        """Take in that the chosen agent has the task in flight."""
-        self.batch = [c for c in self.batch if self._has_room(c)]
-
-    @staticmethod
-    def _has_room(candidate: Candidate) -> bool:
-        slots = min(candidate.limit, candidate.load.slots)
-        return len(candidate.load.in_flight) < slots
-
-
-class FifoOrder:
-    """First come, first served."""
-
-    def __init__(self) -> None:
-        self.queue: deque[TaskKey] = deque()
-        self.jobs: set[bytes] = set()
-
-    @property
-    def waiting(self) -> int:
-        """Tasks that wait."""
-        return len(self.queue)
-
-    def configure(
-        self, configuration: Configuration, *, slots: int, cells: int
+        """Serve until cancelled; reports the port when it listens."""
+        address = self.settings.http
+        listeners = await trio.open_tcp_listeners(
+            address.port, host=address.host
+        )
+        async with trio.open_nursery() as nursery:
+            self.nursery = nursery
+            nursery.start_soon(trio.serve_listeners, self._serve, listeners)
+            task_status.started(listeners[0].socket.getsockname()[1])
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        connection = HttpConnection(
+            stream=stream, handler=self.handle, limits=HttpLimits()
+        )
+        await connection.serve()
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one HTTP request."""
+        if request.path == "/metrics":
+            return HttpResponse(
+                body=self.metrics.render(), content_type=TEXT_TYPE
+            )
+        found = JOB_PATH.fullmatch(request.path)
+        job_id = parse_job_id(found.group(2)) if found else None
+        if found is None or job_id is None or job_id.is_err():
+            return problem_response(bad_request(f"no job at {request.path!r}"))
+        if request.method == "DELETE":
+            return self._cancel(job_id.unwrap())
+        parsed = parse_job(
+            job_id=job_id.unwrap(),
+            service=found.group(1),
+            body=request.body,
+            max_tasks=MAX_TASKS,
+        )
+        if parsed.is_err():
+            return problem_response(bad_request(parsed.unwrap_err()))
+        return await self._run_job(NaiveJob(parsed.unwrap()))
+
+    async def _run_job(self, running: NaiveJob) -> HttpResponse:
+        job = running.job
+        same_id = self.jobs.setdefault(job.job_id.value, [])
+        same_id.append(running)
+        self.waiting.extend((running, n) for n in range(len(job.tasks)))
+        self._dispatch()
+        with trio.move_on_after(JOB_LIMIT_S):
+            await running.ended.wait()
+        same_id.remove(running)
+        if len(running.results) < len(job.tasks):
+            running.cancelled = True
+            return problem_response(_failed(job.job_id))
+        results = [running.results[n] for n in range(len(job.tasks))]
+        reply = complete_reply(job.job_id, results)
+        return HttpResponse(status=reply.status, body=reply.body)
+
+    def _cancel(self, job_id: JobId) -> HttpResponse:
+        for running in self.jobs.get(job_id.value, ()):
+            running.cancelled = True
+            running.ended.set()
+        return problem_response(_failed(job_id))
+
+    def _dispatch(self) -> None:
+        while self.waiting:
+            if self.waiting[0][0].cancelled:
+                self.waiting.popleft()
+                continue
+            servers = [n for n, free in enumerate(self.free) if free]
+            if not servers:
+                return
+            server = self.random.choice(servers)
+            self.free[server] -= 1
+            running, index = self.waiting.popleft()
+            self.nursery.start_soon(self._attempt, server, running, index)
+
+    async def _attempt(
+        self, server: int, running: NaiveJob, index: int
     ) -> None:
-        """Put nothing in force."""
-
-    def add_job(
+        job = running.job
+        self.metrics.add(STARTS)
+        self.traffic.messages[Start] += 1
+        self.traffic.messages[TaskResult] += 1
+        key = (job.job_id.value, index)
+        repeated = key in self.started
+        self.started.add(key)
+        result: msgspec.Raw | None = None
+        try:
+            response = await self.clients[server].exchange(
+                "POST",
+                "/",
+                body=job.tasks[index].payload,
+                headers=(("Idempotency-Key", f"{job.job_id}/{index}"),),
+                time_limit_s=ATTEMPT_LIMIT_S,
+            )
+            if response.status in SUCCESS_STATUSES:
+                content_type = response.headers.get("content-type", "")
+                result = result_value(response.body, content_type)
+        except ExchangeError:
+            await trio.lowlevel.checkpoint()
+        self.free[server] += 1
+        self._ended(running, index, result, repeated=repeated)
+        self._dispatch()
+
+    def _ended(
         self,
-        key: bytes,
+        running: NaiveJob,
+        index: int,
+        result: msgspec.Raw | None,
         *,
-        urgency: str,
-        team: str,
-        work_ms: list[float],
-        now: float,
+        repeated: bool,
     ) -> None:
-        """Take in a job of which nothing waits yet."""
-        self.jobs.add(key)
-
-    def push(self, key: TaskKey, *, again: bool = False) -> None:
-        """Add a task that may start now."""
-        self.queue.append(key)
-
-    def peek(self) -> TaskKey | None:
-        """Return the task that starts next, or None if none waits."""
-        while self.queue and self.queue[0][0] not in self.jobs:
-            self.queue.popleft()
-        return self.queue[0] if self.queue else None
-
-    def take(self) -> None:
-        """Count the task that `peek` returned as started."""
-        self.queue.popleft()
-
-    def started(self, key: TaskKey) -> None:
-        """Count nothing."""
-
-    def stopped(self, key: TaskKey, *, done: bool) -> None:
-        """Count nothing."""
-
-    def remove_job(self, key: bytes) -> None:
-        """Forget a job and its waiting tasks."""
-        self.jobs.discard(key)
-
-    def waiting_ms(self, urgency: str) -> float:
-        """Return 0."""
-        return 0.0
-
-    def team_ms(self, team: str) -> float:
-        """Return 0."""
-        return 0.0
-
-    def share(self, urgency: str) -> float:
-        """Return 1."""
-        return 1.0
-
-    def quota(self, team: str) -> int:
-        """Return 0."""
-        return 0
-
-
-class AdmitAll:
-    """Takes in every job."""
-
-    def configure(self, configuration: Configuration, service: str) -> None:
-        """Put nothing in force."""
-
-    def refusal(
-        self,
-        job: Job,
-        *,
-        work_ms: list[float],
-        time_left_s: float,
-        capacity: Capacity,
-        now: float,
-    ) -> Problem | None:
-        """Return None."""
-        return None
-
-
-class UnlimitedRetries:
-    """Up to three attempts at an idempotent task, anywhere."""
-
-    def configure(self, policy: RetryPolicy, slots: int) -> None:
-        """Put nothing in force."""
-
-    def succeeded(self) -> None:
-        """Count nothing."""
-
-    def allows(self, failed: FailedAttempt) -> bool:
-        """Return whether the task is idempotent and has tries left."""
-        return failed.idempotent and failed.attempts < MAX_ATTEMPTS
-
-    def refusal_pause_s(self, refusals: int) -> float:
-        """Return a constant."""
-        return REFUSAL_PAUSE_S
-
-
-class TrustAll:
-    """Takes every agent for healthy."""
-
-    has_ejected = False
-
-    def configure(self, policy: EjectionPolicy) -> None:
-        """Put nothing in force."""
-
-    def limit(self, agent_id: str, most: int, *, now: float) -> int:
-        """Return what a healthy agent may have."""
-        return most
-
-    def is_probe(self, agent_id: str, *, now: float) -> bool:
-        """Return False."""
-        return False
-
-    def is_healthy(self, agent_id: str) -> bool:
-        """Return True."""
-        return True
-
-    def connected(self, agent_id: str) -> None:
-        """Take in nothing."""
-
-    def disconnected(self, agent_id: str, *, now: float) -> None:
-        """Take in nothing."""
-
-    def succeeded(self, agent_id: str, *, share: float, now: float) -> bool:
-        """Return True."""
-        return True
-
-    def failed(
-        self,
-        agent_id: str,
-        *,
-        job: bytes,
-        proven: bool,
-        others: Set[str],
-        now: float,
-    ) -> None:
-        """Take in nothing."""
-
-    def refused(self, agent_id: str, *, now: float) -> None:
-        """Take in nothing."""
-
-
-class NoHedging(BudgetedHedging):
-    """Never starts a task a second time."""
-
-    def configure(self, policy: HedgePolicy) -> None:
-        """Put a policy without any hedges in force."""
-        super().configure(HedgePolicy(budget_share=0.0))
+        if running.cancelled:
+            self._wasted(WasteCause.CANCELLED)
+        elif result is None:
+            self.started.discard((running.job.job_id.value, index))
+            self._wasted(WasteCause.RETRY)
+            self.waiting.append((running, index))
+        else:
+            if repeated:
+                self._wasted(WasteCause.DUPLICATE_ANSWER)
+            running.results[index] = result
+            if len(running.results) == len(running.job.tasks):
+                running.ended.set()
+
+    def _wasted(self, cause: WasteCause) -> None:
+        self.metrics.add(MESSAGES_WASTED, ATTEMPT_MESSAGES, label=cause.value)
+
+
+def _failed(job_id: JobId) -> Problem:
+    return Problem(
+        status=504,
+        title="Not Done",
+        detail=f"job {job_id} was cancelled or not done in time",
+        verdict=Verdict.MAY_HAVE_RUN,
+    )
 
 
-def naive_policy(*, rng: random.Random) -> Policy:
-    """Return the naive policy: first come, first served, at random."""
-    return Policy(
-        tables=ServiceTables(),
-        run_times=FixedRunTimes(),
-        order=FifoOrder(),
-        placement=RandomPlacement(rng=rng),
-        admission=AdmitAll(),
-        retries=UnlimitedRetries(),
-        hedging=NoHedging(),
-        health=TrustAll(),
-    )
+async def run_naive(settings: NaiveSettings) -> None:
+    """Run the naive version until cancelled."""
+    dispatcher = NaiveDispatcher(settings=settings)
+    async with trio.open_nursery() as nursery:
+        port = await nursery.start(dispatcher.run)
+        print(json.dumps({"role": "naive", "http_port": port}), flush=True)
--- a/tests/features/steps/policy_fake.py
+++ b/tests/features/steps/policy_fake.py
@@ -24,7 +24,7 @@
 from egretcart.request.job import Job
 from egretcart.request.job import Task
 from egretcart.testing.clock import ManualClock
-from egretcart.testing.naive import naive_policy
+from egretcart.testing.naive_policy import naive_policy
 from egretcart.version.document import Configuration
 from egretcart.version.document import Service
 
