--- a/egretcart/process/cli.py
+++ b/egretcart/process/cli.py
@@ -42,7 +42,7 @@
   egretcart standin platform SETTINGS
   egretcart standin backend SETTINGS
   egretcart standin naive SETTINGS
-  egretcart submit FILE
+  egretcart submit JOB
   egretcart load PROFILE [--json]
   egretcart demo
   egretcart check FILE...
@@ -125,7 +125,7 @@
     if any(parsed[name] for name in OPERATOR_COMMANDS):
         return run_operator_command(parsed)
     if parsed["submit"]:
-        return submit_command(pathlib.Path(parsed["FILE"]))
+        return submit_command(pathlib.Path(parsed["JOB"]))
     if parsed["load"]:
         profile = pathlib.Path(parsed["PROFILE"])
         return load_command(profile, as_json=parsed["--json"])
--- a/egretcart/process/policy/ordering.py
+++ b/egretcart/process/policy/ordering.py
@@ -1,9 +1,12 @@
 """Which waiting task starts next."""
 
-import dataclasses
 import heapq
 from typing import Protocol
 
+from egretcart.process.policy.lanes import ClassQueue
+from egretcart.process.policy.lanes import Lane
+from egretcart.process.policy.lanes import LaneQueue
+from egretcart.process.policy.lanes import QueuedJob
 from egretcart.process.scheduler import TaskKey
 from egretcart.version.document import Configuration
 
@@ -17,59 +20,6 @@
 # A job's rank is renewed once its remaining work has shrunk to this share.
 RERANK_SHARE = 0.8
 
-Lane = tuple[str, str]
-
-
-@dataclasses.dataclass(kw_only=True, slots=True)
-class QueuedJob:
-    """One job's waiting and running tasks.
-
-    Attributes
-    ----------
-    key : bytes
-    lane : tuple of str
-        Urgency class and team.
-    arrived : float
-        Monotonic time in seconds.
-    work_ms : list of float
-        Expected run time of each task.
-    remaining_ms : float
-        Sum over the tasks that are not done.
-    ranked_ms : float
-        The remaining work that the present rank stands for.
-    rank : float
-        Place among the jobs of a lane: the least comes first.
-    waiting : list of (float, int)
-        Heap of the waiting tasks, the longest first.
-    waiting_ms : float
-    """
-
-    key: bytes
-    lane: Lane
-    arrived: float
-    work_ms: list[float]
-    remaining_ms: float
-    ranked_ms: float = 0.0
-    rank: float = 0.0
-    waiting: list[tuple[float, int]] = dataclasses.field(default_factory=list)
-    waiting_ms: float = 0.0
-
-
-@dataclasses.dataclass(kw_only=True, slots=True)
-class LaneQueue:
-    """The jobs of one urgency class and team.
-
-    Attributes
-    ----------
-    heap : list of (float, bytes)
-        Ranks and keys of jobs; entries of former ranks may remain.
-    waiting_ms : float
-        Expected run time of the waiting tasks.
-    """
-
-    heap: list[tuple[float, bytes]] = dataclasses.field(default_factory=list)
-    waiting_ms: float = 0.0
-
 
 class TaskOrder(Protocol):
     """Keeps the waiting tasks and says which one starts next."""
@@ -149,7 +99,7 @@
         self.slots = 1
         self.quotas: dict[str, int] = {}
         self.jobs: dict[bytes, QueuedJob] = {}
-        self.lanes: dict[Lane, LaneQueue] = {}
+        self.classes: dict[str, ClassQueue] = {}
         self.in_use: dict[str, int] = {}
         self.running: dict[TaskKey, str] = {}
         self.served_ms: dict[str, float] = {}
@@ -168,6 +118,9 @@
         self.quotas = {
             team.name: int(team.slots * scale) for team in configuration.teams
         }
+        for queue in self.classes.values():
+            queue.heap = [(self._usage(team), team) for team in queue.lanes]
+            heapq.heapify(queue.heap)
         self.head = None
 
     def add_job(
@@ -211,14 +164,16 @@
         self.stopped(key, done=False)
         job = self.jobs[key[0]]
         work_ms = job.work_ms[key[1]]
-        lane = self.lanes.setdefault(job.lane, LaneQueue())
         if not job.waiting:
             self._resume_class(job.lane[0])
+        lane = self._open_lane(job.lane)
+        if not job.waiting:
             self._rank(job, lane)
         priority = float("-inf") if again else -work_ms
         heapq.heappush(job.waiting, (priority, key[1]))
         job.waiting_ms += work_ms
         lane.waiting_ms += work_ms
+        lane.waiting += 1
         self.waiting += 1
         self.head = None
 
@@ -249,11 +204,20 @@
         heapq.heappop(job.waiting)
         work_ms = job.work_ms[key[1]]
         job.waiting_ms -= work_ms
-        self.lanes[job.lane].waiting_ms -= work_ms
-        self.waiting -= 1
-        self.head = None
+        self._leave(job.lane, 1, work_ms)
         return key
 
+    def _leave(self, lane: Lane, tasks: int, work_ms: float) -> None:
+        """Count tasks as no longer waiting; an empty lane is dropped."""
+        lanes = self.classes[lane[0]].lanes
+        queue = lanes[lane[1]]
+        queue.waiting -= tasks
+        queue.waiting_ms -= work_ms
+        if not queue.waiting:
+            del lanes[lane[1]]
+        self.waiting -= tasks
+        self.head = None
+
     def started(self, key: TaskKey) -> None:
         """Count a task as started that did not wait here."""
         job = self.jobs.get(key[0])
@@ -261,9 +225,23 @@
             return
         team = job.lane[1]
         self.running[key] = team
-        self.in_use[team] = self.in_use.get(team, 0) + 1
+        self._use(team, 1)
+
+    def _use(self, team: str, change: int) -> None:
+        self.in_use[team] = self.in_use.get(team, 0) + change
+        usage = self._usage(team)
+        for queue in self.classes.values():
+            queue.note(team, usage)
         self.head = None
 
+    def _open_lane(self, lane: Lane) -> LaneQueue:
+        queue = self.classes.setdefault(lane[0], ClassQueue())
+        found = queue.lanes.get(lane[1])
+        if found is None:
+            found = queue.lanes[lane[1]] = LaneQueue()
+            queue.note(lane[1], self._usage(lane[1]))
+        return found
+
     def stopped(self, key: TaskKey, *, done: bool) -> None:
         """Count a started task as ended.
 
@@ -275,14 +253,13 @@
         """
         team = self.running.pop(key, None)
         if team is not None:
-            self.in_use[team] -= 1
-            self.head = None
+            self._use(team, -1)
         job = self.jobs.get(key[0])
         if job is None or not done:
             return
         job.remaining_ms -= job.work_ms[key[1]]
         if job.waiting and job.remaining_ms < RERANK_SHARE * job.ranked_ms:
-            self._rank(job, self.lanes[job.lane])
+            self._rank(job, self._open_lane(job.lane))
 
     def remove_job(self, key: bytes) -> None:
         """Forget a job, its waiting and its started tasks."""
@@ -291,30 +268,27 @@
             return
         for index in range(len(job.work_ms)):
             self.stopped((key, index), done=False)
-        self.waiting -= len(job.waiting)
         if job.waiting:
-            self.lanes[job.lane].waiting_ms -= job.waiting_ms
-        self.head = None
+            self._leave(job.lane, len(job.waiting), job.waiting_ms)
 
     def waiting_ms(self, urgency: str) -> float:
         """Return the expected run time of a class's waiting tasks."""
-        return sum(
-            queue.waiting_ms
-            for lane, queue in self.lanes.items()
-            if lane[0] == urgency
-        )
+        queue = self.classes.get(urgency)
+        if queue is None:
+            return 0.0
+        return sum(lane.waiting_ms for lane in queue.lanes.values())
 
     def team_ms(self, team: str) -> float:
         """Return the expected run time of a team's waiting tasks."""
         return sum(
-            queue.waiting_ms
-            for lane, queue in self.lanes.items()
-            if lane[1] == team
+            queue.lanes[team].waiting_ms
+            for queue in self.classes.values()
+            if team in queue.lanes
         )
 
     def share(self, urgency: str) -> float:
         """Return the share of the slots that a class would get now."""
-        waiting = {lane[0] for lane in self.lanes if self._head_of(lane)}
+        waiting = {name for name, queue in self.classes.items() if queue.lanes}
         waiting.add(urgency)
         total = sum(self._weight(name) for name in waiting)
         return self._weight(urgency) / total
@@ -337,41 +311,35 @@
 
     def _resume_class(self, urgency: str) -> None:
         """Let a class that was idle claim no time of the past."""
-        for lane in self.lanes:
-            if lane[0] == urgency and self._head_of(lane) is not None:
-                return
+        queue = self.classes.get(urgency)
+        if queue is not None and queue.lanes:
+            return
         served = self.served_ms.get(urgency, 0.0)
         self.served_ms[urgency] = max(served, self.virtual_ms)
 
-    def _head_of(self, lane: Lane) -> QueuedJob | None:
-        """Return the first job of a lane that has a waiting task."""
-        heap = self.lanes[lane].heap
-        while heap:
+    def _head_of(self, lane: LaneQueue) -> QueuedJob:
+        """Return the first job of a lane."""
+        heap = lane.heap
+        while True:
             rank, key = heap[0]
             job = self.jobs.get(key)
             if job is not None and job.waiting and job.rank == rank:
                 return job
             heapq.heappop(heap)
-        return None
 
-    def _below_quota(self, lane: Lane) -> bool:
-        return self.in_use.get(lane[1], 0) < self.quotas.get(lane[1], 0)
-
-    def _usage(self, lane: Lane) -> float:
-        quota = max(1, self.quotas.get(lane[1], 0))
-        return self.in_use.get(lane[1], 0) / quota
+    def _usage(self, team: str) -> float:
+        """Return the share of its quota that a team uses; 1 is all of it."""
+        in_use = self.in_use.get(team, 0)
+        quota = self.quotas.get(team, 0)
+        return in_use / quota if quota else 1.0 + in_use
 
     def _select(self) -> TaskKey:
-        lanes = [lane for lane in self.lanes if self._head_of(lane)]
-        lanes = [lane for lane in lanes if self._below_quota(lane)] or lanes
-        urgency = min(
-            {lane[0] for lane in lanes},
-            key=lambda name: (self.served_ms[name], name),
-        )
-        lane = min(
-            (lane for lane in lanes if lane[0] == urgency),
-            key=lambda lane: (self._usage(lane), lane),
-        )
-        job = self._head_of(lane)
-        assert job is not None
+        firsts: list[tuple[bool, float, str, str]] = []
+        for urgency, queue in self.classes.items():
+            if queue.lanes:
+                usage, team = queue.first(self._usage)
+                served_ms = self.served_ms[urgency]
+                firsts.append((usage >= 1.0, served_ms, urgency, team))
+        _, _, urgency, team = min(firsts)
+        job = self._head_of(self.classes[urgency].lanes[team])
         return job.key, job.waiting[0][1]
--- a/tests/features/steps/load_steps.py
+++ b/tests/features/steps/load_steps.py
@@ -246,7 +246,7 @@
     messages = report["messages"]
     assert messages["Start"] >= report["starts"]
     assert messages["Start"] == messages["TaskResult"]
-    assert report["wasted"].get("cancelled", 0) >= messages["CancelJob"] > 0
+    assert report["wasted"].get("cancelled", 0) >= messages["CancelTasks"] > 0
     assert report["resubmissions"] > 0
     assert all(us > 0 for us in report["cpu_us_per_start"].values())
 
--- a/tests/features/steps/metrics_steps.py
+++ b/tests/features/steps/metrics_steps.py
@@ -121,10 +121,12 @@
 
 @then("the loser of a hedge is wasted")
 def check_hedge(context):
-    counts = wasted(
-        ("a", start()), ("b", start(2)), ("b", answer(2)), ("a", answer())
-    )
-    assert counts == {WasteCause.HEDGE_LOSER: 2}
+    hedge = [("a", start()), ("b", start(2)), ("b", answer(2))]
+    assert wasted(*hedge, ("a", answer())) == {WasteCause.HEDGE_LOSER: 2}
+    cancel = CancelTasks(tasks=(CancelledTask(job_id=JOB, task=0),))
+    broken = answer(verdict="may_have_run", succeeded=False)
+    counts = wasted(*hedge, ("a", cancel), ("a", broken))
+    assert counts == {WasteCause.HEDGE_LOSER: 3}
 
 
 @then("what a cancelled job had started is wasted")
