--- a/egretcart/process/agent.py
+++ b/egretcart/process/agent.py
@@ -25,6 +25,7 @@
 from egretcart.process.ledger import Ledger
 from egretcart.process.ledger import LedgerTask
 from egretcart.process.ledger import RecordState
+from egretcart.process.limits import LEASE_S
 from egretcart.request.identity import JobId
 from egretcart.request.verdict import Verdict
 
@@ -78,7 +79,7 @@
         Result bodies kept for resubmissions.
     """
 
-    lease_s: float = 1.2
+    lease_s: float = LEASE_S
     window_s: float = 300.0
     max_deadline_s: float = 120.0
     clock_skew_s: float = 1.0
--- a/egretcart/process/leadership.py
+++ b/egretcart/process/leadership.py
@@ -13,7 +13,6 @@
 from egretcart.connection.messages import AgentMessage
 from egretcart.connection.messages import Fence
 from egretcart.connection.messages import FenceReply
-from egretcart.connection.messages import Heartbeat
 from egretcart.connection.messages import HeartbeatReply
 from egretcart.connection.messages import Roster
 from egretcart.connection.messages import RosterMember
@@ -28,6 +27,7 @@
 from egretcart.process.effects import StepDown
 from egretcart.process.effects import WriteRoster
 from egretcart.process.jobs import JobBook
+from egretcart.process.leases import Leases
 from egretcart.process.limits import LeaderLimits
 from egretcart.process.policy.bundle import standard_policy
 from egretcart.process.quorum import Quorum
@@ -130,6 +130,8 @@
         self.majority_at = float("inf")
         self.incomplete_since = float("inf")
         self.quorum = Quorum(roster=roster)
+        self.leases = Leases(term=term, quorum=self.quorum, limits=limits)
+        self.leases.config_version = configuration.version
         self.book = JobBook(
             term=term,
             limits=limits,
@@ -142,9 +144,7 @@
         self.absent_since: dict[str, float] = {}
         self.early: list[EarlyRequest] = []
         self.held: list[HeldReply] = []
-        self.last_round_at = float("-inf")
         self.roster_write_pending = False
-        self.next_heartbeat = float("-inf")
         self.barred: set[str] = set()
 
     def configure(self, configuration: Configuration) -> list[LeaderEffect]:
@@ -153,7 +153,9 @@
         for agent_id in self.agents:
             self._bar(agent_id)
         self.book.configure(configuration, self.service)
-        return self._hold(self._place())
+        self.leases.config_version = configuration.version
+        told = self.leases.open_round(self.clock.monotonic())
+        return self._hold(told + self._place())
 
     def _bar(self, agent_id: str) -> None:
         """Keep new work from an agent that the configuration rules out."""
@@ -216,9 +218,9 @@
             return []
         if self.held[-1].round_number <= self.quorum.opened_round:
             return []
-        if now < self.last_round_at + CONFIRM_INTERVAL_S:
+        if now < self.leases.last_round_at + CONFIRM_INTERVAL_S:
             return []
-        return self._open_round(now)
+        return self.leases.open_round(now)
 
     def _release_held(self) -> list[LeaderEffect]:
         proven = self.quorum.proven_round
@@ -273,8 +275,8 @@
             effects += self._change_roster(now)
         if self.phase is Phase.ENDED:
             return effects
-        if now >= self.next_heartbeat:
-            effects += self._open_round(now)
+        if self.leases.is_round_due(now, has_work=self._has_work()):
+            effects += self.leases.open_round(now)
         return self._hold(effects + self._place())
 
     def resign(self, reason: str) -> list[LeaderEffect]:
@@ -306,7 +308,7 @@
             self._new_load(agent_id), reply.records
         )
         if serving:
-            return effects + self._open_round(now)
+            return effects + self.leases.open_round(now)
         return effects + self._advance_takeover(now)
 
     def _new_load(self, agent_id: str) -> AgentLoad:
@@ -389,7 +391,7 @@
         for member in self.quorum.roster.members:
             if member.agent_id not in self.quorum.members:
                 self.absent_since.setdefault(member.agent_id, now)
-        effects = self._open_round(now)
+        effects = self.leases.open_round(now)
         early, self.early = self.early, []
         for request in early:
             effects += self.book.submit(request.token, request.job)
@@ -397,26 +399,6 @@
 
     # Rounds and leases.
 
-    def _open_round(self, now: float) -> list[LeaderEffect]:
-        self.next_heartbeat = now + self.limits.heartbeat_interval_s
-        self.last_round_at = now
-        round_number = self.quorum.open_round()
-        return [
-            SendToAgent(agent_id, self._heartbeat(agent_id, round_number))
-            for agent_id in self.quorum.members
-        ]
-
-    def _heartbeat(self, agent_id: str, round_number: int) -> Heartbeat:
-        member = self.quorum.members[agent_id]
-        roster = self.quorum.roster
-        return Heartbeat(
-            term=self.term,
-            round=round_number,
-            proven_stamp_us=member.proven_stamp_us,
-            roster=roster if member.roster_version < roster.version else None,
-            config_version=self.configuration.version,
-        )
-
     def _heartbeat_reply(
         self, agent_id: str, reply: HeartbeatReply
     ) -> list[LeaderEffect]:
@@ -426,24 +408,24 @@
         if reply.term != self.term or load is None:
             return []
         load.draining = reply.draining
+        now = self.clock.monotonic()
         self.quorum.confirm(
             agent_id,
             round_number=reply.round,
             stamp_us=reply.stamp_us,
             roster_version=reply.roster_version,
-            now=self.clock.monotonic(),
+            now=now,
+        )
+        return self.leases.pass_on(now)
+
+    def _has_work(self) -> bool:
+        """Return whether the leases are needed, or a change is under way."""
+        return (
+            bool(self.book.jobs or self.held)
+            or self.phase is not Phase.SERVING
+            or not self.quorum.is_complete()
+            or not self.quorum.is_roster_recorded()
         )
-        return self._grant_leases()
-
-    def _grant_leases(self) -> list[LeaderEffect]:
-        """Tell each member its newest proven stamp, before any start."""
-        effects: list[LeaderEffect] = []
-        for agent_id, member in self.quorum.members.items():
-            if member.proven_stamp_us <= member.granted_stamp_us:
-                continue
-            member.granted_stamp_us = member.proven_stamp_us
-            effects.append(SendToAgent(agent_id, self._heartbeat(agent_id, 0)))
-        return effects
 
     def _check_quorum(self, now: float) -> list[LeaderEffect]:
         """End a term that lost its majority or can't take a member back."""
@@ -462,25 +444,16 @@
             self.term, "the term can't be confirmed any more", retry=True
         )
 
-    def _usable(self) -> set[str]:
-        """Return the agents whose lease is surely still valid."""
-        oldest = self.clock.monotonic() - (
-            self.limits.lease_s * LEASE_USABLE_SHARE
-        )
-        return {
-            agent_id
-            for agent_id, member in self.quorum.members.items()
-            if member.proven_received > oldest
-            and self.quorum.is_counted(agent_id)
-            and agent_id not in self.barred
-        }
-
     def _place(self) -> list[LeaderEffect]:
         if self.phase is not Phase.SERVING:
             return []
         if not self.book.has_waiting:
             return []
-        return self.book.place(self._usable())
+        now = self.clock.monotonic()
+        effects = self.book.place(self.leases.usable(now) - self.barred)
+        if self.book.has_waiting:
+            effects += self.leases.renew(now)
+        return effects
 
     # Roster.
 
@@ -587,7 +560,7 @@
         now = self.clock.monotonic()
         if self.phase is not Phase.SERVING:
             return self._hold(self._advance_takeover(now))
-        return self._open_round(now)
+        return self.leases.open_round(now)
 
     # End.
 
--- a/egretcart/process/limits.py
+++ b/egretcart/process/limits.py
@@ -4,6 +4,10 @@
 
 MS_PER_S = 1000
 
+# Lease of the agents on a leader's term, in seconds. A rarer heartbeat costs
+# less; a longer lease prolongs a takeover that some agent does not answer.
+LEASE_S = 2.4
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class LeaderLimits:
@@ -16,6 +20,9 @@
     clock_drift : float
         Largest relative difference between two monotonic clocks.
     heartbeat_interval_s : float
+        Time between rounds while there is work.
+    idle_heartbeat_interval_s : float
+        Time between rounds while there is none.
     fence_patience_s : float
         Wait for members that have not replied, once a majority has.
     fence_limit_s : float
@@ -36,9 +43,10 @@
         Starts that may wait at an agent beyond its slots.
     """
 
-    lease_s: float = 1.2
+    lease_s: float = LEASE_S
     clock_drift: float = 0.01
-    heartbeat_interval_s: float = 0.25
+    heartbeat_interval_s: float = 0.6
+    idle_heartbeat_interval_s: float = 5.0
     fence_patience_s: float = 0.3
     fence_limit_s: float = 1.5
     bootstrap_wait_s: float = 0.3
--- a/egretcart/process/quorum.py
+++ b/egretcart/process/quorum.py
@@ -88,8 +88,9 @@
         Newest stamp that a majority has proven.
     proven_received : float
         The leader's monotonic clock when that stamp arrived.
-    granted_stamp_us : int
-        Newest proven stamp that the member was told.
+    granted_received : float
+        The leader's monotonic clock when the newest stamp arrived that the
+        member was told to be proven.
     """
 
     agent_id: str
@@ -102,7 +103,7 @@
     pending: list[PendingStamp] = dataclasses.field(default_factory=list)
     proven_stamp_us: int = 0
     proven_received: float = float("-inf")
-    granted_stamp_us: int = 0
+    granted_received: float = float("-inf")
 
 
 class Quorum:
