Record which guards the machine and the search find

Cause: guards that no run misses can't be told from guards not needed.

A frozen process lost the answer to its write for ever in the simulated world, which no platform client does; the answer now waits for it.

--- a/tests/features/steps/safety_machine.py
+++ b/tests/features/steps/safety_machine.py
@@ -141,7 +141,10 @@
         idempotent=st.booleans(),
         seconds=st.sampled_from((0.0, 0.5, 2.0, 3.0, 6.0)),
     )
-    def split(self, agents, apart, stall, freeze, submit, idempotent, seconds):
+    def split_leader(self, **chosen):
+        self.part(**chosen)
+
+    def part(self, agents, apart, stall, freeze, submit, idempotent, seconds):
         """Part the leader from the other entries and from some agents."""
         world = self.world
         leader = world.leader()
@@ -164,6 +167,44 @@
         if seconds:
             world.run(seconds, finish=False)
 
+    @rule(agents=st.sets(INDEX, min_size=1, max_size=2))
+    def split_brain(self, agents):
+        """Let two leaders live, each with agents of its own."""
+        self.part(
+            agents=agents,
+            apart=True,
+            stall="none",
+            freeze=False,
+            submit=False,
+            idempotent=False,
+            seconds=6.0,
+        )
+        self.flood(0.0, False, reach=True)
+
+    @rule(action=st.sampled_from((READ, CANCEL, SUBMIT)))
+    def hide_fence(self, action):
+        """Ask a leader that can't know yet that it was fenced."""
+        world = self.world
+        former = world.leader()
+        if former is None:
+            return
+        self.part(
+            agents=(),
+            apart=False,
+            stall="to leader",
+            freeze=False,
+            submit=False,
+            idempotent=False,
+            seconds=2.0,
+        )
+        job = world.make_job(ahead_s=0.0, tasks=1, idempotent=False)
+        for entry in world.entries.values():
+            if entry.running and entry is not former:
+                world.request(entry, SUBMIT, job)
+        world.run(0.3, finish=False)
+        world.request(former, action, job)
+        world.run(0.1)
+
     @precondition(lambda self: self.world.jobs)
     @rule(job=INDEX)
     def submit_again_everywhere(self, job):
--- a/tests/features/steps/simulated_world.py
+++ b/tests/features/steps/simulated_world.py
@@ -373,8 +373,9 @@
             for _ in range(rounds):
                 for connection, end in self.queues():
                     self.deliver(connection, end, 1000)
-                while self.writes:
-                    self.answer_write(0)
+                for write in list(self.writes):
+                    if not write[0].frozen:
+                        self.answer_write(self.writes.index(write))
             if finish:
                 for exchange in list(self.exchanges):
                     self.finish(exchange, succeeded=True)
--- a/tests/features/takeover.feature
+++ b/tests/features/takeover.feature
@@ -9,3 +9,15 @@
       | a takeover while leases are renewed |
       | a takeover while an agent restarts  |
       | a takeover while an agent joins     |
+
+  Scenario Outline: The search sees what <guard> prevents
+    Then the search of <case> finds a double start without the <guard>
+
+    Examples:
+      | case                               | guard     |
+      | a takeover while a lease runs      | lease     |
+      | a takeover while a lease runs      | wait      |
+      | a takeover while a lease runs      | barrier   |
+      | a takeover while a lease runs      | term      |
+      | a takeover while an agent restarts | summary   |
+      | a takeover while an agent restarts | restarted |
