--- a/egretcart/process/entry.py
+++ b/egretcart/process/entry.py
@@ -391,7 +391,6 @@
                 f"service {service!r} is not configured; configured are "
                 f"{sorted(s.name for s in self.configuration.services)}",
                 status=404,
-                verdict=Verdict.MAY_HAVE_RUN,
             )
             return request_id, [
                 ReplyToCaller(request_id, problem_reply(refusal))
