End an entry's registration at its planned stop

Why: a stopped entry stayed in the list of entries until its lease lapsed, and processes that started dialled it.

--- a/egretcart/process/entry_process.py
+++ b/egretcart/process/entry_process.py
@@ -196,6 +196,8 @@
         self.http.stopping = True
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._hand_over)
+            if self.registrar is not None:
+                nursery.start_soon(self.registrar.leave)
             await trio.sleep(self.settings.stop_grace_s)
             await self.http.close()
             nursery.cancel_scope.cancel()
--- a/egretcart/process/registration.py
+++ b/egretcart/process/registration.py
@@ -53,6 +53,8 @@
     ----------
     lease : int
         0 while the entry is not registered.
+    left : bool
+        Whether the entry has left and must not be registered again.
     """
 
     def __init__(
@@ -66,6 +68,7 @@
         self.address = address
         self.source = source
         self.lease = 0
+        self.left = False
 
     async def run(self) -> None:
         """Register and renew until cancelled."""
@@ -88,6 +91,8 @@
         PlatformError
             If the store gives no answer.
         """
+        if self.left:
+            return
         if self.lease and not await self.platform.keep_alive(self.lease):
             self.lease = 0
         if self.lease:
@@ -99,9 +104,12 @@
             {}, (Put(key=key, data=value, lease=lease),)
         )
         self.lease = lease
+        if self.left:
+            await self.leave()
 
     async def leave(self) -> None:
         """End the registration; a store that is down lets it lapse."""
+        self.left = True
         lease, self.lease = self.lease, 0
         if not lease:
             return
--- a/tests/features/steps/configuration_steps.py
+++ b/tests/features/steps/configuration_steps.py
@@ -452,6 +452,7 @@
             context.awake = await list_entries(platform)
             await registrar.renew()
             await registrar.leave()
+            await registrar.renew()
             context.left = await list_entries(platform)
             context.address = address
 
