--- a/egretcart/__init__.py
+++ b/egretcart/__init__.py
@@ -19,10 +19,10 @@
 from egretcart.process.clock import SystemClock
 from egretcart.process.effects import SendToAgent
 from egretcart.process.entry import Entry
-from egretcart.process.entry import EntryLimits
-from egretcart.process.entry import ReplyToCaller
-from egretcart.process.entry import SendToPeer
-from egretcart.process.entry import WriteCellRoster
+from egretcart.process.entry_effects import ReplyToCaller
+from egretcart.process.entry_effects import SendToPeer
+from egretcart.process.entry_effects import WriteCellRoster
+from egretcart.process.entry_limits import EntryLimits
 from egretcart.process.leadership import Leadership
 from egretcart.process.ledger import Ledger
 from egretcart.process.limits import LeaderLimits
--- a/egretcart/process/caller_api.py
+++ b/egretcart/process/caller_api.py
@@ -11,11 +11,8 @@
 from egretcart.connection.http_server import HttpResponse
 from egretcart.connection.http_server import problem_response
 from egretcart.process.clock import Clock
-from egretcart.process.entry import CANCEL
 from egretcart.process.entry import Entry
-from egretcart.process.entry import EntryEffect
-from egretcart.process.entry import READ
-from egretcart.process.entry import SUBMIT
+from egretcart.process.entry_effects import EntryEffect
 from egretcart.process.metric_table import HTTP_REQUESTS
 from egretcart.process.metric_table import JOBS
 from egretcart.process.metric_table import REFUSALS
@@ -23,6 +20,9 @@
 from egretcart.process.metrics import Metrics
 from egretcart.process.metrics import TEXT_TYPE
 from egretcart.process.operator_api import OperatorApi
+from egretcart.process.pending import CANCEL
+from egretcart.process.pending import READ
+from egretcart.process.pending import SUBMIT
 from egretcart.request.identity import parse_job_id
 from egretcart.request.problem import bad_request
 from egretcart.request.problem import MEDIA_TYPE
--- a/egretcart/process/cli.py
+++ b/egretcart/process/cli.py
@@ -15,7 +15,7 @@
 from egretcart.process.agent_process import AgentProcess
 from egretcart.process.clock import SystemClock
 from egretcart.process.demo import run_demo
-from egretcart.process.entry import EntryLimits
+from egretcart.process.entry_limits import EntryLimits
 from egretcart.process.entry_process import EntryProcess
 from egretcart.process.limits import LeaderLimits
 from egretcart.process.logs import log_to_stderr
--- a/egretcart/process/demo.py
+++ b/egretcart/process/demo.py
@@ -15,7 +15,7 @@
 from egretcart.process.agent_process import AgentProcess
 from egretcart.process.clock import SystemClock
 from egretcart.process.config_store import CONFIG_KEY
-from egretcart.process.entry import EntryLimits
+from egretcart.process.entry_limits import EntryLimits
 from egretcart.process.entry_process import EntryProcess
 from egretcart.process.leadership import Phase
 from egretcart.process.limits import LeaderLimits
--- a/egretcart/process/entry.py
+++ b/egretcart/process/entry.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Iterable
-import dataclasses
 
 from result import Result
 
@@ -41,9 +40,20 @@
 from egretcart.process.effects import SendReply
 from egretcart.process.effects import SendToAgent
 from egretcart.process.effects import StepDown
+from egretcart.process.entry_effects import EntryEffect
+from egretcart.process.entry_effects import ReplyToCaller
+from egretcart.process.entry_effects import SendAgentConfig
+from egretcart.process.entry_effects import SendEntryList
+from egretcart.process.entry_effects import SendToPeer
+from egretcart.process.entry_effects import WriteCellRoster
+from egretcart.process.entry_limits import EntryLimits
 from egretcart.process.leadership import Leadership
 from egretcart.process.leadership import Phase
 from egretcart.process.limits import LeaderLimits
+from egretcart.process.pending import CANCEL
+from egretcart.process.pending import PendingRequest
+from egretcart.process.pending import READ
+from egretcart.process.pending import SUBMIT
 from egretcart.request.identity import JobId
 from egretcart.request.job import Job
 from egretcart.request.job import parse_job
@@ -58,137 +68,6 @@
 
 MS_PER_S = 1000
 REQUEST_ID_BITS = 20
-SUBMIT = "submit"
-READ = "read"
-CANCEL = "cancel"
-ACTIONS = (SUBMIT, READ, CANCEL)
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class EntryLimits:
-    """Times and bounds of an entry.
-
-    Attributes
-    ----------
-    beat_interval_s : float
-        Time between heartbeats to entries that may lead the same cells.
-    distant_beat_interval_s : float
-        Time between heartbeats to all other entries.
-    peer_timeout_s : float
-        Time for a new peer's first heartbeat.
-    settle_s : float
-        Wait after the start before this entry takes a cell over.
-    leaderless_limit_s : float
-        Wait for a leader before a request is given up.
-    leaderless_retry_s : float
-        When a caller may come back after that.
-    takeover_backoff_s : float
-        Pause after a failed takeover.
-    max_answer_bytes : int
-        Answers kept for resubmissions.
-    """
-
-    beat_interval_s: float = 0.25
-    distant_beat_interval_s: float = 2.0
-    peer_timeout_s: float = 0.7
-    settle_s: float = 0.5
-    leaderless_limit_s: float = 3.0
-    leaderless_retry_s: float = 1.0
-    takeover_backoff_s: float = 0.2
-    max_answer_bytes: int = 64 * 1024 * 1024
-
-
-PeerMessage = (
-    EntryBeat
-    | EntryList
-    | Forward
-    | ForwardReply
-    | ConfigRequest
-    | ConfigDocument
-)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SendToPeer:
-    """Effect: send a message to another entry."""
-
-    entry_id: str
-    message: PeerMessage
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SendEntryList:
-    """Effect: tell an agent which entries are live."""
-
-    agent_id: str
-    message: EntryList
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SendAgentConfig:
-    """Effect: tell an agent what it needs of the configuration."""
-
-    agent_id: str
-    message: AgentConfig
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ReplyToCaller:
-    """Effect: answer the caller of a request."""
-
-    request_id: int
-    reply: Reply
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class WriteCellRoster:
-    """Effect: write a cell's roster to the platform's store."""
-
-    cell: Cell
-    roster: Roster
-
-
-EntryEffect = (
-    SendToPeer
-    | SendToAgent
-    | SendEntryList
-    | SendAgentConfig
-    | ReplyToCaller
-    | WriteCellRoster
-)
-
-
-@dataclasses.dataclass(kw_only=True, slots=True)
-class PendingRequest:
-    """A request whose caller waits at this entry.
-
-    Attributes
-    ----------
-    request_id : int
-    action : str
-        One of `ACTIONS`.
-    service : str
-    job_id : JobId
-    body : bytes
-        Kept whole, so that it can be forwarded again.
-    cell : Cell
-    routed_to : str or None
-        Entry that has the request.
-    routed_at : float
-        Monotonic time at which it was given to that entry.
-    leaderless_since : float
-        Monotonic time since which no leader has had it.
-    """
-
-    request_id: int
-    action: str
-    service: str
-    job_id: JobId
-    body: bytes
-    cell: Cell
-    routed_to: str | None = None
-    routed_at: float = float("-inf")
-    leaderless_since: float = 0.0
 
 
 class Entry:
--- /dev/null
+++ b/egretcart/process/entry_effects.py
@@ -0,0 +1,74 @@
+"""What an entry asks its shell to do."""
+
+import dataclasses
+
+from egretcart.connection.messages import AgentConfig
+from egretcart.connection.messages import ConfigDocument
+from egretcart.connection.messages import ConfigRequest
+from egretcart.connection.messages import EntryBeat
+from egretcart.connection.messages import EntryList
+from egretcart.connection.messages import Forward
+from egretcart.connection.messages import ForwardReply
+from egretcart.connection.messages import Roster
+from egretcart.process.directory import Cell
+from egretcart.process.effects import SendToAgent
+from egretcart.request.reply import Reply
+
+PeerMessage = (
+    EntryBeat
+    | EntryList
+    | Forward
+    | ForwardReply
+    | ConfigRequest
+    | ConfigDocument
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendToPeer:
+    """Effect: send a message to another entry."""
+
+    entry_id: str
+    message: PeerMessage
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendEntryList:
+    """Effect: tell an agent which entries are live."""
+
+    agent_id: str
+    message: EntryList
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendAgentConfig:
+    """Effect: tell an agent what it needs of the configuration."""
+
+    agent_id: str
+    message: AgentConfig
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReplyToCaller:
+    """Effect: answer the caller of a request."""
+
+    request_id: int
+    reply: Reply
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WriteCellRoster:
+    """Effect: write a cell's roster to the platform's store."""
+
+    cell: Cell
+    roster: Roster
+
+
+EntryEffect = (
+    SendToPeer
+    | SendToAgent
+    | SendEntryList
+    | SendAgentConfig
+    | ReplyToCaller
+    | WriteCellRoster
+)
--- a/egretcart/process/entry_observer.py
+++ b/egretcart/process/entry_observer.py
@@ -7,9 +7,9 @@
 from egretcart.connection.messages import HeartbeatReply
 from egretcart.process.effects import SendToAgent
 from egretcart.process.entry import Entry
-from egretcart.process.entry import EntryEffect
-from egretcart.process.entry import SendToPeer
-from egretcart.process.entry import WriteCellRoster
+from egretcart.process.entry_effects import EntryEffect
+from egretcart.process.entry_effects import SendToPeer
+from egretcart.process.entry_effects import WriteCellRoster
 from egretcart.process.logs import EventLog
 from egretcart.process.metric_table import AGENTS_CONNECTED
 from egretcart.process.metric_table import HEARTBEAT_TIME
--- a/tests/features/steps/config_machine.py
+++ b/tests/features/steps/config_machine.py
@@ -16,9 +16,9 @@
 from egretcart.process.agent import AgentIdentity
 from egretcart.process.agent import AgentLimits
 from egretcart.process.entry import Entry
-from egretcart.process.entry import EntryLimits
-from egretcart.process.entry import SendAgentConfig
-from egretcart.process.entry import SendToPeer
+from egretcart.process.entry_effects import SendAgentConfig
+from egretcart.process.entry_effects import SendToPeer
+from egretcart.process.entry_limits import EntryLimits
 from egretcart.process.limits import LeaderLimits
 from egretcart.testing.clock import ManualClock
 from egretcart.version.change import Accepted
--- a/tests/features/steps/handover_steps.py
+++ b/tests/features/steps/handover_steps.py
@@ -10,7 +10,7 @@
 from egretcart.connection.messages import Term
 from egretcart.process.effects import SendToAgent
 from egretcart.process.entry import Entry
-from egretcart.process.entry import EntryLimits
+from egretcart.process.entry_limits import EntryLimits
 from egretcart.process.limits import LeaderLimits
 from egretcart.testing import ManualClock
 from egretcart.version.document import Configuration
--- a/tests/features/steps/peers_steps.py
+++ b/tests/features/steps/peers_steps.py
@@ -6,8 +6,8 @@
 from egretcart.process.directory import Cell
 from egretcart.process.directory import rank_entries
 from egretcart.process.entry import Entry
-from egretcart.process.entry import EntryLimits
-from egretcart.process.entry import SendToPeer
+from egretcart.process.entry_effects import SendToPeer
+from egretcart.process.entry_limits import EntryLimits
 from egretcart.process.limits import LeaderLimits
 from egretcart.testing import ManualClock
 from egretcart.version.document import Configuration
--- a/tools/measure_capacity.py
+++ b/tools/measure_capacity.py
@@ -34,12 +34,12 @@
 from egretcart.process.clock import SystemClock
 from egretcart.process.effects import SendToAgent
 from egretcart.process.entry import Entry
-from egretcart.process.entry import EntryLimits
-from egretcart.process.entry import ReplyToCaller
-from egretcart.process.entry import SUBMIT
-from egretcart.process.entry import WriteCellRoster
+from egretcart.process.entry_effects import ReplyToCaller
+from egretcart.process.entry_effects import WriteCellRoster
+from egretcart.process.entry_limits import EntryLimits
 from egretcart.process.ledger import Ledger
 from egretcart.process.limits import LeaderLimits
+from egretcart.process.pending import SUBMIT
 from egretcart.request.identity import job_id_at
 from egretcart.request.identity import new_job_id
 from egretcart.request.verdict import Verdict
