Wait for members, not for a roster version, when a deployment starts

Cause: the tool that starts deployments waited for a roster of version 2 or more. It waits for the count of members now.

--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -250,9 +250,10 @@
             status = request(port, "GET", "/v1/status")
         except OSError:
             return False
-        # The roster grows by one member at a time.
-        return len(status["agents"]) == len(self.agents) and any(
-            cell["phase"] == "serving" and cell["roster_version"] > 1
+        # The roster may be written whole, or grow by one member at a time.
+        return any(
+            cell["phase"] == "serving"
+            and cell["members"] == len(self.agents)
             for cell in status["leading"]
         )
 
--- a/tools/measure_capacity.py
+++ b/tools/measure_capacity.py
@@ -113,6 +113,7 @@
         self.agents: dict[str, Agent] = {}
         self.replies: list[ReplyToCaller] = []
         self.sent: list[Message] = []
+        self.holds_exchanges = False
         for number in range(size):
             self.add_agent(f"agent-{number:04}")
         for _ in range(200):
@@ -163,6 +164,8 @@
                     agent.identity.agent_id, effect.message
                 )
             elif isinstance(effect, BeginExchange):
+                if self.holds_exchanges:
+                    continue
                 key = (effect.start.job_id, effect.start.task)
                 outcome = ExchangeOutcome(
                     succeeded=True,
@@ -179,23 +182,27 @@
         self.clock.advance(TICK_S)
         self.deliver(self.entry.tick())
 
-    def run_job(self, tasks: int) -> None:
-        """Submit one job and run it to its end."""
+    def submit(self, tasks: int) -> None:
+        """Submit one job."""
         now_ms = self.clock.unix_ms()
         job_id = job_id_at(now_ms, hash(new_job_id()))
         body = json.dumps(
             {"tasks": [{"payload": PAYLOAD.decode()} for _ in range(tasks)]}
         ).encode()
-        answered = len(self.replies)
         _, effects = self.entry.request(SUBMIT, SERVICE, job_id, body)
         self.deliver(effects)
+
+    def run_job(self, tasks: int) -> None:
+        """Submit one job and run it to its end."""
+        answered = len(self.replies)
+        self.submit(tasks)
         while len(self.replies) == answered:
             self.turn()
 
 
-def control_at_rest() -> dict[str, float]:
-    """Measure leaders and agents that have no work."""
-    seconds = 4
+def control(*, with_work: bool) -> dict[str, float]:
+    """Measure heartbeats, without work or while one job runs."""
+    seconds = 30
     turns = int(seconds / TICK_S)
     cpu: dict[int, float] = {}
     memory: dict[int, float] = {}
@@ -209,6 +216,11 @@
 
         memory[size] = grown_bytes(build)
         cell = cells[0]
+        if with_work:
+            cell.holds_exchanges = True
+            cell.submit(1)
+        for _ in range(50):
+            cell.turn()
         cell.sent.clear()
         began = time.process_time()
         for _ in range(turns):
@@ -353,7 +365,8 @@
     began = clock.monotonic()
     document = {
         "resident_mb_after_imports": resident_kb / 1024,
-        "control_at_rest": control_at_rest(),
+        "control_at_rest": control(with_work=False),
+        "control_with_work": control(with_work=True),
         "task": cost_per_task(),
         "retained": retained_memory(),
         "takeover": takeover_cost(),
