--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -252,8 +252,7 @@
             return False
         # The roster may be written whole, or grow by one member at a time.
         return any(
-            cell["phase"] == "serving"
-            and cell["members"] == len(self.agents)
+            cell["phase"] == "serving" and cell["members"] == len(self.agents)
             for cell in status["leading"]
         )
 
