Forget what is too old to be asked for, and search for it rarely

Nothing ever pruned an entry's answers nor a leader's knowledge from the ledgers, so both grew for as long as the process lived.

--- a/egretcart/process/agent.py
+++ b/egretcart/process/agent.py
@@ -26,6 +26,7 @@
 from egretcart.process.ledger import LedgerTask
 from egretcart.process.ledger import RecordState
 from egretcart.process.limits import LEASE_S
+from egretcart.process.limits import PRUNE_INTERVAL_S
 from egretcart.request.identity import JobId
 from egretcart.request.verdict import Verdict
 
@@ -181,6 +182,7 @@
         self.promised = NO_TERM
         self.leader: str | None = None
         self.lease_until = float("-inf")
+        self.next_prune = float("-inf")
         self.roster = Roster()
         self.draining = False
         self.drained_by_config = False
@@ -310,8 +312,11 @@
 
     def tick(self) -> list[AgentEffect]:
         """Prune the ledger and refuse queued starts that came too late."""
-        keep_s = self.limits.record_age_s
-        self.ledger.prune(self.clock.unix_ms() - int(keep_s * MS_PER_S))
+        now = self.clock.monotonic()
+        if now >= self.next_prune:
+            self.next_prune = now + PRUNE_INTERVAL_S
+            keep_s = self.limits.record_age_s
+            self.ledger.prune(self.clock.unix_ms() - int(keep_s * MS_PER_S))
         return self._begin_queued()
 
     def _stamp_us(self) -> int:
--- a/egretcart/process/entry.py
+++ b/egretcart/process/entry.py
@@ -50,6 +50,7 @@
 from egretcart.process.leadership import Leadership
 from egretcart.process.leadership import Phase
 from egretcart.process.limits import LeaderLimits
+from egretcart.process.limits import PRUNE_INTERVAL_S
 from egretcart.process.pending import CANCEL
 from egretcart.process.pending import PendingRequest
 from egretcart.process.pending import READ
@@ -121,6 +122,7 @@
         # Numbers of an earlier incarnation are never used again.
         self.next_request_id = (incarnation << REQUEST_ID_BITS) + 1
         self.next_beat = float("-inf")
+        self.next_prune = float("-inf")
         self.next_distant_beat = float("-inf")
         self.leading_told: tuple[CellLeader, ...] = ()
         self.addresses_told: tuple[EntryAddress, ...] = ()
@@ -590,8 +592,19 @@
         effects += self._tell_addresses(now)
         if now >= self.next_beat:
             effects += self._send_beats(now)
+        if now >= self.next_prune:
+            self._prune(now)
         return effects
 
+    def _prune(self, now: float) -> None:
+        """Forget jobs that are too old to be asked for."""
+        self.next_prune = now + PRUNE_INTERVAL_S
+        keep_ms = int(self.leader_limits.memory_s * MS_PER_S)
+        made_before_ms = self.clock.unix_ms() - keep_ms
+        self.answers.prune(made_before_ms)
+        for leadership in self.leaderships.values():
+            leadership.book.known.prune(made_before_ms)
+
     def _send_beats(self, now: float) -> list[EntryEffect]:
         """Send the heartbeats that are due, or all if leadership changed."""
         limits = self.limits
--- a/egretcart/process/limits.py
+++ b/egretcart/process/limits.py
@@ -7,6 +7,9 @@
 # Lease of the agents on a leader's term, in seconds. A rarer heartbeat costs
 # less; a longer lease prolongs a takeover that some agent does not answer.
 LEASE_S = 2.4
+# Time between two searches of a table for what has grown too old. A search
+# reads the whole table.
+PRUNE_INTERVAL_S = 5.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -80,6 +83,11 @@
         """
         return (self.lease_s + limit_s) * (1 + self.clock_drift)
 
+    @property
+    def memory_s(self) -> float:
+        """Age up to which a job id may still be met, in seconds."""
+        return self.window_s + self.max_deadline_s + 2 * self.clock_skew_s
+
     @property
     def id_horizon_ms(self) -> int:
         """How far ahead of any clock an accepted id may be dated.
--- a/egretcart/process/takeover.py
+++ b/egretcart/process/takeover.py
@@ -5,6 +5,7 @@
 from egretcart.connection.messages import JobRecord
 from egretcart.connection.messages import TaskResult
 from egretcart.process.ledger import RecordState
+from egretcart.request.identity import JobId
 from egretcart.request.verdict import Verdict
 
 
@@ -101,6 +102,12 @@
                 ):
                     del job.tasks[index]
 
+    def prune(self, made_before_ms: int) -> None:
+        """Forget jobs whose identifiers are older than a Unix time."""
+        for job_id in list(self.jobs):
+            if JobId(job_id).created_ms < made_before_ms:
+                del self.jobs[job_id]
+
     def settle(
         self, agent_id: str, incarnation: int, result: TaskResult
     ) -> None:
