Make an idle entry's tick independent of the number of its agents

Every tick worked out each agent's cell by hash, the set of the roster's ids several times for each member, and a full report of the entry's state for the log.

Cells are indexed when an agent or the configuration changes, the ids when the roster changes, and the state is looked at every fifth tick.

Ruled out: a longer tick, which would delay deadlines and takeovers.

--- a/egretcart/process/entry.py
+++ b/egretcart/process/entry.py
@@ -26,13 +26,13 @@
 from egretcart.connection.messages import Roster
 from egretcart.connection.messages import Term
 from egretcart.process.answers import AnswerCache
+from egretcart.process.cell_index import CellIndex
 from egretcart.process.clock import Clock
 from egretcart.process.config_sync import ConfigSync
 from egretcart.process.config_sync import decode_document
 from egretcart.process.config_sync import encode_document
 from egretcart.process.config_sync import SyncLimits
 from egretcart.process.directory import Cell
-from egretcart.process.directory import cell_of_agent
 from egretcart.process.directory import cell_of_job
 from egretcart.process.directory import Directory
 from egretcart.process.effects import LeaderEffect
@@ -113,6 +113,7 @@
         )
         self.sync.offer(configuration)
         self.agents: dict[str, AgentHello] = {}
+        self.cell_index = CellIndex()
         self.agent_heartbeats: dict[str, HeartbeatReply] = {}
         self.leaderships: dict[Cell, Leadership] = {}
         self.rosters: dict[Cell, Roster] = {}
@@ -150,6 +151,7 @@
             return []
         self.sync.offer(configuration)
         self.configuration = configuration
+        self.cell_index.regroup(self.agents.values(), configuration)
         effects: list[EntryEffect] = [
             self._agent_config(agent_id) for agent_id in self.agents
         ]
@@ -510,7 +512,7 @@
         ]
         if self.configuration.version > 0:
             effects.append(self._agent_config(hello.agent_id))
-        cell = self._cell_of(hello)
+        cell = self.cell_index.add(hello, self.configuration)
         leadership = self.leaderships.get(cell)
         if leadership is not None:
             effects += self._carry_out(cell, leadership.agent_connected(hello))
@@ -518,11 +520,12 @@
 
     def agent_disconnected(self, agent_id: str) -> list[EntryEffect]:
         """Handle the loss of an agent's connection."""
-        hello = self.agents.pop(agent_id, None)
+        self.agents.pop(agent_id, None)
         self.agent_heartbeats.pop(agent_id, None)
-        if hello is None:
+        cell = self.cell_index.remove(agent_id)
+        if cell is None:
             return []
-        leadership = self.leaderships.get(self._cell_of(hello))
+        leadership = self.leaderships.get(cell)
         if leadership is not None:
             leadership.agent_disconnected(agent_id)
         return []
@@ -531,10 +534,9 @@
         self, agent_id: str, message: AgentMessage
     ) -> list[EntryEffect]:
         """Handle a message from an agent."""
-        hello = self.agents.get(agent_id)
-        if hello is None:
+        cell = self.cell_index.cells.get(agent_id)
+        if cell is None:
             return []
-        cell = self._cell_of(hello)
         if isinstance(message, FenceReply | HeartbeatReply):
             self._saw_term(cell, message.term)
         if isinstance(message, HeartbeatReply):
@@ -545,11 +547,6 @@
             return []
         return self._carry_out(cell, leadership.receive(agent_id, message))
 
-    def _cell_of(self, hello: AgentHello) -> Cell:
-        service = self.configuration.find_service(hello.service_name)
-        cells = service.cells if service is not None else 1
-        return cell_of_agent(hello.service_name, hello.agent_id, cells)
-
     def _saw_term(self, cell: Cell, term: Term) -> None:
         highest = self.highest_terms.get(cell, NO_TERM)
         self.highest_terms[cell] = max(highest, term)
@@ -665,7 +662,7 @@
         """Take over cells that need it and route what waits for a leader."""
         now = self.clock.monotonic()
         effects: list[EntryEffect] = []
-        for cell in self._cells_with_agents():
+        for cell in self.cell_index.occupied(self.configuration):
             if self._should_take_over(cell, now):
                 effects += self._take_over(cell)
         for pending in list(self.pending.values()):
@@ -681,15 +678,6 @@
             effects += self._send_beats(now)
         return effects
 
-    def _cells_with_agents(self) -> list[Cell]:
-        return sorted(
-            {
-                self._cell_of(hello)
-                for hello in self.agents.values()
-                if self.configuration.find_service(hello.service_name)
-            }
-        )
-
     def _should_take_over(self, cell: Cell, now: float) -> bool:
         if cell in self.leaderships or self.directory.leaving:
             return False
@@ -719,7 +707,7 @@
         self.leaderships[cell] = leadership
         effects: list[EntryEffect] = []
         for hello in list(self.agents.values()):
-            if self._cell_of(hello) == cell:
+            if self.cell_index.cells[hello.agent_id] == cell:
                 effects += self._carry_out(
                     cell, leadership.agent_connected(hello)
                 )
--- a/egretcart/process/entry_process.py
+++ b/egretcart/process/entry_process.py
@@ -54,6 +54,7 @@
 from egretcart.version.document import Configuration
 
 TICK_S = 0.02
+TICKS_PER_LOOK = 5
 REDIAL_S = 0.1
 PLATFORM_PAUSE_S = 0.5
 # A process that has been gone for so long is dialled no more, unless it
@@ -401,6 +402,7 @@
 
     async def _tick(self) -> None:
         while True:
-            self.carry_out(self.entry.tick())
+            for _ in range(TICKS_PER_LOOK):
+                self.carry_out(self.entry.tick())
+                await trio.sleep(TICK_S)
             self.observer.look()
-            await trio.sleep(TICK_S)
--- a/egretcart/process/leadership.py
+++ b/egretcart/process/leadership.py
@@ -474,7 +474,9 @@
     def _roster_with_joined(self) -> Roster | None:
         roster = self.quorum.roster
         for agent_id, member in self.quorum.members.items():
-            if agent_id in roster.agent_ids or self._is_draining(agent_id):
+            if agent_id in self.quorum.agent_ids or self._is_draining(
+                agent_id
+            ):
                 continue
             joined = RosterMember(
                 agent_id=agent_id, incarnation=member.incarnation
--- a/egretcart/process/quorum.py
+++ b/egretcart/process/quorum.py
@@ -134,6 +134,17 @@
         self.proven_round = 0
         self.recorded_ids: frozenset[str] = frozenset()
 
+    @property
+    def roster(self) -> Roster:
+        """The newest known roster of the cell."""
+        return self._roster
+
+    @roster.setter
+    def roster(self, roster: Roster) -> None:
+        self._roster = roster
+        # Asked for with every confirmation, so not worked out each time.
+        self.agent_ids = roster.agent_ids
+
     @property
     def size(self) -> int:
         """Members of the roster."""
@@ -171,7 +182,7 @@
     def has_unvouched(self) -> bool:
         """Return whether a member of the roster waits to be counted."""
         return any(
-            not member.counted and member.agent_id in self.roster.agent_ids
+            not member.counted and member.agent_id in self.agent_ids
             for member in self.members.values()
         )
 
@@ -244,7 +255,7 @@
         self._count_vouched()
         self._prove()
         if self.is_roster_recorded():
-            self.recorded_ids = self.roster.agent_ids
+            self.recorded_ids = self.agent_ids
 
     def is_roster_recorded(self) -> bool:
         """Return whether a majority has confirmed the newest roster."""
@@ -260,12 +271,12 @@
         return (
             member is not None
             and member.counted
-            and agent_id in self.roster.agent_ids
+            and agent_id in self.agent_ids
             and agent_id in self.recorded_ids
         )
 
     def _counting(self) -> list[QuorumMember]:
-        agent_ids = self.roster.agent_ids
+        agent_ids = self.agent_ids
         return [
             member
             for member in self.members.values()
@@ -291,9 +302,7 @@
     def _count_vouched(self) -> None:
         needed = witnesses_needed(self.size)
         for member in self.members.values():
-            if member.counted or member.agent_id not in (
-                self.roster.agent_ids
-            ):
+            if member.counted or member.agent_id not in (self.agent_ids):
                 continue
             witnesses = sum(
                 other.confirmed_round >= member.vouched_from_round
