--- a/egretcart/__init__.py
+++ b/egretcart/__init__.py
@@ -8,13 +8,13 @@
 import egretcart.bootstrap  # noqa: F401
 from egretcart.connection.messages import EntryAddress
 from egretcart.connection.messages import Term
-from egretcart.process.agent import AbortExchange
 from egretcart.process.agent import Agent
-from egretcart.process.agent import AgentIdentity
-from egretcart.process.agent import AgentLimits
-from egretcart.process.agent import BeginExchange
-from egretcart.process.agent import ExchangeOutcome
-from egretcart.process.agent import SendToEntry
+from egretcart.process.agent_types import AbortExchange
+from egretcart.process.agent_types import AgentIdentity
+from egretcart.process.agent_types import AgentLimits
+from egretcart.process.agent_types import BeginExchange
+from egretcart.process.agent_types import ExchangeOutcome
+from egretcart.process.agent_types import SendToEntry
 from egretcart.process.clock import Clock
 from egretcart.process.clock import SystemClock
 from egretcart.process.effects import SendToAgent
--- a/egretcart/process/cli.py
+++ b/egretcart/process/cli.py
@@ -11,8 +11,8 @@
 import trio
 
 from egretcart.load.command import load_command
-from egretcart.process.agent import AgentLimits
 from egretcart.process.agent_process import AgentProcess
+from egretcart.process.agent_types import AgentLimits
 from egretcart.process.clock import SystemClock
 from egretcart.process.demo import run_demo
 from egretcart.process.entry_limits import EntryLimits
--- a/egretcart/process/demo.py
+++ b/egretcart/process/demo.py
@@ -11,8 +11,8 @@
 from egretcart.load.counters import parse_counters
 from egretcart.load.ideal import ideal_response_s
 from egretcart.load.profile import ServerGroup
-from egretcart.process.agent import AgentLimits
 from egretcart.process.agent_process import AgentProcess
+from egretcart.process.agent_types import AgentLimits
 from egretcart.process.clock import SystemClock
 from egretcart.process.config_store import CONFIG_KEY
 from egretcart.process.entry_limits import EntryLimits
--- a/egretcart/process/leadership.py
+++ b/egretcart/process/leadership.py
@@ -31,6 +31,7 @@
 from egretcart.process.limits import LeaderLimits
 from egretcart.process.policy.bundle import standard_policy
 from egretcart.process.quorum import Quorum
+from egretcart.process.roster_changes import RosterChanges
 from egretcart.process.scheduler import AgentLoad
 from egretcart.request import outcomes
 from egretcart.request.identity import JobId
@@ -40,9 +41,6 @@
 from egretcart.version.document import Configuration
 
 MS_PER_S = 1000
-# Share of the lease up to which the leader counts on it, so that a start
-# that travels does not find it lapsed.
-LEASE_USABLE_SHARE = 0.8
 # Shortest time between two rounds that replies wait for, in seconds.
 CONFIRM_INTERVAL_S = 0.005
 
@@ -141,7 +139,13 @@
         )
         self.book.configure(configuration, service)
         self.agents: dict[str, AgentHello] = {}
-        self.absent_since: dict[str, float] = {}
+        self.roster_changes = RosterChanges(
+            quorum=self.quorum,
+            agents=self.agents,
+            loads=self.book.loads,
+            limits=limits,
+            clock=clock,
+        )
         self.early: list[EarlyRequest] = []
         self.held: list[HeldReply] = []
         self.roster_write_pending = False
@@ -244,7 +248,7 @@
         self.agents.pop(agent_id, None)
         self.quorum.remove(agent_id)
         self.book.agent_lost(agent_id)
-        self.absent_since[agent_id] = self.clock.monotonic()
+        self.roster_changes.absent_since[agent_id] = self.clock.monotonic()
 
     def receive(
         self, agent_id: str, message: AgentMessage
@@ -303,7 +307,7 @@
             stamp_us=reply.stamp_us,
             now=now,
         )
-        self.absent_since.pop(agent_id, None)
+        self.roster_changes.absent_since.pop(agent_id, None)
         effects = self.book.agent_fenced(
             self._new_load(agent_id), reply.records
         )
@@ -369,28 +373,17 @@
             return max(
                 self.quorum.roster.lost_before_ms,
                 *(
-                    self._forgotten_before_ms(member.agent_id)
+                    self.roster_changes.forgotten_before_ms(member.agent_id)
                     for member in self.quorum.restarted()
                 ),
             )
         return self.clock.unix_ms() + self.limits.id_horizon_ms
 
-    def _forgotten_before_ms(self, agent_id: str) -> int:
-        """Return up to when an agent's lost incarnation matters.
-
-        Leases that were proven with its help outlive it.
-        """
-        lease_ms = int(self.limits.takeover_wait_s * MS_PER_S)
-        started_ms = self.agents[agent_id].started_ms
-        return started_ms + lease_ms + self.limits.id_horizon_ms
-
     def _serve(self, now: float, barrier_ms: int) -> list[LeaderEffect]:
         self.phase = Phase.SERVING
         self.book.barrier_ms = barrier_ms
         self.book.serving_since = now
-        for member in self.quorum.roster.members:
-            if member.agent_id not in self.quorum.members:
-                self.absent_since.setdefault(member.agent_id, now)
+        self.roster_changes.note_absent(now)
         effects = self.leases.open_round(now)
         early, self.early = self.early, []
         for request in early:
@@ -461,86 +454,12 @@
         """Add or remove one member, if the last change is recorded."""
         if self.roster_write_pending or not self.quorum.is_roster_recorded():
             return []
-        roster = (
-            self._roster_with_joined()
-            or self._roster_with_restarted()
-            or self._roster_without_lost(now)
-        )
+        roster = self.roster_changes.next_roster(now)
         if roster is None:
             return []
         self.roster_write_pending = True
         return [WriteRoster(roster)]
 
-    def _roster_with_joined(self) -> Roster | None:
-        roster = self.quorum.roster
-        for agent_id, member in self.quorum.members.items():
-            if agent_id in self.quorum.agent_ids or self._is_draining(
-                agent_id
-            ):
-                continue
-            joined = RosterMember(
-                agent_id=agent_id, incarnation=member.incarnation
-            )
-            return dataclasses.replace(
-                roster,
-                version=roster.version + 1,
-                members=(*roster.members, joined),
-            )
-        return None
-
-    def _roster_with_restarted(self) -> Roster | None:
-        roster = self.quorum.roster
-        restarted = self.quorum.restarted()
-        if not restarted:
-            return None
-        renewed = RosterMember(
-            agent_id=restarted[0].agent_id,
-            incarnation=restarted[0].incarnation,
-        )
-        return dataclasses.replace(
-            roster,
-            version=roster.version + 1,
-            members=tuple(
-                renewed if m.agent_id == renewed.agent_id else m
-                for m in roster.members
-            ),
-            lost_before_ms=max(
-                roster.lost_before_ms,
-                self._forgotten_before_ms(renewed.agent_id),
-            ),
-        )
-
-    def _roster_without_lost(self, now: float) -> Roster | None:
-        roster = self.quorum.roster
-        for lost in roster.members:
-            if not self._is_to_be_removed(lost.agent_id, now):
-                continue
-            kept = tuple(m for m in roster.members if m != lost)
-            now_ms = self.clock.unix_ms()
-            return dataclasses.replace(
-                roster,
-                version=roster.version + 1,
-                members=kept,
-                lost_before_ms=now_ms + self.limits.id_horizon_ms,
-            )
-        return None
-
-    def _is_to_be_removed(self, agent_id: str, now: float) -> bool:
-        """Return whether a member is leaving or was lost for long."""
-        if self._is_draining(agent_id):
-            idle = not self.book.loads[agent_id].in_flight
-            return idle and self.quorum.size > 1
-        if agent_id in self.quorum.members:
-            return False
-        absent_since = self.absent_since.get(agent_id)
-        if absent_since is None:
-            return False
-        return now >= absent_since + self.limits.member_removal_s
-
-    def _is_draining(self, agent_id: str) -> bool:
-        load = self.book.loads.get(agent_id)
-        return load is not None and load.draining
-
     def roster_written(self, accepted: Roster | None) -> list[LeaderEffect]:
         """Handle the end of a roster write.
 
--- /dev/null
+++ b/egretcart/process/roster_changes.py
@@ -0,0 +1,142 @@
+"""Which change of its cell's roster a leader wants next."""
+
+import dataclasses
+
+from egretcart.connection.messages import AgentHello
+from egretcart.connection.messages import Roster
+from egretcart.connection.messages import RosterMember
+from egretcart.process.clock import Clock
+from egretcart.process.limits import LeaderLimits
+from egretcart.process.quorum import Quorum
+from egretcart.process.scheduler import AgentLoad
+
+MS_PER_S = 1000
+
+
+class RosterChanges:
+    """Adds, renews or removes one member at a time.
+
+    Parameters
+    ----------
+    quorum : Quorum
+    agents : dict of str to AgentHello
+        Connected agents.
+    loads : dict of str to AgentLoad
+        Agents that promised the term.
+    limits : LeaderLimits
+    clock : Clock
+
+    Attributes
+    ----------
+    absent_since : dict of str to float
+        Monotonic time at which each absent agent was lost.
+    """
+
+    def __init__(
+        self,
+        *,
+        quorum: Quorum,
+        agents: dict[str, AgentHello],
+        loads: dict[str, AgentLoad],
+        limits: LeaderLimits,
+        clock: Clock,
+    ) -> None:
+        self.quorum = quorum
+        self.agents = agents
+        self.loads = loads
+        self.limits = limits
+        self.clock = clock
+        self.absent_since: dict[str, float] = {}
+
+    def note_absent(self, now: float) -> None:
+        """Take the members that did not promise the term for absent."""
+        for member in self.quorum.roster.members:
+            if member.agent_id not in self.quorum.members:
+                self.absent_since.setdefault(member.agent_id, now)
+
+    def next_roster(self, now: float) -> Roster | None:
+        """Return the roster after the next change, or None for no change."""
+        return (
+            self._roster_with_joined()
+            or self._roster_with_restarted()
+            or self._roster_without_lost(now)
+        )
+
+    def forgotten_before_ms(self, agent_id: str) -> int:
+        """Return up to when an agent's lost incarnation matters.
+
+        Leases that were proven with its help outlive it.
+        """
+        lease_ms = int(self.limits.takeover_wait_s * MS_PER_S)
+        started_ms = self.agents[agent_id].started_ms
+        return started_ms + lease_ms + self.limits.id_horizon_ms
+
+    def _roster_with_joined(self) -> Roster | None:
+        roster = self.quorum.roster
+        for agent_id, member in self.quorum.members.items():
+            if agent_id in self.quorum.agent_ids or self._is_draining(
+                agent_id
+            ):
+                continue
+            joined = RosterMember(
+                agent_id=agent_id, incarnation=member.incarnation
+            )
+            return dataclasses.replace(
+                roster,
+                version=roster.version + 1,
+                members=(*roster.members, joined),
+            )
+        return None
+
+    def _roster_with_restarted(self) -> Roster | None:
+        roster = self.quorum.roster
+        restarted = self.quorum.restarted()
+        if not restarted:
+            return None
+        renewed = RosterMember(
+            agent_id=restarted[0].agent_id,
+            incarnation=restarted[0].incarnation,
+        )
+        return dataclasses.replace(
+            roster,
+            version=roster.version + 1,
+            members=tuple(
+                renewed if m.agent_id == renewed.agent_id else m
+                for m in roster.members
+            ),
+            lost_before_ms=max(
+                roster.lost_before_ms,
+                self.forgotten_before_ms(renewed.agent_id),
+            ),
+        )
+
+    def _roster_without_lost(self, now: float) -> Roster | None:
+        roster = self.quorum.roster
+        for lost in roster.members:
+            if not self._is_to_be_removed(lost.agent_id, now):
+                continue
+            kept = tuple(m for m in roster.members if m != lost)
+            now_ms = self.clock.unix_ms()
+            return dataclasses.replace(
+                roster,
+                version=roster.version + 1,
+                members=kept,
+                lost_before_ms=now_ms + self.limits.id_horizon_ms,
+            )
+        return None
+
+    def _is_to_be_removed(self, agent_id: str, now: float) -> bool:
+        """Return whether a member is leaving or was lost for long."""
+        if self._is_draining(agent_id):
+            idle = not self.loads[agent_id].in_flight
+            return idle and self.quorum.size > 1
+        if agent_id in self.quorum.members:
+            return False
+        absent_since = self.absent_since.get(agent_id)
+        if absent_since is None:
+            return False
+        return now >= absent_since + self.limits.member_removal_s
+
+    def _is_draining(self, agent_id: str) -> bool:
+        load = self.loads.get(agent_id)
+        return load is not None and load.draining
--- a/tests/features/steps/config_machine.py
+++ b/tests/features/steps/config_machine.py
@@ -13,8 +13,8 @@
 from egretcart.connection.messages import AgentConfig
 from egretcart.connection.messages import EntryAddress
 from egretcart.process.agent import Agent
-from egretcart.process.agent import AgentIdentity
-from egretcart.process.agent import AgentLimits
+from egretcart.process.agent_types import AgentIdentity
+from egretcart.process.agent_types import AgentLimits
 from egretcart.process.entry import Entry
 from egretcart.process.entry_effects import SendAgentConfig
 from egretcart.process.entry_effects import SendToPeer
--- a/tests/features/steps/configuration_rules_steps.py
+++ b/tests/features/steps/configuration_rules_steps.py
@@ -16,9 +16,9 @@
 from egretcart.connection.messages import Start
 from egretcart.connection.messages import Term
 from egretcart.process.agent import Agent
-from egretcart.process.agent import AgentIdentity
-from egretcart.process.agent import AgentLimits
-from egretcart.process.agent import BeginExchange
+from egretcart.process.agent_types import AgentIdentity
+from egretcart.process.agent_types import AgentLimits
+from egretcart.process.agent_types import BeginExchange
 from egretcart.process.check_command import schema_text
 from egretcart.request.identity import new_job_id
 from egretcart.testing.clock import ManualClock
--- a/tests/features/steps/lease_grant_steps.py
+++ b/tests/features/steps/lease_grant_steps.py
@@ -10,9 +10,9 @@
 from egretcart.connection.messages import TaskResult
 from egretcart.connection.messages import Term
 from egretcart.process.agent import Agent
-from egretcart.process.agent import AgentIdentity
-from egretcart.process.agent import AgentLimits
-from egretcart.process.agent import SendToEntry
+from egretcart.process.agent_types import AgentIdentity
+from egretcart.process.agent_types import AgentLimits
+from egretcart.process.agent_types import SendToEntry
 from egretcart.process.answers import AnswerCache
 from egretcart.process.effects import RequestToken
 from egretcart.process.effects import SendToAgent
--- a/tests/features/steps/policy_steps.py
+++ b/tests/features/steps/policy_steps.py
@@ -18,11 +18,11 @@
 from egretcart.connection.messages import TaskRecord
 from egretcart.connection.messages import TaskResult
 from egretcart.connection.messages import Term
-from egretcart.process.agent import AbortExchange
 from egretcart.process.agent import Agent
-from egretcart.process.agent import AgentIdentity
-from egretcart.process.agent import AgentLimits
-from egretcart.process.agent import SendToEntry
+from egretcart.process.agent_types import AbortExchange
+from egretcart.process.agent_types import AgentIdentity
+from egretcart.process.agent_types import AgentLimits
+from egretcart.process.agent_types import SendToEntry
 from egretcart.process.ledger import RecordState
 from egretcart.process.limits import LeaderLimits
 from egretcart.process.policy.estimates import LearnedRunTimes
--- a/tools/measure_capacity.py
+++ b/tools/measure_capacity.py
@@ -26,11 +26,11 @@
 from egretcart.connection.messages import TaskResult
 from egretcart.connection.messages import Term
 from egretcart.process.agent import Agent
-from egretcart.process.agent import AgentIdentity
-from egretcart.process.agent import AgentLimits
-from egretcart.process.agent import BeginExchange
-from egretcart.process.agent import ExchangeOutcome
-from egretcart.process.agent import SendToEntry
+from egretcart.process.agent_types import AgentIdentity
+from egretcart.process.agent_types import AgentLimits
+from egretcart.process.agent_types import BeginExchange
+from egretcart.process.agent_types import ExchangeOutcome
+from egretcart.process.agent_types import SendToEntry
 from egretcart.process.clock import SystemClock
 from egretcart.process.effects import SendToAgent
 from egretcart.process.entry import Entry
