Let one dialler serve agents and entries

Cause: the loop that dials, waits and forgets an address stood twice, line by line. It is one class now.

--- a/egretcart/process/agent_process.py
+++ b/egretcart/process/agent_process.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from egretcart.connection.dialler import Dialler
 from egretcart.connection.http_client import ExchangeError
 from egretcart.connection.http_client import HttpClient
 from egretcart.connection.http_server import HttpConnection
@@ -47,14 +48,10 @@
 from egretcart.request.verdict import Verdict
 
 TICK_S = 0.1
-REDIAL_S = 0.1
 FLUSH_LIMIT_S = 1.0
 REMOVAL_LIMIT_S = 3.0
 SUCCESS_STATUSES = range(200, 300)
 MS_PER_S = 1000
-# An entry that has been gone for so long is dialled no more, unless it is
-# a seed or someone names it again.
-FORGET_S = 30.0
 FIND_ENTRIES_S = 1.0
 MAX_FIND_ENTRIES_S = 15.0
 
@@ -106,7 +103,7 @@
         )
         self.links: dict[str, Link] = {}
         self.exchanges: dict[TaskKey, trio.CancelScope] = {}
-        self.targets: set[tuple[str, int]] = set()
+        self.dialler: Dialler
         self.nursery: trio.Nursery
 
     async def run(
@@ -116,8 +113,11 @@
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
             await self._listen()
-            for seed in self.settings.seeds:
-                self._ensure_dialled(seed.host, seed.port)
+            self.dialler = Dialler(
+                nursery=nursery,
+                seeds=[(seed.host, seed.port) for seed in self.settings.seeds],
+                converse=self._converse,
+            )
             if self.settings.platform is not None:
                 nursery.start_soon(self._find_entries, self.settings.platform)
             nursery.start_soon(self._tick)
@@ -175,11 +175,6 @@
         )
         await connection.serve()
 
-    def _ensure_dialled(self, host: str, port: int) -> None:
-        if (host, port) not in self.targets:
-            self.targets.add((host, port))
-            self.nursery.start_soon(self._dial, host, port)
-
     async def _find_entries(self, address: Address) -> None:
         """Ask the platform's store for entries while none is connected."""
         platform = EtcdPlatform(host=address.host, port=address.port)
@@ -193,23 +188,6 @@
                 pause_s = min(MAX_FIND_ENTRIES_S, pause_s * 2)
             await trio.sleep(pause_s * random.uniform(0.5, 1.0))
 
-    async def _dial(self, host: str, port: int) -> None:
-        seeds = {(seed.host, seed.port) for seed in self.settings.seeds}
-        heard_at = self.clock.monotonic()
-        while True:
-            try:
-                stream = await trio.open_tcp_stream(host, port)
-            except OSError:
-                gone_s = self.clock.monotonic() - heard_at
-                if gone_s > FORGET_S and (host, port) not in seeds:
-                    self.targets.discard((host, port))
-                    return
-                await trio.sleep(REDIAL_S)
-                continue
-            await self._converse(stream)
-            heard_at = self.clock.monotonic()
-            await trio.sleep(REDIAL_S)
-
     async def _converse(self, stream: trio.SocketStream) -> None:
         link = Link(stream=stream, traffic=self.traffic)
         entry_id: str | None = None
@@ -237,7 +215,7 @@
 
     def _learn_entries(self, entries: Iterable[EntryAddress]) -> None:
         for entry in entries:
-            self._ensure_dialled(entry.host, entry.port)
+            self.dialler.ensure(entry.host, entry.port)
 
     def _carry_out(self, effects: Iterable[AgentEffect]) -> None:
         for effect in effects:
--- a/egretcart/process/entry_process.py
+++ b/egretcart/process/entry_process.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from egretcart.connection.dialler import Dialler
 from egretcart.connection.http_listener import HttpListener
 from egretcart.connection.http_server import HttpLimits
 from egretcart.connection.link import Link
@@ -55,11 +56,7 @@
 
 TICK_S = 0.02
 TICKS_PER_LOOK = 5
-REDIAL_S = 0.1
 PLATFORM_PAUSE_S = 0.5
-# A process that has been gone for so long is dialled no more, unless it
-# is a seed or someone names it again.
-FORGET_S = 30.0
 FLUSH_LIMIT_S = 1.0
 HEARTBEAT_REPLY_LIMIT_S = 3.0
 # Covers three of the longest intervals between heartbeats of entries.
@@ -113,7 +110,7 @@
         self.accepted_links: dict[str, Link] = {}
         self.agent_links: dict[str, Link] = {}
         self.open_peer_links = 0
-        self.targets: set[tuple[str, int]] = set()
+        self.dialler: Dialler
         self.nursery: trio.Nursery
         self.registrar: Registrar | None = None
 
@@ -171,8 +168,12 @@
                 trio.serve_listeners, self._accept, peer_listeners
             )
             nursery.start_soon(self.http.serve, http_listeners, nursery)
-            for seed in self.settings.seeds:
-                self._ensure_dialled(seed.host, seed.port)
+            self.dialler = Dialler(
+                nursery=nursery,
+                seeds=[(seed.host, seed.port) for seed in self.settings.seeds],
+                converse=self._dialled,
+                own=(self.address.host, self.address.port),
+            )
             if self.platform is not None:
                 self._follow_platform(self.platform)
             nursery.start_soon(self._tick)
@@ -233,29 +234,8 @@
     def _hello(self) -> EntryHello:
         return EntryHello(address=self.address, incarnation=self.incarnation)
 
-    def _ensure_dialled(self, host: str, port: int) -> None:
-        own = (self.address.host, self.address.port)
-        if (host, port) in self.targets or (host, port) == own:
-            return
-        self.targets.add((host, port))
-        self.nursery.start_soon(self._dial, host, port)
-
-    async def _dial(self, host: str, port: int) -> None:
-        seeds = {(seed.host, seed.port) for seed in self.settings.seeds}
-        heard_at = self.clock.monotonic()
-        while True:
-            try:
-                stream = await trio.open_tcp_stream(host, port)
-            except OSError:
-                gone_s = self.clock.monotonic() - heard_at
-                if gone_s > FORGET_S and (host, port) not in seeds:
-                    self.targets.discard((host, port))
-                    return
-                await trio.sleep(REDIAL_S)
-                continue
-            await self._converse(stream, self.dialled_links)
-            heard_at = self.clock.monotonic()
-            await trio.sleep(REDIAL_S)
+    async def _dialled(self, stream: trio.SocketStream) -> None:
+        await self._converse(stream, self.dialled_links)
 
     async def _accept(self, stream: trio.SocketStream) -> None:
         if self.open_peer_links >= MAX_PEER_LINKS:
@@ -316,7 +296,7 @@
 
     def _peer_hello(self, hello: EntryHello) -> None:
         address = hello.address
-        self._ensure_dialled(address.host, address.port)
+        self.dialler.ensure(address.host, address.port)
         self.carry_out(self.entry.peer_connected(address, hello.incarnation))
 
     def _agent_message(self, agent_id: str, message: Message) -> None:
@@ -327,7 +307,7 @@
     def _peer_message(self, entry_id: str, message: Message) -> None:
         if isinstance(message, EntryList):
             for address in message.entries:
-                self._ensure_dialled(address.host, address.port)
+                self.dialler.ensure(address.host, address.port)
         elif isinstance(
             message,
             EntryBeat
@@ -388,7 +368,7 @@
             on_configuration=lambda document: self.carry_out(
                 entry.platform_configuration(document)
             ),
-            on_entry=lambda address: self._ensure_dialled(
+            on_entry=lambda address: self.dialler.ensure(
                 address.host, address.port
             ),
             on_roster=entry.learn_roster,
