--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,7 @@
 lint: $(STAMP)
 	$(BIN)/ruff format --check egretcart tests tools examples
 	$(BIN)/ruff check egretcart tests tools examples
+	$(BIN)/flake8 egretcart tools examples
 	$(BIN)/mypy
 
 format: $(STAMP)
