Show that neighbouring releases read each other's frames

Cause: the wire format is said to grow by optional fields, and no test showed it. A frame with unknown fields and messages yields what is known; one without newer fields yields defaults; an older reader keeps what it knows. With the defaults for missing fields taken out of the codec, the scenario of the older release fails. Old and new processes side by side are not tried: there is only one release.

--- a/tests/features/codec.feature
+++ b/tests/features/codec.feature
@@ -8,3 +8,10 @@
 
   Scenario: Garbage is refused and raises nothing but a frame error
     Then any garbage bytes are refused with a frame error or ignored
+
+  Scenario: A newer release may add fields and messages
+    Then a frame with unknown fields and messages yields all that is known
+
+  Scenario: An older release may lack fields and messages
+    Then a frame without newer fields yields their defaults
+    And an older release reads the fields that it knows
--- a/tests/features/steps/codec_steps.py
+++ b/tests/features/steps/codec_steps.py
@@ -1,5 +1,7 @@
 import contextlib
 import dataclasses
+import io
+import pathlib
 import types
 import typing
 
@@ -7,11 +9,17 @@
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
+import thriftpy2
+from thriftpy2.protocol import TCyBinaryProtocol
+from thriftpy2.transport import TCyMemoryBuffer
 
+from egretcart.connection import codec
 from egretcart.connection.codec import encode_frame
 from egretcart.connection.codec import FrameBuffer
 from egretcart.connection.codec import FrameError
 from egretcart.connection.codec import MESSAGE_TYPES
+from egretcart.connection.messages import EntryBeat
+from egretcart.connection.messages import FetchJob
 
 I32_FIELDS = {
     "port", "weight", "slots", "connections", "index", "attempt", "state",
@@ -90,3 +98,59 @@
             buffer.feed(len(data).to_bytes(4, "big") + data)
 
     holds()
+
+
+def neighbouring_release(*changes):
+    """Return the wire format of another release, and its namespace."""
+    idl = pathlib.Path(codec.__file__).with_name(codec.IDL_FILE).read_text()
+    for old, new in changes:
+        assert old in idl
+        idl = idl.replace(old, new, 1)
+    name = f"neighbour_{abs(hash(idl))}_thrift"
+    return thriftpy2.load_fp(io.StringIO(idl), module_name=name)
+
+
+def frame_of(release, envelopes):
+    transport = TCyMemoryBuffer()
+    TCyBinaryProtocol(transport).write_struct(
+        release.Frame(messages=envelopes)
+    )
+    return transport.getvalue()
+
+
+@then("a frame with unknown fields and messages yields all that is known")
+def check_newer(context):
+    release = neighbouring_release(
+        ("struct FetchJob {", "struct FetchJob { 99: optional string why,"),
+        (
+            "struct Message {",
+            "struct Novelty { 1: optional list<string> words }\n"
+            "struct Message {\n  99: optional Novelty novelty",
+        ),
+    )
+    fetch = release.FetchJob(job_id=b"j" * 16, why="a newer reason")
+    data = frame_of(
+        release,
+        [
+            release.Message(novelty=release.Novelty(words=["a", "b"])),
+            release.Message(fetch_job=fetch),
+        ],
+    )
+    assert codec.decode_frame(data) == [FetchJob(job_id=b"j" * 16)]
+
+
+@then("a frame without newer fields yields their defaults")
+def check_older(context):
+    release = neighbouring_release(("  10: optional i64 interval_ms\n", ""))
+    beat = release.EntryBeat(config_version=7)
+    data = frame_of(release, [release.Message(entry_beat=beat)])
+    assert codec.decode_frame(data) == [EntryBeat(config_version=7)]
+
+
+@then("an older release reads the fields that it knows")
+def check_read_by_older(context):
+    release = neighbouring_release(("  10: optional i64 interval_ms\n", ""))
+    frame = encode_frame([EntryBeat(config_version=7, interval_ms=400)])
+    transport = TCyMemoryBuffer(frame[codec.HEADER_BYTES :])
+    read = TCyBinaryProtocol(transport).read_struct(release.Frame())
+    assert read.messages[0].entry_beat.config_version == 7
