--- a/egretcart/process/agent_observer.py
+++ b/egretcart/process/agent_observer.py
@@ -59,7 +59,9 @@
         """Count and log the changes of state since the last look."""
         agent = self.agent
         has_lease = agent.clock.monotonic() < agent.lease_until
-        if self.had_lease and not has_lease:
+        # Leases are left to lapse while there is no work.
+        has_work = bool(agent.running or agent.queued)
+        if self.had_lease and not has_lease and has_work:
             self.metrics.add(LEASE_LAPSES)
             self._changed(ChangeKind.LEASE_LAPSED, str(agent.promised))
         if agent.draining and not self.was_draining:
--- a/egretcart/process/metric_table.py
+++ b/egretcart/process/metric_table.py
@@ -120,7 +120,9 @@
     "egretcart.takeovers", "{takeover}", "cells that began to be served"
 )
 LEASE_LAPSES = _counter(
-    "egretcart.lease.lapses", "{lapse}", "leases that lapsed at an agent"
+    "egretcart.lease.lapses",
+    "{lapse}",
+    "leases that lapsed at an agent with work",
 )
 ROSTER_CHANGES = _counter(
     "egretcart.roster.changes", "{change}", "rosters written to the store"
--- a/tests/features/metrics.feature
+++ b/tests/features/metrics.feature
@@ -7,6 +7,10 @@
     Then any sequence of counts is rendered as its sums
     And rendering starts no thread
 
+  Scenario: A lease that lapses matters only where there is work
+    Then a lapse is counted at an agent with a running task
+    But none is counted at an agent without work
+
   Scenario: Wasted messages are told by their cause
     Then an attempt that succeeds wastes nothing
     And a refused start and its refusal are wasted once
--- a/tests/features/steps/metrics_steps.py
+++ b/tests/features/steps/metrics_steps.py
@@ -15,7 +15,13 @@
 from egretcart.connection.traffic import CONTROL_TYPES
 from egretcart.connection.traffic import Traffic
 from egretcart.load.counters import parse_counters
+from egretcart.process.agent import Agent
+from egretcart.process.agent_observer import AgentObserver
+from egretcart.process.agent_types import AgentIdentity
+from egretcart.process.agent_types import AgentLimits
 from egretcart.process.directory import Cell
+from egretcart.process.logs import NullLog
+from egretcart.process.metric_table import LEASE_LAPSES
 from egretcart.process.metric_table import markdown_table
 from egretcart.process.metric_table import MESSAGES_WASTED
 from egretcart.process.metric_table import STARTS
@@ -25,6 +31,7 @@
 from egretcart.process.transitions import EntryState
 from egretcart.process.waste import WasteCause
 from egretcart.process.waste import WasteObserver
+from egretcart.testing.clock import ManualClock
 
 ROOT = pathlib.Path(__file__).resolve().parents[3]
 JOB = b"j" * 16
@@ -240,3 +247,33 @@
     assert forwards == load.pop("ForwardReply", 0)
     expected = tasks + refused
     assert load == {"Start": expected, "TaskResult": expected}, load
+
+
+def lapses(*, running):
+    """Return the lapses counted when an agent's lease ends."""
+    agent = Agent(
+        identity=AgentIdentity(
+            agent_id="a", incarnation=1, service="snapcheck",
+            failure_domain="kl-putra", slots=8, connections=64,
+        ),
+        limits=AgentLimits(), clock=ManualClock(),
+    )  # fmt: skip
+    metrics = ProcessMetrics(traffic=Traffic())
+    observer = AgentObserver(agent=agent, metrics=metrics, log=NullLog())
+    agent.lease_until = 1.0
+    agent.running = running
+    observer.look()
+    agent.clock.advance(2.0)
+    observer.look()
+    observer.look()
+    return metrics.counts[LEASE_LAPSES, ""]
+
+
+@then("a lapse is counted at an agent with a running task")
+def check_lapse(context):
+    assert lapses(running={(JOB, 0): Start(job_id=JOB)}) == 1
+
+
+@then("none is counted at an agent without work")
+def check_no_lapse(context):
+    assert lapses(running={}) == 0
