Measure a gap that lasts to the end of its span

Now an open gap counts up to the end of the span, or up to the last caller's answer. No bound depends on it.

--- a/tests/features/steps/callers.py
+++ b/tests/features/steps/callers.py
@@ -144,11 +144,17 @@
             assert not thread.is_alive(), "a caller got no answer"
 
     def gap_s(self, since, until):
-        """Return the longest time without an answer in a span."""
-        times = sorted(
+        """Return the longest time without a whole answer in a span.
+
+        A gap that has not ended by the end of the span counts up to there,
+        unless all callers had their answers before it.
+        """
+        answered = [outcome.ended for outcome in self.outcomes]
+        whole = sorted(
             outcome.ended
             for outcome in self.outcomes
             if since <= outcome.ended <= until and outcome.is_whole
         )
-        times = [since, *times]
+        end = max(since, min(until, max(answered, default=since)))
+        times = [since, *whole, end]
         return max(b - a for a, b in itertools.pairwise(times))
