Forget at the end of a term what was said not to have run

Cause: an entry keeps final answers over its terms. A cancelled job of which one task had not run was answered so under term 1, but the reply was held and never given, as the term ended; under term 2 another entry ran the task; under term 3 the first entry gave the kept answer: not run.

Ruled out: the questions to the ledgers, which were answered rightly and not asked, as a kept answer goes before them.

Now answers that say of any task that it was not run end with the term.

--- a/egretcart/process/answers.py
+++ b/egretcart/process/answers.py
@@ -9,10 +9,20 @@
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class RetainedAnswer:
-    """The final answer of one job; `reply` is None once evicted."""
+    """The final answer of one job.
+
+    Attributes
+    ----------
+    digest : bytes
+    reply : Reply or None
+        None once evicted.
+    not_run : bool
+        Whether the reply says that some task was not run.
+    """
 
     digest: bytes
     reply: Reply | None
+    not_run: bool
 
 
 class AnswerCache:
@@ -35,7 +45,9 @@
         """Keep a final answer."""
         key = job_id.value
         self._evict(key)
-        self.answers[key] = RetainedAnswer(digest=digest, reply=reply)
+        self.answers[key] = RetainedAnswer(
+            digest=digest, reply=reply, not_run=reply.not_run
+        )
         self.evictable[key] = len(reply.body)
         self.bytes_kept += len(reply.body)
         while self.bytes_kept > self.max_bytes:
@@ -45,6 +57,13 @@
         """Return what is kept of a job, or None if nothing is."""
         return self.answers.get(job_id.value)
 
+    def term_ended(self) -> None:
+        """Forget answers that say not run: a later leader may run it."""
+        for key, answer in list(self.answers.items()):
+            if answer.not_run:
+                self._evict(key)
+                del self.answers[key]
+
     def prune(self, made_before_ms: int) -> None:
         """Forget jobs whose identifiers are older than a Unix time."""
         for key in list(self.answers):
--- a/egretcart/process/jobs.py
+++ b/egretcart/process/jobs.py
@@ -192,6 +192,7 @@
             tokens += waiting
         self.tokens.clear()
         self.jobs.clear()
+        self.answers.term_ended()
         return tokens
 
     def _accept(
--- a/tests/features/inquiries.feature
+++ b/tests/features/inquiries.feature
@@ -105,3 +105,11 @@
     When a job older than the term comes
     And the term ends
     Then the held request is forwarded again
+
+  Scenario: What was said not to have run is not repeated after the term
+    Given a new leader of 2 agents
+    When a job newer than the term comes
+    And its caller cancels it before its second task is placed
+    Then the answer says that the second task was not run
+    When the term ends
+    Then the entry keeps no answer of the job for its next term
--- a/tests/features/steps/inquiry_steps.py
+++ b/tests/features/steps/inquiry_steps.py
@@ -383,3 +383,30 @@
 def check_forwarded(context):
     assert context.ended == [TOKEN]
     assert not context.book.recovery.inquiries.open
+
+
+@when("its caller cancels it before its second task is placed")
+def cancel_early(context):
+    tasks = b'{"tasks": [{"payload": 1}, {"payload": 2}]}'
+    job = parse_job(
+        job_id=job_id_at(context.horizon_ms, 2),
+        service="snapcheck",
+        body=tasks,
+        max_tasks=2,
+    ).unwrap()
+    context.job = job
+    note(context, context.book.submit(TOKEN, job))
+    assert len(sent(context, Start)) == 2
+    note(context, context.book.cancel(TOKEN, job.job_id))
+
+
+@then("the answer says that the second task was not run")
+def check_second_not_run(context):
+    _, document = replies(context)[-1]
+    assert document["tasks"] == ["may_have_run", "not_run"]
+    assert context.book.answers.find(context.job.job_id)
+
+
+@then("the entry keeps no answer of the job for its next term")
+def check_forgotten(context):
+    assert context.book.answers.find(context.job.job_id) is None
