--- a/egretcart/connection/messages.py
+++ b/egretcart/connection/messages.py
@@ -291,11 +291,14 @@
     number : int
         Named by the reply.
     job_ids : tuple of bytes
+    made_before_ms : int
+        Jobs made before this Unix time are asked for as well.
     """
 
     term: Term = NO_TERM
     number: int = 0
     job_ids: tuple[bytes, ...] = ()
+    made_before_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/egretcart/connection/wire.thrift
+++ b/egretcart/connection/wire.thrift
@@ -113,6 +113,7 @@
   1: optional Term term
   2: optional i64 number
   3: optional list<binary> job_ids
+  4: optional i64 made_before_ms
 }
 
 // Between entries, and from entries to agents.
--- a/egretcart/process/agent.py
+++ b/egretcart/process/agent.py
@@ -251,7 +251,9 @@
     def _query(self, entry_id: str, query: LedgerQuery) -> list[AgentEffect]:
         if query.term != self.promised or entry_id != self.leader:
             return []
-        records = self.ledger.records(query.job_ids)
+        records = self.ledger.records(
+            query.job_ids, made_before_ms=query.made_before_ms
+        )
         reply = LedgerReply(number=query.number, records=records)
         return [SendToEntry(entry_id, reply)]
 
--- a/egretcart/process/inquiries.py
+++ b/egretcart/process/inquiries.py
@@ -54,15 +54,15 @@
     ----------
     unsent : dict of bytes to None
         Job ids in the order in which they came.
-    asked : tuple of bytes
-        Job ids of the open query; empty if none is open.
-    number : int
-        Number of the newest query.
+    wants_all : bool
+        Whether the next query is for all jobs of former terms.
+    open_query : LedgerQuery or None
+        The query whose reply is awaited.
     """
 
     unsent: dict[bytes, None]
-    asked: tuple[bytes, ...] = ()
-    number: int = 0
+    wants_all: bool = False
+    open_query: LedgerQuery | None = None
 
 
 class Inquiries:
@@ -83,6 +83,8 @@
         Jobs of which every connected agent has told what it knows.
     queues : dict of str to QueryQueue
         Connected agents that answer queries.
+    told : set of str
+        Agents that need not be asked about further jobs.
     """
 
     def __init__(self, *, term: Term) -> None:
@@ -91,6 +93,7 @@
         self.open: dict[bytes, Inquiry] = {}
         self.learnt: set[bytes] = set()
         self.queues: dict[str, QueryQueue] = {}
+        self.told: set[str] = set()
         # Never reused, so that no late reply matches a newer query.
         self.numbers = itertools.count(1)
 
@@ -120,10 +123,11 @@
         key = job_id.value
         inquiry = self.open.get(key)
         if inquiry is None:
-            inquiry = Inquiry(awaited={*self.queues, *lost}, requests=[])
+            asked = self.queues.keys() - self.told
+            inquiry = Inquiry(awaited={*asked, *lost}, requests=[])
             self.open[key] = inquiry
-            for queue in self.queues.values():
-                queue.unsent[key] = None
+            for agent_id in asked:
+                self.queues[agent_id].unsent[key] = None
         inquiry.requests.append(request)
         return self._resume_known([key]) + self.send()
 
@@ -143,6 +147,7 @@
         list of LeaderEffect
         """
         self.learnt.clear()
+        self.told.discard(agent_id)
         unsent = dict.fromkeys([*job_ids, *self.open])
         self.queues[agent_id] = QueryQueue(unsent=unsent)
         for inquiry in self.open.values():
@@ -153,40 +158,55 @@
         """Stop asking an agent; held requests wait for its return."""
         self.queues.pop(agent_id, None)
 
+    def ask_for_all(self, agent_id: str) -> list[LeaderEffect]:
+        """Ask an agent about all jobs of former terms, as it leaves."""
+        queue = self.queues.get(agent_id)
+        if queue is None:
+            return []
+        queue.wants_all = True
+        return self.send()
+
     def told_all(self, agent_id: str) -> list[LeaderEffect]:
-        """Handle an agent that is not, or need not be, asked any more."""
-        self.queues.pop(agent_id, None)
+        """Handle an agent that has told all, or that is given up."""
+        self.told.add(agent_id)
         return self._heard(agent_id, list(self.open))
 
-    def match(self, agent_id: str, number: int) -> tuple[bytes, ...]:
-        """Return the jobs of the open query, or none if it is another."""
+    def match(self, agent_id: str, number: int) -> LedgerQuery | None:
+        """Return the open query if it has this number."""
         queue = self.queues.get(agent_id)
-        if queue is None or queue.number != number:
-            return ()
-        return queue.asked
+        if queue is None or queue.open_query is None:
+            return None
+        return queue.open_query if queue.open_query.number == number else None
 
     def answered(self, agent_id: str) -> list[LeaderEffect]:
         """Handle the end of an agent's open query."""
         queue = self.queues[agent_id]
-        asked, queue.asked = queue.asked, ()
-        return self._heard(agent_id, asked) + self.send()
+        query, queue.open_query = queue.open_query, None
+        job_ids = query.job_ids if query is not None else ()
+        return self._heard(agent_id, job_ids) + self.send()
 
     def send(self) -> list[LeaderEffect]:
         """Return the queries that can be opened now."""
         effects: list[LeaderEffect] = []
         for agent_id, queue in self.queues.items():
-            if queue.asked or not queue.unsent:
-                continue
-            queue.asked = tuple(itertools.islice(queue.unsent, MAX_QUERY_JOBS))
-            for job_id in queue.asked:
-                del queue.unsent[job_id]
-            queue.number = next(self.numbers)
-            query = LedgerQuery(
-                term=self.term, number=queue.number, job_ids=queue.asked
-            )
-            effects.append(SendToAgent(agent_id, query))
+            if queue.open_query is None and (queue.unsent or queue.wants_all):
+                queue.open_query = self._next_query(queue)
+                effects.append(SendToAgent(agent_id, queue.open_query))
         return effects
 
+    def _next_query(self, queue: QueryQueue) -> LedgerQuery:
+        asked = tuple(itertools.islice(queue.unsent, MAX_QUERY_JOBS))
+        for job_id in asked:
+            del queue.unsent[job_id]
+        made_before_ms = self.horizon_ms if queue.wants_all else 0
+        queue.wants_all = False
+        return LedgerQuery(
+            term=self.term,
+            number=next(self.numbers),
+            job_ids=asked,
+            made_before_ms=made_before_ms,
+        )
+
     def end(self) -> list[RequestToken]:
         """Drop the held requests and return their tokens."""
         tokens = [
--- a/egretcart/process/leadership.py
+++ b/egretcart/process/leadership.py
@@ -415,7 +415,10 @@
             roster_version=reply.roster_version,
             now=now,
         )
-        return self.leases.pass_on(now)
+        effects: list[LeaderEffect] = []
+        if load.draining and self.phase is Phase.SERVING:
+            effects += self.book.recovery.agent_leaves(agent_id)
+        return effects + self.leases.pass_on(now)
 
     def _has_work(self) -> bool:
         """Return whether the leases are needed, or a change is under way."""
--- a/egretcart/process/ledger.py
+++ b/egretcart/process/ledger.py
@@ -140,21 +140,32 @@
         """Return all records without results."""
         return self.records(self.jobs)
 
-    def records(self, job_ids: Iterable[bytes]) -> tuple[JobRecord, ...]:
+    def records(
+        self, job_ids: Iterable[bytes], *, made_before_ms: int = 0
+    ) -> tuple[JobRecord, ...]:
         """Return the records of jobs, without results.
 
         Parameters
         ----------
         job_ids : iterable of bytes
             Jobs of which nothing was started are left out.
+        made_before_ms : int, optional
+            Jobs made before this Unix time are returned as well.
 
         Returns
         -------
         tuple of JobRecord
         """
+        chosen = dict.fromkeys(job_ids)
+        if made_before_ms:
+            chosen |= dict.fromkeys(
+                job_id
+                for job_id in self.jobs
+                if JobId(job_id).created_ms < made_before_ms
+            )
         return tuple(
             _job_record(job_id, job.digest, job.tasks)
-            for job_id in job_ids
+            for job_id in chosen
             if (job := self.jobs.get(job_id)) is not None
         )
 
--- a/egretcart/process/recovery.py
+++ b/egretcart/process/recovery.py
@@ -63,6 +63,8 @@
         Agents that may still reconnect.
     returning : dict of str to LostAgent
         Reconnected agents that are asked what became of their tasks.
+    told_all : set of tuple of str and int
+        Agents and their incarnations whose whole ledger is known.
     unheard : set of tuple of str and int
         Agents and their incarnations that promised the term and were lost
         since; what they started in former terms can't be asked any more.
@@ -91,6 +93,7 @@
         self.inquiries = Inquiries(term=table.term)
         self.lost: dict[str, LostAgent] = {}
         self.returning: dict[str, LostAgent] = {}
+        self.told_all: set[tuple[str, int]] = set()
         self.unheard: set[tuple[str, int]] = set()
         self.foreign: set[tuple[str, bytes]] = set()
 
@@ -132,7 +135,12 @@
     ) -> list[LeaderEffect]:
         """Hold a request until the agents have told what they started."""
         request = HeldRequest(token, resume)
-        return self.inquiries.hold(job_id, request, lost=self.lost)
+        lost = [
+            agent_id
+            for agent_id, agent in self.lost.items()
+            if (agent_id, agent.incarnation) not in self.told_all
+        ]
+        return self.inquiries.hold(job_id, request, lost=lost)
 
     # Agents.
 
@@ -164,6 +172,7 @@
         self.attempts.fleet.agents_changed()
         self.known.drop(agent_id, load.incarnation)
         self.unheard.discard((agent_id, load.incarnation))
+        self.told_all.discard((agent_id, load.incarnation))
         effects: list[LeaderEffect] = []
         lost = self.lost.pop(agent_id, None)
         recorded: set[TaskKey] = set()
@@ -175,28 +184,44 @@
             return effects + self._ask_agent(agent_id, lost)
         if lost is not None:
             self._settle_returned(lost, lost.in_flight, recorded)
-        return effects + self.inquiries.told_all(agent_id)
+        return effects + self._has_told_all(load)
 
     def ledger_reply(
         self, agent_id: str, reply: LedgerReply
     ) -> list[LeaderEffect]:
         """Take in what an agent was asked for."""
         load = self.loads.get(agent_id)
-        asked = self.inquiries.match(agent_id, reply.number)
-        if load is None or not asked:
+        query = self.inquiries.match(agent_id, reply.number)
+        if load is None or query is None:
             return []
         recorded: set[TaskKey] = set()
         effects = self._take_in(load, reply.records, recorded)
         returning = self.returning.get(agent_id)
         if returning is not None:
-            told = set(asked)
-            keys = [key for key in returning.in_flight if key[0] in told]
+            asked = set(query.job_ids)
+            keys = [key for key in returning.in_flight if key[0] in asked]
             self._settle_returned(returning, keys, recorded)
             for key in keys:
                 del returning.in_flight[key]
             if not returning.in_flight:
                 del self.returning[agent_id]
-        return effects + self.inquiries.answered(agent_id)
+        effects += self.inquiries.answered(agent_id)
+        if query.made_before_ms:
+            effects += self._has_told_all(load)
+        return effects
+
+    def agent_leaves(self, agent_id: str) -> list[LeaderEffect]:
+        """Ask an agent that drains for what only it knows."""
+        load = self.loads.get(agent_id)
+        if load is None or load.asked_for_all:
+            return []
+        load.asked_for_all = True
+        return self.inquiries.ask_for_all(agent_id)
+
+    def _has_told_all(self, load: AgentLoad) -> list[LeaderEffect]:
+        load.asked_for_all = load.told_all = True
+        self.told_all.add((load.agent_id, load.incarnation))
+        return self.inquiries.told_all(load.agent_id)
 
     def agent_lost(self, agent_id: str) -> None:
         """Handle the loss of an agent's connection."""
@@ -256,7 +281,8 @@
         recorded: Set[TaskKey],
     ) -> list[LeaderEffect]:
         """Give up on an incarnation and on what it alone knew."""
-        self.unheard.add((agent_id, lost.incarnation))
+        if (agent_id, lost.incarnation) not in self.told_all:
+            self.unheard.add((agent_id, lost.incarnation))
         effects: list[LeaderEffect] = []
         for key, attempt in lost.in_flight.items():
             if key not in recorded:
--- a/egretcart/process/roster_changes.py
+++ b/egretcart/process/roster_changes.py
@@ -128,8 +128,9 @@
     def _is_to_be_removed(self, agent_id: str, now: float) -> bool:
         """Return whether a member is leaving or was lost for long."""
         if self._is_draining(agent_id):
-            idle = not self.loads[agent_id].in_flight
-            return idle and self.quorum.size > 1
+            load = self.loads[agent_id]
+            is_done = load.told_all and not load.in_flight
+            return is_done and self.quorum.size > 1
         if agent_id in self.quorum.members:
             return False
         absent_since = self.absent_since.get(agent_id)
--- a/egretcart/process/scheduler.py
+++ b/egretcart/process/scheduler.py
@@ -21,6 +21,10 @@
     in_flight : dict of TaskKey to int
         Attempt of each task that the agent has and has not ended.
     draining : bool
+    asked_for_all : bool
+        Whether the agent was asked for all that it knows of former terms.
+    told_all : bool
+        Whether it has told it.
     """
 
     agent_id: str
@@ -30,6 +34,8 @@
     queue_depth: int
     in_flight: dict[TaskKey, int] = dataclasses.field(default_factory=dict)
     draining: bool = False
+    asked_for_all: bool = False
+    told_all: bool = False
 
     @property
     def free(self) -> int:
--- a/tests/features/inquiries.feature
+++ b/tests/features/inquiries.feature
@@ -79,6 +79,19 @@
     And a job older than the term is read
     Then the leader asks that agent about the job
 
+  Scenario: An agent tells what it knows before it leaves
+    Given a new leader of 2 agents
+    When one agent drains
+    Then it may not leave before it has told what it knows
+    When it tells of an older job
+    And a job older than the term comes
+    And the other agent tells nothing
+    Then the job is placed
+    When it leaves
+    And the older job comes
+    And the other agent tells nothing
+    Then the older job is not run again
+
   Scenario: A late reply to an earlier query is not taken for a newer one
     Given a new leader of 2 agents
     When a job older than the term comes
--- a/tests/features/steps/inquiry_steps.py
+++ b/tests/features/steps/inquiry_steps.py
@@ -410,3 +410,47 @@
 @then("the entry keeps no answer of the job for its next term")
 def check_forgotten(context):
     assert context.book.answers.find(context.job.job_id) is None
+
+
+@when("one agent drains")
+def drain(context):
+    context.book.loads["a"].draining = True
+    note(context, context.book.recovery.agent_leaves("a"))
+    assert context.queries["a"].made_before_ms == context.horizon_ms
+
+
+@then("it may not leave before it has told what it knows")
+def check_stays(context):
+    assert not context.book.loads["a"].told_all
+
+
+@when("it tells of an older job")
+def tell_and_leave(context):
+    context.older = parse_job(
+        job_id=job_id_at(context.horizon_ms - 1, 7),
+        service="snapcheck",
+        body=(BODY % "false").encode(),
+        max_tasks=1,
+    ).unwrap()
+    context.job = context.older
+    tell(context, "a", [record(context)])
+    assert context.book.loads["a"].told_all
+
+
+@when("it leaves")
+def leave(context):
+    context.effects = []
+    context.book.agent_lost("a")
+    stay_away(context)
+
+
+@when("the older job comes")
+def submit_older(context):
+    note(context, context.book.submit(TOKEN, context.older))
+
+
+@then("the older job is not run again")
+def check_not_run_again(context):
+    assert not sent(context, Start)
+    ((_, document),) = replies(context)
+    assert document["verdict"] == "may_have_run"
