Move held replies and the takeover's decision out of the leadership

Cause: leadership.py had grown to over 500 lines: phases, requests, agents, rounds, the roster and two decisions of their own. What holds replies back until the term is confirmed and what decides when a fenced cell is served are now modules that read alone; takeover.py, which held the merged records, is known_jobs.py. No behaviour changes: safety, takeover, handover, peers, leases, inquiries and embedding pass (40 scenarios).

--- a/egretcart/process/jobs.py
+++ b/egretcart/process/jobs.py
@@ -21,11 +21,11 @@
 from egretcart.process.effects import RequestToken
 from egretcart.process.effects import SendReply
 from egretcart.process.job_table import JobTable
+from egretcart.process.known_jobs import KnownJob
 from egretcart.process.limits import LeaderLimits
 from egretcart.process.policy.bundle import Policy
 from egretcart.process.recovery import Recovery
 from egretcart.process.scheduler import AgentLoad
-from egretcart.process.takeover import KnownJob
 from egretcart.request import outcomes
 from egretcart.request.identity import JobId
 from egretcart.request.job import Job
--- a/egretcart/process/leadership.py
+++ b/egretcart/process/leadership.py
@@ -27,6 +27,7 @@
 from egretcart.process.effects import SendToAgent
 from egretcart.process.effects import StepDown
 from egretcart.process.effects import WriteRoster
+from egretcart.process.held_replies import HeldReplies
 from egretcart.process.jobs import JobBook
 from egretcart.process.leases import Leases
 from egretcart.process.limits import LeaderLimits
@@ -34,6 +35,8 @@
 from egretcart.process.quorum import Quorum
 from egretcart.process.roster_changes import RosterChanges
 from egretcart.process.scheduler import AgentLoad
+from egretcart.process.takeover import Takeover
+from egretcart.process.takeover import TakeoverStep
 from egretcart.request import outcomes
 from egretcart.request.identity import JobId
 from egretcart.request.job import Job
@@ -42,8 +45,6 @@
 from egretcart.version.document import Configuration
 
 MS_PER_S = 1000
-# Shortest time between two rounds that replies wait for, in seconds.
-CONFIRM_INTERVAL_S = 0.005
 
 
 class Phase(enum.Enum):
@@ -63,24 +64,6 @@
     job: Job
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class HeldReply:
-    """A reply that says not run, until the term is confirmed.
-
-    Attributes
-    ----------
-    effect : SendReply
-    round_number : int
-        First round whose confirmation releases the reply.
-    since : float
-        Monotonic time from which it waits.
-    """
-
-    effect: SendReply
-    round_number: int
-    since: float
-
-
 class Leadership:
     """Leads one cell for one term.
 
@@ -125,8 +108,6 @@
         self.limits = limits
         self.clock = clock
         self.phase = Phase.FENCING
-        self.started_at = clock.monotonic()
-        self.majority_at = float("inf")
         self.incomplete_since = float("inf")
         self.quorum = Quorum(roster=roster)
         self.leases = Leases(term=term, quorum=self.quorum, limits=limits)
@@ -147,8 +128,14 @@
             limits=limits,
             clock=clock,
         )
+        self.takeover = Takeover(
+            quorum=self.quorum,
+            roster_changes=self.roster_changes,
+            limits=limits,
+            clock=clock,
+        )
         self.early: list[EarlyRequest] = []
-        self.held: list[HeldReply] = []
+        self.held = HeldReplies(leases=self.leases, clock=clock)
         self.roster_write_pending = False
         self.barred: set[str] = set()
 
@@ -197,41 +184,11 @@
             return [SendReply(token, NOT_LEADER)]
         return self._hold(self.book.cancel(token, job_id) + self._place())
 
-    # Replies that say not run.
-
     def _hold(self, effects: list[LeaderEffect]) -> list[LeaderEffect]:
-        """Keep back replies that only an unfenced leader may give.
-
-        A later leader may have begun the job unless a majority confirms
-        the term in a round that is opened from now on.
-        """
+        """Keep back replies that only an unfenced leader may give."""
         if self.phase is Phase.ENDED:
             return effects
-        now = self.clock.monotonic()
-        passed: list[LeaderEffect] = []
-        for effect in effects:
-            if isinstance(effect, SendReply) and effect.reply.not_run:
-                first = self.quorum.opened_round + 1
-                self.held.append(HeldReply(effect, first, now))
-            else:
-                passed.append(effect)
-        return passed + self._confirm_held(now)
-
-    def _confirm_held(self, now: float) -> list[LeaderEffect]:
-        """Open the round that the newest held replies wait for."""
-        if not self.held:
-            return []
-        if self.held[-1].round_number <= self.quorum.opened_round:
-            return []
-        if now < self.leases.last_round_at + CONFIRM_INTERVAL_S:
-            return []
-        return self.leases.open_round(now)
-
-    def _release_held(self) -> list[LeaderEffect]:
-        proven = self.quorum.proven_round
-        released = [h for h in self.held if h.round_number <= proven]
-        self.held = [h for h in self.held if h.round_number > proven]
-        return [held.effect for held in released]
+        return self.held.hold(effects)
 
     # Agents.
 
@@ -267,7 +224,7 @@
             effects = self.book.ledger_reply(agent_id, message)
         else:
             effects = self.agent_connected(message)
-        return self._hold(effects + self._place()) + self._release_held()
+        return self._hold(effects + self._place()) + self.held.release()
 
     def tick(self) -> list[LeaderEffect]:
         """Do what is due by now."""
@@ -331,62 +288,36 @@
 
     def _advance_takeover(self, now: float) -> list[LeaderEffect]:
         """Serve once every start of former leaders is accounted for."""
-        if self.quorum.roster.version == 0:
-            return self._bootstrap(now)
-        restarted = self.quorum.restarted()
-        if self.quorum.is_complete() and not restarted:
-            return self._serve(now, self.quorum.roster.lost_before_ms)
-        if not self.quorum.has_majority():
-            self.majority_at = float("inf")
-            if now >= self.started_at + self.limits.fence_limit_s:
-                return self._end(
-                    self.term, "no majority of the roster", retry=True
-                )
-            return []
-        self.majority_at = min(self.majority_at, now)
-        # A restarted member may have promised a higher term before.
-        since = max(
-            [self.majority_at, *(member.promised_at for member in restarted)]
-        )
-        wait_s = max(self.limits.takeover_wait_s, self.limits.fence_patience_s)
-        if now < since + wait_s:
+        step = self.takeover.next_step(now)
+        if step is TakeoverStep.BOOTSTRAP:
+            return self._write_first_roster()
+        if step is TakeoverStep.GIVE_UP:
+            return self._end(
+                self.term, "no majority of the roster", retry=True
+            )
+        if step is TakeoverStep.WAIT:
             self.phase = Phase.WAITING
-            return []
-        return self._serve(now, self._barrier_ms())
+        if step is TakeoverStep.SERVE:
+            return self._serve(now)
+        return []
 
-    def _bootstrap(self, now: float) -> list[LeaderEffect]:
-        """Write the first roster of a cell."""
-        waited = now >= self.started_at + self.limits.bootstrap_wait_s
-        if not waited or self.roster_write_pending:
-            return []
-        members = [
+    def _write_first_roster(self) -> list[LeaderEffect]:
+        members = tuple(
             RosterMember(
                 agent_id=member.agent_id, incarnation=member.incarnation
             )
             for member in self.quorum.members.values()
-        ]
-        if not members:
+        )
+        if self.roster_write_pending or not members:
             return []
         self.roster_write_pending = True
-        return [WriteRoster(Roster(version=1, members=tuple(members)))]
-
-    def _barrier_ms(self) -> int:
-        """Return the barrier after a takeover that waited a lease."""
-        if self.quorum.is_complete() and not self.quorum.may_be_stale():
-            return max(
-                self.quorum.roster.lost_before_ms,
-                *(
-                    self.roster_changes.forgotten_before_ms(member.agent_id)
-                    for member in self.quorum.restarted()
-                ),
-            )
-        return self.clock.unix_ms() + self.limits.id_horizon_ms
+        return [WriteRoster(Roster(version=1, members=members))]
 
-    def _serve(self, now: float, barrier_ms: int) -> list[LeaderEffect]:
+    def _serve(self, now: float) -> list[LeaderEffect]:
         self.phase = Phase.SERVING
         self.book.recovery.serve(
-            barrier_ms=barrier_ms,
-            horizon_ms=self.clock.unix_ms() + self.limits.id_horizon_ms,
+            barrier_ms=self.takeover.barrier_ms(),
+            horizon_ms=self.takeover.horizon_ms(),
         )
         self.book.serving_since = now
         self.roster_changes.note_absent(now)
@@ -423,7 +354,7 @@
     def _has_work(self) -> bool:
         """Return whether the leases are needed, or a change is under way."""
         return (
-            bool(self.book.jobs or self.held)
+            bool(self.book.jobs or self.held.waiting)
             or self.phase is not Phase.SERVING
             or not self.quorum.is_complete()
             or not self.quorum.is_roster_recorded()
@@ -432,7 +363,7 @@
     def _check_quorum(self, now: float) -> list[LeaderEffect]:
         """End a term that lost its majority or can't take a member back."""
         limit_s = self.limits.fence_limit_s
-        if self.held and now >= self.held[0].since + limit_s:
+        if self.held.is_overdue(now, limit_s):
             return self._end(
                 self.term, "a round was not confirmed", retry=True
             )
@@ -500,12 +431,11 @@
         """End the term; the entries forward the open requests again."""
         self.phase = Phase.ENDED
         tokens = [request.token for request in self.early]
-        tokens += [held.effect.token for held in self.held]
+        tokens += self.held.end()
         tokens += self.book.end()
         effects: list[LeaderEffect] = [
             SendReply(token, NOT_LEADER) for token in tokens
         ]
         self.early = []
-        self.held = []
         effects.append(StepDown(max(seen, self.term), reason, retry))
         return effects
--- a/egretcart/process/recovery.py
+++ b/egretcart/process/recovery.py
@@ -17,14 +17,14 @@
 from egretcart.process.inquiries import HeldRequest
 from egretcart.process.inquiries import Inquiries
 from egretcart.process.job_table import JobTable
+from egretcart.process.known_jobs import KnownJob
+from egretcart.process.known_jobs import KnownJobs
+from egretcart.process.known_jobs import KnownTask
 from egretcart.process.ledger import RecordState
 from egretcart.process.limits import LeaderLimits
 from egretcart.process.policy.bundle import Policy
 from egretcart.process.scheduler import AgentLoad
 from egretcart.process.scheduler import TaskKey
-from egretcart.process.takeover import KnownJob
-from egretcart.process.takeover import KnownJobs
-from egretcart.process.takeover import KnownTask
 from egretcart.request.identity import JobId
 from egretcart.request.progress import JobProgress
 from egretcart.request.progress import TaskProgress
