Fail a job whose results no frame can hold, instead of losing the link

Cause: the leader's whole answer travels to the caller's entry in one frame of at most 64 MiB. A larger answer would break the link, the entry would forward the request again, and so on until the deadline. Found by reading; the loop itself was not run. A single backend answer was bounded already (16 MiB), and so were batches (8 MiB).

Now a job whose results exceed 16 MiB ends at once as 502 'Answer Too Large' with its tasks' verdicts. The new scenario (25 answers of 3 MB through each of two entries, then an ordinary job) fails without the bound: the entry that leads hands out 75 MB.

--- a/egretcart/process/attempts.py
+++ b/egretcart/process/attempts.py
@@ -147,6 +147,11 @@
         progress.finish_task(result.task, value)
         key = (result.job_id, result.task)
         self.policy.order.stopped(key, done=True)
+        if progress.result_bytes > self.limits.max_answer_bytes:
+            problem = outcomes.answer_too_large(
+                progress, self.limits.max_answer_bytes
+            )
+            return self.table.fail(progress, problem)
         if not progress.is_complete:
             return []
         return self.table.finish(
--- a/egretcart/process/limits.py
+++ b/egretcart/process/limits.py
@@ -44,6 +44,8 @@
         Time limit of one attempt at the backend server.
     queue_depth : int
         Starts that may wait at an agent beyond its slots.
+    max_answer_bytes : int
+        Size of all results of one job. It has to fit a frame.
     """
 
     lease_s: float = LEASE_S
@@ -60,6 +62,7 @@
     max_deadline_s: float = 120.0
     attempt_limit_s: float = 10.0
     queue_depth: int = 2
+    max_answer_bytes: int = 16 * 1024 * 1024
 
     @property
     def takeover_wait_s(self) -> float:
--- a/egretcart/request/outcomes.py
+++ b/egretcart/request/outcomes.py
@@ -43,6 +43,32 @@
     )
 
 
+def answer_too_large(progress: JobProgress, most: int) -> Problem:
+    """Return the problem that ends a job whose results are too large.
+
+    Parameters
+    ----------
+    progress : JobProgress
+    most : int
+        Bytes accepted for all results of a job.
+
+    Returns
+    -------
+    Problem
+    """
+    return Problem(
+        status=502,
+        title="Answer Too Large",
+        detail=(
+            f"the results of job {progress.job.job_id} take "
+            f"{progress.result_bytes} bytes with {progress.open_tasks} tasks "
+            f"still open; at most {most} are accepted"
+        ),
+        verdict=progress.verdict(),
+        tasks=progress.verdicts(),
+    )
+
+
 def unknown_job(job_id: JobId, verdict: Verdict) -> Problem:
     """Return the problem for a read of a job that is not known."""
     return Problem(
--- a/egretcart/request/progress.py
+++ b/egretcart/request/progress.py
@@ -100,6 +100,8 @@
         Tasks that are not done yet.
     failed_on : set of str
         Agents on which tasks have failed.
+    result_bytes : int
+        Size of the answers so far.
     """
 
     job: Job
@@ -108,6 +110,7 @@
     tasks: list[TaskProgress]
     open_tasks: int
     failed_on: set[str] = dataclasses.field(default_factory=set)
+    result_bytes: int = 0
 
     @property
     def is_complete(self) -> bool:
@@ -121,6 +124,7 @@
         task.verdict = Verdict.RAN
         task.result = result
         task.hedge = None
+        self.result_bytes += len(bytes(result))
         self.open_tasks -= 1
 
     @property
--- a/egretcart/testing/backend.py
+++ b/egretcart/testing/backend.py
@@ -32,11 +32,14 @@
         Status to answer with.
     echo : str
         Returned in the answer.
+    echo_times : int
+        How many times it is repeated there.
     """
 
     run_ms: float = 0.0
     status: int = 200
     echo: str = ""
+    echo_times: Annotated[int, msgspec.Meta(ge=0)] = 1
 
 
 class BackendBehaviour(
@@ -149,7 +152,9 @@
         start.ended = trio.current_time()
         return HttpResponse(
             status=payload.status,
-            body=msgspec.json.encode({"echo": payload.echo}),
+            body=msgspec.json.encode(
+                {"echo": payload.echo * payload.echo_times}
+            ),
         )
 
     def _record(self, key: str) -> RecordedStart:
--- a/tests/features/steps/whole_path_steps.py
+++ b/tests/features/steps/whole_path_steps.py
@@ -35,6 +35,27 @@
         )
 
 
+@when(
+    "a job with {count:d} answers of {megabytes:d} megabytes "
+    "is submitted through each entry"
+)
+def submit_large(context, count, megabytes):
+    deployment = context.deployment
+    payload = {"echo": "x" * 1000, "echo_times": megabytes * 1000}
+    tasks = [{"payload": payload} for _ in range(count)]
+    context.answers = [
+        deployment.submit(entry, tasks) for entry in deployment.entries
+    ]
+
+
+@then("every answer says that it is too large and may have run")
+def check_too_large(context):
+    for status, answer in context.answers:
+        assert status == 502, answer
+        assert answer["title"] == "Answer Too Large", answer
+        assert answer["verdict"] == "may_have_run", answer
+
+
 @when(
     "the same job of {count:d} tasks is submitted through every entry at once"
 )
