Split the entry's decisions by what they serve

Cause: entry.py had 753 lines, in which the callers' requests, the claims of cells, the beats to other entries and the exchange of configurations shared one object's attributes.

Ruled out: moving code to mixins, which leaves the attributes shared; one module for takeover and requests together, as requests only need to know who leads and to hand a request over, which is now the protocol CellLeaders.

Entry keeps `leaderships`, `rosters`, `pending` and `sync` for its readers.

--- /dev/null
+++ b/egretcart/process/beats.py
@@ -0,0 +1,100 @@
+"""When an entry sends heartbeats to which other entries."""
+
+from collections.abc import Iterable
+
+from egretcart.connection.messages import CellLeader
+from egretcart.connection.messages import EntryBeat
+from egretcart.process.directory import Cell
+from egretcart.process.directory import Directory
+from egretcart.process.entry_effects import EntryEffect
+from egretcart.process.entry_effects import SendToPeer
+from egretcart.process.entry_limits import EntryLimits
+
+MS_PER_S = 1000
+
+
+class Beats:
+    """Sends heartbeats often to a few entries and rarely to all.
+
+    Parameters
+    ----------
+    directory : Directory
+    limits : EntryLimits
+
+    Attributes
+    ----------
+    config_version : int
+        Told in every heartbeat.
+    """
+
+    def __init__(self, *, directory: Directory, limits: EntryLimits) -> None:
+        self.directory = directory
+        self.limits = limits
+        self.config_version = 0
+        self.next_beat = float("-inf")
+        self.next_distant_beat = float("-inf")
+        self.leading_told: tuple[CellLeader, ...] = ()
+
+    def is_due(self, now: float) -> bool:
+        """Return whether it is time for the next heartbeat."""
+        return now >= self.next_beat
+
+    def has_news(self, claimed: tuple[CellLeader, ...]) -> bool:
+        """Return whether other entries have to be told of a change."""
+        return claimed != self.leading_told
+
+    def tell_all(self) -> None:
+        """Make the next heartbeats go to all entries."""
+        self.next_distant_beat = float("-inf")
+
+    def greeting(self, claimed: tuple[CellLeader, ...]) -> EntryBeat:
+        """Return the first heartbeat for an entry that has connected."""
+        return self._beat(self.limits.distant_beat_interval_s, claimed)
+
+    def send(
+        self,
+        now: float,
+        *,
+        claimed: tuple[CellLeader, ...],
+        cells: Iterable[Cell],
+    ) -> list[EntryEffect]:
+        """Send the heartbeats that are due, or all if leadership changed.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time.
+        claimed : tuple of CellLeader
+            Cells that this entry leads.
+        cells : iterable of Cell
+            All configured cells.
+
+        Returns
+        -------
+        list of EntryEffect
+        """
+        limits = self.limits
+        close = self.directory.close_peers(cells)
+        everyone = now >= self.next_distant_beat
+        everyone = everyone or self.has_news(claimed)
+        near = self._beat(limits.beat_interval_s, claimed)
+        distant = self._beat(limits.distant_beat_interval_s, claimed)
+        self.next_beat = now + limits.beat_interval_s
+        if everyone:
+            self.next_distant_beat = now + limits.distant_beat_interval_s
+        self.leading_told = claimed
+        return [
+            SendToPeer(entry_id, near if entry_id in close else distant)
+            for entry_id in self.directory.peers
+            if everyone or entry_id in close
+        ]
+
+    def _beat(
+        self, interval_s: float, claimed: tuple[CellLeader, ...]
+    ) -> EntryBeat:
+        return EntryBeat(
+            interval_ms=int(interval_s * MS_PER_S),
+            config_version=self.config_version,
+            leading=claimed,
+            leaving=self.directory.leaving,
+        )
--- /dev/null
+++ b/egretcart/process/cell_claims.py
@@ -0,0 +1,225 @@
+"""The cells that an entry leads, and what it keeps for later takeovers."""
+
+import dataclasses
+
+from egretcart.connection.messages import CellLeader
+from egretcart.connection.messages import NO_TERM
+from egretcart.connection.messages import Roster
+from egretcart.connection.messages import Term
+from egretcart.process.answers import AnswerCache
+from egretcart.process.clock import Clock
+from egretcart.process.directory import Cell
+from egretcart.process.directory import Directory
+from egretcart.process.effects import LeaderEffect
+from egretcart.process.effects import RequestToken
+from egretcart.process.effects import SendReply
+from egretcart.process.effects import StepDown
+from egretcart.process.entry_limits import EntryLimits
+from egretcart.process.leadership import Leadership
+from egretcart.process.limits import LeaderLimits
+from egretcart.process.pending import CANCEL
+from egretcart.process.pending import READ
+from egretcart.request.identity import JobId
+from egretcart.request.job import parse_job
+from egretcart.request.problem import bad_request
+from egretcart.request.reply import NOT_LEADER
+from egretcart.request.reply import problem_reply
+from egretcart.version.document import Configuration
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LedRequest:
+    """A request given to the leader of its cell.
+
+    Attributes
+    ----------
+    cell : Cell
+    token : RequestToken
+    action : str
+        One of `ACTIONS`.
+    job_id : JobId
+    body : bytes
+    """
+
+    cell: Cell
+    token: RequestToken
+    action: str
+    job_id: JobId
+    body: bytes
+
+
+class CellClaims:
+    """Claims cells for one entry and holds its leaderships.
+
+    Parameters
+    ----------
+    incarnation : int
+    directory : Directory
+    limits : EntryLimits
+    leader_limits : LeaderLimits
+    clock : Clock
+    answers : AnswerCache
+
+    Attributes
+    ----------
+    leaderships : dict of Cell to Leadership
+    rosters : dict of Cell to Roster
+        Newest rosters known, for later takeovers.
+    highest_terms : dict of Cell to Term
+        Highest terms seen, which a takeover must exceed.
+    not_before : dict of Cell to float
+        Monotonic time before which a cell is not taken over again.
+    """
+
+    def __init__(
+        self,
+        *,
+        incarnation: int,
+        directory: Directory,
+        limits: EntryLimits,
+        leader_limits: LeaderLimits,
+        clock: Clock,
+        answers: AnswerCache,
+    ) -> None:
+        self.incarnation = incarnation
+        self.directory = directory
+        self.limits = limits
+        self.leader_limits = leader_limits
+        self.clock = clock
+        self.answers = answers
+        self.started_at = clock.monotonic()
+        self.leaderships: dict[Cell, Leadership] = {}
+        self.rosters: dict[Cell, Roster] = {}
+        self.highest_terms: dict[Cell, Term] = {}
+        self.not_before: dict[Cell, float] = {}
+
+    @property
+    def has_settled(self) -> bool:
+        """Whether cells may be taken over, so soon after the start."""
+        settled_at = self.started_at + self.limits.settle_s
+        return self.clock.monotonic() >= settled_at
+
+    def claimed(self) -> tuple[CellLeader, ...]:
+        """Return the cells led, as other entries are told."""
+        return tuple(
+            CellLeader(
+                service_name=cell.service,
+                cell=cell.index,
+                term=leadership.term,
+            )
+            for cell, leadership in sorted(self.leaderships.items())
+        )
+
+    def leader_of(self, cell: Cell) -> str | None:
+        """Return the entry that leads or is taking over a cell."""
+        claim = self.directory.claimant(cell, self.clock.monotonic())
+        own = self.leaderships.get(cell)
+        if own is not None and (claim is None or own.term > claim[0]):
+            return self.directory.own.entry_id
+        return claim[1] if claim is not None else None
+
+    # What is kept for later takeovers.
+
+    def learn_roster(self, cell: Cell, roster: Roster) -> None:
+        """Keep a roster for a later takeover if it is newer."""
+        known = self.rosters.get(cell, Roster())
+        if roster.version > known.version:
+            self.rosters[cell] = roster
+
+    def newest_rosters(self) -> dict[Cell, Roster]:
+        """Return the newest roster of each cell, led or not."""
+        rosters = dict(self.rosters)
+        for cell, leadership in self.leaderships.items():
+            rosters[cell] = leadership.quorum.roster
+        return rosters
+
+    def saw_term(self, cell: Cell, term: Term) -> None:
+        """Keep a term that a later takeover must exceed."""
+        highest = self.highest_terms.get(cell, NO_TERM)
+        self.highest_terms[cell] = max(highest, term)
+
+    # Takeover and its end.
+
+    def should_take_over(self, cell: Cell) -> bool:
+        """Return whether this entry should lead a cell and does not."""
+        now = self.clock.monotonic()
+        if cell in self.leaderships or self.directory.leaving:
+            return False
+        if not self.has_settled:
+            return False
+        if now < self.not_before.get(cell, float("-inf")):
+            return False
+        if self.directory.claimant(cell, now) is not None:
+            return False
+        preferred = self.directory.preferred(cell, now)
+        return preferred == self.directory.own.entry_id
+
+    def take_over(
+        self, cell: Cell, configuration: Configuration
+    ) -> Leadership:
+        """Begin to lead a cell under a higher term than any seen."""
+        highest = self.highest_terms.get(cell, NO_TERM)
+        term = Term(highest.counter + 1, self.incarnation)
+        self.saw_term(cell, term)
+        leadership = Leadership(
+            service=cell.service,
+            cell=cell.index,
+            term=term,
+            roster=self.rosters.get(cell, Roster()),
+            configuration=configuration,
+            limits=self.leader_limits,
+            clock=self.clock,
+            answers=self.answers,
+        )
+        self.leaderships[cell] = leadership
+        return leadership
+
+    def stepped_down(self, cell: Cell, effect: StepDown) -> None:
+        """Forget a leadership that has ended."""
+        leadership = self.leaderships.pop(cell)
+        self.learn_roster(cell, leadership.quorum.roster)
+        self.saw_term(cell, effect.seen)
+        pause_s = self.limits.takeover_backoff_s
+        self.not_before[cell] = self.clock.monotonic() + pause_s
+
+    # Requests.
+
+    def lead(
+        self, request: LedRequest, configuration: Configuration
+    ) -> list[LeaderEffect]:
+        """Give a request to the leadership of its cell.
+
+        Parameters
+        ----------
+        request : LedRequest
+        configuration : Configuration
+            Bounds the size of a submission.
+
+        Returns
+        -------
+        list of LeaderEffect
+            The reply `NOT_LEADER` if this entry does not lead the cell.
+        """
+        token = request.token
+        leadership = self.leaderships.get(request.cell)
+        if leadership is None:
+            return [SendReply(token, NOT_LEADER)]
+        if request.action == READ:
+            return leadership.read(token, request.job_id)
+        if request.action == CANCEL:
+            return leadership.cancel(token, request.job_id)
+        parsed = parse_job(
+            job_id=request.job_id,
+            service=request.cell.service,
+            body=request.body,
+            max_tasks=configuration.max_tasks_per_job,
+        )
+        if parsed.is_err():
+            refusal = bad_request(parsed.unwrap_err())
+            return [SendReply(token, problem_reply(refusal))]
+        return leadership.submit(token, parsed.unwrap())
+
+    def prune(self, made_before_ms: int) -> None:
+        """Forget jobs that are too old to be asked for."""
+        for leadership in self.leaderships.values():
+            leadership.book.recovery.prune(made_before_ms)
--- /dev/null
+++ b/egretcart/process/config_exchange.py
@@ -0,0 +1,82 @@
+"""Exchange of configuration documents between entries."""
+
+from egretcart.connection.messages import CellRoster
+from egretcart.connection.messages import ConfigDocument
+from egretcart.connection.messages import ConfigRequest
+from egretcart.process.cell_claims import CellClaims
+from egretcart.process.clock import Clock
+from egretcart.process.config_sync import ConfigSync
+from egretcart.process.config_sync import decode_document
+from egretcart.process.config_sync import encode_document
+from egretcart.process.directory import Cell
+from egretcart.process.directory import Directory
+from egretcart.process.entry_effects import EntryEffect
+from egretcart.process.entry_effects import SendToPeer
+
+
+class ConfigExchange:
+    """Asks other entries for newer documents and answers their requests.
+
+    Parameters
+    ----------
+    sync : ConfigSync
+    directory : Directory
+    claims : CellClaims
+        Holds the rosters that travel with a document.
+    clock : Clock
+    """
+
+    def __init__(
+        self,
+        *,
+        sync: ConfigSync,
+        directory: Directory,
+        claims: CellClaims,
+        clock: Clock,
+    ) -> None:
+        self.sync = sync
+        self.directory = directory
+        self.claims = claims
+        self.clock = clock
+
+    def ask(self) -> list[EntryEffect]:
+        """Ask whoever is ahead, if that is due."""
+        if not self.sync.is_behind:
+            return []
+        live = self.directory.live_peers(self.clock.monotonic())
+        versions = [(p.address.entry_id, p.config_version) for p in live]
+        request = ConfigRequest(version=self.sync.candidate.version)
+        return [
+            SendToPeer(entry_id, request)
+            for entry_id in self.sync.peers_to_ask(versions)
+        ]
+
+    def requested(
+        self, entry_id: str, request: ConfigRequest
+    ) -> list[EntryEffect]:
+        """Answer another entry's request if it is behind."""
+        document = self.sync.candidate
+        if document.version <= request.version:
+            return []
+        rosters = self.claims.newest_rosters()
+        message = ConfigDocument(
+            version=document.version,
+            document=encode_document(document),
+            rosters=tuple(
+                CellRoster(
+                    service_name=cell.service, cell=cell.index, roster=roster
+                )
+                for cell, roster in sorted(rosters.items())
+            ),
+        )
+        return [SendToPeer(entry_id, message)]
+
+    def received(self, message: ConfigDocument) -> None:
+        """Take in another entry's document and rosters."""
+        for known in message.rosters:
+            if known.roster is not None:
+                cell = Cell(known.service_name, known.cell)
+                self.claims.learn_roster(cell, known.roster)
+        document = decode_document(message.document)
+        if document is not None:
+            self.sync.offer(document)
