Check term and lease before a task's first byte

Cause: an agent checked the lease when a start left its queue, and not after a wait for a backend connection or a pause of the process. With one connection, four tasks, an agent stopped for 4.9 s and its leader killed, the backend stand-in was sent three more tasks after the agent woke up. Ruled out: an overlap with a retry by way of the wait for a connection; the exchange's time limit runs during the wait and ends before the leader retries. Only a pause before the exchange's own time limit begins could shift it. Not closed: the microseconds between the check and the system call.

--- a/egretcart/connection/http_client.py
+++ b/egretcart/connection/http_client.py
@@ -1,5 +1,6 @@
 """HTTP client side, by h11, with a verdict for every broken exchange."""
 
+from collections.abc import Callable
 import dataclasses
 
 import h11
@@ -47,6 +48,10 @@
     since: float
 
 
+def _no_refusal() -> None:
+    """Let every request be sent."""
+
+
 class HttpClient:
     """Exchanges with one server over kept-alive connections.
 
@@ -72,6 +77,7 @@
         body: bytes = b"",
         headers: tuple[tuple[str, str], ...] = (),
         time_limit_s: float,
+        refusal: Callable[[], str | None] = _no_refusal,
     ) -> ClientResponse:
         """Send one request and return its response.
 
@@ -82,6 +88,9 @@
         headers : tuple of pairs of str, optional
         time_limit_s : float
             For the whole exchange, in seconds.
+        refusal : callable, optional
+            Asked right before the first byte is written, once a connection
+            is free. A reason ends the exchange as not run.
 
         Returns
         -------
@@ -94,29 +103,26 @@
             server may have acted on the request.
         """
         progress = _ExchangeProgress()
+        protocol = h11.Connection(our_role=h11.CLIENT)
         with trio.move_on_after(time_limit_s):
             async with self.limiter:
-                return await self._exchange(
-                    method, path, body, headers, progress
-                )
+                data = self._encode(protocol, method, path, body, headers)
+                stream = self._idle_stream() or await self._connect()
+                self._check(stream, refusal)
+                progress.verdict = Verdict.MAY_HAVE_RUN
+                return await self._converse(stream, protocol, data)
         raise ExchangeError(
             f"no response in {time_limit_s:.3f} s", progress.verdict
         )
 
-    async def _exchange(
+    def _encode(
         self,
+        protocol: h11.Connection,
         method: str,
         path: str,
         body: bytes,
         headers: tuple[tuple[str, str], ...],
-        progress: "_ExchangeProgress",
-    ) -> ClientResponse:
-        stream = self._idle_stream()
-        if stream is None:
-            try:
-                stream = await trio.open_tcp_stream(self.host, self.port)
-            except OSError as error:
-                raise ExchangeError(str(error), Verdict.NOT_RUN) from error
+    ) -> bytes:
         request = h11.Request(
             method=method,
             target=path,
@@ -126,14 +132,35 @@
                 *headers,
             ],
         )
-        protocol = h11.Connection(our_role=h11.CLIENT)
         data = (protocol.send(request) or b"") + (
             protocol.send(h11.Data(data=body)) or b""
         )
-        data += protocol.send(h11.EndOfMessage()) or b""
+        return data + (protocol.send(h11.EndOfMessage()) or b"")
+
+    async def _connect(self) -> trio.SocketStream:
+        try:
+            return await trio.open_tcp_stream(self.host, self.port)
+        except OSError as error:
+            raise ExchangeError(str(error), Verdict.NOT_RUN) from error
+
+    def _check(
+        self, stream: trio.SocketStream, refusal: Callable[[], str | None]
+    ) -> None:
+        """Keep an unused connection if the request may not be sent."""
+        reason = refusal()
+        if reason is not None:
+            self._keep(stream)
+            raise ExchangeError(reason, Verdict.NOT_RUN)
+
+    async def _converse(
+        self, stream: trio.SocketStream, protocol: h11.Connection, data: bytes
+    ) -> ClientResponse:
+        """Send a request and receive its response.
+
+        Between the call and the first byte no other task runs.
+        """
         kept = False
         try:
-            progress.verdict = Verdict.MAY_HAVE_RUN
             await stream.send_all(data)
             response = await _receive_response(stream, protocol)
             kept = (
@@ -151,12 +178,14 @@
             ) from error
         finally:
             if kept:
-                idle = IdleConnection(stream, trio.current_time())
-                self.idle.append(idle)
+                self._keep(stream)
             else:
                 with trio.CancelScope(shield=True):
                     await trio.aclose_forcefully(stream)
 
+    def _keep(self, stream: trio.SocketStream) -> None:
+        self.idle.append(IdleConnection(stream, trio.current_time()))
+
     def _idle_stream(self) -> trio.SocketStream | None:
         """Return a kept connection that the server has not closed."""
         oldest = trio.current_time() - MAX_IDLE_S
--- a/egretcart/process/agent.py
+++ b/egretcart/process/agent.py
@@ -170,6 +170,18 @@
         effects += self._begin_queued()
         return effects
 
+    def reason_not_to_send(self, start: Start) -> str | None:
+        """Return why an admitted start may not begin any more, or None.
+
+        To be asked again right before the first byte of the exchange: the
+        process may have been paused, or have waited for a connection.
+        """
+        if start.term != self.promised:
+            return f"the term {self.promised} was promised since"
+        if self.clock.monotonic() >= self.lease_until:
+            return "the lease lapsed before the task began"
+        return None
+
     def drain(self) -> list[AgentEffect]:
         """Stop admitting starts; what runs is finished."""
         self.draining = True
@@ -356,9 +368,10 @@
 
     def _begin(self, queued: QueuedStart) -> list[AgentEffect]:
         start = queued.start
+        reason = self.reason_not_to_send(start)
+        if reason is not None:
+            return self._refuse(start, reason)
         now = self.clock.monotonic()
-        if now >= self.lease_until or start.term != self.promised:
-            return self._refuse(start, "the lease lapsed in the queue")
         time_left_s = start.time_left_ms / MS_PER_S - (now - queued.received)
         if time_left_s <= 0:
             return self._refuse(start, "the time limit passed in the queue")
--- a/egretcart/process/agent_process.py
+++ b/egretcart/process/agent_process.py
@@ -266,6 +266,7 @@
                 body=start.payload,
                 headers=headers,
                 time_limit_s=time_limit_s,
+                refusal=lambda: self.agent.reason_not_to_send(start),
             )
         except ExchangeError as error:
             return ExchangeOutcome(
--- a/tests/features/backend_exchange.feature
+++ b/tests/features/backend_exchange.feature
@@ -48,3 +48,16 @@
     Given a backend server that answers too late
     When two tasks are posted over its only connection
     Then the second exchange fails as not_run
+
+  Scenario: A request that may no longer be sent is not sent
+    Given a backend server that closes after its answer
+    When a task is posted that is refused before its first byte
+    Then the exchange fails as not_run
+    And the backend server saw a connection and no request
+
+  Scenario: An agent's lease lapses while a task waits for a connection
+    Given a backend server that answers after a pause
+    When an agent with one connection is given two tasks
+    And its lease lapses before the first is answered
+    Then the backend server saw the first task only
+    And the leader is told that the second was not run
--- a/tests/features/promise_at_most_once.feature
+++ b/tests/features/promise_at_most_once.feature
@@ -46,3 +46,10 @@
     Then every caller has its own whole answer or a failure with a verdict
     And the backend servers saw no task start twice
     And the backend servers saw nothing that was refused as not run
+
+  Scenario: An agent that wakes up begins nothing under a lapsed lease
+    Given an entry and an agent with one connection to its backend server
+    When callers submit 1 non-idempotent jobs of 4 tasks that take 400 ms
+    And the agent is frozen once its backend server has a task
+    And it wakes up after the entry was killed
+    Then the backend server was sent no task after it woke up
--- a/tests/features/steps/backend_exchange_steps.py
+++ b/tests/features/steps/backend_exchange_steps.py
@@ -12,9 +12,24 @@
 from egretcart.connection.http_client import HttpClient
 from egretcart.connection.http_client import MAX_IDLE_S
 from egretcart.connection.http_client import MAX_RESPONSE_BYTES
+from egretcart.connection.messages import Fence
+from egretcart.connection.messages import Heartbeat
+from egretcart.connection.messages import Start
+from egretcart.connection.messages import TaskResult
+from egretcart.connection.messages import Term
+from egretcart.process.agent_process import AgentProcess
+from egretcart.process.agent_types import AgentLimits
+from egretcart.process.limits import LEASE_S
+from egretcart.process.planned_stop import poll_until
+from egretcart.process.settings import Address
+from egretcart.process.settings import AgentSettings
+from egretcart.request.identity import job_id_at
+from egretcart.testing.clock import ManualClock
 
 HOST = "127.0.0.1"
 LIMIT_S = 1.0
+US_PER_S = 1_000_000
+TERM = Term(1, 1)
 OK = b"HTTP/1.1 200 OK\r\n"
 WHOLE = OK + b"Content-Length: 4\r\n\r\ndone"
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -43,6 +58,7 @@
         self.fault = fault
         self.connections = 0
         self.requests = 0
+        self.resumed = trio.Event()
 
     async def serve(self, stream):
         self.connections += 1
@@ -59,11 +75,17 @@
     async def converse(self, stream):
         received = b""
         while b"\r\n\r\ntask" not in received:
-            received += await stream.receive_some(65536)
+            data = await stream.receive_some(65536)
+            if not data:
+                return
+            received += data
         self.requests += 1
         if self.fault == "answers too late":
             await trio.sleep(LIMIT_S * 2)
             await stream.send_all(WHOLE)
+        elif self.fault == "answers after a pause":
+            await self.resumed.wait()
+            await stream.send_all(WHOLE)
         elif self.fault == "never ends its answer":
             await stream.send_all(OK + b"Content-Length: 1000000\r\n\r\n")
             while True:
@@ -161,6 +183,124 @@
     run(context, scenario)
 
 
+@when("a task is posted that is refused before its first byte")
+def post_refused(context):
+    async def scenario(client):
+        try:
+            await client.exchange(
+                "POST",
+                "/",
+                body=b"task",
+                time_limit_s=LIMIT_S,
+                refusal=lambda: "the lease has lapsed",
+            )
+        except ExchangeError as error:
+            context.error = error
+        assert len(client.idle) == 1
+
+    run(context, scenario)
+
+
+class RecordingLink:
+    """Stands in for the connection to the leader."""
+
+    def __init__(self):
+        self.results = []
+
+    def send(self, message):
+        if isinstance(message, TaskResult):
+            self.results.append(message)
+
+
+def agent_process(port, clock):
+    """Return an agent with one connection, and its link to the leader."""
+    settings = AgentSettings(
+        agent_id="a",
+        failure_domain="d",
+        service="s",
+        slots=2,
+        connections=1,
+        backend=Address(host=HOST, port=port),
+        seeds=(Address(host=HOST, port=port),),
+    )
+    process = AgentProcess(
+        settings=settings, limits=AgentLimits(), clock=clock
+    )
+    link = process.links["entry"] = RecordingLink()
+    return process, link
+
+
+def lease(clock):
+    """Return what makes an agent hold a lease from now on."""
+    stamp_us = int(clock.monotonic() * US_PER_S)
+    return [
+        Fence(term=TERM, cell=0, by_query=True),
+        Heartbeat(term=TERM, proven_stamp_us=stamp_us),
+    ]
+
+
+def task_start(clock, number):
+    return Start(
+        term=TERM,
+        job_id=job_id_at(clock.unix_ms(), 1).value,
+        digest=b"digest",
+        task=number,
+        attempt=1,
+        kind="",
+        payload=b"task",
+        idempotent=False,
+        time_left_ms=60_000,
+    )
+
+
+@when("an agent with one connection is given two tasks")
+def give_two(context):
+    context.clock = ManualClock()
+    context.clock.advance(1)
+
+
+@when("its lease lapses before the first is answered")
+def lapse(context):
+    backend, clock = context.backend, context.clock
+
+    async def scenario(client):
+        process, context.link = agent_process(client.port, clock)
+        async with trio.open_nursery() as process.nursery:
+            messages = lease(clock)
+            messages += [task_start(clock, number) for number in (0, 1)]
+            for message in messages:
+                process._carry_out(process.agent.receive("entry", message))
+            with trio.fail_after(LIMIT_S):
+                await poll_until(lambda: backend.requests == 1)
+            assert len(process.exchanges) == 2
+            clock.advance(LEASE_S * 2)
+            backend.resumed.set()
+            with trio.fail_after(LIMIT_S):
+                await poll_until(lambda: not process.exchanges)
+
+    run(context, scenario)
+
+
+@then("the backend server saw the first task only")
+def check_first_only(context):
+    assert context.backend.requests == 1, context.backend.requests
+
+
+@then("the leader is told that the second was not run")
+def check_told(context):
+    told = {
+        result.task: (result.succeeded, result.verdict)
+        for result in context.link.results
+    }
+    assert told == {0: (True, "ran"), 1: (False, "not_run")}, told
+
+
+@then("the backend server saw a connection and no request")
+def check_no_request(context):
+    assert context.backend.connections == 1
+    assert context.backend.requests == 0
+
+
 @then("the exchange fails as {verdict}")
 def check_verdict(context, verdict):
     assert context.error is not None, context.response
--- a/tests/features/steps/fault_steps.py
+++ b/tests/features/steps/fault_steps.py
@@ -13,6 +13,8 @@
 from processes import Deployment
 from processes import eventually
 
+from egretcart.process.limits import LEASE_S
+
 SCALE = int(os.environ.get("EGRETCART_FAULT_SCALE", "1"))
 # Longer than every lease and timeout of the system.
 FREEZE_S = 2.5
@@ -30,6 +32,12 @@
     context.add_cleanup(context.deployment.close)
 
 
+@given("an entry and an agent with one connection to its backend server")
+def start_narrow(context):
+    context.deployment = Deployment(1, 1, connections=1)
+    context.add_cleanup(context.deployment.close)
+
+
 def note_fault(context):
     faults = getattr(context, "faulted_at", [])
     context.faulted_at = [*faults, time.monotonic()]
@@ -145,6 +153,30 @@
     frozen.signal(signal.SIGCONT)
 
 
+@when("the agent is frozen once its backend server has a task")
+def freeze_with_task(context):
+    deployment = context.deployment
+    eventually(lambda: deployment.starts_at(deployment.backends[0]), 10)
+    deployment.agents[0].signal(signal.SIGSTOP)
+    time.sleep(FREEZE_S + LEASE_S)
+
+
+@when("it wakes up after the entry was killed")
+def wake_without_leader(context):
+    deployment = context.deployment
+    deployment.entries[0].kill()
+    deployment.agents[0].signal(signal.SIGCONT)
+    time.sleep(FREEZE_S)
+
+
+@then("the backend server was sent no task after it woke up")
+def check_nothing_late(context):
+    deployment = context.deployment
+    starts = deployment.starts_at(deployment.backends[0])
+    assert len(starts) == 1, starts
+    assert deployment.agents[0].runs
+
+
 @when("an agent is frozen for good")
 def freeze_agent_for_good(context):
     note_fault(context)
--- a/tests/features/steps/processes.py
+++ b/tests/features/steps/processes.py
@@ -99,8 +99,17 @@
 class Deployment:
     """Platform, entries, agents and backend servers on loopback."""
 
-    def __init__(self, entries, agents, *, service="snapcheck", relayed=False):
+    def __init__(
+        self,
+        entries,
+        agents,
+        *,
+        service="snapcheck",
+        relayed=False,
+        connections=64,
+    ):
         self.relayed = relayed
+        self.connections = connections
         self.folder = tempfile.TemporaryDirectory()
         self.service = service
         self.processes = []
@@ -185,7 +194,7 @@
                 "failure_domain": "kl-putra",
                 "service": self.service,
                 "slots": 8,
-                "connections": 64,
+                "connections": self.connections,
                 "backend": {"host": HOST, "port": backend.ready["port"]},
                 "seeds": self.peer_seeds(),
                 "http": {"host": HOST, "port": 0},
