--- a/tests/features/steps/processes.py
+++ b/tests/features/steps/processes.py
@@ -111,9 +111,11 @@
         service="snapcheck",
         relayed=False,
         older=(),
+        connections=64,
     ):
         self.relayed = relayed
         self.older = set(older)
+        self.connections = connections
         self.folder = tempfile.TemporaryDirectory()
         self.service = service
         self.processes = []
@@ -200,7 +202,7 @@
                 "failure_domain": "kl-putra",
                 "service": self.service,
                 "slots": 8,
-                "connections": 64,
+                "connections": self.connections,
                 "backend": {"host": HOST, "port": backend.ready["port"]},
                 "seeds": self.peer_seeds(),
                 "http": {"host": HOST, "port": 0},
