Let the search see what five guards of the roster and the majority prevent

Cause: for the witnesses of a joining member, the one witness more, starts only to recorded members, the roster in the fence reply and the majority neither the machine nor the search had a counterexample.

The search passes a proof on to whoever gained one, as the leader does, not only when the newest proven round changed; it knows an agent that forgets its promise and is reached by the former leader alone, a second leader with a newer roster, and a cell of two agents.

--- a/tests/features/steps/takeover_model.py
+++ b/tests/features/steps/takeover_model.py
@@ -28,6 +28,8 @@
     reach: str = ""
     joining: str = ""
     restarts: int = 0
+    lured: bool = False  # Only the first leader reaches a restarted agent.
+    second_roster: str = ""
     rounds: tuple = (1, 1)
     last_time: int = 3
     atomic_second: bool = False
@@ -118,7 +120,8 @@
         self.restarts, self.joined = case.restarts, not case.joining
         old = roster_of(1, case.old_roster)
         self.agents = {name: ModelAgent() for name in case.agents}
-        self.leaders = [ModelLeader(1, old), ModelLeader(2, old)]
+        newer = roster_of(2, case.second_roster) if case.second_roster else old
+        self.leaders = [ModelLeader(1, old), ModelLeader(2, newer)]
         self.written = False
         self.channels = {}
         first = self.leaders[0]
@@ -160,6 +163,8 @@
     def send(self, index, name, down, *message):
         if not down and self.leaders[index].phase == "ended":
             return
+        if index == 1 and self.is_lured(name):
+            return
         if index == 1 and not down:
             self.to_leader(index, name, *message)
             return
@@ -169,6 +174,9 @@
         channel = (index, name, down)
         self.channels[channel] = (*self.channels.get(channel, ()), message)
 
+    def is_lured(self, name):
+        return self.case.lured and self.agents[name].incarnation > 0
+
     # Successors.
 
     def step(self):
@@ -241,6 +249,8 @@
             self.created < leader.barrier
         ):
             return False
+        if "recorded" in self.case.guards:
+            return leader.quorum.members[name].counted
         return leader.quorum.is_counted(name)
 
     def place(self, index, name):
@@ -343,22 +353,25 @@
             self.promised(leader, name, *fields[1:])
         else:
             number, stamp, version = fields[1:]
-            before = leader.quorum.proven_round
+            members = leader.quorum.members
+            before = {m: members[m].proven_stamp_us for m in members}
             leader.quorum.confirm(
                 name, round_number=number, stamp_us=stamp,
                 roster_version=version, now=self.now,
             )  # fmt: skip
-            if leader.quorum.proven_round > before:
-                for member in list(leader.quorum.members):
-                    if leader.quorum.is_counted(member):
-                        self.heartbeat(index, member, 0)
+            for other in list(members):
+                if members[other].proven_stamp_us > before[other]:
+                    self.heartbeat(index, other, 0)
 
     def promised(self, leader, name, stamp, begun, incarnation, version):
         quorum = leader.quorum
-        if version > quorum.roster.version:
+        if version > quorum.roster.version and (
+            "fence roster" not in self.case.guards
+        ):
             quorum.roster = roster_of(version, self.case.agents)
             self.send(1, self.case.joining, True, "fence")
         fencing = leader.phase == "fencing"
+        fencing |= "witnesses" in self.case.guards
         add = quorum.add_fenced if fencing else quorum.add_joining
         add(name, incarnation=incarnation, stamp_us=stamp, now=self.now)
         if begun and "summary" not in self.case.guards:
--- a/tests/features/steps/takeover_steps.py
+++ b/tests/features/steps/takeover_steps.py
@@ -1,10 +1,22 @@
 import dataclasses
+from unittest import mock
 
 from behave import then
 from takeover_model import Case
 from takeover_model import search
 
 ISOLATED = Case(agents="ABC", old_roster="ABC", reach="BC", atomic_second=True)
+FORGOTTEN = Case(
+    agents="ABC",
+    old_roster="ABC",
+    first_reach="A",
+    reach="BC",
+    restarts=1,
+    lured=True,
+    rounds=(1, 2),
+    last_time=2,
+    atomic_second=True,
+)
 CASES = {
     "a takeover while a lease runs": dataclasses.replace(
         ISOLATED, rounds=(0, 2)
@@ -22,6 +34,28 @@
         last_time=1,
         atomic_second=True,
     ),
+    "a takeover while a promise is forgotten": FORGOTTEN,
+    "a takeover with a newer roster": dataclasses.replace(
+        FORGOTTEN,
+        agents="ADB",
+        old_roster="AB",
+        second_roster="ADB",
+        reach="DB",
+    ),
+    "a takeover of two agents": Case(
+        agents="AB",
+        old_roster="AB",
+        first_reach="A",
+        reach="B",
+        rounds=(2, 2),
+        last_time=2,
+        atomic_second=True,
+    ),
+}
+# Guards within the quorum, with what a mutation puts in their place.
+COUNTS = {
+    "witness more": ("witnesses_needed", lambda n: n - (n // 2 + 1) + 1),
+    "majority": ("majority_of", lambda n: max(1, (n + 1) // 2)),
 }
 
 
@@ -33,5 +67,10 @@
 
 @then("the search of {case} finds a double start without the {guard}")
 def check_search_sees(context, case, guard):
-    _, path = search(CASES[case].without(guard))
+    if guard in COUNTS:
+        name, count = COUNTS[guard]
+        with mock.patch(f"egretcart.process.quorum.{name}", count):
+            _, path = search(CASES[case])
+    else:
+        _, path = search(CASES[case].without(guard))
     assert path is not None
