Count the calls to the platform's store and log its loss and return

Cause: the client of the store counted four totals for `status` and had no metrics: an operator could not tell a throttled write from a time-out, nor alarm on an open circuit.

Now each attempt is counted by kind, and by kind for each outcome that is not an answer; retries, calls held back by cap or circuit, watches that broke, the circuit's state and changes, and the time to an answer are in the metric table. The log has one line at the circuit's opening and one at the first answer after it. Agents that ask the store count as well. docs/operators/alarms.md has the alarms, and a scenario checks that every metric named there is served.

Ruled out: one counter with two labels (the metric layer has one label, a ratio would need a sum), a histogram by kind (seven times the series).

--- a/egretcart/process/agent_process.py
+++ b/egretcart/process/agent_process.py
@@ -34,13 +34,14 @@
 from egretcart.process.agent_types import SendToEntry
 from egretcart.process.agent_types import TaskKey
 from egretcart.process.clock import Clock
+from egretcart.process.etcd_platform import EtcdPlatform
 from egretcart.process.logs import EventLog
 from egretcart.process.logs import NullLog
 from egretcart.process.metrics import Metrics
 from egretcart.process.metrics import ProcessMetrics
 from egretcart.process.planned_stop import poll_until
-from egretcart.process.platform import EtcdPlatform
 from egretcart.process.platform import PlatformError
+from egretcart.process.platform_metrics import PlatformMetrics
 from egretcart.process.registration import list_entries
 from egretcart.process.settings import Address
 from egretcart.process.settings import AgentSettings
@@ -92,8 +93,9 @@
         )
         self.traffic = Traffic()
         self.metrics: Metrics = ProcessMetrics(traffic=self.traffic)
+        self.log = log or NullLog()
         self.observer = AgentObserver(
-            agent=self.agent, metrics=self.metrics, log=log or NullLog()
+            agent=self.agent, metrics=self.metrics, log=self.log
         )
         self.http_port = 0
         self.client = HttpClient(
@@ -177,7 +179,15 @@
 
     async def _find_entries(self, address: Address) -> None:
         """Ask the platform's store for entries while none is connected."""
-        platform = EtcdPlatform(host=address.host, port=address.port)
+        platform = EtcdPlatform(
+            host=address.host,
+            port=address.port,
+            observer=PlatformMetrics(
+                process_id=self.settings.agent_id,
+                metrics=self.metrics,
+                log=self.log,
+            ),
+        )
         pause_s = FIND_ENTRIES_S
         while True:
             if self.links:
--- a/egretcart/process/demo.py
+++ b/egretcart/process/demo.py
@@ -17,9 +17,9 @@
 from egretcart.process.config_store import CONFIG_KEY
 from egretcart.process.entry_limits import EntryLimits
 from egretcart.process.entry_process import EntryProcess
+from egretcart.process.etcd_platform import EtcdPlatform
 from egretcart.process.leadership import Phase
 from egretcart.process.limits import LeaderLimits
-from egretcart.process.platform import EtcdPlatform
 from egretcart.process.settings import Address
 from egretcart.process.settings import AgentSettings
 from egretcart.process.settings import EntrySettings
--- a/egretcart/process/entry_process.py
+++ b/egretcart/process/entry_process.py
@@ -40,6 +40,7 @@
 from egretcart.process.entry_effects import SendToPeer
 from egretcart.process.entry_limits import EntryLimits
 from egretcart.process.entry_observer import EntryObserver
+from egretcart.process.etcd_platform import EtcdPlatform
 from egretcart.process.limits import LeaderLimits
 from egretcart.process.logs import EventLog
 from egretcart.process.logs import NullLog
@@ -47,9 +48,9 @@
 from egretcart.process.metrics import ProcessMetrics
 from egretcart.process.operator_api import OperatorApi
 from egretcart.process.planned_stop import poll_until
-from egretcart.process.platform import EtcdPlatform
 from egretcart.process.platform import Platform
 from egretcart.process.platform_follower import PlatformFollower
+from egretcart.process.platform_metrics import PlatformMetrics
 from egretcart.process.registration import Registrar
 from egretcart.process.rosters import write_roster
 from egretcart.process.settings import EntrySettings
@@ -97,7 +98,13 @@
         self.platform: EtcdPlatform | None = None
         if settings.platform is not None:
             self.platform = EtcdPlatform(
-                host=settings.platform.host, port=settings.platform.port
+                host=settings.platform.host,
+                port=settings.platform.port,
+                observer=PlatformMetrics(
+                    process_id=settings.entry_id,
+                    metrics=self.metrics,
+                    log=self.log,
+                ),
             )
         self.entry: Entry
         self.api: CallerApi
--- /dev/null
+++ b/egretcart/process/etcd_platform.py
@@ -0,0 +1,323 @@
+"""Client of the platform's key-value service.
+
+It speaks the JSON gateway of the etcd v3 API: ranges, transactions,
+leases and watches.
+"""
+
+import base64
+from collections.abc import Callable
+import random
+from typing import Any
+
+import msgspec
+import trio
+
+from egretcart.connection.http_client import ClientResponse
+from egretcart.connection.http_client import ExchangeError
+from egretcart.connection.http_client import HttpClient
+from egretcart.connection.http_stream import stream_lines
+from egretcart.process.clock import Clock
+from egretcart.process.clock import SystemClock
+from egretcart.process.platform import Change
+from egretcart.process.platform import KeyRange
+from egretcart.process.platform import Listing
+from egretcart.process.platform import PlatformError
+from egretcart.process.platform import PlatformRefusal
+from egretcart.process.platform import Put
+from egretcart.process.platform import StoredValue
+from egretcart.process.platform_calls import CallKind
+from egretcart.process.platform_calls import CallObserver
+from egretcart.process.platform_calls import CallOutcome
+from egretcart.process.platform_calls import NullCallObserver
+from egretcart.process.platform_guard import CallGuard
+from egretcart.process.platform_guard import PlatformLimits
+from egretcart.request.verdict import Verdict
+
+HTTP_OK = 200
+HTTP_TOO_MANY_REQUESTS = 429
+CLIENT_ERRORS = frozenset(range(400, 500)) - {HTTP_TOO_MANY_REQUESTS}
+MAX_CONNECTIONS = 4
+
+
+def _encode(data: bytes) -> str:
+    return base64.b64encode(data).decode()
+
+
+def _range_document(keys: KeyRange) -> dict[str, str]:
+    return {
+        "key": _encode(keys.start.encode()),
+        "range_end": _encode(keys.end.encode()),
+    }
+
+
+def _stored(pair: dict[str, Any]) -> StoredValue:
+    data = base64.b64decode(pair.get("value", ""))
+    return StoredValue(data, int(pair["mod_revision"]))
+
+
+class EtcdPlatform:
+    """A `Platform` behind the JSON gateway of the etcd v3 API.
+
+    Parameters
+    ----------
+    host : str
+    port : int
+    limits : PlatformLimits, optional
+    clock : Clock, optional
+    observer : CallObserver, optional
+        Told of each attempt, of its outcome and of the circuit.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        port: int,
+        limits: PlatformLimits | None = None,
+        clock: Clock | None = None,
+        observer: CallObserver | None = None,
+    ) -> None:
+        self.host = host
+        self.port = port
+        self.limits = limits or PlatformLimits()
+        self.clock = clock or SystemClock()
+        self.observer = observer or NullCallObserver()
+        self.client = HttpClient(
+            host=host, port=port, max_connections=MAX_CONNECTIONS
+        )
+        self.guard = CallGuard(
+            limits=self.limits,
+            clock=self.clock,
+            source=random.Random(),
+            observer=self.observer,
+        )
+
+    async def get(self, key: str) -> StoredValue | None:
+        """Return a value, or None if the key does not exist."""
+        document = {"key": _encode(key.encode())}
+        answer = await self._call(CallKind.RANGE, document)
+        for pair in answer.get("kvs", ()):
+            return _stored(pair)
+        return None
+
+    async def list_range(self, keys: KeyRange) -> Listing:
+        """Return all values of a range of keys."""
+        answer = await self._call(CallKind.RANGE, _range_document(keys))
+        values = {
+            base64.b64decode(pair["key"]).decode(): _stored(pair)
+            for pair in answer.get("kvs", ())
+        }
+        return Listing(values, int(answer["header"]["revision"]))
+
+    async def compare_and_swap(
+        self, key: str, data: bytes, revision: int
+    ) -> bool:
+        """Write a value if its revision is still the given one."""
+        return await self.transact({key: revision}, (Put(key=key, data=data),))
+
+    async def transact(
+        self, revisions: dict[str, int], puts: tuple[Put, ...]
+    ) -> bool:
+        """Write several values at once if the given revisions still hold."""
+        compares = [
+            {
+                "key": _encode(key.encode()),
+                "target": "MOD",
+                "result": "EQUAL",
+                "mod_revision": str(revision),
+            }
+            for key, revision in revisions.items()
+        ]
+        writes = [
+            {
+                "request_put": {
+                    "key": _encode(put.key.encode()),
+                    "value": _encode(put.data),
+                    "lease": str(put.lease),
+                }
+            }
+            for put in puts
+        ]
+        # A conditional write that is made twice would refute itself.
+        answer = await self._call(
+            CallKind.TRANSACTION,
+            {"compare": compares, "success": writes},
+            repeatable=not revisions,
+        )
+        return bool(answer.get("succeeded", False))
+
+    async def grant_lease(self, time_to_live_s: int) -> int:
+        """Return the identifier of a new lease."""
+        answer = await self._call(
+            CallKind.LEASE_GRANT, {"TTL": str(time_to_live_s)}
+        )
+        return int(answer["ID"])
+
+    async def keep_alive(self, lease: int) -> bool:
+        """Renew a lease; return False if it has lapsed."""
+        answer = await self._call(CallKind.LEASE_RENEWAL, {"ID": str(lease)})
+        return int(answer.get("result", {}).get("TTL", 0)) > 0
+
+    async def revoke_lease(self, lease: int) -> None:
+        """End a lease and remove its keys."""
+        await self._call(CallKind.LEASE_REVOCATION, {"ID": str(lease)})
+
+    async def watch(
+        self,
+        keys: KeyRange,
+        revision: int,
+        handle: Callable[[Change], None],
+    ) -> None:
+        """Hand over changes from a revision on until cancelled."""
+        create = {**_range_document(keys), "start_revision": str(revision)}
+        is_open = False
+
+        def handle_line(line: bytes) -> None:
+            nonlocal is_open
+            if not is_open:
+                is_open = True
+                self._ended(CallKind.WATCH, CallOutcome.ANSWERED, began)
+            else:
+                self.guard.succeeded()
+            for change in _changes(line):
+                handle(change)
+
+        await self._admit(CallKind.WATCH)
+        began = self.clock.monotonic()
+        outcome = CallOutcome.FAILED
+        try:
+            await stream_lines(
+                host=self.host,
+                port=self.port,
+                path=CallKind.WATCH.path,
+                body=msgspec.json.encode({"create_request": create}),
+                head_limit_s=self.limits.call_limit_s,
+                handle=handle_line,
+            )
+        except ExchangeError as error:
+            if is_open:
+                self.guard.failed()
+                self.observer.watch_broke()
+            raise PlatformError(f"{CallKind.WATCH.path}: {error}") from error
+        except trio.Cancelled:
+            outcome = CallOutcome.ABANDONED
+            raise
+        finally:
+            if not is_open:
+                self._ended(CallKind.WATCH, outcome, began)
+
+    async def _admit(self, kind: CallKind) -> None:
+        wait_s = self.guard.admit()
+        if wait_s is None:
+            raise PlatformError(
+                f"{kind.path}: held back, circuit {self.guard.circuit.value}",
+                Verdict.NOT_RUN,
+            )
+        await trio.sleep(wait_s)
+
+    async def _call(
+        self, kind: CallKind, document: Any, *, repeatable: bool = True
+    ) -> dict[str, Any]:
+        """Make a call, and again if that is harmless and in the budget."""
+        attempt = 0
+        may_have_run = False
+        while True:
+            attempt += 1
+            try:
+                await self._admit(kind)
+                return await self._attempt(kind, document)
+            except PlatformRefusal:
+                raise
+            except PlatformError as error:
+                may_have_run |= error.verdict is not Verdict.NOT_RUN
+                pause_s = None
+                if repeatable or not may_have_run:
+                    pause_s = self.guard.retry_after_s(attempt)
+                if pause_s is None:
+                    if may_have_run:
+                        error.verdict = Verdict.MAY_HAVE_RUN
+                    raise
+            await trio.sleep(pause_s)
+
+    async def _attempt(self, kind: CallKind, document: Any) -> dict[str, Any]:
+        """Make one attempt at a call, and report how it ended."""
+        began = self.clock.monotonic()
+        outcome = CallOutcome.FAILED
+        try:
+            response = await self.client.exchange(
+                "POST",
+                kind.path,
+                body=msgspec.json.encode(document),
+                time_limit_s=self.limits.call_limit_s,
+            )
+            outcome = outcome_of_status(response.status)
+            answer = _answer(kind, outcome, response)
+        except ExchangeError as error:
+            raise PlatformError(
+                f"{kind.path}: {error}", error.verdict
+            ) from error
+        except msgspec.DecodeError as error:
+            outcome = CallOutcome.FAILED
+            raise PlatformError(f"{kind.path}: {error}") from error
+        except trio.Cancelled:
+            outcome = CallOutcome.ABANDONED
+            raise
+        finally:
+            self._ended(kind, outcome, began)
+        return answer
+
+    def _ended(
+        self, kind: CallKind, outcome: CallOutcome, began: float
+    ) -> None:
+        if outcome in (CallOutcome.ANSWERED, CallOutcome.REFUSED):
+            self.guard.succeeded()
+        elif outcome is not CallOutcome.ABANDONED:
+            self.guard.failed()
+        elapsed_s = self.clock.monotonic() - began
+        self.observer.attempt_ended(kind, outcome, elapsed_s)
+
+
+def outcome_of_status(status: int) -> CallOutcome:
+    """Return what an answer's HTTP status says of the call."""
+    if status == HTTP_OK:
+        return CallOutcome.ANSWERED
+    if status == HTTP_TOO_MANY_REQUESTS:
+        return CallOutcome.THROTTLED
+    if status in CLIENT_ERRORS:
+        return CallOutcome.REFUSED
+    return CallOutcome.FAILED
+
+
+def _answer(
+    kind: CallKind, outcome: CallOutcome, response: ClientResponse
+) -> dict[str, Any]:
+    """Return the document of an answer, or raise what its status says."""
+    if outcome is CallOutcome.ANSWERED:
+        return msgspec.json.decode(response.body, type=dict[str, Any])
+    if outcome is CallOutcome.REFUSED:
+        reason = response.body.decode(errors="replace")
+        raise PlatformRefusal(f"{kind.path}: {reason}", Verdict.NOT_RUN)
+    raise PlatformError(
+        f"{kind.path}: status {response.status}",
+        Verdict.NOT_RUN
+        if outcome is CallOutcome.THROTTLED
+        else Verdict.MAY_HAVE_RUN,
+    )
+
+
+def _changes(line: bytes) -> list[Change]:
+    """Return the changes in one line of a watch."""
+    try:
+        document = msgspec.json.decode(line, type=dict[str, Any])
+    except msgspec.DecodeError as error:
+        raise PlatformError(f"/v3/watch: {error}") from error
+    result = document.get("result", {})
+    if "error" in document or result.get("canceled"):
+        raise PlatformError(f"/v3/watch: ended with {document!r}")
+    changes = []
+    for event in result.get("events", ()):
+        pair = event["kv"]
+        deleted = event.get("type") == "DELETE"
+        key = base64.b64decode(pair["key"]).decode()
+        changes.append(Change(key, None if deleted else _stored(pair)))
+    return changes
--- a/egretcart/process/metric_table.py
+++ b/egretcart/process/metric_table.py
@@ -133,6 +133,70 @@
     "changes of state, as in the log",
     "change",
 )
+PLATFORM_CALLS = _counter(
+    "egretcart.platform.calls",
+    "{call}",
+    "attempts at calls to the platform's store, retries included",
+    "kind",
+)
+PLATFORM_FAILURES = _counter(
+    "egretcart.platform.failures",
+    "{call}",
+    "attempts without a usable answer: time-outs, lost connections, errors",
+    "kind",
+)
+PLATFORM_THROTTLED = _counter(
+    "egretcart.platform.throttled",
+    "{call}",
+    "attempts that the store refused for its rate limit",
+    "kind",
+)
+PLATFORM_REFUSALS = _counter(
+    "egretcart.platform.refusals",
+    "{call}",
+    "attempts that the store refused for another reason",
+    "kind",
+)
+PLATFORM_ABANDONED = _counter(
+    "egretcart.platform.abandoned",
+    "{call}",
+    "attempts whose end nobody waited for",
+    "kind",
+)
+PLATFORM_CALL_TIME = Metric(
+    name="egretcart.platform.call.time",
+    kind=MetricKind.HISTOGRAM,
+    unit="s",
+    meaning="time from an attempt to the store's answer, or a watch's start",
+    buckets=(
+        0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 1.5,
+    ),
+)  # fmt: skip
+PLATFORM_RETRIES = _counter(
+    "egretcart.platform.retries", "{call}", "attempts made again"
+)
+PLATFORM_HELD_BACK = _counter(
+    "egretcart.platform.held_back",
+    "{call}",
+    "calls not made, for the cap on calls a second or the open circuit",
+    "cause",
+)
+PLATFORM_WATCHES_BROKEN = _counter(
+    "egretcart.platform.watches.broken",
+    "{call}",
+    "watches that broke off after their start",
+)
+PLATFORM_CIRCUIT = _gauge(
+    "egretcart.platform.circuit",
+    "{state}",
+    "circuit to the store: 0 closed, 1 probing, 2 open",
+)
+PLATFORM_CIRCUIT_CHANGES = _counter(
+    "egretcart.platform.circuit.changes",
+    "{change}",
+    "changes of the circuit, by its new state",
+    "state",
+)
 AGENTS_CONNECTED = _gauge(
     "egretcart.agents.connected", "{agent}", "agents linked to the entry"
 )
@@ -166,6 +230,17 @@
     LEASE_LAPSES,
     ROSTER_CHANGES,
     STATE_CHANGES,
+    PLATFORM_CALLS,
+    PLATFORM_FAILURES,
+    PLATFORM_THROTTLED,
+    PLATFORM_REFUSALS,
+    PLATFORM_ABANDONED,
+    PLATFORM_CALL_TIME,
+    PLATFORM_RETRIES,
+    PLATFORM_HELD_BACK,
+    PLATFORM_WATCHES_BROKEN,
+    PLATFORM_CIRCUIT,
+    PLATFORM_CIRCUIT_CHANGES,
     AGENTS_CONNECTED,
     REQUESTS_OPEN,
     TASKS_RUNNING,
--- a/egretcart/process/operator_client.py
+++ b/egretcart/process/operator_client.py
@@ -14,12 +14,12 @@
 from egretcart.connection.http_client import HttpClient
 from egretcart.process.config_store import apply_change
 from egretcart.process.config_store import PlatformConfigStore
+from egretcart.process.etcd_platform import EtcdPlatform
 from egretcart.process.operator_api import APPLY_LIMIT_S
 from egretcart.process.operator_api import CONFIGURATION_PATH
 from egretcart.process.operator_api import FIRST_FIELD
 from egretcart.process.operator_api import HISTORY_PATH
 from egretcart.process.operator_api import PROCESSES_PATH
-from egretcart.process.platform import EtcdPlatform
 from egretcart.process.platform import PlatformError
 from egretcart.process.registration import list_entries
 from egretcart.process.reports import ProcessesReport
--- a/egretcart/process/platform_guard.py
+++ b/egretcart/process/platform_guard.py
@@ -5,10 +5,13 @@
 """
 
 import dataclasses
-import enum
 import random
 
 from egretcart.process.clock import Clock
+from egretcart.process.platform_calls import CallObserver
+from egretcart.process.platform_calls import Circuit
+from egretcart.process.platform_calls import HoldCause
+from egretcart.process.platform_calls import NullCallObserver
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -52,14 +55,6 @@
     max_probe_s: float = 5.0
 
 
-class Circuit(enum.Enum):
-    """Whether calls pass."""
-
-    CLOSED = "closed"
-    OPEN = "open"
-    PROBING = "probing"
-
-
 class CallGuard:
     """Decides on each call of one process to the store.
 
@@ -69,6 +64,7 @@
     clock : Clock
     source : random.Random
         Source of jitter.
+    observer : CallObserver, optional
 
     Attributes
     ----------
@@ -78,11 +74,17 @@
     """
 
     def __init__(
-        self, *, limits: PlatformLimits, clock: Clock, source: random.Random
+        self,
+        *,
+        limits: PlatformLimits,
+        clock: Clock,
+        source: random.Random,
+        observer: CallObserver | None = None,
     ) -> None:
         self.limits = limits
         self.clock = clock
         self.source = source
+        self.observer = observer or NullCallObserver()
         self.circuit = Circuit.CLOSED
         self.calls = 0
         self.failures = 0
@@ -105,13 +107,20 @@
         """
         now = self.clock.monotonic()
         wait_s = self._pacing_s(now)
-        if wait_s > self.limits.max_pacing_s or not self._circuit_admits(now):
-            self.refused += 1
+        if wait_s > self.limits.max_pacing_s:
+            self._hold_back(HoldCause.CAP)
+            return None
+        if not self._circuit_admits(now):
+            self._hold_back(HoldCause.CIRCUIT)
             return None
         self.tokens -= 1
         self.calls += 1
         return wait_s
 
+    def _hold_back(self, cause: HoldCause) -> None:
+        self.refused += 1
+        self.observer.held_back(cause)
+
     def _pacing_s(self, now: float) -> float:
         earned = (now - self.tokens_at) * self.limits.calls_per_s
         self.tokens = min(self.limits.burst, self.tokens + earned)
@@ -123,15 +132,20 @@
             return True
         if now < self.probe_at:
             return False
-        self.circuit = Circuit.PROBING
+        self._switch(Circuit.PROBING)
         # A probe that never reports back must not block the next one.
         self.probe_at = now + self.limits.call_limit_s + self.probe_pause_s
         return True
 
+    def _switch(self, circuit: Circuit) -> None:
+        before, self.circuit = self.circuit, circuit
+        if circuit is not before:
+            self.observer.circuit_changed(before, circuit)
+
     def succeeded(self) -> None:
         """Record an answer of the store."""
         self.consecutive_failures = 0
-        self.circuit = Circuit.CLOSED
+        self._switch(Circuit.CLOSED)
         self.probe_pause_s = self.limits.probe_s
         self.saved_retries = min(
             self.limits.max_retries_saved,
@@ -145,7 +159,7 @@
         probing = self.circuit is not Circuit.CLOSED
         if self.consecutive_failures < self.limits.open_after and not probing:
             return
-        self.circuit = Circuit.OPEN
+        self._switch(Circuit.OPEN)
         pause_s = self._jittered(self.probe_pause_s)
         self.probe_at = self.clock.monotonic() + pause_s
         self.probe_pause_s = min(
@@ -171,6 +185,7 @@
             return None
         self.saved_retries -= 1
         self.retries += 1
+        self.observer.retried()
         pause_s = self.limits.backoff_s * 2 ** (attempt - 1)
         return self._jittered(min(self.limits.max_backoff_s, pause_s))
 
--- /dev/null
+++ b/egretcart/process/platform_metrics.py
@@ -0,0 +1,99 @@
+"""Counts the calls to the platform's store, and logs its loss and return."""
+
+from egretcart.process.logs import EventLog
+from egretcart.process.metric_table import Metric
+from egretcart.process.metric_table import PLATFORM_ABANDONED
+from egretcart.process.metric_table import PLATFORM_CALL_TIME
+from egretcart.process.metric_table import PLATFORM_CALLS
+from egretcart.process.metric_table import PLATFORM_CIRCUIT
+from egretcart.process.metric_table import PLATFORM_CIRCUIT_CHANGES
+from egretcart.process.metric_table import PLATFORM_FAILURES
+from egretcart.process.metric_table import PLATFORM_HELD_BACK
+from egretcart.process.metric_table import PLATFORM_REFUSALS
+from egretcart.process.metric_table import PLATFORM_RETRIES
+from egretcart.process.metric_table import PLATFORM_THROTTLED
+from egretcart.process.metric_table import PLATFORM_WATCHES_BROKEN
+from egretcart.process.metric_table import STATE_CHANGES
+from egretcart.process.metrics import Metrics
+from egretcart.process.platform_calls import CallKind
+from egretcart.process.platform_calls import CallOutcome
+from egretcart.process.platform_calls import Circuit
+from egretcart.process.platform_calls import HoldCause
+from egretcart.process.transitions import Change
+from egretcart.process.transitions import ChangeKind
+
+COUNTER_OF_OUTCOME: dict[CallOutcome, Metric] = {
+    CallOutcome.FAILED: PLATFORM_FAILURES,
+    CallOutcome.THROTTLED: PLATFORM_THROTTLED,
+    CallOutcome.REFUSED: PLATFORM_REFUSALS,
+    CallOutcome.ABANDONED: PLATFORM_ABANDONED,
+}
+OUTCOMES_WITH_ANSWER = (
+    CallOutcome.ANSWERED,
+    CallOutcome.REFUSED,
+    CallOutcome.THROTTLED,
+)
+CIRCUIT_VALUES = {Circuit.CLOSED: 0, Circuit.PROBING: 1, Circuit.OPEN: 2}
+
+
+class PlatformMetrics:
+    """A `CallObserver` that counts in the metrics of one process.
+
+    Parameters
+    ----------
+    process_id : str
+        Of the entry or agent, for the log.
+    metrics : Metrics
+    log : EventLog
+
+    Attributes
+    ----------
+    circuit : Circuit
+    is_lost : bool
+        Whether no call has been answered since the circuit opened.
+    """
+
+    def __init__(
+        self, *, process_id: str, metrics: Metrics, log: EventLog
+    ) -> None:
+        self.process_id = process_id
+        self.metrics = metrics
+        self.log = log
+        self.circuit = Circuit.CLOSED
+        self.is_lost = False
+        metrics.gauge(PLATFORM_CIRCUIT, lambda: CIRCUIT_VALUES[self.circuit])
+
+    def attempt_ended(
+        self, kind: CallKind, outcome: CallOutcome, elapsed_s: float
+    ) -> None:
+        """Count one attempt at a call."""
+        self.metrics.add(PLATFORM_CALLS, label=kind.value)
+        counter = COUNTER_OF_OUTCOME.get(outcome)
+        if counter is not None:
+            self.metrics.add(counter, label=kind.value)
+        if outcome in OUTCOMES_WITH_ANSWER:
+            self.metrics.observe(PLATFORM_CALL_TIME, elapsed_s)
+
+    def watch_broke(self) -> None:
+        """Count a watch that broke off after its first line."""
+        self.metrics.add(PLATFORM_WATCHES_BROKEN)
+
+    def retried(self) -> None:
+        """Count an attempt that is made again."""
+        self.metrics.add(PLATFORM_RETRIES)
+
+    def held_back(self, cause: HoldCause) -> None:
+        """Count a call that is not made."""
+        self.metrics.add(PLATFORM_HELD_BACK, label=cause.value)
+
+    def circuit_changed(self, before: Circuit, after: Circuit) -> None:
+        """Count a change of the circuit; log the store's loss and return."""
+        self.circuit = after
+        self.metrics.add(PLATFORM_CIRCUIT_CHANGES, label=after.value)
+        is_lost = after is not Circuit.CLOSED
+        if is_lost is self.is_lost:
+            return
+        self.is_lost = is_lost
+        kind = ChangeKind.STORE_LOST if is_lost else ChangeKind.STORE_BACK
+        self.metrics.add(STATE_CHANGES, label=kind.value)
+        self.log.record(self.process_id, Change(kind, "store"))
--- a/egretcart/process/transitions.py
+++ b/egretcart/process/transitions.py
@@ -24,6 +24,8 @@
     PEER_LOST = "peer_lost"
     LEASE_LAPSED = "lease_lapsed"
     DRAINING = "draining"
+    STORE_LOST = "store_lost"
+    STORE_BACK = "store_back"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -38,3 +38,15 @@
     When 30 entries follow and register through an outage of the platform
     Then each of them has made a few probes during the outage
     And each of them has made a few calls after its end
+
+  Scenario: The client's metrics agree with what the store served
+    When calls of every kind are made through two outages and a rate limit
+    Then the metrics have each call that the stand-in served, by its kind
+    And each call stands under one outcome
+    And each outage is one line of the log at its start and one at its end
+
+  Scenario: The circuit's changes are counted and logged once
+    Then loss and return alternate, and every retry and held call is counted
+
+  Scenario: The alarms page names metrics that there are
+    Then every metric that the alarms page names is served
--- a/tests/features/steps/configuration_steps.py
+++ b/tests/features/steps/configuration_steps.py
@@ -13,8 +13,8 @@
 from behave import given
 from behave import then
 from behave import when
-from platform_steps import HOST
-from platform_steps import running
+from platform_world import HOST
+from platform_world import running
 from processes import Deployment
 from processes import eventually
 from processes import request
@@ -24,7 +24,7 @@
 from egretcart.connection.messages import EntryAddress
 from egretcart.process.config_store import apply_change
 from egretcart.process.config_store import PlatformConfigStore
-from egretcart.process.platform import EtcdPlatform
+from egretcart.process.etcd_platform import EtcdPlatform
 from egretcart.process.registration import list_entries
 from egretcart.process.registration import Registrar
 from egretcart.request.identity import new_job_id
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -1,6 +1,5 @@
 import base64
 import contextlib
-import math
 import pathlib
 import random
 import tempfile
@@ -10,107 +9,24 @@
 from behave import when
 from hypothesis import given as each
 from hypothesis import strategies
-import msgspec
+from platform_world import HOST
+from platform_world import running
+from platform_world import switch_faults
 import trio
 
-from egretcart.connection.http_client import HttpClient
 from egretcart.connection.messages import EntryAddress
-from egretcart.process.platform import EtcdPlatform
+from egretcart.process.etcd_platform import EtcdPlatform
 from egretcart.process.platform import keys_below
 from egretcart.process.platform import PlatformError
 from egretcart.process.platform import PlatformRefusal
 from egretcart.process.platform import Put
 from egretcart.process.platform_follower import PlatformFollower
-from egretcart.process.platform_guard import CallGuard
-from egretcart.process.platform_guard import Circuit
 from egretcart.process.platform_guard import PlatformLimits
 from egretcart.process.registration import list_entries
 from egretcart.process.registration import Registrar
 from egretcart.request.verdict import Verdict
-from egretcart.testing.clock import ManualClock
-from egretcart.testing.platform import PlatformStandIn
 from egretcart.testing.platform_store import PlatformStore
 
-HOST = "127.0.0.1"
-LIMIT_S = 30
-PAUSES = strategies.floats(0, 2)
-
-
-def new_guard(clock, **limits):
-    return CallGuard(
-        limits=PlatformLimits(**limits),
-        clock=clock,
-        source=random.Random(1),
-    )
-
-
-@then("no pattern of platform calls exceeds the cap in any span of time")
-def check_cap(context):
-    @each(strategies.lists(strategies.sampled_from([0, 0, 0, 0.01, 0.3, 3])))
-    def run(pauses):
-        clock = ManualClock()
-        guard = new_guard(clock, calls_per_s=5.0, burst=3.0)
-        times = []
-        for pause in pauses:
-            clock.advance(pause)
-            wait_s = guard.admit()
-            if wait_s is not None:
-                times.append(clock.monotonic() + wait_s)
-        for first, start in enumerate(times):
-            for last in range(first, len(times)):
-                span_s = times[last] - start
-                allowed = 3 + math.ceil(5 * span_s + 1e-6)
-                assert last - first + 1 <= allowed, times
-
-    run()
-
-
-@then("an unanswering platform gets probes alone until one is answered")
-def check_circuit(context):
-    @each(strategies.lists(PAUSES, min_size=1, max_size=40))
-    def run(pauses):
-        clock = ManualClock()
-        guard = new_guard(clock, calls_per_s=1e6, burst=1e6)
-        for _ in range(guard.limits.open_after):
-            assert guard.admit() is not None
-            guard.failed()
-        assert guard.circuit is Circuit.OPEN
-        last_probe = clock.monotonic()
-        for pause in pauses:
-            clock.advance(pause)
-            if guard.admit() is None:
-                continue
-            gap_s = clock.monotonic() - last_probe
-            assert gap_s >= guard.limits.probe_s / 2, gap_s
-            assert guard.admit() is None, "two probes at once"
-            guard.failed()
-            last_probe = clock.monotonic()
-        clock.advance(guard.limits.max_probe_s)
-        assert guard.admit() is not None, "no probe in time"
-        guard.succeeded()
-        assert guard.circuit is Circuit.CLOSED
-        assert guard.admit() is not None
-
-    run()
-
-
-@then("platform retries never exceed what successes have earned")
-def check_budget(context):
-    @each(strategies.lists(strategies.booleans(), max_size=300))
-    def run(answers):
-        guard = new_guard(ManualClock(), open_after=10**6)
-        for number, answered in enumerate(answers, 1):
-            if answered:
-                guard.succeeded()
-            else:
-                guard.failed()
-                guard.retry_after_s(1)
-            earned = guard.limits.retry_share * answers[:number].count(True)
-            saved = guard.limits.max_retries_saved
-            assert guard.retries <= saved + earned + 1e-6
-
-    run()
-
 
 def encode(data):
     return base64.b64encode(data).decode()
@@ -178,21 +94,6 @@
     context.platform_file = pathlib.Path(folder.name) / "data.json"
 
 
-@contextlib.asynccontextmanager
-async def running(path=None, **limits):
-    standin = PlatformStandIn(path=path)
-    async with trio.open_nursery() as nursery:
-        port = await nursery.start(standin.run)
-        with trio.fail_after(LIMIT_S):
-            yield (
-                standin,
-                EtcdPlatform(
-                    host=HOST, port=port, limits=PlatformLimits(**limits)
-                ),
-            )
-        nursery.cancel_scope.cancel()
-
-
 @when("a key is held under a lease that is not renewed")
 def hold_key(context):
     async def run():
@@ -249,16 +150,6 @@
     assert context.read_back.data == b"new"
 
 
-async def control(standin, **faults):
-    client = HttpClient(host=HOST, port=standin.port, max_connections=1)
-    body = msgspec.json.encode(faults)
-    response = await client.exchange(
-        "POST", "/control/faults", body=body, time_limit_s=LIMIT_S
-    )
-    assert response.status == 200, response.body
-    await client.aclose()
-
-
 @then("calls to a platform that is down, slow or rate limited fail in time")
 def check_faults(context):
     async def run():
@@ -272,7 +163,7 @@
             context.recovered.append(await recover(standin, platform))
 
     async def check_fault(standin, platform, fault):
-        await control(standin, **fault)
+        await switch_faults(standin, **fault)
         for _ in range(6):
             try:
                 await platform.get("k")
@@ -281,7 +172,7 @@
             raise AssertionError(f"answered despite {fault}")
 
     async def recover(standin, platform):
-        await control(standin)
+        await switch_faults(standin)
         while True:
             with contextlib.suppress(PlatformError):
                 await platform.get("k")
@@ -354,14 +245,14 @@
             for number in range(30):
                 nursery.start_soon(entry, f"e{number}", standin.port)
             await registered(platform)
-            await control(standin, down=True)
+            await switch_faults(standin, down=True)
             before = standin.calls
             began = trio.current_time()
             await trio.sleep(8)
             context.outage_s = trio.current_time() - began
             context.calls_in_outage = standin.calls - before
             standin.store.lapse(trio.current_time() + 10**6)
-            await control(standin)
+            await switch_faults(standin)
             before = standin.calls
             await registered(platform)
             context.calls_after = standin.calls - before
--- a/tools/measure_configuration.py
+++ b/tools/measure_configuration.py
@@ -19,8 +19,8 @@
 from egretcart.connection.http_client import HttpClient
 from egretcart.process.config_store import apply_change
 from egretcart.process.config_store import PlatformConfigStore
+from egretcart.process.etcd_platform import EtcdPlatform
 from egretcart.process.operator_client import EntryClient
-from egretcart.process.platform import EtcdPlatform
 from egretcart.process.platform_guard import PlatformLimits
 from egretcart.process.settings import Address
 from egretcart.version.change import Accepted
