Bound the history of versions by the transaction that accepts one

Now the document of a version has its own key beside its audit entry, and the transaction that accepts version N deletes the documents up to N - 300 and the audit entries up to N - 20,000. An audit entry keeps differences up to 16 KiB. show, history and apply say what has been pruned. A change whose audit entry has been pruned when it is asked for again is Forgotten, "not known any more", if it may have been written; a guess of "not accepted" would be wrong.

Ruled out: a pruning task or command (calls of its own, forgotten), leases on documents, a bound by age, rebuilding documents from differences.

--- /dev/null
+++ b/egretcart/process/change_commands.py
@@ -0,0 +1,127 @@
+"""The commands `apply` and `drain`: they propose a change."""
+
+import datetime
+import getpass
+import socket
+import sys
+from typing import Any
+
+import msgspec
+import uuid6
+
+from egretcart.process.config_store import plan_change
+from egretcart.process.operator_arguments import EXIT_FAILED
+from egretcart.process.operator_arguments import load_document
+from egretcart.process.operator_arguments import parse_number
+from egretcart.process.operator_client import ask_all_entries
+from egretcart.process.operator_client import OperatorClient
+from egretcart.process.outcome_text import print_differences
+from egretcart.process.outcome_text import print_outcome
+from egretcart.process.show_commands import read_stored
+from egretcart.version.change import ProposedChange
+from egretcart.version.change import WriteVersion
+from egretcart.version.check import check_quotas
+from egretcart.version.difference import find_differences
+from egretcart.version.document import Configuration
+
+APPLY_LIMIT_S = 10.0
+
+
+async def apply_file(client: OperatorClient, parsed: dict[str, Any]) -> int:
+    """Put a configuration file in force, as a whole."""
+    document = load_document(parsed)
+    base = parse_number(parsed, "--base")
+    change = ProposedChange(
+        change_id=parsed["--change"] or str(uuid6.uuid7()),
+        base=document.version if base is None else base,
+        document=document,
+        who=_who(parsed),
+        why=parsed["--reason"],
+        when=_now(),
+        resumed=parsed["--change"] is not None,
+    )
+    return await _propose(client, parsed, change)
+
+
+async def drain_agent(client: OperatorClient, parsed: dict[str, Any]) -> int:
+    """Give an agent no new work, or give it work again."""
+    agent_id = parsed["AGENT"]
+    in_force = await read_stored(client)
+    drained = set(in_force.drained) - {agent_id}
+    verb = "undrain"
+    if not parsed["--undo"]:
+        drained.add(agent_id)
+        verb = "drain"
+    change = ProposedChange(
+        change_id=str(uuid6.uuid7()),
+        base=in_force.version,
+        document=msgspec.structs.replace(
+            in_force, drained=tuple(sorted(drained))
+        ),
+        who=_who(parsed),
+        why=parsed["--reason"] or f"{verb} {agent_id}",
+        when=_now(),
+    )
+    return await _propose(client, parsed, change)
+
+
+def _who(parsed: dict[str, Any]) -> str:
+    given: str | None = parsed["--as"]
+    return given or f"{getpass.getuser()}@{socket.gethostname()}"
+
+
+def _now() -> str:
+    now = datetime.datetime.now(tz=datetime.UTC)
+    return now.isoformat(timespec="milliseconds")
+
+
+async def _propose(
+    client: OperatorClient, parsed: dict[str, Any], change: ProposedChange
+) -> int:
+    """Show the plan, ask, apply and tell the outcome."""
+    if not change.resumed:
+        status = await _show_plan(client, change)
+        if status is not None:
+            return status
+    if not parsed["--yes"] and not _confirmed():
+        print("not applied: nothing was written")
+        return EXIT_FAILED
+    print(f"change {change.change_id}", flush=True)
+    outcome = await client.apply(change, time_limit_s=APPLY_LIMIT_S)
+    return print_outcome(outcome, change)
+
+
+async def _show_plan(
+    client: OperatorClient, change: ProposedChange
+) -> int | None:
+    """Print what would change; return an exit code if nothing can."""
+    plan = await plan_change(client, change)
+    if not isinstance(plan.step, WriteVersion):
+        return print_outcome(plan.step, change)
+    print(f"plan: version {change.base} -> {plan.step.entry.version}")
+    print_differences(find_differences(plan.stored, change.document))
+    await _warn_of_quotas(client, change.document)
+    return None
+
+
+async def _warn_of_quotas(
+    client: OperatorClient, document: Configuration
+) -> None:
+    """Compare the teams' quotas with the slots of the connected agents."""
+    overview = await ask_all_entries(await client.entry_addresses())
+    slots = {
+        agent.agent_id: agent.slots
+        for report in overview.reports
+        for agent in report.agents
+    }
+    if not slots:
+        return
+    for finding in check_quotas(document, sum(slots.values())):
+        print(f"  warning: {finding.to_line()}")
+
+
+def _confirmed() -> bool:
+    if not sys.stdin.isatty():
+        print("no terminal to ask on: give --yes", file=sys.stderr)
+        return False
+    return input("apply? [y/N] ").strip().lower() in ("y", "yes")
--- a/egretcart/process/config_store.py
+++ b/egretcart/process/config_store.py
@@ -1,5 +1,6 @@
 """The configuration and its audit trail in the platform's store."""
 
+import dataclasses
 from typing import Protocol
 from typing import TypeVar
 
@@ -25,16 +26,39 @@
 
 CONFIG_KEY = "egretcart/config"
 HISTORY_PREFIX = "egretcart/history/"
+# Outside the range of the configuration and the entries, which is watched.
+DOCUMENTS_PREFIX = "egretcart/versions/"
 SETTLE_PAUSE_S = 0.2
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class HistoryLimits:
+    """How much of the past is kept.
+
+    Attributes
+    ----------
+    max_documents : int
+        Newest versions whose documents are kept, for rollbacks.
+    max_entries : int
+        Newest versions whose audit entries are kept.
+    """
+
+    max_documents: int = 300
+    max_entries: int = 20_000
+
+
 def history_key(version: int) -> str:
     """Return the key of a version's audit entry; keys sort by version."""
     return f"{HISTORY_PREFIX}{version:010d}"
 
 
-class ConfigStore(Protocol):
-    """Where versions are kept.
+def document_key(version: int) -> str:
+    """Return the key of a version's document; keys sort by version."""
+    return f"{DOCUMENTS_PREFIX}{version:010d}"
+
+
+class ConfigReader(Protocol):
+    """Who knows the stored versions.
 
     Every method raises `PlatformError` if there is no answer.
     """
@@ -45,10 +69,17 @@
     async def read_entry(self, version: int) -> AuditEntry | None:
         """Return the audit entry of a version, or None."""
 
+    async def read_document(self, version: int) -> Configuration | None:
+        """Return the document of a version, or None if it is not kept."""
+
     async def read_history(self, first_version: int) -> tuple[AuditEntry, ...]:
         """Return the audit entries from a version on, oldest first."""
 
-    async def write(self, entry: AuditEntry, revision: int) -> bool:
+
+class ConfigStore(ConfigReader, Protocol):
+    """Where versions are kept."""
+
+    async def write(self, step: WriteVersion) -> bool:
         """Write a version if the current document's revision holds."""
 
 
@@ -58,10 +89,14 @@
     Parameters
     ----------
     platform : Platform
+    limits : HistoryLimits, optional
     """
 
-    def __init__(self, *, platform: Platform) -> None:
+    def __init__(
+        self, *, platform: Platform, limits: HistoryLimits | None = None
+    ) -> None:
         self.platform = platform
+        self.limits = limits or HistoryLimits()
 
     async def read_current(self) -> CurrentVersion | None:
         """Return the current document, or None if there is none."""
@@ -78,6 +113,13 @@
             return None
         return _decode(stored.data, AuditEntry)
 
+    async def read_document(self, version: int) -> Configuration | None:
+        """Return the document of a version, or None if it is not kept."""
+        stored = await self.platform.get(document_key(version))
+        if stored is None:
+            return None
+        return decode_configuration(stored.data)
+
     async def read_history(self, first_version: int) -> tuple[AuditEntry, ...]:
         """Return the audit entries from a version on, oldest first."""
         everything = keys_below(HISTORY_PREFIX)
@@ -88,18 +130,35 @@
             for _, value in sorted(listing.values.items())
         )
 
-    async def write(self, entry: AuditEntry, revision: int) -> bool:
-        """Write a version if the current document's revision holds."""
-        document = msgspec.json.encode(entry.document)
-        history = history_key(entry.version)
+    async def write(self, step: WriteVersion) -> bool:
+        """Write a version if the current document's revision holds.
+
+        The same transaction prunes what is older than the limits.
+        """
+        version = step.entry.version
+        document = msgspec.json.encode(step.document)
+        history = history_key(version)
         return await self.platform.transact(
-            {CONFIG_KEY: revision, history: 0},
+            {CONFIG_KEY: step.revision, history: 0},
             (
                 Put(key=CONFIG_KEY, data=document),
-                Put(key=history, data=msgspec.json.encode(entry)),
+                Put(key=document_key(version), data=document),
+                Put(key=history, data=msgspec.json.encode(step.entry)),
             ),
+            self._pruned(version),
         )
 
+    def _pruned(self, version: int) -> tuple[KeyRange, ...]:
+        """Return the keys that a version makes too old."""
+        document = version - self.limits.max_documents + 1
+        entry = version - self.limits.max_entries + 1
+        ranges = []
+        if document > 1:
+            ranges.append(KeyRange(document_key(0), document_key(document)))
+        if entry > 1:
+            ranges.append(KeyRange(history_key(0), history_key(entry)))
+        return tuple(ranges)
+
 
 def decode_configuration(data: bytes) -> Configuration:
     """Decode a stored document.
@@ -124,6 +183,37 @@
         ) from error
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Plan:
+    """What applying a change would do.
+
+    Attributes
+    ----------
+    stored : Configuration
+        In the store now.
+    step : WriteVersion or Ended
+        The write, or the end of the change without one.
+    """
+
+    stored: Configuration
+    step: WriteVersion | Ended
+
+
+async def plan_change(reader: ConfigReader, change: ProposedChange) -> Plan:
+    """Return what applying a change would do; nothing is written.
+
+    Raises
+    ------
+    PlatformError
+        If there is no answer.
+    """
+    attempt = ChangeAttempt(change=change)
+    step = attempt.begin()
+    while isinstance(step, ReadCurrent | ReadEntry):
+        step = await _read(reader, attempt, step)
+    return Plan(stored=attempt.current.document, step=step)
+
+
 async def apply_change(
     store: ConfigStore,
     change: ProposedChange,
@@ -161,13 +251,11 @@
 async def _take_step(
     store: ConfigStore, attempt: ChangeAttempt, step: Step
 ) -> Step:
-    if isinstance(step, ReadCurrent):
-        return attempt.current_read(await store.read_current())
-    if isinstance(step, ReadEntry):
-        return attempt.entry_read(await store.read_entry(step.version))
+    if isinstance(step, ReadCurrent | ReadEntry):
+        return await _read(store, attempt, step)
     assert isinstance(step, WriteVersion)
     try:
-        succeeded = await store.write(step.entry, step.revision)
+        succeeded = await store.write(step)
     except PlatformError as error:
         if error.verdict is not Verdict.NOT_RUN:
             attempt.write_lost()
@@ -176,3 +264,11 @@
         attempt.write_lost()
         raise
     return attempt.write_ended(succeeded=succeeded)
+
+
+async def _read(
+    reader: ConfigReader, attempt: ChangeAttempt, step: ReadCurrent | ReadEntry
+) -> Step:
+    if isinstance(step, ReadCurrent):
+        return attempt.current_read(await reader.read_current())
+    return attempt.entry_read(await reader.read_entry(step.version))
--- a/egretcart/process/etcd_platform.py
+++ b/egretcart/process/etcd_platform.py
@@ -116,9 +116,12 @@
         return await self.transact({key: revision}, (Put(key=key, data=data),))
 
     async def transact(
-        self, revisions: dict[str, int], puts: tuple[Put, ...]
+        self,
+        revisions: dict[str, int],
+        puts: tuple[Put, ...],
+        deletes: tuple[KeyRange, ...] = (),
     ) -> bool:
-        """Write several values at once if the given revisions still hold."""
+        """Write and delete at once if the given revisions still hold."""
         compares = [
             {
                 "key": _encode(key.encode()),
@@ -128,7 +131,7 @@
             }
             for key, revision in revisions.items()
         ]
-        writes = [
+        operations: list[dict[str, Any]] = [
             {
                 "request_put": {
                     "key": _encode(put.key.encode()),
@@ -138,10 +141,13 @@
             }
             for put in puts
         ]
+        operations += [
+            {"request_delete_range": _range_document(keys)} for keys in deletes
+        ]
         # A conditional write that is made twice would refute itself.
         answer = await self._call(
             CallKind.TRANSACTION,
-            {"compare": compares, "success": writes},
+            {"compare": compares, "success": operations},
             repeatable=not revisions,
         )
         return bool(answer.get("succeeded", False))
--- a/egretcart/process/operator_api.py
+++ b/egretcart/process/operator_api.py
@@ -27,7 +27,9 @@
 CONFIGURATION_PATH = "/v1/configuration"
 HISTORY_PATH = "/v1/configuration/history"
 PROCESSES_PATH = "/v1/processes"
+VERSIONS_PATH = "/v1/configuration/versions"
 ENTRY_PATH = re.compile(HISTORY_PATH + r"/(\d{1,10})")
+DOCUMENT_PATH = re.compile(VERSIONS_PATH + r"/(\d{1,10})")
 APPLY_LIMIT_S = 5.0
 RETRY_AFTER_S = 2.0
 FIRST_FIELD = "first"
@@ -97,6 +99,9 @@
         version = ENTRY_PATH.fullmatch(path)
         if request.method == "GET" and version is not None:
             return _json(await self.store.read_entry(int(version.group(1))))
+        version = DOCUMENT_PATH.fullmatch(path)
+        if request.method == "GET" and version is not None:
+            return _json(await self.store.read_document(int(version.group(1))))
         if request.method == "GET" and path == HISTORY_PATH:
             fields = parse_qs(urlsplit(request.path).query)
             first = fields.get(FIRST_FIELD, ["0"])[0]
--- /dev/null
+++ b/egretcart/process/operator_arguments.py
@@ -0,0 +1,86 @@
+"""Addresses, numbers and files on the operators' command line."""
+
+import os
+import pathlib
+from typing import Any
+
+from egretcart.process.operator_client import EntryClient
+from egretcart.process.operator_client import OperatorClient
+from egretcart.process.operator_client import PlatformClient
+from egretcart.process.settings import Address
+from egretcart.version.check import parse_document
+from egretcart.version.document import Configuration
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+EXIT_UNDECIDED = 3
+PLATFORM_VARIABLE = "EGRETCART_PLATFORM"
+ENTRY_VARIABLE = "EGRETCART_ENTRY"
+
+
+class UsageError(Exception):
+    """The command line or a file is wrong."""
+
+
+def client_of(parsed: dict[str, Any]) -> OperatorClient:
+    """Return a client of the address given, or of the environment's."""
+    if parsed["--entry"]:
+        return EntryClient(address=_address(parsed["--entry"]))
+    if parsed["--platform"]:
+        return PlatformClient(address=_address(parsed["--platform"]))
+    platform = os.environ.get(PLATFORM_VARIABLE)
+    if platform:
+        return PlatformClient(address=_address(platform))
+    entry = os.environ.get(ENTRY_VARIABLE)
+    if entry:
+        return EntryClient(address=_address(entry))
+    raise UsageError(
+        "no address: give --platform or --entry, or set "
+        f"{PLATFORM_VARIABLE} or {ENTRY_VARIABLE}"
+    )
+
+
+def _address(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdecimal():
+        raise UsageError(f"address {text!r}; accepted: HOST:PORT")
+    return Address(host=host.strip("[]"), port=int(port))
+
+
+def parse_number(parsed: dict[str, Any], option: str) -> int | None:
+    """Return an option's number, or None if it is not given.
+
+    Raises
+    ------
+    UsageError
+        If it is no number.
+    """
+    text = parsed[option]
+    if text is None:
+        return None
+    if not text.isdecimal():
+        raise UsageError(f"{option} is {text!r}; accepted: a number")
+    return int(text)
+
+
+def load_document(parsed: dict[str, Any]) -> Configuration:
+    """Return the configuration in the file that is given.
+
+    Raises
+    ------
+    UsageError
+        If it can't be read or is wrong; each finding has a line.
+    """
+    path = pathlib.Path(parsed["FILE"][0])
+    try:
+        data = path.read_bytes()
+    except OSError as error:
+        raise UsageError(f"{path}: {error.strerror}") from error
+    result = parse_document(data)
+    if result.is_err():
+        findings = result.unwrap_err()
+        raise UsageError(
+            "\n".join(f"{path}: {found.to_line()}" for found in findings)
+        )
+    return result.unwrap()
--- a/egretcart/process/operator_client.py
+++ b/egretcart/process/operator_client.py
@@ -13,6 +13,7 @@
 from egretcart.connection.http_client import ExchangeError
 from egretcart.connection.http_client import HttpClient
 from egretcart.process.config_store import apply_change
+from egretcart.process.config_store import ConfigReader
 from egretcart.process.config_store import PlatformConfigStore
 from egretcart.process.etcd_platform import EtcdPlatform
 from egretcart.process.operator_api import APPLY_LIMIT_S
@@ -20,6 +21,7 @@
 from egretcart.process.operator_api import FIRST_FIELD
 from egretcart.process.operator_api import HISTORY_PATH
 from egretcart.process.operator_api import PROCESSES_PATH
+from egretcart.process.operator_api import VERSIONS_PATH
 from egretcart.process.platform import PlatformError
 from egretcart.process.registration import list_entries
 from egretcart.process.reports import ProcessesReport
@@ -31,6 +33,7 @@
 from egretcart.version.change import NotReached
 from egretcart.version.change import ProposedChange
 from egretcart.version.change import Undecided
+from egretcart.version.document import Configuration
 
 HTTP_OK = 200
 READ_LIMIT_S = 5.0
@@ -40,21 +43,12 @@
 T = TypeVar("T")
 
 
-class OperatorClient(Protocol):
+class OperatorClient(ConfigReader, Protocol):
     """What the commands need.
 
     Methods but `apply` raise `PlatformError` if there is no answer.
     """
 
-    async def read_current(self) -> CurrentVersion | None:
-        """Return the current document, or None if there is none."""
-
-    async def read_entry(self, version: int) -> AuditEntry | None:
-        """Return the audit entry of a version, or None."""
-
-    async def read_history(self, first_version: int) -> tuple[AuditEntry, ...]:
-        """Return the audit entries from a version on, oldest first."""
-
     async def apply(
         self, change: ProposedChange, *, time_limit_s: float
     ) -> Ended:
@@ -84,6 +78,10 @@
         """Return the audit entry of a version, or None."""
         return await self.store.read_entry(version)
 
+    async def read_document(self, version: int) -> Configuration | None:
+        """Return the document of a version, or None if it is not kept."""
+        return await self.store.read_document(version)
+
     async def read_history(self, first_version: int) -> tuple[AuditEntry, ...]:
         """Return the audit entries from a version on, oldest first."""
         return await self.store.read_history(first_version)
@@ -127,6 +125,11 @@
         """Return the audit entry of a version, or None."""
         return await self._get(f"{HISTORY_PATH}/{version}", AuditEntry | None)
 
+    async def read_document(self, version: int) -> Configuration | None:
+        """Return the document of a version, or None if it is not kept."""
+        path = f"{VERSIONS_PATH}/{version}"
+        return await self._get(path, Configuration | None)
+
     async def read_history(self, first_version: int) -> tuple[AuditEntry, ...]:
         """Return the audit entries from a version on, oldest first."""
         path = f"{HISTORY_PATH}?{FIRST_FIELD}={first_version}"
--- /dev/null
+++ b/egretcart/process/outcome_text.py
@@ -0,0 +1,89 @@
+"""What the commands print of a change's outcome."""
+
+from egretcart.process.operator_arguments import EXIT_FAILED
+from egretcart.process.operator_arguments import EXIT_OK
+from egretcart.process.operator_arguments import EXIT_UNDECIDED
+from egretcart.process.operator_arguments import EXIT_USAGE
+from egretcart.version.change import Accepted
+from egretcart.version.change import Conflict
+from egretcart.version.change import Ended
+from egretcart.version.change import Forgotten
+from egretcart.version.change import NotReached
+from egretcart.version.change import ProposedChange
+from egretcart.version.change import Refused
+from egretcart.version.change import Unchanged
+from egretcart.version.change import Undecided
+from egretcart.version.difference import Difference
+
+
+def print_differences(
+    differences: tuple[Difference, ...], *, omitted: int = 0
+) -> None:
+    """Print a line for each difference.
+
+    Parameters
+    ----------
+    differences : tuple of Difference
+    omitted : int, optional
+        Differences that the audit entry has no room for.
+    """
+    for difference in differences:
+        print(f"  {difference.to_line()}")
+    if omitted:
+        print(f"  and {omitted} more, too long for the audit trail")
+
+
+def print_outcome(outcome: Ended, change: ProposedChange) -> int:
+    """Print an outcome; return the exit code."""
+    if isinstance(outcome, Accepted):
+        print(f"accepted: version {outcome.version}")
+        return EXIT_OK
+    if isinstance(outcome, Unchanged):
+        print(f"no change: version {outcome.version} says the same")
+        return EXIT_OK
+    if isinstance(outcome, Conflict):
+        _print_conflict(outcome, change)
+        return EXIT_FAILED
+    if isinstance(outcome, Refused):
+        print("not accepted:")
+        for finding in outcome.findings:
+            print(f"  {finding.to_line()}")
+        return EXIT_USAGE
+    if isinstance(outcome, NotReached):
+        print(f"not accepted, nothing was written: {outcome.reason}")
+        return EXIT_FAILED
+    if isinstance(outcome, Forgotten):
+        _print_forgotten(outcome, change)
+        return EXIT_FAILED
+    assert isinstance(outcome, Undecided)
+    print(f"not known yet: {outcome.reason}")
+    print(
+        "ask again with the same file and "
+        f"--base {change.base} --change {change.change_id}"
+    )
+    return EXIT_UNDECIDED
+
+
+def _print_conflict(outcome: Conflict, change: ProposedChange) -> None:
+    print(
+        f"not accepted: made from version {change.base}, but "
+        f"{outcome.version} is in force"
+    )
+    successor = change.base + 1
+    if outcome.pruned:
+        print(f"  the audit entry of version {successor} has been pruned")
+    if outcome.who:
+        print(f"  version {successor} by {outcome.who}: {outcome.why}")
+    print(f"from version {outcome.version} to your file:")
+    print_differences(outcome.difference)
+
+
+def _print_forgotten(outcome: Forgotten, change: ProposedChange) -> None:
+    print(
+        f"not known any more: change {change.change_id} may have been "
+        f"version {change.base + 1}, whose audit entry has been pruned; "
+        f"version {outcome.version} is in force"
+    )
+    print(
+        "look at `egretcart diff` and make the change again if it is missing"
+    )
--- a/egretcart/process/platform.py
+++ b/egretcart/process/platform.py
@@ -101,9 +101,15 @@
         """
 
     async def transact(
-        self, revisions: dict[str, int], puts: tuple[Put, ...]
+        self,
+        revisions: dict[str, int],
+        puts: tuple[Put, ...],
+        deletes: tuple[KeyRange, ...] = (),
     ) -> bool:
-        """Write several values at once if the given revisions still hold."""
+        """Write and delete at once if the given revisions still hold.
+
+        No key may be written and deleted by the same transaction.
+        """
 
     async def grant_lease(self, time_to_live_s: int) -> int:
         """Return the identifier of a new lease."""
--- /dev/null
+++ b/egretcart/process/show_commands.py
@@ -0,0 +1,93 @@
+"""The commands `diff`, `show` and `history`."""
+
+from typing import Any
+
+import msgspec
+
+from egretcart.process.operator_arguments import EXIT_OK
+from egretcart.process.operator_arguments import load_document
+from egretcart.process.operator_arguments import parse_number
+from egretcart.process.operator_arguments import UsageError
+from egretcart.process.operator_client import OperatorClient
+from egretcart.process.outcome_text import print_differences
+from egretcart.version.change import AuditEntry
+from egretcart.version.change import NOTHING_STORED
+from egretcart.version.difference import find_differences
+from egretcart.version.document import Configuration
+
+
+async def read_stored(client: OperatorClient) -> Configuration:
+    """Return the current document; version 0 if there is none."""
+    current = await client.read_current() or NOTHING_STORED
+    return current.document
+
+
+async def print_difference(
+    client: OperatorClient, parsed: dict[str, Any]
+) -> int:
+    """Compare a file with what is in force."""
+    document = load_document(parsed)
+    in_force = await read_stored(client)
+    difference = find_differences(in_force, document)
+    print(f"version {in_force.version} is in force")
+    print_differences(difference)
+    if not difference:
+        print("no difference")
+    return EXIT_OK
+
+
+async def print_version(client: OperatorClient, parsed: dict[str, Any]) -> int:
+    """Print the document that is in force, or that of a former version."""
+    version = parse_number(parsed, "--version")
+    document = await read_stored(client)
+    if version is not None and version != document.version:
+        document = await _read_former(client, version, document.version)
+    text = msgspec.json.format(msgspec.json.encode(document), indent=2)
+    print(text.decode())
+    return EXIT_OK
+
+
+async def _read_former(
+    client: OperatorClient, version: int, in_force: int
+) -> Configuration:
+    if not 1 <= version <= in_force:
+        raise UsageError(
+            f"there is no version {version}; accepted: 1 to {in_force}, "
+            "as far as it has not been pruned"
+        )
+    document = await client.read_document(version)
+    if document is not None:
+        return document
+    entry = await client.read_entry(version)
+    if entry is None:
+        raise UsageError(
+            f"version {version} has been pruned with its audit entry; "
+            f"{in_force} is in force"
+        )
+    raise UsageError(
+        f"the document of version {version} has been pruned; {in_force} is "
+        "in force; the history still says:\n" + "\n".join(_lines(entry))
+    )
+
+
+async def print_history(client: OperatorClient, parsed: dict[str, Any]) -> int:
+    """Print who changed what, when and why."""
+    last = parse_number(parsed, "--last") or 0
+    in_force = (await read_stored(client)).version
+    first = max(1, in_force - last + 1)
+    entries = await client.read_history(first)
+    oldest = entries[0].version if entries else in_force + 1
+    if first < oldest:
+        print(f"the audit entries before version {oldest} have been pruned")
+    for entry in entries:
+        print("\n".join(_lines(entry)))
+        print_differences(entry.difference, omitted=entry.omitted)
+    return EXIT_OK
+
+
+def _lines(entry: AuditEntry) -> list[str]:
+    return [
+        f"version {entry.version}, from {entry.base}, {entry.when}",
+        f"  by {entry.who}: {entry.why}",
+        f"  change {entry.change_id}",
+    ]
--- a/egretcart/testing/platform_store.py
+++ b/egretcart/testing/platform_store.py
@@ -4,6 +4,7 @@
 """
 
 import base64
+from collections.abc import Iterable
 import dataclasses
 from typing import Any
 
@@ -79,27 +80,49 @@
         }
 
     def transact(self, document: dict[str, Any]) -> dict[str, Any]:
-        """Answer a transaction of compares and puts."""
-        for compare in document.get("compare", ()):
-            pair = self.pairs.get(base64.b64decode(compare["key"]))
-            revision = pair.mod_revision if pair is not None else 0
-            if revision != int(compare["mod_revision"]):
-                return {"header": self.header()}
-        puts = [
-            operation["request_put"]
-            for operation in document.get("success", ())
+        """Answer a transaction of compares, puts and deletions."""
+        operations = document.get("success", ())
+        puts = [o["request_put"] for o in operations if "request_put" in o]
+        ranges = [
+            key_range(o["request_delete_range"])
+            for o in operations
+            if "request_delete_range" in o
         ]
+        written = [base64.b64decode(put["key"]) for put in puts]
+        if len(set(written)) < len(written) or any(
+            in_range(key, *bounds) for key in written for bounds in ranges
+        ):
+            return {"error": "duplicate key given in txn request", "code": 3}
+        if not self._holds(document.get("compare", ())):
+            return {"header": self.header()}
         leases = [int(put.get("lease", 0)) for put in puts]
         if any(lease and lease not in self.leases for lease in leases):
             return {"error": "requested lease not found", "code": 5}
-        self.revision += 1
-        for put, lease in zip(puts, leases, strict=True):
-            key = base64.b64decode(put["key"])
+        deleted = [
+            key
+            for key in self.pairs
+            if any(in_range(key, *bounds) for bounds in ranges)
+        ]
+        if puts or deleted:
+            self.revision += 1
+        for key in deleted:
+            del self.pairs[key]
+            self._record(key, None)
+        for key, put, lease in zip(written, puts, leases, strict=True):
             value = base64.b64decode(put["value"])
             self.pairs[key] = StoredPair(value, self.revision, lease)
             self._record(key, value)
         return {"header": self.header(), "succeeded": True}
 
+    def _holds(self, compares: Iterable[dict[str, Any]]) -> bool:
+        """Return whether each key has its given revision; 0 for no key."""
+        for compare in compares:
+            pair = self.pairs.get(base64.b64decode(compare["key"]))
+            revision = pair.mod_revision if pair is not None else 0
+            if revision != int(compare["mod_revision"]):
+                return False
+        return True
+
     def grant(self, document: dict[str, Any], now: float) -> dict[str, Any]:
         """Answer the grant of a lease."""
         time_to_live_s = float(document["TTL"])
--- a/egretcart/version/change.py
+++ b/egretcart/version/change.py
@@ -14,8 +14,11 @@
 from egretcart.version.difference import Difference
 from egretcart.version.difference import find_differences
 from egretcart.version.difference import is_same_content
+from egretcart.version.difference import shorten_differences
 from egretcart.version.document import Configuration
 
+MAX_AUDITED_BYTES = 16 * 1024
+
 
 class ProposedChange(msgspec.Struct, frozen=True, kw_only=True):
     """What an operator wants to put in force.
@@ -52,8 +55,9 @@
     version, base : int
     change_id, who, why, when : str
     difference : tuple of Difference
-        To the base version.
-    document : Configuration
+        To the base version, as far as it fits into `MAX_AUDITED_BYTES`.
+    omitted : int
+        Differences that did not fit.
     """
 
     version: int
@@ -63,7 +67,7 @@
     why: str
     when: str
     difference: tuple[Difference, ...]
-    document: Configuration
+    omitted: int = 0
 
 
 class CurrentVersion(msgspec.Struct, frozen=True, kw_only=True):
@@ -90,6 +94,7 @@
     """Step: write document and audit entry if the revision still holds."""
 
     entry: AuditEntry
+    document: Configuration
     revision: int
 
 
@@ -118,6 +123,9 @@
         In force now.
     who, why : str
         Of the version that followed the base; empty if not known.
+    pruned : bool
+        Whether the base is so old that its successor's audit entry has
+        been pruned.
     difference : tuple of Difference
         From what is in force to the proposed document.
     """
@@ -125,6 +133,7 @@
     version: int
     who: str = ""
     why: str = ""
+    pruned: bool = False
     difference: tuple[Difference, ...] = ()
 
 
@@ -147,7 +156,27 @@
     reason: str
 
 
-Ended = Accepted | Unchanged | Conflict | Refused | NotReached | Undecided
+class Forgotten(Outcome, frozen=True, kw_only=True, tag=True):
+    """Not known any more: the audit entry that would tell is pruned.
+
+    Attributes
+    ----------
+    version : int
+        In force now.
+    """
+
+    version: int
+
+
+Ended = (
+    Accepted
+    | Unchanged
+    | Conflict
+    | Refused
+    | NotReached
+    | Undecided
+    | Forgotten
+)
 Step = ReadCurrent | ReadEntry | WriteVersion | Ended
 
 
@@ -191,7 +220,7 @@
         findings += check_change(in_force, self.change.document)
         if findings:
             return Refused(findings=findings)
-        return WriteVersion(self._entry(in_force), self.current.revision)
+        return self._write(in_force)
 
     def entry_read(self, entry: AuditEntry | None) -> Step:
         """Take in the audit entry of the version after the base."""
@@ -200,7 +229,10 @@
         in_force = self.current.document
         if is_same_content(in_force, self.change.document):
             return Unchanged(version=in_force.version)
-        return self._conflict(entry)
+        is_pruned = entry is None and in_force.version > self.change.base
+        if is_pruned and self.may_be_written:
+            return Forgotten(version=in_force.version)
+        return self._conflict(entry, is_pruned=is_pruned)
 
     def write_ended(self, *, succeeded: bool) -> Step:
         """Take in the store's answer to the write."""
@@ -221,27 +253,36 @@
             return Undecided(change_id=self.change.change_id, reason=reason)
         return NotReached(reason=reason)
 
-    def _entry(self, in_force: Configuration) -> AuditEntry:
+    def _write(self, in_force: Configuration) -> WriteVersion:
         version = self.change.base + 1
         document = msgspec.structs.replace(
             self.change.document, version=version
         )
-        return AuditEntry(
+        difference, omitted = shorten_differences(
+            find_differences(in_force, document), max_bytes=MAX_AUDITED_BYTES
+        )
+        entry = AuditEntry(
             version=version,
             base=self.change.base,
             change_id=self.change.change_id,
             who=self.change.who,
             why=self.change.why,
             when=self.change.when,
-            difference=find_differences(in_force, document),
-            document=document,
+            difference=difference,
+            omitted=omitted,
+        )
+        return WriteVersion(
+            entry=entry, document=document, revision=self.current.revision
         )
 
-    def _conflict(self, entry: AuditEntry | None) -> Conflict:
+    def _conflict(
+        self, entry: AuditEntry | None, *, is_pruned: bool = False
+    ) -> Conflict:
         in_force = self.current.document
         return Conflict(
             version=in_force.version,
             who=entry.who if entry is not None else "",
             why=entry.why if entry is not None else "",
+            pruned=is_pruned,
             difference=find_differences(in_force, self.change.document),
         )
--- a/egretcart/version/difference.py
+++ b/egretcart/version/difference.py
@@ -58,6 +58,34 @@
     return tuple(sorted(found, key=lambda difference: difference.path))
 
 
+def shorten_differences(
+    differences: tuple[Difference, ...], *, max_bytes: int
+) -> tuple[tuple[Difference, ...], int]:
+    """Leave out the differences that do not fit.
+
+    Parameters
+    ----------
+    differences : tuple of Difference
+    max_bytes : int
+        Bound of the JSON of those that are kept.
+
+    Returns
+    -------
+    tuple of Difference
+        Those that are kept, in their order.
+    int
+        How many were left out.
+    """
+    kept = []
+    left_bytes = max_bytes
+    for difference in differences:
+        size = len(msgspec.json.encode(difference))
+        if size <= left_bytes:
+            left_bytes -= size
+            kept.append(difference)
+    return tuple(kept), len(differences) - len(kept)
+
+
 def is_same_content(one: Configuration, other: Configuration) -> bool:
     """Return whether two documents say the same but for their versions."""
     return not find_differences(one, other)
