Let a question to a ledger find out that the leader was fenced

An agent dropped a question of another term in silence.

Now the agent answers it with the term that it has promised, and an open question keeps the rounds at the interval of work.

--- a/egretcart/process/agent.py
+++ b/egretcart/process/agent.py
@@ -262,7 +262,9 @@
 
     def _query(self, entry_id: str, query: LedgerQuery) -> list[AgentEffect]:
         if query.term != self.promised or entry_id != self.leader:
-            return []
+            # Tells a leader that was fenced, which else holds requests.
+            promise = self._heartbeat_reply(round_number=0)
+            return [SendToEntry(entry_id, promise)]
         records = self.ledger.records(
             query.job_ids, made_before_ms=query.made_before_ms
         )
--- a/egretcart/process/leadership.py
+++ b/egretcart/process/leadership.py
@@ -355,6 +355,7 @@
         """Return whether the leases are needed, or a change is under way."""
         return (
             bool(self.book.jobs or self.held.waiting)
+            or bool(self.book.recovery.inquiries.open)
             or self.phase is not Phase.SERVING
             or not self.quorum.is_complete()
             or not self.quorum.is_roster_recorded()
--- a/tests/features/steps/inquiry_steps.py
+++ b/tests/features/steps/inquiry_steps.py
@@ -7,6 +7,7 @@
 
 from egretcart.connection.messages import Fence
 from egretcart.connection.messages import FetchJob
+from egretcart.connection.messages import HeartbeatReply
 from egretcart.connection.messages import JobRecord
 from egretcart.connection.messages import LedgerQuery
 from egretcart.connection.messages import LedgerReply
@@ -101,7 +102,9 @@
         asked[2]: RecordState.BEGUN,
     }
     stale = LedgerQuery(term=Term(1, 1), number=9, job_ids=asked)
-    assert context.agent.receive("e", stale) == []
+    (effect,) = context.agent.receive("e", stale)
+    assert isinstance(effect.message, HeartbeatReply)
+    assert effect.message.term == TERM
 
 
 def load(agent_id, incarnation=1):
--- a/tests/features/steps/lease_grant_steps.py
+++ b/tests/features/steps/lease_grant_steps.py
@@ -1,10 +1,14 @@
 from collections import deque
 
+from behave import given as given_step
 from behave import then
+from behave import when
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from egretcart.connection.messages import Fence
+from egretcart.connection.messages import Heartbeat
 from egretcart.connection.messages import Roster
 from egretcart.connection.messages import RosterMember
 from egretcart.connection.messages import TaskResult
@@ -15,12 +19,15 @@
 from egretcart.process.agent_types import SendToEntry
 from egretcart.process.answers import AnswerCache
 from egretcart.process.effects import RequestToken
+from egretcart.process.effects import SendReply
 from egretcart.process.effects import SendToAgent
+from egretcart.process.effects import StepDown
 from egretcart.process.effects import WriteRoster
 from egretcart.process.leadership import Leadership
 from egretcart.process.limits import LeaderLimits
 from egretcart.request.identity import job_id_at
 from egretcart.request.job import parse_job
+from egretcart.request.reply import NOT_LEADER
 from egretcart.testing.clock import ManualClock
 from egretcart.version.document import Configuration
 from egretcart.version.document import Service
@@ -34,9 +41,12 @@
 class Cell:
     """A leader and its agents, with one queue for each direction."""
 
-    def __init__(self):
+    def __init__(self, members=AGENTS[:1]):
         self.clock = ManualClock()
-        members = (RosterMember(agent_id=AGENTS[0], incarnation=1),)
+        members = tuple(
+            RosterMember(agent_id=agent_id, incarnation=1)
+            for agent_id in members
+        )
         self.leader = Leadership(
             service="s",
             cell=0,
@@ -51,6 +61,7 @@
         self.down = {a: deque() for a in AGENTS}
         self.up = {a: deque() for a in AGENTS}
         self.refusals = []
+        self.others = []
 
     def new_agent(self, agent_id):
         identity = AgentIdentity(
@@ -63,10 +74,10 @@
         )
         return Agent(identity=identity, limits=AgentLimits(), clock=self.clock)
 
-    def job(self):
+    def job(self, *, age_ms=0):
         tasks = ",".join(['{"payload":1}'] * 40)
         return parse_job(
-            job_id=job_id_at(self.clock.unix_ms(), 1),
+            job_id=job_id_at(self.clock.unix_ms() - age_ms, 1),
             service="s",
             body=f'{{"tasks":[{tasks}]}}'.encode(),
             max_tasks=99,
@@ -78,6 +89,15 @@
                 self.down[effect.agent_id].append(effect.message)
             elif isinstance(effect, WriteRoster):
                 self.send(self.leader.roster_written(effect.roster))
+            else:
+                self.others.append(effect)
+
+    def settle(self):
+        """Deliver until nothing is left."""
+        while any((*self.down.values(), *self.up.values())):
+            for agent_id in AGENTS:
+                self.step(agent_id, True)
+                self.step(agent_id, False)
 
     def tick(self):
         self.clock.advance(TICK_S)
@@ -118,3 +138,51 @@
         assert not cell.refusals, cell.refusals[0]
 
     holds()
+
+
+@given_step("a leader with its agents and no work")
+def start_cell(context):
+    cell = context.cell = Cell(members=AGENTS)
+    for agent in cell.agents.values():
+        cell.send(cell.leader.agent_connected(agent.hello()))
+    for _ in range(20):
+        cell.settle()
+        cell.tick()
+    cell.settle()
+    since_s = cell.clock.monotonic() - cell.leader.leases.last_round_at
+    assert since_s < LeaderLimits().idle_heartbeat_interval_s - 1
+    cell.others.clear()
+
+
+@when("another leader fences an agent unseen")
+def fence_unseen(context):
+    fence = Fence(term=Term(2, 2), by_query=True)
+    context.cell.agents["a"].receive("other", fence)
+
+
+@when("the former leader is sent a job older than its term")
+def send_older(context):
+    cell = context.cell
+    job = cell.job(age_ms=10_000)
+    cell.send(cell.leader.submit(RequestToken("leader", 1), job))
+
+
+@then("the job is given back within a round trip")
+def check_given_back(context):
+    cell = context.cell
+    cell.settle()
+    replies = [e for e in cell.others if isinstance(e, SendReply)]
+    assert [e.reply for e in replies] == [NOT_LEADER]
+    assert any(isinstance(e, StepDown) for e in cell.others)
+
+
+@then("it opens a round at the interval of a leader with work")
+def check_round(context):
+    cell = context.cell
+    for queue in cell.down.values():
+        queue.clear()
+    ticks = round(LeaderLimits().heartbeat_interval_s / TICK_S) + 1
+    for _ in range(ticks):
+        cell.tick()
+    sent = [m for queue in cell.down.values() for m in queue]
+    assert any(isinstance(m, Heartbeat) and m.round for m in sent), sent
