Bound the connections to an agent's own port

Cause: the agent served health and metrics by a second copy of the accept loop, without the bound on connections that entries have. It now uses the entries' listener, with 64 connections and no bodies. Before: 65 of 65 answered; after: the 65th gets status 503, the others 200.

--- a/egretcart/process/agent_process.py
+++ b/egretcart/process/agent_process.py
@@ -12,7 +12,7 @@
 from egretcart.connection.dialler import Dialler
 from egretcart.connection.http_client import ExchangeError
 from egretcart.connection.http_client import HttpClient
-from egretcart.connection.http_server import HttpConnection
+from egretcart.connection.http_listener import HttpListener
 from egretcart.connection.http_server import HttpLimits
 from egretcart.connection.link import Link
 from egretcart.connection.messages import AgentConfig
@@ -55,6 +55,8 @@
 MS_PER_S = 1000
 FIND_ENTRIES_S = 1.0
 MAX_FIND_ENTRIES_S = 15.0
+# Health and metrics need few connections and no bodies.
+HTTP_LIMITS = HttpLimits(max_connections=64, max_body_bytes=0)
 
 
 class AgentProcess:
@@ -167,15 +169,8 @@
             address.port, host=address.host
         )
         self.http_port = listeners[0].socket.getsockname()[1]
-        self.nursery.start_soon(
-            trio.serve_listeners, self._serve_http, listeners
-        )
-
-    async def _serve_http(self, stream: trio.SocketStream) -> None:
-        connection = HttpConnection(
-            stream=stream, handler=self.observer.handle, limits=HttpLimits()
-        )
-        await connection.serve()
+        server = HttpListener(handler=self.observer.handle, limits=HTTP_LIMITS)
+        self.nursery.start_soon(server.serve, listeners, self.nursery)
 
     async def _find_entries(self, address: Address) -> None:
         """Ask the platform's store for entries while none is connected."""
--- a/tests/features/connection_bounds.feature
+++ b/tests/features/connection_bounds.feature
@@ -11,6 +11,11 @@
     When one connection more than the bound is opened
     Then it gets status 503 and the others are served
 
+  Scenario: An agent's own port refuses connections beyond its bound
+    Given a deployment of 1 entries and 1 agents
+    When one connection more than the bound is opened to the agent
+    Then the agent answers it with status 503 and the others as usual
+
   Scenario: A link drops a peer that never reads
     Given a link to a peer that never reads
     When more than the bound is sent to it
--- a/tests/features/steps/connection_bounds_steps.py
+++ b/tests/features/steps/connection_bounds_steps.py
@@ -1,4 +1,5 @@
 import functools
+import http.client
 
 from behave import given
 from behave import then
@@ -12,6 +13,7 @@
 from egretcart.connection.link import Link
 from egretcart.connection.link import MAX_WAITING_BYTES
 from egretcart.connection.messages import Forward
+from egretcart.process.agent_process import HTTP_LIMITS
 from egretcart.process.planned_stop import poll_until
 
 HOST = "127.0.0.1"
@@ -131,6 +133,28 @@
     return near, far
 
 
+@when("one connection more than the bound is opened to the agent")
+def open_to_agent(context):
+    port = context.deployment.agents[0].ready["http_port"]
+    connections = []
+    for _ in range(HTTP_LIMITS.max_connections + 1):
+        connection = http.client.HTTPConnection(HOST, port, timeout=LIMIT_S)
+        connection.connect()
+        context.add_cleanup(connection.close)
+        connections.append(connection)
+    context.statuses = []
+    for connection in reversed(connections):
+        connection.request("GET", "/healthz")
+        context.statuses.append(connection.getresponse().status)
+
+
+@then("the agent answers it with status 503 and the others as usual")
+def check_agent_bound(context):
+    last, *others = context.statuses
+    assert last == 503, context.statuses
+    assert set(others) == {200}, context.statuses
+
+
 @given("a link to a peer that never reads")
 def link_to_deaf_peer(context):
     context.limits = {}
