Keep a lost incarnation's slots free until its attempts are over

Cause: a leader gave all slots of a restarted agent out at once, although the backend server still worked for the former incarnation. The time bound is the one by which retries wait for a lost attempt. A leader that never had the roster's incarnation keeps all slots free until the longest limit after the agent's start. Weighed and left out: holding all young agents back at every takeover, which would stop a cell whose agents are replaced in turn; naming slots and end in the roster, a change of the wire. Not closed: a takeover after the roster names the new incarnation.

--- a/egretcart/process/attempts.py
+++ b/egretcart/process/attempts.py
@@ -244,7 +244,7 @@
         task.state = TaskState.FAILED
         earliest = now
         if verdict is Verdict.MAY_HAVE_RUN:
-            earliest = max(now, self._surely_ended(progress, key))
+            earliest = max(now, self.surely_ended(progress, key))
         failed = self._failed_attempt(progress, key, verdict, earliest)
         if self.policy.retries.allows(failed):
             self._again(key, task, earliest)
@@ -253,7 +253,7 @@
             progress, outcomes.task_failed(progress, key[1], error)
         )
 
-    def _surely_ended(self, progress: JobProgress, key: TaskKey) -> float:
+    def surely_ended(self, progress: JobProgress, key: TaskKey) -> float:
         """Return when the newest attempt has surely reached its limit.
 
         A start begins within the lease after it was sent, if at all.
--- a/egretcart/process/fleet.py
+++ b/egretcart/process/fleet.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from collections.abc import Set
 
+from egretcart.process.occupied import OccupiedSlots
 from egretcart.process.policy.admission import Capacity
 from egretcart.process.policy.bundle import Policy
 from egretcart.process.policy.placement import Candidate
@@ -32,6 +33,8 @@
         Agents that may be used, as of the last survey.
     mean_ms : float
         Mean expected run time of the tasks started.
+    occupied : OccupiedSlots
+        What lost incarnations of the agents may still run.
     """
 
     def __init__(self, *, loads: dict[str, AgentLoad], policy: Policy) -> None:
@@ -42,6 +45,7 @@
         self.next_survey = float("-inf")
         self.health_changes = 0
         self.mean_ms = FIRST_MEAN_RUN_TIME_MS
+        self.occupied = OccupiedSlots()
 
     def task_started(self, expected_ms: float) -> None:
         """Take in the expected run time of a task that was started."""
@@ -74,10 +78,21 @@
         self.capacity = self._sum_capacity(candidates)
 
     def _candidate(self, load: AgentLoad, now: float) -> Candidate:
-        most = load.slots + load.queue_depth
+        most = self._most(load, now)
         limit = self.policy.health.limit(load.agent_id, most, now=now)
         return Candidate(load=load, limit=limit)
 
+    def _most(self, load: AgentLoad, now: float) -> int:
+        """Return how many starts a healthy agent may have in flight.
+
+        An agent begins a start in any slot that it does not use itself, so
+        none may wait there while a lost incarnation occupies slots.
+        """
+        occupied = self.occupied.count(load.agent_id, now=now)
+        if occupied:
+            return max(0, load.slots - occupied)
+        return load.slots + load.queue_depth
+
     def _sum_capacity(self, candidates: Iterable[Candidate]) -> Capacity:
         slots = 0
         rate = 0.0
--- a/egretcart/process/leadership.py
+++ b/egretcart/process/leadership.py
@@ -311,13 +311,26 @@
             now=now,
         )
         self.roster_changes.absent_since.pop(agent_id, None)
+        load = self._new_load(agent_id)
         effects = self.book.agent_fenced(
-            self._new_load(agent_id), reply.records, by_query=reply.by_query
+            load, reply.records, by_query=reply.by_query
         )
+        self._note_restart(load)
         if serving:
             return effects + self.leases.open_round(now)
         return effects + self._advance_takeover(now)
 
+    def _note_restart(self, load: AgentLoad) -> None:
+        """Keep back the slots that an unknown incarnation may occupy."""
+        for member in self.quorum.roster.members:
+            is_other = member.incarnation != load.incarnation
+            if member.agent_id == load.agent_id and is_other:
+                self.book.recovery.agent_restarted(
+                    load,
+                    former=member.incarnation,
+                    started_ms=self.agents[load.agent_id].started_ms,
+                )
+
     def _new_load(self, agent_id: str) -> AgentLoad:
         hello = self.agents[agent_id]
         return AgentLoad(
--- a/egretcart/process/policy/bundle.py
+++ b/egretcart/process/policy/bundle.py
@@ -59,6 +59,14 @@
         """Return the time limit of an attempt at a task of a kind."""
         return self.find_kind(kind).attempt_limit_ms / MS_PER_S
 
+    @property
+    def longest_attempt_limit_s(self) -> float:
+        """The longest time limit of an attempt at a task of any kind."""
+        kinds = self.service.kinds
+        return max(
+            (kind.attempt_limit_ms / MS_PER_S for kind in kinds), default=0.0
+        )
+
     def allows(self, agent_id: str) -> bool:
         """Return whether the service may use an agent."""
         allowed = self.allowed.get(agent_id)
--- a/egretcart/process/recovery.py
+++ b/egretcart/process/recovery.py
@@ -19,6 +19,8 @@
 from egretcart.process.job_table import JobTable
 from egretcart.process.ledger import RecordState
 from egretcart.process.limits import LeaderLimits
+from egretcart.process.limits import MS_PER_S
+from egretcart.process.occupied import OccupiedSlots
 from egretcart.process.policy.bundle import Policy
 from egretcart.process.scheduler import AgentLoad
 from egretcart.process.scheduler import TaskKey
@@ -34,11 +36,23 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class LostAgent:
-    """An agent whose connection was lost, with the tasks that it had."""
+    """An agent whose connection was lost, with the tasks that it had.
+
+    Attributes
+    ----------
+    incarnation : int
+    lost_at : float
+        Monotonic time.
+    in_flight : dict of TaskKey to int
+        Attempt of each task.
+    ends : dict of TaskKey to float
+        Monotonic time at which each attempt has surely ended.
+    """
 
     incarnation: int
     lost_at: float
     in_flight: dict[TaskKey, int]
+    ends: dict[TaskKey, float]
 
 
 class Recovery:
@@ -94,6 +108,11 @@
         self.unheard: set[tuple[str, int]] = set()
         self.foreign: set[tuple[str, bytes]] = set()
 
+    @property
+    def occupied(self) -> OccupiedSlots:
+        """Slots that lost incarnations may still occupy."""
+        return self.attempts.fleet.occupied
+
     @property
     def term(self) -> Term:
         """The term of the leader."""
@@ -161,6 +180,7 @@
         self.agent_lost(agent_id)
         self.loads[agent_id] = load
         self.policy.health.connected(agent_id)
+        self.occupied.returned(agent_id, load.incarnation)
         self.attempts.fleet.agents_changed()
         self.known.drop(agent_id, load.incarnation)
         self.unheard.discard((agent_id, load.incarnation))
@@ -177,6 +197,33 @@
             self._settle_returned(lost, lost.in_flight, recorded)
         return effects + self.inquiries.told_all(agent_id)
 
+    def agent_restarted(
+        self, load: AgentLoad, *, former: int, started_ms: int
+    ) -> None:
+        """Take in that an agent's process is not the one in the roster.
+
+        If this leader never heard of the former incarnation, all slots may
+        be occupied until the longest time limit after the agent's start.
+
+        Parameters
+        ----------
+        load : AgentLoad
+        former : int
+            Incarnation that the roster names.
+        started_ms : int
+            Unix time at which the agent's process was started.
+        """
+        if (load.agent_id, former) in self.unheard:
+            return
+        limit_s = self._longest_limit_s() * (1 + self.limits.clock_drift)
+        age_s = (self.clock.unix_ms() - started_ms) / MS_PER_S
+        left_s = limit_s + self.limits.clock_skew_s - age_s
+        if left_s <= 0:
+            return
+        end = self.clock.monotonic() + left_s
+        self.occupied.add(load.agent_id, former, [end] * load.slots)
+        self.attempts.fleet.invalidate()
+
     def ledger_reply(
         self, agent_id: str, reply: LedgerReply
     ) -> list[LeaderEffect]:
@@ -211,15 +258,37 @@
             incarnation=load.incarnation,
             lost_at=self.clock.monotonic(),
             in_flight=in_flight,
+            ends=self._ends(in_flight),
         )
         self.inquiries.disconnected(agent_id)
         self.policy.health.disconnected(agent_id, now=self.clock.monotonic())
         self.attempts.fleet.agents_changed()
 
+    def _ends(self, in_flight: dict[TaskKey, int]) -> dict[TaskKey, float]:
+        """Return when each attempt of an agent has surely ended."""
+        over_s = self.limits.attempt_over_s(self._longest_limit_s())
+        latest = self.clock.monotonic() + over_s
+        ends = dict.fromkeys(in_flight, latest)
+        for key, attempt in in_flight.items():
+            progress = self.jobs.get(key[0])
+            if progress is None or key[1] >= len(progress.tasks):
+                continue
+            if progress.tasks[key[1]].attempt == attempt:
+                ends[key] = self.attempts.surely_ended(progress, key)
+        return ends
+
+    def _longest_limit_s(self) -> float:
+        """Return the longest time limit that an attempt may have."""
+        return max(
+            self.limits.attempt_limit_s,
+            self.policy.tables.longest_attempt_limit_s,
+        )
+
     def give_up_lost(self) -> list[LeaderEffect]:
         """Give up on agents that have not reconnected in time."""
         effects: list[LeaderEffect] = []
         now = self.clock.monotonic()
+        self.occupied.prune(now)
         for agent_id, lost in list(self.lost.items()):
             if now < lost.lost_at + self.limits.member_grace_s:
                 continue
@@ -255,8 +324,13 @@
         lost: LostAgent,
         recorded: Set[TaskKey],
     ) -> list[LeaderEffect]:
-        """Give up on an incarnation and on what it alone knew."""
+        """Give up on an incarnation and on what it alone knew.
+
+        Its backend server may still work for it.
+        """
         self.unheard.add((agent_id, lost.incarnation))
+        ends = self._ends(lost.in_flight) | lost.ends
+        self.occupied.add(agent_id, lost.incarnation, ends.values())
         effects: list[LeaderEffect] = []
         for key, attempt in lost.in_flight.items():
             if key not in recorded:
--- a/tests/features/steps/fault_steps.py
+++ b/tests/features/steps/fault_steps.py
@@ -1,5 +1,6 @@
 """Real faults in separate processes, under callers that resubmit."""
 
+import itertools
 import os
 import signal
 import sys
@@ -13,7 +14,9 @@
 from processes import Deployment
 from processes import eventually
 
+from egretcart.process.limits import LeaderLimits
 from egretcart.process.limits import LEASE_S
+from egretcart.process.limits import MS_PER_S
 
 SCALE = int(os.environ.get("EGRETCART_FAULT_SCALE", "1"))
 # Longer than every lease and timeout of the system.
@@ -205,6 +208,45 @@
     assert context.deployment.agents[0].wait_stopped()[0] == 0
 
 
+@given("attempts at tasks are limited to {limit_ms:d} ms")
+def limit_attempts(context, limit_ms):
+    kinds = [{"name": "default", "attempt_limit_ms": limit_ms}]
+    services = [{"name": "snapcheck", "kinds": kinds}]
+    context.deployment.apply({"version": 2, "services": services})
+    check_version(context, 2)
+
+
+@given("the leader serves for longer than two clocks may differ")
+def pass_horizon(context):
+    time.sleep(LeaderLimits().id_horizon_ms / MS_PER_S)
+
+
+@when("every backend server has {count:d} tasks")
+def wait_for_tasks(context, count):
+    deployment = context.deployment
+    for backend in deployment.backends:
+        eventually(lambda b=backend: len(deployment.starts_at(b)) == count, 3)
+
+
+@then("no backend server ever had more than {slots:d} tasks")
+def check_concurrency(context, slots):
+    deployment = context.deployment
+    for backend in deployment.backends:
+        most = most_at_once(deployment.report_of(backend))
+        figure(f"most tasks at a time at {backend.name}: {most}")
+        assert most <= slots, (backend.name, most)
+
+
+def most_at_once(starts):
+    """Return how many recorded starts were open at a time at most."""
+    changes = []
+    for _, began, ended in starts:
+        changes.append((began, 1))
+        if ended is not None:
+            changes.append((ended, -1))
+    return max(itertools.accumulate(step for _, step in sorted(changes)))
+
+
 @when("configuration version {version:d} is applied")
 def apply_version(context, version):
     services = [{"name": "snapcheck"}, {"name": f"service-{version}"}]
--- a/tests/features/steps/processes.py
+++ b/tests/features/steps/processes.py
@@ -258,8 +258,11 @@
 
     def starts_at(self, backend):
         """Return the idempotency keys that a backend server was sent."""
-        report = request(backend.ready["port"], "GET", "/starts")[2]
-        return [key for key, _, _ in report["starts"]]
+        return [key for key, _, _ in self.report_of(backend)]
+
+    def report_of(self, backend):
+        """Return key, begin and end of each start at a backend server."""
+        return request(backend.ready["port"], "GET", "/starts")[2]["starts"]
 
     def close(self):
         for process in self.processes:
--- /dev/null
+++ b/tests/features/steps/restarted_agent_steps.py
@@ -0,0 +1,261 @@
+import random
+
+from behave import given
+from behave import then
+from behave import when
+
+from egretcart.connection.messages import JobRecord
+from egretcart.connection.messages import Roster
+from egretcart.connection.messages import RosterMember
+from egretcart.connection.messages import Start
+from egretcart.connection.messages import TaskRecord
+from egretcart.connection.messages import Term
+from egretcart.process.agent import Agent
+from egretcart.process.agent_types import AgentIdentity
+from egretcart.process.agent_types import AgentLimits
+from egretcart.process.agent_types import SendToEntry
+from egretcart.process.answers import AnswerCache
+from egretcart.process.effects import RequestToken
+from egretcart.process.effects import SendToAgent
+from egretcart.process.jobs import JobBook
+from egretcart.process.leadership import Leadership
+from egretcart.process.leadership import Phase
+from egretcart.process.ledger import RecordState
+from egretcart.process.limits import LeaderLimits
+from egretcart.process.limits import MS_PER_S
+from egretcart.process.policy.bundle import standard_policy
+from egretcart.process.scheduler import AgentLoad
+from egretcart.request.identity import job_id_at
+from egretcart.request.job import parse_job
+from egretcart.testing.clock import ManualClock
+from egretcart.version.document import Configuration
+from egretcart.version.document import Service
+
+AGENT_ID = "a"
+MAX_TASKS = 99
+TICK_S = 0.1
+
+
+class LeaderOfOne:
+    """A leader's jobs and the starts that its only agent was sent."""
+
+    def __init__(self, slots):
+        self.clock = ManualClock()
+        self.limits = LeaderLimits()
+        self.slots = slots
+        self.incarnation = 1
+        self.numbers = iter(range(MAX_TASKS))
+        self.book = JobBook(
+            term=Term(1, 1),
+            limits=self.limits,
+            clock=self.clock,
+            answers=AnswerCache(max_bytes=1000),
+            policy=standard_policy(rng=random.Random(1)),
+        )
+        self.book.configure(
+            Configuration(version=1, services=(Service(name="s"),)), "s"
+        )
+        self.usable = {AGENT_ID}
+        self.sent = []
+        self.connect()
+        self.book.recovery.serve(barrier_ms=0, horizon_ms=0)
+
+    def connect(self, records=()):
+        load = AgentLoad(
+            agent_id=AGENT_ID,
+            incarnation=self.incarnation,
+            failure_domain="d",
+            slots=self.slots,
+            queue_depth=2,
+        )
+        self.sent = []
+        self.note(self.book.agent_fenced(load, records))
+
+    def note(self, effects):
+        effects = effects + self.book.place(self.usable)
+        self.sent += [
+            effect.message
+            for effect in effects
+            if isinstance(getattr(effect, "message", None), Start)
+        ]
+
+    def submit(self, tasks):
+        number = next(self.numbers)
+        job = parse_job(
+            job_id=job_id_at(self.clock.unix_ms(), number),
+            service="s",
+            body=idempotent_body(tasks),
+            max_tasks=MAX_TASKS,
+        ).unwrap()
+        self.note(self.book.submit(RequestToken("e", number), job))
+        return job
+
+    def advance(self, seconds):
+        self.clock.advance(seconds)
+        self.note(self.book.tick())
+
+
+@given("a leader of an agent with {slots:d} slots")
+def make_leader(context, slots):
+    context.leader = LeaderOfOne(slots)
+
+
+@when("{running:d} tasks run on it and {waiting:d} more wait")
+def run_tasks(context, running, waiting):
+    leader = context.leader
+    context.job = leader.submit(running)
+    assert len(leader.sent) == running
+    leader.usable = set()
+    leader.submit(waiting)
+    leader.usable = {AGENT_ID}
+
+
+@when("it is lost and returns as a new incarnation")
+def restart(context):
+    context.leader.book.agent_lost(AGENT_ID)
+    context.leader.incarnation += 1
+    context.leader.connect()
+
+
+@when("it is lost, given up and returns as a new incarnation")
+def give_up_and_restart(context):
+    leader = context.leader
+    leader.book.agent_lost(AGENT_ID)
+    leader.advance(leader.limits.member_grace_s)
+    leader.incarnation += 1
+    leader.connect()
+
+
+@when("it is lost, given up and returns with one task ended")
+def give_up_and_return(context):
+    leader = context.leader
+    leader.book.agent_lost(AGENT_ID)
+    leader.advance(leader.limits.member_grace_s)
+    tasks = tuple(
+        TaskRecord(
+            index=index,
+            attempt=1,
+            state=(RecordState.BEGUN if index else RecordState.FAILED).value,
+        )
+        for index in range(len(context.job.tasks))
+    )
+    record = JobRecord(
+        job_id=context.job.job_id.value,
+        digest=context.job.digest,
+        tasks=tasks,
+    )
+    leader.connect([record])
+
+
+@when("the running tasks' job is cancelled")
+def cancel(context):
+    token = RequestToken("e", MAX_TASKS)
+    leader = context.leader
+    leader.book.cancel(token, context.job.job_id)
+    leader.book.tick()
+
+
+@when("the time limits of the lost incarnation's tasks have passed")
+def pass_limits(context):
+    leader = context.leader
+    leader.advance(leader.limits.attempt_over_s(leader.limits.attempt_limit_s))
+
+
+class TakenOver:
+    """A leader that took over a cell of one agent which was restarted."""
+
+    def __init__(self, clock, *, age_s, known):
+        self.clock = clock
+        self.slots = 8
+        self.limits = LeaderLimits()
+        member = RosterMember(agent_id=AGENT_ID, incarnation=known)
+        self.leadership = Leadership(
+            service="s",
+            cell=0,
+            term=Term(2, 2),
+            roster=Roster(version=1, members=(member,)),
+            configuration=Configuration(services=(Service(name="s"),)),
+            limits=self.limits,
+            clock=clock,
+            answers=AnswerCache(max_bytes=1000),
+        )
+        self.book = self.leadership.book
+        self.agent = Agent(
+            identity=AgentIdentity(
+                agent_id=AGENT_ID,
+                incarnation=2,
+                service="s",
+                failure_domain="d",
+                slots=self.slots,
+                connections=8,
+            ),
+            limits=AgentLimits(),
+            clock=clock,
+        )
+        self.agent.started_ms -= age_s * MS_PER_S
+        self.deliver(self.leadership.agent_connected(self.agent.hello()))
+
+    def deliver(self, effects):
+        """Pass messages on until none is left; roster writes are lost."""
+        for effect in effects:
+            if not isinstance(effect, SendToAgent):
+                continue
+            for reply in self.agent.receive("e", effect.message):
+                if isinstance(reply, SendToEntry):
+                    self.deliver(
+                        self.leadership.receive(AGENT_ID, reply.message)
+                    )
+
+    def advance(self, seconds):
+        for _ in range(round(seconds / TICK_S)):
+            self.clock.advance(TICK_S)
+            self.deliver(self.leadership.tick())
+
+
+@given("an agent that was started {age_s:d} s ago")
+def restarted_agent(context, age_s):
+    context.age_s = age_s
+
+
+@when("another leader takes over by a roster with its {which} incarnation")
+def take_over(context, which):
+    known = {"former": 1, "present": 2}[which]
+    leader = TakenOver(ManualClock(), age_s=context.age_s, known=known)
+    context.leader = leader
+    leader.advance(leader.limits.takeover_wait_s + TICK_S)
+    assert leader.leadership.phase is Phase.SERVING
+    # Older jobs would wait for the end of what may have run before.
+    leader.advance(leader.limits.id_horizon_ms / MS_PER_S + TICK_S)
+
+
+@when("a job of {tasks:d} tasks comes")
+def come(context, tasks):
+    leader = context.leader
+    job = parse_job(
+        job_id=job_id_at(leader.clock.unix_ms(), 1),
+        service="s",
+        body=idempotent_body(tasks),
+        max_tasks=MAX_TASKS,
+    ).unwrap()
+    token = RequestToken("e", 1)
+    leader.deliver(leader.leadership.submit(token, job))
+    leader.advance(2 * TICK_S)
+
+
+@when("the longest time limit and the clocks' difference have passed")
+def pass_longest(context):
+    limits = context.leader.limits
+    limit_s = limits.attempt_limit_s * (1 + limits.clock_drift)
+    context.leader.advance(limit_s + limits.clock_skew_s)
+
+
+@then("it has {count:d} tasks")
+def check_count(context, count):
+    leader = context.leader
+    in_flight = leader.book.loads[AGENT_ID].in_flight
+    assert min(len(in_flight), leader.slots) == count, len(in_flight)
+
+
+def idempotent_body(tasks):
+    payloads = ", ".join(['{"payload": 1}'] * tasks)
+    return f'{{"idempotent": true, "tasks": [{payloads}]}}'.encode()
