Send a task to a slow agent only if its job ends no later

Cause: the p99 jobs of a cell with slow workers waited for their own longest task. It was held back for a faster agent until enough tasks waited in the whole cell, and was then the first to go to a slow one, though it was also the next in line for a fast one. Their ratio was the slow factor, 4.

Now a slow agent takes a task if it ends there by the time at which its job ends in any case. The shortest tasks of the first and the latest jobs of a lane are tried.

Ruled out: looking at the first 8 jobs only.

--- a/egretcart/process/policy/lanes.py
+++ b/egretcart/process/policy/lanes.py
@@ -31,7 +31,8 @@
     rank : float
         Place among the jobs of a lane: the least comes first.
     waiting : list of (float, int)
-        Heap of the waiting tasks, the longest first.
+        Sorted expected run times and negative numbers of the waiting
+        tasks; the last one starts next.
     waiting_ms : float
     """
 
--- a/egretcart/process/policy/ordering.py
+++ b/egretcart/process/policy/ordering.py
@@ -1,5 +1,7 @@
 """Which waiting task starts next."""
 
+import bisect
+import dataclasses
 import heapq
 from typing import Protocol
 
@@ -19,6 +21,23 @@
 MS_PER_S = 1000
 # A job's rank is renewed once its remaining work has shrunk to this share.
 RERANK_SHARE = 0.8
+# Entries of a lane's heap that are sorted to look beyond its first job.
+SORTED_JOBS = 64
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LastTask:
+    """The waiting task that is to start last in its job.
+
+    Attributes
+    ----------
+    key : TaskKey
+    ahead_ms : float
+        Expected run time of the waiting tasks up to the end of its job.
+    """
+
+    key: TaskKey
+    ahead_ms: float
 
 
 class TaskOrder(Protocol):
@@ -56,6 +75,15 @@
     def skip(self) -> None:
         """Drop the task that `peek` returned."""
 
+    def last_tasks(self, limit: int) -> list[LastTask]:
+        """Return the last task of some jobs, the first jobs' ones first."""
+
+    def take_last(self, job: bytes) -> None:
+        """Count the last waiting task of a job as started."""
+
+    def job_ms(self, job: bytes) -> float:
+        """Return the expected run time of a job's waiting tasks."""
+
     def started(self, key: TaskKey) -> None:
         """Count a task as started that did not wait here."""
 
@@ -169,8 +197,8 @@
         lane = self._open_lane(job.lane)
         if not job.waiting:
             self._rank(job, lane)
-        priority = float("-inf") if again else -work_ms
-        heapq.heappush(job.waiting, (priority, key[1]))
+        priority = float("inf") if again else work_ms
+        bisect.insort(job.waiting, (priority, -key[1]))
         job.waiting_ms += work_ms
         lane.waiting_ms += work_ms
         lane.waiting += 1
@@ -185,7 +213,10 @@
 
     def take(self) -> None:
         """Count the task that `peek` returned as started."""
-        key = self._pop()
+        self._serve(self._pop())
+
+    def _serve(self, key: TaskKey) -> None:
+        """Count a task's work as done for its class, and as started."""
         job = self.jobs[key[0]]
         urgency = job.lane[0]
         work_ms = job.work_ms[key[1]]
@@ -197,15 +228,75 @@
         """Drop the task that `peek` returned."""
         self._pop()
 
+    def last_tasks(self, limit: int) -> list[LastTask]:
+        """Return the last task of some jobs, the first jobs' ones first.
+
+        Parameters
+        ----------
+        limit : int
+            Most jobs that are looked at.
+
+        Returns
+        -------
+        list of LastTask
+        """
+        found: list[LastTask] = []
+        for queue in self.classes.values():
+            for lane in queue.lanes.values():
+                if len(found) >= limit:
+                    return found
+                found += self._last_of(lane, limit - len(found))
+        return found
+
+    def _last_of(self, lane: LaneQueue, limit: int) -> list[LastTask]:
+        """Return the last tasks of a lane's first and latest jobs."""
+        found: list[LastTask] = []
+        ahead_ms = 0.0
+        for job in self._jobs_of(lane):
+            ahead_ms += job.waiting_ms
+            key = (job.key, -job.waiting[0][1])
+            found.append(LastTask(key=key, ahead_ms=ahead_ms))
+        if len(found) > limit:
+            del found[limit // 2 : limit // 2 - limit]
+        return found
+
+    def _jobs_of(self, lane: LaneQueue) -> list[QueuedJob]:
+        """Return jobs of a lane in their order.
+
+        Of more than `SORTED_JOBS` some are left out; the first entries of
+        a heap are among the least, but not all of the least.
+        """
+        jobs: dict[bytes, QueuedJob] = {}
+        for rank, key in sorted(lane.heap[:SORTED_JOBS]):
+            job = self.jobs.get(key)
+            if job is not None and job.waiting and job.rank == rank:
+                jobs[key] = job
+        return list(jobs.values())
+
+    def take_last(self, job: bytes) -> None:
+        """Count the last waiting task of a job as started."""
+        _, negative = self.jobs[job].waiting.pop(0)
+        key = (job, -negative)
+        self._count_out(key)
+        self._serve(key)
+
+    def job_ms(self, job: bytes) -> float:
+        """Return the expected run time of a job's waiting tasks."""
+        return self.jobs[job].waiting_ms
+
     def _pop(self) -> TaskKey:
         key = self.peek()
         assert key is not None
         job = self.jobs[key[0]]
-        heapq.heappop(job.waiting)
+        job.waiting.pop()
+        self._count_out(key)
+        return key
+
+    def _count_out(self, key: TaskKey) -> None:
+        job = self.jobs[key[0]]
         work_ms = job.work_ms[key[1]]
         job.waiting_ms -= work_ms
         self._leave(job.lane, 1, work_ms)
-        return key
 
     def _leave(self, lane: Lane, tasks: int, work_ms: float) -> None:
         """Count tasks as no longer waiting; an empty lane is dropped."""
@@ -342,4 +433,4 @@
                 firsts.append((usage >= 1.0, served_ms, urgency, team))
         _, _, urgency, team = min(firsts)
         job = self._head_of(self.classes[urgency].lanes[team])
-        return job.key, job.waiting[0][1]
+        return job.key, -job.waiting[-1][1]
--- a/egretcart/process/policy/placement.py
+++ b/egretcart/process/policy/placement.py
@@ -15,8 +15,6 @@
 # Time that a start and its result travel, with both loops' turns.
 ROUND_TRIP_MS = 6.0
 MS_PER_S = 1000
-# A slower agent is used once waiting would take this share of its time.
-HOLD_FACTOR = 1.0
 # Tasks wait only for agents that are faster by this factor.
 HOLD_MIN_GAIN = 1.6
 
@@ -41,6 +39,25 @@
         return len(self.load.in_flight) < self.limit
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Demand:
+    """What a task asks of an agent; times are expected ones.
+
+    Attributes
+    ----------
+    run_ms : float
+        Run time on an average agent.
+    ahead_ms : float
+        Run time of the waiting tasks up to the end of its job.
+    job_ends_ms : float
+        Time until the started tasks of its job end.
+    """
+
+    run_ms: float
+    ahead_ms: float = 0.0
+    job_ends_ms: float = 0.0
+
+
 class Placement(Protocol):
     """Chooses agents for one batch of tasks after the other."""
 
@@ -56,12 +73,15 @@
 
     def choose(
         self,
+        demand: Demand,
         *,
-        waiting: int,
         avoid: Set[str] = frozenset(),
         exclude: Set[str] = frozenset(),
     ) -> str | None:
-        """Return the agent for the next task, or None to let it wait."""
+        """Return the agent for a task, or None to let it wait."""
+
+    def slowness(self, agent_id: str) -> float:
+        """Return the factor by which an agent counts as slower."""
 
     def placed(self, agent_id: str) -> None:
         """Take in that the chosen agent has the task in flight."""
@@ -70,8 +90,8 @@
 class LeastExpectedCompletion:
     """The agent that is expected to finish the task first.
 
-    A task waits for a faster agent if it would be done sooner there, the
-    tasks that wait with it included.
+    A task waits for a faster agent if its job would be done sooner by that,
+    the tasks that wait with it included.
 
     Parameters
     ----------
@@ -88,7 +108,7 @@
         self.held_since = float("inf")
         self.now = 0.0
         self.mean_ms = 1.0
-        self.slowness: dict[str, float] = {}
+        self.steps: dict[str, float] = {}
         self.rates: list[tuple[float, float]] = []
         self.batch: dict[str, Candidate] = {}
         self.heap: list[tuple[float, float, str]] = []
@@ -111,12 +131,12 @@
             The agents with the starts that they should hold at most.
         """
         self.mean_ms = mean_ms
-        self.slowness.clear()
+        self.steps.clear()
         rates: dict[float, float] = {}
         limited: list[Candidate] = []
         for candidate in candidates:
             load = candidate.load
-            slowness = self._slowness(load.agent_id)
+            slowness = self.slowness(load.agent_id)
             slots = min(candidate.limit, load.slots)
             if slots > 0:
                 rates[slowness] = rates.get(slowness, 0.0) + slots / slowness
@@ -143,17 +163,16 @@
 
     def choose(
         self,
+        demand: Demand,
         *,
-        waiting: int,
         avoid: Set[str] = frozenset(),
         exclude: Set[str] = frozenset(),
     ) -> str | None:
-        """Return the agent for the next task, or None to let it wait.
+        """Return the agent for a task, or None to let it wait.
 
         Parameters
         ----------
-        waiting : int
-            Tasks that wait, this one included.
+        demand : Demand
         avoid : set of str
             Agents that are taken only if no other is free.
         exclude : set of str
@@ -173,9 +192,8 @@
             entries = [e for e in entries if e[2] not in avoid] or entries
         is_heap = entries is self.heap
         score, _, agent_id = entries[0] if is_heap else min(entries)
-        if self._should_hold(score, self._slowness(agent_id), waiting):
+        if self._should_hold(score, self.slowness(agent_id), demand):
             return None
-        self.held_since = float("inf")
         return agent_id
 
     def placed(self, agent_id: str) -> None:
@@ -191,16 +209,17 @@
         else:
             heapq.heappop(self.heap)
 
-    def _slowness(self, agent_id: str) -> float:
-        slowness = self.slowness.get(agent_id)
+    def slowness(self, agent_id: str) -> float:
+        """Return the factor by which an agent counts as slower."""
+        slowness = self.steps.get(agent_id)
         if slowness is None:
             slowness = _step(self.run_times.slowness(agent_id))
-            self.slowness[agent_id] = slowness
+            self.steps[agent_id] = slowness
         return slowness
 
     def _queue_depth(self, load: AgentLoad) -> int:
         """Return how many slots are freed during a round trip."""
-        run_ms = self.mean_ms * self._slowness(load.agent_id)
+        run_ms = self.mean_ms * self.slowness(load.agent_id)
         freed = round(load.slots * ROUND_TRIP_MS / run_ms)
         return min(load.queue_depth, freed)
 
@@ -209,19 +228,22 @@
         load = candidate.load
         in_flight = len(load.in_flight)
         queued = max(0, in_flight + 1 - load.slots)
-        slowness = self._slowness(load.agent_id)
+        slowness = self.slowness(load.agent_id)
         completion = slowness * (1 + queued / load.slots)
         return completion, in_flight / load.slots, load.agent_id
 
     def _should_hold(
-        self, score: float, slowness: float, waiting: int
+        self, score: float, slowness: float, demand: Demand
     ) -> bool:
-        """Return whether the task is done sooner if it waits."""
+        """Return whether the task's job is done sooner if it waits."""
         enough = slowness / HOLD_MIN_GAIN
         faster_rate = sum(rate for step, rate in self.rates if step <= enough)
         if faster_rate <= 0.0:
+            self.held_since = float("inf")
             return False
-        if waiting / faster_rate + self.rates[0][0] >= HOLD_FACTOR * score:
+        fastest_ms = self.rates[0][0] * demand.run_ms
+        ends_ms = demand.ahead_ms / faster_rate + fastest_ms
+        if score * demand.run_ms <= max(ends_ms, demand.job_ends_ms):
             return False
         self.held_since = min(self.held_since, self.now)
         limit_s = slowness * self.mean_ms / MS_PER_S
--- a/egretcart/process/starts.py
+++ b/egretcart/process/starts.py
@@ -10,6 +10,7 @@
 from egretcart.process.fleet import Fleet
 from egretcart.process.job_table import JobTable
 from egretcart.process.policy.bundle import Policy
+from egretcart.process.policy.placement import Demand
 from egretcart.process.scheduler import TaskKey
 from egretcart.request.progress import HedgeAttempt
 from egretcart.request.progress import JobProgress
@@ -19,6 +20,8 @@
 MS_PER_S = 1000
 # Pause of a task that may not go to the agents that are free.
 SET_ASIDE_S = 0.02
+# Jobs that are searched for tasks that lose nothing on a slow agent.
+SEARCHED_JOBS = 8
 
 
 class Starts:
@@ -102,7 +105,7 @@
                 continue
             exclude = self.fleet.probed_agents(progress.job, now)
             agent_id = placement.choose(
-                waiting=order.waiting,
+                self._demand(progress, key, order.job_ms(key[0]), now),
                 avoid=self.fleet.domains_of(task.failed_on),
                 exclude=exclude | self.fleet.failed_agents(task.failed_on),
             )
@@ -114,10 +117,45 @@
             order.take()
             effects.append(self._place_task(progress, key, agent_id, now))
             placement.placed(agent_id)
-        if not order.waiting:
+        if order.waiting:
+            effects += self._place_last(now)
+        else:
             effects += self._hedge(now)
         return effects
 
+    def _demand(
+        self, progress: JobProgress, key: TaskKey, ahead_ms: float, now: float
+    ) -> Demand:
+        definition = progress.job.tasks[key[1]]
+        return Demand(
+            run_ms=self.policy.run_times.task_ms(
+                definition.kind, definition.run_time_ms
+            ),
+            ahead_ms=ahead_ms,
+            job_ends_ms=(progress.ends_at - now) * MS_PER_S,
+        )
+
+    def _place_last(self, now: float) -> list[LeaderEffect]:
+        """Send tasks to slow agents that end there with their job."""
+        effects: list[LeaderEffect] = []
+        placement = self.policy.placement
+        order = self.policy.order
+        for last in order.last_tasks(SEARCHED_JOBS):
+            progress = self.table.jobs[last.key[0]]
+            task = progress.tasks[last.key[1]]
+            if not _is_due(task, now) or task.failed_on:
+                continue
+            agent_id = placement.choose(
+                self._demand(progress, last.key, last.ahead_ms, now),
+                exclude=self.fleet.probed_agents(progress.job, now),
+            )
+            if agent_id is None:
+                continue
+            order.take_last(last.key[0])
+            effects.append(self._place_task(progress, last.key, agent_id, now))
+            placement.placed(agent_id)
+        return effects
+
     def _set_aside(self, key: TaskKey, task: TaskProgress, now: float) -> None:
         """Let others pass a task that only some agents may take."""
         self.policy.order.skip()
@@ -141,6 +179,10 @@
             definition.kind, definition.run_time_ms
         )
         self.fleet.task_started(expected_ms)
+        run_s = (
+            expected_ms * self.policy.placement.slowness(agent_id) / MS_PER_S
+        )
+        progress.ends_at = max(progress.ends_at, now + run_s)
         if kind.hedge and progress.job.idempotent:
             slowness = self.policy.run_times.slowness(agent_id)
             self.policy.hedging.watch(
@@ -199,7 +241,9 @@
             return []
         used = (task.agent_id or "",)
         agent_id = self.policy.placement.choose(
-            waiting=1, avoid=self.fleet.domains_of(used), exclude=set(used)
+            Demand(run_ms=expected_ms),
+            avoid=self.fleet.domains_of(used),
+            exclude=set(used),
         )
         if agent_id is None:
             self.policy.hedging.watch(
--- a/egretcart/request/progress.py
+++ b/egretcart/request/progress.py
@@ -100,6 +100,8 @@
         Tasks that are not done yet.
     failed_on : set of str
         Agents on which tasks have failed.
+    ends_at : float
+        Monotonic time at which the started tasks are expected to have ended.
     """
 
     job: Job
@@ -108,6 +110,7 @@
     tasks: list[TaskProgress]
     open_tasks: int
     failed_on: set[str] = dataclasses.field(default_factory=set)
+    ends_at: float = 0.0
 
     @property
     def is_complete(self) -> bool:
--- a/egretcart/testing/naive_policy.py
+++ b/egretcart/testing/naive_policy.py
@@ -10,7 +10,9 @@
 from egretcart.process.policy.bundle import Policy
 from egretcart.process.policy.bundle import ServiceTables
 from egretcart.process.policy.hedging import BudgetedHedging
+from egretcart.process.policy.ordering import LastTask
 from egretcart.process.policy.placement import Candidate
+from egretcart.process.policy.placement import Demand
 from egretcart.process.policy.retries import FailedAttempt
 from egretcart.process.scheduler import TaskKey
 from egretcart.request.job import Job
@@ -77,8 +79,8 @@
 
     def choose(
         self,
+        demand: Demand,
         *,
-        waiting: int,
         avoid: Set[str] = frozenset(),
         exclude: Set[str] = frozenset(),
     ) -> str | None:
@@ -87,6 +89,10 @@
         free = [agent_id for agent_id in free if agent_id not in exclude]
         return self.rng.choice(free) if free else None
 
+    def slowness(self, agent_id: str) -> float:
+        """Return 1."""
+        return 1.0
+
     def placed(self, agent_id: str) -> None:
         """Take in that the chosen agent has the task in flight."""
         self.batch = [c for c in self.batch if c.has_room]
@@ -139,6 +145,17 @@
         """Drop the task that `peek` returned."""
         self.queue.popleft()
 
+    def last_tasks(self, limit: int) -> list[LastTask]:
+        """Return none; tasks start in their order."""
+        return []
+
+    def take_last(self, job: bytes) -> None:
+        """Do nothing; `last_tasks` returns none."""
+
+    def job_ms(self, job: bytes) -> float:
+        """Return 0."""
+        return 0.0
+
     def started(self, key: TaskKey) -> None:
         """Count nothing."""
 
--- a/tests/features/policy.feature
+++ b/tests/features/policy.feature
@@ -10,6 +10,11 @@
     When a cell with 3 slow workers of 11 runs at 80 % under both policies
     Then the slow workers cost the policy less than 0.7 of the naive p99
 
+  Scenario: A slow worker takes what ends there with its job
+    When a job of three long tasks and a short one meets a slow worker
+    Then the slow worker takes the short task and no long one
+    And two slow workers are used at once by a job that waits for long
+
   Scenario: Declared run times are trusted as far as they proved right
     Then exact declarations are followed and random ones are not
 
