--- a/egretcart/request/progress.py
+++ b/egretcart/request/progress.py
@@ -102,6 +102,8 @@
         Agents on which tasks have failed.
     result_bytes : int
         Size of the answers so far.
+    ends_at : float
+        Monotonic time at which the started tasks are expected to have ended.
     """
 
     job: Job
@@ -111,6 +113,7 @@
     open_tasks: int
     failed_on: set[str] = dataclasses.field(default_factory=set)
     result_bytes: int = 0
+    ends_at: float = 0.0
 
     @property
     def is_complete(self) -> bool:
