Send requests again that lay on a replaced peer connection

Cause: when a peer connected anew before its former connection had been seen to end, the entry closed the former one and told nobody. A reply that lay on it was lost, and its request stayed routed to the peer until the deadline. Ruled out: connections that the peer did not replace, whose end is told as a loss.

Now a replaced connection counts as a lost peer, as it does for agents. The scenario fails without that.

--- a/egretcart/process/entry_process.py
+++ b/egretcart/process/entry_process.py
@@ -286,11 +286,7 @@
         if links.get(name) is not link:
             return
         del links[name]
-        if links is self.agent_links:
-            self.observer.agent_lost(name)
-            self.carry_out(self.entry.agent_disconnected(name))
-        else:
-            self.carry_out(self.entry.peer_lost(name))
+        self._lost(name, links)
 
     def _register(self, name: str, links: dict[str, Link], link: Link) -> None:
         former = links.get(name)
@@ -298,9 +294,15 @@
         if former is None or former is link:
             return
         former.close()
+        self._lost(name, links)
+
+    def _lost(self, name: str, links: dict[str, Link]) -> None:
+        """Handle the end of a link; what lay on it may not have arrived."""
         if links is self.agent_links:
             self.observer.agent_lost(name)
             self.carry_out(self.entry.agent_disconnected(name))
+        else:
+            self.carry_out(self.entry.peer_lost(name))
 
     def _peer_hello(self, hello: EntryHello) -> None:
         address = hello.address
--- a/tests/features/steps/peers_steps.py
+++ b/tests/features/steps/peers_steps.py
@@ -2,13 +2,23 @@
 from behave import then
 from behave import when
 
+from egretcart.connection.messages import CellLeader
 from egretcart.connection.messages import EntryAddress
+from egretcart.connection.messages import EntryBeat
+from egretcart.connection.messages import Forward
+from egretcart.connection.messages import Term
 from egretcart.process.directory import Cell
 from egretcart.process.directory import rank_entries
 from egretcart.process.entry import Entry
 from egretcart.process.entry_effects import SendToPeer
 from egretcart.process.entry_limits import EntryLimits
+from egretcart.process.entry_observer import EntryObserver
+from egretcart.process.entry_process import EntryProcess
 from egretcart.process.limits import LeaderLimits
+from egretcart.process.pending import SUBMIT
+from egretcart.process.settings import Address
+from egretcart.process.settings import EntrySettings
+from egretcart.request.identity import new_job_id
 from egretcart.testing import ManualClock
 from egretcart.version.document import Configuration
 from egretcart.version.document import Service
@@ -104,3 +114,78 @@
         Cell("snapcheck", 3), fleet.clock.monotonic()
     )
     assert preferred == context.successor
+
+
+class RecordingLink:
+    """Stands in for a connection to a peer."""
+
+    def __init__(self):
+        self.sent = []
+
+    def send(self, message):
+        self.sent.append(message)
+
+    def close(self):
+        pass
+
+
+@given("an entry process that has forwarded a request to a leading peer")
+def forward_request(context):
+    clock = ManualClock()
+    anywhere = Address(host="127.0.0.1", port=0)
+    process = context.process = EntryProcess(
+        settings=EntrySettings(
+            entry_id="entry-0",
+            failure_domain="d",
+            http=anywhere,
+            peer=anywhere,
+        ),
+        limits=EntryLimits(),
+        leader_limits=LeaderLimits(),
+        clock=clock,
+    )
+    entry = process.entry = Entry(
+        address=EntryAddress(entry_id="entry-0"),
+        incarnation=1,
+        configuration=Configuration(
+            version=1, services=(Service(name="snapcheck"),)
+        ),
+        limits=EntryLimits(),
+        leader_limits=LeaderLimits(),
+        clock=clock,
+    )
+    process.observer = EntryObserver(
+        entry=entry, metrics=process.metrics, log=process.log
+    )
+    context.link = process.dialled_links["entry-1"] = RecordingLink()
+    process._register("entry-1", process.accepted_links, RecordingLink())
+    greet(context)
+    body = b'{"tasks": [{"payload": 1}]}'
+    _, effects = entry.request(SUBMIT, "snapcheck", new_job_id(), body)
+    process.carry_out(effects)
+    assert forwards(context) == 1
+
+
+def greet(context):
+    """Let the leading peer introduce itself."""
+    entry = context.process.entry
+    entry.peer_connected(EntryAddress(entry_id="entry-1"), 2)
+    leading = (CellLeader(service_name="snapcheck", cell=0, term=Term(1, 2)),)
+    beat = EntryBeat(config_version=1, leading=leading)
+    context.process.carry_out(entry.peer_message("entry-1", beat))
+
+
+def forwards(context):
+    return sum(isinstance(m, Forward) for m in context.link.sent)
+
+
+@when("the peer connects anew before the former connection has ended")
+def connect_anew(context):
+    process = context.process
+    process._register("entry-1", process.accepted_links, RecordingLink())
+    greet(context)
+
+
+@then("the request is forwarded again")
+def check_forwarded(context):
+    assert forwards(context) == 2, context.link.sent
