Ask the ledgers only about jobs no newer than the newest one begun

Cause: for 2 s after a takeover every new job had to be asked about, since clocks may differ by that much.

Once all members have promised the term, nothing is begun by a former leader any more, so the newest id that any of them has begun bounds what has to be asked. Fence replies name it. After an incomplete takeover the horizon stays as it was.

--- a/egretcart/connection/messages.py
+++ b/egretcart/connection/messages.py
@@ -124,6 +124,8 @@
     incarnation : int
     by_query : bool
         Whether the rest of the ledger has to be asked for.
+    newest_ms : int
+        Unix time of the newest job id of which a task was ever begun.
     """
 
     term: Term = NO_TERM
@@ -133,6 +135,7 @@
     records: tuple[JobRecord, ...] = ()
     incarnation: int = 0
     by_query: bool = False
+    newest_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/egretcart/process/leadership.py
+++ b/egretcart/process/leadership.py
@@ -268,6 +268,8 @@
             now=now,
         )
         self.roster_changes.absent_since.pop(agent_id, None)
+        newest_ms = max(self.takeover.newest_ms, reply.newest_ms)
+        self.takeover.newest_ms = newest_ms
         load = self._new_load(agent_id)
         effects = self.book.agent_fenced(
             load, reply.records, by_query=reply.by_query
--- a/egretcart/process/ledger.py
+++ b/egretcart/process/ledger.py
@@ -64,12 +64,15 @@
     jobs : dict of bytes to LedgerJob
     result_bytes : int
         Size of the result bodies kept.
+    newest_ms : int
+        Unix time of the newest job id of which a task was ever begun.
     """
 
     def __init__(self, *, max_result_bytes: int) -> None:
         self.max_result_bytes = max_result_bytes
         self.jobs: dict[bytes, LedgerJob] = {}
         self.result_bytes = 0
+        self.newest_ms = 0
         self.retained: OrderedDict[tuple[bytes, int], int] = OrderedDict()
 
     def find(self, job_id: bytes, task: int) -> LedgerTask | None:
@@ -87,6 +90,8 @@
         if job is None:
             job = LedgerJob(digest=digest, tasks={})
             self.jobs[job_id] = job
+            created_ms = JobId(job_id).created_ms
+            self.newest_ms = max(self.newest_ms, created_ms)
         self._drop_result(job_id, task)
         former = job.tasks.get(task)
         if former is not None:
--- a/egretcart/process/takeover.py
+++ b/egretcart/process/takeover.py
@@ -34,6 +34,8 @@
         Monotonic time of the first fence.
     majority_at : float
         Monotonic time from which a majority has promised the term.
+    newest_ms : int
+        Unix time of the newest job id that an agent has told of.
     """
 
     def __init__(
@@ -50,6 +52,7 @@
         self.clock = clock
         self.started_at = clock.monotonic()
         self.majority_at = float("inf")
+        self.newest_ms = 0
 
     def next_step(self, now: float) -> TakeoverStep:
         """Return what is to be done now."""
@@ -75,7 +78,7 @@
     def barrier_ms(self) -> int:
         """Return the Unix time before which unknown jobs may have run."""
         if not self.quorum.is_complete() or self.quorum.may_be_stale():
-            return self.horizon_ms()
+            return self._after_any_ms()
         forgotten = [
             self.roster_changes.forgotten_before_ms(member.agent_id)
             for member in self.quorum.restarted()
@@ -83,5 +86,15 @@
         return max([self.quorum.roster.lost_before_ms, *forgotten])
 
     def horizon_ms(self) -> int:
-        """Return the Unix time from which no former leader took jobs."""
+        """Return the Unix time from which no agent can know a job.
+
+        Once every member has promised the term, no job is begun by a former
+        leader any more, and the members have told their newest ones.
+        """
+        if self.quorum.is_complete():
+            return self.newest_ms + 1
+        return self._after_any_ms()
+
+    def _after_any_ms(self) -> int:
+        """Return the Unix time before which a former leader took jobs."""
         return self.clock.unix_ms() + self.limits.id_horizon_ms
--- a/tests/features/lease_grants.feature
+++ b/tests/features/lease_grants.feature
@@ -13,3 +13,8 @@
     Given a leader with its agents and no work
     When the former leader is sent a job older than its term
     Then it opens a round at the interval of a leader with work
+
+  Scenario: A job newer than all that the agents have begun needs no question
+    Given a leader with its agents and no work
+    When it is sent a job newer than all that its agents have begun
+    Then the leader asks nothing and places its tasks
--- a/tests/features/steps/lease_grant_steps.py
+++ b/tests/features/steps/lease_grant_steps.py
@@ -143,6 +143,9 @@
 @given_step("a leader with its agents and no work")
 def start_cell(context):
     cell = context.cell = Cell(members=AGENTS)
+    context.newest_ms = cell.clock.unix_ms()
+    newest = job_id_at(context.newest_ms, 2).value
+    cell.agents["a"].ledger.begin(job_id=newest, digest=b"", task=0, attempt=1)
     for agent in cell.agents.values():
         cell.send(cell.leader.agent_connected(agent.hello()))
     for _ in range(20):
@@ -167,6 +170,23 @@
     cell.send(cell.leader.submit(RequestToken("leader", 1), job))
 
 
+@when("it is sent a job newer than all that its agents have begun")
+def send_newer(context):
+    cell = context.cell
+    age_ms = cell.clock.unix_ms() - context.newest_ms - 1
+    job = cell.job(age_ms=age_ms)
+    cell.send(cell.leader.submit(RequestToken("leader", 1), job))
+
+
+@then("the leader asks nothing and places its tasks")
+def check_no_question(context):
+    cell = context.cell
+    assert not cell.leader.book.recovery.inquiries.open
+    assert cell.leader.book.jobs
+    cell.settle()
+    assert any(agent.running for agent in cell.agents.values())
+
+
 @then("the job is given back within a round trip")
 def check_given_back(context):
     cell = context.cell
--- a/tests/features/steps/release_before.py
+++ b/tests/features/steps/release_before.py
@@ -11,7 +11,7 @@
 
 FIELDS_OF_THIS_RELEASE = {
     "Fence": ("by_query",),
-    "FenceReply": ("by_query",),
+    "FenceReply": ("by_query", "newest_ms"),
     "Message": ("ledger_query", "ledger_reply"),
 }
 
