Ask the ledgers about nothing newer than their newest job

Cause: a leader took every job dated up to 2 s after its takeover for one that a former term may have begun. When an agent was stopped as planned in these 2 s, its ledger could not be asked any more, and non-idempotent jobs made in that time were answered as may have run. A fence reply names the newest job that the ledger ever held. Once every member has replied in the roster's incarnation, that bounds what former terms have begun, without any clock. Replies of the release before and incomplete takeovers keep the bound by the clock.

--- a/egretcart/connection/messages.py
+++ b/egretcart/connection/messages.py
@@ -25,6 +25,7 @@
 
 NO_TERM = Term()
 WHOLE_JOB = -1
+UNKNOWN_MS = -1
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -123,6 +124,9 @@
     incarnation : int
     by_query : bool
         Whether the rest of the ledger has to be asked for.
+    newest_job_ms : int
+        Unix time of the newest job that the agent has ever begun; 0 if it
+        has begun none, `UNKNOWN_MS` from an earlier release.
     """
 
     term: Term = NO_TERM
@@ -132,6 +136,7 @@
     records: tuple[JobRecord, ...] = ()
     incarnation: int = 0
     by_query: bool = False
+    newest_job_ms: int = UNKNOWN_MS
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/egretcart/connection/wire.thrift
+++ b/egretcart/connection/wire.thrift
@@ -50,6 +50,7 @@
   5: optional list<JobRecord> records
   6: optional i64 incarnation
   7: optional bool by_query
+  8: optional i64 newest_job_ms
 }
 struct LedgerReply {
   1: optional i64 number
--- a/egretcart/process/agent.py
+++ b/egretcart/process/agent.py
@@ -248,6 +248,7 @@
             records=self._fence_records(fence) if accepted else (),
             incarnation=self.identity.incarnation,
             by_query=fence.by_query,
+            newest_job_ms=self.ledger.newest_job_ms,
         )
         return [SendToEntry(entry_id, reply)]
 
--- a/egretcart/process/leadership.py
+++ b/egretcart/process/leadership.py
@@ -19,6 +19,7 @@
 from egretcart.connection.messages import RosterMember
 from egretcart.connection.messages import TaskResult
 from egretcart.connection.messages import Term
+from egretcart.connection.messages import UNKNOWN_MS
 from egretcart.process.answers import AnswerCache
 from egretcart.process.clock import Clock
 from egretcart.process.effects import LeaderEffect
@@ -151,6 +152,7 @@
         self.held: list[HeldReply] = []
         self.roster_write_pending = False
         self.barred: set[str] = set()
+        self.newest_job_ms: dict[str, int] = {}
 
     def configure(self, configuration: Configuration) -> list[LeaderEffect]:
         """Put a newer configuration in force."""
@@ -311,6 +313,7 @@
             now=now,
         )
         self.roster_changes.absent_since.pop(agent_id, None)
+        self.newest_job_ms[agent_id] = reply.newest_job_ms
         load = self._new_load(agent_id)
         effects = self.book.agent_fenced(
             load, reply.records, by_query=reply.by_query
@@ -399,7 +402,7 @@
         self.phase = Phase.SERVING
         self.book.recovery.serve(
             barrier_ms=barrier_ms,
-            horizon_ms=self.clock.unix_ms() + self.limits.id_horizon_ms,
+            horizon_ms=self._horizon_ms(),
         )
         self.book.serving_since = now
         self.roster_changes.note_absent(now)
@@ -409,6 +412,20 @@
             effects += self.book.submit(request.token, request.job)
         return effects
 
+    def _horizon_ms(self) -> int:
+        """Return from when on no job was begun in a former term.
+
+        Once every member has promised the term, nothing newer than their
+        ledgers' newest job can have begun.
+        """
+        latest_ms = self.clock.unix_ms() + self.limits.id_horizon_ms
+        newest_ms = self.newest_job_ms.values()
+        is_known = UNKNOWN_MS not in newest_ms
+        is_complete = self.quorum.is_complete() and not self.quorum.restarted()
+        if is_known and is_complete:
+            return min(latest_ms, max(newest_ms, default=0) + 1)
+        return latest_ms
+
     # Rounds and leases.
 
     def _heartbeat_reply(
--- a/egretcart/process/ledger.py
+++ b/egretcart/process/ledger.py
@@ -64,12 +64,15 @@
     jobs : dict of bytes to LedgerJob
     result_bytes : int
         Size of the result bodies kept.
+    newest_job_ms : int
+        Unix time at which the newest job ever begun was made; 0 if none.
     """
 
     def __init__(self, *, max_result_bytes: int) -> None:
         self.max_result_bytes = max_result_bytes
         self.jobs: dict[bytes, LedgerJob] = {}
         self.result_bytes = 0
+        self.newest_job_ms = 0
         self.retained: OrderedDict[tuple[bytes, int], int] = OrderedDict()
 
     def find(self, job_id: bytes, task: int) -> LedgerTask | None:
@@ -87,6 +90,8 @@
         if job is None:
             job = LedgerJob(digest=digest, tasks={})
             self.jobs[job_id] = job
+            created_ms = JobId(job_id).created_ms
+            self.newest_job_ms = max(self.newest_job_ms, created_ms)
         self._drop_result(job_id, task)
         former = job.tasks.get(task)
         if former is not None:
--- a/tests/features/inquiries.feature
+++ b/tests/features/inquiries.feature
@@ -113,3 +113,17 @@
     Then the answer says that the second task was not run
     When the term ends
     Then the entry keeps no answer of the job for its next term
+
+  Scenario Outline: Jobs newer than what the ledgers hold are not asked about
+    Given an agent that has begun a job made 10 s ago and <tells>
+    When a leader takes over by a roster with its <which> incarnation at once
+    And a job that was made <age> s ago comes
+    Then the leader asks about <asked> job
+
+    Examples:
+      | tells           | which   | age | asked |
+      | tells it        | present | 9   | no    |
+      | tells it        | present | 10  | one   |
+      | tells it        | present | 11  | one   |
+      | tells it        | former  | 0   | one   |
+      | doesn't tell it | present | 0   | one   |
--- /dev/null
+++ b/tests/features/steps/one_agent_cell.py
@@ -0,0 +1,124 @@
+"""A leader that takes over a cell of one agent, without processes."""
+
+import dataclasses
+
+from egretcart.connection.messages import FenceReply
+from egretcart.connection.messages import LedgerQuery
+from egretcart.connection.messages import Roster
+from egretcart.connection.messages import RosterMember
+from egretcart.connection.messages import Term
+from egretcart.connection.messages import UNKNOWN_MS
+from egretcart.process.agent import Agent
+from egretcart.process.agent_types import AgentIdentity
+from egretcart.process.agent_types import AgentLimits
+from egretcart.process.agent_types import SendToEntry
+from egretcart.process.answers import AnswerCache
+from egretcart.process.effects import RequestToken
+from egretcart.process.effects import SendToAgent
+from egretcart.process.leadership import Leadership
+from egretcart.process.limits import LeaderLimits
+from egretcart.process.limits import MS_PER_S
+from egretcart.request.identity import job_id_at
+from egretcart.request.job import parse_job
+from egretcart.testing.clock import ManualClock
+from egretcart.version.document import Configuration
+from egretcart.version.document import Service
+
+AGENT_ID = "a"
+MAX_TASKS = 99
+TICK_S = 0.1
+
+
+def idempotent_body(tasks):
+    payloads = ", ".join(['{"payload": 1}'] * tasks)
+    return f'{{"idempotent": true, "tasks": [{payloads}]}}'.encode()
+
+
+class TakenOver:
+    """A leader and the only agent of its cell, in incarnation 2.
+
+    Parameters
+    ----------
+    age_s : int
+        Time since the agent's start.
+    known : int
+        Incarnation that the roster names.
+    begun_s : int, optional
+        Age of a job that the agent has begun in a former term.
+    tells : bool
+        Whether the agent's fence reply names the newest job's time.
+    """
+
+    def __init__(self, *, age_s, known, begun_s=None, tells=True):
+        self.clock = ManualClock()
+        self.taken_over_ms = self.clock.unix_ms()
+        self.tells = tells
+        self.queries = []
+        self.slots = 8
+        self.limits = LeaderLimits()
+        member = RosterMember(agent_id=AGENT_ID, incarnation=known)
+        self.leadership = Leadership(
+            service="s",
+            cell=0,
+            term=Term(2, 2),
+            roster=Roster(version=1, members=(member,)),
+            configuration=Configuration(services=(Service(name="s"),)),
+            limits=self.limits,
+            clock=self.clock,
+            answers=AnswerCache(max_bytes=1000),
+        )
+        self.book = self.leadership.book
+        self.agent = Agent(
+            identity=AgentIdentity(
+                agent_id=AGENT_ID,
+                incarnation=2,
+                service="s",
+                failure_domain="d",
+                slots=self.slots,
+                connections=8,
+            ),
+            limits=AgentLimits(),
+            clock=self.clock,
+        )
+        self.agent.started_ms -= age_s * MS_PER_S
+        if begun_s is not None:
+            begun_ms = self.taken_over_ms - begun_s * MS_PER_S
+            self.agent.ledger.begin(
+                job_id=job_id_at(begun_ms, 99).value,
+                digest=b"d",
+                task=0,
+                attempt=1,
+            )
+        self.deliver(self.leadership.agent_connected(self.agent.hello()))
+
+    def deliver(self, effects):
+        """Pass messages on until none is left; roster writes are lost."""
+        for effect in effects:
+            if not isinstance(effect, SendToAgent):
+                continue
+            if isinstance(effect.message, LedgerQuery):
+                self.queries.append(effect.message)
+            for reply in self.agent.receive("e", effect.message):
+                if isinstance(reply, SendToEntry):
+                    self.reply(reply.message)
+
+    def reply(self, message):
+        if isinstance(message, FenceReply) and not self.tells:
+            message = dataclasses.replace(message, newest_job_ms=UNKNOWN_MS)
+        self.deliver(self.leadership.receive(AGENT_ID, message))
+
+    def advance(self, seconds):
+        for _ in range(round(seconds / TICK_S)):
+            self.clock.advance(TICK_S)
+            self.deliver(self.leadership.tick())
+
+    def submit(self, tasks, created_ms):
+        job = parse_job(
+            job_id=job_id_at(created_ms, 1),
+            service="s",
+            body=idempotent_body(tasks),
+            max_tasks=MAX_TASKS,
+        ).unwrap()
+        token = RequestToken("e", 1)
+        self.deliver(self.leadership.submit(token, job))
+        self.advance(2 * TICK_S)
