--- a/egretcart/connection/messages.py
+++ b/egretcart/connection/messages.py
@@ -26,6 +26,7 @@
 
 NO_TERM = Term()
 WHOLE_JOB = -1
+UNKNOWN_MS = -1
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -124,8 +125,9 @@
     incarnation : int
     by_query : bool
         Whether the rest of the ledger has to be asked for.
-    newest_ms : int
-        Unix time of the newest job id of which a task was ever begun.
+    newest_job_ms : int
+        Unix time of the newest job that the agent has ever begun; 0 if it
+        has begun none, `UNKNOWN_MS` from an earlier release.
     """
 
     term: Term = NO_TERM
@@ -135,7 +137,7 @@
     records: tuple[JobRecord, ...] = ()
     incarnation: int = 0
     by_query: bool = False
-    newest_ms: int = 0
+    newest_job_ms: int = UNKNOWN_MS
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/egretcart/process/leadership.py
+++ b/egretcart/process/leadership.py
@@ -268,8 +268,7 @@
             now=now,
         )
         self.roster_changes.absent_since.pop(agent_id, None)
-        newest_ms = max(self.takeover.newest_ms, reply.newest_ms)
-        self.takeover.newest_ms = newest_ms
+        self.takeover.newest_job_ms[agent_id] = reply.newest_job_ms
         load = self._new_load(agent_id)
         effects = self.book.agent_fenced(
             load, reply.records, by_query=reply.by_query
--- a/egretcart/process/takeover.py
+++ b/egretcart/process/takeover.py
@@ -2,6 +2,7 @@
 
 import enum
 
+from egretcart.connection.messages import UNKNOWN_MS
 from egretcart.process.clock import Clock
 from egretcart.process.limits import LeaderLimits
 from egretcart.process.quorum import Quorum
@@ -34,8 +35,8 @@
         Monotonic time of the first fence.
     majority_at : float
         Monotonic time from which a majority has promised the term.
-    newest_ms : int
-        Unix time of the newest job id that an agent has told of.
+    newest_job_ms : dict of str to int
+        What each agent's fence reply says of its newest job.
     """
 
     def __init__(
@@ -52,7 +53,7 @@
         self.clock = clock
         self.started_at = clock.monotonic()
         self.majority_at = float("inf")
-        self.newest_ms = 0
+        self.newest_job_ms: dict[str, int] = {}
 
     def next_step(self, now: float) -> TakeoverStep:
         """Return what is to be done now."""
@@ -91,8 +92,10 @@
         Once every member has promised the term, no job is begun by a former
         leader any more, and the members have told their newest ones.
         """
-        if self.quorum.is_complete():
-            return self.newest_ms + 1
+        newest_ms = self.newest_job_ms.values()
+        is_complete = self.quorum.is_complete() and not self.quorum.restarted()
+        if is_complete and UNKNOWN_MS not in newest_ms:
+            return max(newest_ms, default=0) + 1
         return self._after_any_ms()
 
     def _after_any_ms(self) -> int:
