Take a cell over only if a majority remembers the roster, or the store does

Cause: a roster two versions old went unnoticed when the members that had recorded a newer one were restarted since. An entry that knew the roster {a0} of a cell grown to {a0, a1, a2}, cut off from the store and from all but the restarted a0, took over after a lease, while the former leader went on with a1 and a2: a job brought to both started twice. The check for a stale roster only made old ids count as may have run; new ids were begun by both.

Now restarted members don't count among the majority that shows that no newer roster exists. If too few remember, the leader first lets the store renew the restarted members, one by one: the compare-and-swap shows that its roster is the newest or brings the newer one. Without the store it does not serve; this replaces may_be_stale, which is implied.

Price: while the store is down, a cell most of whose members were restarted since the last roster, such as the one agent of a cell of one, is not taken over until the store answers. Ruled out: serving with a barrier (the ids are new at both leaders).

--- a/egretcart/process/leadership.py
+++ b/egretcart/process/leadership.py
@@ -127,6 +127,8 @@
         self.phase = Phase.FENCING
         self.started_at = clock.monotonic()
         self.majority_at = float("inf")
+        # Whether a promise was forgotten that the roster does not tell of.
+        self.has_renewed = False
         self.incomplete_since = float("inf")
         self.quorum = Quorum(roster=roster)
         self.leases = Leases(term=term, quorum=self.quorum, limits=limits)
@@ -334,7 +336,8 @@
         if self.quorum.roster.version == 0:
             return self._bootstrap(now)
         restarted = self.quorum.restarted()
-        if self.quorum.is_complete() and not restarted:
+        is_complete = self.quorum.is_complete() and not restarted
+        if is_complete and not self.has_renewed:
             return self._serve(now, self.quorum.roster.lost_before_ms)
         if not self.quorum.has_majority():
             self.majority_at = float("inf")
@@ -345,11 +348,13 @@
             return []
         self.majority_at = min(self.majority_at, now)
         # A restarted member may have promised a higher term before.
-        since = max(
+        self.majority_at = max(
             [self.majority_at, *(member.promised_at for member in restarted)]
         )
+        if not self.quorum.remembers():
+            return self._renew_roster(now)
         wait_s = max(self.limits.takeover_wait_s, self.limits.fence_patience_s)
-        if now < since + wait_s:
+        if now < self.majority_at + wait_s:
             self.phase = Phase.WAITING
             return []
         return self._serve(now, self._barrier_ms())
@@ -370,16 +375,27 @@
         self.roster_write_pending = True
         return [WriteRoster(Roster(version=1, members=tuple(members)))]
 
+    def _renew_roster(self, now: float) -> list[LeaderEffect]:
+        """Let the store show that no newer roster was forgotten."""
+        if now >= self.started_at + self.limits.fence_limit_s:
+            return self._end(
+                self.term, "too few members remember the roster", retry=True
+            )
+        roster = self.roster_changes.renewed_roster()
+        if roster is None or self.roster_write_pending:
+            return []
+        self.has_renewed = True
+        self.roster_write_pending = True
+        return [WriteRoster(roster)]
+
     def _barrier_ms(self) -> int:
         """Return the barrier after a takeover that waited a lease."""
-        if self.quorum.is_complete() and not self.quorum.may_be_stale():
-            return max(
-                self.quorum.roster.lost_before_ms,
-                *(
-                    self.roster_changes.forgotten_before_ms(member.agent_id)
-                    for member in self.quorum.restarted()
-                ),
-            )
+        if self.quorum.is_complete():
+            forgotten = [
+                self.roster_changes.forgotten_before_ms(member.agent_id)
+                for member in self.quorum.restarted()
+            ]
+            return max([self.quorum.roster.lost_before_ms, *forgotten])
         return self.clock.unix_ms() + self.limits.id_horizon_ms
 
     def _serve(self, now: float, barrier_ms: int) -> list[LeaderEffect]:
--- a/egretcart/process/quorum.py
+++ b/egretcart/process/quorum.py
@@ -170,14 +170,16 @@
             if member.incarnation != incarnations[member.agent_id]
         ]
 
-    def may_be_stale(self) -> bool:
-        """Return whether all who recorded a newer roster may have forgotten.
+    def remembers(self) -> bool:
+        """Return whether a majority has not forgotten newer rosters.
 
-        A newer roster was recorded by a majority of its members, of which
-        at most one is not in this roster.
+        A newer roster was recorded by a majority of its members. All but
+        one of them are in this roster, and one of them is in each of its
+        majorities. So if a majority remembers, none has recorded a newer
+        roster than those that they report. Who was restarted may have.
         """
-        recorders = majority_of(self.size + 1) - 1
-        return len(self.restarted()) >= recorders
+        remembering = self._counted() - len(self.restarted())
+        return self.size > 0 and remembering >= majority_of(self.size)
 
     def has_unvouched(self) -> bool:
         """Return whether a member of the roster waits to be counted."""
--- a/egretcart/process/roster_changes.py
+++ b/egretcart/process/roster_changes.py
@@ -58,10 +58,39 @@
         """Return the roster after the next change, or None for no change."""
         return (
             self._roster_with_joined()
-            or self._roster_with_restarted()
+            or self.renewed_roster()
             or self._roster_without_lost(now)
         )
 
+    def renewed_roster(self) -> Roster | None:
+        """Return the roster with one restarted member's new incarnation.
+
+        Returns
+        -------
+        Roster or None
+            None if no member was restarted since the roster was written.
+        """
+        roster = self.quorum.roster
+        restarted = self.quorum.restarted()
+        if not restarted:
+            return None
+        renewed = RosterMember(
+            agent_id=restarted[0].agent_id,
+            incarnation=restarted[0].incarnation,
+        )
+        return dataclasses.replace(
+            roster,
+            version=roster.version + 1,
+            members=tuple(
+                renewed if m.agent_id == renewed.agent_id else m
+                for m in roster.members
+            ),
+            lost_before_ms=max(
+                roster.lost_before_ms,
+                self.forgotten_before_ms(renewed.agent_id),
+            ),
+        )
+
     def forgotten_before_ms(self, agent_id: str) -> int:
         """Return up to when an agent's lost incarnation matters.
 
@@ -88,28 +117,6 @@
             )
         return None
 
-    def _roster_with_restarted(self) -> Roster | None:
-        roster = self.quorum.roster
-        restarted = self.quorum.restarted()
-        if not restarted:
-            return None
-        renewed = RosterMember(
-            agent_id=restarted[0].agent_id,
-            incarnation=restarted[0].incarnation,
-        )
-        return dataclasses.replace(
-            roster,
-            version=roster.version + 1,
-            members=tuple(
-                renewed if m.agent_id == renewed.agent_id else m
-                for m in roster.members
-            ),
-            lost_before_ms=max(
-                roster.lost_before_ms,
-                self.forgotten_before_ms(renewed.agent_id),
-            ),
-        )
-
     def _roster_without_lost(self, now: float) -> Roster | None:
         roster = self.quorum.roster
         for lost in roster.members:
