--- a/tests/features/steps/safety_machine.py
+++ b/tests/features/steps/safety_machine.py
@@ -1,62 +1,19 @@
-"""A state machine that drives the simulated world through faults."""
+"""The cell's machine with single steps and faults in between."""
 
+from cell_machine import AHEAD_S
+from cell_machine import CellMachine
+from cell_machine import INDEX
+from cell_machine import pick
 from hypothesis import strategies as st
-from hypothesis.stateful import initialize
 from hypothesis.stateful import precondition
 from hypothesis.stateful import rule
-from hypothesis.stateful import RuleBasedStateMachine
 from simulated_world import CANCEL
 from simulated_world import SUBMIT
-from simulated_world import World
 
 from egretcart.process.pending import READ
 
-INDEX = st.integers(0, 7)
-SKEW_S = st.sampled_from((0.0, 0.5, -0.5))
-RATE = st.sampled_from((1.0, 1.005, 0.9951))
-AHEAD_S = st.sampled_from((0.0, 0.5, 1.0, 1.4, -0.5, -3.0))
-PLATFORM = st.sampled_from(("up", "down", "lost", "late", "slow"))
-STALL = st.sampled_from(("none", "from leader", "to leader"))
-# Which leaders reach an agent once the cell is parted.
-REACH = st.lists(
-    st.sampled_from(("both", "former", "later")), min_size=1, max_size=5
-)
-PAUSE_S = st.sampled_from((0.0, 0.3, 1.0, 2.5))
-MAX_AGENTS = 6
-BOUNDED_TIME_S = 40.0
-
-
-def pick(items, index):
-    items = list(items)
-    return items[index % len(items)]
-
-
-class SafetyMachine(RuleBasedStateMachine):
-    @initialize(
-        entries=st.integers(2, 3),
-        agents=st.integers(2, 4),
-        skews=st.lists(SKEW_S, min_size=1, max_size=7),
-        rates=st.lists(RATE, min_size=1, max_size=7),
-        former=st.sets(INDEX, max_size=3),
-        calm_s=st.sampled_from((0.0, 2.0, 5.0, 5.0)),
-    )
-    def begin(self, entries, agents, skews, rates, former, calm_s):
-        """Start a cell, some of whose processes are of the release before."""
-        self.world = World(
-            entries=entries, agents=agents, skews=skews, rates=rates
-        )
-        for index in former:
-            pick(self.world.hosts, index).former_release = True
-        if calm_s:
-            self.world.run(calm_s)
-            self.follow_store()
-
-    def follow_store(self):
-        for entry in self.world.entries.values():
-            self.world.follow_store(entry)
-
-    # Callers.
 
+class SafetyMachine(CellMachine):
     @rule(
         ahead_s=AHEAD_S,
         tasks=st.integers(1, 2),
@@ -87,38 +44,6 @@
         )  # fmt: skip
         self.send(entry, SUBMIT, twin)
 
-    @rule(ahead_s=AHEAD_S, idempotent=st.booleans(), reach=st.booleans())
-    def submit_everywhere(self, ahead_s, idempotent, reach):
-        self.flood(ahead_s, idempotent, reach)
-
-    def flood(self, ahead_s, idempotent, reach, tasks=2):
-        job = self.world.make_job(
-            ahead_s=ahead_s, tasks=tasks, idempotent=idempotent
-        )
-        for entry in range(len(self.world.entries)):
-            self.send(entry, SUBMIT, job)
-        if reach:
-            self.world.run(0.1, finish=False)
-
-    def warm_up(self):
-        """Let work renew the leases, which lapse at rest."""
-        self.flood(0.0, False, reach=True)
-        self.world.run(0.1)
-
-    def send(self, entry, action, job):
-        entries = [e for e in self.world.entries.values() if e.running]
-        if entries:
-            self.world.request(pick(entries, entry), action, job)
-
-    # Time and messages.
-
-    @rule(
-        seconds=st.sampled_from((0.1, 0.3, 0.6, 1.3, 2.5, 4.0)),
-        finish=st.booleans(),
-    )
-    def run_calmly(self, seconds, finish):
-        self.world.run(seconds, finish=finish)
-
     @rule(seconds=st.sampled_from((0.1, 0.3, 1.0)))
     def run_without_ends(self, seconds):
         self.world.run(seconds, step=0.05, finish=False, rounds=2)
@@ -140,8 +65,6 @@
         if target.running:
             target.tick()
 
-    # Faults.
-
     @rule(connection=st.integers(0, 30), kept=st.sampled_from((0, 1, 100)))
     def break_connection(self, connection, kept):
         if self.world.connections:
@@ -154,224 +77,10 @@
         others = [pick(self.world.hosts, i) for i in sorted(hosts)]
         self.world.cut_off(target, others, kept=0)
 
-    @rule(
-        reach=REACH,
-        stall=STALL,
-        platform=PLATFORM,
-        freeze=st.booleans(),
-        before=st.booleans(),
-        after=st.booleans(),
-        ahead_s=AHEAD_S,
-        idempotent=st.booleans(),
-        seconds=st.sampled_from((0.0, 0.5, 1.3, 2.0, 3.0, 6.0)),
-    )
-    def part_leader(
-        self, reach, stall, platform, freeze, before, after, ahead_s,
-        idempotent, seconds,
-    ):  # fmt: skip
-        """Part the leader from the other entries and from some agents."""
-        if not self.world.leaders():
-            return
-        leader = self.world.leaders()[-1]
-        if before:
-            self.warm_up()
-        self.stall(leader, stall)
-        if before:
-            self.flood(ahead_s, idempotent, reach=True)
-        self.world.platform_mode = platform
-        self.part(leader, reach)
-        leader.frozen = freeze
-        if seconds:
-            self.world.run(seconds, finish=False)
-        if after:
-            self.flood(ahead_s, idempotent, reach=True)
-
-    def stall(self, leader, direction):
-        for connection in self.world.connections_of(leader):
-            if direction == "from leader":
-                connection.stalled.add(connection.other(leader))
-            elif direction == "to leader":
-                connection.stalled.add(leader)
-
-    def part(self, leader, reach):
-        world = self.world
-        peers = [e for e in world.entries.values() if e is not leader]
-        lost = list(peers)
-        for index, agent in enumerate(world.agents.values()):
-            reached_by = reach[index % len(reach)]
-            if reached_by == "former":
-                world.cut_off(agent, peers, kept=0)
-            elif reached_by == "later":
-                lost.append(agent)
-        world.cut_off(leader, lost, kept=100)
-
-    @rule(agent=INDEX, seconds=st.sampled_from((0.3, 0.7, 1.3)))
-    def lure_agent(self, agent, seconds):
-        """Restart an agent that only the former of two leaders reaches."""
-        leaders = self.world.leaders()
-        if len(leaders) < 2:
-            return
-        target = pick(self.world.agents.values(), agent)
-        self.flood(0.0, False, reach=True)
-        target.kill()
-        self.world.cut -= {(target, leaders[0])}
-        others = [e for e in self.world.entries.values() if e != leaders[0]]
-        self.world.cut_off(target, others, kept=0)
-        target.start()
-        self.world.run(seconds, finish=False)
-        self.flood(0.0, False, reach=True)
-
-    @rule(
-        agent=INDEX,
-        freeze=st.booleans(),
-        finish=st.booleans(),
-        seconds=st.sampled_from((0.5, 2.0, 6.0, 7.0)),
-    )
-    def delay_starts(self, agent, freeze, finish, seconds):
-        """Let starts lie on the way to an agent that is taken for lost."""
-        target = pick(self.world.agents.values(), agent)
-        self.warm_up()
-        for connection in self.world.connections_of(target):
-            connection.stalled.add(target)
-        self.flood(0.0, True, reach=True)
-        for connection in self.world.connections_of(target):
-            if not freeze:
-                connection.break_off(kept=100)
-        self.world.run(seconds, finish=finish)
-        self.world.release()
-        self.world.run(0.1, finish=False)
-
-    @rule(
-        count=st.integers(1, 2),
-        leader_only=st.booleans(),
-        platform=PLATFORM,
-        seconds=st.sampled_from((0.05, 0.1, 0.2, 1.0)),
-    )
-    def add_agents(self, count, leader_only, platform, seconds):
-        """Let agents join, perhaps while only the leader reaches them."""
-        world = self.world
-        count = min(count, MAX_AGENTS - len(world.agents))
-        world.platform_mode = platform
-        peers = list(world.entries.values())
-        for leader in world.leaders()[-1:]:
-            peers.remove(leader)
-        for _ in range(count):
-            agent = world.add_agent()
-            if leader_only:
-                world.cut_off(agent, peers, kept=0)
-        world.run(seconds, step=0.05, finish=False)
-
-    @rule(
-        agent=INDEX,
-        how=st.sampled_from(("restart", "restart", "cut", "cut for long")),
-        submit=st.booleans(),
-        seconds=PAUSE_S,
-    )
-    def lose_agent(self, agent, how, submit, seconds):
-        """Let an agent forget what it ran, or take it out of reach."""
-        world = self.world
-        target = pick(world.agents.values(), agent)
-        if submit:
-            self.warm_up()
-        if how == "restart":
-            target.kill()
-            target.start()
-        else:
-            world.cut_off(target, world.entries.values(), kept=1)
-        if how == "cut for long":
-            world.run(6.0)
-        elif seconds:
-            world.run(seconds)
-
-    @rule(
-        how=st.sampled_from(("kill", "restart", "resign", "freeze")),
-        ahead_s=AHEAD_S,
-        submit=st.booleans(),
-        platform=PLATFORM,
-        seconds=PAUSE_S,
-        others=st.integers(0, 3),
-        again=st.booleans(),
-    )
-    def lose_leader(
-        self, how, ahead_s, submit, platform, seconds, others, again
-    ):
-        """Let another entry take over, and repeat what was asked."""
-        world = self.world
-        if not world.leaders():
-            return
-        leader = world.leaders()[-1]
-        if submit:
-            self.warm_up()
-            self.flood(ahead_s, False, reach=True)
-        world.platform_mode = platform
-        if how == "resign":
-            leader.carry_out(leader.core.leave())
-        elif how == "freeze":
-            leader.frozen = True
-        else:
-            leader.kill()
-        if how == "restart":
-            leader.start()
-        if seconds:
-            world.run(seconds, finish=False)
-        if not again:
-            return
-        repeated = world.jobs[-3:]
-        if others:  # These take slots, so that the rest goes elsewhere.
-            self.flood(0.0, True, reach=True, tasks=others)
-        for job in repeated:
-            for entry in range(len(world.entries)):
-                self.send(entry, SUBMIT, job)
-        world.run(0.3, finish=False)
-
-    @rule(action=st.sampled_from((READ, CANCEL, SUBMIT)))
-    def hide_fence(self, action):
-        """Ask a leader that can't know yet that it was fenced."""
-        world = self.world
-        if not world.leaders():
-            return
-        former = world.leaders()[-1]
-        self.stall(former, "to leader")
-        self.part(former, ["both"])
-        world.run(2.0, finish=False)
-        job = world.make_job(ahead_s=0.0, tasks=1, idempotent=False)
-        for entry in world.entries.values():
-            if entry.running and entry is not former:
-                world.request(entry, SUBMIT, job)
-        world.run(0.3, finish=False)
-        world.request(former, action, job)
-        world.run(0.1)
-
-    @precondition(lambda self: self.world.jobs)
-    @rule(job=INDEX)
-    def submit_again_everywhere(self, job):
-        chosen = self.world.jobs[-1 - job % 2 :][0]
-        for entry in range(len(self.world.entries)):
-            self.send(entry, SUBMIT, chosen)
-
-    @precondition(lambda self: self.world.jobs)
-    @rule(action=st.sampled_from((READ, CANCEL)), seconds=st.floats(0.0, 1.0))
-    def ask_everywhere(self, action, seconds):
-        for entry in range(len(self.world.entries)):
-            self.send(entry, action, self.world.jobs[-1])
-        if seconds:
-            self.world.run(seconds)
-
-    @rule()
-    def release_stalled(self):
-        self.world.release()
-
     @rule()
     def reconnect(self):
         self.world.cut.clear()
 
-    @rule(seconds=st.sampled_from((0.0, 0.3, 2.0, 5.0)))
-    def recover(self, seconds):
-        """Mend everything, so that the next faults meet a working cell."""
-        self.world.heal()
-        if seconds:
-            self.world.run(seconds)
-
     @rule(host=INDEX)
     def kill(self, host):
         target = pick(self.world.hosts, host)
@@ -409,29 +118,8 @@
         chosen = pick(self.world.exchanges, exchange)
         self.world.finish(chosen, succeeded=succeeded)
 
-    # The platform.
-
-    @rule(mode=PLATFORM)
-    def change_platform(self, mode):
-        self.world.platform_mode = mode
-
     @precondition(lambda self: self.world.late_writes)
     @rule(index=INDEX)
     def apply_late_write(self, index):
         writes = self.world.late_writes
         self.world.apply_write(writes.pop(index % len(writes)))
-
-    @rule(entry=INDEX)
-    def read_roster(self, entry):
-        self.world.follow_store(pick(self.world.entries.values(), entry))
-
-    def teardown(self):
-        world = getattr(self, "world", None)
-        if world is None:
-            return
-        world.heal()
-        for host in world.entries.values():
-            if host.core.directory.leaving:
-                host.core.directory.leaving = False
-        world.run(BOUNDED_TIME_S, step=0.2, rounds=3)
-        assert not world.unanswered(), "callers without an answer"
