--- a/egretcart/process/leadership.py
+++ b/egretcart/process/leadership.py
@@ -305,10 +305,10 @@
         step = self.takeover.next_step(now)
         if step is TakeoverStep.BOOTSTRAP:
             return self._write_first_roster()
-        if step is TakeoverStep.GIVE_UP:
-            return self._end(
-                self.term, "no majority of the roster", retry=True
-            )
+        if step is TakeoverStep.RENEW:
+            return self._write_renewed_roster()
+        if step in (TakeoverStep.GIVE_UP, TakeoverStep.FORGOTTEN):
+            return self._end(self.term, step.value, retry=True)
         if step is TakeoverStep.WAIT:
             self.phase = Phase.WAITING
         if step is TakeoverStep.SERVE:
@@ -327,6 +327,15 @@
         self.roster_write_pending = True
         return [WriteRoster(Roster(version=1, members=members))]
 
+    def _write_renewed_roster(self) -> list[LeaderEffect]:
+        """Let the store show that no newer roster was forgotten."""
+        roster = self.roster_changes.renewed_roster()
+        if roster is None or self.roster_write_pending:
+            return []
+        self.takeover.has_renewed = True
+        self.roster_write_pending = True
+        return [WriteRoster(roster)]
+
     def _serve(self, now: float) -> list[LeaderEffect]:
         self.phase = Phase.SERVING
         self.book.recovery.serve(
--- a/egretcart/process/takeover.py
+++ b/egretcart/process/takeover.py
@@ -14,7 +14,9 @@
 
     FENCE = "wait for promises"
     BOOTSTRAP = "write the first roster"
-    GIVE_UP = "no majority promises the term"
+    RENEW = "write the restarted members' incarnations into the roster"
+    GIVE_UP = "no majority of the roster"
+    FORGOTTEN = "too few members remember the roster"
     WAIT = "wait until the former term's leases have lapsed"
     SERVE = "serve"
 
@@ -35,6 +37,8 @@
         Monotonic time of the first fence.
     majority_at : float
         Monotonic time from which a majority has promised the term.
+    has_renewed : bool
+        Whether a promise was forgotten that the roster does not tell of.
     newest_job_ms : dict of str to int
         What each agent's fence reply says of its newest job.
     """
@@ -53,6 +57,7 @@
         self.clock = clock
         self.started_at = clock.monotonic()
         self.majority_at = float("inf")
+        self.has_renewed = False
         self.newest_job_ms: dict[str, int] = {}
 
     def next_step(self, now: float) -> TakeoverStep:
@@ -60,25 +65,27 @@
         if self.quorum.roster.version == 0:
             waited = now >= self.started_at + self.limits.bootstrap_wait_s
             return TakeoverStep.BOOTSTRAP if waited else TakeoverStep.FENCE
-        restarted = self.quorum.restarted()
-        if self.quorum.is_complete() and not restarted:
+        if self._has_whole_memory():
             return TakeoverStep.SERVE
+        over = now >= self.started_at + self.limits.fence_limit_s
         if not self.quorum.has_majority():
             self.majority_at = float("inf")
-            over = now >= self.started_at + self.limits.fence_limit_s
             return TakeoverStep.GIVE_UP if over else TakeoverStep.FENCE
         self.majority_at = min(self.majority_at, now)
         # A restarted member may have promised a higher term before.
-        since = max(
+        restarted = self.quorum.restarted()
+        self.majority_at = max(
             [self.majority_at, *(member.promised_at for member in restarted)]
         )
+        if not self.quorum.remembers():
+            return TakeoverStep.FORGOTTEN if over else TakeoverStep.RENEW
         wait_s = max(self.limits.takeover_wait_s, self.limits.fence_patience_s)
-        is_over = now >= since + wait_s
+        is_over = now >= self.majority_at + wait_s
         return TakeoverStep.SERVE if is_over else TakeoverStep.WAIT
 
     def barrier_ms(self) -> int:
         """Return the Unix time before which unknown jobs may have run."""
-        if not self.quorum.is_complete() or self.quorum.may_be_stale():
+        if not self.quorum.is_complete():
             return self._after_any_ms()
         forgotten = [
             self.roster_changes.forgotten_before_ms(member.agent_id)
@@ -93,11 +100,18 @@
         leader any more, and the members have told their newest ones.
         """
         newest_ms = self.newest_job_ms.values()
-        is_complete = self.quorum.is_complete() and not self.quorum.restarted()
-        if is_complete and UNKNOWN_MS not in newest_ms:
+        if self._has_whole_memory() and UNKNOWN_MS not in newest_ms:
             return max(newest_ms, default=0) + 1
         return self._after_any_ms()
 
+    def _has_whole_memory(self) -> bool:
+        """Return whether every member promised and has forgotten nothing."""
+        return (
+            self.quorum.is_complete()
+            and not self.quorum.restarted()
+            and not self.has_renewed
+        )
+
     def _after_any_ms(self) -> int:
         """Return the Unix time before which a former leader took jobs."""
         return self.clock.unix_ms() + self.limits.id_horizon_ms
--- a/tests/features/steps/one_agent_cell.py
+++ b/tests/features/steps/one_agent_cell.py
@@ -15,6 +15,7 @@
 from egretcart.process.answers import AnswerCache
 from egretcart.process.effects import RequestToken
 from egretcart.process.effects import SendToAgent
+from egretcart.process.effects import WriteRoster
 from egretcart.process.leadership import Leadership
 from egretcart.process.limits import LeaderLimits
 from egretcart.process.limits import MS_PER_S
@@ -92,8 +93,11 @@
         self.deliver(self.leadership.agent_connected(self.agent.hello()))
 
     def deliver(self, effects):
-        """Pass messages on until none is left; roster writes are lost."""
+        """Pass messages on until none is left; the store accepts rosters."""
         for effect in effects:
+            if isinstance(effect, WriteRoster):
+                written = self.leadership.roster_written(effect.roster)
+                self.deliver(written)
             if not isinstance(effect, SendToAgent):
                 continue
             if isinstance(effect.message, LedgerQuery):
