Tell a store that has lost versions, refuse changes made from it, repair it

Cause: a store that was restored from a backup shows a version older than the one in force. Entries kept theirs, but nothing told it, an apply was accepted on the old document with no effect, and numbers were used twice when applies passed the lost versions.

Now an entry remembers the highest version that was named before a read began; a read that shows an older one proves the loss. It is told once and its end once, by log, by egretcart.platform.versions.behind and by status, which fails. A change carries the highest version that entries name and is not written if the store shows an older one. egretcart repair puts what the entries have in force into the store above all named versions, with an audit entry; show --in-force prints it; history names the gap.

Ruled out: entries that write back by themselves (several race, a restore on purpose is undone), following the store back (a version reverts), an apply that jumps the number (it undoes the lost changes unseen).

An entry that had stepped down reported its former agents as led, with the versions of its last heartbeats, so that the same agent stood in two reports. The new scenario met this after an entry had been frozen: agents stayed at version 4 in its report after 5 was in force.

--- a/egretcart/process/change_commands.py
+++ b/egretcart/process/change_commands.py
@@ -1,4 +1,4 @@
-"""The commands `apply` and `drain`: they propose a change."""
+"""The commands `apply`, `drain` and `repair`: they propose a change."""
 
 import datetime
 import getpass
@@ -11,13 +11,18 @@
 
 from egretcart.process.config_store import plan_change
 from egretcart.process.operator_arguments import EXIT_FAILED
+from egretcart.process.operator_arguments import EXIT_OK
 from egretcart.process.operator_arguments import load_document
 from egretcart.process.operator_arguments import parse_number
 from egretcart.process.operator_client import ask_all_entries
+from egretcart.process.operator_client import EntryClient
 from egretcart.process.operator_client import OperatorClient
+from egretcart.process.operator_client import Overview
 from egretcart.process.outcome_text import print_differences
 from egretcart.process.outcome_text import print_outcome
+from egretcart.process.platform import PlatformError
 from egretcart.process.show_commands import read_stored
+from egretcart.version.change import NOTHING_STORED
 from egretcart.version.change import ProposedChange
 from egretcart.version.change import WriteVersion
 from egretcart.version.check import check_quotas
@@ -65,6 +70,38 @@
     return await _propose(client, parsed, change)
 
 
+async def repair_store(client: OperatorClient, parsed: dict[str, Any]) -> int:
+    """Put what processes hold into a store that has lost versions."""
+    overview = await ask_all_entries(await client.entry_addresses())
+    if overview.newest is None:
+        print("not repaired: no entry answers that could tell what it holds")
+        return EXIT_FAILED
+    if overview.silent:
+        print("not repaired: these entries may hold a newer version")
+        for address in overview.silent:
+            print(f"  entry at {address}: no answer")
+        return EXIT_FAILED
+    document = await EntryClient(address=overview.newest).read_in_force()
+    current = await client.read_current() or NOTHING_STORED
+    stored = current.document.version
+    if stored and not current.revision:
+        print("not repaired: the platform's store gives no answer")
+        return EXIT_FAILED
+    if stored >= overview.held_version:
+        print(f"nothing to repair: the store has version {stored}")
+        return EXIT_OK
+    change = ProposedChange(
+        change_id=str(uuid6.uuid7()),
+        base=stored,
+        document=document,
+        who=_who(parsed),
+        why=parsed["--reason"],
+        when=_now(),
+        is_repair=True,
+    )
+    return await _propose(client, parsed, change)
+
+
 def _who(parsed: dict[str, Any]) -> str:
     given: str | None = parsed["--as"]
     return given or f"{getpass.getuser()}@{socket.gethostname()}"
@@ -87,28 +124,40 @@
         print("not applied: nothing was written")
         return EXIT_FAILED
     print(f"change {change.change_id}", flush=True)
+    # Asked again: an operator may have taken long to confirm.
+    overview = await _ask_entries(client)
+    change = msgspec.structs.replace(change, held=overview.held_version)
     outcome = await client.apply(change, time_limit_s=APPLY_LIMIT_S)
     return print_outcome(outcome, change)
 
 
+async def _ask_entries(client: OperatorClient) -> Overview:
+    """Return the entries' reports, none if their addresses are not known."""
+    try:
+        return await ask_all_entries(await client.entry_addresses())
+    except PlatformError:
+        return Overview(reports=(), addresses={}, silent=())
+
+
 async def _show_plan(
     client: OperatorClient, change: ProposedChange
 ) -> int | None:
     """Print what would change; return an exit code if nothing can."""
+    overview = await _ask_entries(client)
+    change = msgspec.structs.replace(change, held=overview.held_version)
     plan = await plan_change(client, change)
     if not isinstance(plan.step, WriteVersion):
         return print_outcome(plan.step, change)
     print(f"plan: version {change.base} -> {plan.step.entry.version}")
     print_differences(find_differences(plan.stored, change.document))
-    await _warn_of_quotas(client, change.document)
+    if overview.silent and not overview.reports:
+        print("  warning: no entry answers; none could tell a lost version")
+    _warn_of_quotas(overview, change.document)
     return None
 
 
-async def _warn_of_quotas(
-    client: OperatorClient, document: Configuration
-) -> None:
+def _warn_of_quotas(overview: Overview, document: Configuration) -> None:
     """Compare the teams' quotas with the slots of the connected agents."""
-    overview = await ask_all_entries(await client.entry_addresses())
     slots = {
         agent.agent_id: agent.slots
         for report in overview.reports
--- a/egretcart/process/cli.py
+++ b/egretcart/process/cli.py
@@ -50,11 +50,14 @@
   egretcart diff FILE [--platform=ADDRESS | --entry=ADDRESS]
   egretcart apply FILE --reason=TEXT [--yes] [--base=VERSION] [--change=ID]
             [--as=NAME] [--platform=ADDRESS | --entry=ADDRESS]
-  egretcart show [--version=VERSION] [--platform=ADDRESS | --entry=ADDRESS]
+  egretcart show [--version=VERSION | --in-force]
+            [--platform=ADDRESS | --entry=ADDRESS]
   egretcart history [--last=COUNT] [--platform=ADDRESS | --entry=ADDRESS]
   egretcart status [--platform=ADDRESS | --entry=ADDRESS]
   egretcart drain AGENT [--undo] [--reason=TEXT] [--yes] [--as=NAME]
             [--platform=ADDRESS | --entry=ADDRESS]
+  egretcart repair --reason=TEXT [--yes] [--as=NAME]
+            [--platform=ADDRESS | --entry=ADDRESS]
   egretcart (-h | --help)
 
 Commands:
@@ -74,6 +77,7 @@
   history           Print who changed what, when and why.
   status            Print each process's version, role, terms and load.
   drain             Give an agent no new work, or --undo that.
+  repair            Put what entries have in force into a store that lost it.
 
 Options:
   --platform=ADDRESS  HOST:PORT of the platform's store; the environment
@@ -87,6 +91,8 @@
   --change=ID         Ask again for a change whose outcome was not known.
   --as=NAME           Who, for the audit trail; by default user and host.
   --version=VERSION   A version of the history.
+  --in-force          What the entries have in force, in place of what the
+                      store has.
   --last=COUNT        Versions to print [default: 20].
   --undo              Give the agent work again.
 
--- a/egretcart/process/config_sync.py
+++ b/egretcart/process/config_sync.py
@@ -54,6 +54,10 @@
         Newest document held, in force or not.
     highest_heard : int
         Highest version that any process has named.
+    stored_version : int
+        Version that the store was last seen to hold; 0 for none.
+    store_is_behind : bool
+        Whether the store has lost versions that were accepted.
     """
 
     def __init__(
@@ -66,6 +70,9 @@
         self.platform_answered = False
         self.candidate = Configuration()
         self.highest_heard = 0
+        self.heard_before_read = 0
+        self.stored_version = 0
+        self.store_is_behind = False
         self.released = False
         self.next_request = float("-inf")
 
@@ -74,6 +81,13 @@
         """Whether a newer version than the one held is known to exist."""
         return self.highest_heard > self.candidate.version
 
+    @property
+    def versions_behind(self) -> int:
+        """Versions that the store has lost, as far as is known."""
+        if not self.store_is_behind:
+            return 0
+        return self.highest_heard - self.stored_version
+
     def heard(self, version: int) -> None:
         """Take in the version that another process has named."""
         self.highest_heard = max(self.highest_heard, version)
@@ -84,10 +98,26 @@
         if document.version > self.candidate.version:
             self.candidate = document
 
+    def platform_read_began(self) -> None:
+        """Take in that the store is being read, or read and watched."""
+        self.heard_before_read = self.highest_heard
+
     def platform_read(self, document: Configuration | None) -> None:
-        """Take in the store's document; None if it holds none."""
+        """Take in the store's document; None if it holds none.
+
+        A version that was named before the read began had been accepted
+        by then: a store that shows an older one has lost it. A version
+        named since may just not have been reported yet.
+        """
+        version = 0
         if document is not None:
+            version = document.version
             self.offer(document)
+        self.stored_version = version
+        if version >= self.highest_heard:
+            self.store_is_behind = False
+        elif version < self.heard_before_read:
+            self.store_is_behind = True
         self.platform_pending = False
         self.platform_answered = True
 
--- a/egretcart/process/entry_observer.py
+++ b/egretcart/process/entry_observer.py
@@ -14,6 +14,7 @@
 from egretcart.process.metric_table import AGENTS_CONNECTED
 from egretcart.process.metric_table import HEARTBEAT_TIME
 from egretcart.process.metric_table import MESSAGES_WASTED
+from egretcart.process.metric_table import PLATFORM_VERSIONS_BEHIND
 from egretcart.process.metric_table import REQUESTS_OPEN
 from egretcart.process.metric_table import ROSTER_CHANGES
 from egretcart.process.metric_table import STATE_CHANGES
@@ -52,6 +53,9 @@
         self.rounds: dict[str, tuple[int, float]] = {}
         metrics.gauge(AGENTS_CONNECTED, lambda: len(entry.agents))
         metrics.gauge(REQUESTS_OPEN, lambda: len(entry.pending))
+        metrics.gauge(
+            PLATFORM_VERSIONS_BEHIND, lambda: entry.sync.versions_behind
+        )
 
     def effect(self, effect: EntryEffect) -> None:
         """Take note of an effect before it is carried out."""
--- a/egretcart/process/entry_process.py
+++ b/egretcart/process/entry_process.py
@@ -375,6 +375,7 @@
         follower = PlatformFollower(
             platform=platform,
             source=source,
+            on_read=entry.sync.platform_read_began,
             on_configuration=lambda document: self.carry_out(
                 entry.platform_configuration(document)
             ),
--- a/egretcart/process/metric_table.py
+++ b/egretcart/process/metric_table.py
@@ -197,6 +197,11 @@
     "changes of the circuit, by its new state",
     "state",
 )
+PLATFORM_VERSIONS_BEHIND = _gauge(
+    "egretcart.platform.versions.behind",
+    "{version}",
+    "accepted configuration versions that the store has lost",
+)
 AGENTS_CONNECTED = _gauge(
     "egretcart.agents.connected", "{agent}", "agents linked to the entry"
 )
@@ -241,6 +246,7 @@
     PLATFORM_WATCHES_BROKEN,
     PLATFORM_CIRCUIT,
     PLATFORM_CIRCUIT_CHANGES,
+    PLATFORM_VERSIONS_BEHIND,
     AGENTS_CONNECTED,
     REQUESTS_OPEN,
     TASKS_RUNNING,
--- a/egretcart/process/operator_api.py
+++ b/egretcart/process/operator_api.py
@@ -22,11 +22,14 @@
 from egretcart.request.verdict import Verdict
 from egretcart.version.change import CurrentVersion
 from egretcart.version.change import ProposedChange
+from egretcart.version.change import Refused
+from egretcart.version.check import check_change
 from egretcart.version.check import decode_checked
 
 CONFIGURATION_PATH = "/v1/configuration"
 HISTORY_PATH = "/v1/configuration/history"
 PROCESSES_PATH = "/v1/processes"
+IN_FORCE_PATH = "/v1/configuration/in-force"
 VERSIONS_PATH = "/v1/configuration/versions"
 ENTRY_PATH = re.compile(HISTORY_PATH + r"/(\d{1,10})")
 DOCUMENT_PATH = re.compile(VERSIONS_PATH + r"/(\d{1,10})")
@@ -70,6 +73,8 @@
             return _json(report_processes(self.entry, self.guard))
         if request.method == "GET" and path == CONFIGURATION_PATH:
             return await self._current()
+        if request.method == "GET" and path == IN_FORCE_PATH:
+            return _json(self.entry.configuration)
         try:
             return await self._handle_stored(request, path)
         except PlatformError as error:
@@ -124,8 +129,16 @@
             return problem_response(
                 bad_request(decoded.unwrap_err().to_line())
             )
+        change = decoded.unwrap()
+        if change.is_repair:
+            findings = check_change(self.entry.configuration, change.document)
+            if findings:
+                return _json(Refused(findings=findings))
+        held = max(change.held, self.entry.sync.highest_heard)
         outcome = await apply_change(
-            store, decoded.unwrap(), time_limit_s=APPLY_LIMIT_S
+            store,
+            msgspec.structs.replace(change, held=held),
+            time_limit_s=APPLY_LIMIT_S,
         )
         return _json(outcome)
 
--- a/egretcart/process/operator_client.py
+++ b/egretcart/process/operator_client.py
@@ -20,6 +20,7 @@
 from egretcart.process.operator_api import CONFIGURATION_PATH
 from egretcart.process.operator_api import FIRST_FIELD
 from egretcart.process.operator_api import HISTORY_PATH
+from egretcart.process.operator_api import IN_FORCE_PATH
 from egretcart.process.operator_api import PROCESSES_PATH
 from egretcart.process.operator_api import VERSIONS_PATH
 from egretcart.process.platform import PlatformError
@@ -155,6 +156,11 @@
                 await trio.sleep(RETRY_PAUSE_S)
         return outcome
 
+    async def read_in_force(self) -> Configuration:
+        """Return the document that the entry has in force."""
+        document: Configuration = await self._get(IN_FORCE_PATH, Configuration)
+        return document
+
     async def read_processes(self) -> ProcessesReport:
         """Return what the entry knows of all processes."""
         report: ProcessesReport = await self._get(
@@ -218,11 +224,36 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Overview:
-    """Reports of all entries, and the addresses that gave none."""
+    """Reports of all entries, and the addresses that gave none.
+
+    Attributes
+    ----------
+    reports : tuple of ProcessesReport
+        In the order of the entries' ids.
+    addresses : dict of str to Address
+        HTTP address of each entry that has answered, by its id.
+    silent : tuple of str
+    """
 
     reports: tuple[ProcessesReport, ...]
+    addresses: dict[str, Address]
     silent: tuple[str, ...]
 
+    @property
+    def held_version(self) -> int:
+        """Highest version that the entries know to be held; 0 for none."""
+        return max(
+            (report.entry.highest_heard for report in self.reports), default=0
+        )
+
+    @property
+    def newest(self) -> Address | None:
+        """Address of an entry with the newest version in force, or None."""
+        if not self.reports:
+            return None
+        newest = max(self.reports, key=lambda r: r.entry.config_version)
+        return self.addresses[newest.entry.entry_id]
+
 
 async def ask_all_entries(first: Iterable[Address]) -> Overview:
     """Ask entries for their reports, and all others that they name.
@@ -239,6 +270,7 @@
     waiting = list(first)
     asked: set[tuple[str, int]] = set()
     reports: dict[str, ProcessesReport] = {}
+    addresses: dict[str, Address] = {}
     silent: list[str] = []
     while waiting:
         address = waiting.pop()
@@ -251,12 +283,13 @@
             silent.append(f"{address.host}:{address.port}")
             continue
         reports[report.entry.entry_id] = report
+        addresses[report.entry.entry_id] = address
         waiting += [
             Address(host=peer.http_host, port=peer.http_port)
             for peer in report.peers
         ]
     ordered = tuple(report for _, report in sorted(reports.items()))
-    return Overview(reports=ordered, silent=tuple(silent))
+    return Overview(reports=ordered, addresses=addresses, silent=tuple(silent))
 
 
 async def _ask_entry(address: Address) -> ProcessesReport | None:
--- a/egretcart/process/operator_commands.py
+++ b/egretcart/process/operator_commands.py
@@ -7,6 +7,7 @@
 
 from egretcart.process.change_commands import apply_file
 from egretcart.process.change_commands import drain_agent
+from egretcart.process.change_commands import repair_store
 from egretcart.process.check_command import check_files
 from egretcart.process.check_command import print_schema
 from egretcart.process.operator_arguments import client_of
@@ -28,6 +29,7 @@
     "history",
     "status",
     "drain",
+    "repair",
 )
 
 
@@ -68,6 +70,8 @@
         return await print_version(client, parsed)
     if parsed["history"]:
         return await print_history(client, parsed)
+    if parsed["repair"]:
+        return await repair_store(client, parsed)
     if parsed["drain"]:
         return await drain_agent(client, parsed)
     return await print_status(client)
--- a/egretcart/process/outcome_text.py
+++ b/egretcart/process/outcome_text.py
@@ -11,6 +11,7 @@
 from egretcart.version.change import NotReached
 from egretcart.version.change import ProposedChange
 from egretcart.version.change import Refused
+from egretcart.version.change import StoreBehind
 from egretcart.version.change import Unchanged
 from egretcart.version.change import Undecided
 from egretcart.version.difference import Difference
@@ -52,11 +53,17 @@
     if isinstance(outcome, NotReached):
         print(f"not accepted, nothing was written: {outcome.reason}")
         return EXIT_FAILED
+    if isinstance(outcome, StoreBehind):
+        _print_store_behind(outcome, change)
+        return EXIT_FAILED
     if isinstance(outcome, Forgotten):
         _print_forgotten(outcome, change)
         return EXIT_FAILED
     assert isinstance(outcome, Undecided)
     print(f"not known yet: {outcome.reason}")
+    if change.is_repair:
+        print("run `egretcart repair` again: it goes on from what is there")
+        return EXIT_UNDECIDED
     print(
         "ask again with the same file and "
         f"--base {change.base} --change {change.change_id}"
@@ -69,7 +76,7 @@
         f"not accepted: made from version {change.base}, but "
         f"{outcome.version} is in force"
     )
-    successor = change.base + 1
+    successor = change.version
     if outcome.pruned:
         print(f"  the audit entry of version {successor} has been pruned")
     if outcome.who:
@@ -78,10 +85,23 @@
     print_differences(outcome.difference)
 
 
+def _print_store_behind(outcome: StoreBehind, change: ProposedChange) -> None:
+    print(
+        f"not accepted: the store has version {outcome.version}, but "
+        f"processes hold version {outcome.held}: the store has lost versions"
+    )
+    if change.resumed:
+        print(f"  change {change.change_id} may be among the lost ones")
+    print(
+        "run `egretcart repair --reason TEXT`, then make the change again "
+        "from `egretcart show`"
+    )
+
+
 def _print_forgotten(outcome: Forgotten, change: ProposedChange) -> None:
     print(
         f"not known any more: change {change.change_id} may have been "
-        f"version {change.base + 1}, whose audit entry has been pruned; "
+        f"version {change.version}, whose audit entry has been pruned; "
         f"version {outcome.version} is in force"
     )
     print(
--- a/egretcart/process/platform_follower.py
+++ b/egretcart/process/platform_follower.py
@@ -43,6 +43,8 @@
     platform : Platform
     source : random.Random
         Source of jitter, so that entries do not call at the same time.
+    on_read : callable
+        Called before the configuration is read and then watched.
     on_configuration : callable
         Called with the stored document; None if there is none.
     on_entry : callable
@@ -58,6 +60,7 @@
         *,
         platform: Platform,
         source: random.Random,
+        on_read: Callable[[], None],
         on_configuration: Callable[[Configuration | None], None],
         on_entry: Callable[[EntryAddress], None],
         on_roster: Callable[[Cell, Roster], None],
@@ -65,6 +68,7 @@
     ) -> None:
         self.platform = platform
         self.source = source
+        self.on_read = on_read
         self.on_configuration = on_configuration
         self.on_entry = on_entry
         self.on_roster = on_roster
@@ -85,6 +89,8 @@
             await trio.sleep(RETRY_S * self.source.uniform(0.1, 1.0))
 
     async def _read_and_watch(self, keys: KeyRange) -> None:
+        if keys is STATE_RANGE:
+            self.on_read()
         listing = await self.platform.list_range(keys)
         self._take_listing(keys, listing)
         renew_s = WATCH_RENEW_S * self.source.uniform(0.75, 1.25)
--- a/egretcart/process/reports.py
+++ b/egretcart/process/reports.py
@@ -17,10 +17,25 @@
 
 
 class EntryReport(msgspec.Struct, frozen=True, kw_only=True):
-    """An entry as it knows itself."""
+    """An entry as it knows itself.
+
+    Attributes
+    ----------
+    entry_id : str
+    config_version : int
+        In force.
+    highest_heard : int
+        Highest version that any process has named to it.
+    store_is_behind : bool
+        Whether the store has lost versions that were accepted.
+    leaving : bool
+    cells : tuple of CellReport
+    """
 
     entry_id: str
     config_version: int
+    highest_heard: int = 0
+    store_is_behind: bool = False
     leaving: bool
     cells: tuple[CellReport, ...]
 
@@ -123,6 +138,8 @@
     return EntryReport(
         entry_id=entry.address.entry_id,
         config_version=entry.configuration.version,
+        highest_heard=entry.sync.highest_heard,
+        store_is_behind=entry.sync.store_is_behind,
         leaving=entry.directory.leaving,
         cells=cells,
     )
@@ -138,7 +155,9 @@
         draining=hello.draining,
     )
     heartbeat = entry.agent_heartbeats.get(agent_id)
-    if heartbeat is None:
+    # A former leader's heartbeats are out of date.
+    is_led = entry.cell_index.cells.get(agent_id) in entry.leaderships
+    if heartbeat is None or not is_led:
         return report
     return msgspec.structs.replace(
         report,
--- a/egretcart/process/show_commands.py
+++ b/egretcart/process/show_commands.py
@@ -8,8 +8,12 @@
 from egretcart.process.operator_arguments import load_document
 from egretcart.process.operator_arguments import parse_number
 from egretcart.process.operator_arguments import UsageError
+from egretcart.process.operator_client import ask_all_entries
+from egretcart.process.operator_client import EntryClient
 from egretcart.process.operator_client import OperatorClient
 from egretcart.process.outcome_text import print_differences
+from egretcart.process.platform import PlatformError
+from egretcart.request.verdict import Verdict
 from egretcart.version.change import AuditEntry
 from egretcart.version.change import NOTHING_STORED
 from egretcart.version.difference import find_differences
@@ -39,7 +43,10 @@
 async def print_version(client: OperatorClient, parsed: dict[str, Any]) -> int:
     """Print the document that is in force, or that of a former version."""
     version = parse_number(parsed, "--version")
-    document = await read_stored(client)
+    if parsed["--in-force"]:
+        document = await _read_in_force(client)
+    else:
+        document = await read_stored(client)
     if version is not None and version != document.version:
         document = await _read_former(client, version, document.version)
     text = msgspec.json.format(msgspec.json.encode(document), indent=2)
@@ -47,6 +54,14 @@
     return EXIT_OK
 
 
+async def _read_in_force(client: OperatorClient) -> Configuration:
+    """Return the newest document that an entry has in force."""
+    overview = await ask_all_entries(await client.entry_addresses())
+    if overview.newest is None:
+        raise PlatformError("no entry answers", Verdict.NOT_RUN)
+    return await EntryClient(address=overview.newest).read_in_force()
+
+
 async def _read_former(
     client: OperatorClient, version: int, in_force: int
 ) -> Configuration:
@@ -61,8 +76,8 @@
     entry = await client.read_entry(version)
     if entry is None:
         raise UsageError(
-            f"version {version} has been pruned with its audit entry; "
-            f"{in_force} is in force"
+            f"version {version} has been pruned with its audit entry, or "
+            f"the store has lost it; {in_force} is in force"
         )
     raise UsageError(
         f"the document of version {version} has been pruned; {in_force} is "
@@ -76,10 +91,15 @@
     in_force = (await read_stored(client)).version
     first = max(1, in_force - last + 1)
     entries = await client.read_history(first)
-    oldest = entries[0].version if entries else in_force + 1
+    oldest = entries[0].base + 1 if entries else in_force + 1
     if first < oldest:
         print(f"the audit entries before version {oldest} have been pruned")
     for entry in entries:
+        if entry.version > entry.base + 1:
+            print(
+                f"the store lost versions {entry.base + 1} to "
+                f"{entry.version - 1}; version {entry.version} repaired it"
+            )
         print("\n".join(_lines(entry)))
         print_differences(entry.difference, omitted=entry.omitted)
     return EXIT_OK
--- a/egretcart/process/status_command.py
+++ b/egretcart/process/status_command.py
@@ -47,9 +47,15 @@
     agents = merge_agents(
         agent for report in overview.reports for agent in report.agents
     )
-    newest = max([stored, *(entry.config_version for entry in entries)])
+    newest = max([stored, overview.held_version])
     lines = [f"version {newest} is the newest known"]
     lagging = 0
+    if any(entry.store_is_behind for entry in entries):
+        lagging += 1
+        lines.append(
+            f"THE STORE HAS LOST VERSIONS: it has {stored}; see "
+            "`egretcart repair`"
+        )
     for report in overview.reports:
         lag = _lag(report.entry.config_version, newest)
         lagging += bool(lag)
--- a/egretcart/process/transitions.py
+++ b/egretcart/process/transitions.py
@@ -26,6 +26,8 @@
     DRAINING = "draining"
     STORE_LOST = "store_lost"
     STORE_BACK = "store_back"
+    STORE_BEHIND = "store_behind"
+    STORE_REPAIRED = "store_repaired"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,12 +48,15 @@
         Cells that it serves, with the term's counter.
     agents, peers : frozenset of str
     leaving : bool
+    store_behind : bool
+        Whether the store has lost versions that were accepted.
     """
 
     serving: frozenset[tuple[Cell, int]] = frozenset()
     agents: frozenset[str] = frozenset()
     peers: frozenset[str] = frozenset()
     leaving: bool = False
+    store_behind: bool = False
 
 
 def state_of(entry: Entry) -> EntryState:
@@ -65,6 +70,7 @@
         agents=frozenset(entry.agents),
         peers=frozenset(entry.directory.peers),
         leaving=entry.directory.leaving,
+        store_behind=entry.sync.store_is_behind,
     )
 
 
@@ -103,6 +109,10 @@
     )
     if after.leaving and not before.leaving:
         changes.append(Change(ChangeKind.DRAINING, "entry"))
+    if after.store_behind and not before.store_behind:
+        changes.append(Change(ChangeKind.STORE_BEHIND, "store"))
+    if before.store_behind and not after.store_behind:
+        changes.append(Change(ChangeKind.STORE_REPAIRED, "store"))
     return changes
 
 
--- a/egretcart/version/change.py
+++ b/egretcart/version/change.py
@@ -36,6 +36,12 @@
         Time of the proposal, RFC 3339.
     resumed : bool
         Whether it was proposed before, with an unknown outcome.
+    held : int
+        Highest version that processes were seen to hold before the store
+        is read; 0 if none could be asked.
+    is_repair : bool
+        Whether it puts what processes hold into a store that has lost it,
+        under a version above `held`.
     """
 
     change_id: str
@@ -45,6 +51,15 @@
     why: str
     when: str
     resumed: bool = False
+    held: int = 0
+    is_repair: bool = False
+
+    @property
+    def version(self) -> int:
+        """Version that the document gets if it is accepted."""
+        if self.is_repair:
+            return max(self.base, self.held) + 1
+        return self.base + 1
 
 
 class AuditEntry(msgspec.Struct, frozen=True, kw_only=True):
@@ -156,6 +171,21 @@
     reason: str
 
 
+class StoreBehind(Outcome, frozen=True, kw_only=True, tag=True):
+    """Not written: the store has lost versions that processes hold.
+
+    Attributes
+    ----------
+    version : int
+        In the store.
+    held : int
+        Highest version that processes hold.
+    """
+
+    version: int
+    held: int
+
+
 class Forgotten(Outcome, frozen=True, kw_only=True, tag=True):
     """Not known any more: the audit entry that would tell is pruned.
 
@@ -176,6 +206,7 @@
     | NotReached
     | Undecided
     | Forgotten
+    | StoreBehind
 )
 Step = ReadCurrent | ReadEntry | WriteVersion | Ended
 
@@ -210,26 +241,31 @@
         """Take in the current document; None if there is none."""
         self.current = current or NOTHING_STORED
         in_force = self.current.document
+        if in_force.version < self.change.held and not self.change.is_repair:
+            return StoreBehind(version=in_force.version, held=self.change.held)
         if in_force.version > self.change.base or self.refuted:
-            return ReadEntry(self.change.base + 1)
-        if is_same_content(in_force, self.change.document):
+            return ReadEntry(self.change.version)
+        is_same = is_same_content(in_force, self.change.document)
+        if is_same and not self.change.is_repair:
             return Unchanged(version=in_force.version)
         if in_force.version < self.change.base:
             return self._conflict(None)
         findings = check_document(self.change.document)
-        findings += check_change(in_force, self.change.document)
+        # What a repair writes has followed the versions that were lost.
+        if not self.change.is_repair:
+            findings += check_change(in_force, self.change.document)
         if findings:
             return Refused(findings=findings)
         return self._write(in_force)
 
     def entry_read(self, entry: AuditEntry | None) -> Step:
-        """Take in the audit entry of the version after the base."""
+        """Take in the audit entry of the version that was to be written."""
         if entry is not None and entry.change_id == self.change.change_id:
             return Accepted(version=entry.version)
         in_force = self.current.document
         if is_same_content(in_force, self.change.document):
             return Unchanged(version=in_force.version)
-        is_pruned = entry is None and in_force.version > self.change.base
+        is_pruned = entry is None and in_force.version >= self.change.version
         if is_pruned and self.may_be_written:
             return Forgotten(version=in_force.version)
         return self._conflict(entry, is_pruned=is_pruned)
@@ -237,7 +273,7 @@
     def write_ended(self, *, succeeded: bool) -> Step:
         """Take in the store's answer to the write."""
         if succeeded:
-            return Accepted(version=self.change.base + 1)
+            return Accepted(version=self.change.version)
         # An earlier write of this change may be what refuted this one.
         self.refuted = True
         return ReadCurrent()
@@ -254,7 +290,7 @@
         return NotReached(reason=reason)
 
     def _write(self, in_force: Configuration) -> WriteVersion:
-        version = self.change.base + 1
+        version = self.change.version
         document = msgspec.structs.replace(
             self.change.document, version=version
         )
--- a/tests/features/configuration_rules.feature
+++ b/tests/features/configuration_rules.feature
@@ -3,6 +3,9 @@
   Scenario: Accepted versions form one line, whatever fails
     Then racing changes and failing processes agree with a list of versions
 
+  Scenario: Accepted versions outlive a store that loses them
+    Then a store that loses versions is told, never followed, and repaired
+
   Scenario: A document is checked beyond its types
     Then each wrong reference is found with path, value and what is accepted
 
--- a/tests/features/steps/config_machine.py
+++ b/tests/features/steps/config_machine.py
@@ -289,6 +289,7 @@
         """A watch may be late but keeps the order."""
         last = len(self.accepted) - 1
         if self.cursors[name] == 0:
+            self.entries[name].sync.platform_read_began()
             self.cursors[name] = last
         else:
             self.cursors[name] = min(last, self.cursors[name] + 1)
@@ -380,6 +381,7 @@
         document = entry.configuration
         assert document.version >= self.served[name], name
         assert document == self.accepted[document.version]
+        assert not entry.sync.store_is_behind
         self.check_first_version(name, entry)
         self.served[name] = document.version
 
--- a/tests/features/steps/configuration_rules_steps.py
+++ b/tests/features/steps/configuration_rules_steps.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies
 from hypothesis.stateful import run_state_machine_as_test
 import msgspec
+from restore_machine import RestoreMachine
 
 from egretcart.connection.messages import AgentConfig
 from egretcart.connection.messages import Fence
@@ -43,6 +44,14 @@
     )
 
 
+@then("a store that loses versions is told, never followed, and repaired")
+def run_restore_machine(context):
+    run_state_machine_as_test(
+        RestoreMachine,
+        settings=settings(max_examples=150, stateful_step_count=40),
+    )
+
+
 @then("each wrong reference is found with path, value and what is accepted")
 def check_findings(context):
     kind = {"name": "diff", "run_time_ms": 90, "attempt_limit_ms": 50}
--- a/tests/features/steps/metrics_steps.py
+++ b/tests/features/steps/metrics_steps.py
@@ -1,4 +1,3 @@
-import http.client
 import pathlib
 import threading
 
@@ -6,7 +5,7 @@
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
-from processes import HOST
+from processes import read_counters
 
 from egretcart.connection.messages import CancelledTask
 from egretcart.connection.messages import CancelTasks
@@ -191,14 +190,6 @@
     holds()
 
 
-def read_counters(port):
-    connection = http.client.HTTPConnection(HOST, port, timeout=10)
-    connection.request("GET", "/metrics")
-    body = connection.getresponse().read()
-    connection.close()
-    return parse_counters(body)
-
-
 def summed(processes, name):
     return sum(
         read_counters(process.ready["http_port"]).total(name)
--- a/tests/features/steps/platform_metrics_steps.py
+++ b/tests/features/steps/platform_metrics_steps.py
@@ -11,8 +11,14 @@
 from platform_world import switch_faults
 import trio
 
+from egretcart.connection.messages import EntryAddress
 from egretcart.connection.traffic import Traffic
 from egretcart.load.counters import parse_counters
+from egretcart.process.entry import Entry
+from egretcart.process.entry_limits import EntryLimits
+from egretcart.process.entry_observer import EntryObserver
+from egretcart.process.limits import LeaderLimits
+from egretcart.process.logs import NullLog
 from egretcart.process.metrics import ProcessMetrics
 from egretcart.process.platform import keys_below
 from egretcart.process.platform import PlatformError
@@ -27,6 +33,7 @@
 from egretcart.process.platform_metrics import PlatformMetrics
 from egretcart.process.transitions import ChangeKind
 from egretcart.testing.clock import ManualClock
+from egretcart.version.document import Configuration
 
 ROOT = pathlib.Path(__file__).resolve().parents[3]
 ALARMS_PAGE = ROOT / "docs/operators/alarms.md"
@@ -199,6 +206,15 @@
     observer.watch_broke()
     observer.retried()
     observer.circuit_changed(Circuit.CLOSED, Circuit.OPEN)
+    entry = Entry(
+        address=EntryAddress(entry_id="entry-a"),
+        incarnation=1,
+        configuration=Configuration(),
+        limits=EntryLimits(),
+        leader_limits=LeaderLimits(),
+        clock=ManualClock(),
+    )
+    EntryObserver(entry=entry, metrics=observer.metrics, log=NullLog())
     served = set(METRIC_NAME.findall(observer.metrics.render().decode()))
     named = set(METRIC_NAME.findall(ALARMS_PAGE.read_text()))
     assert len(named) >= 5, named
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -225,6 +225,7 @@
         follower = PlatformFollower(
             platform=platform,
             source=random.Random(name),
+            on_read=lambda: None,
             on_configuration=lambda document: None,
             on_entry=lambda address: None,
             on_roster=lambda cell, roster: None,
--- a/tests/features/steps/processes.py
+++ b/tests/features/steps/processes.py
@@ -11,6 +11,7 @@
 
 from relay import Relay
 
+from egretcart.load.counters import parse_counters
 from egretcart.request.identity import new_job_id
 
 HOST = "127.0.0.1"
@@ -72,6 +73,16 @@
         connection.close()
 
 
+def read_counters(port):
+    """Return the metrics that a process serves."""
+    connection = http.client.HTTPConnection(HOST, port, timeout=10)
+    try:
+        connection.request("GET", "/metrics")
+        return parse_counters(connection.getresponse().read())
+    finally:
+        connection.close()
+
+
 def eventually(check, limit_s=READY_LIMIT_S):
     """Return the first true result of a check, or fail."""
     end = time.monotonic() + limit_s
