Give operators an address of their own if the settings name one

Cause: configuration, reports and metrics were served where callers connect. Whoever could submit a job could apply a configuration, and callers' connections, which are bounded in number, could keep operators out; only a rule of the balancer stood between.

The entry's settings take `operators`, off by default. With it those paths are served there alone, the callers' address answers 404, and commands find it through the store.

Ruled out: a token in the settings, a second address in every deployment, the balancer's rules alone.

--- a/egretcart/process/caller_api.py
+++ b/egretcart/process/caller_api.py
@@ -1,4 +1,4 @@
-"""The HTTP API of an entry."""
+"""The part of an entry's HTTP API that serves callers."""
 
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -18,7 +18,8 @@
 from egretcart.process.metric_table import REFUSALS
 from egretcart.process.metric_table import RESPONSE_TIME
 from egretcart.process.metrics import Metrics
-from egretcart.process.metrics import TEXT_TYPE
+from egretcart.process.operator_api import HEALTH_PATH
+from egretcart.process.operator_api import HEALTHY
 from egretcart.process.operator_api import OperatorApi
 from egretcart.process.pending import CANCEL
 from egretcart.process.pending import READ
@@ -40,7 +41,7 @@
 
 
 class CallerApi:
-    """Answers callers and operators over HTTP.
+    """Answers callers over HTTP, and operators if they share the address.
 
     Parameters
     ----------
@@ -49,7 +50,8 @@
         Carries out the entry's effects.
     metrics : Metrics
     clock : Clock
-    operators : OperatorApi
+    operators : OperatorApi or None
+        None if operators have an address of their own.
     """
 
     def __init__(
@@ -59,7 +61,7 @@
         carry_out: Callable[[Iterable[EntryEffect]], None],
         metrics: Metrics,
         clock: Clock,
-        operators: OperatorApi,
+        operators: OperatorApi | None,
     ) -> None:
         self.entry = entry
         self.operators = operators
@@ -97,22 +99,16 @@
             return await self._handle_job(
                 request, job_path.group(1), job_path.group(2)
             )
-        if self.operators.serves(path):
+        if self.operators is not None and self.operators.serves(path):
             return await self.operators.handle(request)
         if request.method != "GET":
             return problem_response(
                 bad_request(f"no {request.method} of {path}", status=404)
             )
-        if path == "/healthz":
-            return HttpResponse(body=b'{"healthy":true}')
+        if path == HEALTH_PATH:
+            return HttpResponse(body=HEALTHY)
         if path == "/readyz":
             return self._readiness()
-        if path == "/metrics":
-            return HttpResponse(
-                body=self.metrics.render(), content_type=TEXT_TYPE
-            )
-        if path == "/v1/status":
-            return HttpResponse(body=msgspec.json.encode(self._status()))
         return problem_response(
             bad_request(f"there is nothing at {path!r}", status=404)
         )
@@ -177,25 +173,3 @@
             status=200 if ready else 503,
             body=msgspec.json.encode({"ready": ready}),
         )
-
-    def _status(self) -> dict[str, object]:
-        entry = self.entry
-        return {
-            "entry_id": entry.address.entry_id,
-            "config_version": entry.configuration.version,
-            "agents": sorted(entry.agents),
-            "peers": sorted(entry.directory.peers),
-            "waiting_callers": len(self.waiters),
-            "leading": [
-                {
-                    "service": cell.service,
-                    "cell": cell.index,
-                    "term": leadership.term.counter,
-                    "phase": leadership.phase.value,
-                    "jobs": len(leadership.book.jobs),
-                    "roster_version": leadership.quorum.roster.version,
-                    "members": len(leadership.quorum.roster.members),
-                }
-                for cell, leadership in sorted(entry.leaderships.items())
-            ],
-        }
--- a/egretcart/process/entry_process.py
+++ b/egretcart/process/entry_process.py
@@ -109,9 +109,12 @@
         self.entry: Entry
         self.api: CallerApi
         self.http: HttpListener
+        # The callers' one, unless operators have an address of their own.
+        self.operator_http: HttpListener
         self.stop_limit_s = settings.stop_limit_s
         self.address: EntryAddress
         self.http_port = 0
+        self.operator_port = 0
         self.peer_port = 0
         self.incarnation = clock.unix_ms()
         self.dialled_links: dict[str, Link] = {}
@@ -136,6 +139,15 @@
         )
         self.peer_port = peer_listeners[0].socket.getsockname()[1]
         self.http_port = http_listeners[0].socket.getsockname()[1]
+        self.operator_port = self.http_port
+        own = self.settings.operators
+        operator_listeners: list[trio.SocketListener] = []
+        if own is not None:
+            operator_listeners = await trio.open_tcp_listeners(
+                own.port, host=own.host
+            )
+            listener = operator_listeners[0]
+            self.operator_port = listener.socket.getsockname()[1]
         advertised = self.settings.advertised
         self.address = EntryAddress(
             entry_id=self.settings.entry_id,
@@ -143,8 +155,8 @@
             port=advertised.port if advertised else self.peer_port,
             weight=self.settings.weight,
             failure_domain=self.settings.failure_domain,
-            http_host=http.host,
-            http_port=self.http_port,
+            http_host=own.host if own is not None else http.host,
+            http_port=self.operator_port,
         )
         self.entry = Entry(
             address=self.address,
@@ -158,24 +170,35 @@
         self.observer = EntryObserver(
             entry=self.entry, metrics=self.metrics, log=self.log
         )
+        operators = OperatorApi(
+            entry=self.entry,
+            platform=self.platform,
+            metrics=self.metrics,
+            guard=self.platform.guard if self.platform else None,
+        )
         self.api = CallerApi(
             entry=self.entry,
             carry_out=self.carry_out,
             metrics=self.metrics,
             clock=self.clock,
-            operators=OperatorApi(
-                entry=self.entry,
-                platform=self.platform,
-                guard=self.platform.guard if self.platform else None,
-            ),
+            operators=operators if own is None else None,
         )
         self.http = HttpListener(handler=self.api.handle, limits=HttpLimits())
+        self.operator_http = self.http
+        if own is not None:
+            self.operator_http = HttpListener(
+                handler=operators.handle_alone, limits=HttpLimits()
+            )
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
             nursery.start_soon(
                 trio.serve_listeners, self._accept, peer_listeners
             )
             nursery.start_soon(self.http.serve, http_listeners, nursery)
+            if own is not None:
+                nursery.start_soon(
+                    self.operator_http.serve, operator_listeners, nursery
+                )
             self.dialler = Dialler(
                 nursery=nursery,
                 seeds=[(seed.host, seed.port) for seed in self.settings.seeds],
@@ -193,6 +216,7 @@
             "role": "entry",
             "id": self.settings.entry_id,
             "http_port": self.http_port,
+            "operator_port": self.operator_port,
             "peer_port": self.peer_port,
         }
         print(json.dumps(ports))
@@ -203,13 +227,14 @@
     async def stop(self) -> None:
         """Hand over and answer the callers; return when all are answered."""
         self.api.stopping = True
-        self.http.stopping = True
+        self.http.stopping = self.operator_http.stopping = True
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._hand_over)
             if self.registrar is not None:
                 nursery.start_soon(self.registrar.leave)
             await trio.sleep(self.settings.stop_grace_s)
             await self.http.close()
+            await self.operator_http.close()
             nursery.cancel_scope.cancel()
         await self._flush()
 
@@ -225,8 +250,9 @@
     async def abort(self) -> None:
         """Tell the callers that wait that their work may have run."""
         self.api.give_up()
-        self.http.abort_receiving()
-        await self.http.close()
+        for listener in (self.http, self.operator_http):
+            listener.abort_receiving()
+            await listener.close()
 
     async def _flush(self) -> None:
         links = [
--- a/egretcart/process/operator_api.py
+++ b/egretcart/process/operator_api.py
@@ -13,10 +13,14 @@
 from egretcart.process.config_store import apply_change
 from egretcart.process.config_store import PlatformConfigStore
 from egretcart.process.entry import Entry
+from egretcart.process.metric_table import HTTP_REQUESTS
+from egretcart.process.metrics import Metrics
+from egretcart.process.metrics import TEXT_TYPE
 from egretcart.process.platform import Platform
 from egretcart.process.platform import PlatformError
 from egretcart.process.platform_guard import CallGuard
 from egretcart.process.reports import report_processes
+from egretcart.process.reports import report_status
 from egretcart.request.problem import bad_request
 from egretcart.request.problem import unavailable
 from egretcart.request.verdict import Verdict
@@ -29,6 +33,10 @@
 CONFIGURATION_PATH = "/v1/configuration"
 HISTORY_PATH = "/v1/configuration/history"
 PROCESSES_PATH = "/v1/processes"
+STATUS_PATH = "/v1/status"
+METRICS_PATH = "/metrics"
+HEALTH_PATH = "/healthz"
+HEALTHY = b'{"healthy":true}'
 IN_FORCE_PATH = "/v1/configuration/in-force"
 VERSIONS_PATH = "/v1/configuration/versions"
 ENTRY_PATH = re.compile(HISTORY_PATH + r"/(\d{1,10})")
@@ -45,6 +53,7 @@
     ----------
     entry : Entry
     platform : Platform or None
+    metrics : Metrics
     guard : CallGuard, optional
         Of the platform's client, for the report.
     """
@@ -54,9 +63,11 @@
         *,
         entry: Entry,
         platform: Platform | None,
+        metrics: Metrics,
         guard: CallGuard | None = None,
     ) -> None:
         self.entry = entry
+        self.metrics = metrics
         self.guard = guard
         self.store: PlatformConfigStore | None = None
         if platform is not None:
@@ -64,17 +75,36 @@
 
     def serves(self, path: str) -> bool:
         """Return whether a path belongs to this API."""
-        return path == PROCESSES_PATH or path.startswith(CONFIGURATION_PATH)
+        return path in (
+            PROCESSES_PATH,
+            STATUS_PATH,
+            METRICS_PATH,
+        ) or path.startswith(CONFIGURATION_PATH)
+
+    async def handle_alone(self, request: HttpRequest) -> HttpResponse:
+        """Answer one HTTP request at the operators' own address."""
+        self.metrics.add(HTTP_REQUESTS, label=request.method)
+        path = urlsplit(request.path).path
+        if request.method == "GET" and path == HEALTH_PATH:
+            return HttpResponse(body=HEALTHY)
+        if self.serves(path):
+            return await self.handle(request)
+        return problem_response(
+            bad_request(
+                f"there is nothing at {path!r}; this address is for operators",
+                status=404,
+            )
+        )
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one HTTP request."""
         path = urlsplit(request.path).path
-        if request.method == "GET" and path == PROCESSES_PATH:
-            return _json(report_processes(self.entry, self.guard))
         if request.method == "GET" and path == CONFIGURATION_PATH:
             return await self._current()
-        if request.method == "GET" and path == IN_FORCE_PATH:
-            return _json(self.entry.configuration)
+        if request.method == "GET":
+            report = self._report(path)
+            if report is not None:
+                return report
         try:
             return await self._handle_stored(request, path)
         except PlatformError as error:
@@ -86,6 +116,20 @@
                 )
             )
 
+    def _report(self, path: str) -> HttpResponse | None:
+        """Answer with what the process knows by itself, if that is asked."""
+        if path == PROCESSES_PATH:
+            return _json(report_processes(self.entry, self.guard))
+        if path == IN_FORCE_PATH:
+            return _json(self.entry.configuration)
+        if path == STATUS_PATH:
+            return _json(report_status(self.entry))
+        if path == METRICS_PATH:
+            return HttpResponse(
+                body=self.metrics.render(), content_type=TEXT_TYPE
+            )
+        return None
+
     async def _current(self) -> HttpResponse:
         """Answer with the stored document, or else the one in force."""
         in_force = self.entry.configuration
--- a/egretcart/process/reports.py
+++ b/egretcart/process/reports.py
@@ -114,6 +114,29 @@
     )
 
 
+def report_status(entry: Entry) -> dict[str, object]:
+    """Return what an entry leads and whom it knows."""
+    return {
+        "entry_id": entry.address.entry_id,
+        "config_version": entry.configuration.version,
+        "agents": sorted(entry.agents),
+        "peers": sorted(entry.directory.peers),
+        "waiting_callers": len(entry.pending),
+        "leading": [
+            {
+                "service": cell.service,
+                "cell": cell.index,
+                "term": leadership.term.counter,
+                "phase": leadership.phase.value,
+                "jobs": len(leadership.book.jobs),
+                "roster_version": leadership.quorum.roster.version,
+                "members": len(leadership.quorum.roster.members),
+            }
+            for cell, leadership in sorted(entry.leaderships.items())
+        ],
+    }
+
+
 def _report_platform(guard: CallGuard) -> PlatformReport:
     return PlatformReport(
         circuit=guard.circuit.value,
--- a/egretcart/process/settings.py
+++ b/egretcart/process/settings.py
@@ -46,7 +46,9 @@
     entry_id : str
     failure_domain : str
     http : Address
-        Where callers and operators connect.
+        Where callers connect.
+    operators : Address or None
+        Where operators connect, if not where callers do.
     peer : Address
         Where agents and other entries connect.
     advertised : Address or None
@@ -68,6 +70,7 @@
     failure_domain: Text
     http: Address
     peer: Address
+    operators: Address | None = None
     advertised: Address | None = None
     weight: Positive = 1
     stop_grace_s: Seconds = 2.0
