--- a/egretcart/connection/messages.py
+++ b/egretcart/connection/messages.py
@@ -1,7 +1,8 @@
 """Typed messages between egretcart's processes.
 
 Each class mirrors the struct of the same name in ``wire.thrift``; a field
-that an older process leaves out takes the default given here.
+that is left out takes the default given here. A default never changes, as
+other releases leave the field out when it has that value.
 """
 
 import dataclasses
@@ -291,11 +292,14 @@
     number : int
         Named by the reply.
     job_ids : tuple of bytes
+    made_before_ms : int
+        Jobs made before this Unix time are asked for as well.
     """
 
     term: Term = NO_TERM
     number: int = 0
     job_ids: tuple[bytes, ...] = ()
+    made_before_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/egretcart/process/attempts.py
+++ b/egretcart/process/attempts.py
@@ -147,6 +147,11 @@
         progress.finish_task(result.task, value)
         key = (result.job_id, result.task)
         self.policy.order.stopped(key, done=True)
+        if progress.result_bytes > self.limits.max_answer_bytes:
+            problem = outcomes.answer_too_large(
+                progress, self.limits.max_answer_bytes
+            )
+            return self.table.fail(progress, problem)
         if not progress.is_complete:
             return []
         return self.table.finish(
@@ -244,7 +249,7 @@
         task.state = TaskState.FAILED
         earliest = now
         if verdict is Verdict.MAY_HAVE_RUN:
-            earliest = max(now, self._surely_ended(progress, key))
+            earliest = max(now, self.surely_ended(progress, key))
         failed = self._failed_attempt(progress, key, verdict, earliest)
         if self.policy.retries.allows(failed):
             self._again(key, task, earliest)
@@ -253,7 +258,7 @@
             progress, outcomes.task_failed(progress, key[1], error)
         )
 
-    def _surely_ended(self, progress: JobProgress, key: TaskKey) -> float:
+    def surely_ended(self, progress: JobProgress, key: TaskKey) -> float:
         """Return when the newest attempt has surely reached its limit.
 
         A start begins within the lease after it was sent, if at all.
--- a/egretcart/process/recovery.py
+++ b/egretcart/process/recovery.py
@@ -17,14 +17,16 @@
 from egretcart.process.inquiries import HeldRequest
 from egretcart.process.inquiries import Inquiries
 from egretcart.process.job_table import JobTable
+from egretcart.process.known_jobs import KnownJob
+from egretcart.process.known_jobs import KnownJobs
+from egretcart.process.known_jobs import KnownTask
 from egretcart.process.ledger import RecordState
 from egretcart.process.limits import LeaderLimits
+from egretcart.process.limits import MS_PER_S
+from egretcart.process.occupied import OccupiedSlots
 from egretcart.process.policy.bundle import Policy
 from egretcart.process.scheduler import AgentLoad
 from egretcart.process.scheduler import TaskKey
-from egretcart.process.takeover import KnownJob
-from egretcart.process.takeover import KnownJobs
-from egretcart.process.takeover import KnownTask
 from egretcart.request.identity import JobId
 from egretcart.request.progress import JobProgress
 from egretcart.request.progress import TaskProgress
@@ -34,11 +36,23 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class LostAgent:
-    """An agent whose connection was lost, with the tasks that it had."""
+    """An agent whose connection was lost, with the tasks that it had.
+
+    Attributes
+    ----------
+    incarnation : int
+    lost_at : float
+        Monotonic time.
+    in_flight : dict of TaskKey to int
+        Attempt of each task.
+    ends : dict of TaskKey to float
+        Monotonic time at which each attempt has surely ended.
+    """
 
     incarnation: int
     lost_at: float
     in_flight: dict[TaskKey, int]
+    ends: dict[TaskKey, float]
 
 
 class Recovery:
@@ -63,6 +77,8 @@
         Agents that may still reconnect.
     returning : dict of str to LostAgent
         Reconnected agents that are asked what became of their tasks.
+    told_all : set of tuple of str and int
+        Agents and their incarnations whose whole ledger is known.
     unheard : set of tuple of str and int
         Agents and their incarnations that promised the term and were lost
         since; what they started in former terms can't be asked any more.
@@ -91,9 +107,15 @@
         self.inquiries = Inquiries(term=table.term)
         self.lost: dict[str, LostAgent] = {}
         self.returning: dict[str, LostAgent] = {}
+        self.told_all: set[tuple[str, int]] = set()
         self.unheard: set[tuple[str, int]] = set()
         self.foreign: set[tuple[str, bytes]] = set()
 
+    @property
+    def occupied(self) -> OccupiedSlots:
+        """Slots that lost incarnations may still occupy."""
+        return self.attempts.fleet.occupied
+
     @property
     def term(self) -> Term:
         """The term of the leader."""
@@ -132,7 +154,12 @@
     ) -> list[LeaderEffect]:
         """Hold a request until the agents have told what they started."""
         request = HeldRequest(token, resume)
-        return self.inquiries.hold(job_id, request, lost=self.lost)
+        lost = [
+            agent_id
+            for agent_id, agent in self.lost.items()
+            if (agent_id, agent.incarnation) not in self.told_all
+        ]
+        return self.inquiries.hold(job_id, request, lost=lost)
 
     # Agents.
 
@@ -161,9 +188,11 @@
         self.agent_lost(agent_id)
         self.loads[agent_id] = load
         self.policy.health.connected(agent_id)
+        self.occupied.returned(agent_id, load.incarnation)
         self.attempts.fleet.agents_changed()
         self.known.drop(agent_id, load.incarnation)
         self.unheard.discard((agent_id, load.incarnation))
+        self.told_all.discard((agent_id, load.incarnation))
         effects: list[LeaderEffect] = []
         lost = self.lost.pop(agent_id, None)
         recorded: set[TaskKey] = set()
@@ -175,28 +204,72 @@
             return effects + self._ask_agent(agent_id, lost)
         if lost is not None:
             self._settle_returned(lost, lost.in_flight, recorded)
-        return effects + self.inquiries.told_all(agent_id)
+        return effects + self._has_told_all(load)
+
+    def agent_restarted(
+        self, load: AgentLoad, *, former: int, started_ms: int
+    ) -> None:
+        """Take in that an agent's process is not the one in the roster.
+
+        If this leader never heard of the former incarnation, all slots may
+        be occupied until the longest time limit after the agent's start.
+
+        Parameters
+        ----------
+        load : AgentLoad
+        former : int
+            Incarnation that the roster names.
+        started_ms : int
+            Unix time at which the agent's process was started.
+        """
+        incarnation = (load.agent_id, former)
+        if incarnation in self.unheard or incarnation in self.told_all:
+            return
+        limit_s = self._longest_limit_s() * (1 + self.limits.clock_drift)
+        age_s = (self.clock.unix_ms() - started_ms) / MS_PER_S
+        left_s = limit_s + self.limits.clock_skew_s - age_s
+        if left_s <= 0:
+            return
+        end = self.clock.monotonic() + left_s
+        self.occupied.add(load.agent_id, former, [end] * load.slots)
+        self.attempts.fleet.invalidate()
 
     def ledger_reply(
         self, agent_id: str, reply: LedgerReply
     ) -> list[LeaderEffect]:
         """Take in what an agent was asked for."""
         load = self.loads.get(agent_id)
-        asked = self.inquiries.match(agent_id, reply.number)
-        if load is None or not asked:
+        query = self.inquiries.match(agent_id, reply.number)
+        if load is None or query is None:
             return []
         recorded: set[TaskKey] = set()
         effects = self._take_in(load, reply.records, recorded)
         returning = self.returning.get(agent_id)
         if returning is not None:
-            told = set(asked)
-            keys = [key for key in returning.in_flight if key[0] in told]
+            asked = set(query.job_ids)
+            keys = [key for key in returning.in_flight if key[0] in asked]
             self._settle_returned(returning, keys, recorded)
             for key in keys:
                 del returning.in_flight[key]
             if not returning.in_flight:
                 del self.returning[agent_id]
-        return effects + self.inquiries.answered(agent_id)
+        effects += self.inquiries.answered(agent_id)
+        if query.made_before_ms:
+            effects += self._has_told_all(load)
+        return effects
+
+    def agent_leaves(self, agent_id: str) -> list[LeaderEffect]:
+        """Ask an agent that drains for what only it knows."""
+        load = self.loads.get(agent_id)
+        if load is None or load.asked_for_all:
+            return []
+        load.asked_for_all = True
+        return self.inquiries.ask_for_all(agent_id)
+
+    def _has_told_all(self, load: AgentLoad) -> list[LeaderEffect]:
+        load.asked_for_all = load.told_all = True
+        self.told_all.add((load.agent_id, load.incarnation))
+        return self.inquiries.told_all(load.agent_id)
 
     def agent_lost(self, agent_id: str) -> None:
         """Handle the loss of an agent's connection."""
@@ -211,15 +284,37 @@
             incarnation=load.incarnation,
             lost_at=self.clock.monotonic(),
             in_flight=in_flight,
+            ends=self._ends(in_flight),
         )
         self.inquiries.disconnected(agent_id)
         self.policy.health.disconnected(agent_id, now=self.clock.monotonic())
         self.attempts.fleet.agents_changed()
 
+    def _ends(self, in_flight: dict[TaskKey, int]) -> dict[TaskKey, float]:
+        """Return when each attempt of an agent has surely ended."""
+        over_s = self.limits.attempt_over_s(self._longest_limit_s())
+        latest = self.clock.monotonic() + over_s
+        ends = dict.fromkeys(in_flight, latest)
+        for key, attempt in in_flight.items():
+            progress = self.jobs.get(key[0])
+            if progress is None or key[1] >= len(progress.tasks):
+                continue
+            if progress.tasks[key[1]].attempt == attempt:
+                ends[key] = self.attempts.surely_ended(progress, key)
+        return ends
+
+    def _longest_limit_s(self) -> float:
+        """Return the longest time limit that an attempt may have."""
+        return max(
+            self.limits.attempt_limit_s,
+            self.policy.tables.longest_attempt_limit_s,
+        )
+
     def give_up_lost(self) -> list[LeaderEffect]:
         """Give up on agents that have not reconnected in time."""
         effects: list[LeaderEffect] = []
         now = self.clock.monotonic()
+        self.occupied.prune(now)
         for agent_id, lost in list(self.lost.items()):
             if now < lost.lost_at + self.limits.member_grace_s:
                 continue
@@ -255,8 +350,14 @@
         lost: LostAgent,
         recorded: Set[TaskKey],
     ) -> list[LeaderEffect]:
-        """Give up on an incarnation and on what it alone knew."""
-        self.unheard.add((agent_id, lost.incarnation))
+        """Give up on an incarnation and on what it alone knew.
+
+        Its backend server may still work for it.
+        """
+        if (agent_id, lost.incarnation) not in self.told_all:
+            self.unheard.add((agent_id, lost.incarnation))
+        ends = self._ends(lost.in_flight) | lost.ends
+        self.occupied.add(agent_id, lost.incarnation, ends.values())
         effects: list[LeaderEffect] = []
         for key, attempt in lost.in_flight.items():
             if key not in recorded:
--- a/tests/features/steps/fault_steps.py
+++ b/tests/features/steps/fault_steps.py
@@ -1,5 +1,6 @@
 """Real faults in separate processes, under callers that resubmit."""
 
+import itertools
 import os
 import signal
 import sys
@@ -13,9 +14,13 @@
 from processes import Deployment
 from processes import eventually
 
+from egretcart.process.limits import LeaderLimits
+from egretcart.process.limits import LEASE_S
+from egretcart.process.limits import MS_PER_S
+
 SCALE = int(os.environ.get("EGRETCART_FAULT_SCALE", "1"))
 # Longer than every lease and timeout of the system.
-FREEZE_S = 2.5
+FREEZE_S = 5.0
 AFTER_S = 3.0
 
 
@@ -30,6 +35,26 @@
     context.add_cleanup(context.deployment.close)
 
 
+@given(
+    "a deployment of {entries:d} entries and {agents:d} agents "
+    "with {older} of the release before"
+)
+def start_mixed(context, entries, agents, older):
+    context.deployment = Deployment(entries, agents, older=older.split())
+    context.add_cleanup(context.deployment.close)
+
+
+@when("the next processes are of this release")
+def start_newer(context):
+    context.deployment.older.clear()
+
+
+@given("an entry and an agent with one connection to its backend server")
+def start_narrow(context):
+    context.deployment = Deployment(1, 1, connections=1)
+    context.add_cleanup(context.deployment.close)
+
+
 def note_fault(context):
     faults = getattr(context, "faulted_at", [])
     context.faulted_at = [*faults, time.monotonic()]
@@ -145,6 +170,30 @@
     frozen.signal(signal.SIGCONT)
 
 
+@when("the agent is frozen once its backend server has a task")
+def freeze_with_task(context):
+    deployment = context.deployment
+    eventually(lambda: deployment.starts_at(deployment.backends[0]), 10)
+    deployment.agents[0].signal(signal.SIGSTOP)
+    time.sleep(FREEZE_S + LEASE_S)
+
+
+@when("it wakes up after the entry was killed")
+def wake_without_leader(context):
+    deployment = context.deployment
+    deployment.entries[0].kill()
+    deployment.agents[0].signal(signal.SIGCONT)
+    time.sleep(FREEZE_S)
+
+
+@then("the backend server was sent no task after it woke up")
+def check_nothing_late(context):
+    deployment = context.deployment
+    starts = deployment.starts_at(deployment.backends[0])
+    assert len(starts) == 1, starts
+    assert deployment.agents[0].runs
+
+
 @when("an agent is frozen for good")
 def freeze_agent_for_good(context):
     note_fault(context)
@@ -173,6 +222,45 @@
     assert context.deployment.agents[0].wait_stopped()[0] == 0
 
 
+@given("attempts at tasks are limited to {limit_ms:d} ms")
+def limit_attempts(context, limit_ms):
+    kinds = [{"name": "default", "attempt_limit_ms": limit_ms}]
+    services = [{"name": "snapcheck", "kinds": kinds}]
+    context.deployment.apply({"version": 2, "services": services})
+    check_version(context, 2)
+
+
+@given("the leader serves for longer than two clocks may differ")
+def pass_horizon(context):
+    time.sleep(LeaderLimits().id_horizon_ms / MS_PER_S)
+
+
+@when("every backend server has {count:d} tasks")
+def wait_for_tasks(context, count):
+    deployment = context.deployment
+    for backend in deployment.backends:
+        eventually(lambda b=backend: len(deployment.starts_at(b)) == count, 3)
+
+
+@then("no backend server ever had more than {slots:d} tasks")
+def check_concurrency(context, slots):
+    deployment = context.deployment
+    for backend in deployment.backends:
+        most = most_at_once(deployment.report_of(backend))
+        figure(f"most tasks at a time at {backend.name}: {most}")
+        assert most <= slots, (backend.name, most)
+
+
+def most_at_once(starts):
+    """Return how many recorded starts were open at a time at most."""
+    changes = []
+    for _, began, ended in starts:
+        changes.append((began, 1))
+        if ended is not None:
+            changes.append((ended, -1))
+    return max(itertools.accumulate(step for _, step in sorted(changes)))
+
+
 @when("configuration version {version:d} is applied")
 def apply_version(context, version):
     services = [{"name": "snapcheck"}, {"name": f"service-{version}"}]
--- a/tests/features/steps/inquiry_steps.py
+++ b/tests/features/steps/inquiry_steps.py
@@ -7,6 +7,7 @@
 
 from egretcart.connection.messages import Fence
 from egretcart.connection.messages import FetchJob
+from egretcart.connection.messages import HeartbeatReply
 from egretcart.connection.messages import JobRecord
 from egretcart.connection.messages import LedgerQuery
 from egretcart.connection.messages import LedgerReply
@@ -101,7 +102,9 @@
         asked[2]: RecordState.BEGUN,
     }
     stale = LedgerQuery(term=Term(1, 1), number=9, job_ids=asked)
-    assert context.agent.receive("e", stale) == []
+    (effect,) = context.agent.receive("e", stale)
+    assert isinstance(effect.message, HeartbeatReply)
+    assert effect.message.term == TERM
 
 
 def load(agent_id, incarnation=1):
@@ -410,3 +413,47 @@
 @then("the entry keeps no answer of the job for its next term")
 def check_forgotten(context):
     assert context.book.answers.find(context.job.job_id) is None
+
+
+@when("one agent drains")
+def drain(context):
+    context.book.loads["a"].draining = True
+    note(context, context.book.recovery.agent_leaves("a"))
+    assert context.queries["a"].made_before_ms == context.horizon_ms
+
+
+@then("it may not leave before it has told what it knows")
+def check_stays(context):
+    assert not context.book.loads["a"].told_all
+
+
+@when("it tells of an older job")
+def tell_and_leave(context):
+    context.older = parse_job(
+        job_id=job_id_at(context.horizon_ms - 1, 7),
+        service="snapcheck",
+        body=(BODY % "false").encode(),
+        max_tasks=1,
+    ).unwrap()
+    context.job = context.older
+    tell(context, "a", [record(context)])
+    assert context.book.loads["a"].told_all
+
+
+@when("it leaves")
+def leave(context):
+    context.effects = []
+    context.book.agent_lost("a")
+    stay_away(context)
+
+
+@when("the older job comes")
+def submit_older(context):
+    note(context, context.book.submit(TOKEN, context.older))
+
+
+@then("the older job is not run again")
+def check_not_run_again(context):
+    assert not sent(context, Start)
+    ((_, document),) = replies(context)
+    assert document["verdict"] == "may_have_run"
--- a/tests/features/steps/processes.py
+++ b/tests/features/steps/processes.py
@@ -3,6 +3,7 @@
 import functools
 import http.client
 import json
+import os
 import pathlib
 import subprocess
 import sys
@@ -17,20 +18,23 @@
 HOST = "127.0.0.1"
 ROOT = pathlib.Path(__file__).resolve().parents[3]
 READY_LIMIT_S = 30
+CURRENT = ("-m", "egretcart")
+OLDER = (str(pathlib.Path(__file__).with_name("release_before.py")),)
 
 
 class RunningProcess:
     """One of the project's processes, started by a scenario."""
 
-    def __init__(self, folder, name, role, settings):
+    def __init__(self, folder, name, role, settings, *, older=False):
         path = pathlib.Path(folder) / f"{name}.json"
         path.write_text(json.dumps(settings))
         self.name = name
         self.log_path = path.with_suffix(".log")
         with self.log_path.open("w") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "egretcart", *role, str(path)],
+                [sys.executable, *(OLDER if older else CURRENT), *role, path],
                 cwd=ROOT,
+                env={**os.environ, "PYTHONPATH": str(ROOT)},
                 stdout=subprocess.PIPE,
                 stderr=log,
                 text=True,
@@ -110,8 +114,19 @@
 class Deployment:
     """Platform, entries, agents and backend servers on loopback."""
 
-    def __init__(self, entries, agents, *, service="snapcheck", relayed=False):
+    def __init__(
+        self,
+        entries,
+        agents,
+        *,
+        service="snapcheck",
+        relayed=False,
+        older=(),
+        connections=64,
+    ):
         self.relayed = relayed
+        self.older = set(older)
+        self.connections = connections
         self.folder = tempfile.TemporaryDirectory()
         self.service = service
         self.processes = []
@@ -136,7 +151,9 @@
         self.wait_until_serving()
 
     def start(self, name, role, settings):
-        process = RunningProcess(self.folder.name, name, role, settings)
+        process = RunningProcess(
+            self.folder.name, name, role, settings, older=name in self.older
+        )
         self.processes.append(process)
         return process
 
@@ -196,7 +213,7 @@
                 "failure_domain": "kl-putra",
                 "service": self.service,
                 "slots": 8,
-                "connections": 64,
+                "connections": self.connections,
                 "backend": {"host": HOST, "port": backend.ready["port"]},
                 "seeds": self.peer_seeds(),
                 "http": {"host": HOST, "port": 0},
@@ -260,8 +277,11 @@
 
     def starts_at(self, backend):
         """Return the idempotency keys that a backend server was sent."""
-        report = request(backend.ready["port"], "GET", "/starts")[2]
-        return [key for key, _, _ in report["starts"]]
+        return [key for key, _, _ in self.report_of(backend)]
+
+    def report_of(self, backend):
+        """Return key, begin and end of each start at a backend server."""
+        return request(backend.ready["port"], "GET", "/starts")[2]["starts"]
 
     def close(self):
         for process in self.processes:
