Let the rounds of a busy cell ride on starts and results

Now a periodic round is put on the next start to each agent, the next result of the term confirms it with a stamp, and proofs travel on starts. Who has not confirmed after 0.4 s gets a heartbeat, which also serves agents of the release before. Urgent rounds go by heartbeats as they did.

--- a/egretcart/connection/messages.py
+++ b/egretcart/connection/messages.py
@@ -187,6 +187,11 @@
         Duration of the exchange in microseconds.
     retained : bool
         False if the answer's body is no longer kept.
+    round : int
+        Round of the term that this confirms as a heartbeat's reply would;
+        0 for none.
+    stamp_us : int
+        The agent's monotonic clock in microseconds, with a round.
     """
 
     job_id: bytes = b""
@@ -200,6 +205,8 @@
     error: str = ""
     run_time_us: int = 0
     retained: bool = True
+    round: int = 0
+    stamp_us: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -245,7 +252,22 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Start:
-    """A leader asks an agent to start one attempt at a task."""
+    """A leader asks an agent to start one attempt at a task.
+
+    Attributes
+    ----------
+    term : Term
+    job_id, digest : bytes
+    task, attempt : int
+    kind : str
+    payload : bytes
+    idempotent : bool
+    time_left_ms : int
+    round : int
+        To be confirmed by the agent's next result; 0 asks for nothing.
+    proven_stamp_us : int
+        As in a `Heartbeat`; 0 if there is nothing new.
+    """
 
     term: Term = NO_TERM
     job_id: bytes = b""
@@ -256,6 +278,8 @@
     payload: bytes = b""
     idempotent: bool = False
     time_left_ms: int = 0
+    round: int = 0
+    proven_stamp_us: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/egretcart/connection/wire.thrift
+++ b/egretcart/connection/wire.thrift
@@ -78,6 +78,8 @@
   9: optional string error
   10: optional i64 run_time_us
   11: optional bool retained
+  12: optional i64 round
+  13: optional i64 stamp_us
 }
 
 // Entry to agent.
@@ -103,6 +105,8 @@
   7: optional binary payload
   8: optional bool idempotent
   9: optional i64 time_left_ms
+  10: optional i64 round
+  11: optional i64 proven_stamp_us
 }
 struct CancelledTask { 1: optional binary job_id, 2: optional i32 task }
 struct CancelTasks {
--- a/egretcart/process/agent.py
+++ b/egretcart/process/agent.py
@@ -62,6 +62,9 @@
         Entry that holds the promised term.
     lease_until : float
         Monotonic time up to which starts may begin.
+    asked_round : int
+        Round of the promised term that came with a start and that the next
+        result confirms; 0 if there is none.
     """
 
     def __init__(
@@ -74,6 +77,7 @@
         self.promised = NO_TERM
         self.leader: str | None = None
         self.lease_until = float("-inf")
+        self.asked_round = 0
         self.next_prune = float("-inf")
         self.roster = Roster()
         self.draining = False
@@ -132,6 +136,7 @@
         if entry_id == self.leader:
             self.leader = None
             self.lease_until = float("-inf")
+            self.asked_round = 0
             self.queued.clear()
 
     def exchange_ended(
@@ -166,10 +171,21 @@
             self.ledger.forget(*key)
         else:
             self.ledger.finish(result)
-        effects = self._to_leader(result)
+        # What the ledger keeps may be sent again under another term, so it
+        # must not hold the confirmation.
+        effects = self._to_leader(self._confirming(result))
         effects += self._begin_queued()
         return effects
 
+    def _confirming(self, result: TaskResult) -> TaskResult:
+        """Add the confirmation that is asked for to a result of the term."""
+        if not self.asked_round or result.term != self.promised:
+            return result
+        round_number, self.asked_round = self.asked_round, 0
+        return dataclasses.replace(
+            result, round=round_number, stamp_us=self._stamp_us()
+        )
+
     def drain(self) -> list[AgentEffect]:
         """Stop admitting starts; what runs is finished."""
         self.draining = True
@@ -227,6 +243,7 @@
             self.promised = fence.term
             self.leader = entry_id
             self.lease_until = float("-inf")
+            self.asked_round = 0
             self.queued.clear()
         reply = FenceReply(
             term=self.promised,
@@ -263,6 +280,7 @@
             self._adopt(heartbeat)
             effects += self._begin_queued()
         if heartbeat.round:
+            self.asked_round = 0
             reply = self._heartbeat_reply(round_number=heartbeat.round)
             effects.append(SendToEntry(entry_id, reply))
         return effects
@@ -271,8 +289,12 @@
         roster = heartbeat.roster
         if roster is not None and roster.version > self.roster.version:
             self.roster = roster
-        if heartbeat.proven_stamp_us:
-            proven_s = heartbeat.proven_stamp_us / US_PER_S
+        self._extend_lease(heartbeat.proven_stamp_us)
+
+    def _extend_lease(self, proven_stamp_us: int) -> None:
+        """Count the lease from a stamp that is proven, if there is one."""
+        if proven_stamp_us:
+            proven_s = proven_stamp_us / US_PER_S
             self.lease_until = max(
                 self.lease_until, proven_s + self.limits.lease_s
             )
@@ -290,6 +312,9 @@
         )
 
     def _start(self, entry_id: str, start: Start) -> list[AgentEffect]:
+        if start.term == self.promised and entry_id == self.leader:
+            self._extend_lease(start.proven_stamp_us)
+            self.asked_round = max(self.asked_round, start.round)
         reason = self._reason_to_refuse(entry_id, start)
         if reason is not None:
             refusal = self._refusal(start, reason)
--- a/egretcart/process/leadership.py
+++ b/egretcart/process/leadership.py
@@ -259,6 +259,9 @@
             return []
         if isinstance(message, TaskResult):
             effects = self.book.task_result(agent_id, message)
+            effects += self.leases.confirmed_by_result(
+                agent_id, message, self.clock.monotonic()
+            )
         elif isinstance(message, HeartbeatReply):
             effects = self._heartbeat_reply(agent_id, message)
         elif isinstance(message, FenceReply):
@@ -282,8 +285,7 @@
             effects += self._change_roster(now)
         if self.phase is Phase.ENDED:
             return effects
-        if self.leases.is_round_due(now, has_work=self._has_work()):
-            effects += self.leases.open_round(now)
+        effects += self._tick_rounds(now)
         return self._hold(effects + self._place())
 
     def resign(self, reason: str) -> list[LeaderEffect]:
@@ -417,6 +419,25 @@
         )
         return self.leases.pass_on(now)
 
+    def _tick_rounds(self, now: float) -> list[LeaderEffect]:
+        """Open the round that is due, or send on what did not ride."""
+        leases = self.leases
+        if leases.is_round_due(now, has_work=self._has_work()):
+            if self._may_ride():
+                return leases.open_riding_round(now)
+            return leases.open_round(now)
+        return leases.tick(now)
+
+    def _may_ride(self) -> bool:
+        """Return whether nothing waits for the next round but leases."""
+        return (
+            bool(self.book.jobs)
+            and not self.held
+            and self.phase is Phase.SERVING
+            and self.quorum.is_complete()
+            and self.quorum.is_roster_recorded()
+        )
+
     def _has_work(self) -> bool:
         """Return whether the leases are needed, or a change is under way."""
         return (
@@ -449,7 +470,8 @@
         if not self.book.has_waiting:
             return []
         now = self.clock.monotonic()
-        effects = self.book.place(self.leases.usable(now) - self.barred)
+        usable = self.leases.usable(now) - self.barred
+        effects = self.leases.load(self.book.place(usable))
         if self.book.has_waiting:
             effects += self.leases.renew(now)
         return effects
--- a/egretcart/process/leases.py
+++ b/egretcart/process/leases.py
@@ -2,10 +2,16 @@
 
 Without work a leader opens a round only now and then, to notice lost
 agents, and the leases lapse. With work it keeps every lease alive, at one
-heartbeat and one reply an interval and agent.
+heartbeat and one reply an interval and agent, or with what rides on starts
+and results.
 """
 
+from collections.abc import Iterable
+import dataclasses
+
 from egretcart.connection.messages import Heartbeat
+from egretcart.connection.messages import Start
+from egretcart.connection.messages import TaskResult
 from egretcart.connection.messages import Term
 from egretcart.process.effects import LeaderEffect
 from egretcart.process.effects import SendToAgent
@@ -18,10 +24,16 @@
 USABLE_SHARE = 0.8
 # Share of the lease from which a proof is sent on at once and does not wait
 # for the next round.
-RENEW_SHARE = 0.55
+RENEW_SHARE = 0.7
 # Wait for members that do not confirm before another round is opened for
 # their sake, in seconds.
 ROUND_RETRY_S = 0.25
+# Time that a round may take to travel on starts and results before it is
+# sent by heartbeats to those who have not confirmed it.
+RIDE_S = 0.4
+# Share of the members that must have had a start since the last round for the
+# next one to ride.
+MIN_RIDING_SHARE = 0.5
 
 
 class Leases:
@@ -39,6 +51,14 @@
         Told to the agents in every heartbeat.
     last_round_at : float
         Monotonic time of the newest round.
+    last_heartbeats_at : float
+        Monotonic time of the newest round that was sent to every member by
+        a heartbeat.
+    ride_ends_at : float
+        Monotonic time at which the newest round is sent to those who have
+        not confirmed it; infinite if it was sent to every member.
+    started_ids : set of str
+        Agents that were sent a start since the newest round was opened.
     """
 
     def __init__(
@@ -49,16 +69,125 @@
         self.limits = limits
         self.config_version = 0
         self.last_round_at = float("-inf")
+        self.last_heartbeats_at = float("-inf")
+        self.ride_ends_at = float("inf")
+        self.started_ids: set[str] = set()
 
     def open_round(self, now: float) -> list[LeaderEffect]:
         """Ask every member to confirm the term."""
         self.last_round_at = now
+        self.last_heartbeats_at = now
+        self.ride_ends_at = float("inf")
+        self.started_ids.clear()
         round_number = self.quorum.open_round()
         return [
             SendToAgent(member.agent_id, self._heartbeat(member, round_number))
             for member in self.quorum.members.values()
         ]
 
+    # Rounds that ride on starts.
+
+    def open_riding_round(self, now: float) -> list[LeaderEffect]:
+        """Open a round that starts carry, and results confirm, for a while.
+
+        It is sent by heartbeats if few starts go out, and now and then all
+        the same, as only their replies tell how the agents are.
+        """
+        needed = MIN_RIDING_SHARE * len(self.quorum.members)
+        heartbeats_at = (
+            self.last_heartbeats_at + self.limits.idle_heartbeat_interval_s
+        )
+        if now >= heartbeats_at or len(self.started_ids) < needed:
+            return self.open_round(now)
+        self.started_ids.clear()
+        self.last_round_at = now
+        self.ride_ends_at = now + RIDE_S
+        self.quorum.open_round()
+        return []
+
+    def tick(self, now: float) -> list[LeaderEffect]:
+        """Send by heartbeats what has not found a start to ride on."""
+        if self.last_round_at == self.last_heartbeats_at:
+            return []
+        effects = self.pass_on(now)
+        if now >= self.ride_ends_at:
+            effects += self.end_ride()
+        return effects
+
+    def end_ride(self) -> list[LeaderEffect]:
+        """Send the riding round to the members that have not confirmed it."""
+        if self.ride_ends_at == float("inf"):
+            return []
+        self.ride_ends_at = float("inf")
+        round_number = self.quorum.opened_round
+        return [
+            SendToAgent(member.agent_id, self._heartbeat(member, round_number))
+            for member in self.quorum.members.values()
+            if member.confirmed_round < round_number
+        ]
+
+    def load(self, effects: Iterable[LeaderEffect]) -> list[LeaderEffect]:
+        """Let the riding round and new proofs travel on starts."""
+        return [self._load(effect) for effect in effects]
+
+    def _load(self, effect: LeaderEffect) -> LeaderEffect:
+        if not isinstance(effect, SendToAgent):
+            return effect
+        if not isinstance(effect.message, Start):
+            return effect
+        member = self.quorum.members.get(effect.agent_id)
+        if member is None:
+            return effect
+        self.started_ids.add(effect.agent_id)
+        round_number = self._round_to_ride(member)
+        proven_stamp_us = 0
+        # An agent of an earlier release overlooks what rides on a start.
+        if (
+            member.confirms_by_results
+            and member.granted_received < member.proven_received
+        ):
+            proven_stamp_us = member.proven_stamp_us
+            member.granted_received = member.proven_received
+        if not round_number and not proven_stamp_us:
+            return effect
+        start = dataclasses.replace(
+            effect.message,
+            round=round_number,
+            proven_stamp_us=proven_stamp_us,
+        )
+        return SendToAgent(effect.agent_id, start)
+
+    def _round_to_ride(self, member: QuorumMember) -> int:
+        """Return the riding round if a member should get it, else 0."""
+        round_number = self.quorum.opened_round
+        if (
+            self.ride_ends_at == float("inf")
+            or member.asked_round == round_number
+            or member.confirmed_round >= round_number
+        ):
+            return 0
+        member.asked_round = round_number
+        return round_number
+
+    def confirmed_by_result(
+        self, agent_id: str, result: TaskResult, now: float
+    ) -> list[LeaderEffect]:
+        """Take in the confirmation that came with a result, if any."""
+        member = self.quorum.members.get(agent_id)
+        if member is None or not result.round or result.term != self.term:
+            return []
+        member.confirms_by_results = True
+        self.quorum.confirm(
+            agent_id,
+            round_number=result.round,
+            stamp_us=result.stamp_us,
+            roster_version=member.roster_version,
+            now=now,
+        )
+        return self.pass_on(now)
+
+    # When rounds are due.
+
     def is_round_due(self, now: float, *, has_work: bool) -> bool:
         """Return whether the next periodic round should be opened.
 
@@ -102,6 +231,8 @@
         ]
         if not lapsed:
             return []
+        if self.ride_ends_at < float("inf"):
+            return self.end_ride()
         if now >= self.last_round_at + ROUND_RETRY_S:
             return self.open_round(now)
         if self.quorum.proven_round < self.quorum.opened_round:
--- a/egretcart/process/quorum.py
+++ b/egretcart/process/quorum.py
@@ -91,6 +91,10 @@
     granted_received : float
         The leader's monotonic clock when the newest stamp arrived that the
         member was told to be proven.
+    asked_round : int
+        Newest round that travelled to the member on a start.
+    confirms_by_results : bool
+        Whether the member has confirmed a round that came with a start.
     """
 
     agent_id: str
@@ -104,6 +108,8 @@
     proven_stamp_us: int = 0
     proven_received: float = float("-inf")
     granted_received: float = float("-inf")
+    asked_round: int = 0
+    confirms_by_results: bool = False
 
 
 class Quorum:
