Hedge what a lost agent had at once, where hedges are allowed

Cause: a task of a lost agent was made again only once its attempt had surely ended, that is after the lease and the attempt's time limit (7 to 18 s with the example's limits). An agent that is lost is the worst straggler; if the operators allow its kind to be hedged, nothing is gained by that wait.

The attempts of a lost agent are hedged before anything else starts, outside its failure domain, out of the retries' budget. Kinds without hedges and jobs that are not idempotent wait as before. An agent that has connected again by then is not hedged.

Ruled out: the budget of stragglers with its condition that nothing waits; a rack's 24 tasks do not fit in. Waiting until the agent is given up adds 1 s.

--- a/egretcart/process/policy/placement.py
+++ b/egretcart/process/policy/placement.py
@@ -80,6 +80,10 @@
     ) -> str | None:
         """Return the agent for a task, or None to let it wait."""
 
+    @property
+    def has_room(self) -> bool:
+        """Whether an agent of the batch can take another task."""
+
     def slowness(self, agent_id: str) -> float:
         """Return the factor by which an agent counts as slower."""
 
@@ -196,6 +200,11 @@
             return None
         return agent_id
 
+    @property
+    def has_room(self) -> bool:
+        """Whether an agent of the batch can take another task."""
+        return bool(self.heap)
+
     def placed(self, agent_id: str) -> None:
         """Take in that the chosen agent has the task in flight."""
         candidate = self.batch[agent_id]
--- a/egretcart/process/recovery.py
+++ b/egretcart/process/recovery.py
@@ -215,6 +215,7 @@
         self.inquiries.disconnected(agent_id)
         self.policy.health.disconnected(agent_id, now=self.clock.monotonic())
         self.attempts.fleet.agents_changed()
+        self.attempts.starts.agent_lost(load.failure_domain, in_flight)
 
     def give_up_lost(self) -> list[LeaderEffect]:
         """Give up on agents that have not reconnected in time."""
--- a/egretcart/process/starts.py
+++ b/egretcart/process/starts.py
@@ -1,6 +1,9 @@
 """Starts of waiting tasks, and of stragglers a second time."""
 
+from collections import deque
+from collections.abc import Mapping
 from collections.abc import Set
+import dataclasses
 import heapq
 
 from egretcart.connection.messages import Start
@@ -11,11 +14,13 @@
 from egretcart.process.job_table import JobTable
 from egretcart.process.policy.bundle import Policy
 from egretcart.process.policy.placement import Demand
+from egretcart.process.policy.retries import FailedAttempt
 from egretcart.process.scheduler import TaskKey
 from egretcart.request.progress import HedgeAttempt
 from egretcart.request.progress import JobProgress
 from egretcart.request.progress import TaskProgress
 from egretcart.request.progress import TaskState
+from egretcart.request.verdict import Verdict
 
 MS_PER_S = 1000
 # Pause of a task that may not go to the agents that are free.
@@ -24,6 +29,15 @@
 SEARCHED_JOBS = 8
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LostAttempt:
+    """An attempt at an agent whose connection was lost."""
+
+    key: TaskKey
+    attempt: int
+    failure_domain: str
+
+
 class Starts:
     """Sends tasks to agents once they may start.
 
@@ -38,6 +52,8 @@
     ----------
     delayed : list of (float, TaskKey)
         Heap of tasks that may start at a monotonic time.
+    lost : deque of LostAttempt
+        Attempts that are to be hedged before anything else starts.
     """
 
     def __init__(
@@ -53,6 +69,7 @@
         self.fleet = fleet
         self.clock = clock
         self.delayed: list[tuple[float, TaskKey]] = []
+        self.lost: deque[LostAttempt] = deque()
 
     def queue(self, key: TaskKey, task: TaskProgress) -> None:
         """Let a task start once its pause has passed."""
@@ -75,7 +92,7 @@
     @property
     def has_due(self) -> bool:
         """Whether any task may start now."""
-        if self.policy.order.waiting:
+        if self.policy.order.waiting or self.lost:
             return True
         return self.policy.hedging.has_due(self.clock.monotonic())
 
@@ -96,7 +113,7 @@
         placement = self.policy.placement
         self.fleet.survey(now)
         placement.open_batch(self.fleet.candidates(usable), now=now)
-        effects: list[LeaderEffect] = []
+        effects = self._hedge_lost(now)
         while (key := order.peek()) is not None:
             progress = self.table.jobs[key[0]]
             task = progress.tasks[key[1]]
@@ -117,9 +134,9 @@
             order.take()
             effects.append(self._place_task(progress, key, agent_id, now))
             placement.placed(agent_id)
-        if order.waiting:
+        if order.waiting and placement.has_room:
             effects += self._place_last(now)
-        else:
+        elif not order.waiting:
             effects += self._hedge(now)
         return effects
 
@@ -215,6 +232,92 @@
             time_left_ms=int(time_left_s * MS_PER_S),
         )
 
+    def agent_lost(
+        self, failure_domain: str, in_flight: Mapping[TaskKey, int]
+    ) -> None:
+        """Let the attempts of a lost agent be hedged where that is allowed.
+
+        Parameters
+        ----------
+        failure_domain : str
+            Where the agent was.
+        in_flight : mapping of TaskKey to int
+            The attempts that it had.
+        """
+        for key, attempt in in_flight.items():
+            progress = self.table.jobs.get(key[0])
+            if progress is None or not progress.job.idempotent:
+                continue
+            kind = progress.job.tasks[key[1]].kind
+            if self.policy.tables.find_kind(kind).hedge:
+                self.lost.append(
+                    LostAttempt(
+                        key=key,
+                        attempt=attempt,
+                        failure_domain=failure_domain,
+                    )
+                )
+
+    def _hedge_lost(self, now: float) -> list[LeaderEffect]:
+        """Start elsewhere what lost agents had, in the retries' budget."""
+        effects: list[LeaderEffect] = []
+        while self.lost:
+            lost = self.lost[0]
+            progress = self.table.jobs.get(lost.key[0])
+            if progress is not None and self._may_hedge(progress, lost):
+                agent_id = self._agent_beyond(progress, lost, now)
+                if agent_id is None:
+                    break
+                if self._allows_hedge(progress, lost.key, now):
+                    effects.append(
+                        self._send_hedge(progress, lost.key, agent_id, now)
+                    )
+            self.lost.popleft()
+        return effects
+
+    def _may_hedge(self, progress: JobProgress, lost: LostAttempt) -> bool:
+        """Return whether a task has but one attempt and that is lost."""
+        task = progress.tasks[lost.key[1]]
+        if task.state is not TaskState.PLACED or task.hedge is not None:
+            return False
+        if task.agent_id in self.table.loads:
+            return False
+        return task.attempt == lost.attempt
+
+    def _agent_beyond(
+        self, progress: JobProgress, lost: LostAttempt, now: float
+    ) -> str | None:
+        """Return an agent outside the failure domain of a lost one."""
+        near = {
+            load.agent_id
+            for load in self.table.loads.values()
+            if load.failure_domain == lost.failure_domain
+        }
+        if len(near) == len(self.table.loads):
+            near = set()
+        demand = self._demand(progress, lost.key, 0.0, now)
+        return self.policy.placement.choose(demand, exclude=near)
+
+    def _allows_hedge(
+        self, progress: JobProgress, key: TaskKey, now: float
+    ) -> bool:
+        definition = progress.job.tasks[key[1]]
+        expected_ms = self.policy.run_times.task_ms(
+            definition.kind, definition.run_time_ms
+        )
+        slowness = self.fleet.capacity.least_slowness
+        return self.policy.retries.allows(
+            FailedAttempt(
+                verdict=Verdict.MAY_HAVE_RUN,
+                idempotent=progress.job.idempotent,
+                attempts=progress.tasks[key[1]].tries + 1,
+                ran_on=0,
+                earliest=now,
+                expected_s=expected_ms * slowness / MS_PER_S,
+                deadline=progress.deadline,
+            )
+        )
+
     def _hedge(self, now: float) -> list[LeaderEffect]:
         """Start stragglers a second time while slots are idle."""
         effects: list[LeaderEffect] = []
@@ -252,6 +355,12 @@
             return []
         if not self.policy.hedging.spend():
             return []
+        return [self._send_hedge(progress, key, agent_id, now)]
+
+    def _send_hedge(
+        self, progress: JobProgress, key: TaskKey, agent_id: str, now: float
+    ) -> LeaderEffect:
+        task = progress.tasks[key[1]]
         start = self._start(progress, key, agent_id, now)
         task.hedge = HedgeAttempt(
             attempt=start.attempt,
@@ -260,7 +369,7 @@
             limit_s=start.time_left_ms / MS_PER_S,
         )
         self.policy.placement.placed(agent_id)
-        return [SendToAgent(agent_id, start)]
+        return SendToAgent(agent_id, start)
 
 
 def _is_due(task: TaskProgress, now: float) -> bool:
--- a/egretcart/testing/naive_policy.py
+++ b/egretcart/testing/naive_policy.py
@@ -89,6 +89,11 @@
         free = [agent_id for agent_id in free if agent_id not in exclude]
         return self.rng.choice(free) if free else None
 
+    @property
+    def has_room(self) -> bool:
+        """Whether an agent of the batch can take another task."""
+        return bool(self.batch)
+
     def slowness(self, agent_id: str) -> float:
         """Return 1."""
         return 1.0
@@ -153,8 +158,8 @@
         """Do nothing; `last_tasks` returns none."""
 
     def job_ms(self, job: bytes) -> float:
-        """Return 0."""
-        return 0.0
+        """Return infinity, so that no task waits for a faster agent."""
+        return float("inf")
 
     def started(self, key: TaskKey) -> None:
         """Count nothing."""
--- a/tests/features/policy.feature
+++ b/tests/features/policy.feature
@@ -107,3 +107,9 @@
   Scenario: A lost rack costs idempotent jobs no answer
     When a rack of 3 workers is lost under load
     Then idempotent jobs are answered and no other task runs twice
+
+  Scenario: What a lost agent had is hedged at once where that is allowed
+    When a rack of 3 workers is lost under load of a kind that is hedged
+    Then no job waits until the lost attempts have reached their limits
+    And the lost attempts were begun once more, in other failure domains
+    And an agent that connects again at once is not hedged
--- a/tests/features/steps/policy_steps.py
+++ b/tests/features/steps/policy_steps.py
@@ -850,3 +850,64 @@
         if fake.status == 502:
             assert fake.body["verdict"] == "may_have_run"
     assert 0 < failed <= 24, failed
+
+
+@when("a rack of 3 workers is lost under load of a kind that is hedged")
+def run_lost_hedged_rack(context):
+    never = HedgePolicy(after_factor=100.0)
+    world = World(
+        make_agents(),
+        configuration=make_configuration(kinds=HEDGED, hedge=never),
+    )
+    world.load(0.5, 10)
+    world.run(5)
+    context.held = {
+        key for number in range(3)
+        for key in world.book.loads[f"agent-{number}"].in_flight
+    }  # fmt: skip
+    context.begun_before = len(world.begun)
+    for number in range(3):
+        world.lose(f"agent-{number}")
+    world.run(60)
+    context.world = world
+
+
+@then("no job waits until the lost attempts have reached their limits")
+def check_lost_hedged_rack(context):
+    for fake in context.world.jobs:
+        assert fake.status == 200, fake.body
+        late_s = fake.answered - fake.submitted - max(fake.true_ms) / 1000
+        assert late_s < 1.5, late_s
+
+
+@then("the lost attempts were begun once more, in other failure domains")
+def check_hedged_elsewhere(context):
+    world = context.world
+    counts = begun_times(world)
+    assert context.held, context.begun_before
+    again = {key for key, count in counts.items() if count > 1}
+    assert again <= context.held, again - context.held
+    assert max(counts.values()) == 2, counts
+    later = world.begun[context.begun_before :]
+    for job, task, agent_id in later:
+        if (job, task) in context.held:
+            assert world.agents[agent_id].domain != "domain-0"
+
+
+@then("an agent that connects again at once is not hedged")
+def check_reconnected(context):
+    world = World(
+        make_agents(4, slots=1),
+        configuration=make_configuration(kinds=HEDGED),
+    )
+    fake = world.submit([500.0])
+    world.run(0.1)
+    agent = world.agents[world.begun[0][2]]
+    record = JobRecord(
+        job_id=fake.job.job_id.value,
+        tasks=(TaskRecord(index=0, attempt=1, state=RecordState.BEGUN),),
+    )
+    world.join(agent, records=(record,))
+    world.run(5)
+    assert fake.status == 200
+    assert len(world.begun) == 1
