Split the steps of the policy's feature by subject

Bounds, placement, order, admission, retries, health, hedging, and cancels with what leaves; what they share went to the fake.

--- a/tests/features/steps/policy_fake.py
+++ b/tests/features/steps/policy_fake.py
@@ -1,11 +1,13 @@
 """A discrete-event fake of agents around one cell's jobs."""
 
+import collections
 from collections import deque
 import dataclasses
 import heapq
 import itertools
 import random
 
+from hypothesis import strategies as st
 import msgspec
 
 from egretcart.connection.messages import CancelTasks
@@ -26,6 +28,7 @@
 from egretcart.testing.clock import ManualClock
 from egretcart.testing.naive_policy import naive_policy
 from egretcart.version.document import Configuration
+from egretcart.version.document import Kind
 from egretcart.version.document import Service
 
 SERVICE = "service"
@@ -43,6 +46,16 @@
 
 
 CONFIGURATION = make_configuration()
+SLOTS = 88
+RUN_MS = st.floats(1.0, 500.0).map(lambda ms: round(ms, 1))
+JOBS = st.lists(
+    st.tuples(
+        st.floats(0, 1), st.lists(RUN_MS, min_size=1, max_size=12),
+        st.booleans(),
+    ),
+    min_size=1, max_size=12,
+)  # fmt: skip
+HEDGED = (Kind(name="default", hedge=True),)
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -343,3 +356,17 @@
 
 def quantile(values, share):
     return values[min(len(values) - 1, int(share * len(values)))]
+
+
+def begun_times(world):
+    return collections.Counter((job, task) for job, task, _ in world.begun)
+
+
+def running_jobs(world):
+    """Return the jobs of all tasks that run now, by their id."""
+    jobs = {fake.job.job_id.value: fake.job for fake in world.jobs}
+    return [jobs[key[0]] for a in world.agents.values() for key in a.running]
+
+
+def submit(world, run_ms, idempotent):
+    world.submit(run_ms, idempotent=idempotent)
--- /dev/null
+++ b/tests/features/steps/policy_hedging_steps.py
@@ -0,0 +1,120 @@
+from behave import then
+from behave import when
+from policy_fake import begun_times
+from policy_fake import HEDGED
+from policy_fake import make_agents
+from policy_fake import make_configuration
+from policy_fake import quantile
+from policy_fake import World
+
+from egretcart.connection.messages import JobRecord
+from egretcart.connection.messages import TaskRecord
+from egretcart.process.ledger import RecordState
+from egretcart.process.policy.hedging import RESERVE as HEDGE_RESERVE
+from egretcart.version.document import HedgePolicy
+
+
+@when("one task in a hundred lasts twenty times as long")
+def run_stragglers(context):
+    context.worlds = []
+    for share in (0.0, 0.02):
+        configuration = make_configuration(
+            kinds=HEDGED, hedge=HedgePolicy(budget_share=share)
+        )
+        world = World(
+            make_agents(), configuration=configuration, straggler_share=0.01
+        )
+        world.load(0.5, 20)
+        world.run(60)
+        context.worlds.append(world)
+
+
+@then("hedges cut the tail, stay in their budget and free their slots")
+def check_hedges(context):
+    without, hedged = context.worlds
+    tails = [quantile(w.ratios(since=2), 0.95) for w in context.worlds]
+    assert tails[1] < 0.7 * tails[0], tails
+    counts = begun_times(hedged)
+    extra = sum(count - 1 for count in counts.values())
+    assert 0 < extra <= HEDGE_RESERVE + 0.02 * len(counts)
+    assert set(begun_times(without).values()) == {1}
+    assert without.cancels == 0
+    assert hedged.cancels > 0.5 * extra, (hedged.cancels, extra)
+    for load in hedged.book.loads.values():
+        assert not load.in_flight
+    for agent in hedged.agents.values():
+        assert not agent.running
+
+
+@then("no task is hedged unless its kind and its job allow it")
+def check_no_hedge(context):
+    for kinds, idempotent in ((HEDGED, False), ((), True)):
+        world = World(
+            make_agents(),
+            configuration=make_configuration(kinds=kinds),
+            straggler_share=0.05,
+        )
+        world.load(0.3, 5, idempotent=idempotent)
+        world.run(60)
+        assert set(begun_times(world).values()) == {1}
+
+
+@when("a rack of 3 workers is lost under load of a kind that is hedged")
+def run_lost_hedged_rack(context):
+    never = HedgePolicy(after_factor=100.0)
+    world = World(
+        make_agents(),
+        configuration=make_configuration(kinds=HEDGED, hedge=never),
+    )
+    world.load(0.5, 10)
+    world.run(5)
+    context.held = {
+        key for number in range(3)
+        for key in world.book.loads[f"agent-{number}"].in_flight
+    }  # fmt: skip
+    context.begun_before = len(world.begun)
+    for number in range(3):
+        world.lose(f"agent-{number}")
+    world.run(60)
+    context.world = world
+
+
+@then("no job waits until the lost attempts have reached their limits")
+def check_lost_hedged_rack(context):
+    for fake in context.world.jobs:
+        assert fake.status == 200, fake.body
+        late_s = fake.answered - fake.submitted - max(fake.true_ms) / 1000
+        assert late_s < 1.5, late_s
+
+
+@then("the lost attempts were begun once more, in other failure domains")
+def check_hedged_elsewhere(context):
+    world = context.world
+    counts = begun_times(world)
+    assert context.held, context.begun_before
+    again = {key for key, count in counts.items() if count > 1}
+    assert again <= context.held, again - context.held
+    assert max(counts.values()) == 2, counts
+    later = world.begun[context.begun_before :]
+    for job, task, agent_id in later:
+        if (job, task) in context.held:
+            assert world.agents[agent_id].domain != "domain-0"
+
+
+@then("an agent that connects again at once is not hedged")
+def check_reconnected(context):
+    world = World(
+        make_agents(4, slots=1),
+        configuration=make_configuration(kinds=HEDGED),
+    )
+    fake = world.submit([500.0])
+    world.run(0.1)
+    agent = world.agents[world.begun[0][2]]
+    record = JobRecord(
+        job_id=fake.job.job_id.value,
+        tasks=(TaskRecord(index=0, attempt=1, state=RecordState.BEGUN),),
+    )
+    world.join(agent, records=(record,))
+    world.run(5)
+    assert fake.status == 200
+    assert len(world.begun) == 1
--- /dev/null
+++ b/tests/features/steps/policy_retry_steps.py
@@ -0,0 +1,162 @@
+import collections
+
+from behave import then
+from behave import when
+from policy_fake import begun_times
+from policy_fake import make_agents
+from policy_fake import make_configuration
+from policy_fake import SLOTS
+from policy_fake import World
+
+from egretcart.connection.messages import JobRecord
+from egretcart.connection.messages import TaskRecord
+from egretcart.connection.messages import TaskResult
+from egretcart.process.ledger import RecordState
+from egretcart.process.limits import LeaderLimits
+from egretcart.version.document import Kind
+
+
+@when("every task of a flood of jobs fails")
+def run_failing_flood(context):
+    world = World(make_agents())
+    for number in range(20):
+        world.at(number / 4, lambda: world.submit([50.0] * 20))
+    for number in range(400):
+        world.at(number / 80, lambda: world.submit(
+            [20.0], outcome="fail", deadline_ms=200.0))  # fmt: skip
+    world.run(10)
+    context.world = world
+
+
+@then("retries stay within the reserve and the share of successes")
+def check_retry_budget(context):
+    counts = begun_times(context.world).values()
+    retries = sum(count - 1 for count in counts)
+    assert 0 < retries <= SLOTS + 0.1 * 400, retries
+    assert max(counts) <= 3
+
+
+@then("no try starts that can't end before its deadline")
+def check_retry_deadline(context):
+    world = World(make_agents())
+    for _ in range(20):
+        world.submit([150.0])
+    world.run(2)
+    fake = world.submit([150.0], outcome="fail", deadline_ms=250.0)
+    world.run(4)
+    assert fake.status == 502
+    assert begun_times(world)[(fake.job.job_id.value, 0)] == 1
+
+
+@when("a worker fails one task")
+def fail_one_task(context):
+    world = World(make_agents(6))
+    for agent in world.agents.values():
+        agent.mode = "fail"
+    fake = world.submit([50.0])
+    world.run(0.0008)
+    for agent in world.agents.values():
+        if not agent.running:
+            agent.mode = "ok"
+    world.run(2)
+    context.world, context.fake = world, fake
+
+
+@then("its second attempt begins in another failure domain")
+def check_other_domain(context):
+    world = context.world
+    assert context.fake.status == 200
+    domains = [world.agents[agent].domain for _, _, agent in world.begun]
+    assert len(domains) == 2
+    assert domains[0] != domains[1]
+
+
+@then("a retry waits for another agent rather than return to the same")
+def check_not_the_same(context):
+    world = World(make_agents(2, slots=1))
+    world.submit([300.0])
+    fake = world.submit([50.0])
+    world.run(0.01)
+    failing = world.begun[1][2]
+    world.agents[failing].mode = "fail"
+    other = world.submit([10.0], idempotent=False)
+    world.run(2)
+    assert fake.status == 200
+    assert other.status == 502
+    counts = collections.Counter(agent for _, _, agent in world.begun)
+    assert counts[failing] == 2, counts
+
+
+@then("an agent that is lost twice puts the next try off twice")
+def check_lost_twice(context):
+    kinds = (Kind(name="default", attempt_limit_ms=4000.0),)
+    configuration = make_configuration(kinds=kinds)
+    world = World(make_agents(2, slots=1), configuration=configuration)
+    fake = world.submit([3000.0])
+    world.run(0.1)
+    agent = world.agents[world.begun[0][2]]
+    record = JobRecord(
+        job_id=fake.job.job_id.value,
+        tasks=(TaskRecord(index=0, attempt=1, state=RecordState.BEGUN),),
+    )
+    world.usable.discard(agent.agent_id)
+    world.book.agent_lost(agent.agent_id)
+    world.run(1.5)
+    world.join(agent, leased=False, records=(record,))
+    world.run(1.6)
+    world.book.agent_lost(agent.agent_id)
+    world.run(1.5 + 4.0 + LeaderLimits().lease_s - 0.1)
+    assert len(world.begun) == 1
+    world.run(12)
+    assert fake.status == 200
+    assert len(world.begun) == 2
+
+
+@when("an agent that was given up answers after all")
+def answer_late(context):
+    world = World(make_agents(2, slots=1))
+    world.submit([9000.0])
+    context.fake = world.submit([1500.0, 9950.0])
+    world.run(0.1)
+    agent = world.agents[world.begun[1][2]]
+    world.usable.discard(agent.agent_id)
+    world.book.agent_lost(agent.agent_id)
+    world.run(1.4)
+    world.join(agent)
+    world.run(40)
+    context.world = world
+
+
+@then("the job is complete and its task is not begun again")
+def check_late_answer(context):
+    assert context.fake.status == 200
+    assert 11.3 < context.fake.answered < 11.6
+    assert set(begun_times(context.world).values()) == {1}
+    assert context.world.policy.order.waiting == 0
+
+
+@then("a task that waits for a slot is not begun after its late answer")
+def check_late_answer_in_queue(context):
+    kinds = (Kind(name="default", attempt_limit_ms=1000.0),)
+    world = World(
+        make_agents(2, slots=1), configuration=make_configuration(kinds=kinds)
+    )
+    world.submit([5000.0], kind="long")
+    fake = world.submit([2000.0, 500.0])
+    world.run(0.1)
+    agent = world.agents[world.begun[1][2]]
+    start = next(iter(agent.running.values()))
+    world.usable.discard(agent.agent_id)
+    world.book.agent_lost(agent.agent_id)
+    world.run(2.0)
+    world.join(agent, leased=False)
+    world.run(2.0 + LeaderLimits().lease_s)
+    assert world.policy.order.waiting == 2
+    answer = TaskResult(
+        job_id=start.job_id, task=0, attempt=start.attempt, term=start.term,
+        verdict="ran", succeeded=True, body=b"late", retained=True,
+    )  # fmt: skip
+    world.carry_out(world.book.task_result(agent.agent_id, answer))
+    world.run(20)
+    assert fake.status == 200
+    assert set(begun_times(world).values()) == {1}
