--- a/egretcart/load/profile.py
+++ b/egretcart/load/profile.py
@@ -119,6 +119,8 @@
     cancel_waves : tuple of CancelWave
     round_trip_ms : float
         Part of the ideal response time.
+    warm_up_s : float
+        Jobs that are submitted before count in no ratio.
     """
 
     service: Text
@@ -143,6 +145,7 @@
     bursts: tuple[Burst, ...] = ()
     cancel_waves: tuple[CancelWave, ...] = ()
     round_trip_ms: Milliseconds = 1.0
+    warm_up_s: Moment = 0.0
 
     @property
     def capacity(self) -> float:
--- a/egretcart/load/report.py
+++ b/egretcart/load/report.py
@@ -157,10 +157,26 @@
     return (run.ended_s - run.began_s) / ideal_s
 
 
-def _ratios(
+def job_ratios(
     runs: Iterable[JobRun], profile: LoadProfile
 ) -> tuple[Quantiles, Quantiles, Quantiles]:
-    ratios = [(run, response_ratio(run, profile)) for run in runs]
+    """Return the ratios of all jobs, of large ones and of those after bursts.
+
+    Parameters
+    ----------
+    runs : iterable of JobRun
+        Complete jobs; those of the warm-up are left out.
+    profile : LoadProfile
+
+    Returns
+    -------
+    tuple of Quantiles
+    """
+    ratios = [
+        (run, response_ratio(run, profile))
+        for run in runs
+        if run.began_s >= profile.warm_up_s
+    ]
     large = [
         ratio
         for run, ratio in ratios
@@ -214,7 +230,7 @@
         for run in runner.runs
         if run.answer is not None and not run.is_complete and run.answer.status
     ]
-    ratio, large, after = _ratios(complete, profile)
+    ratio, large, after = job_ratios(complete, profile)
     work_s = sum(run.plan.work_s for run in complete)
     all_counts = Counters()
     all_counts.add(counts.entries)
--- a/tests/features/load.feature
+++ b/tests/features/load.feature
@@ -9,6 +9,9 @@
     And an answer that is short, swapped or another job's is wrong
     And a plan with too many tasks is refused
 
+  Scenario: Jobs of the warm-up
+    Then jobs that are submitted in the warm-up count in no ratio
+
   Scenario: A caller comes back with the same id until its bound
     Then a caller that is told to come back does so and gets its answer
     And a caller gives up at its bound
--- a/tests/features/steps/load_steps.py
+++ b/tests/features/steps/load_steps.py
@@ -27,6 +27,7 @@
 from egretcart.load.profile import KindMix
 from egretcart.load.profile import LoadProfile
 from egretcart.load.profile import ServerGroup
+from egretcart.load.report import job_ratios
 from egretcart.load.runner import is_right
 from egretcart.load.runner import JobRun
 from egretcart.load.workload import plan_jobs
@@ -97,6 +98,28 @@
     holds()
 
 
+@then("jobs that are submitted in the warm-up count in no ratio")
+def check_warm_up(context):
+    profile = LoadProfile(
+        service="service",
+        entries=(Address(host=HOST, port=1),),
+        kinds=(KindMix(name="kind", run_ms=100.0),),
+        servers=(ServerGroup(count=2),),
+        min_job_tasks=10,
+        warm_up_s=0.4,
+        duration_s=1.0,
+    )
+    runs = [
+        JobRun(plan=plan, began_s=plan.at_s, ended_s=plan.at_s + 1.0)
+        for plan in plan_jobs(profile)
+    ]
+    late = sum(run.began_s >= 0.4 for run in runs)
+    assert 0 < late < len(runs)
+    everything, large, after = job_ratios(runs, profile)
+    assert everything.count == large.count == late
+    assert after.count == 0
+
+
 @then("a plan with too many tasks is refused")
 def check_bound(context):
     refusal = ""
--- a/tools/experiment.py
+++ b/tools/experiment.py
@@ -44,6 +44,11 @@
     return found.stdout.strip() or "unknown"
 
 
+def example_of(experiment: Document, case: Document) -> str:
+    """Return the name of the example that a case runs."""
+    return str(case.get("example") or experiment["example"])
+
+
 class Case:
     """One condition, run against one version.
 
@@ -68,7 +73,7 @@
         self.experiment = experiment
         self.case = case
         self.system = system
-        example = ROOT / "examples" / experiment["example"]
+        example = ROOT / "examples" / example_of(experiment, case)
         self.deployment = Deployment(example, tree=tree)
 
     def run(self) -> Document:
@@ -184,9 +189,11 @@
         trees[name] = pathlib.Path(tree)
     chosen = options["--cases"].split(",") if options["--cases"] else None
     results = []
+    examples = set()
     for case in experiment["cases"]:
         if chosen is not None and case["name"] not in chosen:
             continue
+        examples.add(example_of(experiment, case))
         for system, tree in trees.items():
             result = run_case(
                 experiment=experiment, case=case, system=system, tree=tree
@@ -197,7 +204,7 @@
         "commit": commit(),
         "date": datetime.datetime.now(datetime.UTC).strftime("%Y-%m-%d"),
         "processors": os.cpu_count(),
-        "example": experiment["example"],
+        "examples": sorted(examples),
         "results": results,
     }
     folder = pathlib.Path(options["--trial"] or ROOT / "docs")
--- a/tools/measures_page.py
+++ b/tools/measures_page.py
@@ -138,8 +138,9 @@
             f"Commit {document['commit']}, {document['date']}, "
             f"{document['processors']} processors shared with other work "
             f"(load average {min(averages):.0f} to {max(averages):.0f} at "
-            f"the cases' start), example {document['example']}. Response "
-            "times over ideal are those of jobs of 10 tasks and more.",
+            f"the cases' start), examples {', '.join(document['examples'])}. "
+            "Response times over ideal are those of jobs of 10 tasks and "
+            "more.",
             results_table(document),
             "![Response time and waste](measures.svg)",
             "Costs of the system, from its counters; the processor time is "
