Limit first attempts at idempotent tasks by what their kind has taken

Cause: where no hedge is allowed, a lost agent's idempotent tasks wait for the lease and the stated limit, 7 to 18 s with the examples' limits, though the tasks of a kind last a fraction of that.

The first attempt at an idempotent task has 8 times the longest run time seen of its kind, at the agent's speed, between 2 s and the stated limit, once 200 tasks have been seen. The leader waits for the limit that it sent; an adopted attempt of another leader counts with the longest limit. Further attempts have the stated limit. An attempt that only the shorter limit has ended costs neither the retries' budget nor one of the attempts, so no job fails of it.

Ruled out: shortening the lease's part of the wait (a start may travel and wait for that long), and a limit per agent and kind (too few observations).

--- a/egretcart/process/attempts.py
+++ b/egretcart/process/attempts.py
@@ -246,6 +246,10 @@
         if verdict is Verdict.MAY_HAVE_RUN:
             earliest = max(now, self._surely_ended(progress, key))
         failed = self._failed_attempt(progress, key, verdict, earliest)
+        if self._is_cut_short(progress, key, now) and failed.may_end_in_time:
+            task.tries -= 1
+            self._again(key, task, earliest)
+            return []
         if self.policy.retries.allows(failed):
             self._again(key, task, earliest)
             return []
@@ -253,6 +257,17 @@
             progress, outcomes.task_failed(progress, key[1], error)
         )
 
+    def _is_cut_short(
+        self, progress: JobProgress, key: TaskKey, now: float
+    ) -> bool:
+        """Return whether a limit below the stated one ended an attempt."""
+        task = progress.tasks[key[1]]
+        kind = progress.job.tasks[key[1]].kind
+        stated_s = self.policy.tables.attempt_limit_s(kind)
+        if not progress.job.idempotent or not 0 < task.limit_s < stated_s:
+            return False
+        return now >= task.placed_at + task.limit_s
+
     def _surely_ended(self, progress: JobProgress, key: TaskKey) -> float:
         """Return when the newest attempt has surely reached its limit.
 
--- a/egretcart/process/policy/estimates.py
+++ b/egretcart/process/policy/estimates.py
@@ -24,6 +24,9 @@
 FIRST_DECLARED_ERROR = math.log(8.0)
 # Observations after which an estimate counts as learned.
 LEARNED_AFTER = 8
+# Observations after which the longest run time seen says something of what
+# is still to come.
+LONGEST_AFTER = 200
 MIN_RUN_TIME_MS = 0.1
 
 
@@ -39,6 +42,9 @@
     def is_learned(self, kind: str) -> bool:
         """Return whether enough tasks of a kind have been observed."""
 
+    def longest_ms(self, kind: str) -> float | None:
+        """Return the longest run time seen, once many have been seen."""
+
     def observe(
         self,
         agent_id: str,
@@ -67,6 +73,8 @@
         Mean of run time over declared run time.
     declared_error : float
         Mean absolute residual of the declared run times so corrected.
+    longest_ms : float
+        Longest run time observed, as on an average agent.
     observations : int
     declared_observations : int
     """
@@ -76,6 +84,7 @@
     mean_ratio: float = 1.0
     declared_bias: float = 0.0
     declared_error: float = FIRST_DECLARED_ERROR
+    longest_ms: float = 0.0
     observations: int = 0
     declared_observations: int = 0
 
@@ -123,6 +132,23 @@
         """Return whether enough tasks of a kind have been observed."""
         return self._kind(kind).observations >= LEARNED_AFTER
 
+    def longest_ms(self, kind: str) -> float | None:
+        """Return the longest run time seen, once many have been seen.
+
+        Parameters
+        ----------
+        kind : str
+
+        Returns
+        -------
+        float or None
+            In milliseconds, as on an average agent.
+        """
+        estimate = self._kind(kind)
+        if estimate.observations < LONGEST_AFTER:
+            return None
+        return estimate.longest_ms
+
     def observe(
         self,
         agent_id: str,
@@ -147,6 +173,8 @@
         residual = observed - expected - slowness
         agent_residual = _clip(residual, MAX_RESIDUAL)
         ratio = math.exp(_clip(residual, MAX_MEAN_RESIDUAL))
+        average_ms = run_ms / math.exp(slowness)
+        estimate.longest_ms = max(estimate.longest_ms, average_ms)
         estimate.mean_ratio += MEAN_RATE * (ratio - estimate.mean_ratio)
         count = self.observations.get(agent_id, 0) + 1
         self.observations[agent_id] = count
--- a/egretcart/process/policy/retries.py
+++ b/egretcart/process/policy/retries.py
@@ -77,6 +77,11 @@
     expected_s: float
     deadline: float
 
+    @property
+    def may_end_in_time(self) -> bool:
+        """Whether another try is expected to end before the deadline."""
+        return self.earliest + self.expected_s <= self.deadline
+
 
 class Retries(Protocol):
     """Decides on further attempts."""
@@ -123,7 +128,7 @@
             return False
         if failed.ran_on >= FAILS_EVERYWHERE_AFTER:
             return False
-        if failed.earliest + failed.expected_s > failed.deadline:
+        if not failed.may_end_in_time:
             return False
         return self.budget.spend()
 
--- a/egretcart/process/recovery.py
+++ b/egretcart/process/recovery.py
@@ -324,6 +324,9 @@
             hedge = task.hedge
             if hedge is None or hedge.attempt != record.attempt:
                 task.state = TaskState.PLACED
+                adopted = (record.attempt, record.agent_id)
+                if (task.attempt, task.agent_id) != adopted:
+                    task.limit_s = 0.0
                 task.attempt = record.attempt
                 task.agent_id = record.agent_id
                 task.placed_at = self.clock.monotonic()
--- a/egretcart/process/starts.py
+++ b/egretcart/process/starts.py
@@ -25,6 +25,10 @@
 MS_PER_S = 1000
 # Pause of a task that may not go to the agents that are free.
 SET_ASIDE_S = 0.02
+# The first attempt at an idempotent task may take this multiple of the longest
+# run time of its kind, and at least some seconds.
+LIMIT_FACTOR = 8.0
+MIN_LIMIT_S = 2.0
 # Jobs that are searched for tasks that lose nothing on a slow agent.
 SEARCHED_JOBS = 8
 
@@ -217,7 +221,7 @@
         self.table.loads[agent_id].in_flight[key] = task.issued
         definition = job.tasks[key[1]]
         time_left_s = min(
-            self.policy.tables.attempt_limit_s(definition.kind),
+            self._attempt_limit_s(progress, key, agent_id),
             progress.deadline - now,
         )
         return Start(
@@ -232,6 +236,25 @@
             time_left_ms=int(time_left_s * MS_PER_S),
         )
 
+    def _attempt_limit_s(
+        self, progress: JobProgress, key: TaskKey, agent_id: str
+    ) -> float:
+        """Return the time limit of a new attempt, in seconds.
+
+        The sooner the first attempt at an idempotent task has surely ended,
+        the sooner it can be made again if its agent is lost. All others have
+        the limit that the operators state.
+        """
+        kind = progress.job.tasks[key[1]].kind
+        stated_s = self.policy.tables.attempt_limit_s(kind)
+        longest_ms = self.policy.run_times.longest_ms(kind)
+        is_first = progress.tasks[key[1]].issued == 1
+        if longest_ms is None or not is_first or not progress.job.idempotent:
+            return stated_s
+        slowness = max(1.0, self.policy.run_times.slowness(agent_id))
+        ample_s = LIMIT_FACTOR * longest_ms * slowness / MS_PER_S
+        return min(stated_s, max(MIN_LIMIT_S, ample_s))
+
     def agent_lost(
         self, failure_domain: str, in_flight: Mapping[TaskKey, int]
     ) -> None:
--- a/egretcart/testing/naive_policy.py
+++ b/egretcart/testing/naive_policy.py
@@ -42,6 +42,10 @@
         """Return False."""
         return False
 
+    def longest_ms(self, kind: str) -> float | None:
+        """Return None."""
+        return None
+
     def observe(
         self,
         agent_id: str,
--- a/tests/features/policy.feature
+++ b/tests/features/policy.feature
@@ -51,6 +51,13 @@
     Then its second attempt begins in another failure domain
     And a retry waits for another agent rather than return to the same
 
+  Scenario: First attempts are limited by what their kind has taken
+    When a cell has seen many tasks of a kind that last 500 ms at most
+    Then only first attempts at idempotent tasks are limited to 4 seconds
+    And a lost attempt is made again once that limit is surely over
+    And a task that the limit cut off is made again beyond the budget
+    And an adopted attempt counts with the longest limit
+
   Scenario: A worker that fails everything is left out and brought back
     When one worker of 11 fails everything for 10 seconds
     Then every idempotent job is answered and the worker got few tasks
--- a/tests/features/steps/policy_retry_steps.py
+++ b/tests/features/steps/policy_retry_steps.py
@@ -13,7 +13,9 @@
 from egretcart.connection.messages import TaskResult
 from egretcart.process.ledger import RecordState
 from egretcart.process.limits import LeaderLimits
+from egretcart.request.progress import TaskState
 from egretcart.version.document import Kind
+from egretcart.version.document import RetryPolicy
 
 
 @when("every task of a flood of jobs fails")
@@ -160,3 +162,94 @@
     world.run(20)
     assert fake.status == 200
     assert set(begun_times(world).values()) == {1}
+
+
+NO_RETRIES = make_configuration(retry=RetryPolicy(budget_share=0.0))
+
+
+def observed_world(**world):
+    """Return a cell that knows how long its tasks last."""
+    world = World(make_agents(4, slots=1), **world)
+    for step in range(400):
+        run_ms = 500.0 if step % 4 == 0 else 100.0
+        agent_id = f"agent-{step // 4 % 4}"
+        world.policy.run_times.observe(agent_id, "default", None, run_ms)
+    world.policy.run_times.agents.clear()
+    return world
+
+
+def held_start(world, number=-1):
+    """Return the start of a task that was begun, with its agent."""
+    job, task, agent_id = world.begun[number]
+    agent = world.agents[agent_id]
+    return agent.running[(job, task)], agent
+
+
+@when("a cell has seen many tasks of a kind that last 500 ms at most")
+def see_many_tasks(context):
+    context.limits = []
+    for idempotent in (True, False):
+        world = observed_world()
+        world.submit([300.0], idempotent=idempotent)
+        world.run(0.1)
+        context.limits.append(held_start(world)[0].time_left_ms)
+
+
+@then("only first attempts at idempotent tasks are limited to 4 seconds")
+def check_first_limits(context):
+    first, other = context.limits
+    assert 3900 <= first <= 5000, first
+    assert other == 10_000, other
+
+
+@then("a lost attempt is made again once that limit is surely over")
+def check_limit_over(context):
+    world = observed_world()
+    fake = world.submit([300.0])
+    world.run(0.1)
+    start, agent = held_start(world)
+    world.lose(agent.agent_id)
+    limits = LeaderLimits()
+    over_s = limits.attempt_over_s(start.time_left_ms / 1000)
+    world.run(over_s - 0.05)
+    assert len(world.begun) == 1
+    world.run(over_s + 0.1)
+    assert len(world.begun) == 2
+    assert held_start(world)[0].time_left_ms == 10_000
+    world.run(20)
+    assert fake.status == 200
+
+
+@then("a task that the limit cut off is made again beyond the budget")
+def check_cut_short(context):
+    for early in (True, False):
+        world = observed_world(configuration=NO_RETRIES)
+        fake = world.submit([9000.0])
+        world.run(0.1)
+        start, agent = held_start(world)
+        del agent.running[(start.job_id, start.task)]
+        world.run(1.0 if early else start.time_left_ms / 1000 + 0.01)
+        world.end(agent, start, "may_have_run", 0.0)
+        world.run(30)
+        assert fake.status == (502 if early else 200), (early, fake.body)
+        assert len(world.begun) == (1 if early else 2)
+
+
+@then("an adopted attempt counts with the longest limit")
+def check_adopted_limit(context):
+    world = observed_world()
+    fake = world.submit([300.0])
+    world.run(0.1)
+    _, agent = held_start(world)
+    other = next(a for a in world.agents.values() if a is not agent)
+    record = JobRecord(
+        job_id=fake.job.job_id.value,
+        tasks=(TaskRecord(index=0, attempt=5, state=RecordState.BEGUN),),
+    )
+    task = next(iter(world.book.jobs.values())).tasks[0]
+    task.state = TaskState.WAITING
+    world.lose(other.agent_id)
+    other.mode = "ok"
+    world.join(other, records=(record,))
+    assert (task.attempt, task.agent_id) == (5, other.agent_id)
+    assert task.limit_s == 0.0
