Make again at once what may have run, where two attempts are allowed

Cause: when a rack is lost, its backend servers may end before its agents.

Jobs that are not idempotent and kinds without hedges are treated as before. Budget, number of attempts and deadline bound these retries as all others.

--- a/egretcart/process/attempts.py
+++ b/egretcart/process/attempts.py
@@ -244,7 +244,7 @@
         task.state = TaskState.FAILED
         earliest = now
         if verdict is Verdict.MAY_HAVE_RUN:
-            earliest = max(now, self._surely_ended(progress, key))
+            earliest = max(now, self._runs_alone_from(progress, key))
         failed = self._failed_attempt(progress, key, verdict, earliest)
         if self._is_cut_short(progress, key, now) and failed.may_end_in_time:
             task.tries -= 1
@@ -268,11 +268,14 @@
             return False
         return now >= task.placed_at + task.limit_s
 
-    def _surely_ended(self, progress: JobProgress, key: TaskKey) -> float:
-        """Return when the newest attempt has surely reached its limit.
+    def _runs_alone_from(self, progress: JobProgress, key: TaskKey) -> float:
+        """Return when another attempt may start that runs alone.
 
-        A start begins within the lease after it was sent, if at all.
+        A start begins within the lease after it was sent, if at all. Where
+        two attempts may run at a time, there is nothing to wait for.
         """
+        if self.policy.tables.may_hedge(progress.job, key[1]):
+            return float("-inf")
         task = progress.tasks[key[1]]
         kind = progress.job.tasks[key[1]].kind
         limit_s = task.limit_s or self.longest_limit_s(kind)
--- a/egretcart/process/policy/bundle.py
+++ b/egretcart/process/policy/bundle.py
@@ -18,6 +18,7 @@
 from egretcart.process.policy.placement import Placement
 from egretcart.process.policy.retries import BudgetedRetries
 from egretcart.process.policy.retries import Retries
+from egretcart.request.job import Job
 from egretcart.version.document import Configuration
 from egretcart.version.document import Kind
 from egretcart.version.document import Service
@@ -59,6 +60,10 @@
         """Return the time limit of an attempt at a task of a kind."""
         return self.find_kind(kind).attempt_limit_ms / MS_PER_S
 
+    def may_hedge(self, job: Job, task: int) -> bool:
+        """Return whether two attempts at a task may run at a time."""
+        return job.idempotent and self.find_kind(job.tasks[task].kind).hedge
+
     def allows(self, agent_id: str) -> bool:
         """Return whether the service may use an agent."""
         allowed = self.allowed.get(agent_id)
--- a/egretcart/process/starts.py
+++ b/egretcart/process/starts.py
@@ -194,7 +194,6 @@
         task.placed_at = now
         start = self._start(progress, key, agent_id, now)
         task.limit_s = start.time_left_ms / MS_PER_S
-        kind = self.policy.tables.find_kind(start.kind)
         definition = progress.job.tasks[key[1]]
         expected_ms = self.policy.run_times.task_ms(
             definition.kind, definition.run_time_ms
@@ -204,7 +203,7 @@
             expected_ms * self.policy.placement.slowness(agent_id) / MS_PER_S
         )
         progress.ends_at = max(progress.ends_at, now + run_s)
-        if kind.hedge and progress.job.idempotent:
+        if self.policy.tables.may_hedge(progress.job, key[1]):
             slowness = self.policy.run_times.slowness(agent_id)
             self.policy.hedging.watch(
                 key, attempt, expected_ms=expected_ms * slowness, now=now
@@ -269,10 +268,9 @@
         """
         for key, attempt in in_flight.items():
             progress = self.table.jobs.get(key[0])
-            if progress is None or not progress.job.idempotent:
+            if progress is None:
                 continue
-            kind = progress.job.tasks[key[1]].kind
-            if self.policy.tables.find_kind(kind).hedge:
+            if self.policy.tables.may_hedge(progress.job, key[1]):
                 self.lost.append(
                     LostAttempt(
                         key=key,
--- a/tests/features/policy.feature
+++ b/tests/features/policy.feature
@@ -120,3 +120,4 @@
     Then no job waits until the lost attempts have reached their limits
     And the lost attempts were begun once more, in other failure domains
     And an agent that connects again at once is not hedged
+    And what may have run is made again at once only where that is allowed
--- a/tests/features/steps/policy_hedging_steps.py
+++ b/tests/features/steps/policy_hedging_steps.py
@@ -118,3 +118,21 @@
     world.run(5)
     assert fake.status == 200
     assert len(world.begun) == 1
+
+
+@then("what may have run is made again at once only where that is allowed")
+def check_unknown_end(context):
+    for kinds, idempotent in ((HEDGED, True), (HEDGED, False), ((), True)):
+        world = World(
+            make_agents(4), configuration=make_configuration(kinds=kinds)
+        )
+        world.submit([300.0], idempotent=idempotent)
+        world.run(0.1)
+        job, task, agent_id = world.begun[0]
+        agent = world.agents[agent_id]
+        start = agent.running.pop((job, task))
+        world.end(agent, start, "may_have_run", 0.0)
+        world.run(0.2)
+        allowed = bool(kinds) and idempotent
+        assert len(world.begun) == (2 if allowed else 1), (kinds, idempotent)
+        assert world.agents[world.begun[-1][2]] is not agent or not allowed
