Hedge stragglers before what waits

Cause: a straggler was hedged only while nothing waited. At 70 % something often waits, and the straggler's job is the one that has waited longest.

--- a/egretcart/process/starts.py
+++ b/egretcart/process/starts.py
@@ -117,7 +117,7 @@
         placement = self.policy.placement
         self.fleet.survey(now)
         placement.open_batch(self.fleet.candidates(usable), now=now)
-        effects = self._hedge_lost(now)
+        effects = self._hedge_lost(now) + self._hedge(now)
         while (key := order.peek()) is not None:
             progress = self.table.jobs[key[0]]
             task = progress.tasks[key[1]]
@@ -140,8 +140,6 @@
             placement.placed(agent_id)
         if order.waiting and placement.has_room:
             effects += self._place_last(now)
-        elif not order.waiting:
-            effects += self._hedge(now)
         return effects
 
     def _demand(
@@ -340,7 +338,7 @@
         )
 
     def _hedge(self, now: float) -> list[LeaderEffect]:
-        """Start stragglers a second time while slots are idle."""
+        """Start stragglers a second time, before anything that waits."""
         effects: list[LeaderEffect] = []
         for key, attempt in self.policy.hedging.due(now):
             progress = self.table.jobs.get(key[0])
--- a/tests/features/policy.feature
+++ b/tests/features/policy.feature
@@ -93,6 +93,10 @@
     When one task in a hundred lasts twenty times as long
     Then hedges cut the tail, stay in their budget and free their slots
 
+  Scenario: A straggler is hedged before what waits
+    When a straggler runs while many tasks wait
+    Then it is begun once more before the last of them
+
   Scenario: Only what the operators allow is started twice
     Then no task is hedged unless its kind and its job allow it
 
--- a/tests/features/steps/policy_hedging_steps.py
+++ b/tests/features/steps/policy_hedging_steps.py
@@ -12,6 +12,9 @@
 from egretcart.process.ledger import RecordState
 from egretcart.process.policy.hedging import RESERVE as HEDGE_RESERVE
 from egretcart.version.document import HedgePolicy
+from egretcart.version.document import UrgencyClass
+
+PATIENT = (UrgencyClass(name="normal", max_wait_ms=1e6),)
 
 
 @when("one task in a hundred lasts twenty times as long")
@@ -46,6 +49,32 @@
         assert not agent.running
 
 
+@when("a straggler runs while many tasks wait")
+def run_straggler_in_queue(context):
+    world = World(
+        make_agents(2, slots=2),
+        configuration=make_configuration(kinds=HEDGED, urgency=PATIENT),
+    )
+    for _ in range(20):
+        world.submit([100.0])
+    world.run(2)
+    context.fake = world.submit([5000.0])
+    world.submit([100.0] * 60)
+    world.run(15)
+    context.world = world
+
+
+@then("it is begun once more before the last of them")
+def check_straggler_in_queue(context):
+    key = context.fake.job.job_id.value
+    places = [
+        place for place, begun in enumerate(context.world.begun)
+        if begun[0] == key
+    ]  # fmt: skip
+    assert len(places) == 2, places
+    assert places[1] < len(context.world.begun) - 15, places
+
+
 @then("no task is hedged unless its kind and its job allow it")
 def check_no_hedge(context):
     for kinds, idempotent in ((HEDGED, False), ((), True)):
