Take in no job that is expected to pass its deadline in the queue

Cause: a job was taken in if its expected wait just fitted before its deadline. Jobs that arrive later and have less work pass it, so that some that were taken in passed their deadline after part of their tasks had run.

The expected wait may be at most 0.7 of the time that the deadline leaves.

Ruled out: 0.5 (refuses more at the same goodput).

--- a/egretcart/process/policy/admission.py
+++ b/egretcart/process/policy/admission.py
@@ -23,6 +23,9 @@
 # Share of the admitted wait that must have drained before a refused caller
 # is told to come back.
 DRAINED_SHARE = 0.5
+# Share of the time to its deadline, without its own work, that a job may be
+# expected to wait; jobs that arrive later may pass it.
+DEADLINE_SHARE = 0.7
 # A task counts as too long for its deadline only if this share of its
 # expected run time already is.
 UNMEETABLE_SHARE = 0.5
@@ -138,8 +141,8 @@
         rate = max(capacity.rate, MIN_RATE)
         wait_ms = self._expected_wait_ms(job, rate, capacity.slots)
         own_ms = max(longest_ms, sum(work_ms) / rate)
-        time_left_ms = time_left_s * MS_PER_S
-        limit_ms = min(urgency.max_wait_ms, time_left_ms - own_ms)
+        spare_ms = time_left_s * MS_PER_S - own_ms
+        limit_ms = min(urgency.max_wait_ms, DEADLINE_SHARE * spare_ms)
         waiting = self.order.waiting
         full = waiting + len(job.tasks) > self.service.max_waiting_tasks
         if not full and wait_ms <= max(0.0, limit_ms):
--- a/tests/features/policy.feature
+++ b/tests/features/policy.feature
@@ -37,6 +37,7 @@
     When jobs arrive at 150 % of the capacity for 20 seconds
     Then refused jobs were never placed and the cell loses no capacity
     And the times to come back are spread and honest
+    And no job that is taken in passes its deadline
 
   Scenario: Jobs that can never be accepted are told why
     Then unknown names and deadlines that no agent can meet are refused
--- a/tests/features/steps/policy_admission_steps.py
+++ b/tests/features/steps/policy_admission_steps.py
@@ -59,6 +59,17 @@
     assert all(0.1 <= j.retry_after_s <= 37.5 for j in refused)
 
 
+@then("no job that is taken in passes its deadline")
+def check_deadlines(context):
+    for seed in (1, 2, 3):
+        world = World(make_agents(), seed=seed)
+        world.load(1.5, 15, tasks=(1, 60), deadline_ms=4000.0)
+        world.run(30)
+        statuses = collections.Counter(fake.status for fake in world.jobs)
+        assert statuses[503] > 20, statuses
+        assert set(statuses) == {200, 503}, statuses
+
+
 @then("unknown names and deadlines that no agent can meet are refused")
 def check_never_accepted(context):
     world = World(make_agents(2))
