--- a/egretcart/process/attempts.py
+++ b/egretcart/process/attempts.py
@@ -249,8 +249,12 @@
         task.state = TaskState.FAILED
         earliest = now
         if verdict is Verdict.MAY_HAVE_RUN:
-            earliest = max(now, self.surely_ended(progress, key))
+            earliest = max(now, self._runs_alone_from(progress, key))
         failed = self._failed_attempt(progress, key, verdict, earliest)
+        if self._is_cut_short(progress, key, now) and failed.may_end_in_time:
+            task.tries -= 1
+            self._again(key, task, earliest)
+            return []
         if self.policy.retries.allows(failed):
             self._again(key, task, earliest)
             return []
@@ -258,6 +262,26 @@
             progress, outcomes.task_failed(progress, key[1], error)
         )
 
+    def _is_cut_short(
+        self, progress: JobProgress, key: TaskKey, now: float
+    ) -> bool:
+        """Return whether a limit below the stated one ended an attempt."""
+        task = progress.tasks[key[1]]
+        kind = progress.job.tasks[key[1]].kind
+        stated_s = self.policy.tables.attempt_limit_s(kind)
+        if not progress.job.idempotent or not 0 < task.limit_s < stated_s:
+            return False
+        return now >= task.placed_at + task.limit_s
+
+    def _runs_alone_from(self, progress: JobProgress, key: TaskKey) -> float:
+        """Return when another attempt may start.
+
+        Where two attempts may run at a time, there is nothing to wait for.
+        """
+        if self.policy.tables.may_hedge(progress.job, key[1]):
+            return float("-inf")
+        return self.surely_ended(progress, key)
+
     def surely_ended(self, progress: JobProgress, key: TaskKey) -> float:
         """Return when the newest attempt has surely reached its limit.
 
--- a/egretcart/process/recovery.py
+++ b/egretcart/process/recovery.py
@@ -289,6 +289,7 @@
         self.inquiries.disconnected(agent_id)
         self.policy.health.disconnected(agent_id, now=self.clock.monotonic())
         self.attempts.fleet.agents_changed()
+        self.attempts.starts.agent_lost(load.failure_domain, in_flight)
 
     def _ends(self, in_flight: dict[TaskKey, int]) -> dict[TaskKey, float]:
         """Return when each attempt of an agent has surely ended."""
@@ -424,6 +425,9 @@
             hedge = task.hedge
             if hedge is None or hedge.attempt != record.attempt:
                 task.state = TaskState.PLACED
+                adopted = (record.attempt, record.agent_id)
+                if (task.attempt, task.agent_id) != adopted:
+                    task.limit_s = 0.0
                 task.attempt = record.attempt
                 task.agent_id = record.agent_id
                 task.placed_at = self.clock.monotonic()
--- a/tests/features/policy.feature
+++ b/tests/features/policy.feature
@@ -37,6 +37,7 @@
     When jobs arrive at 150 % of the capacity for 20 seconds
     Then refused jobs were never placed and the cell loses no capacity
     And the times to come back are spread and honest
+    And no job that is taken in passes its deadline
 
   Scenario: Jobs that can never be accepted are told why
     Then unknown names and deadlines that no agent can meet are refused
@@ -51,6 +52,13 @@
     Then its second attempt begins in another failure domain
     And a retry waits for another agent rather than return to the same
 
+  Scenario: First attempts are limited by what their kind has taken
+    When a cell has seen many tasks of a kind that last 500 ms at most
+    Then only first attempts at idempotent tasks are limited to 4 seconds
+    And a lost attempt is made again once that limit is surely over
+    And a task that the limit cut off is made again beyond the budget
+    And an adopted attempt counts with the longest limit
+
   Scenario: A worker that fails everything is left out and brought back
     When one worker of 11 fails everything for 10 seconds
     Then every idempotent job is answered and the worker got few tasks
@@ -86,6 +94,10 @@
     When one task in a hundred lasts twenty times as long
     Then hedges cut the tail, stay in their budget and free their slots
 
+  Scenario: A straggler is hedged before what waits
+    When a straggler runs while many tasks wait
+    Then it is begun once more before the last of them
+
   Scenario: Only what the operators allow is started twice
     Then no task is hedged unless its kind and its job allow it
 
@@ -107,3 +119,10 @@
   Scenario: A lost rack costs idempotent jobs no answer
     When a rack of 3 workers is lost under load
     Then idempotent jobs are answered and no other task runs twice
+
+  Scenario: What a lost agent had is hedged at once where that is allowed
+    When a rack of 3 workers is lost under load of a kind that is hedged
+    Then no job waits until the lost attempts have reached their limits
+    And the lost attempts were begun once more, in other failure domains
+    And an agent that connects again at once is not hedged
+    And what may have run is made again at once only where that is allowed
