--- a/egretcart/process/beats.py
+++ b/egretcart/process/beats.py
@@ -34,6 +34,7 @@
         self.next_beat = float("-inf")
         self.next_distant_beat = float("-inf")
         self.leading_told: tuple[CellLeader, ...] = ()
+        self.version_told = 0
 
     def is_due(self, now: float) -> bool:
         """Return whether it is time for the next heartbeat."""
@@ -41,6 +42,8 @@
 
     def has_news(self, claimed: tuple[CellLeader, ...]) -> bool:
         """Return whether other entries have to be told of a change."""
+        if self.config_version != self.version_told:
+            return True
         return claimed != self.leading_told
 
     def tell_all(self) -> None:
@@ -58,7 +61,7 @@
         claimed: tuple[CellLeader, ...],
         cells: Iterable[Cell],
     ) -> list[EntryEffect]:
-        """Send the heartbeats that are due, or all if leadership changed.
+        """Send the heartbeats that are due, or all if there is news.
 
         Parameters
         ----------
@@ -74,7 +77,8 @@
         list of EntryEffect
         """
         limits = self.limits
-        close = self.directory.close_peers(cells)
+        led = [Cell(claim.service_name, claim.cell) for claim in claimed]
+        close = self.directory.close_peers(cells, led)
         everyone = now >= self.next_distant_beat
         everyone = everyone or self.has_news(claimed)
         near = self._beat(limits.beat_interval_s, claimed)
@@ -83,6 +87,7 @@
         if everyone:
             self.next_distant_beat = now + limits.distant_beat_interval_s
         self.leading_told = claimed
+        self.version_told = self.config_version
         return [
             SendToPeer(entry_id, near if entry_id in close else distant)
             for entry_id in self.directory.peers
--- a/egretcart/process/directory.py
+++ b/egretcart/process/directory.py
@@ -190,16 +190,22 @@
             if now < peer.last_heard + peer.timeout_s
         ]
 
-    def close_peers(self, cells: Iterable[Cell]) -> set[str]:
+    def close_peers(
+        self, cells: Iterable[Cell], led: Iterable[Cell] = ()
+    ) -> set[str]:
         """Return the peers to which this entry owes frequent heartbeats.
 
         The first candidates for a cell watch each other closely, so that
-        a leader's successor notices its death. All others need to know
-        only who leads, which is told at once when it changes.
+        a leader's successor notices its death. So does a leader that is no
+        candidate any more. All others need to know only who leads, which is
+        told at once when it changes.
 
         Parameters
         ----------
         cells : iterable of Cell
+            All configured cells.
+        led : iterable of Cell, optional
+            Those that this entry leads.
 
         Returns
         -------
@@ -208,10 +214,11 @@
         """
         entries = [self.own] + [peer.address for peer in self.peers.values()]
         close: set[str] = set()
+        led_cells = set(led)
         for cell in cells:
             ranked = rank_entries(cell, entries)[:CANDIDATES_PER_CELL]
             candidates = {entry.entry_id for entry in ranked}
-            if self.own.entry_id in candidates:
+            if self.own.entry_id in candidates or cell in led_cells:
                 close |= candidates
         close.discard(self.own.entry_id)
         return close
--- a/egretcart/process/entry_limits.py
+++ b/egretcart/process/entry_limits.py
@@ -28,7 +28,7 @@
     """
 
     beat_interval_s: float = 0.25
-    distant_beat_interval_s: float = 2.0
+    distant_beat_interval_s: float = 5.0
     peer_timeout_s: float = 0.7
     settle_s: float = 0.5
     leaderless_limit_s: float = 3.0
--- a/egretcart/process/entry_process.py
+++ b/egretcart/process/entry_process.py
@@ -61,7 +61,7 @@
 FLUSH_LIMIT_S = 1.0
 HEARTBEAT_REPLY_LIMIT_S = 3.0
 # Covers three of the longest intervals between heartbeats of entries.
-PEER_SILENCE_LIMIT_S = 7.0
+PEER_SILENCE_LIMIT_S = 16.0
 MAX_PEER_LINKS = 4096
 
 
--- /dev/null
+++ b/tools/measure_beats.py
@@ -0,0 +1,149 @@
+"""Measures what heartbeats between entries cost.
+
+Drives the real decision logic and codec without a network and prints one
+JSON document: bytes a second that one entry sends and receives.
+"""
+
+import json
+import statistics
+
+from measure_capacity import PACKET_OVERHEAD_BYTES
+
+from egretcart.connection.codec import encode_frame
+from egretcart.connection.messages import EntryAddress
+from egretcart.connection.messages import EntryBeat
+from egretcart.connection.messages import EntryList
+from egretcart.process.directory import Cell
+from egretcart.process.directory import rank_entries
+from egretcart.process.entry import Entry
+from egretcart.process.entry_effects import SendToPeer
+from egretcart.process.entry_limits import EntryLimits
+from egretcart.process.limits import LeaderLimits
+from egretcart.testing.clock import ManualClock
+from egretcart.version.document import Configuration
+from egretcart.version.document import Service
+
+SERVICE = "snapcheck"
+TICK_S = 0.05
+WARM_UP_S = 5.0
+MEASURED_S = 30.0
+
+
+class Fleet:
+    """Entries that hear each other without loss or delay.
+
+    Parameters
+    ----------
+    entries, cells : int
+
+    Attributes
+    ----------
+    silent : set of str
+        Entries that do nothing.
+    beats, bytes_sent, bytes_received : dict of str to int
+        Heartbeats sent, and bytes of heartbeats with packet headers.
+    """
+
+    def __init__(self, entries: int, cells: int) -> None:
+        self.clock = ManualClock()
+        self.silent: set[str] = set()
+        self.entries: dict[str, Entry] = {}
+        self.cells = [Cell(SERVICE, number) for number in range(cells)]
+        self.configuration = Configuration(
+            version=1, services=(Service(name=SERVICE, cells=cells),)
+        )
+        for number in range(entries):
+            entry_id = f"entry-{number}"
+            self.entries[entry_id] = Entry(
+                address=EntryAddress(entry_id=entry_id),
+                incarnation=number + 1,
+                configuration=self.configuration,
+                limits=EntryLimits(),
+                leader_limits=LeaderLimits(),
+                clock=self.clock,
+            )
+        for entry in self.entries.values():
+            for peer in self.entries.values():
+                if peer is not entry:
+                    entry.peer_connected(peer.address, peer.incarnation)
+        self.reset()
+
+    def reset(self) -> None:
+        """Count anew."""
+        self.beats = dict.fromkeys(self.entries, 0)
+        self.bytes_sent = dict.fromkeys(self.entries, 0)
+        self.bytes_received = dict.fromkeys(self.entries, 0)
+
+    def ranked(self, cell: Cell) -> list[str]:
+        """Return the entries in the order of their preference for a cell."""
+        addresses = [entry.address for entry in self.entries.values()]
+        return [entry.entry_id for entry in rank_entries(cell, addresses)]
+
+    def lead_all(self) -> None:
+        """Let the preferred entry of each cell claim it."""
+        for cell in self.cells:
+            leader = self.entries[self.ranked(cell)[0]]
+            leader.claims.take_over(cell, self.configuration)
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        for _ in range(int(seconds / TICK_S)):
+            self.clock.advance(TICK_S)
+            for entry_id, entry in self.entries.items():
+                if entry_id not in self.silent:
+                    self.deliver(entry_id, entry.tick())
+
+    def deliver(self, entry_id: str, effects: list) -> None:
+        """Carry out what an entry sends to others, and what follows."""
+        for effect in effects:
+            if not isinstance(effect, SendToPeer):
+                continue
+            if isinstance(effect.message, EntryBeat):
+                self._count(entry_id, effect.entry_id, effect.message)
+            if effect.entry_id in self.silent:
+                continue
+            if isinstance(effect.message, EntryList):
+                continue
+            receiver = self.entries[effect.entry_id]
+            answers = receiver.peer_message(entry_id, effect.message)
+            self.deliver(effect.entry_id, answers)
+
+    def _count(self, sender: str, receiver: str, beat: EntryBeat) -> None:
+        size = len(encode_frame([beat])) + PACKET_OVERHEAD_BYTES
+        self.beats[sender] += 1
+        self.bytes_sent[sender] += size
+        self.bytes_received[receiver] += size
+
+
+def measure(entries: int, cells: int) -> dict[str, float]:
+    """Return the cost of heartbeats in a fleet at rest, a second."""
+    fleet = Fleet(entries, cells)
+    fleet.lead_all()
+    fleet.run(WARM_UP_S)
+    fleet.reset()
+    fleet.run(MEASURED_S)
+    sent = [count / MEASURED_S for count in fleet.bytes_sent.values()]
+    both = [
+        (fleet.bytes_sent[name] + fleet.bytes_received[name]) / MEASURED_S
+        for name in fleet.entries
+    ]
+    return {
+        "entries": entries,
+        "cells": cells,
+        "beats_sent_mean": statistics.mean(fleet.beats.values()) / MEASURED_S,
+        "beats_sent_max": max(fleet.beats.values()) / MEASURED_S,
+        "bytes_sent_mean": statistics.mean(sent),
+        "bytes_sent_max": max(sent),
+        "bytes_both_ways_mean": statistics.mean(both),
+        "bytes_both_ways_max": max(both),
+    }
+
+
+def main() -> None:
+    """Print the costs of several fleets as JSON."""
+    fleets = [measure(3, 1), measure(30, 27), measure(45, 24)]
+    print(json.dumps(fleets, indent=2))
+
+
+if __name__ == "__main__":
+    main()
