--- a/tests/features/steps/cell_machine.py
+++ b/tests/features/steps/cell_machine.py
@@ -6,7 +6,6 @@
 
 from hypothesis import strategies as st
 from hypothesis.stateful import initialize
-from hypothesis.stateful import precondition
 from hypothesis.stateful import rule
 from hypothesis.stateful import RuleBasedStateMachine
 from simulated_world import CANCEL
@@ -16,9 +15,9 @@
 from egretcart.process.pending import READ
 
 INDEX = st.integers(0, 7)
-SKEW_S = st.sampled_from((0.0, 0.5, -0.5))
+SKEW_S = st.sampled_from((0.5, -0.5, 0.5, -0.5, 0.0))
 RATE = st.sampled_from((1.0, 1.005, 0.9951))
-AHEAD_S = st.sampled_from((0.0, 0.5, 1.0, 1.4, -0.5, -3.0))
+AHEAD_S = st.sampled_from((0.0, 0.0, 0.5, 1.4, 1.4, -0.5, -3.0))
 PLATFORM = st.sampled_from(("up", "down", "lost", "late", "slow"))
 STALL = st.sampled_from(("none", "from leader", "to leader"))
 # Which leaders reach an agent once the cell is parted.
@@ -26,6 +25,19 @@
     st.sampled_from(("both", "former", "later")), min_size=1, max_size=5
 )
 PAUSE_S = st.sampled_from((0.0, 0.3, 1.0, 2.5))
+LOSSES = st.sampled_from(("restart", "break", "cut", "cut for long"))
+FAULTS = st.sampled_from(
+    (
+        ("leader",),
+        ("leader", "agent"),
+        ("agent", "leader"),
+        ("join", "leader"),
+        ("agent",),
+        ("cancel", "leader", "leader"),
+        ("leader", "agent", "leader"),
+    )
+)
+AGAIN = st.sampled_from((SUBMIT, SUBMIT, READ, CANCEL, None))
 MAX_AGENTS = 6
 BOUNDED_TIME_S = 40.0
 
@@ -59,10 +71,6 @@
         for entry in self.world.entries.values():
             self.world.follow_store(entry)
 
-    @rule(ahead_s=AHEAD_S, idempotent=st.booleans(), reach=st.booleans())
-    def submit_everywhere(self, ahead_s, idempotent, reach):
-        self.flood(ahead_s, idempotent, reach)
-
     def flood(self, ahead_s, idempotent, reach, tasks=2):
         job = self.world.make_job(
             ahead_s=ahead_s, tasks=tasks, idempotent=idempotent
@@ -72,8 +80,23 @@
         if reach:
             self.world.run(0.1, finish=False)
 
+    def mend(self, seconds):
+        """End all faults and replace the entries that are leaving."""
+        for entry in self.world.entries.values():
+            if entry.core.directory.leaving:
+                entry.kill()
+        self.world.heal()
+        self.world.run(seconds)
+
+    def find_leader(self):
+        """Return the latest leader; mend the cell if it has none."""
+        if not self.world.leaders():
+            self.mend(4.0)
+        return (self.world.leaders() or [None])[-1]
+
     def warm_up(self):
         """Let work renew the leases, which lapse at rest."""
+        self.find_leader()
         self.flood(0.0, False, reach=True)
         self.world.run(0.1)
 
@@ -82,21 +105,6 @@
         if entries:
             self.world.request(pick(entries, entry), action, job)
 
-    @precondition(lambda self: self.world.jobs)
-    @rule(job=INDEX)
-    def submit_again_everywhere(self, job):
-        chosen = self.world.jobs[-1 - job % 2 :][0]
-        for entry in range(len(self.world.entries)):
-            self.send(entry, SUBMIT, chosen)
-
-    @precondition(lambda self: self.world.jobs)
-    @rule(action=st.sampled_from((READ, CANCEL)), seconds=st.floats(0.0, 1.0))
-    def ask_everywhere(self, action, seconds):
-        for entry in range(len(self.world.entries)):
-            self.send(entry, action, self.world.jobs[-1])
-        if seconds:
-            self.world.run(seconds)
-
     @rule(
         seconds=st.sampled_from((0.1, 0.3, 0.6, 1.3, 2.5, 4.0)),
         finish=st.booleans(),
@@ -120,12 +128,12 @@
         idempotent, seconds,
     ):  # fmt: skip
         """Part the leader from the other entries and from some agents."""
-        if not self.world.leaders():
+        leader = self.find_leader()
+        if leader is None:
             return
-        leader = self.world.leaders()[-1]
         if before:
             self.warm_up()
-        self.stall(leader, stall)
+        self.stall(leader, stall, reach)
         if before:
             self.flood(ahead_s, idempotent, reach=True)
         self.world.platform_mode = platform
@@ -136,10 +144,17 @@
         if after:
             self.flood(ahead_s, idempotent, reach=True)
 
-    def stall(self, leader, direction):
+    def stall(self, leader, direction, reach):
+        """Let frames lie between a leader and all that others reach."""
+        agents = list(self.world.agents.values())
         for connection in self.world.connections_of(leader):
+            host = connection.other(leader)
+            if host in agents and (
+                reach[agents.index(host) % len(reach)] == "former"
+            ):
+                continue
             if direction == "from leader":
-                connection.stalled.add(connection.other(leader))
+                connection.stalled.add(host)
             elif direction == "to leader":
                 connection.stalled.add(leader)
 
@@ -194,7 +209,7 @@
     @rule(
         count=st.integers(1, 2),
         leader_only=st.booleans(),
-        platform=PLATFORM,
+        platform=st.sampled_from(("up", "up", "lost", "late", "slow")),
         seconds=st.sampled_from((0.05, 0.1, 0.2, 1.0)),
     )
     def add_agents(self, count, leader_only, platform, seconds):
@@ -212,48 +227,73 @@
         world.run(seconds, step=0.05, finish=False)
 
     @rule(
+        mend=st.booleans(),
+        faults=FAULTS,
         agent=INDEX,
-        how=st.sampled_from(("restart", "restart", "cut", "cut for long")),
-        submit=st.booleans(),
+        lose_agent=LOSSES,
+        ask=st.booleans(),
+        lose_leader=st.sampled_from(("kill", "restart", "resign", "freeze")),
+        platform=st.sampled_from(("up", "up", "down", "lost", "late")),
+        ahead_s=AHEAD_S,
         seconds=PAUSE_S,
+        between=st.sampled_from((None, None, READ)),
+        others=st.integers(0, 3),
     )
-    def lose_agent(self, agent, how, submit, seconds):
+    def endanger(
+        self, mend, faults, agent, lose_agent, ask, lose_leader, platform,
+        ahead_s, seconds, between, others,
+    ):  # fmt: skip
+        """Let work meet faults in a row, and ask for it again."""
+        if mend:
+            self.mend(2.0)
+        self.warm_up()
+        self.flood(ahead_s, False, reach=True)
+        self.world.platform_mode = platform
+        for fault in faults:
+            if fault == "agent":
+                self.lose_agent(agent, lose_agent, ask, seconds)
+            elif fault == "leader":
+                self.lose_leader(lose_leader, seconds)
+            elif fault == "join":
+                self.add_agents(1, True, "up", 1.0)
+                self.warm_up()
+                self.world.platform_mode = platform
+            else:
+                self.cancel_partly()
+            self.repeat(between)
+        self.repeat(SUBMIT, others=others)
+
+    def lose_agent(self, agent, how, ask, seconds):
         """Let an agent forget what it ran, or take it out of reach."""
         world = self.world
-        target = pick(world.agents.values(), agent)
-        if submit:
-            self.warm_up()
+        last = {job.job_id.value for job in world.jobs[-2:]}
+        agents = world.agents.values()
+        holders = [a for a in agents if last & a.core.ledger.jobs.keys()]
+        target = pick(holders or agents, agent)
+        if ask:  # What it answers is lost with its connections.
+            for connection in world.connections_of(target):
+                connection.stalled.add(connection.other(target))
+            self.repeat(SUBMIT)
         if how == "restart":
             target.kill()
             target.start()
+        elif how == "break":
+            for connection in world.connections_of(target):
+                connection.break_off(kept=0)
         else:
-            world.cut_off(target, world.entries.values(), kept=1)
+            world.cut_off(target, world.entries.values(), kept=0)
+        world.release()
         if how == "cut for long":
+            world.platform_mode = "up"
             world.run(6.0)
         elif seconds:
             world.run(seconds)
 
-    @rule(
-        how=st.sampled_from(("kill", "restart", "resign", "freeze")),
-        ahead_s=AHEAD_S,
-        submit=st.booleans(),
-        platform=PLATFORM,
-        seconds=PAUSE_S,
-        others=st.integers(0, 3),
-        again=st.booleans(),
-    )
-    def lose_leader(
-        self, how, ahead_s, submit, platform, seconds, others, again
-    ):
-        """Let another entry take over, and repeat what was asked."""
-        world = self.world
-        if not world.leaders():
+    def lose_leader(self, how, seconds):
+        """Let another entry take over."""
+        leader = self.find_leader()
+        if leader is None:
             return
-        leader = world.leaders()[-1]
-        if submit:
-            self.warm_up()
-            self.flood(ahead_s, False, reach=True)
-        world.platform_mode = platform
         if how == "resign":
             leader.carry_out(leader.core.leave())
         elif how == "freeze":
@@ -263,53 +303,32 @@
         if how == "restart":
             leader.start()
         if seconds:
-            world.run(seconds, finish=False)
-        if not again:
-            return
-        repeated = world.jobs[-3:]
+            self.world.run(seconds, finish=False)
+
+    def repeat(self, action, others=0):
+        """Ask all entries for the last jobs again."""
+        repeated = self.world.jobs[-3:] if action else ()
         if others:  # These take slots, so that the rest goes elsewhere.
             self.flood(0.0, True, reach=True, tasks=others)
         for job in repeated:
-            for entry in range(len(world.entries)):
-                self.send(entry, SUBMIT, job)
-        world.run(0.3, finish=False)
-
-    @rule(action=st.sampled_from((READ, CANCEL, SUBMIT)))
-    def hide_fence(self, action):
-        """Ask a leader that can't know yet that it was fenced."""
-        world = self.world
-        if not world.leaders():
-            return
-        former = world.leaders()[-1]
-        self.stall(former, "to leader")
-        self.part(former, ["both"])
-        world.run(2.0, finish=False)
-        job = world.make_job(ahead_s=0.0, tasks=1, idempotent=False)
-        for entry in world.entries.values():
-            if entry.running and entry is not former:
-                world.request(entry, SUBMIT, job)
-        world.run(0.3, finish=False)
-        world.request(former, action, job)
-        world.run(0.1)
+            for entry in range(len(self.world.entries)):
+                self.send(entry, action, job)
+        if repeated:
+            self.world.run(0.3, finish=False)
 
-    @rule()
-    def release_stalled(self):
-        self.world.release()
+    def cancel_partly(self):
+        """Cancel a job some of whose tasks wait for a slot."""
+        self.warm_up()
+        self.flood(0.0, False, reach=False, tasks=10)
+        self.world.run(0.1, step=0.05, finish=False)
+        for entry in range(len(self.world.entries)):
+            self.send(entry, CANCEL, self.world.jobs[-1])
+        self.world.run(0.3, finish=False)
 
-    @rule(seconds=st.sampled_from((0.0, 0.3, 2.0, 5.0)))
+    @rule(seconds=st.sampled_from((0.1, 0.3, 2.0, 5.0)))
     def recover(self, seconds):
         """Mend everything, so that the next faults meet a working cell."""
-        self.world.heal()
-        if seconds:
-            self.world.run(seconds)
-
-    @rule(mode=PLATFORM)
-    def change_platform(self, mode):
-        self.world.platform_mode = mode
-
-    @rule(entry=INDEX)
-    def read_roster(self, entry):
-        self.world.follow_store(pick(self.world.entries.values(), entry))
+        self.mend(seconds)
 
     def teardown(self):
         world = getattr(self, "world", None)
--- a/tests/features/steps/safety_machine.py
+++ b/tests/features/steps/safety_machine.py
@@ -1,9 +1,11 @@
 """The cell's machine with single steps and faults in between."""
 
+from cell_machine import AGAIN
 from cell_machine import AHEAD_S
 from cell_machine import CellMachine
 from cell_machine import INDEX
 from cell_machine import pick
+from cell_machine import PLATFORM
 from hypothesis import strategies as st
 from hypothesis.stateful import precondition
 from hypothesis.stateful import rule
@@ -123,3 +125,41 @@
     def apply_late_write(self, index):
         writes = self.world.late_writes
         self.world.apply_write(writes.pop(index % len(writes)))
+
+    @rule(ahead_s=AHEAD_S, idempotent=st.booleans(), reach=st.booleans())
+    def submit_everywhere(self, ahead_s, idempotent, reach):
+        self.flood(ahead_s, idempotent, reach)
+
+    @rule(action=st.sampled_from((READ, CANCEL, SUBMIT)))
+    def hide_fence(self, action):
+        """Ask a leader that can't know yet that it was fenced."""
+        world = self.world
+        former = self.find_leader()
+        if former is None:
+            return
+        self.stall(former, "to leader", ["both"])
+        self.part(former, ["both"])
+        world.run(2.0, finish=False)
+        job = world.make_job(ahead_s=0.0, tasks=1, idempotent=False)
+        for entry in world.entries.values():
+            if entry.running and entry is not former:
+                world.request(entry, SUBMIT, job)
+        world.run(0.3, finish=False)
+        world.request(former, action, job)
+        world.run(0.1)
+
+    @rule()
+    def release_stalled(self):
+        self.world.release()
+
+    @rule(mode=PLATFORM)
+    def change_platform(self, mode):
+        self.world.platform_mode = mode
+
+    @rule(entry=INDEX)
+    def read_roster(self, entry):
+        self.world.follow_store(pick(self.world.entries.values(), entry))
+
+    @rule(action=AGAIN)
+    def repeat_last(self, action):
+        self.repeat(action)
--- a/tests/features/steps/safety_steps.py
+++ b/tests/features/steps/safety_steps.py
@@ -8,18 +8,20 @@
 
 EXAMPLES = int(os.environ.get("SAFETY_EXAMPLES", "200"))
 STEPS = int(os.environ.get("SAFETY_STEPS", "45"))
+# Each step of the second machine is a story of several faults.
 MACHINES = {
-    "single steps and faults": SafetyMachine,
-    "faults that endanger work": CellMachine,
+    "single steps and faults": (SafetyMachine, STEPS),
+    "faults that endanger work": (CellMachine, STEPS // 3),
 }
 
 
 @then("the promises hold under any mix of {rules}")
 def check_machine(context, rules):
+    machine, steps = MACHINES[rules]
     run_state_machine_as_test(
-        MACHINES[rules],
+        machine,
         settings=settings(
             max_examples=EXAMPLES // len(MACHINES),
-            stateful_step_count=STEPS,
+            stateful_step_count=steps,
         ),
     )
