--- a/tests/features/guards.feature
+++ b/tests/features/guards.feature
@@ -15,3 +15,5 @@
       | asking anew what a reconnected agent told      | leader, read, break  |
       | barrier when an agent is given up              | leader, cut for good |
       | lease check at the agent                       | delayed starts       |
+      | roster changed by one member a time            | join twice, part     |
+      | asking a returned agent about held requests    | leader, ask, break   |
--- a/tests/features/steps/guard_steps.py
+++ b/tests/features/steps/guard_steps.py
@@ -10,6 +10,7 @@
 from cell_machine import CellMachine
 
 from egretcart.connection.messages import Roster
+from egretcart.connection.messages import RosterMember
 from egretcart.process.agent import Agent
 from egretcart.process.inquiries import Inquiries
 from egretcart.process.leadership import Leadership
@@ -23,11 +24,11 @@
 def endanger(machine, agent, *, faults, ahead_s=0.0, **chosen):
     """Run the rule with what does not matter to the story left out."""
     machine.endanger(
-        mend=False, faults=faults, agent=agent, ask=False,
+        mend=False, faults=faults, agent=agent,
         lose_leader="kill", ahead_s=ahead_s,
         **{
             "lose_agent": "cut", "platform": "up", "seconds": 0.3,
-            "between": None, "others": agent, **chosen,
+            "between": None, "ask": False, "others": agent, **chosen,
         },
     )  # fmt: skip
     machine.world.run(1.0)
@@ -69,6 +70,9 @@
     "leader, cut for good": functools.partial(
         endanger, faults=("leader", "agent"), seconds=2.5
     ),
+    "leader, ask, break": functools.partial(
+        endanger, faults=("leader", "agent"), lose_agent="break", ask=True
+    ),
     "delayed starts": delay,
 }  # fmt: skip
 
@@ -120,6 +124,33 @@
     return connect
 
 
+def skip_held(connected):
+    def connect(self, agent_id, job_ids):
+        held, self.open = self.open, {}
+        effects = connected(self, agent_id, job_ids)
+        self.open = held
+        for inquiry in held.values():
+            inquiry.awaited.discard(agent_id)
+        return effects + self._resume_known(list(held))
+
+    return connect
+
+
+def join_all(write):
+    def change(self):
+        roster = write(self)
+        if roster is None:
+            return None
+        joined = tuple(
+            RosterMember(agent_id=name, incarnation=member.incarnation)
+            for name, member in self.quorum.members.items()
+            if name not in roster.agent_ids
+        )
+        return dataclasses.replace(roster, members=roster.members + joined)
+
+    return change
+
+
 def constant(value):
     return lambda _: property(lambda _: value, lambda _, __: None)
 
@@ -135,6 +166,12 @@
     "roster changed only after the last is recorded": (
         Leadership, "_change_roster", change_early,
     ),
+    "roster changed by one member a time": (
+        RosterChanges, "_roster_with_joined", join_all,
+    ),
+    "asking a returned agent about held requests": (
+        Inquiries, "connected", skip_held,
+    ),
     "id horizon": (LeaderLimits, "id_horizon_ms", constant(0)),
     "waiting for lost agents": (Inquiries, "hold", wait_for_none),
     "asking anew what a reconnected agent told": (
