Outlive a server that answers in the platform's place

Cause of POSTs without Idempotency-Key at a backend stand-in: entries go on to call their platform after a scenario has killed it, and another deployment on the same machine may be given its port. Shown on purpose: a backend stand-in at a killed platform's port recorded 2 starts without a key, and both entries ended with KeyError 'header', which a real platform's outage could cause too. Ruled out by reading: the agents, the naive version and the load generator always send the key or never POST to a backend server. Mended: an answer without the store's header is an error of the platform (the new scenario saw both entries end without this). The harness holds the ports of processes that were killed or stopped until the deployment is closed, so that no other run is given them; no check was changed. 'Not serving in 30 s' was not found; the harness now says what each process logged and reported when that happens.

--- a/egretcart/process/platform.py
+++ b/egretcart/process/platform.py
@@ -350,10 +350,21 @@
         except msgspec.DecodeError as error:
             self.guard.failed()
             raise PlatformError(f"{path}: {error}") from error
+        if not _has_header(answer):
+            self.guard.failed()
+            raise PlatformError(f"{path}: no header in {sorted(answer)}")
         self.guard.succeeded()
         return answer
 
 
+def _has_header(answer: dict[str, Any]) -> bool:
+    """Return whether an answer is the store's and not another server's."""
+    if "header" in answer:
+        return True
+    result = answer.get("result")
+    return isinstance(result, dict) and "header" in result
+
+
 def _changes(line: bytes) -> list[Change]:
     """Return the changes in one line of a watch."""
     try:
--- a/tests/features/promise_configuration.feature
+++ b/tests/features/promise_configuration.feature
@@ -21,3 +21,10 @@
     And the change was accepted once
     And the cell has 3 members
     And the backend servers saw no task start twice
+
+  Scenario: Another server listens where the platform did
+    Given a deployment of 2 entries and 1 agents
+    When the platform is killed and a backend server takes its port
+    And it was sent calls to the platform
+    Then no entry has ended
+    And every entry still serves
--- a/tests/features/steps/platform_loss_steps.py
+++ b/tests/features/steps/platform_loss_steps.py
@@ -5,6 +5,7 @@
 import pathlib
 import subprocess
 import sys
+import time
 
 from behave import then
 from behave import when
@@ -72,6 +73,34 @@
     check_answer_lost(context)
 
 
+@when("the platform is killed and a backend server takes its port")
+def replace_platform(context):
+    deployment = context.deployment
+    listen = {"host": HOST, "port": deployment.platform.ready["port"]}
+    deployment.platform.kill()
+    deployment.platform.release()
+    context.intruder = deployment.start(
+        "intruder", ["standin", "backend"], {"listen": listen}
+    )
+    assert context.intruder.ready
+
+
+@when("it was sent calls to the platform")
+def wait_for_calls(context):
+    deployment = context.deployment
+    calls = len(deployment.entries)
+    eventually(
+        lambda: len(deployment.starts_at(context.intruder)) >= calls, 20
+    )
+    time.sleep(2)
+
+
+@then("no entry has ended")
+def check_running(context):
+    ended = [e.name for e in context.deployment.entries if not e.runs]
+    assert not ended, ended
+
+
 @then("the change was accepted once")
 def check_accepted(context):
     applied = context.applied
--- a/tests/features/steps/processes.py
+++ b/tests/features/steps/processes.py
@@ -1,9 +1,11 @@
 """Deployments of separate processes, for scenarios."""
 
+import contextlib
 import functools
 import http.client
 import json
 import pathlib
+import socket
 import subprocess
 import sys
 import tempfile
@@ -25,6 +27,7 @@
         path = pathlib.Path(folder) / f"{name}.json"
         path.write_text(json.dumps(settings))
         self.name = name
+        self.held_ports = []
         self.log_path = path.with_suffix(".log")
         with self.log_path.open("w") as log:
             self.process = subprocess.Popen(
@@ -49,11 +52,32 @@
     def kill(self):
         self.process.kill()
         self.process.wait()
+        self.hold_ports()
+
+    def hold_ports(self):
+        """Keep others from the ports, which peers go on to connect to.
+
+        The sockets do not listen, so connections are refused as before.
+        """
+        if self.held_ports or "ready" not in self.__dict__:
+            return
+        for name, port in self.ready.items():
+            if name.endswith("port") and port:
+                held = socket.socket()
+                held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                with contextlib.suppress(OSError):
+                    held.bind((HOST, port))
+                self.held_ports.append(held)
+
+    def release(self):
+        while self.held_ports:
+            self.held_ports.pop().close()
 
     def wait_stopped(self, limit_s=30):
         """Return the exit code and the seconds until the end."""
         began = time.monotonic()
         code = self.process.wait(limit_s)
+        self.hold_ports()
         return code, time.monotonic() - began
 
     def signal(self, number):
@@ -223,7 +247,20 @@
                 for cell in self.status(entry)["leading"]
             )
 
-        eventually(serving)
+        try:
+            eventually(serving)
+        except AssertionError as error:
+            raise AssertionError(self.describe()) from error
+
+    def describe(self):
+        """Return what each process says, to explain a failure."""
+        lines = []
+        for process in self.processes:
+            log = process.log_path.read_text()[-2000:]
+            lines.append(f"{process.name} runs: {process.runs}\n{log}")
+        for entry in self.running_entries():
+            lines.append(f"{entry.name}: {self.status(entry)}")
+        return "\n".join(lines)
 
     def status(self, entry):
         return request(entry.ready["http_port"], "GET", "/v1/status")[2]
@@ -268,6 +305,8 @@
         for process in self.processes:
             process.kill()
             process.process.stdout.close()
+        for process in self.processes:
+            process.release()
         for relay in self.relays.values():
             relay.close()
         self.folder.cleanup()
