Split the steps of configurations and of bad input by their subject

The bytes of callers, of peers and of callers that leave are apart, with raw_http for what they share; the feature is called bad_input now, and docs/promises.md names it so. No step or scenario was changed, but for the wording of the step that opens the ports.

--- a/tests/features/doors.feature
+++ b/tests/features/bad_input.feature
@@ -1,7 +1,7 @@
 Feature: Bad input gets a clear refusal and harms no other request
 
   Scenario Outline: An entry refuses a bad request
-    Given an entry with open doors
+    Given an entry whose ports are open
     When a connection sends <input>
     Then it gets status <status> with verdict not_run
     And a good job is still answered
@@ -25,22 +25,22 @@
       | a service that is unknown   | 404    |
 
   Scenario: Whatever bytes callers send, the entry serves the next one
-    Given an entry with open doors
+    Given an entry whose ports are open
     When connections send bytes that Hypothesis makes up
     Then a good job is still answered
 
   Scenario: Whatever documents callers send, they get an answer
-    Given an entry with open doors
+    Given an entry whose ports are open
     When callers send documents that Hypothesis makes up
     Then a good job is still answered
 
   Scenario: Whatever peers send, the entry serves the next caller
-    Given an entry with open doors
+    Given an entry whose ports are open
     When peers send frames that Hypothesis makes up
     Then a good job is still answered
 
   Scenario Outline: An entry drops a peer that announces nonsense
-    Given an entry with open doors
+    Given an entry whose ports are open
     When a peer announces <nonsense>
     Then the entry closes the peer's connection
     And a good job is still answered
@@ -53,36 +53,36 @@
       | a verdict that is none    |
 
   Scenario: A kind that no header can hold harms no agent
-    Given an entry with open doors
+    Given an entry whose ports are open
     When a job's kind holds line breaks and other scripts
     Then it gets its whole answer
     And a good job is still answered
 
   Scenario: An agent of another service gets no tasks of this one
-    Given an entry with open doors
+    Given an entry whose ports are open
     When a peer announces an agent of another service
     Then a good job is still answered
     And the peer got no start
 
   Scenario: Only the link on which a peer should send is dropped for silence
-    Given an entry with open doors
+    Given an entry whose ports are open
     When another entry sends heartbeats on the link that it dialled
     Then the entry keeps its own link to it for 9 s
     When the other entry falls silent
     Then the entry closes the peer's connection
 
   Scenario: A job goes on when its caller resets the connection
-    Given an entry with open doors
+    Given an entry whose ports are open
     When a caller resets its connection while its job runs
     Then the entry holds no caller
     And the job's answer can be read later
 
   Scenario: A half-closed connection gets its answer
-    Given an entry with open doors
+    Given an entry whose ports are open
     When a caller half-closes its connection after its job
     Then it gets its whole answer
 
   Scenario: Pipelined requests are answered in order
-    Given an entry with open doors
+    Given an entry whose ports are open
     When a caller sends two jobs at once on one connection
     Then it gets both answers in order
--- a/tests/features/steps/configuration_world.py
+++ b/tests/features/steps/configuration_world.py
@@ -1,5 +1,6 @@
 """Deployments with the operators' commands, and racing changes."""
 
+from concurrent.futures import ThreadPoolExecutor
 import json
 import pathlib
 import random
@@ -108,3 +109,17 @@
     while True:
         await trio.sleep(0.01)
         standin.faults.lost_replies = int(source.random() < 0.1)
+
+
+def answer_through_every_entry(deployment, tasks=24):
+    """Submit a job through each entry at once; all must be answered."""
+    payloads = [{"payload": {"run_ms": 20, "echo": n}} for n in range(tasks)]
+    with ThreadPoolExecutor() as pool:
+        answers = list(
+            pool.map(
+                lambda entry: deployment.submit(entry, payloads),
+                deployment.entries,
+            )
+        )
+    for status, answer in answers:
+        assert status == 200, answer
