Fail a call whose answer makes no sense, instead of the process

Cause: the store's client took answers apart as bare maps. A well-formed JSON answer without the expected fields, as from a wrong proxy, raised KeyError, TypeError or AttributeError past every handler and ended the entry; so did a stored roster that is no JSON.

Now answers are typed messages (etcd_answers.py) that msgspec checks, and a wrong one is a failed attempt like any other: it counts, it opens the circuit. A stored roster that can't be read is a store without an answer.

Figures: a new scenario answers every kind of call with JSON that Hypothesis makes up.

--- a/egretcart/process/etcd_platform.py
+++ b/egretcart/process/etcd_platform.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 import random
 from typing import Any
+from typing import TypeVar
 
 import msgspec
 import trio
@@ -18,6 +19,14 @@
 from egretcart.connection.http_stream import stream_lines
 from egretcart.process.clock import Clock
 from egretcart.process.clock import SystemClock
+from egretcart.process.etcd_answers import decode_answer
+from egretcart.process.etcd_answers import GrantAnswer
+from egretcart.process.etcd_answers import Pair
+from egretcart.process.etcd_answers import RangeAnswer
+from egretcart.process.etcd_answers import RenewalAnswer
+from egretcart.process.etcd_answers import RevocationAnswer
+from egretcart.process.etcd_answers import TransactionAnswer
+from egretcart.process.etcd_answers import WatchLine
 from egretcart.process.platform import Change
 from egretcart.process.platform import KeyRange
 from egretcart.process.platform import Listing
@@ -37,6 +46,9 @@
 HTTP_TOO_MANY_REQUESTS = 429
 CLIENT_ERRORS = frozenset(range(400, 500)) - {HTTP_TOO_MANY_REQUESTS}
 MAX_CONNECTIONS = 4
+DELETION = "DELETE"
+
+A = TypeVar("A")
 
 
 def _encode(data: bytes) -> str:
@@ -50,9 +62,8 @@
     }
 
 
-def _stored(pair: dict[str, Any]) -> StoredValue:
-    data = base64.b64decode(pair.get("value", ""))
-    return StoredValue(data, int(pair["mod_revision"]))
+def _stored(pair: Pair) -> StoredValue:
+    return StoredValue(pair.value, pair.mod_revision)
 
 
 class EtcdPlatform:
@@ -95,19 +106,18 @@
     async def get(self, key: str) -> StoredValue | None:
         """Return a value, or None if the key does not exist."""
         document = {"key": _encode(key.encode())}
-        answer = await self._call(CallKind.RANGE, document)
-        for pair in answer.get("kvs", ()):
+        answer = await self._call(CallKind.RANGE, document, RangeAnswer)
+        for pair in answer.kvs:
             return _stored(pair)
         return None
 
     async def list_range(self, keys: KeyRange) -> Listing:
         """Return all values of a range of keys."""
-        answer = await self._call(CallKind.RANGE, _range_document(keys))
-        values = {
-            base64.b64decode(pair["key"]).decode(): _stored(pair)
-            for pair in answer.get("kvs", ())
-        }
-        return Listing(values, int(answer["header"]["revision"]))
+        answer = await self._call(
+            CallKind.RANGE, _range_document(keys), RangeAnswer
+        )
+        values = {pair.key_text: _stored(pair) for pair in answer.kvs}
+        return Listing(values, answer.header.revision)
 
     async def compare_and_swap(
         self, key: str, data: bytes, revision: int
@@ -148,25 +158,30 @@
         answer = await self._call(
             CallKind.TRANSACTION,
             {"compare": compares, "success": operations},
+            TransactionAnswer,
             repeatable=not revisions,
         )
-        return bool(answer.get("succeeded", False))
+        return answer.succeeded
 
     async def grant_lease(self, time_to_live_s: int) -> int:
         """Return the identifier of a new lease."""
         answer = await self._call(
-            CallKind.LEASE_GRANT, {"TTL": str(time_to_live_s)}
+            CallKind.LEASE_GRANT, {"TTL": str(time_to_live_s)}, GrantAnswer
         )
-        return int(answer["ID"])
+        return answer.lease
 
     async def keep_alive(self, lease: int) -> bool:
         """Renew a lease; return False if it has lapsed."""
-        answer = await self._call(CallKind.LEASE_RENEWAL, {"ID": str(lease)})
-        return int(answer.get("result", {}).get("TTL", 0)) > 0
+        answer = await self._call(
+            CallKind.LEASE_RENEWAL, {"ID": str(lease)}, RenewalAnswer
+        )
+        return answer.result.time_to_live_s > 0
 
     async def revoke_lease(self, lease: int) -> None:
         """End a lease and remove its keys."""
-        await self._call(CallKind.LEASE_REVOCATION, {"ID": str(lease)})
+        await self._call(
+            CallKind.LEASE_REVOCATION, {"ID": str(lease)}, RevocationAnswer
+        )
 
     async def watch(
         self,
@@ -222,8 +237,13 @@
         await trio.sleep(wait_s)
 
     async def _call(
-        self, kind: CallKind, document: Any, *, repeatable: bool = True
-    ) -> dict[str, Any]:
+        self,
+        kind: CallKind,
+        document: Any,
+        answer_kind: type[A],
+        *,
+        repeatable: bool = True,
+    ) -> A:
         """Make a call, and again if that is harmless and in the budget."""
         attempt = 0
         may_have_run = False
@@ -231,7 +251,7 @@
             attempt += 1
             try:
                 await self._admit(kind)
-                return await self._attempt(kind, document)
+                return await self._attempt(kind, document, answer_kind)
             except PlatformRefusal:
                 raise
             except PlatformError as error:
@@ -245,7 +265,9 @@
                     raise
             await trio.sleep(pause_s)
 
-    async def _attempt(self, kind: CallKind, document: Any) -> dict[str, Any]:
+    async def _attempt(
+        self, kind: CallKind, document: Any, answer_kind: type[A]
+    ) -> A:
         """Make one attempt at a call, and report how it ended."""
         began = self.clock.monotonic()
         outcome = CallOutcome.FAILED
@@ -257,7 +279,8 @@
                 time_limit_s=self.limits.call_limit_s,
             )
             outcome = outcome_of_status(response.status)
-            answer = _answer(kind, outcome, response)
+            _raise_problem(kind, outcome, response)
+            answer = decode_answer(response.body, answer_kind)
         except ExchangeError as error:
             raise PlatformError(
                 f"{kind.path}: {error}", error.verdict
@@ -294,12 +317,12 @@
     return CallOutcome.FAILED
 
 
-def _answer(
+def _raise_problem(
     kind: CallKind, outcome: CallOutcome, response: ClientResponse
-) -> dict[str, Any]:
-    """Return the document of an answer, or raise what its status says."""
+) -> None:
+    """Raise what the status of an answer says, if it is no success."""
     if outcome is CallOutcome.ANSWERED:
-        return msgspec.json.decode(response.body, type=dict[str, Any])
+        return
     if outcome is CallOutcome.REFUSED:
         reason = response.body.decode(errors="replace")
         raise PlatformRefusal(f"{kind.path}: {reason}", Verdict.NOT_RUN)
@@ -314,16 +337,15 @@
 def _changes(line: bytes) -> list[Change]:
     """Return the changes in one line of a watch."""
     try:
-        document = msgspec.json.decode(line, type=dict[str, Any])
+        decoded = decode_answer(line, WatchLine)
     except msgspec.DecodeError as error:
         raise PlatformError(f"/v3/watch: {error}") from error
-    result = document.get("result", {})
-    if "error" in document or result.get("canceled"):
-        raise PlatformError(f"/v3/watch: ended with {document!r}")
-    changes = []
-    for event in result.get("events", ()):
-        pair = event["kv"]
-        deleted = event.get("type") == "DELETE"
-        key = base64.b64decode(pair["key"]).decode()
-        changes.append(Change(key, None if deleted else _stored(pair)))
-    return changes
+    if decoded.error is not None or decoded.result.canceled:
+        raise PlatformError(f"/v3/watch: ended with {decoded!r}")
+    return [
+        Change(
+            event.kv.key_text,
+            None if event.type == DELETION else _stored(event.kv),
+        )
+        for event in decoded.result.events
+    ]
--- a/egretcart/process/platform_follower.py
+++ b/egretcart/process/platform_follower.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable
 import random
 
-import msgspec
 import trio
 
 from egretcart.connection.messages import EntryAddress
@@ -25,6 +24,7 @@
 from egretcart.process.registration import decode_address
 from egretcart.process.registration import ENTRIES_PREFIX
 from egretcart.process.rosters import cell_of_key
+from egretcart.process.rosters import decode_roster
 from egretcart.process.rosters import ROSTERS_PREFIX
 from egretcart.version.document import Configuration
 
@@ -122,8 +122,8 @@
     def _take_roster(self, key: str, data: bytes) -> None:
         cell = cell_of_key(key)
         try:
-            roster = msgspec.json.decode(data, type=Roster)
-        except msgspec.DecodeError:
+            roster = decode_roster(data)
+        except PlatformError:
             return
         if cell is not None:
             self.on_roster(cell, roster)
--- a/egretcart/process/rosters.py
+++ b/egretcart/process/rosters.py
@@ -8,6 +8,7 @@
 from egretcart.process.directory import Cell
 from egretcart.process.platform import Platform
 from egretcart.process.platform import PlatformError
+from egretcart.request.verdict import Verdict
 
 ROSTERS_PREFIX = "egretcart/rosters/"
 
@@ -25,18 +26,34 @@
     return Cell(service, int(index))
 
 
+def decode_roster(data: bytes) -> Roster:
+    """Decode a stored roster.
+
+    Raises
+    ------
+    PlatformError
+        If the store holds something else.
+    """
+    try:
+        return msgspec.json.decode(data, type=Roster)
+    except msgspec.DecodeError as error:
+        raise PlatformError(
+            f"the store holds no Roster: {error}", Verdict.NOT_RUN
+        ) from error
+
+
 async def read_roster(platform: Platform, cell: Cell) -> Roster:
     """Return the stored roster of a cell; version 0 if there is none.
 
     Raises
     ------
     PlatformError
-        If the store gave no answer.
+        If the store gave no answer, or holds no roster there.
     """
     stored = await platform.get(roster_key(cell))
     if stored is None:
         return Roster()
-    return msgspec.json.decode(stored.data, type=Roster)
+    return decode_roster(stored.data)
 
 
 async def write_roster(
@@ -61,7 +78,7 @@
     try:
         stored = await platform.get(key)
         if stored is not None:
-            current = msgspec.json.decode(stored.data, type=Roster)
+            current = decode_roster(stored.data)
             if current.version != roster.version - 1:
                 return current
         elif roster.version != 1:
--- a/tests/features/platform.feature
+++ b/tests/features/platform.feature
@@ -28,6 +28,14 @@
     Then calls to a platform that is down, slow or rate limited fail in time
     And the platform answers again after each fault
 
+  Scenario: An answer that makes no sense is an error of its call alone
+    Then any JSON in place of an answer is used or raises a platform error
+
+  Scenario: A stored roster that can't be read ends no process
+    Given a platform stand-in on loopback
+    When a roster's key holds something else
+    Then reading and writing the roster fail as a store without an answer
+
   Scenario: The stand-in's data outlives a restart
     Given a platform stand-in that keeps its data in a file
     When it is restarted after a write under a lease
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -8,13 +8,20 @@
 from behave import then
 from behave import when
 from hypothesis import given as each
+from hypothesis import settings
 from hypothesis import strategies
+import msgspec
 from platform_world import HOST
 from platform_world import running
 from platform_world import switch_faults
 import trio
 
+from egretcart.connection.http_server import HttpConnection
+from egretcart.connection.http_server import HttpLimits
+from egretcart.connection.http_server import HttpResponse
 from egretcart.connection.messages import EntryAddress
+from egretcart.connection.messages import Roster
+from egretcart.process.directory import Cell
 from egretcart.process.etcd_platform import EtcdPlatform
 from egretcart.process.platform import keys_below
 from egretcart.process.platform import PlatformError
@@ -24,6 +31,9 @@
 from egretcart.process.platform_guard import PlatformLimits
 from egretcart.process.registration import list_entries
 from egretcart.process.registration import Registrar
+from egretcart.process.rosters import read_roster
+from egretcart.process.rosters import roster_key
+from egretcart.process.rosters import write_roster
 from egretcart.request.verdict import Verdict
 from egretcart.testing.platform_store import PlatformStore
 
@@ -196,6 +206,103 @@
     assert context.recovered == [True, True, True]
 
 
+ANSWER_FIELDS = (
+    "header", "revision", "kvs", "key", "value", "mod_revision", "ID",
+    "result", "TTL", "succeeded", "events", "kv", "type", "canceled", "error",
+)  # fmt: skip
+ANSWERS = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.sampled_from(["", "0", "7", "x", "YQ==", "DELETE", "\xff"]),
+    lambda values: (
+        strategies.lists(values, max_size=2)
+        | strategies.dictionaries(
+            strategies.sampled_from(ANSWER_FIELDS),
+            values,
+            max_size=4,
+        )
+    ),
+    max_leaves=6,
+)
+
+
+@then("any JSON in place of an answer is used or raises a platform error")
+def check_senseless_answers(context):
+    async def serve(stream):
+        connection = HttpConnection(
+            stream=stream, handler=handle, limits=HttpLimits()
+        )
+        await connection.serve()
+
+    async def handle(request):
+        body = msgspec.json.encode(context.answer)
+        if request.path != "/v3/watch":
+            return HttpResponse(body=body)
+
+        async def lines():
+            yield body + b"\n"
+
+        return HttpResponse(chunks=lines())
+
+    async def call(answer):
+        context.answer = answer
+        async with trio.open_nursery() as nursery:
+            listeners = await nursery.start(trio.serve_tcp, serve, 0)
+            port = listeners[0].socket.getsockname()[1]
+            platform = EtcdPlatform(
+                host=HOST, port=port, limits=PlatformLimits(max_attempts=1)
+            )
+            for make in (
+                lambda: platform.get("k"),
+                lambda: platform.list_range(keys_below("k/")),
+                lambda: platform.transact({"k": 1}, ()),
+                lambda: platform.grant_lease(1),
+                lambda: platform.keep_alive(1),
+                lambda: platform.revoke_lease(1),
+                lambda: platform.watch(
+                    keys_below("k/"), 1, lambda change: None
+                ),
+            ):
+                platform.guard.succeeded()
+                with contextlib.suppress(PlatformError):
+                    await make()
+            nursery.cancel_scope.cancel()
+
+    @settings(max_examples=60, deadline=None)
+    @each(ANSWERS)
+    def run(answer):
+        trio.run(call, answer)
+
+    run()
+
+
+@when("a roster's key holds something else")
+def spoil_roster(context):
+    cell = Cell("snapcheck", 0)
+
+    async def run():
+        async with running() as (_, platform):
+            key = roster_key(cell)
+            assert await platform.compare_and_swap(key, b"{", 0)
+            try:
+                await read_roster(platform, cell)
+            except PlatformError as error:
+                context.read_error = str(error)
+            roster = Roster(version=2)
+            context.written = await write_roster(platform, cell, roster)
+            context.kept = await platform.get(key)
+
+    trio.run(run)
+
+
+@then("reading and writing the roster fail as a store without an answer")
+def check_spoiled_roster(context):
+    assert "holds no Roster" in context.read_error
+    assert context.written is None
+    assert context.kept.data == b"{"
+
+
 @when("it is restarted after a write under a lease")
 def restart_standin(context):
     async def write():
