--- a/egretcart/connection/messages.py
+++ b/egretcart/connection/messages.py
@@ -26,6 +26,7 @@
 
 NO_TERM = Term()
 WHOLE_JOB = -1
+UNKNOWN_MS = -1
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -124,6 +125,9 @@
     incarnation : int
     by_query : bool
         Whether the rest of the ledger has to be asked for.
+    newest_job_ms : int
+        Unix time of the newest job that the agent has ever begun; 0 if it
+        has begun none, `UNKNOWN_MS` from an earlier release.
     """
 
     term: Term = NO_TERM
@@ -133,6 +137,7 @@
     records: tuple[JobRecord, ...] = ()
     incarnation: int = 0
     by_query: bool = False
+    newest_job_ms: int = UNKNOWN_MS
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -187,6 +192,11 @@
         Duration of the exchange in microseconds.
     retained : bool
         False if the answer's body is no longer kept.
+    round : int
+        Round of the term that this confirms as a heartbeat's reply would;
+        0 for none.
+    stamp_us : int
+        The agent's monotonic clock in microseconds, with a round.
     """
 
     job_id: bytes = b""
@@ -200,6 +210,8 @@
     error: str = ""
     run_time_us: int = 0
     retained: bool = True
+    round: int = 0
+    stamp_us: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -245,7 +257,22 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Start:
-    """A leader asks an agent to start one attempt at a task."""
+    """A leader asks an agent to start one attempt at a task.
+
+    Attributes
+    ----------
+    term : Term
+    job_id, digest : bytes
+    task, attempt : int
+    kind : str
+    payload : bytes
+    idempotent : bool
+    time_left_ms : int
+    round : int
+        To be confirmed by the agent's next result; 0 asks for nothing.
+    proven_stamp_us : int
+        As in a `Heartbeat`; 0 if there is nothing new.
+    """
 
     term: Term = NO_TERM
     job_id: bytes = b""
@@ -256,6 +283,8 @@
     payload: bytes = b""
     idempotent: bool = False
     time_left_ms: int = 0
+    round: int = 0
+    proven_stamp_us: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/egretcart/connection/wire.thrift
+++ b/egretcart/connection/wire.thrift
@@ -51,6 +51,7 @@
   5: optional list<JobRecord> records
   6: optional i64 incarnation
   7: optional bool by_query
+  8: optional i64 newest_job_ms
 }
 struct LedgerReply {
   1: optional i64 number
@@ -78,6 +79,8 @@
   9: optional string error
   10: optional i64 run_time_us
   11: optional bool retained
+  12: optional i64 round
+  13: optional i64 stamp_us
 }
 
 // Entry to agent.
@@ -103,6 +106,8 @@
   7: optional binary payload
   8: optional bool idempotent
   9: optional i64 time_left_ms
+  10: optional i64 round
+  11: optional i64 proven_stamp_us
 }
 struct CancelledTask { 1: optional binary job_id, 2: optional i32 task }
 struct CancelTasks {
--- a/egretcart/process/leadership.py
+++ b/egretcart/process/leadership.py
@@ -216,6 +216,9 @@
             return []
         if isinstance(message, TaskResult):
             effects = self.book.task_result(agent_id, message)
+            effects += self.leases.confirmed_by_result(
+                agent_id, message, self.clock.monotonic()
+            )
         elif isinstance(message, HeartbeatReply):
             effects = self._heartbeat_reply(agent_id, message)
         elif isinstance(message, FenceReply):
@@ -239,8 +242,7 @@
             effects += self._change_roster(now)
         if self.phase is Phase.ENDED:
             return effects
-        if self.leases.is_round_due(now, has_work=self._has_work()):
-            effects += self.leases.open_round(now)
+        effects += self._tick_rounds(now)
         return self._hold(effects + self._place())
 
     def resign(self, reason: str) -> list[LeaderEffect]:
@@ -268,6 +270,7 @@
             now=now,
         )
         self.roster_changes.absent_since.pop(agent_id, None)
+        self.takeover.newest_job_ms[agent_id] = reply.newest_job_ms
         load = self._new_load(agent_id)
         effects = self.book.agent_fenced(
             load, reply.records, by_query=reply.by_query
@@ -304,10 +307,10 @@
         step = self.takeover.next_step(now)
         if step is TakeoverStep.BOOTSTRAP:
             return self._write_first_roster()
-        if step is TakeoverStep.GIVE_UP:
-            return self._end(
-                self.term, "no majority of the roster", retry=True
-            )
+        if step is TakeoverStep.RENEW:
+            return self._write_renewed_roster()
+        if step in (TakeoverStep.GIVE_UP, TakeoverStep.FORGOTTEN):
+            return self._end(self.term, step.value, retry=True)
         if step is TakeoverStep.WAIT:
             self.phase = Phase.WAITING
         if step is TakeoverStep.SERVE:
@@ -326,6 +329,15 @@
         self.roster_write_pending = True
         return [WriteRoster(Roster(version=1, members=members))]
 
+    def _write_renewed_roster(self) -> list[LeaderEffect]:
+        """Let the store show that no newer roster was forgotten."""
+        roster = self.roster_changes.renewed_roster()
+        if roster is None or self.roster_write_pending:
+            return []
+        self.takeover.has_renewed = True
+        self.roster_write_pending = True
+        return [WriteRoster(roster)]
+
     def _serve(self, now: float) -> list[LeaderEffect]:
         self.phase = Phase.SERVING
         self.book.recovery.serve(
@@ -364,6 +376,25 @@
             effects += self.book.recovery.agent_leaves(agent_id)
         return effects + self.leases.pass_on(now)
 
+    def _tick_rounds(self, now: float) -> list[LeaderEffect]:
+        """Open the round that is due, or send on what did not ride."""
+        leases = self.leases
+        if leases.is_round_due(now, has_work=self._has_work()):
+            if self._may_ride():
+                return leases.open_riding_round(now)
+            return leases.open_round(now)
+        return leases.tick(now)
+
+    def _may_ride(self) -> bool:
+        """Return whether nothing waits for the next round but leases."""
+        return (
+            bool(self.book.jobs)
+            and not self.held.waiting
+            and self.phase is Phase.SERVING
+            and self.quorum.is_complete()
+            and self.quorum.is_roster_recorded()
+        )
+
     def _has_work(self) -> bool:
         """Return whether the leases are needed, or a change is under way."""
         return (
@@ -397,7 +428,8 @@
         if not self.book.has_waiting:
             return []
         now = self.clock.monotonic()
-        effects = self.book.place(self.leases.usable(now) - self.barred)
+        usable = self.leases.usable(now) - self.barred
+        effects = self.leases.load(self.book.place(usable))
         if self.book.has_waiting:
             effects += self.leases.renew(now)
         return effects
--- a/egretcart/process/starts.py
+++ b/egretcart/process/starts.py
@@ -1,6 +1,9 @@
 """Starts of waiting tasks, and of stragglers a second time."""
 
+from collections import deque
+from collections.abc import Mapping
 from collections.abc import Set
+import dataclasses
 import heapq
 
 from egretcart.connection.messages import Start
@@ -11,19 +14,34 @@
 from egretcart.process.job_table import JobTable
 from egretcart.process.policy.bundle import Policy
 from egretcart.process.policy.placement import Demand
+from egretcart.process.policy.retries import FailedAttempt
 from egretcart.process.scheduler import TaskKey
 from egretcart.request.progress import HedgeAttempt
 from egretcart.request.progress import JobProgress
 from egretcart.request.progress import TaskProgress
 from egretcart.request.progress import TaskState
+from egretcart.request.verdict import Verdict
 
 MS_PER_S = 1000
 # Pause of a task that may not go to the agents that are free.
 SET_ASIDE_S = 0.02
+# The first attempt at an idempotent task may take this multiple of the longest
+# run time of its kind, and at least some seconds.
+LIMIT_FACTOR = 8.0
+MIN_LIMIT_S = 2.0
 # Jobs that are searched for tasks that lose nothing on a slow agent.
 SEARCHED_JOBS = 8
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LostAttempt:
+    """An attempt at an agent whose connection was lost."""
+
+    key: TaskKey
+    attempt: int
+    failure_domain: str
+
+
 class Starts:
     """Sends tasks to agents once they may start.
 
@@ -38,6 +56,8 @@
     ----------
     delayed : list of (float, TaskKey)
         Heap of tasks that may start at a monotonic time.
+    lost : deque of LostAttempt
+        Attempts that are to be hedged before anything else starts.
     """
 
     def __init__(
@@ -53,6 +73,7 @@
         self.fleet = fleet
         self.clock = clock
         self.delayed: list[tuple[float, TaskKey]] = []
+        self.lost: deque[LostAttempt] = deque()
 
     def queue(self, key: TaskKey, task: TaskProgress) -> None:
         """Let a task start once its pause has passed."""
@@ -75,7 +96,7 @@
     @property
     def has_due(self) -> bool:
         """Whether any task may start now."""
-        if self.policy.order.waiting:
+        if self.policy.order.waiting or self.lost:
             return True
         return self.policy.hedging.has_due(self.clock.monotonic())
 
@@ -96,7 +117,7 @@
         placement = self.policy.placement
         self.fleet.survey(now)
         placement.open_batch(self.fleet.candidates(usable), now=now)
-        effects: list[LeaderEffect] = []
+        effects = self._hedge_lost(now) + self._hedge(now)
         while (key := order.peek()) is not None:
             progress = self.table.jobs[key[0]]
             task = progress.tasks[key[1]]
@@ -117,10 +138,8 @@
             order.take()
             effects.append(self._place_task(progress, key, agent_id, now))
             placement.placed(agent_id)
-        if order.waiting:
+        if order.waiting and placement.has_room:
             effects += self._place_last(now)
-        else:
-            effects += self._hedge(now)
         return effects
 
     def _demand(
@@ -173,7 +192,6 @@
         task.placed_at = now
         start = self._start(progress, key, agent_id, now)
         task.limit_s = start.time_left_ms / MS_PER_S
-        kind = self.policy.tables.find_kind(start.kind)
         definition = progress.job.tasks[key[1]]
         expected_ms = self.policy.run_times.task_ms(
             definition.kind, definition.run_time_ms
@@ -183,7 +201,7 @@
             expected_ms * self.policy.placement.slowness(agent_id) / MS_PER_S
         )
         progress.ends_at = max(progress.ends_at, now + run_s)
-        if kind.hedge and progress.job.idempotent:
+        if self.policy.tables.may_hedge(progress.job, key[1]):
             slowness = self.policy.run_times.slowness(agent_id)
             self.policy.hedging.watch(
                 key, attempt, expected_ms=expected_ms * slowness, now=now
@@ -200,7 +218,7 @@
         self.table.loads[agent_id].in_flight[key] = task.issued
         definition = job.tasks[key[1]]
         time_left_s = min(
-            self.policy.tables.attempt_limit_s(definition.kind),
+            self._attempt_limit_s(progress, key, agent_id),
             progress.deadline - now,
         )
         return Start(
@@ -215,8 +233,112 @@
             time_left_ms=int(time_left_s * MS_PER_S),
         )
 
+    def _attempt_limit_s(
+        self, progress: JobProgress, key: TaskKey, agent_id: str
+    ) -> float:
+        """Return the time limit of a new attempt, in seconds.
+
+        The sooner the first attempt at an idempotent task has surely ended,
+        the sooner it can be made again if its agent is lost. All others have
+        the limit that the operators state.
+        """
+        kind = progress.job.tasks[key[1]].kind
+        stated_s = self.policy.tables.attempt_limit_s(kind)
+        longest_ms = self.policy.run_times.longest_ms(kind)
+        is_first = progress.tasks[key[1]].issued == 1
+        if longest_ms is None or not is_first or not progress.job.idempotent:
+            return stated_s
+        slowness = max(1.0, self.policy.run_times.slowness(agent_id))
+        ample_s = LIMIT_FACTOR * longest_ms * slowness / MS_PER_S
+        return min(stated_s, max(MIN_LIMIT_S, ample_s))
+
+    def agent_lost(
+        self, failure_domain: str, in_flight: Mapping[TaskKey, int]
+    ) -> None:
+        """Let the attempts of a lost agent be hedged where that is allowed.
+
+        Parameters
+        ----------
+        failure_domain : str
+            Where the agent was.
+        in_flight : mapping of TaskKey to int
+            The attempts that it had.
+        """
+        for key, attempt in in_flight.items():
+            progress = self.table.jobs.get(key[0])
+            if progress is None:
+                continue
+            if self.policy.tables.may_hedge(progress.job, key[1]):
+                self.lost.append(
+                    LostAttempt(
+                        key=key,
+                        attempt=attempt,
+                        failure_domain=failure_domain,
+                    )
+                )
+
+    def _hedge_lost(self, now: float) -> list[LeaderEffect]:
+        """Start elsewhere what lost agents had, in the retries' budget."""
+        effects: list[LeaderEffect] = []
+        while self.lost:
+            lost = self.lost[0]
+            progress = self.table.jobs.get(lost.key[0])
+            if progress is not None and self._may_hedge(progress, lost):
+                agent_id = self._agent_beyond(progress, lost, now)
+                if agent_id is None:
+                    break
+                if self._allows_hedge(progress, lost.key, now):
+                    effects.append(
+                        self._send_hedge(progress, lost.key, agent_id, now)
+                    )
+            self.lost.popleft()
+        return effects
+
+    def _may_hedge(self, progress: JobProgress, lost: LostAttempt) -> bool:
+        """Return whether a task has but one attempt and that is lost."""
+        task = progress.tasks[lost.key[1]]
+        if task.state is not TaskState.PLACED or task.hedge is not None:
+            return False
+        if task.agent_id in self.table.loads:
+            return False
+        return task.attempt == lost.attempt
+
+    def _agent_beyond(
+        self, progress: JobProgress, lost: LostAttempt, now: float
+    ) -> str | None:
+        """Return an agent outside the failure domain of a lost one."""
+        near = {
+            load.agent_id
+            for load in self.table.loads.values()
+            if load.failure_domain == lost.failure_domain
+        }
+        if len(near) == len(self.table.loads):
+            near = set()
+        demand = self._demand(progress, lost.key, 0.0, now)
+        return self.policy.placement.choose(demand, exclude=near)
+
+    def _allows_hedge(
+        self, progress: JobProgress, key: TaskKey, now: float
+    ) -> bool:
+        definition = progress.job.tasks[key[1]]
+        expected_ms = self.policy.run_times.task_ms(
+            definition.kind, definition.run_time_ms
+        )
+        slowness = self.fleet.capacity.least_slowness
+        return self.policy.retries.allows(
+            FailedAttempt(
+                verdict=Verdict.MAY_HAVE_RUN,
+                idempotent=progress.job.idempotent,
+                attempts=progress.tasks[key[1]].tries + 1,
+                ran_on=0,
+                earliest=now,
+                expected_s=expected_ms * slowness / MS_PER_S,
+                deadline=progress.deadline,
+            )
+        )
+
     def _hedge(self, now: float) -> list[LeaderEffect]:
-        """Start stragglers a second time while slots are idle."""
+        """Start stragglers a second time, before anything that waits."""
         effects: list[LeaderEffect] = []
         for key, attempt in self.policy.hedging.due(now):
             progress = self.table.jobs.get(key[0])
@@ -252,6 +374,12 @@
             return []
         if not self.policy.hedging.spend():
             return []
+        return [self._send_hedge(progress, key, agent_id, now)]
+
+    def _send_hedge(
+        self, progress: JobProgress, key: TaskKey, agent_id: str, now: float
+    ) -> LeaderEffect:
+        task = progress.tasks[key[1]]
         start = self._start(progress, key, agent_id, now)
         task.hedge = HedgeAttempt(
             attempt=start.attempt,
@@ -260,7 +388,7 @@
             limit_s=start.time_left_ms / MS_PER_S,
         )
         self.policy.placement.placed(agent_id)
-        return [SendToAgent(agent_id, start)]
+        return SendToAgent(agent_id, start)
 
 
 def _is_due(task: TaskProgress, now: float) -> bool:
--- a/tests/features/codec.feature
+++ b/tests/features/codec.feature
@@ -25,5 +25,6 @@
       | CancelledTask | task        | -1             |
       | EntryAddress  | weight      | 1              |
       | EntryBeat     | interval_ms | 250            |
+      | FenceReply    | newest_job_ms | -1           |
       | TaskResult    | retained    | true           |
       | TaskResult    | verdict     | "may_have_run" |
--- a/tests/features/steps/release_before.py
+++ b/tests/features/steps/release_before.py
@@ -11,7 +11,9 @@
 
 FIELDS_OF_THIS_RELEASE = {
     "Fence": ("by_query",),
-    "FenceReply": ("by_query",),
+    "FenceReply": ("by_query", "newest_job_ms"),
+    "TaskResult": ("round", "stamp_us"),
+    "Start": ("round", "proven_stamp_us"),
     "Message": ("ledger_query", "ledger_reply"),
 }
 
