Split what the ledgers tell from following the agents

Merging records into the leader's jobs, and settling attempts that are over, is adoption.py now; recovery.py follows the agents as they promise the term, leave and come back. No behaviour changes: inquiries, late_resubmission, restarted_agent, memory, embedding, lease_grants, guards and stale_roster pass.

--- /dev/null
+++ b/egretcart/process/adoption.py
@@ -0,0 +1,213 @@
+"""Merges what the agents' ledgers tell into the leader's jobs."""
+
+from collections.abc import Iterable
+import dataclasses
+
+from egretcart.connection.messages import FetchJob
+from egretcart.connection.messages import JobRecord
+from egretcart.process.attempts import Attempts
+from egretcart.process.clock import Clock
+from egretcart.process.effects import LeaderEffect
+from egretcart.process.effects import SendToAgent
+from egretcart.process.job_table import JobTable
+from egretcart.process.known_jobs import KnownJob
+from egretcart.process.known_jobs import KnownJobs
+from egretcart.process.known_jobs import KnownTask
+from egretcart.process.ledger import RecordState
+from egretcart.process.policy.bundle import Policy
+from egretcart.process.scheduler import AgentLoad
+from egretcart.process.scheduler import TaskKey
+from egretcart.request.progress import JobProgress
+from egretcart.request.progress import TaskProgress
+from egretcart.request.progress import TaskState
+from egretcart.request.verdict import Verdict
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LostAgent:
+    """An agent whose connection was lost, with the tasks that it had.
+
+    Attributes
+    ----------
+    incarnation : int
+    lost_at : float
+        Monotonic time.
+    in_flight : dict of TaskKey to int
+        Attempt of each task.
+    ends : dict of TaskKey to float
+        Monotonic time at which each attempt has surely ended.
+    """
+
+    incarnation: int
+    lost_at: float
+    in_flight: dict[TaskKey, int]
+    ends: dict[TaskKey, float]
+
+
+class Adoption:
+    """Adopts attempts of former terms, or settles those that are over.
+
+    Parameters
+    ----------
+    table : JobTable
+    attempts : Attempts
+    policy : Policy
+    clock : Clock
+
+    Attributes
+    ----------
+    known : KnownJobs
+        What the ledgers have told.
+    foreign : set of tuple of str and bytes
+        Agents that have started another body under a job's id.
+    lost : dict of str to LostAgent
+        Agents that may still reconnect.
+    """
+
+    def __init__(
+        self,
+        *,
+        table: JobTable,
+        attempts: Attempts,
+        policy: Policy,
+        clock: Clock,
+    ) -> None:
+        self.term = table.term
+        self.jobs = table.jobs
+        self.loads = table.loads
+        self.attempts = attempts
+        self.policy = policy
+        self.clock = clock
+        self.known = KnownJobs()
+        self.foreign: set[tuple[str, bytes]] = set()
+        self.lost: dict[str, LostAgent] = {}
+
+    def take_in(
+        self,
+        load: AgentLoad,
+        records: Iterable[JobRecord],
+        recorded: set[TaskKey],
+    ) -> list[LeaderEffect]:
+        """Merge an agent's records and note the tasks that they name.
+
+        Parameters
+        ----------
+        load : AgentLoad
+            The agent; what it runs is counted there.
+        records : iterable of JobRecord
+        recorded : set of TaskKey
+            Grows by the tasks named.
+
+        Returns
+        -------
+        list of LeaderEffect
+        """
+        effects: list[LeaderEffect] = []
+        for record in records:
+            known = self.known.add(load.agent_id, load.incarnation, record)
+            if known.digest != record.digest:
+                self.foreign.add((load.agent_id, record.job_id))
+            for task in record.tasks:
+                key = (record.job_id, task.index)
+                recorded.add(key)
+                if task.state == RecordState.BEGUN:
+                    load.in_flight[key] = task.attempt
+            progress = self.jobs.get(record.job_id)
+            if progress is None:
+                continue
+            if progress.job.digest != record.digest:
+                self.foreign.add((load.agent_id, record.job_id))
+            elif known.digest == record.digest:
+                effects += self.merge(progress, known)
+        return effects
+
+    def merge(
+        self, progress: JobProgress, known: KnownJob
+    ) -> list[LeaderEffect]:
+        """Adopt attempts that a former leader has started."""
+        key = progress.job.job_id.value
+        fetch_from: set[str] = set()
+        effects: list[LeaderEffect] = []
+        for index, record in known.tasks.items():
+            if index >= len(progress.tasks):
+                continue
+            task = progress.tasks[index]
+            if task.state not in (TaskState.WAITING, TaskState.PLACED):
+                continue
+            if not _supersedes(record, task):
+                continue
+            if task.verdict is Verdict.NOT_RUN:
+                task.verdict = Verdict.MAY_HAVE_RUN
+            self.policy.order.started((key, index))
+            hedge = task.hedge
+            if hedge is None or hedge.attempt != record.attempt:
+                task.state = TaskState.PLACED
+                adopted = (record.attempt, record.agent_id)
+                if (task.attempt, task.agent_id) != adopted:
+                    task.limit_s = 0.0
+                task.attempt = record.attempt
+                task.agent_id = record.agent_id
+                task.placed_at = self.clock.monotonic()
+            effects += self._adopt((key, index), record, fetch_from)
+            if key not in self.jobs:
+                return effects
+        for agent_id in sorted(fetch_from):
+            fetch = FetchJob(term=self.term, job_id=key)
+            effects.append(SendToAgent(agent_id, fetch))
+        return effects
+
+    def _adopt(
+        self, key: TaskKey, record: KnownTask, fetch_from: set[str]
+    ) -> list[LeaderEffect]:
+        load = self.loads.get(record.agent_id)
+        if load is None:
+            lost = self.lost.get(record.agent_id)
+            if lost is None or lost.incarnation != record.incarnation:
+                return self.lost_attempt(key, record.attempt)
+            lost.in_flight[key] = record.attempt
+            return []
+        if load.incarnation != record.incarnation:
+            return self.lost_attempt(key, record.attempt)
+        fetch_from.add(record.agent_id)
+        load.in_flight[key] = record.attempt
+        return []
+
+    def not_begun(self, key: TaskKey, attempt: int) -> None:
+        """Queue a task again whose attempt provably did not begin."""
+        progress = self.jobs.get(key[0])
+        if progress is None:
+            return
+        task = progress.tasks[key[1]]
+        if self.attempts.attempt_gone(task, attempt):
+            return
+        if task.state is TaskState.PLACED and task.attempt == attempt:
+            task.state = TaskState.WAITING
+            self.attempts.starts.queue(key, task)
+
+    def lost_attempt(self, key: TaskKey, attempt: int) -> list[LeaderEffect]:
+        """Handle an attempt of which nothing more will be heard."""
+        progress = self.jobs.get(key[0])
+        if progress is None:
+            return []
+        task = progress.tasks[key[1]]
+        if self.attempts.attempt_gone(task, attempt):
+            return []
+        if task.state is not TaskState.PLACED or task.attempt != attempt:
+            return []
+        return self.attempts.attempt_failed(
+            progress, key, Verdict.MAY_HAVE_RUN, "its agent was lost"
+        )
+
+
+def _supersedes(record: KnownTask, task: TaskProgress) -> bool:
+    """Return whether a record tells more of a task than the leader knows."""
+    if record.state is RecordState.SUCCEEDED:
+        return True
+    if record.attempt < task.attempt:
+        return False
+    if task.state is TaskState.WAITING:
+        return True
+    hedge = task.hedge
+    if hedge is not None and hedge.attempt == record.attempt:
+        return True
+    return task.agent_id == record.agent_id
--- a/egretcart/process/jobs.py
+++ b/egretcart/process/jobs.py
@@ -224,7 +224,7 @@
         self.attempts.add_job(progress)
         effects: list[LeaderEffect] = []
         if known is not None:
-            effects += self.recovery.merge(progress, known)
+            effects += self.recovery.adoption.merge(progress, known)
         if key in self.jobs:
             for index, task in enumerate(progress.tasks):
                 if task.state is TaskState.WAITING:
@@ -293,7 +293,7 @@
         load = self.loads.get(agent_id)
         if load is None:
             return []
-        if (agent_id, result.job_id) in self.recovery.foreign:
+        if (agent_id, result.job_id) in self.recovery.adoption.foreign:
             load.in_flight.pop((result.job_id, result.task), None)
             return []
         self.known.settle(agent_id, load.incarnation, result)
