--- a/egretcart/version/document.py
+++ b/egretcart/version/document.py
@@ -67,8 +67,9 @@
     attempt_limit_ms : float
         Time limit of one attempt.
     hedge : bool
-        Whether a straggler may be started a second time elsewhere, if its
-        job is idempotent.
+        Whether two attempts at a task may run at a time, if its job is
+        idempotent: a straggler is started elsewhere as well, and what a lost
+        agent had is started again at once.
     """
 
     name: Name
