--- a/egretcart/process/cli.py
+++ b/egretcart/process/cli.py
@@ -171,10 +171,7 @@
         clock=SystemClock(),
         log=log_to_stderr(),
     )
-    async with trio.open_nursery() as nursery:
-        await nursery.start(process.run)
-        nursery.start_soon(stop_on_signal, process, nursery.cancel_scope)
-        await process.announce()
+    await _run_process(process)
 
 
 async def _run_agent(settings: AgentSettings) -> None:
@@ -184,6 +181,11 @@
         clock=SystemClock(),
         log=log_to_stderr(),
     )
+    await _run_process(process)
+
+
+async def _run_process(process: EntryProcess | AgentProcess) -> None:
+    """Run until the planned stop is over."""
     async with trio.open_nursery() as nursery:
         await nursery.start(process.run)
         nursery.start_soon(stop_on_signal, process, nursery.cancel_scope)
