Widen all verdicts of a job before one of its records ends it

Cause: a leader that adopts what ledgers tell of a job went task by task. If the first known task was at a lost incarnation, a job that is not idempotent failed there and then, and the tasks not yet looked at were answered as not run, though their records said that they had ended. The fault is older than asking by job; there the barrier hides it.

Now everything that a ledger names counts as maybe run before the first record is adopted.

--- a/egretcart/process/adoption.py
+++ b/egretcart/process/adoption.py
@@ -128,6 +128,7 @@
         key = progress.job.job_id.value
         fetch_from: set[str] = set()
         effects: list[LeaderEffect] = []
+        _widen_verdicts(progress, known)
         for index, record in known.tasks.items():
             if index >= len(progress.tasks):
                 continue
@@ -136,8 +137,6 @@
                 continue
             if not _supersedes(record, task):
                 continue
-            if task.verdict is Verdict.NOT_RUN:
-                task.verdict = Verdict.MAY_HAVE_RUN
             self.policy.order.started((key, index))
             hedge = task.hedge
             if hedge is None or hedge.attempt != record.attempt:
@@ -199,6 +198,16 @@
         )
 
 
+def _widen_verdicts(progress: JobProgress, known: KnownJob) -> None:
+    """Count what was begun as maybe run, before any record ends the job."""
+    for index in known.tasks:
+        if index >= len(progress.tasks):
+            continue
+        task = progress.tasks[index]
+        if task.verdict is Verdict.NOT_RUN:
+            task.verdict = Verdict.MAY_HAVE_RUN
+
+
 def _supersedes(record: KnownTask, task: TaskProgress) -> bool:
     """Return whether a record tells more of a task than the leader knows."""
     if record.state is RecordState.SUCCEEDED:
--- a/tests/features/inquiries.feature
+++ b/tests/features/inquiries.feature
@@ -140,3 +140,10 @@
       | tells it        | present | 11  | one   |
       | tells it        | former  | 0   | one   |
       | doesn't tell it | present | 0   | one   |
+
+  Scenario: A record that ends a job hides no other record
+    Given a new leader of 2 agents
+    When each agent tells its whole ledger, with one task of an older job
+    And one agent is restarted
+    And that job is submitted again
+    Then no task of it is said not to have run
--- a/tests/features/steps/inquiry_steps.py
+++ b/tests/features/steps/inquiry_steps.py
@@ -457,3 +457,41 @@
     assert not sent(context, Start)
     ((_, document),) = replies(context)
     assert document["verdict"] == "may_have_run"
+
+
+def record_of(context, index):
+    state = RecordState.SUCCEEDED.value
+    task = TaskRecord(index=index, attempt=1, state=state)
+    job = context.job
+    return JobRecord(job_id=job.job_id.value, digest=job.digest, tasks=(task,))
+
+
+@when("each agent tells its whole ledger, with one task of an older job")
+def tell_whole(context):
+    context.job = parse_job(
+        job_id=job_id_at(context.horizon_ms - 1, 8),
+        service="snapcheck",
+        body=b'{"tasks": [{"payload": 1}, {"payload": 2}]}',
+        max_tasks=2,
+    ).unwrap()
+    for index, agent_id in enumerate(AGENTS):
+        ledger = [record_of(context, index)]
+        context.book.agent_fenced(load(agent_id), ledger)
+
+
+@when("one agent is restarted")
+def restart_one(context):
+    context.book.agent_lost("a")
+    context.book.agent_fenced(load("a", 2), [])
+
+
+@when("that job is submitted again")
+def submit_two(context):
+    note(context, context.book.submit(TOKEN, context.job))
+
+
+@then("no task of it is said not to have run")
+def check_none_not_run(context):
+    ((_, document),) = replies(context)
+    assert document["verdict"] == "may_have_run"
+    assert "not_run" not in document["tasks"], document
