Mend what a second reading found

Who has told its whole ledger stood in a set beside the queue that it is about; it is a field of the queue now, and ends with it. A task's expected run time was worked out in four places of starts.py. Each result was copied to learn its size.

--- a/egretcart/process/inquiries.py
+++ b/egretcart/process/inquiries.py
@@ -56,12 +56,15 @@
         Job ids in the order in which they came.
     wants_all : bool
         Whether the next query is for all jobs of former terms.
+    has_told_all : bool
+        Whether nothing more need be asked for a request's sake.
     open_query : LedgerQuery or None
         The query whose reply is awaited.
     """
 
     unsent: dict[bytes, None]
     wants_all: bool = False
+    has_told_all: bool = False
     open_query: LedgerQuery | None = None
 
 
@@ -83,8 +86,6 @@
         Jobs of which every connected agent has told what it knows.
     queues : dict of str to QueryQueue
         Connected agents that answer queries.
-    told : set of str
-        Agents that need not be asked about further jobs.
     """
 
     def __init__(self, *, term: Term) -> None:
@@ -93,7 +94,6 @@
         self.open: dict[bytes, Inquiry] = {}
         self.learnt: set[bytes] = set()
         self.queues: dict[str, QueryQueue] = {}
-        self.told: set[str] = set()
         # Never reused, so that no late reply matches a newer query.
         self.numbers = itertools.count(1)
 
@@ -123,11 +123,12 @@
         key = job_id.value
         inquiry = self.open.get(key)
         if inquiry is None:
-            asked = self.queues.keys() - self.told
-            inquiry = Inquiry(awaited={*asked, *lost}, requests=[])
+            inquiry = Inquiry(awaited=set(lost), requests=[])
             self.open[key] = inquiry
-            for agent_id in asked:
-                self.queues[agent_id].unsent[key] = None
+            for agent_id, queue in self.queues.items():
+                if not queue.has_told_all:
+                    inquiry.awaited.add(agent_id)
+                    queue.unsent[key] = None
         inquiry.requests.append(request)
         return self._resume_known([key]) + self.send()
 
@@ -147,7 +148,6 @@
         list of LeaderEffect
         """
         self.learnt.clear()
-        self.told.discard(agent_id)
         unsent = dict.fromkeys([*job_ids, *self.open])
         self.queues[agent_id] = QueryQueue(unsent=unsent)
         for inquiry in self.open.values():
@@ -168,7 +168,9 @@
 
     def told_all(self, agent_id: str) -> list[LeaderEffect]:
         """Handle an agent that has told all, or that is given up."""
-        self.told.add(agent_id)
+        queue = self.queues.get(agent_id)
+        if queue is not None:
+            queue.has_told_all = True
         return self._heard(agent_id, list(self.open))
 
     def match(self, agent_id: str, number: int) -> LedgerQuery | None:
--- a/egretcart/process/starts.py
+++ b/egretcart/process/starts.py
@@ -145,15 +145,19 @@
     def _demand(
         self, progress: JobProgress, key: TaskKey, ahead_ms: float, now: float
     ) -> Demand:
-        definition = progress.job.tasks[key[1]]
         return Demand(
-            run_ms=self.policy.run_times.task_ms(
-                definition.kind, definition.run_time_ms
-            ),
+            run_ms=self._expected_ms(progress, key),
             ahead_ms=ahead_ms,
             job_ends_ms=(progress.ends_at - now) * MS_PER_S,
         )
 
+    def _expected_ms(self, progress: JobProgress, key: TaskKey) -> float:
+        """Return a task's expected run time on an average agent."""
+        definition = progress.job.tasks[key[1]]
+        return self.policy.run_times.task_ms(
+            definition.kind, definition.run_time_ms
+        )
+
     def _place_last(self, now: float) -> list[LeaderEffect]:
         """Send tasks to slow agents that end there with their job."""
         effects: list[LeaderEffect] = []
@@ -192,10 +196,7 @@
         task.placed_at = now
         start = self._start(progress, key, agent_id, now)
         task.limit_s = start.time_left_ms / MS_PER_S
-        definition = progress.job.tasks[key[1]]
-        expected_ms = self.policy.run_times.task_ms(
-            definition.kind, definition.run_time_ms
-        )
+        expected_ms = self._expected_ms(progress, key)
         self.fleet.task_started(expected_ms)
         run_s = (
             expected_ms * self.policy.placement.slowness(agent_id) / MS_PER_S
@@ -320,10 +321,7 @@
     def _allows_hedge(
         self, progress: JobProgress, key: TaskKey, now: float
     ) -> bool:
-        definition = progress.job.tasks[key[1]]
-        expected_ms = self.policy.run_times.task_ms(
-            definition.kind, definition.run_time_ms
-        )
+        expected_ms = self._expected_ms(progress, key)
         slowness = self.fleet.capacity.least_slowness
         return self.policy.retries.allows(
             FailedAttempt(
@@ -355,10 +353,7 @@
         self, progress: JobProgress, key: TaskKey, now: float
     ) -> list[LeaderEffect]:
         task = progress.tasks[key[1]]
-        definition = progress.job.tasks[key[1]]
-        expected_ms = self.policy.run_times.task_ms(
-            definition.kind, definition.run_time_ms
-        )
+        expected_ms = self._expected_ms(progress, key)
         if now + expected_ms / MS_PER_S > progress.deadline:
             return []
         used = (task.agent_id or "",)
--- a/egretcart/request/progress.py
+++ b/egretcart/request/progress.py
@@ -127,7 +127,7 @@
         task.verdict = Verdict.RAN
         task.result = result
         task.hedge = None
-        self.result_bytes += len(bytes(result))
+        self.result_bytes += memoryview(result).nbytes
         self.open_tasks -= 1
 
     @property
