--- a/tests/features/inquiries.feature
+++ b/tests/features/inquiries.feature
@@ -147,3 +147,10 @@
     And one agent is restarted
     And that job is submitted again
     Then no task of it is said not to have run
+
+  Scenario: What comes while a query is open is asked once it is answered
+    Given a new leader of 2 agents
+    When a job older than the term is read
+    And another one is read before the agents have told
+    And each agent tells nothing
+    Then each agent is asked about the other one
--- a/tests/features/steps/inquiry_steps.py
+++ b/tests/features/steps/inquiry_steps.py
@@ -495,3 +495,23 @@
     ((_, document),) = replies(context)
     assert document["verdict"] == "may_have_run"
     assert "not_run" not in document["tasks"], document
+
+
+@when("another one is read before the agents have told")
+def read_another(context):
+    context.first = dict(context.queries)
+    context.other_id = job_id_at(context.horizon_ms - 1, 9)
+    note(context, context.book.read(TOKEN, context.other_id))
+    assert context.queries == context.first
+
+
+@when("each agent tells nothing")
+def tell_both_nothing(context):
+    for agent_id, query in context.first.items():
+        tell(context, agent_id, query=query)
+
+
+@then("each agent is asked about the other one")
+def check_other_asked(context):
+    for agent_id in AGENTS:
+        assert context.queries[agent_id].job_ids == (context.other_id.value,)
