Split framing and links from the messages that they carry

Cause: a second protocol between processes needs the same frames and links, and a process that runs one part loaded the whole product (0.65 s of processor time and 35 MB for a link alone). Ruled out: a second codec and link. The public namespace imports each name when it is first used. Tests of codec, embedding, metrics and connection bounds pass; nothing else was run.

--- a/egretcart/__init__.py
+++ b/egretcart/__init__.py
@@ -3,38 +3,47 @@
 The names below are the library: decision logic that is free of I/O. Pass
 in messages, times and ended exchanges; carry out the effects that come
 back. docs/embedding.md shows how.
+
+Each name is imported when it is first used, so that a process loads only
+the parts that it runs.
 """
 
+import importlib
+from typing import Any
+from typing import TYPE_CHECKING
+
 import egretcart.bootstrap  # noqa: F401
-from egretcart.connection.messages import EntryAddress
-from egretcart.connection.messages import Term
-from egretcart.process.agent import Agent
-from egretcart.process.agent_types import AbortExchange
-from egretcart.process.agent_types import AgentIdentity
-from egretcart.process.agent_types import AgentLimits
-from egretcart.process.agent_types import BeginExchange
-from egretcart.process.agent_types import ExchangeOutcome
-from egretcart.process.agent_types import SendToEntry
-from egretcart.process.clock import Clock
-from egretcart.process.clock import SystemClock
-from egretcart.process.effects import SendToAgent
-from egretcart.process.entry import Entry
-from egretcart.process.entry_effects import ReplyToCaller
-from egretcart.process.entry_effects import SendToPeer
-from egretcart.process.entry_effects import WriteCellRoster
-from egretcart.process.entry_limits import EntryLimits
-from egretcart.process.leadership import Leadership
-from egretcart.process.ledger import Ledger
-from egretcart.process.limits import LeaderLimits
-from egretcart.process.quorum import Quorum
-from egretcart.request.identity import JobId
-from egretcart.request.identity import new_job_id
-from egretcart.request.reply import Reply
-from egretcart.request.verdict import Verdict
-from egretcart.version.document import Configuration
-from egretcart.version.document import Service
 from egretcart.version.release import RELEASE
 
+if TYPE_CHECKING:
+    from egretcart.connection.messages import EntryAddress
+    from egretcart.connection.messages import Term
+    from egretcart.process.agent import Agent
+    from egretcart.process.agent_types import AbortExchange
+    from egretcart.process.agent_types import AgentIdentity
+    from egretcart.process.agent_types import AgentLimits
+    from egretcart.process.agent_types import BeginExchange
+    from egretcart.process.agent_types import ExchangeOutcome
+    from egretcart.process.agent_types import SendToEntry
+    from egretcart.process.clock import Clock
+    from egretcart.process.clock import SystemClock
+    from egretcart.process.effects import SendToAgent
+    from egretcart.process.entry import Entry
+    from egretcart.process.entry_effects import ReplyToCaller
+    from egretcart.process.entry_effects import SendToPeer
+    from egretcart.process.entry_effects import WriteCellRoster
+    from egretcart.process.entry_limits import EntryLimits
+    from egretcart.process.leadership import Leadership
+    from egretcart.process.ledger import Ledger
+    from egretcart.process.limits import LeaderLimits
+    from egretcart.process.quorum import Quorum
+    from egretcart.request.identity import JobId
+    from egretcart.request.identity import new_job_id
+    from egretcart.request.reply import Reply
+    from egretcart.request.verdict import Verdict
+    from egretcart.version.document import Configuration
+    from egretcart.version.document import Service
+
 __version__ = RELEASE
 
 __all__ = [
@@ -66,3 +75,47 @@
     "WriteCellRoster",
     "new_job_id",
 ]
+
+_MODULES = {
+    "EntryAddress": "egretcart.connection.messages",
+    "Term": "egretcart.connection.messages",
+    "Agent": "egretcart.process.agent",
+    "AbortExchange": "egretcart.process.agent_types",
+    "AgentIdentity": "egretcart.process.agent_types",
+    "AgentLimits": "egretcart.process.agent_types",
+    "BeginExchange": "egretcart.process.agent_types",
+    "ExchangeOutcome": "egretcart.process.agent_types",
+    "SendToEntry": "egretcart.process.agent_types",
+    "Clock": "egretcart.process.clock",
+    "SystemClock": "egretcart.process.clock",
+    "SendToAgent": "egretcart.process.effects",
+    "Entry": "egretcart.process.entry",
+    "ReplyToCaller": "egretcart.process.entry_effects",
+    "SendToPeer": "egretcart.process.entry_effects",
+    "WriteCellRoster": "egretcart.process.entry_effects",
+    "EntryLimits": "egretcart.process.entry_limits",
+    "Leadership": "egretcart.process.leadership",
+    "Ledger": "egretcart.process.ledger",
+    "LeaderLimits": "egretcart.process.limits",
+    "Quorum": "egretcart.process.quorum",
+    "JobId": "egretcart.request.identity",
+    "new_job_id": "egretcart.request.identity",
+    "Reply": "egretcart.request.reply",
+    "Verdict": "egretcart.request.verdict",
+    "Configuration": "egretcart.version.document",
+    "Service": "egretcart.version.document",
+}
+
+
+def __getattr__(name: str) -> Any:
+    """Import a public name when it is first used."""
+    if name not in _MODULES:
+        raise AttributeError(f"module {__name__!r} has no name {name!r}")
+    value = getattr(importlib.import_module(_MODULES[name]), name)
+    globals()[name] = value
+    return value
+
+
+def __dir__() -> list[str]:
+    """Return the names of the module, those not yet imported included."""
+    return sorted({*globals(), *__all__})
--- /dev/null
+++ b/egretcart/connection/frames.py
@@ -0,0 +1,265 @@
+"""Framing and Thrift mapping of messages between processes."""
+
+from collections.abc import Iterable
+import dataclasses
+import pathlib
+import re
+import typing
+from typing import Any
+
+import thriftpy2
+from thriftpy2.protocol import TCyBinaryProtocol
+from thriftpy2.transport import TCyMemoryBuffer
+import xxhash
+
+LENGTH_BYTES = 4
+CHECKSUM_BYTES = 8
+HEADER_BYTES = LENGTH_BYTES + CHECKSUM_BYTES
+MAX_FRAME_BYTES = 64 * 1024 * 1024
+
+
+class FrameError(ValueError):
+    """A peer sent bytes that are no frame."""
+
+
+def load_idl(path: pathlib.Path, *, module_name: str) -> Any:
+    """Return the structs of an IDL file.
+
+    Parameters
+    ----------
+    path : pathlib.Path
+    module_name : str
+        Name of the module that holds them; ends in ``_thrift``.
+    """
+    with path.open() as idl:
+        return thriftpy2.load_fp(idl, module_name=module_name)
+
+
+def _field_name(message_type: type) -> str:
+    words = re.findall("[A-Z][a-z]*", message_type.__name__)
+    return "_".join(words).lower()
+
+
+def _nested_type(annotation: Any) -> tuple[type | None, bool]:
+    """Return the message class inside an annotation, and if it repeats."""
+    for argument in typing.get_args(annotation):
+        nested, _ = _nested_type(argument)
+        if nested is not None:
+            return nested, typing.get_origin(annotation) is tuple
+    if dataclasses.is_dataclass(annotation):
+        return typing.cast(type, annotation), False
+    return None, False
+
+
+class _StructMapper:
+    """Maps one message class to its Thrift struct and back.
+
+    A field at its default is left out: whoever reads fills the default in.
+    """
+
+    def __init__(self, message_type: type, structs: Any) -> None:
+        self.message_type = message_type
+        self.struct = getattr(structs, message_type.__name__)
+        hints = typing.get_type_hints(message_type)
+        defaults = message_type()
+        # Names of fields, with their defaults where these vary.
+        self.plain: list[tuple[str, Any]] = []
+        self.text: list[tuple[str, str]] = []
+        self.sequences: list[str] = []
+        self.nested: list[tuple[str, Any, _StructMapper, bool]] = []
+        for field in dataclasses.fields(message_type):
+            default = getattr(defaults, field.name)
+            nested, repeats = _nested_type(hints[field.name])
+            if nested is not None:
+                mapper = _StructMapper(nested, structs)
+                self.nested.append((field.name, default, mapper, repeats))
+            elif hints[field.name] is str:
+                self.text.append((field.name, default))
+            elif typing.get_origin(hints[field.name]) is tuple:
+                self.sequences.append(field.name)
+            else:
+                self.plain.append((field.name, default))
+
+    def to_struct(self, message: Any) -> Any:
+        struct = self.struct()
+        for name, default in self.plain:
+            value = getattr(message, name)
+            if value != default:
+                setattr(struct, name, value)
+        for name, default in self.text:
+            value = getattr(message, name)
+            if value != default:
+                setattr(struct, name, value.encode())
+        for name in self.sequences:
+            value = getattr(message, name)
+            if value:
+                setattr(struct, name, list(value))
+        for name, default, mapper, repeats in self.nested:
+            value = getattr(message, name)
+            if value == default:
+                continue
+            if repeats:
+                setattr(struct, name, [mapper.to_struct(v) for v in value])
+            else:
+                setattr(struct, name, mapper.to_struct(value))
+        return struct
+
+    def from_struct(self, struct: Any) -> Any:
+        values: dict[str, Any] = {}
+        for name, _ in self.plain:
+            value = getattr(struct, name)
+            if value is not None:
+                values[name] = value
+        for name in self.sequences:
+            value = getattr(struct, name)
+            if value is not None:
+                values[name] = tuple(value)
+        for name, _ in self.text:
+            value = getattr(struct, name)
+            if value is not None:
+                values[name] = value.decode()
+        for name, _, mapper, repeats in self.nested:
+            value = getattr(struct, name)
+            if value is None:
+                continue
+            if repeats:
+                values[name] = tuple(mapper.from_struct(v) for v in value)
+            else:
+                values[name] = mapper.from_struct(value)
+        return self.message_type(**values)
+
+
+class FrameCodec:
+    """Encodes and decodes the messages of one protocol.
+
+    Parameters
+    ----------
+    structs : module
+        The protocol's Thrift structs; ``Message`` has one field a message
+        class, ``Frame`` lists messages.
+    message_types : tuple of type
+        Frozen data classes, each named like its struct.
+    """
+
+    def __init__(
+        self, *, structs: Any, message_types: tuple[type, ...]
+    ) -> None:
+        self.structs = structs
+        self.mappers = {
+            message_type: (
+                _field_name(message_type),
+                _StructMapper(message_type, structs),
+            )
+            for message_type in message_types
+        }
+        self.mappers_by_field = dict(self.mappers.values())
+
+    def encode(self, batch: Iterable[Any]) -> bytes:
+        """Return one frame that holds a batch of messages in order.
+
+        Parameters
+        ----------
+        batch : iterable of messages
+
+        Returns
+        -------
+        bytes
+            Length, checksum and Thrift binary data.
+        """
+        envelopes = []
+        for message in batch:
+            field, mapper = self.mappers[type(message)]
+            envelope = self.structs.Message()
+            setattr(envelope, field, mapper.to_struct(message))
+            envelopes.append(envelope)
+        transport = TCyMemoryBuffer()
+        protocol = TCyBinaryProtocol(transport)
+        protocol.write_struct(self.structs.Frame(messages=envelopes))
+        data = transport.getvalue()
+        length = len(data).to_bytes(LENGTH_BYTES, "big")
+        return length + xxhash.xxh3_64_digest(data) + data
+
+    def decode(self, data: bytes) -> list[Any]:
+        """Return the messages of one frame's data.
+
+        Parameters
+        ----------
+        data : bytes
+            Thrift binary data, without length and checksum.
+
+        Returns
+        -------
+        list of messages
+            Messages of kinds unknown to this release are left out.
+
+        Raises
+        ------
+        FrameError
+            If the data is not a frame.
+        """
+        try:
+            protocol = TCyBinaryProtocol(
+                TCyMemoryBuffer(data), decode_response=False
+            )
+            frame = protocol.read_struct(self.structs.Frame())
+            return list(self._messages_of(frame))
+        except Exception as error:
+            raise FrameError(
+                f"{len(data)} bytes are not a frame: {error!r}"
+            ) from error
+
+    def _messages_of(self, frame: Any) -> Iterable[Any]:
+        for envelope in frame.messages or ():
+            for field, mapper in self.mappers_by_field.items():
+                struct = getattr(envelope, field)
+                if struct is not None:
+                    yield mapper.from_struct(struct)
+                    break
+
+
+class FrameSplitter:
+    """Splits a byte stream into frames.
+
+    Parameters
+    ----------
+    codec : FrameCodec
+    max_frame_bytes : int
+        A longer frame is refused before its data is kept.
+    """
+
+    def __init__(
+        self, *, codec: FrameCodec, max_frame_bytes: int = MAX_FRAME_BYTES
+    ) -> None:
+        self.codec = codec
+        self.max_frame_bytes = max_frame_bytes
+        self.buffer = bytearray()
+
+    def feed(self, data: bytes) -> list[Any]:
+        """Add received bytes and return the messages now complete.
+
+        Raises
+        ------
+        FrameError
+            If the stream does not follow the framing.
+        """
+        self.buffer += data
+        received: list[Any] = []
+        while len(self.buffer) >= HEADER_BYTES:
+            length = int.from_bytes(self.buffer[:LENGTH_BYTES], "big")
+            if length > self.max_frame_bytes:
+                raise FrameError(
+                    f"a frame of {length} bytes was announced; at most "
+                    f"{self.max_frame_bytes} are accepted"
+                )
+            end = HEADER_BYTES + length
+            if len(self.buffer) < end:
+                break
+            checksum = bytes(self.buffer[LENGTH_BYTES:HEADER_BYTES])
+            data_part = bytes(self.buffer[HEADER_BYTES:end])
+            del self.buffer[:end]
+            if xxhash.xxh3_64_digest(data_part) != checksum:
+                raise FrameError(
+                    f"a frame of {length} bytes has a wrong checksum"
+                )
+            received += self.codec.decode(data_part)
+        return received
--- a/egretcart/load/counters.py
+++ b/egretcart/load/counters.py
@@ -6,9 +6,9 @@
 from prometheus_client.parser import text_string_to_metric_families
 import trio
 
+from egretcart.connection.control_types import CONTROL_TYPES
 from egretcart.connection.http_client import ExchangeError
 from egretcart.connection.http_client import HttpClient
-from egretcart.connection.traffic import CONTROL_TYPES
 from egretcart.process.settings import Address
 
 READ_LIMIT_S = 5.0
--- a/tests/features/steps/connection_bounds_steps.py
+++ b/tests/features/steps/connection_bounds_steps.py
@@ -11,8 +11,8 @@
 from egretcart.connection.http_server import HttpLimits
 from egretcart.connection.http_server import HttpResponse
 from egretcart.connection.link import Link
-from egretcart.connection.link import MAX_WAITING_BYTES
 from egretcart.connection.messages import Forward
+from egretcart.connection.peer_link import MAX_WAITING_BYTES
 from egretcart.process.agent_process import HTTP_LIMITS
 from egretcart.process.planned_stop import poll_until
 
