--- a/egretcart/connection/dialler.py
+++ b/egretcart/connection/dialler.py
@@ -7,6 +7,9 @@
 import trio
 
 REDIAL_S = 0.1
+# A host behind a partition does not answer; the system would try for minutes
+# and at ever longer intervals.
+CONNECT_LIMIT_S = 1.0
 # An address that has not answered for so long is dialled no more, unless it
 # is a seed or someone names it again.
 FORGET_S = 30.0
@@ -57,8 +60,9 @@
         heard_at = trio.current_time()
         while True:
             try:
-                stream = await trio.open_tcp_stream(*endpoint)
-            except OSError:
+                with trio.fail_after(CONNECT_LIMIT_S):
+                    stream = await trio.open_tcp_stream(*endpoint)
+            except (OSError, trio.TooSlowError):
                 gone_s = trio.current_time() - heard_at
                 if gone_s > FORGET_S and endpoint not in self.seeds:
                     self.targets.discard(endpoint)
--- a/egretcart/connection/frames.py
+++ b/egretcart/connection/frames.py
@@ -66,6 +66,7 @@
         self.plain: list[tuple[str, Any]] = []
         self.text: list[tuple[str, str]] = []
         self.sequences: list[str] = []
+        self.text_sequences: list[str] = []
         self.nested: list[tuple[str, Any, _StructMapper, bool]] = []
         for field in dataclasses.fields(message_type):
             default = getattr(defaults, field.name)
@@ -76,7 +77,10 @@
             elif hints[field.name] is str:
                 self.text.append((field.name, default))
             elif typing.get_origin(hints[field.name]) is tuple:
-                self.sequences.append(field.name)
+                is_text = typing.get_args(hints[field.name])[0] is str
+                (self.text_sequences if is_text else self.sequences).append(
+                    field.name
+                )
             else:
                 self.plain.append((field.name, default))
 
@@ -94,6 +98,10 @@
             value = getattr(message, name)
             if value:
                 setattr(struct, name, list(value))
+        for name in self.text_sequences:
+            value = getattr(message, name)
+            if value:
+                setattr(struct, name, [text.encode() for text in value])
         for name, default, mapper, repeats in self.nested:
             value = getattr(message, name)
             if value == default:
@@ -114,6 +122,10 @@
             value = getattr(struct, name)
             if value is not None:
                 values[name] = tuple(value)
+        for name in self.text_sequences:
+            value = getattr(struct, name)
+            if value is not None:
+                values[name] = tuple(text.decode() for text in value)
         for name, _ in self.text:
             value = getattr(struct, name)
             if value is not None:
--- a/egretcart/connection/http_client.py
+++ b/egretcart/connection/http_client.py
@@ -28,11 +28,16 @@
     ----------
     verdict : Verdict
         `NOT_RUN` if no byte of the request was sent.
+    refused : bool
+        Whether nobody listens at the server's address.
     """
 
-    def __init__(self, reason: str, verdict: Verdict) -> None:
+    def __init__(
+        self, reason: str, verdict: Verdict, *, refused: bool = False
+    ) -> None:
         super().__init__(reason)
         self.verdict = verdict
+        self.refused = refused
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -145,7 +150,12 @@
         try:
             return await trio.open_tcp_stream(self.host, self.port)
         except OSError as error:
-            raise ExchangeError(str(error), Verdict.NOT_RUN) from error
+            cause = error.__cause__ or error
+            raise ExchangeError(
+                str(error),
+                Verdict.NOT_RUN,
+                refused=isinstance(cause, ConnectionRefusedError),
+            ) from error
 
     def _check(
         self, stream: trio.SocketStream, refusal: Callable[[], str | None]
--- a/egretcart/connection/http_server.py
+++ b/egretcart/connection/http_server.py
@@ -39,6 +39,10 @@
         Time in which the other side must read a response.
     max_connections : int
         Connections served at a time; more are refused.
+    max_header_bytes : int
+    allows_half_close : bool
+        Whether a caller that has closed its side may still wait for its
+        response; if not, its request is cancelled.
     """
 
     max_body_bytes: int = 16 * 1024 * 1024
@@ -46,6 +50,8 @@
     idle_timeout_s: float = 120.0
     send_timeout_s: float = 30.0
     max_connections: int = 4096
+    max_header_bytes: int = MAX_HEADER_BYTES
+    allows_half_close: bool = True
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -129,7 +135,7 @@
         self.receive_scope = trio.CancelScope()
         self.protocol = h11.Connection(
             our_role=h11.SERVER,
-            max_incomplete_event_size=MAX_HEADER_BYTES,
+            max_incomplete_event_size=limits.max_header_bytes,
         )
 
     async def serve(self) -> None:
@@ -213,7 +219,7 @@
         """Keep pipelined data and cancel if the connection breaks.
 
         An end of the caller's data alone may be a half-closed connection
-        that still waits for its response.
+        that still waits for its response, if the limits allow that.
         """
         kept = len(self.protocol.trailing_data[0])
         while kept < MAX_HEADER_BYTES:
@@ -225,6 +231,8 @@
             self.protocol.receive_data(bytes(data))
             kept += len(data)
             if not data:
+                if not self.limits.allows_half_close:
+                    scope.cancel()
                 return
 
     async def _has_first_byte(self) -> bool:
--- /dev/null
+++ b/egretcart/direct/admission.py
@@ -0,0 +1,115 @@
+"""Whether a job can still be served. Free of I/O.
+
+Answers the load of more work than the fleet can do for seconds: a job that
+would only be answered when its answer is worth nothing any more is refused
+at once, as not run, with an honest time to come back. It never refuses
+while there is room for the job.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+import math
+
+from egretcart.direct.job import Step
+from egretcart.direct.views import AgentView
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class AdmissionLimits:
+    """When a job is refused.
+
+    Attributes
+    ----------
+    late_factor : float
+        Multiple of the latency objective up to which an answer is still of
+        use to its caller.
+    min_retry_s, max_retry_s : float
+        Bounds of the time to come back, in seconds.
+    """
+
+    late_factor: float = 3.0
+    min_retry_s: float = 1.0
+    max_retry_s: float = 10.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Load:
+    """What an entry sees of the fleet's load for one step.
+
+    Attributes
+    ----------
+    capacity_milli : float
+        Processor room of the agents that may run it.
+    has_room : bool
+        Whether one of them has room now.
+    waiting_milli_ms : float
+        Work that goes before it, at agents and entries, in thousandths of
+        a processor times milliseconds.
+    fastest_ms : float
+        Expected run time on the fastest agent.
+    """
+
+    capacity_milli: float
+    has_room: bool
+    waiting_milli_ms: float
+    fastest_ms: float
+
+    @property
+    def wait_ms(self) -> float:
+        """Expected time until a task may start."""
+        if self.has_room:
+            return 0.0
+        if self.capacity_milli <= 0:
+            return math.inf
+        return self.waiting_milli_ms / self.capacity_milli
+
+
+def load_of(
+    step: Step,
+    views: Iterable[AgentView],
+    *,
+    waiting_milli_ms: float,
+    far_factor: float,
+) -> Load:
+    """Return the load that a step meets.
+
+    Parameters
+    ----------
+    step : Step
+    views : iterable of AgentView
+    waiting_milli_ms : float
+        Work that waits at the entries and goes first.
+    far_factor : float
+        How much longer a task takes on another rack than its data's.
+    """
+    usable = [view for view in views if view.may_run(step)]
+    room = max(1, step.room.cpu_milli)
+    return Load(
+        capacity_milli=sum(view.status.cpu_milli for view in usable),
+        has_room=any(view.free.holds(step.room) for view in usable),
+        waiting_milli_ms=waiting_milli_ms
+        + sum(view.status.queued_ms * room for view in usable),
+        fastest_ms=min(
+            (view.run_ms(step, far_factor) for view in usable),
+            default=step.estimate_ms,
+        ),
+    )
+
+
+def retry_after_s(
+    load: Load, objective_ms: float, limits: AdmissionLimits
+) -> float | None:
+    """Return when to come back; None if the job can be served in time.
+
+    Parameters
+    ----------
+    load : Load
+    objective_ms : float
+        The job's latency objective, in milliseconds.
+    limits : AdmissionLimits
+    """
+    limit_ms = limits.late_factor * objective_ms
+    over_ms = load.wait_ms + load.fastest_ms - limit_ms
+    if load.has_room or over_ms <= 0:
+        return None
+    return min(limits.max_retry_s, max(limits.min_retry_s, over_ms / 1000))
--- /dev/null
+++ b/egretcart/direct/agent.py
@@ -0,0 +1,933 @@
+"""The agent: arbiter of the room of one backend server. Free of I/O."""
+
+import dataclasses
+import enum
+
+from egretcart.direct.backend import BackendReport
+from egretcart.direct.backend import HoldRequest
+from egretcart.direct.backend import Lifetime
+from egretcart.direct.backend import Listing
+from egretcart.direct.backend import StartAnswer
+from egretcart.direct.backend import StartRequest
+from egretcart.direct.backend import StopRequest
+from egretcart.direct.decisions import BackendChanged
+from egretcart.direct.decisions import DecisionLog
+from egretcart.direct.decisions import PeerChanged
+from egretcart.direct.decisions import ProcessChanged
+from egretcart.direct.decisions import RunEnded
+from egretcart.direct.decisions import RunStarted
+from egretcart.direct.decisions import RunUnanswered
+from egretcart.direct.health import BackendHealth
+from egretcart.direct.health import HealthLimits
+from egretcart.direct.job import Ending
+from egretcart.direct.job import NO_ROOM
+from egretcart.direct.job import Room
+from egretcart.direct.job import TaskKey
+from egretcart.direct.lease import BackendLease
+from egretcart.direct.lease import LeaseLimits
+from egretcart.direct.messages import AgentStatus
+from egretcart.direct.messages import EntryMessage
+from egretcart.direct.messages import EvictJob
+from egretcart.direct.messages import HeldTask
+from egretcart.direct.messages import HeldTasks
+from egretcart.direct.messages import JobEvicted
+from egretcart.direct.messages import Message
+from egretcart.direct.messages import RunTasks
+from egretcart.direct.messages import StopTasks
+from egretcart.direct.messages import TaskEnded
+from egretcart.direct.messages import TaskLate
+from egretcart.direct.progress import Pace
+from egretcart.direct.progress import ProgressLimits
+from egretcart.direct.progress import RunProgress
+
+STALE_RUN_REASON = "stale_run"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class DirectAgentLimits:
+    """Times and bounds of an agent.
+
+    Attributes
+    ----------
+    beat_s : float
+        Longest time between two statuses to an entry, in seconds.
+    status_gap_s : float
+        Shortest time between two, but for the entry whose run has ended.
+    silence_s : float
+        Silence of an entry after which its runs are stopped, in seconds:
+        three beats.
+    pause_s : float
+        Gap between two ticks from which the process counts as paused;
+        entries may have given its runs up meanwhile.
+    queue_s : float
+        Time for which a task may wait for room here, in seconds.
+    answer_s : float
+        Silence of the backend server from which nothing is started.
+    retry_s : float
+        Time after which an unanswered order to stop is repeated.
+    start_limit_s, stop_limit_s : float
+        Time limits of the orders, in seconds.
+    """
+
+    beat_s: float = 0.15
+    status_gap_s: float = 0.02
+    silence_s: float = 0.5
+    pause_s: float = 0.4
+    queue_s: float = 0.25
+    answer_s: float = 0.4
+    retry_s: float = 0.15
+    start_limit_s: float = 0.25
+    stop_limit_s: float = 0.25
+    lease: LeaseLimits = dataclasses.field(default_factory=LeaseLimits)
+    health: HealthLimits = dataclasses.field(default_factory=HealthLimits)
+    progress: ProgressLimits = dataclasses.field(
+        default_factory=ProgressLimits
+    )
+
+
+class RunPhase(enum.Enum):
+    """How far a run has come; all but `QUEUED` take room.
+
+    `UNCERTAIN` runs were ordered and the order brought no answer.
+    """
+
+    QUEUED = "queued"
+    STARTING = "starting"
+    UNCERTAIN = "uncertain"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Run:
+    """One run of a task at this agent."""
+
+    key: TaskKey
+    run: int
+    entry_id: str
+    payload: str
+    room: Room
+    estimate_ms: float
+    priority: int
+    due: float
+    max_per_agent: int
+    received: float
+    progress: RunProgress
+    phase: RunPhase = RunPhase.QUEUED
+    reason: str = ""
+    start_deadline_ms: int = 0
+    start_open: bool = False
+    answered_at: float = 0.0
+    stop_sent_at: float = 0.0
+    stop_answered_at: float = 0.0
+    told_late_at: float = 0.0
+
+    def order(self, now: float) -> tuple[bool, int, float]:
+        """Return what sorts the queue: those that can be on time first."""
+        return (self.due < now, self.priority, self.due)
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class EntryState:
+    """What the agent knows of an entry."""
+
+    incarnation: int
+    heard_at: float
+    connected: bool = True
+    sequence: int = 0
+    told_at: float = 0.0
+    outdated: bool = False
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Eviction:
+    """An entry waits until no run of a job by others is left."""
+
+    entry_id: str
+    number: int
+    job_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendToEntry:
+    """Effect: send a message on the entry's link."""
+
+    entry_id: str
+    message: Message
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrderStart:
+    """Effect: order a run at the backend server."""
+
+    request: StartRequest
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrderStop:
+    """Effect: order the end of a run."""
+
+    request: StopRequest
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CloseEntry:
+    """Effect: close the entry's link; it may connect again."""
+
+    entry_id: str
+
+
+AgentEffect = SendToEntry | OrderStart | OrderStop | CloseEntry
+
+
+class DirectAgent:
+    """Runs tasks of all entries within the room of one backend server.
+
+    Parameters
+    ----------
+    agent_id : str
+    incarnation : int
+    failure_domain : str
+    limits : DirectAgentLimits
+    log : DecisionLog
+
+    Attributes
+    ----------
+    report : BackendReport or None
+        The newest of the current lifetime; None while no server is known.
+    runs : dict of TaskKey to Run
+    strays : dict of TaskKey to int
+        Runs that the server lists and nobody here has ordered.
+    ready : bool
+        Whether what an earlier incarnation left running is gone.
+    """
+
+    def __init__(
+        self,
+        *,
+        agent_id: str,
+        incarnation: int,
+        failure_domain: str,
+        limits: DirectAgentLimits,
+        log: DecisionLog,
+    ) -> None:
+        self.agent_id = agent_id
+        self.incarnation = incarnation
+        self.failure_domain = failure_domain
+        self.limits = limits
+        self.log = log
+        self.report: BackendReport | None = None
+        self.newest_born_ms = 0
+        self.fencing_token = 0
+        self.acknowledged = 0
+        self.lease = BackendLease(limits=limits.lease)
+        self.health = BackendHealth(limits=limits.health)
+        self.pace = Pace(limits=limits.progress)
+        self.runs: dict[TaskKey, Run] = {}
+        self.strays: dict[TaskKey, int] = {}
+        self.entries: dict[str, EntryState] = {}
+        self.evictions: list[Eviction] = []
+        self.ready = False
+        self.stopping = False
+        self.lapsed = False
+        self.ticked_at = 0.0
+        self.news = False
+        self.news_for: set[str] = set()
+        self.effects: list[AgentEffect] = []
+
+    # What the backend server says.
+
+    def reported(self, report: BackendReport, now: float) -> list[AgentEffect]:
+        """Take a report of the backend server."""
+        current = self.report
+        if report.lifetime.born_ms < self.newest_born_ms:
+            # It was delayed, and its sender has ended meanwhile.
+            return []
+        if current is None or current.lifetime != report.lifetime:
+            self._begin_lifetime(report, now)
+        elif report.sequence < current.sequence:
+            return []
+        elif report.draining and not current.draining:
+            self._note_backend("draining", "it said so", now)
+        self.report = report
+        self.lease.note_answer(report.clock_ms, now)
+        if report.draining:
+            self._refuse_queue("the backend server is leaving")
+        self._changed(now)
+        return self._take_effects()
+
+    def _begin_lifetime(self, report: BackendReport, now: float) -> None:
+        self._lose_all("the backend server has started anew", now)
+        self.strays.clear()
+        self.report = report
+        self.newest_born_ms = report.lifetime.born_ms
+        # The server's clock rises for as long as its lifetime, so that
+        # each incarnation of the agent has a higher token than the last.
+        self.fencing_token = max(1, report.clock_ms)
+        self.acknowledged = 0
+        self.ready = False
+        self.lapsed = False
+        self.lease.restart(report.clock_ms, now)
+        self.health = BackendHealth(limits=self.limits.health)
+        self._note_backend("found", "a new lifetime reports", now)
+
+    def gone(self, reason: str, now: float) -> list[AgentEffect]:
+        """Note that the backend server has ended; nothing runs there."""
+        if self.report is None:
+            return []
+        self._note_backend("gone", reason, now)
+        self.report = None
+        self.ready = False
+        self.strays.clear()
+        self._lose_all(reason, now)
+        self._changed(now)
+        return self._take_effects()
+
+    def token_refused(self, clock_ms: int, now: float) -> list[AgentEffect]:
+        """Raise the fencing token above one that the server has seen."""
+        self.lease.note_answer(clock_ms, now)
+        self.fencing_token = max(self.fencing_token + 1, clock_ms)
+        return []
+
+    def hold_request(self, now: float, *, wait_ms: int) -> HoldRequest | None:
+        """Return the next request to renew and list; None without a server.
+
+        A server that has been silent is asked without renewing, so that
+        its lease ends at a known time.
+        """
+        if self.report is None:
+            return None
+        renews = self._is_answering(now) or not self.ready
+        return HoldRequest(
+            lifetime=self.report.lifetime,
+            fencing_token=self.fencing_token,
+            acknowledged=self.acknowledged,
+            deadline_ms=self.lease.next_deadline_ms(now) if renews else None,
+            wait_ms=wait_ms if renews else 0,
+        )
+
+    def listed(
+        self,
+        listing: Listing,
+        lifetime: Lifetime,
+        asked_at: float,
+        now: float,
+    ) -> list[AgentEffect]:
+        """Take a listing of the backend server.
+
+        Parameters
+        ----------
+        listing : Listing
+        lifetime : Lifetime
+            The lifetime that was asked.
+        asked_at, now : float
+            When the request was sent and the answer came.
+        """
+        if self.report is None or self.report.lifetime != lifetime:
+            return []
+        if listing.born_ms != lifetime.born_ms:
+            return self.gone("another lifetime answers", now)
+        was_silent = not self._is_answering(now)
+        self.lease.note_answer(listing.clock_ms, now)
+        self.lapsed = False
+        self._take_ends(listing, now)
+        self._take_running(listing, asked_at, now)
+        if not self.ready and not self.strays:
+            self.ready = True
+            was_silent = True
+        if was_silent:
+            self._note_backend("answering", "a listing came", now)
+        self._changed(now)
+        return self._take_effects()
+
+    def _take_ends(self, listing: Listing, now: float) -> None:
+        for ended in listing.ended:
+            if ended.number <= self.acknowledged:
+                continue
+            self.acknowledged = ended.number
+            run = self.runs.get(ended.key)
+            if run is not None and run.run == ended.run:
+                self._end(run, ended.ending, run.reason, now)
+            if self.strays.get(ended.key) == ended.run:
+                del self.strays[ended.key]
+
+    def _take_running(
+        self, listing: Listing, asked_at: float, now: float
+    ) -> None:
+        found = {task.key: task for task in listing.running}
+        for task in listing.running:
+            run = self.runs.get(task.key)
+            if run is None or run.run != task.run:
+                self._stop_stray(task.key, task.run)
+                continue
+            run.progress.note(task.percent, now)
+            if run.phase is RunPhase.UNCERTAIN:
+                run.phase = RunPhase.RUNNING
+                run.answered_at = now
+        for key in [key for key in self.strays if key not in found]:
+            del self.strays[key]
+        for run in list(self.runs.values()):
+            if run.key not in found:
+                self._check_absent(run, listing, asked_at, now)
+
+    def _check_absent(
+        self, run: Run, listing: Listing, asked_at: float, now: float
+    ) -> None:
+        """End a run that the server neither lists nor can begin any more."""
+        stopped = 0.0 < run.stop_answered_at < asked_at
+        expired = listing.clock_ms > run.start_deadline_ms
+        if run.start_open:
+            return
+        if run.phase is RunPhase.UNCERTAIN and (stopped or expired):
+            self._end(run, Ending.NOT_RUN, "the order was not answered", now)
+        elif run.phase is RunPhase.STOPPING and stopped:
+            self._end(run, Ending.STOPPED, run.reason, now)
+        elif run.phase is RunPhase.RUNNING and run.answered_at < asked_at:
+            self._end(run, Ending.LOST, "the server lists it no more", now)
+
+    def _stop_stray(self, key: TaskKey, run: int) -> None:
+        """End what nobody here has ordered; its size is not known."""
+        assert self.report is not None
+        self.strays[key] = run
+        request = StopRequest(
+            lifetime=self.report.lifetime,
+            fencing_token=self.fencing_token,
+            key=key,
+            run=run,
+        )
+        self.effects.append(OrderStop(request))
+
+    def start_answered(
+        self, request: StartRequest, answer: StartAnswer | None, now: float
+    ) -> list[AgentEffect]:
+        """Take the answer to an order to start; None if none came."""
+        run = self.runs.get(request.key)
+        if run is None or run.run != request.run:
+            return []
+        run.start_open = False
+        if answer is None:
+            self._note_unanswered(run, "start")
+            if run.phase is RunPhase.STARTING:
+                run.phase = RunPhase.UNCERTAIN
+        elif answer is StartAnswer.STARTED:
+            run.answered_at = now
+            if run.phase is RunPhase.STARTING:
+                run.phase = RunPhase.RUNNING
+        else:
+            self._start_refused(run, answer, now)
+        self._changed(now)
+        return self._take_effects()
+
+    def _start_refused(
+        self, run: Run, answer: StartAnswer, now: float
+    ) -> None:
+        if answer is StartAnswer.UNHEALTHY:
+            self.health.note_bad(run.key.job_id, now)
+        if answer is StartAnswer.STALE_TOKEN:
+            self.fencing_token += 1
+        invalid = answer is StartAnswer.INVALID
+        ending = Ending.INVALID if invalid else Ending.NOT_RUN
+        self._end(run, ending, answer.value, now)
+
+    def stop_answered(
+        self, request: StopRequest, answered: bool, now: float
+    ) -> list[AgentEffect]:
+        """Take the outcome of an order to stop."""
+        run = self.runs.get(request.key)
+        if run is None or run.run != request.run:
+            return []
+        if answered:
+            run.stop_answered_at = now
+        else:
+            self._note_unanswered(run, "stop")
+            run.stop_sent_at = 0.0
+        return self._take_effects()
+
+    # What entries say.
+
+    def entry_connected(
+        self, entry_id: str, incarnation: int, now: float
+    ) -> list[AgentEffect]:
+        """Note a link on which an entry has introduced itself."""
+        state = self.entries.get(entry_id)
+        if state is not None and state.incarnation != incarnation:
+            self._stop_runs_of(entry_id, "its entry has started anew", now)
+        self.entries[entry_id] = EntryState(
+            incarnation=incarnation, heard_at=now
+        )
+        self.log.write(PeerChanged(peer=entry_id, state="connected"))
+        held = tuple(
+            HeldTask(
+                job_id=run.key.job_id,
+                step=run.key.step,
+                index=run.key.index,
+                run=run.run,
+            )
+            for run in self.runs.values()
+            if run.entry_id == entry_id
+        )
+        self._tell(entry_id, now)
+        self.effects.append(SendToEntry(entry_id, HeldTasks(tasks=held)))
+        return self._take_effects()
+
+    def entry_disconnected(self, entry_id: str) -> None:
+        """Note that the entry's link has ended."""
+        state = self.entries.get(entry_id)
+        if state is not None and state.connected:
+            state.connected = False
+            self.log.write(PeerChanged(peer=entry_id, state="disconnected"))
+
+    def receive(
+        self, entry_id: str, message: EntryMessage, now: float
+    ) -> list[AgentEffect]:
+        """Take a message of a connected entry."""
+        if now - self.ticked_at > self.limits.pause_s:
+            # The message may have waited while the process was paused.
+            return self.tick(now)
+        state = self.entries.get(entry_id)
+        if state is None or not state.connected:
+            return []
+        state.heard_at = now
+        if isinstance(message, RunTasks):
+            state.sequence = max(state.sequence, message.sequence)
+            self._queue(entry_id, message, now)
+        elif isinstance(message, StopTasks):
+            for index in message.indexes:
+                key = TaskKey(message.job_id, message.step, index)
+                run = self.runs.get(key)
+                if run is not None and run.entry_id == entry_id:
+                    self._stop(run, "its entry took it back", now)
+        elif isinstance(message, EvictJob):
+            self._evict(entry_id, message, now)
+        else:
+            return []
+        self._changed(now)
+        return self._take_effects()
+
+    def _queue(self, entry_id: str, message: RunTasks, now: float) -> None:
+        refusal = self._refusal(message.room)
+        for index in message.indexes:
+            key = TaskKey(message.job_id, message.step, index)
+            held = self.runs.get(key)
+            if held is not None and held.run == message.run:
+                continue
+            reason = refusal or ("held by a run" if held is not None else "")
+            if reason:
+                self._tell_ended(
+                    entry_id, key, message.run, Ending.NOT_RUN, 0, reason
+                )
+                continue
+            self.news = True
+            self.runs[key] = Run(
+                key=key,
+                run=message.run,
+                entry_id=entry_id,
+                payload=message.payload,
+                room=message.room,
+                estimate_ms=message.estimate_ms,
+                priority=message.priority,
+                due=now + message.time_left_ms / 1000,
+                max_per_agent=message.max_per_agent,
+                received=now,
+                progress=RunProgress(
+                    limits=self.limits.progress,
+                    estimate_ms=message.estimate_ms,
+                    began=now,
+                ),
+            )
+
+    def _refusal(self, room: Room) -> str:
+        """Return why a task can't even wait here; empty if it can."""
+        if self.stopping:
+            return "the agent is leaving"
+        if self.report is None or not self.ready:
+            return "the backend server is not known"
+        if self.report.draining:
+            return "the backend server is leaving"
+        if not self.report.capacity.holds(room):
+            return f"{room} does not fit into {self.report.capacity}"
+        return ""
+
+    def _evict(self, entry_id: str, message: EvictJob, now: float) -> None:
+        for run in list(self.runs.values()):
+            if run.key.job_id == message.job_id and run.entry_id != entry_id:
+                self._stop(run, f"{entry_id} took its job over", now)
+        self.evictions.append(
+            Eviction(
+                entry_id=entry_id,
+                number=message.number,
+                job_id=message.job_id,
+            )
+        )
+        self._answer_evictions()
+
+    def _answer_evictions(self) -> None:
+        for eviction in list(self.evictions):
+            left = any(
+                run.key.job_id == eviction.job_id
+                and run.entry_id != eviction.entry_id
+                for run in self.runs.values()
+            )
+            if not left:
+                self.evictions.remove(eviction)
+                self._send(
+                    eviction.entry_id, JobEvicted(number=eviction.number)
+                )
+
+    # Time.
+
+    def tick(self, now: float) -> list[AgentEffect]:
+        """Look after what is overdue; called every 50 ms or so."""
+        paused_s = now - self.ticked_at if self.ticked_at else 0.0
+        self.ticked_at = now
+        if paused_s > self.limits.pause_s:
+            self._resume_after_pause(paused_s, now)
+        self._check_entries(now)
+        self._check_backend(now)
+        for run in list(self.runs.values()):
+            self._check_run(run, now)
+        for key, number in self.strays.items():
+            self._stop_stray(key, number)
+        self._changed(now)
+        return self._take_effects()
+
+    def _resume_after_pause(self, paused_s: float, now: float) -> None:
+        """Drop the links: entries may have given up what runs here."""
+        self.log.write(
+            ProcessChanged(state="paused", paused_ms=round(paused_s * 1000))
+        )
+        for entry_id, state in self.entries.items():
+            self._stop_runs_of(entry_id, "the agent was paused", now)
+            if state.connected:
+                state.connected = False
+                self.effects.append(CloseEntry(entry_id))
+
+    def _check_entries(self, now: float) -> None:
+        for entry_id, state in list(self.entries.items()):
+            silent_s = now - state.heard_at
+            if silent_s <= self.limits.silence_s:
+                continue
+            self.log.write(
+                PeerChanged(
+                    peer=entry_id,
+                    state="given up",
+                    cause="silence",
+                    silent_ms=round(silent_s * 1000),
+                )
+            )
+            del self.entries[entry_id]
+            self._stop_runs_of(entry_id, "its entry is silent", now)
+            if state.connected:
+                self.effects.append(CloseEntry(entry_id))
+
+    def _check_backend(self, now: float) -> None:
+        if self.report is None or self.lapsed or now <= self.lease.over_at:
+            return
+        self.lapsed = True
+        if self.runs:
+            self._note_backend("lease lapsed", "it gives no answer", now)
+        self._lose_all("the lease has lapsed", now)
+
+    def _check_run(self, run: Run, now: float) -> None:
+        if run.phase is RunPhase.QUEUED:
+            if now - run.received > self.limits.queue_s:
+                self._end(run, Ending.NOT_RUN, "no room came free", now)
+            return
+        if run.phase is RunPhase.STOPPING or (
+            run.phase is RunPhase.UNCERTAIN and not run.start_open
+        ):
+            self._order_stop(run, now)
+        elif run.phase is RunPhase.RUNNING:
+            self._check_progress(run, now)
+
+    def _check_progress(self, run: Run, now: float) -> None:
+        gap_s = self.limits.progress.stall_s
+        if now - run.told_late_at < gap_s or not self._is_answering(now):
+            return
+        if run.progress.is_stalled(now):
+            remaining_ms = -1.0
+            if run.progress.percent == 0:
+                self.health.note_bad(run.key.job_id, now)
+        elif run.progress.is_late():
+            remaining_ms = run.progress.remaining_ms() or 0.0
+        else:
+            return
+        run.told_late_at = now
+        late = TaskLate(
+            job_id=run.key.job_id,
+            step=run.key.step,
+            index=run.key.index,
+            run=run.run,
+            remaining_ms=round(remaining_ms),
+        )
+        self._send(run.entry_id, late)
+
+    # Runs.
+
+    def stop(self, now: float) -> list[AgentEffect]:
+        """Take nothing new; what runs may end."""
+        self.stopping = True
+        self._refuse_queue("the agent is leaving")
+        self._changed(now)
+        return self._take_effects()
+
+    def _admit(self, now: float) -> None:
+        """Start what waits and fits, the most urgent first."""
+        waiting = [
+            run for run in self.runs.values() if run.phase is RunPhase.QUEUED
+        ]
+        if not waiting or not self._may_start(now):
+            return
+        waiting.sort(key=lambda run: run.order(now))
+        free = self._free(queued=False)
+        for run in waiting:
+            started = len(self.runs) - self._queued_count()
+            if not self.health.may_start(started, now):
+                return
+            if free.holds(run.room) and self._spreads(run):
+                free -= run.room
+                self._start(run, free, now)
+
+    def _may_start(self, now: float) -> bool:
+        return (
+            self.report is not None
+            and self.ready
+            and not self.report.draining
+            and not self.strays
+            and self._is_answering(now)
+        )
+
+    def _spreads(self, run: Run) -> bool:
+        if not run.max_per_agent:
+            return True
+        beside = sum(
+            other.phase is not RunPhase.QUEUED
+            and other.key.job_id == run.key.job_id
+            and other.key.step == run.key.step
+            for other in self.runs.values()
+        )
+        return beside < run.max_per_agent
+
+    def _start(self, run: Run, free: Room, now: float) -> None:
+        assert self.report is not None
+        run.phase = RunPhase.STARTING
+        run.start_open = True
+        run.start_deadline_ms = self.lease.start_deadline_ms(now)
+        run.progress.began = run.progress.moved_at = now
+        self.log.write(
+            RunStarted(
+                job_id=run.key.job_id,
+                step=run.key.step,
+                index=run.key.index,
+                run=run.run,
+                entry=run.entry_id,
+                waited_ms=round((now - run.received) * 1000),
+                free_cpu_milli=free.cpu_milli,
+            )
+        )
+        request = StartRequest(
+            lifetime=self.report.lifetime,
+            fencing_token=self.fencing_token,
+            key=run.key,
+            run=run.run,
+            payload=run.payload,
+            deadline_ms=run.start_deadline_ms,
+        )
+        self.effects.append(OrderStart(request))
+
+    def _stop(self, run: Run, reason: str, now: float) -> None:
+        """Take a run back; one that waits ends at once."""
+        if run.phase is RunPhase.QUEUED:
+            self._end(run, Ending.NOT_RUN, reason, now)
+        elif run.phase is not RunPhase.STOPPING:
+            run.phase = RunPhase.STOPPING
+            run.reason = reason
+            self._order_stop(run, now)
+
+    def _order_stop(self, run: Run, now: float) -> None:
+        if self.report is None or run.stop_answered_at:
+            return
+        if now - run.stop_sent_at < self.limits.retry_s:
+            return
+        run.stop_sent_at = now
+        request = StopRequest(
+            lifetime=self.report.lifetime,
+            fencing_token=self.fencing_token,
+            key=run.key,
+            run=run.run,
+        )
+        self.effects.append(OrderStop(request))
+
+    def _stop_runs_of(self, entry_id: str, reason: str, now: float) -> None:
+        for run in list(self.runs.values()):
+            if run.entry_id == entry_id:
+                self._stop(run, reason, now)
+
+    def _refuse_queue(self, reason: str) -> None:
+        for run in list(self.runs.values()):
+            if run.phase is RunPhase.QUEUED:
+                self._end(run, Ending.NOT_RUN, reason, run.received)
+
+    def _lose_all(self, reason: str, now: float) -> None:
+        for run in list(self.runs.values()):
+            queued = run.phase is RunPhase.QUEUED
+            ending = Ending.NOT_RUN if queued else Ending.LOST
+            self._end(run, ending, reason, now)
+
+    def _end(self, run: Run, ending: Ending, reason: str, now: float) -> None:
+        del self.runs[run.key]
+        self.news = True
+        run_ms = max(0, round((now - run.progress.began) * 1000))
+        if ending is Ending.DONE:
+            self.health.note_good()
+            self.pace.note(run_ms, run.estimate_ms)
+        elif ending is Ending.FAILED:
+            self.health.note_bad(run.key.job_id, now)
+        self.log.write(
+            RunEnded(
+                job_id=run.key.job_id,
+                step=run.key.step,
+                index=run.key.index,
+                run=run.run,
+                ending=ending.value,
+                run_ms=run_ms,
+                reason=reason,
+            )
+        )
+        self._tell_ended(
+            run.entry_id, run.key, run.run, ending, run_ms, reason
+        )
+        if self.evictions:
+            self._answer_evictions()
+
+    def _tell_ended(
+        self,
+        entry_id: str,
+        key: TaskKey,
+        run: int,
+        ending: Ending,
+        run_ms: int,
+        reason: str,
+    ) -> None:
+        message = TaskEnded(
+            job_id=key.job_id,
+            step=key.step,
+            index=key.index,
+            run=run,
+            ending=ending.value,
+            run_ms=run_ms,
+            reason=reason,
+        )
+        self._send(entry_id, message)
+        self.news_for.add(entry_id)
+
+    # Room and statuses.
+
+    def _free(self, *, queued: bool) -> Room:
+        if self.report is None:
+            return NO_ROOM
+        free = self.report.capacity
+        for run in self.runs.values():
+            if queued or run.phase is not RunPhase.QUEUED:
+                free -= run.room
+        return free
+
+    def _queued_count(self) -> int:
+        return sum(run.phase is RunPhase.QUEUED for run in self.runs.values())
+
+    def _is_answering(self, now: float) -> bool:
+        return now - self.lease.answered_at <= self.limits.answer_s
+
+    @property
+    def accepting(self) -> bool:
+        """Whether the agent takes new tasks."""
+        return (
+            self.report is not None
+            and self.ready
+            and not self.stopping
+            and not self.report.draining
+            and not self.lapsed
+        )
+
+    def status(self, sequence: int, now: float) -> AgentStatus:
+        """Return what the agent tells an entry of itself."""
+        report = self.report
+        capacity = report.capacity if report is not None else NO_ROOM
+        free = self._free(queued=True)
+        waiting = [
+            run for run in self.runs.values() if run.phase is RunPhase.QUEUED
+        ]
+        return AgentStatus(
+            agent_id=self.agent_id,
+            incarnation=self.incarnation,
+            service_name=report.service if report is not None else "",
+            failure_domain=self.failure_domain,
+            labels=report.labels if report is not None else (),
+            accepting=self.accepting
+            and self._is_answering(now)
+            and now >= self.health.paused_until,
+            cpu_milli=capacity.cpu_milli,
+            memory_mb=capacity.memory_mb,
+            accelerators=capacity.accelerators,
+            free_cpu_milli=free.cpu_milli,
+            free_memory_mb=free.memory_mb,
+            free_accelerators=free.accelerators,
+            queued=len(waiting),
+            queued_ms=round(sum(run.estimate_ms for run in waiting)),
+            sequence=sequence,
+            pace_percent=self.pace.percent(),
+            probing=self.health.probing,
+        )
+
+    def _changed(self, now: float) -> None:
+        """Start what can be started and tell the entries."""
+        self._admit(now)
+        for entry_id, state in self.entries.items():
+            state.outdated = state.outdated or self.news
+            gap_s = now - state.told_at
+            if (
+                gap_s >= self.limits.beat_s
+                or entry_id in self.news_for
+                or (state.outdated and gap_s >= self.limits.status_gap_s)
+            ):
+                self._tell(entry_id, now)
+        self.news = False
+        self.news_for.clear()
+
+    def _tell(self, entry_id: str, now: float) -> None:
+        state = self.entries[entry_id]
+        if not state.connected:
+            return
+        state.told_at = now
+        state.outdated = False
+        self._send(entry_id, self.status(state.sequence, now))
+
+    def _send(self, entry_id: str, message: Message) -> None:
+        state = self.entries.get(entry_id)
+        if state is not None and state.connected:
+            self.effects.append(SendToEntry(entry_id, message))
+
+    def _take_effects(self) -> list[AgentEffect]:
+        effects, self.effects = self.effects, []
+        return effects
+
+    def _note_backend(self, state: str, cause: str, now: float) -> None:
+        self.log.write(
+            BackendChanged(
+                instance=self.report.lifetime.instance if self.report else "",
+                state=state,
+                cause=cause,
+                answer_age_ms=round((now - self.lease.answered_at) * 1000),
+            )
+        )
+
+    def _note_unanswered(self, run: Run, order: str) -> None:
+        self.log.write(
+            RunUnanswered(
+                job_id=run.key.job_id,
+                step=run.key.step,
+                index=run.key.index,
+                run=run.run,
+                order=order,
+            )
+        )
--- /dev/null
+++ b/egretcart/direct/agent_process.py
@@ -0,0 +1,275 @@
+"""The agent's process: moves bytes for `DirectAgent`."""
+
+from collections.abc import Iterable
+from typing import Any
+
+import trio
+
+from egretcart.connection.dialler import Dialler
+from egretcart.connection.http_listener import HttpListener
+from egretcart.connection.http_server import Handler
+from egretcart.connection.http_server import HttpLimits
+from egretcart.connection.peer_link import PeerLink
+from egretcart.connection.traffic import Traffic
+from egretcart.direct.agent import AgentEffect
+from egretcart.direct.agent import CloseEntry
+from egretcart.direct.agent import DirectAgent
+from egretcart.direct.agent import DirectAgentLimits
+from egretcart.direct.agent import OrderStart
+from egretcart.direct.agent import SendToEntry
+from egretcart.direct.backend import Backend
+from egretcart.direct.backend import BackendReport
+from egretcart.direct.backend import BackendUnanswered
+from egretcart.direct.backend import Lifetime
+from egretcart.direct.backend import OtherLifetime
+from egretcart.direct.backend import StaleToken
+from egretcart.direct.backend import StartRequest
+from egretcart.direct.backend import StopRequest
+from egretcart.direct.configuration import RoutingConfiguration
+from egretcart.direct.decisions import DecisionLog
+from egretcart.direct.lease import LeaseLimits
+from egretcart.direct.messages import EntryHello
+from egretcart.direct.messages import EntryPeers
+from egretcart.direct.settings import DirectAgentSettings
+from egretcart.direct.settings import split_address
+from egretcart.direct.wire import DIRECT_PROTOCOL
+from egretcart.process.clock import Clock
+from egretcart.process.planned_stop import poll_until
+
+TICK_S = 0.05
+# How long a listing waits for an end, and for its answer after that.
+LISTING_WAIT_MS = 100
+LISTING_LIMIT_S = 0.25
+# A lease is renewed apart from listings once the last answer is so old, so
+# that a lost answer does not let it lapse.
+RENEWAL_AGE_S = 0.13
+RENEWAL_INTERVAL_S = 0.06
+NO_BACKEND_PAUSE_S = 0.05
+MS_PER_S = 1000
+# Share of the longest lease that is asked for, see `LeaseLimits`.
+LEASE_SHARE = 0.7
+REPORT_LIMITS = HttpLimits(max_connections=64, max_body_bytes=1 << 20)
+
+
+def agent_limits(settings: DirectAgentSettings) -> DirectAgentLimits:
+    """Return the limits that follow from an agent's settings."""
+    return DirectAgentLimits(
+        lease=LeaseLimits(lease_ms=int(LEASE_SHARE * settings.max_lease_ms))
+    )
+
+
+class DirectAgentProcess:
+    """Runs one agent.
+
+    Parameters
+    ----------
+    settings : DirectAgentSettings
+    limits : DirectAgentLimits
+    clock : Clock
+    log : DecisionLog
+    backend : Backend
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: DirectAgentSettings,
+        limits: DirectAgentLimits,
+        clock: Clock,
+        log: DecisionLog,
+        backend: Backend,
+    ) -> None:
+        self.settings = settings
+        self.stop_limit_s = settings.stop_grace_s
+        self.clock = clock
+        self.backend = backend
+        self.limits = limits
+        self.agent = DirectAgent(
+            agent_id=settings.node,
+            incarnation=clock.unix_ms(),
+            failure_domain=settings.failure_domain,
+            limits=limits,
+            log=log,
+        )
+        self.traffic = Traffic()
+        self.links: dict[str, PeerLink] = {}
+        self.dialler: Dialler
+        self.nursery: trio.Nursery
+
+    async def serve(self, nursery: trio.Nursery, *, reports: Handler) -> None:
+        """Listen, connect, and return; the nursery runs the rest.
+
+        Parameters
+        ----------
+        nursery : trio.Nursery
+        reports : callable
+            Handles requests at the control address.
+        """
+        self.nursery = nursery
+        host, port = split_address(self.settings.control)
+        listeners = await trio.open_tcp_listeners(port, host=host)
+        server = HttpListener(handler=reports, limits=REPORT_LIMITS)
+        nursery.start_soon(server.serve, listeners, nursery)
+        self.dialler = Dialler(
+            nursery=nursery,
+            seeds=self.settings.seed_endpoints,
+            converse=self._converse,
+        )
+        nursery.start_soon(self._tick)
+        nursery.start_soon(self._list)
+        nursery.start_soon(self._renew)
+
+    def configure(self, configuration: RoutingConfiguration) -> None:
+        """Ignore configurations: an agent runs what entries send."""
+
+    def reload(self, settings: DirectAgentSettings) -> None:
+        """Take changed settings; addresses of this process don't change."""
+        for host, port in settings.seed_endpoints:
+            self.learn_entry(host, port)
+
+    def learn_entry(self, host: str, port: int) -> None:
+        """Connect to an entry."""
+        self.dialler.ensure(host, port)
+
+    def reported(self, report: BackendReport) -> None:
+        """Take a report of the backend server."""
+        now = self.clock.monotonic()
+        self._carry_out(self.agent.reported(report, now))
+
+    def backend_left(self, instance: str) -> None:
+        """Note that the backend server has said that it ends."""
+        report = self.agent.report
+        if report is not None and report.lifetime.instance == instance:
+            now = self.clock.monotonic()
+            self._carry_out(self.agent.gone("it said that it ends", now))
+
+    async def stop(self) -> None:
+        """Take nothing new and let what runs end."""
+        self._carry_out(self.agent.stop(self.clock.monotonic()))
+        await poll_until(lambda: not self.agent.runs)
+
+    async def abort(self) -> None:
+        """End at once; the lease ends what runs."""
+
+    # The backend server.
+
+    async def _list(self) -> None:
+        """Learn at once what ends, by listings that wait for it."""
+        while True:
+            if not await self._hold(LISTING_WAIT_MS):
+                await trio.sleep(NO_BACKEND_PAUSE_S)
+
+    async def _renew(self) -> None:
+        """Renew the lease while listings get no answer."""
+        while True:
+            await trio.sleep(RENEWAL_INTERVAL_S)
+            age_s = self.clock.monotonic() - self.agent.lease.answered_at
+            if self.agent.report is not None and age_s > RENEWAL_AGE_S:
+                self.nursery.start_soon(self._hold, 0)
+
+    async def _hold(self, wait_ms: int) -> bool:
+        """Renew and list once; return whether an answer came."""
+        asked_at = self.clock.monotonic()
+        request = self.agent.hold_request(asked_at, wait_ms=wait_ms)
+        if request is None:
+            return False
+        limit_s = request.wait_ms / MS_PER_S + LISTING_LIMIT_S
+        try:
+            listing = await self.backend.hold(request, time_limit_s=limit_s)
+        except BackendUnanswered as error:
+            if error.refused:
+                self._backend_gone(request.lifetime, str(error))
+            return False
+        except StaleToken as error:
+            now = self.clock.monotonic()
+            self._carry_out(self.agent.token_refused(error.clock_ms, now))
+            return True
+        except OtherLifetime:
+            self._backend_gone(request.lifetime, "another lifetime answers")
+            return False
+        now = self.clock.monotonic()
+        self._carry_out(
+            self.agent.listed(listing, request.lifetime, asked_at, now)
+        )
+        return True
+
+    def _backend_gone(self, lifetime: Lifetime, reason: str) -> None:
+        report = self.agent.report
+        if report is not None and report.lifetime == lifetime:
+            now = self.clock.monotonic()
+            self._carry_out(self.agent.gone(reason, now))
+
+    async def _start(self, request: StartRequest) -> None:
+        answer = None
+        try:
+            answer = await self.backend.start(request)
+        except BackendUnanswered as error:
+            if error.refused:
+                self._backend_gone(request.lifetime, str(error))
+        now = self.clock.monotonic()
+        self._carry_out(self.agent.start_answered(request, answer, now))
+
+    async def _stop(self, request: StopRequest) -> None:
+        answered = False
+        try:
+            await self.backend.stop(request)
+            answered = True
+        except BackendUnanswered as error:
+            if error.refused:
+                self._backend_gone(request.lifetime, str(error))
+        now = self.clock.monotonic()
+        self._carry_out(self.agent.stop_answered(request, answered, now))
+
+    # Entries.
+
+    async def _converse(self, stream: trio.SocketStream) -> None:
+        link = PeerLink(
+            stream=stream, protocol=DIRECT_PROTOCOL, traffic=self.traffic
+        )
+        entry_id = ""
+
+        def handle(message: Any) -> None:
+            nonlocal entry_id
+            now = self.clock.monotonic()
+            if isinstance(message, EntryHello) and not entry_id:
+                entry_id = message.entry_id
+                link.introduce()
+                former = self.links.get(entry_id)
+                self.links[entry_id] = link
+                if former is not None:
+                    former.close()
+                self._carry_out(
+                    self.agent.entry_connected(
+                        entry_id, message.incarnation, now
+                    )
+                )
+            elif isinstance(message, EntryPeers):
+                for address in message.entries:
+                    self.dialler.ensure(address.host, address.port)
+            elif entry_id and self.links.get(entry_id) is link:
+                self._carry_out(self.agent.receive(entry_id, message, now))
+
+        await link.run(handle, first=[])
+        if entry_id and self.links.get(entry_id) is link:
+            del self.links[entry_id]
+            self.agent.entry_disconnected(entry_id)
+
+    def _carry_out(self, effects: Iterable[AgentEffect]) -> None:
+        for effect in effects:
+            if isinstance(effect, SendToEntry):
+                link = self.links.get(effect.entry_id)
+                if link is not None:
+                    link.send(effect.message)
+            elif isinstance(effect, CloseEntry):
+                link = self.links.pop(effect.entry_id, None)
+                if link is not None:
+                    link.close()
+            elif isinstance(effect, OrderStart):
+                self.nursery.start_soon(self._start, effect.request)
+            else:
+                self.nursery.start_soon(self._stop, effect.request)
+
+    async def _tick(self) -> None:
+        while True:
+            self._carry_out(self.agent.tick(self.clock.monotonic()))
+            await trio.sleep(TICK_S)
--- /dev/null
+++ b/egretcart/direct/entry.py
@@ -0,0 +1,1002 @@
+"""The entry: holds callers' jobs and sends their tasks. Free of I/O."""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+import dataclasses
+import math
+import random
+
+from egretcart.direct.admission import AdmissionLimits
+from egretcart.direct.admission import load_of
+from egretcart.direct.admission import retry_after_s
+from egretcart.direct.claims import ClaimTable
+from egretcart.direct.configuration import Route
+from egretcart.direct.configuration import RoutingConfiguration
+from egretcart.direct.decisions import ConfigurationAccepted
+from egretcart.direct.decisions import DecisionLog
+from egretcart.direct.decisions import JobAccepted
+from egretcart.direct.decisions import JobAnswered
+from egretcart.direct.decisions import JobCancelled
+from egretcart.direct.decisions import JobClaimed
+from egretcart.direct.decisions import JobJoined
+from egretcart.direct.decisions import JobRefused
+from egretcart.direct.decisions import JobYielded
+from egretcart.direct.decisions import PeerChanged
+from egretcart.direct.decisions import ProcessChanged
+from egretcart.direct.decisions import TaskEndedAt
+from egretcart.direct.decisions import TaskMoved
+from egretcart.direct.decisions import TasksPlaced
+from egretcart.direct.held_job import HeldJob
+from egretcart.direct.held_job import HeldTask
+from egretcart.direct.held_job import TaskPhase
+from egretcart.direct.job import Ending
+from egretcart.direct.job import find_job_fault
+from egretcart.direct.job import Job
+from egretcart.direct.job import JobKind
+from egretcart.direct.job import JobState
+from egretcart.direct.job import TaskKey
+from egretcart.direct.messages import AgentMessage
+from egretcart.direct.messages import AgentStatus
+from egretcart.direct.messages import Beat
+from egretcart.direct.messages import EvictJob
+from egretcart.direct.messages import HeldTasks
+from egretcart.direct.messages import JobEvicted
+from egretcart.direct.messages import JobReleased
+from egretcart.direct.messages import JobsTaken
+from egretcart.direct.messages import Message
+from egretcart.direct.messages import PeerMessage
+from egretcart.direct.messages import ReleaseJob
+from egretcart.direct.messages import RunTasks
+from egretcart.direct.messages import StopTasks
+from egretcart.direct.messages import TaskEnded
+from egretcart.direct.messages import TaskLate
+from egretcart.direct.placement import Placement
+from egretcart.direct.placement import PlacementLimits
+from egretcart.direct.placement import TaskNeeds
+from egretcart.direct.rescue import is_worth_moving
+from egretcart.direct.rescue import RescueLimits
+from egretcart.direct.views import AgentView
+
+# Numbers of runs of a job that is taken over begin here times the number of
+# entries that may have begun it, above all that the former one has given.
+TAKEOVER_RUNS = 1000
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class DirectEntryLimits:
+    """Times and bounds of an entry.
+
+    Attributes
+    ----------
+    beat_s : float
+        Time between two heartbeats to an agent or entry, in seconds.
+    silence_s : float
+        Silence of an agent after which its link is closed, in seconds:
+        three beats.
+    agent_stop_s : float
+        Time in which an agent that hears nothing has stopped all runs, or
+        the lease of its backend server has lapsed, in seconds.
+    pause_s : float
+        Gap between two ticks from which the process counts as paused.
+    claim_s : float
+        Time to wait for others to give up a job, in seconds: an agent
+        stops a run in a tenth of it.
+    claim_memory_s : float
+        Time for which jobs of other entries are remembered, in seconds.
+    younger_s : float
+        A job that another entry claims is the older one if it was taken in
+        longer ago than this, in seconds: claims travel in a beat.
+    answer_memory_s : float
+        Time for which the state of an ended job is remembered.
+    late_factor : float
+        Multiple of the objective after which a job that has not begun is
+        given up.
+    far_factor : float
+        How much longer a task takes on another rack than its data's.
+    """
+
+    beat_s: float = 0.15
+    silence_s: float = 0.5
+    agent_stop_s: float = 1.1
+    pause_s: float = 0.4
+    claim_s: float = 0.3
+    claim_memory_s: float = 20.0
+    younger_s: float = 0.7
+    answer_memory_s: float = 20.0
+    far_factor: float = 1.5
+    admission: AdmissionLimits = dataclasses.field(
+        default_factory=AdmissionLimits
+    )
+    placement: PlacementLimits = dataclasses.field(
+        default_factory=PlacementLimits
+    )
+    rescue: RescueLimits = dataclasses.field(default_factory=RescueLimits)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Answer:
+    """Effect: the answer to a caller's request.
+
+    Attributes
+    ----------
+    request_id : int
+    state : JobState or None
+        How the job ended; None if it was refused and never runs.
+    retry_after_s : float or None
+        When to come back, if it was refused.
+    cause : str
+        Why it was refused.
+    interrupted : bool
+        Whether it was neither ended nor refused: the caller should ask
+        another entry, as the job may have run in part.
+    invalid : bool
+        Whether the job makes no sense, whoever is asked.
+    """
+
+    request_id: int
+    state: JobState | None = None
+    interrupted: bool = False
+    invalid: bool = False
+    retry_after_s: float | None = None
+    cause: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendToAgent:
+    """Effect: send a message on the agent's link."""
+
+    agent_id: str
+    message: Message
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendToPeer:
+    """Effect: send a message to another entry."""
+
+    entry_id: str
+    message: Message
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CloseAgent:
+    """Effect: close the agent's link; it may connect again."""
+
+    agent_id: str
+
+
+EntryEffect = Answer | SendToAgent | SendToPeer | CloseAgent
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class PendingClaim:
+    """A job that waits until nothing of it runs for another entry."""
+
+    request_ids: set[int]
+    job: Job
+    route: Route
+    number: int
+    waiting_for: set[str]
+    until: float
+
+
+def _find_unserved(job: Job, route: Route) -> str | None:
+    """Return why a job is not served at all, or None."""
+    fault = find_job_fault(job)
+    if fault is not None:
+        return fault
+    if job.kind is not JobKind.TRANSIENT:
+        return f"{job.kind.value} jobs are not served"
+    if route.needs_advice:
+        return f'route "{route.name}" needs advice, which is not asked for'
+    return None
+
+
+class DirectEntry:
+    """Takes jobs in, sends their tasks to agents, and answers.
+
+    Parameters
+    ----------
+    entry_id : str
+    limits : DirectEntryLimits
+    log : DecisionLog
+    source : random.Random
+
+    Attributes
+    ----------
+    configuration : RoutingConfiguration or None
+    agents : dict of str to AgentView
+        Agents that are connected.
+    peers : set of str
+        Entries that are connected.
+    jobs : dict of str to HeldJob
+        Jobs that a request waits for.
+    ending : dict of str to HeldJob
+        Cancelled jobs of which something may still run.
+    stopping : bool
+        Whether the process takes no more jobs that it could not finish.
+    """
+
+    def __init__(
+        self,
+        *,
+        entry_id: str,
+        limits: DirectEntryLimits,
+        log: DecisionLog,
+        source: random.Random,
+    ) -> None:
+        self.entry_id = entry_id
+        self.limits = limits
+        self.log = log
+        self.configuration: RoutingConfiguration | None = None
+        self.agents: dict[str, AgentView] = {}
+        self.peers: set[str] = set()
+        self.jobs: dict[str, HeldJob] = {}
+        self.ending: dict[str, HeldJob] = {}
+        self.pending: dict[str, PendingClaim] = {}
+        self.ended: OrderedDict[str, tuple[JobState, float]] = OrderedDict()
+        self.claims = ClaimTable(memory_s=limits.claim_memory_s)
+        self.placement = Placement(
+            limits=limits.placement,
+            far_factor=limits.far_factor,
+            source=source,
+        )
+        self.claim_number = 0
+        self.stop_by: float | None = None
+        self.ticked_at = 0.0
+        self.beat_at = 0.0
+        self.effects: list[EntryEffect] = []
+
+    # Configuration.
+
+    def configure(
+        self, configuration: RoutingConfiguration, source: str
+    ) -> bool:
+        """Put a configuration in force unless a newer one is."""
+        former = self.configuration.version if self.configuration else 0
+        if configuration.version <= former:
+            return False
+        self.configuration = configuration
+        self.log.write(
+            ConfigurationAccepted(
+                version=configuration.version,
+                former=former,
+                source=source,
+                routes=len(configuration.routes),
+            )
+        )
+        return True
+
+    @property
+    def version(self) -> int:
+        """Version in force; 0 for none."""
+        return self.configuration.version if self.configuration else 0
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers should be sent here."""
+        return (
+            self.configuration is not None
+            and bool(self.agents)
+            and self.stop_by is None
+        )
+
+    def waiting_jobs(self, route: Route) -> int:
+        """Return how many jobs of a route have not begun."""
+        return sum(
+            job.route.name == route.name and not job.begun
+            for job in self.jobs.values()
+        )
+
+    # Requests.
+
+    def submit(
+        self, request_id: int, job: Job, route: Route, now: float
+    ) -> list[EntryEffect]:
+        """Take in a job, or join the one of the same id."""
+        held = self.jobs.get(job.job_id) or self.ending.pop(job.job_id, None)
+        pending = self.pending.get(job.job_id)
+        ended = self.ended.get(job.job_id)
+        unserved = _find_unserved(job, route)
+        if unserved is not None:
+            self._refuse_unserved(request_id, job, route, unserved)
+        elif held is not None:
+            held.waiters.add(request_id)
+            self.jobs[job.job_id] = held
+            self._note_joined(job.job_id, held.state.value)
+        elif pending is not None:
+            pending.request_ids.add(request_id)
+            self._note_joined(job.job_id, "claimed")
+        elif ended is not None:
+            self._note_joined(job.job_id, ended[0].value)
+            self.effects.append(Answer(request_id=request_id, state=ended[0]))
+        elif self.claims.holder(job.job_id) is not None:
+            self._claim(request_id, job, route, now)
+        else:
+            self._admit({request_id}, job, route, now, first_run=1)
+        self._dispatch(now)
+        return self._take_effects()
+
+    def _refuse_unserved(
+        self, request_id: int, job: Job, route: Route, cause: str
+    ) -> None:
+        invalid = find_job_fault(job) is not None
+        self.log.write(
+            JobRefused(job_id=job.job_id, route=route.name, cause=cause)
+        )
+        self.effects.append(
+            Answer(request_id=request_id, cause=cause, invalid=invalid)
+        )
+
+    def _note_joined(self, job_id: str, state: str) -> None:
+        self.log.write(JobJoined(job_id=job_id, state=state))
+
+    def _claim(
+        self, request_id: int, job: Job, route: Route, now: float
+    ) -> None:
+        """Have others end what they run of a job before it begins here."""
+        claim = self.claims.holder(job.job_id)
+        assert claim is not None
+        self.claim_number += 1
+        number = self.claim_number
+        waiting_for = set(self.agents)
+        for agent_id in self.agents:
+            evict = EvictJob(number=number, job_id=job.job_id)
+            self.effects.append(SendToAgent(agent_id, evict))
+        if claim.entry_id in self.peers:
+            waiting_for.add(claim.entry_id)
+            release = ReleaseJob(number=number, job_id=job.job_id)
+            self.effects.append(SendToPeer(claim.entry_id, release))
+        self.log.write(
+            JobClaimed(
+                job_id=job.job_id,
+                former_entry=claim.entry_id,
+                age_s=round(now - claim.told_at, 3),
+                asked=len(waiting_for),
+            )
+        )
+        self.pending[job.job_id] = PendingClaim(
+            request_ids={request_id},
+            job=job,
+            route=route,
+            number=number,
+            waiting_for=waiting_for,
+            until=now + self.limits.claim_s,
+        )
+
+    def _claim_answered(self, number: int, who: str, now: float) -> None:
+        for pending in list(self.pending.values()):
+            if pending.number == number:
+                pending.waiting_for.discard(who)
+                if not pending.waiting_for:
+                    self._end_claim(pending, now)
+
+    def _end_claim(self, pending: PendingClaim, now: float) -> None:
+        del self.pending[pending.job.job_id]
+        self._admit(
+            pending.request_ids,
+            pending.job,
+            pending.route,
+            now,
+            first_run=1 + TAKEOVER_RUNS * pending.number,
+        )
+
+    def _admit(
+        self,
+        request_ids: set[int],
+        job: Job,
+        route: Route,
+        now: float,
+        *,
+        first_run: int,
+    ) -> None:
+        held = HeldJob(job=job, route=route, now=now, first_run=first_run)
+        if self._ends_too_soon(held, now):
+            soon_s = self.limits.admission.min_retry_s
+            self._refuse(held, request_ids, "the entry leaves", 0.0, soon_s)
+            return
+        wait_ms, retry_s = self._outlook(held, now)
+        if retry_s is not None:
+            self._refuse(
+                held, request_ids, "no room in time", wait_ms, retry_s
+            )
+            return
+        held.waiters |= request_ids
+        self.jobs[job.job_id] = held
+        self.claims.note_own(job.job_id, now)
+        self.log.write(
+            JobAccepted(
+                job_id=job.job_id,
+                route=route.name,
+                version=self.version,
+                tasks=len(held.tasks),
+                objective_ms=round(held.objective_ms),
+                expected_wait_ms=round(wait_ms),
+            )
+        )
+
+    def _ends_too_soon(self, held: HeldJob, now: float) -> bool:
+        """Whether this entry leaves before the job could end."""
+        return self.stop_by is not None and held.due > self.stop_by
+
+    def _outlook(
+        self, held: HeldJob, now: float
+    ) -> tuple[float, float | None]:
+        """Return the expected wait, and when to come back if it is too long.
+
+        The other entries are taken to hold as much as this one.
+        """
+        ahead = sum(
+            job.work_milli_ms()
+            for job in self.jobs.values()
+            if job is not held and job.order(now) <= held.order(now)
+        )
+        load = load_of(
+            held.job.steps[0],
+            self.agents.values(),
+            waiting_milli_ms=ahead * (1 + len(self.peers)),
+            far_factor=self.limits.far_factor,
+        )
+        passed_ms = (now - held.accepted_at) * 1000
+        left_ms = held.objective_ms - passed_ms / (
+            self.limits.admission.late_factor
+        )
+        retry_s = retry_after_s(load, left_ms, self.limits.admission)
+        wait_ms = min(load.wait_ms, 1e6)
+        return wait_ms, retry_s
+
+    def _refuse(
+        self,
+        held: HeldJob,
+        request_ids: Iterable[int],
+        cause: str,
+        wait_ms: float,
+        retry_s: float,
+    ) -> None:
+        self.log.write(
+            JobRefused(
+                job_id=held.job.job_id,
+                route=held.route.name,
+                cause=cause,
+                objective_ms=round(held.objective_ms),
+                expected_wait_ms=round(wait_ms),
+                retry_after_s=math.ceil(retry_s),
+            )
+        )
+        for request_id in request_ids:
+            self.effects.append(
+                Answer(
+                    request_id=request_id, retry_after_s=retry_s, cause=cause
+                )
+            )
+
+    def left(
+        self, job_id: str, request_id: int, now: float
+    ) -> list[EntryEffect]:
+        """Note that a caller no longer waits for its job."""
+        pending = self.pending.get(job_id)
+        if pending is not None:
+            pending.request_ids.discard(request_id)
+            if not pending.request_ids:
+                del self.pending[job_id]
+        held = self.jobs.get(job_id)
+        if held is not None and request_id in held.waiters:
+            held.waiters.discard(request_id)
+            if not held.waiters:
+                self._cancel(held, "the caller has left", now)
+        self._dispatch(now)
+        return self._take_effects()
+
+    def cancel(self, job_id: str, now: float) -> list[EntryEffect]:
+        """Take a job back at its caller's request."""
+        held = self.jobs.get(job_id)
+        if held is not None:
+            self._answer(held, JobState.CANCELLED, now, "its caller")
+            self._cancel(held, "the caller took it back", now)
+        self._dispatch(now)
+        return self._take_effects()
+
+    def state_of(self, job_id: str) -> JobState | None:
+        """Return how far a job has come; None if it is not known."""
+        held = self.jobs.get(job_id)
+        if held is not None:
+            return held.state
+        ended = self.ended.get(job_id)
+        return ended[0] if ended is not None else None
+
+    def _cancel(self, held: HeldJob, cause: str, now: float) -> None:
+        job_id = held.job.job_id
+        self.log.write(
+            JobCancelled(
+                job_id=job_id,
+                cause=cause,
+                elapsed_ms=round((now - held.accepted_at) * 1000),
+            )
+        )
+        self.jobs.pop(job_id, None)
+        held.waiters.clear()
+        self._stop_all(held)
+        if not held.is_over:
+            self.ending[job_id] = held
+
+    def _stop_all(self, held: HeldJob) -> None:
+        for task in held.tasks.values():
+            if task.phase is TaskPhase.SENT:
+                self._stop_task(task)
+
+    def _stop_task(self, task: HeldTask) -> None:
+        task.phase = TaskPhase.STOPPING
+        stop = StopTasks(
+            job_id=task.key.job_id,
+            step=task.key.step,
+            indexes=(task.key.index,),
+        )
+        if task.over_at is None:
+            self.effects.append(SendToAgent(task.agent_id, stop))
+
+    def _answer(
+        self, held: HeldJob, state: JobState, now: float, cause: str = ""
+    ) -> None:
+        job_id = held.job.job_id
+        self.log.write(
+            JobAnswered(
+                job_id=job_id,
+                state=state.value,
+                elapsed_ms=round((now - held.accepted_at) * 1000),
+                objective_ms=round(held.objective_ms),
+                cause=cause,
+            )
+        )
+        for request_id in held.waiters:
+            self.effects.append(Answer(request_id=request_id, state=state))
+        held.waiters.clear()
+        self.ended.pop(job_id, None)
+        self.ended[job_id] = (state, now)
+
+    def _finish(
+        self, held: HeldJob, state: JobState, now: float, cause: str = ""
+    ) -> None:
+        """Answer a job and end what is left of it."""
+        self._answer(held, state, now, cause)
+        self.jobs.pop(held.job.job_id, None)
+        self._stop_all(held)
+        if not held.is_over:
+            self.ending[held.job.job_id] = held
+
+    def stop(self, stop_by: float, now: float) -> None:
+        """Take in only what can be answered by a time."""
+        self.stop_by = stop_by
+        self.log.write(ProcessChanged(state="stopping"))
+
+    def interrupt(self, now: float) -> list[EntryEffect]:
+        """Send all callers that still wait to other entries."""
+        for held in list(self.jobs.values()):
+            for request_id in held.waiters:
+                self.effects.append(
+                    Answer(request_id=request_id, interrupted=True)
+                )
+            self._cancel(held, "the entry leaves", now)
+        return self._take_effects()
+
+    # Agents.
+
+    def agent_connected(
+        self, status: AgentStatus, now: float
+    ) -> list[EntryEffect]:
+        """Note an agent that has introduced itself on a new link."""
+        self.agents[status.agent_id] = AgentView(status=status, now=now)
+        self.log.write(PeerChanged(peer=status.agent_id, state="connected"))
+        self._dispatch(now)
+        return self._take_effects()
+
+    def agent_disconnected(
+        self, agent_id: str, now: float
+    ) -> list[EntryEffect]:
+        """Note that an agent's link has ended.
+
+        Its runs are over once it must have stopped them, or as soon as it
+        connects again and does not list them.
+        """
+        if self.agents.pop(agent_id, None) is None:
+            return []
+        self.log.write(PeerChanged(peer=agent_id, state="disconnected"))
+        over_at = now + self.limits.agent_stop_s
+        for task in self._tasks_at(agent_id):
+            task.over_at = over_at
+        for pending in list(self.pending.values()):
+            self._claim_answered(pending.number, agent_id, now)
+        return self._take_effects()
+
+    def _tasks_at(self, agent_id: str) -> list[HeldTask]:
+        return [
+            task
+            for held in (*self.jobs.values(), *self.ending.values())
+            for task in held.tasks.values()
+            if task.agent_id == agent_id
+            and task.phase in (TaskPhase.SENT, TaskPhase.STOPPING)
+        ]
+
+    def receive(
+        self, agent_id: str, message: AgentMessage, now: float
+    ) -> list[EntryEffect]:
+        """Take a message of a connected agent."""
+        view = self.agents.get(agent_id)
+        if view is None:
+            return []
+        view.heard_at = now
+        if isinstance(message, AgentStatus):
+            view.update(message, now)
+        elif isinstance(message, TaskEnded):
+            self._ended(agent_id, message, now)
+        elif isinstance(message, TaskLate):
+            self._late(agent_id, message, now)
+        elif isinstance(message, HeldTasks):
+            self._reconcile(agent_id, message, now)
+        elif isinstance(message, JobEvicted):
+            self._claim_answered(message.number, agent_id, now)
+        return self._take_effects()
+
+    def settle(self, now: float) -> list[EntryEffect]:
+        """Send what can be sent; called after a batch of messages."""
+        self._dispatch(now)
+        return self._take_effects()
+
+    def _find(self, key: TaskKey) -> tuple[HeldJob | None, HeldTask | None]:
+        held = self.jobs.get(key.job_id) or self.ending.get(key.job_id)
+        return held, held.tasks.get(key) if held is not None else None
+
+    def _ended(self, agent_id: str, message: TaskEnded, now: float) -> None:
+        held, task = self._find(message.key)
+        if held is None or task is None or task.phase is TaskPhase.DONE:
+            return
+        is_current = task.run == message.run and task.agent_id == agent_id
+        ending = Ending(message.ending)
+        if ending is Ending.DONE:
+            if not is_current and task.phase is TaskPhase.SENT:
+                self._stop_task(task)
+            held.note_done(task)
+            if held.state is JobState.COMPLETED and held.waiters:
+                self._finish(held, JobState.COMPLETED, now)
+        elif is_current and task.phase is not TaskPhase.WAITING:
+            self._not_done(held, task, ending, message.reason, now)
+        if held.is_over:
+            self.ending.pop(held.job.job_id, None)
+
+    def _not_done(
+        self,
+        held: HeldJob,
+        task: HeldTask,
+        ending: Ending,
+        reason: str,
+        now: float,
+    ) -> None:
+        """Let a task wait again, or fail its job."""
+        task.phase = TaskPhase.WAITING
+        task.over_at = None
+        if ending is not Ending.NOT_RUN:
+            task.has_run = True
+        if ending in (Ending.FAILED, Ending.STOPPED, Ending.LOST):
+            task.avoided.add(task.agent_id)
+        if ending is Ending.FAILED:
+            task.failures += 1
+        if reason == "stale_run":
+            task.run += TAKEOVER_RUNS
+        if held.waiters:
+            self.log.write(
+                TaskEndedAt(
+                    job_id=task.key.job_id,
+                    step=task.key.step,
+                    index=task.key.index,
+                    run=task.run,
+                    agent=task.agent_id,
+                    ending=ending.value,
+                    reason=reason,
+                    failures=task.failures,
+                )
+            )
+        if not held.waiters:
+            return
+        if ending is Ending.INVALID:
+            self._finish(held, JobState.FAILED, now, reason)
+        elif task.failures >= held.route.max_attempts:
+            self._finish(held, JobState.FAILED, now, "a task failed too often")
+
+    def _late(self, agent_id: str, message: TaskLate, now: float) -> None:
+        """Move a late run if it would end sooner elsewhere."""
+        held, task = self._find(message.key)
+        if (
+            held is None
+            or task is None
+            or task.phase is not TaskPhase.SENT
+            or (task.run, task.agent_id) != (message.run, agent_id)
+        ):
+            return
+        step = held.job.steps[task.key.step]
+        elsewhere_ms = min(
+            (
+                view.run_ms(step, self.limits.far_factor)
+                for other_id, view in self.agents.items()
+                if other_id != agent_id
+                and view.may_run(step)
+                and not view.status.probing
+                and view.free.holds(step.room)
+            ),
+            default=math.inf,
+        )
+        if not is_worth_moving(
+            message.remaining_ms, elsewhere_ms, self.limits.rescue
+        ):
+            return
+        self.log.write(
+            TaskMoved(
+                job_id=task.key.job_id,
+                step=task.key.step,
+                index=task.key.index,
+                run=task.run,
+                agent=agent_id,
+                remaining_ms=message.remaining_ms,
+                elsewhere_ms=round(min(elsewhere_ms, 1e6)),
+            )
+        )
+        self._stop_task(task)
+
+    def _reconcile(
+        self, agent_id: str, message: HeldTasks, now: float
+    ) -> None:
+        """Compare what an agent holds with what was sent there."""
+        held_there = {(held.key, held.run) for held in message.tasks}
+        for task in self._tasks_at(agent_id):
+            if (task.key, task.run) in held_there:
+                task.over_at = None
+                if task.phase is TaskPhase.STOPPING:
+                    self._stop_task(task)
+            else:
+                held, _ = self._find(task.key)
+                assert held is not None
+                self._not_done(
+                    held, task, Ending.LOST, "its agent holds it no more", now
+                )
+        for key, _run in held_there:
+            _, known = self._find(key)
+            if known is None or known.agent_id != agent_id:
+                stop = StopTasks(
+                    job_id=key.job_id, step=key.step, indexes=(key.index,)
+                )
+                self.effects.append(SendToAgent(agent_id, stop))
+
+    # Other entries.
+
+    def peer_connected(self, entry_id: str) -> list[EntryEffect]:
+        """Note another entry and tell it of the jobs taken in of late."""
+        self.peers.add(entry_id)
+        self.log.write(PeerChanged(peer=entry_id, state="connected"))
+        taken = JobsTaken(job_ids=self.claims.recent_own())
+        self.effects.append(SendToPeer(entry_id, taken))
+        return self._take_effects()
+
+    def peer_disconnected(
+        self, entry_id: str, now: float
+    ) -> list[EntryEffect]:
+        """Note that the link to another entry has ended."""
+        if entry_id in self.peers:
+            self.peers.discard(entry_id)
+            self.log.write(PeerChanged(peer=entry_id, state="disconnected"))
+            for pending in list(self.pending.values()):
+                self._claim_answered(pending.number, entry_id, now)
+        return self._take_effects()
+
+    def receive_from_peer(
+        self, entry_id: str, message: PeerMessage, now: float
+    ) -> list[EntryEffect]:
+        """Take a message of another entry."""
+        if isinstance(message, JobsTaken):
+            for job_id in message.job_ids:
+                self._taken_by(entry_id, job_id, now)
+        elif isinstance(message, ReleaseJob):
+            self._release(entry_id, message, now)
+        elif isinstance(message, JobReleased):
+            self._released(entry_id, message, now)
+        self._dispatch(now)
+        return self._take_effects()
+
+    def _taken_by(self, entry_id: str, job_id: str, now: float) -> None:
+        held = self.jobs.get(job_id)
+        if held is not None:
+            if now - held.accepted_at < self.limits.younger_s:
+                return
+            self._yield(held, entry_id, now)
+        self.claims.note_other(job_id, entry_id, now)
+
+    def _yield(self, held: HeldJob, entry_id: str, now: float) -> None:
+        """Give a job up; its caller asks another entry now."""
+        self.log.write(
+            JobYielded(
+                job_id=held.job.job_id,
+                entry=entry_id,
+                state=held.state.value,
+            )
+        )
+        self._cancel(held, f"its caller asks {entry_id}", now)
+
+    def _release(self, entry_id: str, message: ReleaseJob, now: float) -> None:
+        """Give a job up to an entry that asks, or tell how it has ended.
+
+        The agents tell that entry when nothing runs any more.
+        """
+        ended = self.ended.get(message.job_id)
+        state = ended[0].value if ended is not None else ""
+        held = self.jobs.get(message.job_id)
+        if held is not None:
+            self._yield(held, entry_id, now)
+        reply = JobReleased(number=message.number, state=state)
+        self.effects.append(SendToPeer(entry_id, reply))
+
+    def _released(
+        self, entry_id: str, message: JobReleased, now: float
+    ) -> None:
+        for pending in list(self.pending.values()):
+            if pending.number != message.number or not message.state:
+                continue
+            state = JobState(message.state)
+            if state not in (JobState.COMPLETED, JobState.FAILED):
+                continue
+            del self.pending[pending.job.job_id]
+            self._note_joined(pending.job.job_id, state.value)
+            for request_id in pending.request_ids:
+                self.effects.append(Answer(request_id=request_id, state=state))
+        self._claim_answered(message.number, entry_id, now)
+
+    # Time.
+
+    def tick(self, now: float) -> list[EntryEffect]:
+        """Look after what is overdue; called every 50 ms or so."""
+        paused_s = now - self.ticked_at if self.ticked_at else 0.0
+        self.ticked_at = now
+        if paused_s > self.limits.pause_s:
+            self._resume_after_pause(paused_s, now)
+        self._check_agents(now)
+        self._check_lost(now)
+        for pending in list(self.pending.values()):
+            if now > pending.until:
+                self._end_claim(pending, now)
+        self._give_up(now)
+        self.claims.forget_old(now)
+        self._forget_ended(now)
+        if now - self.beat_at >= self.limits.beat_s:
+            self._beat(now)
+        self._dispatch(now)
+        return self._take_effects()
+
+    def _resume_after_pause(self, paused_s: float, now: float) -> None:
+        """Drop the agents: they have stopped what was sent to them."""
+        self.log.write(
+            ProcessChanged(state="paused", paused_ms=round(paused_s * 1000))
+        )
+        for agent_id in list(self.agents):
+            self.effects.append(CloseAgent(agent_id))
+            self.effects.extend(self.agent_disconnected(agent_id, now))
+
+    def _check_agents(self, now: float) -> None:
+        for agent_id, view in list(self.agents.items()):
+            if now - view.heard_at > self.limits.silence_s:
+                self.effects.append(CloseAgent(agent_id))
+                self.effects.extend(self.agent_disconnected(agent_id, now))
+
+    def _check_lost(self, now: float) -> None:
+        """Let tasks wait again whose run at a lost agent is over."""
+        for held in (*self.jobs.values(), *self.ending.values()):
+            for task in held.tasks.values():
+                if task.over_at is not None and now > task.over_at:
+                    self._not_done(
+                        held, task, Ending.LOST, "its agent was lost", now
+                    )
+            if held.is_over:
+                self.ending.pop(held.job.job_id, None)
+
+    def _give_up(self, now: float) -> None:
+        """Refuse what has not begun and can't be served any more."""
+        for held in list(self.jobs.values()):
+            if held.begun or now < held.due:
+                continue
+            wait_ms, retry_s = self._outlook(held, now)
+            if retry_s is None:
+                continue
+            self.jobs.pop(held.job.job_id)
+            self._refuse(
+                held, held.waiters, "waited in vain", wait_ms, retry_s
+            )
+
+    def _forget_ended(self, now: float) -> None:
+        oldest = now - self.limits.answer_memory_s
+        while self.ended and next(iter(self.ended.values()))[1] < oldest:
+            self.ended.popitem(last=False)
+
+    def _beat(self, now: float) -> None:
+        self.beat_at = now
+        beat = Beat(version=self.version)
+        for agent_id in self.agents:
+            self.effects.append(SendToAgent(agent_id, beat))
+        untold = self.claims.take_untold()
+        for entry_id in self.peers:
+            self.effects.append(SendToPeer(entry_id, beat))
+            if untold:
+                taken = JobsTaken(job_ids=untold)
+                self.effects.append(SendToPeer(entry_id, taken))
+
+    # Sending tasks.
+
+    def _dispatch(self, now: float) -> None:
+        """Send waiting tasks to agents, the most urgent jobs first."""
+        waiting = [held for held in self.jobs.values() if any(held.waiting())]
+        waiting.sort(key=lambda held: held.order(now))
+        for held in waiting:
+            self._place(held, now)
+
+    def _place(self, held: HeldJob, now: float) -> None:
+        chosen: dict[tuple[str, int, int], list[HeldTask]] = {}
+        for task in list(held.waiting()):
+            step = held.job.steps[task.key.step]
+            beside = held.beside(task.key.step) if step.max_per_agent else {}
+            needs = TaskNeeds(
+                step=step,
+                time_left_ms=(held.due - now) * 1000,
+                avoided=frozenset(task.avoided),
+                beside=beside,
+            )
+            agent_id = self.placement.choose(needs, self.agents.items())
+            if agent_id is None:
+                continue
+            task.phase = TaskPhase.SENT
+            task.agent_id = agent_id
+            task.run += 1
+            view = self.agents[agent_id]
+            view.note_sent(step.room, 1, step.estimate_ms)
+            group = (agent_id, task.key.step, task.run)
+            chosen.setdefault(group, []).append(task)
+        for (agent_id, step_number, run), tasks in chosen.items():
+            self._send_tasks(held, agent_id, step_number, run, tasks, now)
+
+    def _send_tasks(
+        self,
+        held: HeldJob,
+        agent_id: str,
+        step_number: int,
+        run: int,
+        tasks: list[HeldTask],
+        now: float,
+    ) -> None:
+        step = held.job.steps[step_number]
+        view = self.agents[agent_id]
+        indexes = tuple(task.key.index for task in tasks)
+        message = RunTasks(
+            sequence=view.sequence,
+            job_id=held.job.job_id,
+            step=step_number,
+            indexes=indexes,
+            run=run,
+            payload=held.job.payload,
+            cpu_milli=step.room.cpu_milli,
+            memory_mb=step.room.memory_mb,
+            accelerators=step.room.accelerators,
+            estimate_ms=round(step.estimate_ms),
+            priority=held.route.priority,
+            time_left_ms=round((held.due - now) * 1000),
+            max_per_agent=step.max_per_agent,
+        )
+        self.effects.append(SendToAgent(agent_id, message))
+        self.log.write(
+            TasksPlaced(
+                job_id=held.job.job_id,
+                step=step_number,
+                indexes=indexes,
+                run=run,
+                agent=agent_id,
+                free_cpu_milli=view.free.cpu_milli,
+                queued=view.queued,
+                pace_percent=view.status.pace_percent,
+                status_age_ms=round((now - view.told_at) * 1000),
+            )
+        )
+
+    def _take_effects(self) -> list[EntryEffect]:
+        effects, self.effects = self.effects, []
+        return effects
--- /dev/null
+++ b/egretcart/direct/entry_process.py
@@ -0,0 +1,383 @@
+"""The entry's process: moves bytes for `DirectEntry`."""
+
+from collections.abc import Iterable
+import random
+from typing import Any
+
+import msgspec
+import trio
+
+from egretcart.connection.dialler import Dialler
+from egretcart.connection.http_listener import HttpListener
+from egretcart.connection.http_server import Handler
+from egretcart.connection.http_server import HttpLimits
+from egretcart.connection.peer_link import PeerLink
+from egretcart.connection.traffic import Traffic
+from egretcart.direct.configuration import decode_routing
+from egretcart.direct.configuration import encode_routing
+from egretcart.direct.configuration import Route
+from egretcart.direct.configuration import RoutingConfiguration
+from egretcart.direct.decisions import DecisionLog
+from egretcart.direct.entry import Answer
+from egretcart.direct.entry import CloseAgent
+from egretcart.direct.entry import DirectEntry
+from egretcart.direct.entry import DirectEntryLimits
+from egretcart.direct.entry import EntryEffect
+from egretcart.direct.entry import SendToAgent
+from egretcart.direct.entry import SendToPeer
+from egretcart.direct.job import Job
+from egretcart.direct.messages import AgentStatus
+from egretcart.direct.messages import Beat
+from egretcart.direct.messages import EntryHello
+from egretcart.direct.messages import EntryPeers
+from egretcart.direct.messages import PeerAddress
+from egretcart.direct.messages import Routing
+from egretcart.direct.settings import DirectEntrySettings
+from egretcart.direct.settings import split_address
+from egretcart.direct.wire import DIRECT_PROTOCOL
+from egretcart.process.clock import Clock
+from egretcart.process.planned_stop import poll_until
+
+TICK_S = 0.05
+# The balancer takes an entry out after two misses, a second apart.
+READINESS_MISSES_S = 2.3
+# Time at the end of a planned stop for the last answers to leave.
+LAST_ANSWERS_S = 0.5
+PUSH_CONFIGURATION_S = 0.5
+MAX_CONNECTIONS = 3000
+
+
+class DirectEntryProcess:
+    """Runs one entry.
+
+    Parameters
+    ----------
+    settings : DirectEntrySettings
+    limits : DirectEntryLimits
+    clock : Clock
+    log : DecisionLog
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: DirectEntrySettings,
+        limits: DirectEntryLimits,
+        clock: Clock,
+        log: DecisionLog,
+    ) -> None:
+        self.settings = settings
+        self.stop_limit_s = settings.stop_grace_s - LAST_ANSWERS_S
+        self.clock = clock
+        self.incarnation = clock.unix_ms()
+        self.entry = DirectEntry(
+            entry_id=settings.node,
+            limits=limits,
+            log=log,
+            source=random.Random(),
+        )
+        self.traffic = Traffic()
+        self.address = PeerAddress(host=settings.host, port=settings.peer_port)
+        self.known: set[PeerAddress] = set()
+        self.agent_links: dict[str, PeerLink] = {}
+        self.peer_links: dict[str, PeerLink] = {}
+        self.peer_versions: dict[str, int] = {}
+        self.pushed_at: dict[str, float] = {}
+        self.answers: dict[int, Answer] = {}
+        self.arrivals: dict[int, trio.Event] = {}
+        self.last_request = 0
+        self.wake = trio.Event()
+        self.listeners: list[HttpListener] = []
+        self.dialler: Dialler
+        self.nursery: trio.Nursery
+
+    async def serve(
+        self,
+        nursery: trio.Nursery,
+        *,
+        callers: Handler,
+        balancer: Handler,
+        reports: Handler,
+    ) -> None:
+        """Listen, connect, and return; the nursery runs the rest.
+
+        Parameters
+        ----------
+        nursery : trio.Nursery
+        callers, balancer, reports : callable
+            Handle requests at the callers', readiness and control address.
+        """
+        self.nursery = nursery
+        peers = await trio.open_tcp_listeners(
+            self.settings.peer_port, host=self.settings.host
+        )
+        nursery.start_soon(trio.serve_listeners, self._accepted, peers)
+        self.dialler = Dialler(
+            nursery=nursery,
+            seeds=self.settings.seed_endpoints,
+            converse=self._dialled,
+            own=(self.settings.host, self.settings.peer_port),
+        )
+        await self._serve(self.settings.callers, callers)
+        await self._serve(self.settings.readiness, balancer)
+        if self.settings.control:
+            await self._serve(self.settings.control, reports)
+        nursery.start_soon(self._tick)
+        nursery.start_soon(self._settle)
+
+    def reload(self, settings: DirectEntrySettings) -> None:
+        """Take changed settings; addresses of this process don't change."""
+        for host, port in settings.seed_endpoints:
+            self.learn_entry(host, port)
+
+    async def _serve(self, address: str, handler: Handler) -> None:
+        host, port = split_address(address)
+        listener = HttpListener(handler=handler, limits=self._http_limits())
+        listeners = await trio.open_tcp_listeners(port, host=host)
+        self.nursery.start_soon(listener.serve, listeners, self.nursery)
+        self.listeners.append(listener)
+
+    def _http_limits(self) -> HttpLimits:
+        configuration = self.entry.configuration
+        if configuration is None:
+            return HttpLimits(allows_half_close=False)
+        return HttpLimits(
+            max_body_bytes=configuration.limits.max_body_bytes,
+            max_header_bytes=configuration.limits.max_header_bytes,
+            request_timeout_s=configuration.limits.header_timeout_s,
+            idle_timeout_s=configuration.limits.idle_timeout_s,
+            max_connections=MAX_CONNECTIONS,
+            allows_half_close=False,
+        )
+
+    # For those who translate for callers and operators.
+
+    def configure(
+        self, configuration: RoutingConfiguration, *, source: str = "store"
+    ) -> None:
+        """Put a configuration in force unless a newer one is."""
+        if not self.entry.configure(configuration, source):
+            return
+        for listener in self.listeners:
+            listener.limits = self._http_limits()
+        for entry_id in self.peer_links:
+            self._push_configuration(entry_id)
+
+    def learn_entry(self, host: str, port: int) -> None:
+        """Connect to another entry and name it to the agents."""
+        self._learn([PeerAddress(host=host, port=port)])
+
+    async def submit(self, job: Job, route: Route) -> Answer:
+        """Take a job in and return its answer.
+
+        Cancelling the call means that the caller has left.
+        """
+        self.last_request += 1
+        request_id = self.last_request
+        arrival = self.arrivals[request_id] = trio.Event()
+        now = self.clock.monotonic()
+        self._carry_out(self.entry.submit(request_id, job, route, now))
+        try:
+            await arrival.wait()
+            return self.answers[request_id]
+        finally:
+            del self.arrivals[request_id]
+            if self.answers.pop(request_id, None) is None:
+                now = self.clock.monotonic()
+                self._carry_out(self.entry.left(job.job_id, request_id, now))
+
+    def cancel(self, job_id: str) -> None:
+        """Take a job back at its caller's request."""
+        now = self.clock.monotonic()
+        self._carry_out(self.entry.cancel(job_id, now))
+
+    # Stopping.
+
+    async def stop(self) -> None:
+        """Leave the rotation, then finish what callers wait for."""
+        now = self.clock.monotonic()
+        self.entry.stop(now + self.stop_limit_s, now)
+        await trio.sleep(READINESS_MISSES_S)
+        for listener in self.listeners:
+            listener.stopping = True
+        async with trio.open_nursery() as nursery:
+            for listener in self.listeners:
+                nursery.start_soon(listener.close)
+
+    async def abort(self) -> None:
+        """Send callers that still wait elsewhere, at once."""
+        self._carry_out(self.entry.interrupt(self.clock.monotonic()))
+        await poll_until(lambda: not self.arrivals)
+
+    # Links.
+
+    async def _accepted(self, stream: trio.SocketStream) -> None:
+        """Serve a link that an agent or another entry has opened."""
+        link = PeerLink(
+            stream=stream, protocol=DIRECT_PROTOCOL, traffic=self.traffic
+        )
+        agent_id = peer_id = ""
+
+        def handle(message: Any) -> None:
+            nonlocal agent_id, peer_id
+            now = self.clock.monotonic()
+            if isinstance(message, EntryHello):
+                peer_id = message.entry_id
+                link.introduce()
+                self._learn([message.address])
+            elif peer_id:
+                self._take_from_peer(peer_id, message, now)
+            elif isinstance(message, AgentStatus) and not agent_id:
+                agent_id = message.agent_id
+                link.introduce()
+                self._replace_agent_link(agent_id, link, now)
+                self._carry_out(self.entry.agent_connected(message, now))
+            elif agent_id and self.agent_links.get(agent_id) is link:
+                self._carry_out(self.entry.receive(agent_id, message, now))
+                self._unsettle()
+
+        known = EntryPeers(entries=tuple(self.known))
+        await link.run(handle, first=[self._hello(), known])
+        if agent_id and self.agent_links.get(agent_id) is link:
+            del self.agent_links[agent_id]
+            now = self.clock.monotonic()
+            self._carry_out(self.entry.agent_disconnected(agent_id, now))
+
+    def _replace_agent_link(
+        self, agent_id: str, link: PeerLink, now: float
+    ) -> None:
+        former = self.agent_links.get(agent_id)
+        self.agent_links[agent_id] = link
+        if former is not None:
+            former.close()
+            self._carry_out(self.entry.agent_disconnected(agent_id, now))
+
+    async def _dialled(self, stream: trio.SocketStream) -> None:
+        """Speak to another entry on a link that this one has opened."""
+        link = PeerLink(
+            stream=stream, protocol=DIRECT_PROTOCOL, traffic=self.traffic
+        )
+        peer_id = ""
+
+        def handle(message: Any) -> None:
+            nonlocal peer_id
+            if isinstance(message, EntryHello) and not peer_id:
+                peer_id = message.entry_id
+                link.introduce()
+                former = self.peer_links.get(peer_id)
+                self.peer_links[peer_id] = link
+                if former is not None:
+                    former.close()
+                self._carry_out(self.entry.peer_connected(peer_id))
+                self._push_configuration(peer_id)
+            elif isinstance(message, EntryPeers):
+                self._learn(message.entries)
+
+        known = EntryPeers(entries=tuple(self.known))
+        await link.run(handle, first=[self._hello(), known])
+        if peer_id and self.peer_links.get(peer_id) is link:
+            del self.peer_links[peer_id]
+            now = self.clock.monotonic()
+            self._carry_out(self.entry.peer_disconnected(peer_id, now))
+
+    def _hello(self) -> EntryHello:
+        return EntryHello(
+            entry_id=self.settings.node,
+            incarnation=self.incarnation,
+            address=self.address,
+        )
+
+    def _learn(self, addresses: Iterable[PeerAddress]) -> None:
+        """Connect to entries that were unknown, and tell all of them."""
+        fresh = [
+            address
+            for address in addresses
+            if address not in self.known and address != self.address
+        ]
+        if not fresh:
+            return
+        self.known.update(fresh)
+        for address in fresh:
+            self.dialler.ensure(address.host, address.port)
+        message = EntryPeers(entries=tuple(fresh))
+        for link in (*self.agent_links.values(), *self.peer_links.values()):
+            link.send(message)
+
+    def _take_from_peer(self, peer_id: str, message: Any, now: float) -> None:
+        if isinstance(message, Beat):
+            self.peer_versions[peer_id] = message.version
+            if message.version < self.entry.version:
+                self._push_configuration(peer_id)
+        elif isinstance(message, EntryPeers):
+            self._learn(message.entries)
+        elif isinstance(message, Routing):
+            self._take_routing(peer_id, message)
+        else:
+            self._carry_out(
+                self.entry.receive_from_peer(peer_id, message, now)
+            )
+
+    def _take_routing(self, peer_id: str, message: Routing) -> None:
+        if message.version <= self.entry.version:
+            return
+        try:
+            configuration = decode_routing(message.document)
+        except msgspec.DecodeError:
+            # Another release may write what this one can't read; the store
+            # tells this version, too.
+            return
+        self.configure(configuration, source=peer_id)
+
+    def _push_configuration(self, entry_id: str) -> None:
+        """Send the version in force to an entry that has an older one."""
+        configuration = self.entry.configuration
+        link = self.peer_links.get(entry_id)
+        now = self.clock.monotonic()
+        if configuration is None or link is None:
+            return
+        if self.peer_versions.get(entry_id, 0) >= configuration.version:
+            return
+        if now - self.pushed_at.get(entry_id, 0.0) < PUSH_CONFIGURATION_S:
+            return
+        self.pushed_at[entry_id] = now
+        link.send(
+            Routing(
+                version=configuration.version,
+                document=encode_routing(configuration),
+            )
+        )
+
+    # Effects.
+
+    def _carry_out(self, effects: Iterable[EntryEffect]) -> None:
+        for effect in effects:
+            if isinstance(effect, SendToAgent):
+                link = self.agent_links.get(effect.agent_id)
+                if link is not None:
+                    link.send(effect.message)
+            elif isinstance(effect, SendToPeer):
+                link = self.peer_links.get(effect.entry_id)
+                if link is not None:
+                    link.send(effect.message)
+            elif isinstance(effect, CloseAgent):
+                link = self.agent_links.pop(effect.agent_id, None)
+                if link is not None:
+                    link.close()
+            elif effect.request_id in self.arrivals:
+                self.answers[effect.request_id] = effect
+                self.arrivals[effect.request_id].set()
+
+    def _unsettle(self) -> None:
+        self.wake.set()
+
+    async def _settle(self) -> None:
+        """Send tasks once after each batch of messages."""
+        while True:
+            await self.wake.wait()
+            self.wake = trio.Event()
+            self._carry_out(self.entry.settle(self.clock.monotonic()))
+
+    async def _tick(self) -> None:
+        while True:
+            self._carry_out(self.entry.tick(self.clock.monotonic()))
+            await trio.sleep(TICK_S)
--- /dev/null
+++ b/egretcart/direct/held_job.py
@@ -0,0 +1,164 @@
+"""A job that an entry holds for its caller. Free of I/O."""
+
+from collections.abc import Iterable
+import dataclasses
+import enum
+
+from egretcart.direct.configuration import Route
+from egretcart.direct.job import Job
+from egretcart.direct.job import JobState
+from egretcart.direct.job import TaskKey
+
+
+class TaskPhase(enum.Enum):
+    """How far a task has come."""
+
+    WAITING = "waiting"
+    SENT = "sent"
+    STOPPING = "stopping"
+    DONE = "done"
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class HeldTask:
+    """One task of a held job.
+
+    Attributes
+    ----------
+    run : int
+        Number of the last run.
+    agent_id : str
+        Where that run was sent.
+    sequence : int
+        Of the message that it was sent in.
+    failures : int
+        Runs that have failed.
+    avoided : set of str
+        Agents at which it has gone wrong.
+    over_at : float or None
+        When a run at a lost agent is surely over.
+    has_run : bool
+        Whether a run of it has begun.
+    """
+
+    key: TaskKey
+    phase: TaskPhase = TaskPhase.WAITING
+    run: int = 0
+    agent_id: str = ""
+    failures: int = 0
+    avoided: set[str] = dataclasses.field(default_factory=set)
+    over_at: float | None = None
+    has_run: bool = False
+
+
+class HeldJob:
+    """A job, its tasks and the requests that wait for its answer.
+
+    Parameters
+    ----------
+    job : Job
+    route : Route
+    now : float
+    first_run : int
+        Number of the first run of each task.
+
+    Attributes
+    ----------
+    waiters : set of int
+        Requests that wait for the answer; none once it was cancelled.
+    accepted_at : float
+    objective_ms : float
+        Latency objective, from the caller's estimates.
+    """
+
+    def __init__(
+        self, *, job: Job, route: Route, now: float, first_run: int
+    ) -> None:
+        self.job = job
+        self.route = route
+        self.accepted_at = now
+        self.waiters: set[int] = set()
+        self.objective_ms = objective_ms(job, route)
+        self.tasks: dict[TaskKey, HeldTask] = {}
+        self.left = [step.count for step in job.steps]
+        for number, step in enumerate(job.steps):
+            for index in range(step.count):
+                key = TaskKey(job.job_id, number, index)
+                self.tasks[key] = HeldTask(key=key, run=first_run - 1)
+
+    @property
+    def begun(self) -> bool:
+        """Whether a task may have started."""
+        return any(
+            task.has_run or task.phase is not TaskPhase.WAITING
+            for task in self.tasks.values()
+        )
+
+    @property
+    def due(self) -> float:
+        """When the latency objective ends."""
+        return self.accepted_at + self.objective_ms / 1000
+
+    @property
+    def state(self) -> JobState:
+        """How far the job has come."""
+        if not any(self.left):
+            return JobState.COMPLETED
+        return JobState.RUNNING if self.begun else JobState.QUEUED
+
+    @property
+    def is_over(self) -> bool:
+        """Whether no run of it can be left anywhere."""
+        return all(
+            task.phase in (TaskPhase.WAITING, TaskPhase.DONE)
+            for task in self.tasks.values()
+        )
+
+    def order(self, now: float) -> tuple[bool, int, float]:
+        """Return what sorts held jobs: those that can be on time first."""
+        return (self.due < now, self.route.priority, self.due)
+
+    def may_run(self, step: int) -> bool:
+        """Whether all steps before have ended with success."""
+        return not any(
+            self.left[before] for before in self.job.steps[step].after
+        )
+
+    def waiting(self) -> Iterable[HeldTask]:
+        """Yield the tasks that may be sent now."""
+        for task in self.tasks.values():
+            if task.phase is TaskPhase.WAITING and self.may_run(task.key.step):
+                yield task
+
+    def note_done(self, task: HeldTask) -> None:
+        """Note that a task has ended with success."""
+        if task.phase is not TaskPhase.DONE:
+            task.phase = TaskPhase.DONE
+            self.left[task.key.step] -= 1
+
+    def beside(self, step: int) -> dict[str, int]:
+        """Return how many tasks of a step each agent holds."""
+        counts: dict[str, int] = {}
+        for task in self.tasks.values():
+            sent = task.phase in (TaskPhase.SENT, TaskPhase.STOPPING)
+            if task.key.step == step and sent:
+                counts[task.agent_id] = counts.get(task.agent_id, 0) + 1
+        return counts
+
+    def work_milli_ms(self) -> float:
+        """Return the estimated work of the tasks that wait."""
+        return sum(
+            self.job.steps[task.key.step].estimate_ms
+            * self.job.steps[task.key.step].room.cpu_milli
+            for task in self.tasks.values()
+            if task.phase is TaskPhase.WAITING
+        )
+
+
+def objective_ms(job: Job, route: Route) -> float:
+    """Return the latency objective of a job, from its estimates."""
+    chains: list[float] = []
+    for step in job.steps:
+        before = max((chains[number] for number in step.after), default=0.0)
+        chains.append(before + step.estimate_ms)
+    return route.stretch * max(chains, default=0.0) + route.slack_ms
--- /dev/null
+++ b/egretcart/direct/log_lines.py
@@ -0,0 +1,107 @@
+"""Writes decisions as JSON lines to standard output, without blocking."""
+
+from collections import Counter
+from collections import deque
+import dataclasses
+import json
+import os
+from typing import Any
+
+import eliot
+import trio
+
+from egretcart.direct.decisions import Decision
+from egretcart.direct.decisions import JobAnswered
+from egretcart.direct.decisions import JobCancelled
+from egretcart.direct.decisions import JobRefused
+from egretcart.direct.decisions import ProcessChanged
+from egretcart.process.clock import Clock
+
+STDOUT = 1
+# Lines of each kind a second; the mean size is 250 bytes, so that the kinds
+# of a busy process together stay below 2 MB a minute.
+LINES_PER_KIND = 30
+# Lines that tell how a request ended go before all others.
+FINAL_LINES_PER_KIND = 100
+FINAL_KINDS = (JobAnswered, JobCancelled, JobRefused, ProcessChanged)
+MAX_WAITING_LINES = 2000
+WINDOW_S = 1.0
+
+
+class DecisionLines:
+    """A `DecisionLog` that writes bounded JSON lines through eliot.
+
+    Parameters
+    ----------
+    process_id : str
+    clock : Clock
+
+    Attributes
+    ----------
+    left_out : Counter of str
+        Lines of each kind that were dropped since the last count of them.
+    """
+
+    def __init__(self, *, process_id: str, clock: Clock) -> None:
+        self.process_id = process_id
+        self.clock = clock
+        self.waiting: deque[bytes] = deque()
+        self.written: Counter[str] = Counter()
+        self.left_out: Counter[str] = Counter()
+        self.window_ends = 0.0
+        self.wake = trio.Event()
+        eliot.add_destinations(self._take_line)
+
+    def write(self, decision: Decision) -> None:
+        """Write one decision, unless too many of its kind were written."""
+        kind = type(decision).__name__
+        self._open_window()
+        final = isinstance(decision, FINAL_KINDS)
+        limit = FINAL_LINES_PER_KIND if final else LINES_PER_KIND
+        full = len(self.waiting) >= MAX_WAITING_LINES
+        if self.written[kind] >= limit or full:
+            self.left_out[kind] += 1
+            return
+        self.written[kind] += 1
+        eliot.log_message(
+            message_type=f"egretcart:{kind}",
+            process=self.process_id,
+            **{
+                field.name: getattr(decision, field.name)
+                for field in dataclasses.fields(decision)
+            },
+        )
+
+    def _open_window(self) -> None:
+        now = self.clock.monotonic()
+        if now < self.window_ends:
+            return
+        self.window_ends = now + WINDOW_S
+        self.written.clear()
+        if self.left_out:
+            left_out, self.left_out = self.left_out, Counter()
+            eliot.log_message(
+                message_type="egretcart:LinesLeftOut",
+                process=self.process_id,
+                lines=dict(left_out),
+            )
+
+    def _take_line(self, message: dict[str, Any]) -> None:
+        self.waiting.append(json.dumps(message).encode() + b"\n")
+        self.wake.set()
+
+    async def run(self) -> None:
+        """Move lines to standard output until cancelled."""
+        stream = trio.lowlevel.FdStream(os.dup(STDOUT))
+        while True:
+            await self.wake.wait()
+            self.wake = trio.Event()
+            while self.waiting:
+                lines = b"".join(self.waiting)
+                self.waiting.clear()
+                try:
+                    await stream.send_all(lines)
+                except (trio.BrokenResourceError, OSError):
+                    # Nobody reads any more; there is no other place to tell.
+                    self.left_out["broken output"] += 1
+                    return
--- /dev/null
+++ b/egretcart/direct/placement.py
@@ -0,0 +1,165 @@
+"""Which agent a task goes to. Free of I/O.
+
+Answers two loads: a mixture of short and long tasks on backend servers of
+unequal speed, and a full fleet whose room comes free one task at a time.
+"""
+
+from collections.abc import Iterable
+import dataclasses
+import random
+
+from egretcart.direct.job import Step
+from egretcart.direct.views import AgentView
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PlacementLimits:
+    """How tasks are spread.
+
+    Attributes
+    ----------
+    on_time_share : float
+        Share of the time that is left which a task's expected run time may
+        take on a slower agent; estimates are rough.
+    pace_step : float
+        Paces within this factor count as equal.
+    max_queued : int
+        Tasks that may wait at an agent, so that room that comes free there
+        is used at once; more are kept at the entry, where they are free to
+        go elsewhere.
+    probe_queued : int
+        Tasks that an agent that is being tried out may hold.
+    """
+
+    on_time_share: float = 0.85
+    pace_step: float = 1.15
+    max_queued: int = 2
+    probe_queued: int = 1
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class TaskNeeds:
+    """What is known of a task that is to be placed.
+
+    Attributes
+    ----------
+    step : Step
+    time_left_ms : float
+        Until the job's latency objective.
+    avoided : frozenset of str
+        Agents at which the task has gone wrong.
+    beside : dict of str to int
+        Tasks of the same step at each agent.
+    """
+
+    step: Step
+    time_left_ms: float
+    avoided: frozenset[str] = frozenset()
+    beside: dict[str, int] = dataclasses.field(default_factory=dict)
+
+
+class Placement:
+    """Chooses agents.
+
+    Parameters
+    ----------
+    limits : PlacementLimits
+    far_factor : float
+        How much longer a task takes on another rack than its data's.
+    source : random.Random
+        Spreads the choices of several entries.
+    """
+
+    def __init__(
+        self,
+        *,
+        limits: PlacementLimits,
+        far_factor: float,
+        source: random.Random,
+    ) -> None:
+        self.limits = limits
+        self.far_factor = far_factor
+        self.source = source
+
+    def choose(
+        self, needs: TaskNeeds, views: Iterable[tuple[str, AgentView]]
+    ) -> str | None:
+        """Return the agent for a task; None to keep it for now."""
+        usable = [
+            (agent_id, view)
+            for agent_id, view in views
+            if self._is_usable(agent_id, view, needs)
+        ]
+        fresh = [item for item in usable if item[0] not in needs.avoided]
+        usable = fresh or usable
+        fitting = [
+            item for item in usable if item[1].free.holds(needs.step.room)
+        ]
+        if fitting:
+            return self._best_fitting(needs, fitting)
+        return self._shortest_queue(needs, usable)
+
+    def _is_usable(
+        self, agent_id: str, view: AgentView, needs: TaskNeeds
+    ) -> bool:
+        if not view.may_run(needs.step):
+            return False
+        most = needs.step.max_per_agent
+        if most and needs.beside.get(agent_id, 0) >= most:
+            return False
+        return not view.status.probing or self._may_probe(view)
+
+    def _may_probe(self, view: AgentView) -> bool:
+        return not view.sent and view.free == view.status.capacity
+
+    def _best_fitting(
+        self, needs: TaskNeeds, fitting: list[tuple[str, AgentView]]
+    ) -> str:
+        """Prefer the slowest that is on time, else the fastest.
+
+        So long tasks find room on the fast ones.
+        """
+        limit_ms = needs.time_left_ms * self.limits.on_time_share
+        times = [
+            (view.run_ms(needs.step, self.far_factor), agent_id, view)
+            for agent_id, view in fitting
+        ]
+        on_time = [item for item in times if item[0] <= limit_ms]
+        if on_time:
+            slowest = max(item[0] for item in on_time)
+            alike = [
+                item
+                for item in on_time
+                if item[0] * self.limits.pace_step >= slowest
+            ]
+        else:
+            fastest = min(item[0] for item in times)
+            alike = [
+                item
+                for item in times
+                if item[0] <= fastest * self.limits.pace_step
+            ]
+        return max(alike, key=lambda item: self._emptiness(item[2]))[1]
+
+    def _emptiness(self, view: AgentView) -> float:
+        whole = max(1, view.status.capacity.cpu_milli)
+        return view.free.cpu_milli / whole + self.source.random() * 0.1
+
+    def _shortest_queue(
+        self, needs: TaskNeeds, usable: list[tuple[str, AgentView]]
+    ) -> str | None:
+        open_queues = [
+            (agent_id, view)
+            for agent_id, view in usable
+            if view.queued < self.limits.max_queued and not view.status.probing
+        ]
+        if not open_queues:
+            return None
+        return min(
+            open_queues,
+            key=lambda item: (
+                item[1].queued,
+                item[1].run_ms(needs.step, self.far_factor),
+                self.source.random(),
+            ),
+        )[0]
--- /dev/null
+++ b/egretcart/direct/reload.py
@@ -0,0 +1,83 @@
+"""Notices that the settings file has changed, with and without a signal."""
+
+from collections.abc import Callable
+import pathlib
+import signal
+from typing import Generic
+from typing import TypeVar
+
+from result import Ok
+import trio
+
+from egretcart.direct.decisions import DecisionLog
+from egretcart.direct.decisions import ProcessChanged
+from egretcart.direct.settings import DirectSettings
+from egretcart.direct.settings import load_direct_settings
+
+POLL_S = 1.0
+
+S = TypeVar("S", bound=DirectSettings)
+
+
+class SettingsWatch(Generic[S]):
+    """Hands over changed settings; wrong ones are told and left out.
+
+    Parameters
+    ----------
+    path : pathlib.Path
+    settings_type : type
+    on_change : callable
+        Called with the new settings.
+    log : DecisionLog
+    """
+
+    def __init__(
+        self,
+        *,
+        path: pathlib.Path,
+        settings_type: type[S],
+        on_change: Callable[[S], None],
+        log: DecisionLog,
+    ) -> None:
+        self.path = path
+        self.settings_type = settings_type
+        self.on_change = on_change
+        self.log = log
+        self.seen = self._data()
+
+    def _data(self) -> bytes:
+        try:
+            return self.path.read_bytes()
+        except OSError as error:
+            self.log.write(
+                ProcessChanged(state="settings unreadable", cause=str(error))
+            )
+            return b""
+
+    async def run(self) -> None:
+        """Watch until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._poll)
+            with trio.open_signal_receiver(signal.SIGHUP) as signals:
+                async for _ in signals:
+                    self.look()
+
+    async def _poll(self) -> None:
+        while True:
+            await trio.sleep(POLL_S)
+            self.look()
+
+    def look(self) -> None:
+        """Read the file, and hand it over if it has changed."""
+        data = self._data()
+        if not data or data == self.seen:
+            return
+        self.seen = data
+        loaded = load_direct_settings(self.path, self.settings_type)
+        if isinstance(loaded, Ok):
+            self.log.write(ProcessChanged(state="settings changed"))
+            self.on_change(loaded.ok_value)
+        else:
+            self.log.write(
+                ProcessChanged(state="settings wrong", cause=loaded.err_value)
+            )
--- /dev/null
+++ b/egretcart/direct/store_follower.py
@@ -0,0 +1,133 @@
+"""Follows the platform's store: the configuration and the entries."""
+
+from collections.abc import Callable
+import random
+
+import trio
+
+from egretcart.direct.configuration import RoutingConfiguration
+from egretcart.direct.decisions import DecisionLog
+from egretcart.direct.decisions import DependencyChanged
+from egretcart.process.platform import Change
+from egretcart.process.platform import keys_below
+from egretcart.process.platform import Platform
+from egretcart.process.platform import PlatformError
+from egretcart.process.registration import list_entries
+
+# A configuration is to be in force two seconds after it was accepted, also
+# when a watch has just broken.
+RETRY_S = 0.3
+MAX_RETRY_S = 1.0
+LIST_ENTRIES_S = 5.0
+STORE = "store"
+
+
+class StoreFollower:
+    """Hands over each configuration, and the entries now and then.
+
+    Parameters
+    ----------
+    platform : Platform
+    key : str
+        Where the configuration lies.
+    decode : callable
+        Returns the configuration in a value, or raises `ValueError`.
+    on_configuration : callable
+        Called with each configuration.
+    on_entry : callable
+        Called with host and port of each registered entry.
+    log : DecisionLog
+    source : random.Random
+        Source of jitter, so that entries do not call at the same time.
+    """
+
+    def __init__(
+        self,
+        *,
+        platform: Platform,
+        key: str,
+        decode: Callable[[bytes], RoutingConfiguration],
+        on_configuration: Callable[[RoutingConfiguration], None],
+        on_entry: Callable[[str, int], None],
+        log: DecisionLog,
+        source: random.Random,
+    ) -> None:
+        self.platform = platform
+        self.key = key
+        self.decode = decode
+        self.on_configuration = on_configuration
+        self.on_entry = on_entry
+        self.log = log
+        self.source = source
+        self.lost = False
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._follow_configuration)
+            nursery.start_soon(self.follow_entries)
+
+    async def follow_entries(self) -> None:
+        """Hand over the registered entries now and then."""
+        while True:
+            try:
+                for address in await list_entries(self.platform):
+                    self.on_entry(address.host, address.port)
+            except PlatformError as error:
+                self._note_lost(str(error))
+            await trio.sleep(LIST_ENTRIES_S * self.source.uniform(0.8, 1.2))
+
+    async def _follow_configuration(self) -> None:
+        pause_s = RETRY_S
+        while True:
+            began = trio.current_time()
+            try:
+                await self._read_and_watch()
+            except PlatformError as error:
+                self._note_lost(str(error))
+            if trio.current_time() - began > MAX_RETRY_S:
+                pause_s = RETRY_S
+            await trio.sleep(pause_s * self.source.uniform(0.5, 1.0))
+            pause_s = min(MAX_RETRY_S, pause_s * 1.5)
+
+    async def _read_and_watch(self) -> None:
+        revision = 0
+        value = await self.platform.get(self.key)
+        if value is not None:
+            revision = value.revision
+            self._take(value.data)
+        self._note_back()
+        await self.platform.watch(
+            keys_below(self.key), revision + 1, self._take_change
+        )
+
+    def _take_change(self, change: Change) -> None:
+        self._note_back()
+        if change.key == self.key and change.value is not None:
+            self._take(change.value.data)
+
+    def _take(self, data: bytes) -> None:
+        try:
+            configuration = self.decode(data)
+        except ValueError as error:
+            self.log.write(
+                DependencyChanged(
+                    name=STORE,
+                    state="unreadable configuration",
+                    cause=str(error),
+                )
+            )
+            return
+        self.on_configuration(configuration)
+
+    def _note_lost(self, cause: str) -> None:
+        if not self.lost:
+            self.lost = True
+            self.log.write(
+                DependencyChanged(name=STORE, state="lost", cause=cause)
+            )
+
+    def _note_back(self) -> None:
+        if self.lost:
+            self.lost = False
+            self.log.write(DependencyChanged(name=STORE, state="back"))
--- /dev/null
+++ b/egretcart/direct/wire.py
@@ -0,0 +1,63 @@
+"""Codec, size and checks of the messages of direct dispatch."""
+
+import pathlib
+import typing
+from typing import Any
+
+from egretcart.connection.frames import FrameCodec
+from egretcart.connection.frames import load_idl
+from egretcart.connection.peer_link import LinkProtocol
+from egretcart.direct import messages
+from egretcart.direct.job import Ending
+from egretcart.direct.job import JobState
+from egretcart.direct.messages import AgentStatus
+from egretcart.direct.messages import EntryHello
+from egretcart.direct.messages import JobReleased
+from egretcart.direct.messages import RunTasks
+from egretcart.direct.messages import TaskEnded
+
+MESSAGE_OVERHEAD_BYTES = 256
+MAX_NAME_CHARACTERS = 256
+ENDINGS = frozenset(ending.value for ending in Ending)
+STATES = frozenset(("", *(state.value for state in JobState)))
+
+
+def message_bytes(message: Any) -> int:
+    """Return about how much memory a message takes."""
+    if isinstance(message, RunTasks):
+        return MESSAGE_OVERHEAD_BYTES + len(message.payload)
+    return MESSAGE_OVERHEAD_BYTES
+
+
+def find_fault(message: Any) -> str | None:
+    """Return what is wrong with a received message, or None."""
+    if isinstance(message, EntryHello):
+        name = message.entry_id
+    elif isinstance(message, AgentStatus):
+        name = message.agent_id
+    else:
+        name = "-"
+    if not 0 < len(name) <= MAX_NAME_CHARACTERS:
+        return f"a name of {len(name)} characters"
+    if isinstance(message, TaskEnded) and message.ending not in ENDINGS:
+        return f'unknown ending "{message.ending}"'
+    if isinstance(message, JobReleased) and message.state not in STATES:
+        return f'unknown state "{message.state}"'
+    if isinstance(message, RunTasks) and (
+        not message.job_id or message.run < 1 or not message.indexes
+    ):
+        return f'tasks of job "{message.job_id}", run {message.run}'
+    return None
+
+
+DIRECT_PROTOCOL = LinkProtocol(
+    codec=FrameCodec(
+        structs=load_idl(
+            pathlib.Path(__file__).with_name("wire.thrift"),
+            module_name="egretcart_direct_thrift",
+        ),
+        message_types=typing.get_args(messages.Message),
+    ),
+    message_bytes=message_bytes,
+    find_fault=find_fault,
+)
--- /dev/null
+++ b/egretcart/direct/wire.thrift
@@ -0,0 +1,101 @@
+// Messages of direct dispatch. Framing and evolution are those of
+// egretcart/connection/wire.thrift: fields at their default are left out,
+// numbers are never reused.
+
+struct PeerAddress { 1: optional string host, 2: optional i32 port }
+struct EntryHello {
+  1: optional string entry_id
+  2: optional i64 incarnation
+  3: optional PeerAddress address
+}
+struct EntryPeers { 1: optional list<PeerAddress> entries }
+struct Beat { 1: optional i64 version }
+
+// Entry to agent.
+struct RunTasks {
+  1: optional i64 sequence
+  2: optional string job_id
+  3: optional i32 step
+  4: optional list<i32> indexes
+  5: optional i32 run
+  6: optional string payload
+  7: optional i32 cpu_milli
+  8: optional i32 memory_mb
+  9: optional i32 accelerators
+  10: optional i64 estimate_ms
+  11: optional i32 priority
+  12: optional i64 time_left_ms
+  13: optional i32 max_per_agent
+}
+struct StopTasks { 1: optional string job_id, 2: optional i32 step, 3: optional list<i32> indexes }
+struct EvictJob { 1: optional i64 number, 2: optional string job_id }
+
+// Agent to entry.
+struct AgentStatus {
+  1: optional string agent_id
+  2: optional i64 incarnation
+  3: optional string service_name
+  4: optional list<string> labels
+  5: optional bool accepting
+  6: optional i32 cpu_milli
+  7: optional i32 memory_mb
+  8: optional i32 accelerators
+  9: optional i32 free_cpu_milli
+  10: optional i32 free_memory_mb
+  11: optional i32 free_accelerators
+  12: optional i32 queued
+  13: optional i64 queued_ms
+  14: optional i64 sequence
+  15: optional i32 pace_percent
+  16: optional bool probing
+  17: optional string failure_domain
+}
+struct TaskEnded {
+  1: optional string job_id
+  2: optional i32 step
+  3: optional i32 index
+  4: optional i32 run
+  5: optional string ending
+  6: optional i64 run_ms
+  7: optional string reason
+}
+struct TaskLate {
+  1: optional string job_id
+  2: optional i32 step
+  3: optional i32 index
+  4: optional i32 run
+  5: optional i64 remaining_ms
+}
+struct HeldTask {
+  1: optional string job_id
+  2: optional i32 step
+  3: optional i32 index
+  4: optional i32 run
+}
+struct HeldTasks { 1: optional list<HeldTask> tasks }
+struct JobEvicted { 1: optional i64 number }
+
+// Between entries.
+struct JobsTaken { 1: optional list<string> job_ids }
+struct ReleaseJob { 1: optional i64 number, 2: optional string job_id }
+struct JobReleased { 1: optional i64 number, 2: optional string state }
+struct Routing { 1: optional i64 version, 2: optional binary document }
+
+struct Message {
+  1: optional EntryHello entry_hello
+  2: optional EntryPeers entry_peers
+  3: optional Beat beat
+  4: optional RunTasks run_tasks
+  5: optional StopTasks stop_tasks
+  6: optional EvictJob evict_job
+  7: optional AgentStatus agent_status
+  8: optional TaskEnded task_ended
+  9: optional TaskLate task_late
+  10: optional HeldTasks held_tasks
+  11: optional JobEvicted job_evicted
+  12: optional JobsTaken jobs_taken
+  13: optional ReleaseJob release_job
+  14: optional JobReleased job_released
+  15: optional Routing routing
+}
+struct Frame { 1: optional list<Message> messages }
--- a/egretcart/process/clock.py
+++ b/egretcart/process/clock.py
@@ -24,3 +24,15 @@
     def unix_ms(self) -> int:
         """Return wall-clock milliseconds since the Unix epoch."""
         return time.time_ns() // 1_000_000
+
+
+class BootClock:
+    """The machine's clocks; the steady one counts suspensions too."""
+
+    def monotonic(self) -> float:
+        """Return seconds since the machine's start; never goes back."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+    def unix_ms(self) -> int:
+        """Return wall-clock milliseconds since the Unix epoch."""
+        return time.time_ns() // 1_000_000
--- a/tests/features/steps/codec_steps.py
+++ b/tests/features/steps/codec_steps.py
@@ -15,6 +15,7 @@
 from thriftpy2.transport import TCyMemoryBuffer
 
 from egretcart.connection import codec
+from egretcart.connection import frames
 from egretcart.connection import messages
 from egretcart.connection.codec import encode_frame
 from egretcart.connection.codec import FrameBuffer
@@ -153,7 +154,7 @@
 def check_read_by_older(context):
     release = neighbouring_release(("  10: optional i64 interval_ms\n", ""))
     frame = encode_frame([EntryBeat(config_version=7, interval_ms=400)])
-    transport = TCyMemoryBuffer(frame[codec.HEADER_BYTES :])
+    transport = TCyMemoryBuffer(frame[frames.HEADER_BYTES :])
     read = TCyBinaryProtocol(transport).read_struct(release.Frame())
     assert read.messages[0].entry_beat.config_version == 7
 
@@ -184,7 +185,7 @@
     @settings(max_examples=200)
     @given(ANY_MESSAGE)
     def holds(message):
-        field, _ = codec.MAPPERS[type(message)]
+        field, _ = codec.CODEC.mappers[type(message)]
         envelope = release.Message(**{field: whole_struct(release, message)})
         assert codec.decode_frame(frame_of(release, [envelope])) == [message]
 
