Judge late runs by the paces of the two agents

Ruled out: a higher threshold on the remaining time; estimates are wrong by a factor of two at times.

--- a/egretcart/direct/agent.py
+++ b/egretcart/direct/agent.py
@@ -361,6 +361,9 @@
                 self._stop_stray(task.key, task.run)
                 continue
             run.progress.note(task.percent, now)
+            sample_ms = run.progress.sample_ms()
+            if sample_ms is not None:
+                self.pace.note(sample_ms, run.estimate_ms)
             if run.phase is RunPhase.UNCERTAIN:
                 run.phase = RunPhase.RUNNING
                 run.answered_at = now
@@ -645,11 +648,11 @@
         if now - run.told_late_at < gap_s or not self._is_answering(now):
             return
         if run.progress.is_stalled(now):
-            remaining_ms = -1.0
+            whole_ms = -1.0
             if run.progress.percent == 0:
                 self.health.note_bad(run.key.job_id, now)
         elif run.progress.is_late():
-            remaining_ms = run.progress.remaining_ms() or 0.0
+            whole_ms = run.progress.whole_ms() or 0.0
         else:
             return
         run.told_late_at = now
@@ -658,7 +661,8 @@
             step=run.key.step,
             index=run.key.index,
             run=run.run,
-            remaining_ms=round(remaining_ms),
+            percent=round(run.progress.percent),
+            whole_ms=round(whole_ms),
         )
         self._send(run.entry_id, late)
 
@@ -780,7 +784,8 @@
         run_ms = max(0, round((now - run.progress.began) * 1000))
         if ending is Ending.DONE:
             self.health.note_good()
-            self.pace.note(run_ms, run.estimate_ms)
+            if run.progress.sampled_percent == 0:
+                self.pace.note(run_ms, run.estimate_ms)
         elif ending is Ending.FAILED:
             self.health.note_bad(run.key.job_id, now)
         self.log.write(
--- a/egretcart/direct/decisions.py
+++ b/egretcart/direct/decisions.py
@@ -123,8 +123,10 @@
     index: int
     run: int
     agent: str
-    remaining_ms: int
-    elsewhere_ms: int
+    percent: int
+    whole_ms: int
+    pace: float
+    elsewhere_pace: float
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/egretcart/direct/entry.py
+++ b/egretcart/direct/entry.py
@@ -54,6 +54,7 @@
 from egretcart.direct.placement import PlacementLimits
 from egretcart.direct.placement import TaskNeeds
 from egretcart.direct.rescue import is_worth_moving
+from egretcart.direct.rescue import LateRun
 from egretcart.direct.rescue import RescueLimits
 from egretcart.direct.views import AgentView
 
@@ -710,21 +711,14 @@
             or (task.run, task.agent_id) != (message.run, agent_id)
         ):
             return
-        step = held.job.steps[task.key.step]
-        elsewhere_ms = min(
-            (
-                view.run_ms(step, self.limits.far_factor)
-                for other_id, view in self.agents.items()
-                if other_id != agent_id
-                and view.may_run(step)
-                and not view.status.probing
-                and view.free.holds(step.room)
-            ),
-            default=math.inf,
+        view = self.agents[agent_id]
+        run = LateRun(
+            whole_ms=message.whole_ms,
+            done_share=message.percent / 100,
+            pace=view.pace,
+            elsewhere_pace=self._pace_elsewhere(held, task),
         )
-        if not is_worth_moving(
-            message.remaining_ms, elsewhere_ms, self.limits.rescue
-        ):
+        if not is_worth_moving(run, self.limits.rescue):
             return
         self.log.write(
             TaskMoved(
@@ -733,12 +727,30 @@
                 index=task.key.index,
                 run=task.run,
                 agent=agent_id,
-                remaining_ms=message.remaining_ms,
-                elsewhere_ms=round(min(elsewhere_ms, 1e6)),
+                percent=message.percent,
+                whole_ms=message.whole_ms,
+                pace=run.pace,
+                elsewhere_pace=run.elsewhere_pace or 0.0,
             )
         )
         self._stop_task(task)
 
+    def _pace_elsewhere(self, held: HeldJob, task: HeldTask) -> float | None:
+        """Return the best pace where the task would find room now."""
+        step = held.job.steps[task.key.step]
+        return min(
+            (
+                view.pace
+                for agent_id, view in self.agents.items()
+                if agent_id != task.agent_id
+                and agent_id not in task.avoided
+                and view.may_run(step)
+                and not view.status.probing
+                and view.free.holds(step.room)
+            ),
+            default=None,
+        )
+
     def _reconcile(
         self, agent_id: str, message: HeldTasks, now: float
     ) -> None:
--- a/egretcart/direct/log_lines.py
+++ b/egretcart/direct/log_lines.py
@@ -92,7 +92,7 @@
 
     async def run(self) -> None:
         """Move lines to standard output until cancelled."""
-        stream = trio.lowlevel.FdStream(os.dup(STDOUT))
+        os.set_blocking(STDOUT, False)
         while True:
             await self.wake.wait()
             self.wake = trio.Event()
@@ -100,8 +100,16 @@
                 lines = b"".join(self.waiting)
                 self.waiting.clear()
                 try:
-                    await stream.send_all(lines)
-                except (trio.BrokenResourceError, OSError):
+                    await self._write_all(lines)
+                except OSError:
                     # Nobody reads any more; there is no other place to tell.
                     self.left_out["broken output"] += 1
                     return
+
+    async def _write_all(self, lines: bytes) -> None:
+        """Write to standard output; wait while its reader does not read."""
+        while lines:
+            try:
+                lines = lines[os.write(STDOUT, lines) :]
+            except BlockingIOError:
+                await trio.lowlevel.wait_writable(STDOUT)
--- a/egretcart/direct/messages.py
+++ b/egretcart/direct/messages.py
@@ -180,15 +180,18 @@
 
     Attributes
     ----------
-    remaining_ms : int
-        Expected from its progress so far; -1 if it stands still.
+    whole_ms : int
+        Whole run time at its pace so far; -1 if it stands still.
+    percent : int
+        How far it has come.
     """
 
     job_id: str = ""
     step: int = 0
     index: int = 0
     run: int = 0
-    remaining_ms: int = 0
+    whole_ms: int = 0
+    percent: int = 0
 
     @property
     def key(self) -> TaskKey:
--- a/egretcart/direct/progress.py
+++ b/egretcart/direct/progress.py
@@ -19,8 +19,11 @@
     late_factor : float
         Remaining time, as a multiple of the estimated run time, from which
         the entry is asked whether to run it elsewhere.
+    sample_s : float
+        Time of a run from which the pace is sampled, in seconds: long
+        enough for several percent of a task of a second.
     pace_runs : int
-        Runs from which the server's pace is learned.
+        Samples from which the server's pace is learned.
     max_pace : float
         Bound of the pace.
     """
@@ -28,7 +31,8 @@
     stall_s: float = 0.35
     stall_share: float = 0.15
     late_factor: float = 1.6
-    pace_runs: int = 12
+    sample_s: float = 0.15
+    pace_runs: int = 16
     max_pace: float = 20.0
 
 
@@ -51,6 +55,8 @@
         self.began = began
         self.percent = 0.0
         self.moved_at = began
+        self.sampled_percent = 0.0
+        self.sampled_at = began
 
     def note(self, percent: float, now: float) -> None:
         """Take the progress that the server lists."""
@@ -58,26 +64,38 @@
             self.percent = percent
             self.moved_at = now
 
+    def sample_ms(self) -> float | None:
+        """Return a whole run time at the pace since the last sample.
+
+        None if that is too short ago, or nothing has moved.
+        """
+        passed_s = self.moved_at - self.sampled_at
+        gained = self.percent - self.sampled_percent
+        if passed_s < self.limits.sample_s or gained <= 0:
+            return None
+        self.sampled_at = self.moved_at
+        self.sampled_percent = self.percent
+        return passed_s * 1000 * 100 / gained
+
     def is_stalled(self, now: float) -> bool:
         """Whether the run stands still."""
         share_s = self.limits.stall_share * self.estimate_ms / 1000
         limit_s = max(self.limits.stall_s, share_s)
         return now - self.moved_at > limit_s
 
-    def remaining_ms(self) -> float | None:
-        """Return the time that is left at this pace; None if unknown."""
+    def whole_ms(self) -> float | None:
+        """Return the whole run time at this pace; None if unknown."""
         if self.percent <= 0:
             return None
-        passed_ms = (self.moved_at - self.began) * 1000
-        return passed_ms * (100 - self.percent) / self.percent
+        return (self.moved_at - self.began) * 1000 * 100 / self.percent
 
     def is_late(self) -> bool:
         """Whether the rest takes far longer than the whole should."""
-        remaining = self.remaining_ms()
-        return (
-            remaining is not None
-            and remaining > self.limits.late_factor * self.estimate_ms
-        )
+        whole_ms = self.whole_ms()
+        if whole_ms is None:
+            return False
+        left_ms = whole_ms * (1 - self.percent / 100)
+        return left_ms > self.limits.late_factor * self.estimate_ms
 
 
 class Pace:
--- a/egretcart/direct/rescue.py
+++ b/egretcart/direct/rescue.py
@@ -15,8 +15,8 @@
     Attributes
     ----------
     gain_factor : float
-        The remaining time must be so many times the time elsewhere: half
-        of the work that is thrown away was then still to come.
+        The remaining time must be so many times the time elsewhere, as
+        paces are only estimates.
     overhead_ms : float
         Time for stopping and starting, in milliseconds.
     """
@@ -25,20 +25,38 @@
     overhead_ms: float = 60.0
 
 
-def is_worth_moving(
-    remaining_ms: float, elsewhere_ms: float, limits: RescueLimits
-) -> bool:
-    """Whether a run should be stopped and begun again elsewhere.
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LateRun:
+    """A run that may be worth moving.
 
-    Parameters
+    Attributes
     ----------
-    remaining_ms : float
-        Expected where it runs; negative if it stands still.
-    elsewhere_ms : float
-        Expected whole time where there is room now.
-    limits : RescueLimits
+    whole_ms : float
+        Its whole run time where it is; negative if it stands still.
+    done_share : float
+        How much of it is done, 0 to 1.
+    pace : float
+        Run times there beside the callers' estimates.
+    elsewhere_pace : float or None
+        The same at the fastest agent that has room; None if none has.
+    """
+
+    whole_ms: float
+    done_share: float
+    pace: float
+    elsewhere_pace: float | None
+
+
+def is_worth_moving(run: LateRun, limits: RescueLimits) -> bool:
+    """Whether a run should be stopped and begun again elsewhere.
+
+    A wrong estimate makes a run late everywhere, so the two agents' paces
+    are compared, not the run and its estimate.
     """
-    if remaining_ms < 0:
+    if run.whole_ms < 0:
         return True
-    needed_ms = limits.gain_factor * elsewhere_ms + limits.overhead_ms
-    return remaining_ms > needed_ms
+    if run.elsewhere_pace is None:
+        return False
+    left_ms = run.whole_ms * (1 - run.done_share)
+    elsewhere_ms = run.whole_ms * run.elsewhere_pace / run.pace
+    return left_ms > limits.gain_factor * elsewhere_ms + limits.overhead_ms
--- a/egretcart/direct/wire.thrift
+++ b/egretcart/direct/wire.thrift
@@ -64,7 +64,8 @@
   2: optional i32 step
   3: optional i32 index
   4: optional i32 run
-  5: optional i64 remaining_ms
+  5: optional i64 whole_ms
+  6: optional i32 percent
 }
 struct HeldTask {
   1: optional string job_id
