Recall the backend server after a restart, and hold jobs until agents connect

The last report now lies in the store (one write for each life of a server), and an entry that has just started holds what can still be served. Not yet measured.

--- a/egretcart/direct/admission.py
+++ b/egretcart/direct/admission.py
@@ -47,18 +47,23 @@
         a processor times milliseconds.
     fastest_ms : float
         Expected run time on the fastest agent.
+    meeting_ms : float or None
+        Expected time until agents are known, where none is known yet.
     """
 
     capacity_milli: float
     has_room: bool
     waiting_milli_ms: float
     fastest_ms: float
+    meeting_ms: float | None = None
 
     @property
     def wait_ms(self) -> float:
         """Expected time until a task may start."""
         if self.has_room:
             return 0.0
+        if self.meeting_ms is not None:
+            return self.meeting_ms
         if self.capacity_milli <= 0:
             return math.inf
         return self.waiting_milli_ms / self.capacity_milli
--- a/egretcart/direct/agent_process.py
+++ b/egretcart/direct/agent_process.py
@@ -25,6 +25,7 @@
 from egretcart.direct.backend import StaleToken
 from egretcart.direct.backend import StartRequest
 from egretcart.direct.backend import StopRequest
+from egretcart.direct.backend_memory import BackendMemory
 from egretcart.direct.configuration import RoutingConfiguration
 from egretcart.direct.decisions import DecisionLog
 from egretcart.direct.lease import LeaseLimits
@@ -68,6 +69,7 @@
     clock : Clock
     log : DecisionLog
     backend : Backend
+    memory : BackendMemory
     """
 
     def __init__(
@@ -78,11 +80,13 @@
         clock: Clock,
         log: DecisionLog,
         backend: Backend,
+        memory: BackendMemory,
     ) -> None:
         self.settings = settings
         self.stop_limit_s = settings.stop_grace_s
         self.clock = clock
         self.backend = backend
+        self.memory = memory
         self.limits = limits
         self.agent = DirectAgent(
             agent_id=settings.node,
@@ -115,6 +119,8 @@
             seeds=self.settings.seed_endpoints,
             converse=self._converse,
         )
+        nursery.start_soon(self._recall)
+        nursery.start_soon(self.memory.run)
         nursery.start_soon(self._tick)
         nursery.start_soon(self._list)
         nursery.start_soon(self._renew)
@@ -131,10 +137,19 @@
         """Connect to an entry."""
         self.dialler.ensure(host, port)
 
+    async def _recall(self) -> None:
+        """Use what an earlier incarnation knew, until a report comes."""
+        report = await self.memory.recall()
+        if report is not None and self.agent.report is None:
+            now = self.clock.monotonic()
+            self._carry_out(self.agent.reported(report, now))
+
     def reported(self, report: BackendReport) -> None:
         """Take a report of the backend server."""
         now = self.clock.monotonic()
         self._carry_out(self.agent.reported(report, now))
+        if self.agent.report is report:
+            self.memory.note(report)
 
     def backend_left(self, instance: str) -> None:
         """Note that the backend server has said that it ends."""
--- a/egretcart/direct/entry.py
+++ b/egretcart/direct/entry.py
@@ -89,9 +89,9 @@
         longer ago than this, in seconds: claims travel in a beat.
     answer_memory_s : float
         Time for which the state of an ended job is remembered.
-    late_factor : float
-        Multiple of the objective after which a job that has not begun is
-        given up.
+    meeting_s : float
+        Time in which agents are expected to connect, after this process
+        has started or was paused, in seconds.
     far_factor : float
         How much longer a task takes on another rack than its data's.
     """
@@ -104,6 +104,7 @@
     claim_memory_s: float = 20.0
     younger_s: float = 0.7
     answer_memory_s: float = 20.0
+    meeting_s: float = 1.5
     far_factor: float = 1.5
     admission: AdmissionLimits = dataclasses.field(
         default_factory=AdmissionLimits
@@ -243,6 +244,7 @@
         )
         self.claim_number = 0
         self.stop_by: float | None = None
+        self.met_by = 0.0
         self.ticked_at = 0.0
         self.beat_at = 0.0
         self.effects: list[EntryEffect] = []
@@ -437,6 +439,10 @@
             waiting_milli_ms=ahead * (1 + len(self.peers)),
             far_factor=self.limits.far_factor,
         )
+        if not load.capacity_milli and now < self.met_by:
+            # Half of the time is the mean until the first one connects.
+            meeting_ms = (self.met_by - now) * 1000 / 2
+            load = dataclasses.replace(load, meeting_ms=meeting_ms)
         passed_ms = (now - held.accepted_at) * 1000
         left_ms = held.objective_ms - passed_ms / (
             self.limits.admission.late_factor
@@ -717,6 +723,7 @@
             done_share=message.percent / 100,
             pace=view.pace,
             elsewhere_pace=self._pace_elsewhere(held, task),
+            time_left_ms=(held.due - now) * 1000,
         )
         if not is_worth_moving(run, self.limits.rescue):
             return
@@ -861,6 +868,8 @@
 
     def tick(self, now: float) -> list[EntryEffect]:
         """Look after what is overdue; called every 50 ms or so."""
+        if not self.ticked_at:
+            self.met_by = now + self.limits.meeting_s
         paused_s = now - self.ticked_at if self.ticked_at else 0.0
         self.ticked_at = now
         if paused_s > self.limits.pause_s:
@@ -883,6 +892,7 @@
         self.log.write(
             ProcessChanged(state="paused", paused_ms=round(paused_s * 1000))
         )
+        self.met_by = now + self.limits.meeting_s
         for agent_id in list(self.agents):
             self.effects.append(CloseAgent(agent_id))
             self.effects.extend(self.agent_disconnected(agent_id, now))
--- a/egretcart/direct/rescue.py
+++ b/egretcart/direct/rescue.py
@@ -39,24 +39,28 @@
         Run times there beside the callers' estimates.
     elsewhere_pace : float or None
         The same at the fastest agent that has room; None if none has.
+    time_left_ms : float
+        Until the job's latency objective.
     """
 
     whole_ms: float
     done_share: float
     pace: float
     elsewhere_pace: float | None
+    time_left_ms: float
 
 
 def is_worth_moving(run: LateRun, limits: RescueLimits) -> bool:
     """Whether a run should be stopped and begun again elsewhere.
 
     A wrong estimate makes a run late everywhere, so the two agents' paces
-    are compared, not the run and its estimate.
+    are compared, not the run and its estimate. A run that is on time stays:
+    its caller would gain nothing.
     """
     if run.whole_ms < 0:
         return True
-    if run.elsewhere_pace is None:
-        return False
     left_ms = run.whole_ms * (1 - run.done_share)
+    if run.elsewhere_pace is None or left_ms <= run.time_left_ms:
+        return False
     elsewhere_ms = run.whole_ms * run.elsewhere_pace / run.pace
     return left_ms > limits.gain_factor * elsewhere_ms + limits.overhead_ms
