Let an agent introduce itself and list its runs in one message

Cause: an entry sent tasks to an agent between its first status and its list of runs, took them for lost as the list lacked them, and began them twice. The lease of a backend server is now half of the longest one, and is not renewed once it has been silent for 0.3 s: a silent crash is known after 0.8 s instead of 1.2 s.

--- a/egretcart/direct/agent.py
+++ b/egretcart/direct/agent.py
@@ -25,11 +25,11 @@
 from egretcart.direct.job import TaskKey
 from egretcart.direct.lease import BackendLease
 from egretcart.direct.lease import LeaseLimits
+from egretcart.direct.messages import AgentHello
 from egretcart.direct.messages import AgentStatus
 from egretcart.direct.messages import EntryMessage
 from egretcart.direct.messages import EvictJob
 from egretcart.direct.messages import HeldTask
-from egretcart.direct.messages import HeldTasks
 from egretcart.direct.messages import JobEvicted
 from egretcart.direct.messages import Message
 from egretcart.direct.messages import RunTasks
@@ -74,7 +74,7 @@
     silence_s: float = 0.5
     pause_s: float = 0.4
     queue_s: float = 0.25
-    answer_s: float = 0.4
+    answer_s: float = 0.3
     retry_s: float = 0.15
     start_limit_s: float = 0.25
     stop_limit_s: float = 0.25
@@ -469,8 +469,8 @@
             for run in self.runs.values()
             if run.entry_id == entry_id
         )
-        self._tell(entry_id, now)
-        self.effects.append(SendToEntry(entry_id, HeldTasks(tasks=held)))
+        hello = AgentHello(status=self.status(0, now), held=held)
+        self._send(entry_id, hello)
         return self._take_effects()
 
     def entry_disconnected(self, entry_id: str) -> None:
--- a/egretcart/direct/agent_process.py
+++ b/egretcart/direct/agent_process.py
@@ -48,7 +48,7 @@
 NO_BACKEND_PAUSE_S = 0.05
 MS_PER_S = 1000
 # Share of the longest lease that is asked for, see `LeaseLimits`.
-LEASE_SHARE = 0.7
+LEASE_SHARE = 0.5
 REPORT_LIMITS = HttpLimits(max_connections=64, max_body_bytes=1 << 20)
 
 
--- a/egretcart/direct/entry.py
+++ b/egretcart/direct/entry.py
@@ -35,11 +35,11 @@
 from egretcart.direct.job import JobKind
 from egretcart.direct.job import JobState
 from egretcart.direct.job import TaskKey
+from egretcart.direct.messages import AgentHello
 from egretcart.direct.messages import AgentMessage
 from egretcart.direct.messages import AgentStatus
 from egretcart.direct.messages import Beat
 from egretcart.direct.messages import EvictJob
-from egretcart.direct.messages import HeldTasks
 from egretcart.direct.messages import JobEvicted
 from egretcart.direct.messages import JobReleased
 from egretcart.direct.messages import JobsTaken
@@ -129,8 +129,8 @@
     cause : str
         Why it was refused.
     interrupted : bool
-        Whether it was neither ended nor refused: the caller should ask
-        another entry, as the job may have run in part.
+        Whether the job may have run in part, here or at another entry;
+        it may be submitted again.
     invalid : bool
         Whether the job makes no sense, whoever is asked.
     """
@@ -381,6 +381,7 @@
             pending.route,
             now,
             first_run=1 + TAKEOVER_RUNS * pending.number,
+            may_have_run=True,
         )
 
     def _admit(
@@ -391,8 +392,15 @@
         now: float,
         *,
         first_run: int,
+        may_have_run: bool = False,
     ) -> None:
-        held = HeldJob(job=job, route=route, now=now, first_run=first_run)
+        held = HeldJob(
+            job=job,
+            route=route,
+            now=now,
+            first_run=first_run,
+            may_have_run=may_have_run,
+        )
         if self._ends_too_soon(held, now):
             soon_s = self.limits.admission.min_retry_s
             self._refuse(held, request_ids, "the entry leaves", 0.0, soon_s)
@@ -472,7 +480,10 @@
         for request_id in request_ids:
             self.effects.append(
                 Answer(
-                    request_id=request_id, retry_after_s=retry_s, cause=cause
+                    request_id=request_id,
+                    retry_after_s=retry_s,
+                    cause=cause,
+                    interrupted=held.may_have_run,
                 )
             )
 
@@ -587,11 +598,13 @@
     # Agents.
 
     def agent_connected(
-        self, status: AgentStatus, now: float
+        self, hello: AgentHello, now: float
     ) -> list[EntryEffect]:
         """Note an agent that has introduced itself on a new link."""
-        self.agents[status.agent_id] = AgentView(status=status, now=now)
-        self.log.write(PeerChanged(peer=status.agent_id, state="connected"))
+        agent_id = hello.status.agent_id
+        self.agents[agent_id] = AgentView(status=hello.status, now=now)
+        self.log.write(PeerChanged(peer=agent_id, state="connected"))
+        self._reconcile(agent_id, hello, now)
         self._dispatch(now)
         return self._take_effects()
 
@@ -636,8 +649,6 @@
             self._ended(agent_id, message, now)
         elif isinstance(message, TaskLate):
             self._late(agent_id, message, now)
-        elif isinstance(message, HeldTasks):
-            self._reconcile(agent_id, message, now)
         elif isinstance(message, JobEvicted):
             self._claim_answered(message.number, agent_id, now)
         return self._take_effects()
@@ -758,11 +769,9 @@
             default=None,
         )
 
-    def _reconcile(
-        self, agent_id: str, message: HeldTasks, now: float
-    ) -> None:
+    def _reconcile(self, agent_id: str, hello: AgentHello, now: float) -> None:
         """Compare what an agent holds with what was sent there."""
-        held_there = {(held.key, held.run) for held in message.tasks}
+        held_there = {(held.key, held.run) for held in hello.held}
         for task in self._tasks_at(agent_id):
             if (task.key, task.run) in held_there:
                 task.over_at = None
--- a/egretcart/direct/entry_process.py
+++ b/egretcart/direct/entry_process.py
@@ -26,7 +26,7 @@
 from egretcart.direct.entry import SendToAgent
 from egretcart.direct.entry import SendToPeer
 from egretcart.direct.job import Job
-from egretcart.direct.messages import AgentStatus
+from egretcart.direct.messages import AgentHello
 from egretcart.direct.messages import Beat
 from egretcart.direct.messages import EntryHello
 from egretcart.direct.messages import EntryPeers
@@ -227,8 +227,8 @@
                 self._learn([message.address])
             elif peer_id:
                 self._take_from_peer(peer_id, message, now)
-            elif isinstance(message, AgentStatus) and not agent_id:
-                agent_id = message.agent_id
+            elif isinstance(message, AgentHello) and not agent_id:
+                agent_id = message.status.agent_id
                 link.introduce()
                 self._replace_agent_link(agent_id, link, now)
                 self._carry_out(self.entry.agent_connected(message, now))
--- a/egretcart/direct/held_job.py
+++ b/egretcart/direct/held_job.py
@@ -61,6 +61,8 @@
     now : float
     first_run : int
         Number of the first run of each task.
+    may_have_run : bool, optional
+        Whether another entry may have begun it.
 
     Attributes
     ----------
@@ -72,11 +74,18 @@
     """
 
     def __init__(
-        self, *, job: Job, route: Route, now: float, first_run: int
+        self,
+        *,
+        job: Job,
+        route: Route,
+        now: float,
+        first_run: int,
+        may_have_run: bool = False,
     ) -> None:
         self.job = job
         self.route = route
         self.accepted_at = now
+        self.may_have_run = may_have_run
         self.waiters: set[int] = set()
         self.objective_ms = objective_ms(job, route)
         self.tasks: dict[TaskKey, HeldTask] = {}
--- a/egretcart/direct/lease.py
+++ b/egretcart/direct/lease.py
@@ -22,7 +22,7 @@
         Time that an end may take at the server, in seconds.
     """
 
-    lease_ms: int = 700
+    lease_ms: int = 500
     start_ms: int = 350
     clock_drift: float = 0.02
     margin_s: float = 0.06
--- a/egretcart/direct/messages.py
+++ b/egretcart/direct/messages.py
@@ -215,10 +215,18 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class HeldTasks:
-    """All runs that an agent holds for the entry of a new link."""
+class AgentHello:
+    """The first message of an agent on a new link.
 
-    tasks: tuple[HeldTask, ...] = ()
+    Attributes
+    ----------
+    status : AgentStatus
+    held : tuple of HeldTask
+        All runs that it holds for the entry.
+    """
+
+    status: AgentStatus = AgentStatus()
+    held: tuple[HeldTask, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -266,7 +274,7 @@
 
 
 AgentMessage = (
-    AgentStatus | TaskEnded | TaskLate | HeldTasks | JobEvicted | Beat
+    AgentHello | AgentStatus | TaskEnded | TaskLate | JobEvicted | Beat
 )
 EntryMessage = EntryHello | EntryPeers | Beat | RunTasks | StopTasks | EvictJob
 PeerMessage = (
--- a/egretcart/direct/wire.py
+++ b/egretcart/direct/wire.py
@@ -10,7 +10,7 @@
 from egretcart.direct import messages
 from egretcart.direct.job import Ending
 from egretcart.direct.job import JobState
-from egretcart.direct.messages import AgentStatus
+from egretcart.direct.messages import AgentHello
 from egretcart.direct.messages import EntryHello
 from egretcart.direct.messages import JobReleased
 from egretcart.direct.messages import RunTasks
@@ -33,8 +33,8 @@
     """Return what is wrong with a received message, or None."""
     if isinstance(message, EntryHello):
         name = message.entry_id
-    elif isinstance(message, AgentStatus):
-        name = message.agent_id
+    elif isinstance(message, AgentHello):
+        name = message.status.agent_id
     else:
         name = "-"
     if not 0 < len(name) <= MAX_NAME_CHARACTERS:
--- a/egretcart/direct/wire.thrift
+++ b/egretcart/direct/wire.thrift
@@ -73,7 +73,7 @@
   3: optional i32 index
   4: optional i32 run
 }
-struct HeldTasks { 1: optional list<HeldTask> tasks }
+struct AgentHello { 1: optional AgentStatus status, 2: optional list<HeldTask> held }
 struct JobEvicted { 1: optional i64 number }
 
 // Between entries.
@@ -92,7 +92,7 @@
   7: optional AgentStatus agent_status
   8: optional TaskEnded task_ended
   9: optional TaskLate task_late
-  10: optional HeldTasks held_tasks
+  10: optional AgentHello agent_hello
   11: optional JobEvicted job_evicted
   12: optional JobsTaken jobs_taken
   13: optional ReleaseJob release_job
--- /dev/null
+++ b/egretcart/testing/fake_backend.py
@@ -0,0 +1,226 @@
+"""A backend server in simulated time, which checks what it is told.
+
+It takes the product's own requests, so that it serves tests and embedders
+of `egretcart.direct` whatever the protocol to their backend servers.
+"""
+
+from collections.abc import Callable
+import dataclasses
+
+from egretcart.direct.backend import BackendReport
+from egretcart.direct.backend import EndedTask
+from egretcart.direct.backend import HoldRequest
+from egretcart.direct.backend import Lifetime
+from egretcart.direct.backend import Listing
+from egretcart.direct.backend import RunningTask
+from egretcart.direct.backend import StartAnswer
+from egretcart.direct.backend import StartRequest
+from egretcart.direct.backend import StopRequest
+from egretcart.direct.job import Ending
+from egretcart.direct.job import NO_ROOM
+from egretcart.direct.job import Room
+from egretcart.direct.job import TaskKey
+
+MAX_LEASE_MS = 1000
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class TaskSize:
+    """What a task really takes, as its backend server finds out."""
+
+    room: Room
+    work_ms: float
+    fails: bool = False
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class FakeRun:
+    """A run at work."""
+
+    run: int
+    size: TaskSize
+    done_ms: float = 0.0
+
+
+class FakeBackend:
+    """Runs tasks within leases; time moves only by `advance`.
+
+    Parameters
+    ----------
+    instance : str
+    service : str
+    capacity : Room
+    size_of : callable
+        Returns the `TaskSize` of a task.
+    labels : tuple of str, optional
+    speed : float, optional
+        Work done in a millisecond, in milliseconds.
+
+    Attributes
+    ----------
+    fails_all, hangs : bool
+        Whether all that it starts fails, or makes no progress.
+    drift : float
+        Its clock's rate beside true time, such as 0.98.
+    violations : list of str
+        What it was told that must not happen.
+    started : list of (TaskKey, int)
+        All runs that were begun, in order.
+    """
+
+    def __init__(
+        self,
+        *,
+        instance: str,
+        service: str,
+        capacity: Room,
+        size_of: Callable[[TaskKey], TaskSize],
+        labels: tuple[str, ...] = (),
+        speed: float = 1.0,
+    ) -> None:
+        self.instance = instance
+        self.service = service
+        self.capacity = capacity
+        self.size_of = size_of
+        self.labels = labels
+        self.speed = speed
+        self.drift = 1.0
+        self.fails_all = False
+        self.hangs = False
+        self.draining = False
+        self.is_up = True
+        self.violations: list[str] = []
+        self.started: list[tuple[TaskKey, int]] = []
+        self.born_ms = 0
+        self.restart(born_ms=1)
+
+    def restart(self, *, born_ms: int) -> None:
+        """Begin a new lifetime that knows nothing."""
+        self.born_ms = born_ms
+        self.is_up = True
+        self.clock_ms = 0.0
+        self.lease_ms = 0.0
+        self.token = 0
+        self.sequence = 0
+        self.runs: dict[TaskKey, FakeRun] = {}
+        self.highest: dict[TaskKey, int] = {}
+        self.ended: list[EndedTask] = []
+        self.end_count = 0
+
+    def crash(self) -> None:
+        """End, with all that runs."""
+        self.is_up = False
+        self.runs.clear()
+
+    @property
+    def lifetime(self) -> Lifetime:
+        """The current lifetime."""
+        return Lifetime(self.instance, self.born_ms)
+
+    def report(self) -> BackendReport:
+        """Return what it announces of itself."""
+        self.sequence += 1
+        return BackendReport(
+            lifetime=self.lifetime,
+            service=self.service,
+            capacity=self.capacity,
+            labels=self.labels,
+            draining=self.draining,
+            clock_ms=int(self.clock_ms),
+            sequence=self.sequence,
+        )
+
+    def advance(self, ms: float) -> bool:
+        """Let time pass; return whether something has ended."""
+        if not self.is_up:
+            return False
+        before = self.end_count
+        self.clock_ms += ms * self.drift
+        if self.runs and self.clock_ms > self.lease_ms:
+            for key in list(self.runs):
+                self._end(key, Ending.LOST)
+        for key, run in list(self.runs.items()):
+            if self.hangs:
+                continue
+            run.done_ms += ms * self.speed
+            if run.done_ms >= run.size.work_ms:
+                failed = self.fails_all or run.size.fails
+                self._end(key, Ending.FAILED if failed else Ending.DONE)
+        return self.end_count > before
+
+    def _end(self, key: TaskKey, ending: Ending) -> None:
+        run = self.runs.pop(key)
+        self.end_count += 1
+        self.ended.append(
+            EndedTask(
+                number=self.end_count, key=key, run=run.run, ending=ending
+            )
+        )
+
+    def _refuses(self, lifetime: Lifetime, token: int) -> bool:
+        if token < self.token or lifetime.instance != self.instance:
+            return True
+        self.token = token
+        return False
+
+    def _renew(self, deadline_ms: int | None) -> None:
+        if deadline_ms is not None:
+            longest = self.clock_ms + MAX_LEASE_MS
+            self.lease_ms = max(self.lease_ms, min(deadline_ms, longest))
+
+    def start(self, request: StartRequest) -> StartAnswer:
+        """Begin a run if nothing speaks against it."""
+        if request.lifetime.instance != self.instance:
+            return StartAnswer.OTHER_LIFETIME
+        if self._refuses(request.lifetime, request.fencing_token):
+            return StartAnswer.STALE_TOKEN
+        if request.deadline_ms < self.clock_ms:
+            return StartAnswer.TOO_LATE
+        self._renew(request.deadline_ms)
+        run = self.runs.get(request.key)
+        if run is not None and run.run == request.run:
+            return StartAnswer.STARTED
+        if request.run <= self.highest.get(request.key, 0):
+            return StartAnswer.STALE_RUN
+        size = self.size_of(request.key)
+        used = sum((run.size.room for run in self.runs.values()), NO_ROOM)
+        if not self.capacity.holds(used + size.room):
+            self.violations.append(f"{request.key} brings {used} over")
+        self.highest[request.key] = request.run
+        self.runs[request.key] = FakeRun(run=request.run, size=size)
+        self.started.append((request.key, request.run))
+        return StartAnswer.STARTED
+
+    def stop(self, request: StopRequest) -> None:
+        """End a run, also one that is not there yet."""
+        if self._refuses(request.lifetime, request.fencing_token):
+            return
+        highest = self.highest.get(request.key, 0)
+        self.highest[request.key] = max(highest, request.run)
+        run = self.runs.get(request.key)
+        if run is not None and run.run == request.run:
+            self._end(request.key, Ending.STOPPED)
+
+    def hold(self, request: HoldRequest) -> Listing | None:
+        """Renew and list; None for a stale token."""
+        if self._refuses(request.lifetime, request.fencing_token):
+            return None
+        self._renew(request.deadline_ms)
+        self.ended = [
+            ended
+            for ended in self.ended
+            if ended.number > request.acknowledged
+        ]
+        return Listing(
+            clock_ms=int(self.clock_ms),
+            born_ms=self.born_ms,
+            running=tuple(
+                RunningTask(
+                    key=key,
+                    run=run.run,
+                    percent=int(100 * run.done_ms / run.size.work_ms),
+                )
+                for key, run in self.runs.items()
+            ),
+            ended=tuple(self.ended),
+        )
