--- a/egretcart/direct/agent.py
+++ b/egretcart/direct/agent.py
@@ -199,6 +199,8 @@
     strays : dict of TaskKey to int
         Runs that the server lists and nobody here has ordered.
     ready : bool
+        Whether all that runs at the server's current lifetime is known.
+    settled : bool
         Whether what an earlier incarnation left running is gone.
     """
 
@@ -228,6 +230,7 @@
         self.entries: dict[str, EntryState] = {}
         self.evictions: list[Eviction] = []
         self.ready = False
+        self.settled = False
         self.stopping = False
         self.lapsed = False
         self.ticked_at = 0.0
@@ -333,7 +336,7 @@
         self._take_ends(listing, now)
         self._take_running(listing, asked_at, now)
         if not self.ready and not self.strays:
-            self.ready = True
+            self.ready = self.settled = True
             was_silent = True
         if was_silent:
             self._note_backend("answering", "a listing came", now)
@@ -469,7 +472,9 @@
             for run in self.runs.values()
             if run.entry_id == entry_id
         )
-        hello = AgentHello(status=self.status(0, now), held=held)
+        hello = AgentHello(
+            status=self.status(0, now), held=held, settled=self.settled
+        )
         self._send(entry_id, hello)
         return self._take_effects()
 
--- a/egretcart/direct/entry.py
+++ b/egretcart/direct/entry.py
@@ -34,6 +34,7 @@
 from egretcart.direct.job import Job
 from egretcart.direct.job import JobKind
 from egretcart.direct.job import JobState
+from egretcart.direct.job import Room
 from egretcart.direct.job import TaskKey
 from egretcart.direct.messages import AgentHello
 from egretcart.direct.messages import AgentMessage
@@ -777,7 +778,7 @@
                 task.over_at = None
                 if task.phase is TaskPhase.STOPPING:
                     self._stop_task(task)
-            else:
+            elif hello.settled:
                 held, _ = self._find(task.key)
                 assert held is not None
                 self._not_done(
@@ -958,23 +959,32 @@
     def _dispatch(self, now: float) -> None:
         """Send waiting tasks to agents, the most urgent jobs first."""
         waiting = [held for held in self.jobs.values() if any(held.waiting())]
+        if not waiting:
+            return
         waiting.sort(key=lambda held: held.order(now))
+        full_for: list[Room] = []
         for held in waiting:
-            self._place(held, now)
+            self._place(held, full_for, now)
+
+    def _place(self, held: HeldJob, full_for: list[Room], now: float) -> None:
+        """Send the waiting tasks of a job.
 
-    def _place(self, held: HeldJob, now: float) -> None:
+        Parameters
+        ----------
+        held : HeldJob
+        full_for : list of Room
+            Rooms for which no agent takes anything more in this round.
+        now : float
+        """
         chosen: dict[tuple[str, int, int], list[HeldTask]] = {}
         for task in list(held.waiting()):
             step = held.job.steps[task.key.step]
-            beside = held.beside(task.key.step) if step.max_per_agent else {}
-            needs = TaskNeeds(
-                step=step,
-                time_left_ms=(held.due - now) * 1000,
-                avoided=frozenset(task.avoided),
-                beside=beside,
-            )
-            agent_id = self.placement.choose(needs, self.agents.items())
+            if any(step.room.holds(room) for room in full_for):
+                continue
+            agent_id = self._choose(held, task, now)
             if agent_id is None:
+                if not step.is_picky:
+                    full_for.append(step.room)
                 continue
             task.phase = TaskPhase.SENT
             task.agent_id = agent_id
@@ -986,6 +996,17 @@
         for (agent_id, step_number, run), tasks in chosen.items():
             self._send_tasks(held, agent_id, step_number, run, tasks, now)
 
+    def _choose(self, held: HeldJob, task: HeldTask, now: float) -> str | None:
+        step = held.job.steps[task.key.step]
+        beside = held.beside(task.key.step) if step.max_per_agent else {}
+        needs = TaskNeeds(
+            step=step,
+            time_left_ms=(held.due - now) * 1000,
+            avoided=frozenset(task.avoided),
+            beside=beside,
+        )
+        return self.placement.choose(needs, self.agents.items())
+
     def _send_tasks(
         self,
         held: HeldJob,
--- a/egretcart/direct/job.py
+++ b/egretcart/direct/job.py
@@ -81,6 +81,11 @@
     max_per_agent: int = 0
     speculative: bool = False
 
+    @property
+    def is_picky(self) -> bool:
+        """Whether some agents may not run it although they have room."""
+        return bool(self.requires or self.max_per_agent)
+
 
 class JobKind(enum.Enum):
     """What a caller expects of a job.
--- a/egretcart/direct/messages.py
+++ b/egretcart/direct/messages.py
@@ -223,10 +223,14 @@
     status : AgentStatus
     held : tuple of HeldTask
         All runs that it holds for the entry.
+    settled : bool
+        Whether nothing else can run there; after a restart something may,
+        until the former incarnation's runs have ended.
     """
 
     status: AgentStatus = AgentStatus()
     held: tuple[HeldTask, ...] = ()
+    settled: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/egretcart/direct/wire.thrift
+++ b/egretcart/direct/wire.thrift
@@ -73,7 +73,11 @@
   3: optional i32 index
   4: optional i32 run
 }
-struct AgentHello { 1: optional AgentStatus status, 2: optional list<HeldTask> held }
+struct AgentHello {
+  1: optional AgentStatus status
+  2: optional list<HeldTask> held
+  3: optional bool settled
+}
 struct JobEvicted { 1: optional i64 number }
 
 // Between entries.
--- a/egretcart/testing/direct_world.py
+++ b/egretcart/testing/direct_world.py
@@ -239,6 +239,8 @@
     def kill(self, name: str, *, down_s: float) -> None:
         """End a process; it starts again later and knows nothing."""
         host = self.hosts[name]
+        if not host.is_up:
+            return
         host.is_up = False
         host.paused = False
         host.held_back.clear()
