--- a/egretcart/__init__.py
+++ b/egretcart/__init__.py
@@ -18,25 +18,25 @@
 if TYPE_CHECKING:
     from egretcart.connection.messages import EntryAddress
     from egretcart.connection.messages import Term
-    from egretcart.process.agent import Agent
-    from egretcart.process.agent_types import AbortExchange
-    from egretcart.process.agent_types import AgentIdentity
-    from egretcart.process.agent_types import AgentLimits
-    from egretcart.process.agent_types import BeginExchange
-    from egretcart.process.agent_types import ExchangeOutcome
-    from egretcart.process.agent_types import SendToEntry
+    from egretcart.process.agent.agent import Agent
+    from egretcart.process.agent.agent_types import AbortExchange
+    from egretcart.process.agent.agent_types import AgentIdentity
+    from egretcart.process.agent.agent_types import AgentLimits
+    from egretcart.process.agent.agent_types import BeginExchange
+    from egretcart.process.agent.agent_types import ExchangeOutcome
+    from egretcart.process.agent.agent_types import SendToEntry
+    from egretcart.process.agent.ledger import Ledger
+    from egretcart.process.cell.effects import SendToAgent
+    from egretcart.process.cell.leadership import Leadership
+    from egretcart.process.cell.limits import LeaderLimits
+    from egretcart.process.cell.quorum import Quorum
     from egretcart.process.clock import Clock
     from egretcart.process.clock import SystemClock
-    from egretcart.process.effects import SendToAgent
-    from egretcart.process.entry import Entry
-    from egretcart.process.entry_effects import ReplyToCaller
-    from egretcart.process.entry_effects import SendToPeer
-    from egretcart.process.entry_effects import WriteCellRoster
-    from egretcart.process.entry_limits import EntryLimits
-    from egretcart.process.leadership import Leadership
-    from egretcart.process.ledger import Ledger
-    from egretcart.process.limits import LeaderLimits
-    from egretcart.process.quorum import Quorum
+    from egretcart.process.entry.entry import Entry
+    from egretcart.process.entry.entry_effects import ReplyToCaller
+    from egretcart.process.entry.entry_effects import SendToPeer
+    from egretcart.process.entry.entry_effects import WriteCellRoster
+    from egretcart.process.entry.entry_limits import EntryLimits
     from egretcart.request.identity import JobId
     from egretcart.request.identity import new_job_id
     from egretcart.request.reply import Reply
@@ -79,25 +79,25 @@
 _MODULES = {
     "EntryAddress": "egretcart.connection.messages",
     "Term": "egretcart.connection.messages",
-    "Agent": "egretcart.process.agent",
-    "AbortExchange": "egretcart.process.agent_types",
-    "AgentIdentity": "egretcart.process.agent_types",
-    "AgentLimits": "egretcart.process.agent_types",
-    "BeginExchange": "egretcart.process.agent_types",
-    "ExchangeOutcome": "egretcart.process.agent_types",
-    "SendToEntry": "egretcart.process.agent_types",
+    "Agent": "egretcart.process.agent.agent",
+    "AbortExchange": "egretcart.process.agent.agent_types",
+    "AgentIdentity": "egretcart.process.agent.agent_types",
+    "AgentLimits": "egretcart.process.agent.agent_types",
+    "BeginExchange": "egretcart.process.agent.agent_types",
+    "ExchangeOutcome": "egretcart.process.agent.agent_types",
+    "SendToEntry": "egretcart.process.agent.agent_types",
     "Clock": "egretcart.process.clock",
     "SystemClock": "egretcart.process.clock",
-    "SendToAgent": "egretcart.process.effects",
-    "Entry": "egretcart.process.entry",
-    "ReplyToCaller": "egretcart.process.entry_effects",
-    "SendToPeer": "egretcart.process.entry_effects",
-    "WriteCellRoster": "egretcart.process.entry_effects",
-    "EntryLimits": "egretcart.process.entry_limits",
-    "Leadership": "egretcart.process.leadership",
-    "Ledger": "egretcart.process.ledger",
-    "LeaderLimits": "egretcart.process.limits",
-    "Quorum": "egretcart.process.quorum",
+    "SendToAgent": "egretcart.process.cell.effects",
+    "Entry": "egretcart.process.entry.entry",
+    "ReplyToCaller": "egretcart.process.entry.entry_effects",
+    "SendToPeer": "egretcart.process.entry.entry_effects",
+    "WriteCellRoster": "egretcart.process.entry.entry_effects",
+    "EntryLimits": "egretcart.process.entry.entry_limits",
+    "Leadership": "egretcart.process.cell.leadership",
+    "Ledger": "egretcart.process.agent.ledger",
+    "LeaderLimits": "egretcart.process.cell.limits",
+    "Quorum": "egretcart.process.cell.quorum",
     "JobId": "egretcart.request.identity",
     "new_job_id": "egretcart.request.identity",
     "Reply": "egretcart.request.reply",
--- a/egretcart/direct/backend_memory.py
+++ b/egretcart/direct/backend_memory.py
@@ -13,9 +13,9 @@
 from egretcart.direct.backend import BackendReport
 from egretcart.direct.decisions import DecisionLog
 from egretcart.direct.decisions import DependencyChanged
-from egretcart.process.platform import Platform
-from egretcart.process.platform import PlatformError
-from egretcart.process.platform import Put
+from egretcart.process.store.platform import Platform
+from egretcart.process.store.platform import PlatformError
+from egretcart.process.store.platform import Put
 
 BACKENDS_PREFIX = "egretcart/backends/"
 RETRY_S = 1.0
--- a/egretcart/direct/store_follower.py
+++ b/egretcart/direct/store_follower.py
@@ -8,11 +8,11 @@
 from egretcart.direct.configuration import RoutingConfiguration
 from egretcart.direct.decisions import DecisionLog
 from egretcart.direct.decisions import DependencyChanged
-from egretcart.process.platform import Change
-from egretcart.process.platform import keys_below
-from egretcart.process.platform import Platform
-from egretcart.process.platform import PlatformError
-from egretcart.process.registration import list_entries
+from egretcart.process.store.platform import Change
+from egretcart.process.store.platform import keys_below
+from egretcart.process.store.platform import Platform
+from egretcart.process.store.platform import PlatformError
+from egretcart.process.store.registration import list_entries
 
 # A configuration is to be in force two seconds after it was accepted, also
 # when a watch has just broken.
--- /dev/null
+++ b/egretcart/process/agent/__init__.py
@@ -0,0 +1,1 @@
+"""Agents beside backend servers: admission, ledger and leases."""
--- a/egretcart/process/agent_observer.py
+++ b/egretcart/process/agent/agent_observer.py
@@ -4,10 +4,10 @@
 from egretcart.connection.http_server import HttpResponse
 from egretcart.connection.http_server import problem_response
 from egretcart.connection.messages import TaskResult
-from egretcart.process.agent import Agent
-from egretcart.process.agent_types import AgentEffect
-from egretcart.process.agent_types import BeginExchange
-from egretcart.process.agent_types import SendToEntry
+from egretcart.process.agent.agent import Agent
+from egretcart.process.agent.agent_types import AgentEffect
+from egretcart.process.agent.agent_types import BeginExchange
+from egretcart.process.agent.agent_types import SendToEntry
 from egretcart.process.logs import EventLog
 from egretcart.process.metric_table import LEASE_LAPSES
 from egretcart.process.metric_table import RESULTS
--- a/egretcart/process/agent_types.py
+++ b/egretcart/process/agent/agent_types.py
@@ -4,7 +4,7 @@
 
 from egretcart.connection.messages import AgentMessage
 from egretcart.connection.messages import Start
-from egretcart.process.limits import LEASE_S
+from egretcart.process.cell.limits import LEASE_S
 from egretcart.request.verdict import Verdict
 
 
--- a/egretcart/process/leases.py
+++ b/egretcart/process/agent/leases.py
@@ -13,11 +13,11 @@
 from egretcart.connection.messages import Start
 from egretcart.connection.messages import TaskResult
 from egretcart.connection.messages import Term
-from egretcart.process.effects import LeaderEffect
-from egretcart.process.effects import SendToAgent
-from egretcart.process.limits import LeaderLimits
-from egretcart.process.quorum import Quorum
-from egretcart.process.quorum import QuorumMember
+from egretcart.process.cell.effects import LeaderEffect
+from egretcart.process.cell.effects import SendToAgent
+from egretcart.process.cell.limits import LeaderLimits
+from egretcart.process.cell.quorum import Quorum
+from egretcart.process.cell.quorum import QuorumMember
 
 # Share of the lease up to which the leader counts on it, so that a start
 # that travels does not find it lapsed.
--- /dev/null
+++ b/egretcart/process/cell/__init__.py
@@ -0,0 +1,1 @@
+"""Leadership of a cell: takeover, roster, jobs and their attempts."""
--- a/egretcart/process/attempts.py
+++ b/egretcart/process/cell/attempts.py
@@ -1,15 +1,15 @@
 """Attempts at tasks: judged and, where allowed, made again."""
 
 from egretcart.connection.messages import TaskResult
+from egretcart.process.cell.effects import LeaderEffect
+from egretcart.process.cell.fleet import Fleet
+from egretcart.process.cell.job_table import JobTable
+from egretcart.process.cell.limits import LeaderLimits
+from egretcart.process.cell.scheduler import TaskKey
+from egretcart.process.cell.starts import Starts
 from egretcart.process.clock import Clock
-from egretcart.process.effects import LeaderEffect
-from egretcart.process.fleet import Fleet
-from egretcart.process.job_table import JobTable
-from egretcart.process.limits import LeaderLimits
 from egretcart.process.policy.bundle import Policy
 from egretcart.process.policy.retries import FailedAttempt
-from egretcart.process.scheduler import TaskKey
-from egretcart.process.starts import Starts
 from egretcart.request import outcomes
 from egretcart.request.job import Job
 from egretcart.request.problem import Problem
--- a/egretcart/process/fleet.py
+++ b/egretcart/process/cell/fleet.py
@@ -3,11 +3,11 @@
 from collections.abc import Iterable
 from collections.abc import Set
 
-from egretcart.process.occupied import OccupiedSlots
+from egretcart.process.agent.occupied import OccupiedSlots
+from egretcart.process.cell.scheduler import AgentLoad
 from egretcart.process.policy.admission import Capacity
 from egretcart.process.policy.bundle import Policy
 from egretcart.process.policy.placement import Candidate
-from egretcart.process.scheduler import AgentLoad
 from egretcart.request.job import Job
 
 # Time between two looks at the speeds of all agents, in seconds.
--- a/egretcart/process/held_replies.py
+++ b/egretcart/process/cell/held_replies.py
@@ -2,11 +2,11 @@
 
 import dataclasses
 
+from egretcart.process.agent.leases import Leases
+from egretcart.process.cell.effects import LeaderEffect
+from egretcart.process.cell.effects import RequestToken
+from egretcart.process.cell.effects import SendReply
 from egretcart.process.clock import Clock
-from egretcart.process.effects import LeaderEffect
-from egretcart.process.effects import RequestToken
-from egretcart.process.effects import SendReply
-from egretcart.process.leases import Leases
 
 # Shortest time between two rounds that replies wait for, in seconds.
 CONFIRM_INTERVAL_S = 0.005
--- a/egretcart/process/inquiries.py
+++ b/egretcart/process/cell/inquiries.py
@@ -14,9 +14,9 @@
 
 from egretcart.connection.messages import LedgerQuery
 from egretcart.connection.messages import Term
-from egretcart.process.effects import LeaderEffect
-from egretcart.process.effects import RequestToken
-from egretcart.process.effects import SendToAgent
+from egretcart.process.cell.effects import LeaderEffect
+from egretcart.process.cell.effects import RequestToken
+from egretcart.process.cell.effects import SendToAgent
 from egretcart.request.identity import JobId
 
 # Jobs named in one query; the others wait for its reply.
--- a/egretcart/process/known_jobs.py
+++ b/egretcart/process/cell/known_jobs.py
@@ -4,7 +4,7 @@
 
 from egretcart.connection.messages import JobRecord
 from egretcart.connection.messages import TaskResult
-from egretcart.process.ledger import RecordState
+from egretcart.process.agent.ledger import RecordState
 from egretcart.request.identity import JobId
 from egretcart.request.verdict import Verdict
 
--- a/egretcart/process/recovery.py
+++ b/egretcart/process/cell/recovery.py
@@ -6,21 +6,21 @@
 
 from egretcart.connection.messages import JobRecord
 from egretcart.connection.messages import LedgerReply
-from egretcart.process.adoption import Adoption
-from egretcart.process.adoption import LostAgent
-from egretcart.process.attempts import Attempts
+from egretcart.process.agent.occupied import OccupiedSlots
+from egretcart.process.cell.adoption import Adoption
+from egretcart.process.cell.adoption import LostAgent
+from egretcart.process.cell.attempts import Attempts
+from egretcart.process.cell.effects import LeaderEffect
+from egretcart.process.cell.effects import RequestToken
+from egretcart.process.cell.inquiries import HeldRequest
+from egretcart.process.cell.inquiries import Inquiries
+from egretcart.process.cell.job_table import JobTable
+from egretcart.process.cell.limits import LeaderLimits
+from egretcart.process.cell.limits import MS_PER_S
+from egretcart.process.cell.scheduler import AgentLoad
+from egretcart.process.cell.scheduler import TaskKey
 from egretcart.process.clock import Clock
-from egretcart.process.effects import LeaderEffect
-from egretcart.process.effects import RequestToken
-from egretcart.process.inquiries import HeldRequest
-from egretcart.process.inquiries import Inquiries
-from egretcart.process.job_table import JobTable
-from egretcart.process.limits import LeaderLimits
-from egretcart.process.limits import MS_PER_S
-from egretcart.process.occupied import OccupiedSlots
 from egretcart.process.policy.bundle import Policy
-from egretcart.process.scheduler import AgentLoad
-from egretcart.process.scheduler import TaskKey
 from egretcart.request.identity import JobId
 
 
--- a/egretcart/process/roster_changes.py
+++ b/egretcart/process/cell/roster_changes.py
@@ -5,10 +5,10 @@
 from egretcart.connection.messages import AgentHello
 from egretcart.connection.messages import Roster
 from egretcart.connection.messages import RosterMember
+from egretcart.process.cell.limits import LeaderLimits
+from egretcart.process.cell.quorum import Quorum
+from egretcart.process.cell.scheduler import AgentLoad
 from egretcart.process.clock import Clock
-from egretcart.process.limits import LeaderLimits
-from egretcart.process.quorum import Quorum
-from egretcart.process.scheduler import AgentLoad
 
 MS_PER_S = 1000
 
--- a/egretcart/process/rosters.py
+++ b/egretcart/process/cell/rosters.py
@@ -5,9 +5,9 @@
 import msgspec
 
 from egretcart.connection.messages import Roster
-from egretcart.process.directory import Cell
-from egretcart.process.platform import Platform
-from egretcart.process.platform import PlatformError
+from egretcart.process.entry.directory import Cell
+from egretcart.process.store.platform import Platform
+from egretcart.process.store.platform import PlatformError
 from egretcart.request.verdict import Verdict
 
 ROSTERS_PREFIX = "egretcart/rosters/"
--- a/egretcart/process/starts.py
+++ b/egretcart/process/cell/starts.py
@@ -7,15 +7,15 @@
 import heapq
 
 from egretcart.connection.messages import Start
+from egretcart.process.cell.effects import LeaderEffect
+from egretcart.process.cell.effects import SendToAgent
+from egretcart.process.cell.fleet import Fleet
+from egretcart.process.cell.job_table import JobTable
+from egretcart.process.cell.scheduler import TaskKey
 from egretcart.process.clock import Clock
-from egretcart.process.effects import LeaderEffect
-from egretcart.process.effects import SendToAgent
-from egretcart.process.fleet import Fleet
-from egretcart.process.job_table import JobTable
 from egretcart.process.policy.bundle import Policy
 from egretcart.process.policy.placement import Demand
 from egretcart.process.policy.retries import FailedAttempt
-from egretcart.process.scheduler import TaskKey
 from egretcart.request.progress import HedgeAttempt
 from egretcart.request.progress import JobProgress
 from egretcart.request.progress import TaskProgress
--- a/egretcart/process/takeover.py
+++ b/egretcart/process/cell/takeover.py
@@ -3,10 +3,10 @@
 import enum
 
 from egretcart.connection.messages import UNKNOWN_MS
+from egretcart.process.cell.limits import LeaderLimits
+from egretcart.process.cell.quorum import Quorum
+from egretcart.process.cell.roster_changes import RosterChanges
 from egretcart.process.clock import Clock
-from egretcart.process.limits import LeaderLimits
-from egretcart.process.quorum import Quorum
-from egretcart.process.roster_changes import RosterChanges
 
 
 class TakeoverStep(enum.Enum):
--- a/egretcart/process/cli.py
+++ b/egretcart/process/cli.py
@@ -11,16 +11,16 @@
 import trio
 
 from egretcart.load.command import load_command
-from egretcart.process.agent_process import AgentProcess
-from egretcart.process.agent_types import AgentLimits
+from egretcart.process.agent.agent_process import AgentProcess
+from egretcart.process.agent.agent_types import AgentLimits
+from egretcart.process.cell.limits import LeaderLimits
 from egretcart.process.clock import SystemClock
 from egretcart.process.demo import run_demo
-from egretcart.process.entry_limits import EntryLimits
-from egretcart.process.entry_process import EntryProcess
-from egretcart.process.limits import LeaderLimits
+from egretcart.process.entry.entry_limits import EntryLimits
+from egretcart.process.entry.entry_process import EntryProcess
 from egretcart.process.logs import log_to_stderr
-from egretcart.process.operator_commands import OPERATOR_COMMANDS
-from egretcart.process.operator_commands import run_operator_command
+from egretcart.process.operators.operator_commands import OPERATOR_COMMANDS
+from egretcart.process.operators.operator_commands import run_operator_command
 from egretcart.process.planned_stop import stop_on_signal
 from egretcart.process.settings import AgentSettings
 from egretcart.process.settings import BackendStandInSettings
--- /dev/null
+++ b/egretcart/process/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The accepted configuration: stored, told and followed."""
--- a/egretcart/process/config_exchange.py
+++ b/egretcart/process/configuration/config_exchange.py
@@ -3,15 +3,15 @@
 from egretcart.connection.messages import CellRoster
 from egretcart.connection.messages import ConfigDocument
 from egretcart.connection.messages import ConfigRequest
-from egretcart.process.cell_claims import CellClaims
+from egretcart.process.cell.cell_claims import CellClaims
 from egretcart.process.clock import Clock
-from egretcart.process.config_sync import ConfigSync
-from egretcart.process.config_sync import decode_document
-from egretcart.process.config_sync import encode_document
-from egretcart.process.directory import Cell
-from egretcart.process.directory import Directory
-from egretcart.process.entry_effects import EntryEffect
-from egretcart.process.entry_effects import SendToPeer
+from egretcart.process.configuration.config_sync import ConfigSync
+from egretcart.process.configuration.config_sync import decode_document
+from egretcart.process.configuration.config_sync import encode_document
+from egretcart.process.entry.directory import Cell
+from egretcart.process.entry.directory import Directory
+from egretcart.process.entry.entry_effects import EntryEffect
+from egretcart.process.entry.entry_effects import SendToPeer
 
 
 class ConfigExchange:
--- a/egretcart/process/config_store.py
+++ b/egretcart/process/configuration/config_store.py
@@ -7,11 +7,11 @@
 import msgspec
 import trio
 
-from egretcart.process.platform import KeyRange
-from egretcart.process.platform import keys_below
-from egretcart.process.platform import Platform
-from egretcart.process.platform import PlatformError
-from egretcart.process.platform import Put
+from egretcart.process.store.platform import KeyRange
+from egretcart.process.store.platform import keys_below
+from egretcart.process.store.platform import Platform
+from egretcart.process.store.platform import PlatformError
+from egretcart.process.store.platform import Put
 from egretcart.request.verdict import Verdict
 from egretcart.version.change import AuditEntry
 from egretcart.version.change import ChangeAttempt
--- a/egretcart/process/beats.py
+++ b/egretcart/process/entry/beats.py
@@ -4,11 +4,11 @@
 
 from egretcart.connection.messages import CellLeader
 from egretcart.connection.messages import EntryBeat
-from egretcart.process.directory import Cell
-from egretcart.process.directory import Directory
-from egretcart.process.entry_effects import EntryEffect
-from egretcart.process.entry_effects import SendToPeer
-from egretcart.process.entry_limits import EntryLimits
+from egretcart.process.entry.directory import Cell
+from egretcart.process.entry.directory import Directory
+from egretcart.process.entry.entry_effects import EntryEffect
+from egretcart.process.entry.entry_effects import SendToPeer
+from egretcart.process.entry.entry_limits import EntryLimits
 
 MS_PER_S = 1000
 
--- a/egretcart/process/caller_requests.py
+++ b/egretcart/process/entry/caller_requests.py
@@ -9,17 +9,17 @@
 
 from egretcart.connection.messages import Forward
 from egretcart.connection.messages import ForwardReply
-from egretcart.process.cell_claims import LedRequest
+from egretcart.process.cell.cell_claims import LedRequest
+from egretcart.process.cell.effects import RequestToken
 from egretcart.process.clock import Clock
-from egretcart.process.directory import Cell
-from egretcart.process.directory import cell_of_job
-from egretcart.process.effects import RequestToken
-from egretcart.process.entry_effects import EntryEffect
-from egretcart.process.entry_effects import ReplyToCaller
-from egretcart.process.entry_effects import SendToPeer
-from egretcart.process.entry_limits import EntryLimits
-from egretcart.process.pending import PendingRequest
-from egretcart.process.pending import SUBMIT
+from egretcart.process.entry.directory import Cell
+from egretcart.process.entry.directory import cell_of_job
+from egretcart.process.entry.entry_effects import EntryEffect
+from egretcart.process.entry.entry_effects import ReplyToCaller
+from egretcart.process.entry.entry_effects import SendToPeer
+from egretcart.process.entry.entry_limits import EntryLimits
+from egretcart.process.entry.pending import PendingRequest
+from egretcart.process.entry.pending import SUBMIT
 from egretcart.request.identity import JobId
 from egretcart.request.job import parse_job
 from egretcart.request.problem import bad_request
--- a/egretcart/process/entry_effects.py
+++ b/egretcart/process/entry/entry_effects.py
@@ -10,8 +10,8 @@
 from egretcart.connection.messages import Forward
 from egretcart.connection.messages import ForwardReply
 from egretcart.connection.messages import Roster
-from egretcart.process.directory import Cell
-from egretcart.process.effects import SendToAgent
+from egretcart.process.cell.effects import SendToAgent
+from egretcart.process.entry.directory import Cell
 from egretcart.request.reply import Reply
 
 PeerMessage = (
--- a/egretcart/process/entry_observer.py
+++ b/egretcart/process/entry/entry_observer.py
@@ -5,11 +5,13 @@
 from egretcart.connection.messages import ForwardReply
 from egretcart.connection.messages import Heartbeat
 from egretcart.connection.messages import HeartbeatReply
-from egretcart.process.effects import SendToAgent
-from egretcart.process.entry import Entry
-from egretcart.process.entry_effects import EntryEffect
-from egretcart.process.entry_effects import SendToPeer
-from egretcart.process.entry_effects import WriteCellRoster
+from egretcart.process.cell.effects import SendToAgent
+from egretcart.process.cell.waste import WasteCause
+from egretcart.process.cell.waste import WasteObserver
+from egretcart.process.entry.entry import Entry
+from egretcart.process.entry.entry_effects import EntryEffect
+from egretcart.process.entry.entry_effects import SendToPeer
+from egretcart.process.entry.entry_effects import WriteCellRoster
 from egretcart.process.logs import EventLog
 from egretcart.process.metric_table import AGENTS_CONNECTED
 from egretcart.process.metric_table import HEARTBEAT_TIME
@@ -24,8 +26,6 @@
 from egretcart.process.transitions import changes_between
 from egretcart.process.transitions import EntryState
 from egretcart.process.transitions import state_of
-from egretcart.process.waste import WasteCause
-from egretcart.process.waste import WasteObserver
 from egretcart.request.reply import ReplyOutcome
 
 
--- a/egretcart/process/pending.py
+++ b/egretcart/process/entry/pending.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from egretcart.process.directory import Cell
+from egretcart.process.entry.directory import Cell
 from egretcart.request.identity import JobId
 
 SUBMIT = "submit"
--- /dev/null
+++ b/egretcart/process/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' commands and the interface that they use."""
--- a/egretcart/process/change_commands.py
+++ b/egretcart/process/operators/change_commands.py
@@ -9,19 +9,19 @@
 import msgspec
 import uuid6
 
-from egretcart.process.config_store import plan_change
-from egretcart.process.operator_arguments import EXIT_FAILED
-from egretcart.process.operator_arguments import EXIT_OK
-from egretcart.process.operator_arguments import load_document
-from egretcart.process.operator_arguments import parse_number
-from egretcart.process.operator_client import ask_all_entries
-from egretcart.process.operator_client import EntryClient
-from egretcart.process.operator_client import OperatorClient
-from egretcart.process.operator_client import Overview
-from egretcart.process.outcome_text import print_differences
-from egretcart.process.outcome_text import print_outcome
-from egretcart.process.platform import PlatformError
-from egretcart.process.show_commands import read_stored
+from egretcart.process.configuration.config_store import plan_change
+from egretcart.process.operators.operator_arguments import EXIT_FAILED
+from egretcart.process.operators.operator_arguments import EXIT_OK
+from egretcart.process.operators.operator_arguments import load_document
+from egretcart.process.operators.operator_arguments import parse_number
+from egretcart.process.operators.operator_client import ask_all_entries
+from egretcart.process.operators.operator_client import EntryClient
+from egretcart.process.operators.operator_client import OperatorClient
+from egretcart.process.operators.operator_client import Overview
+from egretcart.process.operators.outcome_text import print_differences
+from egretcart.process.operators.outcome_text import print_outcome
+from egretcart.process.operators.show_commands import read_stored
+from egretcart.process.store.platform import PlatformError
 from egretcart.version.change import NOTHING_STORED
 from egretcart.version.change import ProposedChange
 from egretcart.version.change import WriteVersion
--- a/egretcart/process/operator_arguments.py
+++ b/egretcart/process/operators/operator_arguments.py
@@ -4,9 +4,9 @@
 import pathlib
 from typing import Any
 
-from egretcart.process.operator_client import EntryClient
-from egretcart.process.operator_client import OperatorClient
-from egretcart.process.operator_client import PlatformClient
+from egretcart.process.operators.operator_client import EntryClient
+from egretcart.process.operators.operator_client import OperatorClient
+from egretcart.process.operators.operator_client import PlatformClient
 from egretcart.process.settings import Address
 from egretcart.version.check import parse_document
 from egretcart.version.document import Configuration
--- a/egretcart/process/operator_commands.py
+++ b/egretcart/process/operators/operator_commands.py
@@ -5,20 +5,20 @@
 
 import trio
 
-from egretcart.process.change_commands import apply_file
-from egretcart.process.change_commands import drain_agent
-from egretcart.process.change_commands import repair_store
-from egretcart.process.check_command import check_files
-from egretcart.process.check_command import print_schema
-from egretcart.process.operator_arguments import client_of
-from egretcart.process.operator_arguments import EXIT_FAILED
-from egretcart.process.operator_arguments import EXIT_USAGE
-from egretcart.process.operator_arguments import UsageError
-from egretcart.process.platform import PlatformError
-from egretcart.process.show_commands import print_difference
-from egretcart.process.show_commands import print_history
-from egretcart.process.show_commands import print_version
-from egretcart.process.status_command import print_status
+from egretcart.process.operators.change_commands import apply_file
+from egretcart.process.operators.change_commands import drain_agent
+from egretcart.process.operators.change_commands import repair_store
+from egretcart.process.operators.check_command import check_files
+from egretcart.process.operators.check_command import print_schema
+from egretcart.process.operators.operator_arguments import client_of
+from egretcart.process.operators.operator_arguments import EXIT_FAILED
+from egretcart.process.operators.operator_arguments import EXIT_USAGE
+from egretcart.process.operators.operator_arguments import UsageError
+from egretcart.process.operators.show_commands import print_difference
+from egretcart.process.operators.show_commands import print_history
+from egretcart.process.operators.show_commands import print_version
+from egretcart.process.operators.status_command import print_status
+from egretcart.process.store.platform import PlatformError
 
 OPERATOR_COMMANDS = (
     "check",
--- a/egretcart/process/outcome_text.py
+++ b/egretcart/process/operators/outcome_text.py
@@ -1,9 +1,9 @@
 """What the commands print of a change's outcome."""
 
-from egretcart.process.operator_arguments import EXIT_FAILED
-from egretcart.process.operator_arguments import EXIT_OK
-from egretcart.process.operator_arguments import EXIT_UNDECIDED
-from egretcart.process.operator_arguments import EXIT_USAGE
+from egretcart.process.operators.operator_arguments import EXIT_FAILED
+from egretcart.process.operators.operator_arguments import EXIT_OK
+from egretcart.process.operators.operator_arguments import EXIT_UNDECIDED
+from egretcart.process.operators.operator_arguments import EXIT_USAGE
 from egretcart.version.change import Accepted
 from egretcart.version.change import Conflict
 from egretcart.version.change import Ended
--- a/egretcart/process/reports.py
+++ b/egretcart/process/operators/reports.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
-from egretcart.process.entry import Entry
-from egretcart.process.platform_guard import CallGuard
+from egretcart.process.entry.entry import Entry
+from egretcart.process.store.platform_guard import CallGuard
 
 
 class CellReport(msgspec.Struct, frozen=True, kw_only=True):
--- a/egretcart/process/show_commands.py
+++ b/egretcart/process/operators/show_commands.py
@@ -4,15 +4,15 @@
 
 import msgspec
 
-from egretcart.process.operator_arguments import EXIT_OK
-from egretcart.process.operator_arguments import load_document
-from egretcart.process.operator_arguments import parse_number
-from egretcart.process.operator_arguments import UsageError
-from egretcart.process.operator_client import ask_all_entries
-from egretcart.process.operator_client import EntryClient
-from egretcart.process.operator_client import OperatorClient
-from egretcart.process.outcome_text import print_differences
-from egretcart.process.platform import PlatformError
+from egretcart.process.operators.operator_arguments import EXIT_OK
+from egretcart.process.operators.operator_arguments import load_document
+from egretcart.process.operators.operator_arguments import parse_number
+from egretcart.process.operators.operator_arguments import UsageError
+from egretcart.process.operators.operator_client import ask_all_entries
+from egretcart.process.operators.operator_client import EntryClient
+from egretcart.process.operators.operator_client import OperatorClient
+from egretcart.process.operators.outcome_text import print_differences
+from egretcart.process.store.platform import PlatformError
 from egretcart.request.verdict import Verdict
 from egretcart.version.change import AuditEntry
 from egretcart.version.change import NOTHING_STORED
--- a/egretcart/process/status_command.py
+++ b/egretcart/process/operators/status_command.py
@@ -2,12 +2,12 @@
 
 from collections.abc import Iterable
 
-from egretcart.process.operator_client import ask_all_entries
-from egretcart.process.operator_client import OperatorClient
-from egretcart.process.operator_client import Overview
-from egretcart.process.platform import PlatformError
-from egretcart.process.reports import AgentReport
-from egretcart.process.reports import ProcessesReport
+from egretcart.process.operators.operator_client import ask_all_entries
+from egretcart.process.operators.operator_client import OperatorClient
+from egretcart.process.operators.operator_client import Overview
+from egretcart.process.operators.reports import AgentReport
+from egretcart.process.operators.reports import ProcessesReport
+from egretcart.process.store.platform import PlatformError
 
 EXIT_OK = 0
 EXIT_FAILED = 1
--- a/egretcart/process/policy/hedging.py
+++ b/egretcart/process/policy/hedging.py
@@ -3,8 +3,8 @@
 import heapq
 from typing import Protocol
 
+from egretcart.process.cell.scheduler import TaskKey
 from egretcart.process.policy.retries import ShareBudget
-from egretcart.process.scheduler import TaskKey
 from egretcart.version.document import HedgePolicy
 
 MS_PER_S = 1000
--- a/egretcart/process/policy/ordering.py
+++ b/egretcart/process/policy/ordering.py
@@ -5,11 +5,11 @@
 import heapq
 from typing import Protocol
 
+from egretcart.process.cell.scheduler import TaskKey
 from egretcart.process.policy.lanes import ClassQueue
 from egretcart.process.policy.lanes import Lane
 from egretcart.process.policy.lanes import LaneQueue
 from egretcart.process.policy.lanes import QueuedJob
-from egretcart.process.scheduler import TaskKey
 from egretcart.version.document import Configuration
 
 # Share of a cell's slots that quotas may take, so that work beyond the
--- a/egretcart/process/policy/placement.py
+++ b/egretcart/process/policy/placement.py
@@ -7,8 +7,8 @@
 import math
 from typing import Protocol
 
+from egretcart.process.cell.scheduler import AgentLoad
 from egretcart.process.policy.estimates import RunTimes
-from egretcart.process.scheduler import AgentLoad
 
 # Agents whose speed differs by less than this share count as equal.
 SPEED_STEP = math.log(1.25)
--- /dev/null
+++ b/egretcart/process/store/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's key-value service and its clients."""
--- a/egretcart/process/platform_follower.py
+++ b/egretcart/process/store/platform_follower.py
@@ -12,20 +12,20 @@
 
 from egretcart.connection.messages import EntryAddress
 from egretcart.connection.messages import Roster
-from egretcart.process.config_store import CONFIG_KEY
-from egretcart.process.config_store import decode_configuration
-from egretcart.process.directory import Cell
-from egretcart.process.platform import Change
-from egretcart.process.platform import KeyRange
-from egretcart.process.platform import keys_below
-from egretcart.process.platform import Listing
-from egretcart.process.platform import Platform
-from egretcart.process.platform import PlatformError
-from egretcart.process.registration import decode_address
-from egretcart.process.registration import ENTRIES_PREFIX
-from egretcart.process.rosters import cell_of_key
-from egretcart.process.rosters import decode_roster
-from egretcart.process.rosters import ROSTERS_PREFIX
+from egretcart.process.cell.rosters import cell_of_key
+from egretcart.process.cell.rosters import decode_roster
+from egretcart.process.cell.rosters import ROSTERS_PREFIX
+from egretcart.process.configuration.config_store import CONFIG_KEY
+from egretcart.process.configuration.config_store import decode_configuration
+from egretcart.process.entry.directory import Cell
+from egretcart.process.store.platform import Change
+from egretcart.process.store.platform import KeyRange
+from egretcart.process.store.platform import keys_below
+from egretcart.process.store.platform import Listing
+from egretcart.process.store.platform import Platform
+from egretcart.process.store.platform import PlatformError
+from egretcart.process.store.registration import decode_address
+from egretcart.process.store.registration import ENTRIES_PREFIX
 from egretcart.version.document import Configuration
 
 WATCH_RENEW_S = 60.0
--- a/egretcart/process/platform_guard.py
+++ b/egretcart/process/store/platform_guard.py
@@ -8,10 +8,10 @@
 import random
 
 from egretcart.process.clock import Clock
-from egretcart.process.platform_calls import CallObserver
-from egretcart.process.platform_calls import Circuit
-from egretcart.process.platform_calls import HoldCause
-from egretcart.process.platform_calls import NullCallObserver
+from egretcart.process.store.platform_calls import CallObserver
+from egretcart.process.store.platform_calls import Circuit
+from egretcart.process.store.platform_calls import HoldCause
+from egretcart.process.store.platform_calls import NullCallObserver
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/egretcart/process/platform_metrics.py
+++ b/egretcart/process/store/platform_metrics.py
@@ -15,10 +15,10 @@
 from egretcart.process.metric_table import PLATFORM_WATCHES_BROKEN
 from egretcart.process.metric_table import STATE_CHANGES
 from egretcart.process.metrics import Metrics
-from egretcart.process.platform_calls import CallKind
-from egretcart.process.platform_calls import CallOutcome
-from egretcart.process.platform_calls import Circuit
-from egretcart.process.platform_calls import HoldCause
+from egretcart.process.store.platform_calls import CallKind
+from egretcart.process.store.platform_calls import CallOutcome
+from egretcart.process.store.platform_calls import Circuit
+from egretcart.process.store.platform_calls import HoldCause
 from egretcart.process.transitions import Change
 from egretcart.process.transitions import ChangeKind
 
--- a/egretcart/process/registration.py
+++ b/egretcart/process/store/registration.py
@@ -7,11 +7,11 @@
 import trio
 
 from egretcart.connection.messages import EntryAddress
-from egretcart.process.platform import keys_below
-from egretcart.process.platform import Platform
-from egretcart.process.platform import PlatformError
-from egretcart.process.platform import PlatformRefusal
-from egretcart.process.platform import Put
+from egretcart.process.store.platform import keys_below
+from egretcart.process.store.platform import Platform
+from egretcart.process.store.platform import PlatformError
+from egretcart.process.store.platform import PlatformRefusal
+from egretcart.process.store.platform import Put
 
 ENTRIES_PREFIX = "egretcart/entries/"
 TIME_TO_LIVE_S = 30
--- a/egretcart/process/transitions.py
+++ b/egretcart/process/transitions.py
@@ -8,9 +8,9 @@
 import dataclasses
 import enum
 
-from egretcart.process.directory import Cell
-from egretcart.process.entry import Entry
-from egretcart.process.leadership import Phase
+from egretcart.process.cell.leadership import Phase
+from egretcart.process.entry.directory import Cell
+from egretcart.process.entry.entry import Entry
 
 
 class ChangeKind(enum.Enum):
--- a/egretcart/testing/naive.py
+++ b/egretcart/testing/naive.py
@@ -23,13 +23,13 @@
 from egretcart.connection.messages import Start
 from egretcart.connection.messages import TaskResult
 from egretcart.connection.traffic import Traffic
+from egretcart.process.cell.waste import ATTEMPT_MESSAGES
+from egretcart.process.cell.waste import WasteCause
 from egretcart.process.metric_table import MESSAGES_WASTED
 from egretcart.process.metric_table import STARTS
 from egretcart.process.metrics import ProcessMetrics
 from egretcart.process.metrics import TEXT_TYPE
 from egretcart.process.settings import NaiveSettings
-from egretcart.process.waste import ATTEMPT_MESSAGES
-from egretcart.process.waste import WasteCause
 from egretcart.request.identity import JobId
 from egretcart.request.identity import parse_job_id
 from egretcart.request.job import Job
--- a/egretcart/testing/naive_policy.py
+++ b/egretcart/testing/naive_policy.py
@@ -6,6 +6,7 @@
 import dataclasses
 import random
 
+from egretcart.process.cell.scheduler import TaskKey
 from egretcart.process.policy.admission import Capacity
 from egretcart.process.policy.bundle import Policy
 from egretcart.process.policy.bundle import ServiceTables
@@ -14,7 +15,6 @@
 from egretcart.process.policy.placement import Candidate
 from egretcart.process.policy.placement import Demand
 from egretcart.process.policy.retries import FailedAttempt
-from egretcart.process.scheduler import TaskKey
 from egretcart.request.job import Job
 from egretcart.request.problem import Problem
 from egretcart.version.document import Configuration
--- a/tests/features/steps/backend_exchange_steps.py
+++ b/tests/features/steps/backend_exchange_steps.py
@@ -17,9 +17,9 @@
 from egretcart.connection.messages import Start
 from egretcart.connection.messages import TaskResult
 from egretcart.connection.messages import Term
-from egretcart.process.agent_process import AgentProcess
-from egretcart.process.agent_types import AgentLimits
-from egretcart.process.limits import LEASE_S
+from egretcart.process.agent.agent_process import AgentProcess
+from egretcart.process.agent.agent_types import AgentLimits
+from egretcart.process.cell.limits import LEASE_S
 from egretcart.process.planned_stop import poll_until
 from egretcart.process.settings import Address
 from egretcart.process.settings import AgentSettings
--- a/tests/features/steps/bad_peer_steps.py
+++ b/tests/features/steps/bad_peer_steps.py
@@ -24,7 +24,7 @@
 from egretcart.connection.messages import Start
 from egretcart.connection.messages import TaskResult
 from egretcart.connection.messages import Term
-from egretcart.process.entry_process import PEER_SILENCE_LIMIT_S
+from egretcart.process.entry.entry_process import PEER_SILENCE_LIMIT_S
 
 
 def integers():
--- a/tests/features/steps/cell_machine.py
+++ b/tests/features/steps/cell_machine.py
@@ -12,7 +12,7 @@
 from simulated_world import SUBMIT
 from simulated_world import World
 
-from egretcart.process.pending import READ
+from egretcart.process.entry.pending import READ
 
 INDEX = st.integers(0, 7)
 SKEW_S = st.sampled_from((0.5, -0.5, 0.5, -0.5, 0.0))
--- a/tests/features/steps/config_machine.py
+++ b/tests/features/steps/config_machine.py
@@ -12,14 +12,14 @@
 
 from egretcart.connection.messages import AgentConfig
 from egretcart.connection.messages import EntryAddress
-from egretcart.process.agent import Agent
-from egretcart.process.agent_types import AgentIdentity
-from egretcart.process.agent_types import AgentLimits
-from egretcart.process.entry import Entry
-from egretcart.process.entry_effects import SendAgentConfig
-from egretcart.process.entry_effects import SendToPeer
-from egretcart.process.entry_limits import EntryLimits
-from egretcart.process.limits import LeaderLimits
+from egretcart.process.agent.agent import Agent
+from egretcart.process.agent.agent_types import AgentIdentity
+from egretcart.process.agent.agent_types import AgentLimits
+from egretcart.process.cell.limits import LeaderLimits
+from egretcart.process.entry.entry import Entry
+from egretcart.process.entry.entry_effects import SendAgentConfig
+from egretcart.process.entry.entry_effects import SendToPeer
+from egretcart.process.entry.entry_limits import EntryLimits
 from egretcart.testing.clock import ManualClock
 from egretcart.version.change import Accepted
 from egretcart.version.change import ChangeAttempt
--- a/tests/features/steps/configuration_history_steps.py
+++ b/tests/features/steps/configuration_history_steps.py
@@ -16,13 +16,13 @@
 from platform_world import running
 import trio
 
-from egretcart.process.config_store import apply_change
-from egretcart.process.config_store import DOCUMENTS_PREFIX
-from egretcart.process.config_store import HISTORY_PREFIX
-from egretcart.process.config_store import HistoryLimits
-from egretcart.process.config_store import PlatformConfigStore
-from egretcart.process.platform import keys_below
-from egretcart.process.platform_follower import STATE_RANGE
+from egretcart.process.configuration.config_store import apply_change
+from egretcart.process.configuration.config_store import DOCUMENTS_PREFIX
+from egretcart.process.configuration.config_store import HISTORY_PREFIX
+from egretcart.process.configuration.config_store import HistoryLimits
+from egretcart.process.configuration.config_store import PlatformConfigStore
+from egretcart.process.store.platform import keys_below
+from egretcart.process.store.platform_follower import STATE_RANGE
 from egretcart.version.change import Accepted
 from egretcart.version.change import AuditEntry
 from egretcart.version.change import Forgotten
--- a/tests/features/steps/configuration_race_steps.py
+++ b/tests/features/steps/configuration_race_steps.py
@@ -13,9 +13,9 @@
 from processes import request
 import trio
 
-from egretcart.process.config_store import apply_change
-from egretcart.process.config_store import PlatformConfigStore
-from egretcart.process.etcd_platform import EtcdPlatform
+from egretcart.process.configuration.config_store import apply_change
+from egretcart.process.configuration.config_store import PlatformConfigStore
+from egretcart.process.store.etcd_platform import EtcdPlatform
 from egretcart.version.change import Accepted
 from egretcart.version.change import NOTHING_STORED
 
--- a/tests/features/steps/configuration_rules_steps.py
+++ b/tests/features/steps/configuration_rules_steps.py
@@ -16,11 +16,11 @@
 from egretcart.connection.messages import Heartbeat
 from egretcart.connection.messages import Start
 from egretcart.connection.messages import Term
-from egretcart.process.agent import Agent
-from egretcart.process.agent_types import AgentIdentity
-from egretcart.process.agent_types import AgentLimits
-from egretcart.process.agent_types import BeginExchange
-from egretcart.process.check_command import schema_text
+from egretcart.process.agent.agent import Agent
+from egretcart.process.agent.agent_types import AgentIdentity
+from egretcart.process.agent.agent_types import AgentLimits
+from egretcart.process.agent.agent_types import BeginExchange
+from egretcart.process.operators.check_command import schema_text
 from egretcart.request.identity import new_job_id
 from egretcart.testing.clock import ManualClock
 from egretcart.version.check import parse_document
--- a/tests/features/steps/connection_bounds_steps.py
+++ b/tests/features/steps/connection_bounds_steps.py
@@ -13,7 +13,7 @@
 from egretcart.connection.link import Link
 from egretcart.connection.messages import Forward
 from egretcart.connection.peer_link import MAX_WAITING_BYTES
-from egretcart.process.agent_process import HTTP_LIMITS
+from egretcart.process.agent.agent_process import HTTP_LIMITS
 from egretcart.process.planned_stop import poll_until
 
 HOST = "127.0.0.1"
--- a/tests/features/steps/fault_steps.py
+++ b/tests/features/steps/fault_steps.py
@@ -16,7 +16,7 @@
 from processes import eventually
 from processes import request
 
-from egretcart.process.limits import LEASE_S
+from egretcart.process.cell.limits import LEASE_S
 
 SCALE = int(os.environ.get("EGRETCART_FAULT_SCALE", "1"))
 # Longer than every lease and timeout of the system.
--- a/tests/features/steps/guard_steps.py
+++ b/tests/features/steps/guard_steps.py
@@ -11,14 +11,14 @@
 
 from egretcart.connection.messages import Roster
 from egretcart.connection.messages import RosterMember
-from egretcart.process.agent import Agent
-from egretcart.process.inquiries import Inquiries
-from egretcart.process.leadership import Leadership
-from egretcart.process.pending import READ
-from egretcart.process.quorum import Quorum
-from egretcart.process.recovery import Recovery
-from egretcart.process.roster_changes import RosterChanges
-from egretcart.process.takeover import Takeover
+from egretcart.process.agent.agent import Agent
+from egretcart.process.cell.inquiries import Inquiries
+from egretcart.process.cell.leadership import Leadership
+from egretcart.process.cell.quorum import Quorum
+from egretcart.process.cell.recovery import Recovery
+from egretcart.process.cell.roster_changes import RosterChanges
+from egretcart.process.cell.takeover import Takeover
+from egretcart.process.entry.pending import READ
 
 
 def endanger(machine, agent, *, faults, ahead_s=0.0, **chosen):
--- a/tests/features/steps/handover_steps.py
+++ b/tests/features/steps/handover_steps.py
@@ -8,10 +8,10 @@
 from egretcart.connection.messages import EntryBeat
 from egretcart.connection.messages import Fence
 from egretcart.connection.messages import Term
-from egretcart.process.effects import SendToAgent
-from egretcart.process.entry import Entry
-from egretcart.process.entry_limits import EntryLimits
-from egretcart.process.limits import LeaderLimits
+from egretcart.process.cell.effects import SendToAgent
+from egretcart.process.cell.limits import LeaderLimits
+from egretcart.process.entry.entry import Entry
+from egretcart.process.entry.entry_limits import EntryLimits
 from egretcart.testing import ManualClock
 from egretcart.version.document import Configuration
 from egretcart.version.document import Service
--- a/tests/features/steps/memory_steps.py
+++ b/tests/features/steps/memory_steps.py
@@ -5,7 +5,7 @@
 from behave import then
 from behave import when
 
-from egretcart.process.limits import PRUNE_INTERVAL_S
+from egretcart.process.cell.limits import PRUNE_INTERVAL_S
 
 TOOLS = pathlib.Path(__file__).resolve().parents[3] / "tools"
 if str(TOOLS) not in sys.path:
--- a/tests/features/steps/metrics_steps.py
+++ b/tests/features/steps/metrics_steps.py
@@ -14,11 +14,13 @@
 from egretcart.connection.messages import TaskResult
 from egretcart.connection.traffic import Traffic
 from egretcart.load.counters import parse_counters
-from egretcart.process.agent import Agent
-from egretcart.process.agent_observer import AgentObserver
-from egretcart.process.agent_types import AgentIdentity
-from egretcart.process.agent_types import AgentLimits
-from egretcart.process.directory import Cell
+from egretcart.process.agent.agent import Agent
+from egretcart.process.agent.agent_observer import AgentObserver
+from egretcart.process.agent.agent_types import AgentIdentity
+from egretcart.process.agent.agent_types import AgentLimits
+from egretcart.process.cell.waste import WasteCause
+from egretcart.process.cell.waste import WasteObserver
+from egretcart.process.entry.directory import Cell
 from egretcart.process.logs import NullLog
 from egretcart.process.metric_table import LEASE_LAPSES
 from egretcart.process.metric_table import markdown_table
@@ -28,8 +30,6 @@
 from egretcart.process.transitions import ChangeKind
 from egretcart.process.transitions import changes_between
 from egretcart.process.transitions import EntryState
-from egretcart.process.waste import WasteCause
-from egretcart.process.waste import WasteObserver
 from egretcart.testing.clock import ManualClock
 
 ROOT = pathlib.Path(__file__).resolve().parents[3]
--- a/tests/features/steps/platform_guard_steps.py
+++ b/tests/features/steps/platform_guard_steps.py
@@ -5,9 +5,9 @@
 from hypothesis import given as each
 from hypothesis import strategies
 
-from egretcart.process.platform_calls import Circuit
-from egretcart.process.platform_guard import CallGuard
-from egretcart.process.platform_guard import PlatformLimits
+from egretcart.process.store.platform_calls import Circuit
+from egretcart.process.store.platform_guard import CallGuard
+from egretcart.process.store.platform_guard import PlatformLimits
 from egretcart.testing.clock import ManualClock
 
 PAUSES = strategies.floats(0, 2)
--- a/tests/features/steps/platform_world.py
+++ b/tests/features/steps/platform_world.py
@@ -6,8 +6,8 @@
 import trio
 
 from egretcart.connection.http_client import HttpClient
-from egretcart.process.etcd_platform import EtcdPlatform
-from egretcart.process.platform_guard import PlatformLimits
+from egretcart.process.store.etcd_platform import EtcdPlatform
+from egretcart.process.store.platform_guard import PlatformLimits
 from egretcart.testing.platform import PlatformStandIn
 
 HOST = "127.0.0.1"
--- a/tests/features/steps/policy_hedging_steps.py
+++ b/tests/features/steps/policy_hedging_steps.py
@@ -9,7 +9,7 @@
 
 from egretcart.connection.messages import JobRecord
 from egretcart.connection.messages import TaskRecord
-from egretcart.process.ledger import RecordState
+from egretcart.process.agent.ledger import RecordState
 from egretcart.process.policy.hedging import RESERVE as HEDGE_RESERVE
 from egretcart.version.document import HedgePolicy
 from egretcart.version.document import UrgencyClass
--- a/tests/features/steps/policy_leaving_steps.py
+++ b/tests/features/steps/policy_leaving_steps.py
@@ -9,11 +9,11 @@
 from egretcart.connection.messages import CancelTasks
 from egretcart.connection.messages import Start
 from egretcart.connection.messages import Term
-from egretcart.process.agent import Agent
-from egretcart.process.agent_types import AbortExchange
-from egretcart.process.agent_types import AgentIdentity
-from egretcart.process.agent_types import AgentLimits
-from egretcart.process.agent_types import SendToEntry
+from egretcart.process.agent.agent import Agent
+from egretcart.process.agent.agent_types import AbortExchange
+from egretcart.process.agent.agent_types import AgentIdentity
+from egretcart.process.agent.agent_types import AgentLimits
+from egretcart.process.agent.agent_types import SendToEntry
 from egretcart.request.identity import job_id_at
 from egretcart.testing.clock import ManualClock
 
--- a/tests/features/steps/policy_retry_steps.py
+++ b/tests/features/steps/policy_retry_steps.py
@@ -11,8 +11,8 @@
 from egretcart.connection.messages import JobRecord
 from egretcart.connection.messages import TaskRecord
 from egretcart.connection.messages import TaskResult
-from egretcart.process.ledger import RecordState
-from egretcart.process.limits import LeaderLimits
+from egretcart.process.agent.ledger import RecordState
+from egretcart.process.cell.limits import LeaderLimits
 from egretcart.request.progress import TaskState
 from egretcart.version.document import Kind
 from egretcart.version.document import RetryPolicy
--- a/tests/features/steps/registration_steps.py
+++ b/tests/features/steps/registration_steps.py
@@ -9,8 +9,8 @@
 import trio
 
 from egretcart.connection.messages import EntryAddress
-from egretcart.process.registration import list_entries
-from egretcart.process.registration import Registrar
+from egretcart.process.store.registration import list_entries
+from egretcart.process.store.registration import Registrar
 
 
 @when("an entry and an agent are started without seeds")
--- a/tests/features/steps/restore_machine.py
+++ b/tests/features/steps/restore_machine.py
@@ -10,8 +10,8 @@
 from hypothesis.stateful import RuleBasedStateMachine
 import msgspec
 
-from egretcart.process.config_sync import ConfigSync
-from egretcart.process.config_sync import SyncLimits
+from egretcart.process.configuration.config_sync import ConfigSync
+from egretcart.process.configuration.config_sync import SyncLimits
 from egretcart.testing.clock import ManualClock
 from egretcart.version.change import ChangeAttempt
 from egretcart.version.change import CurrentVersion
--- a/tests/features/steps/safety_machine.py
+++ b/tests/features/steps/safety_machine.py
@@ -12,7 +12,7 @@
 from simulated_world import CANCEL
 from simulated_world import SUBMIT
 
-from egretcart.process.pending import READ
+from egretcart.process.entry.pending import READ
 
 
 class SafetyMachine(CellMachine):
--- a/tests/features/steps/simulated_world.py
+++ b/tests/features/steps/simulated_world.py
@@ -15,9 +15,9 @@
 from simulated_hosts import SERVICE
 
 from egretcart.connection.messages import Roster
-from egretcart.process.agent_types import ExchangeOutcome
-from egretcart.process.pending import CANCEL
-from egretcart.process.pending import SUBMIT
+from egretcart.process.agent.agent_types import ExchangeOutcome
+from egretcart.process.entry.pending import CANCEL
+from egretcart.process.entry.pending import SUBMIT
 from egretcart.request.identity import job_id_at
 from egretcart.request.identity import JobId
 from egretcart.request.job import parse_job
--- a/tests/features/steps/takeover_model.py
+++ b/tests/features/steps/takeover_model.py
@@ -11,7 +11,7 @@
 
 from egretcart.connection.messages import Roster
 from egretcart.connection.messages import RosterMember
-from egretcart.process.quorum import Quorum
+from egretcart.process.cell.quorum import Quorum
 
 LEASE = 1
 NEVER = -9
--- a/tools/measure_configuration.py
+++ b/tools/measure_configuration.py
@@ -17,12 +17,12 @@
 import trio
 
 from egretcart.connection.http_client import HttpClient
-from egretcart.process.config_store import apply_change
-from egretcart.process.config_store import PlatformConfigStore
-from egretcart.process.etcd_platform import EtcdPlatform
-from egretcart.process.operator_client import EntryClient
-from egretcart.process.platform_guard import PlatformLimits
+from egretcart.process.configuration.config_store import apply_change
+from egretcart.process.configuration.config_store import PlatformConfigStore
+from egretcart.process.operators.operator_client import EntryClient
 from egretcart.process.settings import Address
+from egretcart.process.store.etcd_platform import EtcdPlatform
+from egretcart.process.store.platform_guard import PlatformLimits
 from egretcart.version.change import Accepted
 from egretcart.version.change import ProposedChange
 from egretcart.version.document import Configuration
--- a/tools/measure_heartbeats.py
+++ b/tools/measure_heartbeats.py
@@ -18,11 +18,11 @@
 from egretcart.connection.messages import Message
 from egretcart.connection.messages import Start
 from egretcart.connection.messages import TaskResult
-from egretcart.process.agent import Agent
-from egretcart.process.agent_types import BeginExchange
-from egretcart.process.agent_types import ExchangeOutcome
-from egretcart.process.agent_types import TaskKey
-from egretcart.process.effects import SendToAgent
+from egretcart.process.agent.agent import Agent
+from egretcart.process.agent.agent_types import BeginExchange
+from egretcart.process.agent.agent_types import ExchangeOutcome
+from egretcart.process.agent.agent_types import TaskKey
+from egretcart.process.cell.effects import SendToAgent
 from egretcart.request.verdict import Verdict
 
 AGENTS = 36
