Move a run only if its caller gains by it

Now the objective comes from the work that the progress shows, each of the last twelve jobs counts once in a pace, and a run moves only if that turns late into on time or useless into late.

--- a/egretcart/direct/agent.py
+++ b/egretcart/direct/agent.py
@@ -366,7 +366,7 @@
             run.progress.note(task.percent, now)
             sample_ms = run.progress.sample_ms()
             if sample_ms is not None:
-                self.pace.note(sample_ms, run.estimate_ms)
+                self.pace.note(run.key.job_id, sample_ms, run.estimate_ms)
             if run.phase is RunPhase.UNCERTAIN:
                 run.phase = RunPhase.RUNNING
                 run.answered_at = now
@@ -790,7 +790,7 @@
         if ending is Ending.DONE:
             self.health.note_good()
             if run.progress.sampled_percent == 0:
-                self.pace.note(run_ms, run.estimate_ms)
+                self.pace.note(run.key.job_id, run_ms, run.estimate_ms)
         elif ending is Ending.FAILED:
             self.health.note_bad(run.key.job_id, now)
         self.log.write(
--- a/egretcart/direct/entry.py
+++ b/egretcart/direct/entry.py
@@ -735,7 +735,9 @@
             done_share=message.percent / 100,
             pace=view.pace,
             elsewhere_pace=self._pace_elsewhere(held, task),
-            time_left_ms=(held.due - now) * 1000,
+            stretch=held.route.stretch,
+            slack_ms=held.route.slack_ms,
+            passed_ms=(now - held.accepted_at) * 1000,
         )
         if not is_worth_moving(run, self.limits.rescue):
             return
--- a/egretcart/direct/progress.py
+++ b/egretcart/direct/progress.py
@@ -1,6 +1,6 @@
 """How far runs have come, and how fast a backend server is."""
 
-from collections import deque
+from collections import OrderedDict
 import dataclasses
 import math
 
@@ -22,8 +22,12 @@
     sample_s : float
         Time of a run from which the pace is sampled, in seconds: long
         enough for several percent of a task of a second.
-    pace_runs : int
-        Samples from which the server's pace is learned.
+    pace_jobs : int
+        Last jobs from which the server's pace is learned; with estimates
+        wrong by a factor of 1.5 their mean is wrong by one of 1.1.
+    min_percent : float
+        Progress from which a run's whole time is told: it is listed in
+        whole percents.
     max_pace : float
         Bound of the pace.
     """
@@ -32,7 +36,8 @@
     stall_share: float = 0.15
     late_factor: float = 1.6
     sample_s: float = 0.15
-    pace_runs: int = 16
+    pace_jobs: int = 12
+    min_percent: float = 8
     max_pace: float = 20.0
 
 
@@ -85,7 +90,7 @@
 
     def whole_ms(self) -> float | None:
         """Return the whole run time at this pace; None if unknown."""
-        if self.percent <= 0:
+        if self.percent < self.limits.min_percent:
             return None
         return (self.moved_at - self.began) * 1000 * 100 / self.percent
 
@@ -101,6 +106,9 @@
 class Pace:
     """Run times at a server beside the callers' estimates.
 
+    A caller's estimate is wrong for all tasks of its job alike, so each of
+    the last jobs counts once, by its newest samples.
+
     Parameters
     ----------
     limits : ProgressLimits
@@ -108,21 +116,25 @@
 
     def __init__(self, *, limits: ProgressLimits) -> None:
         self.limits = limits
-        self.ratios: deque[float] = deque(maxlen=limits.pace_runs)
+        self.ratios: OrderedDict[str, float] = OrderedDict()
 
-    def note(self, run_ms: float, estimate_ms: float) -> None:
-        """Take the run time of a task that was done."""
+    def note(self, job_id: str, run_ms: float, estimate_ms: float) -> None:
+        """Take the run time of a task, as it is or as it will be."""
         if run_ms <= 0 or estimate_ms <= 0:
             return
-        ratio = run_ms / estimate_ms
         bound = self.limits.max_pace
-        self.ratios.append(math.log(min(bound, max(1 / bound, ratio))))
+        ratio = min(bound, max(1 / bound, run_ms / estimate_ms))
+        newest = math.log(ratio)
+        former = self.ratios.pop(job_id, newest)
+        self.ratios[job_id] = (former + newest) / 2
+        while len(self.ratios) > self.limits.pace_jobs:
+            self.ratios.popitem(last=False)
 
     def percent(self) -> int:
         """Return the geometric mean of the last ratios, in percent.
 
-        One run at the estimated time is added, so that a single one does
+        One job at the estimated time is added, so that a single one does
         not decide.
         """
-        mean = sum(self.ratios) / (len(self.ratios) + 1)
+        mean = sum(self.ratios.values()) / (len(self.ratios) + 1)
         return max(1, round(100 * math.exp(mean)))
--- a/egretcart/direct/rescue.py
+++ b/egretcart/direct/rescue.py
@@ -14,15 +14,21 @@
 
     Attributes
     ----------
+    late_margin : float
+        The remaining time must be so many times the time that is left, as
+        paces are known to a quarter only.
     gain_factor : float
-        The remaining time must be so many times the time elsewhere, as
-        paces are only estimates.
+        The remaining time must be so many times the time elsewhere.
     overhead_ms : float
         Time for stopping and starting, in milliseconds.
+    useful_factor : float
+        Multiple of the latency objective up to which an answer is of use.
     """
 
+    late_margin: float = 1.25
     gain_factor: float = 1.5
     overhead_ms: float = 60.0
+    useful_factor: float = 3.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -39,28 +45,49 @@
         Run times there beside the callers' estimates.
     elsewhere_pace : float or None
         The same at the fastest agent that has room; None if none has.
-    time_left_ms : float
-        Until the job's latency objective.
+    stretch, slack_ms : float
+        The route's latency objective.
+    passed_ms : float
+        Time since the job was taken in.
     """
 
     whole_ms: float
     done_share: float
     pace: float
     elsewhere_pace: float | None
-    time_left_ms: float
+    stretch: float
+    slack_ms: float
+    passed_ms: float
+
+    @property
+    def objective_ms(self) -> float:
+        """The job's objective, from the work that its progress shows.
+
+        A wrong estimate makes a run late everywhere, so the estimate does
+        not count here.
+        """
+        return self.stretch * self.whole_ms / self.pace + self.slack_ms
 
 
 def is_worth_moving(run: LateRun, limits: RescueLimits) -> bool:
     """Whether a run should be stopped and begun again elsewhere.
 
-    A wrong estimate makes a run late everywhere, so the two agents' paces
-    are compared, not the run and its estimate. A run that is on time stays:
-    its caller would gain nothing.
+    Only if its caller gains: it would be late where it is and on time
+    elsewhere, or of no use and of some.
     """
     if run.whole_ms < 0:
         return True
+    if run.elsewhere_pace is None:
+        return False
     left_ms = run.whole_ms * (1 - run.done_share)
-    if run.elsewhere_pace is None or left_ms <= run.time_left_ms:
+    elsewhere_ms = (
+        run.whole_ms * run.elsewhere_pace / run.pace + limits.overhead_ms
+    )
+    if left_ms <= limits.gain_factor * elsewhere_ms:
         return False
-    elsewhere_ms = run.whole_ms * run.elsewhere_pace / run.pace
-    return left_ms > limits.gain_factor * elsewhere_ms + limits.overhead_ms
+    objective_ms = run.objective_ms
+    for limit_ms in (objective_ms, limits.useful_factor * objective_ms):
+        time_left_ms = limit_ms - run.passed_ms
+        if elsewhere_ms <= time_left_ms:
+            return left_ms > limits.late_margin * time_left_ms
+    return False
