Keep the effects of a lost agent, and send colliding tasks elsewhere at once

Tasks that were sent for free room are now returned at once if it was taken, and the emptier of two agents drawn at random is chosen.

--- a/egretcart/direct/agent.py
+++ b/egretcart/direct/agent.py
@@ -111,6 +111,7 @@
     priority: int
     due: float
     max_per_agent: int
+    may_wait: bool
     received: float
     progress: RunProgress
     phase: RunPhase = RunPhase.QUEUED
@@ -499,6 +500,8 @@
         if isinstance(message, RunTasks):
             state.sequence = max(state.sequence, message.sequence)
             self._queue(entry_id, message, now)
+            self._admit(now)
+            self._return_hasty(now)
         elif isinstance(message, StopTasks):
             for index in message.indexes:
                 key = TaskKey(message.job_id, message.step, index)
@@ -536,6 +539,7 @@
                 priority=message.priority,
                 due=now + message.time_left_ms / 1000,
                 max_per_agent=message.max_per_agent,
+                may_wait=message.may_wait,
                 received=now,
                 progress=RunProgress(
                     limits=self.limits.progress,
@@ -544,6 +548,12 @@
                 ),
             )
 
+    def _return_hasty(self, now: float) -> None:
+        """Give back what was sent for room that another entry has taken."""
+        for run in list(self.runs.values()):
+            if run.phase is RunPhase.QUEUED and not run.may_wait:
+                self._end(run, Ending.NOT_RUN, "the room was taken", now)
+
     def _refusal(self, room: Room) -> str:
         """Return why a task can't even wait here; empty if it can."""
         if self.stopping:
--- a/egretcart/direct/entry.py
+++ b/egretcart/direct/entry.py
@@ -617,15 +617,20 @@
         Its runs are over once it must have stopped them, or as soon as it
         connects again and does not list them.
         """
+        self._lose_agent(agent_id, "its link has ended", now)
+        return self._take_effects()
+
+    def _lose_agent(self, agent_id: str, cause: str, now: float) -> None:
         if self.agents.pop(agent_id, None) is None:
-            return []
-        self.log.write(PeerChanged(peer=agent_id, state="disconnected"))
+            return
+        self.log.write(
+            PeerChanged(peer=agent_id, state="disconnected", cause=cause)
+        )
         over_at = now + self.limits.agent_stop_s
         for task in self._tasks_at(agent_id):
             task.over_at = over_at
         for pending in list(self.pending.values()):
             self._claim_answered(pending.number, agent_id, now)
-        return self._take_effects()
 
     def _tasks_at(self, agent_id: str) -> list[HeldTask]:
         return [
@@ -907,13 +912,13 @@
         self.met_by = now + self.limits.meeting_s
         for agent_id in list(self.agents):
             self.effects.append(CloseAgent(agent_id))
-            self.effects.extend(self.agent_disconnected(agent_id, now))
+            self._lose_agent(agent_id, "the entry was paused", now)
 
     def _check_agents(self, now: float) -> None:
         for agent_id, view in list(self.agents.items()):
             if now - view.heard_at > self.limits.silence_s:
                 self.effects.append(CloseAgent(agent_id))
-                self.effects.extend(self.agent_disconnected(agent_id, now))
+                self._lose_agent(agent_id, "silence", now)
 
     def _check_lost(self, now: float) -> None:
         """Let tasks wait again whose run at a lost agent is over."""
@@ -978,7 +983,7 @@
             Rooms for which no agent takes anything more in this round.
         now : float
         """
-        chosen: dict[tuple[str, int, int], list[HeldTask]] = {}
+        chosen: dict[tuple[str, int, int, bool], list[HeldTask]] = {}
         for task in list(held.waiting()):
             step = held.job.steps[task.key.step]
             if any(step.room.holds(room) for room in full_for):
@@ -992,11 +997,12 @@
             task.agent_id = agent_id
             task.run += 1
             view = self.agents[agent_id]
+            may_wait = not view.free.holds(step.room)
             view.note_sent(step.room, 1, step.estimate_ms)
-            group = (agent_id, task.key.step, task.run)
+            group = (agent_id, task.key.step, task.run, may_wait)
             chosen.setdefault(group, []).append(task)
-        for (agent_id, step_number, run), tasks in chosen.items():
-            self._send_tasks(held, agent_id, step_number, run, tasks, now)
+        for group, tasks in chosen.items():
+            self._send_tasks(held, group, tasks, now)
 
     def _choose(self, held: HeldJob, task: HeldTask, now: float) -> str | None:
         step = held.job.steps[task.key.step]
@@ -1012,12 +1018,11 @@
     def _send_tasks(
         self,
         held: HeldJob,
-        agent_id: str,
-        step_number: int,
-        run: int,
+        group: tuple[str, int, int, bool],
         tasks: list[HeldTask],
         now: float,
     ) -> None:
+        agent_id, step_number, run, may_wait = group
         step = held.job.steps[step_number]
         view = self.agents[agent_id]
         indexes = tuple(task.key.index for task in tasks)
@@ -1035,6 +1040,7 @@
             priority=held.route.priority,
             time_left_ms=round((held.due - now) * 1000),
             max_per_agent=step.max_per_agent,
+            may_wait=may_wait,
         )
         self.effects.append(SendToAgent(agent_id, message))
         self.log.write(
--- a/egretcart/direct/messages.py
+++ b/egretcart/direct/messages.py
@@ -58,6 +58,9 @@
     time_left_ms : int
         Until the job's latency objective; may be negative.
     max_per_agent : int
+    may_wait : bool
+        Whether the tasks may wait for room; if not, they were sent as
+        there seemed to be room, and go elsewhere if there is none.
     """
 
     sequence: int = 0
@@ -73,6 +76,7 @@
     priority: int = 0
     time_left_ms: int = 0
     max_per_agent: int = 0
+    may_wait: bool = False
 
     @property
     def room(self) -> Room:
--- a/egretcart/direct/placement.py
+++ b/egretcart/direct/placement.py
@@ -22,7 +22,8 @@
         Share of the time that is left which a task's expected run time may
         take on a slower agent; estimates are rough.
     pace_step : float
-        Paces within this factor count as equal.
+        Expected run times within this factor count as equal: paces are
+        known to a quarter only, and speeds of hardware differ by more.
     max_queued : int
         Tasks that may wait at an agent, so that room that comes free there
         is used at once; more are kept at the entry, where they are free to
@@ -32,7 +33,7 @@
     """
 
     on_time_share: float = 0.85
-    pace_step: float = 1.15
+    pace_step: float = 1.5
     max_queued: int = 2
     probe_queued: int = 1
 
@@ -139,11 +140,10 @@
                 for item in times
                 if item[0] <= fastest * self.limits.pace_step
             ]
-        return max(alike, key=lambda item: self._emptiness(item[2]))[1]
-
-    def _emptiness(self, view: AgentView) -> float:
-        whole = max(1, view.status.capacity.cpu_milli)
-        return view.free.cpu_milli / whole + self.source.random() * 0.1
+        # Of two at random the emptier: entries that all took the emptiest
+        # one would meet there.
+        drawn = self.source.sample(alike, min(2, len(alike)))
+        return max(drawn, key=lambda item: item[2].free.cpu_milli)[1]
 
     def _shortest_queue(
         self, needs: TaskNeeds, usable: list[tuple[str, AgentView]]
--- a/egretcart/direct/progress.py
+++ b/egretcart/direct/progress.py
@@ -35,8 +35,8 @@
     stall_s: float = 0.35
     stall_share: float = 0.15
     late_factor: float = 1.6
-    sample_s: float = 0.15
-    pace_jobs: int = 12
+    sample_s: float = 0.25
+    pace_jobs: int = 20
     min_percent: float = 8
     max_pace: float = 20.0
 
--- a/egretcart/direct/wire.thrift
+++ b/egretcart/direct/wire.thrift
@@ -26,6 +26,7 @@
   11: optional i32 priority
   12: optional i64 time_left_ms
   13: optional i32 max_per_agent
+  14: optional bool may_wait
 }
 struct StopTasks { 1: optional string job_id, 2: optional i32 step, 3: optional list<i32> indexes }
 struct EvictJob { 1: optional i64 number, 2: optional string job_id }
