Test the adapter against stand-ins of the store and of a runner

Cause of the change beside it: a refused connection was never recognised, as trio groups the errors of all addresses, so that a crashed backend server was only known once its lease had lapsed (0.8 s).

--- a/egretcart/connection/http_client.py
+++ b/egretcart/connection/http_client.py
@@ -150,11 +150,8 @@
         try:
             return await trio.open_tcp_stream(self.host, self.port)
         except OSError as error:
-            cause = error.__cause__ or error
             raise ExchangeError(
-                str(error),
-                Verdict.NOT_RUN,
-                refused=isinstance(cause, ConnectionRefusedError),
+                str(error), Verdict.NOT_RUN, refused=_is_refused(error)
             ) from error
 
     def _check(
@@ -228,6 +225,17 @@
     stream.socket.close()
 
 
+def _is_refused(error: OSError) -> bool:
+    """Whether every address that was tried refused the connection."""
+    causes = error.__cause__
+    if not isinstance(causes, ExceptionGroup):
+        return isinstance(error, ConnectionRefusedError)
+    return all(
+        isinstance(cause, ConnectionRefusedError)
+        for cause in causes.exceptions
+    )
+
+
 def _check_framing(head: h11.Response) -> None:
     """Refuse a body whose end can't be told from a broken connection."""
     if head.status_code in BODILESS_STATUSES:
--- /dev/null
+++ b/tests/features/steps/platform_adapter_steps.py
@@ -0,0 +1,532 @@
+import contextlib
+import http.client
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+
+from behave import given
+from behave import then
+import msgspec
+from platform_standins import REPORT_S
+from platform_standins import RunnerStandIn
+from platform_standins import StandIns
+from platform_standins import StoreStandIn
+import trio
+
+from egretcart.connection.http_client import ExchangeError
+from egretcart.connection.http_client import HttpClient
+from egretcart.direct.backend import BackendUnanswered
+from egretcart.direct.backend import HoldRequest
+from egretcart.direct.backend import Lifetime
+from egretcart.direct.backend import OtherLifetime
+from egretcart.direct.backend import StaleToken
+from egretcart.direct.backend import StartAnswer
+from egretcart.direct.backend import StartRequest
+from egretcart.direct.job import Ending
+from egretcart.direct.job import TaskKey
+from egretcart.process.store.platform import KeyRange
+from egretcart.process.store.platform import keys_below
+from egretcart.process.store.platform import PlatformError
+from egretcart.process.store.platform import Put
+
+ROOT = pathlib.Path(__file__).resolve().parents[3]
+sys.path.insert(0, str(ROOT / "platform"))
+
+from adapter.configuration import decode_configuration  # noqa: E402
+from adapter.jobs import decode_job  # noqa: E402
+from adapter.runner import decode_report  # noqa: E402
+from adapter.runner import Runner  # noqa: E402
+from adapter.store import MetadataStore  # noqa: E402
+
+KEY = TaskKey("0" * 16, 0, 0)
+
+
+@given("a store stand-in")
+def start_store(context):
+    context.stand_ins = StandIns()
+    context.add_cleanup(context.stand_ins.close)
+    context.store = StoreStandIn()
+    port = context.stand_ins.serve(context.store.handle)
+    context.client = MetadataStore(host="127.0.0.1", port=port)
+
+
+def error_of(kind, function, *arguments):
+    """Return the error that a call raises."""
+    try:
+        function(*arguments)
+    except kind as error:
+        return error
+    raise AssertionError(f"no {kind} from {function}")
+
+
+def call(context, function, *arguments):
+    return context.stand_ins.call(function, *arguments)
+
+
+@then("a value is written, read, and swapped only at its revision")
+def check_values(context):
+    client = context.client
+    assert call(context, client.get, "a/key") is None
+    assert call(context, client.compare_and_swap, "a/key", b"one", 0)
+    value = call(context, client.get, "a/key")
+    assert value.data == b"one"
+    assert not call(context, client.compare_and_swap, "a/key", b"two", 1)
+    assert call(
+        context, client.compare_and_swap, "a/key", b"two", value.revision
+    )
+    assert call(context, client.get, "a/key").data == b"two"
+
+
+@then("a range of three pages is listed whole")
+def check_pages(context):
+    context.store.page = 2
+    for number in range(5):
+        context.store.put(f"pages/{number}", b"x")
+    listing = call(context, context.client.list_range, keys_below("pages/"))
+    assert len(listing.values) == 5
+    assert listing.revision == context.store.revision
+    error = error_of(
+        ValueError,
+        call,
+        context,
+        context.client.list_range,
+        KeyRange("a", "q"),
+    )
+    assert "no prefix" in str(error)
+
+
+@then("a key with a lease goes with it")
+def check_lease(context):
+    client = context.client
+    lease = call(context, client.grant_lease, 5)
+    call(context, client.transact, {}, (Put(key="l", data=b"", lease=lease),))
+    assert call(context, client.keep_alive, lease)
+    call(context, client.revoke_lease, lease)
+    assert not call(context, client.keep_alive, lease)
+    assert call(context, client.get, "l") is None
+
+
+@then("a watch hands over each change in order")
+def check_watch(context):
+    found = []
+    revision = context.store.revision + 1
+
+    async def watch():
+        with trio.move_on_after(1.0):
+            await context.client.watch(
+                keys_below("w/"), revision, found.append
+            )
+
+    context.stand_ins.start_soon(watch)
+    for number in range(3):
+        time.sleep(0.1)
+        context.store.put(f"w/{number}", b"%d" % number)
+    context.store.delete("w/0")
+    time.sleep(0.3)
+    data = [change.value and change.value.data for change in found]
+    assert data == [b"0", b"1", b"2", None], found
+
+
+@then('"busy", "silent" and "lost" answers raise an error within 2 seconds')
+def check_failures(context):
+    for mode in ("busy", "silent", "lost"):
+        context.store.mode = mode
+        began = time.monotonic()
+        error_of(PlatformError, call, context, context.client.get, "a/key")
+        assert time.monotonic() - began < 2, mode
+    context.store.mode = "sound"
+
+
+@then("a watch whose history is gone raises an error")
+def check_history(context):
+    context.store.history_from = context.store.revision + 5
+    error = error_of(
+        PlatformError,
+        call,
+        context,
+        context.client.watch,
+        keys_below("w/"),
+        1,
+        lambda _: None,
+    )
+    assert "410" in str(error)
+
+
+@then("a value that is not base64 raises an error")
+def check_base64(context):
+    context.store.put("bad", b"x")
+    context.store.items["bad"]["value"] = "*"
+    error = error_of(PlatformError, call, context, context.client.get, "bad")
+    assert "base64" in str(error)
+
+
+@given("a runner stand-in")
+def start_runner(context):
+    context.stand_ins = StandIns()
+    context.add_cleanup(context.stand_ins.close)
+    context.runner = RunnerStandIn(name="i-1", work_ms=50)
+    context.stand_ins.start_soon(context.runner.run)
+    port = context.stand_ins.serve(context.runner.handle)
+    context.client = Runner(
+        host="127.0.0.1", port=port, start_limit_s=0.3, stop_limit_s=0.3
+    )
+
+
+def start_request(context, run=1, token=5, ahead_ms=500, name="i-1"):
+    return StartRequest(
+        lifetime=Lifetime(name, context.runner.backend.born_ms),
+        fencing_token=token,
+        key=KEY,
+        run=run,
+        payload="payload",
+        deadline_ms=int(context.runner.backend.clock_ms) + ahead_ms,
+    )
+
+
+def hold_request(context, acknowledged=0, token=5, name="i-1", wait_ms=0):
+    return HoldRequest(
+        lifetime=Lifetime(name, context.runner.backend.born_ms),
+        fencing_token=token,
+        acknowledged=acknowledged,
+        deadline_ms=int(context.runner.backend.clock_ms) + 500,
+        wait_ms=wait_ms,
+    )
+
+
+@then("a start is answered as started, stale run, too late and stale token")
+def check_starts(context):
+    start = context.client.start
+    answers = [
+        call(context, start, start_request(context)),
+        call(context, start, start_request(context)),
+        call(context, start, start_request(context, run=2, ahead_ms=-50)),
+        call(context, start, start_request(context, run=2, token=1)),
+        call(context, start, start_request(context, name="i-2")),
+    ]
+    time.sleep(0.15)
+    answers.append(call(context, start, start_request(context, run=1)))
+    assert answers == [
+        StartAnswer.STARTED,
+        StartAnswer.STARTED,
+        StartAnswer.TOO_LATE,
+        StartAnswer.STALE_TOKEN,
+        StartAnswer.OTHER_LIFETIME,
+        StartAnswer.STALE_RUN,
+    ], answers
+
+
+async def hold(context, request):
+    return await context.client.hold(request, time_limit_s=0.5)
+
+
+@then("a hold lists what runs and what has ended, once until acknowledged")
+def check_holds(context):
+    request = hold_request(context)
+    listing = call(context, hold, context, request)
+    assert [(e.number, e.key, e.ending) for e in listing.ended] == [
+        (1, KEY, Ending.DONE)
+    ]
+    call(context, context.client.start, start_request(context, run=7))
+    request = hold_request(context, acknowledged=1, wait_ms=200)
+    listing = call(context, hold, context, request)
+    assert [(e.number, e.run) for e in listing.ended] == [(2, 7)]
+    request = hold_request(context, acknowledged=2)
+    assert not call(context, hold, context, request).ended
+
+
+@then("another lifetime, a lower token and no listener are told apart")
+def check_hold_errors(context):
+    for request, expected in (
+        (hold_request(context, name="i-2"), OtherLifetime),
+        (hold_request(context, token=1), StaleToken),
+    ):
+        error_of(expected, call, context, hold, context, request)
+    nobody = Runner(
+        host="127.0.0.1", port=1, start_limit_s=0.3, stop_limit_s=0.3
+    )
+    request = start_request(context)
+    error = error_of(BackendUnanswered, call, context, nobody.start, request)
+    assert error.refused
+
+
+@then("the report {report} is refused with a reason")
+def check_report(context, report):
+    kinds = (msgspec.DecodeError, ValueError)
+    assert str(error_of(kinds, decode_report, "i-1", report.encode()))
+
+
+@then("the job {job} is of kind {kind}")
+def check_job_kind(context, job, kind):
+    assert decode_job("0" * 16, job.encode()).kind.value == kind
+
+
+def desired_state(version, prefix="/queue/", **extra):
+    route = {
+        "name": "r-1",
+        "host": "host.example",
+        "prefix": prefix,
+        "kind": "unsafe",
+        "timeoutMs": 1500,
+        "sloMs": 60,
+        "priority": 0,
+        "service": "service-1",
+        "attempts": 4,
+        "stretch": 1.6,
+    }
+    return json.dumps(
+        {
+            "version": version,
+            "routes": [route],
+            "services": [],
+            "limits": {"headerBytes": 16384, "bodyBytes": 1000},
+            **extra,
+        }
+    ).encode()
+
+
+@then("a desired state with unknown fields is read, and a broken one is not")
+def check_desired_state(context):
+    configuration = decode_configuration(desired_state(3, novelty={"a": 1}))
+    route = configuration.route_of("host.example", "/queue/abc")
+    assert (configuration.version, route.max_attempts) == (3, 4)
+    assert route.slack_ms == 60
+    assert configuration.route_of("host.example", "/other/") is None
+    assert configuration.limits.max_body_bytes == 1000
+    for data in (b"{}", b"[", b'{"version":"x","routes":[]}'):
+        error_of(ValueError, decode_configuration, data)
+
+
+class Deployment:
+    """Two entries and two agents as processes, beside stand-ins."""
+
+    def __init__(self, context):
+        self.stand_ins = StandIns()
+        self.store = StoreStandIn()
+        self.store.put("op/config", desired_state(1))
+        self.folder = tempfile.TemporaryDirectory()
+        self.processes = {}
+        context.add_cleanup(self.close)
+        self.store_port = self.stand_ins.serve(self.store.handle)
+        self.peer_port = free_port()
+        self.hosts = {
+            "entry-1": "127.0.0.11",
+            "entry-2": "127.0.0.12",
+            "agent-1": "127.0.0.21",
+            "agent-2": "127.0.0.22",
+        }
+        self.ports = {
+            name: {part: free_port() for part in ("front", "ready", "control")}
+            for name in self.hosts
+        }
+        for name in ("agent-1", "agent-2"):
+            self._start_agent(name)
+        for name in ("entry-1", "entry-2"):
+            self._start_entry(name)
+
+    def _settings(self, name):
+        return {
+            "node": name,
+            "host": self.hosts[name],
+            "failure_domain": "zone-1",
+            "peer_port": self.peer_port,
+            "control": self._address(name, "control"),
+            "seeds": [f"{self.hosts['entry-1']}:1"],
+            "store": f"127.0.0.1:{self.store_port}",
+        }
+
+    def _address(self, name, part):
+        return f"{self.hosts[name]}:{self.ports[name][part]}"
+
+    def _start_agent(self, name):
+        runner = RunnerStandIn(name=f"i-{name}")
+        self.stand_ins.start_soon(runner.run)
+        port = self.stand_ins.serve(runner.handle, host=self.hosts[name])
+        self.stand_ins.start_soon(
+            report_for_ever,
+            runner,
+            self.hosts[name],
+            self.ports[name]["control"],
+        )
+        backend = f"{self.hosts[name]}:{port}"
+        self._start(name, "agent", {"backend": backend})
+
+    def _start_entry(self, name):
+        self._start(
+            name,
+            "entry",
+            {
+                "callers": self._address(name, "front"),
+                "readiness": self._address(name, "ready"),
+            },
+        )
+
+    def _start(self, name, role, more):
+        path = pathlib.Path(self.folder.name) / f"{name}.json"
+        path.write_text(json.dumps({**self._settings(name), **more}))
+        with path.with_suffix(".log").open("w") as log:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, "platform", role],
+                cwd=ROOT,
+                env={**os.environ, "EGRETCART_CONFIG": str(path)},
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+
+    def lines(self, name):
+        path = pathlib.Path(self.folder.name) / f"{name}.log"
+        return path.read_text().splitlines()
+
+    def ask(self, name, method, path, body=None, part="front"):
+        """Return status and document of a request to a process."""
+        connection = http.client.HTTPConnection(
+            self.hosts[name], self.ports[name][part], timeout=10
+        )
+        data = None if body is None else json.dumps(body)
+        connection.request(
+            method, path, body=data, headers={"Host": "host.example"}
+        )
+        response = connection.getresponse()
+        document = json.loads(response.read() or b"null")
+        connection.close()
+        return response.status, document
+
+    def is_ready(self, name):
+        try:
+            return self.ask(name, "GET", "/ready", part="ready")[0] == 200
+        except OSError:
+            return False
+
+    def close(self):
+        for process in self.processes.values():
+            process.kill()
+            process.wait()
+        self.stand_ins.close()
+        self.folder.cleanup()
+
+
+async def report_for_ever(runner, host, port):
+    client = HttpClient(host=host, port=port, max_connections=1)
+    while True:
+        with contextlib.suppress(ExchangeError):
+            await client.exchange(
+                "PUT",
+                f"/runners/{runner.backend.instance}",
+                body=json.dumps(runner.report()).encode(),
+                time_limit_s=1.0,
+            )
+        await trio.sleep(REPORT_S)
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def wait_until(condition, limit_s, what):
+    end = time.monotonic() + limit_s
+    while not condition():
+        assert time.monotonic() < end, f"not in {limit_s} s: {what}"
+        time.sleep(0.05)
+
+
+def job(count=3, **fields):
+    step = {"count": count, "cpu": 1600, "memMb": 64, "estMs": 100}
+    return {"spec": "s", "steps": [step], "bestEffort": True, **fields}
+
+
+@given("a store, two runners and the processes of the platform's roles")
+def start_deployment(context):
+    deployment = context.deployment = Deployment(context)
+    for name in ("entry-1", "entry-2"):
+        wait_until(lambda n=name: deployment.is_ready(n), 20, name)
+    # The agents know the second entry by the first one's word.
+    wait_until(
+        lambda: all(
+            any('"peer": "entry-2"' in line for line in deployment.lines(name))
+            for name in ("agent-1", "agent-2")
+        ),
+        10,
+        "agents at the second entry",
+    )
+
+
+@then("a client's job is completed")
+def check_job(context):
+    for name in ("entry-1", "entry-2"):
+        path = f"/queue/{name[-1] * 16}"
+        answer = context.deployment.ask(name, "POST", path, job(count=8))
+        assert answer == (200, {"state": "completed"}), answer
+
+
+@then("an unknown route, a malformed job and a kept job are refused")
+def check_refused(context):
+    ask = context.deployment.ask
+    path = "/queue/" + "a" * 16
+    assert ask("entry-1", "POST", "/other/" + "a" * 16, job())[0] == 404
+    assert ask("entry-1", "POST", path, {"steps": 1})[0] == 400
+    assert ask("entry-1", "POST", path, job(count=0))[0] == 400
+    assert ask("entry-1", "POST", path, job(bestEffort=False))[0] == 503
+    assert ask("entry-1", "GET", path)[0] == 410
+    assert ask("entry-1", "GET", "/queue/") == (200, {"waiting": 0})
+
+
+@then("a new desired state is in force within {limit_s:d} seconds")
+def check_new_version(context, limit_s):
+    deployment = context.deployment
+    deployment.store.put("op/config", desired_state(2, "/renamed/"))
+    for name in ("entry-1", "entry-2"):
+        wait_until(
+            lambda n=name: deployment.ask(n, "GET", "/renamed/")[0] == 200,
+            limit_s,
+            "the new route",
+        )
+        assert deployment.ask(name, "GET", "/queue/")[0] == 404
+
+
+@then("a stopped entry answers what it has taken in before it ends")
+def check_stop(context):
+    deployment = context.deployment
+    answers = []
+    path = "/renamed/" + "b" * 16
+    asking = threading.Thread(
+        target=lambda: answers.append(
+            deployment.ask("entry-1", "POST", path, job(count=16))
+        )
+    )
+    asking.start()
+    time.sleep(0.05)
+    deployment.processes["entry-1"].send_signal(signal.SIGTERM)
+    asking.join()
+    assert answers == [(200, {"state": "completed"})], answers
+    assert deployment.processes["entry-1"].wait(timeout=7) == 0
+    assert not deployment.is_ready("entry-1")
+
+
+@then("the processes wrote one JSON line for each decision")
+def check_lines(context):
+    kinds = set()
+    for name in context.deployment.processes:
+        for line in context.deployment.lines(name):
+            record = json.loads(line)
+            assert record["process"] == name
+            kinds.add(record["message_type"].removeprefix("egretcart:"))
+    assert kinds >= {
+        "JobAccepted",
+        "JobRefused",
+        "JobAnswered",
+        "TasksPlaced",
+        "RunStarted",
+        "RunEnded",
+        "PeerChanged",
+        "BackendChanged",
+        "ConfigurationAccepted",
+        "ProcessChanged",
+    }, kinds
--- /dev/null
+++ b/tests/features/steps/platform_standins.py
@@ -0,0 +1,360 @@
+"""Stand-ins of the platform: its store and its runners, over HTTP.
+
+They speak the platform's published protocol on loopback addresses and can
+be told to misbehave. All run on one trio loop in a thread of the test.
+"""
+
+import base64
+import json
+import threading
+import time
+import urllib.parse
+
+import trio
+
+from egretcart.connection.http_listener import HttpListener
+from egretcart.connection.http_server import HttpLimits
+from egretcart.connection.http_server import HttpResponse
+from egretcart.direct.backend import HoldRequest
+from egretcart.direct.backend import Lifetime
+from egretcart.direct.backend import StartAnswer
+from egretcart.direct.backend import StartRequest
+from egretcart.direct.backend import StopRequest
+from egretcart.direct.job import Ending
+from egretcart.direct.job import Room
+from egretcart.direct.job import TaskKey
+from egretcart.testing.fake_backend import FakeBackend
+from egretcart.testing.fake_backend import TaskSize
+
+REASONS = {
+    StartAnswer.STALE_TOKEN: "fence",
+    StartAnswer.STALE_RUN: "old",
+    StartAnswer.TOO_LATE: "late",
+    StartAnswer.NO_ROOM: "room",
+}
+HOWS = {Ending.LOST: "lapsed"}
+STEP_S = 0.005
+REPORT_S = 0.3
+
+
+def document(status, fields):
+    return HttpResponse(status=status, body=json.dumps(fields).encode())
+
+
+class StoreStandIn:
+    """The platform's metadata store.
+
+    Attributes
+    ----------
+    mode : str
+        "sound", "busy" (503), "silent", "lost" (done and not answered).
+    history_from : int
+        Older revisions are gone.
+    calls : list of str
+        Method and path of each call.
+    """
+
+    def __init__(self):
+        self.items = {}
+        self.changes = []
+        self.revision = 10
+        self.history_from = 0
+        self.leases = set()
+        self.mode = "sound"
+        self.page = 500
+        self.calls = []
+
+    def put(self, key, value, lease=0):
+        """Write as the operator would."""
+        self.revision += 1
+        created = self.items.get(key, {}).get("createRevision", self.revision)
+        item = {
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+            "revision": self.revision,
+            "createRevision": created,
+            "lease": lease,
+        }
+        self.items[key] = item
+        self.changes.append(item)
+
+    def delete(self, key):
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            self.changes.append(
+                {"key": key, "revision": self.revision, "tombstone": True}
+            )
+
+    async def handle(self, request):
+        url = urllib.parse.urlsplit(request.path)
+        query = dict(urllib.parse.parse_qsl(url.query))
+        self.calls.append(f"{request.method} {url.path}")
+        if self.mode == "busy":
+            return document(503, {})
+        if self.mode == "silent":
+            await trio.sleep_forever()
+        body = json.loads(request.body) if request.body else {}
+        response = await self._answer(request.method, url.path, query, body)
+        if self.mode == "lost":
+            await trio.sleep_forever()
+        return response
+
+    async def _answer(self, method, path, query, body):
+        if path == "/kv-key":
+            item = self.items.get(query["key"])
+            if item is None:
+                return document(404, {})
+            return document(200, {**item, "asOf": self.revision})
+        if path == "/kv-range":
+            return self._range(query)
+        if path == "/kv-watch":
+            return await self._watch(query)
+        if path == "/kv-txn":
+            return self._transact(body)
+        if path == "/kv-lease":
+            self.leases.add(lease := len(self.leases) + 1000)
+            return document(200, {"lease": lease, "ttlMs": body["ttlMs"]})
+        lease = int(path.rpartition("/")[2])
+        if lease not in self.leases:
+            return document(404, {})
+        if method == "DELETE":
+            self.revoke(lease)
+        return document(200, {"ttlMs": 1000})
+
+    def revoke(self, lease):
+        self.leases.discard(lease)
+        for key in [k for k, i in self.items.items() if i["lease"] == lease]:
+            self.delete(key)
+
+    def _range(self, query):
+        after = query.get("after", "")
+        found = [
+            item
+            for key, item in sorted(self.items.items())
+            if key.startswith(query["prefix"]) and key > after
+        ]
+        return document(
+            200,
+            {
+                "items": found[: self.page],
+                "truncated": len(found) > self.page,
+                "asOf": self.revision,
+            },
+        )
+
+    async def _watch(self, query):
+        after = int(query["after"])
+        with trio.move_on_after(int(query["waitMs"]) / 1000):
+            while True:
+                if after < self.history_from:
+                    return document(410, {})
+                events = [
+                    change
+                    for change in self.changes
+                    if change["revision"] > after
+                    and change["key"].startswith(query["prefix"])
+                ]
+                if events:
+                    break
+                await trio.sleep(STEP_S)
+        return document(200, {"events": events, "asOf": self.revision})
+
+    def _transact(self, body):
+        for row in body["expectedRev"]:
+            item = self.items.get(row["key"], {"revision": 0})
+            if item["revision"] != row["revision"]:
+                return document(412, {"items": []})
+        for write in body["writes"]:
+            if write["lease"] and write["lease"] not in self.leases:
+                return document(404, {})
+            data = base64.b64decode(write["value"])
+            self.put(write["key"], data, write["lease"])
+        for key in body["deletes"]:
+            self.delete(key)
+        return document(200, {"revision": self.revision})
+
+
+class RunnerStandIn:
+    """A runner: a `FakeBackend` behind the platform's protocol.
+
+    Attributes
+    ----------
+    unanswered : int
+        Orders to come that are carried out and not answered.
+    """
+
+    def __init__(self, *, name, cpu=16000, work_ms=100.0):
+        self.unanswered = 0
+        self.ended = False
+        self.backend = FakeBackend(
+            instance=name,
+            service="service-1",
+            capacity=Room(cpu, 65536, 0),
+            size_of=lambda key: TaskSize(
+                room=Room(1600, 64, 0), work_ms=work_ms
+            ),
+            labels=("a", "r1-1"),
+        )
+        self.backend.restart(born_ms=1_700_000_000_000)
+
+    def report(self):
+        report = self.backend.report()
+        return {
+            "service": report.service,
+            "addr": "127.0.0.1:1",
+            "zone": "zone-1",
+            "version": "v1",
+            "slots": 8,
+            "state": "draining" if report.draining else "ready",
+            "coldLeftMs": 0,
+            "capacity": {
+                "cpu": report.capacity.cpu_milli,
+                "memMb": report.capacity.memory_mb,
+                "gpu": 0,
+            },
+            "labels": list(report.labels),
+            "clockMs": report.clock_ms,
+            "seq": report.sequence,
+            "born": report.lifetime.born_ms,
+        }
+
+    async def run(self):
+        """Let time pass for the tasks."""
+        last = time.monotonic()
+        while True:
+            await trio.sleep(STEP_S)
+            now = time.monotonic()
+            self.ended |= self.backend.advance((now - last) * 1000)
+            last = now
+
+    async def handle(self, request):
+        body = json.loads(request.body)
+        instance = request.headers["expect-instance"]
+        backend = self.backend
+        if instance != backend.instance:
+            return document(421, {"clockMs": int(backend.clock_ms)})
+        lifetime = Lifetime(instance, backend.born_ms)
+        if request.path == "/hold":
+            return await self._hold(lifetime, body)
+        name, _, step, index = body["task"].split(".")
+        key = TaskKey(name, int(step), int(index))
+        answer = StartAnswer.STARTED
+        if request.path == "/run-start":
+            answer = backend.start(
+                StartRequest(
+                    lifetime=lifetime,
+                    fencing_token=body["fencingToken"],
+                    key=key,
+                    run=body["run"],
+                    payload=body["spec"],
+                    deadline_ms=body["deadlineMs"],
+                )
+            )
+        else:
+            backend.stop(
+                StopRequest(
+                    lifetime=lifetime,
+                    fencing_token=body["fencingToken"],
+                    key=key,
+                    run=body["run"],
+                )
+            )
+        if self.unanswered:
+            self.unanswered -= 1
+            await trio.sleep_forever()
+        clock = {"clockMs": int(backend.clock_ms)}
+        if answer is StartAnswer.STARTED:
+            return document(200, clock)
+        return document(409, {**clock, "reason": REASONS[answer]})
+
+    async def _hold(self, lifetime, body):
+        backend = self.backend
+        request = HoldRequest(
+            lifetime=lifetime,
+            fencing_token=body["fencingToken"],
+            acknowledged=body["ackedUpto"],
+            deadline_ms=body.get("deadlineMs"),
+            wait_ms=body.get("waitMs", 0),
+        )
+        listing = backend.hold(request)
+        if listing is None:
+            clock_ms = int(backend.clock_ms)
+            return document(409, {"clockMs": clock_ms, "reason": "fence"})
+        with trio.move_on_after(request.wait_ms / 1000):
+            while not listing.ended:
+                await trio.sleep(STEP_S)
+                listing = backend.hold(request)
+        return document(
+            200,
+            {
+                "clockMs": listing.clock_ms,
+                "born": listing.born_ms,
+                "running": [
+                    [_name(task.key), task.run, "", task.percent, 0]
+                    for task in listing.running
+                ],
+                "ended": [
+                    [
+                        ended.number,
+                        _name(ended.key),
+                        ended.run,
+                        HOWS.get(ended.ending, ended.ending.value),
+                        "",
+                    ]
+                    for ended in listing.ended
+                ],
+            },
+        )
+
+
+def _name(key):
+    return f"{key.job_id}.0.{key.step}.{key.index}"
+
+
+class StandIns:
+    """A thread with a loop that serves stand-ins and calls their clients."""
+
+    def __init__(self):
+        self.ready = threading.Event()
+        self.thread = threading.Thread(target=self._run, daemon=True)
+        self.thread.start()
+        self.ready.wait()
+
+    def _run(self):
+        trio.run(self._main)
+
+    async def _main(self):
+        self.token = trio.lowlevel.current_trio_token()
+        self.stop = trio.Event()
+        async with trio.open_nursery() as nursery:
+            self.nursery = nursery
+            self.ready.set()
+            await self.stop.wait()
+            nursery.cancel_scope.cancel()
+
+    def call(self, function, *arguments):
+        """Run an async function on the loop and return its result."""
+        return trio.from_thread.run(
+            function, *arguments, trio_token=self.token
+        )
+
+    def serve(self, handler, *, host="127.0.0.1", port=0):
+        """Serve a handler; return its port."""
+
+        async def start():
+            listeners = await trio.open_tcp_listeners(port, host=host)
+            listener = HttpListener(handler=handler, limits=HttpLimits())
+            self.nursery.start_soon(listener.serve, listeners, self.nursery)
+            return listeners[0].socket.getsockname()[1]
+
+        return self.call(start)
+
+    def start_soon(self, function, *arguments):
+        async def start():
+            self.nursery.start_soon(function, *arguments)
+
+        self.call(start)
+
+    def close(self):
+        trio.from_thread.run_sync(self.stop.set, trio_token=self.token)
+        self.thread.join()
