--- a/egretcart/direct/agent.py
+++ b/egretcart/direct/agent.py
@@ -1,8 +1,14 @@
 """The agent: arbiter of the room of one backend server. Free of I/O."""
 
-import dataclasses
-import enum
-
+from egretcart.direct.agent_types import AgentEffect
+from egretcart.direct.agent_types import CloseEntry
+from egretcart.direct.agent_types import DirectAgentLimits
+from egretcart.direct.agent_types import EntryState
+from egretcart.direct.agent_types import Eviction
+from egretcart.direct.agent_types import OrderStart
+from egretcart.direct.agent_types import OrderStop
+from egretcart.direct.agent_types import Run
+from egretcart.direct.agent_types import RunPhase
 from egretcart.direct.backend import BackendReport
 from egretcart.direct.backend import HoldRequest
 from egretcart.direct.backend import Lifetime
@@ -17,168 +23,25 @@
 from egretcart.direct.decisions import RunEnded
 from egretcart.direct.decisions import RunStarted
 from egretcart.direct.decisions import RunUnanswered
+from egretcart.direct.entry_links import EntryLinks
 from egretcart.direct.health import BackendHealth
-from egretcart.direct.health import HealthLimits
 from egretcart.direct.job import Ending
 from egretcart.direct.job import NO_ROOM
 from egretcart.direct.job import Room
 from egretcart.direct.job import TaskKey
 from egretcart.direct.lease import BackendLease
-from egretcart.direct.lease import LeaseLimits
 from egretcart.direct.messages import AgentHello
 from egretcart.direct.messages import AgentStatus
 from egretcart.direct.messages import EntryMessage
 from egretcart.direct.messages import EvictJob
 from egretcart.direct.messages import HeldTask
-from egretcart.direct.messages import JobEvicted
-from egretcart.direct.messages import Message
 from egretcart.direct.messages import RunTasks
 from egretcart.direct.messages import StopTasks
 from egretcart.direct.messages import TaskEnded
 from egretcart.direct.messages import TaskLate
 from egretcart.direct.progress import Pace
-from egretcart.direct.progress import ProgressLimits
 from egretcart.direct.progress import RunProgress
-
-STALE_RUN_REASON = "stale_run"
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class DirectAgentLimits:
-    """Times and bounds of an agent.
-
-    Attributes
-    ----------
-    beat_s : float
-        Longest time between two statuses to an entry, in seconds.
-    status_gap_s : float
-        Shortest time between two, but for the entry whose run has ended.
-    silence_s : float
-        Silence of an entry after which its runs are stopped, in seconds:
-        three beats.
-    pause_s : float
-        Gap between two ticks from which the process counts as paused;
-        entries may have given its runs up meanwhile.
-    queue_s : float
-        Time for which a task may wait for room here, in seconds.
-    answer_s : float
-        Silence of the backend server from which nothing is started.
-    retry_s : float
-        Time after which an unanswered order to stop is repeated.
-    start_limit_s, stop_limit_s : float
-        Time limits of the orders, in seconds.
-    """
-
-    beat_s: float = 0.15
-    status_gap_s: float = 0.02
-    silence_s: float = 0.5
-    pause_s: float = 0.4
-    queue_s: float = 0.25
-    answer_s: float = 0.3
-    retry_s: float = 0.15
-    start_limit_s: float = 0.25
-    stop_limit_s: float = 0.25
-    lease: LeaseLimits = dataclasses.field(default_factory=LeaseLimits)
-    health: HealthLimits = dataclasses.field(default_factory=HealthLimits)
-    progress: ProgressLimits = dataclasses.field(
-        default_factory=ProgressLimits
-    )
-
-
-class RunPhase(enum.Enum):
-    """How far a run has come; all but `QUEUED` take room.
-
-    `UNCERTAIN` runs were ordered and the order brought no answer.
-    """
-
-    QUEUED = "queued"
-    STARTING = "starting"
-    UNCERTAIN = "uncertain"
-    RUNNING = "running"
-    STOPPING = "stopping"
-
-
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Run:
-    """One run of a task at this agent."""
-
-    key: TaskKey
-    run: int
-    entry_id: str
-    payload: str
-    room: Room
-    estimate_ms: float
-    priority: int
-    due: float
-    max_per_agent: int
-    may_wait: bool
-    received: float
-    progress: RunProgress
-    phase: RunPhase = RunPhase.QUEUED
-    reason: str = ""
-    start_deadline_ms: int = 0
-    start_open: bool = False
-    answered_at: float = 0.0
-    stop_sent_at: float = 0.0
-    stop_answered_at: float = 0.0
-    told_late_at: float = 0.0
-
-    def order(self, now: float) -> tuple[bool, int, float]:
-        """Return what sorts the queue: those that can be on time first."""
-        return (self.due < now, self.priority, self.due)
-
-
-@dataclasses.dataclass(kw_only=True, slots=True)
-class EntryState:
-    """What the agent knows of an entry."""
-
-    incarnation: int
-    heard_at: float
-    connected: bool = True
-    sequence: int = 0
-    told_at: float = 0.0
-    outdated: bool = False
-
-
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Eviction:
-    """An entry waits until no run of a job by others is left."""
-
-    entry_id: str
-    number: int
-    job_id: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SendToEntry:
-    """Effect: send a message on the entry's link."""
-
-    entry_id: str
-    message: Message
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class OrderStart:
-    """Effect: order a run at the backend server."""
-
-    request: StartRequest
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class OrderStop:
-    """Effect: order the end of a run."""
-
-    request: StopRequest
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class CloseEntry:
-    """Effect: close the entry's link; it may connect again."""
-
-    entry_id: str
-
-
-AgentEffect = SendToEntry | OrderStart | OrderStop | CloseEntry
+from egretcart.direct.run_table import RunTable
 
 
 class DirectAgent:
@@ -226,18 +89,20 @@
         self.lease = BackendLease(limits=limits.lease)
         self.health = BackendHealth(limits=limits.health)
         self.pace = Pace(limits=limits.progress)
-        self.runs: dict[TaskKey, Run] = {}
+        self.runs = RunTable()
         self.strays: dict[TaskKey, int] = {}
-        self.entries: dict[str, EntryState] = {}
-        self.evictions: list[Eviction] = []
         self.ready = False
         self.settled = False
         self.stopping = False
         self.lapsed = False
         self.ticked_at = 0.0
-        self.news = False
-        self.news_for: set[str] = set()
         self.effects: list[AgentEffect] = []
+        self.links = EntryLinks(
+            effects=self.effects,
+            beat_s=limits.beat_s,
+            status_gap_s=limits.status_gap_s,
+            status=self.status,
+        )
 
     # What the backend server says.
 
@@ -349,8 +214,8 @@
             if ended.number <= self.acknowledged:
                 continue
             self.acknowledged = ended.number
-            run = self.runs.get(ended.key)
-            if run is not None and run.run == ended.run:
+            run = self.runs.find(ended.key, ended.run)
+            if run is not None:
                 self._end(run, ended.ending, run.reason, now)
             if self.strays.get(ended.key) == ended.run:
                 del self.strays[ended.key]
@@ -360,8 +225,8 @@
     ) -> None:
         found = {task.key: task for task in listing.running}
         for task in listing.running:
-            run = self.runs.get(task.key)
-            if run is None or run.run != task.run:
+            run = self.runs.find(task.key, task.run)
+            if run is None:
                 self._stop_stray(task.key, task.run)
                 continue
             run.progress.note(task.percent, now)
@@ -373,7 +238,7 @@
                 run.answered_at = now
         for key in [key for key in self.strays if key not in found]:
             del self.strays[key]
-        for run in list(self.runs.values()):
+        for run in self.runs:
             if run.key not in found:
                 self._check_absent(run, listing, asked_at, now)
 
@@ -408,8 +273,8 @@
         self, request: StartRequest, answer: StartAnswer | None, now: float
     ) -> list[AgentEffect]:
         """Take the answer to an order to start; None if none came."""
-        run = self.runs.get(request.key)
-        if run is None or run.run != request.run:
+        run = self.runs.find(request.key, request.run)
+        if run is None:
             return []
         run.start_open = False
         if answer is None:
@@ -440,8 +305,8 @@
         self, request: StopRequest, answered: bool, now: float
     ) -> list[AgentEffect]:
         """Take the outcome of an order to stop."""
-        run = self.runs.get(request.key)
-        if run is None or run.run != request.run:
+        run = self.runs.find(request.key, request.run)
+        if run is None:
             return []
         if answered:
             run.stop_answered_at = now
@@ -456,10 +321,10 @@
         self, entry_id: str, incarnation: int, now: float
     ) -> list[AgentEffect]:
         """Note a link on which an entry has introduced itself."""
-        state = self.entries.get(entry_id)
+        state = self.links.entries.get(entry_id)
         if state is not None and state.incarnation != incarnation:
             self._stop_runs_of(entry_id, "its entry has started anew", now)
-        self.entries[entry_id] = EntryState(
+        self.links.entries[entry_id] = EntryState(
             incarnation=incarnation, heard_at=now
         )
         self.log.write(PeerChanged(peer=entry_id, state="connected"))
@@ -470,18 +335,17 @@
                 index=run.key.index,
                 run=run.run,
             )
-            for run in self.runs.values()
-            if run.entry_id == entry_id
+            for run in self.runs.of_entry(entry_id)
         )
         hello = AgentHello(
             status=self.status(0, now), held=held, settled=self.settled
         )
-        self._send(entry_id, hello)
+        self.links.send(entry_id, hello)
         return self._take_effects()
 
     def entry_disconnected(self, entry_id: str) -> None:
         """Note that the entry's link has ended."""
-        state = self.entries.get(entry_id)
+        state = self.links.entries.get(entry_id)
         if state is not None and state.connected:
             state.connected = False
             self.log.write(PeerChanged(peer=entry_id, state="disconnected"))
@@ -493,7 +357,7 @@
         if now - self.ticked_at > self.limits.pause_s:
             # The message may have waited while the process was paused.
             return self.tick(now)
-        state = self.entries.get(entry_id)
+        state = self.links.entries.get(entry_id)
         if state is None or not state.connected:
             return []
         state.heard_at = now
@@ -528,30 +392,32 @@
                     entry_id, key, message.run, Ending.NOT_RUN, 0, reason
                 )
                 continue
-            self.news = True
-            self.runs[key] = Run(
-                key=key,
-                run=message.run,
-                entry_id=entry_id,
-                payload=message.payload,
-                room=message.room,
-                estimate_ms=message.estimate_ms,
-                priority=message.priority,
-                due=now + message.time_left_ms / 1000,
-                max_per_agent=message.max_per_agent,
-                may_wait=message.may_wait,
-                received=now,
-                progress=RunProgress(
-                    limits=self.limits.progress,
+            self.links.news = True
+            self.runs.add(
+                Run(
+                    key=key,
+                    run=message.run,
+                    entry_id=entry_id,
+                    payload=message.payload,
+                    room=message.room,
                     estimate_ms=message.estimate_ms,
-                    began=now,
-                ),
+                    priority=message.priority,
+                    due=now + message.time_left_ms / 1000,
+                    max_per_agent=message.max_per_agent,
+                    may_wait=message.may_wait,
+                    received=now,
+                    progress=RunProgress(
+                        limits=self.limits.progress,
+                        estimate_ms=message.estimate_ms,
+                        began=now,
+                    ),
+                )
             )
 
     def _return_hasty(self, now: float) -> None:
         """Give back what was sent for room that another entry has taken."""
-        for run in list(self.runs.values()):
-            if run.phase is RunPhase.QUEUED and not run.may_wait:
+        for run in self.runs.waiting():
+            if not run.may_wait:
                 self._end(run, Ending.NOT_RUN, "the room was taken", now)
 
     def _refusal(self, room: Room) -> str:
@@ -567,10 +433,9 @@
         return ""
 
     def _evict(self, entry_id: str, message: EvictJob, now: float) -> None:
-        for run in list(self.runs.values()):
-            if run.key.job_id == message.job_id and run.entry_id != entry_id:
-                self._stop(run, f"{entry_id} took its job over", now)
-        self.evictions.append(
+        for run in self.runs.of_others(message.job_id, entry_id):
+            self._stop(run, f"{entry_id} took its job over", now)
+        self.links.evictions.append(
             Eviction(
                 entry_id=entry_id,
                 number=message.number,
@@ -580,17 +445,11 @@
         self._answer_evictions()
 
     def _answer_evictions(self) -> None:
-        for eviction in list(self.evictions):
-            left = any(
-                run.key.job_id == eviction.job_id
-                and run.entry_id != eviction.entry_id
-                for run in self.runs.values()
+        self.links.answer_evictions(
+            lambda eviction: (
+                not self.runs.of_others(eviction.job_id, eviction.entry_id)
             )
-            if not left:
-                self.evictions.remove(eviction)
-                self._send(
-                    eviction.entry_id, JobEvicted(number=eviction.number)
-                )
+        )
 
     # Time.
 
@@ -602,7 +461,7 @@
             self._resume_after_pause(paused_s, now)
         self._check_entries(now)
         self._check_backend(now)
-        for run in list(self.runs.values()):
+        for run in self.runs:
             self._check_run(run, now)
         for key, number in self.strays.items():
             self._stop_stray(key, number)
@@ -614,14 +473,14 @@
         self.log.write(
             ProcessChanged(state="paused", paused_ms=round(paused_s * 1000))
         )
-        for entry_id, state in self.entries.items():
+        for entry_id, state in self.links.entries.items():
             self._stop_runs_of(entry_id, "the agent was paused", now)
             if state.connected:
                 state.connected = False
                 self.effects.append(CloseEntry(entry_id))
 
     def _check_entries(self, now: float) -> None:
-        for entry_id, state in list(self.entries.items()):
+        for entry_id, state in list(self.links.entries.items()):
             silent_s = now - state.heard_at
             if silent_s <= self.limits.silence_s:
                 continue
@@ -633,7 +492,7 @@
                     silent_ms=round(silent_s * 1000),
                 )
             )
-            del self.entries[entry_id]
+            del self.links.entries[entry_id]
             self._stop_runs_of(entry_id, "its entry is silent", now)
             if state.connected:
                 self.effects.append(CloseEntry(entry_id))
@@ -679,7 +538,7 @@
             percent=round(run.progress.percent),
             whole_ms=round(whole_ms),
         )
-        self._send(run.entry_id, late)
+        self.links.send(run.entry_id, late)
 
     # Runs.
 
@@ -692,18 +551,16 @@
 
     def _admit(self, now: float) -> None:
         """Start what waits and fits, the most urgent first."""
-        waiting = [
-            run for run in self.runs.values() if run.phase is RunPhase.QUEUED
-        ]
+        waiting = self.runs.waiting()
         if not waiting or not self._may_start(now):
             return
         waiting.sort(key=lambda run: run.order(now))
-        free = self._free(queued=False)
+        assert self.report is not None
+        free = self.runs.free(self.report.capacity, queued=False)
         for run in waiting:
-            started = len(self.runs) - self._queued_count()
-            if not self.health.may_start(started, now):
+            if not self.health.may_start(len(self.runs.begun()), now):
                 return
-            if free.holds(run.room) and self._spreads(run):
+            if free.holds(run.room) and self.runs.may_join(run):
                 free -= run.room
                 self._start(run, free, now)
 
@@ -716,17 +573,6 @@
             and self._is_answering(now)
         )
 
-    def _spreads(self, run: Run) -> bool:
-        if not run.max_per_agent:
-            return True
-        beside = sum(
-            other.phase is not RunPhase.QUEUED
-            and other.key.job_id == run.key.job_id
-            and other.key.step == run.key.step
-            for other in self.runs.values()
-        )
-        return beside < run.max_per_agent
-
     def _start(self, run: Run, free: Room, now: float) -> None:
         assert self.report is not None
         run.phase = RunPhase.STARTING
@@ -778,24 +624,22 @@
         self.effects.append(OrderStop(request))
 
     def _stop_runs_of(self, entry_id: str, reason: str, now: float) -> None:
-        for run in list(self.runs.values()):
-            if run.entry_id == entry_id:
-                self._stop(run, reason, now)
+        for run in self.runs.of_entry(entry_id):
+            self._stop(run, reason, now)
 
     def _refuse_queue(self, reason: str) -> None:
-        for run in list(self.runs.values()):
-            if run.phase is RunPhase.QUEUED:
-                self._end(run, Ending.NOT_RUN, reason, run.received)
+        for run in self.runs.waiting():
+            self._end(run, Ending.NOT_RUN, reason, run.received)
 
     def _lose_all(self, reason: str, now: float) -> None:
-        for run in list(self.runs.values()):
+        for run in self.runs:
             queued = run.phase is RunPhase.QUEUED
             ending = Ending.NOT_RUN if queued else Ending.LOST
             self._end(run, ending, reason, now)
 
     def _end(self, run: Run, ending: Ending, reason: str, now: float) -> None:
-        del self.runs[run.key]
-        self.news = True
+        self.runs.remove(run)
+        self.links.news = True
         run_ms = max(0, round((now - run.progress.began) * 1000))
         if ending is Ending.DONE:
             self.health.note_good()
@@ -817,7 +661,7 @@
         self._tell_ended(
             run.entry_id, run.key, run.run, ending, run_ms, reason
         )
-        if self.evictions:
+        if self.links.evictions:
             self._answer_evictions()
 
     def _tell_ended(
@@ -838,23 +682,11 @@
             run_ms=run_ms,
             reason=reason,
         )
-        self._send(entry_id, message)
-        self.news_for.add(entry_id)
+        self.links.send(entry_id, message)
+        self.links.news_for.add(entry_id)
 
     # Room and statuses.
 
-    def _free(self, *, queued: bool) -> Room:
-        if self.report is None:
-            return NO_ROOM
-        free = self.report.capacity
-        for run in self.runs.values():
-            if queued or run.phase is not RunPhase.QUEUED:
-                free -= run.room
-        return free
-
-    def _queued_count(self) -> int:
-        return sum(run.phase is RunPhase.QUEUED for run in self.runs.values())
-
     def _is_answering(self, now: float) -> bool:
         return now - self.lease.answered_at <= self.limits.answer_s
 
@@ -873,10 +705,8 @@
         """Return what the agent tells an entry of itself."""
         report = self.report
         capacity = report.capacity if report is not None else NO_ROOM
-        free = self._free(queued=True)
-        waiting = [
-            run for run in self.runs.values() if run.phase is RunPhase.QUEUED
-        ]
+        free = self.runs.free(capacity, queued=True)
+        waiting = self.runs.waiting()
         return AgentStatus(
             agent_id=self.agent_id,
             incarnation=self.incarnation,
@@ -902,33 +732,11 @@
     def _changed(self, now: float) -> None:
         """Start what can be started and tell the entries."""
         self._admit(now)
-        for entry_id, state in self.entries.items():
-            state.outdated = state.outdated or self.news
-            gap_s = now - state.told_at
-            if (
-                gap_s >= self.limits.beat_s
-                or entry_id in self.news_for
-                or (state.outdated and gap_s >= self.limits.status_gap_s)
-            ):
-                self._tell(entry_id, now)
-        self.news = False
-        self.news_for.clear()
-
-    def _tell(self, entry_id: str, now: float) -> None:
-        state = self.entries[entry_id]
-        if not state.connected:
-            return
-        state.told_at = now
-        state.outdated = False
-        self._send(entry_id, self.status(state.sequence, now))
-
-    def _send(self, entry_id: str, message: Message) -> None:
-        state = self.entries.get(entry_id)
-        if state is not None and state.connected:
-            self.effects.append(SendToEntry(entry_id, message))
+        self.links.tell_due(now)
 
     def _take_effects(self) -> list[AgentEffect]:
-        effects, self.effects = self.effects, []
+        effects = list(self.effects)
+        self.effects.clear()
         return effects
 
     def _note_backend(self, state: str, cause: str, now: float) -> None:
--- a/egretcart/direct/agent_process.py
+++ b/egretcart/direct/agent_process.py
@@ -11,12 +11,12 @@
 from egretcart.connection.http_server import HttpLimits
 from egretcart.connection.peer_link import PeerLink
 from egretcart.connection.traffic import Traffic
-from egretcart.direct.agent import AgentEffect
-from egretcart.direct.agent import CloseEntry
 from egretcart.direct.agent import DirectAgent
-from egretcart.direct.agent import DirectAgentLimits
-from egretcart.direct.agent import OrderStart
-from egretcart.direct.agent import SendToEntry
+from egretcart.direct.agent_types import AgentEffect
+from egretcart.direct.agent_types import CloseEntry
+from egretcart.direct.agent_types import DirectAgentLimits
+from egretcart.direct.agent_types import OrderStart
+from egretcart.direct.agent_types import SendToEntry
 from egretcart.direct.backend import Backend
 from egretcart.direct.backend import BackendReport
 from egretcart.direct.backend import BackendUnanswered
--- /dev/null
+++ b/egretcart/direct/agent_types.py
@@ -0,0 +1,152 @@
+"""Limits, records and effects of an agent. Free of I/O."""
+
+import dataclasses
+import enum
+
+from egretcart.direct.backend import StartRequest
+from egretcart.direct.backend import StopRequest
+from egretcart.direct.health import HealthLimits
+from egretcart.direct.job import Room
+from egretcart.direct.job import TaskKey
+from egretcart.direct.lease import LeaseLimits
+from egretcart.direct.messages import Message
+from egretcart.direct.progress import ProgressLimits
+from egretcart.direct.progress import RunProgress
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class DirectAgentLimits:
+    """Times and bounds of an agent.
+
+    Attributes
+    ----------
+    beat_s : float
+        Longest time between two statuses to an entry, in seconds.
+    status_gap_s : float
+        Shortest time between two, but for the entry whose run has ended.
+    silence_s : float
+        Silence of an entry after which its runs are stopped, in seconds:
+        three beats.
+    pause_s : float
+        Gap between two ticks from which the process counts as paused;
+        entries may have given its runs up meanwhile.
+    queue_s : float
+        Time for which a task may wait for room here, in seconds.
+    answer_s : float
+        Silence of the backend server from which nothing is started.
+    retry_s : float
+        Time after which an unanswered order to stop is repeated.
+    start_limit_s, stop_limit_s : float
+        Time limits of the orders, in seconds.
+    """
+
+    beat_s: float = 0.15
+    status_gap_s: float = 0.02
+    silence_s: float = 0.5
+    pause_s: float = 0.4
+    queue_s: float = 0.25
+    answer_s: float = 0.3
+    retry_s: float = 0.15
+    start_limit_s: float = 0.25
+    stop_limit_s: float = 0.25
+    lease: LeaseLimits = dataclasses.field(default_factory=LeaseLimits)
+    health: HealthLimits = dataclasses.field(default_factory=HealthLimits)
+    progress: ProgressLimits = dataclasses.field(
+        default_factory=ProgressLimits
+    )
+
+
+class RunPhase(enum.Enum):
+    """How far a run has come; all but `QUEUED` take room.
+
+    `UNCERTAIN` runs were ordered and the order brought no answer.
+    """
+
+    QUEUED = "queued"
+    STARTING = "starting"
+    UNCERTAIN = "uncertain"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Run:
+    """One run of a task at this agent."""
+
+    key: TaskKey
+    run: int
+    entry_id: str
+    payload: str
+    room: Room
+    estimate_ms: float
+    priority: int
+    due: float
+    max_per_agent: int
+    may_wait: bool
+    received: float
+    progress: RunProgress
+    phase: RunPhase = RunPhase.QUEUED
+    reason: str = ""
+    start_deadline_ms: int = 0
+    start_open: bool = False
+    answered_at: float = 0.0
+    stop_sent_at: float = 0.0
+    stop_answered_at: float = 0.0
+    told_late_at: float = 0.0
+
+    def order(self, now: float) -> tuple[bool, int, float]:
+        """Return what sorts the queue: those that can be on time first."""
+        return (self.due < now, self.priority, self.due)
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class EntryState:
+    """What the agent knows of an entry."""
+
+    incarnation: int
+    heard_at: float
+    connected: bool = True
+    sequence: int = 0
+    told_at: float = 0.0
+    outdated: bool = False
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Eviction:
+    """An entry waits until no run of a job by others is left."""
+
+    entry_id: str
+    number: int
+    job_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendToEntry:
+    """Effect: send a message on the entry's link."""
+
+    entry_id: str
+    message: Message
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrderStart:
+    """Effect: order a run at the backend server."""
+
+    request: StartRequest
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrderStop:
+    """Effect: order the end of a run."""
+
+    request: StopRequest
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CloseEntry:
+    """Effect: close the entry's link; it may connect again."""
+
+    entry_id: str
+
+
+AgentEffect = SendToEntry | OrderStart | OrderStop | CloseEntry
--- /dev/null
+++ b/egretcart/direct/entry_links.py
@@ -0,0 +1,80 @@
+"""What an agent owes the entries that are connected to it. Free of I/O."""
+
+from collections.abc import Callable
+
+from egretcart.direct.agent_types import AgentEffect
+from egretcart.direct.agent_types import EntryState
+from egretcart.direct.agent_types import Eviction
+from egretcart.direct.agent_types import SendToEntry
+from egretcart.direct.messages import AgentStatus
+from egretcart.direct.messages import JobEvicted
+from egretcart.direct.messages import Message
+
+
+class EntryLinks:
+    """Sends messages to entries, and statuses when they are due.
+
+    Parameters
+    ----------
+    effects : list of AgentEffect
+        Where messages are added.
+    beat_s, status_gap_s : float
+        Longest and shortest time between two statuses, in seconds.
+    status : callable
+        Returns the status for an entry, given the last sequence that it
+        has sent.
+
+    Attributes
+    ----------
+    entries : dict of str to EntryState
+    evictions : list of Eviction
+        Entries that wait until a job's other runs are over.
+    """
+
+    def __init__(
+        self,
+        *,
+        effects: list[AgentEffect],
+        beat_s: float,
+        status_gap_s: float,
+        status: Callable[[int, float], AgentStatus],
+    ) -> None:
+        self.effects = effects
+        self.beat_s = beat_s
+        self.status_gap_s = status_gap_s
+        self.status = status
+        self.entries: dict[str, EntryState] = {}
+        self.evictions: list[Eviction] = []
+        self.news = False
+        self.news_for: set[str] = set()
+
+    def send(self, entry_id: str, message: Message) -> None:
+        """Send a message if the entry is connected."""
+        state = self.entries.get(entry_id)
+        if state is not None and state.connected:
+            self.effects.append(SendToEntry(entry_id, message))
+
+    def tell_due(self, now: float) -> None:
+        """Send statuses to those that should have a new one."""
+        for entry_id, state in self.entries.items():
+            state.outdated = state.outdated or self.news
+            gap_s = now - state.told_at
+            if (
+                gap_s >= self.beat_s
+                or entry_id in self.news_for
+                or (state.outdated and gap_s >= self.status_gap_s)
+            ):
+                state.told_at = now
+                state.outdated = False
+                self.send(entry_id, self.status(state.sequence, now))
+        self.news = False
+        self.news_for.clear()
+
+    def answer_evictions(self, is_over: Callable[[Eviction], bool]) -> None:
+        """Tell entries whose wait for a job's other runs is over."""
+        for eviction in list(self.evictions):
+            if is_over(eviction):
+                self.evictions.remove(eviction)
+                self.send(
+                    eviction.entry_id, JobEvicted(number=eviction.number)
+                )
--- /dev/null
+++ b/egretcart/direct/run_table.py
@@ -0,0 +1,97 @@
+"""The runs that an agent holds, and the room that they take. Free of I/O."""
+
+from collections.abc import Iterator
+
+from egretcart.direct.agent_types import Run
+from egretcart.direct.agent_types import RunPhase
+from egretcart.direct.job import Room
+from egretcart.direct.job import TaskKey
+
+
+class RunTable:
+    """Runs by task: queued ones wait, all others take room.
+
+    Attributes
+    ----------
+    runs : dict of TaskKey to Run
+    """
+
+    def __init__(self) -> None:
+        self.runs: dict[TaskKey, Run] = {}
+
+    def __iter__(self) -> Iterator[Run]:
+        """Return all runs; they may be removed meanwhile."""
+        return iter(list(self.runs.values()))
+
+    def __len__(self) -> int:
+        """Return the number of runs."""
+        return len(self.runs)
+
+    def get(self, key: TaskKey) -> Run | None:
+        """Return the run of a task, or None."""
+        return self.runs.get(key)
+
+    def find(self, key: TaskKey, number: int) -> Run | None:
+        """Return a task's run if it has this number, or None."""
+        run = self.runs.get(key)
+        return run if run is not None and run.run == number else None
+
+    def add(self, run: Run) -> None:
+        """Hold a run."""
+        self.runs[run.key] = run
+
+    def remove(self, run: Run) -> None:
+        """Hold a run no more."""
+        del self.runs[run.key]
+
+    def waiting(self) -> list[Run]:
+        """Return the runs that wait for room."""
+        return [
+            run for run in self.runs.values() if run.phase is RunPhase.QUEUED
+        ]
+
+    def begun(self) -> list[Run]:
+        """Return the runs that take room."""
+        return [
+            run
+            for run in self.runs.values()
+            if run.phase is not RunPhase.QUEUED
+        ]
+
+    def of_entry(self, entry_id: str) -> list[Run]:
+        """Return the runs of an entry."""
+        return [run for run in self.runs.values() if run.entry_id == entry_id]
+
+    def of_others(self, job_id: str, entry_id: str) -> list[Run]:
+        """Return the runs of a job that another entry has sent."""
+        return [
+            run
+            for run in self.runs.values()
+            if run.key.job_id == job_id and run.entry_id != entry_id
+        ]
+
+    def free(self, capacity: Room, *, queued: bool) -> Room:
+        """Return the room that is left.
+
+        Parameters
+        ----------
+        capacity : Room
+        queued : bool
+            Whether the runs that wait are taken off as well.
+        """
+        free = capacity
+        for run in self.runs.values():
+            if queued or run.phase is not RunPhase.QUEUED:
+                free -= run.room
+        return free
+
+    def may_join(self, run: Run) -> bool:
+        """Whether a run's step allows one more at this agent."""
+        if not run.max_per_agent:
+            return True
+        beside = sum(
+            other.key.job_id == run.key.job_id
+            and other.key.step == run.key.step
+            for other in self.begun()
+        )
+        return beside < run.max_per_agent
--- a/egretcart/testing/direct_world.py
+++ b/egretcart/testing/direct_world.py
@@ -14,12 +14,12 @@
 import random
 from typing import Any
 
-from egretcart.direct.agent import AgentEffect
-from egretcart.direct.agent import CloseEntry
 from egretcart.direct.agent import DirectAgent
-from egretcart.direct.agent import DirectAgentLimits
-from egretcart.direct.agent import OrderStart
-from egretcart.direct.agent import SendToEntry
+from egretcart.direct.agent_types import AgentEffect
+from egretcart.direct.agent_types import CloseEntry
+from egretcart.direct.agent_types import DirectAgentLimits
+from egretcart.direct.agent_types import OrderStart
+from egretcart.direct.agent_types import SendToEntry
 from egretcart.direct.backend import StartRequest
 from egretcart.direct.backend import StopRequest
 from egretcart.direct.configuration import Route
--- a/tests/features/steps/direct_world_steps.py
+++ b/tests/features/steps/direct_world_steps.py
@@ -124,7 +124,7 @@
     context.orphans = [
         run
         for agent in world.agents.values()
-        for run in agent.runs.values()
+        for run in agent.runs
         if run.entry_id == "entry-0" and run.received < world.now - 1.25
     ]
     load(world, share=0.5, seconds=1.0, work_ms=400)
