Hold jobs while agents that are connected learn of their backend server

Cause: an entry refused jobs although agents had just connected, as their backend server had not reported yet; it also called itself ready. An agent's change to taking tasks was told with the next beat only. The entry's decisions are split: sending of tasks and claims of jobs.

--- a/egretcart/direct/agent.py
+++ b/egretcart/direct/agent.py
@@ -94,6 +94,7 @@
         self.ready = False
         self.settled = False
         self.stopping = False
+        self.took_tasks = False
         self.lapsed = False
         self.ticked_at = 0.0
         self.effects: list[AgentEffect] = []
@@ -690,15 +691,16 @@
     def _is_answering(self, now: float) -> bool:
         return now - self.lease.answered_at <= self.limits.answer_s
 
-    @property
-    def accepting(self) -> bool:
-        """Whether the agent takes new tasks."""
+    def _takes_tasks(self, now: float) -> bool:
+        """Whether new tasks should be sent here."""
         return (
             self.report is not None
             and self.ready
             and not self.stopping
             and not self.report.draining
             and not self.lapsed
+            and self._is_answering(now)
+            and now >= self.health.paused_until
         )
 
     def status(self, sequence: int, now: float) -> AgentStatus:
@@ -713,9 +715,7 @@
             service_name=report.service if report is not None else "",
             failure_domain=self.failure_domain,
             labels=report.labels if report is not None else (),
-            accepting=self.accepting
-            and self._is_answering(now)
-            and now >= self.health.paused_until,
+            accepting=self._takes_tasks(now),
             cpu_milli=capacity.cpu_milli,
             memory_mb=capacity.memory_mb,
             accelerators=capacity.accelerators,
@@ -732,6 +732,10 @@
     def _changed(self, now: float) -> None:
         """Start what can be started and tell the entries."""
         self._admit(now)
+        takes_tasks = self._takes_tasks(now)
+        if takes_tasks != self.took_tasks:
+            self.took_tasks = takes_tasks
+            self.links.news = True
         self.links.tell_due(now)
 
     def _take_effects(self) -> list[AgentEffect]:
--- a/egretcart/direct/entry.py
+++ b/egretcart/direct/entry.py
@@ -6,7 +6,6 @@
 import math
 import random
 
-from egretcart.direct.admission import AdmissionLimits
 from egretcart.direct.admission import load_of
 from egretcart.direct.admission import retry_after_s
 from egretcart.direct.claims import ClaimTable
@@ -17,7 +16,6 @@
 from egretcart.direct.decisions import JobAccepted
 from egretcart.direct.decisions import JobAnswered
 from egretcart.direct.decisions import JobCancelled
-from egretcart.direct.decisions import JobClaimed
 from egretcart.direct.decisions import JobJoined
 from egretcart.direct.decisions import JobRefused
 from egretcart.direct.decisions import JobYielded
@@ -25,7 +23,13 @@
 from egretcart.direct.decisions import ProcessChanged
 from egretcart.direct.decisions import TaskEndedAt
 from egretcart.direct.decisions import TaskMoved
-from egretcart.direct.decisions import TasksPlaced
+from egretcart.direct.entry_types import Answer
+from egretcart.direct.entry_types import CloseAgent
+from egretcart.direct.entry_types import DirectEntryLimits
+from egretcart.direct.entry_types import EntryEffect
+from egretcart.direct.entry_types import SendToAgent
+from egretcart.direct.entry_types import SendToPeer
+from egretcart.direct.entry_types import TAKEOVER_RUNS
 from egretcart.direct.held_job import HeldJob
 from egretcart.direct.held_job import HeldTask
 from egretcart.direct.held_job import TaskPhase
@@ -34,153 +38,27 @@
 from egretcart.direct.job import Job
 from egretcart.direct.job import JobKind
 from egretcart.direct.job import JobState
-from egretcart.direct.job import Room
 from egretcart.direct.job import TaskKey
 from egretcart.direct.messages import AgentHello
 from egretcart.direct.messages import AgentMessage
 from egretcart.direct.messages import AgentStatus
 from egretcart.direct.messages import Beat
-from egretcart.direct.messages import EvictJob
 from egretcart.direct.messages import JobEvicted
 from egretcart.direct.messages import JobReleased
 from egretcart.direct.messages import JobsTaken
-from egretcart.direct.messages import Message
 from egretcart.direct.messages import PeerMessage
 from egretcart.direct.messages import ReleaseJob
-from egretcart.direct.messages import RunTasks
 from egretcart.direct.messages import StopTasks
 from egretcart.direct.messages import TaskEnded
 from egretcart.direct.messages import TaskLate
+from egretcart.direct.pending_claims import PendingClaim
+from egretcart.direct.pending_claims import PendingClaims
 from egretcart.direct.placement import Placement
-from egretcart.direct.placement import PlacementLimits
-from egretcart.direct.placement import TaskNeeds
 from egretcart.direct.rescue import is_worth_moving
 from egretcart.direct.rescue import LateRun
-from egretcart.direct.rescue import RescueLimits
+from egretcart.direct.task_sender import TaskSender
 from egretcart.direct.views import AgentView
 
-# Numbers of runs of a job that is taken over begin here times the number of
-# entries that may have begun it, above all that the former one has given.
-TAKEOVER_RUNS = 1000
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class DirectEntryLimits:
-    """Times and bounds of an entry.
-
-    Attributes
-    ----------
-    beat_s : float
-        Time between two heartbeats to an agent or entry, in seconds.
-    silence_s : float
-        Silence of an agent after which its link is closed, in seconds:
-        three beats.
-    agent_stop_s : float
-        Time in which an agent that hears nothing has stopped all runs, or
-        the lease of its backend server has lapsed, in seconds.
-    pause_s : float
-        Gap between two ticks from which the process counts as paused.
-    claim_s : float
-        Time to wait for others to give up a job, in seconds: an agent
-        stops a run in a tenth of it.
-    claim_memory_s : float
-        Time for which jobs of other entries are remembered, in seconds.
-    younger_s : float
-        A job that another entry claims is the older one if it was taken in
-        longer ago than this, in seconds: claims travel in a beat.
-    answer_memory_s : float
-        Time for which the state of an ended job is remembered.
-    meeting_s : float
-        Time in which agents are expected to connect, after this process
-        has started or was paused, in seconds.
-    far_factor : float
-        How much longer a task takes on another rack than its data's.
-    """
-
-    beat_s: float = 0.15
-    silence_s: float = 0.5
-    agent_stop_s: float = 1.1
-    pause_s: float = 0.4
-    claim_s: float = 0.3
-    claim_memory_s: float = 20.0
-    younger_s: float = 0.7
-    answer_memory_s: float = 20.0
-    meeting_s: float = 1.5
-    far_factor: float = 1.5
-    admission: AdmissionLimits = dataclasses.field(
-        default_factory=AdmissionLimits
-    )
-    placement: PlacementLimits = dataclasses.field(
-        default_factory=PlacementLimits
-    )
-    rescue: RescueLimits = dataclasses.field(default_factory=RescueLimits)
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Answer:
-    """Effect: the answer to a caller's request.
-
-    Attributes
-    ----------
-    request_id : int
-    state : JobState or None
-        How the job ended; None if it was refused and never runs.
-    retry_after_s : float or None
-        When to come back, if it was refused.
-    cause : str
-        Why it was refused.
-    interrupted : bool
-        Whether the job may have run in part, here or at another entry;
-        it may be submitted again.
-    invalid : bool
-        Whether the job makes no sense, whoever is asked.
-    """
-
-    request_id: int
-    state: JobState | None = None
-    interrupted: bool = False
-    invalid: bool = False
-    retry_after_s: float | None = None
-    cause: str = ""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SendToAgent:
-    """Effect: send a message on the agent's link."""
-
-    agent_id: str
-    message: Message
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SendToPeer:
-    """Effect: send a message to another entry."""
-
-    entry_id: str
-    message: Message
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class CloseAgent:
-    """Effect: close the agent's link; it may connect again."""
-
-    agent_id: str
-
-
-EntryEffect = Answer | SendToAgent | SendToPeer | CloseAgent
-
-
-@dataclasses.dataclass(kw_only=True, slots=True)
-class PendingClaim:
-    """A job that waits until nothing of it runs for another entry."""
-
-    request_ids: set[int]
-    job: Job
-    route: Route
-    number: int
-    waiting_for: set[str]
-    until: float
-
 
 def _find_unserved(job: Job, route: Route) -> str | None:
     """Return why a job is not served at all, or None."""
@@ -235,20 +113,26 @@
         self.peers: set[str] = set()
         self.jobs: dict[str, HeldJob] = {}
         self.ending: dict[str, HeldJob] = {}
-        self.pending: dict[str, PendingClaim] = {}
         self.ended: OrderedDict[str, tuple[JobState, float]] = OrderedDict()
         self.claims = ClaimTable(memory_s=limits.claim_memory_s)
-        self.placement = Placement(
-            limits=limits.placement,
-            far_factor=limits.far_factor,
-            source=source,
-        )
-        self.claim_number = 0
         self.stop_by: float | None = None
         self.met_by = 0.0
         self.ticked_at = 0.0
         self.beat_at = 0.0
         self.effects: list[EntryEffect] = []
+        self.pending = PendingClaims(
+            claim_s=limits.claim_s, effects=self.effects, log=log
+        )
+        self.sender = TaskSender(
+            agents=self.agents,
+            placement=Placement(
+                limits=limits.placement,
+                far_factor=limits.far_factor,
+                source=source,
+            ),
+            effects=self.effects,
+            log=log,
+        )
 
     # Configuration.
 
@@ -280,7 +164,7 @@
         """Whether callers should be sent here."""
         return (
             self.configuration is not None
-            and bool(self.agents)
+            and any(view.status.accepting for view in self.agents.values())
             and self.stop_by is None
         )
 
@@ -298,7 +182,8 @@
     ) -> list[EntryEffect]:
         """Take in a job, or join the one of the same id."""
         held = self.jobs.get(job.job_id) or self.ending.pop(job.job_id, None)
-        pending = self.pending.get(job.job_id)
+        pending = self.pending.by_job.get(job.job_id)
+        claim = self.claims.holder(job.job_id)
         ended = self.ended.get(job.job_id)
         unserved = _find_unserved(job, route)
         if unserved is not None:
@@ -313,8 +198,16 @@
         elif ended is not None:
             self._note_joined(job.job_id, ended[0].value)
             self.effects.append(Answer(request_id=request_id, state=ended[0]))
-        elif self.claims.holder(job.job_id) is not None:
-            self._claim(request_id, job, route, now)
+        elif claim is not None:
+            self.pending.begin(
+                request_id,
+                job,
+                route,
+                claim=claim,
+                agents=set(self.agents),
+                peers=self.peers,
+                now=now,
+            )
         else:
             self._admit({request_id}, job, route, now, first_run=1)
         self._dispatch(now)
@@ -334,48 +227,8 @@
     def _note_joined(self, job_id: str, state: str) -> None:
         self.log.write(JobJoined(job_id=job_id, state=state))
 
-    def _claim(
-        self, request_id: int, job: Job, route: Route, now: float
-    ) -> None:
-        """Have others end what they run of a job before it begins here."""
-        claim = self.claims.holder(job.job_id)
-        assert claim is not None
-        self.claim_number += 1
-        number = self.claim_number
-        waiting_for = set(self.agents)
-        for agent_id in self.agents:
-            evict = EvictJob(number=number, job_id=job.job_id)
-            self.effects.append(SendToAgent(agent_id, evict))
-        if claim.entry_id in self.peers:
-            waiting_for.add(claim.entry_id)
-            release = ReleaseJob(number=number, job_id=job.job_id)
-            self.effects.append(SendToPeer(claim.entry_id, release))
-        self.log.write(
-            JobClaimed(
-                job_id=job.job_id,
-                former_entry=claim.entry_id,
-                age_s=round(now - claim.told_at, 3),
-                asked=len(waiting_for),
-            )
-        )
-        self.pending[job.job_id] = PendingClaim(
-            request_ids={request_id},
-            job=job,
-            route=route,
-            number=number,
-            waiting_for=waiting_for,
-            until=now + self.limits.claim_s,
-        )
-
-    def _claim_answered(self, number: int, who: str, now: float) -> None:
-        for pending in list(self.pending.values()):
-            if pending.number == number:
-                pending.waiting_for.discard(who)
-                if not pending.waiting_for:
-                    self._end_claim(pending, now)
-
     def _end_claim(self, pending: PendingClaim, now: float) -> None:
-        del self.pending[pending.job.job_id]
+        """Take a job in that no other entry runs any more."""
         self._admit(
             pending.request_ids,
             pending.job,
@@ -492,11 +345,7 @@
         self, job_id: str, request_id: int, now: float
     ) -> list[EntryEffect]:
         """Note that a caller no longer waits for its job."""
-        pending = self.pending.get(job_id)
-        if pending is not None:
-            pending.request_ids.discard(request_id)
-            if not pending.request_ids:
-                del self.pending[job_id]
+        self.pending.leave(job_id, request_id)
         held = self.jobs.get(job_id)
         if held is not None and request_id in held.waiters:
             held.waiters.discard(request_id)
@@ -605,6 +454,8 @@
         agent_id = hello.status.agent_id
         self.agents[agent_id] = AgentView(status=hello.status, now=now)
         self.log.write(PeerChanged(peer=agent_id, state="connected"))
+        if not hello.status.accepting:
+            self.met_by = max(self.met_by, now + self.limits.meeting_s)
         self._reconcile(agent_id, hello, now)
         self._dispatch(now)
         return self._take_effects()
@@ -629,8 +480,7 @@
         over_at = now + self.limits.agent_stop_s
         for task in self._tasks_at(agent_id):
             task.over_at = over_at
-        for pending in list(self.pending.values()):
-            self._claim_answered(pending.number, agent_id, now)
+        self.pending.note_lost(agent_id)
 
     def _tasks_at(self, agent_id: str) -> list[HeldTask]:
         return [
@@ -656,7 +506,7 @@
         elif isinstance(message, TaskLate):
             self._late(agent_id, message, now)
         elif isinstance(message, JobEvicted):
-            self._claim_answered(message.number, agent_id, now)
+            self.pending.note_answer(message.number, agent_id)
         return self._take_effects()
 
     def settle(self, now: float) -> list[EntryEffect]:
@@ -816,8 +666,7 @@
         if entry_id in self.peers:
             self.peers.discard(entry_id)
             self.log.write(PeerChanged(peer=entry_id, state="disconnected"))
-            for pending in list(self.pending.values()):
-                self._claim_answered(pending.number, entry_id, now)
+            self.pending.note_lost(entry_id)
         return self._take_effects()
 
     def receive_from_peer(
@@ -830,7 +679,7 @@
         elif isinstance(message, ReleaseJob):
             self._release(entry_id, message, now)
         elif isinstance(message, JobReleased):
-            self._released(entry_id, message, now)
+            self._released(entry_id, message)
         self._dispatch(now)
         return self._take_effects()
 
@@ -866,20 +715,18 @@
         reply = JobReleased(number=message.number, state=state)
         self.effects.append(SendToPeer(entry_id, reply))
 
-    def _released(
-        self, entry_id: str, message: JobReleased, now: float
-    ) -> None:
-        for pending in list(self.pending.values()):
-            if pending.number != message.number or not message.state:
-                continue
-            state = JobState(message.state)
-            if state not in (JobState.COMPLETED, JobState.FAILED):
-                continue
-            del self.pending[pending.job.job_id]
-            self._note_joined(pending.job.job_id, state.value)
-            for request_id in pending.request_ids:
-                self.effects.append(Answer(request_id=request_id, state=state))
-        self._claim_answered(message.number, entry_id, now)
+    def _released(self, entry_id: str, message: JobReleased) -> None:
+        self.pending.note_answer(message.number, entry_id)
+        pending = self.pending.find(message.number)
+        if pending is None or not message.state:
+            return
+        state = JobState(message.state)
+        if state not in (JobState.COMPLETED, JobState.FAILED):
+            return
+        self.pending.remove(pending)
+        self._note_joined(pending.job.job_id, state.value)
+        for request_id in pending.request_ids:
+            self.effects.append(Answer(request_id=request_id, state=state))
 
     # Time.
 
@@ -893,9 +740,6 @@
             self._resume_after_pause(paused_s, now)
         self._check_agents(now)
         self._check_lost(now)
-        for pending in list(self.pending.values()):
-            if now > pending.until:
-                self._end_claim(pending, now)
         self._give_up(now)
         self.claims.forget_old(now)
         self._forget_ended(now)
@@ -961,102 +805,13 @@
                 taken = JobsTaken(job_ids=untold)
                 self.effects.append(SendToPeer(entry_id, taken))
 
-    # Sending tasks.
-
     def _dispatch(self, now: float) -> None:
-        """Send waiting tasks to agents, the most urgent jobs first."""
-        waiting = [held for held in self.jobs.values() if any(held.waiting())]
-        if not waiting:
-            return
-        waiting.sort(key=lambda held: held.order(now))
-        full_for: list[Room] = []
-        for held in waiting:
-            self._place(held, full_for, now)
-
-    def _place(self, held: HeldJob, full_for: list[Room], now: float) -> None:
-        """Send the waiting tasks of a job.
-
-        Parameters
-        ----------
-        held : HeldJob
-        full_for : list of Room
-            Rooms for which no agent takes anything more in this round.
-        now : float
-        """
-        chosen: dict[tuple[str, int, int, bool], list[HeldTask]] = {}
-        for task in list(held.waiting()):
-            step = held.job.steps[task.key.step]
-            if any(step.room.holds(room) for room in full_for):
-                continue
-            agent_id = self._choose(held, task, now)
-            if agent_id is None:
-                if not step.is_picky:
-                    full_for.append(step.room)
-                continue
-            task.phase = TaskPhase.SENT
-            task.agent_id = agent_id
-            task.run += 1
-            view = self.agents[agent_id]
-            may_wait = not view.free.holds(step.room)
-            view.note_sent(step.room, 1, step.estimate_ms)
-            group = (agent_id, task.key.step, task.run, may_wait)
-            chosen.setdefault(group, []).append(task)
-        for group, tasks in chosen.items():
-            self._send_tasks(held, group, tasks, now)
-
-    def _choose(self, held: HeldJob, task: HeldTask, now: float) -> str | None:
-        step = held.job.steps[task.key.step]
-        beside = held.beside(task.key.step) if step.max_per_agent else {}
-        needs = TaskNeeds(
-            step=step,
-            time_left_ms=(held.due - now) * 1000,
-            avoided=frozenset(task.avoided),
-            beside=beside,
-        )
-        return self.placement.choose(needs, self.agents.items())
-
-    def _send_tasks(
-        self,
-        held: HeldJob,
-        group: tuple[str, int, int, bool],
-        tasks: list[HeldTask],
-        now: float,
-    ) -> None:
-        agent_id, step_number, run, may_wait = group
-        step = held.job.steps[step_number]
-        view = self.agents[agent_id]
-        indexes = tuple(task.key.index for task in tasks)
-        message = RunTasks(
-            sequence=view.sequence,
-            job_id=held.job.job_id,
-            step=step_number,
-            indexes=indexes,
-            run=run,
-            payload=held.job.payload,
-            cpu_milli=step.room.cpu_milli,
-            memory_mb=step.room.memory_mb,
-            accelerators=step.room.accelerators,
-            estimate_ms=round(step.estimate_ms),
-            priority=held.route.priority,
-            time_left_ms=round((held.due - now) * 1000),
-            max_per_agent=step.max_per_agent,
-            may_wait=may_wait,
-        )
-        self.effects.append(SendToAgent(agent_id, message))
-        self.log.write(
-            TasksPlaced(
-                job_id=held.job.job_id,
-                step=step_number,
-                indexes=indexes,
-                run=run,
-                agent=agent_id,
-                free_cpu_milli=view.free.cpu_milli,
-                queued=view.queued,
-                pace_percent=view.status.pace_percent,
-                status_age_ms=round((now - view.told_at) * 1000),
-            )
-        )
+        """Go on with claims that are settled and with waiting tasks."""
+        for pending in self.pending.take_ready(now):
+            self._end_claim(pending, now)
+        self.sender.dispatch(self.jobs.values(), now)
 
     def _take_effects(self) -> list[EntryEffect]:
-        effects, self.effects = self.effects, []
+        effects = list(self.effects)
+        self.effects.clear()
         return effects
--- /dev/null
+++ b/egretcart/direct/entry_types.py
@@ -0,0 +1,120 @@
+"""Limits and effects of an entry. Free of I/O."""
+
+import dataclasses
+
+from egretcart.direct.admission import AdmissionLimits
+from egretcart.direct.job import JobState
+from egretcart.direct.messages import Message
+from egretcart.direct.placement import PlacementLimits
+from egretcart.direct.rescue import RescueLimits
+
+# Numbers of runs of a job that is taken over begin here times the number of
+# entries that may have begun it, above all that the former one has given.
+TAKEOVER_RUNS = 1000
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class DirectEntryLimits:
+    """Times and bounds of an entry.
+
+    Attributes
+    ----------
+    beat_s : float
+        Time between two heartbeats to an agent or entry, in seconds.
+    silence_s : float
+        Silence of an agent after which its link is closed, in seconds:
+        three beats.
+    agent_stop_s : float
+        Time in which an agent that hears nothing has stopped all runs, or
+        the lease of its backend server has lapsed, in seconds.
+    pause_s : float
+        Gap between two ticks from which the process counts as paused.
+    claim_s : float
+        Time to wait for others to give up a job, in seconds: an agent
+        stops a run in a tenth of it.
+    claim_memory_s : float
+        Time for which jobs of other entries are remembered, in seconds.
+    younger_s : float
+        A job that another entry claims is the older one if it was taken in
+        longer ago than this, in seconds: claims travel in a beat.
+    answer_memory_s : float
+        Time for which the state of an ended job is remembered.
+    meeting_s : float
+        Time in which agents are expected to connect and to take tasks,
+        after this process has started or was paused, in seconds: a backend
+        server reports at that interval.
+    far_factor : float
+        How much longer a task takes on another rack than its data's.
+    """
+
+    beat_s: float = 0.15
+    silence_s: float = 0.5
+    agent_stop_s: float = 1.1
+    pause_s: float = 0.4
+    claim_s: float = 0.3
+    claim_memory_s: float = 20.0
+    younger_s: float = 0.7
+    answer_memory_s: float = 20.0
+    meeting_s: float = 1.5
+    far_factor: float = 1.5
+    admission: AdmissionLimits = dataclasses.field(
+        default_factory=AdmissionLimits
+    )
+    placement: PlacementLimits = dataclasses.field(
+        default_factory=PlacementLimits
+    )
+    rescue: RescueLimits = dataclasses.field(default_factory=RescueLimits)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Answer:
+    """Effect: the answer to a caller's request.
+
+    Attributes
+    ----------
+    request_id : int
+    state : JobState or None
+        How the job ended; None if it was refused and never runs.
+    retry_after_s : float or None
+        When to come back, if it was refused.
+    cause : str
+        Why it was refused.
+    interrupted : bool
+        Whether the job may have run in part, here or at another entry;
+        it may be submitted again.
+    invalid : bool
+        Whether the job makes no sense, whoever is asked.
+    """
+
+    request_id: int
+    state: JobState | None = None
+    interrupted: bool = False
+    invalid: bool = False
+    retry_after_s: float | None = None
+    cause: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendToAgent:
+    """Effect: send a message on the agent's link."""
+
+    agent_id: str
+    message: Message
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendToPeer:
+    """Effect: send a message to another entry."""
+
+    entry_id: str
+    message: Message
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CloseAgent:
+    """Effect: close the agent's link; it may connect again."""
+
+    agent_id: str
+
+
+EntryEffect = Answer | SendToAgent | SendToPeer | CloseAgent
--- /dev/null
+++ b/egretcart/direct/task_sender.py
@@ -0,0 +1,137 @@
+"""Sends the tasks of held jobs to agents. Free of I/O."""
+
+from collections.abc import Iterable
+
+from egretcart.direct.decisions import DecisionLog
+from egretcart.direct.decisions import TasksPlaced
+from egretcart.direct.entry_types import EntryEffect
+from egretcart.direct.entry_types import SendToAgent
+from egretcart.direct.held_job import HeldJob
+from egretcart.direct.held_job import HeldTask
+from egretcart.direct.held_job import TaskPhase
+from egretcart.direct.job import Room
+from egretcart.direct.messages import RunTasks
+from egretcart.direct.placement import Placement
+from egretcart.direct.placement import TaskNeeds
+from egretcart.direct.views import AgentView
+
+
+class TaskSender:
+    """Chooses agents for waiting tasks and sends them there.
+
+    Parameters
+    ----------
+    agents : dict of str to AgentView
+        The entry's view of its agents, which it goes on changing.
+    placement : Placement
+    effects : list of EntryEffect
+        Where messages are added.
+    log : DecisionLog
+    """
+
+    def __init__(
+        self,
+        *,
+        agents: dict[str, AgentView],
+        placement: Placement,
+        effects: list[EntryEffect],
+        log: DecisionLog,
+    ) -> None:
+        self.agents = agents
+        self.placement = placement
+        self.effects = effects
+        self.log = log
+
+    def dispatch(self, jobs: Iterable[HeldJob], now: float) -> None:
+        """Send the waiting tasks of jobs, the most urgent ones first."""
+        waiting = [held for held in jobs if any(held.waiting())]
+        if not waiting:
+            return
+        waiting.sort(key=lambda held: held.order(now))
+        full_for: list[Room] = []
+        for held in waiting:
+            self._place(held, full_for, now)
+
+    def _place(self, held: HeldJob, full_for: list[Room], now: float) -> None:
+        """Send the waiting tasks of a job.
+
+        Parameters
+        ----------
+        held : HeldJob
+        full_for : list of Room
+            Rooms for which no agent takes anything more in this round.
+        now : float
+        """
+        chosen: dict[tuple[str, int, int, bool], list[HeldTask]] = {}
+        for task in list(held.waiting()):
+            step = held.job.steps[task.key.step]
+            if any(step.room.holds(room) for room in full_for):
+                continue
+            agent_id = self._choose(held, task, now)
+            if agent_id is None:
+                if not step.is_picky:
+                    full_for.append(step.room)
+                continue
+            task.phase = TaskPhase.SENT
+            task.agent_id = agent_id
+            task.run += 1
+            view = self.agents[agent_id]
+            may_wait = not view.free.holds(step.room)
+            view.note_sent(step.room, 1, step.estimate_ms)
+            group = (agent_id, task.key.step, task.run, may_wait)
+            chosen.setdefault(group, []).append(task)
+        for group, tasks in chosen.items():
+            self._send_tasks(held, group, tasks, now)
+
+    def _choose(self, held: HeldJob, task: HeldTask, now: float) -> str | None:
+        step = held.job.steps[task.key.step]
+        beside = held.beside(task.key.step) if step.max_per_agent else {}
+        needs = TaskNeeds(
+            step=step,
+            time_left_ms=(held.due - now) * 1000,
+            avoided=frozenset(task.avoided),
+            beside=beside,
+        )
+        return self.placement.choose(needs, self.agents.items())
+
+    def _send_tasks(
+        self,
+        held: HeldJob,
+        group: tuple[str, int, int, bool],
+        tasks: list[HeldTask],
+        now: float,
+    ) -> None:
+        agent_id, step_number, run, may_wait = group
+        step = held.job.steps[step_number]
+        view = self.agents[agent_id]
+        indexes = tuple(task.key.index for task in tasks)
+        message = RunTasks(
+            sequence=view.sequence,
+            job_id=held.job.job_id,
+            step=step_number,
+            indexes=indexes,
+            run=run,
+            payload=held.job.payload,
+            cpu_milli=step.room.cpu_milli,
+            memory_mb=step.room.memory_mb,
+            accelerators=step.room.accelerators,
+            estimate_ms=round(step.estimate_ms),
+            priority=held.route.priority,
+            time_left_ms=round((held.due - now) * 1000),
+            max_per_agent=step.max_per_agent,
+            may_wait=may_wait,
+        )
+        self.effects.append(SendToAgent(agent_id, message))
+        self.log.write(
+            TasksPlaced(
+                job_id=held.job.job_id,
+                step=step_number,
+                indexes=indexes,
+                run=run,
+                agent=agent_id,
+                free_cpu_milli=view.free.cpu_milli,
+                queued=view.queued,
+                pace_percent=view.status.pace_percent,
+                status_age_ms=round((now - view.told_at) * 1000),
+            )
+        )
--- a/egretcart/testing/direct_world.py
+++ b/egretcart/testing/direct_world.py
@@ -26,12 +26,12 @@
 from egretcart.direct.configuration import RoutingConfiguration
 from egretcart.direct.decisions import DecisionLog
 from egretcart.direct.decisions import NullDecisionLog
-from egretcart.direct.entry import Answer
-from egretcart.direct.entry import CloseAgent
 from egretcart.direct.entry import DirectEntry
-from egretcart.direct.entry import DirectEntryLimits
-from egretcart.direct.entry import EntryEffect
-from egretcart.direct.entry import SendToAgent
+from egretcart.direct.entry_types import Answer
+from egretcart.direct.entry_types import CloseAgent
+from egretcart.direct.entry_types import DirectEntryLimits
+from egretcart.direct.entry_types import EntryEffect
+from egretcart.direct.entry_types import SendToAgent
 from egretcart.direct.job import Job
 from egretcart.direct.job import JobState
 from egretcart.direct.job import Room
