--- a/egretcart/direct/agent.py
+++ b/egretcart/direct/agent.py
@@ -16,6 +16,7 @@
 from egretcart.direct.backend import StartAnswer
 from egretcart.direct.backend import StartRequest
 from egretcart.direct.backend import StopRequest
+from egretcart.direct.claims import TakeoverMemory
 from egretcart.direct.decisions import BackendChanged
 from egretcart.direct.decisions import DecisionLog
 from egretcart.direct.decisions import PeerChanged
@@ -37,6 +38,7 @@
 from egretcart.direct.messages import HeldTask
 from egretcart.direct.messages import RunTasks
 from egretcart.direct.messages import StopTasks
+from egretcart.direct.messages import TAKEN_OVER_REASON
 from egretcart.direct.messages import TaskEnded
 from egretcart.direct.messages import TaskLate
 from egretcart.direct.progress import Pace
@@ -95,6 +97,7 @@
         self.settled = False
         self.stopping = False
         self.took_tasks = False
+        self.takeovers = TakeoverMemory(memory_s=limits.takeover_memory_s)
         self.lapsed = False
         self.ticked_at = 0.0
         self.effects: list[AgentEffect] = []
@@ -382,6 +385,8 @@
 
     def _queue(self, entry_id: str, message: RunTasks, now: float) -> None:
         refusal = self._refusal(message.room)
+        if self.takeovers.holder(message.job_id) not in (None, entry_id):
+            refusal = TAKEN_OVER_REASON
         for index in message.indexes:
             key = TaskKey(message.job_id, message.step, index)
             held = self.runs.get(key)
@@ -434,6 +439,7 @@
         return ""
 
     def _evict(self, entry_id: str, message: EvictJob, now: float) -> None:
+        self.takeovers.note(message.job_id, entry_id, now)
         for run in self.runs.of_others(message.job_id, entry_id):
             self._stop(run, f"{entry_id} took its job over", now)
         self.links.evictions.append(
@@ -460,6 +466,7 @@
         self.ticked_at = now
         if paused_s > self.limits.pause_s:
             self._resume_after_pause(paused_s, now)
+        self.takeovers.forget_old(now)
         self._check_entries(now)
         self._check_backend(now)
         for run in self.runs:
--- a/egretcart/direct/agent_types.py
+++ b/egretcart/direct/agent_types.py
@@ -36,6 +36,9 @@
         Silence of the backend server from which nothing is started.
     retry_s : float
         Time after which an unanswered order to stop is repeated.
+    takeover_memory_s : float
+        Time for which tasks of a job are refused from entries that it was
+        taken over from, in seconds: longer than their callers wait.
     start_limit_s, stop_limit_s : float
         Time limits of the orders, in seconds.
     """
@@ -47,6 +50,7 @@
     queue_s: float = 0.25
     answer_s: float = 0.3
     retry_s: float = 0.15
+    takeover_memory_s: float = 20.0
     start_limit_s: float = 0.25
     stop_limit_s: float = 0.25
     lease: LeaseLimits = dataclasses.field(default_factory=LeaseLimits)
--- a/egretcart/direct/claims.py
+++ b/egretcart/direct/claims.py
@@ -16,6 +16,38 @@
     told_at: float
 
 
+class TakeoverMemory:
+    """Which entry has last taken a job over from others.
+
+    Parameters
+    ----------
+    memory_s : float
+        Time for which that is remembered, in seconds.
+    """
+
+    def __init__(self, *, memory_s: float) -> None:
+        self.memory_s = memory_s
+        self.claims: OrderedDict[str, Claim] = OrderedDict()
+
+    def note(self, job_id: str, entry_id: str, now: float) -> None:
+        """Note that an entry takes a job over."""
+        self.claims.pop(job_id, None)
+        self.claims[job_id] = Claim(entry_id, now)
+
+    def holder(self, job_id: str) -> str | None:
+        """Return the entry that took a job over; None if none did."""
+        claim = self.claims.get(job_id)
+        return claim.entry_id if claim is not None else None
+
+    def forget_old(self, now: float) -> None:
+        """Drop what is older than the memory."""
+        oldest = now - self.memory_s
+        while self.claims and next(iter(self.claims.values())).told_at < (
+            oldest
+        ):
+            self.claims.popitem(last=False)
+
+
 class ClaimTable:
     """Jobs that were taken in during the last seconds.
 
--- a/egretcart/direct/entry.py
+++ b/egretcart/direct/entry.py
@@ -8,6 +8,7 @@
 
 from egretcart.direct.admission import load_of
 from egretcart.direct.admission import retry_after_s
+from egretcart.direct.backend import StartAnswer
 from egretcart.direct.claims import ClaimTable
 from egretcart.direct.configuration import Route
 from egretcart.direct.configuration import RoutingConfiguration
@@ -49,6 +50,7 @@
 from egretcart.direct.messages import PeerMessage
 from egretcart.direct.messages import ReleaseJob
 from egretcart.direct.messages import StopTasks
+from egretcart.direct.messages import TAKEN_OVER_REASON
 from egretcart.direct.messages import TaskEnded
 from egretcart.direct.messages import TaskLate
 from egretcart.direct.pending_claims import PendingClaim
@@ -532,6 +534,8 @@
                 self._finish(held, JobState.COMPLETED, now)
         elif is_current and task.phase is not TaskPhase.WAITING:
             self._not_done(held, task, ending, message.reason, now)
+            if message.reason == TAKEN_OVER_REASON and held.waiters:
+                self._yield(held, "another entry", now)
         if held.is_over:
             self.ending.pop(held.job.job_id, None)
 
@@ -552,7 +556,7 @@
             task.avoided.add(task.agent_id)
         if ending is Ending.FAILED:
             task.failures += 1
-        if reason == "stale_run":
+        if reason == StartAnswer.STALE_RUN.value:
             task.run += TAKEOVER_RUNS
         if held.waiters:
             self.log.write(
@@ -700,6 +704,10 @@
                 state=held.state.value,
             )
         )
+        for request_id in held.waiters:
+            self.effects.append(
+                Answer(request_id=request_id, interrupted=True)
+            )
         self._cancel(held, f"its caller asks {entry_id}", now)
 
     def _release(self, entry_id: str, message: ReleaseJob, now: float) -> None:
--- a/egretcart/direct/messages.py
+++ b/egretcart/direct/messages.py
@@ -5,6 +5,9 @@
 from egretcart.direct.job import Room
 from egretcart.direct.job import TaskKey
 
+# Why an agent does not take tasks of an entry that has lost their job.
+TAKEN_OVER_REASON = "its job was taken over"
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class PeerAddress:
