--- a/egretcart/direct/agent.py
+++ b/egretcart/direct/agent.py
@@ -573,9 +573,12 @@
                 self._start(run, free, now)
 
     def _may_start(self, now: float) -> bool:
+        # What waited while the process was paused may run elsewhere now.
+        paused = now - self.ticked_at > self.limits.pause_s
         return (
             self.report is not None
             and self.ready
+            and not paused
             and not self.report.draining
             and not self.strays
             and self._is_answering(now)
--- a/egretcart/direct/entry.py
+++ b/egretcart/direct/entry.py
@@ -26,6 +26,7 @@
 from egretcart.direct.decisions import TaskMoved
 from egretcart.direct.entry_types import Answer
 from egretcart.direct.entry_types import CloseAgent
+from egretcart.direct.entry_types import ClosePeer
 from egretcart.direct.entry_types import DirectEntryLimits
 from egretcart.direct.entry_types import EntryEffect
 from egretcart.direct.entry_types import SendToAgent
@@ -89,8 +90,8 @@
     configuration : RoutingConfiguration or None
     agents : dict of str to AgentView
         Agents that are connected.
-    peers : set of str
-        Entries that are connected.
+    peers : dict of str to float
+        Entries that are connected, and when their last heartbeat came.
     jobs : dict of str to HeldJob
         Jobs that a request waits for.
     ending : dict of str to HeldJob
@@ -112,7 +113,7 @@
         self.log = log
         self.configuration: RoutingConfiguration | None = None
         self.agents: dict[str, AgentView] = {}
-        self.peers: set[str] = set()
+        self.peers: dict[str, float] = {}
         self.jobs: dict[str, HeldJob] = {}
         self.ending: dict[str, HeldJob] = {}
         self.ended: OrderedDict[str, tuple[JobState, float]] = OrderedDict()
@@ -207,7 +208,7 @@
                 route,
                 claim=claim,
                 agents=set(self.agents),
-                peers=self.peers,
+                peers=set(self.peers),
                 now=now,
             )
         else:
@@ -655,23 +656,24 @@
 
     # Other entries.
 
-    def peer_connected(self, entry_id: str) -> list[EntryEffect]:
+    def peer_connected(self, entry_id: str, now: float) -> list[EntryEffect]:
         """Note another entry and tell it of the jobs taken in of late."""
-        self.peers.add(entry_id)
+        self.peers[entry_id] = now
         self.log.write(PeerChanged(peer=entry_id, state="connected"))
         taken = JobsTaken(job_ids=self.claims.recent_own())
         self.effects.append(SendToPeer(entry_id, taken))
         return self._take_effects()
 
-    def peer_disconnected(
-        self, entry_id: str, now: float
-    ) -> list[EntryEffect]:
-        """Note that the link to another entry has ended."""
+    def peer_alive(self, entry_id: str, now: float) -> None:
+        """Note a heartbeat on the link to another entry."""
         if entry_id in self.peers:
-            self.peers.discard(entry_id)
+            self.peers[entry_id] = now
+
+    def peer_disconnected(self, entry_id: str) -> None:
+        """Note that the link to another entry has ended."""
+        if self.peers.pop(entry_id, None) is not None:
             self.log.write(PeerChanged(peer=entry_id, state="disconnected"))
             self.pending.note_lost(entry_id)
-        return self._take_effects()
 
     def receive_from_peer(
         self, entry_id: str, message: PeerMessage, now: float
@@ -747,6 +749,7 @@
         if paused_s > self.limits.pause_s:
             self._resume_after_pause(paused_s, now)
         self._check_agents(now)
+        self._check_peers(now)
         self._check_lost(now)
         self._give_up(now)
         self.claims.forget_old(now)
@@ -772,6 +775,13 @@
                 self.effects.append(CloseAgent(agent_id))
                 self._lose_agent(agent_id, "silence", now)
 
+    def _check_peers(self, now: float) -> None:
+        """Open links anew that have gone silent: jobs taken are told there."""
+        for entry_id, heard_at in list(self.peers.items()):
+            if now - heard_at > self.limits.silence_s:
+                self.effects.append(ClosePeer(entry_id))
+                self.peer_disconnected(entry_id)
+
     def _check_lost(self, now: float) -> None:
         """Let tasks wait again whose run at a lost agent is over."""
         for held in (*self.jobs.values(), *self.ending.values()):
--- a/egretcart/direct/entry_process.py
+++ b/egretcart/direct/entry_process.py
@@ -21,6 +21,7 @@
 from egretcart.direct.entry import DirectEntry
 from egretcart.direct.entry_types import Answer
 from egretcart.direct.entry_types import CloseAgent
+from egretcart.direct.entry_types import ClosePeer
 from egretcart.direct.entry_types import DirectEntryLimits
 from egretcart.direct.entry_types import EntryEffect
 from egretcart.direct.entry_types import SendToAgent
@@ -226,6 +227,8 @@
                 link.introduce()
                 self._learn([message.address])
             elif peer_id:
+                if isinstance(message, Beat):
+                    link.send(Beat(version=self.entry.version))
                 self._take_from_peer(peer_id, message, now)
             elif isinstance(message, AgentHello) and not agent_id:
                 agent_id = message.status.agent_id
@@ -261,6 +264,7 @@
 
         def handle(message: Any) -> None:
             nonlocal peer_id
+            now = self.clock.monotonic()
             if isinstance(message, EntryHello) and not peer_id:
                 peer_id = message.entry_id
                 link.introduce()
@@ -268,17 +272,18 @@
                 self.peer_links[peer_id] = link
                 if former is not None:
                     former.close()
-                self._carry_out(self.entry.peer_connected(peer_id))
+                self._carry_out(self.entry.peer_connected(peer_id, now))
                 self._push_configuration(peer_id)
             elif isinstance(message, EntryPeers):
                 self._learn(message.entries)
+            elif isinstance(message, Beat) and peer_id:
+                self.entry.peer_alive(peer_id, now)
 
         known = EntryPeers(entries=tuple(self.known))
         await link.run(handle, first=[self._hello(), known])
         if peer_id and self.peer_links.get(peer_id) is link:
             del self.peer_links[peer_id]
-            now = self.clock.monotonic()
-            self._carry_out(self.entry.peer_disconnected(peer_id, now))
+            self.entry.peer_disconnected(peer_id)
 
     def _hello(self) -> EntryHello:
         return EntryHello(
@@ -363,6 +368,10 @@
                 link = self.agent_links.pop(effect.agent_id, None)
                 if link is not None:
                     link.close()
+            elif isinstance(effect, ClosePeer):
+                link = self.peer_links.pop(effect.entry_id, None)
+                if link is not None:
+                    link.close()
             elif effect.request_id in self.arrivals:
                 self.answers[effect.request_id] = effect
                 self.arrivals[effect.request_id].set()
--- a/egretcart/direct/entry_types.py
+++ b/egretcart/direct/entry_types.py
@@ -22,8 +22,8 @@
     beat_s : float
         Time between two heartbeats to an agent or entry, in seconds.
     silence_s : float
-        Silence of an agent after which its link is closed, in seconds:
-        three beats.
+        Silence of an agent or entry after which its link is closed, in
+        seconds: three beats.
     agent_stop_s : float
         Time in which an agent that hears nothing has stopped all runs, or
         the lease of its backend server has lapsed, in seconds.
@@ -110,6 +110,13 @@
     message: Message
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClosePeer:
+    """Effect: close the link to another entry; it is opened again."""
+
+    entry_id: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CloseAgent:
     """Effect: close the agent's link; it may connect again."""
@@ -117,4 +124,4 @@
     agent_id: str
 
 
-EntryEffect = Answer | SendToAgent | SendToPeer | CloseAgent
+EntryEffect = Answer | SendToAgent | SendToPeer | CloseAgent | ClosePeer
--- a/egretcart/testing/direct_world.py
+++ b/egretcart/testing/direct_world.py
@@ -29,6 +29,7 @@
 from egretcart.direct.entry import DirectEntry
 from egretcart.direct.entry_types import Answer
 from egretcart.direct.entry_types import CloseAgent
+from egretcart.direct.entry_types import ClosePeer
 from egretcart.direct.entry_types import DirectEntryLimits
 from egretcart.direct.entry_types import EntryEffect
 from egretcart.direct.entry_types import SendToAgent
@@ -38,6 +39,7 @@
 from egretcart.direct.job import Step
 from egretcart.direct.job import TaskKey
 from egretcart.direct.messages import AgentHello
+from egretcart.direct.messages import Beat
 from egretcart.testing.fake_backend import FakeBackend
 from egretcart.testing.fake_backend import TaskSize
 
@@ -142,6 +144,7 @@
         self.delay_s = 0.0005
         self.cuts: set[tuple[str, str]] = set()
         self.links: dict[tuple[str, str], int] = {}
+        self.silent: set[int] = set()
         self.hosts: dict[str, Host] = {}
         self.entries: dict[str, DirectEntry] = {}
         self.agents: dict[str, DirectAgent] = {}
@@ -302,9 +305,7 @@
                 name, self.entries[name].agent_disconnected(other, self.now)
             )
         else:
-            self._entry_does(
-                name, self.entries[name].peer_disconnected(other, self.now)
-            )
+            self.entries[name].peer_disconnected(other)
 
     # Links.
 
@@ -330,13 +331,18 @@
     def _send(self, near: str, far: str, action: Callable[[], None]) -> None:
         """Send on the link of two processes, if it still stands on arrival."""
         number = self.links.get(_pair(near, far))
+        if number is None or number in self.silent:
+            return
+        if (near, far) in self.cuts:
+            # Nothing can follow on a stream that lacks a part.
+            self.silent.add(number)
+            return
 
         def arrive() -> None:
             if self.links.get(_pair(near, far)) == number:
                 action()
 
-        if number is not None:
-            self._deliver(near, far, arrive)
+        self._deliver(near, far, arrive)
 
     def _can_connect(self, near: str, far: str) -> bool:
         host = self.hosts[far]
@@ -364,7 +370,7 @@
             if self._can_connect(name, other):
                 self.links[pair] = next(self.numbers)
                 for near, far in ((name, other), (other, name)):
-                    effects = self.entries[near].peer_connected(far)
+                    effects = self.entries[near].peer_connected(far, self.now)
                     self._entry_does(near, effects)
 
     # Entries.
@@ -378,6 +384,8 @@
                 self._to_agent(name, effect.agent_id, effect.message)
             elif isinstance(effect, CloseAgent):
                 self._close(name, effect.agent_id)
+            elif isinstance(effect, ClosePeer):
+                self._close(name, effect.entry_id)
             elif isinstance(effect, Answer):
                 self._answered(name, effect)
             else:
@@ -394,16 +402,15 @@
         )
 
     def _to_peer(self, name: str, entry_id: str, message: Any) -> None:
-        self._send(
-            name,
-            entry_id,
-            lambda: self._entry_does(
-                entry_id,
-                self.entries[entry_id].receive_from_peer(
-                    name, message, self.now
-                ),
-            ),
-        )
+        def arrive() -> None:
+            entry = self.entries[entry_id]
+            if isinstance(message, Beat):
+                entry.peer_alive(name, self.now)
+            else:
+                effects = entry.receive_from_peer(name, message, self.now)
+                self._entry_does(entry_id, effects)
+
+        self._send(name, entry_id, arrive)
 
     def _close(self, near: str, far: str) -> None:
         self.links.pop(_pair(near, far), None)
