Let jobs that are late whatever is done make no others late

A job is now late in the order as soon as its run time does not fit before its objective; a job is refused at once if it is expected to be answered after two thirds of the time in which an answer is of use, which its caller's own time limit bounds as well. Ruled out: refusing all that would be late; a late answer is still of use.

--- a/egretcart/direct/admission.py
+++ b/egretcart/direct/admission.py
@@ -20,14 +20,19 @@
 
     Attributes
     ----------
-    late_factor : float
+    useful_factor : float
         Multiple of the latency objective up to which an answer is still of
         use to its caller.
+    trust : float
+        Share of that up to which a job is taken in: what is expected is
+        wrong by a factor of 1.5 at times, and a caller that is held in
+        vain is worse off than one that is refused.
     min_retry_s, max_retry_s : float
         Bounds of the time to come back, in seconds.
     """
 
-    late_factor: float = 3.0
+    useful_factor: float = 3.0
+    trust: float = 0.67
     min_retry_s: float = 1.0
     max_retry_s: float = 10.0
 
@@ -102,19 +107,26 @@
 
 
 def retry_after_s(
-    load: Load, objective_ms: float, limits: AdmissionLimits
+    load: Load,
+    useful_ms: float,
+    limits: AdmissionLimits,
+    *,
+    is_held: bool = False,
 ) -> float | None:
     """Return when to come back; None if the job can be served in time.
 
     Parameters
     ----------
     load : Load
-    objective_ms : float
-        The job's latency objective, in milliseconds.
+    useful_ms : float
+        Time in which an answer is of use, in milliseconds.
     limits : AdmissionLimits
+    is_held : bool, optional
+        Whether the job was taken in already; it is given up only when it
+        can't be served, not when that is doubtful.
     """
-    limit_ms = limits.late_factor * objective_ms
-    over_ms = load.wait_ms + load.fastest_ms - limit_ms
+    trusted_ms = useful_ms * (1.0 if is_held else limits.trust)
+    over_ms = load.wait_ms + load.fastest_ms - trusted_ms
     if load.has_room or over_ms <= 0:
         return None
     return min(limits.max_retry_s, max(limits.min_retry_s, over_ms / 1000))
--- a/egretcart/direct/agent_types.py
+++ b/egretcart/direct/agent_types.py
@@ -100,7 +100,8 @@
 
     def order(self, now: float) -> tuple[bool, int, float]:
         """Return what sorts the queue: those that can be on time first."""
-        return (self.due < now, self.priority, self.due)
+        is_late = now + self.estimate_ms / 1000 > self.due
+        return (is_late, self.priority, self.due)
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
--- a/egretcart/direct/entry.py
+++ b/egretcart/direct/entry.py
@@ -181,9 +181,25 @@
     # Requests.
 
     def submit(
-        self, request_id: int, job: Job, route: Route, now: float
+        self,
+        request_id: int,
+        job: Job,
+        route: Route,
+        now: float,
+        *,
+        patience_s: float = math.inf,
     ) -> list[EntryEffect]:
-        """Take in a job, or join the one of the same id."""
+        """Take in a job, or join the one of the same id.
+
+        Parameters
+        ----------
+        request_id : int
+        job : Job
+        route : Route
+        now : float
+        patience_s : float, optional
+            How long the caller waits, in seconds.
+        """
         held = self.jobs.get(job.job_id) or self.ending.pop(job.job_id, None)
         pending = self.pending.by_job.get(job.job_id)
         claim = self.claims.holder(job.job_id)
@@ -210,9 +226,17 @@
                 agents=set(self.agents),
                 peers=set(self.peers),
                 now=now,
+                patience_s=patience_s,
             )
         else:
-            self._admit({request_id}, job, route, now, first_run=1)
+            self._admit(
+                {request_id},
+                job,
+                route,
+                now,
+                first_run=1,
+                patience_s=patience_s,
+            )
         self._dispatch(now)
         return self._take_effects()
 
@@ -238,6 +262,7 @@
             pending.route,
             now,
             first_run=1 + TAKEOVER_RUNS * pending.number,
+            patience_s=pending.patience_s,
             may_have_run=True,
         )
 
@@ -249,6 +274,7 @@
         now: float,
         *,
         first_run: int,
+        patience_s: float,
         may_have_run: bool = False,
     ) -> None:
         held = HeldJob(
@@ -257,6 +283,7 @@
             now=now,
             first_run=first_run,
             may_have_run=may_have_run,
+            patience_s=patience_s,
         )
         if self._ends_too_soon(held, now):
             soon_s = self.limits.admission.min_retry_s
@@ -308,11 +335,18 @@
             # Half of the time is the mean until the first one connects.
             meeting_ms = (self.met_by - now) * 1000 / 2
             load = dataclasses.replace(load, meeting_ms=meeting_ms)
-        passed_ms = (now - held.accepted_at) * 1000
-        left_ms = held.objective_ms - passed_ms / (
-            self.limits.admission.late_factor
+        useful_until = min(
+            held.accepted_at
+            + self.limits.admission.useful_factor * held.objective_ms / 1000,
+            held.patient_until,
+        )
+        useful_ms = (useful_until - now) * 1000
+        retry_s = retry_after_s(
+            load,
+            useful_ms,
+            self.limits.admission,
+            is_held=held.job.job_id in self.jobs,
         )
-        retry_s = retry_after_s(load, left_ms, self.limits.admission)
         wait_ms = min(load.wait_ms, 1e6)
         return wait_ms, retry_s
 
--- a/egretcart/direct/entry_process.py
+++ b/egretcart/direct/entry_process.py
@@ -1,6 +1,7 @@
 """The entry's process: moves bytes for `DirectEntry`."""
 
 from collections.abc import Iterable
+import math
 import random
 from typing import Any
 
@@ -168,16 +169,29 @@
         """Connect to another entry and name it to the agents."""
         self._learn([PeerAddress(host=host, port=port)])
 
-    async def submit(self, job: Job, route: Route) -> Answer:
+    async def submit(
+        self, job: Job, route: Route, *, patience_s: float = math.inf
+    ) -> Answer:
         """Take a job in and return its answer.
 
         Cancelling the call means that the caller has left.
+
+        Parameters
+        ----------
+        job : Job
+        route : Route
+        patience_s : float, optional
+            How long the caller waits, in seconds.
         """
         self.last_request += 1
         request_id = self.last_request
         arrival = self.arrivals[request_id] = trio.Event()
         now = self.clock.monotonic()
-        self._carry_out(self.entry.submit(request_id, job, route, now))
+        self._carry_out(
+            self.entry.submit(
+                request_id, job, route, now, patience_s=patience_s
+            )
+        )
         try:
             await arrival.wait()
             return self.answers[request_id]
--- a/egretcart/direct/held_job.py
+++ b/egretcart/direct/held_job.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 import dataclasses
 import enum
+import math
 
 from egretcart.direct.configuration import Route
 from egretcart.direct.job import Job
@@ -63,6 +64,8 @@
         Number of the first run of each task.
     may_have_run : bool, optional
         Whether another entry may have begun it.
+    patience_s : float, optional
+        How long its caller waits, in seconds.
 
     Attributes
     ----------
@@ -81,13 +84,16 @@
         now: float,
         first_run: int,
         may_have_run: bool = False,
+        patience_s: float = math.inf,
     ) -> None:
         self.job = job
         self.route = route
         self.accepted_at = now
         self.may_have_run = may_have_run
+        self.patient_until = now + patience_s
         self.waiters: set[int] = set()
         self.objective_ms = objective_ms(job, route)
+        self.longest_ms = longest_chain_ms(job)
         self.tasks: dict[TaskKey, HeldTask] = {}
         self.left = [step.count for step in job.steps]
         for number, step in enumerate(job.steps):
@@ -124,8 +130,12 @@
         )
 
     def order(self, now: float) -> tuple[bool, int, float]:
-        """Return what sorts held jobs: those that can be on time first."""
-        return (self.due < now, self.route.priority, self.due)
+        """Return what sorts held jobs: those that can be on time first.
+
+        A job that is late whatever is done must not make others late.
+        """
+        is_late = now + self.longest_ms / 1000 > self.due
+        return (is_late, self.route.priority, self.due)
 
     def may_run(self, step: int) -> bool:
         """Whether all steps before have ended with success."""
@@ -164,10 +174,15 @@
         )
 
 
-def objective_ms(job: Job, route: Route) -> float:
-    """Return the latency objective of a job, from its estimates."""
+def longest_chain_ms(job: Job) -> float:
+    """Return the run time of a job with room for all, from its estimates."""
     chains: list[float] = []
     for step in job.steps:
         before = max((chains[number] for number in step.after), default=0.0)
         chains.append(before + step.estimate_ms)
-    return route.stretch * max(chains, default=0.0) + route.slack_ms
+    return max(chains, default=0.0)
+
+
+def objective_ms(job: Job, route: Route) -> float:
+    """Return the latency objective of a job, from its estimates."""
+    return route.stretch * longest_chain_ms(job) + route.slack_ms
--- a/egretcart/direct/pending_claims.py
+++ b/egretcart/direct/pending_claims.py
@@ -24,6 +24,7 @@
     number: int
     waiting_for: set[str]
     until: float
+    patience_s: float
 
 
 class PendingClaims:
@@ -61,6 +62,7 @@
         agents: set[str],
         peers: set[str],
         now: float,
+        patience_s: float,
     ) -> None:
         """Ask all agents, and the entry that holds the job."""
         self.number += 1
@@ -87,6 +89,7 @@
             number=self.number,
             waiting_for=waiting_for,
             until=now + self.claim_s,
+            patience_s=patience_s,
         )
 
     def find(self, number: int) -> PendingClaim | None:
