--- a/Makefile
+++ b/Makefile
@@ -17,14 +17,15 @@
 	$(BIN)/python tools/run_tests.py
 
 lint: $(STAMP)
-	$(BIN)/ruff format --check egretcart tests tools examples
-	$(BIN)/ruff check egretcart tests tools examples
-	$(BIN)/flake8 egretcart tools examples
+	$(BIN)/ruff format --check egretcart platform tests tools examples
+	$(BIN)/ruff check egretcart platform tests tools examples
+	$(BIN)/flake8 egretcart platform tools examples
 	$(BIN)/mypy
+	MYPYPATH=platform:. $(BIN)/mypy platform/adapter
 
 format: $(STAMP)
-	$(BIN)/ruff check --fix egretcart tests tools examples
-	$(BIN)/ruff format egretcart tests tools examples
+	$(BIN)/ruff check --fix egretcart platform tests tools examples
+	$(BIN)/ruff format egretcart platform tests tools examples
 
 binary: $(STAMP)
 	$(BIN)/python tools/build_binary.py
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -1,9 +1,11 @@
-"""Runs all scenarios and closes with a line that counts them.
+"""Runs all scenarios, a few features at a time, and counts them.
 
 A failed scenario that KNOWN-RED.txt names is printed and passed over.
 """
 
 from collections.abc import Iterable
+import concurrent.futures
+import dataclasses
 import json
 import pathlib
 import subprocess
@@ -14,6 +16,11 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 TEST_PREFIX = "test:"
+PASSING = ("passed", "skipped")
+# Scenarios start processes and wait for them; more at a time would have to
+# wait for processors on a machine of four.
+WORKERS = 3
+LONGEST = ("safety", "guards", "direct_world", "takeover", "measures")
 
 
 def known_red() -> set[str]:
@@ -36,8 +43,26 @@
                 yield element["name"], element["status"]
 
 
-def main() -> int:
-    """Run the tests; return 0 unless a scenario fails unexpectedly."""
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class FeatureRun:
+    """How one feature's scenarios ended.
+
+    Attributes
+    ----------
+    output : str
+    results : list of (str, str)
+        Name and status of each scenario.
+    broke_off : bool
+        Whether the runner failed without a failed scenario.
+    """
+
+    output: str
+    results: list[tuple[str, str]]
+    broke_off: bool
+
+
+def run_feature(feature: pathlib.Path) -> FeatureRun:
+    """Run the scenarios of one feature in a process of their own."""
     with tempfile.TemporaryDirectory() as folder:
         report = pathlib.Path(folder) / "report.json"
         # The only outfile goes to the first format; the second one prints.
@@ -49,16 +74,42 @@
             f"--outfile={report}",
             "--format=progress3",
             *sys.argv[1:],
+            str(feature),
         ]
-        finished = subprocess.run(command, cwd=ROOT, check=False)
+        finished = subprocess.run(
+            command, cwd=ROOT, check=False, capture_output=True, text=True
+        )
         results = list(scenarios(report)) if report.exists() else []
+    failed = any(status not in PASSING for _, status in results)
+    return FeatureRun(
+        output=finished.stdout + finished.stderr,
+        results=[result for result in results if result[1] != "skipped"],
+        broke_off=finished.returncode != 0 and not failed,
+    )
+
+
+def features() -> list[pathlib.Path]:
+    """Return all features, the longest first, so that none ends last."""
+    found = sorted((ROOT / "tests" / "features").glob("*.feature"))
+    return sorted(found, key=lambda path: path.stem not in LONGEST)
+
+
+def main() -> int:
+    """Run the tests; return 0 unless a scenario fails unexpectedly."""
+    with concurrent.futures.ThreadPoolExecutor(WORKERS) as pool:
+        runs = []
+        for run in pool.map(run_feature, features()):
+            print(run.output)
+            sys.stdout.flush()
+            runs.append(run)
+    results = [result for run in runs for result in run.results]
     expected = known_red()
     failed = [name for name, status in results if status != "passed"]
     surprises = [name for name in failed if name not in expected]
     for name in failed:
         kind = "KNOWN RED" if name in expected else "FAILED"
         print(f"{kind}: {name}")
-    broken = finished.returncode != 0 and not failed
+    broken = any(run.broke_off for run in runs)
     if broken or not results:
         print("the test runner broke off")
     passed = len(results) - len(failed)
