Take out settings and fields that nothing reads; test the decisions one by one

Nothing reads the store's rates, the metrics port, the time a leaving server has left or an agent's failure domain in these roles. Following the configuration and finding entries are two parts.

--- a/egretcart/direct/admission.py
+++ b/egretcart/direct/admission.py
@@ -10,6 +10,7 @@
 import dataclasses
 import math
 
+from egretcart.direct.configuration import USEFUL_OBJECTIVES
 from egretcart.direct.job import Step
 from egretcart.direct.views import AgentView
 
@@ -31,7 +32,7 @@
         Bounds of the time to come back, in seconds.
     """
 
-    useful_factor: float = 3.0
+    useful_factor: float = USEFUL_OBJECTIVES
     trust: float = 0.67
     min_retry_s: float = 1.0
     max_retry_s: float = 10.0
--- a/egretcart/direct/agent.py
+++ b/egretcart/direct/agent.py
@@ -53,7 +53,6 @@
     ----------
     agent_id : str
     incarnation : int
-    failure_domain : str
     limits : DirectAgentLimits
     log : DecisionLog
 
@@ -75,13 +74,11 @@
         *,
         agent_id: str,
         incarnation: int,
-        failure_domain: str,
         limits: DirectAgentLimits,
         log: DecisionLog,
     ) -> None:
         self.agent_id = agent_id
         self.incarnation = incarnation
-        self.failure_domain = failure_domain
         self.limits = limits
         self.log = log
         self.report: BackendReport | None = None
@@ -723,7 +720,6 @@
             agent_id=self.agent_id,
             incarnation=self.incarnation,
             service_name=report.service if report is not None else "",
-            failure_domain=self.failure_domain,
             labels=report.labels if report is not None else (),
             accepting=self._takes_tasks(now),
             cpu_milli=capacity.cpu_milli,
--- a/egretcart/direct/agent_process.py
+++ b/egretcart/direct/agent_process.py
@@ -26,7 +26,6 @@
 from egretcart.direct.backend import StartRequest
 from egretcart.direct.backend import StopRequest
 from egretcart.direct.backend_memory import BackendMemory
-from egretcart.direct.configuration import RoutingConfiguration
 from egretcart.direct.decisions import DecisionLog
 from egretcart.direct.lease import LeaseLimits
 from egretcart.direct.messages import EntryHello
@@ -91,7 +90,6 @@
         self.agent = DirectAgent(
             agent_id=settings.node,
             incarnation=clock.unix_ms(),
-            failure_domain=settings.failure_domain,
             limits=limits,
             log=log,
         )
@@ -125,9 +123,6 @@
         nursery.start_soon(self._list)
         nursery.start_soon(self._renew)
 
-    def configure(self, configuration: RoutingConfiguration) -> None:
-        """Ignore configurations: an agent runs what entries send."""
-
     def reload(self, settings: DirectAgentSettings) -> None:
         """Take changed settings; addresses of this process don't change."""
         for host, port in settings.seed_endpoints:
--- a/egretcart/direct/backend.py
+++ b/egretcart/direct/backend.py
@@ -36,8 +36,6 @@
     capacity : Room
     labels : tuple of str
     draining : bool
-    remaining_ms : int
-        Least time that is left while it drains; 0 if it is not known.
     clock_ms : int
         The server's steady clock.
     sequence : int
@@ -49,7 +47,6 @@
     capacity: Room
     labels: tuple[str, ...] = ()
     draining: bool = False
-    remaining_ms: int = 0
     clock_ms: int = 0
     sequence: int = 0
 
--- a/egretcart/direct/backend_memory.py
+++ b/egretcart/direct/backend_memory.py
@@ -25,7 +25,7 @@
 def encode_report(report: BackendReport) -> bytes:
     """Return a report as JSON, without what changes with each report."""
     return msgspec.json.encode(
-        dataclasses.replace(report, clock_ms=0, sequence=0, remaining_ms=0)
+        dataclasses.replace(report, clock_ms=0, sequence=0)
     )
 
 
--- a/egretcart/direct/messages.py
+++ b/egretcart/direct/messages.py
@@ -112,7 +112,7 @@
     ----------
     agent_id : str
     incarnation : int
-    service_name, failure_domain : str
+    service_name : str
     labels : tuple of str
     accepting : bool
         Whether it takes new tasks.
@@ -135,7 +135,6 @@
     agent_id: str = ""
     incarnation: int = 0
     service_name: str = ""
-    failure_domain: str = ""
     labels: tuple[str, ...] = ()
     accepting: bool = False
     cpu_milli: int = 0
--- a/egretcart/direct/rescue.py
+++ b/egretcart/direct/rescue.py
@@ -7,6 +7,8 @@
 
 import dataclasses
 
+from egretcart.direct.configuration import USEFUL_OBJECTIVES
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class RescueLimits:
@@ -28,7 +30,7 @@
     late_margin: float = 1.25
     gain_factor: float = 1.5
     overhead_ms: float = 60.0
-    useful_factor: float = 3.0
+    useful_factor: float = USEFUL_OBJECTIVES
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/egretcart/direct/settings.py
+++ b/egretcart/direct/settings.py
@@ -34,16 +34,12 @@
         Addresses of some entries; only their hosts count.
     store : str
         Address of the platform's store.
-    store_writes_per_s, store_reads_per_s : float
-        Rates that all processes share.
     stop_grace_s : float
         Time from a planned stop's start to its end, in seconds.
     max_lease_ms : int
         Longest lease that a backend server grants.
     far_factor : float
         How much longer a task takes on another rack than its data's.
-    metrics_port : int
-        Where metrics are served; 0 for nowhere.
     """
 
     node: Name
@@ -53,12 +49,9 @@
     store: Name
     control: str = ""
     seeds: tuple[str, ...] = ()
-    store_writes_per_s: float = 400.0
-    store_reads_per_s: float = 2000.0
     stop_grace_s: float = 6.0
     max_lease_ms: int = 1000
     far_factor: float = 1.5
-    metrics_port: int = 0
 
     @property
     def seed_endpoints(self) -> list[tuple[str, int]]:
--- a/egretcart/direct/store_follower.py
+++ b/egretcart/direct/store_follower.py
@@ -22,8 +22,73 @@
 STORE = "store"
 
 
-class StoreFollower:
-    """Hands over each configuration, and the entries now and then.
+class StoreState:
+    """Tells once when the store is lost, and once when it is back.
+
+    Parameters
+    ----------
+    log : DecisionLog
+    """
+
+    def __init__(self, *, log: DecisionLog) -> None:
+        self.log = log
+        self.lost = False
+
+    def note_lost(self, error: PlatformError) -> None:
+        """Note a call that failed."""
+        if not self.lost:
+            self.lost = True
+            self.log.write(
+                DependencyChanged(name=STORE, state="lost", cause=str(error))
+            )
+
+    def note_back(self) -> None:
+        """Note a call that was answered."""
+        if self.lost:
+            self.lost = False
+            self.log.write(DependencyChanged(name=STORE, state="back"))
+
+
+class EntryFinder:
+    """Hands over the registered entries now and then.
+
+    Parameters
+    ----------
+    platform : Platform
+    on_entry : callable
+        Called with host and port of each registered entry.
+    log : DecisionLog
+    source : random.Random
+        Source of jitter, so that processes do not call at the same time.
+    """
+
+    def __init__(
+        self,
+        *,
+        platform: Platform,
+        on_entry: Callable[[str, int], None],
+        log: DecisionLog,
+        source: random.Random,
+    ) -> None:
+        self.platform = platform
+        self.on_entry = on_entry
+        self.state = StoreState(log=log)
+        self.source = source
+
+    async def run(self) -> None:
+        """Look for entries until cancelled."""
+        while True:
+            try:
+                for address in await list_entries(self.platform):
+                    self.on_entry(address.host, address.port)
+                self.state.note_back()
+            except PlatformError as error:
+                self.state.note_lost(error)
+            await trio.sleep(LIST_ENTRIES_S * self.source.uniform(0.8, 1.2))
+
+
+class ConfigurationFollower:
+    """Hands over each configuration that is accepted.
 
     Parameters
     ----------
@@ -34,8 +99,6 @@
         Returns the configuration in a value, or raises `ValueError`.
     on_configuration : callable
         Called with each configuration.
-    on_entry : callable
-        Called with host and port of each registered entry.
     log : DecisionLog
     source : random.Random
         Source of jitter, so that entries do not call at the same time.
@@ -48,7 +111,6 @@
         key: str,
         decode: Callable[[bytes], RoutingConfiguration],
         on_configuration: Callable[[RoutingConfiguration], None],
-        on_entry: Callable[[str, int], None],
         log: DecisionLog,
         source: random.Random,
     ) -> None:
@@ -56,35 +118,19 @@
         self.key = key
         self.decode = decode
         self.on_configuration = on_configuration
-        self.on_entry = on_entry
         self.log = log
+        self.state = StoreState(log=log)
         self.source = source
-        self.lost = False
 
     async def run(self) -> None:
         """Follow until cancelled."""
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._follow_configuration)
-            nursery.start_soon(self.follow_entries)
-
-    async def follow_entries(self) -> None:
-        """Hand over the registered entries now and then."""
-        while True:
-            try:
-                for address in await list_entries(self.platform):
-                    self.on_entry(address.host, address.port)
-            except PlatformError as error:
-                self._note_lost(str(error))
-            await trio.sleep(LIST_ENTRIES_S * self.source.uniform(0.8, 1.2))
-
-    async def _follow_configuration(self) -> None:
         pause_s = RETRY_S
         while True:
             began = trio.current_time()
             try:
                 await self._read_and_watch()
             except PlatformError as error:
-                self._note_lost(str(error))
+                self.state.note_lost(error)
             if trio.current_time() - began > MAX_RETRY_S:
                 pause_s = RETRY_S
             await trio.sleep(pause_s * self.source.uniform(0.5, 1.0))
@@ -96,13 +142,12 @@
         if value is not None:
             revision = value.revision
             self._take(value.data)
-        self._note_back()
+        self.state.note_back()
         await self.platform.watch(
             keys_below(self.key), revision + 1, self._take_change
         )
 
     def _take_change(self, change: Change) -> None:
-        self._note_back()
         if change.key == self.key and change.value is not None:
             self._take(change.value.data)
 
@@ -119,15 +164,3 @@
             )
             return
         self.on_configuration(configuration)
-
-    def _note_lost(self, cause: str) -> None:
-        if not self.lost:
-            self.lost = True
-            self.log.write(
-                DependencyChanged(name=STORE, state="lost", cause=cause)
-            )
-
-    def _note_back(self) -> None:
-        if self.lost:
-            self.lost = False
-            self.log.write(DependencyChanged(name=STORE, state="back"))
--- a/egretcart/direct/wire.thrift
+++ b/egretcart/direct/wire.thrift
@@ -49,7 +49,6 @@
   14: optional i64 sequence
   15: optional i32 pace_percent
   16: optional bool probing
-  17: optional string failure_domain
 }
 struct TaskEnded {
   1: optional string job_id
--- a/egretcart/testing/direct_world.py
+++ b/egretcart/testing/direct_world.py
@@ -200,7 +200,6 @@
         self.agents[name] = DirectAgent(
             agent_id=name,
             incarnation=self.hosts[name].epoch,
-            failure_domain="zone",
             limits=DirectAgentLimits(),
             log=self.log,
         )
--- /dev/null
+++ b/tests/features/direct_decisions.feature
@@ -0,0 +1,28 @@
+Feature: The decisions of direct dispatch, one by one
+
+  Scenario: A run is moved only if its caller gains
+    Then a run that stands still is moved
+    And a run that is on time stays, however slow its server
+    And a run on a server that has turned slow is moved where there is room
+    And a run that would be late elsewhere too stays
+
+  Scenario: A job is refused only if it can't be served in time
+    Then a job is never refused while there is room
+    And a job is refused once two thirds of its useful time are not enough
+    And a job that was taken in is given up only when no time is left
+    And the time to come back is between its bounds
+
+  Scenario: A backend server that spoils its tasks is tried anew
+    Then three jobs in a row that go wrong make it pause
+    And each trial that fails doubles the pause up to its bound
+    And one good run clears it
+
+  Scenario: A lease is surely over when its slowest clock says so
+    Then any clock within the drift has ended the lease by then
+
+  Scenario: Estimates that are wrong for whole jobs hardly move a pace
+    Then a job of many tasks counts as one
+    And a server that turns slow is seen after a few jobs
+
+  Scenario: The page of log lines lists every kind with its fields
+    Then docs/logs.md has a row for each decision
--- /dev/null
+++ b/tests/features/steps/direct_decisions_steps.py
@@ -0,0 +1,220 @@
+import dataclasses
+import pathlib
+
+from behave import then
+from hypothesis import given
+from hypothesis import strategies
+
+from egretcart.direct import decisions
+from egretcart.direct.admission import AdmissionLimits
+from egretcart.direct.admission import Load
+from egretcart.direct.admission import retry_after_s
+from egretcart.direct.health import BackendHealth
+from egretcart.direct.health import HealthLimits
+from egretcart.direct.lease import BackendLease
+from egretcart.direct.lease import LeaseLimits
+from egretcart.direct.progress import Pace
+from egretcart.direct.progress import ProgressLimits
+from egretcart.direct.rescue import is_worth_moving
+from egretcart.direct.rescue import LateRun
+from egretcart.direct.rescue import RescueLimits
+
+PAGE = pathlib.Path(__file__).resolve().parents[3] / "docs" / "logs.md"
+SOUND = LateRun(
+    whole_ms=1430.0,
+    done_share=0.1,
+    pace=1.43,
+    elsewhere_pace=0.59,
+    stretch=1.6,
+    slack_ms=60.0,
+    passed_ms=150.0,
+)
+
+
+def moves(**changes):
+    return is_worth_moving(
+        dataclasses.replace(SOUND, **changes), RescueLimits()
+    )
+
+
+@then("a run that stands still is moved")
+def check_stalled(context):
+    assert moves(whole_ms=-1.0, elsewhere_pace=None)
+
+
+@then("a run that is on time stays, however slow its server")
+def check_on_time(context):
+    assert not moves()
+    # A wrong estimate makes it late by the estimate, not by its work.
+    assert not moves(whole_ms=5000.0)
+
+
+@then("a run on a server that has turned slow is moved where there is room")
+def check_slow(context):
+    slow = {"whole_ms": 6500.0, "pace": 6.5}
+    assert moves(**slow)
+    assert not moves(**slow, done_share=0.95)
+    assert not moves(**{**slow, "elsewhere_pace": None})
+
+
+@then("a run that would be late elsewhere too stays")
+def check_late_everywhere(context):
+    late = {"whole_ms": 3000.0, "pace": 3.0, "passed_ms": 4900.0}
+    assert not moves(**late)
+
+
+def load(**changes):
+    fields = {
+        "capacity_milli": 16000.0,
+        "has_room": False,
+        "waiting_milli_ms": 0.0,
+        "fastest_ms": 100.0,
+    }
+    return Load(**{**fields, **changes})
+
+
+LIMITS = AdmissionLimits()
+
+
+@then("a job is never refused while there is room")
+def check_room(context):
+    @given(
+        strategies.floats(0, 1e9),
+        strategies.floats(1, 1e6),
+        strategies.floats(-1e5, 1e5),
+    )
+    def holds(waiting, fastest, useful):
+        found = load(
+            has_room=True, waiting_milli_ms=waiting, fastest_ms=fastest
+        )
+        assert found.wait_ms == 0
+        if fastest <= LIMITS.trust * useful:
+            assert retry_after_s(found, useful, LIMITS) is None
+
+    holds()
+
+
+@then("a job is refused once two thirds of its useful time are not enough")
+def check_trust(context):
+    useful_ms = 600.0
+    enough = load(waiting_milli_ms=16000.0 * 300)
+    scarce = load(waiting_milli_ms=16000.0 * 310)
+    assert retry_after_s(enough, useful_ms, LIMITS) is None
+    assert retry_after_s(scarce, useful_ms, LIMITS) is not None
+
+
+@then("a job that was taken in is given up only when no time is left")
+def check_held(context):
+    found = load(waiting_milli_ms=16000.0 * 490)
+    assert retry_after_s(found, 600.0, LIMITS, is_held=True) is None
+    found = load(waiting_milli_ms=16000.0 * 510)
+    assert retry_after_s(found, 600.0, LIMITS, is_held=True) is not None
+
+
+@then("the time to come back is between its bounds")
+def check_bounds(context):
+    nobody = load(capacity_milli=0.0)
+    assert retry_after_s(nobody, 600.0, LIMITS) == LIMITS.max_retry_s
+    soon = load(waiting_milli_ms=16000.0 * 310)
+    assert retry_after_s(soon, 600.0, LIMITS) == LIMITS.min_retry_s
+
+
+def spoilt(limits, jobs, now=0.0):
+    health = BackendHealth(limits=limits)
+    for number in range(jobs):
+        health.note_bad(f"job-{number}", now)
+    return health
+
+
+@then("three jobs in a row that go wrong make it pause")
+def check_pause(context):
+    limits = HealthLimits()
+    assert spoilt(limits, 2).may_start(running=5, now=0.0)
+    health = spoilt(limits, 3)
+    assert not health.may_start(running=0, now=limits.first_pause_s - 0.01)
+    assert health.may_start(running=0, now=limits.first_pause_s)
+    assert not health.may_start(running=1, now=limits.first_pause_s)
+    alone = BackendHealth(limits=limits)
+    for _ in range(10):
+        alone.note_bad("one-job", 0.0)
+    assert not alone.probing
+
+
+@then("each trial that fails doubles the pause up to its bound")
+def check_doubling(context):
+    limits = HealthLimits()
+    health = spoilt(limits, 3)
+    pauses = []
+    for _ in range(6):
+        now = health.paused_until
+        health.note_bad("trial", now)
+        pauses.append(health.paused_until - now)
+    assert pauses[-1] == limits.max_pause_s
+    assert pauses == sorted(pauses)
+
+
+@then("one good run clears it")
+def check_cleared(context):
+    limits = HealthLimits()
+    health = spoilt(limits, 3)
+    health.note_good()
+    assert health.may_start(running=9, now=health.paused_until)
+    assert not health.probing
+
+
+@then("any clock within the drift has ended the lease by then")
+def check_lease(context):
+    limits = LeaseLimits()
+
+    @given(
+        strategies.floats(1 - limits.clock_drift, 1 + limits.clock_drift),
+        strategies.lists(strategies.floats(0.001, 0.4), max_size=8),
+    )
+    def holds(rate, gaps):
+        lease = BackendLease(limits=limits)
+        lease.restart(1000, 0.0)
+        now = 0.0
+        for gap in gaps:
+            now += gap
+            lease.next_deadline_ms(now)
+            lease.note_answer(1000 + int(now * 1000 * rate), now)
+        lease.start_deadline_ms(now)
+        server_ms = 1000 + lease.over_at * 1000 * rate
+        assert server_ms >= lease.deadline_ms
+
+    holds()
+
+
+@then("a job of many tasks counts as one")
+def check_one_vote(context):
+    pace = Pace(limits=ProgressLimits())
+    for number in range(10):
+        pace.note(f"job-{number}", 100.0, 100.0)
+    for _ in range(50):
+        pace.note("wrong", 300.0, 100.0)
+    assert pace.percent() <= 112, pace.percent()
+
+
+@then("a server that turns slow is seen after a few jobs")
+def check_turned_slow(context):
+    pace = Pace(limits=ProgressLimits())
+    for number in range(20):
+        pace.note(f"job-{number}", 100.0, 100.0)
+    for number in range(8):
+        for _ in range(3):
+            pace.note(f"late-{number}", 650.0, 100.0)
+    assert pace.percent() >= 180, pace.percent()
+
+
+@then("docs/logs.md has a row for each decision")
+def check_page(context):
+    rows = {}
+    for line in PAGE.read_text().splitlines():
+        cells = [cell.strip() for cell in line.strip("|").split("|")]
+        if len(cells) == 4:
+            rows[cells[0]] = cells[3]
+    kinds = decisions.Decision.__subclasses__()
+    assert len(kinds) >= 18
+    for kind in kinds:
+        names = [field.name for field in dataclasses.fields(kind)]
+        assert rows.get(kind.__name__) == ", ".join(names), kind
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -17,6 +17,7 @@
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 TEST_PREFIX = "test:"
 PASSING = ("passed", "skipped")
+SUFFIX = ".feature"
 # Scenarios start processes and wait for them; more at a time would have to
 # wait for processors on a machine of four.
 WORKERS = 3
@@ -73,7 +74,7 @@
             "--format=json",
             f"--outfile={report}",
             "--format=progress3",
-            *sys.argv[1:],
+            *options(),
             str(feature),
         ]
         finished = subprocess.run(
@@ -88,8 +89,16 @@
     )
 
 
+def options() -> list[str]:
+    """Return the arguments that are passed on to behave."""
+    return [word for word in sys.argv[1:] if not word.endswith(SUFFIX)]
+
+
 def features() -> list[pathlib.Path]:
-    """Return all features, the longest first, so that none ends last."""
+    """Return the named features, or all, the longest first."""
+    named = [word for word in sys.argv[1:] if word.endswith(SUFFIX)]
+    if named:
+        return [pathlib.Path(word) for word in named]
     found = sorted((ROOT / "tests" / "features").glob("*.feature"))
     return sorted(found, key=lambda path: path.stem not in LONGEST)
 
