--- a/egretcart/direct/entry.py
+++ b/egretcart/direct/entry.py
@@ -200,7 +200,7 @@
         patience_s : float, optional
             How long the caller waits, in seconds.
         """
-        held = self.jobs.get(job.job_id) or self.ending.pop(job.job_id, None)
+        held = self.jobs.get(job.job_id) or self.ending.get(job.job_id)
         pending = self.pending.by_job.get(job.job_id)
         claim = self.claims.holder(job.job_id)
         ended = self.ended.get(job.job_id)
@@ -209,6 +209,7 @@
             self._refuse_unserved(request_id, job, route, unserved)
         elif held is not None:
             held.waiters.add(request_id)
+            self.ending.pop(job.job_id, None)
             self.jobs[job.job_id] = held
             self._note_joined(job.job_id, held.state.value)
         elif pending is not None:
--- a/egretcart/process/cli.py
+++ b/egretcart/process/cli.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import fileinput
 import json
 import pathlib
 import sys
@@ -10,6 +11,7 @@
 import docopt
 import trio
 
+from egretcart.direct.explain import explain
 from egretcart.load.command import load_command
 from egretcart.process.agent.agent_process import AgentProcess
 from egretcart.process.agent.agent_types import AgentLimits
@@ -56,6 +58,7 @@
   egretcart status [--platform=ADDRESS | --entry=ADDRESS]
   egretcart drain AGENT [--undo] [--reason=TEXT] [--yes] [--as=NAME]
             [--platform=ADDRESS | --entry=ADDRESS]
+  egretcart explain JOB_ID [FILE...]
   egretcart repair --reason=TEXT [--yes] [--as=NAME]
             [--platform=ADDRESS | --entry=ADDRESS]
   egretcart (-h | --help)
@@ -77,6 +80,8 @@
   history           Print who changed what, when and why.
   status            Print each process's version, role, terms and load.
   drain             Give an agent no new work, or --undo that.
+  explain           Print the life of one job from the log lines of entries
+                    and agents; without files, from standard input.
   repair            Put what entries have in force into a store that lost it.
 
 Options:
@@ -130,6 +135,8 @@
         return trio.run(run_demo)
     if any(parsed[name] for name in OPERATOR_COMMANDS):
         return run_operator_command(parsed)
+    if parsed["explain"]:
+        return explain_command(parsed["JOB_ID"], parsed["FILE"])
     if parsed["submit"]:
         return submit_command(pathlib.Path(parsed["JOB"]))
     if parsed["load"]:
@@ -146,6 +153,21 @@
     return _run_role(parsed, BackendStandInSettings, _run_backend)
 
 
+def explain_command(job_id: str, files: list[str]) -> int:
+    """Print the life of a job; fail if no line names it."""
+    try:
+        with fileinput.input(files, errors="replace") as lines:
+            story = explain(job_id, lines)
+    except OSError as error:
+        print(error, file=sys.stderr)
+        return EXIT_USAGE
+    if not story:
+        print(f'no line names job "{job_id}"', file=sys.stderr)
+        return EXIT_FAILED
+    print("\n".join(story))
+    return EXIT_OK
+
+
 def _run_role(
     parsed: dict[str, Any],
     kind: type[SettingsBase],
