--- a/egretcart/direct/agent.py
+++ b/egretcart/direct/agent.py
@@ -122,7 +122,7 @@
         self.report = report
         self.lease.note_answer(report.clock_ms, now)
         if report.draining:
-            self._refuse_queue("the backend server is leaving")
+            self._refuse_queue("the backend server is leaving", now)
         self._changed(now)
         return self._take_effects()
 
@@ -205,6 +205,8 @@
         if not self.ready and not self.strays:
             self.ready = self.settled = True
             was_silent = True
+            # A recalled report tells no clock to make the token from.
+            self.fencing_token = max(self.fencing_token, listing.clock_ms)
         if was_silent:
             self._note_backend("answering", "a listing came", now)
         self._changed(now)
@@ -550,7 +552,7 @@
     def stop(self, now: float) -> list[AgentEffect]:
         """Take nothing new; what runs may end."""
         self.stopping = True
-        self._refuse_queue("the agent is leaving")
+        self._refuse_queue("the agent is leaving", now)
         self._changed(now)
         return self._take_effects()
 
@@ -635,9 +637,9 @@
         for run in self.runs.of_entry(entry_id):
             self._stop(run, reason, now)
 
-    def _refuse_queue(self, reason: str) -> None:
+    def _refuse_queue(self, reason: str, now: float) -> None:
         for run in self.runs.waiting():
-            self._end(run, Ending.NOT_RUN, reason, run.received)
+            self._end(run, Ending.NOT_RUN, reason, now)
 
     def _lose_all(self, reason: str, now: float) -> None:
         for run in self.runs:
--- a/tests/features/direct_decisions.feature
+++ b/tests/features/direct_decisions.feature
@@ -24,5 +24,8 @@
     Then a job of many tasks counts as one
     And a server that turns slow is seen after a few jobs
 
+  Scenario: Each incarnation of an agent has a higher fencing token
+    Then an agent that recalls its server takes a token from the first listing
+
   Scenario: The page of log lines lists every kind with its fields
     Then docs/logs.md has a row for each decision
--- a/tests/features/steps/direct_decisions_steps.py
+++ b/tests/features/steps/direct_decisions_steps.py
@@ -9,8 +9,15 @@
 from egretcart.direct.admission import AdmissionLimits
 from egretcart.direct.admission import Load
 from egretcart.direct.admission import retry_after_s
+from egretcart.direct.agent import DirectAgent
+from egretcart.direct.agent_types import DirectAgentLimits
+from egretcart.direct.backend import BackendReport
+from egretcart.direct.backend import Lifetime
+from egretcart.direct.backend import Listing
+from egretcart.direct.decisions import NullDecisionLog
 from egretcart.direct.health import BackendHealth
 from egretcart.direct.health import HealthLimits
+from egretcart.direct.job import Room
 from egretcart.direct.lease import BackendLease
 from egretcart.direct.lease import LeaseLimits
 from egretcart.direct.progress import Pace
@@ -206,6 +213,28 @@
     assert pace.percent() >= 180, pace.percent()
 
 
+@then("an agent that recalls its server takes a token from the first listing")
+def check_token(context):
+    lifetime = Lifetime("server", 1)
+    tokens = []
+    for clock_ms in (5000, 9000):
+        agent = DirectAgent(
+            agent_id="agent",
+            incarnation=clock_ms,
+            limits=DirectAgentLimits(),
+            log=NullDecisionLog(),
+        )
+        recalled = BackendReport(
+            lifetime=lifetime, service="service", capacity=Room(1, 1, 0)
+        )
+        agent.reported(recalled, 1.0)
+        listing = Listing(clock_ms=clock_ms, born_ms=lifetime.born_ms)
+        agent.listed(listing, lifetime, 1.0, 1.01)
+        request = agent.hold_request(1.02, wait_ms=100)
+        tokens.append(request.fencing_token)
+    assert tokens == [5000, 9000], tokens
+
+
 @then("docs/logs.md has a row for each decision")
 def check_page(context):
     rows = {}
