--- a/egretcart/direct/agent.py
+++ b/egretcart/direct/agent.py
@@ -389,7 +389,10 @@
         for index in message.indexes:
             key = TaskKey(message.job_id, message.step, index)
             held = self.runs.get(key)
-            if held is not None and held.run == message.run:
+            if held is not None and (held.entry_id, held.run) == (
+                entry_id,
+                message.run,
+            ):
                 continue
             reason = refusal or ("held by a run" if held is not None else "")
             if reason:
--- a/tests/features/direct_decisions.feature
+++ b/tests/features/direct_decisions.feature
@@ -27,5 +27,8 @@
   Scenario: Each incarnation of an agent has a higher fencing token
     Then an agent that recalls its server takes a token from the first listing
 
+  Scenario: A task that an agent runs for another entry is given back
+    Then two entries that send the same run are told apart
+
   Scenario: The page of log lines lists every kind with its fields
     Then docs/logs.md has a row for each decision
--- a/tests/features/steps/direct_decisions_steps.py
+++ b/tests/features/steps/direct_decisions_steps.py
@@ -11,6 +11,7 @@
 from egretcart.direct.admission import retry_after_s
 from egretcart.direct.agent import DirectAgent
 from egretcart.direct.agent_types import DirectAgentLimits
+from egretcart.direct.agent_types import SendToEntry
 from egretcart.direct.backend import BackendReport
 from egretcart.direct.backend import Lifetime
 from egretcart.direct.backend import Listing
@@ -20,6 +21,8 @@
 from egretcart.direct.job import Room
 from egretcart.direct.lease import BackendLease
 from egretcart.direct.lease import LeaseLimits
+from egretcart.direct.messages import RunTasks
+from egretcart.direct.messages import TaskEnded
 from egretcart.direct.progress import Pace
 from egretcart.direct.progress import ProgressLimits
 from egretcart.direct.rescue import is_worth_moving
@@ -235,6 +238,40 @@
     assert tokens == [5000, 9000], tokens
 
 
+@then("two entries that send the same run are told apart")
+def check_two_entries(context):
+    agent = DirectAgent(
+        agent_id="agent",
+        incarnation=1,
+        limits=DirectAgentLimits(),
+        log=NullDecisionLog(),
+    )
+    lifetime = Lifetime("server", 1)
+    report = BackendReport(
+        lifetime=lifetime,
+        service="service",
+        capacity=Room(10, 10, 0),
+        clock_ms=5000,
+    )
+    agent.tick(1.0)
+    agent.reported(report, 1.0)
+    listing = Listing(clock_ms=5000, born_ms=lifetime.born_ms)
+    agent.listed(listing, lifetime, 1.0, 1.01)
+    tasks = RunTasks(
+        sequence=1, job_id="a" * 16, indexes=(0,), run=1, cpu_milli=1
+    )
+    endings = {}
+    for entry_id in ("entry-1", "entry-2", "entry-1"):
+        agent.entry_connected(entry_id, 1, 1.02)
+        endings[entry_id] = [
+            effect.message.reason
+            for effect in agent.receive(entry_id, tasks, 1.02)
+            if isinstance(effect, SendToEntry)
+            and isinstance(effect.message, TaskEnded)
+        ]
+    assert endings == {"entry-1": [], "entry-2": ["held by a run"]}, endings
+
+
 @then("docs/logs.md has a row for each decision")
 def check_page(context):
     rows = {}
