--- a/tests/features/steps/takeover_steps.py
+++ b/tests/features/steps/takeover_steps.py
@@ -69,7 +69,7 @@
 def check_search_sees(context, case, guard):
     if guard in COUNTS:
         name, count = COUNTS[guard]
-        with mock.patch(f"egretcart.process.quorum.{name}", count):
+        with mock.patch(f"egretcart.process.cell.quorum.{name}", count):
             _, path = search(CASES[case], depth_first=True)
     else:
         _, path = search(CASES[case].without(guard), depth_first=True)
