End other entries' runs first while one of them tells nothing here

Agents now tell entries which others they serve; a job that an unheard entry may run is first ended at all agents, as one that another entry has told of. Ruled out: asking all agents about every job, a round trip a job in calm. Open: an agent that the second entry can't reach either.

--- a/egretcart/direct/agent.py
+++ b/egretcart/direct/agent.py
@@ -344,6 +344,7 @@
             status=self.status(0, now), held=held, settled=self.settled
         )
         self.links.send(entry_id, hello)
+        self.links.tell_entries()
         return self._take_effects()
 
     def entry_disconnected(self, entry_id: str) -> None:
@@ -506,6 +507,7 @@
             self._stop_runs_of(entry_id, "its entry is silent", now)
             if state.connected:
                 self.effects.append(CloseEntry(entry_id))
+            self.links.tell_entries()
 
     def _check_backend(self, now: float) -> None:
         if self.report is None or self.lapsed or now <= self.lease.over_at:
--- a/egretcart/direct/decisions.py
+++ b/egretcart/direct/decisions.py
@@ -48,11 +48,14 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class JobClaimed(Decision):
-    """An entry takes a job over that another one has taken in."""
+    """An entry has other entries' runs of a job ended before its own.
+
+    `holders` are the entry that has told of it, and those that tell
+    nothing here.
+    """
 
     job_id: str
-    former_entry: str
-    age_s: float
+    holders: tuple[str, ...]
     asked: int
 
 
--- a/egretcart/direct/entry.py
+++ b/egretcart/direct/entry.py
@@ -45,6 +45,7 @@
 from egretcart.direct.messages import AgentMessage
 from egretcart.direct.messages import AgentStatus
 from egretcart.direct.messages import Beat
+from egretcart.direct.messages import EntriesServed
 from egretcart.direct.messages import JobEvicted
 from egretcart.direct.messages import JobReleased
 from egretcart.direct.messages import JobsTaken
@@ -218,12 +219,13 @@
         elif ended is not None:
             self._note_joined(job.job_id, ended[0].value)
             self.effects.append(Answer(request_id=request_id, state=ended[0]))
-        elif claim is not None:
+        elif claim is not None or self._unheard_entries():
+            holder = {claim.entry_id} if claim is not None else set()
             self.pending.begin(
                 request_id,
                 job,
                 route,
-                claim=claim,
+                holders=holder | self._unheard_entries(),
                 agents=set(self.agents),
                 peers=set(self.peers),
                 now=now,
@@ -241,6 +243,18 @@
         self._dispatch(now)
         return self._take_effects()
 
+    def _unheard_entries(self) -> set[str]:
+        """Return the entries that agents serve and that tell no claims here.
+
+        Any job may run for them.
+        """
+        served = {
+            entry_id
+            for view in self.agents.values()
+            for entry_id in view.entries
+        }
+        return served - self.peers.keys() - {self.entry_id}
+
     def _refuse_unserved(
         self, request_id: int, job: Job, route: Route, cause: str
     ) -> None:
@@ -545,6 +559,8 @@
             self._ended(agent_id, message, now)
         elif isinstance(message, TaskLate):
             self._late(agent_id, message, now)
+        elif isinstance(message, EntriesServed):
+            view.entries = frozenset(message.entry_ids)
         elif isinstance(message, JobEvicted):
             self.pending.note_answer(message.number, agent_id)
         return self._take_effects()
--- a/egretcart/direct/entry_links.py
+++ b/egretcart/direct/entry_links.py
@@ -7,6 +7,7 @@
 from egretcart.direct.agent_types import Eviction
 from egretcart.direct.agent_types import SendToEntry
 from egretcart.direct.messages import AgentStatus
+from egretcart.direct.messages import EntriesServed
 from egretcart.direct.messages import JobEvicted
 from egretcart.direct.messages import Message
 
@@ -54,6 +55,12 @@
         if state is not None and state.connected:
             self.effects.append(SendToEntry(entry_id, message))
 
+    def tell_entries(self) -> None:
+        """Tell all entries of each other; one has come or gone."""
+        served = EntriesServed(entry_ids=tuple(self.entries))
+        for entry_id in self.entries:
+            self.send(entry_id, served)
+
     def tell_due(self, now: float) -> None:
         """Send statuses to those that should have a new one."""
         for entry_id, state in self.entries.items():
--- a/egretcart/direct/messages.py
+++ b/egretcart/direct/messages.py
@@ -246,6 +246,13 @@
     number: int = 0
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class EntriesServed:
+    """The entries for which the agent may run something."""
+
+    entry_ids: tuple[str, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class JobsTaken:
     """Jobs that the sender has taken in of late."""
@@ -284,7 +291,13 @@
 
 
 AgentMessage = (
-    AgentHello | AgentStatus | TaskEnded | TaskLate | JobEvicted | Beat
+    AgentHello
+    | AgentStatus
+    | TaskEnded
+    | TaskLate
+    | JobEvicted
+    | EntriesServed
+    | Beat
 )
 EntryMessage = EntryHello | EntryPeers | Beat | RunTasks | StopTasks | EvictJob
 PeerMessage = (
--- a/egretcart/direct/pending_claims.py
+++ b/egretcart/direct/pending_claims.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 
-from egretcart.direct.claims import Claim
 from egretcart.direct.configuration import Route
 from egretcart.direct.decisions import DecisionLog
 from egretcart.direct.decisions import JobClaimed
@@ -58,27 +57,26 @@
         job: Job,
         route: Route,
         *,
-        claim: Claim,
+        holders: set[str],
         agents: set[str],
         peers: set[str],
         now: float,
         patience_s: float,
     ) -> None:
-        """Ask all agents, and the entry that holds the job."""
+        """Ask all agents, and the entries that may hold the job."""
         self.number += 1
         waiting_for = set(agents)
         for agent_id in agents:
             evict = EvictJob(number=self.number, job_id=job.job_id)
             self.effects.append(SendToAgent(agent_id, evict))
-        if claim.entry_id in peers:
-            waiting_for.add(claim.entry_id)
+        for entry_id in holders & peers:
+            waiting_for.add(entry_id)
             release = ReleaseJob(number=self.number, job_id=job.job_id)
-            self.effects.append(SendToPeer(claim.entry_id, release))
+            self.effects.append(SendToPeer(entry_id, release))
         self.log.write(
             JobClaimed(
                 job_id=job.job_id,
-                former_entry=claim.entry_id,
-                age_s=round(now - claim.told_at, 3),
+                holders=tuple(sorted(holders)),
                 asked=len(waiting_for),
             )
         )
--- a/egretcart/direct/views.py
+++ b/egretcart/direct/views.py
@@ -33,6 +33,8 @@
         When the status came.
     heard_at : float
         When anything came.
+    entries : frozenset of str
+        The entries for which it may run something.
     sent : dict of int to Sent
         By sequence; those that no status has taken in.
     """
@@ -41,6 +43,7 @@
         self.status = status
         self.told_at = now
         self.heard_at = now
+        self.entries: frozenset[str] = frozenset()
         self.sequence = 0
         self.sent: dict[int, Sent] = {}
         self.sent_room = NO_ROOM
--- a/egretcart/direct/wire.thrift
+++ b/egretcart/direct/wire.thrift
@@ -79,6 +79,7 @@
   3: optional bool settled
 }
 struct JobEvicted { 1: optional i64 number }
+struct EntriesServed { 1: optional list<string> entry_ids }
 
 // Between entries.
 struct JobsTaken { 1: optional list<string> job_ids }
@@ -102,5 +103,6 @@
   13: optional ReleaseJob release_job
   14: optional JobReleased job_released
   15: optional Routing routing
+  16: optional EntriesServed entries_served
 }
 struct Frame { 1: optional list<Message> messages }
