--- a/egretcart/direct/decisions.py
+++ b/egretcart/direct/decisions.py
@@ -23,6 +23,7 @@
     version: int
     tasks: int
     objective_ms: int
+    patience_ms: int | None
     expected_wait_ms: int
 
 
--- a/egretcart/direct/entry.py
+++ b/egretcart/direct/entry.py
@@ -320,6 +320,9 @@
                 version=self.version,
                 tasks=len(held.tasks),
                 objective_ms=round(held.objective_ms),
+                patience_ms=(
+                    round(patience_s * 1000) if patience_s < math.inf else None
+                ),
                 expected_wait_ms=round(wait_ms),
             )
         )
