Wait for paused agents before a job is taken over; trust no answer from before

Heartbeats to agents grow with the number of agents, 0.15 to 0.3 s, and leases are renewed on the agent's tick. Not yet measured on the sites.

--- a/egretcart/direct/agent.py
+++ b/egretcart/direct/agent.py
@@ -33,6 +33,7 @@
 from egretcart.direct.lease import BackendLease
 from egretcart.direct.messages import AgentHello
 from egretcart.direct.messages import AgentStatus
+from egretcart.direct.messages import Beat
 from egretcart.direct.messages import EntryMessage
 from egretcart.direct.messages import EvictJob
 from egretcart.direct.messages import HeldTask
@@ -94,13 +95,14 @@
         self.settled = False
         self.stopping = False
         self.took_tasks = False
+        self.resumed_at = 0.0
         self.takeovers = TakeoverMemory(memory_s=limits.takeover_memory_s)
         self.lapsed = False
+        self.began_at = 0.0
         self.ticked_at = 0.0
         self.effects: list[AgentEffect] = []
         self.links = EntryLinks(
             effects=self.effects,
-            beat_s=limits.beat_s,
             status_gap_s=limits.status_gap_s,
             max_statuses_per_s=limits.max_statuses_per_s,
             status=self.status,
@@ -134,7 +136,8 @@
         self.newest_born_ms = report.lifetime.born_ms
         # The server's clock rises for as long as its lifetime, so that
         # each incarnation of the agent has a higher token than the last.
-        self.fencing_token = max(1, report.clock_ms)
+        # Late orders to a former lifetime of the instance are refused.
+        self.fencing_token = max(self.fencing_token + 1, report.clock_ms)
         self.acknowledged = 0
         self.ready = False
         self.lapsed = False
@@ -155,9 +158,13 @@
         return self._take_effects()
 
     def token_refused(self, clock_ms: int, now: float) -> list[AgentEffect]:
-        """Raise the fencing token above one that the server has seen."""
+        """Raise the fencing token above one that the server has seen.
+
+        The server does not say which. A late order to a former lifetime may
+        have carried one far above the server's clock.
+        """
         self.lease.note_answer(clock_ms, now)
-        self.fencing_token = max(self.fencing_token + 1, clock_ms)
+        self.fencing_token = max(2 * self.fencing_token, clock_ms)
         return []
 
     def hold_request(self, now: float, *, wait_ms: int) -> HoldRequest | None:
@@ -196,6 +203,10 @@
         """
         if self.report is None or self.report.lifetime != lifetime:
             return []
+        if asked_at < self.resumed_at:
+            # It may have waited while the process was paused; its server
+            # may have ended and another lifetime begun meanwhile.
+            return []
         if listing.born_ms != lifetime.born_ms:
             return self.gone("another lifetime answers", now)
         was_silent = not self._is_answering(now)
@@ -204,7 +215,8 @@
         self._take_ends(listing, now)
         self._take_running(listing, asked_at, now)
         if not self.ready and not self.strays:
-            self.ready = self.settled = True
+            self.ready = True
+            self._settle()
             was_silent = True
             # A recalled report tells no clock to make the token from.
             self.fencing_token = max(self.fencing_token, listing.clock_ms)
@@ -300,7 +312,7 @@
         if answer is StartAnswer.UNHEALTHY:
             self.health.note_bad(run.key.job_id, now)
         if answer is StartAnswer.STALE_TOKEN:
-            self.fencing_token += 1
+            self.fencing_token *= 2
         invalid = answer is StartAnswer.INVALID
         ending = Ending.INVALID if invalid else Ending.NOT_RUN
         self._end(run, ending, answer.value, now)
@@ -329,7 +341,7 @@
         if state is not None and state.incarnation != incarnation:
             self._stop_runs_of(entry_id, "its entry has started anew", now)
         self.links.entries[entry_id] = EntryState(
-            incarnation=incarnation, heard_at=now
+            incarnation=incarnation, heard_at=now, beat_s=self.limits.beat_s
         )
         self.log.write(PeerChanged(peer=entry_id, state="connected"))
         held = tuple(
@@ -359,7 +371,7 @@
         self, entry_id: str, message: EntryMessage, now: float
     ) -> list[AgentEffect]:
         """Take a message of a connected entry."""
-        if now - self.ticked_at > self.limits.pause_s:
+        if self.ticked_at and now - self.ticked_at > self.limits.pause_s:
             # The message may have waited while the process was paused.
             return self.tick(now)
         state = self.links.entries.get(entry_id)
@@ -379,6 +391,9 @@
                     self._stop(run, "its entry took it back", now)
         elif isinstance(message, EvictJob):
             self._evict(entry_id, message, now)
+        elif isinstance(message, Beat) and message.interval_ms:
+            state.beat_s = message.interval_ms / 1000
+            return []
         else:
             return []
         self._changed(now)
@@ -456,6 +471,8 @@
         self._answer_evictions()
 
     def _answer_evictions(self) -> None:
+        if not self.settled:
+            return
         self.links.answer_evictions(
             lambda eviction: (
                 not self.runs.of_others(eviction.job_id, eviction.entry_id)
@@ -468,11 +485,13 @@
         """Look after what is overdue; called every 50 ms or so."""
         paused_s = now - self.ticked_at if self.ticked_at else 0.0
         self.ticked_at = now
+        self.began_at = self.began_at or now
         if paused_s > self.limits.pause_s:
             self._resume_after_pause(paused_s, now)
         self.takeovers.forget_old(now)
         self._check_entries(now)
         self._check_backend(now)
+        self._check_settled(now)
         for run in self.runs:
             self._check_run(run, now)
         for key, number in self.strays.items():
@@ -485,6 +504,8 @@
         self.log.write(
             ProcessChanged(state="paused", paused_ms=round(paused_s * 1000))
         )
+        self.resumed_at = now
+        self.ready = False
         for entry_id, state in self.links.entries.items():
             self._stop_runs_of(entry_id, "the agent was paused", now)
             if state.connected:
@@ -494,7 +515,7 @@
     def _check_entries(self, now: float) -> None:
         for entry_id, state in list(self.links.entries.items()):
             silent_s = now - state.heard_at
-            if silent_s <= self.limits.silence_s:
+            if silent_s <= self.limits.silent_beats * state.beat_s:
                 continue
             self.log.write(
                 PeerChanged(
@@ -518,6 +539,18 @@
             self._note_backend("lease lapsed", "it gives no answer", now)
         self._lose_all("the lease has lapsed", now)
 
+    def _check_settled(self, now: float) -> None:
+        """Note that the former incarnation's lease has lapsed."""
+        silent = self.report is None or self.lapsed
+        if silent and now - self.began_at > self.lease.limits.longest_s:
+            self._settle()
+
+    def _settle(self) -> None:
+        """Note that nothing runs here that this incarnation doesn't know."""
+        if not self.settled:
+            self.settled = True
+            self._answer_evictions()
+
     def _check_run(self, run: Run, now: float) -> None:
         if run.phase is RunPhase.QUEUED:
             if now - run.received > self.limits.queue_s:
--- a/egretcart/direct/agent_process.py
+++ b/egretcart/direct/agent_process.py
@@ -43,7 +43,6 @@
 # A lease is renewed apart from listings once the last answer is so old, so
 # that a lost answer does not let it lapse.
 RENEWAL_AGE_S = 0.13
-RENEWAL_INTERVAL_S = 0.06
 NO_BACKEND_PAUSE_S = 0.05
 MS_PER_S = 1000
 # Share of the longest lease that is asked for, see `LeaseLimits`.
@@ -121,7 +120,6 @@
         nursery.start_soon(self.memory.run)
         nursery.start_soon(self._tick)
         nursery.start_soon(self._list)
-        nursery.start_soon(self._renew)
 
     def reload(self, settings: DirectAgentSettings) -> None:
         """Take changed settings; addresses of this process don't change."""
@@ -169,13 +167,11 @@
             if not await self._hold(LISTING_WAIT_MS):
                 await trio.sleep(NO_BACKEND_PAUSE_S)
 
-    async def _renew(self) -> None:
+    def _renew(self, now: float) -> None:
         """Renew the lease while listings get no answer."""
-        while True:
-            await trio.sleep(RENEWAL_INTERVAL_S)
-            age_s = self.clock.monotonic() - self.agent.lease.answered_at
-            if self.agent.report is not None and age_s > RENEWAL_AGE_S:
-                self.nursery.start_soon(self._hold, 0)
+        age_s = now - self.agent.lease.answered_at
+        if self.agent.report is not None and age_s > RENEWAL_AGE_S:
+            self.nursery.start_soon(self._hold, 0)
 
     async def _hold(self, wait_ms: int) -> bool:
         """Renew and list once; return whether an answer came."""
@@ -285,5 +281,7 @@
 
     async def _tick(self) -> None:
         while True:
-            self._carry_out(self.agent.tick(self.clock.monotonic()))
+            now = self.clock.monotonic()
+            self._renew(now)
+            self._carry_out(self.agent.tick(now))
             await trio.sleep(TICK_S)
--- a/egretcart/direct/agent_types.py
+++ b/egretcart/direct/agent_types.py
@@ -21,16 +21,16 @@
     Attributes
     ----------
     beat_s : float
-        Longest time between two statuses to an entry, in seconds.
+        Longest time between two statuses to an entry, in seconds, unless
+        that entry has set another one.
     status_gap_s : float
         Shortest time between two, but for the entry whose run has ended.
     max_statuses_per_s : float
         Statuses to all entries together, but for those that are due, per
         second: each takes about 0.2 ms at both of its ends, so that they
         take 3 % of a core however many entries there are.
-    silence_s : float
-        Silence of an entry after which its runs are stopped, in seconds:
-        three beats.
+    silent_beats : float
+        Silence of an entry after which its runs are stopped, in beats.
     pause_s : float
         Gap between two ticks from which the process counts as paused;
         entries may have given its runs up meanwhile.
@@ -50,7 +50,7 @@
     beat_s: float = 0.15
     status_gap_s: float = 0.02
     max_statuses_per_s: float = 150.0
-    silence_s: float = 0.5
+    silent_beats: float = 3.4
     pause_s: float = 0.4
     queue_s: float = 0.25
     answer_s: float = 0.3
@@ -115,6 +115,7 @@
 
     incarnation: int
     heard_at: float
+    beat_s: float
     connected: bool = True
     sequence: int = 0
     told_at: float = 0.0
--- a/egretcart/direct/entry.py
+++ b/egretcart/direct/entry.py
@@ -91,12 +91,16 @@
     configuration : RoutingConfiguration or None
     agents : dict of str to AgentView
         Agents that are connected.
+    lost_agents : dict of str to float
+        Agents whose links have ended, and when their runs are surely over.
     peers : dict of str to float
         Entries that are connected, and when their last heartbeat came.
     jobs : dict of str to HeldJob
         Jobs that a request waits for.
     ending : dict of str to HeldJob
         Cancelled jobs of which something may still run.
+    agent_beat_s : float
+        Time between two heartbeats to an agent, in seconds.
     stopping : bool
         Whether the process takes no more jobs that it could not finish.
     """
@@ -114,6 +118,7 @@
         self.log = log
         self.configuration: RoutingConfiguration | None = None
         self.agents: dict[str, AgentView] = {}
+        self.lost_agents: dict[str, float] = {}
         self.peers: dict[str, float] = {}
         self.jobs: dict[str, HeldJob] = {}
         self.ending: dict[str, HeldJob] = {}
@@ -122,12 +127,11 @@
         self.stop_by: float | None = None
         self.met_by = 0.0
         self.ticked_at = 0.0
+        self.agent_beat_s = limits.beat_s
         self.beat_at = 0.0
         self.peer_beat_at = 0.0
         self.effects: list[EntryEffect] = []
-        self.pending = PendingClaims(
-            claim_s=limits.claim_s, effects=self.effects, log=log
-        )
+        self.pending = PendingClaims(effects=self.effects, log=log)
         self.sender = TaskSender(
             agents=self.agents,
             placement=Placement(
@@ -164,6 +168,11 @@
         """Version in force; 0 for none."""
         return self.configuration.version if self.configuration else 0
 
+    @property
+    def silence_s(self) -> float:
+        """Silence after which an agent and this entry give each other up."""
+        return self.limits.silent_beats * self.agent_beat_s
+
     @property
     def is_ready(self) -> bool:
         """Whether callers should be sent here."""
@@ -221,15 +230,14 @@
             self._note_joined(job.job_id, ended[0].value)
             self.effects.append(Answer(request_id=request_id, state=ended[0]))
         elif claim is not None or self._unheard_entries():
-            holder = {claim.entry_id} if claim is not None else set()
+            holders = {claim.entry_id} if claim is not None else set()
             self.pending.begin(
                 request_id,
                 job,
                 route,
-                holders=holder | self._unheard_entries(),
-                agents=set(self.agents),
-                peers=set(self.peers),
-                now=now,
+                holders=holders & self.peers.keys(),
+                agents=self.agents,
+                lost_agents=self.lost_agents,
                 patience_s=patience_s,
             )
         else:
@@ -514,6 +522,8 @@
         self.log.write(PeerChanged(peer=agent_id, state="connected"))
         if not hello.status.accepting:
             self.met_by = max(self.met_by, now + self.limits.meeting_s)
+        self.lost_agents.pop(agent_id, None)
+        self.pending.note_agent(agent_id)
         self._reconcile(agent_id, hello, now)
         self._dispatch(now)
         return self._take_effects()
@@ -535,10 +545,11 @@
         self.log.write(
             PeerChanged(peer=agent_id, state="disconnected", cause=cause)
         )
-        over_at = now + self.limits.agent_stop_s
+        over_at = now + self.silence_s + self.limits.agent_stop_s
         for task in self._tasks_at(agent_id):
             task.over_at = over_at
-        self.pending.note_lost(agent_id)
+        self.lost_agents[agent_id] = over_at
+        self.pending.note_lost_agent(agent_id, over_at)
 
     def _tasks_at(self, agent_id: str) -> list[HeldTask]:
         return [
@@ -730,7 +741,7 @@
         """Note that the link to another entry has ended."""
         if self.peers.pop(entry_id, None) is not None:
             self.log.write(PeerChanged(peer=entry_id, state="disconnected"))
-            self.pending.note_lost(entry_id)
+            self.pending.note_lost_entry(entry_id)
 
     def receive_from_peer(
         self, entry_id: str, message: PeerMessage, now: float
@@ -811,7 +822,7 @@
         self._give_up(now)
         self.claims.forget_old(now)
         self._forget_ended(now)
-        if now - self.beat_at >= self.limits.beat_s:
+        if now - self.beat_at >= self.agent_beat_s:
             self._beat(now)
         if now - self.peer_beat_at >= self.limits.peer_beat_s:
             self._beat_peers(now)
@@ -830,7 +841,7 @@
 
     def _check_agents(self, now: float) -> None:
         for agent_id, view in list(self.agents.items()):
-            if now - view.heard_at > self.limits.silence_s:
+            if now - view.heard_at > self.silence_s:
                 self.effects.append(CloseAgent(agent_id))
                 self._lose_agent(agent_id, "silence", now)
 
@@ -843,6 +854,9 @@
 
     def _check_lost(self, now: float) -> None:
         """Let tasks wait again whose run at a lost agent is over."""
+        for agent_id, over_at in list(self.lost_agents.items()):
+            if now > over_at:
+                del self.lost_agents[agent_id]
         for held in (*self.jobs.values(), *self.ending.values()):
             for task in held.tasks.values():
                 if task.over_at is not None and now > task.over_at:
@@ -871,8 +885,21 @@
             self.ended.popitem(last=False)
 
     def _beat(self, now: float) -> None:
+        """Tell agents that this entry lives.
+
+        The interval grows with their number and never shrinks, as an agent
+        that was not told of it would end its runs later than expected.
+        """
         self.beat_at = now
-        beat = Beat(version=self.version)
+        self.agent_beat_s = min(
+            self.limits.max_beat_s,
+            max(
+                self.agent_beat_s,
+                len(self.agents) / self.limits.max_beats_per_s,
+            ),
+        )
+        interval_ms = round(self.agent_beat_s * 1000)
+        beat = Beat(version=self.version, interval_ms=interval_ms)
         for agent_id in self.agents:
             self.effects.append(SendToAgent(agent_id, beat))
 
--- a/egretcart/direct/entry_links.py
+++ b/egretcart/direct/entry_links.py
@@ -19,8 +19,8 @@
     ----------
     effects : list of AgentEffect
         Where messages are added.
-    beat_s, status_gap_s : float
-        Longest and shortest time between two statuses, in seconds.
+    status_gap_s : float
+        Shortest time between two statuses, in seconds.
     max_statuses_per_s : float
         Statuses to all entries together, but for those that are due.
     status : callable
@@ -38,13 +38,11 @@
         self,
         *,
         effects: list[AgentEffect],
-        beat_s: float,
         status_gap_s: float,
         max_statuses_per_s: float,
         status: Callable[[int, float], AgentStatus],
     ) -> None:
         self.effects = effects
-        self.beat_s = beat_s
         self.status_gap_s = status_gap_s
         self.max_statuses_per_s = max_statuses_per_s
         self.status = status
@@ -74,7 +72,7 @@
             state.outdated = state.outdated or self.news
             gap_s = now - state.told_at
             if (
-                gap_s >= self.beat_s
+                gap_s >= state.beat_s
                 or entry_id in self.news_for
                 or (state.outdated and gap_s >= shortest_s)
             ):
--- a/egretcart/direct/entry_types.py
+++ b/egretcart/direct/entry_types.py
@@ -20,10 +20,16 @@
     Attributes
     ----------
     beat_s : float
-        Time between two heartbeats to an agent, in seconds.
-    silence_s : float
-        Silence of an agent after which its link is closed, in seconds:
-        three beats.
+        Shortest time between two heartbeats to an agent, in seconds.
+    max_beat_s : float
+        Longest time between two, in seconds: an agent ends the runs of a
+        silent entry before its callers ask again.
+    max_beats_per_s : float
+        Heartbeats to all agents together, per second, up to the longest
+        time: each takes about 0.2 ms with the status that comes back, so
+        that they take 5 % of a core.
+    silent_beats : float
+        Silence of an agent after which its link is closed, in beats.
     peer_beat_s : float
         Time between two heartbeats to another entry, in seconds; jobs that
         were taken in are told with it, before a caller asks again.
@@ -31,13 +37,11 @@
         Silence of an entry after which its link is closed, in seconds:
         three beats, and less than a caller takes to ask again.
     agent_stop_s : float
-        Time in which an agent that hears nothing has stopped all runs, or
-        the lease of its backend server has lapsed, in seconds.
+        Time in which an agent that has found an entry silent has stopped
+        all its runs, or the lease of its backend server has lapsed, in
+        seconds.
     pause_s : float
         Gap between two ticks from which the process counts as paused.
-    claim_s : float
-        Time to wait for others to give up a job, in seconds: an agent
-        stops a run in a tenth of it.
     claim_memory_s : float
         Time for which jobs of other entries are remembered, in seconds.
     younger_s : float
@@ -57,12 +61,13 @@
     """
 
     beat_s: float = 0.15
-    silence_s: float = 0.5
+    max_beat_s: float = 0.3
+    max_beats_per_s: float = 250.0
+    silent_beats: float = 3.4
     peer_beat_s: float = 0.3
     peer_silence_s: float = 0.95
-    agent_stop_s: float = 1.1
+    agent_stop_s: float = 0.6
     pause_s: float = 0.4
-    claim_s: float = 0.3
     claim_memory_s: float = 20.0
     younger_s: float = 0.7
     answer_memory_s: float = 20.0
--- a/egretcart/direct/lease.py
+++ b/egretcart/direct/lease.py
@@ -27,6 +27,11 @@
     clock_drift: float = 0.02
     margin_s: float = 0.06
 
+    @property
+    def longest_s(self) -> float:
+        """Time after the last renewal in which a lease has surely lapsed."""
+        return self.lease_ms / 1000 / (1 - self.clock_drift) + self.margin_s
+
 
 class BackendLease:
     """Maps the server's clock to ours, and knows when all has ended.
--- a/egretcart/direct/messages.py
+++ b/egretcart/direct/messages.py
@@ -35,9 +35,19 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Beat:
-    """A heartbeat, with the sender's configuration version."""
+    """A heartbeat.
+
+    Attributes
+    ----------
+    version : int
+        The sender's configuration version.
+    interval_ms : int
+        Time between two of them on this link, both ways, from now on; 0 to
+        leave it as it is.
+    """
 
     version: int = 0
+    interval_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/egretcart/direct/pending_claims.py
+++ b/egretcart/direct/pending_claims.py
@@ -1,6 +1,9 @@
 """Jobs that wait until nothing of them runs for another entry. Free of I/O."""
 
+from collections.abc import Iterable
+from collections.abc import Mapping
 import dataclasses
+import math
 
 from egretcart.direct.configuration import Route
 from egretcart.direct.decisions import DecisionLog
@@ -15,24 +18,28 @@
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class PendingClaim:
-    """A job that waits until nothing of it runs for another entry."""
+    """A job that waits until nothing of it runs for another entry.
+
+    Attributes
+    ----------
+    over_at : dict of str to float
+        Processes that may still run something of it, and when they surely
+        do not any more: infinite for those that will tell.
+    """
 
     request_ids: set[int]
     job: Job
     route: Route
     number: int
-    waiting_for: set[str]
-    until: float
+    over_at: dict[str, float]
     patience_s: float
 
 
 class PendingClaims:
-    """Asks agents and the former entry to end what runs of a job.
+    """Asks agents and the former entries to end what runs of a job.
 
     Parameters
     ----------
-    claim_s : float
-        Longest wait for them, in seconds.
     effects : list of EntryEffect
         Where messages are added.
     log : DecisionLog
@@ -43,9 +50,8 @@
     """
 
     def __init__(
-        self, *, claim_s: float, effects: list[EntryEffect], log: DecisionLog
+        self, *, effects: list[EntryEffect], log: DecisionLog
     ) -> None:
-        self.claim_s = claim_s
         self.effects = effects
         self.log = log
         self.by_job: dict[str, PendingClaim] = {}
@@ -58,37 +64,54 @@
         route: Route,
         *,
         holders: set[str],
-        agents: set[str],
-        peers: set[str],
-        now: float,
+        agents: Iterable[str],
+        lost_agents: Mapping[str, float],
         patience_s: float,
     ) -> None:
-        """Ask all agents, and the entries that may hold the job."""
+        """Ask all agents, and the entries that may hold the job.
+
+        Parameters
+        ----------
+        request_id : int
+        job : Job
+        route : Route
+        holders : set of str
+            Entries that may hold the job and can be asked.
+        agents : iterable of str
+            Those that are connected.
+        lost_agents : mapping of str to float
+            Others, and when their runs are surely over.
+        patience_s : float
+            How long the caller waits, in seconds.
+        """
         self.number += 1
-        waiting_for = set(agents)
+        pending = PendingClaim(
+            request_ids={request_id},
+            job=job,
+            route=route,
+            number=self.number,
+            over_at=dict(lost_agents),
+            patience_s=patience_s,
+        )
+        self.by_job[job.job_id] = pending
         for agent_id in agents:
-            evict = EvictJob(number=self.number, job_id=job.job_id)
-            self.effects.append(SendToAgent(agent_id, evict))
-        for entry_id in holders & peers:
-            waiting_for.add(entry_id)
+            self._evict(pending, agent_id)
+        for entry_id in holders:
+            pending.over_at[entry_id] = math.inf
             release = ReleaseJob(number=self.number, job_id=job.job_id)
             self.effects.append(SendToPeer(entry_id, release))
         self.log.write(
             JobClaimed(
                 job_id=job.job_id,
                 holders=tuple(sorted(holders)),
-                asked=len(waiting_for),
+                asked=len(pending.over_at),
             )
         )
-        self.by_job[job.job_id] = PendingClaim(
-            request_ids={request_id},
-            job=job,
-            route=route,
-            number=self.number,
-            waiting_for=waiting_for,
-            until=now + self.claim_s,
-            patience_s=patience_s,
-        )
+
+    def _evict(self, pending: PendingClaim, agent_id: str) -> None:
+        pending.over_at[agent_id] = math.inf
+        evict = EvictJob(number=pending.number, job_id=pending.job.job_id)
+        self.effects.append(SendToAgent(agent_id, evict))
 
     def find(self, number: int) -> PendingClaim | None:
         """Return the claim of a number, or None."""
@@ -113,19 +136,30 @@
         """Note that a process has ended what it ran of a job."""
         pending = self.find(number)
         if pending is not None:
-            pending.waiting_for.discard(who)
+            pending.over_at.pop(who, None)
+
+    def note_agent(self, agent_id: str) -> None:
+        """Ask an agent that has connected; it may not have been asked."""
+        for pending in self.by_job.values():
+            self._evict(pending, agent_id)
+
+    def note_lost_agent(self, agent_id: str, over_at: float) -> None:
+        """Note when what a lost agent runs is surely over."""
+        for pending in self.by_job.values():
+            if agent_id in pending.over_at:
+                pending.over_at[agent_id] = over_at
 
-    def note_lost(self, who: str) -> None:
-        """Wait no more for a process that is gone."""
+    def note_lost_entry(self, entry_id: str) -> None:
+        """Wait no more for an entry that is gone; the agents tell."""
         for pending in self.by_job.values():
-            pending.waiting_for.discard(who)
+            pending.over_at.pop(entry_id, None)
 
     def take_ready(self, now: float) -> list[PendingClaim]:
         """Return, and remove, the claims that need not wait any longer."""
         ready = [
             pending
             for pending in self.by_job.values()
-            if not pending.waiting_for or now > pending.until
+            if max(pending.over_at.values(), default=now) <= now
         ]
         for pending in ready:
             self.remove(pending)
--- a/egretcart/direct/wire.thrift
+++ b/egretcart/direct/wire.thrift
@@ -9,7 +9,7 @@
   3: optional PeerAddress address
 }
 struct EntryPeers { 1: optional list<PeerAddress> entries }
-struct Beat { 1: optional i64 version }
+struct Beat { 1: optional i64 version, 2: optional i32 interval_ms }
 
 // Entry to agent.
 struct RunTasks {
--- a/tests/features/direct_decisions.feature
+++ b/tests/features/direct_decisions.feature
@@ -27,6 +27,16 @@
   Scenario: Each incarnation of an agent has a higher fencing token
     Then an agent that recalls its server takes a token from the first listing
 
+  Scenario: A fencing token far below the one that a server has seen
+    Then an agent finds one that its server accepts in a few tries
+
+  Scenario: An agent that wakes trusts no answer to a question before
+    Then it takes tasks only after a listing that it has asked for since
+
+  Scenario: An agent tells that a job is over only if it knows all that runs
+    Then one that has just started waits for a listing or the longest lease
+    And a question before its first tick is not lost
+
   Scenario: A task that an agent runs for another entry is given back
     Then two entries that send the same run are told apart
 
--- a/tests/features/direct_world.feature
+++ b/tests/features/direct_world.feature
@@ -16,10 +16,14 @@
       | 5    | a process that was killed while it was down               |
       | 111  | an agent that started what had waited while it was paused |
       | 136  | a link between entries that had gone silent               |
+      | 11   | a job taken over while an agent that ran it stood still   |
+      | 218  | the same, found by other seeds                            |
+      | 206  | a message that came before an agent's first tick          |
+      | 211  | an answer that had waited while an agent was paused       |
 
     Examples: others
       | seed | cause |
-      | 11   | none  |
+      | 10   | none  |
       | 12   | none  |
       | 13   | none  |
 
--- a/tests/features/steps/direct_decisions_steps.py
+++ b/tests/features/steps/direct_decisions_steps.py
@@ -24,6 +24,9 @@
 from egretcart.direct.lease import BackendLease
 from egretcart.direct.lease import LeaseLimits
 from egretcart.direct.messages import AgentStatus
+from egretcart.direct.messages import Beat
+from egretcart.direct.messages import EvictJob
+from egretcart.direct.messages import JobEvicted
 from egretcart.direct.messages import RunTasks
 from egretcart.direct.messages import TaskEnded
 from egretcart.direct.progress import Pace
@@ -295,14 +298,13 @@
     effects = []
     links = EntryLinks(
         effects=effects,
-        beat_s=limits.beat_s,
         status_gap_s=limits.status_gap_s,
         max_statuses_per_s=limits.max_statuses_per_s,
         status=lambda sequence, now: AgentStatus(sequence=sequence),
     )
     for number in range(entries):
         links.entries[f"entry-{number}"] = EntryState(
-            incarnation=1, heard_at=0.0
+            incarnation=1, heard_at=0.0, beat_s=limits.beat_s
         )
     for step in range(round(seconds * 500)):
         links.news = True
@@ -321,3 +323,102 @@
     bound_per_s = max(limits.max_statuses_per_s, entries / limits.beat_s)
     sent = statuses_of_busy_agent(entries, 10.0)
     assert sent <= 10 * bound_per_s + entries, sent
+
+
+LIFETIME = Lifetime("server", 1)
+EVICT = EvictJob(number=7, job_id="a" * 16)
+
+
+def agent_with_server(*, ticked=True, clock_ms=5000):
+    """Return an agent at 1.0 s whose server has reported."""
+    agent = DirectAgent(
+        agent_id="agent",
+        incarnation=1,
+        limits=DirectAgentLimits(),
+        log=NullDecisionLog(),
+    )
+    if ticked:
+        agent.tick(1.0)
+    report = BackendReport(
+        lifetime=LIFETIME,
+        service="service",
+        capacity=Room(10, 10, 0),
+        clock_ms=clock_ms,
+    )
+    agent.reported(report, 1.0)
+    return agent
+
+
+def listing_at(seconds):
+    return Listing(
+        clock_ms=4000 + round(1000 * seconds), born_ms=LIFETIME.born_ms
+    )
+
+
+def evicted(effects):
+    return [
+        effect.message.number
+        for effect in effects
+        if isinstance(effect, SendToEntry)
+        and isinstance(effect.message, JobEvicted)
+    ]
+
+
+@then("an agent finds one that its server accepts in a few tries")
+def check_token_found(context):
+    agent = agent_with_server(clock_ms=200)
+    seen, tries = 3_000_000, 0
+    while agent.hold_request(1.0, wait_ms=0).fencing_token < seen:
+        agent.token_refused(200, 1.0)
+        tries += 1
+    assert 0 < tries < 20, tries
+
+
+@then("it takes tasks only after a listing that it has asked for since")
+def check_waking(context):
+    agent = agent_with_server()
+    agent.listed(listing_at(1.0), LIFETIME, 1.0, 1.01)
+    assert agent.status(0, 1.02).accepting
+    agent.listed(listing_at(1.1), LIFETIME, 1.1, 4.0)
+    agent.tick(4.01)
+    assert not agent.status(0, 4.02).accepting
+    agent.listed(listing_at(1.2), LIFETIME, 1.2, 4.02)
+    assert not agent.status(0, 4.03).accepting
+    agent.listed(listing_at(4.03), LIFETIME, 4.03, 4.04)
+    assert agent.status(0, 4.04).accepting
+
+
+@then("one that has just started waits for a listing or the longest lease")
+def check_unsettled(context):
+    agent = agent_with_server()
+    agent.entry_connected("entry", 1, 1.0)
+    assert not evicted(agent.receive("entry", EVICT, 1.01))
+    listed = agent.listed(listing_at(1.02), LIFETIME, 1.02, 1.03)
+    assert evicted(listed) == [7]
+    agent = DirectAgent(
+        agent_id="agent",
+        incarnation=1,
+        limits=DirectAgentLimits(),
+        log=NullDecisionLog(),
+    )
+    agent.tick(1.0)
+    agent.entry_connected("entry", 1, 1.0)
+    assert not evicted(agent.receive("entry", EVICT, 1.0))
+    told_at = None
+    for step in range(1, 16):
+        now = 1.0 + step / 20
+        agent.receive("entry", Beat(), now)
+        if evicted(agent.tick(now)):
+            told_at = now
+    longest_s = agent.limits.lease.longest_s
+    assert longest_s < told_at - 1.0 < longest_s + 0.1, told_at
+
+
+@then("a question before its first tick is not lost")
+def check_before_tick(context):
+    agent = agent_with_server(ticked=False)
+    agent.entry_connected("entry", 1, 1.0)
+    agent.receive("entry", EVICT, 1.0)
+    agent.tick(1.01)
+    listed = agent.listed(listing_at(1.02), LIFETIME, 1.02, 1.03)
+    assert evicted(listed) == [7]
