--- a/egretcart/direct/admission.py
+++ b/egretcart/direct/admission.py
@@ -54,7 +54,8 @@
     fastest_ms : float
         Expected run time on the fastest agent.
     meeting_ms : float or None
-        Expected time until agents are known, where none is known yet.
+        Expected time until agents know their backend servers, right after a
+        start; None later.
     """
 
     capacity_milli: float
@@ -68,11 +69,9 @@
         """Expected time until a task may start."""
         if self.has_room:
             return 0.0
-        if self.meeting_ms is not None:
-            return self.meeting_ms
-        if self.capacity_milli <= 0:
-            return math.inf
-        return self.waiting_milli_ms / self.capacity_milli
+        if self.capacity_milli > 0:
+            return self.waiting_milli_ms / self.capacity_milli
+        return math.inf if self.meeting_ms is None else self.meeting_ms
 
 
 def load_of(
@@ -81,9 +80,13 @@
     *,
     waiting_milli_ms: float,
     far_factor: float,
+    meeting_ms: float | None = None,
 ) -> Load:
     """Return the load that a step meets.
 
+    While agents meet their backend servers, those that know none yet are
+    taken to bring as much room as the others have on average.
+
     Parameters
     ----------
     step : Step
@@ -92,11 +95,19 @@
         Work that waits at the entries and goes first.
     far_factor : float
         How much longer a task takes on another rack than its data's.
+    meeting_ms : float, optional
+        See `Load`.
     """
+    views = list(views)
     usable = [view for view in views if view.may_run(step)]
     room = max(1, step.room.cpu_milli)
+    capacity_milli = float(sum(view.status.cpu_milli for view in usable))
+    if usable and meeting_ms is not None:
+        coming = sum(not view.knows_backend for view in views)
+        capacity_milli *= 1 + coming / len(usable)
     return Load(
-        capacity_milli=sum(view.status.cpu_milli for view in usable),
+        capacity_milli=capacity_milli,
+        meeting_ms=meeting_ms,
         has_room=any(view.free.holds(step.room) for view in usable),
         waiting_milli_ms=waiting_milli_ms
         + sum(view.status.queued_ms * room for view in usable),
@@ -124,9 +135,11 @@
     limits : AdmissionLimits
     is_held : bool, optional
         Whether the job was taken in already; it is given up only when it
-        can't be served, not when that is doubtful.
+        can't be served, not when that is doubtful. Nor is a job refused
+        for doubts while agents meet their backend servers.
     """
-    trusted_ms = useful_ms * (1.0 if is_held else limits.trust)
+    is_doubt_enough = not is_held and load.meeting_ms is None
+    trusted_ms = useful_ms * (limits.trust if is_doubt_enough else 1.0)
     over_ms = load.wait_ms + load.fastest_ms - trusted_ms
     if load.has_room or over_ms <= 0:
         return None
--- a/egretcart/direct/entry.py
+++ b/egretcart/direct/entry.py
@@ -2,7 +2,6 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable
-import dataclasses
 import math
 import random
 
@@ -354,16 +353,17 @@
             if job is not held and job.order(now) <= order
         ]
         ahead = sum(job.work_milli_ms() for job in first)
+        meeting_ms = None
+        if now < self.met_by:
+            meeting_s = min(self.met_by - now, self.limits.first_meeting_s)
+            meeting_ms = meeting_s * 1000
         load = load_of(
             held.job.steps[0],
             self.agents.values(),
             waiting_milli_ms=ahead * (1 + len(self.peers)),
             far_factor=self.limits.far_factor,
+            meeting_ms=meeting_ms,
         )
-        if not load.capacity_milli and now < self.met_by:
-            meeting_s = min(self.met_by - now, self.limits.first_meeting_s)
-            meeting_ms = meeting_s * 1000
-            load = dataclasses.replace(load, meeting_ms=meeting_ms)
         useful_until = min(
             held.accepted_at
             + self.limits.admission.useful_factor * held.objective_ms / 1000,
--- a/egretcart/direct/views.py
+++ b/egretcart/direct/views.py
@@ -79,6 +79,11 @@
         """Run times there beside the callers' estimates."""
         return self.status.pace_percent / PERCENT
 
+    @property
+    def knows_backend(self) -> bool:
+        """Whether the agent knows the room of its backend server."""
+        return self.status.cpu_milli > 0
+
     def may_run(self, step: Step) -> bool:
         """Whether tasks of the step may be sent there at all."""
         status = self.status
--- a/tests/features/direct_decisions.feature
+++ b/tests/features/direct_decisions.feature
@@ -11,6 +11,7 @@
     And a job is refused once two thirds of its useful time are not enough
     And a job that was taken in is given up only when no time is left
     And the time to come back is between its bounds
+    And agents that meet their servers count as much as those that have
 
   Scenario: A backend server that spoils its tasks is tried anew
     Then three jobs in a row that go wrong make it pause
--- a/tests/features/steps/direct_decisions_steps.py
+++ b/tests/features/steps/direct_decisions_steps.py
@@ -8,6 +8,7 @@
 from egretcart.direct import decisions
 from egretcart.direct.admission import AdmissionLimits
 from egretcart.direct.admission import Load
+from egretcart.direct.admission import load_of
 from egretcart.direct.admission import retry_after_s
 from egretcart.direct.agent import DirectAgent
 from egretcart.direct.agent_types import DirectAgentLimits
@@ -21,6 +22,7 @@
 from egretcart.direct.health import BackendHealth
 from egretcart.direct.health import HealthLimits
 from egretcart.direct.job import Room
+from egretcart.direct.job import Step
 from egretcart.direct.lease import BackendLease
 from egretcart.direct.lease import LeaseLimits
 from egretcart.direct.messages import AgentStatus
@@ -34,6 +36,7 @@
 from egretcart.direct.rescue import is_worth_moving
 from egretcart.direct.rescue import LateRun
 from egretcart.direct.rescue import RescueLimits
+from egretcart.direct.views import AgentView
 
 PAGE = pathlib.Path(__file__).resolve().parents[3] / "docs" / "logs.md"
 SOUND = LateRun(
@@ -422,3 +425,45 @@
     agent.tick(1.01)
     listed = agent.listed(listing_at(1.02), LIFETIME, 1.02, 1.03)
     assert evicted(listed) == [7]
+
+
+STEP = Step(count=1, room=Room(4, 4, 0), estimate_ms=100.0)
+
+
+def view_of(cpu_milli, *, free_cpu_milli=0):
+    """Return the view of an agent; without room it knows no server yet."""
+    status = AgentStatus(
+        agent_id="agent",
+        accepting=cpu_milli > 0,
+        cpu_milli=cpu_milli,
+        memory_mb=cpu_milli,
+        free_cpu_milli=free_cpu_milli,
+    )
+    return AgentView(status=status, now=0.0)
+
+
+@then("agents that meet their servers count as much as those that have")
+def check_coming_room(context):
+    views = [view_of(100)] + [view_of(0)] * 4
+
+    def wait_ms(meeting_ms):
+        return load_of(
+            STEP,
+            views,
+            waiting_milli_ms=50_000.0,
+            far_factor=1.5,
+            meeting_ms=meeting_ms,
+        ).wait_ms
+
+    assert wait_ms(None) == 500.0
+    assert wait_ms(300.0) == 100.0
+    nobody = load_of(
+        STEP,
+        views[1:],
+        waiting_milli_ms=50_000.0,
+        far_factor=1.5,
+        meeting_ms=300.0,
+    )
+    assert nobody.wait_ms == 300.0
+    assert retry_after_s(nobody, 410.0, LIMITS) is None
+    assert retry_after_s(nobody, 390.0, LIMITS) is not None
