Count decisions and serve the counts where the settings say

Cause: the processes of direct dispatch served no metrics. Every decision is counted by its kind, jobs by outcome and cause of refusal, runs by ending, with histograms of response, queue and run time, whether a line is written or not.

--- a/egretcart/direct/agent_process.py
+++ b/egretcart/direct/agent_process.py
@@ -66,6 +66,8 @@
     limits : DirectAgentLimits
     clock : Clock
     log : DecisionLog
+    traffic : Traffic
+        Where its links count.
     backend : Backend
     memory : BackendMemory
     """
@@ -77,6 +79,7 @@
         limits: DirectAgentLimits,
         clock: Clock,
         log: DecisionLog,
+        traffic: Traffic,
         backend: Backend,
         memory: BackendMemory,
     ) -> None:
@@ -92,7 +95,7 @@
             limits=limits,
             log=log,
         )
-        self.traffic = Traffic()
+        self.traffic = traffic
         self.links: dict[str, PeerLink] = {}
         self.dialler: Dialler
         self.nursery: trio.Nursery
--- a/egretcart/direct/entry_process.py
+++ b/egretcart/direct/entry_process.py
@@ -58,6 +58,8 @@
     limits : DirectEntryLimits
     clock : Clock
     log : DecisionLog
+    traffic : Traffic
+        Where its links count.
     """
 
     def __init__(
@@ -67,6 +69,7 @@
         limits: DirectEntryLimits,
         clock: Clock,
         log: DecisionLog,
+        traffic: Traffic,
     ) -> None:
         self.settings = settings
         self.stop_limit_s = settings.stop_grace_s - LAST_ANSWERS_S
@@ -78,7 +81,7 @@
             log=log,
             source=random.Random(),
         )
-        self.traffic = Traffic()
+        self.traffic = traffic
         self.address = PeerAddress(host=settings.host, port=settings.peer_port)
         self.known: set[PeerAddress] = set()
         self.agent_links: dict[str, PeerLink] = {}
--- /dev/null
+++ b/egretcart/direct/metered_log.py
@@ -0,0 +1,102 @@
+"""Counts decisions, and serves the counts where the settings say."""
+
+import http
+
+import trio
+
+from egretcart.connection.http_listener import HttpListener
+from egretcart.connection.http_server import HttpLimits
+from egretcart.connection.http_server import HttpRequest
+from egretcart.connection.http_server import HttpResponse
+from egretcart.connection.traffic import Traffic
+from egretcart.direct.decisions import Decision
+from egretcart.direct.decisions import DecisionLog
+from egretcart.direct.decisions import JobAnswered
+from egretcart.direct.decisions import JobRefused
+from egretcart.direct.decisions import RunEnded
+from egretcart.direct.decisions import RunStarted
+from egretcart.direct.settings import split_address
+from egretcart.process.metric_table import DECISIONS
+from egretcart.process.metric_table import JOBS
+from egretcart.process.metric_table import JOBS_REFUSED
+from egretcart.process.metric_table import QUEUE_TIME
+from egretcart.process.metric_table import RESPONSE_TIME
+from egretcart.process.metric_table import RUN_ENDINGS
+from egretcart.process.metric_table import RUN_TIME
+from egretcart.process.metrics import Metrics
+from egretcart.process.metrics import ProcessMetrics
+from egretcart.process.metrics import TEXT_TYPE
+
+MS_PER_S = 1000
+PATH = "/metrics"
+# Other causes name what is wrong with one job, which no label may do.
+REFUSAL_CAUSES = frozenset(
+    ("no room in time", "waited in vain", "the entry leaves")
+)
+OTHER_CAUSE = "not served"
+# A collector and somebody who looks.
+LIMITS = HttpLimits(max_connections=16, max_body_bytes=0)
+
+
+class MeteredLog:
+    """A `DecisionLog` that counts what it hands on to another.
+
+    Parameters
+    ----------
+    log : DecisionLog
+    metrics : Metrics
+    """
+
+    def __init__(self, *, log: DecisionLog, metrics: Metrics) -> None:
+        self.log = log
+        self.metrics = metrics
+
+    def write(self, decision: Decision) -> None:
+        """Count a decision, whether a line is written of it or not."""
+        self.log.write(decision)
+        self.metrics.add(DECISIONS, label=type(decision).__name__)
+        if isinstance(decision, JobAnswered):
+            self.metrics.add(JOBS, label=decision.state)
+            self.metrics.observe(RESPONSE_TIME, decision.elapsed_ms / MS_PER_S)
+        elif isinstance(decision, JobRefused):
+            known = decision.cause in REFUSAL_CAUSES
+            cause = decision.cause if known else OTHER_CAUSE
+            self.metrics.add(JOBS, label="refused")
+            self.metrics.add(JOBS_REFUSED, label=cause)
+        elif isinstance(decision, RunStarted):
+            self.metrics.observe(QUEUE_TIME, decision.waited_ms / MS_PER_S)
+        elif isinstance(decision, RunEnded):
+            self.metrics.add(RUN_ENDINGS, label=decision.ending)
+            self.metrics.observe(RUN_TIME, decision.run_ms / MS_PER_S)
+
+
+class MetricsServer:
+    """Counts the decisions of a process and serves the counts.
+
+    Parameters
+    ----------
+    log : DecisionLog
+        Where decisions are written as well.
+    traffic : Traffic
+        Counts of the process's links.
+
+    Attributes
+    ----------
+    log : MeteredLog
+    """
+
+    def __init__(self, *, log: DecisionLog, traffic: Traffic) -> None:
+        self.metrics = ProcessMetrics(traffic=traffic)
+        self.log = MeteredLog(log=log, metrics=self.metrics)
+
+    async def serve(self, address: str, nursery: trio.Nursery) -> None:
+        """Listen, and return; the nursery runs the rest."""
+        host, port = split_address(address)
+        listeners = await trio.open_tcp_listeners(port, host=host)
+        server = HttpListener(handler=self._handle, limits=LIMITS)
+        nursery.start_soon(server.serve, listeners, nursery)
+
+    async def _handle(self, request: HttpRequest) -> HttpResponse:
+        if (request.method, request.path) != ("GET", PATH):
+            return HttpResponse(status=http.HTTPStatus.NOT_FOUND)
+        return HttpResponse(body=self.metrics.render(), content_type=TEXT_TYPE)
--- a/egretcart/direct/settings.py
+++ b/egretcart/direct/settings.py
@@ -40,6 +40,8 @@
         Longest lease that a backend server grants.
     far_factor : float
         How much longer a task takes on another rack than its data's.
+    metrics : str
+        Address where ``GET /metrics`` is answered; empty to count nothing.
     """
 
     node: Name
@@ -52,6 +54,7 @@
     stop_grace_s: float = 6.0
     max_lease_ms: int = 1000
     far_factor: float = 1.5
+    metrics: str = ""
 
     @property
     def seed_endpoints(self) -> list[tuple[str, int]]:
--- a/egretcart/process/metric_table.py
+++ b/egretcart/process/metric_table.py
@@ -52,6 +52,8 @@
     return Metric(name=name, kind=MetricKind.GAUGE, unit=unit, meaning=meaning)
 
 
+# Tasks last from milliseconds to seconds.
+TASK_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10)
 MESSAGES_SENT = _counter(
     "egretcart.messages.sent",
     "{message}",
@@ -107,6 +109,38 @@
         0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60,
     ),
 )  # fmt: skip
+QUEUE_TIME = Metric(
+    name="egretcart.queue.time",
+    kind=MetricKind.HISTOGRAM,
+    unit="s",
+    meaning="direct dispatch: time from a task's arrival to its order",
+    buckets=TASK_BUCKETS_S,
+)
+RUN_TIME = Metric(
+    name="egretcart.run.time",
+    kind=MetricKind.HISTOGRAM,
+    unit="s",
+    meaning="direct dispatch: time from a run's order to its end",
+    buckets=TASK_BUCKETS_S,
+)
+RUN_ENDINGS = _counter(
+    "egretcart.runs",
+    "{run}",
+    "direct dispatch: runs that have ended at an agent",
+    "ending",
+)
+JOBS_REFUSED = _counter(
+    "egretcart.jobs.refused",
+    "{job}",
+    "direct dispatch: jobs refused as not run",
+    "cause",
+)
+DECISIONS = _counter(
+    "egretcart.decisions",
+    "{decision}",
+    "direct dispatch: decisions by the kind of their log line",
+    "kind",
+)
 HEARTBEAT_TIME = Metric(
     name="egretcart.heartbeat.time",
     kind=MetricKind.HISTOGRAM,
@@ -230,6 +264,11 @@
     JOBS,
     REFUSALS,
     RESPONSE_TIME,
+    QUEUE_TIME,
+    RUN_TIME,
+    RUN_ENDINGS,
+    JOBS_REFUSED,
+    DECISIONS,
     HEARTBEAT_TIME,
     TAKEOVERS,
     LEASE_LAPSES,
--- a/tests/features/platform_adapter.feature
+++ b/tests/features/platform_adapter.feature
@@ -51,6 +51,7 @@
   Scenario: The whole path as processes
     Given a store, two runners and the processes of the platform's roles
     Then a client's job is completed
+    And the processes serve what they have counted
     And an unknown route, a malformed job and a kept job are refused
     And a new desired state is in force within 2 seconds
     And a stopped entry answers what it has taken in before it ends
--- a/tests/features/steps/platform_adapter_steps.py
+++ b/tests/features/steps/platform_adapter_steps.py
@@ -3,6 +3,7 @@
 import json
 import os
 import pathlib
+import re
 import signal
 import socket
 import subprocess
@@ -322,7 +323,10 @@
             "agent-2": "127.0.0.22",
         }
         self.ports = {
-            name: {part: free_port() for part in ("front", "ready", "control")}
+            name: {
+                part: free_port()
+                for part in ("front", "ready", "control", "metrics")
+            }
             for name in self.hosts
         }
         for name in ("agent-1", "agent-2"):
@@ -337,6 +341,7 @@
             "failure_domain": "zone-1",
             "peer_port": self.peer_port,
             "control": self._address(name, "control"),
+            "metrics": self._address(name, "metrics"),
             "seeds": [f"{self.hosts['entry-1']}:1"],
             "store": f"127.0.0.1:{self.store_port}",
         }
@@ -510,6 +515,40 @@
     assert not deployment.is_ready("entry-1")
 
 
+def counted(deployment, name, pattern):
+    """Return the sum of a process's counters whose lines match."""
+    host, port = deployment.hosts[name], deployment.ports[name]["metrics"]
+    connection = http.client.HTTPConnection(host, port, timeout=10)
+    connection.request("GET", "/metrics")
+    text = connection.getresponse().read().decode()
+    connection.close()
+    return sum(
+        float(line.rpartition(" ")[2])
+        for line in text.splitlines()
+        if re.match(pattern, line)
+    )
+
+
+@then("the processes serve what they have counted")
+def check_counts(context):
+    deployment = context.deployment
+    jobs = [
+        counted(deployment, name, r"egretcart_jobs\w*{outcome=\"completed\"")
+        for name in ("entry-1", "entry-2")
+    ]
+    assert jobs == [1, 1], jobs
+    runs = sum(
+        counted(deployment, name, r"egretcart_runs\w*{ending=\"done\"")
+        for name in ("agent-1", "agent-2")
+    )
+    assert runs == 16, runs
+    started = sum(
+        counted(deployment, name, r"egretcart_queue_time\w*_count")
+        for name in ("agent-1", "agent-2")
+    )
+    assert started == 16, started
+
+
 @then("the processes wrote one JSON line for each decision")
 def check_lines(context):
     kinds = set()
