Wait 0.3 s at most for agents before a job that no entry has told of is taken in

Cause: by reading; while an entry is dead or not yet met, every new job waited for each agent that stood still, was lost or had just started, over a second at worst, though almost all such jobs are new. The line of a takeover named no holder that could not be asked.

--- a/egretcart/direct/decisions.py
+++ b/egretcart/direct/decisions.py
@@ -51,8 +51,8 @@
 class JobClaimed(Decision):
     """An entry has other entries' runs of a job ended before its own.
 
-    `holders` are the entry that has told of it, and those that tell
-    nothing here.
+    `holders` is the entry that has told of it, or those that tell nothing
+    here.
     """
 
     job_id: str
--- a/egretcart/direct/entry.py
+++ b/egretcart/direct/entry.py
@@ -228,15 +228,28 @@
         elif ended is not None:
             self._note_joined(job.job_id, ended[0].value)
             self.effects.append(Answer(request_id=request_id, state=ended[0]))
-        elif claim is not None or self._unheard_entries():
-            holders = {claim.entry_id} if claim is not None else set()
+        elif claim is not None:
             self.pending.begin(
                 request_id,
                 job,
                 route,
-                holders=holders & self.peers.keys(),
+                holders={claim.entry_id},
+                peers=self.peers,
                 agents=self.agents,
                 lost_agents=self.lost_agents,
+                until=math.inf,
+                patience_s=patience_s,
+            )
+        elif unheard := self._unheard_entries():
+            self.pending.begin(
+                request_id,
+                job,
+                route,
+                holders=unheard,
+                peers=(),
+                agents=self.agents,
+                lost_agents={},
+                until=now + self.limits.unheard_wait_s,
                 patience_s=patience_s,
             )
         else:
--- a/egretcart/direct/entry_types.py
+++ b/egretcart/direct/entry_types.py
@@ -42,6 +42,11 @@
         seconds.
     pause_s : float
         Gap between two ticks from which the process counts as paused.
+    unheard_wait_s : float
+        Longest wait for agents before a job is taken in that an entry which
+        tells nothing here may hold, in seconds: ten times what an agent
+        takes to stop a run. Most such jobs are new, and all would wait for
+        an agent that stands still.
     claim_memory_s : float
         Time for which jobs of other entries are remembered, in seconds.
     younger_s : float
@@ -68,6 +73,7 @@
     peer_silence_s: float = 0.95
     agent_stop_s: float = 0.6
     pause_s: float = 0.4
+    unheard_wait_s: float = 0.3
     claim_memory_s: float = 20.0
     younger_s: float = 0.7
     answer_memory_s: float = 20.0
--- a/egretcart/direct/pending_claims.py
+++ b/egretcart/direct/pending_claims.py
@@ -25,6 +25,8 @@
     over_at : dict of str to float
         Processes that may still run something of it, and when they surely
         do not any more: infinite for those that will tell.
+    until : float
+        When it is taken in all the same.
     """
 
     request_ids: set[int]
@@ -32,6 +34,7 @@
     route: Route
     number: int
     over_at: dict[str, float]
+    until: float
     patience_s: float
 
 
@@ -64,8 +67,10 @@
         route: Route,
         *,
         holders: set[str],
+        peers: Iterable[str],
         agents: Iterable[str],
         lost_agents: Mapping[str, float],
+        until: float,
         patience_s: float,
     ) -> None:
         """Ask all agents, and the entries that may hold the job.
@@ -76,11 +81,15 @@
         job : Job
         route : Route
         holders : set of str
-            Entries that may hold the job and can be asked.
+            Entries that may hold the job.
+        peers : iterable of str
+            Entries that can be asked.
         agents : iterable of str
             Those that are connected.
         lost_agents : mapping of str to float
             Others, and when their runs are surely over.
+        until : float
+            When the job is taken in whoever has not answered.
         patience_s : float
             How long the caller waits, in seconds.
         """
@@ -91,12 +100,13 @@
             route=route,
             number=self.number,
             over_at=dict(lost_agents),
+            until=until,
             patience_s=patience_s,
         )
         self.by_job[job.job_id] = pending
         for agent_id in agents:
             self._evict(pending, agent_id)
-        for entry_id in holders:
+        for entry_id in holders.intersection(peers):
             pending.over_at[entry_id] = math.inf
             release = ReleaseJob(number=self.number, job_id=job.job_id)
             self.effects.append(SendToPeer(entry_id, release))
@@ -159,7 +169,8 @@
         ready = [
             pending
             for pending in self.by_job.values()
-            if max(pending.over_at.values(), default=now) <= now
+            if now > pending.until
+            or max(pending.over_at.values(), default=now) <= now
         ]
         for pending in ready:
             self.remove(pending)
--- a/tests/features/direct_decisions.feature
+++ b/tests/features/direct_decisions.feature
@@ -47,3 +47,7 @@
   Scenario: Statuses cost the same however many entries there are
     Then a busy agent of 4 entries tells each of all changes soon
     And a busy agent of 40 entries sends statuses within its bounds
+
+  Scenario: A job that others may hold waits for agents, but not for ever
+    Then a job that another entry told of waits until all agents have told
+    And a job that an unheard entry may hold waits 0.3 s at most
--- a/tests/features/steps/direct_decisions_steps.py
+++ b/tests/features/steps/direct_decisions_steps.py
@@ -1,5 +1,6 @@
 import dataclasses
 import pathlib
+import random
 
 from behave import then
 from hypothesis import given
@@ -17,18 +18,25 @@
 from egretcart.direct.backend import BackendReport
 from egretcart.direct.backend import Lifetime
 from egretcart.direct.backend import Listing
+from egretcart.direct.configuration import Route
 from egretcart.direct.decisions import NullDecisionLog
+from egretcart.direct.entry import DirectEntry
 from egretcart.direct.entry_links import EntryLinks
+from egretcart.direct.entry_types import DirectEntryLimits
 from egretcart.direct.health import BackendHealth
 from egretcart.direct.health import HealthLimits
+from egretcart.direct.job import Job
 from egretcart.direct.job import Room
 from egretcart.direct.job import Step
 from egretcart.direct.lease import BackendLease
 from egretcart.direct.lease import LeaseLimits
+from egretcart.direct.messages import AgentHello
 from egretcart.direct.messages import AgentStatus
 from egretcart.direct.messages import Beat
+from egretcart.direct.messages import EntriesServed
 from egretcart.direct.messages import EvictJob
 from egretcart.direct.messages import JobEvicted
+from egretcart.direct.messages import JobsTaken
 from egretcart.direct.messages import RunTasks
 from egretcart.direct.messages import TaskEnded
 from egretcart.direct.progress import Pace
@@ -467,3 +475,71 @@
     assert nobody.wait_ms == 300.0
     assert retry_after_s(nobody, 410.0, LIMITS) is None
     assert retry_after_s(nobody, 390.0, LIMITS) is not None
+
+
+ROUTE = Route(
+    name="route",
+    host="host",
+    prefix="/",
+    service="service",
+    max_attempts=4,
+    stretch=1.6,
+    slack_ms=60.0,
+)
+JOB = Job(job_id="c" * 16, payload="", steps=(STEP,))
+
+
+def entry_beside(*, told):
+    """Return an entry with two agents that serve another entry, too."""
+    entry = DirectEntry(
+        entry_id="entry-1",
+        limits=DirectEntryLimits(),
+        log=NullDecisionLog(),
+        source=random.Random(1),
+    )
+    entry.tick(1.0)
+    for agent_id in ("agent-1", "agent-2"):
+        status = AgentStatus(
+            agent_id=agent_id,
+            accepting=True,
+            cpu_milli=9,
+            memory_mb=9,
+            free_cpu_milli=9,
+            free_memory_mb=9,
+        )
+        entry.agent_connected(AgentHello(status=status), 1.0)
+        served = EntriesServed(entry_ids=("entry-1", "entry-2"))
+        entry.receive(agent_id, served, 1.0)
+    if told:
+        entry.receive_from_peer("entry-2", JobsTaken(job_ids=(JOB.job_id,)), 1)
+    entry.submit(1, JOB, ROUTE, 1.0)
+    entry.receive("agent-1", JobEvicted(number=1), 1.01)
+    return entry
+
+
+def keep_alive(entry, until):
+    now = 1.01
+    while now < until:
+        now += 0.05
+        for agent_id, view in entry.agents.items():
+            entry.receive(agent_id, view.status, now)
+        entry.tick(now)
+
+
+@then("a job that another entry told of waits until all agents have told")
+def check_claim_waits(context):
+    entry = entry_beside(told=True)
+    keep_alive(entry, 3.0)
+    assert not entry.jobs
+    entry.receive("agent-2", JobEvicted(number=1), 3.01)
+    entry.settle(3.01)
+    assert JOB.job_id in entry.jobs
+
+
+@then("a job that an unheard entry may hold waits 0.3 s at most")
+def check_unheard_wait(context):
+    entry = entry_beside(told=False)
+    keep_alive(entry, 1.25)
+    assert not entry.jobs
+    keep_alive(entry, 1.4)
+    assert JOB.job_id in entry.jobs
