--- a/tests/features/direct_decisions.feature
+++ b/tests/features/direct_decisions.feature
@@ -51,3 +51,10 @@
   Scenario: A job that others may hold waits for agents, but not for ever
     Then a job that another entry told of waits until all agents have told
     And a job that an unheard entry may hold waits 0.3 s at most
+    And a lost agent is waited for until its runs are surely over
+    And an agent that connects again meanwhile is asked again
+
+  Scenario: What a process tells of others and of itself follows the fleet
+    Then an agent tells its entries when another one is given up
+    And an entry of many agents sends heartbeats less often, and goes on so
+    And a new lifetime of a server gets a higher token than the former one
--- a/tests/features/steps/direct_decisions_steps.py
+++ b/tests/features/steps/direct_decisions_steps.py
@@ -23,6 +23,7 @@
 from egretcart.direct.entry import DirectEntry
 from egretcart.direct.entry_links import EntryLinks
 from egretcart.direct.entry_types import DirectEntryLimits
+from egretcart.direct.entry_types import SendToAgent
 from egretcart.direct.health import BackendHealth
 from egretcart.direct.health import HealthLimits
 from egretcart.direct.job import Job
@@ -489,8 +490,11 @@
 JOB = Job(job_id="c" * 16, payload="", steps=(STEP,))
 
 
-def entry_beside(*, told):
-    """Return an entry with two agents that serve another entry, too."""
+def entry_beside(*, told, lost_first=False):
+    """Return an entry with two agents that serve another entry, too.
+
+    It waits for one of them, which may have been lost before.
+    """
     entry = DirectEntry(
         entry_id="entry-1",
         limits=DirectEntryLimits(),
@@ -512,13 +516,15 @@
         entry.receive(agent_id, served, 1.0)
     if told:
         entry.receive_from_peer("entry-2", JobsTaken(job_ids=(JOB.job_id,)), 1)
+    if lost_first:
+        entry.agent_disconnected("agent-2", 1.0)
     entry.submit(1, JOB, ROUTE, 1.0)
     entry.receive("agent-1", JobEvicted(number=1), 1.01)
     return entry
 
 
 def keep_alive(entry, until):
-    now = 1.01
+    now = entry.ticked_at
     while now < until:
         now += 0.05
         for agent_id, view in entry.agents.items():
@@ -536,6 +542,35 @@
     assert JOB.job_id in entry.jobs
 
 
+@then("a lost agent is waited for until its runs are surely over")
+def check_lost_agent(context):
+    for lost_first in (True, False):
+        entry = entry_beside(told=True, lost_first=lost_first)
+        entry.agent_disconnected("agent-2", 1.01)
+        # Until it finds this entry silent and has stopped what it ran.
+        over_s = entry.silence_s + entry.limits.agent_stop_s
+        keep_alive(entry, 1.0 + over_s - 0.1)
+        assert not entry.jobs, lost_first
+        keep_alive(entry, 1.0 + over_s + 0.2)
+        assert JOB.job_id in entry.jobs, lost_first
+
+
+@then("an agent that connects again meanwhile is asked again")
+def check_asked_again(context):
+    entry = entry_beside(told=True)
+    entry.agent_disconnected("agent-2", 1.02)
+    hello = AgentHello(status=AgentStatus(agent_id="agent-2"))
+    asked = [
+        effect.message.job_id
+        for effect in entry.agent_connected(hello, 1.1)
+        if isinstance(effect, SendToAgent)
+        and isinstance(effect.message, EvictJob)
+    ]
+    assert asked == [JOB.job_id], asked
+    keep_alive(entry, 4.0)
+    assert not entry.jobs
+
+
 @then("a job that an unheard entry may hold waits 0.3 s at most")
 def check_unheard_wait(context):
     entry = entry_beside(told=False)
@@ -543,3 +578,67 @@
     assert not entry.jobs
     keep_alive(entry, 1.4)
     assert JOB.job_id in entry.jobs
+
+
+@then("an agent tells its entries when another one is given up")
+def check_entries_told(context):
+    agent = agent_with_server()
+    told = []
+
+    def note(effects):
+        for effect in effects:
+            if isinstance(effect, SendToEntry) and isinstance(
+                effect.message, EntriesServed
+            ):
+                told.append((effect.entry_id, effect.message.entry_ids))
+
+    note(agent.entry_connected("entry-1", 1, 1.0))
+    note(agent.entry_connected("entry-2", 1, 1.0))
+    assert told[-2:] == [
+        ("entry-1", ("entry-1", "entry-2")),
+        ("entry-2", ("entry-1", "entry-2")),
+    ]
+    agent.entry_disconnected("entry-2")
+    told.clear()
+    for step in range(1, 14):
+        now = 1.0 + step / 20
+        agent.receive("entry-1", Beat(), now)
+        note(agent.tick(now))
+    assert told == [("entry-1", ("entry-1",))], told
+
+
+@then("an entry of many agents sends heartbeats less often, and goes on so")
+def check_beat_interval(context):
+    limits = DirectEntryLimits()
+    entry = DirectEntry(
+        entry_id="entry",
+        limits=limits,
+        log=NullDecisionLog(),
+        source=random.Random(1),
+    )
+    entry.tick(1.0)
+    assert entry.agent_beat_s == limits.beat_s
+    for number in range(70):
+        status = AgentStatus(agent_id=f"agent-{number}")
+        entry.agent_connected(AgentHello(status=status), 1.1)
+    beats = [
+        effect.message
+        for effect in entry.tick(1.2)
+        if isinstance(effect, SendToAgent)
+    ]
+    assert [beat.interval_ms for beat in beats] == [280] * 70
+    for number in range(70):
+        entry.agent_disconnected(f"agent-{number}", 1.3)
+    entry.tick(1.6)
+    assert entry.agent_beat_s == 0.28
+
+
+@then("a new lifetime of a server gets a higher token than the former one")
+def check_lifetime_token(context):
+    agent = agent_with_server()
+    former = agent.fencing_token
+    report = dataclasses.replace(
+        agent.report, lifetime=Lifetime("server", 2), clock_ms=10
+    )
+    agent.reported(report, 2.0)
+    assert agent.fencing_token > former
