--- a/egretcart/direct/entry.py
+++ b/egretcart/direct/entry.py
@@ -100,8 +100,8 @@
         Cancelled jobs of which something may still run.
     agent_beat_s : float
         Time between two heartbeats to an agent, in seconds.
-    stopping : bool
-        Whether the process takes no more jobs that it could not finish.
+    stop_by : float or None
+        When the process ends; it takes no job in that ends later.
     """
 
     def __init__(
--- a/tests/features/steps/soak_world.py
+++ b/tests/features/steps/soak_world.py
@@ -142,6 +142,8 @@
 
     def __init__(self, context, seed):
         self.source = random.Random(seed)
+        # Callers draw at times that vary, and must not change the faults.
+        self.caller_source = random.Random(f"callers of {seed}")
         self.violations, self.told = [], []
         self.answers, self.tries = {}, {}
         self.stopped, self.fault_at = {}, time.monotonic()
@@ -230,10 +232,10 @@
     async def call_jobs(self):
         """Submit jobs until the load ends, each as a caller would."""
         while self.loading:
-            job_id = f"{self.source.getrandbits(64):016x}"
+            job_id = f"{self.caller_source.getrandbits(64):016x}"
             self.open_jobs += 1
             self.stand_ins.nursery.start_soon(self._one_job, job_id)
-            await trio.sleep(self.source.expovariate(JOBS_PER_S))
+            await trio.sleep(self.caller_source.expovariate(JOBS_PER_S))
 
     async def _one_job(self, job_id):
         end = trio.current_time() + PATIENCE_S
@@ -241,7 +243,7 @@
         self.tries[job_id] = 0
         while trio.current_time() < end and job_id not in self.answers:
             self.tries[job_id] += 1
-            name = self.source.choice(self.entries)
+            name = self.caller_source.choice(self.entries)
             status = await self._try_job(name, job_id, body, end)
             if status in (200, 503):
                 self.answers[job_id] = status
@@ -506,7 +508,7 @@
         end = trio.current_time() + LIMIT_S
         body = json.dumps(job()).encode()
         while trio.current_time() < end:
-            job_id = f"{self.source.getrandbits(64):016x}"
+            job_id = f"{self.caller_source.getrandbits(64):016x}"
             if await self._try_job(name, job_id, body, end) == 200:
                 return True
             await trio.sleep(RESEND_S)
