Keep starts that a reborn backend server may run until it lists its runs

Cause: requests name a server's instance, not its birth. After a crash and a start under the same name, a start meant for the former incarnation runs at the new one, before any listing has told. The agent called all runs lost at once, and the entry ran the task elsewhere while it still ran here.

Now only runs that the ended incarnation has listed, or whose start was answered before the address refused connections, are lost at once. Others keep their capacity until the new incarnation lists its runs under a higher token, or until the longest lease has ended. A start that finds no listener has not run and is returned as such.

--- a/egretcart/direct/agent.py
+++ b/egretcart/direct/agent.py
@@ -177,7 +177,14 @@
     def _begin_backend_incarnation(
         self, report: BackendReport, now: float
     ) -> None:
-        self._end_all_as_lost("the backend server has started anew", now)
+        former = self.report
+        reused_name = (
+            former is None
+            or former.lifetime.instance == report.lifetime.instance
+        )
+        self._end_runs_of_incarnation(
+            "the backend server has started anew", now, carries=reused_name
+        )
         self.orphaned_runs.clear()
         self.report = report
         self.newest_born_ms = report.lifetime.born_ms
@@ -192,15 +199,28 @@
         self.health = BackendHealth(limits=self.limits.health)
         self._log_backend_change("found", "a new lifetime reports", now)
 
-    def mark_backend_ended(self, reason: str, now: float) -> list[AgentEffect]:
-        """Record that the backend server has ended and runs nothing."""
+    def mark_backend_ended(
+        self, reason: str, now: float, *, is_refused: bool = False
+    ) -> list[AgentEffect]:
+        """Record that the known incarnation of the server has ended.
+
+        Parameters
+        ----------
+        reason : str
+        now : float
+        is_refused : bool, optional
+            Whether no server listens at the address now, so that all starts
+            that were answered are over.
+        """
         if self.report is None:
             return []
         self._log_backend_change("gone", reason, now)
         self.report = None
         self.ready = False
         self.orphaned_runs.clear()
-        self._end_all_as_lost(reason, now)
+        self._end_runs_of_incarnation(
+            reason, now, carries=True, answered_are_over=is_refused
+        )
         self._start_waiting_and_notify(now)
         return self._pop_effects()
 
@@ -310,6 +330,8 @@
                 self.slowdown.record(
                     run.key.job_id, sample_run_time_ms, run.estimate_ms
                 )
+            run.is_listed = True
+            run.carried_until = 0.0
             if run.phase is RunPhase.UNCERTAIN:
                 run.phase = RunPhase.RUNNING
                 run.answered_at = now
@@ -325,9 +347,13 @@
         """End a run that the server does not list and can no longer start."""
         stopped = 0.0 < run.stop_answered_at < asked_at
         expired = listing.clock_ms > run.start_deadline_ms
-        if run.is_start_pending:
+        if run.is_start_pending or run.phase is RunPhase.QUEUED:
             return
-        if run.phase is RunPhase.UNCERTAIN and (stopped or expired):
+        if run.carried_until:
+            # The token of this incarnation is higher than that of the start
+            # request, which is refused from now on.
+            self._end_run(run, Ending.LOST, "the server has ended", now)
+        elif run.phase is RunPhase.UNCERTAIN and (stopped or expired):
             self._end_run(
                 run, Ending.NOT_RUN, "the order was not answered", now
             )
@@ -652,6 +678,9 @@
             self._confirm_evictions()
 
     def _check_run(self, run: Run, now: float) -> None:
+        if run.carried_until and now > run.carried_until:
+            self._end_run(run, Ending.LOST, "the server has ended", now)
+            return
         if run.phase is RunPhase.QUEUED:
             if now - run.received_at > self.limits.max_queue_wait_s:
                 self._end_run(run, Ending.NOT_RUN, "no room came free", now)
@@ -785,10 +814,52 @@
             self._end_run(run, Ending.NOT_RUN, reason, now)
 
     def _end_all_as_lost(self, reason: str, now: float) -> None:
+        """End all runs but those that another incarnation may have begun."""
         for run in self.runs:
-            queued = run.phase is RunPhase.QUEUED
-            ending = Ending.NOT_RUN if queued else Ending.LOST
-            self._end_run(run, ending, reason, now)
+            if not run.carried_until:
+                self._end_as_lost(run, reason, now)
+
+    def _end_as_lost(self, run: Run, reason: str, now: float) -> None:
+        queued = run.phase is RunPhase.QUEUED
+        ending = Ending.NOT_RUN if queued else Ending.LOST
+        self._end_run(run, ending, reason, now)
+
+    def _end_runs_of_incarnation(
+        self,
+        reason: str,
+        now: float,
+        *,
+        carries: bool,
+        answered_are_over: bool = False,
+    ) -> None:
+        """End the runs of an incarnation of the server that has ended.
+
+        Requests name an instance, which the next incarnation may have as
+        well. So a run that the ended incarnation has not listed may have
+        begun at the next one. It is kept until that one lists its runs, or
+        until its lease has expired.
+
+        Parameters
+        ----------
+        reason : str
+        now : float
+        carries : bool
+            Whether the next incarnation may have the same instance.
+        answered_are_over : bool, optional
+            Whether runs whose start was answered have ended in any case.
+        """
+        carried_until = now + self.limits.lease.max_server_lease_s
+        for run in self.runs:
+            is_over = run.is_listed or (
+                answered_are_over and run.answered_at > 0
+            )
+            if run.phase is RunPhase.QUEUED or is_over or not carries:
+                self._end_as_lost(run, reason, now)
+                continue
+            if run.phase is not RunPhase.STOPPING:
+                run.phase = RunPhase.UNCERTAIN
+            run.stop_sent_at = run.stop_answered_at = 0.0
+            run.carried_until = run.carried_until or carried_until
 
     def _end_run(
         self, run: Run, ending: Ending, reason: str, now: float
--- a/egretcart/direct/agent_process.py
+++ b/egretcart/direct/agent_process.py
@@ -23,6 +23,7 @@
 from egretcart.direct.backend import BackendReport
 from egretcart.direct.backend import IncarnationMismatchError
 from egretcart.direct.backend import StaleTokenError
+from egretcart.direct.backend import StartAnswer
 from egretcart.direct.backend import StartRequest
 from egretcart.direct.backend import StopRequest
 from egretcart.direct.backend_report_store import BackendReportStore
@@ -56,7 +57,8 @@
     """Return the limits that follow from an agent's settings."""
     return DirectAgentLimits(
         lease=LeaseLimits(
-            lease_ms=int(REQUESTED_LEASE_FRACTION * settings.max_lease_ms)
+            lease_ms=int(REQUESTED_LEASE_FRACTION * settings.max_lease_ms),
+            max_lease_ms=settings.max_lease_ms,
         )
     )
 
@@ -203,7 +205,7 @@
             listing = await self.backend.poll(request, time_limit_s=timeout_s)
         except BackendCallError as error:
             if error.refused:
-                self._mark_backend_ended(request.lifetime, str(error))
+                self._mark_backend_refused(request.lifetime, error)
             return False
         except StaleTokenError as error:
             now = self.clock.monotonic()
@@ -224,13 +226,27 @@
         )
         return True
 
+    def _mark_backend_refused(
+        self, lifetime: BackendIncarnation, error: BackendCallError
+    ) -> None:
+        """Record that no server listens at the address any more."""
+        self._mark_backend_ended(lifetime, str(error), is_refused=True)
+
     def _mark_backend_ended(
-        self, lifetime: BackendIncarnation, reason: str
+        self,
+        lifetime: BackendIncarnation,
+        reason: str,
+        *,
+        is_refused: bool = False,
     ) -> None:
         report = self.agent.report
         if report is not None and report.lifetime == lifetime:
             now = self.clock.monotonic()
-            self._apply_effects(self.agent.mark_backend_ended(reason, now))
+            self._apply_effects(
+                self.agent.mark_backend_ended(
+                    reason, now, is_refused=is_refused
+                )
+            )
 
     async def _start(self, request: StartRequest) -> None:
         answer = None
@@ -238,7 +254,8 @@
             answer = await self.backend.start(request)
         except BackendCallError as error:
             if error.refused:
-                self._mark_backend_ended(request.lifetime, str(error))
+                answer = StartAnswer.NOT_SENT
+                self._mark_backend_refused(request.lifetime, error)
         now = self.clock.monotonic()
         self._apply_effects(self.agent.start_answered(request, answer, now))
 
@@ -249,7 +266,7 @@
             answered = True
         except BackendCallError as error:
             if error.refused:
-                self._mark_backend_ended(request.lifetime, str(error))
+                self._mark_backend_refused(request.lifetime, error)
         now = self.clock.monotonic()
         self._apply_effects(self.agent.stop_answered(request, answered, now))
 
--- a/egretcart/direct/agent_types.py
+++ b/egretcart/direct/agent_types.py
@@ -147,6 +147,11 @@
         When a stop request was answered; 0 before.
     late_reported_at : float
         When the run was last reported to its entry as late; 0 if never.
+    is_listed : bool
+        Whether an incarnation of the server has listed the run.
+    carried_until : float
+        When the run is certainly over if another incarnation of the server
+        has executed its start request; 0 unless that is possible.
     """
 
     key: TaskKey
@@ -169,6 +174,8 @@
     stop_sent_at: float = 0.0
     stop_answered_at: float = 0.0
     late_reported_at: float = 0.0
+    is_listed: bool = False
+    carried_until: float = 0.0
 
     def order(self, now: float) -> tuple[bool, int, float]:
         """Return the sort key of the queue: runs that can be on time first."""
--- a/egretcart/direct/backend.py
+++ b/egretcart/direct/backend.py
@@ -145,6 +145,8 @@
         The server is overloaded or unavailable.
     OTHER_LIFETIME
         Another incarnation of the server answered.
+    NOT_SENT
+        No server listens at the address.
     """
 
     STARTED = "started"
@@ -155,6 +157,7 @@
     INVALID = "invalid"
     UNHEALTHY = "unhealthy"
     OTHER_LIFETIME = "other_lifetime"
+    NOT_SENT = "not_sent"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/egretcart/direct/lease.py
+++ b/egretcart/direct/lease.py
@@ -13,6 +13,8 @@
         Length requested with each renewal, in milliseconds: long enough for
         three lost renewals, short enough that the runs of a lost agent end
         before a caller tries again.
+    max_lease_ms : int
+        Longest lease that the server grants, in milliseconds.
     start_window_ms : int
         Time in which a start request may take effect, in milliseconds; an
         unanswered request has certainly expired after it.
@@ -24,6 +26,7 @@
     """
 
     lease_ms: int = 500
+    max_lease_ms: int = 1000
     start_window_ms: int = 350
     clock_drift: float = 0.02
     end_margin_s: float = 0.06
@@ -31,9 +34,15 @@
     @property
     def max_duration_s(self) -> float:
         """Time after its last renewal in which a lease certainly expires."""
-        return (
-            self.lease_ms / 1000 / (1 - self.clock_drift) + self.end_margin_s
-        )
+        return self._expiry_s(self.lease_ms)
+
+    @property
+    def max_server_lease_s(self) -> float:
+        """Time after a start in which any lease of the server expires."""
+        return self._expiry_s(self.max_lease_ms)
+
+    def _expiry_s(self, lease_ms: int) -> float:
+        return lease_ms / 1000 / (1 - self.clock_drift) + self.end_margin_s
 
 
 class BackendLease:
--- a/tests/features/direct_decisions.feature
+++ b/tests/features/direct_decisions.feature
@@ -58,3 +58,31 @@
     Then an agent notifies its entries when another one is lost
     And an entry of many agents sends heartbeats less often from then on
     And a new incarnation of a server gets a higher token than the former one
+
+  Scenario Outline: A server that starts anew may run what the former one got
+    Given an agent whose server has listed one of its two runs
+    When the other start is answered and another incarnation <tells>
+    Then the run that the former one had listed is lost at once
+    And the other run is lost once the longest lease has ended
+
+    Examples:
+      | tells          |
+      | lists its runs |
+      | reports        |
+
+  Scenario Outline: A server that starts anew tells what it runs
+    Given an agent whose server has listed one of its two runs
+    When the other start is answered and another incarnation lists its runs
+    And the new incarnation reports
+    Then the run that the former one had listed is lost at once
+    And the other run <outcome>
+
+    Examples:
+      | outcome                                        |
+      | goes on if the new incarnation lists it        |
+      | is lost if the new incarnation does not list it |
+
+  Scenario: A start that finds no server has not run
+    Given an agent whose server has listed one of its two runs
+    When the other start finds no server at the address
+    Then both runs have ended at once, the other as not run
