Receive a large configuration once, and ask one entry for it at a time

Cause: on the small twin of the grown muffa-casa deployment, a configuration with 1,148 routes takes 1.6 s on a link of 2 Mbit/s. The client gave up a read after 1.0 s and a watch after 2.5 s, whether or not bytes were coming, and asked again from the start. Beside that, each entry sent the document, as plain JSON, to each other entry that had reported an older version.

large_configuration: before, the paced read fails with no response in 1.000 s; now 4 scenarios passed.

--- a/egretcart/connection/http_client.py
+++ b/egretcart/connection/http_client.py
@@ -101,6 +101,7 @@
         body: bytes = b"",
         headers: tuple[tuple[str, str], ...] = (),
         time_limit_s: float,
+        progress_limit_s: float | None = None,
         check_before_send: Callable[[], str | None] = _always_send,
     ) -> ClientResponse:
         """Send one request and return its response.
@@ -113,6 +114,10 @@
         time_limit_s : float
             Limit of the whole exchange, in seconds; includes the wait for
             a free connection.
+        progress_limit_s : float or None, optional
+            If given, a response that has begun is received for as long as
+            no pause between its parts exceeds this limit, in seconds, even
+            beyond `time_limit_s`.
         check_before_send : callable, optional
             Called once a connection is free, immediately before the first
             byte is written. If it returns a reason, the request is not
@@ -131,13 +136,22 @@
         """
         progress = _ExchangeProgress()
         protocol = h11.Connection(our_role=h11.CLIENT)
-        with trio.move_on_after(time_limit_s):
+        with trio.move_on_after(time_limit_s) as scope:
+
+            def extend_time_limit() -> None:
+                if progress_limit_s is not None:
+                    scope.deadline = max(
+                        scope.deadline, trio.current_time() + progress_limit_s
+                    )
+
             async with self.limiter:
                 data = self._encode(protocol, method, path, body, headers)
                 stream = self._idle_stream() or await self._connect()
                 self._raise_if_refused(stream, check_before_send)
                 progress.verdict = Verdict.MAY_HAVE_RUN
-                return await self._run_connection(stream, protocol, data)
+                return await self._run_connection(
+                    stream, protocol, data, extend_time_limit
+                )
         raise ExchangeError(
             f"no response in {time_limit_s:.3f} s", progress.verdict
         )
@@ -184,7 +198,11 @@
             raise ExchangeError(reason, Verdict.NOT_RUN)
 
     async def _run_connection(
-        self, stream: trio.SocketStream, protocol: h11.Connection, data: bytes
+        self,
+        stream: trio.SocketStream,
+        protocol: h11.Connection,
+        data: bytes,
+        on_progress: Callable[[], None],
     ) -> ClientResponse:
         """Send a request and receive its response.
 
@@ -194,7 +212,7 @@
         response: ClientResponse | None = None
         try:
             await stream.send_all(data)
-            response = await _receive_response(stream, protocol)
+            response = await _receive_response(stream, protocol, on_progress)
             return response
         except (
             trio.BrokenResourceError,
@@ -280,7 +298,9 @@
 
 
 async def _receive_response(
-    stream: trio.SocketStream, protocol: h11.Connection
+    stream: trio.SocketStream,
+    protocol: h11.Connection,
+    on_progress: Callable[[], None],
 ) -> ClientResponse:
     head: h11.Response | None = None
     parts: list[bytes] = []
@@ -288,7 +308,10 @@
     while True:
         event = protocol.next_event()
         if event is h11.NEED_DATA:
-            protocol.receive_data(await stream.receive_some(RECEIVE_BYTES))
+            received = await stream.receive_some(RECEIVE_BYTES)
+            if received:
+                on_progress()
+            protocol.receive_data(received)
         elif isinstance(event, h11.Response):
             head = event
             _check_framing(head)
--- a/egretcart/direct/configuration.py
+++ b/egretcart/direct/configuration.py
@@ -1,6 +1,7 @@
 """The routing configuration of direct dispatch: routes, limits, version."""
 
 import dataclasses
+import zlib
 
 import msgspec
 
@@ -8,6 +9,9 @@
 # its caller any more. It follows from the users' rules on the worth of late
 # answers.
 USEFUL_LATENCY_FACTOR = 3.0
+# Routes repeat their hosts and prefixes; a higher level gains little.
+COMPRESSION_LEVEL = 3
+MAX_DOCUMENT_BYTES = 16 * 1024 * 1024
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -95,8 +99,8 @@
 
 
 def encode_routing(configuration: RoutingConfiguration) -> bytes:
-    """Encode a configuration as JSON, to send it to other entries."""
-    return msgspec.json.encode(configuration)
+    """Encode a configuration as compressed JSON, for other entries."""
+    return zlib.compress(msgspec.json.encode(configuration), COMPRESSION_LEVEL)
 
 
 def decode_routing(data: bytes) -> RoutingConfiguration:
@@ -104,7 +108,14 @@
 
     Raises
     ------
-    msgspec.DecodeError
+    ValueError
         If the data is not a valid configuration.
     """
-    return msgspec.json.decode(data, type=RoutingConfiguration)
+    decompressor = zlib.decompressobj()
+    try:
+        document = decompressor.decompress(data, MAX_DOCUMENT_BYTES)
+    except zlib.error as error:
+        raise ValueError(f"{len(data)} bytes: {error}") from error
+    if not decompressor.eof:
+        raise ValueError(f"{len(data)} bytes are not one whole document")
+    return msgspec.json.decode(document, type=RoutingConfiguration)
--- a/egretcart/direct/entry_process.py
+++ b/egretcart/direct/entry_process.py
@@ -5,7 +5,6 @@
 import random
 from typing import Any
 
-import msgspec
 import trio
 
 from egretcart.connection.dialler import Dialler
@@ -18,7 +17,10 @@
 from egretcart.direct.configuration import encode_routing
 from egretcart.direct.configuration import Route
 from egretcart.direct.configuration import RoutingConfiguration
+from egretcart.direct.configuration_pull import ConfigurationPull
+from egretcart.direct.configuration_pull import ConfigurationPullLimits
 from egretcart.direct.decisions import DecisionLog
+from egretcart.direct.decisions import DependencyChanged
 from egretcart.direct.entry import DirectEntry
 from egretcart.direct.entry_types import Answer
 from egretcart.direct.entry_types import CloseAgent
@@ -34,6 +36,7 @@
 from egretcart.direct.messages import EntryPeers
 from egretcart.direct.messages import PeerAddress
 from egretcart.direct.messages import Routing
+from egretcart.direct.messages import RoutingRequest
 from egretcart.direct.settings import DirectEntrySettings
 from egretcart.direct.settings import split_address
 from egretcart.direct.wire import DIRECT_PROTOCOL
@@ -46,8 +49,6 @@
 READINESS_DETECTION_S = 2.3
 # Time at the end of a graceful shutdown for sending the last answers.
 RESPONSE_FLUSH_S = 0.5
-# Shortest time between two sendings of a configuration to the same entry.
-CONFIGURATION_RESEND_S = 0.5
 MAX_CONNECTIONS = 3000
 
 
@@ -77,10 +78,8 @@
         Links that agents have opened, by agent id.
     peer_links : dict of str to PeerLink
         Links that this process has opened to other entries, by entry id.
-    peer_config_versions : dict of str to int
-        Configuration version that each other entry has reported.
-    config_sent_at : dict of str to float
-        When a configuration was last sent to each other entry.
+    pull : ConfigurationPull
+        Versions of the other entries, and the request to one of them.
     answers : dict of int to Answer
         Answers by request id, until `submit` returns them.
     answer_events : dict of int to trio.Event
@@ -110,13 +109,15 @@
             log=log,
             source=random.Random(),
         )
+        self.log = log
         self.traffic = traffic
         self.address = PeerAddress(host=settings.host, port=settings.peer_port)
         self.known_entries: set[PeerAddress] = set()
         self.agent_links: dict[str, PeerLink] = {}
         self.peer_links: dict[str, PeerLink] = {}
-        self.peer_config_versions: dict[str, int] = {}
-        self.config_sent_at: dict[str, float] = {}
+        self.pull = ConfigurationPull(
+            limits=ConfigurationPullLimits(), choose=random.choice
+        )
         self.answers: dict[int, Answer] = {}
         self.answer_events: dict[int, trio.Event] = {}
         self.last_request_id = 0
@@ -205,8 +206,6 @@
             return
         for listener in self.listeners:
             listener.limits = self._http_limits()
-        for entry_id in self.peer_links:
-            self._push_configuration(entry_id)
 
     def add_entry(self, host: str, port: int) -> None:
         """Connect to another entry, and report it to agents and entries."""
@@ -292,7 +291,14 @@
             elif peer_id:
                 if isinstance(message, Beat):
                     link.send(Beat(version=self.entry.version))
-                self._handle_peer_message(peer_id, message, now)
+                elif isinstance(message, RoutingRequest):
+                    self._send_routing(link, message)
+                elif isinstance(message, EntryPeers):
+                    self._add_entries(message.entries)
+                else:
+                    self._apply_effects(
+                        self.entry.receive_from_peer(peer_id, message, now)
+                    )
             elif isinstance(message, AgentHello) and not agent_id:
                 agent_id = message.status.agent_id
                 link.confirm_hello()
@@ -336,16 +342,19 @@
                 if former is not None:
                     former.close()
                 self._apply_effects(self.entry.peer_connected(peer_id, now))
-                self._push_configuration(peer_id)
             elif isinstance(message, EntryPeers):
                 self._add_entries(message.entries)
             elif isinstance(message, Beat) and peer_id:
+                self.pull.record_version(peer_id, message.version)
                 self.entry.peer_heartbeat_received(peer_id, now)
+            elif isinstance(message, Routing) and peer_id:
+                self._handle_routing(peer_id, message)
 
         known_entries = EntryPeers(entries=tuple(self.known_entries))
         await link.run(handle, first=[self._hello(), known_entries])
         if peer_id and self.peer_links.get(peer_id) is link:
             del self.peer_links[peer_id]
+            self.pull.remove_entry(peer_id)
             self.entry.peer_disconnected(peer_id)
 
     def _hello(self) -> EntryHello:
@@ -371,48 +380,29 @@
         for link in (*self.agent_links.values(), *self.peer_links.values()):
             link.send(message)
 
-    def _handle_peer_message(
-        self, peer_id: str, message: Any, now: float
-    ) -> None:
-        if isinstance(message, Beat):
-            self.peer_config_versions[peer_id] = message.version
-            if message.version < self.entry.version:
-                self._push_configuration(peer_id)
-        elif isinstance(message, EntryPeers):
-            self._add_entries(message.entries)
-        elif isinstance(message, Routing):
-            self._handle_routing(peer_id, message)
-        else:
-            self._apply_effects(
-                self.entry.receive_from_peer(peer_id, message, now)
-            )
-
     def _handle_routing(self, peer_id: str, message: Routing) -> None:
         if message.version <= self.entry.version:
             return
         try:
             configuration = decode_routing(message.document)
-        except msgspec.DecodeError:
+        except ValueError as error:
             # Another release may write a document that this one can't read.
             # This version also arrives from the store.
+            self.log.write(
+                DependencyChanged(
+                    name=peer_id,
+                    state="unreadable configuration",
+                    cause=str(error),
+                )
+            )
             return
         self.configure(configuration, source=peer_id)
 
-    def _push_configuration(self, entry_id: str) -> None:
-        """Send the active configuration to an entry with an older one."""
+    def _send_routing(self, link: PeerLink, request: RoutingRequest) -> None:
+        """Send the active configuration to an entry that has an older one."""
         configuration = self.entry.configuration
-        link = self.peer_links.get(entry_id)
-        now = self.clock.monotonic()
-        if configuration is None or link is None:
-            return
-        if self.peer_config_versions.get(entry_id, 0) >= configuration.version:
+        if configuration is None or request.version >= configuration.version:
             return
-        if (
-            now - self.config_sent_at.get(entry_id, 0.0)
-            < CONFIGURATION_RESEND_S
-        ):
-            return
-        self.config_sent_at[entry_id] = now
         link.send(
             Routing(
                 version=configuration.version,
@@ -420,6 +410,13 @@
             )
         )
 
+    def _pull_configuration(self, now: float) -> None:
+        """Ask another entry for a configuration that the store delays."""
+        entry_id = self.pull.find_entry_to_ask(self.entry.version, now)
+        link = self.peer_links.get(entry_id) if entry_id else None
+        if link is not None:
+            link.send(RoutingRequest(version=self.entry.version))
+
     # Effects.
 
     def _apply_effects(self, effects: Iterable[EntryEffect]) -> None:
@@ -463,5 +460,7 @@
 
     async def _tick(self) -> None:
         while True:
-            self._apply_effects(self.entry.tick(self.clock.monotonic()))
+            now = self.clock.monotonic()
+            self._apply_effects(self.entry.tick(now))
+            self._pull_configuration(now)
             await trio.sleep(TICK_INTERVAL_S)
--- a/egretcart/direct/messages.py
+++ b/egretcart/direct/messages.py
@@ -388,15 +388,28 @@
     state: str = ""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RoutingRequest:
+    """Asks an entry for its active configuration, on the same link.
+
+    Attributes
+    ----------
+    version : int
+        Version of the sender's active configuration; 0 for none.
+    """
+
+    version: int = 0
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Routing:
-    """A configuration, sent to an entry that has an older one.
+    """A configuration, sent to an entry that has asked for it.
 
     Attributes
     ----------
     version : int
     document : bytes
-        The configuration as JSON.
+        As `encode_routing` returns it.
     """
 
     version: int = 0
@@ -421,5 +434,6 @@
     | ReleaseJob
     | JobReleased
     | Routing
+    | RoutingRequest
 )
 Message = AgentMessage | EntryMessage | PeerMessage
--- a/egretcart/direct/wire.thrift
+++ b/egretcart/direct/wire.thrift
@@ -87,6 +87,8 @@
 struct JobReleased { 1: optional i64 number, 2: optional string state }
 struct Routing { 1: optional i64 version, 2: optional binary document }
 
+struct RoutingRequest { 1: optional i64 version }
+
 struct Message {
   1: optional EntryHello entry_hello
   2: optional EntryPeers entry_peers
@@ -104,5 +106,6 @@
   14: optional JobReleased job_released
   15: optional Routing routing
   16: optional EntriesServed entries_served
+  17: optional RoutingRequest routing_request
 }
 struct Frame { 1: optional list<Message> messages }
