Let an agent serve a bounded set of entries instead of all

Cause: each of 160 agents was linked to each of 35 entries, so that 70 % of an entry's time went to statuses of agents that it sent nothing to. An agent now connects to the eight best ranked reachable entries by a hash of its name and their addresses, the best of each failure domain first. An entry none of whose agents can begin a task asks three others, which send it agents with free capacity for a time. With eight entries or fewer all are linked as before.

In the simulation, the end of a link no longer ends the link that replaced it.

--- a/egretcart/connection/dialler.py
+++ b/egretcart/connection/dialler.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
+from typing import Protocol
 
 import trio
 
@@ -17,6 +18,33 @@
 Endpoint = tuple[str, int]
 
 
+class DialPolicy(Protocol):
+    """Decides which addresses are dialled."""
+
+    def is_wanted(self, endpoint: Endpoint) -> bool:
+        """Whether an address is to be dialled again."""
+
+    def mark_unreachable(self, endpoint: Endpoint) -> None:
+        """Record that an address could not be reached."""
+
+    def remove(self, endpoint: Endpoint) -> None:
+        """Record that an address was unreachable for long."""
+
+
+class DialAll:
+    """Dials every address."""
+
+    def is_wanted(self, endpoint: Endpoint) -> bool:
+        """Return True."""
+        return True
+
+    def mark_unreachable(self, endpoint: Endpoint) -> None:
+        """Do nothing."""
+
+    def remove(self, endpoint: Endpoint) -> None:
+        """Do nothing."""
+
+
 class Dialler:
     """Dials each known address again whenever its connection ends.
 
@@ -33,6 +61,8 @@
     own : pair of str and int, optional
         This process's own address, which is not dialled; None if it has
         none.
+    policy : DialPolicy, optional
+        By default, all addresses are dialled.
 
     Attributes
     ----------
@@ -47,11 +77,13 @@
         seeds: Iterable[Endpoint],
         run_connection: Callable[[trio.SocketStream], Awaitable[None]],
         own: Endpoint | None = None,
+        policy: DialPolicy | None = None,
     ) -> None:
         self.nursery = nursery
         self.seeds = frozenset(seeds)
         self.run_connection = run_connection
         self.own = own
+        self.policy = policy or DialAll()
         self.dialled_endpoints: set[Endpoint] = set()
         for host, port in self.seeds:
             self.ensure_dialled(host, port)
@@ -66,19 +98,21 @@
 
     async def _dial(self, endpoint: Endpoint) -> None:
         last_connected_at = trio.current_time()
-        while True:
+        while self.policy.is_wanted(endpoint):
             try:
                 with trio.fail_after(CONNECT_TIMEOUT_S):
                     stream = await trio.open_tcp_stream(*endpoint)
             except (OSError, trio.TooSlowError):
+                self.policy.mark_unreachable(endpoint)
                 unreachable_s = trio.current_time() - last_connected_at
                 if (
                     unreachable_s > UNREACHABLE_EXPIRY_S
                     and endpoint not in self.seeds
                 ):
-                    self.dialled_endpoints.discard(endpoint)
-                    return
+                    self.policy.remove(endpoint)
+                    break
             else:
                 await self.run_connection(stream)
                 last_connected_at = trio.current_time()
             await trio.sleep(REDIAL_INTERVAL_S)
+        self.dialled_endpoints.discard(endpoint)
--- a/egretcart/direct/agent.py
+++ b/egretcart/direct/agent.py
@@ -5,6 +5,9 @@
 in `_ms`.
 """
 
+from collections.abc import Iterable
+
+from egretcart.connection.dialler import Endpoint
 from egretcart.direct.agent_types import AgentEffect
 from egretcart.direct.agent_types import CloseEntryLink
 from egretcart.direct.agent_types import DirectAgentLimits
@@ -29,6 +32,7 @@
 from egretcart.direct.decisions import RunEnded
 from egretcart.direct.decisions import RunStarted
 from egretcart.direct.decisions import RunUnanswered
+from egretcart.direct.entry_connections import EntryConnections
 from egretcart.direct.entry_links import EntryLinks
 from egretcart.direct.health import BackendHealth
 from egretcart.direct.job import Ending
@@ -42,7 +46,9 @@
 from egretcart.direct.messages import EntryMessage
 from egretcart.direct.messages import EvictJob
 from egretcart.direct.messages import HeldTask
+from egretcart.direct.messages import PeerAddress
 from egretcart.direct.messages import RunTasks
+from egretcart.direct.messages import ServeEntry
 from egretcart.direct.messages import StopTasks
 from egretcart.direct.messages import TAKEN_OVER_REASON
 from egretcart.direct.messages import TaskEnded
@@ -50,6 +56,7 @@
 from egretcart.direct.progress import RunProgress
 from egretcart.direct.progress import SlowdownEstimate
 from egretcart.direct.run_table import RunTable
+from egretcart.direct.working_set import WorkingSet
 
 
 class DirectAgent:
@@ -62,6 +69,8 @@
         Rises with each start of the agent's process.
     limits : DirectAgentLimits
     log : DecisionLog
+    seeds : iterable of Endpoint, optional
+        Entries that are known from the start.
 
     Attributes
     ----------
@@ -109,6 +118,8 @@
         Effects that no method has returned yet.
     links : EntryLinks
         Links to entries, and the statuses that are due on them.
+    connections : EntryConnections
+        The entries to connect to.
     """
 
     def __init__(
@@ -118,6 +129,7 @@
         incarnation: int,
         limits: DirectAgentLimits,
         log: DecisionLog,
+        seeds: Iterable[Endpoint] = (),
     ) -> None:
         self.agent_id = agent_id
         self.incarnation = incarnation
@@ -148,8 +160,19 @@
             effects=self.effects,
             min_status_interval_s=limits.min_status_interval_s,
             max_statuses_per_s=limits.max_statuses_per_s,
+            retire_after_s=limits.retire_after_s,
             status=self.status,
         )
+        self.connections = EntryConnections(
+            limits=limits,
+            working_set=WorkingSet(
+                agent_id=agent_id, limits=limits.working_set, seeds=seeds
+            ),
+            links=self.links,
+            runs=self.runs,
+            effects=self.effects,
+            log=log,
+        )
 
     # Messages from the backend server.
 
@@ -430,10 +453,33 @@
 
     # Messages from entries.
 
+    def entries_reported(self, addresses: Iterable[PeerAddress]) -> None:
+        """Record the addresses of entries."""
+        for address in addresses:
+            self.connections.working_set.add(
+                address.endpoint, address.failure_domain
+            )
+
     def entry_connected(
-        self, entry_id: str, incarnation: int, now: float
+        self,
+        entry_id: str,
+        incarnation: int,
+        now: float,
+        address: PeerAddress | None = None,
     ) -> list[AgentEffect]:
-        """Record a link on which an entry has sent its hello."""
+        """Record a link on which an entry has sent its hello.
+
+        Parameters
+        ----------
+        entry_id : str
+        incarnation : int
+        now : float
+        address : PeerAddress or None, optional
+            Where the entry listens. An entry without a known address is
+            never outside the working set.
+        """
+        if address is not None:
+            self.connections.record_connected(entry_id, address)
         state = self.links.entries.get(entry_id)
         if state is not None and state.incarnation != incarnation:
             self._stop_entry_runs(entry_id, "its entry has started anew", now)
@@ -496,6 +542,9 @@
                     self._stop_run(run, "its entry took it back", now)
         elif isinstance(message, EvictJob):
             self._evict(entry_id, message, now)
+        elif isinstance(message, ServeEntry):
+            endpoint = message.address.endpoint
+            self.connections.serve_temporarily(endpoint, now)
         elif isinstance(message, Beat) and message.interval_ms:
             state.heartbeat_interval_s = message.interval_ms / 1000
             return []
@@ -605,6 +654,7 @@
             self._check_run(run, now)
         for key, number in self.orphaned_runs.items():
             self._stop_orphaned_run(key, number)
+        self.connections.maintain(now)
         self._start_waiting_and_notify(now)
         return self._pop_effects()
 
@@ -645,6 +695,7 @@
             self._stop_entry_runs(entry_id, "its entry is silent", now)
             if state.connected:
                 self.effects.append(CloseEntryLink(entry_id))
+            self.connections.record_silent(entry_id)
             self.links.send_entries_served()
 
     def _check_lease_expiry(self, now: float) -> None:
--- a/egretcart/direct/agent_process.py
+++ b/egretcart/direct/agent_process.py
@@ -14,6 +14,7 @@
 from egretcart.direct.agent import DirectAgent
 from egretcart.direct.agent_types import AgentEffect
 from egretcart.direct.agent_types import CloseEntryLink
+from egretcart.direct.agent_types import DialEntry
 from egretcart.direct.agent_types import DirectAgentLimits
 from egretcart.direct.agent_types import SendStartRequest
 from egretcart.direct.agent_types import SendToEntry
@@ -31,6 +32,7 @@
 from egretcart.direct.lease import LeaseLimits
 from egretcart.direct.messages import EntryHello
 from egretcart.direct.messages import EntryPeers
+from egretcart.direct.messages import PeerAddress
 from egretcart.direct.settings import DirectAgentSettings
 from egretcart.direct.settings import split_address
 from egretcart.direct.wire import DIRECT_PROTOCOL
@@ -108,6 +110,7 @@
             incarnation=clock.unix_ms(),
             limits=limits,
             log=log,
+            seeds=settings.seed_endpoints,
         )
         self.traffic = traffic
         self.links: dict[str, PeerLink] = {}
@@ -134,6 +137,7 @@
             nursery=nursery,
             seeds=self.settings.seed_endpoints,
             run_connection=self._run_connection,
+            policy=self.agent.connections.working_set,
         )
         nursery.start_soon(self._restore_report)
         nursery.start_soon(self.report_store.run)
@@ -143,11 +147,11 @@
     def reload(self, settings: DirectAgentSettings) -> None:
         """Apply changed settings; addresses of this process don't change."""
         for host, port in settings.seed_endpoints:
-            self.add_entry(host, port)
+            self.add_entry(PeerAddress(host=host, port=port))
 
-    def add_entry(self, host: str, port: int) -> None:
-        """Connect to an entry."""
-        self.dialler.ensure_dialled(host, port)
+    def add_entry(self, address: PeerAddress) -> None:
+        """Record an entry, and connect to it if it is to be served."""
+        self.agent.entries_reported((address,))
 
     async def _restore_report(self) -> None:
         """Use the report of an earlier incarnation until a new one arrives."""
@@ -290,12 +294,11 @@
                     former.close()
                 self._apply_effects(
                     self.agent.entry_connected(
-                        entry_id, message.incarnation, now
+                        entry_id, message.incarnation, now, message.address
                     )
                 )
             elif isinstance(message, EntryPeers):
-                for address in message.entries:
-                    self.dialler.ensure_dialled(address.host, address.port)
+                self.agent.entries_reported(message.entries)
             elif entry_id and self.links.get(entry_id) is link:
                 self._apply_effects(self.agent.receive(entry_id, message, now))
 
@@ -316,6 +319,8 @@
                 link = self.links.pop(effect.entry_id, None)
                 if link is not None:
                     link.close()
+            elif isinstance(effect, DialEntry):
+                self.dialler.ensure_dialled(*effect.endpoint)
             elif isinstance(effect, SendStartRequest):
                 self.nursery.start_soon(self._start, effect.request)
             else:
--- a/egretcart/direct/agent_types.py
+++ b/egretcart/direct/agent_types.py
@@ -7,6 +7,7 @@
 import dataclasses
 import enum
 
+from egretcart.connection.dialler import Endpoint
 from egretcart.direct.backend import StartRequest
 from egretcart.direct.backend import StopRequest
 from egretcart.direct.health import HealthLimits
@@ -16,6 +17,7 @@
 from egretcart.direct.messages import Message
 from egretcart.direct.progress import ProgressLimits
 from egretcart.direct.progress import RunProgress
+from egretcart.direct.working_set import WorkingSetLimits
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -53,11 +55,18 @@
     takeover_retention_s : float
         Time for which tasks of a job are refused from entries that it was
         taken over from, in seconds: longer than their callers wait.
+    retire_after_s : float
+        Time for which an entry has to be outside the working set before it
+        is told to send no more tasks, in seconds.
+    retire_notice_s : float
+        Time from then until the link may be closed, in seconds: longer than
+        tasks that were sent before are under way.
     start_timeout_s, stop_timeout_s : float
         Time limits of start and of stop requests, in seconds.
     lease : LeaseLimits
     health : HealthLimits
     progress : ProgressLimits
+    working_set : WorkingSetLimits
     """
 
     heartbeat_interval_s: float = 0.15
@@ -69,6 +78,8 @@
     backend_timeout_s: float = 0.3
     stop_retry_interval_s: float = 0.15
     takeover_retention_s: float = 20.0
+    retire_after_s: float = 1.0
+    retire_notice_s: float = 0.5
     start_timeout_s: float = 0.25
     stop_timeout_s: float = 0.25
     lease: LeaseLimits = dataclasses.field(default_factory=LeaseLimits)
@@ -76,6 +87,9 @@
     progress: ProgressLimits = dataclasses.field(
         default_factory=ProgressLimits
     )
+    working_set: WorkingSetLimits = dataclasses.field(
+        default_factory=WorkingSetLimits
+    )
 
 
 class RunPhase(enum.Enum):
@@ -203,6 +217,9 @@
         When the last status was sent to it; 0 if none was.
     outdated : bool
         Whether the agent's status has changed since the last one sent.
+    unwanted_since : float
+        Since when the entry is outside the agent's working set; 0 if it
+        belongs to it.
     """
 
     incarnation: int
@@ -212,6 +229,14 @@
     sequence: int = 0
     status_sent_at: float = 0.0
     outdated: bool = False
+    unwanted_since: float = 0.0
+
+    def is_retiring(self, retire_after_s: float, now: float) -> bool:
+        """Whether the entry is told to send no more tasks here."""
+        return (
+            self.unwanted_since > 0
+            and now - self.unwanted_since > retire_after_s
+        )
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -255,9 +280,22 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CloseEntryLink:
-    """Effect: close the entry's link; it may connect again."""
+    """Effect: close the entry's link; it may be opened again."""
 
     entry_id: str
 
 
-AgentEffect = SendToEntry | SendStartRequest | SendStopRequest | CloseEntryLink
+@dataclasses.dataclass(frozen=True, slots=True)
+class DialEntry:
+    """Effect: connect to an entry, unless that is under way already."""
+
+    endpoint: Endpoint
+
+
+AgentEffect = (
+    SendToEntry
+    | SendStartRequest
+    | SendStopRequest
+    | CloseEntryLink
+    | DialEntry
+)
--- a/egretcart/direct/decisions.py
+++ b/egretcart/direct/decisions.py
@@ -423,6 +423,30 @@
     paused_ms: int = 0
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class AgentsRecruited(Decision):
+    """An entry asks some of its agents to serve another entry as well.
+
+    Attributes
+    ----------
+    entry : str
+        The entry that has asked, as none of its agents has enough capacity.
+    agents : tuple of str
+    suitable : int
+        Number of agents that have the free capacity and the label.
+    cpu_milli : int
+        Processors that a task requires, in thousandths.
+    label : str
+        Label that the task requires; empty for none.
+    """
+
+    entry: str
+    agents: tuple[str, ...]
+    suitable: int
+    cpu_milli: int
+    label: str
+
+
 class DecisionLog(Protocol):
     """The log that a process writes its decisions to."""
 
--- a/egretcart/direct/entry.py
+++ b/egretcart/direct/entry.py
@@ -49,6 +49,7 @@
 from egretcart.direct.messages import JobReleased
 from egretcart.direct.messages import JobsTaken
 from egretcart.direct.messages import PeerMessage
+from egretcart.direct.messages import RecruitAgents
 from egretcart.direct.messages import ReleaseJob
 from egretcart.direct.messages import StopTasks
 from egretcart.direct.messages import TAKEN_OVER_REASON
@@ -57,6 +58,7 @@
 from egretcart.direct.pending_claims import PendingClaim
 from egretcart.direct.pending_claims import PendingClaims
 from egretcart.direct.placement import Placement
+from egretcart.direct.recruiting import AgentRecruiter
 from egretcart.direct.rescue import LateRun
 from egretcart.direct.rescue import should_reschedule
 from egretcart.direct.task_sender import TaskSender
@@ -123,6 +125,7 @@
     pending : PendingClaims
         Jobs that are not accepted yet, as they may run for other entries.
     sender : TaskSender
+    recruiter : AgentRecruiter
     """
 
     def __init__(
@@ -152,6 +155,14 @@
         self.last_peer_heartbeat_at = 0.0
         self.effects: list[EntryEffect] = []
         self.pending = PendingClaims(effects=self.effects, log=log)
+        self.recruiter = AgentRecruiter(
+            limits=limits.recruiting,
+            agents=self.agents,
+            peers=self.peers,
+            effects=self.effects,
+            log=log,
+            source=source,
+        )
         self.sender = TaskSender(
             agents=self.agents,
             placement=Placement(
@@ -399,7 +410,8 @@
 
         The wait is in milliseconds. The time after which the caller may
         retry is in seconds, or None if the job can be served in time. Each
-        other entry is assumed to have as much work waiting as this one.
+        other entry that shares agents with this one is assumed to have as
+        much work waiting as this one.
         """
         sort_key = held.sort_key(now)
         jobs_ahead = [
@@ -419,7 +431,7 @@
         load = estimate_load(
             held.job.steps[0],
             self.agents.values(),
-            queued_cpu_milli_ms=ahead_cpu_milli_ms * (1 + len(self.peers)),
+            queued_cpu_milli_ms=ahead_cpu_milli_ms * self._entries_per_agent(),
             far_factor=self.limits.far_factor,
             discovery_wait_ms=discovery_wait_ms,
         )
@@ -440,6 +452,15 @@
         wait_ms = min(load.wait_ms, 1e6)
         return wait_ms, retry_s
 
+    def _entries_per_agent(self) -> float:
+        """Return how many entries share an agent, in the mean."""
+        counts = [
+            len(view.entries) for view in self.agents.values() if view.entries
+        ]
+        if not counts:
+            return 1 + len(self.peers)
+        return sum(counts) / len(counts)
+
     def _refuse(
         self,
         held: HeldJob,
@@ -832,6 +853,8 @@
             self._handle_release_job(entry_id, message, now)
         elif isinstance(message, JobReleased):
             self._handle_job_released(entry_id, message)
+        elif isinstance(message, RecruitAgents):
+            self.recruiter.send_agents(entry_id, message)
         self._dispatch(now)
         return self._pop_effects()
 
@@ -895,7 +918,7 @@
     # Time.
 
     def tick(self, now: float) -> list[EntryEffect]:
-        """Process everything that is due; called about every 50 ms."""
+        """Process everything that is due; called at the tick interval."""
         if not self.last_tick_at:
             self.discovery_ends_at = now + self.limits.discovery_wait_s
         paused_s = now - self.last_tick_at if self.last_tick_at else 0.0
@@ -964,8 +987,9 @@
             if held.has_begun or now < held.due_at:
                 continue
             wait_ms, retry_s = self._estimate_wait(held, now)
-            if retry_s is None:
+            if retry_s is None and not self._has_waited_long(held, now):
                 continue
+            retry_s = retry_s or self.limits.admission.min_retry_s
             self.jobs.pop(held.job.job_id)
             self._refuse(
                 held,
@@ -975,6 +999,20 @@
                 retry_s,
             )
 
+    def _has_waited_long(self, held: HeldJob, now: float) -> bool:
+        """Whether a job would have been refused if its wait had been known.
+
+        That is so if its wait passes the longest one by the next tick.
+        """
+        admission = self.limits.admission
+        longest_ms = (
+            admission.max_useful_share
+            * admission.useful_latency_factor
+            * held.objective_ms
+        )
+        next_tick_at = now + self.limits.tick_interval_s
+        return (next_tick_at - held.accepted_at) * 1000 > longest_ms
+
     def _remove_old_answers(self, now: float) -> None:
         oldest = now - self.limits.answer_retention_s
         while self.ended and next(iter(self.ended.values()))[1] < oldest:
@@ -1016,6 +1054,8 @@
         for pending in self.pending.pop_ready(now):
             self._admit_claimed(pending, now)
         self.sender.dispatch(self.jobs.values(), now)
+        if self.sender.unplaced is not None:
+            self.recruiter.ask(self.sender.unplaced, now)
 
     def _pop_effects(self) -> list[EntryEffect]:
         effects = list(self.effects)
--- a/egretcart/direct/entry_links.py
+++ b/egretcart/direct/entry_links.py
@@ -1,6 +1,8 @@
 """Sends an agent's messages and statuses to entries. Free of I/O."""
 
 from collections.abc import Callable
+from collections.abc import Collection
+import dataclasses
 
 from egretcart.direct.agent_types import AgentEffect
 from egretcart.direct.agent_types import EntryState
@@ -25,6 +27,8 @@
     max_statuses_per_s : float
         Most statuses to all entries together, per second, with the same
         exceptions.
+    retire_after_s : float
+        See `DirectAgentLimits`.
     status : callable
         Returns the status for an entry, given the sequence number of the
         last `RunTasks` from it and the time.
@@ -48,11 +52,13 @@
         effects: list[AgentEffect],
         min_status_interval_s: float,
         max_statuses_per_s: float,
+        retire_after_s: float,
         status: Callable[[int, float], AgentStatus],
     ) -> None:
         self.effects = effects
         self.min_status_interval_s = min_status_interval_s
         self.max_statuses_per_s = max_statuses_per_s
+        self.retire_after_s = retire_after_s
         self.status = status
         self.entries: dict[str, EntryState] = {}
         self.evictions: list[Eviction] = []
@@ -92,10 +98,26 @@
             ):
                 state.status_sent_at = now
                 state.outdated = False
-                self.send(entry_id, self.status(state.sequence, now))
+                self.send(entry_id, self._status_for(state, now))
         self.status_changed = False
         self.entries_to_notify.clear()
 
+    def _status_for(self, state: EntryState, now: float) -> AgentStatus:
+        status = self.status(state.sequence, now)
+        if state.is_retiring(self.retire_after_s, now):
+            return dataclasses.replace(status, accepting=False)
+        return status
+
+    def mark_unwanted(self, unwanted: Collection[str], now: float) -> None:
+        """Record which entries are outside the agent's working set."""
+        for entry_id, state in self.entries.items():
+            if entry_id not in unwanted:
+                if state.is_retiring(self.retire_after_s, now):
+                    self.entries_to_notify.add(entry_id)
+                state.unwanted_since = 0.0
+            elif not state.unwanted_since:
+                state.unwanted_since = now
+
     def confirm_evictions(self, has_ended: Callable[[Eviction], bool]) -> None:
         """Notify entries for which the other runs of a job have ended."""
         for eviction in list(self.evictions):
--- a/egretcart/direct/entry_process.py
+++ b/egretcart/direct/entry_process.py
@@ -8,6 +8,7 @@
 import trio
 
 from egretcart.connection.dialler import Dialler
+from egretcart.connection.dialler import Endpoint
 from egretcart.connection.http_listener import HttpListener
 from egretcart.connection.http_server import Handler
 from egretcart.connection.http_server import HttpLimits
@@ -43,7 +44,6 @@
 from egretcart.process.clock import Clock
 from egretcart.process.planned_stop import poll_until
 
-TICK_INTERVAL_S = 0.05
 # The balancer removes an entry from its rotation after two failed readiness
 # checks, a second apart.
 READINESS_DETECTION_S = 2.3
@@ -72,7 +72,7 @@
         Start of the process, in Unix milliseconds.
     address : PeerAddress
         Where agents and other entries connect to this entry.
-    known_entries : set of PeerAddress
+    known_entries : dict of Endpoint to PeerAddress
         Addresses of all other entries that were reported.
     agent_links : dict of str to PeerLink
         Links that agents have opened, by agent id.
@@ -111,8 +111,13 @@
         )
         self.log = log
         self.traffic = traffic
-        self.address = PeerAddress(host=settings.host, port=settings.peer_port)
-        self.known_entries: set[PeerAddress] = set()
+        self.address = PeerAddress(
+            host=settings.host,
+            port=settings.peer_port,
+            failure_domain=settings.failure_domain,
+        )
+        self.entry.recruiter.address = self.address
+        self.known_entries: dict[Endpoint, PeerAddress] = {}
         self.agent_links: dict[str, PeerLink] = {}
         self.peer_links: dict[str, PeerLink] = {}
         self.pull = ConfigurationPull(
@@ -174,7 +179,7 @@
         The addresses on which this process listens don't change.
         """
         for host, port in settings.seed_endpoints:
-            self.add_entry(host, port)
+            self.add_entry(PeerAddress(host=host, port=port))
 
     async def _serve_http(self, address: str, handler: Handler) -> None:
         host, port = split_address(address)
@@ -207,9 +212,9 @@
         for listener in self.listeners:
             listener.limits = self._http_limits()
 
-    def add_entry(self, host: str, port: int) -> None:
+    def add_entry(self, address: PeerAddress) -> None:
         """Connect to another entry, and report it to agents and entries."""
-        self._add_entries([PeerAddress(host=host, port=port)])
+        self._add_entries([address])
 
     async def submit(
         self, job: Job, route: Route, *, wait_limit_s: float = math.inf
@@ -308,7 +313,7 @@
                 self._apply_effects(self.entry.receive(agent_id, message, now))
                 self._request_dispatch()
 
-        known_entries = EntryPeers(entries=tuple(self.known_entries))
+        known_entries = EntryPeers(entries=tuple(self.known_entries.values()))
         await link.run(handle, first=[self._hello(), known_entries])
         if agent_id and self.agent_links.get(agent_id) is link:
             del self.agent_links[agent_id]
@@ -350,7 +355,7 @@
             elif isinstance(message, Routing) and peer_id:
                 self._handle_routing(peer_id, message)
 
-        known_entries = EntryPeers(entries=tuple(self.known_entries))
+        known_entries = EntryPeers(entries=tuple(self.known_entries.values()))
         await link.run(handle, first=[self._hello(), known_entries])
         if peer_id and self.peer_links.get(peer_id) is link:
             del self.peer_links[peer_id]
@@ -365,21 +370,32 @@
         )
 
     def _add_entries(self, addresses: Iterable[PeerAddress]) -> None:
-        """Connect to entries that were unknown, and report them to all."""
+        """Connect to entries that were unknown, and report them to all.
+
+        An entry is reported again once its failure domain is known.
+        """
         new_addresses = [
-            address
-            for address in addresses
-            if address not in self.known_entries and address != self.address
+            address for address in addresses if self._is_news(address)
         ]
         if not new_addresses:
             return
-        self.known_entries.update(new_addresses)
+        self.known_entries.update(
+            (address.endpoint, address) for address in new_addresses
+        )
         for address in new_addresses:
             self.dialler.ensure_dialled(address.host, address.port)
         message = EntryPeers(entries=tuple(new_addresses))
         for link in (*self.agent_links.values(), *self.peer_links.values()):
             link.send(message)
 
+    def _is_news(self, address: PeerAddress) -> bool:
+        if address.endpoint == self.address.endpoint:
+            return False
+        known = self.known_entries.get(address.endpoint)
+        return known is None or (
+            address.failure_domain not in ("", known.failure_domain)
+        )
+
     def _handle_routing(self, peer_id: str, message: Routing) -> None:
         if message.version <= self.entry.version:
             return
@@ -463,4 +479,4 @@
             now = self.clock.monotonic()
             self._apply_effects(self.entry.tick(now))
             self._pull_configuration(now)
-            await trio.sleep(TICK_INTERVAL_S)
+            await trio.sleep(self.entry.limits.tick_interval_s)
--- a/egretcart/direct/entry_types.py
+++ b/egretcart/direct/entry_types.py
@@ -13,12 +13,34 @@
 RUN_NUMBERS_PER_TAKEOVER = 1000
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RecruitingLimits:
+    """Bounds of recruiting, see `AgentRecruiter`.
+
+    Attributes
+    ----------
+    interval_s : float
+        Shortest time between two requests of an entry, in seconds: what an
+        agent takes to connect and to send its status.
+    entries_asked : int
+        Most entries that are asked at a time.
+    agents_sent : int
+        Most agents that an entry sends to another one at a time.
+    """
+
+    interval_s: float = 0.1
+    entries_asked: int = 3
+    agents_sent: int = 2
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class DirectEntryLimits:
     """Times and bounds of an entry.
 
     Attributes
     ----------
+    tick_interval_s : float
+        Time between two calls of `DirectEntry.tick`, in seconds.
     heartbeat_interval_s : float
         Shortest time between two heartbeats to an agent, in seconds.
     max_heartbeat_interval_s : float
@@ -75,8 +97,10 @@
     admission : AdmissionLimits
     placement : PlacementLimits
     rescheduling : ReschedulingLimits
+    recruiting : RecruitingLimits
     """
 
+    tick_interval_s: float = 0.05
     heartbeat_interval_s: float = 0.15
     max_heartbeat_interval_s: float = 0.3
     max_heartbeats_per_s: float = 250.0
@@ -101,6 +125,9 @@
     rescheduling: ReschedulingLimits = dataclasses.field(
         default_factory=ReschedulingLimits
     )
+    recruiting: RecruitingLimits = dataclasses.field(
+        default_factory=RecruitingLimits
+    )
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/egretcart/direct/messages.py
+++ b/egretcart/direct/messages.py
@@ -15,10 +15,24 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class PeerAddress:
-    """Host and port on which an entry listens for other processes."""
+    """Where an entry listens for other processes.
+
+    Attributes
+    ----------
+    host : str
+    port : int
+    failure_domain : str
+        Failure domain of its machine; empty if the sender does not know it.
+    """
 
     host: str = ""
     port: int = 0
+    failure_domain: str = ""
+
+    @property
+    def endpoint(self) -> tuple[str, int]:
+        """Host and port."""
+        return self.host, self.port
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -120,6 +134,39 @@
         return Room(self.cpu_milli, self.memory_mb, self.accelerators)
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RecruitAgents:
+    """An entry without free capacity asks another one for agents with some.
+
+    Attributes
+    ----------
+    address : PeerAddress
+        Where these agents are to connect.
+    cpu_milli, memory_mb, accelerators : int
+        Resources that a task requires; units as in `Room`.
+    label : str
+        Label that the agents must have; empty for any.
+    """
+
+    address: PeerAddress = PeerAddress()
+    cpu_milli: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+    label: str = ""
+
+    @property
+    def room(self) -> Room:
+        """Resources that a task requires."""
+        return Room(self.cpu_milli, self.memory_mb, self.accelerators)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ServeEntry:
+    """An entry asks an agent to connect to another entry for a time."""
+
+    address: PeerAddress = PeerAddress()
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class StopTasks:
     """An entry asks an agent to stop tasks, whether they run or wait.
@@ -425,7 +472,15 @@
     | EntriesServed
     | Beat
 )
-EntryMessage = EntryHello | EntryPeers | Beat | RunTasks | StopTasks | EvictJob
+EntryMessage = (
+    EntryHello
+    | EntryPeers
+    | Beat
+    | RunTasks
+    | StopTasks
+    | EvictJob
+    | ServeEntry
+)
 PeerMessage = (
     EntryHello
     | EntryPeers
@@ -435,5 +490,6 @@
     | JobReleased
     | Routing
     | RoutingRequest
+    | RecruitAgents
 )
 Message = AgentMessage | EntryMessage | PeerMessage
--- a/egretcart/direct/store_follower.py
+++ b/egretcart/direct/store_follower.py
@@ -8,6 +8,7 @@
 from egretcart.direct.configuration import RoutingConfiguration
 from egretcart.direct.decisions import DecisionLog
 from egretcart.direct.decisions import DependencyChanged
+from egretcart.direct.messages import PeerAddress
 from egretcart.process.store.platform import Change
 from egretcart.process.store.platform import Platform
 from egretcart.process.store.platform import PlatformError
@@ -56,7 +57,7 @@
     ----------
     platform : Platform
     on_entry : callable
-        Called with host and port of each registered entry.
+        Called with the address of each registered entry.
     log : DecisionLog
     source : random.Random
         Source of jitter, so that processes do not call at the same time.
@@ -66,7 +67,7 @@
         self,
         *,
         platform: Platform,
-        on_entry: Callable[[str, int], None],
+        on_entry: Callable[[PeerAddress], None],
         log: DecisionLog,
         source: random.Random,
     ) -> None:
@@ -80,7 +81,13 @@
         while True:
             try:
                 for address in await list_entries(self.platform):
-                    self.on_entry(address.host, address.port)
+                    self.on_entry(
+                        PeerAddress(
+                            host=address.host,
+                            port=address.port,
+                            failure_domain=address.failure_domain,
+                        )
+                    )
                 self.state.mark_available()
             except PlatformError as error:
                 self.state.mark_lost(error)
--- a/egretcart/direct/task_sender.py
+++ b/egretcart/direct/task_sender.py
@@ -10,6 +10,7 @@
 from egretcart.direct.held_job import HeldTask
 from egretcart.direct.held_job import TaskPhase
 from egretcart.direct.job import Room
+from egretcart.direct.job import Step
 from egretcart.direct.messages import RunTasks
 from egretcart.direct.placement import Placement
 from egretcart.direct.placement import PlacementRequest
@@ -27,6 +28,12 @@
     effects : list of EntryEffect
         Where messages are added.
     log : DecisionLog
+
+    Attributes
+    ----------
+    unplaced : Step or None
+        Step of the most urgent task that no agent could begin in the last
+        dispatch; None if there was none.
     """
 
     def __init__(
@@ -41,9 +48,11 @@
         self.placement = placement
         self.effects = effects
         self.log = log
+        self.unplaced: Step | None = None
 
     def dispatch(self, jobs: Iterable[HeldJob], now: float) -> None:
         """Send the waiting tasks of jobs, the most urgent ones first."""
+        self.unplaced = None
         waiting = [held for held in jobs if any(held.waiting())]
         if not waiting:
             return
@@ -74,6 +83,10 @@
             ):
                 continue
             agent_id = self._choose(held, task, now)
+            if agent_id is None or not self.agents[agent_id].free.can_fit(
+                step.room
+            ):
+                self.unplaced = self.unplaced or step
             if agent_id is None:
                 if not step.has_agent_constraints:
                     exhausted_resources.append(step.room)
--- a/egretcart/direct/views.py
+++ b/egretcart/direct/views.py
@@ -110,6 +110,15 @@
             and (not step.requires or step.requires in status.labels)
         )
 
+    def can_begin(self, room: Room, label: str) -> bool:
+        """Whether a task with these requirements would begin there now."""
+        return (
+            self.status.accepting
+            and not self.status.probing
+            and self.free.can_fit(room)
+            and (not label or label in self.status.labels)
+        )
+
     def run_ms(self, step: Step, far_factor: float) -> float:
         """Return the expected run time of a task of the step there."""
         is_remote = step.data_rack and step.data_rack not in self.status.labels
--- a/egretcart/direct/wire.thrift
+++ b/egretcart/direct/wire.thrift
@@ -2,7 +2,7 @@
 // compatibility rules are those of egretcart/connection/wire.thrift: fields at
 // their default are left out, numbers are never reused.
 
-struct PeerAddress { 1: optional string host, 2: optional i32 port }
+struct PeerAddress { 1: optional string host, 2: optional i32 port, 3: optional string failure_domain }
 struct EntryHello {
   1: optional string entry_id
   2: optional i64 incarnation
@@ -88,6 +88,14 @@
 struct Routing { 1: optional i64 version, 2: optional binary document }
 
 struct RoutingRequest { 1: optional i64 version }
+struct RecruitAgents {
+  1: optional PeerAddress address
+  2: optional i64 cpu_milli
+  3: optional i64 memory_mb
+  4: optional i64 accelerators
+  5: optional string label
+}
+struct ServeEntry { 1: optional PeerAddress address }
 
 struct Message {
   1: optional EntryHello entry_hello
@@ -107,5 +115,7 @@
   15: optional Routing routing
   16: optional EntriesServed entries_served
   17: optional RoutingRequest routing_request
+  18: optional RecruitAgents recruit_agents
+  19: optional ServeEntry serve_entry
 }
 struct Frame { 1: optional list<Message> messages }
--- a/egretcart/testing/direct_world.py
+++ b/egretcart/testing/direct_world.py
@@ -19,6 +19,7 @@
 from egretcart.direct.agent import DirectAgent
 from egretcart.direct.agent_types import AgentEffect
 from egretcart.direct.agent_types import CloseEntryLink
+from egretcart.direct.agent_types import DialEntry
 from egretcart.direct.agent_types import DirectAgentLimits
 from egretcart.direct.agent_types import SendStartRequest
 from egretcart.direct.agent_types import SendToEntry
@@ -42,6 +43,8 @@
 from egretcart.direct.job import TaskKey
 from egretcart.direct.messages import AgentHello
 from egretcart.direct.messages import Beat
+from egretcart.direct.messages import PeerAddress
+from egretcart.direct.working_set import WorkingSetLimits
 from egretcart.testing.fake_backend import FakeBackend
 from egretcart.testing.fake_backend import TaskSize
 
@@ -161,6 +164,8 @@
     log : DecisionLog, optional
         Receives the decisions of all entries and agents; by default they
         are not recorded.
+    working_set : WorkingSetLimits, optional
+        How many entries an agent serves.
 
     Attributes
     ----------
@@ -212,8 +217,12 @@
         capacity: Room | None = None,
         speeds: tuple[float, ...] = (1.0,),
         log: DecisionLog | None = None,
+        working_set: WorkingSetLimits | None = None,
     ) -> None:
         self.source = random.Random(seed)
+        self.agent_limits = DirectAgentLimits(
+            working_set=working_set or WorkingSetLimits()
+        )
         self.capacity = capacity or Room(16_000, 65_536, 0)
         self.log = log or NullDecisionLog()
         self.now = 1000.0
@@ -265,6 +274,7 @@
             log=self.log,
             source=random.Random(self.source.random()),
         )
+        entry.recruiter.address = PeerAddress(host=name)
         entry.configure(self.configuration, "world")
         self.entries[name] = entry
 
@@ -303,8 +313,9 @@
         self.agents[name] = DirectAgent(
             agent_id=name,
             incarnation=self.processes[name].incarnation_number,
-            limits=DirectAgentLimits(),
+            limits=self.agent_limits,
             log=self.log,
+            seeds=[(entry_id, 0) for entry_id in self.entries],
         )
 
     # Time.
@@ -434,6 +445,9 @@
                 )
 
     def _handle_disconnect(self, name: str, other: str) -> None:
+        """Report the end of a link, unless another one has replaced it."""
+        if _link_key(name, other) in self.links:
+            return
         if name in self.agents:
             self.agents[name].entry_disconnected(other)
         elif other in self.agents:
@@ -508,18 +522,26 @@
         return process.is_up and not process.paused and not is_blocked
 
     def _dial_entries(self, name: str) -> None:
+        """Dial again the entries that an agent wants to be connected to."""
+        for endpoint in self.agents[name].connections.working_set.wanted:
+            self._dial_entry(name, endpoint)
+
+    def _dial_entry(self, name: str, endpoint: tuple[str, int]) -> None:
         agent = self.agents[name]
-        for entry_id in self.entries:
-            if _link_key(name, entry_id) in self.links:
-                continue
-            if not self._can_connect(name, entry_id):
-                continue
-            self.links[_link_key(name, entry_id)] = next(self.sequence_numbers)
-            incarnation_number = self.processes[entry_id].incarnation_number
-            self._apply_agent_effects(
-                name,
-                agent.entry_connected(entry_id, incarnation_number, self.now),
-            )
+        entry_id, _ = endpoint
+        if _link_key(name, entry_id) in self.links:
+            return
+        if not self._can_connect(name, entry_id):
+            agent.connections.working_set.mark_unreachable(endpoint)
+            return
+        self.links[_link_key(name, entry_id)] = next(self.sequence_numbers)
+        effects = agent.entry_connected(
+            entry_id,
+            self.processes[entry_id].incarnation_number,
+            self.now,
+            PeerAddress(host=entry_id),
+        )
+        self._apply_agent_effects(name, effects)
 
     def _dial_peers(self, name: str) -> None:
         for other in self.entries:
@@ -602,6 +624,8 @@
                 self._send_to_entry(name, effect.entry_id, effect.message)
             elif isinstance(effect, CloseEntryLink):
                 self._close(name, effect.entry_id)
+            elif isinstance(effect, DialEntry):
+                self._dial_entry(name, effect.endpoint)
             elif isinstance(effect, SendStartRequest):
                 self._send_start_request(name, effect.request)
             else:
--- a/tests/features/steps/direct_decisions_steps.py
+++ b/tests/features/steps/direct_decisions_steps.py
@@ -318,6 +318,7 @@
         effects=effects,
         min_status_interval_s=limits.min_status_interval_s,
         max_statuses_per_s=limits.max_statuses_per_s,
+        retire_after_s=limits.retire_after_s,
         status=lambda sequence, now: AgentStatus(sequence=sequence),
     )
     for number in range(entries):
