Send statuses and heartbeats only where they tell something

A status is sent at once only when what entries choose by has changed: whether tasks are accepted or probed, how many more fit up to three, how many wait. Other changes wait for the next heartbeat. An entry sends a heartbeat only to agents to which it has sent nothing else for an interval.

--- a/egretcart/direct/agent.py
+++ b/egretcart/direct/agent.py
@@ -17,6 +17,7 @@
 from egretcart.direct.agent_types import RunPhase
 from egretcart.direct.agent_types import SendStartRequest
 from egretcart.direct.agent_types import SendStopRequest
+from egretcart.direct.agent_types import Vacancy
 from egretcart.direct.backend import BackendIncarnation
 from egretcart.direct.backend import BackendReport
 from egretcart.direct.backend import Listing
@@ -58,6 +59,10 @@
 from egretcart.direct.run_table import RunTable
 from egretcart.direct.working_set import WorkingSet
 
+# An agent with free capacity for this many tasks or more is chosen alike by
+# entries, which send it few tasks before its next status.
+MAX_REPORTED_TASKS = 3
+
 
 class DirectAgent:
     """Runs tasks of all entries within the capacity of one backend server.
@@ -104,8 +109,10 @@
         the server have ended.
     stopping : bool
         Whether the agent shuts down and accepts no new tasks.
-    was_accepting : bool
-        Whether new tasks were accepted when statuses were last due.
+    typical_room : Room
+        Resources that the task received last requires.
+    reported_vacancy : Vacancy
+        What entries choose agents by, when statuses were last due.
     lease_expired : bool
         Whether the lease has expired since the server's last listing.
     resumed_at : float
@@ -147,7 +154,8 @@
         self.ready = False
         self.predecessor_ended = False
         self.stopping = False
-        self.was_accepting = False
+        self.typical_room = NO_ROOM
+        self.reported_vacancy = Vacancy()
         self.resumed_at = 0.0
         self.takeovers = RecentTakeovers(
             retention_s=limits.takeover_retention_s
@@ -573,7 +581,7 @@
                     entry_id, key, message.run, Ending.NOT_RUN, 0, reason
                 )
                 continue
-            self.links.status_changed = True
+            self.typical_room = message.room
             self.runs.add(
                 Run(
                     key=key,
@@ -916,7 +924,6 @@
         self, run: Run, ending: Ending, reason: str, now: float
     ) -> None:
         self.runs.remove(run)
-        self.links.status_changed = True
         run_ms = max(0, round((now - run.progress.started_at) * 1000))
         if ending is Ending.DONE:
             self.health.record_success()
@@ -1014,12 +1021,24 @@
     def _start_waiting_and_notify(self, now: float) -> None:
         """Start queued runs that fit, and send the statuses that are due."""
         self._start_waiting_runs(now)
-        is_accepting = self._is_accepting(now)
-        if is_accepting != self.was_accepting:
-            self.was_accepting = is_accepting
+        vacancy = self._vacancy(now)
+        if vacancy != self.reported_vacancy:
+            self.reported_vacancy = vacancy
             self.links.status_changed = True
         self.links.send_due_statuses(now)
 
+    def _vacancy(self, now: float) -> Vacancy:
+        report = self.report
+        if report is None:
+            return Vacancy()
+        free = self.runs.free(report.capacity, queued=True)
+        return Vacancy(
+            accepting=self._is_accepting(now),
+            probing=self.health.probing,
+            tasks=free.count_fitting(self.typical_room, MAX_REPORTED_TASKS),
+            queued=len(self.runs.waiting()),
+        )
+
     def _pop_effects(self) -> list[AgentEffect]:
         effects = list(self.effects)
         self.effects.clear()
--- a/egretcart/direct/agent_types.py
+++ b/egretcart/direct/agent_types.py
@@ -197,6 +197,28 @@
         return (is_late, self.priority, self.due_at)
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Vacancy:
+    """The part of a status on which the choice of an agent depends most.
+
+    Entries are told of its changes without waiting for a heartbeat.
+
+    Attributes
+    ----------
+    accepting, probing : bool
+        As in `AgentStatus`.
+    tasks : int
+        Number of tasks for which there is free capacity, up to a bound.
+    queued : int
+        Number of tasks that wait for free capacity.
+    """
+
+    accepting: bool = False
+    probing: bool = False
+    tasks: int = 0
+    queued: int = 0
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class EntryState:
     """State of an entry as the agent knows it.
@@ -216,7 +238,7 @@
     status_sent_at : float
         When the last status was sent to it; 0 if none was.
     outdated : bool
-        Whether the agent's status has changed since the last one sent.
+        Whether the agent's vacancy has changed since the last status.
     unwanted_since : float
         Since when the entry is outside the agent's working set; 0 if it
         belongs to it.
--- a/egretcart/direct/entry.py
+++ b/egretcart/direct/entry.py
@@ -117,9 +117,9 @@
         Time of the last tick; 0 before the first.
     agent_heartbeat_interval_s : float
         Time between two heartbeats to an agent, in seconds.
-    last_heartbeat_at, last_peer_heartbeat_at : float
-        When heartbeats were last sent to agents and to other entries; 0
-        before the first.
+    last_peer_heartbeat_at : float
+        When heartbeats were last sent to other entries; 0 before the
+        first.
     effects : list of EntryEffect
         Effects that no method has returned yet.
     pending : PendingClaims
@@ -151,7 +151,6 @@
         self.discovery_ends_at = 0.0
         self.last_tick_at = 0.0
         self.agent_heartbeat_interval_s = limits.heartbeat_interval_s
-        self.last_heartbeat_at = 0.0
         self.last_peer_heartbeat_at = 0.0
         self.effects: list[EntryEffect] = []
         self.pending = PendingClaims(effects=self.effects, log=log)
@@ -305,7 +304,7 @@
                 wait_limit_s=wait_limit_s,
             )
         self._dispatch(now)
-        return self._pop_effects()
+        return self._pop_effects(now)
 
     def _unconnected_entries(self) -> set[str]:
         """Return entries that agents serve but that are not connected here.
@@ -500,7 +499,7 @@
             if not held.waiting_request_ids:
                 self._cancel(held, "the caller has left", now)
         self._dispatch(now)
-        return self._pop_effects()
+        return self._pop_effects(now)
 
     def cancel(self, job_id: str, now: float) -> list[EntryEffect]:
         """Cancel a job at its caller's request."""
@@ -509,7 +508,7 @@
             self._answer(held, JobState.CANCELLED, now, "its caller")
             self._cancel(held, "the caller took it back", now)
         self._dispatch(now)
-        return self._pop_effects()
+        return self._pop_effects(now)
 
     def state_of(self, job_id: str) -> JobState | None:
         """Return how far a job has come; None if it is not known."""
@@ -593,7 +592,7 @@
                     Answer(request_id=request_id, interrupted=True)
                 )
             self._cancel(held, "the entry leaves", now)
-        return self._pop_effects()
+        return self._pop_effects(now)
 
     # Agents.
 
@@ -612,7 +611,7 @@
         self.pending.request_eviction(agent_id)
         self._reconcile(agent_id, hello, now)
         self._dispatch(now)
-        return self._pop_effects()
+        return self._pop_effects(now)
 
     def agent_disconnected(
         self, agent_id: str, now: float
@@ -624,7 +623,7 @@
         not report them and reports that nothing else can run there.
         """
         self._mark_agent_lost(agent_id, "its link has ended", now)
-        return self._pop_effects()
+        return self._pop_effects(now)
 
     def _mark_agent_lost(self, agent_id: str, cause: str, now: float) -> None:
         if self.agents.pop(agent_id, None) is None:
@@ -665,12 +664,12 @@
             view.entries = frozenset(message.entry_ids)
         elif isinstance(message, JobEvicted):
             self.pending.confirm_ended(message.number, agent_id)
-        return self._pop_effects()
+        return self._pop_effects(now)
 
     def dispatch_waiting(self, now: float) -> list[EntryEffect]:
         """Send tasks that can be sent; called after a batch of messages."""
         self._dispatch(now)
-        return self._pop_effects()
+        return self._pop_effects(now)
 
     def _find_task(
         self, key: TaskKey
@@ -829,7 +828,7 @@
         self.log.write(PeerChanged(peer=entry_id, state="connected"))
         taken = JobsTaken(job_ids=self.claims.own_job_ids())
         self.effects.append(SendToPeer(entry_id, taken))
-        return self._pop_effects()
+        return self._pop_effects(now)
 
     def peer_heartbeat_received(self, entry_id: str, now: float) -> None:
         """Record a heartbeat on the link to another entry."""
@@ -856,7 +855,7 @@
         elif isinstance(message, RecruitAgents):
             self.recruiter.send_agents(entry_id, message)
         self._dispatch(now)
-        return self._pop_effects()
+        return self._pop_effects(now)
 
     def _handle_job_taken(
         self, entry_id: str, job_id: str, now: float
@@ -931,15 +930,14 @@
         self._refuse_overdue(now)
         self.claims.remove_expired(now)
         self._remove_old_answers(now)
-        if now - self.last_heartbeat_at >= self.agent_heartbeat_interval_s:
-            self._send_heartbeats(now)
+        self._send_heartbeats(now)
         if (
             now - self.last_peer_heartbeat_at
             >= self.limits.peer_heartbeat_interval_s
         ):
             self._send_peer_heartbeats(now)
         self._dispatch(now)
-        return self._pop_effects()
+        return self._pop_effects(now)
 
     def _resume_after_pause(self, paused_s: float, now: float) -> None:
         """Close all links to agents, which have stopped this entry's runs."""
@@ -1019,13 +1017,12 @@
             self.ended.popitem(last=False)
 
     def _send_heartbeats(self, now: float) -> None:
-        """Send heartbeats to the agents.
+        """Send heartbeats to agents that were sent nothing else lately.
 
         The interval grows with the number of agents and never shrinks: an
         agent that missed the message with a shorter interval would end its
         runs later than this entry expects.
         """
-        self.last_heartbeat_at = now
         self.agent_heartbeat_interval_s = min(
             self.limits.max_heartbeat_interval_s,
             max(
@@ -1033,10 +1030,17 @@
                 len(self.agents) / self.limits.max_heartbeats_per_s,
             ),
         )
-        interval_ms = round(self.agent_heartbeat_interval_s * 1000)
-        heartbeat = Beat(version=self.version, interval_ms=interval_ms)
-        for agent_id in self.agents:
-            self.effects.append(SendToAgent(agent_id, heartbeat))
+        interval_s = self.agent_heartbeat_interval_s
+        for agent_id, view in self.agents.items():
+            if (
+                view.heartbeat_interval_s != interval_s
+                or now - view.last_sent_at >= interval_s
+            ):
+                view.heartbeat_interval_s = interval_s
+                heartbeat = Beat(
+                    version=self.version, interval_ms=round(interval_s * 1000)
+                )
+                self.effects.append(SendToAgent(agent_id, heartbeat))
 
     def _send_peer_heartbeats(self, now: float) -> None:
         """Send heartbeats and newly accepted jobs to other entries."""
@@ -1057,7 +1061,12 @@
         if self.sender.unplaced is not None:
             self.recruiter.ask(self.sender.unplaced, now)
 
-    def _pop_effects(self) -> list[EntryEffect]:
+    def _pop_effects(self, now: float) -> list[EntryEffect]:
         effects = list(self.effects)
         self.effects.clear()
+        for effect in effects:
+            if isinstance(effect, SendToAgent):
+                view = self.agents.get(effect.agent_id)
+                if view is not None:
+                    view.last_sent_at = now
         return effects
--- a/egretcart/direct/entry_links.py
+++ b/egretcart/direct/entry_links.py
@@ -41,7 +41,7 @@
     evictions : list of Eviction
         Entries that wait until other entries' runs of a job have ended.
     status_changed : bool
-        Whether the agent's status has changed since statuses were sent.
+        Whether the agent's vacancy has changed since statuses were sent.
     entries_to_notify : set of str
         Entries that get a status without waiting for the interval.
     """
--- a/egretcart/direct/job.py
+++ b/egretcart/direct/job.py
@@ -47,6 +47,15 @@
             and other.accelerators <= self.accelerators
         )
 
+    def count_fitting(self, other: "Room", most: int) -> int:
+        """Return how many times the other resources fit, up to `most`."""
+        count = 0
+        rest = self - other
+        while count < most and rest.can_fit(NO_ROOM):
+            count += 1
+            rest -= other
+        return count
+
 
 NO_ROOM = Room()
 # Far above the size of any step; bounds what one request makes an entry
--- a/egretcart/direct/views.py
+++ b/egretcart/direct/views.py
@@ -45,6 +45,10 @@
         When the last status was received.
     last_message_at : float
         When the last message of any kind was received.
+    last_sent_at : float
+        When the last message of any kind was sent; 0 if none was.
+    heartbeat_interval_s : float
+        Heartbeat interval that the agent was told last; 0 if it was not.
     entries : frozenset of str
         The entries for which the agent may run tasks.
     sequence : int
@@ -60,6 +64,8 @@
         self.status = status
         self.status_at = now
         self.last_message_at = now
+        self.last_sent_at = 0.0
+        self.heartbeat_interval_s = 0.0
         self.entries: frozenset[str] = frozenset()
         self.sequence = 0
         self.sent: dict[int, SentTasks] = {}
--- a/egretcart/testing/direct_world.py
+++ b/egretcart/testing/direct_world.py
@@ -800,8 +800,9 @@
         estimate_ms: float | None = None,
         route: Route | None = None,
         fails: bool = False,
+        entry_id: str | None = None,
     ) -> CallerRequest:
-        """Submit a job of identical tasks to an entry chosen at random.
+        """Submit a job of identical tasks to an entry.
 
         Parameters
         ----------
@@ -818,6 +819,9 @@
             Route of the request; None for `DEFAULT_ROUTE`.
         fails : bool, optional
             Whether each task fails at its end.
+        entry_id : str or None, optional
+            The entry that gets the first submission if it is live; None for
+            one chosen at random.
         """
         job_id = f"{len(self.requests):016x}"
         self.task_behaviours[job_id] = TaskSize(
@@ -834,10 +838,12 @@
             sent_at=self.now,
         )
         self.requests.append(request)
-        self._submit_to_live_entry(request)
+        self._submit_to_live_entry(request, entry_id)
         return request
 
-    def _submit_to_live_entry(self, request: CallerRequest) -> None:
+    def _submit_to_live_entry(
+        self, request: CallerRequest, entry_id: str | None = None
+    ) -> None:
         if request.answer is not None or request.caller_disconnected:
             return
         live = [
@@ -851,7 +857,7 @@
             )
             return
         request.submission_count += 1
-        name = self.source.choice(live)
+        name = entry_id if entry_id in live else self.source.choice(live)
         number = next(self.request_numbers)
         request.entry_id = name
         self.waiting[number] = (request, name)
