Take a job over only once its owner's runs are over

Now the owner answers a question once its own agents have ended its runs; runs of an owner that is gone, or was since it reported the job, are waited for by time; an owner that can't be reached directly is asked through three others. An entry that has left a job to another no longer reports it as its own, and its caller asking again does not start it anew.

--- a/egretcart/direct/claims.py
+++ b/egretcart/direct/claims.py
@@ -97,7 +97,16 @@
         self.peer_claims.pop(job_id, None)
 
     def record_peer(self, job_id: str, entry_id: str, now: float) -> None:
-        """Record that another entry has accepted a job."""
+        """Record that another entry has accepted a job or takes it over.
+
+        This entry no longer reports the job as its own.
+        """
+        if self.own_claims.pop(job_id, None) is not None:
+            self.unreported = [
+                unreported
+                for unreported in self.unreported
+                if unreported != job_id
+            ]
         self.peer_claims.pop(job_id, None)
         self.peer_claims[job_id] = Claim(entry_id, now)
 
--- a/egretcart/direct/entry.py
+++ b/egretcart/direct/entry.py
@@ -8,6 +8,7 @@
 from egretcart.direct.admission import estimate_load
 from egretcart.direct.admission import retry_after_s
 from egretcart.direct.backend import StartAnswer
+from egretcart.direct.claims import Claim
 from egretcart.direct.claims import ClaimTable
 from egretcart.direct.configuration import Route
 from egretcart.direct.configuration import RoutingConfiguration
@@ -40,6 +41,7 @@
 from egretcart.direct.job import JobKind
 from egretcart.direct.job import JobState
 from egretcart.direct.job import TaskKey
+from egretcart.direct.job_releases import JobReleases
 from egretcart.direct.messages import AgentHello
 from egretcart.direct.messages import AgentMessage
 from egretcart.direct.messages import AgentStatus
@@ -98,6 +100,11 @@
         Agents whose links have ended, and when their runs expire.
     peers : dict of str to float
         Other connected entries, and when their last heartbeat was received.
+    peers_connected_at : dict of str to float
+        When the link to each connected entry was opened.
+    former_runs_expire_at : dict of str to float
+        When the runs have expired that an entry had before its link was
+        last lost, by entry id.
     jobs : dict of str to HeldJob
         Accepted jobs that are not answered yet, by job id.
     stopping_jobs : dict of str to HeldJob
@@ -124,6 +131,8 @@
         Effects that no method has returned yet.
     pending : PendingClaims
         Jobs that are not accepted yet, as they may run for other entries.
+    releases : JobReleases
+        Other entries' questions about jobs that they take over.
     sender : TaskSender
     recruiter : AgentRecruiter
     """
@@ -143,6 +152,8 @@
         self.agents: dict[str, AgentView] = {}
         self.lost_agents: dict[str, float] = {}
         self.peers: dict[str, float] = {}
+        self.peers_connected_at: dict[str, float] = {}
+        self.former_runs_expire_at: dict[str, float] = {}
         self.jobs: dict[str, HeldJob] = {}
         self.stopping_jobs: dict[str, HeldJob] = {}
         self.ended: OrderedDict[str, tuple[JobState, float]] = OrderedDict()
@@ -153,7 +164,12 @@
         self.agent_heartbeat_interval_s = limits.heartbeat_interval_s
         self.last_peer_heartbeat_at = 0.0
         self.effects: list[EntryEffect] = []
-        self.pending = PendingClaims(effects=self.effects, log=log)
+        self.pending = PendingClaims(
+            effects=self.effects, log=log, source=source
+        )
+        self.releases = JobReleases(
+            entry_id=entry_id, peers=self.peers, effects=self.effects
+        )
         self.recruiter = AgentRecruiter(
             limits=limits.recruiting,
             agents=self.agents,
@@ -279,6 +295,7 @@
                 peers=self.peers,
                 agents=self.agents,
                 lost_agents=self.lost_agents,
+                former_expires_at=self._former_runs_expiry(claim),
                 wait_deadline_at=math.inf,
                 wait_limit_s=wait_limit_s,
             )
@@ -288,9 +305,10 @@
                 job,
                 route,
                 holders=unconnected,
-                peers=(),
+                peers=self.peers,
                 agents=self.agents,
                 lost_agents={},
+                former_expires_at=0.0,
                 wait_deadline_at=now + self.limits.unconnected_wait_s,
                 wait_limit_s=wait_limit_s,
             )
@@ -306,6 +324,17 @@
         self._dispatch(now)
         return self._pop_effects(now)
 
+    def _former_runs_expiry(self, claim: Claim) -> float:
+        """Return when runs have expired whose owner can't be asked.
+
+        That is an entry that is not connected, or that has been
+        disconnected since it reported the job and may have lost its state.
+        """
+        connected_at = self.peers_connected_at.get(claim.entry_id, math.inf)
+        if claim.claimed_at >= connected_at:
+            return 0.0
+        return self.former_runs_expire_at.get(claim.entry_id, 0.0)
+
     def _unconnected_entries(self) -> set[str]:
         """Return entries that agents serve but that are not connected here.
 
@@ -824,7 +853,8 @@
 
     def peer_connected(self, entry_id: str, now: float) -> list[EntryEffect]:
         """Record a connected entry and report recently accepted jobs to it."""
-        self.peers[entry_id] = now
+        self._record_former_runs(entry_id)
+        self.peers[entry_id] = self.peers_connected_at[entry_id] = now
         self.log.write(PeerChanged(peer=entry_id, state="connected"))
         taken = JobsTaken(job_ids=self.claims.own_job_ids())
         self.effects.append(SendToPeer(entry_id, taken))
@@ -837,9 +867,23 @@
 
     def peer_disconnected(self, entry_id: str) -> None:
         """Record that the link to another entry has ended."""
-        if self.peers.pop(entry_id, None) is not None:
-            self.log.write(PeerChanged(peer=entry_id, state="disconnected"))
-            self.pending.stop_awaiting_entry(entry_id)
+        if entry_id not in self.peers:
+            return
+        self._record_former_runs(entry_id)
+        del self.peers[entry_id]
+        del self.peers_connected_at[entry_id]
+        self.log.write(PeerChanged(peer=entry_id, state="disconnected"))
+        self.pending.set_entry_expiry(
+            entry_id, self.former_runs_expire_at[entry_id]
+        )
+        self.releases.owner_disconnected(entry_id)
+
+    def _record_former_runs(self, entry_id: str) -> None:
+        """Record when the runs expire that an entry has now."""
+        if entry_id in self.peers:
+            self.former_runs_expire_at[entry_id] = (
+                self.peers[entry_id] + self.limits.runs_expiry_s
+            )
 
     def receive_from_peer(
         self, entry_id: str, message: PeerMessage, now: float
@@ -883,25 +927,47 @@
             )
         self._cancel(held, f"its caller asks {entry_id}", now)
 
+    def _yield_pending(self, pending: PendingClaim, entry_id: str) -> None:
+        """Yield a job that was not accepted yet to another entry."""
+        self.log.write(
+            JobYielded(
+                job_id=pending.job.job_id, entry=entry_id, state="claimed"
+            )
+        )
+        self.pending.remove(pending)
+        for request_id in pending.request_ids:
+            self.effects.append(
+                Answer(request_id=request_id, interrupted=True)
+            )
+
     def _handle_release_job(
         self, entry_id: str, message: ReleaseJob, now: float
     ) -> None:
-        """Yield a job to the entry that asks, or report how it has ended.
-
-        The agents notify that entry when no run of the job is left.
-        """
+        """Yield a job to the entry that asks, or report how it has ended."""
+        if self.releases.is_for_other(message):
+            self.releases.relay(entry_id, message)
+            return
         ended = self.ended.get(message.job_id)
-        state = ended[0].value if ended is not None else ""
+        if ended is not None:
+            self.releases.answer_ended(entry_id, message, ended[0].value)
+            return
+        claimant = message.claimant or entry_id
         held = self.jobs.get(message.job_id)
+        pending = self.pending.by_job.get(message.job_id)
         if held is not None:
-            self._yield(held, entry_id, now)
-        reply = JobReleased(number=message.number, state=state)
-        self.effects.append(SendToPeer(entry_id, reply))
+            self._yield(held, claimant, now)
+        elif pending is not None:
+            self._yield_pending(pending, claimant)
+        # A caller that asks this entry again must not start the job anew.
+        self.claims.record_peer(message.job_id, claimant, now)
+        self.releases.answer_once_over(entry_id, message)
 
     def _handle_job_released(
         self, entry_id: str, message: JobReleased
     ) -> None:
         """Answer a claimed job with the state in which it has ended."""
+        if self.releases.relay_answer(message):
+            return
         self.pending.confirm_ended(message.number, entry_id)
         pending = self.pending.find(message.number)
         if pending is None or not message.state:
@@ -1055,6 +1121,7 @@
 
     def _dispatch(self, now: float) -> None:
         """Accept the jobs of resolved claims and send waiting tasks."""
+        self.releases.answer_over(self.stopping_jobs)
         for pending in self.pending.pop_ready(now):
             self._admit_claimed(pending, now)
         self.sender.dispatch(self.jobs.values(), now)
--- a/egretcart/direct/entry_types.py
+++ b/egretcart/direct/entry_types.py
@@ -129,6 +129,18 @@
         default_factory=RecruitingLimits
     )
 
+    @property
+    def runs_expiry_s(self) -> float:
+        """Time after an entry's last message until its runs have expired.
+
+        Agents notice its end after the longest heartbeat timeout, whatever
+        interval it has requested, and then stop its runs.
+        """
+        return (
+            self.max_missed_heartbeats * self.max_heartbeat_interval_s
+            + self.agent_stop_s
+        )
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Answer:
--- a/egretcart/direct/messages.py
+++ b/egretcart/direct/messages.py
@@ -413,15 +413,25 @@
     number : int
         Number of the sender's claim; `JobReleased` repeats it.
     job_id : str
+    owner : str
+        The entry to which the receiver is to pass this on; empty if that is
+        the receiver itself.
+    claimant : str
+        The entry that takes the job over; empty if that is the sender.
     """
 
     number: int = 0
     job_id: str = ""
+    owner: str = ""
+    claimant: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class JobReleased:
-    """Answers `ReleaseJob`: the sender no longer owns the job.
+    """Answers `ReleaseJob`: no run of the job is left for its owner.
+
+    If the question was to be passed on and the owner could not be reached,
+    nothing is known of its runs.
 
     Attributes
     ----------
--- a/egretcart/direct/pending_claims.py
+++ b/egretcart/direct/pending_claims.py
@@ -4,10 +4,12 @@
 runs of it, and accepts the job once they have done so.
 """
 
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
 import math
+import random
 
 from egretcart.direct.configuration import Route
 from egretcart.direct.decisions import DecisionLog
@@ -19,6 +21,10 @@
 from egretcart.direct.messages import EvictJob
 from egretcart.direct.messages import ReleaseJob
 
+# Entries that are asked to pass a question on; if the owner lives, most reach
+# it.
+RELAYS = 3
+
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class PendingClaim:
@@ -36,6 +42,8 @@
         When the runs of the job at an agent or entry expire, by the id of
         that process; infinite if the process will report their end. The
         claim is resolved once none is left.
+    former_expires_at : float
+        When the runs of entries that can't be asked have expired.
     wait_deadline_at : float
         When the job is accepted without further waiting; infinite to wait
         for all answers.
@@ -48,6 +56,7 @@
     route: Route
     number: int
     expires_at: dict[str, float]
+    former_expires_at: float
     wait_deadline_at: float
     wait_limit_s: float
 
@@ -60,6 +69,8 @@
     effects : list of EntryEffect
         Where messages are added.
     log : DecisionLog
+    source : random.Random
+        Random source of the choice of entries that pass questions on.
 
     Attributes
     ----------
@@ -70,10 +81,15 @@
     """
 
     def __init__(
-        self, *, effects: list[EntryEffect], log: DecisionLog
+        self,
+        *,
+        effects: list[EntryEffect],
+        log: DecisionLog,
+        source: random.Random,
     ) -> None:
         self.effects = effects
         self.log = log
+        self.source = source
         self.by_job: dict[str, PendingClaim] = {}
         self.number = 0
 
@@ -84,9 +100,10 @@
         route: Route,
         *,
         holders: set[str],
-        peers: Iterable[str],
+        peers: Collection[str],
         agents: Iterable[str],
         lost_agents: Mapping[str, float],
+        former_expires_at: float,
         wait_deadline_at: float,
         wait_limit_s: float,
     ) -> None:
@@ -99,12 +116,16 @@
         route : Route
         holders : set of str
             Entries that may own the job.
-        peers : iterable of str
-            Entries that can be asked.
+        peers : collection of str
+            Entries that are connected. Those that are no holders are asked
+            to pass questions on to holders that are not connected.
         agents : iterable of str
             Agents that are connected.
         lost_agents : mapping of str to float
             Agents whose links have ended, and when their runs expire.
+        former_expires_at : float
+            When the runs of holders have expired that are not connected,
+            or that have been disconnected since they reported the job.
         wait_deadline_at : float
             When the job is accepted even if answers are missing.
         wait_limit_s : float
@@ -117,16 +138,18 @@
             route=route,
             number=self.number,
             expires_at=dict(lost_agents),
+            former_expires_at=former_expires_at,
             wait_deadline_at=wait_deadline_at,
             wait_limit_s=wait_limit_s,
         )
         self.by_job[job.job_id] = pending
         for agent_id in agents:
             self._evict(pending, agent_id)
-        for entry_id in holders.intersection(peers):
-            pending.expires_at[entry_id] = math.inf
-            release = ReleaseJob(number=self.number, job_id=job.job_id)
-            self.effects.append(SendToPeer(entry_id, release))
+        for entry_id in sorted(holders):
+            if entry_id in peers:
+                self._ask(pending, entry_id, owner="")
+            else:
+                self._ask_through_others(pending, entry_id, peers)
         self.log.write(
             JobClaimed(
                 job_id=job.job_id,
@@ -135,6 +158,22 @@
             )
         )
 
+    def _ask(self, pending: PendingClaim, entry_id: str, owner: str) -> None:
+        pending.expires_at[entry_id] = math.inf
+        release = ReleaseJob(
+            number=pending.number, job_id=pending.job.job_id, owner=owner
+        )
+        self.effects.append(SendToPeer(entry_id, release))
+
+    def _ask_through_others(
+        self, pending: PendingClaim, owner: str, peers: Collection[str]
+    ) -> None:
+        """Ask entries that may reach an owner to pass the question on."""
+        others = sorted(set(peers) - pending.expires_at.keys())
+        count = min(len(others), RELAYS)
+        for entry_id in self.source.sample(others, count):
+            self._ask(pending, entry_id, owner)
+
     def _evict(self, pending: PendingClaim, agent_id: str) -> None:
         pending.expires_at[agent_id] = math.inf
         evict = EvictJob(number=pending.number, job_id=pending.job.job_id)
@@ -179,10 +218,11 @@
             if agent_id in pending.expires_at:
                 pending.expires_at[agent_id] = expires_at
 
-    def stop_awaiting_entry(self, entry_id: str) -> None:
-        """Stop waiting for a lost entry; agents report the end of its runs."""
+    def set_entry_expiry(self, entry_id: str, expires_at: float) -> None:
+        """Set the time when the runs of a lost entry have expired."""
         for pending in self.by_job.values():
-            pending.expires_at.pop(entry_id, None)
+            if entry_id in pending.expires_at:
+                pending.expires_at[entry_id] = expires_at
 
     def pop_ready(self, now: float) -> list[PendingClaim]:
         """Remove and return the claims that need not wait any longer."""
@@ -190,7 +230,8 @@
             pending
             for pending in self.by_job.values()
             if now > pending.wait_deadline_at
-            or max(pending.expires_at.values(), default=now) <= now
+            or max((pending.former_expires_at, *pending.expires_at.values()))
+            <= now
         ]
         for pending in ready:
             self.remove(pending)
--- a/egretcart/direct/wire.thrift
+++ b/egretcart/direct/wire.thrift
@@ -83,7 +83,12 @@
 
 // Between entries.
 struct JobsTaken { 1: optional list<string> job_ids }
-struct ReleaseJob { 1: optional i64 number, 2: optional string job_id }
+struct ReleaseJob {
+  1: optional i64 number
+  2: optional string job_id
+  3: optional string owner
+  4: optional string claimant
+}
 struct JobReleased { 1: optional i64 number, 2: optional string state }
 struct Routing { 1: optional i64 version, 2: optional binary document }
 
