Keep one link between two entries, and send heartbeats both ways on it

Cause: each entry dialled each other one and every heartbeat was answered, so that two entries exchanged four messages an interval on two links. Now one link is kept, that of the lower id, both sides send their heartbeat on it, and nothing is answered.

--- a/egretcart/direct/entry_process.py
+++ b/egretcart/direct/entry_process.py
@@ -8,7 +8,6 @@
 import trio
 
 from egretcart.connection.dialler import Dialler
-from egretcart.connection.dialler import Endpoint
 from egretcart.connection.http_listener import HttpListener
 from egretcart.connection.http_server import Handler
 from egretcart.connection.http_server import HttpLimits
@@ -38,6 +37,7 @@
 from egretcart.direct.messages import PeerAddress
 from egretcart.direct.messages import Routing
 from egretcart.direct.messages import RoutingRequest
+from egretcart.direct.peer_registry import PeerRegistry
 from egretcart.direct.settings import DirectEntrySettings
 from egretcart.direct.settings import split_address
 from egretcart.direct.wire import DIRECT_PROTOCOL
@@ -72,12 +72,10 @@
         Start of the process, in Unix milliseconds.
     address : PeerAddress
         Where agents and other entries connect to this entry.
-    known_entries : dict of Endpoint to PeerAddress
-        Addresses of all other entries that were reported.
     agent_links : dict of str to PeerLink
         Links that agents have opened, by agent id.
-    peer_links : dict of str to PeerLink
-        Links that this process has opened to other entries, by entry id.
+    peers : PeerRegistry
+        Links to other entries, and the addresses of all that were reported.
     pull : ConfigurationPull
         Versions of the other entries, and the request to one of them.
     answers : dict of int to Answer
@@ -117,9 +115,8 @@
             failure_domain=settings.failure_domain,
         )
         self.entry.recruiter.address = self.address
-        self.known_entries: dict[Endpoint, PeerAddress] = {}
         self.agent_links: dict[str, PeerLink] = {}
-        self.peer_links: dict[str, PeerLink] = {}
+        self.peers = PeerRegistry(entry_id=settings.node)
         self.pull = ConfigurationPull(
             limits=ConfigurationPullLimits(), choose=random.choice
         )
@@ -160,11 +157,15 @@
         nursery.start_soon(
             trio.serve_listeners, self._serve_accepted_link, peers
         )
+        for endpoint in self.settings.seed_endpoints:
+            if endpoint != self.address.endpoint:
+                self.peers.known[endpoint] = ""
         self.dialler = Dialler(
             nursery=nursery,
             seeds=self.settings.seed_endpoints,
             run_connection=self._serve_dialled_link,
-            own=(self.settings.host, self.settings.peer_port),
+            own=self.address.endpoint,
+            policy=self.peers,
         )
         await self._serve_http(self.settings.callers, callers)
         await self._serve_http(self.settings.readiness, balancer)
@@ -281,29 +282,17 @@
 
     async def _serve_accepted_link(self, stream: trio.SocketStream) -> None:
         """Exchange messages on a link that an agent or entry has opened."""
-        link = PeerLink(
-            stream=stream, protocol=DIRECT_PROTOCOL, traffic=self.traffic
-        )
+        link = self._make_link(stream)
         agent_id = peer_id = ""
 
         def handle(message: Any) -> None:
             nonlocal agent_id, peer_id
             now = self.clock.monotonic()
-            if isinstance(message, EntryHello):
+            if isinstance(message, EntryHello) and not peer_id:
                 peer_id = message.entry_id
-                link.confirm_hello()
-                self._add_entries([message.address])
+                self._peer_connected(message, link, peer_id, now)
             elif peer_id:
-                if isinstance(message, Beat):
-                    link.send(Beat(version=self.entry.version))
-                elif isinstance(message, RoutingRequest):
-                    self._send_routing(link, message)
-                elif isinstance(message, EntryPeers):
-                    self._add_entries(message.entries)
-                else:
-                    self._apply_effects(
-                        self.entry.receive_from_peer(peer_id, message, now)
-                    )
+                self._handle_peer_message(peer_id, link, message, now)
             elif isinstance(message, AgentHello) and not agent_id:
                 agent_id = message.status.agent_id
                 link.confirm_hello()
@@ -313,13 +302,38 @@
                 self._apply_effects(self.entry.receive(agent_id, message, now))
                 self._request_dispatch()
 
-        known_entries = EntryPeers(entries=tuple(self.known_entries.values()))
-        await link.run(handle, first=[self._hello(), known_entries])
+        await link.run(handle, first=self._first_messages())
+        self._peer_disconnected(peer_id, link)
         if agent_id and self.agent_links.get(agent_id) is link:
             del self.agent_links[agent_id]
             now = self.clock.monotonic()
             self._apply_effects(self.entry.agent_disconnected(agent_id, now))
 
+    async def _serve_dialled_link(self, stream: trio.SocketStream) -> None:
+        """Exchange messages on a link to another entry opened from here."""
+        link = self._make_link(stream)
+        peer_id = ""
+
+        def handle(message: Any) -> None:
+            nonlocal peer_id
+            now = self.clock.monotonic()
+            if isinstance(message, EntryHello) and not peer_id:
+                peer_id = message.entry_id
+                self._peer_connected(message, link, self.settings.node, now)
+            elif peer_id:
+                self._handle_peer_message(peer_id, link, message, now)
+
+        await link.run(handle, first=self._first_messages())
+        self._peer_disconnected(peer_id, link)
+
+    def _make_link(self, stream: trio.SocketStream) -> PeerLink:
+        return PeerLink(
+            stream=stream, protocol=DIRECT_PROTOCOL, traffic=self.traffic
+        )
+
+    def _first_messages(self) -> list[Any]:
+        return [self._hello(), EntryPeers(entries=self._known_addresses())]
+
     def _replace_agent_link(
         self, agent_id: str, link: PeerLink, now: float
     ) -> None:
@@ -329,38 +343,38 @@
             former.close()
             self._apply_effects(self.entry.agent_disconnected(agent_id, now))
 
-    async def _serve_dialled_link(self, stream: trio.SocketStream) -> None:
-        """Exchange messages on a link to another entry opened from here."""
-        link = PeerLink(
-            stream=stream, protocol=DIRECT_PROTOCOL, traffic=self.traffic
-        )
-        peer_id = ""
+    def _peer_connected(
+        self, hello: EntryHello, link: PeerLink, dialled_by: str, now: float
+    ) -> None:
+        link.confirm_hello()
+        self._add_entries([hello.address])
+        if self.peers.adopt(hello, link, dialled_by=dialled_by):
+            self._apply_effects(self.entry.peer_connected(hello.entry_id, now))
+
+    def _peer_disconnected(self, peer_id: str, link: PeerLink) -> None:
+        hello = self.peers.hellos.get(peer_id)
+        if hello is None or not self.peers.discard(peer_id, link):
+            return
+        self.pull.remove_entry(peer_id)
+        self.entry.peer_disconnected(peer_id)
+        self.dialler.ensure_dialled(*hello.address.endpoint)
 
-        def handle(message: Any) -> None:
-            nonlocal peer_id
-            now = self.clock.monotonic()
-            if isinstance(message, EntryHello) and not peer_id:
-                peer_id = message.entry_id
-                link.confirm_hello()
-                former = self.peer_links.get(peer_id)
-                self.peer_links[peer_id] = link
-                if former is not None:
-                    former.close()
-                self._apply_effects(self.entry.peer_connected(peer_id, now))
-            elif isinstance(message, EntryPeers):
-                self._add_entries(message.entries)
-            elif isinstance(message, Beat) and peer_id:
-                self.pull.record_version(peer_id, message.version)
-                self.entry.peer_heartbeat_received(peer_id, now)
-            elif isinstance(message, Routing) and peer_id:
-                self._handle_routing(peer_id, message)
-
-        known_entries = EntryPeers(entries=tuple(self.known_entries.values()))
-        await link.run(handle, first=[self._hello(), known_entries])
-        if peer_id and self.peer_links.get(peer_id) is link:
-            del self.peer_links[peer_id]
-            self.pull.remove_entry(peer_id)
-            self.entry.peer_disconnected(peer_id)
+    def _handle_peer_message(
+        self, peer_id: str, link: PeerLink, message: Any, now: float
+    ) -> None:
+        if isinstance(message, Beat):
+            self.pull.record_version(peer_id, message.version)
+            self.entry.peer_heartbeat_received(peer_id, now)
+        elif isinstance(message, EntryPeers):
+            self._add_entries(message.entries)
+        elif isinstance(message, RoutingRequest):
+            self._send_routing(link, message)
+        elif isinstance(message, Routing):
+            self._handle_routing(peer_id, message)
+        else:
+            self._apply_effects(
+                self.entry.receive_from_peer(peer_id, message, now)
+            )
 
     def _hello(self) -> EntryHello:
         return EntryHello(
@@ -369,6 +383,12 @@
             address=self.address,
         )
 
+    def _known_addresses(self) -> tuple[PeerAddress, ...]:
+        return tuple(
+            PeerAddress(host=host, port=port, failure_domain=domain)
+            for (host, port), domain in self.peers.known.items()
+        )
+
     def _add_entries(self, addresses: Iterable[PeerAddress]) -> None:
         """Connect to entries that were unknown, and report them to all.
 
@@ -379,21 +399,19 @@
         ]
         if not new_addresses:
             return
-        self.known_entries.update(
-            (address.endpoint, address) for address in new_addresses
-        )
         for address in new_addresses:
-            self.dialler.ensure_dialled(address.host, address.port)
+            self.peers.known[address.endpoint] = address.failure_domain
+            self.dialler.ensure_dialled(*address.endpoint)
         message = EntryPeers(entries=tuple(new_addresses))
-        for link in (*self.agent_links.values(), *self.peer_links.values()):
+        for link in (*self.agent_links.values(), *self.peers.links.values()):
             link.send(message)
 
     def _is_news(self, address: PeerAddress) -> bool:
         if address.endpoint == self.address.endpoint:
             return False
-        known = self.known_entries.get(address.endpoint)
-        return known is None or (
-            address.failure_domain not in ("", known.failure_domain)
+        known_domain = self.peers.known.get(address.endpoint)
+        return known_domain is None or (
+            address.failure_domain not in ("", known_domain)
         )
 
     def _handle_routing(self, peer_id: str, message: Routing) -> None:
@@ -429,7 +447,7 @@
     def _pull_configuration(self, now: float) -> None:
         """Ask another entry for a configuration that the store delays."""
         entry_id = self.pull.find_entry_to_ask(self.entry.version, now)
-        link = self.peer_links.get(entry_id) if entry_id else None
+        link = self.peers.links.get(entry_id) if entry_id else None
         if link is not None:
             link.send(RoutingRequest(version=self.entry.version))
 
@@ -444,7 +462,7 @@
                     link.post(effect.message)
                     links_to_flush.add(link)
             elif isinstance(effect, SendToPeer):
-                link = self.peer_links.get(effect.entry_id)
+                link = self.peers.links.get(effect.entry_id)
                 if link is not None:
                     link.post(effect.message)
                     links_to_flush.add(link)
@@ -453,15 +471,21 @@
                 if link is not None:
                     link.close()
             elif isinstance(effect, ClosePeer):
-                link = self.peer_links.pop(effect.entry_id, None)
-                if link is not None:
-                    link.close()
+                self._close_peer(effect.entry_id)
             elif effect.request_id in self.answer_events:
                 self.answers[effect.request_id] = effect
                 self.answer_events[effect.request_id].set()
         for link in links_to_flush:
             link.flush()
 
+    def _close_peer(self, peer_id: str) -> None:
+        """Close the link to a silent entry, and dial it anew."""
+        hello = self.peers.hellos.get(peer_id)
+        if hello is not None:
+            self.peers.close(peer_id)
+            self.pull.remove_entry(peer_id)
+            self.dialler.ensure_dialled(*hello.address.endpoint)
+
     def _request_dispatch(self) -> None:
         self.dispatch_needed.set()
 
