Place a task with fewer steps an agent, list entries seldom

A process that is connected to an entry learns from it of the others; it now lists the entries in the store every 30 s instead of every 5.

--- a/egretcart/direct/agent_process.py
+++ b/egretcart/direct/agent_process.py
@@ -153,6 +153,10 @@
         """Record an entry, and connect to it if it is to be served."""
         self.agent.entries_reported((address,))
 
+    def is_connected(self) -> bool:
+        """Whether the agent is connected to an entry."""
+        return bool(self.links)
+
     async def _restore_report(self) -> None:
         """Use the report of an earlier incarnation until a new one arrives."""
         report = await self.report_store.load_report()
--- a/egretcart/direct/entry_process.py
+++ b/egretcart/direct/entry_process.py
@@ -217,6 +217,10 @@
         """Connect to another entry, and report it to agents and entries."""
         self._add_entries([address])
 
+    def is_connected(self) -> bool:
+        """Whether this entry is connected to another one."""
+        return bool(self.peers.links)
+
     async def submit(
         self, job: Job, route: Route, *, wait_limit_s: float = math.inf
     ) -> Answer:
--- a/egretcart/direct/placement.py
+++ b/egretcart/direct/placement.py
@@ -126,7 +126,7 @@
         return not view.status.probing or self._may_probe(view)
 
     def _may_probe(self, view: AgentView) -> bool:
-        return not view.sent and view.free == view.status.capacity
+        return not view.sent and view.free == view.capacity
 
     def _best_fitting(
         self, request: PlacementRequest, fitting: list[tuple[str, AgentView]]
--- a/egretcart/direct/store_follower.py
+++ b/egretcart/direct/store_follower.py
@@ -20,6 +20,9 @@
 INITIAL_RETRY_DELAY_S = 0.3
 MAX_RETRY_DELAY_S = 1.0
 LIST_ENTRIES_INTERVAL_S = 5.0
+# A process that is connected to an entry learns from it of all others, so it
+# lists them only in case that one does not know them either.
+CONNECTED_LIST_INTERVAL_S = 30.0
 STORE = "store"
 
 
@@ -58,6 +61,8 @@
     platform : Platform
     on_entry : callable
         Called with the address of each registered entry.
+    is_connected : callable
+        Returns whether the process is connected to another entry.
     log : DecisionLog
     source : random.Random
         Source of jitter, so that processes do not call at the same time.
@@ -68,17 +73,20 @@
         *,
         platform: Platform,
         on_entry: Callable[[PeerAddress], None],
+        is_connected: Callable[[], bool],
         log: DecisionLog,
         source: random.Random,
     ) -> None:
         self.platform = platform
         self.on_entry = on_entry
+        self.is_connected = is_connected
         self.state = StoreAvailability(log=log)
         self.source = source
 
     async def run(self) -> None:
         """List entries periodically until cancelled."""
         while True:
+            listed_at = trio.current_time()
             try:
                 for address in await list_entries(self.platform):
                     self.on_entry(
@@ -91,9 +99,17 @@
                 self.state.mark_available()
             except PlatformError as error:
                 self.state.mark_lost(error)
-            await trio.sleep(
-                LIST_ENTRIES_INTERVAL_S * self.source.uniform(0.8, 1.2)
-            )
+            await self._sleep_interval()
+            while (
+                self.is_connected()
+                and trio.current_time() - listed_at < CONNECTED_LIST_INTERVAL_S
+            ):
+                await self._sleep_interval()
+
+    async def _sleep_interval(self) -> None:
+        await trio.sleep(
+            LIST_ENTRIES_INTERVAL_S * self.source.uniform(0.8, 1.2)
+        )
 
 
 class ConfigurationFollower:
--- a/egretcart/direct/views.py
+++ b/egretcart/direct/views.py
@@ -58,11 +58,15 @@
         Tasks that no status accounts for yet, by that number.
     sent_resources : Room
         Resources of these tasks together.
+    capacity : Room
+        Total capacity of the backend server.
+    free : Room
+        Free capacity once all tasks that were sent have arrived.
+    slowdown : float
+        Ratio of run times there to the callers' estimates.
     """
 
     def __init__(self, *, status: AgentStatus, now: float) -> None:
-        self.status = status
-        self.status_at = now
         self.last_message_at = now
         self.last_sent_at = 0.0
         self.heartbeat_interval_s = 0.0
@@ -70,6 +74,7 @@
         self.sequence = 0
         self.sent: dict[int, SentTasks] = {}
         self.sent_resources = NO_ROOM
+        self.update(status, now)
 
     def update(self, status: AgentStatus, now: float) -> None:
         """Apply a newer status."""
@@ -77,19 +82,19 @@
         self.status_at = now
         for sequence in [s for s in self.sent if s <= status.sequence]:
             self.sent_resources -= self.sent.pop(sequence).room
+        # These are read for each agent whenever a task is placed.
+        self.capacity = status.capacity
+        self.free = status.free - self.sent_resources
+        self.slowdown = status.pace_percent / PERCENT
 
     def record_sent(self, room: Room, count: int, work_ms: float) -> int:
         """Record tasks that are being sent; return their sequence number."""
         self.sequence += 1
         self.sent[self.sequence] = SentTasks(room, count, work_ms)
         self.sent_resources += room
+        self.free -= room
         return self.sequence
 
-    @property
-    def free(self) -> Room:
-        """Free capacity once all tasks that were sent have arrived."""
-        return self.status.free - self.sent_resources
-
     @property
     def queued(self) -> int:
         """Upper bound of the number of tasks that wait there."""
@@ -97,11 +102,6 @@
         sent = sum(sent.count for sent in self.sent.values())
         return self.status.queued + (sent if overfull else 0)
 
-    @property
-    def slowdown(self) -> float:
-        """Ratio of run times there to the callers' estimates."""
-        return self.status.pace_percent / PERCENT
-
     @property
     def knows_backend(self) -> bool:
         """Whether the agent knows the capacity of its backend server."""
@@ -112,7 +112,7 @@
         status = self.status
         return (
             status.accepting
-            and status.capacity.can_fit(step.room)
+            and self.capacity.can_fit(step.room)
             and (not step.requires or step.requires in status.labels)
         )
 
--- a/tests/features/steps/working_set_steps.py
+++ b/tests/features/steps/working_set_steps.py
@@ -12,6 +12,8 @@
 from direct_world_steps import TASK_ROOM
 from hypothesis import given as given_examples
 from hypothesis import strategies
+import trio
+from trio.testing import MockClock
 
 from egretcart.direct.agent_types import CloseEntryLink
 from egretcart.direct.agent_types import DialEntry
@@ -33,8 +35,10 @@
 from egretcart.direct.messages import RunTasks
 from egretcart.direct.messages import ServeEntry
 from egretcart.direct.messages import StopTasks
+from egretcart.direct.store_follower import EntryFinder
 from egretcart.direct.working_set import WorkingSet
 from egretcart.direct.working_set import WorkingSetLimits
+from egretcart.process.store.platform import Listing
 from egretcart.testing.direct_world import SimulatedDeployment
 
 LIMITS = WorkingSetLimits()
@@ -496,3 +500,43 @@
         ),
         random.Random(seed),
     )
+
+
+class CountingPlatform:
+    """A store without entries that counts its calls."""
+
+    def __init__(self):
+        self.calls = 0
+
+    async def list_range(self, keys):
+        self.calls += 1
+        return Listing(values={}, revision=1)
+
+
+def lists_within(seconds, *, is_connected):
+    platform = CountingPlatform()
+
+    async def run():
+        finder = EntryFinder(
+            platform=platform,
+            on_entry=lambda address: None,
+            is_connected=lambda: is_connected,
+            log=NullDecisionLog(),
+            source=random.Random(1),
+        )
+        with trio.move_on_after(seconds):
+            await finder.run()
+
+    trio.run(run, clock=MockClock(autojump_threshold=0))
+    return platform.calls
+
+
+@then("it lists them at its start, and then about every 30 seconds")
+def check_seldom(context):
+    assert lists_within(1, is_connected=True) == 1
+    assert 7 <= lists_within(300, is_connected=True) <= 11
+
+
+@then("one without a connection lists them about every 5 seconds")
+def check_often(context):
+    assert 50 <= lists_within(300, is_connected=False) <= 75
--- a/tests/features/working_set.feature
+++ b/tests/features/working_set.feature
@@ -61,3 +61,7 @@
       | 2    |
       | 3    |
       | 4    |
+
+  Scenario: A connected process seldom lists the entries in the store
+    Then it lists them at its start, and then about every 30 seconds
+    And one without a connection lists them about every 5 seconds
