Tell an agent of entries that were reported before its hello

Cause: known entries were sent when a link was accepted, later ones to links with a hello; an entry reported between the two was told to nobody on that link. platform_adapter failed so once in five runs on a busy machine after agents list the entries seldom; a scenario now opens that gap and failed first.

--- a/egretcart/direct/entry_process.py
+++ b/egretcart/direct/entry_process.py
@@ -301,12 +301,13 @@
                 agent_id = message.status.agent_id
                 link.confirm_hello()
                 self._replace_agent_link(agent_id, link, now)
+                self._send_known_entries(link)
                 self._apply_effects(self.entry.agent_connected(message, now))
             elif agent_id and self.agent_links.get(agent_id) is link:
                 self._apply_effects(self.entry.receive(agent_id, message, now))
                 self._request_dispatch()
 
-        await link.run(handle, first=self._first_messages())
+        await link.run(handle, first=[self._hello()])
         self._peer_disconnected(peer_id, link)
         if agent_id and self.agent_links.get(agent_id) is link:
             del self.agent_links[agent_id]
@@ -327,7 +328,7 @@
             elif peer_id:
                 self._handle_peer_message(peer_id, link, message, now)
 
-        await link.run(handle, first=self._first_messages())
+        await link.run(handle, first=[self._hello()])
         self._peer_disconnected(peer_id, link)
 
     def _make_link(self, stream: trio.SocketStream) -> PeerLink:
@@ -335,8 +336,16 @@
             stream=stream, protocol=DIRECT_PROTOCOL, traffic=self.traffic
         )
 
-    def _first_messages(self) -> list[Any]:
-        return [self._hello(), EntryPeers(entries=self._known_addresses())]
+    def _send_known_entries(self, link: PeerLink) -> None:
+        """Report all known entries on a link that gets later ones as well."""
+        link.send(
+            EntryPeers(
+                entries=tuple(
+                    PeerAddress(host=host, port=port, failure_domain=domain)
+                    for (host, port), domain in self.peers.known.items()
+                )
+            )
+        )
 
     def _replace_agent_link(
         self, agent_id: str, link: PeerLink, now: float
@@ -353,6 +362,7 @@
         link.confirm_hello()
         self._add_entries([hello.address])
         if self.peers.adopt(hello, link, dialled_by=dialled_by):
+            self._send_known_entries(link)
             self._apply_effects(self.entry.peer_connected(hello.entry_id, now))
 
     def _peer_disconnected(self, peer_id: str, link: PeerLink) -> None:
@@ -387,12 +397,6 @@
             address=self.address,
         )
 
-    def _known_addresses(self) -> tuple[PeerAddress, ...]:
-        return tuple(
-            PeerAddress(host=host, port=port, failure_domain=domain)
-            for (host, port), domain in self.peers.known.items()
-        )
-
     def _add_entries(self, addresses: Iterable[PeerAddress]) -> None:
         """Connect to entries that were unknown, and report them to all.
 
--- a/tests/features/platform_adapter.feature
+++ b/tests/features/platform_adapter.feature
@@ -56,3 +56,8 @@
     And a new desired state is active within 2 seconds
     And a stopped entry answers its accepted jobs before it exits
     And the processes wrote one JSON line for each decision
+
+  Scenario: An agent is told of entries that are reported before its hello
+    Given a store, two runners and the processes of the platform's roles
+    When an entry is reported after an agent has connected, before its hello
+    Then the agent is told of that entry
