--- /dev/null
+++ b/tests/features/job_releases.feature
@@ -0,0 +1,44 @@
+Feature: A job moves to another entry once its former owner's runs are over
+
+  Scenario: The owner answers once its runs have ended
+    Given an entry that runs a job at an agent
+    When another entry asks for the job
+    Then its caller is told to ask again, and the run is stopped
+    And the other entry gets its answer only after the end of the run
+
+  Scenario: The owner has answered the job
+    Given an entry that runs a job at an agent
+    When the run succeeds and another entry asks for the job
+    Then the other entry gets the state in which the job has ended at once
+
+  Scenario: The former owner does not start the job anew
+    Given an entry that runs a job at an agent
+    When another entry asks for the job and its caller asks the owner again
+    Then the owner asks the other entry before it accepts the job
+    And it no longer reports the job as its own
+
+  Scenario: Two entries ask each other for the same job
+    Given an entry that waits for another one to release a job
+    When the other one asks it for the job
+    Then its caller is told to ask again, and the other one gets its answer
+
+  Scenario: An owner that can't be reached is asked through others
+    Given an entry that shares agents with an unconnected one
+    When a job comes that the unconnected entry may run
+    Then three others are asked to pass the question on
+    And the job is accepted once all have answered, or after 0.3 s
+
+  Scenario: An entry passes a question on
+    Given an entry that is connected to the owner of a job
+    Then it passes the question on and the answer back
+    And it answers at once if the owner is not connected or is lost
+
+  Scenario Outline: The runs of an owner that was lost are waited for by time
+    Given an entry to which another one has reported a job
+    When that one is <change> and a caller asks for the job
+    Then the job is accepted 1.62 s after the owner's last message
+
+    Examples:
+      | change                       |
+      | lost                         |
+      | lost and connected again     |
--- /dev/null
+++ b/tests/features/steps/job_release_steps.py
@@ -0,0 +1,339 @@
+import random
+
+from behave import given
+from behave import then
+from behave import when
+
+from egretcart.direct.configuration import Route
+from egretcart.direct.decisions import JobAccepted
+from egretcart.direct.entry import DirectEntry
+from egretcart.direct.entry_types import Answer
+from egretcart.direct.entry_types import DirectEntryLimits
+from egretcart.direct.entry_types import SendToAgent
+from egretcart.direct.entry_types import SendToPeer
+from egretcart.direct.job import Job
+from egretcart.direct.job import JobState
+from egretcart.direct.job import Room
+from egretcart.direct.job import Step
+from egretcart.direct.messages import AgentHello
+from egretcart.direct.messages import AgentStatus
+from egretcart.direct.messages import EntriesServed
+from egretcart.direct.messages import EvictJob
+from egretcart.direct.messages import JobEvicted
+from egretcart.direct.messages import JobReleased
+from egretcart.direct.messages import JobsTaken
+from egretcart.direct.messages import ReleaseJob
+from egretcart.direct.messages import RunTasks
+from egretcart.direct.messages import StopTasks
+from egretcart.direct.messages import TaskEnded
+
+JOB = Job(
+    job_id="a" * 16,
+    payload="payload",
+    steps=(Step(count=1, room=Room(1, 1, 0), estimate_ms=400.0),),
+)
+ROUTE = Route(
+    name="route",
+    host="host",
+    prefix="/jobs/",
+    service="service",
+    max_attempts=4,
+    stretch=1.6,
+    slack_ms=60.0,
+)
+LIMITS = DirectEntryLimits()
+
+
+class RecordingLog:
+    def __init__(self):
+        self.decisions = []
+
+    def write(self, decision):
+        self.decisions.append(decision)
+
+
+class Exchange:
+    """An entry with one agent, and what it has sent.
+
+    Attributes
+    ----------
+    now : float
+    effects : list of EntryEffect
+        All effects of the entry so far.
+    """
+
+    def __init__(self, *, peers=("entry-1",), served=("entry",)):
+        self.log = RecordingLog()
+        self.entry = DirectEntry(
+            entry_id="entry",
+            limits=LIMITS,
+            log=self.log,
+            source=random.Random(1),
+        )
+        self.now = 1.0
+        self.effects = []
+        self.entry.tick(self.now)
+        for peer in peers:
+            self.entry.peer_connected(peer, self.now)
+        status = AgentStatus(
+            agent_id="agent",
+            accepting=True,
+            cpu_milli=10,
+            memory_mb=10,
+            free_cpu_milli=10,
+            free_memory_mb=10,
+        )
+        self.entry.agent_connected(
+            AgentHello(status=status, settled=True), self.now
+        )
+        self.status = status
+        self.served = EntriesServed(entry_ids=served)
+        self.entry.receive("agent", self.served, self.now)
+
+    def submit(self, request_id=1):
+        self.effects += self.entry.submit(request_id, JOB, ROUTE, self.now)
+
+    def from_peer(self, message, entry_id="entry-1"):
+        self.effects += self.entry.receive_from_peer(
+            entry_id, message, self.now
+        )
+
+    def from_agent(self, message):
+        self.effects += self.entry.receive("agent", message, self.now)
+        self.effects += self.entry.dispatch_waiting(self.now)
+
+    def advance(self, seconds, *, alive=()):
+        """Let time pass while the agent and some entries send messages."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now = min(end, self.now + 0.05)
+            self.entry.receive("agent", self.status, self.now)
+            self.entry.receive("agent", self.served, self.now)
+            for peer in alive:
+                self.entry.peer_heartbeat_received(peer, self.now)
+            self.effects += self.entry.tick(self.now)
+
+    def sent(self, kind):
+        """Return the messages of a kind, each with its receiver."""
+        found = []
+        for effect in self.effects:
+            if isinstance(effect, SendToPeer):
+                receiver = effect.entry_id
+            elif isinstance(effect, SendToAgent):
+                receiver = effect.agent_id
+            else:
+                continue
+            if isinstance(effect.message, kind):
+                found.append((receiver, effect.message))
+        return found
+
+    def answers(self):
+        return [item for item in self.effects if isinstance(item, Answer)]
+
+    def is_accepted(self):
+        return any(
+            isinstance(decision, JobAccepted)
+            for decision in self.log.decisions
+        )
+
+
+def end_of_run(exchange, ending):
+    _, sent = exchange.sent(RunTasks)[-1]
+    return TaskEnded(
+        job_id=JOB.job_id, step=0, index=0, run=sent.run, ending=ending
+    )
+
+
+@given("an entry that runs a job at an agent")
+def start_running(context):
+    exchange = context.exchange = Exchange()
+    exchange.submit()
+    assert exchange.sent(RunTasks)
+
+
+@when("another entry asks for the job")
+def ask(context):
+    context.exchange.from_peer(ReleaseJob(number=7, job_id=JOB.job_id))
+
+
+@then("its caller is told to ask again, and the run is stopped")
+def check_interrupted(context):
+    exchange = context.exchange
+    assert [answer.interrupted for answer in exchange.answers()] == [True]
+    assert exchange.sent(StopTasks)
+
+
+@then("the other entry gets its answer only after the end of the run")
+def check_answer_after_end(context):
+    exchange = context.exchange
+    exchange.advance(0.2, alive=["entry-1"])
+    assert not exchange.sent(JobReleased)
+    exchange.from_agent(end_of_run(exchange, "stopped"))
+    assert exchange.sent(JobReleased) == [("entry-1", JobReleased(number=7))]
+
+
+@when("the run succeeds and another entry asks for the job")
+def succeed_and_ask(context):
+    context.exchange.from_agent(end_of_run(context.exchange, "done"))
+    ask(context)
+
+
+@then("the other entry gets the state in which the job has ended at once")
+def check_state(context):
+    assert context.exchange.sent(JobReleased) == [
+        ("entry-1", JobReleased(number=7, state="completed"))
+    ]
+
+
+@when("another entry asks for the job and its caller asks the owner again")
+def ask_and_resubmit(context):
+    ask(context)
+    context.exchange.from_agent(end_of_run(context.exchange, "stopped"))
+    context.exchange.advance(0.1, alive=["entry-1"])
+    context.exchange.submit(request_id=2)
+
+
+@then("the owner asks the other entry before it accepts the job")
+def check_asks_back(context):
+    exchange = context.exchange
+    assert len(exchange.sent(RunTasks)) == 1
+    assert [receiver for receiver, _ in exchange.sent(ReleaseJob)] == [
+        "entry-1"
+    ]
+
+
+@then("it no longer reports the job as its own")
+def check_not_reported(context):
+    exchange = context.exchange
+    assert JOB.job_id not in exchange.entry.claims.own_job_ids()
+    exchange.effects.clear()
+    exchange.advance(0.4, alive=["entry-1"])
+    reported = [taken.job_ids for _, taken in exchange.sent(JobsTaken)]
+    assert not any(JOB.job_id in job_ids for job_ids in reported), reported
+
+
+@given("an entry that waits for another one to release a job")
+def start_waiting(context):
+    exchange = context.exchange = Exchange()
+    exchange.from_peer(JobsTaken(job_ids=(JOB.job_id,)))
+    exchange.submit()
+    assert exchange.sent(ReleaseJob)
+    assert not exchange.is_accepted()
+
+
+@when("the other one asks it for the job")
+def other_asks(context):
+    ask(context)
+
+
+@then("its caller is told to ask again, and the other one gets its answer")
+def check_yields_claim(context):
+    exchange = context.exchange
+    assert [answer.interrupted for answer in exchange.answers()] == [True]
+    assert exchange.sent(JobReleased) == [("entry-1", JobReleased(number=7))]
+    assert not exchange.entry.pending.by_job
+
+
+@given("an entry that shares agents with an unconnected one")
+def share_agents(context):
+    peers = [f"entry-{number}" for number in range(1, 6)]
+    context.exchange = Exchange(peers=peers, served=("entry", "entry-9"))
+
+
+@when("a job comes that the unconnected entry may run")
+def job_comes(context):
+    context.exchange.submit()
+
+
+@then("three others are asked to pass the question on")
+def check_relays(context):
+    asked = context.exchange.sent(ReleaseJob)
+    assert len({receiver for receiver, _ in asked}) == len(asked) == 3
+    assert {message.owner for _, message in asked} == {"entry-9"}
+    context.asked = asked
+
+
+@then("the job is accepted once all have answered, or after 0.3 s")
+def check_accepted(context):
+    exchange = context.exchange
+    _, evict = exchange.sent(EvictJob)[0]
+    exchange.from_agent(JobEvicted(number=evict.number))
+    for receiver, question in context.asked[:2]:
+        exchange.from_peer(JobReleased(number=question.number), receiver)
+    assert not exchange.is_accepted()
+    receiver, question = context.asked[2]
+    exchange.from_peer(JobReleased(number=question.number), receiver)
+    assert exchange.is_accepted()
+    slow = Exchange(peers=["entry-1"], served=("entry", "entry-9"))
+    slow.submit()
+    slow.advance(0.25, alive=["entry-1"])
+    assert not slow.is_accepted()
+    slow.advance(0.15, alive=["entry-1"])
+    assert slow.is_accepted()
+
+
+@given("an entry that is connected to the owner of a job")
+def connect_owner(context):
+    context.exchange = Exchange(peers=["entry-1", "entry-2"])
+
+
+QUESTION = ReleaseJob(number=7, job_id=JOB.job_id, owner="entry-2")
+
+
+@then("it passes the question on and the answer back")
+def check_passed_on(context):
+    exchange = context.exchange
+    exchange.from_peer(QUESTION)
+    [(receiver, passed_on)] = exchange.sent(ReleaseJob)
+    assert (receiver, passed_on.claimant) == ("entry-2", "entry-1")
+    assert not exchange.sent(JobReleased)
+    answer = JobReleased(number=passed_on.number, state="completed")
+    exchange.from_peer(answer, "entry-2")
+    assert exchange.sent(JobReleased) == [
+        ("entry-1", JobReleased(number=7, state="completed"))
+    ]
+
+
+@then("it answers at once if the owner is not connected or is lost")
+def check_not_connected(context):
+    exchange = context.exchange
+    exchange.effects.clear()
+    exchange.from_peer(QUESTION)
+    assert not exchange.sent(JobReleased)
+    exchange.entry.peer_disconnected("entry-2")
+    exchange.effects += exchange.entry.dispatch_waiting(exchange.now)
+    assert exchange.sent(JobReleased) == [("entry-1", JobReleased(number=7))]
+    exchange.from_peer(QUESTION)
+    assert len(exchange.sent(JobReleased)) == 2
+
+
+@given("an entry to which another one has reported a job")
+def report_job(context):
+    exchange = context.exchange = Exchange()
+    exchange.from_peer(JobsTaken(job_ids=(JOB.job_id,)))
+
+
+@when("that one is {change} and a caller asks for the job")
+def lose_owner(context, change):
+    exchange = context.exchange
+    context.last_heard_at = exchange.now
+    exchange.advance(0.2)
+    exchange.entry.peer_disconnected("entry-1")
+    if change != "lost":
+        exchange.entry.peer_connected("entry-1", exchange.now)
+    exchange.submit()
+
+
+@then("the job is accepted 1.62 s after the owner's last message")
+def check_waits_for_expiry(context):
+    exchange = context.exchange
+    _, evict = exchange.sent(EvictJob)[0]
+    exchange.from_agent(JobEvicted(number=evict.number))
+    for receiver, question in exchange.sent(ReleaseJob):
+        exchange.from_peer(JobReleased(number=question.number), receiver)
+    expiry_at = context.last_heard_at + 1.62
+    exchange.advance(expiry_at - 0.05 - exchange.now, alive=["entry-1"])
+    assert not exchange.is_accepted()
+    exchange.advance(0.15, alive=["entry-1"])
+    assert exchange.is_accepted()
+    assert exchange.entry.jobs[JOB.job_id].state is JobState.RUNNING
