Answer callers that connect at the moment at which an entry stops

Closing a listener resets the connections that the kernel has accepted and the process has not. These are now accepted and served first, and a new connection is kept for 0.2 s for its first request.

connection_bounds: two scenarios fail without the change and pass with it.

--- a/egretcart/connection/http_listener.py
+++ b/egretcart/connection/http_listener.py
@@ -5,12 +5,31 @@
 from egretcart.connection.http_server import Handler
 from egretcart.connection.http_server import HttpConnection
 from egretcart.connection.http_server import HttpLimits
+from egretcart.connection.readable import is_readable
 from egretcart.request.problem import unavailable
 from egretcart.request.verdict import Verdict
 
 MAX_REFUSALS = 256
 OVERLOAD_RETRY_AFTER_S = 1.0
 CLOSE_POLL_INTERVAL_S = 0.02
+# Time for which a new connection is kept open at a stop: the request that it
+# was opened for may be under way.
+FIRST_REQUEST_GRACE_S = 0.2
+# Limit of the wait for a connection that was to be accepted and has ended.
+ACCEPT_TIMEOUT_S = 0.1
+
+
+class _KeptListener(trio.abc.Listener[trio.SocketStream]):
+    """A listener that `trio.serve_listeners` leaves open when it ends."""
+
+    def __init__(self, *, listener: trio.SocketListener) -> None:
+        self.listener = listener
+
+    async def accept(self) -> trio.SocketStream:
+        return await self.listener.accept()
+
+    async def aclose(self) -> None:
+        await trio.lowlevel.checkpoint()
 
 
 class HttpListener:
@@ -33,6 +52,8 @@
         Connections that are being refused.
     stopping : bool
         Whether each connection is closed after its next response.
+    is_serving : bool
+        Whether connections are accepted.
     """
 
     def __init__(self, *, handler: Handler, limits: HttpLimits) -> None:
@@ -42,17 +63,31 @@
         self.refused = 0
         self.stopping = False
         self.accept_scope = trio.CancelScope()
+        self.is_serving = False
 
     async def serve(
         self, listeners: list[trio.SocketListener], nursery: trio.Nursery
     ) -> None:
         """Accept connections until `close` and serve them in `nursery`."""
+        self.is_serving = True
         with self.accept_scope:
             await trio.serve_listeners(
-                self._serve, listeners, handler_nursery=nursery
+                self._serve,
+                [_KeptListener(listener=listener) for listener in listeners],
+                handler_nursery=nursery,
             )
         for listener in listeners:
+            await self._accept_waiting(listener, nursery)
             await listener.aclose()
+        self.is_serving = False
+
+    async def _accept_waiting(
+        self, listener: trio.SocketListener, nursery: trio.Nursery
+    ) -> None:
+        """Serve the connections that would be reset with the listener."""
+        while is_readable(listener):
+            with trio.move_on_after(ACCEPT_TIMEOUT_S):
+                nursery.start_soon(self._serve, await listener.accept())
 
     async def _serve(self, stream: trio.SocketStream) -> None:
         connection = HttpConnection(
@@ -93,9 +128,11 @@
         Idle connections are closed.
         """
         self.accept_scope.cancel()
-        while self.connections:
+        while self.connections or self.is_serving:
+            newest = trio.current_time() - FIRST_REQUEST_GRACE_S
             for connection in list(self.connections):
-                connection.close_if_idle()
+                if connection.opened_at < newest:
+                    connection.close_if_idle()
             await trio.sleep(CLOSE_POLL_INTERVAL_S)
 
     def abort_receiving(self) -> None:
--- a/egretcart/connection/http_server.py
+++ b/egretcart/connection/http_server.py
@@ -142,6 +142,8 @@
     receive_scope : trio.CancelScope
         Scope in which the rest of a request is received.
     protocol : h11.Connection
+    opened_at : float
+        When the connection was accepted, in seconds on the trio clock.
     """
 
     def __init__(
@@ -156,6 +158,7 @@
         self.handler = handler
         self.limits = limits
         self.is_stopping = is_stopping
+        self.opened_at = trio.current_time()
         self.idle_scope = trio.CancelScope()
         self.receive_scope = trio.CancelScope()
         self.protocol = h11.Connection(
--- a/egretcart/connection/readable.py
+++ b/egretcart/connection/readable.py
@@ -1,12 +1,15 @@
-"""Test whether a connection has unread data or has ended."""
+"""Test whether a socket has something to read or to accept."""
 
 import select
 
 import trio
 
 
-def is_readable(stream: trio.SocketStream) -> bool:
-    """Return whether data or the end of the stream can be received now."""
+def is_readable(stream: trio.SocketStream | trio.SocketListener) -> bool:
+    """Return whether something can be received or accepted at once.
+
+    That is data or the end of a stream, or a connection of a listener.
+    """
     poll = select.poll()
     poll.register(stream.socket.fileno(), select.POLLIN)
     return bool(poll.poll(0))
--- a/tests/features/connection_bounds.feature
+++ b/tests/features/connection_bounds.feature
@@ -29,3 +29,13 @@
     Given a link to a peer that reads slowly
     When messages are sent alternately by flushes and by the writer
     Then the peer has received all of them in order
+
+  Scenario Outline: A server that stops answers those that have connected
+    Given a caller whose connection the server has not accepted yet
+    When the server stops and the request comes <late> s later
+    Then the caller gets its answer, and the server accepts no more
+
+    Examples:
+      | late |
+      | 0    |
+      | 0.1  |
--- a/tests/features/steps/connection_bounds_steps.py
+++ b/tests/features/steps/connection_bounds_steps.py
@@ -259,3 +259,46 @@
 @then("the peer has received all of them in order")
 def check_received(context):
     assert context.received == context.sent
+
+
+@given("a caller whose connection the server has not accepted yet")
+def not_accepted(context):
+    context.run = run_with_server
+
+
+@when("the server stops and the request comes {late:g} s later")
+def stop_before_accept(context, late):
+    """Stop a server in the turn in which a caller has connected."""
+
+    async def main():
+        server = HttpListener(handler=answer, limits=LIMITS)
+        listeners = await trio.open_tcp_listeners(0, host=HOST)
+        port = listeners[0].socket.getsockname()[1]
+        with trio.fail_after(TIMEOUT_S):
+            stream = await trio.open_tcp_stream(HOST, port)
+            if not late:
+                await stream.send_all(VALID_REQUEST)
+            async with trio.open_nursery() as nursery:
+                server.accept_scope.cancel()
+                nursery.start_soon(server.serve, listeners, nursery)
+                await trio.lowlevel.checkpoint()
+                nursery.start_soon(server.close)
+                if late:
+                    await trio.sleep(late)
+                    await stream.send_all(VALID_REQUEST)
+                context.status = status_of(await receive_head(stream))
+        context.connections = server.connections
+        try:
+            await trio.open_tcp_stream(HOST, port)
+            context.accepts = True
+        except OSError:
+            context.accepts = False
+
+    trio.run(main)
+
+
+@then("the caller gets its answer, and the server accepts no more")
+def check_answered_at_stop(context):
+    assert context.status == 200
+    assert not context.connections
+    assert not context.accepts
