Do not join a job that is being stopped for another entry

By reading: a caller that asked the former owner again while its runs were being stopped revived the job there, and the entry that takes it over was then told that no run was left. The caller's request now waits for the other entry like any other, and for the end of the owner's own runs. job_releases has a scenario that failed first.

--- a/egretcart/direct/entry.py
+++ b/egretcart/direct/entry.py
@@ -268,9 +268,11 @@
         wait_limit_s : float, optional
             How long the caller waits, in seconds; infinite if not given.
         """
-        held = self.jobs.get(job.job_id) or self.stopping_jobs.get(job.job_id)
-        pending = self.pending.by_job.get(job.job_id)
         claim = self.claims.claim_of(job.job_id)
+        held = self.jobs.get(job.job_id)
+        if held is None and claim is None:
+            held = self.stopping_jobs.get(job.job_id)
+        pending = self.pending.by_job.get(job.job_id)
         ended = self.ended.get(job.job_id)
         refusal_cause = _find_refusal_cause(job, route)
         if refusal_cause is not None:
@@ -1122,7 +1124,7 @@
     def _dispatch(self, now: float) -> None:
         """Accept the jobs of resolved claims and send waiting tasks."""
         self.releases.answer_over(self.stopping_jobs)
-        for pending in self.pending.pop_ready(now):
+        for pending in self.pending.pop_ready(now, self.stopping_jobs):
             self._admit_claimed(pending, now)
         self.sender.dispatch(self.jobs.values(), now)
         if self.sender.unplaced is not None:
--- a/egretcart/direct/pending_claims.py
+++ b/egretcart/direct/pending_claims.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Collection
+from collections.abc import Container
 from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
@@ -60,6 +61,11 @@
     wait_deadline_at: float
     wait_limit_s: float
 
+    @property
+    def expiry(self) -> float:
+        """When all runs for other entries have expired."""
+        return max(self.former_expires_at, *self.expires_at.values(), 0.0)
+
 
 class PendingClaims:
     """Asks agents and the former entries to end the runs of a job.
@@ -224,14 +230,23 @@
             if entry_id in pending.expires_at:
                 pending.expires_at[entry_id] = expires_at
 
-    def pop_ready(self, now: float) -> list[PendingClaim]:
-        """Remove and return the claims that need not wait any longer."""
+    def pop_ready(
+        self, now: float, stopping_jobs: Container[str]
+    ) -> list[PendingClaim]:
+        """Remove and return the claims that need not wait any longer.
+
+        Parameters
+        ----------
+        now : float
+        stopping_jobs : container of str
+            Jobs that this entry has left to others and whose runs for it
+            have not ended; their claims wait.
+        """
         ready = [
             pending
             for pending in self.by_job.values()
-            if now > pending.wait_deadline_at
-            or max((pending.former_expires_at, *pending.expires_at.values()))
-            <= now
+            if pending.job.job_id not in stopping_jobs
+            and (now > pending.wait_deadline_at or pending.expiry <= now)
         ]
         for pending in ready:
             self.remove(pending)
--- a/tests/features/job_releases.feature
+++ b/tests/features/job_releases.feature
@@ -17,6 +17,12 @@
     Then the owner asks the other entry before it accepts the job
     And it no longer reports the job as its own
 
+  Scenario: A job that is being stopped for another entry is not joined
+    Given an entry that runs a job at an agent
+    When another entry asks for the job and its caller is faster than the stop
+    Then the other entry gets its answer only after the end of the run
+    And the owner accepts the job only after the answer of the other entry
+
   Scenario: Two entries ask each other for the same job
     Given an entry that waits for another one to release a job
     When the other one asks it for the job
--- a/tests/features/steps/job_release_steps.py
+++ b/tests/features/steps/job_release_steps.py
@@ -212,6 +212,24 @@
     assert not any(JOB.job_id in job_ids for job_ids in reported), reported
 
 
+@when("another entry asks for the job and its caller is faster than the stop")
+def ask_and_resubmit_early(context):
+    ask(context)
+    context.exchange.submit(request_id=2)
+    context.accepted_before = len(context.exchange.sent(RunTasks))
+
+
+@then("the owner accepts the job only after the answer of the other entry")
+def check_accepts_after_answer(context):
+    exchange = context.exchange
+    _, evict = exchange.sent(EvictJob)[0]
+    exchange.from_agent(JobEvicted(number=evict.number))
+    exchange.advance(0.2, alive=["entry-1"])
+    assert len(exchange.sent(RunTasks)) == context.accepted_before
+    exchange.from_peer(JobReleased(number=evict.number))
+    assert len(exchange.sent(RunTasks)) == context.accepted_before + 1
+
+
 @given("an entry that waits for another one to release a job")
 def start_waiting(context):
     exchange = context.exchange = Exchange()
--- a/tests/features/steps/soak_world.py
+++ b/tests/features/steps/soak_world.py
@@ -42,6 +42,8 @@
 TASK_WORK_MS = (50.0, 120.0, 400.0, 1500.0)
 JOBS_PER_S = 12
 CHUNK_BYTES = 65536
+# Lines of the log of a process that has exited, to show its error.
+EXIT_LINES = 60
 
 
 class Proxy:
@@ -580,8 +582,10 @@
         await trio.sleep(RECOVERY_WAIT_S)
         for name, process in self.processes.items():
             if process.poll() is not None:
+                last_lines = "\n".join(self.lines(name)[-EXIT_LINES:])
                 self.record_violation(
-                    f"{name} has exited with status {process.returncode}"
+                    f"{name} has exited with status {process.returncode}:\n"
+                    f"{last_lines}"
                 )
         await self._check_planned_stop(self.fault_random.choice(self.entries))
         self.is_submitting = False
