Let a paused owner hear of takeovers before it starts anything again

An entry that was paused now sends no task of a job from before for 0.3 s, in which the others report on their new links what they have taken; and one that waits for the runs of a lost owner asks it if it reports the job again, also after a reset of the link. Four scenarios of job_releases failed first.

--- a/egretcart/direct/entry.py
+++ b/egretcart/direct/entry.py
@@ -122,6 +122,9 @@
         Until when agents are expected to connect and to accept tasks.
     last_tick_at : float
         Time of the last tick; 0 before the first.
+    resumed_at : float
+        When the last pause of the process was noticed; minus infinity if
+        there was none.
     agent_heartbeat_interval_s : float
         Time between two heartbeats to an agent, in seconds.
     last_peer_heartbeat_at : float
@@ -161,6 +164,7 @@
         self.stop_deadline: float | None = None
         self.discovery_ends_at = 0.0
         self.last_tick_at = 0.0
+        self.resumed_at = -math.inf
         self.agent_heartbeat_interval_s = limits.heartbeat_interval_s
         self.last_peer_heartbeat_at = 0.0
         self.effects: list[EntryEffect] = []
@@ -913,6 +917,7 @@
                 return
             self._yield(held, entry_id, now)
         self.claims.record_peer(job_id, entry_id, now)
+        self.pending.ask_owner(job_id, entry_id)
 
     def _yield(self, held: HeldJob, entry_id: str, now: float) -> None:
         """Yield a job to another entry, which its caller asks now."""
@@ -988,10 +993,9 @@
         """Process everything that is due; called at the tick interval."""
         if not self.last_tick_at:
             self.discovery_ends_at = now + self.limits.discovery_wait_s
-        paused_s = now - self.last_tick_at if self.last_tick_at else 0.0
+        if self._is_after_pause(now):
+            self._resume_after_pause(now)
         self.last_tick_at = now
-        if paused_s > self.limits.pause_threshold_s:
-            self._resume_after_pause(paused_s, now)
         self._check_agents(now)
         self._check_peers(now)
         self._expire_lost_runs(now)
@@ -1007,11 +1011,11 @@
         self._dispatch(now)
         return self._pop_effects(now)
 
-    def _resume_after_pause(self, paused_s: float, now: float) -> None:
+    def _resume_after_pause(self, now: float) -> None:
         """Close all links to agents, which have stopped this entry's runs."""
-        self.log.write(
-            ProcessChanged(state="paused", paused_ms=round(paused_s * 1000))
-        )
+        paused_ms = round((now - self.last_tick_at) * 1000)
+        self.log.write(ProcessChanged(state="paused", paused_ms=paused_ms))
+        self.resumed_at = now
         self.discovery_ends_at = now + self.limits.discovery_wait_s
         for agent_id in list(self.agents):
             self.effects.append(CloseAgent(agent_id))
@@ -1126,10 +1130,30 @@
         self.releases.answer_over(self.stopping_jobs)
         for pending in self.pending.pop_ready(now, self.stopping_jobs):
             self._admit_claimed(pending, now)
-        self.sender.dispatch(self.jobs.values(), now)
+        self.sender.dispatch(self._dispatchable_jobs(now), now)
         if self.sender.unplaced is not None:
             self.recruiter.ask(self.sender.unplaced, now)
 
+    def _dispatchable_jobs(self, now: float) -> list[HeldJob]:
+        """Return the jobs whose tasks may be sent.
+
+        Jobs from before a pause may have been taken over by other entries,
+        which report that on their new links.
+        """
+        if self._is_after_pause(now):
+            return []
+        reported_at = self.resumed_at + self.limits.unconnected_wait_s
+        return [
+            held
+            for held in self.jobs.values()
+            if now >= reported_at or held.accepted_at > self.resumed_at
+        ]
+
+    def _is_after_pause(self, now: float) -> bool:
+        """Whether the process was paused and no tick has followed yet."""
+        paused_s = now - self.last_tick_at if self.last_tick_at else 0.0
+        return paused_s > self.limits.pause_threshold_s
+
     def _pop_effects(self, now: float) -> list[EntryEffect]:
         effects = list(self.effects)
         self.effects.clear()
--- a/egretcart/direct/pending_claims.py
+++ b/egretcart/direct/pending_claims.py
@@ -164,6 +164,19 @@
             )
         )
 
+    def ask_owner(self, job_id: str, entry_id: str) -> None:
+        """Ask an entry that reports a claimed job as its own.
+
+        It was not connected when the claim began, or has been disconnected
+        since.
+        """
+        pending = self.by_job.get(job_id)
+        if (
+            pending is not None
+            and pending.expires_at.get(entry_id) != math.inf
+        ):
+            self._ask(pending, entry_id, owner="")
+
     def _ask(self, pending: PendingClaim, entry_id: str, owner: str) -> None:
         pending.expires_at[entry_id] = math.inf
         release = ReleaseJob(
--- a/tests/features/job_releases.feature
+++ b/tests/features/job_releases.feature
@@ -48,3 +48,24 @@
       | change                       |
       | lost                         |
       | lost and connected again     |
+
+  Scenario: An owner that comes back while its job is claimed is asked
+    Given an entry to which another one has reported a job
+    When that one is lost, a caller asks for the job, and it is connected again
+    Then it is asked for the job, which is accepted only after its answer
+
+  Scenario: An owner whose link is reset while it is asked is asked again
+    Given an entry that waits for another one to release a job
+    When the link to that one is reset and it reports the job again
+    Then it is asked again, and the job is accepted only after its answer
+
+  Scenario Outline: An owner that was paused first hears of takeovers
+    Given an entry that runs a job at an agent
+    When the entry is paused for 2 seconds and its agent connects again
+    And another entry <reports>
+    Then the owner <outcome>
+
+    Examples:
+      | reports                     | outcome                             |
+      | reports the job as its own  | starts nothing and yields the job   |
+      | reports nothing             | starts the task again after 0.3 s   |
--- a/tests/features/steps/job_release_steps.py
+++ b/tests/features/steps/job_release_steps.py
@@ -355,3 +355,93 @@
     exchange.advance(0.15, alive=["entry-1"])
     assert exchange.is_accepted()
     assert exchange.entry.jobs[JOB.job_id].state is JobState.RUNNING
+
+
+@when("that one is lost, a caller asks for the job, and it is connected again")
+def lose_and_reconnect(context):
+    exchange = context.exchange
+    exchange.advance(0.2)
+    exchange.entry.peer_disconnected("entry-1")
+    exchange.submit()
+    _, evict = exchange.sent(EvictJob)[0]
+    exchange.from_agent(JobEvicted(number=evict.number))
+    exchange.entry.peer_connected("entry-1", exchange.now)
+    exchange.from_peer(JobsTaken(job_ids=(JOB.job_id,)))
+
+
+@then("it is asked for the job, which is accepted only after its answer")
+def check_owner_asked(context):
+    exchange = context.exchange
+    [(receiver, question)] = exchange.sent(ReleaseJob)
+    assert (receiver, question.owner) == ("entry-1", "")
+    exchange.advance(3.0, alive=["entry-1"])
+    assert not exchange.is_accepted()
+    exchange.from_peer(JobReleased(number=question.number))
+    assert exchange.is_accepted()
+
+
+@when(
+    "the entry is paused for {seconds:g} seconds and its agent connects again"
+)
+def pause_entry(context, seconds):
+    exchange = context.exchange
+    exchange.advance(0.2, alive=["entry-1"])
+    exchange.now += seconds
+    exchange.effects.clear()
+    # Messages that have arrived during the pause are handled before a tick.
+    exchange.from_agent(exchange.status)
+    exchange.effects += exchange.entry.tick(exchange.now)
+    exchange.effects += exchange.entry.agent_connected(
+        AgentHello(status=exchange.status, settled=True), exchange.now
+    )
+    exchange.entry.receive("agent", exchange.served, exchange.now)
+    exchange.entry.peer_connected("entry-1", exchange.now)
+    assert not exchange.sent(RunTasks)
+
+
+@when("another entry reports the job as its own")
+def report_taken(context):
+    context.exchange.advance(0.1, alive=["entry-1"])
+    context.exchange.from_peer(JobsTaken(job_ids=(JOB.job_id,)))
+
+
+@when("another entry reports nothing")
+def report_nothing(context):
+    context.exchange.advance(0.2, alive=["entry-1"])
+    assert not context.exchange.sent(RunTasks)
+
+
+@then("the owner starts nothing and yields the job")
+def check_yielded(context):
+    exchange = context.exchange
+    assert [answer.interrupted for answer in exchange.answers()] == [True]
+    exchange.advance(1.0, alive=["entry-1"])
+    assert not exchange.sent(RunTasks)
+
+
+@then("the owner starts the task again after 0.3 s")
+def check_started_again(context):
+    exchange = context.exchange
+    exchange.advance(0.2, alive=["entry-1"])
+    assert len(exchange.sent(RunTasks)) == 1
+
+
+@when("the link to that one is reset and it reports the job again")
+def reset_link(context):
+    exchange = context.exchange
+    _, evict = exchange.sent(EvictJob)[0]
+    exchange.from_agent(JobEvicted(number=evict.number))
+    exchange.entry.peer_disconnected("entry-1")
+    exchange.entry.peer_connected("entry-1", exchange.now)
+    exchange.from_peer(JobsTaken(job_ids=(JOB.job_id,)))
+
+
+@then("it is asked again, and the job is accepted only after its answer")
+def check_asked_again(context):
+    exchange = context.exchange
+    asked = exchange.sent(ReleaseJob)
+    assert [receiver for receiver, _ in asked] == ["entry-1"] * 2
+    exchange.advance(3.0, alive=["entry-1"])
+    assert not exchange.is_accepted()
+    exchange.from_peer(JobReleased(number=asked[1][1].number))
+    assert exchange.is_accepted()
