Lay direct dispatch out in packages by what they keep alive

Cause: 41 modules on one floor; new decisions had no place of their own. Moves alone: log, version, request, backend, connection, policy, process, agent, entry, each importing only from those before it (checked by a script over all imports). make lint passes; direct_decisions and whole_path pass (22 scenarios).

--- a/egretcart/direct/agent_types.py
+++ b/egretcart/direct/agent/agent_types.py
@@ -8,16 +8,16 @@
 import enum
 
 from egretcart.connection.dialler import Endpoint
-from egretcart.direct.backend import StartRequest
-from egretcart.direct.backend import StopRequest
-from egretcart.direct.health import HealthLimits
-from egretcart.direct.job import Room
-from egretcart.direct.job import TaskKey
-from egretcart.direct.lease import LeaseLimits
-from egretcart.direct.messages import Message
-from egretcart.direct.progress import ProgressLimits
-from egretcart.direct.progress import RunProgress
-from egretcart.direct.working_set import WorkingSetLimits
+from egretcart.direct.backend.backend import StartRequest
+from egretcart.direct.backend.backend import StopRequest
+from egretcart.direct.backend.health import HealthLimits
+from egretcart.direct.backend.lease import LeaseLimits
+from egretcart.direct.connection.messages import Message
+from egretcart.direct.connection.working_set import WorkingSetLimits
+from egretcart.direct.request.job import Room
+from egretcart.direct.request.job import TaskKey
+from egretcart.direct.request.progress import ProgressLimits
+from egretcart.direct.request.progress import RunProgress
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/egretcart/direct/entry_connections.py
+++ b/egretcart/direct/agent/entry_connections.py
@@ -1,16 +1,16 @@
 """Keeps an agent connected to the entries of its working set. Free of I/O."""
 
 from egretcart.connection.dialler import Endpoint
-from egretcart.direct.agent_types import AgentEffect
-from egretcart.direct.agent_types import CloseEntryLink
-from egretcart.direct.agent_types import DialEntry
-from egretcart.direct.agent_types import DirectAgentLimits
-from egretcart.direct.decisions import DecisionLog
-from egretcart.direct.decisions import PeerChanged
-from egretcart.direct.entry_links import EntryLinks
-from egretcart.direct.messages import PeerAddress
-from egretcart.direct.run_table import RunTable
-from egretcart.direct.working_set import WorkingSet
+from egretcart.direct.agent.agent_types import AgentEffect
+from egretcart.direct.agent.agent_types import CloseEntryLink
+from egretcart.direct.agent.agent_types import DialEntry
+from egretcart.direct.agent.agent_types import DirectAgentLimits
+from egretcart.direct.agent.entry_links import EntryLinks
+from egretcart.direct.agent.run_table import RunTable
+from egretcart.direct.connection.messages import PeerAddress
+from egretcart.direct.connection.working_set import WorkingSet
+from egretcart.direct.log.decisions import DecisionLog
+from egretcart.direct.log.decisions import PeerChanged
 
 
 class EntryConnections:
--- a/egretcart/direct/entry_links.py
+++ b/egretcart/direct/agent/entry_links.py
@@ -4,14 +4,14 @@
 from collections.abc import Collection
 import dataclasses
 
-from egretcart.direct.agent_types import AgentEffect
-from egretcart.direct.agent_types import EntryState
-from egretcart.direct.agent_types import Eviction
-from egretcart.direct.agent_types import SendToEntry
-from egretcart.direct.messages import AgentStatus
-from egretcart.direct.messages import EntriesServed
-from egretcart.direct.messages import JobEvicted
-from egretcart.direct.messages import Message
+from egretcart.direct.agent.agent_types import AgentEffect
+from egretcart.direct.agent.agent_types import EntryState
+from egretcart.direct.agent.agent_types import Eviction
+from egretcart.direct.agent.agent_types import SendToEntry
+from egretcart.direct.connection.messages import AgentStatus
+from egretcart.direct.connection.messages import EntriesServed
+from egretcart.direct.connection.messages import JobEvicted
+from egretcart.direct.connection.messages import Message
 
 
 class EntryLinks:
--- a/egretcart/direct/run_table.py
+++ b/egretcart/direct/agent/run_table.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Iterator
 
-from egretcart.direct.agent_types import Run
-from egretcart.direct.agent_types import RunPhase
-from egretcart.direct.job import Room
-from egretcart.direct.job import TaskKey
+from egretcart.direct.agent.agent_types import Run
+from egretcart.direct.agent.agent_types import RunPhase
+from egretcart.direct.request.job import Room
+from egretcart.direct.request.job import TaskKey
 
 
 class RunTable:
--- /dev/null
+++ b/egretcart/direct/backend/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one incarnation of a backend server."""
--- a/egretcart/direct/backend.py
+++ b/egretcart/direct/backend/backend.py
@@ -4,9 +4,9 @@
 import enum
 from typing import Protocol
 
-from egretcart.direct.job import Ending
-from egretcart.direct.job import Room
-from egretcart.direct.job import TaskKey
+from egretcart.direct.request.job import Ending
+from egretcart.direct.request.job import Room
+from egretcart.direct.request.job import TaskKey
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/egretcart/direct/backend_report_store.py
+++ b/egretcart/direct/backend/backend_report_store.py
@@ -11,9 +11,9 @@
 import msgspec
 import trio
 
-from egretcart.direct.backend import BackendReport
-from egretcart.direct.decisions import DecisionLog
-from egretcart.direct.decisions import DependencyChanged
+from egretcart.direct.backend.backend import BackendReport
+from egretcart.direct.log.decisions import DecisionLog
+from egretcart.direct.log.decisions import DependencyChanged
 from egretcart.process.store.platform import Platform
 from egretcart.process.store.platform import PlatformError
 from egretcart.process.store.platform import Put
--- /dev/null
+++ b/egretcart/direct/connection/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one link between processes: messages, codec, views."""
--- a/egretcart/direct/messages.py
+++ b/egretcart/direct/connection/messages.py
@@ -5,8 +5,8 @@
 
 import dataclasses
 
-from egretcart.direct.job import Room
-from egretcart.direct.job import TaskKey
+from egretcart.direct.request.job import Room
+from egretcart.direct.request.job import TaskKey
 
 # Reason with which an agent rejects tasks of an entry after another entry has
 # taken their job over.
--- a/egretcart/direct/peer_registry.py
+++ b/egretcart/direct/connection/peer_registry.py
@@ -2,7 +2,7 @@
 
 from egretcart.connection.dialler import Endpoint
 from egretcart.connection.peer_link import PeerLink
-from egretcart.direct.messages import EntryHello
+from egretcart.direct.connection.messages import EntryHello
 
 
 class PeerRegistry:
--- a/egretcart/direct/views.py
+++ b/egretcart/direct/connection/views.py
@@ -2,10 +2,10 @@
 
 import dataclasses
 
-from egretcart.direct.job import NO_ROOM
-from egretcart.direct.job import Room
-from egretcart.direct.job import Step
-from egretcart.direct.messages import AgentStatus
+from egretcart.direct.connection.messages import AgentStatus
+from egretcart.direct.request.job import NO_ROOM
+from egretcart.direct.request.job import Room
+from egretcart.direct.request.job import Step
 
 PERCENT = 100
 
--- a/egretcart/direct/wire.py
+++ b/egretcart/direct/connection/wire.py
@@ -7,14 +7,14 @@
 from egretcart.connection.frames import FrameCodec
 from egretcart.connection.frames import load_idl
 from egretcart.connection.peer_link import LinkProtocol
-from egretcart.direct import messages
-from egretcart.direct.job import Ending
-from egretcart.direct.job import JobState
-from egretcart.direct.messages import AgentHello
-from egretcart.direct.messages import EntryHello
-from egretcart.direct.messages import JobReleased
-from egretcart.direct.messages import RunTasks
-from egretcart.direct.messages import TaskEnded
+from egretcart.direct.connection import messages
+from egretcart.direct.connection.messages import AgentHello
+from egretcart.direct.connection.messages import EntryHello
+from egretcart.direct.connection.messages import JobReleased
+from egretcart.direct.connection.messages import RunTasks
+from egretcart.direct.connection.messages import TaskEnded
+from egretcart.direct.request.job import Ending
+from egretcart.direct.request.job import JobState
 
 MESSAGE_OVERHEAD_BYTES = 256
 MAX_NAME_CHARACTERS = 256
--- /dev/null
+++ b/egretcart/direct/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry: accepts callers' jobs and sends their tasks to agents."""
--- a/egretcart/direct/entry_types.py
+++ b/egretcart/direct/entry/entry_types.py
@@ -2,11 +2,11 @@
 
 import dataclasses
 
-from egretcart.direct.admission import AdmissionLimits
-from egretcart.direct.job import JobState
-from egretcart.direct.messages import Message
-from egretcart.direct.placement import PlacementLimits
-from egretcart.direct.rescue import ReschedulingLimits
+from egretcart.direct.connection.messages import Message
+from egretcart.direct.policy.admission import AdmissionLimits
+from egretcart.direct.policy.placement import PlacementLimits
+from egretcart.direct.policy.rescue import ReschedulingLimits
+from egretcart.direct.request.job import JobState
 
 # The runs of a job that is taken over are numbered from this value times the
 # number of the claim, above all numbers that the former entry has given.
--- a/egretcart/direct/job_releases.py
+++ b/egretcart/direct/entry/job_releases.py
@@ -10,10 +10,10 @@
 from collections.abc import Mapping
 import dataclasses
 
-from egretcart.direct.entry_types import EntryEffect
-from egretcart.direct.entry_types import SendToPeer
-from egretcart.direct.messages import JobReleased
-from egretcart.direct.messages import ReleaseJob
+from egretcart.direct.connection.messages import JobReleased
+from egretcart.direct.connection.messages import ReleaseJob
+from egretcart.direct.entry.entry_types import EntryEffect
+from egretcart.direct.entry.entry_types import SendToPeer
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/egretcart/direct/pending_claims.py
+++ b/egretcart/direct/entry/pending_claims.py
@@ -12,15 +12,15 @@
 import math
 import random
 
-from egretcart.direct.configuration import Route
-from egretcart.direct.decisions import DecisionLog
-from egretcart.direct.decisions import JobClaimed
-from egretcart.direct.entry_types import EntryEffect
-from egretcart.direct.entry_types import SendToAgent
-from egretcart.direct.entry_types import SendToPeer
-from egretcart.direct.job import Job
-from egretcart.direct.messages import EvictJob
-from egretcart.direct.messages import ReleaseJob
+from egretcart.direct.connection.messages import EvictJob
+from egretcart.direct.connection.messages import ReleaseJob
+from egretcart.direct.entry.entry_types import EntryEffect
+from egretcart.direct.entry.entry_types import SendToAgent
+from egretcart.direct.entry.entry_types import SendToPeer
+from egretcart.direct.log.decisions import DecisionLog
+from egretcart.direct.log.decisions import JobClaimed
+from egretcart.direct.request.job import Job
+from egretcart.direct.version.configuration import Route
 
 # Entries that are asked to pass a question on; if the owner lives, most reach
 # it.
--- a/egretcart/direct/recruiting.py
+++ b/egretcart/direct/entry/recruiting.py
@@ -10,17 +10,17 @@
 from collections.abc import Mapping
 import random
 
-from egretcart.direct.decisions import AgentsRecruited
-from egretcart.direct.decisions import DecisionLog
-from egretcart.direct.entry_types import EntryEffect
-from egretcart.direct.entry_types import RecruitingLimits
-from egretcart.direct.entry_types import SendToAgent
-from egretcart.direct.entry_types import SendToPeer
-from egretcart.direct.job import Step
-from egretcart.direct.messages import PeerAddress
-from egretcart.direct.messages import RecruitAgents
-from egretcart.direct.messages import ServeEntry
-from egretcart.direct.views import AgentView
+from egretcart.direct.connection.messages import PeerAddress
+from egretcart.direct.connection.messages import RecruitAgents
+from egretcart.direct.connection.messages import ServeEntry
+from egretcart.direct.connection.views import AgentView
+from egretcart.direct.entry.entry_types import EntryEffect
+from egretcart.direct.entry.entry_types import RecruitingLimits
+from egretcart.direct.entry.entry_types import SendToAgent
+from egretcart.direct.entry.entry_types import SendToPeer
+from egretcart.direct.log.decisions import AgentsRecruited
+from egretcart.direct.log.decisions import DecisionLog
+from egretcart.direct.request.job import Step
 
 
 class AgentRecruiter:
--- a/egretcart/direct/task_sender.py
+++ b/egretcart/direct/entry/task_sender.py
@@ -2,19 +2,19 @@
 
 from collections.abc import Iterable
 
-from egretcart.direct.decisions import DecisionLog
-from egretcart.direct.decisions import TasksPlaced
-from egretcart.direct.entry_types import EntryEffect
-from egretcart.direct.entry_types import SendToAgent
-from egretcart.direct.held_job import HeldJob
-from egretcart.direct.held_job import HeldTask
-from egretcart.direct.held_job import TaskPhase
-from egretcart.direct.job import Room
-from egretcart.direct.job import Step
-from egretcart.direct.messages import RunTasks
-from egretcart.direct.placement import Placement
-from egretcart.direct.placement import PlacementRequest
-from egretcart.direct.views import AgentView
+from egretcart.direct.connection.messages import RunTasks
+from egretcart.direct.connection.views import AgentView
+from egretcart.direct.entry.entry_types import EntryEffect
+from egretcart.direct.entry.entry_types import SendToAgent
+from egretcart.direct.log.decisions import DecisionLog
+from egretcart.direct.log.decisions import TasksPlaced
+from egretcart.direct.policy.placement import Placement
+from egretcart.direct.policy.placement import PlacementRequest
+from egretcart.direct.request.held_job import HeldJob
+from egretcart.direct.request.held_job import HeldTask
+from egretcart.direct.request.held_job import TaskPhase
+from egretcart.direct.request.job import Room
+from egretcart.direct.request.job import Step
 
 
 class TaskSender:
--- /dev/null
+++ b/egretcart/direct/log/__init__.py
@@ -0,0 +1,1 @@
+"""Records of decisions, their log lines and their metrics."""
--- a/egretcart/direct/log_lines.py
+++ b/egretcart/direct/log/log_lines.py
@@ -10,11 +10,11 @@
 import eliot
 import trio
 
-from egretcart.direct.decisions import Decision
-from egretcart.direct.decisions import JobAnswered
-from egretcart.direct.decisions import JobCancelled
-from egretcart.direct.decisions import JobRefused
-from egretcart.direct.decisions import ProcessChanged
+from egretcart.direct.log.decisions import Decision
+from egretcart.direct.log.decisions import JobAnswered
+from egretcart.direct.log.decisions import JobCancelled
+from egretcart.direct.log.decisions import JobRefused
+from egretcart.direct.log.decisions import ProcessChanged
 from egretcart.process.clock import Clock
 
 STDOUT = 1
--- a/egretcart/direct/admission.py
+++ b/egretcart/direct/policy/admission.py
@@ -10,9 +10,9 @@
 import dataclasses
 import math
 
-from egretcart.direct.configuration import USEFUL_LATENCY_FACTOR
-from egretcart.direct.job import Step
-from egretcart.direct.views import AgentView
+from egretcart.direct.connection.views import AgentView
+from egretcart.direct.request.job import Step
+from egretcart.direct.version.configuration import USEFUL_LATENCY_FACTOR
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/egretcart/direct/placement.py
+++ b/egretcart/direct/policy/placement.py
@@ -9,8 +9,8 @@
 import dataclasses
 import random
 
-from egretcart.direct.job import Step
-from egretcart.direct.views import AgentView
+from egretcart.direct.connection.views import AgentView
+from egretcart.direct.request.job import Step
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/egretcart/direct/rescue.py
+++ b/egretcart/direct/policy/rescue.py
@@ -7,7 +7,7 @@
 
 import dataclasses
 
-from egretcart.direct.configuration import USEFUL_LATENCY_FACTOR
+from egretcart.direct.version.configuration import USEFUL_LATENCY_FACTOR
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- /dev/null
+++ b/egretcart/direct/process/__init__.py
@@ -0,0 +1,1 @@
+"""What entries and agents share: settings, the store's state, metrics."""
--- a/egretcart/direct/counted_log.py
+++ b/egretcart/direct/process/counted_log.py
@@ -3,8 +3,8 @@
 import trio
 
 from egretcart.connection.traffic import TrafficCounters
-from egretcart.direct.decisions import DecisionLog
-from egretcart.direct.settings import DirectSettings
+from egretcart.direct.log.decisions import DecisionLog
+from egretcart.direct.process.settings import DirectSettings
 
 
 async def open_metered_log(
@@ -30,7 +30,7 @@
         return log
     # The metrics modules take memory and time to import, so they are
     # imported on demand.
-    from egretcart.direct.metered_log import MetricsServer
+    from egretcart.direct.process.metered_log import MetricsServer
 
     server = MetricsServer(log=log, traffic=traffic)
     await server.serve(settings.metrics, nursery)
--- a/egretcart/direct/reload.py
+++ b/egretcart/direct/process/reload.py
@@ -9,10 +9,10 @@
 from result import Ok
 import trio
 
-from egretcart.direct.decisions import DecisionLog
-from egretcart.direct.decisions import ProcessChanged
-from egretcart.direct.settings import DirectSettings
-from egretcart.direct.settings import load_direct_settings
+from egretcart.direct.log.decisions import DecisionLog
+from egretcart.direct.log.decisions import ProcessChanged
+from egretcart.direct.process.settings import DirectSettings
+from egretcart.direct.process.settings import load_direct_settings
 
 POLL_INTERVAL_S = 1.0
 
--- a/egretcart/direct/store_follower.py
+++ b/egretcart/direct/process/store_follower.py
@@ -5,10 +5,10 @@
 
 import trio
 
-from egretcart.direct.configuration import RoutingConfiguration
-from egretcart.direct.decisions import DecisionLog
-from egretcart.direct.decisions import DependencyChanged
-from egretcart.direct.messages import PeerAddress
+from egretcart.direct.connection.messages import PeerAddress
+from egretcart.direct.log.decisions import DecisionLog
+from egretcart.direct.log.decisions import DependencyChanged
+from egretcart.direct.version.configuration import RoutingConfiguration
 from egretcart.process.store.platform import Change
 from egretcart.process.store.platform import Platform
 from egretcart.process.store.platform import PlatformError
--- /dev/null
+++ b/egretcart/direct/request/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one job: its types, tasks, claims and progress."""
--- a/egretcart/direct/held_job.py
+++ b/egretcart/direct/request/held_job.py
@@ -5,10 +5,10 @@
 import enum
 import math
 
-from egretcart.direct.configuration import Route
-from egretcart.direct.job import Job
-from egretcart.direct.job import JobState
-from egretcart.direct.job import TaskKey
+from egretcart.direct.request.job import Job
+from egretcart.direct.request.job import JobState
+from egretcart.direct.request.job import TaskKey
+from egretcart.direct.version.configuration import Route
 
 
 class TaskPhase(enum.Enum):
--- /dev/null
+++ b/egretcart/direct/version/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one accepted configuration or standing order."""
--- a/egretcart/process/cli.py
+++ b/egretcart/process/cli.py
@@ -11,7 +11,7 @@
 import docopt
 import trio
 
-from egretcart.direct.explain import explain
+from egretcart.direct.log.explain import explain
 from egretcart.load.command import load_command
 from egretcart.process.agent.agent_process import AgentProcess
 from egretcart.process.agent.agent_types import AgentLimits
--- a/egretcart/testing/fake_backend.py
+++ b/egretcart/testing/fake_backend.py
@@ -1,26 +1,26 @@
 """Backend server in simulated time that checks the requests it receives.
 
-It accepts the request types of `egretcart.direct.backend`, so tests and
-embedders of `egretcart.direct` can use it whatever protocol their backend
+It accepts the request types of `egretcart.direct.backend.backend`, so tests
+and embedders of `egretcart.direct` can use it whatever protocol their backend
 servers speak.
 """
 
 from collections.abc import Callable
 import dataclasses
 
-from egretcart.direct.backend import BackendIncarnation
-from egretcart.direct.backend import BackendReport
-from egretcart.direct.backend import EndedTask
-from egretcart.direct.backend import Listing
-from egretcart.direct.backend import PollRequest
-from egretcart.direct.backend import RunningTask
-from egretcart.direct.backend import StartAnswer
-from egretcart.direct.backend import StartRequest
-from egretcart.direct.backend import StopRequest
-from egretcart.direct.job import Ending
-from egretcart.direct.job import NO_ROOM
-from egretcart.direct.job import Room
-from egretcart.direct.job import TaskKey
+from egretcart.direct.backend.backend import BackendIncarnation
+from egretcart.direct.backend.backend import BackendReport
+from egretcart.direct.backend.backend import EndedTask
+from egretcart.direct.backend.backend import Listing
+from egretcart.direct.backend.backend import PollRequest
+from egretcart.direct.backend.backend import RunningTask
+from egretcart.direct.backend.backend import StartAnswer
+from egretcart.direct.backend.backend import StartRequest
+from egretcart.direct.backend.backend import StopRequest
+from egretcart.direct.request.job import Ending
+from egretcart.direct.request.job import NO_ROOM
+from egretcart.direct.request.job import Room
+from egretcart.direct.request.job import TaskKey
 
 # A request extends the lease by no more than this time from now on.
 MAX_LEASE_MS = 1000
--- a/tests/features/steps/backend_incarnation_steps.py
+++ b/tests/features/steps/backend_incarnation_steps.py
@@ -7,18 +7,18 @@
 from direct_decisions_steps import BACKEND_INCARNATION
 from direct_decisions_steps import listing_at
 
-from egretcart.direct.agent_types import SendStartRequest
-from egretcart.direct.agent_types import SendToEntry
-from egretcart.direct.backend import BackendIncarnation
-from egretcart.direct.backend import BackendReport
-from egretcart.direct.backend import Listing
-from egretcart.direct.backend import RunningTask
-from egretcart.direct.backend import StartAnswer
-from egretcart.direct.job import Room
-from egretcart.direct.job import TaskKey
-from egretcart.direct.messages import Beat
-from egretcart.direct.messages import RunTasks
-from egretcart.direct.messages import TaskEnded
+from egretcart.direct.agent.agent_types import SendStartRequest
+from egretcart.direct.agent.agent_types import SendToEntry
+from egretcart.direct.backend.backend import BackendIncarnation
+from egretcart.direct.backend.backend import BackendReport
+from egretcart.direct.backend.backend import Listing
+from egretcart.direct.backend.backend import RunningTask
+from egretcart.direct.backend.backend import StartAnswer
+from egretcart.direct.connection.messages import Beat
+from egretcart.direct.connection.messages import RunTasks
+from egretcart.direct.connection.messages import TaskEnded
+from egretcart.direct.request.job import Room
+from egretcart.direct.request.job import TaskKey
 
 NEW_INCARNATION = BackendIncarnation("server", 2000)
 LISTED, UNLISTED = (TaskKey("a" * 16, 0, index) for index in range(2))
--- a/tests/features/steps/direct_world_steps.py
+++ b/tests/features/steps/direct_world_steps.py
@@ -6,10 +6,10 @@
 from behave import then
 from behave import when
 
-from egretcart.direct.agent_types import DirectAgentLimits
-from egretcart.direct.configuration import Route
-from egretcart.direct.job import JobState
-from egretcart.direct.job import Room
+from egretcart.direct.agent.agent_types import DirectAgentLimits
+from egretcart.direct.request.job import JobState
+from egretcart.direct.request.job import Room
+from egretcart.direct.version.configuration import Route
 from egretcart.testing.direct_world import SERVICE
 from egretcart.testing.direct_world import SimulatedDeployment
 
--- a/tests/features/steps/explain_steps.py
+++ b/tests/features/steps/explain_steps.py
@@ -10,7 +10,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from egretcart.direct.explain import explain
+from egretcart.direct.log.explain import explain
 from egretcart.process.cli import main
 
 FIRST, SECOND = "a" * 16, "b" * 16
--- a/tests/features/steps/job_release_steps.py
+++ b/tests/features/steps/job_release_steps.py
@@ -4,28 +4,28 @@
 from behave import then
 from behave import when
 
-from egretcart.direct.configuration import Route
-from egretcart.direct.decisions import JobAccepted
-from egretcart.direct.entry import DirectEntry
-from egretcart.direct.entry_types import Answer
-from egretcart.direct.entry_types import DirectEntryLimits
-from egretcart.direct.entry_types import SendToAgent
-from egretcart.direct.entry_types import SendToPeer
-from egretcart.direct.job import Job
-from egretcart.direct.job import JobState
-from egretcart.direct.job import Room
-from egretcart.direct.job import Step
-from egretcart.direct.messages import AgentHello
-from egretcart.direct.messages import AgentStatus
-from egretcart.direct.messages import EntriesServed
-from egretcart.direct.messages import EvictJob
-from egretcart.direct.messages import JobEvicted
-from egretcart.direct.messages import JobReleased
-from egretcart.direct.messages import JobsTaken
-from egretcart.direct.messages import ReleaseJob
-from egretcart.direct.messages import RunTasks
-from egretcart.direct.messages import StopTasks
-from egretcart.direct.messages import TaskEnded
+from egretcart.direct.connection.messages import AgentHello
+from egretcart.direct.connection.messages import AgentStatus
+from egretcart.direct.connection.messages import EntriesServed
+from egretcart.direct.connection.messages import EvictJob
+from egretcart.direct.connection.messages import JobEvicted
+from egretcart.direct.connection.messages import JobReleased
+from egretcart.direct.connection.messages import JobsTaken
+from egretcart.direct.connection.messages import ReleaseJob
+from egretcart.direct.connection.messages import RunTasks
+from egretcart.direct.connection.messages import StopTasks
+from egretcart.direct.connection.messages import TaskEnded
+from egretcart.direct.entry.entry import DirectEntry
+from egretcart.direct.entry.entry_types import Answer
+from egretcart.direct.entry.entry_types import DirectEntryLimits
+from egretcart.direct.entry.entry_types import SendToAgent
+from egretcart.direct.entry.entry_types import SendToPeer
+from egretcart.direct.log.decisions import JobAccepted
+from egretcart.direct.request.job import Job
+from egretcart.direct.request.job import JobState
+from egretcart.direct.request.job import Room
+from egretcart.direct.request.job import Step
+from egretcart.direct.version.configuration import Route
 
 JOB = Job(
     job_id="a" * 16,
--- a/tests/features/steps/large_configuration_steps.py
+++ b/tests/features/steps/large_configuration_steps.py
@@ -13,13 +13,13 @@
 
 from adapter.store import CALL_TIMEOUT_S
 from adapter.store import MetadataStore
-from egretcart.direct.configuration import decode_routing
-from egretcart.direct.configuration import encode_routing
-from egretcart.direct.configuration import MAX_DOCUMENT_BYTES
-from egretcart.direct.configuration import Route
-from egretcart.direct.configuration import RoutingConfiguration
-from egretcart.direct.configuration_pull import ConfigurationPull
-from egretcart.direct.configuration_pull import ConfigurationPullLimits
+from egretcart.direct.version.configuration import decode_routing
+from egretcart.direct.version.configuration import encode_routing
+from egretcart.direct.version.configuration import MAX_DOCUMENT_BYTES
+from egretcart.direct.version.configuration import Route
+from egretcart.direct.version.configuration import RoutingConfiguration
+from egretcart.direct.version.configuration_pull import ConfigurationPull
+from egretcart.direct.version.configuration_pull import ConfigurationPullLimits
 from egretcart.process.store.platform import PlatformError
 from egretcart.process.store.platform import prefix_range
 
--- a/tests/features/steps/membership_steps.py
+++ b/tests/features/steps/membership_steps.py
@@ -6,12 +6,12 @@
 
 from egretcart.connection.peer_link import PeerLink
 from egretcart.connection.traffic import TrafficCounters
-from egretcart.direct.messages import AgentHello
-from egretcart.direct.messages import AgentStatus
-from egretcart.direct.messages import EntryHello
-from egretcart.direct.messages import EntryPeers
-from egretcart.direct.messages import PeerAddress
-from egretcart.direct.wire import DIRECT_PROTOCOL
+from egretcart.direct.connection.messages import AgentHello
+from egretcart.direct.connection.messages import AgentStatus
+from egretcart.direct.connection.messages import EntryHello
+from egretcart.direct.connection.messages import EntryPeers
+from egretcart.direct.connection.messages import PeerAddress
+from egretcart.direct.connection.wire import DIRECT_PROTOCOL
 
 LATE_ENTRY = PeerAddress(host="127.0.0.99", port=9, failure_domain="zone-2")
 WAIT_S = 5.0
--- a/tests/features/steps/peer_registry_steps.py
+++ b/tests/features/steps/peer_registry_steps.py
@@ -2,9 +2,9 @@
 
 from behave import then
 
-from egretcart.direct.messages import EntryHello
-from egretcart.direct.messages import PeerAddress
-from egretcart.direct.peer_registry import PeerRegistry
+from egretcart.direct.connection.messages import EntryHello
+from egretcart.direct.connection.messages import PeerAddress
+from egretcart.direct.connection.peer_registry import PeerRegistry
 
 
 class FakeLink:
--- a/tests/features/steps/platform_adapter_steps.py
+++ b/tests/features/steps/platform_adapter_steps.py
@@ -23,15 +23,15 @@
 
 from egretcart.connection.http_client import ExchangeError
 from egretcart.connection.http_client import HttpClient
-from egretcart.direct.backend import BackendCallError
-from egretcart.direct.backend import BackendIncarnation
-from egretcart.direct.backend import IncarnationMismatchError
-from egretcart.direct.backend import PollRequest
-from egretcart.direct.backend import StaleTokenError
-from egretcart.direct.backend import StartAnswer
-from egretcart.direct.backend import StartRequest
-from egretcart.direct.job import Ending
-from egretcart.direct.job import TaskKey
+from egretcart.direct.backend.backend import BackendCallError
+from egretcart.direct.backend.backend import BackendIncarnation
+from egretcart.direct.backend.backend import IncarnationMismatchError
+from egretcart.direct.backend.backend import PollRequest
+from egretcart.direct.backend.backend import StaleTokenError
+from egretcart.direct.backend.backend import StartAnswer
+from egretcart.direct.backend.backend import StartRequest
+from egretcart.direct.request.job import Ending
+from egretcart.direct.request.job import TaskKey
 from egretcart.process.store.platform import KeyRange
 from egretcart.process.store.platform import PlatformError
 from egretcart.process.store.platform import prefix_range
--- a/tests/features/steps/platform_standins.py
+++ b/tests/features/steps/platform_standins.py
@@ -15,14 +15,14 @@
 from egretcart.connection.http_listener import HttpListener
 from egretcart.connection.http_server import HttpLimits
 from egretcart.connection.http_server import HttpResponse
-from egretcart.direct.backend import BackendIncarnation
-from egretcart.direct.backend import PollRequest
-from egretcart.direct.backend import StartAnswer
-from egretcart.direct.backend import StartRequest
-from egretcart.direct.backend import StopRequest
-from egretcart.direct.job import Ending
-from egretcart.direct.job import Room
-from egretcart.direct.job import TaskKey
+from egretcart.direct.backend.backend import BackendIncarnation
+from egretcart.direct.backend.backend import PollRequest
+from egretcart.direct.backend.backend import StartAnswer
+from egretcart.direct.backend.backend import StartRequest
+from egretcart.direct.backend.backend import StopRequest
+from egretcart.direct.request.job import Ending
+from egretcart.direct.request.job import Room
+from egretcart.direct.request.job import TaskKey
 from egretcart.testing.fake_backend import FakeBackend
 from egretcart.testing.fake_backend import TaskSize
 
--- a/tests/features/steps/soak_world.py
+++ b/tests/features/steps/soak_world.py
@@ -27,7 +27,7 @@
 
 from egretcart.connection.http_client import ExchangeError
 from egretcart.connection.http_client import HttpClient
-from egretcart.direct.job import Room
+from egretcart.direct.request.job import Room
 from egretcart.process.planned_stop import poll_until
 from egretcart.request.verdict import Verdict
 from egretcart.testing.fake_backend import TaskSize
