Split the agent of direct dispatch into parts of its own

DirectAgent now only passes messages on to KnownBackend (what is known of the server), RunQueue (accepts, starts, stops and ends runs), RunChecks, BackendExchange (reports, listings, answers), JobEvictions, EntryChecks (silent entries) and AgentStatuses. Moves alone, apart from methods that return whether a message was of use where they returned effects; no test is changed.

--- /dev/null
+++ b/egretcart/direct/agent/backend_exchange.py
@@ -0,0 +1,297 @@
+"""Handles what a backend server reports, lists and answers."""
+
+from egretcart.direct.agent.agent_types import AgentEffect
+from egretcart.direct.agent.agent_types import Run
+from egretcart.direct.agent.agent_types import RunPhase
+from egretcart.direct.agent.agent_types import SendStopRequest
+from egretcart.direct.agent.job_evictions import JobEvictions
+from egretcart.direct.agent.known_backend import KnownBackend
+from egretcart.direct.agent.run_queue import RunQueue
+from egretcart.direct.backend.backend import BackendIncarnation
+from egretcart.direct.backend.backend import BackendReport
+from egretcart.direct.backend.backend import Listing
+from egretcart.direct.backend.backend import StartAnswer
+from egretcart.direct.backend.backend import StartRequest
+from egretcart.direct.backend.backend import StopRequest
+from egretcart.direct.log.decisions import DecisionLog
+from egretcart.direct.log.decisions import RunUnanswered
+from egretcart.direct.request.job import Ending
+from egretcart.direct.request.job import TaskKey
+
+
+class BackendExchange:
+    """Applies a backend server's messages to the agent's runs.
+
+    Free of I/O. Methods that return a bool say whether the message was of
+    use: if not, nothing has changed.
+
+    Parameters
+    ----------
+    backend : KnownBackend
+    queue : RunQueue
+    evictions : JobEvictions
+    effects : list of AgentEffect
+    log : DecisionLog
+    """
+
+    def __init__(
+        self,
+        *,
+        backend: KnownBackend,
+        queue: RunQueue,
+        evictions: JobEvictions,
+        effects: list[AgentEffect],
+        log: DecisionLog,
+    ) -> None:
+        self.backend = backend
+        self.queue = queue
+        self.evictions = evictions
+        self.effects = effects
+        self.log = log
+
+    def receive_report(self, report: BackendReport, now: float) -> bool:
+        """Handle a report of the backend server."""
+        current = self.backend.report
+        if report.lifetime.born_ms < self.backend.newest_born_ms:
+            # The report was delayed, and its sender has ended meanwhile.
+            return False
+        if current is None or current.lifetime != report.lifetime:
+            self._begin_backend_incarnation(report, now)
+        elif report.sequence < current.sequence:
+            return False
+        elif report.draining and not current.draining:
+            self.backend.log_change("draining", "it said so", now)
+        self.backend.report = report
+        self.backend.lease.update_clock(report.clock_ms, now)
+        if report.draining:
+            self.queue.reject_queued("the backend server is leaving", now)
+        return True
+
+    def _begin_backend_incarnation(
+        self, report: BackendReport, now: float
+    ) -> None:
+        former = self.backend.report
+        reused_name = (
+            former is None
+            or former.lifetime.instance == report.lifetime.instance
+        )
+        self.queue.end_runs_of_incarnation(
+            "the backend server has started anew", now, carries=reused_name
+        )
+        self.backend.begin_incarnation(report, now)
+
+    def mark_backend_ended(
+        self, reason: str, now: float, *, is_refused: bool = False
+    ) -> bool:
+        """Record that the known incarnation of the server has ended.
+
+        Parameters
+        ----------
+        reason : str
+        now : float
+        is_refused : bool, optional
+            Whether no server listens at the address now, so that all starts
+            that were answered are over.
+        """
+        if self.backend.report is None:
+            return False
+        self.backend.log_change("gone", reason, now)
+        self.backend.report = None
+        self.backend.ready = False
+        self.backend.orphaned_runs.clear()
+        self.queue.end_runs_of_incarnation(
+            reason, now, carries=True, answered_are_over=is_refused
+        )
+        return True
+
+    def receive_listing(
+        self,
+        listing: Listing,
+        lifetime: BackendIncarnation,
+        asked_at: float,
+        now: float,
+    ) -> bool:
+        """Handle a listing of the backend server.
+
+        Parameters
+        ----------
+        listing : Listing
+        lifetime : BackendIncarnation
+            The incarnation to which the poll request was sent.
+        asked_at, now : float
+            When the request was sent and the answer was received.
+        """
+        if (
+            self.backend.report is None
+            or self.backend.report.lifetime != lifetime
+        ):
+            return False
+        if asked_at < self.backend.resumed_at:
+            # The answer may have been delayed while the process was
+            # paused; its server may have ended and another incarnation
+            # started meanwhile.
+            return False
+        if listing.born_ms != lifetime.born_ms:
+            return self.mark_backend_ended("another lifetime answers", now)
+        was_unresponsive = not self.backend.is_answering(now)
+        self.backend.lease.update_clock(listing.clock_ms, now)
+        self.backend.lease_expired = False
+        self._process_ended_runs(listing, now)
+        self._process_running_runs(listing, asked_at, now)
+        if not self.backend.ready and not self.backend.orphaned_runs:
+            self.backend.ready = True
+            self.evictions.mark_predecessor_ended()
+            was_unresponsive = True
+            # A report that was restored from the store has no clock value
+            # from which to derive the token.
+            self.backend.fencing_token = max(
+                self.backend.fencing_token, listing.clock_ms
+            )
+        if was_unresponsive:
+            self.backend.log_change("answering", "a listing came", now)
+        return True
+
+    def _process_ended_runs(self, listing: Listing, now: float) -> None:
+        for ended in listing.ended:
+            if ended.number <= self.backend.acknowledged:
+                continue
+            self.backend.acknowledged = ended.number
+            run = self.queue.runs.find(ended.key, ended.run)
+            if run is not None:
+                self.queue.end(run, ended.ending, run.reason, now)
+            if self.backend.orphaned_runs.get(ended.key) == ended.run:
+                del self.backend.orphaned_runs[ended.key]
+
+    def _process_running_runs(
+        self, listing: Listing, asked_at: float, now: float
+    ) -> None:
+        found = {task.key: task for task in listing.running}
+        for task in listing.running:
+            run = self.queue.runs.find(task.key, task.run)
+            if run is None:
+                self.stop_orphaned(task.key, task.run)
+                continue
+            run.progress.record(task.percent, now)
+            sample_run_time_ms = run.progress.sample_run_time_ms()
+            if sample_run_time_ms is not None:
+                self.backend.slowdown.record(
+                    run.key.job_id, sample_run_time_ms, run.estimate_ms
+                )
+            run.is_listed = True
+            run.carried_until = 0.0
+            if run.phase is RunPhase.UNCERTAIN:
+                run.phase = RunPhase.RUNNING
+                run.answered_at = now
+        for key in [
+            key for key in self.backend.orphaned_runs if key not in found
+        ]:
+            del self.backend.orphaned_runs[key]
+        for run in self.queue.runs:
+            if run.key not in found:
+                self._check_unlisted(run, listing, asked_at, now)
+
+    def _check_unlisted(
+        self, run: Run, listing: Listing, asked_at: float, now: float
+    ) -> None:
+        """End a run that the server does not list and can no longer start."""
+        stopped = 0.0 < run.stop_answered_at < asked_at
+        expired = listing.clock_ms > run.start_deadline_ms
+        if run.is_start_pending or run.phase is RunPhase.QUEUED:
+            return
+        if run.carried_until:
+            # The token of this incarnation is higher than that of the start
+            # request, which is refused from now on.
+            self.queue.end(run, Ending.LOST, "the server has ended", now)
+        elif run.phase is RunPhase.UNCERTAIN and (stopped or expired):
+            self.queue.end(
+                run, Ending.NOT_RUN, "the order was not answered", now
+            )
+        elif run.phase is RunPhase.STOPPING and stopped:
+            self.queue.end(run, Ending.STOPPED, run.reason, now)
+        elif run.phase is RunPhase.RUNNING and run.answered_at < asked_at:
+            self.queue.end(
+                run, Ending.LOST, "the server lists it no more", now
+            )
+
+    def stop_orphaned(self, key: TaskKey, run: int) -> None:
+        """Stop a run that is not in `runs`; its resources are not known."""
+        self.backend.orphaned_runs[key] = run
+        request = self.backend.stop_request(key, run)
+        self.effects.append(SendStopRequest(request))
+
+    def start_answered(
+        self, request: StartRequest, answer: StartAnswer | None, now: float
+    ) -> bool:
+        """Handle the answer to a start request.
+
+        Parameters
+        ----------
+        request : StartRequest
+        answer : StartAnswer or None
+            None if no answer was received.
+        now : float
+        """
+        run = self.queue.runs.find(request.key, request.run)
+        if run is None:
+            return False
+        run.is_start_pending = False
+        if answer is None:
+            self._log_unanswered(run, "start")
+            if run.phase is RunPhase.STARTING:
+                run.phase = RunPhase.UNCERTAIN
+        elif answer is StartAnswer.STARTED:
+            run.answered_at = now
+            if run.phase is RunPhase.STARTING:
+                run.phase = RunPhase.RUNNING
+        else:
+            self._handle_start_refusal(run, answer, now)
+        return True
+
+    def _handle_start_refusal(
+        self, run: Run, answer: StartAnswer, now: float
+    ) -> None:
+        if answer is StartAnswer.UNHEALTHY:
+            self.backend.health.record_failure(run.key.job_id, now)
+        if answer is StartAnswer.STALE_TOKEN:
+            self.backend.fencing_token *= 2
+        invalid = answer is StartAnswer.INVALID
+        ending = Ending.INVALID if invalid else Ending.NOT_RUN
+        self.queue.end(run, ending, answer.value, now)
+
+    def stop_answered(
+        self, request: StopRequest, answered: bool, now: float
+    ) -> bool:
+        """Record whether a stop request was answered."""
+        run = self.queue.runs.find(request.key, request.run)
+        if run is None:
+            return False
+        if answered:
+            run.stop_answered_at = now
+        else:
+            self._log_unanswered(run, "stop")
+            run.stop_sent_at = 0.0
+        return True
+
+    def check_lease_expiry(self, now: float) -> None:
+        """End all runs as lost once the lease has expired."""
+        if (
+            self.backend.report is None
+            or self.backend.lease_expired
+            or now <= self.backend.lease.expires_at
+        ):
+            return
+        self.backend.lease_expired = True
+        if self.queue.runs:
+            self.backend.log_change("lease lapsed", "it gives no answer", now)
+        self.queue.end_all_as_lost("the lease has lapsed", now)
+
+    def _log_unanswered(self, run: Run, order: str) -> None:
+        self.log.write(
+            RunUnanswered(
+                job_id=run.key.job_id,
+                step=run.key.step,
+                index=run.key.index,
+                run=run.run,
+                order=order,
+            )
+        )
--- /dev/null
+++ b/egretcart/direct/agent/known_backend.py
@@ -0,0 +1,156 @@
+"""The backend server of an agent, as far as it is known. Free of I/O."""
+
+from egretcart.direct.agent.agent_types import DirectAgentLimits
+from egretcart.direct.agent.agent_types import Run
+from egretcart.direct.backend.backend import BackendReport
+from egretcart.direct.backend.backend import PollRequest
+from egretcart.direct.backend.backend import StartRequest
+from egretcart.direct.backend.backend import StopRequest
+from egretcart.direct.backend.health import BackendHealth
+from egretcart.direct.backend.lease import BackendLease
+from egretcart.direct.log.decisions import BackendChanged
+from egretcart.direct.log.decisions import DecisionLog
+from egretcart.direct.request.job import TaskKey
+from egretcart.direct.request.progress import SlowdownEstimate
+
+
+class KnownBackend:
+    """Newest report of a backend server, and the requests to it.
+
+    Parameters
+    ----------
+    limits : DirectAgentLimits
+    log : DecisionLog
+
+    Attributes
+    ----------
+    report : BackendReport or None
+        Newest report of the server's current incarnation; None while no
+        server is known.
+    newest_born_ms : int
+        Start of the newest incarnation of the server that has reported, in
+        Unix milliseconds; 0 if none has.
+    fencing_token : int
+        Sent with each request; the server refuses a token that is lower
+        than one that it has seen.
+    acknowledged : int
+        `EndedTask.number` of the last ended run that was processed; 0 for
+        none.
+    lease : BackendLease
+        Lease under which the server runs tasks.
+    health : BackendHealth
+        Failures at the server's current incarnation.
+    slowdown : SlowdownEstimate
+        Ratio of run times at the server to the callers' estimates.
+    orphaned_runs : dict of TaskKey to int
+        Run numbers of runs that the server lists and that the agent doesn't
+        know; nothing is started while there are any.
+    ready : bool
+        Whether all runs of the server's current incarnation are known.
+    lease_expired : bool
+        Whether the lease has expired since the server's last listing.
+    resumed_at : float
+        When the last pause of the process was noticed; 0 if there was none.
+    """
+
+    def __init__(self, *, limits: DirectAgentLimits, log: DecisionLog) -> None:
+        self.limits = limits
+        self.log = log
+        self.report: BackendReport | None = None
+        self.newest_born_ms = 0
+        self.fencing_token = 0
+        self.acknowledged = 0
+        self.lease = BackendLease(limits=limits.lease)
+        self.health = BackendHealth(limits=limits.health)
+        self.slowdown = SlowdownEstimate(limits=limits.progress)
+        self.orphaned_runs: dict[TaskKey, int] = {}
+        self.ready = False
+        self.lease_expired = False
+        self.resumed_at = 0.0
+
+    def is_answering(self, now: float) -> bool:
+        """Whether the server has answered lately."""
+        return now - self.lease.answered_at <= self.limits.backend_timeout_s
+
+    def poll_request(self, now: float, *, wait_ms: int) -> PollRequest | None:
+        """Return the next poll request; None if no server is known.
+
+        A poll renews the lease and lists the runs. A server that has
+        stopped answering is polled without renewal, so that its lease
+        expires at a known time.
+        """
+        if self.report is None:
+            return None
+        renews = self.is_answering(now) or not self.ready
+        return PollRequest(
+            lifetime=self.report.lifetime,
+            fencing_token=self.fencing_token,
+            acknowledged=self.acknowledged,
+            deadline_ms=self.lease.next_deadline_ms(now) if renews else None,
+            wait_ms=wait_ms if renews else 0,
+        )
+
+    def raise_fencing_token(self, clock_ms: int, now: float) -> None:
+        """Raise the fencing token after the server has seen a higher one.
+
+        The server reports its clock, but not the token that it has seen. A
+        late request to a former incarnation may have carried a token far
+        above that clock, so each call at least doubles the agent's token.
+
+        Parameters
+        ----------
+        clock_ms : int
+            The server's clock, in milliseconds.
+        now : float
+        """
+        self.lease.update_clock(clock_ms, now)
+        self.fencing_token = max(2 * self.fencing_token, clock_ms)
+
+    def log_change(self, state: str, cause: str, now: float) -> None:
+        """Log a change of the server's state and what it rests on."""
+        self.log.write(
+            BackendChanged(
+                instance=self.report.lifetime.instance if self.report else "",
+                state=state,
+                cause=cause,
+                answer_age_ms=round((now - self.lease.answered_at) * 1000),
+            )
+        )
+
+    def begin_incarnation(self, report: BackendReport, now: float) -> None:
+        """Record that another incarnation of the server has reported."""
+        self.orphaned_runs.clear()
+        self.report = report
+        self.newest_born_ms = report.lifetime.born_ms
+        # The server's clock rises throughout its incarnation, so that each
+        # incarnation of the agent has a higher token than the one before.
+        # Late requests to a former incarnation of the instance are refused.
+        self.fencing_token = max(self.fencing_token + 1, report.clock_ms)
+        self.acknowledged = 0
+        self.ready = False
+        self.lease_expired = False
+        self.lease.restart(report.clock_ms, now)
+        self.health = BackendHealth(limits=self.limits.health)
+        self.log_change("found", "a new lifetime reports", now)
+
+    def start_request(self, run: Run) -> StartRequest:
+        """Return the request that starts a run."""
+        assert self.report is not None
+        return StartRequest(
+            lifetime=self.report.lifetime,
+            fencing_token=self.fencing_token,
+            key=run.key,
+            run=run.run,
+            payload=run.payload,
+            deadline_ms=run.start_deadline_ms,
+        )
+
+    def stop_request(self, key: TaskKey, run: int) -> StopRequest:
+        """Return the request that stops a run."""
+        assert self.report is not None
+        return StopRequest(
+            lifetime=self.report.lifetime,
+            fencing_token=self.fencing_token,
+            key=key,
+            run=run,
+        )
