Split the entry into parts and its links from its HTTP servers

By moves alone: EntryState holds what the parts share; JobAdmission decides about requests, JobEndings answers callers and stops runs, AgentRuns keeps the views of agents and their runs, PeerEntries the other entries, AnswerMemory what was answered; DirectEntry calls them, sends waiting tasks and returns the effects. EntryLinks is the network part of the process.

No behaviour, message or log line changes; no test was touched.

--- /dev/null
+++ b/egretcart/direct/entry/entry_state.py
@@ -0,0 +1,81 @@
+"""What the parts of an entry share: agents, other entries and jobs."""
+
+from egretcart.direct.connection.views import AgentView
+from egretcart.direct.entry.entry_types import DirectEntryLimits
+from egretcart.direct.entry.entry_types import EntryEffect
+from egretcart.direct.log.decisions import DecisionLog
+from egretcart.direct.request.claims import ClaimTable
+from egretcart.direct.request.held_job import HeldJob
+from egretcart.direct.request.held_job import HeldTask
+from egretcart.direct.request.job import TaskKey
+from egretcart.direct.version.configuration import RoutingConfiguration
+
+
+class EntryState:
+    """Agents, other entries and jobs as an entry knows them.
+
+    Its tables are never replaced, so that parts may keep them.
+
+    Parameters
+    ----------
+    entry_id : str
+    limits : DirectEntryLimits
+    log : DecisionLog
+
+    Attributes
+    ----------
+    configuration : RoutingConfiguration or None
+        Active configuration; None until one is known.
+    agents : dict of str to AgentView
+        Connected agents.
+    lost_agents : dict of str to float
+        Agents whose links have ended, and when their runs expire.
+    peers : dict of str to float
+        Other connected entries, and when their last heartbeat was received.
+    peers_connected_at : dict of str to float
+        When the link to each connected entry was opened.
+    former_runs_expire_at : dict of str to float
+        When the runs have expired that an entry had before its link was
+        last lost, by entry id.
+    jobs : dict of str to HeldJob
+        Accepted jobs that are not answered yet, by job id.
+    stopping_jobs : dict of str to HeldJob
+        Jobs that were cancelled, yielded or answered while runs of them may
+        still be active.
+    claims : ClaimTable
+        Jobs that this and other entries have accepted recently.
+    discovery_ends_at : float
+        Until when agents are expected to connect and to accept tasks.
+    effects : list of EntryEffect
+        Effects that no method of the entry has returned yet.
+    """
+
+    def __init__(
+        self, *, entry_id: str, limits: DirectEntryLimits, log: DecisionLog
+    ) -> None:
+        self.entry_id = entry_id
+        self.limits = limits
+        self.log = log
+        self.configuration: RoutingConfiguration | None = None
+        self.agents: dict[str, AgentView] = {}
+        self.lost_agents: dict[str, float] = {}
+        self.peers: dict[str, float] = {}
+        self.peers_connected_at: dict[str, float] = {}
+        self.former_runs_expire_at: dict[str, float] = {}
+        self.jobs: dict[str, HeldJob] = {}
+        self.stopping_jobs: dict[str, HeldJob] = {}
+        self.claims = ClaimTable(retention_s=limits.claim_retention_s)
+        self.discovery_ends_at = 0.0
+        self.effects: list[EntryEffect] = []
+
+    @property
+    def version(self) -> int:
+        """Version of the active configuration; 0 if there is none."""
+        return self.configuration.version if self.configuration else 0
+
+    def find_task(
+        self, key: TaskKey
+    ) -> tuple[HeldJob | None, HeldTask | None]:
+        """Return a job and its task; None for each that is not known."""
+        held = self.jobs.get(key.job_id) or self.stopping_jobs.get(key.job_id)
+        return held, held.tasks.get(key) if held is not None else None
