Summarize the fates of all jobs from log lines

A refusal's line now also has the number of its tasks, without which refusals could not be put into a group of job sizes.

--- a/egretcart/direct/entry/job_admission.py
+++ b/egretcart/direct/entry/job_admission.py
@@ -336,6 +336,7 @@
                 objective_ms=round(held.objective_ms),
                 expected_wait_ms=round(wait_ms),
                 retry_after_s=math.ceil(retry_s),
+                tasks=len(held.tasks),
             )
         )
         for request_id in request_ids:
--- a/egretcart/direct/log/decisions.py
+++ b/egretcart/direct/log/decisions.py
@@ -63,6 +63,8 @@
         not served at all.
     retry_after_s : float
         When the caller may retry; 0 if the job is not served at all.
+    tasks : int
+        Number of the job's tasks; 0 if the job is not served at all.
     """
 
     job_id: str
@@ -71,6 +73,7 @@
     objective_ms: int = 0
     expected_wait_ms: int = 0
     retry_after_s: float = 0.0
+    tasks: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/egretcart/process/cli.py
+++ b/egretcart/process/cli.py
@@ -12,6 +12,8 @@
 import trio
 
 from egretcart.direct.log.explain import explain
+from egretcart.direct.log.summary import summarize
+from egretcart.direct.version.configuration import USEFUL_LATENCY_FACTOR
 from egretcart.load.command import load_command
 from egretcart.process.agent.agent_process import AgentProcess
 from egretcart.process.agent.agent_types import AgentLimits
@@ -58,6 +60,7 @@
   egretcart status [--platform=ADDRESS | --entry=ADDRESS]
   egretcart drain AGENT [--undo] [--reason=TEXT] [--yes] [--as=NAME]
             [--platform=ADDRESS | --entry=ADDRESS]
+  egretcart explain --summary [FILE...]
   egretcart explain JOB_ID [FILE...]
   egretcart repair --reason=TEXT [--yes] [--as=NAME]
             [--platform=ADDRESS | --entry=ADDRESS]
@@ -81,7 +84,8 @@
   status            Print each process's version, role, terms and load.
   drain             Give an agent no new work, or --undo that.
   explain           Print the life of one job from the log lines of entries
-                    and agents; without files, from standard input.
+                    and agents, or a --summary of all jobs; without files,
+                    from standard input.
   repair            Put what entries have in force into a store that lost it.
 
 Options:
@@ -100,6 +104,8 @@
                       store has.
   --last=COUNT        Versions to print [default: 20].
   --undo              Give the agent work again.
+  --summary           What became of all jobs, by route, number of tasks,
+                      entry and second.
 
 Exit codes:
   0  done
@@ -135,6 +141,8 @@
         return trio.run(run_demo)
     if any(parsed[name] for name in OPERATOR_COMMANDS):
         return run_operator_command(parsed)
+    if parsed["--summary"]:
+        return summary_command(parsed["FILE"])
     if parsed["explain"]:
         return explain_command(parsed["JOB_ID"], parsed["FILE"])
     if parsed["submit"]:
@@ -170,6 +178,23 @@
     return EXIT_OK
 
 
+def summary_command(files: list[str]) -> int:
+    """Print what became of all jobs; fail if no line names a job."""
+    try:
+        with fileinput.input(files, errors="replace") as lines:
+            summary = summarize(
+                lines, useful_latency_factor=USEFUL_LATENCY_FACTOR
+            )
+    except OSError as error:
+        print(error, file=sys.stderr)
+        return EXIT_USAGE
+    if not summary.fates:
+        print("no line names a job", file=sys.stderr)
+        return EXIT_FAILED
+    print("\n".join(summary.text()))
+    return EXIT_OK
+
+
 def _run_with_settings(
     parsed: dict[str, Any],
     kind: type[SettingsBase],
--- a/tests/features/explain.feature
+++ b/tests/features/explain.feature
@@ -17,3 +17,15 @@
 
   Scenario: Texts that are not log lines are ignored
     Then any texts among the log lines change nothing
+
+  Scenario: The fates of many jobs are summarized
+    Given log lines of two entries and an agent about ten jobs
+    Then each job is counted once, as what became of it
+    And the runs that did not begin are counted with their reasons
+    And the wait until the first start is counted from the acceptance
+    And neither the order of the lines nor other texts matter
+
+  Scenario: The command prints the summary by route, size, entry and second
+    Given log lines of two entries and an agent about ten jobs
+    Then the command prints a table of each
+    And a summary of lines that name no job fails
