Start nothing in failure domains that operators have drained

Where the settings name a bound for drains, entries list and watch the operators' whole prefix in place of the configuration's key: one listing and one watch, as before. Each state carries the store's revision and the newest wins. Entries tell agents and each other, once for a change and on each new link; agents tell entries on new links and are the last to check: a drained agent rejects what is queued as not run and starts nothing, while its runs go on. Entries place nothing there (AgentView.may_run, can_begin), refuse callers at once if only drained agents are left, and stay ready for that.

A listing of several pages now names the revision at which its reading began: with the configuration as its first page, a change between two pages was lost to the watch that follows.

Ruled out: passing on each newer revision (every process that reads the store again would make all others send one); a process that is told an older state with other domains answers with its own instead. Passing on each event of one write alone (two domains of one revision: the second one was ignored).

--- a/egretcart/direct/agent/agent.py
+++ b/egretcart/direct/agent/agent.py
@@ -13,6 +13,8 @@
 from egretcart.direct.agent.agent_types import DirectAgentLimits
 from egretcart.direct.agent.agent_types import EntryState
 from egretcart.direct.agent.backend_exchange import BackendExchange
+from egretcart.direct.agent.domain_drain import DomainDrain
+from egretcart.direct.agent.domain_drain import DRAINED_REASON
 from egretcart.direct.agent.entry_checks import EntryChecks
 from egretcart.direct.agent.entry_connections import EntryConnections
 from egretcart.direct.agent.entry_links import EntryLinks
@@ -42,6 +44,7 @@
 from egretcart.direct.log.decisions import PeerChanged
 from egretcart.direct.log.decisions import ProcessChanged
 from egretcart.direct.request.job import TaskKey
+from egretcart.direct.version.drained_domains import DrainedDomains
 
 
 class DirectAgent:
@@ -58,6 +61,9 @@
     log : DecisionLog
     seeds : iterable of Endpoint, optional
         Entries that are known from the start.
+    failure_domain : str, optional
+        Failure domain of the agent and its backend server; empty if it is
+        never drained.
 
     Attributes
     ----------
@@ -73,6 +79,8 @@
         The entries to connect to.
     evictions : JobEvictions
         Jobs that entries have taken over from others.
+    drain : DomainDrain
+        Whether the agent's failure domain is drained.
     queue : RunQueue
         Accepts, starts, stops and ends runs.
     checks : RunChecks
@@ -93,6 +101,7 @@
         limits: DirectAgentLimits,
         log: DecisionLog,
         seeds: Iterable[Endpoint] = (),
+        failure_domain: str = "",
     ) -> None:
         self.limits = limits
         self.log = log
@@ -122,12 +131,14 @@
             links=self.links,
             backend=self.backend,
         )
+        self.drain = DomainDrain(failure_domain=failure_domain, log=log)
         self.queue = RunQueue(
             limits=limits,
             backend=self.backend,
             runs=self.runs,
             links=self.links,
             evictions=self.evictions,
+            drain=self.drain,
             effects=self.effects,
             log=log,
         )
@@ -283,6 +294,8 @@
         )
         self.log.write(PeerChanged(peer=entry_id, state="connected"))
         self.links.send(entry_id, self.statuses.hello(entry_id, now))
+        if self.drain.known.is_known:
+            self.links.send(entry_id, self.drain.known.state)
         self.links.send_entries_served()
         return self._pop_effects()
 
@@ -324,6 +337,8 @@
         elif isinstance(message, ServeEntry):
             endpoint = message.address.endpoint
             self.connections.serve_temporarily(endpoint, now)
+        elif isinstance(message, DrainedDomains):
+            self._learn_drained_domains(message, entry_id, now)
         elif isinstance(message, Beat) and message.interval_ms:
             state.heartbeat_interval_s = message.interval_ms / 1000
             return []
@@ -332,6 +347,23 @@
         self._start_waiting_and_notify(now)
         return self._pop_effects()
 
+    def _learn_drained_domains(
+        self, drained: DrainedDomains, source: str, now: float
+    ) -> None:
+        """Apply a state; nothing that is queued here begins if drained."""
+        waiting = len(self.runs.waiting())
+        self.drain.learn(
+            drained,
+            source,
+            now,
+            queued=waiting,
+            running=len(self.runs) - waiting,
+        )
+        if self.drain.known.is_outdated(drained):
+            self.links.send(source, self.drain.known.state)
+        if self.drain.is_drained:
+            self.queue.reject_queued(DRAINED_REASON, now)
+
     def _evict(self, entry_id: str, message: EvictJob, now: float) -> None:
         self.evictions.takeovers.record(message.job_id, entry_id, now)
         for run in self.runs.runs_of_other_entries(message.job_id, entry_id):
--- a/egretcart/direct/agent/agent_process.py
+++ b/egretcart/direct/agent/agent_process.py
@@ -111,6 +111,7 @@
             limits=limits,
             log=log,
             seeds=settings.seed_endpoints,
+            failure_domain=settings.failure_domain,
         )
         self.traffic = traffic
         self.links: dict[str, PeerLink] = {}
--- a/egretcart/direct/agent/agent_statuses.py
+++ b/egretcart/direct/agent/agent_statuses.py
@@ -53,6 +53,7 @@
             self.backend.report is not None
             and self.backend.ready
             and not self.queue.stopping
+            and not self.queue.drain.is_drained
             and not self.backend.report.draining
             and not self.backend.lease_expired
             and self.backend.is_answering(now)
@@ -120,6 +121,7 @@
             status=self.status(0, now),
             held=held,
             settled=self.queue.evictions.predecessor_ended,
+            failure_domain=self.queue.drain.failure_domain,
         )
 
     def notify(self, now: float) -> None:
--- a/egretcart/direct/agent/run_queue.py
+++ b/egretcart/direct/agent/run_queue.py
@@ -6,6 +6,8 @@
 from egretcart.direct.agent.agent_types import RunPhase
 from egretcart.direct.agent.agent_types import SendStartRequest
 from egretcart.direct.agent.agent_types import SendStopRequest
+from egretcart.direct.agent.domain_drain import DomainDrain
+from egretcart.direct.agent.domain_drain import DRAINED_REASON
 from egretcart.direct.agent.entry_links import EntryLinks
 from egretcart.direct.agent.job_evictions import JobEvictions
 from egretcart.direct.agent.known_backend import KnownBackend
@@ -36,6 +38,7 @@
         All runs that entries have sent and that have not ended.
     links : EntryLinks
     evictions : JobEvictions
+    drain : DomainDrain
     effects : list of AgentEffect
     log : DecisionLog
 
@@ -57,6 +60,7 @@
         runs: RunTable,
         links: EntryLinks,
         evictions: JobEvictions,
+        drain: DomainDrain,
         effects: list[AgentEffect],
         log: DecisionLog,
     ) -> None:
@@ -65,6 +69,7 @@
         self.runs = runs
         self.links = links
         self.evictions = evictions
+        self.drain = drain
         self.effects = effects
         self.log = log
         self.stopping = False
@@ -122,6 +127,8 @@
         """Return why a task can't be queued here; empty if it can."""
         if self.stopping:
             return "the agent is leaving"
+        if self.drain.is_drained:
+            return DRAINED_REASON
         if self.backend.report is None or not self.backend.ready:
             return "the backend server is not known"
         if self.backend.report.draining:
@@ -155,6 +162,7 @@
             self.backend.report is not None
             and self.backend.ready
             and not paused
+            and not self.drain.is_drained
             and not self.backend.report.draining
             and not self.backend.orphaned_runs
             and self.backend.is_answering(now)
--- a/egretcart/direct/connection/messages.py
+++ b/egretcart/direct/connection/messages.py
@@ -7,6 +7,7 @@
 
 from egretcart.direct.request.job import Room
 from egretcart.direct.request.job import TaskKey
+from egretcart.direct.version.drained_domains import DrainedDomains
 
 # Reason with which an agent rejects tasks of an entry after another entry has
 # taken their job over.
@@ -370,11 +371,15 @@
         Whether `held` is complete. After a restart of the agent, runs that
         it does not know of may be active at the backend server until all
         runs of its former incarnation have ended.
+    failure_domain : str
+        Failure domain of the agent and its backend server; empty if the
+        sender does not report it.
     """
 
     status: AgentStatus = AgentStatus()
     held: tuple[HeldTask, ...] = ()
     settled: bool = False
+    failure_domain: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -481,6 +486,7 @@
     | JobEvicted
     | EntriesServed
     | Beat
+    | DrainedDomains
 )
 EntryMessage = (
     EntryHello
@@ -490,6 +496,7 @@
     | StopTasks
     | EvictJob
     | ServeEntry
+    | DrainedDomains
 )
 PeerMessage = (
     EntryHello
@@ -501,5 +508,6 @@
     | Routing
     | RoutingRequest
     | RecruitAgents
+    | DrainedDomains
 )
 Message = AgentMessage | EntryMessage | PeerMessage
--- a/egretcart/direct/connection/views.py
+++ b/egretcart/direct/connection/views.py
@@ -38,9 +38,14 @@
         Last status that the agent has sent.
     now : float
         When it was received, in seconds on the entry's monotonic clock.
+    failure_domain : str, optional
+        Failure domain of the agent; empty if it is not known.
 
     Attributes
     ----------
+    is_drained : bool
+        Whether nothing may begin in its failure domain, as far as the entry
+        knows.
     status_at : float
         When the last status was received.
     last_message_at : float
@@ -66,7 +71,11 @@
         Ratio of run times there to the callers' estimates.
     """
 
-    def __init__(self, *, status: AgentStatus, now: float) -> None:
+    def __init__(
+        self, *, status: AgentStatus, now: float, failure_domain: str = ""
+    ) -> None:
+        self.failure_domain = failure_domain
+        self.is_drained = False
         self.last_message_at = now
         self.last_sent_at = 0.0
         self.heartbeat_interval_s = 0.0
@@ -112,6 +121,7 @@
         status = self.status
         return (
             status.accepting
+            and not self.is_drained
             and self.capacity.can_fit(step.room)
             and (not step.requires or step.requires in status.labels)
         )
@@ -120,6 +130,7 @@
         """Whether a task with these requirements would begin there now."""
         return (
             self.status.accepting
+            and not self.is_drained
             and not self.status.probing
             and self.free.can_fit(room)
             and (not label or label in self.status.labels)
--- a/egretcart/direct/connection/wire.py
+++ b/egretcart/direct/connection/wire.py
@@ -15,6 +15,7 @@
 from egretcart.direct.connection.messages import TaskEnded
 from egretcart.direct.request.job import Ending
 from egretcart.direct.request.job import JobState
+from egretcart.direct.version.drained_domains import DrainedDomains
 
 MESSAGE_OVERHEAD_BYTES = 256
 MAX_NAME_CHARACTERS = 256
@@ -47,6 +48,17 @@
         not message.job_id or message.run < 1 or not message.indexes
     ):
         return f'invalid tasks of job "{message.job_id}", run {message.run}'
+    if isinstance(message, DrainedDomains):
+        return _find_drain_violation(message)
+    return None
+
+
+def _find_drain_violation(message: DrainedDomains) -> str | None:
+    if message.revision < 1:
+        return f"drained failure domains at revision {message.revision}"
+    for domain in message.domains:
+        if not 0 < len(domain) <= MAX_NAME_CHARACTERS:
+            return f"a failure domain's name has {len(domain)} characters"
     return None
 
 
--- a/egretcart/direct/connection/wire.thrift
+++ b/egretcart/direct/connection/wire.thrift
@@ -77,6 +77,7 @@
   1: optional AgentStatus status
   2: optional list<HeldTask> held
   3: optional bool settled
+  4: optional string failure_domain
 }
 struct JobEvicted { 1: optional i64 number }
 struct EntriesServed { 1: optional list<string> entry_ids }
@@ -102,6 +103,9 @@
 }
 struct ServeEntry { 1: optional PeerAddress address }
 
+// Between all processes.
+struct DrainedDomains { 1: optional i64 revision, 2: optional list<string> domains }
+
 struct Message {
   1: optional EntryHello entry_hello
   2: optional EntryPeers entry_peers
@@ -122,5 +126,6 @@
   17: optional RoutingRequest routing_request
   18: optional RecruitAgents recruit_agents
   19: optional ServeEntry serve_entry
+  20: optional DrainedDomains drained_domains
 }
 struct Frame { 1: optional list<Message> messages }
--- a/egretcart/direct/entry/agent_runs.py
+++ b/egretcart/direct/entry/agent_runs.py
@@ -12,6 +12,7 @@
 from egretcart.direct.connection.messages import TaskEnded
 from egretcart.direct.connection.messages import TaskLate
 from egretcart.direct.connection.views import AgentView
+from egretcart.direct.entry.drain_relay import DrainRelay
 from egretcart.direct.entry.entry_state import EntryState
 from egretcart.direct.entry.entry_types import CloseAgent
 from egretcart.direct.entry.entry_types import RUN_NUMBERS_PER_TAKEOVER
@@ -28,6 +29,7 @@
 from egretcart.direct.request.held_job import TaskPhase
 from egretcart.direct.request.job import Ending
 from egretcart.direct.request.job import JobState
+from egretcart.direct.version.drained_domains import DrainedDomains
 
 
 class AgentRuns:
@@ -38,6 +40,7 @@
     state : EntryState
     endings : JobEndings
     pending : PendingClaims
+    drains : DrainRelay
 
     Attributes
     ----------
@@ -51,10 +54,12 @@
         state: EntryState,
         endings: JobEndings,
         pending: PendingClaims,
+        drains: DrainRelay,
     ) -> None:
         self.state = state
         self.endings = endings
         self.pending = pending
+        self.drains = drains
         self.heartbeat_interval_s = state.limits.heartbeat_interval_s
 
     @property
@@ -71,9 +76,13 @@
     def connected(self, hello: AgentHello, now: float) -> None:
         """Handle the first message of an agent on a new link."""
         agent_id = hello.status.agent_id
-        self.state.agents[agent_id] = AgentView(status=hello.status, now=now)
+        view = AgentView(
+            status=hello.status, now=now, failure_domain=hello.failure_domain
+        )
+        self.state.agents[agent_id] = view
         self.state.log.write(PeerChanged(peer=agent_id, state="connected"))
-        if not hello.status.accepting:
+        self.drains.agent_connected(agent_id)
+        if not hello.status.accepting and not view.is_drained:
             self.state.discovery_ends_at = max(
                 self.state.discovery_ends_at,
                 now + self.state.limits.discovery_wait_s,
@@ -127,6 +136,8 @@
             view.entries = frozenset(message.entry_ids)
         elif isinstance(message, JobEvicted):
             self.pending.confirm_ended(message.number, agent_id)
+        elif isinstance(message, DrainedDomains):
+            self.drains.learn(message, agent_id, now)
 
     def _handle_task_ended(
         self, agent_id: str, message: TaskEnded, now: float
--- a/egretcart/direct/entry/entry.py
+++ b/egretcart/direct/entry/entry.py
@@ -8,6 +8,7 @@
 from egretcart.direct.connection.messages import PeerMessage
 from egretcart.direct.entry.agent_runs import AgentRuns
 from egretcart.direct.entry.answer_memory import AnswerMemory
+from egretcart.direct.entry.drain_relay import DrainRelay
 from egretcart.direct.entry.entry_state import EntryState
 from egretcart.direct.entry.entry_types import DirectEntryLimits
 from egretcart.direct.entry.entry_types import EntryEffect
@@ -28,6 +29,8 @@
 from egretcart.direct.request.job import JobState
 from egretcart.direct.version.configuration import Route
 from egretcart.direct.version.configuration import RoutingConfiguration
+from egretcart.direct.version.drained_domains import DrainedDomains
+from egretcart.direct.version.drained_domains import STORE_SOURCE
 
 
 class DirectEntry:
@@ -59,6 +62,8 @@
         When the last pause of the process was noticed; minus infinity if
         there was none.
     memory : AnswerMemory
+    drains : DrainRelay
+        Failure domains in which nothing may begin.
     pending : PendingClaims
         Jobs that are not accepted yet, as they may run for other entries.
     releases : JobReleases
@@ -91,6 +96,7 @@
         self.last_tick_at = 0.0
         self.resumed_at = -math.inf
         self.memory = AnswerMemory(retention_s=limits.answer_retention_s)
+        self.drains = DrainRelay(state=state)
         self.pending = PendingClaims(
             effects=state.effects, log=log, source=source
         )
@@ -121,9 +127,13 @@
             endings=self.endings,
             memory=self.memory,
             pending=self.pending,
+            drains=self.drains,
         )
         self.runs = AgentRuns(
-            state=state, endings=self.endings, pending=self.pending
+            state=state,
+            endings=self.endings,
+            pending=self.pending,
+            drains=self.drains,
         )
         self.peers = PeerEntries(
             state=state,
@@ -132,9 +142,10 @@
             pending=self.pending,
             releases=self.releases,
             recruiter=self.recruiter,
+            drains=self.drains,
         )
 
-    # Configuration.
+    # Standing orders of the operators.
 
     @property
     def configuration(self) -> RoutingConfiguration | None:
@@ -161,6 +172,14 @@
         )
         return True
 
+    def learn_drained_domains(
+        self, drained: DrainedDomains, now: float
+    ) -> list[EntryEffect]:
+        """Apply the state that the store has of the drained domains."""
+        self.drains.learn(drained, STORE_SOURCE, now)
+        self._dispatch(now)
+        return self._pop_effects(now)
+
     @property
     def version(self) -> int:
         """Version of the active configuration; 0 if there is none."""
@@ -182,10 +201,17 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether callers should be sent here."""
+        """Whether callers should be sent here.
+
+        Callers for whom only drained agents are left are refused at once,
+        with a time after which to retry; no other entry can do more.
+        """
         return (
             self.configuration is not None
-            and any(view.status.accepting for view in self.agents.values())
+            and any(
+                view.status.accepting or view.is_drained
+                for view in self.agents.values()
+            )
             and self.admission.stop_deadline is None
         )
 
--- a/egretcart/direct/entry/entry_process.py
+++ b/egretcart/direct/entry/entry_process.py
@@ -20,6 +20,7 @@
 from egretcart.direct.request.job import Job
 from egretcart.direct.version.configuration import Route
 from egretcart.direct.version.configuration import RoutingConfiguration
+from egretcart.direct.version.drained_domains import DrainedDomains
 from egretcart.process.clock import Clock
 from egretcart.process.planned_stop import poll_until
 
@@ -182,6 +183,13 @@
     ) -> None:
         self.configure(configuration, source=source)
 
+    def learn_drained_domains(self, drained: DrainedDomains) -> None:
+        """Apply the drained failure domains as the store has them."""
+        now = self.clock.monotonic()
+        self.links.apply_effects(
+            self.entry.learn_drained_domains(drained, now)
+        )
+
     def add_entry(self, address: PeerAddress) -> None:
         """Connect to another entry, and report it to agents and entries."""
         self.links.add_entries([address])
--- a/egretcart/direct/entry/job_admission.py
+++ b/egretcart/direct/entry/job_admission.py
@@ -4,6 +4,7 @@
 import math
 
 from egretcart.direct.entry.answer_memory import AnswerMemory
+from egretcart.direct.entry.drain_relay import DrainRelay
 from egretcart.direct.entry.entry_state import EntryState
 from egretcart.direct.entry.entry_types import Answer
 from egretcart.direct.entry.entry_types import RUN_NUMBERS_PER_TAKEOVER
@@ -23,6 +24,8 @@
 from egretcart.direct.request.job import JobState
 from egretcart.direct.version.configuration import Route
 
+ALL_DRAINED_CAUSE = "all failure domains are drained"
+
 
 def _find_refusal_cause(job: Job, route: Route) -> str | None:
     """Return why a job is not served at all, or None."""
@@ -45,6 +48,7 @@
     endings : JobEndings
     memory : AnswerMemory
     pending : PendingClaims
+    drains : DrainRelay
 
     Attributes
     ----------
@@ -60,11 +64,13 @@
         endings: JobEndings,
         memory: AnswerMemory,
         pending: PendingClaims,
+        drains: DrainRelay,
     ) -> None:
         self.state = state
         self.endings = endings
         self.memory = memory
         self.pending = pending
+        self.drains = drains
         self.stop_deadline: float | None = None
 
     def submit(
@@ -230,9 +236,12 @@
             return
         wait_ms, retry_s = self._estimate_wait(held, now)
         if retry_s is not None:
-            self._refuse(
-                held, request_ids, "no room in time", wait_ms, retry_s
+            cause = (
+                ALL_DRAINED_CAUSE
+                if self.drains.covers_all_agents
+                else "no room in time"
             )
+            self._refuse(held, request_ids, cause, wait_ms, retry_s)
             return
         held.waiting_request_ids |= request_ids
         self.state.jobs[job.job_id] = held
--- a/egretcart/direct/entry/peer_entries.py
+++ b/egretcart/direct/entry/peer_entries.py
@@ -7,6 +7,7 @@
 from egretcart.direct.connection.messages import RecruitAgents
 from egretcart.direct.connection.messages import ReleaseJob
 from egretcart.direct.entry.answer_memory import AnswerMemory
+from egretcart.direct.entry.drain_relay import DrainRelay
 from egretcart.direct.entry.entry_state import EntryState
 from egretcart.direct.entry.entry_types import Answer
 from egretcart.direct.entry.entry_types import ClosePeer
@@ -20,6 +21,7 @@
 from egretcart.direct.log.decisions import JobYielded
 from egretcart.direct.log.decisions import PeerChanged
 from egretcart.direct.request.job import JobState
+from egretcart.direct.version.drained_domains import DrainedDomains
 
 
 class PeerEntries:
@@ -33,6 +35,7 @@
     pending : PendingClaims
     releases : JobReleases
     recruiter : AgentRecruiter
+    drains : DrainRelay
 
     Attributes
     ----------
@@ -50,6 +53,7 @@
         pending: PendingClaims,
         releases: JobReleases,
         recruiter: AgentRecruiter,
+        drains: DrainRelay,
     ) -> None:
         self.state = state
         self.endings = endings
@@ -57,6 +61,7 @@
         self.pending = pending
         self.releases = releases
         self.recruiter = recruiter
+        self.drains = drains
         self.last_heartbeat_at = 0.0
 
     def connected(self, entry_id: str, now: float) -> None:
@@ -68,6 +73,7 @@
         self.state.log.write(PeerChanged(peer=entry_id, state="connected"))
         taken = JobsTaken(job_ids=self.state.claims.own_job_ids())
         self.state.effects.append(SendToPeer(entry_id, taken))
+        self.drains.peer_connected(entry_id)
 
     def heartbeat_received(self, entry_id: str, now: float) -> None:
         """Record a heartbeat on the link to another entry."""
@@ -105,6 +111,8 @@
             self._handle_job_released(entry_id, message)
         elif isinstance(message, RecruitAgents):
             self.recruiter.send_agents(entry_id, message)
+        elif isinstance(message, DrainedDomains):
+            self.drains.learn(message, entry_id, now)
 
     def _handle_job_taken(
         self, entry_id: str, job_id: str, now: float
--- a/egretcart/direct/log/decisions.py
+++ b/egretcart/direct/log/decisions.py
@@ -387,6 +387,61 @@
     routes: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class DomainsDrained(Decision):
+    """A process learns that other failure domains are drained than before.
+
+    Attributes
+    ----------
+    domains : tuple of str
+        All failure domains that are drained now.
+    revision : int
+        Revision of the platform's store at which that held.
+    source : str
+        ``store``, or the id of the process that has sent it.
+    former : tuple of str
+        Those that were drained as far as the process knew before.
+    former_revision : int
+        Revision of the store at which that held; 0 if nothing was known.
+    former_age_ms : int
+        Time since the process had learnt that; 0 if nothing was known.
+    """
+
+    domains: tuple[str, ...]
+    revision: int
+    source: str
+    former: tuple[str, ...] = ()
+    former_revision: int = 0
+    former_age_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class DrainApplied(Decision):
+    """An agent begins or ends to refuse tasks, as its domain is drained.
+
+    Attributes
+    ----------
+    domain : str
+        The agent's failure domain.
+    drained : bool
+    revision : int
+        Revision of the platform's store of what the agent knows.
+    source : str
+        Who has told it.
+    queued : int
+        Tasks in its queue, which it rejects as not run.
+    running : int
+        Runs that go on.
+    """
+
+    domain: str
+    drained: bool
+    revision: int
+    source: str
+    queued: int
+    running: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class DependencyChanged(Decision):
     """A service that the process needs is lost, back, or gives bad data.
--- a/egretcart/direct/policy/admission.py
+++ b/egretcart/direct/policy/admission.py
@@ -111,7 +111,9 @@
     task_cpu_milli = max(1, step.room.cpu_milli)
     capacity_cpu_milli = float(sum(view.status.cpu_milli for view in usable))
     if usable and discovery_wait_ms is not None:
-        undiscovered = sum(not view.knows_backend for view in views)
+        undiscovered = sum(
+            not view.knows_backend and not view.is_drained for view in views
+        )
         capacity_cpu_milli *= 1 + undiscovered / len(usable)
     return LoadEstimate(
         capacity_cpu_milli=capacity_cpu_milli,
--- a/egretcart/direct/process/metered_log.py
+++ b/egretcart/direct/process/metered_log.py
@@ -11,12 +11,14 @@
 from egretcart.connection.traffic import TrafficCounters
 from egretcart.direct.log.decisions import Decision
 from egretcart.direct.log.decisions import DecisionLog
+from egretcart.direct.log.decisions import DomainsDrained
 from egretcart.direct.log.decisions import JobAnswered
 from egretcart.direct.log.decisions import JobRefused
 from egretcart.direct.log.decisions import RunEnded
 from egretcart.direct.log.decisions import RunStarted
 from egretcart.direct.process.settings import split_address
 from egretcart.process.metric_table import DECISIONS
+from egretcart.process.metric_table import DOMAINS_DRAINED
 from egretcart.process.metric_table import JOBS
 from egretcart.process.metric_table import JOBS_REFUSED
 from egretcart.process.metric_table import QUEUE_TIME
@@ -32,7 +34,12 @@
 # Only these causes become label values: others say what is wrong with one
 # job, which must not appear in a label.
 REFUSAL_CAUSES = frozenset(
-    ("no room in time", "waited in vain", "the entry leaves")
+    (
+        "no room in time",
+        "waited in vain",
+        "the entry leaves",
+        "all failure domains are drained",
+    )
 )
 OTHER_CAUSE = "not served"
 # Enough connections for a metrics collector and an operator.
@@ -69,6 +76,9 @@
         elif isinstance(decision, RunEnded):
             self.metrics.add(RUN_ENDINGS, label=decision.ending)
             self.metrics.observe(RUN_TIME, decision.run_ms / MS_PER_S)
+        elif isinstance(decision, DomainsDrained):
+            count = len(decision.domains)
+            self.metrics.gauge(DOMAINS_DRAINED, lambda: count)
 
 
 class MetricsServer:
--- a/egretcart/direct/process/settings.py
+++ b/egretcart/direct/process/settings.py
@@ -11,6 +11,7 @@
 
 Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
+PositiveMs = Annotated[float, msgspec.Meta(gt=0)]
 
 
 class DirectSettings(
@@ -44,6 +45,10 @@
     far_factor : float
         Factor by which a task's run time is longer on another rack than
         that of its data.
+    max_drain_delay_ms : float or None
+        Longest time, in milliseconds, from an operator's drain of a failure
+        domain until nothing more begins at its backend servers; None if
+        operators drain none, so that their drains are not followed.
     metrics : str
         Address on which ``GET /metrics`` is answered, as ``host:port``;
         empty to count and serve no metrics.
@@ -59,6 +64,7 @@
     stop_grace_s: float = 6.0
     max_lease_ms: int = 1000
     far_factor: float = 1.5
+    max_drain_delay_ms: PositiveMs | None = None
     metrics: str = ""
 
     @property
--- a/egretcart/direct/process/store_follower.py
+++ b/egretcart/direct/process/store_follower.py
@@ -1,4 +1,4 @@
-"""Reads the configuration and the list of entries from the store."""
+"""Reads standing orders and the list of entries from the store."""
 
 from collections.abc import Callable
 import random
@@ -9,6 +9,8 @@
 from egretcart.direct.log.decisions import DecisionLog
 from egretcart.direct.log.decisions import DependencyChanged
 from egretcart.direct.version.configuration import RoutingConfiguration
+from egretcart.direct.version.drained_domains import drained_at
+from egretcart.direct.version.drained_domains import DrainedDomains
 from egretcart.process.store.platform import Change
 from egretcart.process.store.platform import Platform
 from egretcart.process.store.platform import PlatformError
@@ -190,3 +192,124 @@
             )
             return
         self.on_configuration(configuration)
+
+
+class StandingOrderFollower(ConfigurationFollower):
+    """Watches all keys that operators write: configuration and drains.
+
+    One listing and one watch from its revision on cover both. A watch that
+    is refused, as its position is forgotten, is followed by a listing, like
+    any other failure.
+
+    Parameters
+    ----------
+    platform : Platform
+    prefix : str
+        Common prefix of the keys that operators write.
+    key : str
+        Key of the store under which the configuration is stored.
+    decode : callable
+        See `ConfigurationFollower`.
+    drained_domain : callable
+        Returns the failure domain that is drained while a key exists, or
+        None if the key is of another kind. Raises `ValueError` if the key
+        names no failure domain.
+    on_configuration : callable
+        Called with each configuration.
+    on_drained : callable
+        Called with each state of the drained failure domains, and before
+        the configuration of the same listing.
+    log : DecisionLog
+    source : random.Random
+        Source of jitter, so that entries do not call at the same time.
+
+    Attributes
+    ----------
+    drained : DrainedDomains
+        State at the last listing or change.
+    drains_changed : trio.Event
+        Set when `drained` has changed since it was last passed on.
+    ignored_keys : set of str
+        Keys that name no failure domain and were reported in the log.
+    """
+
+    def __init__(
+        self,
+        *,
+        platform: Platform,
+        prefix: str,
+        key: str,
+        decode: Callable[[bytes], RoutingConfiguration],
+        drained_domain: Callable[[str], str | None],
+        on_configuration: Callable[[RoutingConfiguration], None],
+        on_drained: Callable[[DrainedDomains], None],
+        log: DecisionLog,
+        source: random.Random,
+    ) -> None:
+        super().__init__(
+            platform=platform,
+            key=key,
+            decode=decode,
+            on_configuration=on_configuration,
+            log=log,
+            source=source,
+        )
+        self.prefix = prefix
+        self.drained_domain = drained_domain
+        self.on_drained = on_drained
+        self.drained = DrainedDomains()
+        self.drains_changed = trio.Event()
+        self.ignored_keys: set[str] = set()
+
+    async def run(self) -> None:
+        """Read and watch until cancelled; retry with backoff after errors."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._pass_on_changes)
+            await super().run()
+
+    async def _pass_on_changes(self) -> None:
+        """Pass on drains once all changes of an answer were applied.
+
+        Several failure domains may be drained by one write, and the state
+        of a revision is passed on only once.
+        """
+        while True:
+            await self.drains_changed.wait()
+            self.drains_changed = trio.Event()
+            self.on_drained(self.drained)
+
+    async def _read_and_watch(self) -> None:
+        keys = prefix_range(self.prefix)
+        listing = await self.platform.list_range(keys)
+        self.state.mark_available()
+        domains = map(self._domain_of, listing.values)
+        self.drained = drained_at(listing.revision, filter(None, domains))
+        self.on_drained(self.drained)
+        if self.key in listing.values:
+            self._apply(listing.values[self.key].data)
+        await self.platform.watch(
+            keys, listing.revision + 1, self._apply_change
+        )
+
+    def _apply_change(self, change: Change) -> None:
+        super()._apply_change(change)
+        domain = self._domain_of(change.key)
+        if domain:
+            self.drained = self.drained.with_change(
+                domain, change.revision, drained=change.value is not None
+            )
+            self.drains_changed.set()
+
+    def _domain_of(self, key: str) -> str | None:
+        """Return the failure domain that a key drains, or None."""
+        try:
+            return self.drained_domain(key)
+        except ValueError as error:
+            if key not in self.ignored_keys:
+                self.ignored_keys.add(key)
+                self.log.write(
+                    DependencyChanged(
+                        name=STORE, state="ignored drain", cause=str(error)
+                    )
+                )
+            return None
--- a/egretcart/process/metric_table.py
+++ b/egretcart/process/metric_table.py
@@ -238,6 +238,11 @@
     "{version}",
     "accepted configuration versions that the store has lost",
 )
+DOMAINS_DRAINED = _gauge(
+    "egretcart.domains.drained",
+    "{domain}",
+    "direct dispatch: drained failure domains that the process knows",
+)
 AGENTS_CONNECTED = _gauge(
     "egretcart.agents.connected", "{agent}", "agents linked to the entry"
 )
@@ -288,6 +293,7 @@
     PLATFORM_CIRCUIT,
     PLATFORM_CIRCUIT_CHANGES,
     PLATFORM_VERSIONS_BEHIND,
+    DOMAINS_DRAINED,
     AGENTS_CONNECTED,
     REQUESTS_OPEN,
     TASKS_RUNNING,
--- a/egretcart/process/store/platform.py
+++ b/egretcart/process/store/platform.py
@@ -51,7 +51,8 @@
     values : dict of str to StoredValue
         Values by key.
     revision : int
-        Revision of the store at which the range was read.
+        Revision of the store at which the range was read, or at which its
+        reading began: a watch from the next one on misses no change.
     """
 
     values: dict[str, StoredValue]
@@ -67,10 +68,14 @@
     key : str
     value : StoredValue or None
         None if the key was removed.
+    revision : int
+        Revision of the store at the change; 0 if the client does not
+        report it.
     """
 
     key: str
     value: StoredValue | None
+    revision: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
