Read links without a failing recv, and decode only fields that are set

Decoding asked each struct for all of its fields, and each envelope for all kinds of messages. Each link also woke up once a second for a deadline that direct dispatch does not set.

--- a/egretcart/connection/frames.py
+++ b/egretcart/connection/frames.py
@@ -3,6 +3,7 @@
 A frame is a length, a checksum and a Thrift struct with a list of messages.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
 import pathlib
@@ -93,6 +94,7 @@
                 )
             else:
                 self.plain.append((field.name, default))
+        self.readers = self._make_readers()
 
     def to_struct(self, message: Any) -> Any:
         struct = self.struct()
@@ -124,32 +126,32 @@
 
     def from_struct(self, struct: Any) -> Any:
         values: dict[str, Any] = {}
-        for name, _ in self.plain:
-            value = getattr(struct, name)
+        for name, value in vars(struct).items():
             if value is not None:
-                values[name] = value
-        for name in self.sequences:
-            value = getattr(struct, name)
-            if value is not None:
-                values[name] = tuple(value)
-        for name in self.text_sequences:
-            value = getattr(struct, name)
-            if value is not None:
-                values[name] = tuple(text.decode() for text in value)
-        for name, _ in self.text:
-            value = getattr(struct, name)
-            if value is not None:
-                values[name] = value.decode()
-        for name, _, mapper, is_repeated in self.nested:
-            value = getattr(struct, name)
-            if value is None:
-                continue
-            if is_repeated:
-                values[name] = tuple(mapper.from_struct(v) for v in value)
-            else:
-                values[name] = mapper.from_struct(value)
+                convert = self.readers[name]
+                values[name] = convert(value) if convert else value
         return self.message_type(**values)
 
+    def _make_readers(self) -> dict[str, Callable[[Any], Any] | None]:
+        """Return the conversion of each field from its Thrift value."""
+        readers: dict[str, Callable[[Any], Any] | None] = {}
+        readers.update((name, None) for name, _ in self.plain)
+        readers.update((name, bytes.decode) for name, _ in self.text)
+        readers.update((name, tuple) for name in self.sequences)
+        readers.update((name, _decode_texts) for name in self.text_sequences)
+        for name, _, mapper, is_repeated in self.nested:
+            readers[name] = (
+                mapper.from_structs if is_repeated else mapper.from_struct
+            )
+        return readers
+
+    def from_structs(self, structs: Iterable[Any]) -> tuple[Any, ...]:
+        return tuple(self.from_struct(struct) for struct in structs)
+
+
+def _decode_texts(texts: Iterable[bytes]) -> tuple[str, ...]:
+    return tuple(text.decode() for text in texts)
+
 
 class FrameCodec:
     """Encodes and decodes the messages of one protocol.
@@ -232,10 +234,9 @@
 
     def _messages_of(self, frame: Any) -> Iterable[Any]:
         for envelope in frame.messages or ():
-            for field, mapper in self.mappers_by_field.items():
-                struct = getattr(envelope, field)
+            for field, struct in vars(envelope).items():
                 if struct is not None:
-                    yield mapper.from_struct(struct)
+                    yield self.mappers_by_field[field].from_struct(struct)
                     break
 
 
@@ -265,24 +266,49 @@
         FrameError
             If a frame is too long, has a wrong checksum or is not valid.
         """
-        self.buffer += data
         received: list[Any] = []
-        while len(self.buffer) >= HEADER_BYTES:
-            length = int.from_bytes(self.buffer[:LENGTH_BYTES], "big")
-            if length > self.max_frame_bytes:
-                raise FrameError(
-                    f"a frame of {length} bytes was announced; at most "
-                    f"{self.max_frame_bytes} are accepted"
-                )
-            end = HEADER_BYTES + length
-            if len(self.buffer) < end:
+        if not self.buffer:
+            # Most receptions are whole frames, which need no copy.
+            end = self._take_frames(data, received)
+            self.buffer += data[end:]
+            return received
+        self.buffer += data
+        if len(self.buffer) < HEADER_BYTES:
+            return received
+        if len(self.buffer) >= HEADER_BYTES + self._data_bytes(self.buffer, 0):
+            del self.buffer[: self._take_frames(bytes(self.buffer), received)]
+        return received
+
+    def _take_frames(self, data: bytes, received: list[Any]) -> int:
+        """Decode the whole frames at the start of some data.
+
+        Their messages are added to `received`; the end of the last whole
+        frame is returned.
+        """
+        start = 0
+        while len(data) - start >= HEADER_BYTES:
+            end = start + HEADER_BYTES + self._data_bytes(data, start)
+            if len(data) < end:
                 break
-            checksum = bytes(self.buffer[LENGTH_BYTES:HEADER_BYTES])
-            frame_data = bytes(self.buffer[HEADER_BYTES:end])
-            del self.buffer[:end]
-            if xxhash.xxh3_64_digest(frame_data) != checksum:
+            checksum_start = start + LENGTH_BYTES
+            frame_data = data[start + HEADER_BYTES : end]
+            if (
+                xxhash.xxh3_64_digest(frame_data)
+                != data[checksum_start : start + HEADER_BYTES]
+            ):
                 raise FrameError(
-                    f"a frame of {length} bytes has a wrong checksum"
+                    f"a frame of {len(frame_data)} bytes has a wrong checksum"
                 )
             received += self.codec.decode(frame_data)
-        return received
+            start = end
+        return start
+
+    def _data_bytes(self, data: bytes | bytearray, start: int) -> int:
+        """Return the length of the data of a frame, from its header."""
+        length = int.from_bytes(data[start : start + LENGTH_BYTES], "big")
+        if length > self.max_frame_bytes:
+            raise FrameError(
+                f"a frame of {length} bytes was announced; at most "
+                f"{self.max_frame_bytes} are accepted"
+            )
+        return length
--- a/egretcart/connection/peer_link.py
+++ b/egretcart/connection/peer_link.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
-import os
+import math
 import socket
 from typing import Any
 
@@ -12,9 +12,11 @@
 from egretcart.connection.frames import FrameCodec
 from egretcart.connection.frames import FrameError
 from egretcart.connection.frames import FrameSplitter
+from egretcart.connection.socket_io import receive_when_readable
+from egretcart.connection.socket_io import write_now
 from egretcart.connection.traffic import TrafficCounters
 
-RECEIVE_BYTES = 256 * 1024
+RECEIVE_BYTES = 64 * 1024
 MAX_OUTBOX_BYTES = 64 * 1024 * 1024
 MAX_BATCH_BYTES = 8 * 1024 * 1024
 HELLO_TIMEOUT_S = 5.0
@@ -94,6 +96,8 @@
         introduced itself.
     hello_received : bool
         Whether the peer has introduced itself.
+    deadline_set : trio.Event
+        Set once `receive_deadline` is finite.
     send_requested : trio.Event
         Set when the writer has something to send.
     run_scope : trio.CancelScope
@@ -116,9 +120,10 @@
         self.outbox_bytes = 0
         self.is_sending = False
         self.unsent_data = b""
-        self.receive_deadline = float("inf")
-        self.receive_timeout_s = float("inf")
+        self.receive_deadline = math.inf
+        self.receive_timeout_s = math.inf
         self.hello_received = False
+        self.deadline_set = trio.Event()
         self.send_requested = trio.Event()
         self.run_scope = trio.CancelScope()
 
@@ -153,14 +158,11 @@
             return
         frame = self._next_frame()
         try:
-            written_bytes = os.write(self.stream.socket.fileno(), frame)
-        except BlockingIOError:
-            written_bytes = 0
-        except OSError:
+            self.unsent_data = write_now(self.stream, frame)
+        except trio.BrokenResourceError:
             # `_read` gets the same error and ends the link.
             self.close()
             return
-        self.unsent_data = frame[written_bytes:]
         self.is_sending = bool(self.unsent_data)
         if self.outbox or self.unsent_data:
             self.send_requested.set()
@@ -170,9 +172,7 @@
         """Whether the operating system has accepted all messages."""
         return not self.outbox and not self.is_sending
 
-    def confirm_hello(
-        self, *, receive_timeout_s: float = float("inf")
-    ) -> None:
+    def confirm_hello(self, *, receive_timeout_s: float = math.inf) -> None:
         """Record that the peer has introduced itself.
 
         Parameters
@@ -188,14 +188,23 @@
     def require_receive_within(self, limit_s: float) -> None:
         """Close the link unless data is received within `limit_s` seconds."""
         limit = trio.current_time() + limit_s
-        self.receive_deadline = min(self.receive_deadline, limit)
+        self._set_receive_deadline(min(self.receive_deadline, limit))
 
     def _extend_receive_deadline(self) -> None:
-        if self.hello_received:
-            self.receive_deadline = (
+        if not self.hello_received:
+            return
+        if self.receive_timeout_s == math.inf:
+            self.receive_deadline = math.inf
+        else:
+            self._set_receive_deadline(
                 trio.current_time() + self.receive_timeout_s
             )
 
+    def _set_receive_deadline(self, deadline: float) -> None:
+        self.receive_deadline = deadline
+        if deadline < math.inf:
+            self.deadline_set.set()
+
     def close(self) -> None:
         """Close the connection and discard the messages that wait."""
         self.outbox.clear()
@@ -235,12 +244,12 @@
     async def _read(self, handle: Callable[[Any], None]) -> None:
         frames = FrameSplitter(codec=self.protocol.codec)
         while True:
-            data = await self.stream.receive_some(RECEIVE_BYTES)
+            data = await receive_when_readable(self.stream, RECEIVE_BYTES)
             if not data:
                 return
             self.traffic.bytes_received += len(data)
             try:
-                received = frames.feed(bytes(data))
+                received = frames.feed(data)
             except FrameError:
                 return
             self._extend_receive_deadline()
@@ -258,6 +267,9 @@
         """
         overdue = False
         while True:
+            if self.receive_deadline == math.inf:
+                self.deadline_set = trio.Event()
+                await self.deadline_set.wait()
             await trio.sleep(RECEIVE_CHECK_INTERVAL_S)
             was_overdue = overdue
             overdue = trio.current_time() > self.receive_deadline
--- /dev/null
+++ b/egretcart/connection/socket_io.py
@@ -0,0 +1,52 @@
+"""Reads and writes sockets with as few turns of the event loop as possible.
+
+A method of `trio.SocketStream` yields to the event loop even if it need not
+wait, and tries to receive before it waits. A process that exchanges many
+small messages spends more time on that than on the messages.
+"""
+
+import os
+
+import trio
+
+
+async def receive_when_readable(stream: trio.abc.Stream, limit: int) -> bytes:
+    """Wait for data and return it; return nothing at the end of the stream.
+
+    Parameters
+    ----------
+    stream : trio.abc.Stream
+    limit : int
+        Most bytes to return.
+
+    Raises
+    ------
+    trio.BrokenResourceError
+        If the connection is broken.
+    """
+    if not isinstance(stream, trio.SocketStream):
+        return bytes(await stream.receive_some(limit))
+    while True:
+        await trio.lowlevel.wait_readable(stream.socket)
+        try:
+            return os.read(stream.socket.fileno(), limit)
+        except BlockingIOError:
+            continue
+        except OSError as error:
+            raise trio.BrokenResourceError(str(error)) from error
+
+
+def write_now(stream: trio.SocketStream, data: bytes) -> bytes:
+    """Write what the operating system accepts at once; return the rest.
+
+    Raises
+    ------
+    trio.BrokenResourceError
+        If the connection is broken.
+    """
+    try:
+        return data[os.write(stream.socket.fileno(), data) :]
+    except BlockingIOError:
+        return data
+    except OSError as error:
+        raise trio.BrokenResourceError(str(error)) from error
