Exchange HTTP requests with fewer turns of the loop, and reuse h11 objects

A client keeps the h11 connection with the stream, and the heads of requests that it sends again and again, which h11 would validate each time. Both sides write at once and wait before they receive; a server waits for a request and receives it in one cancel scope.

--- a/egretcart/connection/http_client.py
+++ b/egretcart/connection/http_client.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import functools
 import socket
 import struct
 
@@ -9,6 +10,8 @@
 import trio
 
 from egretcart.connection.readable import is_readable
+from egretcart.connection.socket_io import receive_when_readable
+from egretcart.connection.socket_io import write_now
 from egretcart.request.verdict import Verdict
 
 RECEIVE_BYTES = 64 * 1024
@@ -16,6 +19,8 @@
 # Servers that close idle connections do so after two seconds or more. A
 # request that is sent while the server closes has an unknown outcome.
 MAX_IDLE_S = 1.5
+# Heads of requests that are kept, as the same ones are sent again and again.
+MAX_KEPT_HEADS = 32
 # SO_LINGER with a time of zero: closing the socket resets the connection.
 ZERO_LINGER = struct.pack("ii", 1, 0)
 BODILESS_STATUSES = (204, 304)
@@ -57,19 +62,21 @@
     body: bytes
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class IdleConnection:
-    """A persistent connection without a request.
+@dataclasses.dataclass(slots=True)
+class ClientConnection:
+    """A persistent connection, which exchanges one request at a time.
 
     Attributes
     ----------
     stream : trio.SocketStream
+    protocol : h11.Connection
     idle_since : float
         Time on the trio clock since which it has been idle, in seconds.
     """
 
     stream: trio.SocketStream
-    idle_since: float
+    protocol: h11.Connection
+    idle_since: float = 0.0
 
 
 def _always_send() -> None:
@@ -90,7 +97,8 @@
     def __init__(self, *, host: str, port: int, max_connections: int) -> None:
         self.host = host
         self.port = port
-        self.idle_connections: list[IdleConnection] = []
+        self.idle_connections: list[ClientConnection] = []
+        self.make_head = functools.lru_cache(MAX_KEPT_HEADS)(self._make_head)
         self.limiter = trio.CapacityLimiter(max_connections)
 
     async def exchange(
@@ -135,7 +143,7 @@
             server may have acted on the request.
         """
         progress = _ExchangeProgress()
-        protocol = h11.Connection(our_role=h11.CLIENT)
+        head = self.make_head(method, path, len(body), headers)
         with trio.move_on_after(time_limit_s) as scope:
 
             def extend_time_limit() -> None:
@@ -144,64 +152,70 @@
                         scope.deadline, trio.current_time() + progress_limit_s
                     )
 
-            async with self.limiter:
-                data = self._encode(protocol, method, path, body, headers)
-                stream = self._idle_stream() or await self._connect()
-                self._raise_if_refused(stream, check_before_send)
+            await self._acquire_permit()
+            try:
+                connection = self._idle_connection() or await self._connect()
+                self._raise_if_refused(connection, check_before_send)
                 progress.verdict = Verdict.MAY_HAVE_RUN
                 return await self._run_connection(
-                    stream, protocol, data, extend_time_limit
+                    connection, head, body, extend_time_limit
                 )
+            finally:
+                self.limiter.release()
         raise ExchangeError(
             f"no response in {time_limit_s:.3f} s", progress.verdict
         )
 
-    def _encode(
+    async def _acquire_permit(self) -> None:
+        """Wait for a permit to use a connection, if none is free."""
+        await trio.lowlevel.checkpoint_if_cancelled()
+        try:
+            self.limiter.acquire_nowait()
+        except trio.WouldBlock:
+            await self.limiter.acquire()
+
+    def _make_head(
         self,
-        protocol: h11.Connection,
         method: str,
         path: str,
-        body: bytes,
+        body_bytes: int,
         headers: tuple[tuple[str, str], ...],
-    ) -> bytes:
-        request = h11.Request(
+    ) -> h11.Request:
+        return h11.Request(
             method=method,
             target=path,
             headers=[
                 ("Host", f"{self.host}:{self.port}"),
-                ("Content-Length", str(len(body))),
+                ("Content-Length", str(body_bytes)),
                 *headers,
             ],
         )
-        data = (protocol.send(request) or b"") + (
-            protocol.send(h11.Data(data=body)) or b""
-        )
-        return data + (protocol.send(h11.EndOfMessage()) or b"")
 
-    async def _connect(self) -> trio.SocketStream:
+    async def _connect(self) -> ClientConnection:
         try:
-            return await trio.open_tcp_stream(self.host, self.port)
+            stream = await trio.open_tcp_stream(self.host, self.port)
         except OSError as error:
             raise ExchangeError(
                 str(error), Verdict.NOT_RUN, refused=_is_refused(error)
             ) from error
+        return ClientConnection(stream, h11.Connection(our_role=h11.CLIENT))
 
     def _raise_if_refused(
         self,
-        stream: trio.SocketStream,
+        connection: ClientConnection,
         check_before_send: Callable[[], str | None],
     ) -> None:
         """Raise if the request may not be sent; keep the unused connection."""
         reason = check_before_send()
         if reason is not None:
-            self._return_to_pool(stream)
+            self._return_to_pool(connection)
             raise ExchangeError(reason, Verdict.NOT_RUN)
 
     async def _run_connection(
         self,
-        stream: trio.SocketStream,
-        protocol: h11.Connection,
-        data: bytes,
+        connection: ClientConnection,
+        head: h11.Request,
+        body: bytes,
         on_progress: Callable[[], None],
     ) -> ClientResponse:
         """Send a request and receive its response.
@@ -210,9 +224,12 @@
         byte, so the caller's check still holds.
         """
         response: ClientResponse | None = None
+        stream = connection.stream
         try:
-            await stream.send_all(data)
-            response = await _receive_response(stream, protocol, on_progress)
+            unsent = write_now(stream, _encode(connection, head, body))
+            if unsent:
+                await stream.send_all(unsent)
+            response = await _receive_response(connection, on_progress)
             return response
         except (
             trio.BrokenResourceError,
@@ -225,17 +242,17 @@
         finally:
             if response is None:
                 _reset_connection(stream)
-            elif protocol.their_state is h11.DONE:
-                self._return_to_pool(stream)
+            elif _is_reusable(connection.protocol):
+                connection.protocol.start_next_cycle()
+                self._return_to_pool(connection)
             else:
                 stream.socket.close()
 
-    def _return_to_pool(self, stream: trio.SocketStream) -> None:
-        self.idle_connections.append(
-            IdleConnection(stream, trio.current_time())
-        )
+    def _return_to_pool(self, connection: ClientConnection) -> None:
+        connection.idle_since = trio.current_time()
+        self.idle_connections.append(connection)
 
-    def _idle_stream(self) -> trio.SocketStream | None:
+    def _idle_connection(self) -> ClientConnection | None:
         """Return an idle connection that the server has not closed.
 
         Return None if there is none.
@@ -244,7 +261,7 @@
         while self.idle_connections:
             kept = self.idle_connections.pop()
             if kept.idle_since >= oldest and not is_readable(kept.stream):
-                return kept.stream
+                return kept
             kept.stream.socket.close()
         return None
 
@@ -261,6 +278,26 @@
     verdict: Verdict = Verdict.NOT_RUN
 
 
+def _encode(
+    connection: ClientConnection, head: h11.Request, body: bytes
+) -> bytes:
+    events = (head, h11.Data(data=body), h11.EndOfMessage())
+    send = connection.protocol.send
+    return b"".join(send(event) or b"" for event in events)
+
+
+def _is_reusable(protocol: h11.Connection) -> bool:
+    """Whether a connection can be used for another request.
+
+    It can't if the server closes it, or has sent more than a response.
+    """
+    return (
+        protocol.our_state is h11.DONE
+        and protocol.their_state is h11.DONE
+        and not protocol.trailing_data[0]
+    )
+
+
 def _reset_connection(stream: trio.SocketStream) -> None:
     """Reset a connection, so that the server need not finish the exchange.
 
@@ -298,17 +335,18 @@
 
 
 async def _receive_response(
-    stream: trio.SocketStream,
-    protocol: h11.Connection,
-    on_progress: Callable[[], None],
+    connection: ClientConnection, on_progress: Callable[[], None]
 ) -> ClientResponse:
+    protocol = connection.protocol
     head: h11.Response | None = None
     parts: list[bytes] = []
     size = 0
     while True:
         event = protocol.next_event()
         if event is h11.NEED_DATA:
-            received = await stream.receive_some(RECEIVE_BYTES)
+            received = await receive_when_readable(
+                connection.stream, RECEIVE_BYTES
+            )
             if received:
                 on_progress()
             protocol.receive_data(received)
--- a/egretcart/connection/http_server.py
+++ b/egretcart/connection/http_server.py
@@ -11,6 +11,8 @@
 import trio
 
 from egretcart.connection.readable import is_readable
+from egretcart.connection.socket_io import receive_when_readable
+from egretcart.connection.socket_io import write_now
 from egretcart.request.problem import bad_request
 from egretcart.request.problem import Problem
 from egretcart.request.problem import PROBLEM_MEDIA_TYPE
@@ -137,10 +139,10 @@
 
     Attributes
     ----------
-    idle_scope : trio.CancelScope
-        Scope of the wait for the first byte of the next request.
     receive_scope : trio.CancelScope
-        Scope in which the rest of a request is received.
+        Scope in which a request is awaited and received.
+    is_idle : bool
+        Whether it waits for the first byte of a request.
     protocol : h11.Connection
     opened_at : float
         When the connection was accepted, in seconds on the trio clock.
@@ -159,8 +161,8 @@
         self.limits = limits
         self.is_stopping = is_stopping
         self.opened_at = trio.current_time()
-        self.idle_scope = trio.CancelScope()
         self.receive_scope = trio.CancelScope()
+        self.is_idle = False
         self.protocol = h11.Connection(
             our_role=h11.SERVER,
             max_incomplete_event_size=limits.max_header_bytes,
@@ -188,17 +190,15 @@
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is in progress."""
-        self.idle_scope.cancel()
+        if self.is_idle:
+            self.receive_scope.cancel()
 
     def abort_receiving(self) -> None:
         """Refuse a request that has not arrived completely."""
-        self.idle_scope.cancel()
         self.receive_scope.cancel()
 
     async def _serve_one(self) -> bool:
         """Serve one request and return whether another may follow."""
-        if not await self._has_first_byte():
-            return False
         try:
             request = await self._receive()
         except h11.RemoteProtocolError as error:
@@ -263,41 +263,32 @@
         kept = len(self.protocol.trailing_data[0])
         while kept < MAX_HEADER_BYTES:
             try:
-                data = await self.stream.receive_some(RECEIVE_BYTES)
+                data = await receive_when_readable(self.stream, RECEIVE_BYTES)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 scope.cancel()
                 return
-            self.protocol.receive_data(bytes(data))
+            self.protocol.receive_data(data)
             kept += len(data)
             if not data:
                 if not self.limits.allows_half_close:
                     scope.cancel()
                 return
 
-    async def _has_first_byte(self) -> bool:
-        """Wait for the first byte of a request; return whether it arrived."""
-        data, has_ended = self.protocol.trailing_data
-        if data or has_ended:
-            return bool(data)
-        received = b""
-        with trio.CancelScope() as self.idle_scope:
-            self.idle_scope.deadline = (
-                trio.current_time() + self.limits.idle_timeout_s
-            )
-            received = bytes(await self.stream.receive_some(RECEIVE_BYTES))
-        # Data may have arrived since the wait was cancelled; the request is
-        # then served.
-        if self.idle_scope.cancelled_caught and is_readable(self.stream):
-            received = bytes(await self.stream.receive_some(RECEIVE_BYTES))
-        if received:
-            self.protocol.receive_data(received)
-        return bool(received)
-
     async def _receive(self) -> HttpRequest | None:
+        """Wait for a request and receive it.
+
+        Return None if the connection ends before its first byte.
+        """
         with trio.CancelScope() as self.receive_scope:
+            if not await self._has_first_byte():
+                return None
             deadline = trio.current_time() + self.limits.request_timeout_s
             self.receive_scope.deadline = deadline
             return await self._receive_request()
+        if self.is_idle:
+            # Data may have arrived since the wait was cancelled; the request
+            # is then served.
+            return await self._receive() if is_readable(self.stream) else None
         # Reached only if the scope was cancelled: before the deadline, by
         # `abort_receiving`.
         if trio.current_time() < deadline:
@@ -316,6 +307,21 @@
             )
         )
 
+    async def _has_first_byte(self) -> bool:
+        """Wait for the first byte of a request; return whether it arrived."""
+        data, has_ended = self.protocol.trailing_data
+        if data or has_ended:
+            return bool(data)
+        self.is_idle = True
+        self.receive_scope.deadline = (
+            trio.current_time() + self.limits.idle_timeout_s
+        )
+        received = await receive_when_readable(self.stream, RECEIVE_BYTES)
+        self.is_idle = False
+        if received:
+            self.protocol.receive_data(received)
+        return bool(received)
+
     async def _receive_request(self) -> HttpRequest | None:
         head = await self._next_event()
         if not isinstance(head, h11.Request):
@@ -369,8 +375,9 @@
             event = self.protocol.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            data = await self.stream.receive_some(RECEIVE_BYTES)
-            self.protocol.receive_data(bytes(data))
+            self.protocol.receive_data(
+                await receive_when_readable(self.stream, RECEIVE_BYTES)
+            )
 
     async def _send(
         self, response: HttpResponse, *, close: bool = False
@@ -419,7 +426,10 @@
             await self._send_all(data)
 
     async def _send_all(self, data: bytes) -> None:
+        unsent = write_now(self.stream, data)
+        if not unsent:
+            return
         with trio.move_on_after(self.limits.send_timeout_s):
-            await self.stream.send_all(data)
+            await self.stream.send_all(unsent)
             return
         raise trio.BrokenResourceError("the peer does not read")
