Let the runner stand-in's time stand still between two starts of a test

Cause: 'A runner's answers are decoded' failed once on a busy machine (load 38): its run of 50 ms had ended before the second, equal start came, which was then answered as a stale run. With a pause of 80 ms between the two calls it fails with the same list. The stand-in's time now begins after them; the checks are the same.

--- a/tests/features/steps/platform_adapter_steps.py
+++ b/tests/features/steps/platform_adapter_steps.py
@@ -175,7 +175,6 @@
     context.stand_ins = StandIns()
     context.add_cleanup(context.stand_ins.close)
     context.runner = RunnerStandIn(name="i-1", work_ms=50)
-    context.stand_ins.start_soon(context.runner.run)
     port = context.stand_ins.serve(context.runner.handle)
     context.client = Runner(
         host="127.0.0.1", port=port, start_timeout_s=0.3, stop_timeout_s=0.3
@@ -213,6 +212,9 @@
         call(context, start, start_request(context, run=2, token=1)),
         call(context, start, start_request(context, name="i-2")),
     ]
+    # The stand-in's time stands still until here, so that the run can't end
+    # between two calls on a busy machine.
+    context.stand_ins.start_soon(context.runner.run)
     time.sleep(0.15)
     answers.append(call(context, start, start_request(context, run=1)))
     assert answers == [
