Tell drains to entries that may have missed them

Cause: an entry passes on changes only. One that misses a drain and its end (cut off from store and peers) sees no change when it reads the store again, while an agent of it may have learnt the drain from another entry that is lost since: that agent starts nothing until the next drain, or, the other way round, starts what is drained.

An agent now tells what it knows to each entry that has not told the same within 0.25 s; an entry that receives an older state answers with its own. Ruled out: passing on every newer revision (a store that is back makes each of 11 entries flood all others); agents that pass on each change at once (up to seven messages each for nothing). A first state that drains nothing is no longer passed on: the answer to an older state covers it.

--- a/egretcart/direct/agent/agent.py
+++ b/egretcart/direct/agent/agent.py
@@ -131,7 +131,9 @@
             links=self.links,
             backend=self.backend,
         )
-        self.drain = DomainDrain(failure_domain=failure_domain, log=log)
+        self.drain = DomainDrain(
+            failure_domain=failure_domain, links=self.links, log=log
+        )
         self.queue = RunQueue(
             limits=limits,
             backend=self.backend,
@@ -294,8 +296,7 @@
         )
         self.log.write(PeerChanged(peer=entry_id, state="connected"))
         self.links.send(entry_id, self.statuses.hello(entry_id, now))
-        if self.drain.known.is_known:
-            self.links.send(entry_id, self.drain.known.state)
+        self.drain.tell(entry_id)
         self.links.send_entries_served()
         return self._pop_effects()
 
@@ -348,19 +349,17 @@
         return self._pop_effects()
 
     def _learn_drained_domains(
-        self, drained: DrainedDomains, source: str, now: float
+        self, drained: DrainedDomains, entry_id: str, now: float
     ) -> None:
         """Apply a state; nothing that is queued here begins if drained."""
         waiting = len(self.runs.waiting())
         self.drain.learn(
             drained,
-            source,
+            entry_id,
             now,
             queued=waiting,
             running=len(self.runs) - waiting,
         )
-        if self.drain.known.is_outdated(drained):
-            self.links.send(source, self.drain.known.state)
         if self.drain.is_drained:
             self.queue.reject_queued(DRAINED_REASON, now)
 
@@ -383,6 +382,7 @@
             self._resume_after_pause(paused_s, now)
         self.evictions.takeovers.remove_expired(now)
         self.entry_checks.check(now)
+        self.drain.tell_lagging(now)
         self.exchange.check_lease_expiry(now)
         self.evictions.check_predecessor_lease(now)
         for run in self.runs:
--- a/egretcart/direct/agent/agent_types.py
+++ b/egretcart/direct/agent/agent_types.py
@@ -242,6 +242,9 @@
     unwanted_since : float
         Since when the entry is outside the agent's working set; 0 if it
         belongs to it.
+    drained_domains : tuple of str or None
+        Drained failure domains that the entry has told last, or was told;
+        None if neither.
     """
 
     incarnation: int
@@ -252,6 +255,7 @@
     status_sent_at: float = 0.0
     outdated: bool = False
     unwanted_since: float = 0.0
+    drained_domains: tuple[str, ...] | None = None
 
     def is_retiring(self, retire_after_s: float, now: float) -> bool:
         """Whether the entry is told to send no more tasks here."""
--- a/egretcart/direct/version/drained_domains.py
+++ b/egretcart/direct/version/drained_domains.py
@@ -90,10 +90,9 @@
     def learn(self, state: DrainedDomains, source: str, now: float) -> bool:
         """Keep a state if it is newer; return whether others must be told.
 
-        They must if other failure domains are drained than were known, or
-        if nothing was known. An unchanged state of a newer revision is not
-        passed on: each process that reads the store again would make all
-        others send one.
+        They must if other failure domains are drained than were known. An
+        unchanged state of a newer revision is not passed on: each process
+        that reads the store again would make all others send one.
 
         Parameters
         ----------
@@ -107,7 +106,7 @@
         former, former_age_ms = self.state, self.age_ms(now)
         self.state, self.source, self.learnt_at = state, source, now
         if former.domains == state.domains:
-            return former.revision == 0
+            return False
         self.log.write(
             DomainsDrained(
                 domains=state.domains,
--- a/egretcart/testing/direct_world.py
+++ b/egretcart/testing/direct_world.py
@@ -3,9 +3,12 @@
 Entries, agents, backend servers and callers exchange messages over links
 with a delay, in simulated time. Links can be blocked and broken, processes
 killed and paused, and backend servers can leave requests unanswered or
-execute them late. While it runs, the simulation checks three invariants: no
-task runs on two backend servers at a time, no task of a refused job runs,
-and no backend server is sent more than its capacity.
+execute them late. Operators drain failure domains through a store that can be
+out of reach. While it runs, the simulation checks four invariants: no task
+runs on two backend servers at a time, no task of a refused job runs, no
+backend server is sent more than its capacity, and nothing is started in a
+failure domain that the agent knows to be drained, or that has been drained
+for longer than a bound.
 """
 
 from collections.abc import Callable
@@ -13,6 +16,7 @@
 import functools
 import heapq
 import itertools
+import math
 import random
 from typing import Any
 
@@ -45,6 +49,7 @@
 from egretcart.direct.request.job import TaskKey
 from egretcart.direct.version.configuration import Route
 from egretcart.direct.version.configuration import RoutingConfiguration
+from egretcart.direct.version.drained_domains import DrainedDomains
 from egretcart.testing.fake_backend import FakeBackend
 from egretcart.testing.fake_backend import TaskSize
 
@@ -60,6 +65,9 @@
 REDIAL_INTERVAL_S = 0.1
 # Interval of the backend servers' reports of their state.
 REPORT_INTERVAL_S = 1.5
+# Interval at which entries read the store again, in case that they have
+# missed a change.
+STORE_READ_INTERVAL_S = 1.0
 # Time until a caller without an answer submits its job again.
 RESUBMIT_DELAY_S = 1.3
 # The backend servers advance every five steps.
@@ -166,6 +174,9 @@
         are not recorded.
     working_set : WorkingSetLimits, optional
         How many entries an agent serves.
+    failure_domains : tuple of str, optional
+        Failure domains of the agents, assigned to them in turn. Without
+        any, entries follow no drains.
 
     Attributes
     ----------
@@ -199,6 +210,15 @@
         Entries and agents by name.
     backends : dict of str to FakeBackend
         Backend servers, by the name of their agent.
+    drained : DrainedDomains
+        What the store has of the drained failure domains.
+    drained_since : dict of str to float
+        Simulated time of the drain of each drained failure domain.
+    drain_bound_s : float
+        Time after a drain from which a start in that failure domain is a
+        violation, in seconds.
+    unreached : set of str
+        Entries that don't reach the store.
     waiting : dict of int to (CallerRequest, str)
         Submissions without an answer by request number, each with the name
         of its entry.
@@ -218,6 +238,7 @@
         speeds: tuple[float, ...] = (1.0,),
         log: DecisionLog | None = None,
         working_set: WorkingSetLimits | None = None,
+        failure_domains: tuple[str, ...] = (),
     ) -> None:
         self.source = random.Random(seed)
         self.agent_limits = DirectAgentLimits(
@@ -240,6 +261,11 @@
         self.entries: dict[str, DirectEntry] = {}
         self.agents: dict[str, DirectAgent] = {}
         self.backends: dict[str, FakeBackend] = {}
+        self.failure_domains = failure_domains
+        self.drained = DrainedDomains(revision=1)
+        self.drained_since: dict[str, float] = {}
+        self.drain_bound_s = math.inf
+        self.unreached: set[str] = set()
         self.waiting: dict[int, tuple[CallerRequest, str]] = {}
         self.requests: list[CallerRequest] = []
         self.violations: list[str] = []
@@ -266,6 +292,10 @@
             REDIAL_INTERVAL_S,
             lambda: self._run_if_active(name, self._dial_peers),
         )
+        if self.failure_domains:
+            self._schedule_every(
+                STORE_READ_INTERVAL_S, lambda: self._read_store(name)
+            )
 
     def _create_entry(self, name: str) -> None:
         entry = DirectEntry(
@@ -316,8 +346,57 @@
             limits=self.agent_limits,
             log=self.log,
             seeds=[(entry_id, 0) for entry_id in self.entries],
+            failure_domain=self.domain_of(name),
         )
 
+    def domain_of(self, name: str) -> str:
+        """Return the failure domain of an agent; empty if it has none."""
+        if not self.failure_domains:
+            return ""
+        number = int(name.rpartition("-")[2])
+        return self.failure_domains[number % len(self.failure_domains)]
+
+    # Operators and the store.
+
+    def drain(self, domain: str, *, drained: bool = True) -> None:
+        """Drain a failure domain, or take it back; entries are told."""
+        self.drained = self.drained.with_change(
+            domain, self.drained.revision + 1, drained=drained
+        )
+        self.drained_since.pop(domain, None)
+        if drained:
+            self.drained_since[domain] = self.now
+        for name in self.entries:
+            self._read_store(name)
+
+    def _read_store(self, name: str) -> None:
+        """Deliver what the store has to an entry that reaches it."""
+        drained = self.drained
+        if name in self.unreached or not self.processes[name].is_up:
+            return
+
+        def learn() -> None:
+            effects = self.entries[name].learn_drained_domains(
+                drained, self.now
+            )
+            self._apply_entry_effects(name, effects)
+
+        self._deliver(name, name, learn)
+
+    def _check_drain(self, name: str) -> None:
+        """Check that an agent may request a start now."""
+        domain = self.domain_of(name)
+        since = self.drained_since.get(domain, math.inf)
+        if self.agents[name].drain.is_drained:
+            self.violations.append(
+                f"{self.now:.3f} {name} starts in {domain} although it knows"
+            )
+        if self.now - since > self.drain_bound_s:
+            self.violations.append(
+                f"{self.now:.3f} {name} starts in {domain}, drained at "
+                f"{since:.3f}"
+            )
+
     # Time.
 
     def schedule(self, delay_s: float, action: Callable[[], None]) -> None:
@@ -678,6 +757,7 @@
     def _send_start_request(self, name: str, request: StartRequest) -> None:
         agent = self.agents[name]
         backend = self.backends[name]
+        self._check_drain(name)
 
         def finish(answer: Any) -> None:
             effects = agent.start_answered(request, answer, self.now)
--- a/tests/features/drain_following.feature
+++ b/tests/features/drain_following.feature
@@ -60,6 +60,19 @@
     Then the last that it has learnt is ""
     And no line reports an ignored drain
 
+  Scenario: Processes of both roles apply the drains of a store
+    Given a store, two runners and processes that follow drains
+    When "zone-1" is drained in the store
+    Then tasks of a job at each entry begin only at "agent-2"
+    When "zone-2" is drained in the store
+    Then a job at each entry is refused with a time after which to retry
+    And both entries are ready and list "zone-1, zone-2" as drained
+    When the store is busy and "entry-2" is killed and started again
+    Then a job at each entry is refused with a time after which to retry
+    And both entries are ready and list "zone-1, zone-2" as drained
+    When the store is back and both failure domains are taken back
+    Then tasks of a job at each entry begin only at "agent-1, agent-2"
+
   Scenario: The client names the revision of each change, removals too
     Then a watch of the store stand-in reports the revisions of a write and a removal
     And a listing of many pages names the revision at which its reading began
--- a/tests/features/steps/drain_following_steps.py
+++ b/tests/features/steps/drain_following_steps.py
@@ -1,3 +1,6 @@
+import http.client
+import itertools
+import json
 import random
 import sys
 import time
@@ -5,7 +8,10 @@
 from behave import given
 from behave import then
 from behave import when
+from platform_adapter_steps import Deployment
+from platform_adapter_steps import job
 from platform_adapter_steps import ROOT
+from platform_adapter_steps import wait_until
 from platform_standins import StandIns
 from platform_standins import StoreStandIn
 import trio
@@ -28,6 +34,7 @@
 from adapter.store import MetadataStore
 
 CONFIG_KEY = "op/config"
+ENTRIES = ("entry-1", "entry-2")
 CALL_TIMEOUT_S = 1.0
 SLOW_ANSWER_S = 0.8
 WATCH_WAIT_S = 1.5
@@ -362,3 +369,121 @@
         context.client.list_range, prefix_range("op/")
     )
     assert (len(listing.values), listing.revision) == (3, begun), listing
+
+
+class DrainedDeployment(Deployment):
+    """Two failure domains of an entry and an agent, which follow drains."""
+
+    job_numbers = itertools.count(1)
+
+    def _settings(self, name):
+        return {
+            **super()._settings(name),
+            "failure_domain": f"zone-{name[-1]}",
+            "max_drain_delay_ms": 5000,
+        }
+
+    def submit(self, name):
+        """Submit a job; return its status, and the header for retries."""
+        connection = http.client.HTTPConnection(
+            self.hosts[name], self.ports[name]["front"], timeout=10
+        )
+        connection.request(
+            "POST",
+            f"/queue/{next(self.job_numbers):016x}",
+            body=json.dumps(job(count=8)),
+            headers={"Host": "host.example"},
+        )
+        response = connection.getresponse()
+        response.read()
+        connection.close()
+        return response.status, response.headers.get("Retry-After")
+
+    def started(self):
+        return {
+            name: len(runner.backend.started)
+            for name, runner in self.runners.items()
+        }
+
+    def drained(self, name):
+        status, body = self.ask(name, "GET", "/ready", part="ready")
+        assert status == 200, status
+        return body["drained"]
+
+
+@given("a store, two runners and processes that follow drains")
+def start_processes(context):
+    deployment = context.deployment = DrainedDeployment(context)
+    for name in ENTRIES:
+        wait_until(lambda n=name: deployment.is_ready(n), 20, name)
+        wait_until(
+            lambda n=name: all(
+                any(f'"peer": "{n}"' in line for line in deployment.lines(a))
+                for a in ("agent-1", "agent-2")
+            ),
+            10,
+            f"agents at {name}",
+        )
+
+
+@when('"{domain}" is drained in the store')
+def drain_in_store(context, domain):
+    deployment = context.deployment
+    deployment.store.put(f"op/evacuate/{domain}", b"{}")
+    for name in ENTRIES:
+        wait_until(
+            lambda n=name: domain in deployment.drained(n), 2, "the drain"
+        )
+
+
+@then('tasks of a job at each entry begin only at "{agents}"')
+def check_begin(context, agents):
+    deployment = context.deployment
+    before = deployment.started()
+    for name in ENTRIES:
+        status, _ = deployment.submit(name)
+        assert status == 200, status
+    begun = {
+        name
+        for name, count in deployment.started().items()
+        if count > before[name]
+    }
+    assert begun == set(agents.split(", ")), begun
+
+
+@then("a job at each entry is refused with a time after which to retry")
+def check_processes_refuse(context):
+    for name in ENTRIES:
+        status, retry_after = context.deployment.submit(name)
+        assert status == 503, (name, status)
+        assert int(retry_after) >= 1, retry_after
+
+
+@then('both entries are ready and list "{domains}" as drained')
+def check_listed(context, domains):
+    for name in ENTRIES:
+        drained = context.deployment.drained(name)
+        assert drained == domains.split(", "), drained
+
+
+@when('the store is busy and "{name}" is killed and started again')
+def restart_without_store(context, name):
+    deployment = context.deployment
+    deployment.store.mode = "busy"
+    deployment.processes[name].kill()
+    deployment.processes[name].wait()
+    deployment._start_entry(name)
+    wait_until(lambda: deployment.is_ready(name), 20, name)
+
+
+@when("the store is back and both failure domains are taken back")
+def take_back(context):
+    deployment = context.deployment
+    deployment.store.mode = "sound"
+    for domain in ("zone-1", "zone-2"):
+        deployment.store.delete(f"op/evacuate/{domain}")
+    for name in ENTRIES:
+        wait_until(
+            lambda n=name: not deployment.drained(n), 4, "the end of drains"
+        )
+    time.sleep(0.3)
--- a/tests/features/steps/platform_adapter_steps.py
+++ b/tests/features/steps/platform_adapter_steps.py
@@ -321,6 +321,7 @@
         self.store.put("op/config", desired_state(1))
         self.folder = tempfile.TemporaryDirectory()
         self.processes = {}
+        self.runners = {}
         context.add_cleanup(self.close)
         self.store_port = self.stand_ins.serve(self.store.handle)
         self.peer_port = free_port()
@@ -354,7 +355,7 @@
         return f"{self.hosts[name]}:{self.ports[name][part]}"
 
     def _start_agent(self, name):
-        runner = RunnerStandIn(name=f"i-{name}")
+        runner = self.runners[name] = RunnerStandIn(name=f"i-{name}")
         self.stand_ins.start_soon(runner.run)
         port = self.stand_ins.serve(runner.handle, host=self.hosts[name])
         self.stand_ins.start_soon(
