Drain failure domains in the soak, and check starts from outside

A start at an agent that was undisturbed for 2 s, as was the store, later than 5 s after the drain's write is a violation.

--- a/tests/features/steps/soak_world.py
+++ b/tests/features/steps/soak_world.py
@@ -42,7 +42,16 @@
 COMPLETION_TIMEOUT_S = 60.0
 TASK_WORK_MS = (50.0, 120.0, 400.0, 1500.0)
 JOBS_PER_S = 12
+PROXY_DISTURBANCE_S = 2.0
 CHUNK_BYTES = 65536
+# Failure domains may be drained from then on, for so long, so often.
+FIRST_DRAIN_S = 1.0
+DRAIN_DURATION_S = (0.2, 12.0)
+DRAIN_INTERVAL_S = 4.0
+# From the write of a drain to the last start in that failure domain, by
+# agents that were undisturbed for STABLE_S, and so was the store.
+DRAIN_BOUND_S = 5.0
+STABLE_S = 2.0
 # Lines of the log of a process that has exited, to show its error.
 EXIT_LINES = 60
 
@@ -146,6 +155,7 @@
             answer = start(request)
             if len(self.backend.started) > before:
                 world.check_start(self, request.key)
+                world.check_drain(self, request.key)
             return answer
 
         self.backend.start = start_and_check
@@ -168,6 +178,11 @@
         return await super().handle(request)
 
 
+def domain_of(name):
+    """Return the failure domain of an entry or agent."""
+    return f"zone-{name.rpartition('-')[2]}"
+
+
 def work_ms(job_id):
     return TASK_WORK_MS[int(job_id, 16) % len(TASK_WORK_MS)]
 
@@ -182,8 +197,13 @@
     event_log : list of str
         Faults and planned stops in order, each with its time since the start
         of the run.
-    fault_random, caller_random : random.Random
-        Generators for the faults and for the callers.
+    fault_random, caller_random, drain_random : random.Random
+        Generators for the faults, the callers and the drains.
+    drained_since : dict of str to float
+        Monotonic time of the write of each drain, by failure domain.
+    disturbed_until : dict of str to float
+        Monotonic time of the end of the last disturbance of a process, or of
+        the store under ``store``; infinite while it lasts.
     answers : dict of str to int
         Final status by job ID; 0 if the caller timed out.
     submission_counts : dict of str to int
@@ -218,6 +238,8 @@
         # The callers' draws depend on timing; a separate generator keeps them
         # from changing the sequence of faults.
         self.caller_random = random.Random(f"callers of {seed}")
+        self.drain_random = random.Random(f"drains of {seed}")
+        self.drained_since, self.disturbed_until = {}, {}
         self.violations, self.event_log = [], []
         self.answers, self.submission_counts = {}, {}
         self.stopped, self.last_fault_at = {}, time.monotonic()
@@ -268,8 +290,12 @@
         """Return the settings of a process, the same after each restart."""
         if name not in self.settings:
             port = self._start_proxy(f"{name}'s store", self.store_port)
-            store = {"store": f"127.0.0.1:{port}"}
-            self.settings[name] = {**super()._settings(name), **store}
+            self.settings[name] = {
+                **super()._settings(name),
+                "store": f"127.0.0.1:{port}",
+                "failure_domain": domain_of(name),
+                "max_drain_delay_ms": 1000 * DRAIN_BOUND_S,
+            }
         return self.settings[name]
 
     def _start_agent(self, name):
@@ -300,6 +326,44 @@
         if refused and self.submission_counts[key.job_id] == 1:
             self.record_violation(f"{key} runs although its job was refused")
 
+    def check_drain(self, runner, key):
+        """Check that an undisturbed agent starts nothing that is drained."""
+        name = runner.backend.instance.removeprefix("i-")
+        now = time.monotonic()
+        since = self.drained_since.get(domain_of(name), now)
+        undisturbed_s = now - max(
+            self.disturbed_until.get(name, 0.0),
+            self.disturbed_until.get("store", 0.0),
+        )
+        if now - since > DRAIN_BOUND_S and undisturbed_s > STABLE_S:
+            self.record_violation(
+                f"{key} starts at {name}, drained {now - since:.2f} s ago"
+            )
+
+    async def drain_domains(self):
+        """Drain one or two of the three failure domains at a time."""
+        await trio.sleep(FIRST_DRAIN_S)
+        while True:
+            domain = domain_of(self.drain_random.choice(self.agents))
+            duration_s = self.drain_random.uniform(*DRAIN_DURATION_S)
+            if domain not in self.drained_since and (
+                len(self.drained_since) < len(self.agents) - 1
+            ):
+                self._write_drain(domain, duration_s)
+            await trio.sleep(
+                self.drain_random.expovariate(1 / DRAIN_INTERVAL_S)
+            )
+
+    def _write_drain(self, domain, duration_s):
+        self.log_event(f"drain {domain} for {duration_s:.1f} s")
+        self.store.put(f"op/evacuate/{domain}", b"{}")
+        self.drained_since[domain] = time.monotonic()
+        self._run_later(duration_s, functools.partial(self._take_back, domain))
+
+    def _take_back(self, domain):
+        self.store.delete(f"op/evacuate/{domain}")
+        self.drained_since.pop(domain, None)
+
     def record_violation(self, description):
         self.violations.append(
             f"{time.monotonic() - self.began:.3f} {description}"
@@ -437,9 +501,17 @@
         self.last_fault_at = time.monotonic()
         self.fault_random.choice(faults)()
 
+    def _disturb(self, name, duration_s=0.0):
+        """Record that a process or the store is disturbed."""
+        self.disturbed_until[name] = max(
+            self.disturbed_until.get(name, 0.0),
+            time.monotonic() + duration_s,
+        )
+
     def _kill(self):
         name = self.fault_random.choice(self.entries + self.agents)
         self.log_event(f"kill {name}")
+        self._disturb(name)
         self._send_signal(name, signal.SIGKILL)
         self._run_later(
             self.fault_random.uniform(0, 1.5),
@@ -454,6 +526,7 @@
         if process.poll() is None:
             return
         role, more = self.commands[name]
+        self._disturb(name)
         self._start(name, role, more)
 
     def _start(self, name, role, more):
@@ -465,6 +538,7 @@
         duration_s = self.fault_random.uniform(0.1, 3)
         process = self.processes[name]
         self.log_event(f"pause {name} for {duration_s:.1f} s")
+        self._disturb(name, duration_s)
         process.send_signal(signal.SIGSTOP)
         self._run_later(
             duration_s, lambda: process.send_signal(signal.SIGCONT)
@@ -475,6 +549,7 @@
             ("busy", "silent", "lost", "gone", "leases")
         )
         self.log_event(f"store {mode}")
+        self._disturb("store")
         if mode == "gone":
             self.store.history_from = self.store.revision
         elif mode == "leases":
@@ -482,9 +557,10 @@
                 self.store.revoke(lease)
         else:
             self.store.mode = mode
+            duration_s = self.fault_random.uniform(0.5, 4)
+            self._disturb("store", duration_s)
             self._run_later(
-                self.fault_random.uniform(0.5, 4),
-                lambda: setattr(self.store, "mode", "sound"),
+                duration_s, lambda: setattr(self.store, "mode", "sound")
             )
 
     def _disturb_connections(self):
@@ -493,11 +569,14 @@
             ("reset", "client", "server", "both", "delay")
         )
         self.log_event(f"proxy of {name}: {kind}")
+        self._disturb(name.partition("'")[0], PROXY_DISTURBANCE_S)
         if kind == "reset":
             proxy.reset()
         elif kind == "delay":
             proxy.delay_s = self.fault_random.uniform(0.02, 0.5)
-            self._run_later(2.0, lambda: setattr(proxy, "delay_s", 0.0))
+            self._run_later(
+                PROXY_DISTURBANCE_S, lambda: setattr(proxy, "delay_s", 0.0)
+            )
         else:
             proxy.silence(kind)
 
@@ -563,6 +642,7 @@
         """Inject faults, wait for recovery, then stop an entry as planned."""
         self.stand_ins.start_soon(self.submit_jobs)
         self.stand_ins.start_soon(self.watch_versions)
+        self.stand_ins.start_soon(self.drain_domains)
 
         async def inject_faults():
             end = trio.current_time() + seconds
