--- a/egretcart/direct/entry/entry_links.py
+++ b/egretcart/direct/entry/entry_links.py
@@ -9,6 +9,7 @@
 
 from egretcart.connection.dialler import Dialler
 from egretcart.connection.peer_link import PeerLink
+from egretcart.connection.socket_watch import SocketWatch
 from egretcart.connection.traffic import TrafficCounters
 from egretcart.direct.connection.messages import AgentHello
 from egretcart.direct.connection.messages import Beat
@@ -46,6 +47,8 @@
     log : DecisionLog
     traffic : TrafficCounters
         Counters of the messages on the links.
+    watch : SocketWatch
+        Waits for messages on the links.
     address : PeerAddress
         Where agents and other entries connect to this entry.
     incarnation : int
@@ -76,6 +79,7 @@
         clock: Clock,
         log: DecisionLog,
         traffic: TrafficCounters,
+        watch: SocketWatch,
         address: PeerAddress,
         incarnation: int,
         on_answer: Callable[[Answer], None],
@@ -86,6 +90,7 @@
         self.clock = clock
         self.log = log
         self.traffic = traffic
+        self.watch = watch
         self.address = address
         self.incarnation = incarnation
         self.on_answer = on_answer
@@ -163,7 +168,10 @@
 
     def _make_link(self, stream: trio.SocketStream) -> PeerLink:
         return PeerLink(
-            stream=stream, protocol=DIRECT_PROTOCOL, traffic=self.traffic
+            stream=stream,
+            protocol=DIRECT_PROTOCOL,
+            traffic=self.traffic,
+            watch=self.watch,
         )
 
     def _send_known_entries(self, link: PeerLink) -> None:
