--- a/egretcart/connection/peer_link.py
+++ b/egretcart/connection/peer_link.py
@@ -12,11 +12,8 @@
 from egretcart.connection.frames import FrameCodec
 from egretcart.connection.frames import FrameError
 from egretcart.connection.frames import FrameSplitter
-from egretcart.connection.socket_io import read_now
 from egretcart.connection.socket_io import receive_when_readable
 from egretcart.connection.socket_io import write_now
-from egretcart.connection.socket_watch import READABLE
-from egretcart.connection.socket_watch import SocketWatch
 from egretcart.connection.traffic import TrafficCounters
 
 RECEIVE_BYTES = 64 * 1024
@@ -80,14 +77,9 @@
         Counters of the process.
     hello_timeout_s : float, optional
         Time in seconds within which the peer must introduce itself.
-    watch : SocketWatch, optional
-        Waits for received data together with other links; by default, a task
-        of the link waits.
 
     Attributes
     ----------
-    frames : FrameSplitter
-        Splits what is received.
     outbox : list of messages
         Messages that wait to be sent.
     outbox_bytes : int
@@ -119,14 +111,11 @@
         protocol: LinkProtocol,
         traffic: TrafficCounters | None = None,
         hello_timeout_s: float = HELLO_TIMEOUT_S,
-        watch: SocketWatch | None = None,
     ) -> None:
         self.stream = stream
         self.protocol = protocol
         self.traffic = traffic or TrafficCounters()
         self.hello_timeout_s = hello_timeout_s
-        self.watch = watch
-        self.frames = FrameSplitter(codec=protocol.codec)
         self.outbox: list[Any] = []
         self.outbox_bytes = 0
         self.is_sending = False
@@ -253,57 +242,21 @@
         await trio.aclose_forcefully(self.stream)
 
     async def _read(self, handle: Callable[[Any], None]) -> None:
-        stream = self.stream
-        if self.watch and isinstance(stream, trio.SocketStream):
-            await self._read_by_watch(self.watch, stream, handle)
-            return
-        is_open = True
-        while is_open:
+        frames = FrameSplitter(codec=self.protocol.codec)
+        while True:
             data = await receive_when_readable(self.stream, RECEIVE_BYTES)
-            is_open = self._handle_received(data, handle)
-
-    async def _read_by_watch(
-        self,
-        watch: SocketWatch,
-        stream: trio.SocketStream,
-        handle: Callable[[Any], None],
-    ) -> None:
-        ended = trio.Event()
-
-        def read() -> None:
+            if not data:
+                return
+            self.traffic.bytes_received += len(data)
             try:
-                data = read_now(stream, RECEIVE_BYTES)
-                is_open = data is None or self._handle_received(data, handle)
-            except trio.BrokenResourceError:
-                is_open = False
-            if not is_open or self.run_scope.cancel_called:
-                watch.remove(descriptor)
-                ended.set()
-
-        descriptor = watch.add(stream, READABLE, read)
-        try:
-            await ended.wait()
-        finally:
-            if not ended.is_set():
-                watch.remove(descriptor)
-
-    def _handle_received(
-        self, data: bytes, handle: Callable[[Any], None]
-    ) -> bool:
-        """Handle received data; return whether the link stays open."""
-        if not data:
-            return False
-        self.traffic.bytes_received += len(data)
-        try:
-            received = self.frames.feed(data)
-        except FrameError:
-            return False
-        self._extend_receive_deadline()
-        for message in received:
-            if self.protocol.find_violation(message) is not None:
-                return False
-            handle(message)
-        return True
+                received = frames.feed(data)
+            except FrameError:
+                return
+            self._extend_receive_deadline()
+            for message in received:
+                if self.protocol.find_violation(message) is not None:
+                    return
+                handle(message)
 
     async def _enforce_receive_deadline(self) -> None:
         """Close the link if nothing is received by the deadline.
--- a/egretcart/connection/socket_io.py
+++ b/egretcart/connection/socket_io.py
@@ -28,27 +28,12 @@
         return bytes(await stream.receive_some(limit))
     while True:
         await trio.lowlevel.wait_readable(stream.socket)
-        data = read_now(stream, limit)
-        if data is not None:
-            return data
-
-
-def read_now(stream: trio.SocketStream, limit: int) -> bytes | None:
-    """Return what has been received, nothing at the end of the stream.
-
-    Return None if nothing has been received.
-
-    Raises
-    ------
-    trio.BrokenResourceError
-        If the connection is broken.
-    """
-    try:
-        return os.read(stream.socket.fileno(), limit)
-    except BlockingIOError:
-        return None
-    except OSError as error:
-        raise trio.BrokenResourceError(str(error)) from error
+        try:
+            return os.read(stream.socket.fileno(), limit)
+        except BlockingIOError:
+            continue
+        except OSError as error:
+            raise trio.BrokenResourceError(str(error)) from error
 
 
 def write_now(stream: trio.SocketStream, data: bytes) -> bytes:
--- a/egretcart/direct/agent/agent_process.py
+++ b/egretcart/direct/agent/agent_process.py
@@ -10,7 +10,6 @@
 from egretcart.connection.http_server import Handler
 from egretcart.connection.http_server import HttpLimits
 from egretcart.connection.peer_link import PeerLink
-from egretcart.connection.socket_watch import SocketWatch
 from egretcart.connection.traffic import TrafficCounters
 from egretcart.direct.agent.agent import DirectAgent
 from egretcart.direct.agent.agent_types import AgentEffect
@@ -85,8 +84,6 @@
     ----------
     stop_limit_s : float
         Longest duration of `stop`, in seconds.
-    watch : SocketWatch
-        Waits for messages on the links.
     links : dict of str to PeerLink
         Links to entries, by entry id.
     """
@@ -117,7 +114,6 @@
             failure_domain=settings.failure_domain,
         )
         self.traffic = traffic
-        self.watch = SocketWatch()
         self.links: dict[str, PeerLink] = {}
         self.dialler: Dialler
         self.nursery: trio.Nursery
@@ -146,7 +142,6 @@
         )
         nursery.start_soon(self._restore_report)
         nursery.start_soon(self.report_store.run)
-        nursery.start_soon(self.watch.run)
         nursery.start_soon(self._tick)
         nursery.start_soon(self._poll_continuously)
 
@@ -288,10 +283,7 @@
 
     async def _run_connection(self, stream: trio.SocketStream) -> None:
         link = PeerLink(
-            stream=stream,
-            protocol=DIRECT_PROTOCOL,
-            traffic=self.traffic,
-            watch=self.watch,
+            stream=stream, protocol=DIRECT_PROTOCOL, traffic=self.traffic
         )
         entry_id = ""
 
--- a/egretcart/direct/entry/entry_links.py
+++ b/egretcart/direct/entry/entry_links.py
@@ -9,7 +9,6 @@
 
 from egretcart.connection.dialler import Dialler
 from egretcart.connection.peer_link import PeerLink
-from egretcart.connection.socket_watch import SocketWatch
 from egretcart.connection.traffic import TrafficCounters
 from egretcart.direct.connection.messages import AgentHello
 from egretcart.direct.connection.messages import Beat
@@ -47,8 +46,6 @@
     log : DecisionLog
     traffic : TrafficCounters
         Counters of the messages on the links.
-    watch : SocketWatch
-        Waits for messages on the links.
     address : PeerAddress
         Where agents and other entries connect to this entry.
     incarnation : int
@@ -79,7 +76,6 @@
         clock: Clock,
         log: DecisionLog,
         traffic: TrafficCounters,
-        watch: SocketWatch,
         address: PeerAddress,
         incarnation: int,
         on_answer: Callable[[Answer], None],
@@ -90,7 +86,6 @@
         self.clock = clock
         self.log = log
         self.traffic = traffic
-        self.watch = watch
         self.address = address
         self.incarnation = incarnation
         self.on_answer = on_answer
@@ -168,10 +163,7 @@
 
     def _make_link(self, stream: trio.SocketStream) -> PeerLink:
         return PeerLink(
-            stream=stream,
-            protocol=DIRECT_PROTOCOL,
-            traffic=self.traffic,
-            watch=self.watch,
+            stream=stream, protocol=DIRECT_PROTOCOL, traffic=self.traffic
         )
 
     def _send_known_entries(self, link: PeerLink) -> None:
--- a/egretcart/direct/entry/entry_process.py
+++ b/egretcart/direct/entry/entry_process.py
@@ -8,7 +8,6 @@
 from egretcart.connection.http_listener import HttpListener
 from egretcart.connection.http_server import Handler
 from egretcart.connection.http_server import HttpLimits
-from egretcart.connection.socket_watch import SocketWatch
 from egretcart.connection.traffic import TrafficCounters
 from egretcart.direct.connection.messages import PeerAddress
 from egretcart.direct.entry.entry import DirectEntry
@@ -55,9 +54,7 @@
         Answers by request id, until `submit` returns them.
     answer_events : dict of int to trio.Event
         Set when the answer to a request has come, by request id.
-    watch : SocketWatch
-        Waits for messages on the links.
-    dispatch_needed : bool
+    dispatch_needed : trio.Event
         Set after messages of agents, so that waiting tasks are sent.
     listeners : list of HttpListener
         HTTP servers of this process.
@@ -87,13 +84,11 @@
             failure_domain=settings.failure_domain,
         )
         self.entry.recruiter.address = address
-        self.watch = SocketWatch(after_turn=self._dispatch_if_needed)
         self.links = EntryLinks(
             entry=self.entry,
             clock=clock,
             log=log,
             traffic=traffic,
-            watch=self.watch,
             address=address,
             incarnation=clock.unix_ms(),
             on_answer=self._handle_answer,
@@ -103,7 +98,7 @@
         self.answers: dict[int, Answer] = {}
         self.answer_events: dict[int, trio.Event] = {}
         self.last_request_id = 0
-        self.dispatch_needed = False
+        self.dispatch_needed = trio.Event()
         self.listeners: list[HttpListener] = []
         self.nursery: trio.Nursery
 
@@ -142,7 +137,7 @@
         if self.settings.control:
             await self._serve_http(self.settings.control, report_handler)
         nursery.start_soon(self._tick)
-        nursery.start_soon(self.watch.run)
+        nursery.start_soon(self._run_dispatch_loop)
 
     def reload(self, settings: DirectEntrySettings) -> None:
         """Connect to the seeds of changed settings.
@@ -272,12 +267,13 @@
             self.answer_events[answer.request_id].set()
 
     def _request_dispatch(self) -> None:
-        self.dispatch_needed = True
+        self.dispatch_needed.set()
 
-    def _dispatch_if_needed(self) -> None:
-        """Dispatch waiting tasks once after the messages of all agents."""
-        if self.dispatch_needed:
-            self.dispatch_needed = False
+    async def _run_dispatch_loop(self) -> None:
+        """Dispatch waiting tasks once after each batch of messages."""
+        while True:
+            await self.dispatch_needed.wait()
+            self.dispatch_needed = trio.Event()
             self.links.apply_effects(
                 self.entry.dispatch_waiting(self.clock.monotonic())
             )
