--- a/tools/measure_job_cost.py
+++ b/tools/measure_job_cost.py
@@ -24,6 +24,7 @@
 import os
 import pathlib
 import pstats
+import random
 import re
 import signal
 import socket
@@ -48,7 +49,9 @@
 TASK_MS = 60.0
 HOST = "127.0.0.1"
 ENTRY_HOST = "127.0.0.31"
-SETTLE_S = 4.0
+SETTLE_S = 2.0
+START_TIMEOUT_S = 60
+FAILED = 0
 OK = 200
 NS_PER_US = 1000
 UNITS = {"entry": "job", "agent": "run"}
@@ -142,6 +145,9 @@
             callers=self.callers,
             readiness=free_address(ENTRY_HOST),
         )
+        with trio.fail_after(START_TIMEOUT_S):
+            while (await submit_jobs(self.callers, 1, 1))[OK] == 0:
+                pass
         await trio.sleep(SETTLE_S)
 
     async def _serve(self, handler: Handler) -> str:
@@ -217,18 +223,22 @@
     statuses: Counter[int] = Counter()
     body = json.dumps({"spec": "s", "steps": [STEP], "bestEffort": True})
 
-    async def submit(number: int) -> None:
-        response = await client.exchange(
-            "POST",
-            f"/queue/{number:016x}",
-            body=body.encode(),
-            time_limit_s=30.0,
-        )
+    async def submit() -> None:
+        try:
+            response = await client.exchange(
+                "POST",
+                f"/queue/{random.getrandbits(64):016x}",
+                body=body.encode(),
+                time_limit_s=30.0,
+            )
+        except ExchangeError:
+            statuses[FAILED] += 1
+            return
         statuses[response.status] += 1
 
     async with trio.open_nursery() as nursery:
-        for number in range(round(rate * limit_s)):
-            nursery.start_soon(submit, number)
+        for _ in range(round(rate * limit_s)):
+            nursery.start_soon(submit)
             await trio.sleep(1 / rate)
     return statuses
 
