Notice callers that leave without a task for each request

Cause: each request opened a nursery with a task that read ahead, only to see whether its caller leaves.

--- a/egretcart/connection/http_server.py
+++ b/egretcart/connection/http_server.py
@@ -10,6 +10,9 @@
 import h11
 import trio
 
+from egretcart.connection.disconnect_watch import BROKEN
+from egretcart.connection.disconnect_watch import SENDING_ENDED
+from egretcart.connection.disconnect_watch import shared_watch
 from egretcart.connection.readable import is_readable
 from egretcart.connection.socket_io import receive_when_readable
 from egretcart.connection.socket_io import write_now
@@ -143,6 +146,7 @@
         Scope in which a request is awaited and received.
     is_idle : bool
         Whether it waits for the first byte of a request.
+    watch : DisconnectWatch
     protocol : h11.Connection
     opened_at : float
         When the connection was accepted, in seconds on the trio clock.
@@ -163,6 +167,7 @@
         self.opened_at = trio.current_time()
         self.receive_scope = trio.CancelScope()
         self.is_idle = False
+        self.watch = shared_watch()
         self.protocol = h11.Connection(
             our_role=h11.SERVER,
             max_incomplete_event_size=limits.max_header_bytes,
@@ -242,37 +247,14 @@
         """Run the handler and return its response.
 
         Return None if the connection breaks before the handler has returned.
+        If the limits allow half-closed connections, the end of the caller's
+        data does not count: the caller may still wait for its response.
         """
-        response: HttpResponse | None = None
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(
-                self._watch_for_disconnect, nursery.cancel_scope
-            )
-            response = await self.handler(request)
-            nursery.cancel_scope.cancel()
-        return response
-
-    async def _watch_for_disconnect(self, scope: trio.CancelScope) -> None:
-        """Cancel the scope of a handler if the connection breaks.
-
-        Data of further requests is buffered, until `MAX_HEADER_BYTES` are
-        reached. If the limits allow half-closed connections, the end of the
-        caller's data does not cancel the scope: the caller may still wait
-        for its response.
-        """
-        kept = len(self.protocol.trailing_data[0])
-        while kept < MAX_HEADER_BYTES:
-            try:
-                data = await receive_when_readable(self.stream, RECEIVE_BYTES)
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
-                scope.cancel()
-                return
-            self.protocol.receive_data(data)
-            kept += len(data)
-            if not data:
-                if not self.limits.allows_half_close:
-                    scope.cancel()
-                return
+        event = BROKEN if self.limits.allows_half_close else SENDING_ENDED
+        scope = trio.CancelScope()
+        with scope, self.watch.cancelling(scope, self.stream, event):
+            return await self.handler(request)
+        return None
 
     async def _receive(self) -> HttpRequest | None:
         """Wait for a request and receive it.
