--- a/egretcart/connection/codec.py
+++ b/egretcart/connection/codec.py
@@ -1,6 +1,6 @@
 """The codec of the messages in `egretcart.connection.messages`."""
 
-from collections.abc import Iterable
+from collections.abc import Sequence
 import pathlib
 import typing
 
@@ -31,7 +31,7 @@
 CODEC = FrameCodec(structs=WIRE_STRUCTS, message_types=MESSAGE_TYPES)
 
 
-def encode_frame(batch: Iterable[Message]) -> bytes:
+def encode_frame(batch: Sequence[Message]) -> bytes:
     """Return one frame with a batch of messages in order."""
     return CODEC.encode(batch)
 
--- a/egretcart/connection/frames.py
+++ b/egretcart/connection/frames.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Sequence
 import dataclasses
 import pathlib
 import re
@@ -20,6 +21,7 @@
 CHECKSUM_BYTES = 8
 HEADER_BYTES = LENGTH_BYTES + CHECKSUM_BYTES
 MAX_FRAME_BYTES = 64 * 1024 * 1024
+MAX_KEPT_FRAME_BYTES = 256
 
 
 class FrameError(ValueError):
@@ -163,6 +165,13 @@
         message class, ``Frame`` has a list of ``Message``.
     message_types : tuple of type
         Frozen data classes; each has the name of its struct.
+
+    Attributes
+    ----------
+    last_single : object
+        Message of the last small frame that had only one; None at first.
+    last_single_frame : bytes
+        That frame. A heartbeat is sent to many processes at a time.
     """
 
     def __init__(
@@ -177,19 +186,32 @@
             for message_type in message_types
         }
         self.mappers_by_field = dict(self.mappers.values())
+        self.last_single: Any = None
+        self.last_single_frame = b""
 
-    def encode(self, batch: Iterable[Any]) -> bytes:
+    def encode(self, batch: Sequence[Any]) -> bytes:
         """Return one frame with a batch of messages in order.
 
         Parameters
         ----------
-        batch : iterable of messages
+        batch : sequence of messages
 
         Returns
         -------
         bytes
             Length, checksum and Thrift binary data.
         """
+        if len(batch) != 1:
+            return self._encode(batch)
+        if batch[0] is self.last_single:
+            return self.last_single_frame
+        frame = self._encode(batch)
+        if len(frame) <= MAX_KEPT_FRAME_BYTES:
+            self.last_single = batch[0]
+            self.last_single_frame = frame
+        return frame
+
+    def _encode(self, batch: Sequence[Any]) -> bytes:
         envelopes = []
         for message in batch:
             field, mapper = self.mappers[type(message)]
--- a/egretcart/connection/http_client.py
+++ b/egretcart/connection/http_client.py
@@ -23,6 +23,7 @@
 MAX_KEPT_HEADS = 32
 # SO_LINGER with a time of zero: closing the socket resets the connection.
 ZERO_LINGER = struct.pack("ii", 1, 0)
+END_OF_MESSAGE = h11.EndOfMessage()
 BODILESS_STATUSES = (204, 304)
 
 
@@ -281,7 +282,7 @@
 def _encode(
     connection: ClientConnection, head: h11.Request, body: bytes
 ) -> bytes:
-    events = (head, h11.Data(data=body), h11.EndOfMessage())
+    events = (head, h11.Data(data=body), END_OF_MESSAGE)
     send = connection.protocol.send
     return b"".join(send(event) or b"" for event in events)
 
--- a/egretcart/connection/http_server.py
+++ b/egretcart/connection/http_server.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
+import functools
 import http
 import math
 
@@ -26,6 +27,9 @@
 RECEIVE_BYTES = 64 * 1024
 MAX_HEADER_BYTES = 16 * 1024
 REFUSAL_TIMEOUT_S = 2.0
+# Heads of responses that are kept, as most responses have the same ones.
+MAX_KEPT_HEADS = 64
+END_OF_MESSAGE = h11.EndOfMessage()
 SHUTDOWN_RETRY_AFTER_S = 0.2
 
 
@@ -120,6 +124,26 @@
     )
 
 
+@functools.lru_cache(MAX_KEPT_HEADS)
+def _response_head(
+    status: int,
+    content_type: str,
+    body_bytes: int,
+    retry_after_s: float | None,
+    closes: bool,
+) -> h11.Response:
+    headers = [
+        ("Content-Type", content_type),
+        ("Content-Length", str(body_bytes)),
+    ]
+    if retry_after_s is not None:
+        seconds = str(max(1, math.ceil(retry_after_s)))
+        headers.append(("Retry-After", seconds))
+    if closes:
+        headers.append(("Connection", "close"))
+    return h11.Response(status_code=status, headers=headers)
+
+
 class RequestRefusedError(Exception):
     """A request that is refused before it has arrived completely."""
 
@@ -369,21 +393,19 @@
         if response.chunks is not None:
             await self._send_chunks(response, response.chunks)
             return
-        headers = [
-            ("Content-Type", response.content_type),
-            ("Content-Length", str(len(response.body))),
-        ]
-        if response.retry_after_s is not None:
-            seconds = str(max(1, math.ceil(response.retry_after_s)))
-            headers.append(("Retry-After", seconds))
-        if close or self.is_stopping():
-            headers.append(("Connection", "close"))
+        head = _response_head(
+            response.status,
+            response.content_type,
+            len(response.body),
+            response.retry_after_s,
+            close or self.is_stopping(),
+        )
         data = b"".join(
             self.protocol.send(event) or b""
             for event in (
-                h11.Response(status_code=response.status, headers=headers),
+                head,
                 h11.Data(data=response.body),
-                h11.EndOfMessage(),
+                END_OF_MESSAGE,
             )
         )
         await self._send_all(data)
--- a/egretcart/connection/peer_link.py
+++ b/egretcart/connection/peer_link.py
@@ -80,6 +80,8 @@
 
     Attributes
     ----------
+    socket_stream : trio.SocketStream or None
+        The stream, unless a test has given one of another kind.
     outbox : list of messages
         Messages that wait to be sent.
     outbox_bytes : int
@@ -113,6 +115,9 @@
         hello_timeout_s: float = HELLO_TIMEOUT_S,
     ) -> None:
         self.stream = stream
+        self.socket_stream = (
+            stream if isinstance(stream, trio.SocketStream) else None
+        )
         self.protocol = protocol
         self.traffic = traffic or TrafficCounters()
         self.hello_timeout_s = hello_timeout_s
@@ -153,12 +158,12 @@
         """
         if not self.outbox:
             return
-        if self.is_sending or not isinstance(self.stream, trio.SocketStream):
+        if self.is_sending or self.socket_stream is None:
             self.send_requested.set()
             return
         frame = self._next_frame()
         try:
-            self.unsent_data = write_now(self.stream, frame)
+            self.unsent_data = write_now(self.socket_stream, frame)
         except trio.BrokenResourceError:
             # `_read` gets the same error and ends the link.
             self.close()
@@ -244,7 +249,7 @@
     async def _read(self, handle: Callable[[Any], None]) -> None:
         frames = FrameSplitter(codec=self.protocol.codec)
         while True:
-            data = await receive_when_readable(self.stream, RECEIVE_BYTES)
+            data = await self._receive()
             if not data:
                 return
             self.traffic.bytes_received += len(data)
@@ -258,6 +263,11 @@
                     return
                 handle(message)
 
+    async def _receive(self) -> bytes:
+        if self.socket_stream is None:
+            return bytes(await self.stream.receive_some(RECEIVE_BYTES))
+        return await receive_when_readable(self.socket_stream, RECEIVE_BYTES)
+
     async def _enforce_receive_deadline(self) -> None:
         """Close the link if nothing is received by the deadline.
 
--- a/egretcart/connection/socket_io.py
+++ b/egretcart/connection/socket_io.py
@@ -10,12 +10,14 @@
 import trio
 
 
-async def receive_when_readable(stream: trio.abc.Stream, limit: int) -> bytes:
+async def receive_when_readable(
+    stream: trio.SocketStream, limit: int
+) -> bytes:
     """Wait for data and return it; return nothing at the end of the stream.
 
     Parameters
     ----------
-    stream : trio.abc.Stream
+    stream : trio.SocketStream
     limit : int
         Most bytes to return.
 
@@ -24,8 +26,6 @@
     trio.BrokenResourceError
         If the connection is broken.
     """
-    if not isinstance(stream, trio.SocketStream):
-        return bytes(await stream.receive_some(limit))
     while True:
         await trio.lowlevel.wait_readable(stream.socket)
         try:
--- a/egretcart/direct/entry/agent_runs.py
+++ b/egretcart/direct/entry/agent_runs.py
@@ -329,14 +329,13 @@
             ),
         )
         interval_s = self.heartbeat_interval_s
+        heartbeat = Beat(
+            version=self.state.version, interval_ms=round(interval_s * 1000)
+        )
         for agent_id, view in self.state.agents.items():
             if (
                 view.heartbeat_interval_s != interval_s
                 or now - view.last_sent_at >= interval_s
             ):
                 view.heartbeat_interval_s = interval_s
-                heartbeat = Beat(
-                    version=self.state.version,
-                    interval_ms=round(interval_s * 1000),
-                )
                 self.state.effects.append(SendToAgent(agent_id, heartbeat))
