Tell the other entries how much work waits and arrives

Cause: an entry assumed that each other one has as much work as it has itself.

Ruled out: learning run times per route, see docs/design/admission.md.

--- a/egretcart/direct/entry/entry.py
+++ b/egretcart/direct/entry/entry.py
@@ -75,6 +75,8 @@
     admission : JobAdmission
     runs : AgentRuns
     peers : PeerEntries
+    load : LoadPicture
+        Waiting and arriving work here and at other entries.
     """
 
     def __init__(
@@ -122,6 +124,7 @@
             effects=state.effects,
             log=log,
         )
+        self.load = LoadPicture(state=state)
         self.endings = JobEndings(state=state, memory=self.memory)
         self.admission = JobAdmission(
             state=state,
@@ -129,7 +132,7 @@
             memory=self.memory,
             pending=self.pending,
             drains=self.drains,
-            load=LoadPicture(state=state),
+            load=self.load,
             source=source,
         )
         self.runs = AgentRuns(
@@ -146,6 +149,7 @@
             releases=self.releases,
             recruiter=self.recruiter,
             drains=self.drains,
+            load=self.load,
         )
 
     # Standing orders of the operators.
