Move runs off backend servers that leave before they end

Cause: the time that a draining server has left was read nowhere; every run that lasts longer was lost as a whole, and its task began anew only then.

The agent reports a run that is expected to outlast its server (TaskLate.leaves_in_ms), and the entry moves it if its caller gains by it and another agent has room now (policy/leaving.py, entry/leaving_runs.py). A draining report now makes the agent tell all its entries at once; before, a status could wait for the shortest interval between statuses.

Each new test was shown to fail with its guard taken out: notify_all, the count of places, the check of the time left, the report, its interval.

--- a/egretcart/direct/agent/agent_statuses.py
+++ b/egretcart/direct/agent/agent_statuses.py
@@ -88,8 +88,9 @@
             queued=len(waiting),
             queued_ms=round(sum(run.estimate_ms for run in waiting)),
             sequence=sequence,
-            pace_percent=self.backend.slowdown.percent(),
+            pace_percent=self.backend.warmup.slowdown_percent(now),
             probing=self.backend.health.probing,
+            cold_ms=self.backend.warmup.left_ms(now),
         )
 
     def _vacancy(self, now: float) -> Vacancy:
--- a/egretcart/direct/agent/agent_types.py
+++ b/egretcart/direct/agent/agent_types.py
@@ -52,6 +52,10 @@
     stop_retry_interval_s : float
         Time after which a stop request that has no answer yet is repeated,
         in seconds.
+    leaving_report_interval_s : float
+        Time between two reports of the same run that its server's leaving
+        will cut off, in seconds: long enough for a lost one to matter
+        little in the notices of 1.5 s and more.
     takeover_retention_s : float
         Time for which tasks of a job are refused from entries that it was
         taken over from, in seconds: longer than their callers wait.
@@ -77,6 +81,7 @@
     max_queue_wait_s: float = 0.25
     backend_timeout_s: float = 0.3
     stop_retry_interval_s: float = 0.15
+    leaving_report_interval_s: float = 0.2
     takeover_retention_s: float = 20.0
     retire_after_s: float = 1.0
     retire_notice_s: float = 0.5
@@ -161,6 +166,9 @@
         When a stop request was answered; 0 before.
     late_reported_at : float
         When the run was last reported to its entry as late; 0 if never.
+    leaving_reported_at : float
+        When its entry was last told that its server leaves too early for
+        it; 0 if never.
     is_listed : bool
         Whether an incarnation of the server has listed the run.
     carried_until : float
@@ -188,6 +196,7 @@
     stop_sent_at: float = 0.0
     stop_answered_at: float = 0.0
     late_reported_at: float = 0.0
+    leaving_reported_at: float = 0.0
     is_listed: bool = False
     carried_until: float = 0.0
 
--- a/egretcart/direct/agent/backend_exchange.py
+++ b/egretcart/direct/agent/backend_exchange.py
@@ -52,6 +52,7 @@
     def receive_report(self, report: BackendReport, now: float) -> bool:
         """Handle a report of the backend server."""
         current = self.backend.report
+        was_draining = was_cold = False
         if report.lifetime.born_ms < self.backend.newest_born_ms:
             # The report was delayed, and its sender has ended meanwhile.
             return False
@@ -59,14 +60,24 @@
             self._begin_backend_incarnation(report, now)
         elif report.sequence < current.sequence:
             return False
-        elif report.draining and not current.draining:
-            self.backend.log_change("draining", "it said so", now)
-        self.backend.report = report
-        self.backend.lease.update_clock(report.clock_ms, now)
-        if report.draining:
-            self.queue.reject_queued("the backend server is leaving", now)
+        else:
+            was_draining = current.draining
+            was_cold = current.cold_for_ms > 0
+        self.backend.apply_report(report, now)
+        if report.draining and not was_draining:
+            self._begin_draining(now)
+        if (report.cold_for_ms > 0) != was_cold:
+            state = "warm" if was_cold else "cold"
+            cause = f"cold for {report.cold_for_ms} ms more"
+            self.backend.log_change(state, cause, now)
         return True
 
+    def _begin_draining(self, now: float) -> None:
+        """Give queued runs back, and tell all entries at once."""
+        self.backend.log_change("draining", "it said so", now)
+        self.queue.reject_queued("the backend server is leaving", now)
+        self.queue.links.notify_all()
+
     def _begin_backend_incarnation(
         self, report: BackendReport, now: float
     ) -> None:
@@ -172,10 +183,15 @@
                 self.stop_orphaned(task.key, task.run)
                 continue
             run.progress.record(task.percent, now)
+            sampled_from = run.progress.sampled_at
             sample_run_time_ms = run.progress.sample_run_time_ms()
             if sample_run_time_ms is not None:
-                self.backend.slowdown.record(
-                    run.key.job_id, sample_run_time_ms, run.estimate_ms
+                self.backend.warmup.record(
+                    run.key.job_id,
+                    sample_run_time_ms,
+                    run.estimate_ms,
+                    since=sampled_from,
+                    now=now,
                 )
             run.is_listed = True
             run.carried_until = 0.0
--- a/egretcart/direct/agent/entry_links.py
+++ b/egretcart/direct/agent/entry_links.py
@@ -77,6 +77,10 @@
         for entry_id in self.entries:
             self.send(entry_id, served)
 
+    def notify_all(self) -> None:
+        """Have a status sent to each entry without waiting."""
+        self.entries_to_notify.update(self.entries)
+
     def send_due_statuses(self, now: float) -> None:
         """Send a status to each entry for which one is due.
 
--- a/egretcart/direct/agent/known_backend.py
+++ b/egretcart/direct/agent/known_backend.py
@@ -8,10 +8,12 @@
 from egretcart.direct.backend.backend import StopRequest
 from egretcart.direct.backend.health import BackendHealth
 from egretcart.direct.backend.lease import BackendLease
+from egretcart.direct.backend.warmup import Warmup
 from egretcart.direct.log.decisions import BackendChanged
 from egretcart.direct.log.decisions import DecisionLog
 from egretcart.direct.request.job import TaskKey
-from egretcart.direct.request.progress import SlowdownEstimate
+
+MS_PER_S = 1000
 
 
 class KnownBackend:
@@ -40,8 +42,12 @@
         Lease under which the server runs tasks.
     health : BackendHealth
         Failures at the server's current incarnation.
-    slowdown : SlowdownEstimate
-        Ratio of run times at the server to the callers' estimates.
+    warmup : Warmup
+        How long the server is cold, and the ratio of its run times to the
+        callers' estimates.
+    leaves_at : float or None
+        Earliest time at which the server leaves; None unless it has said
+        so.
     orphaned_runs : dict of TaskKey to int
         Run numbers of runs that the server lists and that the agent doesn't
         know; nothing is started while there are any.
@@ -62,12 +68,30 @@
         self.acknowledged = 0
         self.lease = BackendLease(limits=limits.lease)
         self.health = BackendHealth(limits=limits.health)
-        self.slowdown = SlowdownEstimate(limits=limits.progress)
+        self.warmup = Warmup(limits=limits.progress)
+        self.leaves_at: float | None = None
         self.orphaned_runs: dict[TaskKey, int] = {}
         self.ready = False
         self.lease_expired = False
         self.resumed_at = 0.0
 
+    def apply_report(self, report: BackendReport, now: float) -> None:
+        """Apply the newest report of the current incarnation."""
+        self.report = report
+        self.lease.update_clock(report.clock_ms, now)
+        self.warmup.update(report.cold_for_ms, now)
+        self.leaves_at = (
+            None
+            if report.leaves_in_ms is None
+            else now + report.leaves_in_ms / MS_PER_S
+        )
+
+    def leaves_in_ms(self, now: float) -> float | None:
+        """Return the shortest time until it leaves; None if unknown."""
+        if self.leaves_at is None:
+            return None
+        return max(0.0, (self.leaves_at - now) * MS_PER_S)
+
     def is_answering(self, now: float) -> bool:
         """Whether the server has answered lately."""
         return now - self.lease.answered_at <= self.limits.backend_timeout_s
@@ -131,6 +155,7 @@
         self.lease_expired = False
         self.lease.restart(report.clock_ms, now)
         self.health = BackendHealth(limits=self.limits.health)
+        self.warmup.end(now)
         self.log_change("found", "a new lifetime reports", now)
 
     def start_request(self, run: Run) -> StartRequest:
--- a/egretcart/direct/agent/run_checks.py
+++ b/egretcart/direct/agent/run_checks.py
@@ -1,5 +1,7 @@
 """Periodic checks of an agent's runs. Free of I/O."""
 
+import math
+
 from egretcart.direct.agent.agent_types import DirectAgentLimits
 from egretcart.direct.agent.agent_types import Run
 from egretcart.direct.agent.agent_types import RunPhase
@@ -11,7 +13,7 @@
 
 
 class RunChecks:
-    """Ends runs that wait too long, and reports runs that are late.
+    """Ends runs that wait too long; reports late runs and threatened ones.
 
     Parameters
     ----------
@@ -48,8 +50,45 @@
         ):
             self.queue.request_stop(run, now)
         elif run.phase is RunPhase.RUNNING:
+            self._check_leaving(run, now)
             self._check_progress(run, now)
 
+    def _check_leaving(self, run: Run, now: float) -> None:
+        """Report a run that its server's leaving is expected to cut off."""
+        leaves_in_ms = self.backend.leaves_in_ms(now)
+        if (
+            not leaves_in_ms
+            or now - run.leaving_reported_at
+            < self.limits.leaving_report_interval_s
+        ):
+            return
+        elapsed_ms = (now - run.progress.started_at) * 1000
+        remaining_ms = run.progress.least_remaining_ms(now)
+        if remaining_ms is None:
+            remaining_ms = self._estimated_remaining_ms(run, elapsed_ms, now)
+        if remaining_ms <= leaves_in_ms:
+            return
+        run.leaving_reported_at = now
+        whole_ms = elapsed_ms + remaining_ms
+        late = TaskLate(
+            job_id=run.key.job_id,
+            step=run.key.step,
+            index=run.key.index,
+            run=run.run,
+            percent=math.ceil(100 * elapsed_ms / whole_ms),
+            whole_ms=round(whole_ms),
+            leaves_in_ms=math.ceil(leaves_in_ms),
+        )
+        self.links.send(run.entry_id, late)
+
+    def _estimated_remaining_ms(
+        self, run: Run, elapsed_ms: float, now: float
+    ) -> float:
+        """Return the shortest rest of a run that has hardly progressed."""
+        slowdown = self.backend.warmup.slowdown_percent(now) / 100
+        whole_ms = run.estimate_ms * slowdown
+        return whole_ms / self.limits.progress.estimate_doubt - elapsed_ms
+
     def _check_progress(self, run: Run, now: float) -> None:
         report_interval_s = self.limits.progress.stall_s
         if (
--- a/egretcart/direct/agent/run_queue.py
+++ b/egretcart/direct/agent/run_queue.py
@@ -271,8 +271,12 @@
         if ending is Ending.DONE:
             self.backend.health.record_success()
             if run.progress.sampled_percent == 0:
-                self.backend.slowdown.record(
-                    run.key.job_id, run_ms, run.estimate_ms
+                self.backend.warmup.record(
+                    run.key.job_id,
+                    run_ms,
+                    run.estimate_ms,
+                    since=run.progress.started_at,
+                    now=now,
                 )
         elif ending is Ending.FAILED:
             self.backend.health.record_failure(run.key.job_id, now)
--- a/egretcart/direct/backend/backend.py
+++ b/egretcart/direct/backend/backend.py
@@ -43,6 +43,12 @@
     draining : bool
         Whether the server is about to shut down; nothing more is started
         there.
+    leaves_in_ms : int or None
+        Shortest time for which a draining server still runs what it has, in
+        milliseconds from the report on; None if it isn't known.
+    cold_for_ms : int
+        Time for which the server still runs tasks more slowly than later,
+        in milliseconds from the report on; 0 for a warm one.
     clock_ms : int
         The server's monotonic clock, in milliseconds; 0 in a report that
         was restored from the store.
@@ -56,6 +62,8 @@
     capacity: Room
     labels: tuple[str, ...] = ()
     draining: bool = False
+    leaves_in_ms: int | None = None
+    cold_for_ms: int = 0
     clock_ms: int = 0
     sequence: int = 0
 
--- a/egretcart/direct/backend/backend_report_store.py
+++ b/egretcart/direct/backend/backend_report_store.py
@@ -26,7 +26,9 @@
 def encode_report(report: BackendReport) -> bytes:
     """Return a report as JSON, without fields that differ in each report."""
     return msgspec.json.encode(
-        dataclasses.replace(report, clock_ms=0, sequence=0)
+        dataclasses.replace(
+            report, clock_ms=0, sequence=0, leaves_in_ms=None, cold_for_ms=0
+        )
     )
 
 
--- a/egretcart/direct/connection/messages.py
+++ b/egretcart/direct/connection/messages.py
@@ -236,6 +236,10 @@
     probing : bool
         Whether it runs one task at a time, because tasks of several jobs
         have failed in a row.
+    cold_ms : int
+        Time for which the backend server still runs tasks more slowly than
+        later, in milliseconds; 0 for a warm one. `pace_percent` is then its
+        slowdown while it is cold.
     """
 
     agent_id: str = ""
@@ -254,6 +258,7 @@
     sequence: int = 0
     pace_percent: int = 100
     probing: bool = False
+    cold_ms: int = 0
 
     @property
     def capacity(self) -> Room:
@@ -305,7 +310,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class TaskLate:
-    """A run makes little or no progress.
+    """A run makes too little progress, or its backend server leaves first.
 
     Attributes
     ----------
@@ -319,6 +324,9 @@
         it is stalled.
     percent : int
         Progress of the run, 0 to 100.
+    leaves_in_ms : int
+        Shortest time until the backend server leaves, in milliseconds, if
+        the run is expected to take longer; 0 if that isn't the case.
     """
 
     job_id: str = ""
@@ -327,6 +335,7 @@
     run: int = 0
     whole_ms: int = 0
     percent: int = 0
+    leaves_in_ms: int = 0
 
     @property
     def key(self) -> TaskKey:
--- a/egretcart/direct/connection/wire.thrift
+++ b/egretcart/direct/connection/wire.thrift
@@ -49,6 +49,7 @@
   14: optional i64 sequence
   15: optional i32 pace_percent
   16: optional bool probing
+  17: optional i64 cold_ms
 }
 struct TaskEnded {
   1: optional string job_id
@@ -66,6 +67,7 @@
   4: optional i32 run
   5: optional i64 whole_ms
   6: optional i32 percent
+  7: optional i64 leaves_in_ms
 }
 struct HeldTask {
   1: optional string job_id
--- a/egretcart/direct/entry/agent_runs.py
+++ b/egretcart/direct/entry/agent_runs.py
@@ -18,6 +18,7 @@
 from egretcart.direct.entry.entry_types import RUN_NUMBERS_PER_TAKEOVER
 from egretcart.direct.entry.entry_types import SendToAgent
 from egretcart.direct.entry.job_endings import JobEndings
+from egretcart.direct.entry.leaving_runs import LeavingRuns
 from egretcart.direct.entry.pending_claims import PendingClaims
 from egretcart.direct.log.decisions import PeerChanged
 from egretcart.direct.log.decisions import TaskEndedAt
@@ -46,6 +47,8 @@
     ----------
     heartbeat_interval_s : float
         Time between two heartbeats to an agent, in seconds.
+    leaving : LeavingRuns
+        Decides about runs at servers that leave.
     """
 
     def __init__(
@@ -61,6 +64,7 @@
         self.pending = pending
         self.drains = drains
         self.heartbeat_interval_s = state.limits.heartbeat_interval_s
+        self.leaving = LeavingRuns(state=state, endings=endings)
 
     @property
     def heartbeat_timeout_s(self) -> float:
@@ -216,12 +220,21 @@
             or (task.run, task.agent_id) != (message.run, agent_id)
         ):
             return
+        if message.leaves_in_ms:
+            self.leaving.judge(held, task, message, now)
+            return
         view = self.state.agents[agent_id]
         run = LateRun(
             whole_ms=message.whole_ms,
             completed_share=message.percent / 100,
             slowdown=view.slowdown,
-            elsewhere_slowdown=self._best_slowdown_elsewhere(held, task),
+            elsewhere_slowdown=min(
+                (
+                    other.slowdown
+                    for other in self.state.free_agents_elsewhere(held, task)
+                ),
+                default=None,
+            ),
             stretch=held.route.stretch,
             slack_ms=held.route.slack_ms,
             job_age_ms=(now - held.accepted_at) * 1000,
@@ -243,24 +256,6 @@
         )
         self.endings.stop_task(task)
 
-    def _best_slowdown_elsewhere(
-        self, held: HeldJob, task: HeldTask
-    ) -> float | None:
-        """Return the lowest slowdown of other agents with free capacity."""
-        step = held.job.steps[task.key.step]
-        return min(
-            (
-                view.slowdown
-                for agent_id, view in self.state.agents.items()
-                if agent_id != task.agent_id
-                and agent_id not in task.avoided_agents
-                and view.may_run(step)
-                and not view.status.probing
-                and view.free.can_fit(step.room)
-            ),
-            default=None,
-        )
-
     def _reconcile(self, agent_id: str, hello: AgentHello, now: float) -> None:
         """Compare the runs that an agent reports with those sent there."""
         reported_runs = {(held.key, held.run) for held in hello.held}
--- a/egretcart/direct/entry/entry_state.py
+++ b/egretcart/direct/entry/entry_state.py
@@ -73,6 +73,24 @@
         """Version of the active configuration; 0 if there is none."""
         return self.configuration.version if self.configuration else 0
 
+    def free_agents_elsewhere(
+        self, held: HeldJob, task: HeldTask
+    ) -> list[AgentView]:
+        """Return other agents with free capacity for a task.
+
+        Those at which a run of the task has gone wrong are left out.
+        """
+        step = held.job.steps[task.key.step]
+        return [
+            view
+            for agent_id, view in self.agents.items()
+            if agent_id != task.agent_id
+            and agent_id not in task.avoided_agents
+            and view.may_run(step)
+            and not view.status.probing
+            and view.free.can_fit(step.room)
+        ]
+
     def find_task(
         self, key: TaskKey
     ) -> tuple[HeldJob | None, HeldTask | None]:
--- a/egretcart/direct/log/decisions.py
+++ b/egretcart/direct/log/decisions.py
@@ -256,6 +256,47 @@
     elsewhere_pace: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LeavingRunJudged(Decision):
+    """An entry decides about a run whose server may leave before it ends.
+
+    Attributes
+    ----------
+    agent : str
+        Id of the agent that has the run.
+    moved : bool
+        Whether the run is stopped, to run the task on another agent; if
+        not, it stays where it is.
+    leaves_in_ms : int
+        Shortest time until the server leaves.
+    percent : int
+        How much of the run is done.
+    whole_ms : int
+        Expected total run time at the agent.
+    pace : float
+        Slowdown at the agent: run times relative to the callers'
+        estimates.
+    elsewhere_pace : float
+        Lowest slowdown among agents with free capacity for the task; 0 if
+        there is none.
+    status_age_ms : int
+        Age of the status that tells of that agent; 0 if there is none.
+    """
+
+    job_id: str
+    step: int
+    index: int
+    run: int
+    agent: str
+    moved: bool
+    leaves_in_ms: int
+    percent: int
+    whole_ms: int
+    pace: float
+    elsewhere_pace: float
+    status_age_ms: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class RunStarted(Decision):
     """An agent requests the start of a run from its backend server.
--- a/egretcart/direct/log/explain.py
+++ b/egretcart/direct/log/explain.py
@@ -17,6 +17,7 @@
     "RunStarted",
     "RunUnanswered",
     "TaskMoved",
+    "LeavingRunJudged",
     "RunEnded",
     "TaskEndedAt",
     "JobYielded",
--- a/egretcart/direct/process/metered_log.py
+++ b/egretcart/direct/process/metered_log.py
@@ -14,6 +14,7 @@
 from egretcart.direct.log.decisions import DomainsDrained
 from egretcart.direct.log.decisions import JobAnswered
 from egretcart.direct.log.decisions import JobRefused
+from egretcart.direct.log.decisions import LeavingRunJudged
 from egretcart.direct.log.decisions import RunEnded
 from egretcart.direct.log.decisions import RunStarted
 from egretcart.direct.process.settings import split_address
@@ -25,6 +26,7 @@
 from egretcart.process.metric_table import RESPONSE_TIME
 from egretcart.process.metric_table import RUN_ENDINGS
 from egretcart.process.metric_table import RUN_TIME
+from egretcart.process.metric_table import RUNS_THREATENED
 from egretcart.process.metrics import Metrics
 from egretcart.process.metrics import ProcessMetrics
 from egretcart.process.metrics import PROMETHEUS_CONTENT_TYPE
@@ -71,6 +73,9 @@
             cause = decision.cause if known else OTHER_CAUSE
             self.metrics.add(JOBS, label="refused")
             self.metrics.add(JOBS_REFUSED, label=cause)
+        elif isinstance(decision, LeavingRunJudged):
+            verdict = "moved" if decision.moved else "kept"
+            self.metrics.add(RUNS_THREATENED, label=verdict)
         elif isinstance(decision, RunStarted):
             self.metrics.observe(QUEUE_TIME, decision.waited_ms / MS_PER_S)
         elif isinstance(decision, RunEnded):
--- a/egretcart/direct/request/held_job.py
+++ b/egretcart/direct/request/held_job.py
@@ -53,6 +53,9 @@
     expires_at : float or None
         When the run at a lost agent expires, in seconds on the entry's
         monotonic clock; None if the agent is not lost.
+    kept_run : int
+        Number of the last run that was left at a leaving backend server
+        although it may be cut off; 0 if there was none.
     has_run : bool
         Whether a run of the task may have begun.
     """
@@ -64,6 +67,7 @@
     failures: int = 0
     avoided_agents: set[str] = dataclasses.field(default_factory=set)
     expires_at: float | None = None
+    kept_run: int = 0
     has_run: bool = False
 
 
--- a/egretcart/direct/request/progress.py
+++ b/egretcart/direct/request/progress.py
@@ -31,6 +31,9 @@
     min_percent : float
         Smallest progress, in percent, from which the whole run time is
         extrapolated, as progress is listed in whole percents.
+    estimate_doubt : float
+        Factor by which a run may be shorter than its estimate and the
+        server's slowdown tell: slowdowns are known to within 25 % only.
     max_slowdown : float
         Upper bound of a job's slowdown; the lower bound is its inverse.
     """
@@ -41,6 +44,7 @@
     min_sample_s: float = 0.25
     slowdown_jobs: int = 20
     min_percent: float = 8
+    estimate_doubt: float = 1.25
     max_slowdown: float = 20.0
 
 
@@ -116,6 +120,18 @@
             / self.percent
         )
 
+    def least_remaining_ms(self, now: float) -> float | None:
+        """Return the shortest remaining run time at the speed so far.
+
+        Progress is listed in whole percents, so that the run may be almost
+        one percent further. None if it has listed too little progress.
+        """
+        if self.percent < self.limits.min_percent:
+            return None
+        elapsed_s = self.last_progress_at - self.started_at
+        least_whole_s = elapsed_s * 100 / (self.percent + 1)
+        return max(0.0, (self.started_at + least_whole_s - now) * 1000)
+
     def is_late(self) -> bool:
         """Whether the rest takes far longer than the estimated run time."""
         whole_ms = self.whole_ms()
@@ -134,6 +150,8 @@
     Parameters
     ----------
     limits : ProgressLimits
+    prior_percent : int, optional
+        The ratio that is expected before there is any sample, in percent.
 
     Attributes
     ----------
@@ -141,8 +159,11 @@
         Logarithm of the ratio for each of the last jobs, by job id.
     """
 
-    def __init__(self, *, limits: ProgressLimits) -> None:
+    def __init__(
+        self, *, limits: ProgressLimits, prior_percent: int = 100
+    ) -> None:
         self.limits = limits
+        self.prior_log_ratio = math.log(prior_percent / 100)
         self.log_ratios: OrderedDict[str, float] = OrderedDict()
 
     def record(self, job_id: str, run_ms: float, estimate_ms: float) -> None:
@@ -160,8 +181,9 @@
     def percent(self) -> int:
         """Return the geometric mean of the last ratios, in percent.
 
-        One job with a ratio of 1 is added, so that the result does not
+        One job with the prior ratio is added, so that the result does not
         depend on a single job.
         """
-        mean = sum(self.log_ratios.values()) / (len(self.log_ratios) + 1)
+        total = sum(self.log_ratios.values()) + self.prior_log_ratio
+        mean = total / (len(self.log_ratios) + 1)
         return max(1, round(100 * math.exp(mean)))
--- a/egretcart/process/metric_table.py
+++ b/egretcart/process/metric_table.py
@@ -131,6 +131,12 @@
     "direct dispatch: runs that have ended at an agent",
     "ending",
 )
+RUNS_THREATENED = _counter(
+    "egretcart.runs.threatened",
+    "{run}",
+    "direct dispatch: runs that a leaving backend server may cut off",
+    "verdict",
+)
 JOBS_REFUSED = _counter(
     "egretcart.jobs.refused",
     "{job}",
@@ -274,6 +280,7 @@
     QUEUE_TIME,
     RUN_TIME,
     RUN_ENDINGS,
+    RUNS_THREATENED,
     JOBS_REFUSED,
     DECISIONS,
     HEARTBEAT_TIME,
--- a/egretcart/testing/fake_backend.py
+++ b/egretcart/testing/fake_backend.py
@@ -93,6 +93,14 @@
         Whether runs make no progress.
     draining : bool
         Whether its reports say that it is about to shut down.
+    reports_times : bool
+        Whether its reports say when it leaves and how long it is cold.
+    leaves_at_ms : float or None
+        Earliest time on its clock at which it leaves; None if it stays.
+    cold_ms : float
+        Time from a restart on for which it is cold, in milliseconds.
+    cold_speed : float
+        Factor of its speed while it is cold.
     is_up : bool
         False from a crash until the restart.
     clock_rate : float
@@ -146,6 +154,10 @@
         self.fails_all = False
         self.hangs = False
         self.draining = False
+        self.reports_times = True
+        self.leaves_at_ms: float | None = None
+        self.cold_ms = 0.0
+        self.cold_speed = 1.0
         self.is_up = True
         self.violations: list[str] = []
         self.started: list[tuple[TaskKey, int]] = []
@@ -157,6 +169,7 @@
         self.born_ms = born_ms
         self.is_up = True
         self.clock_ms = 0.0
+        self.leaves_at_ms = None
         self.lease_ms = 0.0
         self.token = 0
         self.sequence = 0
@@ -184,10 +197,22 @@
             capacity=self.capacity,
             labels=self.labels,
             draining=self.draining,
+            leaves_in_ms=self._leaves_in_ms(),
+            cold_for_ms=self._cold_for_ms(),
             clock_ms=int(self.clock_ms),
             sequence=self.sequence,
         )
 
+    def _leaves_in_ms(self) -> int | None:
+        if self.leaves_at_ms is None or not self.reports_times:
+            return None
+        return max(0, int(self.leaves_at_ms - self.clock_ms))
+
+    def _cold_for_ms(self) -> int:
+        if not self.reports_times:
+            return 0
+        return max(0, int(self.cold_ms - self.clock_ms))
+
     def advance(self, ms: float) -> bool:
         """Advance time by some milliseconds; return whether a run has ended.
 
@@ -203,7 +228,9 @@
         for key, run in list(self.runs.items()):
             if self.hangs:
                 continue
-            run.completed_ms += ms * self.speed
+            is_cold = self.clock_ms <= self.cold_ms
+            factor = self.cold_speed if is_cold else 1.0
+            run.completed_ms += ms * self.speed * factor
             if run.completed_ms >= run.size.work_ms:
                 failed = self.fails_all or run.size.fails
                 self._end(key, Ending.FAILED if failed else Ending.DONE)
--- a/tests/features/platform_adapter.feature
+++ b/tests/features/platform_adapter.feature
@@ -33,6 +33,21 @@
       | {"service":"s","state":"asleep","capacity":{"cpu":1,"memMb":1},"seq":1,"clockMs":1,"born":1} |
       | {"service":"s","state":"ready","capacity":{"cpu":"x","memMb":1},"seq":1,"clockMs":1,"born":1} |
       | {"service":"s","state":"ready","capacity":{"cpu":1,"memMb":1},"seq":1,"clockMs":1} |
+      | {"service":"s","state":"ready","capacity":{"cpu":1,"memMb":1},"seq":1,"clockMs":1,"born":1,"coldLeftMs":"soon"} |
+      | {"service":"s","state":"draining","capacity":{"cpu":1,"memMb":1},"seq":1,"clockMs":1,"born":1,"remainingMs":null} |
+
+  Scenario Outline: A report tells when its runner leaves and how long it is cold
+    Then a report with <fields> leaves in <leaves> and is cold for <cold> ms
+
+    Examples:
+      | fields                                       | leaves | cold |
+      | {"state":"ready"}                            | None   | 0    |
+      | {"state":"ready","coldLeftMs":4200}          | None   | 4200 |
+      | {"state":"ready","remainingMs":1500}         | None   | 0    |
+      | {"state":"draining"}                         | None   | 0    |
+      | {"state":"draining","remainingMs":1500}      | 1500   | 0    |
+      | {"state":"draining","remainingMs":0}         | 0      | 0    |
+      | {"state":"draining","remainingMs":-3,"coldLeftMs":-1} | 0 | 0 |
 
   Scenario Outline: The kind of a job follows from its fields
     Then the job <job> is of kind <kind>
--- a/tests/features/steps/platform_adapter_steps.py
+++ b/tests/features/steps/platform_adapter_steps.py
@@ -271,6 +271,21 @@
     assert str(raised_error(kinds, decode_report, "i-1", report.encode()))
 
 
+@then("a report with {fields} leaves in {leaves} and is cold for {cold:d} ms")
+def check_report_times(context, fields, leaves, cold):
+    body = {
+        "service": "s",
+        "capacity": {"cpu": 1, "memMb": 1},
+        "seq": 1,
+        "clockMs": 1,
+        "born": 1,
+        **json.loads(fields),
+    }
+    report = decode_report("i-1", json.dumps(body).encode())
+    assert str(report.leaves_in_ms) == leaves, report
+    assert report.cold_for_ms == cold, report
+
+
 @then("the job {job} is of kind {kind}")
 def check_job_kind(context, job, kind):
     assert decode_job("0" * 16, job.encode()).kind.value == kind
