Send tasks to cold backend servers only if no warm one has room

Cause: what a server measured while it was cold spoiled its slowdown for long after, and a domain that came back cold looked empty and got what waited.

Run times of the cold time have an estimate of their own, which statuses carry with the time left. A task that outlasts that time is expected to be faster from then on.

--- a/egretcart/direct/connection/views.py
+++ b/egretcart/direct/connection/views.py
@@ -139,8 +139,13 @@
     def run_ms(self, step: Step, far_factor: float) -> float:
         """Return the expected run time of a task of the step there."""
         is_remote = step.data_rack and step.data_rack not in self.status.labels
-        return (
+        run_ms = (
             step.estimate_ms
             * self.slowdown
             * (far_factor if is_remote else 1.0)
         )
+        cold_ms = self.status.cold_ms
+        if 0 < cold_ms < run_ms and self.slowdown > 1:
+            # Later it is expected to be as fast as callers estimate.
+            return cold_ms + (run_ms - cold_ms) / self.slowdown
+        return run_ms
--- a/egretcart/direct/policy/placement.py
+++ b/egretcart/direct/policy/placement.py
@@ -1,8 +1,8 @@
 """Placement: which agent a task is sent to. Free of I/O.
 
-This handles two kinds of load: a mixture of short and long tasks on backend
-servers of unequal speed, and fully occupied servers whose capacity comes
-free one task at a time.
+This handles three kinds of load: a mixture of short and long tasks on backend
+servers of unequal speed, fully occupied servers whose capacity comes free one
+task at a time, and servers that are cold for some time after their start.
 """
 
 from collections.abc import Iterable
@@ -108,8 +108,11 @@
         fitting = [
             item for item in usable if item[1].free.can_fit(request.step.room)
         ]
+        # How slow a cold server is is hardly known, so it gets only tasks for
+        # which there is no free capacity elsewhere.
+        warm = [item for item in fitting if not item[1].status.cold_ms]
         if fitting:
-            return self._best_fitting(request, fitting)
+            return self._best_fitting(request, warm or fitting)
         return self._shortest_queue(request, usable)
 
     def _is_usable(
