--- a/tests/features/steps/leaving_steps.py
+++ b/tests/features/steps/leaving_steps.py
@@ -366,7 +366,7 @@
 
 
 def submit_mixture(world, source, *, seconds):
-    """Submit wide jobs of short tasks and jobs of long tasks, at 60 %."""
+    """Submit wide jobs of short tasks and jobs of long ones, at 66 %."""
     for _ in range(int(seconds / 0.05)):
         kinds = ((8, 120), (4, 1800)) if source.random() < 0.5 else ((8, 120),)
         for tasks, work_ms in kinds:
