Revert "Give a cold backend server work step by step"

It only bounds what a cold server runs in its first second while warm ones have room, which no caller notices.

--- a/egretcart/direct/agent/agent_statuses.py
+++ b/egretcart/direct/agent/agent_statuses.py
@@ -8,7 +8,6 @@
 from egretcart.direct.connection.messages import AgentStatus
 from egretcart.direct.connection.messages import HeldTask
 from egretcart.direct.request.job import NO_ROOM
-from egretcart.direct.request.job import Room
 
 # An agent with free capacity for this many tasks or more is chosen alike by
 # entries, which send it few tasks before its next status.
@@ -72,7 +71,7 @@
         """
         report = self.backend.report
         capacity = report.capacity if report is not None else NO_ROOM
-        free = self._free(capacity, now)
+        free = self.queue.runs.free(capacity, queued=True)
         waiting = self.queue.runs.waiting()
         return AgentStatus(
             agent_id=self.agent_id,
@@ -94,18 +93,11 @@
             cold_ms=self.backend.warmup.left_ms(now),
         )
 
-    def _free(self, capacity: Room, now: float) -> Room:
-        """Return the capacity that may be used and that no run needs."""
-        room = self.queue.typical_room
-        return self.queue.runs.free(
-            capacity, queued=True
-        ) - self.backend.withheld_capacity(room, now)
-
     def _vacancy(self, now: float) -> Vacancy:
         report = self.backend.report
         if report is None:
             return Vacancy()
-        free = self._free(report.capacity, now)
+        free = self.queue.runs.free(report.capacity, queued=True)
         return Vacancy(
             accepting=self.is_accepting(now),
             probing=self.backend.health.probing,
--- a/egretcart/direct/agent/known_backend.py
+++ b/egretcart/direct/agent/known_backend.py
@@ -11,9 +11,6 @@
 from egretcart.direct.backend.warmup import Warmup
 from egretcart.direct.log.decisions import BackendChanged
 from egretcart.direct.log.decisions import DecisionLog
-from egretcart.direct.policy.warming import usable_capacity
-from egretcart.direct.request.job import NO_ROOM
-from egretcart.direct.request.job import Room
 from egretcart.direct.request.job import TaskKey
 
 MS_PER_S = 1000
@@ -89,14 +86,6 @@
             else now + report.leaves_in_ms / MS_PER_S
         )
 
-    def withheld_capacity(self, typical_room: Room, now: float) -> Room:
-        """Return the capacity that may not be used yet while it is cold."""
-        if self.report is None or not self.warmup.is_cold(now):
-            return NO_ROOM
-        capacity = self.report.capacity
-        share = self.warmup.passed_share(now)
-        return capacity - usable_capacity(capacity, typical_room, share)
-
     def leaves_in_ms(self, now: float) -> float | None:
         """Return the shortest time until it leaves; None if unknown."""
         if self.leaves_at is None:
--- a/egretcart/direct/agent/run_queue.py
+++ b/egretcart/direct/agent/run_queue.py
@@ -150,23 +150,10 @@
                 len(self.runs.occupying()), now
             ):
                 return
-            usable = free - self._withheld_from(run, now)
-            if usable.can_fit(run.room) and self.runs.is_below_agent_limit(
-                run
-            ):
+            if free.can_fit(run.room) and self.runs.is_below_agent_limit(run):
                 free -= run.room
                 self._start_run(run, free, now)
 
-    def _withheld_from(self, run: Run, now: float) -> Room:
-        """Return the capacity that a cold server doesn't give a run yet.
-
-        A run that may wait was sent although its entry saw no free capacity
-        anywhere. It is served sooner here than if it waited.
-        """
-        if run.may_wait:
-            return NO_ROOM
-        return self.backend.withheld_capacity(run.room, now)
-
     def _may_start(self, now: float) -> bool:
         # Tasks that were queued while the process was paused may run
         # elsewhere now.
--- a/egretcart/direct/request/job.py
+++ b/egretcart/direct/request/job.py
@@ -47,30 +47,6 @@
             and other.accelerators <= self.accelerators
         )
 
-    def scaled(self, share: float) -> "Room":
-        """Return a share of these resources, rounded down."""
-        return Room(
-            int(self.cpu_milli * share),
-            int(self.memory_mb * share),
-            int(self.accelerators * share),
-        )
-
-    def at_least(self, other: "Room") -> "Room":
-        """Return the larger amount of each resource."""
-        return Room(
-            max(self.cpu_milli, other.cpu_milli),
-            max(self.memory_mb, other.memory_mb),
-            max(self.accelerators, other.accelerators),
-        )
-
-    def at_most(self, other: "Room") -> "Room":
-        """Return the smaller amount of each resource."""
-        return Room(
-            min(self.cpu_milli, other.cpu_milli),
-            min(self.memory_mb, other.memory_mb),
-            min(self.accelerators, other.accelerators),
-        )
-
     def count_fitting(self, other: "Room", most: int) -> int:
         """Return how many times the other resources fit, up to `most`."""
         count = 0
