--- a/tests/features/steps/leaving_steps.py
+++ b/tests/features/steps/leaving_steps.py
@@ -29,6 +29,7 @@
 from egretcart.direct.entry.entry_types import SendToAgent
 from egretcart.direct.log.decisions import LeavingRunJudged
 from egretcart.direct.log.decisions import NullDecisionLog
+from egretcart.direct.policy.admission import Backlog
 from egretcart.direct.policy.admission import estimate_load
 from egretcart.direct.policy.leaving import should_move
 from egretcart.direct.policy.leaving import ThreatenedRun
@@ -152,7 +153,16 @@
     assert view.may_run(STEP)
     assert view.can_begin(STEP.room, "")
     view.update(context.status, 1.1)
-    load = estimate_load(STEP, [view], queued_cpu_milli_ms=0, far_factor=1.5)
+    load = estimate_load(
+        STEP,
+        [view],
+        now=1.1,
+        critical_path_ms=STEP.estimate_ms,
+        on_time=Backlog(),
+        late=Backlog(),
+        far_factor=1.5,
+        task_spread=0.0,
+    )
     assert (load.capacity_cpu_milli, load.has_free_capacity) == (0, False)
     assert not view.can_begin(STEP.room, "")
     placement = Placement(
