Accept connections together that wait together

trio accepts one connection in a turn of its loop. All that wait are now accepted in one turn, the oldest first, and count from then on.

The new scenario fails without the change: 1 of 20 is accepted in a turn.

--- a/egretcart/connection/http_listener.py
+++ b/egretcart/connection/http_listener.py
@@ -1,5 +1,8 @@
 """HTTP listener with a limit of connections and an orderly shutdown."""
 
+import errno
+import socket
+
 import trio
 
 from egretcart.connection.http_server import Handler
@@ -17,19 +20,58 @@
 FIRST_REQUEST_GRACE_S = 0.2
 # Limit of the wait for a connection that was to be accepted and has ended.
 ACCEPT_TIMEOUT_S = 0.1
+MAX_ACCEPTED_PER_TURN = 64
+# The process or the machine has no descriptor or memory left.
+ACCEPT_CAPACITY_ERRNOS = (
+    errno.EMFILE,
+    errno.ENFILE,
+    errno.ENOMEM,
+    errno.ENOBUFS,
+)
+ACCEPT_RETRY_S = 0.1
+
 
+class _Acceptor:
+    """Accepts connections together that wait together, the oldest first.
 
-class _KeptListener(trio.abc.Listener[trio.SocketStream]):
-    """A listener that `trio.serve_listeners` leaves open when it ends."""
+    trio accepts one connection in a turn of its loop, so that under load the
+    others would wait for as many turns, unseen by this process.
+
+    Parameters
+    ----------
+    listener : trio.SocketListener
+    """
 
     def __init__(self, *, listener: trio.SocketListener) -> None:
         self.listener = listener
+        self.socket = socket.fromfd(
+            listener.socket.fileno(),
+            listener.socket.family,
+            listener.socket.type,
+        )
+        self.socket.setblocking(False)
 
-    async def accept(self) -> trio.SocketStream:
-        return await self.listener.accept()
+    async def accept(self) -> list[trio.SocketStream]:
+        """Wait for a connection and accept all that wait, up to a bound.
 
-    async def aclose(self) -> None:
-        await trio.lowlevel.checkpoint()
+        The list is empty if the process could not open any.
+        """
+        try:
+            streams = [await self.listener.accept()]
+        except OSError as error:
+            if error.errno not in ACCEPT_CAPACITY_ERRNOS:
+                raise
+            await trio.sleep(ACCEPT_RETRY_S)
+            return []
+        while len(streams) < MAX_ACCEPTED_PER_TURN:
+            try:
+                accepted, _address = self.socket.accept()
+            except OSError:
+                break
+            streams.append(
+                trio.SocketStream(trio.socket.from_stdlib_socket(accepted))
+            )
+        return streams
 
 
 class HttpListener:
@@ -71,25 +113,33 @@
         """Accept connections until `close` and serve them in `nursery`."""
         self.is_serving = True
         with self.accept_scope:
-            await trio.serve_listeners(
-                self._serve,
-                [_KeptListener(listener=listener) for listener in listeners],
-                handler_nursery=nursery,
-            )
+            async with trio.open_nursery() as acceptors:
+                for listener in listeners:
+                    acceptors.start_soon(self._accept, listener, nursery)
         for listener in listeners:
             await self._accept_waiting(listener, nursery)
             await listener.aclose()
         self.is_serving = False
 
+    async def _accept(
+        self, listener: trio.SocketListener, nursery: trio.Nursery
+    ) -> None:
+        acceptor = _Acceptor(listener=listener)
+        with acceptor.socket:
+            while True:
+                for stream in await acceptor.accept():
+                    self._start(stream, nursery)
+
     async def _accept_waiting(
         self, listener: trio.SocketListener, nursery: trio.Nursery
     ) -> None:
         """Serve the connections that would be reset with the listener."""
         while is_readable(listener):
             with trio.move_on_after(ACCEPT_TIMEOUT_S):
-                nursery.start_soon(self._serve, await listener.accept())
+                self._start(await listener.accept(), nursery)
 
-    async def _serve(self, stream: trio.SocketStream) -> None:
+    def _start(self, stream: trio.SocketStream, nursery: trio.Nursery) -> None:
+        """Serve a connection in the nursery, or refuse it there."""
         connection = HttpConnection(
             stream=stream,
             handler=self.handler,
@@ -97,9 +147,12 @@
             is_stopping=lambda: self.stopping,
         )
         if len(self.connections) >= self.limits.max_connections:
-            await self._refuse(connection)
+            nursery.start_soon(self._refuse, connection)
             return
         self.connections.add(connection)
+        nursery.start_soon(self._serve, connection)
+
+    async def _serve(self, connection: HttpConnection) -> None:
         try:
             await connection.serve()
         finally:
--- a/tests/features/connection_bounds.feature
+++ b/tests/features/connection_bounds.feature
@@ -11,6 +11,14 @@
     When one connection more than the bound is opened
     Then it gets status 503 and the others are served
 
+  Scenario: Connections that wait together do not wait for one another
+    Given an HTTP server that is busy while 20 connections are opened
+    Then all of them are accepted in one turn of its loop
+
+  Scenario: A response does not wait for turns of the loop
+    Given an HTTP server with short limits
+    Then a response is sent in the turn in which its handler returns
+
   Scenario: An agent's own port refuses connections beyond its bound
     Given a deployment of 1 entries and 1 agents
     When one connection more than the bound is opened to the agent
--- a/tests/features/steps/connection_bounds_steps.py
+++ b/tests/features/steps/connection_bounds_steps.py
@@ -1,5 +1,7 @@
 import functools
 import http.client
+import select
+import socket
 
 from behave import given
 from behave import then
@@ -302,3 +304,89 @@
     assert context.status == 200
     assert not context.connections
     assert not context.accepts
+
+
+class FirstAcceptance(trio.abc.Instrument):
+    """Counts the connections that a server accepts in its first such turn."""
+
+    def __init__(self, server):
+        self.server = server
+        self.accepted_at_once = 0
+
+    def before_io_wait(self, timeout):
+        del timeout
+        if not self.accepted_at_once:
+            self.accepted_at_once = len(self.server.connections)
+
+
+@given("an HTTP server that is busy while {count:d} connections are opened")
+def open_while_busy(context, count):
+    async def main():
+        limits = HttpLimits(max_connections=count)
+        server = HttpListener(handler=answer, limits=limits)
+        listeners = await trio.open_tcp_listeners(0, host=HOST)
+        port = listeners[0].socket.getsockname()[1]
+        first = FirstAcceptance(server)
+        # The loop takes no turn while these are opened.
+        opened = [socket.create_connection((HOST, port)) for _ in range(count)]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(server.serve, listeners, nursery)
+            trio.lowlevel.add_instrument(first)
+            with trio.fail_after(TIMEOUT_S):
+                await poll_until(lambda: len(server.connections) == count)
+            nursery.cancel_scope.cancel()
+        for connection in opened:
+            connection.close()
+        return first.accepted_at_once
+
+    context.count = count
+    context.accepted_at_once = trio.run(main)
+
+
+@then("all of them are accepted in one turn of its loop")
+def check_accepted_at_once(context):
+    assert context.accepted_at_once == context.count, context.accepted_at_once
+
+
+class ResponseTurns(trio.abc.Instrument):
+    """Counts turns from the return of a handler to the response."""
+
+    def __init__(self):
+        self.has_returned = False
+        self.turns = 0
+
+    def wait_for(self, connection):
+        self.poll = select.poll()
+        self.poll.register(connection, select.POLLIN)
+
+    async def handle(self, request):
+        del request
+        # The connection is watched while a handler waits.
+        await trio.sleep(0.01)
+        self.has_returned = True
+        return HttpResponse(body=b"{}")
+
+    def before_io_wait(self, timeout):
+        del timeout
+        if self.poll.poll(0):
+            self.has_returned = False
+        elif self.has_returned:
+            self.turns += 1
+
+
+@then("a response is sent in the turn in which its handler returns")
+def check_response_turns(context):
+    response = ResponseTurns()
+
+    async def scenario(connect, server):
+        server.handler = response.handle
+        stream = await connect()
+        response.wait_for(stream.socket.fileno())
+        trio.lowlevel.add_instrument(response)
+        await stream.send_all(VALID_REQUEST)
+        # Read only after the response has arrived, for `poll` to see it.
+        await trio.lowlevel.wait_readable(stream.socket.fileno())
+        return status_of(await receive_head(stream))
+
+    assert context.run(scenario) == 200
+    assert response.turns == 0, response.turns
