Revert "Refuse jobs that the entry's own lag makes late"

It can't be shown to help callers on the code as it is now.

Supposed, not measured: links, statuses and ticks, which before the traffic took a fifth of an unslowed machine, take most of a slowed one, so that refusing frees too little.

To try next: refuse only where requests cause the lag (their share of a turn), so that refusing can shorten it; count what a late answer is worth; say not ready sooner, as only that takes load away.

--- a/egretcart/direct/entry/entry.py
+++ b/egretcart/direct/entry/entry.py
@@ -22,9 +22,7 @@
 from egretcart.direct.entry.task_sender import TaskSender
 from egretcart.direct.log.decisions import ConfigurationAccepted
 from egretcart.direct.log.decisions import DecisionLog
-from egretcart.direct.log.decisions import OwnLagChanged
 from egretcart.direct.log.decisions import ProcessChanged
-from egretcart.direct.policy.own_load import OwnLoad
 from egretcart.direct.policy.placement import Placement
 from egretcart.direct.request.held_job import HeldJob
 from egretcart.direct.request.job import Job
@@ -73,8 +71,6 @@
     recruiter : AgentRecruiter
     sender : TaskSender
     endings : JobEndings
-    own_load : OwnLoad
-        How late this entry handles its input.
     admission : JobAdmission
     runs : AgentRuns
     peers : PeerEntries
@@ -126,13 +122,11 @@
             log=log,
         )
         self.endings = JobEndings(state=state, memory=self.memory)
-        self.own_load = OwnLoad(limits=limits.own_load, source=source)
         self.admission = JobAdmission(
             state=state,
             endings=self.endings,
             memory=self.memory,
             pending=self.pending,
-            own_load=self.own_load,
             drains=self.drains,
         )
         self.runs = AgentRuns(
@@ -219,7 +213,6 @@
                 for view in self.agents.values()
             )
             and self.admission.stop_deadline is None
-            and self.own_load.is_ready
         )
 
     def waiting_jobs(self, route: Route) -> int:
@@ -344,8 +337,6 @@
         if self._is_after_pause(now):
             self._resume_after_pause(now)
         self.last_tick_at = now
-        if self.own_load.update(now):
-            self._log_own_lag(now)
         self.runs.check_silence(now)
         self.peers.check_silence(now)
         self.runs.expire_lost_runs(now)
@@ -357,18 +348,6 @@
         self._dispatch(now)
         return self._pop_effects(now)
 
-    def _log_own_lag(self, now: float) -> None:
-        own = self.own_load
-        self.log.write(
-            OwnLagChanged(
-                state="behind" if own.is_behind else "caught up",
-                ready=own.is_ready,
-                lag_ms=round(own.lag_s * 1000),
-                lag_age_ms=round(own.lag_age_s(now) * 1000),
-                slack_ms=round(own.slack_s * 1000),
-            )
-        )
-
     def _resume_after_pause(self, now: float) -> None:
         """Close all links to agents, which have stopped this entry's runs."""
         paused_ms = round((now - self.last_tick_at) * 1000)
--- a/egretcart/direct/entry/entry_process.py
+++ b/egretcart/direct/entry/entry_process.py
@@ -14,7 +14,6 @@
 from egretcart.direct.entry.entry_links import EntryLinks
 from egretcart.direct.entry.entry_types import Answer
 from egretcart.direct.entry.entry_types import DirectEntryLimits
-from egretcart.direct.entry.loop_turns import LoopTurns
 from egretcart.direct.log.decisions import DecisionLog
 from egretcart.direct.process.settings import DirectEntrySettings
 from egretcart.direct.process.settings import split_address
@@ -126,9 +125,6 @@
             empty.
         """
         self.nursery = nursery
-        trio.lowlevel.add_instrument(
-            LoopTurns(own_load=self.entry.own_load, clock=self.clock)
-        )
         peers = await trio.open_tcp_listeners(
             self.settings.peer_port, host=self.settings.host
         )
--- a/egretcart/direct/entry/entry_types.py
+++ b/egretcart/direct/entry/entry_types.py
@@ -4,7 +4,6 @@
 
 from egretcart.direct.connection.messages import Message
 from egretcart.direct.policy.admission import AdmissionLimits
-from egretcart.direct.policy.own_load import OwnLoadLimits
 from egretcart.direct.policy.placement import PlacementLimits
 from egretcart.direct.policy.rescue import ReschedulingLimits
 from egretcart.direct.request.job import JobState
@@ -96,7 +95,6 @@
         Factor by which a task's run time is longer on another rack than
         that of its data.
     admission : AdmissionLimits
-    own_load : OwnLoadLimits
     placement : PlacementLimits
     rescheduling : ReschedulingLimits
     recruiting : RecruitingLimits
@@ -121,7 +119,6 @@
     admission: AdmissionLimits = dataclasses.field(
         default_factory=AdmissionLimits
     )
-    own_load: OwnLoadLimits = dataclasses.field(default_factory=OwnLoadLimits)
     placement: PlacementLimits = dataclasses.field(
         default_factory=PlacementLimits
     )
--- a/egretcart/direct/entry/job_admission.py
+++ b/egretcart/direct/entry/job_admission.py
@@ -16,7 +16,6 @@
 from egretcart.direct.log.decisions import JobRefused
 from egretcart.direct.policy.admission import estimate_load
 from egretcart.direct.policy.admission import retry_after_s
-from egretcart.direct.policy.own_load import OwnLoad
 from egretcart.direct.request.claims import Claim
 from egretcart.direct.request.held_job import HeldJob
 from egretcart.direct.request.job import find_job_violation
@@ -26,7 +25,6 @@
 from egretcart.direct.version.configuration import Route
 
 ALL_DRAINED_CAUSE = "all failure domains are drained"
-WAITED_IN_VAIN = "waited in vain"
 
 
 def _find_refusal_cause(job: Job, route: Route) -> str | None:
@@ -41,10 +39,6 @@
     return None
 
 
-def _to_ms(seconds: float) -> int:
-    return round(seconds * 1000)
-
-
 class JobAdmission:
     """Decides about requests, and about jobs that wait too long.
 
@@ -70,14 +64,12 @@
         endings: JobEndings,
         memory: AnswerMemory,
         pending: PendingClaims,
-        own_load: OwnLoad,
         drains: DrainRelay,
     ) -> None:
         self.state = state
         self.endings = endings
         self.memory = memory
         self.pending = pending
-        self.own_load = own_load
         self.drains = drains
         self.stop_deadline: float | None = None
 
@@ -239,7 +231,7 @@
         if self._is_due_after_stop(held, now):
             min_retry_s = self.state.limits.admission.min_retry_s
             self._refuse(
-                held, request_ids, "the entry leaves", 0.0, min_retry_s, now
+                held, request_ids, "the entry leaves", 0.0, min_retry_s
             )
             return
         wait_ms, retry_s = self._estimate_wait(held, now)
@@ -249,18 +241,7 @@
                 if self.drains.covers_all_agents
                 else "no room in time"
             )
-            self._refuse(held, request_ids, cause, wait_ms, retry_s, now)
-            return
-        lag_retry_s = self._lag_retry_after_s(held, now)
-        if lag_retry_s is not None:
-            self._refuse(
-                held,
-                request_ids,
-                "the entry is behind",
-                wait_ms,
-                lag_retry_s,
-                now,
-            )
+            self._refuse(held, request_ids, cause, wait_ms, retry_s)
             return
         held.waiting_request_ids |= request_ids
         self.state.jobs[job.job_id] = held
@@ -278,32 +259,9 @@
                     else None
                 ),
                 expected_wait_ms=round(wait_ms),
-                request_age_ms=self._request_age_ms(now),
             )
         )
 
-    def _request_age_ms(self, now: float) -> int:
-        return _to_ms(self.own_load.request_age_s(now))
-
-    def _lag_retry_after_s(self, held: HeldJob, now: float) -> float | None:
-        """Return when to retry if the lag makes a job late, else None.
-
-        A job that other entries may have run is not refused for that: its
-        claim has been waiting for them, and it is asked for again.
-        """
-        if held.may_have_run:
-            return None
-        objective_s = held.objective_ms / 1000
-        useful_s = (
-            self.state.limits.admission.useful_latency_factor * objective_s
-        )
-        return self.own_load.retry_after_s(
-            objective_s=objective_s,
-            useful_s=min(useful_s, held.wait_deadline - now),
-            run_s=held.critical_path_ms / 1000,
-            now=now,
-        )
-
     def _is_due_after_stop(self, held: HeldJob, now: float) -> bool:
         """Whether the latency objective ends after this entry has stopped."""
         return (
@@ -378,9 +336,7 @@
         cause: str,
         wait_ms: float,
         retry_s: float,
-        now: float,
     ) -> None:
-        waited = cause == WAITED_IN_VAIN
         self.state.log.write(
             JobRefused(
                 job_id=held.job.job_id,
@@ -390,9 +346,6 @@
                 expected_wait_ms=round(wait_ms),
                 retry_after_s=math.ceil(retry_s),
                 tasks=len(held.tasks),
-                request_age_ms=0 if waited else self._request_age_ms(now),
-                lag_ms=_to_ms(self.own_load.lag_s),
-                lag_age_ms=_to_ms(self.own_load.lag_age_s(now)),
             )
         )
         for request_id in request_ids:
@@ -436,10 +389,9 @@
             self._refuse(
                 held,
                 held.waiting_request_ids,
-                WAITED_IN_VAIN,
+                "waited in vain",
                 wait_ms,
                 retry_s,
-                now,
             )
 
     def _has_waited_long(self, held: HeldJob, now: float) -> bool:
--- a/egretcart/direct/log/decisions.py
+++ b/egretcart/direct/log/decisions.py
@@ -35,8 +35,6 @@
         How long the caller waits; None if it has set no limit.
     expected_wait_ms : int
         Estimated time until a task of the job may start.
-    request_age_ms : int
-        Estimated time that the request has waited to be handled.
     """
 
     job_id: str
@@ -46,7 +44,6 @@
     objective_ms: int
     patience_ms: int | None
     expected_wait_ms: int
-    request_age_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -68,13 +65,6 @@
         When the caller may retry; 0 if the job is not served at all.
     tasks : int
         Number of the job's tasks; 0 if the job is not served at all.
-    request_age_ms : int
-        Estimated time that the request has waited to be handled; 0 if the
-        job had been accepted before.
-    lag_ms : int
-        Smoothed lag of the entry.
-    lag_age_ms : int
-        Time since that was updated.
     """
 
     job_id: str
@@ -84,9 +74,6 @@
     expected_wait_ms: int = 0
     retry_after_s: float = 0.0
     tasks: int = 0
-    request_age_ms: int = 0
-    lag_ms: int = 0
-    lag_age_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -494,31 +481,6 @@
     paused_ms: int = 0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class OwnLagChanged(Decision):
-    """An entry falls behind with its input, or catches up.
-
-    Attributes
-    ----------
-    state : str
-        ``behind`` or ``caught up``.
-    ready : bool
-        Whether it is ready for new callers, as far as its lag goes.
-    lag_ms : int
-        Smoothed lag.
-    lag_age_ms : int
-        Time since that was updated.
-    slack_ms : int
-        Mean time that recent jobs can wait and be on time.
-    """
-
-    state: str
-    ready: bool
-    lag_ms: int
-    lag_age_ms: int
-    slack_ms: int
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class AgentsRecruited(Decision):
     """An entry asks some of its agents to serve another entry as well.
--- a/egretcart/direct/process/metered_log.py
+++ b/egretcart/direct/process/metered_log.py
@@ -12,7 +12,6 @@
 from egretcart.direct.log.decisions import Decision
 from egretcart.direct.log.decisions import DecisionLog
 from egretcart.direct.log.decisions import DomainsDrained
-from egretcart.direct.log.decisions import JobAccepted
 from egretcart.direct.log.decisions import JobAnswered
 from egretcart.direct.log.decisions import JobRefused
 from egretcart.direct.log.decisions import RunEnded
@@ -20,7 +19,6 @@
 from egretcart.direct.process.settings import split_address
 from egretcart.process.metric_table import DECISIONS
 from egretcart.process.metric_table import DOMAINS_DRAINED
-from egretcart.process.metric_table import ENTRY_LAG
 from egretcart.process.metric_table import JOBS
 from egretcart.process.metric_table import JOBS_REFUSED
 from egretcart.process.metric_table import QUEUE_TIME
@@ -33,7 +31,6 @@
 
 MS_PER_S = 1000
 METRICS_PATH = "/metrics"
-BEHIND_CAUSE = "the entry is behind"
 # Only these causes become label values: others say what is wrong with one
 # job, which must not appear in a label.
 REFUSAL_CAUSES = frozenset(
@@ -74,10 +71,6 @@
             cause = decision.cause if known else OTHER_CAUSE
             self.metrics.add(JOBS, label="refused")
             self.metrics.add(JOBS_REFUSED, label=cause)
-            if cause == BEHIND_CAUSE:
-                self._observe_lag(decision.request_age_ms)
-        elif isinstance(decision, JobAccepted):
-            self._observe_lag(decision.request_age_ms)
         elif isinstance(decision, RunStarted):
             self.metrics.observe(QUEUE_TIME, decision.waited_ms / MS_PER_S)
         elif isinstance(decision, RunEnded):
@@ -87,9 +80,6 @@
             count = len(decision.domains)
             self.metrics.gauge(DOMAINS_DRAINED, lambda: count)
 
-    def _observe_lag(self, request_age_ms: int) -> None:
-        self.metrics.observe(ENTRY_LAG, request_age_ms / MS_PER_S)
-
 
 class MetricsServer:
     """Counts the decisions of a process and serves its metrics.
--- a/egretcart/process/metric_table.py
+++ b/egretcart/process/metric_table.py
@@ -118,13 +118,6 @@
     meaning="direct dispatch: time from a task's arrival to its order",
     buckets=TASK_BUCKETS_S,
 )
-ENTRY_LAG = Metric(
-    name="egretcart.entry.lag",
-    kind=MetricKind.HISTOGRAM,
-    unit="s",
-    meaning="direct dispatch: time that a request waits to be handled",
-    buckets=TASK_BUCKETS_S,
-)
 RUN_TIME = Metric(
     name="egretcart.run.time",
     kind=MetricKind.HISTOGRAM,
@@ -278,7 +271,6 @@
     JOBS,
     REFUSALS,
     RESPONSE_TIME,
-    ENTRY_LAG,
     QUEUE_TIME,
     RUN_TIME,
     RUN_ENDINGS,
