--- a/egretcart/direct/connection/messages.py
+++ b/egretcart/direct/connection/messages.py
@@ -12,6 +12,8 @@
 # Reason with which an agent rejects tasks of an entry after another entry has
 # taken their job over.
 TAKEN_OVER_REASON = "its job was taken over"
+# Most priorities in a summary of an entry's load; the most urgent ones count.
+MAX_PRIORITIES = 64
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -236,6 +238,10 @@
     probing : bool
         Whether it runs one task at a time, because tasks of several jobs
         have failed in a row.
+    cold_ms : int
+        Time for which the backend server still runs tasks more slowly than
+        later, in milliseconds; 0 for a warm one. `pace_percent` is then its
+        slowdown while it is cold.
     """
 
     agent_id: str = ""
@@ -254,6 +260,7 @@
     sequence: int = 0
     pace_percent: int = 100
     probing: bool = False
+    cold_ms: int = 0
 
     @property
     def capacity(self) -> Room:
@@ -305,7 +312,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class TaskLate:
-    """A run makes little or no progress.
+    """A run makes too little progress, or its backend server leaves first.
 
     Attributes
     ----------
@@ -319,6 +326,9 @@
         it is stalled.
     percent : int
         Progress of the run, 0 to 100.
+    leaves_in_ms : int
+        Shortest time until the backend server leaves, in milliseconds, if
+        the run is expected to take longer; 0 if that isn't the case.
     """
 
     job_id: str = ""
@@ -327,6 +337,7 @@
     run: int = 0
     whole_ms: int = 0
     percent: int = 0
+    leaves_in_ms: int = 0
 
     @property
     def key(self) -> TaskKey:
@@ -450,6 +461,34 @@
     state: str = ""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LoadSummary:
+    """Work that waits and arrives at an entry, for admission at others.
+
+    It replaces the last one; heartbeats after it confirm it.
+
+    Attributes
+    ----------
+    priorities : tuple of int
+        Priorities of routes with work; the next two fields have as many
+        elements.
+    waiting : tuple of int
+        Work of waiting tasks whose jobs can be on time, by priority, in
+        thousandths of a processor times milliseconds.
+    arriving : tuple of int
+        Processors that arriving work would keep busy, by priority, in
+        thousandths.
+    late_waiting : int
+        Work of waiting tasks whose jobs will be late, in thousandths of a
+        processor times milliseconds.
+    """
+
+    priorities: tuple[int, ...] = ()
+    waiting: tuple[int, ...] = ()
+    arriving: tuple[int, ...] = ()
+    late_waiting: int = 0
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class RoutingRequest:
     """Asks an entry for its active configuration, on the same link.
@@ -509,5 +548,6 @@
     | RoutingRequest
     | RecruitAgents
     | DrainedDomains
+    | LoadSummary
 )
 Message = AgentMessage | EntryMessage | PeerMessage
--- a/egretcart/direct/connection/wire.thrift
+++ b/egretcart/direct/connection/wire.thrift
@@ -49,6 +49,7 @@
   14: optional i64 sequence
   15: optional i32 pace_percent
   16: optional bool probing
+  17: optional i64 cold_ms
 }
 struct TaskEnded {
   1: optional string job_id
@@ -66,6 +67,7 @@
   4: optional i32 run
   5: optional i64 whole_ms
   6: optional i32 percent
+  7: optional i64 leaves_in_ms
 }
 struct HeldTask {
   1: optional string job_id
@@ -102,6 +104,12 @@
   5: optional string label
 }
 struct ServeEntry { 1: optional PeerAddress address }
+struct LoadSummary {
+  1: optional list<i32> priorities
+  2: optional list<i64> waiting
+  3: optional list<i64> arriving
+  4: optional i64 late_waiting
+}
 
 // Between all processes.
 struct DrainedDomains { 1: optional i64 revision, 2: optional list<string> domains }
@@ -127,5 +135,6 @@
   18: optional RecruitAgents recruit_agents
   19: optional ServeEntry serve_entry
   20: optional DrainedDomains drained_domains
+  21: optional LoadSummary load_summary
 }
 struct Frame { 1: optional list<Message> messages }
--- a/egretcart/direct/entry/entry.py
+++ b/egretcart/direct/entry/entry.py
@@ -16,6 +16,7 @@
 from egretcart.direct.entry.job_admission import JobAdmission
 from egretcart.direct.entry.job_endings import JobEndings
 from egretcart.direct.entry.job_releases import JobReleases
+from egretcart.direct.entry.load_picture import LoadPicture
 from egretcart.direct.entry.peer_entries import PeerEntries
 from egretcart.direct.entry.pending_claims import PendingClaims
 from egretcart.direct.entry.recruiting import AgentRecruiter
@@ -74,6 +75,8 @@
     admission : JobAdmission
     runs : AgentRuns
     peers : PeerEntries
+    load : LoadPicture
+        Waiting and arriving work here and at other entries.
     """
 
     def __init__(
@@ -121,6 +124,7 @@
             effects=state.effects,
             log=log,
         )
+        self.load = LoadPicture(state=state)
         self.endings = JobEndings(state=state, memory=self.memory)
         self.admission = JobAdmission(
             state=state,
@@ -128,6 +132,8 @@
             memory=self.memory,
             pending=self.pending,
             drains=self.drains,
+            load=self.load,
+            source=source,
         )
         self.runs = AgentRuns(
             state=state,
@@ -143,6 +149,7 @@
             releases=self.releases,
             recruiter=self.recruiter,
             drains=self.drains,
+            load=self.load,
         )
 
     # Standing orders of the operators.
--- a/egretcart/direct/log/decisions.py
+++ b/egretcart/direct/log/decisions.py
@@ -34,7 +34,7 @@
     patience_ms : int or None
         How long the caller waits; None if it has set no limit.
     expected_wait_ms : int
-        Estimated time until a task of the job may start.
+        Estimated time until the job's last task starts.
     """
 
     job_id: str
@@ -59,12 +59,29 @@
     objective_ms : int
         Latency objective; 0 if the job is not served at all.
     expected_wait_ms : int
-        Estimated time until a task of the job may start; 0 if the job is
-        not served at all.
+        Estimated time until the job's last task starts; 0 if the job is
+        not served at all. The fields below are 0 then, too.
     retry_after_s : float
-        When the caller may retry; 0 if the job is not served at all.
+        When the caller may retry.
     tasks : int
-        Number of the job's tasks; 0 if the job is not served at all.
+        Number of the job's tasks.
+    late_wait_ms : int
+        The same time as `expected_wait_ms` once the job will be late.
+    run_ms : int
+        Expected time from then until the end of the slowest task.
+    free_places : int
+        Tasks of its first step that would begin at once.
+    arriving_percent : int
+        Share of the capacity that more urgent work is expected to take
+        while the job waits, in percent.
+    ahead_ms : int
+        Waiting work that goes before the job, over the capacity.
+    status_age_ms : int
+        Age of the oldest agent status that was used.
+    summary_age_ms : int
+        Age of the oldest load summary of another entry that was used.
+    unknown_entries : int
+        Other entries whose load was not known.
     """
 
     job_id: str
@@ -74,6 +91,14 @@
     expected_wait_ms: int = 0
     retry_after_s: float = 0.0
     tasks: int = 0
+    late_wait_ms: int = 0
+    run_ms: int = 0
+    free_places: int = 0
+    arriving_percent: int = 0
+    ahead_ms: int = 0
+    status_age_ms: int = 0
+    summary_age_ms: int = 0
+    unknown_entries: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -256,6 +281,47 @@
     elsewhere_pace: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LeavingRunJudged(Decision):
+    """An entry decides about a run whose server may leave before it ends.
+
+    Attributes
+    ----------
+    agent : str
+        Id of the agent that has the run.
+    moved : bool
+        Whether the run is stopped, to run the task on another agent; if
+        not, it stays where it is.
+    leaves_in_ms : int
+        Shortest time until the server leaves.
+    percent : int
+        How much of the run is done.
+    whole_ms : int
+        Expected total run time at the agent.
+    pace : float
+        Slowdown at the agent: run times relative to the callers'
+        estimates.
+    elsewhere_pace : float
+        Lowest slowdown among agents with free capacity for the task; 0 if
+        there is none.
+    status_age_ms : int
+        Age of the status that tells of that agent; 0 if there is none.
+    """
+
+    job_id: str
+    step: int
+    index: int
+    run: int
+    agent: str
+    moved: bool
+    leaves_in_ms: int
+    percent: int
+    whole_ms: int
+    pace: float
+    elsewhere_pace: float
+    status_age_ms: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class RunStarted(Decision):
     """An agent requests the start of a run from its backend server.
