Send a heartbeat in place of a status that says nothing new

Cause: a status of 170 bytes went to each entry at the heartbeat interval, most of them the same as the one before; the entry decoded it, applied it and dispatched its waiting tasks again. The interval is unchanged, and a changed status is sent as before.

--- a/egretcart/direct/agent/agent_types.py
+++ b/egretcart/direct/agent/agent_types.py
@@ -12,6 +12,7 @@
 from egretcart.direct.backend.backend import StopRequest
 from egretcart.direct.backend.health import HealthLimits
 from egretcart.direct.backend.lease import LeaseLimits
+from egretcart.direct.connection.messages import AgentStatus
 from egretcart.direct.connection.messages import Message
 from egretcart.direct.connection.working_set import WorkingSetLimits
 from egretcart.direct.request.job import Room
@@ -246,6 +247,8 @@
         Sequence number of its last `RunTasks`; 0 if there was none.
     status_sent_at : float
         When the last status was sent to it; 0 if none was.
+    reported : AgentStatus or None
+        The last status sent to it; None if none was.
     outdated : bool
         Whether the agent's vacancy has changed since the last status.
     unwanted_since : float
@@ -262,6 +265,7 @@
     connected: bool = True
     sequence: int = 0
     status_sent_at: float = 0.0
+    reported: AgentStatus | None = None
     outdated: bool = False
     unwanted_since: float = 0.0
     drained_domains: tuple[str, ...] | None = None
--- a/egretcart/direct/agent/entry_links.py
+++ b/egretcart/direct/agent/entry_links.py
@@ -9,6 +9,7 @@
 from egretcart.direct.agent.agent_types import Eviction
 from egretcart.direct.agent.agent_types import SendToEntry
 from egretcart.direct.connection.messages import AgentStatus
+from egretcart.direct.connection.messages import Beat
 from egretcart.direct.connection.messages import EntriesServed
 from egretcart.direct.connection.messages import JobEvicted
 from egretcart.direct.connection.messages import Message
@@ -102,10 +103,19 @@
             ):
                 state.status_sent_at = now
                 state.outdated = False
-                self.send(entry_id, self._status_for(state, now))
+                self._send_status(entry_id, state, now)
         self.status_changed = False
         self.entries_to_notify.clear()
 
+    def _send_status(
+        self, entry_id: str, state: EntryState, now: float
+    ) -> None:
+        """Send a status, or a heartbeat if it is the same as the last."""
+        status = self._status_for(state, now)
+        is_news = status != state.reported
+        state.reported = status
+        self.send(entry_id, status if is_news else Beat())
+
     def _status_for(self, state: EntryState, now: float) -> AgentStatus:
         status = self.status(state.sequence, now)
         if state.is_retiring(self.retire_after_s, now):
--- a/egretcart/direct/connection/views.py
+++ b/egretcart/direct/connection/views.py
@@ -47,7 +47,7 @@
         Whether nothing may begin in its failure domain, as far as the entry
         knows.
     status_at : float
-        When the last status was received.
+        When the last status was received, or a heartbeat in its place.
     last_message_at : float
         When the last message of any kind was received.
     last_sent_at : float
--- a/egretcart/direct/entry/agent_runs.py
+++ b/egretcart/direct/entry/agent_runs.py
@@ -132,6 +132,8 @@
         view.last_message_at = now
         if isinstance(message, AgentStatus):
             view.update(message, now)
+        elif isinstance(message, Beat):
+            view.status_at = now
         elif isinstance(message, TaskEnded):
             self._handle_task_ended(agent_id, message, now)
         elif isinstance(message, TaskLate):
--- a/egretcart/direct/entry/entry_links.py
+++ b/egretcart/direct/entry/entry_links.py
@@ -53,7 +53,7 @@
     on_answer : callable
         Called with each answer of the entry.
     on_agent_message : callable
-        Called after each message of an agent.
+        Called after each message of an agent that says something new.
     on_configuration : callable
         Called with a configuration of another entry and that entry's id.
 
@@ -135,7 +135,8 @@
                 self.apply_effects(self.entry.agent_connected(message, now))
             elif agent_id and self.agent_links.get(agent_id) is link:
                 self.apply_effects(self.entry.receive(agent_id, message, now))
-                self.on_agent_message()
+                if not isinstance(message, Beat):
+                    self.on_agent_message()
 
         await link.run(handle, first=[self._hello()])
         self._peer_disconnected(peer_id, link)
--- a/tests/features/job_cost.feature
+++ b/tests/features/job_cost.feature
@@ -21,3 +21,8 @@
   Scenario: The log lines of a turn are written at once
     When 5 decisions are logged in each of 3 turns
     Then 3 writes have written 15 lines of one eliot task
+
+  Scenario: A status that is the same as the last is sent as a heartbeat
+    When an agent sends 4 statuses, of which the third has changed
+    Then it has sent "AgentStatus, Beat, AgentStatus, Beat"
+    And an entry takes the heartbeat for a status of that time
--- a/tests/features/steps/job_cost_steps.py
+++ b/tests/features/steps/job_cost_steps.py
@@ -3,6 +3,7 @@
 import contextlib
 import json
 import os
+import random
 from unittest import mock
 
 from behave import then
@@ -17,8 +18,15 @@
 from egretcart.connection.http_server import HttpLimits
 from egretcart.connection.http_server import HttpResponse
 from egretcart.connection.peer_link import PeerLink
+from egretcart.direct.agent.agent_types import EntryState
+from egretcart.direct.agent.entry_links import EntryLinks
+from egretcart.direct.connection.messages import AgentHello
+from egretcart.direct.connection.messages import AgentStatus
 from egretcart.direct.connection.messages import Beat
 from egretcart.direct.connection.wire import DIRECT_PROTOCOL
+from egretcart.direct.entry.entry import DirectEntry
+from egretcart.direct.entry.entry_types import DirectEntryLimits
+from egretcart.direct.log.decisions import NullDecisionLog
 from egretcart.direct.log.decisions import PeerChanged
 from egretcart.direct.log.log_lines import JsonDecisionLog
 from egretcart.direct.log.log_lines import STDOUT
@@ -239,3 +247,44 @@
     assert [record["task_level"] for record in records] == [
         [number] for number in range(1, lines + 1)
     ]
+
+
+@when("an agent sends 4 statuses, of which the third has changed")
+def send_statuses(context):
+    queued = iter((1, 1, 2, 2))
+    effects = []
+    links = EntryLinks(
+        effects=effects,
+        min_status_interval_s=0.0,
+        max_statuses_per_s=1000.0,
+        retire_after_s=60.0,
+        status=lambda sequence, now: AgentStatus(queued=next(queued)),
+    )
+    links.entries["entry-1"] = EntryState(
+        incarnation=1, last_message_at=0.0, heartbeat_interval_s=0.1
+    )
+    for number in range(1, 5):
+        links.send_due_statuses(float(number))
+    context.sent = [effect.message for effect in effects]
+
+
+@then('it has sent "{kinds}"')
+def check_sent(context, kinds):
+    names = [type(message).__name__ for message in context.sent]
+    assert names == kinds.split(", "), names
+
+
+@then("an entry takes the heartbeat for a status of that time")
+def check_received(context):
+    entry = DirectEntry(
+        entry_id="entry-1",
+        limits=DirectEntryLimits(),
+        log=NullDecisionLog(),
+        source=random.Random(1),
+    )
+    hello = AgentHello(status=AgentStatus(agent_id="agent-1", queued=2))
+    entry.agent_connected(hello, 1.0)
+    entry.receive("agent-1", context.sent[-1], 3.0)
+    view = entry.state.agents["agent-1"]
+    assert (view.status_at, view.last_message_at) == (3.0, 3.0)
+    assert view.status == hello.status
