Test that leaving and cold servers break no promise under random faults

It fails if a moved task is requeued before its run has ended: it then runs on two servers.

It now asks that the agent counts with all capacity and one place before the report, and with none after it.

--- a/tests/features/leaving.feature
+++ b/tests/features/leaving.feature
@@ -58,3 +58,7 @@
     Then no promise of either deployment was broken
     And no run was moved that would have ended before its server left
     And two fifths fewer callers get late answers than if each run stays
+
+  Scenario: Random faults while servers leave and come back cold
+    When deployments whose servers leave run random faults of seeds 3, 9 and 10
+    Then no promise was broken, all callers have answers, and runs were moved
--- a/tests/features/steps/leaving_steps.py
+++ b/tests/features/steps/leaving_steps.py
@@ -7,6 +7,8 @@
 from direct_decisions_steps import agent_with_server
 from direct_decisions_steps import BACKEND_INCARNATION
 from direct_decisions_steps import listing_at
+from direct_world_steps import COMPLETION_WAIT_S
+from direct_world_steps import inject_fault
 from direct_world_steps import TASK_ROOM
 from hypothesis import given as given_examples
 from hypothesis import strategies
@@ -143,6 +145,20 @@
     context.status = told[0][1]
 
 
+def capacity_and_places(view):
+    load = estimate_load(
+        STEP,
+        [view],
+        now=1.1,
+        critical_path_ms=STEP.estimate_ms,
+        on_time=Backlog(),
+        late=Backlog(),
+        far_factor=1.5,
+        task_spread=0.15,
+    )
+    return load.capacity_cpu_milli, load.free_places
+
+
 @then("an entry that is told so counts it in no estimate")
 def check_no_estimate(context):
     accepting = AgentStatus(
@@ -152,18 +168,9 @@
     view = AgentView(status=accepting, now=1.0)
     assert view.may_run(STEP)
     assert view.can_begin(STEP.room, "")
+    assert capacity_and_places(view) == (10, 1)
     view.update(context.status, 1.1)
-    load = estimate_load(
-        STEP,
-        [view],
-        now=1.1,
-        critical_path_ms=STEP.estimate_ms,
-        on_time=Backlog(),
-        late=Backlog(),
-        far_factor=1.5,
-        task_spread=0.0,
-    )
-    assert (load.capacity_cpu_milli, load.has_free_capacity) == (0, False)
+    assert capacity_and_places(view) == (0, 0)
     assert not view.can_begin(STEP.room, "")
     placement = Placement(
         limits=PlacementLimits(), far_factor=1.5, source=random.Random(1)
@@ -432,3 +439,53 @@
         for world, _ in context.former
     )
     assert late <= 0.6 * former, (late, former)
+
+
+def run_leaving_with_faults(seed):
+    log = MoveLog()
+    world = SimulatedDeployment(
+        entries=3, agents=7, seed=seed, speeds=(1.4, 1.4, 0.6), log=log
+    )
+    log.world = world
+    source = random.Random(seed)
+    for backend in world.backends.values():
+        backend.cold_speed = 0.4
+        backend.cold_ms = 2000
+    world.run(2.0)
+    for number in range(300):
+        work_ms = source.choice([60, 120, 400, 1800, 1800])
+        world.submit(
+            tasks=source.choice([1, 2, 4, 8]),
+            work_ms=work_ms,
+            room=TASK_ROOM,
+            estimate_ms=work_ms * source.lognormvariate(0, 0.4),
+        )
+        world.run(0.04)
+        inject_fault(world, source)
+        if number % 40 == 20:
+            name = source.choice(list(world.backends))
+            backend = world.backends[name]
+            if backend.is_up and backend.leaves_at_ms is None:
+                stays_s = source.uniform(0, 0.5)
+                leave(world, name, notice_s=1.5, stays_s=stays_s, away_s=1.0)
+    world.unanswered = 0
+    world.run(COMPLETION_WAIT_S)
+    return world, log
+
+
+@when("deployments whose servers leave run random faults of seeds 3, 9 and 10")
+def run_seeds_with_faults(context):
+    context.runs = [run_leaving_with_faults(seed) for seed in (3, 9, 10)]
+
+
+@then("no promise was broken, all callers have answers, and runs were moved")
+def check_faults(context):
+    for world, _ in context.runs:
+        assert not world.violations, world.violations[:3]
+        unanswered = [
+            request
+            for request in world.requests
+            if request.answer is None and not request.caller_disconnected
+        ]
+        assert not unanswered, unanswered[:3]
+    assert any(log.moved for _, log in context.runs)
