--- a/egretcart/direct/connection/messages.py
+++ b/egretcart/direct/connection/messages.py
@@ -12,8 +12,6 @@
 # Reason with which an agent rejects tasks of an entry after another entry has
 # taken their job over.
 TAKEN_OVER_REASON = "its job was taken over"
-# Most priorities in a summary of an entry's load; the most urgent ones count.
-MAX_PRIORITIES = 64
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -461,34 +459,6 @@
     state: str = ""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class LoadSummary:
-    """Work that waits and arrives at an entry, for admission at others.
-
-    It replaces the last one; heartbeats after it confirm it.
-
-    Attributes
-    ----------
-    priorities : tuple of int
-        Priorities of routes with work; the next two fields have as many
-        elements.
-    waiting : tuple of int
-        Work of waiting tasks whose jobs can be on time, by priority, in
-        thousandths of a processor times milliseconds.
-    arriving : tuple of int
-        Processors that arriving work would keep busy, by priority, in
-        thousandths.
-    late_waiting : int
-        Work of waiting tasks whose jobs will be late, in thousandths of a
-        processor times milliseconds.
-    """
-
-    priorities: tuple[int, ...] = ()
-    waiting: tuple[int, ...] = ()
-    arriving: tuple[int, ...] = ()
-    late_waiting: int = 0
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class RoutingRequest:
     """Asks an entry for its active configuration, on the same link.
@@ -548,6 +518,5 @@
     | RoutingRequest
     | RecruitAgents
     | DrainedDomains
-    | LoadSummary
 )
 Message = AgentMessage | EntryMessage | PeerMessage
--- a/egretcart/direct/connection/wire.py
+++ b/egretcart/direct/connection/wire.py
@@ -11,8 +11,6 @@
 from egretcart.direct.connection.messages import AgentHello
 from egretcart.direct.connection.messages import EntryHello
 from egretcart.direct.connection.messages import JobReleased
-from egretcart.direct.connection.messages import LoadSummary
-from egretcart.direct.connection.messages import MAX_PRIORITIES
 from egretcart.direct.connection.messages import RunTasks
 from egretcart.direct.connection.messages import TaskEnded
 from egretcart.direct.request.job import Ending
@@ -52,18 +50,6 @@
         return f'invalid tasks of job "{message.job_id}", run {message.run}'
     if isinstance(message, DrainedDomains):
         return _find_drain_violation(message)
-    if isinstance(message, LoadSummary):
-        return _find_summary_violation(message)
-    return None
-
-
-def _find_summary_violation(message: LoadSummary) -> str | None:
-    columns = (message.priorities, message.waiting, message.arriving)
-    lengths = {len(column) for column in columns}
-    if len(lengths) > 1 or max(lengths) > MAX_PRIORITIES:
-        return f"a load summary with columns of {sorted(lengths)} elements"
-    if min((*message.waiting, *message.arriving, message.late_waiting)) < 0:
-        return "a load summary with negative work"
     return None
 
 
--- a/egretcart/direct/connection/wire.thrift
+++ b/egretcart/direct/connection/wire.thrift
@@ -104,12 +104,6 @@
   5: optional string label
 }
 struct ServeEntry { 1: optional PeerAddress address }
-struct LoadSummary {
-  1: optional list<i32> priorities
-  2: optional list<i64> waiting
-  3: optional list<i64> arriving
-  4: optional i64 late_waiting
-}
 
 // Between all processes.
 struct DrainedDomains { 1: optional i64 revision, 2: optional list<string> domains }
@@ -135,6 +129,5 @@
   18: optional RecruitAgents recruit_agents
   19: optional ServeEntry serve_entry
   20: optional DrainedDomains drained_domains
-  21: optional LoadSummary load_summary
 }
 struct Frame { 1: optional list<Message> messages }
--- a/egretcart/direct/entry/entry.py
+++ b/egretcart/direct/entry/entry.py
@@ -75,8 +75,6 @@
     admission : JobAdmission
     runs : AgentRuns
     peers : PeerEntries
-    load : LoadPicture
-        Waiting and arriving work here and at other entries.
     """
 
     def __init__(
@@ -124,7 +122,6 @@
             effects=state.effects,
             log=log,
         )
-        self.load = LoadPicture(state=state)
         self.endings = JobEndings(state=state, memory=self.memory)
         self.admission = JobAdmission(
             state=state,
@@ -132,7 +129,7 @@
             memory=self.memory,
             pending=self.pending,
             drains=self.drains,
-            load=self.load,
+            load=LoadPicture(state=state),
             source=source,
         )
         self.runs = AgentRuns(
@@ -149,7 +146,6 @@
             releases=self.releases,
             recruiter=self.recruiter,
             drains=self.drains,
-            load=self.load,
         )
 
     # Standing orders of the operators.
--- a/egretcart/direct/entry/entry_state.py
+++ b/egretcart/direct/entry/entry_state.py
@@ -1,12 +1,9 @@
 """What the parts of an entry share: agents, other entries and jobs."""
 
-import math
-
 from egretcart.direct.connection.views import AgentView
 from egretcart.direct.entry.entry_types import DirectEntryLimits
 from egretcart.direct.entry.entry_types import EntryEffect
 from egretcart.direct.log.decisions import DecisionLog
-from egretcart.direct.request.claims import Claim
 from egretcart.direct.request.claims import ClaimTable
 from egretcart.direct.request.held_job import HeldJob
 from egretcart.direct.request.held_job import HeldTask
@@ -100,27 +97,3 @@
         """Return a job and its task; None for each that is not known."""
         held = self.jobs.get(key.job_id) or self.stopping_jobs.get(key.job_id)
         return held, held.tasks.get(key) if held is not None else None
-
-    def former_runs_expiry(self, claim: Claim) -> float:
-        """Return when runs have expired whose owner can't be asked.
-
-        That is an entry that is not connected, or that has been
-        disconnected since it reported the job and may have lost its state.
-        """
-        connected_at = self.peers_connected_at.get(claim.entry_id, math.inf)
-        if claim.claimed_at >= connected_at:
-            return 0.0
-        return self.former_runs_expire_at.get(claim.entry_id, 0.0)
-
-    def unconnected_entries(self) -> set[str]:
-        """Return entries that agents serve but that are not connected here.
-
-        This entry does not know which jobs they have accepted, so any job
-        may already run for one of them.
-        """
-        served = {
-            entry_id
-            for view in self.agents.values()
-            for entry_id in view.entries
-        }
-        return served - self.peers.keys() - {self.entry_id}
--- a/egretcart/direct/entry/entry_types.py
+++ b/egretcart/direct/entry/entry_types.py
@@ -61,10 +61,6 @@
         Time without a heartbeat of another entry after which its link is
         closed, in seconds: three heartbeat intervals, and less than a
         caller takes to ask again.
-    max_load_summaries_per_s : float
-        Summaries of its load that an entry sends to all other entries
-        together, per second; with more entries each gets them less often.
-        Each takes about 100 bytes.
     agent_stop_s : float
         Time, in seconds, from the moment when an agent marks an entry as
         lost until the agent has stopped all runs of that entry or the lease
@@ -111,7 +107,6 @@
     max_missed_heartbeats: float = 3.4
     peer_heartbeat_interval_s: float = 0.3
     peer_heartbeat_timeout_s: float = 0.95
-    max_load_summaries_per_s: float = 30.0
     agent_stop_s: float = 0.6
     pause_threshold_s: float = 0.4
     unconnected_wait_s: float = 0.3
--- a/egretcart/direct/entry/job_admission.py
+++ b/egretcart/direct/entry/job_admission.py
@@ -18,6 +18,7 @@
 from egretcart.direct.log.decisions import JobRefused
 from egretcart.direct.policy.admission import LoadEstimate
 from egretcart.direct.policy.admission import retry_after_s
+from egretcart.direct.request.claims import Claim
 from egretcart.direct.request.held_job import HeldJob
 from egretcart.direct.request.job import find_job_violation
 from egretcart.direct.request.job import Job
@@ -56,10 +57,7 @@
         "arriving_percent": round(
             100 * load.on_time.arriving_cpu_milli / capacity
         ),
-        "ahead_ms": round(load.on_time.ahead_cpu_milli_ms / capacity),
         "status_age_ms": round(load.status_age_ms),
-        "summary_age_ms": round(load.summary_age_ms),
-        "unknown_entries": load.unknown_entries,
     }
 
 
@@ -160,11 +158,11 @@
                 peers=self.state.peers,
                 agents=self.state.agents,
                 lost_agents=self.state.lost_agents,
-                former_expires_at=self.state.former_runs_expiry(claim),
+                former_expires_at=self._former_runs_expiry(claim),
                 wait_deadline_at=math.inf,
                 wait_limit_s=wait_limit_s,
             )
-        elif unconnected := self.state.unconnected_entries():
+        elif unconnected := self._unconnected_entries():
             self.pending.start_claim(
                 request_id,
                 job,
@@ -187,6 +185,32 @@
                 wait_limit_s=wait_limit_s,
             )
 
+    def _former_runs_expiry(self, claim: Claim) -> float:
+        """Return when runs have expired whose owner can't be asked.
+
+        That is an entry that is not connected, or that has been
+        disconnected since it reported the job and may have lost its state.
+        """
+        connected_at = self.state.peers_connected_at.get(
+            claim.entry_id, math.inf
+        )
+        if claim.claimed_at >= connected_at:
+            return 0.0
+        return self.state.former_runs_expire_at.get(claim.entry_id, 0.0)
+
+    def _unconnected_entries(self) -> set[str]:
+        """Return entries that agents serve but that are not connected here.
+
+        This entry does not know which jobs they have accepted, so any job
+        may already run for one of them.
+        """
+        served = {
+            entry_id
+            for view in self.state.agents.values()
+            for entry_id in view.entries
+        }
+        return served - self.state.peers.keys() - {self.state.entry_id}
+
     def _refuse_unserved(
         self, request_id: int, job: Job, route: Route, cause: str
     ) -> None:
--- a/egretcart/direct/entry/peer_entries.py
+++ b/egretcart/direct/entry/peer_entries.py
@@ -3,7 +3,6 @@
 from egretcart.direct.connection.messages import Beat
 from egretcart.direct.connection.messages import JobReleased
 from egretcart.direct.connection.messages import JobsTaken
-from egretcart.direct.connection.messages import LoadSummary
 from egretcart.direct.connection.messages import PeerMessage
 from egretcart.direct.connection.messages import RecruitAgents
 from egretcart.direct.connection.messages import ReleaseJob
@@ -15,7 +14,6 @@
 from egretcart.direct.entry.entry_types import SendToPeer
 from egretcart.direct.entry.job_endings import JobEndings
 from egretcart.direct.entry.job_releases import JobReleases
-from egretcart.direct.entry.load_picture import LoadPicture
 from egretcart.direct.entry.pending_claims import PendingClaim
 from egretcart.direct.entry.pending_claims import PendingClaims
 from egretcart.direct.entry.recruiting import AgentRecruiter
@@ -38,16 +36,12 @@
     releases : JobReleases
     recruiter : AgentRecruiter
     drains : DrainRelay
-    load : LoadPicture
 
     Attributes
     ----------
     last_heartbeat_at : float
         When heartbeats were last sent to other entries; 0 before the
         first.
-    last_summary_at : float
-        When a changed summary of the load was last sent to other entries;
-        0 before the first.
     """
 
     def __init__(
@@ -60,7 +54,6 @@
         releases: JobReleases,
         recruiter: AgentRecruiter,
         drains: DrainRelay,
-        load: LoadPicture,
     ) -> None:
         self.state = state
         self.endings = endings
@@ -69,9 +62,7 @@
         self.releases = releases
         self.recruiter = recruiter
         self.drains = drains
-        self.load = load
         self.last_heartbeat_at = 0.0
-        self.last_summary_at = 0.0
 
     def connected(self, entry_id: str, now: float) -> None:
         """Record a connected entry and report recently accepted jobs to it."""
@@ -83,9 +74,6 @@
         taken = JobsTaken(job_ids=self.state.claims.own_job_ids())
         self.state.effects.append(SendToPeer(entry_id, taken))
         self.drains.peer_connected(entry_id)
-        self.load.forget(entry_id)
-        summary = self.load.reported
-        self.state.effects.append(SendToPeer(entry_id, summary))
 
     def heartbeat_received(self, entry_id: str, now: float) -> None:
         """Record a heartbeat on the link to another entry."""
@@ -104,7 +92,6 @@
             entry_id, self.state.former_runs_expire_at[entry_id]
         )
         self.releases.owner_disconnected(entry_id)
-        self.load.forget(entry_id)
 
     def _record_former_runs(self, entry_id: str) -> None:
         """Record when the runs expire that an entry has now."""
@@ -126,8 +113,6 @@
             self.recruiter.send_agents(entry_id, message)
         elif isinstance(message, DrainedDomains):
             self.drains.learn(message, entry_id, now)
-        elif isinstance(message, LoadSummary):
-            self.load.record_summary(entry_id, message, now)
 
     def _handle_job_taken(
         self, entry_id: str, job_id: str, now: float
@@ -222,23 +207,8 @@
         self.last_heartbeat_at = now
         heartbeat = Beat(version=self.state.version)
         unreported = self.state.claims.pop_unreported()
-        summary = self._summary_to_send(now)
         for entry_id in self.state.peers:
             self.state.effects.append(SendToPeer(entry_id, heartbeat))
             if unreported:
                 taken = JobsTaken(job_ids=unreported)
                 self.state.effects.append(SendToPeer(entry_id, taken))
-            if summary is not None:
-                self.state.effects.append(SendToPeer(entry_id, summary))
-
-    def _summary_to_send(self, now: float) -> LoadSummary | None:
-        """Return a changed summary of the load, if it is time for one."""
-        interval_s = (
-            len(self.state.peers) / self.state.limits.max_load_summaries_per_s
-        )
-        if now - self.last_summary_at < interval_s:
-            return None
-        summary = self.load.changed_summary(now)
-        if summary is not None:
-            self.last_summary_at = now
-        return summary
--- a/egretcart/direct/log/decisions.py
+++ b/egretcart/direct/log/decisions.py
@@ -74,14 +74,8 @@
     arriving_percent : int
         Share of the capacity that more urgent work is expected to take
         while the job waits, in percent.
-    ahead_ms : int
-        Waiting work that goes before the job, over the capacity.
     status_age_ms : int
         Age of the oldest agent status that was used.
-    summary_age_ms : int
-        Age of the oldest load summary of another entry that was used.
-    unknown_entries : int
-        Other entries whose load was not known.
     """
 
     job_id: str
@@ -95,10 +89,7 @@
     run_ms: int = 0
     free_places: int = 0
     arriving_percent: int = 0
-    ahead_ms: int = 0
     status_age_ms: int = 0
-    summary_age_ms: int = 0
-    unknown_entries: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/egretcart/direct/policy/admission.py
+++ b/egretcart/direct/policy/admission.py
@@ -104,11 +104,6 @@
         What goes before the job once it will be late.
     status_age_ms : float
         Age of the oldest status that was used, in milliseconds.
-    summary_age_ms : float
-        Age of the oldest load summary of another entry that was used, in
-        milliseconds; 0 if none was.
-    unknown_entries : int
-        Number of other entries whose load is not known.
     discovery_wait_ms : float or None
         Expected time until agents know their backend servers, right after a
         start, in milliseconds; None later.
@@ -123,8 +118,6 @@
     on_time: Backlog = Backlog()
     late: Backlog = Backlog()
     status_age_ms: float = 0.0
-    summary_age_ms: float = 0.0
-    unknown_entries: int = 0
     discovery_wait_ms: float | None = None
 
     @property
--- a/egretcart/direct/policy/arrivals.py
+++ b/egretcart/direct/policy/arrivals.py
@@ -62,10 +62,6 @@
         )
         return work / (self.window_s * 1000)
 
-    def cpu_milli_of(self, priority: int, now: float) -> float:
-        """Return the same for one priority."""
-        return self._work(priority, now) / (self.window_s * 1000)
-
     def _work(self, priority: int, now: float) -> float:
         work = self.work_cpu_milli_ms.get(priority, 0.0)
         age_s = now - self.updated_at.get(priority, now)
