--- a/egretcart/direct/entry/entry.py
+++ b/egretcart/direct/entry/entry.py
@@ -16,7 +16,6 @@
 from egretcart.direct.entry.job_admission import JobAdmission
 from egretcart.direct.entry.job_endings import JobEndings
 from egretcart.direct.entry.job_releases import JobReleases
-from egretcart.direct.entry.load_picture import LoadPicture
 from egretcart.direct.entry.peer_entries import PeerEntries
 from egretcart.direct.entry.pending_claims import PendingClaims
 from egretcart.direct.entry.recruiting import AgentRecruiter
@@ -129,8 +128,6 @@
             memory=self.memory,
             pending=self.pending,
             drains=self.drains,
-            load=LoadPicture(state=state),
-            source=source,
         )
         self.runs = AgentRuns(
             state=state,
--- a/egretcart/direct/entry/job_admission.py
+++ b/egretcart/direct/entry/job_admission.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Iterable
 import math
-import random
 
 from egretcart.direct.entry.answer_memory import AnswerMemory
 from egretcart.direct.entry.drain_relay import DrainRelay
@@ -10,13 +9,12 @@
 from egretcart.direct.entry.entry_types import Answer
 from egretcart.direct.entry.entry_types import RUN_NUMBERS_PER_TAKEOVER
 from egretcart.direct.entry.job_endings import JobEndings
-from egretcart.direct.entry.load_picture import LoadPicture
 from egretcart.direct.entry.pending_claims import PendingClaim
 from egretcart.direct.entry.pending_claims import PendingClaims
 from egretcart.direct.log.decisions import JobAccepted
 from egretcart.direct.log.decisions import JobJoined
 from egretcart.direct.log.decisions import JobRefused
-from egretcart.direct.policy.admission import LoadEstimate
+from egretcart.direct.policy.admission import estimate_load
 from egretcart.direct.policy.admission import retry_after_s
 from egretcart.direct.request.claims import Claim
 from egretcart.direct.request.held_job import HeldJob
@@ -27,8 +25,6 @@
 from egretcart.direct.version.configuration import Route
 
 ALL_DRAINED_CAUSE = "all failure domains are drained"
-# Longer expected waits are written as this one, in milliseconds.
-MAX_LOGGED_WAIT_MS = 1e6
 
 
 def _find_refusal_cause(job: Job, route: Route) -> str | None:
@@ -43,24 +39,6 @@
     return None
 
 
-def _wait_ms(load: LoadEstimate) -> int:
-    return round(min(load.wait_ms, MAX_LOGGED_WAIT_MS))
-
-
-def _load_inputs(load: LoadEstimate) -> dict[str, int]:
-    """Return the fields of `JobRefused` that say how it was decided."""
-    capacity = max(1.0, load.capacity_cpu_milli)
-    return {
-        "late_wait_ms": round(min(load.late_wait_ms, MAX_LOGGED_WAIT_MS)),
-        "run_ms": round(load.run_ms),
-        "free_places": load.free_places,
-        "arriving_percent": round(
-            100 * load.on_time.arriving_cpu_milli / capacity
-        ),
-        "status_age_ms": round(load.status_age_ms),
-    }
-
-
 class JobAdmission:
     """Decides about requests, and about jobs that wait too long.
 
@@ -71,9 +49,6 @@
     memory : AnswerMemory
     pending : PendingClaims
     drains : DrainRelay
-    load : LoadPicture
-    source : random.Random
-        Random source of the times after which callers may retry.
 
     Attributes
     ----------
@@ -90,16 +65,12 @@
         memory: AnswerMemory,
         pending: PendingClaims,
         drains: DrainRelay,
-        load: LoadPicture,
-        source: random.Random,
     ) -> None:
         self.state = state
         self.endings = endings
         self.memory = memory
         self.pending = pending
         self.drains = drains
-        self.load = load
-        self.source = source
         self.stop_deadline: float | None = None
 
     def submit(
@@ -260,18 +231,17 @@
         if self._is_due_after_stop(held, now):
             min_retry_s = self.state.limits.admission.min_retry_s
             self._refuse(
-                held, request_ids, "the entry leaves", None, min_retry_s
+                held, request_ids, "the entry leaves", 0.0, min_retry_s
             )
             return
-        load, retry_s = self._estimate_load(held, now)
-        self.load.record_arrival(held, now)
+        wait_ms, retry_s = self._estimate_wait(held, now)
         if retry_s is not None:
             cause = (
                 ALL_DRAINED_CAUSE
                 if self.drains.covers_all_agents
                 else "no room in time"
             )
-            self._refuse(held, request_ids, cause, load, retry_s)
+            self._refuse(held, request_ids, cause, wait_ms, retry_s)
             return
         held.waiting_request_ids |= request_ids
         self.state.jobs[job.job_id] = held
@@ -288,7 +258,7 @@
                     if wait_limit_s < math.inf
                     else None
                 ),
-                expected_wait_ms=_wait_ms(load),
+                expected_wait_ms=round(wait_ms),
             )
         )
 
@@ -298,38 +268,73 @@
             self.stop_deadline is not None and held.due_at > self.stop_deadline
         )
 
-    def _estimate_load(
+    def _estimate_wait(
         self, held: HeldJob, now: float
-    ) -> tuple[LoadEstimate, float | None]:
-        """Return the load that a job meets, and when to retry.
+    ) -> tuple[float, float | None]:
+        """Return the expected wait, and when to retry if it is too long.
 
-        The time after which the caller may retry is in seconds, or None if
-        the job can be served in time.
+        The wait is in milliseconds. The time after which the caller may
+        retry is in seconds, or None if the job can be served in time. Each
+        other entry that shares agents with this one is assumed to have as
+        much work waiting as this one.
         """
-        load = self.load.estimate(held, now)
-        limits = self.state.limits.admission
+        sort_key = held.sort_key(now)
+        jobs_ahead = [
+            job
+            for job in self.state.jobs.values()
+            if job is not held and job.sort_key(now) <= sort_key
+        ]
+        ahead_cpu_milli_ms = sum(
+            job.unsent_cpu_milli_ms() for job in jobs_ahead
+        )
+        discovery_wait_ms = None
+        if now < self.state.discovery_ends_at:
+            discovery_wait_s = min(
+                self.state.discovery_ends_at - now,
+                self.state.limits.first_discovery_s,
+            )
+            discovery_wait_ms = discovery_wait_s * 1000
+        load = estimate_load(
+            held.job.steps[0],
+            self.state.agents.values(),
+            queued_cpu_milli_ms=ahead_cpu_milli_ms * self._entries_per_agent(),
+            far_factor=self.state.limits.far_factor,
+            discovery_wait_ms=discovery_wait_ms,
+        )
         useful_until = min(
             held.accepted_at
-            + limits.useful_latency_factor * held.objective_ms / 1000,
+            + self.state.limits.admission.useful_latency_factor
+            * held.objective_ms
+            / 1000,
             held.wait_deadline,
         )
+        useful_ms = (useful_until - now) * 1000
         retry_s = retry_after_s(
             load,
-            (held.due_at - now) * 1000,
-            (useful_until - now) * 1000,
-            limits,
+            useful_ms,
+            self.state.limits.admission,
             is_accepted=held.job.job_id in self.state.jobs,
         )
-        if retry_s is not None:
-            retry_s *= 1 + limits.retry_jitter * self.source.random()
-        return load, retry_s
+        wait_ms = min(load.wait_ms, 1e6)
+        return wait_ms, retry_s
+
+    def _entries_per_agent(self) -> float:
+        """Return how many entries share an agent, in the mean."""
+        counts = [
+            len(view.entries)
+            for view in self.state.agents.values()
+            if view.entries
+        ]
+        if not counts:
+            return 1 + len(self.state.peers)
+        return sum(counts) / len(counts)
 
     def _refuse(
         self,
         held: HeldJob,
         request_ids: Iterable[int],
         cause: str,
-        load: LoadEstimate | None,
+        wait_ms: float,
         retry_s: float,
     ) -> None:
         self.state.log.write(
@@ -338,10 +343,9 @@
                 route=held.route.name,
                 cause=cause,
                 objective_ms=round(held.objective_ms),
-                expected_wait_ms=_wait_ms(load) if load else 0,
+                expected_wait_ms=round(wait_ms),
                 retry_after_s=math.ceil(retry_s),
                 tasks=len(held.tasks),
-                **(_load_inputs(load) if load else {}),
             )
         )
         for request_id in request_ids:
@@ -377,7 +381,7 @@
         for held in list(self.state.jobs.values()):
             if held.has_begun or now < held.due_at:
                 continue
-            load, retry_s = self._estimate_load(held, now)
+            wait_ms, retry_s = self._estimate_wait(held, now)
             if retry_s is None and not self._has_waited_long(held, now):
                 continue
             retry_s = retry_s or self.state.limits.admission.min_retry_s
@@ -386,7 +390,7 @@
                 held,
                 held.waiting_request_ids,
                 "waited in vain",
-                load,
+                wait_ms,
                 retry_s,
             )
 
--- a/egretcart/direct/log/decisions.py
+++ b/egretcart/direct/log/decisions.py
@@ -34,7 +34,7 @@
     patience_ms : int or None
         How long the caller waits; None if it has set no limit.
     expected_wait_ms : int
-        Estimated time until the job's last task starts.
+        Estimated time until a task of the job may start.
     """
 
     job_id: str
@@ -59,23 +59,12 @@
     objective_ms : int
         Latency objective; 0 if the job is not served at all.
     expected_wait_ms : int
-        Estimated time until the job's last task starts; 0 if the job is
-        not served at all. The fields below are 0 then, too.
+        Estimated time until a task of the job may start; 0 if the job is
+        not served at all.
     retry_after_s : float
-        When the caller may retry.
+        When the caller may retry; 0 if the job is not served at all.
     tasks : int
-        Number of the job's tasks.
-    late_wait_ms : int
-        The same time as `expected_wait_ms` once the job will be late.
-    run_ms : int
-        Expected time from then until the end of the slowest task.
-    free_places : int
-        Tasks of its first step that would begin at once.
-    arriving_percent : int
-        Share of the capacity that more urgent work is expected to take
-        while the job waits, in percent.
-    status_age_ms : int
-        Age of the oldest agent status that was used.
+        Number of the job's tasks; 0 if the job is not served at all.
     """
 
     job_id: str
@@ -85,11 +74,6 @@
     expected_wait_ms: int = 0
     retry_after_s: float = 0.0
     tasks: int = 0
-    late_wait_ms: int = 0
-    run_ms: int = 0
-    free_places: int = 0
-    arriving_percent: int = 0
-    status_age_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/tests/features/direct_decisions.feature
+++ b/tests/features/direct_decisions.feature
@@ -6,6 +6,13 @@
     And a run on a slow server is rescheduled if another has free capacity
     And a run that would be late elsewhere too is not rescheduled
 
+  Scenario: A job is refused only if it can't be served in time
+    Then a job is never refused while there is free capacity
+    And a job is refused once two thirds of its useful time are not enough
+    And a job that was accepted is refused only when no time is left
+    And the time after which to retry is between its bounds
+    And agents that still discover their servers count as much as the others
+
   Scenario: A backend server at which tasks fail is probed after a backoff
     Then failures of three jobs in a row start a backoff
     And each probe that fails doubles the backoff up to its bound
