Offer capacity that comes free to the entry with the most urgent task

Cause: on fully occupied servers, entries sent tasks to agents at which they waited for up to 0.25 s, and chose from views 50 ms old. Tasks of the first queue, which have 130 ms, became late there and then went last: the queue that goes first was served worst, and 12 % of sent tasks came back.

Now an entry with tasks that no agent can begin tells agents its most urgent one; an agent holds what comes free for the most urgent entry for 30 ms and offers it. One order (TaskOrder) is used by both, with a bound for tasks that have waited as long as a job may be accepted for. While an entry is behind (ticks 20 ms late), its tasks wait at agents as before. Nothing of it is sent while there is free capacity.

MAX_USEFUL_SHARE is 2 / 3, was 0.67: the feature's bound on refusals, 0.504 s, is exactly two thirds, and a refusal at 0.5047 s broke it.

--- a/egretcart/direct/agent/agent.py
+++ b/egretcart/direct/agent/agent.py
@@ -13,6 +13,7 @@
 from egretcart.direct.agent.agent_types import DirectAgentLimits
 from egretcart.direct.agent.agent_types import EntryState
 from egretcart.direct.agent.backend_exchange import BackendExchange
+from egretcart.direct.agent.capacity_offering import CapacityOffering
 from egretcart.direct.agent.domain_drain import DomainDrain
 from egretcart.direct.agent.domain_drain import DRAINED_REASON
 from egretcart.direct.agent.entry_checks import EntryChecks
@@ -39,10 +40,13 @@
 from egretcart.direct.connection.messages import RunTasks
 from egretcart.direct.connection.messages import ServeEntry
 from egretcart.direct.connection.messages import StopTasks
+from egretcart.direct.connection.offer_messages import OfferDeclined
+from egretcart.direct.connection.offer_messages import TasksWaiting
 from egretcart.direct.connection.working_set import WorkingSet
 from egretcart.direct.log.decisions import DecisionLog
 from egretcart.direct.log.decisions import PeerChanged
 from egretcart.direct.log.decisions import ProcessChanged
+from egretcart.direct.policy.capacity_offers import CapacityOffers
 from egretcart.direct.request.job import TaskKey
 from egretcart.direct.version.drained_domains import DrainedDomains
 
@@ -81,6 +85,8 @@
         Jobs that entries have taken over from others.
     drain : DomainDrain
         Whether the agent's failure domain is drained.
+    offers : CapacityOffers
+        Capacity that is held for entries whose tasks wait.
     queue : RunQueue
         Accepts, starts, stops and ends runs.
     checks : RunChecks
@@ -106,7 +112,8 @@
         self.limits = limits
         self.log = log
         self.effects: list[AgentEffect] = []
-        self.runs = RunTable()
+        self.offers = CapacityOffers(limits=limits.offers)
+        self.runs = RunTable(offers=self.offers)
         self.backend = KnownBackend(limits=limits, log=log)
         self.links = EntryLinks(
             effects=self.effects,
@@ -157,6 +164,13 @@
             queue=self.queue,
             links=self.links,
         )
+        self.offering = CapacityOffering(
+            offers=self.offers,
+            queue=self.queue,
+            statuses=self.statuses,
+            links=self.links,
+            log=log,
+        )
         self.entry_checks = EntryChecks(
             limits=limits,
             links=self.links,
@@ -289,6 +303,7 @@
             self.queue.stop_entry_runs(
                 entry_id, "its entry has started anew", now
             )
+        self.offering.forget(entry_id, "its entry has connected anew", now)
         self.links.entries[entry_id] = EntryState(
             incarnation=incarnation,
             last_message_at=now,
@@ -324,6 +339,7 @@
         state.last_message_at = now
         if isinstance(message, RunTasks):
             state.sequence = max(state.sequence, message.sequence)
+            self.offering.use(entry_id, message)
             self.queue.enqueue(entry_id, message, now)
             self.queue.start_waiting(now)
             self.queue.reject_unqueueable(now)
@@ -333,6 +349,8 @@
                 run = self.runs.get(key)
                 if run is not None and run.entry_id == entry_id:
                     self.queue.stop(run, "its entry took it back", now)
+        elif isinstance(message, TasksWaiting | OfferDeclined):
+            self.offering.receive(entry_id, message, now)
         elif isinstance(message, EvictJob):
             self._evict(entry_id, message, now)
         elif isinstance(message, ServeEntry):
@@ -424,4 +442,5 @@
     def _start_waiting_and_notify(self, now: float) -> None:
         """Start queued runs that fit, and send the statuses that are due."""
         self.queue.start_waiting(now)
+        self.offering.offer(now)
         self.statuses.notify(now)
--- a/egretcart/direct/agent/agent_types.py
+++ b/egretcart/direct/agent/agent_types.py
@@ -15,8 +15,10 @@
 from egretcart.direct.connection.messages import AgentStatus
 from egretcart.direct.connection.messages import Message
 from egretcart.direct.connection.working_set import WorkingSetLimits
+from egretcart.direct.policy.capacity_offers import OfferLimits
 from egretcart.direct.request.job import Room
 from egretcart.direct.request.job import TaskKey
+from egretcart.direct.request.ordering import TaskOrder
 from egretcart.direct.request.progress import ProgressLimits
 from egretcart.direct.request.progress import RunProgress
 
@@ -72,6 +74,7 @@
     health : HealthLimits
     progress : ProgressLimits
     working_set : WorkingSetLimits
+    offers : OfferLimits
     """
 
     heartbeat_interval_s: float = 0.15
@@ -96,6 +99,7 @@
     working_set: WorkingSetLimits = dataclasses.field(
         default_factory=WorkingSetLimits
     )
+    offers: OfferLimits = dataclasses.field(default_factory=OfferLimits)
 
 
 class RunPhase(enum.Enum):
@@ -139,10 +143,8 @@
         Resources that the run requires.
     estimate_ms : float
         The caller's estimate of the run time.
-    priority : int
-        Queued runs with lower values start first.
-    due_at : float
-        Time of the job's latency objective.
+    order : TaskOrder
+        Which of the queued runs start first.
     max_per_agent : int
         Most runs of the step on this agent at a time; 0 for any number.
     may_wait : bool
@@ -183,8 +185,7 @@
     payload: str
     room: Room
     estimate_ms: float
-    priority: int
-    due_at: float
+    order: TaskOrder
     max_per_agent: int
     may_wait: bool
     received_at: float
@@ -201,11 +202,6 @@
     is_listed: bool = False
     carried_until: float = 0.0
 
-    def order(self, now: float) -> tuple[bool, int, float]:
-        """Return the sort key of the queue: runs that can be on time first."""
-        is_late = now + self.estimate_ms / 1000 > self.due_at
-        return (is_late, self.priority, self.due_at)
-
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Vacancy:
--- a/egretcart/direct/agent/run_queue.py
+++ b/egretcart/direct/agent/run_queue.py
@@ -22,8 +22,22 @@
 from egretcart.direct.request.job import NO_ROOM
 from egretcart.direct.request.job import Room
 from egretcart.direct.request.job import TaskKey
+from egretcart.direct.request.ordering import TaskOrder
 from egretcart.direct.request.progress import RunProgress
 
+MS_PER_S = 1000
+
+
+def order_of_tasks(message: RunTasks, now: float) -> TaskOrder:
+    """Return the order of tasks that were received now."""
+    due_at = now + message.time_left_ms / MS_PER_S
+    return TaskOrder(
+        priority=message.priority,
+        due_at=due_at,
+        latest_start_at=due_at - message.estimate_ms / MS_PER_S,
+        objective_s=message.objective_ms / MS_PER_S,
+    )
+
 
 class RunQueue:
     """Runs of all entries, within the capacity of the backend server.
@@ -104,8 +118,7 @@
                     payload=message.payload,
                     room=message.room,
                     estimate_ms=message.estimate_ms,
-                    priority=message.priority,
-                    due_at=now + message.time_left_ms / 1000,
+                    order=order_of_tasks(message, now),
                     max_per_agent=message.max_per_agent,
                     may_wait=message.may_wait,
                     received_at=now,
@@ -140,9 +153,9 @@
     def start_waiting(self, now: float) -> None:
         """Start queued runs that fit, the most urgent first."""
         waiting = self.runs.waiting()
-        if not waiting or not self._may_start(now):
+        if not waiting or not self.may_start(now):
             return
-        waiting.sort(key=lambda run: run.order(now))
+        waiting.sort(key=lambda run: run.order.key(now))
         assert self.backend.report is not None
         free = self.runs.free(self.backend.report.capacity, queued=False)
         for run in waiting:
@@ -154,7 +167,8 @@
                 free -= run.room
                 self._start_run(run, free, now)
 
-    def _may_start(self, now: float) -> bool:
+    def may_start(self, now: float) -> bool:
+        """Whether runs may be started now."""
         # Tasks that were queued while the process was paused may run
         # elsewhere now.
         paused = now - self.last_tick_at > self.limits.pause_threshold_s
--- a/egretcart/direct/agent/run_table.py
+++ b/egretcart/direct/agent/run_table.py
@@ -4,12 +4,17 @@
 
 from egretcart.direct.agent.agent_types import Run
 from egretcart.direct.agent.agent_types import RunPhase
+from egretcart.direct.policy.capacity_offers import CapacityOffers
 from egretcart.direct.request.job import Room
 from egretcart.direct.request.job import TaskKey
 
 
 class RunTable:
-    """Runs by task; all but queued ones occupy capacity.
+    """Runs by task; all but queued ones occupy capacity, as do offers.
+
+    Parameters
+    ----------
+    offers : CapacityOffers
 
     Attributes
     ----------
@@ -17,7 +22,8 @@
         All runs by task, at most one for each.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, offers: CapacityOffers) -> None:
+        self.offers = offers
         self.runs: dict[TaskKey, Run] = {}
 
     def __iter__(self) -> Iterator[Run]:
@@ -81,7 +87,7 @@
         queued : bool
             Whether the resources of queued runs are subtracted as well.
         """
-        free = capacity
+        free = capacity - self.offers.held
         for run in self.runs.values():
             if queued or run.phase is not RunPhase.QUEUED:
                 free -= run.room
--- a/egretcart/direct/connection/messages.py
+++ b/egretcart/direct/connection/messages.py
@@ -5,6 +5,9 @@
 
 import dataclasses
 
+from egretcart.direct.connection.offer_messages import CapacityOffered
+from egretcart.direct.connection.offer_messages import OfferDeclined
+from egretcart.direct.connection.offer_messages import TasksWaiting
 from egretcart.direct.request.job import Room
 from egretcart.direct.request.job import TaskKey
 from egretcart.direct.version.drained_domains import DrainedDomains
@@ -112,6 +115,11 @@
         Whether the tasks may wait for free capacity. If not, they were sent
         because the agent seemed to have free capacity, and go elsewhere if
         it has none.
+    offer : int
+        Number of the offer that the task uses; 0 if it uses none.
+    objective_ms : int
+        The job's latency objective, in milliseconds; 0 from an earlier
+        release.
     """
 
     sequence: int = 0
@@ -128,6 +136,8 @@
     time_left_ms: int = 0
     max_per_agent: int = 0
     may_wait: bool = False
+    offer: int = 0
+    objective_ms: int = 0
 
     @property
     def room(self) -> Room:
@@ -494,6 +504,7 @@
     | TaskLate
     | JobEvicted
     | EntriesServed
+    | CapacityOffered
     | Beat
     | DrainedDomains
 )
@@ -506,6 +517,8 @@
     | EvictJob
     | ServeEntry
     | DrainedDomains
+    | TasksWaiting
+    | OfferDeclined
 )
 PeerMessage = (
     EntryHello
--- a/egretcart/direct/connection/views.py
+++ b/egretcart/direct/connection/views.py
@@ -3,9 +3,11 @@
 import dataclasses
 
 from egretcart.direct.connection.messages import AgentStatus
+from egretcart.direct.connection.offer_messages import CapacityOffered
 from egretcart.direct.request.job import NO_ROOM
 from egretcart.direct.request.job import Room
 from egretcart.direct.request.job import Step
+from egretcart.direct.request.ordering import TaskOrder
 
 PERCENT = 100
 
@@ -29,6 +31,27 @@
     work_ms: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SentNotice:
+    """The last notice that was sent to an agent.
+
+    Attributes
+    ----------
+    order : TaskOrder
+        Order of the most urgent waiting task.
+    room : Room
+        Resources that it requires.
+    count : int
+        Number of waiting tasks.
+    sent_at : float
+    """
+
+    order: TaskOrder
+    room: Room
+    count: int
+    sent_at: float
+
+
 class AgentView:
     """Capacity and load of an agent, as far as an entry knows them.
 
@@ -69,6 +92,12 @@
         Free capacity once all tasks that were sent have arrived.
     slowdown : float
         Ratio of run times there to the callers' estimates.
+    offers : list of CapacityOffered
+        Offers that were not answered yet.
+    has_answered_offer : bool
+        Whether one was used since notices were last sent.
+    notice : SentNotice or None
+        The last notice that was sent there; None if no tasks waited.
     """
 
     def __init__(
@@ -83,6 +112,9 @@
         self.sequence = 0
         self.sent: dict[int, SentTasks] = {}
         self.sent_resources = NO_ROOM
+        self.offers: list[CapacityOffered] = []
+        self.has_answered_offer = False
+        self.notice: SentNotice | None = None
         self.update(status, now)
 
     def update(self, status: AgentStatus, now: float) -> None:
@@ -104,6 +136,27 @@
         self.free -= room
         return self.sequence
 
+    def has_offer_for(self, room: Room) -> bool:
+        """Whether capacity for a task is held there for this entry."""
+        return any(offer.room.can_fit(room) for offer in self.offers)
+
+    def use_offer(self, room: Room) -> int:
+        """Return the number of an offer that a task uses; 0 if there is none.
+
+        The agent's statuses do not count its resources as free.
+        """
+        for place, offer in enumerate(self.offers):
+            if not offer.room.can_fit(room):
+                continue
+            self.has_answered_offer = True
+            if offer.count > 1:
+                rest = dataclasses.replace(offer, count=offer.count - 1)
+                self.offers[place] = rest
+            else:
+                del self.offers[place]
+            return offer.number
+        return 0
+
     @property
     def queued(self) -> int:
         """Upper bound of the number of tasks that wait there."""
--- a/egretcart/direct/connection/wire.py
+++ b/egretcart/direct/connection/wire.py
@@ -13,8 +13,11 @@
 from egretcart.direct.connection.messages import JobReleased
 from egretcart.direct.connection.messages import RunTasks
 from egretcart.direct.connection.messages import TaskEnded
+from egretcart.direct.connection.offer_messages import CapacityOffered
+from egretcart.direct.connection.offer_messages import TasksWaiting
 from egretcart.direct.request.job import Ending
 from egretcart.direct.request.job import JobState
+from egretcart.direct.request.job import NO_ROOM
 from egretcart.direct.version.drained_domains import DrainedDomains
 
 MESSAGE_OVERHEAD_BYTES = 256
@@ -48,6 +51,10 @@
         not message.job_id or message.run < 1 or not message.indexes
     ):
         return f'invalid tasks of job "{message.job_id}", run {message.run}'
+    if isinstance(message, TasksWaiting | CapacityOffered) and not (
+        message.room.can_fit(NO_ROOM)
+    ):
+        return f"invalid resources {message.room}"
     if isinstance(message, DrainedDomains):
         return _find_drain_violation(message)
     return None
--- a/egretcart/direct/connection/wire.thrift
+++ b/egretcart/direct/connection/wire.thrift
@@ -27,10 +27,24 @@
   12: optional i64 time_left_ms
   13: optional i32 max_per_agent
   14: optional bool may_wait
+  15: optional i32 offer
+  16: optional i32 objective_ms
 }
 struct StopTasks { 1: optional string job_id, 2: optional i32 step, 3: optional list<i32> indexes }
 struct EvictJob { 1: optional i64 number, 2: optional string job_id }
 
+struct TasksWaiting {
+  1: optional i32 count
+  2: optional i32 priority
+  3: optional i32 time_left_ms
+  4: optional i32 start_within_ms
+  5: optional i32 objective_ms
+  6: optional i32 cpu_milli
+  7: optional i32 memory_mb
+  8: optional i32 accelerators
+}
+struct OfferDeclined { 1: optional i32 number }
+
 // From an agent to an entry.
 struct AgentStatus {
   1: optional string agent_id
@@ -81,6 +95,13 @@
   3: optional bool settled
   4: optional string failure_domain
 }
+struct CapacityOffered {
+  1: optional i32 number
+  2: optional i32 count
+  3: optional i32 cpu_milli
+  4: optional i32 memory_mb
+  5: optional i32 accelerators
+}
 struct JobEvicted { 1: optional i64 number }
 struct EntriesServed { 1: optional list<string> entry_ids }
 
@@ -129,5 +150,8 @@
   18: optional RecruitAgents recruit_agents
   19: optional ServeEntry serve_entry
   20: optional DrainedDomains drained_domains
+  22: optional TasksWaiting tasks_waiting
+  23: optional CapacityOffered capacity_offered
+  24: optional OfferDeclined offer_declined
 }
 struct Frame { 1: optional list<Message> messages }
--- a/egretcart/direct/entry/agent_runs.py
+++ b/egretcart/direct/entry/agent_runs.py
@@ -11,6 +11,7 @@
 from egretcart.direct.connection.messages import TAKEN_OVER_REASON
 from egretcart.direct.connection.messages import TaskEnded
 from egretcart.direct.connection.messages import TaskLate
+from egretcart.direct.connection.offer_messages import CapacityOffered
 from egretcart.direct.connection.views import AgentView
 from egretcart.direct.entry.drain_relay import DrainRelay
 from egretcart.direct.entry.entry_state import EntryState
@@ -138,6 +139,8 @@
             self._handle_task_ended(agent_id, message, now)
         elif isinstance(message, TaskLate):
             self._handle_task_late(agent_id, message, now)
+        elif isinstance(message, CapacityOffered):
+            view.offers.append(message)
         elif isinstance(message, EntriesServed):
             view.entries = frozenset(message.entry_ids)
         elif isinstance(message, JobEvicted):
--- a/egretcart/direct/entry/entry.py
+++ b/egretcart/direct/entry/entry.py
@@ -20,9 +20,11 @@
 from egretcart.direct.entry.pending_claims import PendingClaims
 from egretcart.direct.entry.recruiting import AgentRecruiter
 from egretcart.direct.entry.task_sender import TaskSender
+from egretcart.direct.entry.waiting_notices import WaitingNotices
 from egretcart.direct.log.decisions import ConfigurationAccepted
 from egretcart.direct.log.decisions import DecisionLog
 from egretcart.direct.log.decisions import ProcessChanged
+from egretcart.direct.policy.capacity_offers import TickLateness
 from egretcart.direct.policy.placement import Placement
 from egretcart.direct.request.held_job import HeldJob
 from egretcart.direct.request.job import Job
@@ -69,6 +71,7 @@
     releases : JobReleases
         Other entries' questions about jobs that they take over.
     recruiter : AgentRecruiter
+    lateness : TickLateness
     sender : TaskSender
     endings : JobEndings
     admission : JobAdmission
@@ -111,7 +114,12 @@
             log=log,
             source=source,
         )
+        self.lateness = TickLateness(
+            interval_s=limits.tick_interval_s,
+            max_lateness_s=limits.notices.max_lateness_s,
+        )
         self.sender = TaskSender(
+            lateness=self.lateness,
             agents=state.agents,
             placement=Placement(
                 limits=limits.placement,
@@ -119,6 +127,12 @@
                 source=source,
             ),
             effects=state.effects,
+            notices=WaitingNotices(
+                limits=limits.notices,
+                agents=state.agents,
+                effects=state.effects,
+                source=source,
+            ),
             log=log,
         )
         self.endings = JobEndings(state=state, memory=self.memory)
@@ -336,6 +350,8 @@
             self.state.discovery_ends_at = now + self.limits.discovery_wait_s
         if self._is_after_pause(now):
             self._resume_after_pause(now)
+        if self.last_tick_at:
+            self.lateness.record(now - self.last_tick_at)
         self.last_tick_at = now
         self.runs.check_silence(now)
         self.peers.check_silence(now)
@@ -363,7 +379,7 @@
             self.admission.admit_claimed(pending, now)
         self.sender.dispatch(self._dispatchable_jobs(now), now)
         if self.sender.unplaced is not None:
-            self.recruiter.ask(self.sender.unplaced, now)
+            self.recruiter.ask(self.sender.unplaced.step, now)
 
     def _dispatchable_jobs(self, now: float) -> list[HeldJob]:
         """Return the jobs whose tasks may be sent.
--- a/egretcart/direct/entry/entry_types.py
+++ b/egretcart/direct/entry/entry_types.py
@@ -4,6 +4,7 @@
 
 from egretcart.direct.connection.messages import Message
 from egretcart.direct.policy.admission import AdmissionLimits
+from egretcart.direct.policy.capacity_offers import NoticeLimits
 from egretcart.direct.policy.placement import PlacementLimits
 from egretcart.direct.policy.rescue import ReschedulingLimits
 from egretcart.direct.request.job import JobState
@@ -95,6 +96,7 @@
         Factor by which a task's run time is longer on another rack than
         that of its data.
     admission : AdmissionLimits
+    notices : NoticeLimits
     placement : PlacementLimits
     rescheduling : ReschedulingLimits
     recruiting : RecruitingLimits
@@ -119,6 +121,7 @@
     admission: AdmissionLimits = dataclasses.field(
         default_factory=AdmissionLimits
     )
+    notices: NoticeLimits = dataclasses.field(default_factory=NoticeLimits)
     placement: PlacementLimits = dataclasses.field(
         default_factory=PlacementLimits
     )
--- a/egretcart/direct/entry/task_sender.py
+++ b/egretcart/direct/entry/task_sender.py
@@ -6,16 +6,24 @@
 from egretcart.direct.connection.views import AgentView
 from egretcart.direct.entry.entry_types import EntryEffect
 from egretcart.direct.entry.entry_types import SendToAgent
+from egretcart.direct.entry.waiting_notices import WaitingNotices
+from egretcart.direct.entry.waiting_notices import WaitingTasks
 from egretcart.direct.log.decisions import DecisionLog
 from egretcart.direct.log.decisions import TasksPlaced
+from egretcart.direct.policy.capacity_offers import TickLateness
 from egretcart.direct.policy.placement import Placement
 from egretcart.direct.policy.placement import PlacementRequest
 from egretcart.direct.request.held_job import HeldJob
 from egretcart.direct.request.held_job import HeldTask
 from egretcart.direct.request.held_job import TaskPhase
+from egretcart.direct.request.job import NO_ROOM
 from egretcart.direct.request.job import Room
 from egretcart.direct.request.job import Step
 
+# Agent, step, run and offer of tasks that are sent together, and whether they
+# may wait there.
+PlacedGroup = tuple[str, int, int, int, bool]
+
 
 class TaskSender:
     """Chooses agents for waiting tasks and sends them there.
@@ -27,13 +35,16 @@
     placement : Placement
     effects : list of EntryEffect
         Where messages are added.
+    notices : WaitingNotices
+    lateness : TickLateness
+        While the entry is behind, it uses no offers.
     log : DecisionLog
 
     Attributes
     ----------
-    unplaced : Step or None
-        Step of the most urgent task that no agent could begin in the last
-        dispatch; None if there was none.
+    unplaced : WaitingTasks or None
+        The tasks that no agent could begin in the last dispatch; None if
+        there were none.
     """
 
     def __init__(
@@ -42,20 +53,26 @@
         agents: dict[str, AgentView],
         placement: Placement,
         effects: list[EntryEffect],
+        notices: WaitingNotices,
+        lateness: TickLateness,
         log: DecisionLog,
     ) -> None:
         self.agents = agents
         self.placement = placement
         self.effects = effects
         self.log = log
-        self.unplaced: Step | None = None
+        self.notices = notices
+        self.lateness = lateness
+        self.unplaced: WaitingTasks | None = None
 
     def dispatch(self, jobs: Iterable[HeldJob], now: float) -> None:
         """Send the waiting tasks of jobs, the most urgent ones first."""
         self.unplaced = None
-        waiting = [held for held in jobs if any(held.waiting())]
-        if not waiting:
-            return
+        self._place_all([held for held in jobs if any(held.waiting())], now)
+        told = None if self.lateness.is_behind else self.unplaced
+        self.notices.send(told, now)
+
+    def _place_all(self, waiting: list[HeldJob], now: float) -> None:
         waiting.sort(key=lambda held: held.sort_key(now))
         exhausted_resources: list[Room] = []
         for held in waiting:
@@ -74,20 +91,18 @@
             dispatch; more are added here.
         now : float
         """
-        tasks_by_group: dict[tuple[str, int, int, bool], list[HeldTask]] = {}
+        tasks_by_group: dict[PlacedGroup, list[HeldTask]] = {}
         for task in list(held.waiting()):
             step = held.job.steps[task.key.step]
             if any(
                 step.room.can_fit(resources)
                 for resources in exhausted_resources
             ):
+                self._record_unplaced(held, step)
                 continue
             agent_id = self._choose(held, task, now)
-            if agent_id is None or not self.agents[agent_id].free.can_fit(
-                step.room
-            ):
-                self.unplaced = self.unplaced or step
             if agent_id is None:
+                self._record_unplaced(held, step)
                 if not step.has_agent_constraints:
                     exhausted_resources.append(step.room)
                 continue
@@ -95,13 +110,23 @@
             task.agent_id = agent_id
             task.run += 1
             view = self.agents[agent_id]
-            may_wait = not view.free.can_fit(step.room)
-            view.record_sent(step.room, 1, step.estimate_ms)
-            group = (agent_id, task.key.step, task.run, may_wait)
+            has_room = view.free.can_fit(step.room)
+            offer = view.use_offer(step.room)
+            room = NO_ROOM if offer else step.room
+            view.record_sent(room, 1, step.estimate_ms)
+            may_wait = not offer and not has_room
+            if may_wait:
+                self._record_unplaced(held, step)
+            group = (agent_id, task.key.step, task.run, offer, may_wait)
             tasks_by_group.setdefault(group, []).append(task)
         for group, tasks in tasks_by_group.items():
             self._send_tasks(held, group, tasks, now)
 
+    def _record_unplaced(self, held: HeldJob, step: Step) -> None:
+        if self.unplaced is None:
+            self.unplaced = WaitingTasks(order=held.order, step=step, count=0)
+        self.unplaced.count += 1
+
     def _choose(self, held: HeldJob, task: HeldTask, now: float) -> str | None:
         step = held.job.steps[task.key.step]
         step_tasks_by_agent = (
@@ -112,6 +137,9 @@
         request = PlacementRequest(
             step=step,
             time_left_ms=(held.due_at - now) * 1000,
+            may_queue=self.lateness.is_behind,
+            rank=held.order.rank(now),
+            now=now,
             avoided_agents=frozenset(task.avoided_agents),
             step_tasks_by_agent=step_tasks_by_agent,
         )
@@ -120,11 +148,11 @@
     def _send_tasks(
         self,
         held: HeldJob,
-        group: tuple[str, int, int, bool],
+        group: PlacedGroup,
         tasks: list[HeldTask],
         now: float,
     ) -> None:
-        agent_id, step_number, run, may_wait = group
+        agent_id, step_number, run, offer, may_wait = group
         step = held.job.steps[step_number]
         view = self.agents[agent_id]
         indexes = tuple(task.key.index for task in tasks)
@@ -143,6 +171,8 @@
             time_left_ms=round((held.due_at - now) * 1000),
             max_per_agent=step.max_per_agent,
             may_wait=may_wait,
+            offer=offer,
+            objective_ms=round(held.objective_ms),
         )
         self.effects.append(SendToAgent(agent_id, message))
         self.log.write(
@@ -156,5 +186,6 @@
                 queued=view.queued,
                 pace_percent=view.status.pace_percent,
                 status_age_ms=round((now - view.status_at) * 1000),
+                offer=offer,
             )
         )
--- /dev/null
+++ b/egretcart/direct/entry/waiting_notices.py
@@ -0,0 +1,169 @@
+"""Tells agents which task an entry would send next. Free of I/O.
+
+An entry with tasks that no agent can begin tells its agents, so that each of
+them offers capacity that comes free to the entry with the most urgent task.
+"""
+
+import dataclasses
+import math
+import random
+
+from egretcart.direct.connection.offer_messages import OfferDeclined
+from egretcart.direct.connection.offer_messages import TasksWaiting
+from egretcart.direct.connection.views import AgentView
+from egretcart.direct.connection.views import SentNotice
+from egretcart.direct.entry.entry_types import EntryEffect
+from egretcart.direct.entry.entry_types import SendToAgent
+from egretcart.direct.policy.capacity_offers import NoticeLimits
+from egretcart.direct.request.job import Step
+from egretcart.direct.request.ordering import TaskOrder
+
+MS_PER_S = 1000
+# An agent is told of this multiple of its share of the waiting tasks, as
+# capacity comes free at some agents earlier than at others.
+SHARE_FACTOR = 4
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class WaitingTasks:
+    """The tasks that no agent can begin.
+
+    Attributes
+    ----------
+    order : TaskOrder
+        Order of the most urgent one.
+    step : Step
+        Its step.
+    count : int
+        Number of tasks, up to a bound.
+    """
+
+    order: TaskOrder
+    step: Step
+    count: int
+
+
+class WaitingNotices:
+    """Sends notices to agents, and declines offers that are not used.
+
+    A notice that an agent was sent stands until another one is sent. If what
+    waits becomes more urgent, agents are told at once; otherwise with the
+    answer to the offer that rests on the notice.
+
+    Parameters
+    ----------
+    limits : NoticeLimits
+    agents : dict of str to AgentView
+    effects : list of EntryEffect
+        Where messages are added.
+    source : random.Random
+        Chooses the agents that are told.
+    """
+
+    def __init__(
+        self,
+        *,
+        limits: NoticeLimits,
+        agents: dict[str, AgentView],
+        effects: list[EntryEffect],
+        source: random.Random,
+    ) -> None:
+        self.limits = limits
+        self.agents = agents
+        self.effects = effects
+        self.source = source
+
+    def send(self, waiting: WaitingTasks | None, now: float) -> None:
+        """Send the notices that are due, and decline the offers that are left.
+
+        Parameters
+        ----------
+        waiting : WaitingTasks or None
+            The tasks that wait after a dispatch; None if there are none.
+        now : float
+        """
+        for agent_id, view in self.agents.items():
+            if view.offers or view.has_answered_offer:
+                self._answer(agent_id, view, waiting, now)
+        if waiting is not None:
+            self._tell(waiting, now)
+
+    def _answer(
+        self,
+        agent_id: str,
+        view: AgentView,
+        waiting: WaitingTasks | None,
+        now: float,
+    ) -> None:
+        """Correct the notice on which offers rest, and decline the others."""
+        notice = view.notice
+        if waiting is None or not view.may_run(waiting.step):
+            if notice is not None:
+                view.notice = None
+                self.effects.append(SendToAgent(agent_id, TasksWaiting()))
+        elif (
+            notice is None
+            or notice.order.rank(now) != waiting.order.rank(now)
+            or notice.room != waiting.step.room
+            or notice.count > 2 * self._count(waiting)
+        ):
+            self._send(agent_id, view, waiting, now)
+        for offer in view.offers:
+            declined = OfferDeclined(number=offer.number)
+            self.effects.append(SendToAgent(agent_id, declined))
+        view.offers.clear()
+        view.has_answered_offer = False
+
+    def _tell(self, waiting: WaitingTasks, now: float) -> None:
+        """Send notices until enough agents know how urgent the tasks are."""
+        rank = waiting.order.rank(now)
+        told_count = 0
+        others = []
+        for agent_id, view in self.agents.items():
+            if not view.may_run(waiting.step):
+                continue
+            told_rank = self._told_rank(view, now)
+            if told_rank is not None and told_rank <= rank:
+                told_count += 1
+            else:
+                others.append(agent_id)
+        missing = waiting.count + self.limits.spare_agents - told_count
+        if missing <= 0 or not others:
+            return
+        for agent_id in self.source.sample(others, min(missing, len(others))):
+            self._send(agent_id, self.agents[agent_id], waiting, now)
+
+    def _told_rank(self, view: AgentView, now: float) -> int | None:
+        """Return the rank of which an agent knows; None if of none."""
+        notice = view.notice
+        if notice is None or (
+            now - notice.sent_at >= self.limits.repeat_interval_s
+        ):
+            return None
+        return notice.order.rank(now)
+
+    def _count(self, waiting: WaitingTasks) -> int:
+        """Return how many tasks an agent is told of."""
+        share = math.ceil(SHARE_FACTOR * waiting.count / len(self.agents))
+        return min(share, waiting.count, self.limits.max_count)
+
+    def _send(
+        self, agent_id: str, view: AgentView, waiting: WaitingTasks, now: float
+    ) -> None:
+        order = waiting.order
+        room = waiting.step.room
+        count = self._count(waiting)
+        view.notice = SentNotice(
+            order=order, room=room, count=count, sent_at=now
+        )
+        message = TasksWaiting(
+            count=count,
+            priority=order.priority,
+            time_left_ms=round((order.due_at - now) * MS_PER_S),
+            start_within_ms=round((order.latest_start_at - now) * MS_PER_S),
+            objective_ms=round(order.objective_s * MS_PER_S),
+            cpu_milli=room.cpu_milli,
+            memory_mb=room.memory_mb,
+            accelerators=room.accelerators,
+        )
+        self.effects.append(SendToAgent(agent_id, message))
--- a/egretcart/direct/log/decisions.py
+++ b/egretcart/direct/log/decisions.py
@@ -186,6 +186,8 @@
         callers' estimates, in percent.
     status_age_ms : int
         Age of the agent's last status.
+    offer : int
+        Number of the agent's offer that they use; 0 if none.
     """
 
     job_id: str
@@ -197,6 +199,7 @@
     queued: int
     pace_percent: int
     status_age_ms: int
+    offer: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -344,6 +347,24 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class OfferUnused(Decision):
+    """Capacity that an agent had offered to an entry is free again.
+
+    Attributes
+    ----------
+    entry : str
+    cause : str
+        ``declined``, ``expired``, or why the entry is lost.
+    held_ms : int
+        Time for which it was held.
+    """
+
+    entry: str
+    cause: str
+    held_ms: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class RunUnanswered(Decision):
     """A request to start or stop a run got no answer.
--- a/egretcart/direct/policy/admission.py
+++ b/egretcart/direct/policy/admission.py
@@ -12,6 +12,7 @@
 
 from egretcart.direct.connection.views import AgentView
 from egretcart.direct.request.job import Step
+from egretcart.direct.version.configuration import MAX_USEFUL_SHARE
 from egretcart.direct.version.configuration import USEFUL_LATENCY_FACTOR
 
 
@@ -34,7 +35,7 @@
     """
 
     useful_latency_factor: float = USEFUL_LATENCY_FACTOR
-    max_useful_share: float = 0.67
+    max_useful_share: float = MAX_USEFUL_SHARE
     min_retry_s: float = 1.0
     max_retry_s: float = 10.0
 
--- a/egretcart/direct/policy/placement.py
+++ b/egretcart/direct/policy/placement.py
@@ -1,8 +1,9 @@
 """Placement: which agent a task is sent to. Free of I/O.
 
-This handles three kinds of load: a mixture of short and long tasks on backend
-servers of unequal speed, fully occupied servers whose capacity comes free one
-task at a time, and servers that are cold for some time after their start.
+This handles a mixture of short and long tasks on backend servers of unequal
+speed, and servers that are cold for some time after their start. On fully
+occupied servers, a task goes where an agent has offered capacity; see
+`egretcart.direct.policy.capacity_offers`.
 """
 
 from collections.abc import Iterable
@@ -26,19 +27,13 @@
         Expected run times within this factor count as equal: slowdowns are
         known to within 25 % only, and speeds of hardware differ by more.
     max_queued : int
-        Tasks that may wait at an agent, so that capacity that comes free
-        there is used at once; more are kept at the entry, which can still
-        send them to any agent.
-    probe_queued : int
-        Number of tasks that an agent may have while it is probed; not read
-        by `Placement`, which sends a probed agent a task only if it has
-        none.
+        Tasks that may wait at an agent while the entry does not use offers,
+        so that capacity that comes free there is used at once.
     """
 
     on_time_share: float = 0.85
     equal_time_factor: float = 1.5
     max_queued: int = 2
-    probe_queued: int = 1
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -52,6 +47,12 @@
     time_left_ms : float
         Time until the job's latency objective, in milliseconds; negative
         after it.
+    may_queue : bool
+        Whether the task may wait at an agent that has no free capacity.
+    rank : int
+        `TaskOrder.rank` of the task.
+    now : float
+        Time in seconds, on the entry's clock.
     avoided_agents : frozenset of str
         Agents at which a run of the task has failed, was stopped or was
         lost; they are used only if there is no other.
@@ -62,6 +63,9 @@
 
     step: Step
     time_left_ms: float
+    may_queue: bool = True
+    rank: int = 0
+    now: float = 0.0
     avoided_agents: frozenset[str] = frozenset()
     step_tasks_by_agent: dict[str, int] = dataclasses.field(
         default_factory=dict
@@ -105,6 +109,11 @@
             item for item in usable if item[0] not in request.avoided_agents
         ]
         usable = untried or usable
+        offered = [
+            item for item in usable if self._may_use_offer(item[1], request)
+        ]
+        if offered:
+            return self._best_fitting(request, offered)
         fitting = [
             item for item in usable if item[1].free.can_fit(request.step.room)
         ]
@@ -128,6 +137,19 @@
             return False
         return not view.status.probing or self._may_probe(view)
 
+    def _may_use_offer(
+        self, view: AgentView, request: PlacementRequest
+    ) -> bool:
+        """Whether an offer of the agent may be used for a task.
+
+        Tasks of other entries may be more urgent than one that is less
+        urgent than the agent was told.
+        """
+        if not view.has_offer_for(request.step.room):
+            return False
+        notice = view.notice
+        return notice is None or request.rank <= notice.order.rank(request.now)
+
     def _may_probe(self, view: AgentView) -> bool:
         return not view.sent and view.free == view.capacity
 
@@ -168,6 +190,8 @@
     def _shortest_queue(
         self, request: PlacementRequest, usable: list[tuple[str, AgentView]]
     ) -> str | None:
+        if not request.may_queue:
+            return None
         open_queues = [
             (agent_id, view)
             for agent_id, view in usable
--- a/egretcart/direct/request/held_job.py
+++ b/egretcart/direct/request/held_job.py
@@ -8,6 +8,7 @@
 from egretcart.direct.request.job import Job
 from egretcart.direct.request.job import JobState
 from egretcart.direct.request.job import TaskKey
+from egretcart.direct.request.ordering import TaskOrder
 from egretcart.direct.version.configuration import Route
 
 
@@ -102,6 +103,8 @@
     critical_path_ms : float
         Run time with enough capacity for all tasks, from the caller's
         estimates, in milliseconds.
+    order : TaskOrder
+        In which order the tasks of jobs are sent.
     tasks : dict of TaskKey to HeldTask
         All tasks of the job.
     remaining_counts : list of int
@@ -126,6 +129,12 @@
         self.waiting_request_ids: set[int] = set()
         self.objective_ms = objective_ms(job, route)
         self.critical_path_ms = estimate_critical_path_ms(job)
+        self.order = TaskOrder(
+            priority=route.priority,
+            due_at=self.due_at,
+            latest_start_at=self.due_at - self.critical_path_ms / 1000,
+            objective_s=self.objective_ms / 1000,
+        )
         self.tasks: dict[TaskKey, HeldTask] = {}
         self.remaining_counts = [step.count for step in job.steps]
         for number, step in enumerate(job.steps):
@@ -161,16 +170,9 @@
             for task in self.tasks.values()
         )
 
-    def sort_key(self, now: float) -> tuple[bool, int, float]:
-        """Return the sort key of jobs: those that can be on time go first.
-
-        A job that will be late in any case must not make others late.
-        """
-        return (
-            self.will_miss_objective(now),
-            self.route.priority,
-            self.due_at,
-        )
+    def sort_key(self, now: float) -> tuple[int, float]:
+        """Return the sort key of jobs; see `TaskOrder`."""
+        return self.order.key(now)
 
     def will_miss_objective(self, now: float) -> bool:
         """Whether the job misses its objective even if it starts now."""
--- a/egretcart/direct/version/configuration.py
+++ b/egretcart/direct/version/configuration.py
@@ -9,6 +9,10 @@
 # its caller any more. It follows from the users' rules on the worth of late
 # answers.
 USEFUL_LATENCY_FACTOR = 3.0
+# Share of that time up to which a job is accepted, and after which a waiting
+# one goes before those of all queues: estimates are at times wrong by a
+# factor of 1.5.
+MAX_USEFUL_SHARE = 2 / 3
 # Routes repeat their hosts and prefixes; a higher level gains little.
 COMPRESSION_LEVEL = 3
 MAX_DOCUMENT_BYTES = 16 * 1024 * 1024
