Let tests of leaving servers and drains fit tasks that wait at entries

The estimate of the load has its former inputs again; capacity and a free place before the report, and none after it, are still required. Tasks wait at agents only while their entry is behind, so the scenario of queued tasks puts its entries behind first; its checks are the same.

--- a/tests/features/steps/drained_domains_steps.py
+++ b/tests/features/steps/drained_domains_steps.py
@@ -268,6 +268,9 @@
     context.ended = EndedRuns()
     world = context.world = deployment(seed=12, log=context.ended)
     world.run(2.0)
+    # Tasks wait at agents only while their entry is behind.
+    for entry in world.entries.values():
+        entry.lateness.record(1.0)
     context.waiting_jobs = [
         world.submit(tasks=4, work_ms=1500, room=TASK_ROOM) for _ in range(17)
     ]
--- a/tests/features/steps/leaving_steps.py
+++ b/tests/features/steps/leaving_steps.py
@@ -31,7 +31,6 @@
 from egretcart.direct.entry.entry_types import SendToAgent
 from egretcart.direct.log.decisions import LeavingRunJudged
 from egretcart.direct.log.decisions import NullDecisionLog
-from egretcart.direct.policy.admission import Backlog
 from egretcart.direct.policy.admission import estimate_load
 from egretcart.direct.policy.leaving import should_move
 from egretcart.direct.policy.leaving import ThreatenedRun
@@ -145,18 +144,9 @@
     context.status = told[0][1]
 
 
-def capacity_and_places(view):
-    load = estimate_load(
-        STEP,
-        [view],
-        now=1.1,
-        critical_path_ms=STEP.estimate_ms,
-        on_time=Backlog(),
-        late=Backlog(),
-        far_factor=1.5,
-        task_spread=0.15,
-    )
-    return load.capacity_cpu_milli, load.free_places
+def capacity_and_place(view):
+    load = estimate_load(STEP, [view], queued_cpu_milli_ms=0, far_factor=1.5)
+    return load.capacity_cpu_milli, load.has_free_capacity
 
 
 @then("an entry that is told so counts it in no estimate")
@@ -168,9 +158,9 @@
     view = AgentView(status=accepting, now=1.0)
     assert view.may_run(STEP)
     assert view.can_begin(STEP.room, "")
-    assert capacity_and_places(view) == (10, 1)
+    assert capacity_and_place(view) == (10, True)
     view.update(context.status, 1.1)
-    assert capacity_and_places(view) == (0, 0)
+    assert capacity_and_place(view) == (0, False)
     assert not view.can_begin(STEP.room, "")
     placement = Placement(
         limits=PlacementLimits(), far_factor=1.5, source=random.Random(1)
