--- a/tools/measure_job_cost.py
+++ b/tests/measure_job_cost.py
@@ -33,7 +33,7 @@
 import tempfile
 
 from docopt import docopt
-from platform_standins import REPORT_INTERVAL_S  # type: ignore[import-not-found]
+from platform_standins import REPORT_INTERVAL_S
 from platform_standins import RunnerStandIn
 from platform_standins import StoreStandIn
 import trio
