--- a/egretcart/direct/agent/backend_exchange.py
+++ b/egretcart/direct/agent/backend_exchange.py
@@ -13,8 +13,8 @@
 from egretcart.direct.backend.backend import StartAnswer
 from egretcart.direct.backend.backend import StartRequest
 from egretcart.direct.backend.backend import StopRequest
+from egretcart.direct.log.agent_decisions import RunUnanswered
 from egretcart.direct.log.decisions import DecisionLog
-from egretcart.direct.log.decisions import RunUnanswered
 from egretcart.direct.request.job import Ending
 from egretcart.direct.request.job import TaskKey
 
--- a/egretcart/direct/agent/capacity_offering.py
+++ b/egretcart/direct/agent/capacity_offering.py
@@ -7,8 +7,8 @@
 from egretcart.direct.connection.offer_messages import CapacityOffered
 from egretcart.direct.connection.offer_messages import OfferDeclined
 from egretcart.direct.connection.offer_messages import TasksWaiting
+from egretcart.direct.log.agent_decisions import OfferUnused
 from egretcart.direct.log.decisions import DecisionLog
-from egretcart.direct.log.decisions import OfferUnused
 from egretcart.direct.policy.capacity_offers import CapacityOffers
 from egretcart.direct.policy.capacity_offers import Offer
 from egretcart.direct.request.ordering import TaskOrder
--- a/egretcart/direct/agent/domain_drain.py
+++ b/egretcart/direct/agent/domain_drain.py
@@ -7,8 +7,8 @@
 """
 
 from egretcart.direct.agent.entry_links import EntryLinks
+from egretcart.direct.log.agent_decisions import DrainApplied
 from egretcart.direct.log.decisions import DecisionLog
-from egretcart.direct.log.decisions import DrainApplied
 from egretcart.direct.version.drained_domains import DrainedDomains
 from egretcart.direct.version.drained_domains import KnownDrainedDomains
 
--- a/egretcart/direct/agent/known_backend.py
+++ b/egretcart/direct/agent/known_backend.py
@@ -9,7 +9,7 @@
 from egretcart.direct.backend.health import BackendHealth
 from egretcart.direct.backend.lease import BackendLease
 from egretcart.direct.backend.warmup import Warmup
-from egretcart.direct.log.decisions import BackendChanged
+from egretcart.direct.log.agent_decisions import BackendChanged
 from egretcart.direct.log.decisions import DecisionLog
 from egretcart.direct.request.job import TaskKey
 
--- a/egretcart/direct/agent/run_queue.py
+++ b/egretcart/direct/agent/run_queue.py
@@ -15,9 +15,9 @@
 from egretcart.direct.connection.messages import RunTasks
 from egretcart.direct.connection.messages import TAKEN_OVER_REASON
 from egretcart.direct.connection.messages import TaskEnded
+from egretcart.direct.log.agent_decisions import RunEnded
+from egretcart.direct.log.agent_decisions import RunStarted
 from egretcart.direct.log.decisions import DecisionLog
-from egretcart.direct.log.decisions import RunEnded
-from egretcart.direct.log.decisions import RunStarted
 from egretcart.direct.request.job import Ending
 from egretcart.direct.request.job import NO_ROOM
 from egretcart.direct.request.job import Room
--- /dev/null
+++ b/egretcart/direct/connection/peer_messages.py
@@ -0,0 +1,82 @@
+"""Messages between entries about jobs and configurations.
+
+Each class mirrors the struct of the same name in wire.thrift.
+"""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class JobsTaken:
+    """Jobs that the sender has accepted recently."""
+
+    job_ids: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ReleaseJob:
+    """Asks the entry that has accepted a job to yield it to the sender.
+
+    Attributes
+    ----------
+    number : int
+        Number of the sender's claim; `JobReleased` repeats it.
+    job_id : str
+    owner : str
+        The entry to which the receiver is to pass this on; empty if that is
+        the receiver itself.
+    claimant : str
+        The entry that takes the job over; empty if that is the sender.
+    """
+
+    number: int = 0
+    job_id: str = ""
+    owner: str = ""
+    claimant: str = ""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class JobReleased:
+    """Answers `ReleaseJob`: no run of the job is left for its owner.
+
+    If the question was to be passed on and the owner could not be reached,
+    nothing is known of its runs.
+
+    Attributes
+    ----------
+    number : int
+        That of the `ReleaseJob`.
+    state : str
+        Value of a `JobState` if the job has ended; else empty.
+    """
+
+    number: int = 0
+    state: str = ""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RoutingRequest:
+    """Asks an entry for its active configuration, on the same link.
+
+    Attributes
+    ----------
+    version : int
+        Version of the sender's active configuration; 0 for none.
+    """
+
+    version: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Routing:
+    """A configuration, sent to an entry that has asked for it.
+
+    Attributes
+    ----------
+    version : int
+    document : bytes
+        As `encode_routing` returns it.
+    """
+
+    version: int = 0
+    document: bytes = b""
--- a/egretcart/direct/connection/wire.py
+++ b/egretcart/direct/connection/wire.py
@@ -10,11 +10,11 @@
 from egretcart.direct.connection import messages
 from egretcart.direct.connection.messages import AgentHello
 from egretcart.direct.connection.messages import EntryHello
-from egretcart.direct.connection.messages import JobReleased
 from egretcart.direct.connection.messages import RunTasks
 from egretcart.direct.connection.messages import TaskEnded
 from egretcart.direct.connection.offer_messages import CapacityOffered
 from egretcart.direct.connection.offer_messages import TasksWaiting
+from egretcart.direct.connection.peer_messages import JobReleased
 from egretcart.direct.request.job import Ending
 from egretcart.direct.request.job import JobState
 from egretcart.direct.request.job import NO_ROOM
--- a/egretcart/direct/entry/entry_links.py
+++ b/egretcart/direct/entry/entry_links.py
@@ -15,8 +15,8 @@
 from egretcart.direct.connection.messages import EntryHello
 from egretcart.direct.connection.messages import EntryPeers
 from egretcart.direct.connection.messages import PeerAddress
-from egretcart.direct.connection.messages import Routing
-from egretcart.direct.connection.messages import RoutingRequest
+from egretcart.direct.connection.peer_messages import Routing
+from egretcart.direct.connection.peer_messages import RoutingRequest
 from egretcart.direct.connection.peer_registry import PeerRegistry
 from egretcart.direct.connection.wire import DIRECT_PROTOCOL
 from egretcart.direct.entry.entry import DirectEntry
--- a/egretcart/direct/entry/job_releases.py
+++ b/egretcart/direct/entry/job_releases.py
@@ -10,8 +10,8 @@
 from collections.abc import Mapping
 import dataclasses
 
-from egretcart.direct.connection.messages import JobReleased
-from egretcart.direct.connection.messages import ReleaseJob
+from egretcart.direct.connection.peer_messages import JobReleased
+from egretcart.direct.connection.peer_messages import ReleaseJob
 from egretcart.direct.entry.entry_types import EntryEffect
 from egretcart.direct.entry.entry_types import SendToPeer
 
--- a/egretcart/direct/entry/peer_entries.py
+++ b/egretcart/direct/entry/peer_entries.py
@@ -1,11 +1,11 @@
 """The other entries that an entry is connected to. Free of I/O."""
 
 from egretcart.direct.connection.messages import Beat
-from egretcart.direct.connection.messages import JobReleased
-from egretcart.direct.connection.messages import JobsTaken
 from egretcart.direct.connection.messages import PeerMessage
 from egretcart.direct.connection.messages import RecruitAgents
-from egretcart.direct.connection.messages import ReleaseJob
+from egretcart.direct.connection.peer_messages import JobReleased
+from egretcart.direct.connection.peer_messages import JobsTaken
+from egretcart.direct.connection.peer_messages import ReleaseJob
 from egretcart.direct.entry.answer_memory import AnswerMemory
 from egretcart.direct.entry.drain_relay import DrainRelay
 from egretcart.direct.entry.entry_state import EntryState
--- a/egretcart/direct/entry/pending_claims.py
+++ b/egretcart/direct/entry/pending_claims.py
@@ -13,7 +13,7 @@
 import random
 
 from egretcart.direct.connection.messages import EvictJob
-from egretcart.direct.connection.messages import ReleaseJob
+from egretcart.direct.connection.peer_messages import ReleaseJob
 from egretcart.direct.entry.entry_types import EntryEffect
 from egretcart.direct.entry.entry_types import SendToAgent
 from egretcart.direct.entry.entry_types import SendToPeer
--- /dev/null
+++ b/egretcart/direct/log/agent_decisions.py
@@ -0,0 +1,136 @@
+"""Records of the decisions of agents; see `egretcart.direct.log.decisions`."""
+
+import dataclasses
+
+from egretcart.direct.log.decisions import Decision
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RunStarted(Decision):
+    """An agent requests the start of a run from its backend server.
+
+    Attributes
+    ----------
+    entry : str
+        Id of the entry that has sent the task.
+    waited_ms : int
+        Time that the task has waited at the agent.
+    free_cpu_milli : int
+        Capacity that is left free, in thousandths of a processor.
+    """
+
+    job_id: str
+    step: int
+    index: int
+    run: int
+    entry: str
+    waited_ms: int
+    free_cpu_milli: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RunEnded(Decision):
+    """A run has ended at an agent.
+
+    Attributes
+    ----------
+    ending : str
+        Value of an `Ending`.
+    run_ms : int
+        Time since the start of the run, or since the agent received the
+        task if it has not started.
+    reason : str
+        Why it ended like that; may be empty.
+    """
+
+    job_id: str
+    step: int
+    index: int
+    run: int
+    ending: str
+    run_ms: int
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class OfferUnused(Decision):
+    """Capacity that an agent had offered to an entry is free again.
+
+    Attributes
+    ----------
+    entry : str
+    cause : str
+        ``declined``, ``expired``, or why the entry is lost.
+    held_ms : int
+        Time for which it was held.
+    """
+
+    entry: str
+    cause: str
+    held_ms: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RunUnanswered(Decision):
+    """A request to start or stop a run got no answer.
+
+    Attributes
+    ----------
+    order : str
+        ``start`` or ``stop``.
+    """
+
+    job_id: str
+    step: int
+    index: int
+    run: int
+    order: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class BackendChanged(Decision):
+    """The state of a backend server changes, as its agent knows it.
+
+    Attributes
+    ----------
+    instance : str
+        Name of the backend server; empty if none is known.
+    state : str
+        ``found``, ``answering``, ``draining``, ``lease lapsed`` or ``gone``.
+    cause : str
+        What led to the change.
+    answer_age_ms : int
+        Time since the backend server's last answer.
+    """
+
+    instance: str
+    state: str
+    cause: str
+    answer_age_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class DrainApplied(Decision):
+    """An agent begins or ends to refuse tasks, as its domain is drained.
+
+    Attributes
+    ----------
+    domain : str
+        The agent's failure domain.
+    drained : bool
+    revision : int
+        Revision of the platform's store of what the agent knows.
+    source : str
+        Who has told it.
+    queued : int
+        Tasks in its queue, which it rejects as not run.
+    running : int
+        Runs that go on.
+    """
+
+    domain: str
+    drained: bool
+    revision: int
+    source: str
+    queued: int
+    running: int
--- a/egretcart/direct/process/metered_log.py
+++ b/egretcart/direct/process/metered_log.py
@@ -9,14 +9,14 @@
 from egretcart.connection.http_server import HttpRequest
 from egretcart.connection.http_server import HttpResponse
 from egretcart.connection.traffic import TrafficCounters
+from egretcart.direct.log.agent_decisions import RunEnded
+from egretcart.direct.log.agent_decisions import RunStarted
 from egretcart.direct.log.decisions import Decision
 from egretcart.direct.log.decisions import DecisionLog
 from egretcart.direct.log.decisions import DomainsDrained
 from egretcart.direct.log.decisions import JobAnswered
 from egretcart.direct.log.decisions import JobRefused
 from egretcart.direct.log.decisions import LeavingRunJudged
-from egretcart.direct.log.decisions import RunEnded
-from egretcart.direct.log.decisions import RunStarted
 from egretcart.direct.process.settings import split_address
 from egretcart.process.metric_table import DECISIONS
 from egretcart.process.metric_table import DOMAINS_DRAINED
--- a/tests/features/steps/direct_decisions_steps.py
+++ b/tests/features/steps/direct_decisions_steps.py
@@ -24,9 +24,9 @@
 from egretcart.direct.connection.messages import EntriesServed
 from egretcart.direct.connection.messages import EvictJob
 from egretcart.direct.connection.messages import JobEvicted
-from egretcart.direct.connection.messages import JobsTaken
 from egretcart.direct.connection.messages import RunTasks
 from egretcart.direct.connection.messages import TaskEnded
+from egretcart.direct.connection.peer_messages import JobsTaken
 from egretcart.direct.connection.views import AgentView
 from egretcart.direct.entry.entry import DirectEntry
 from egretcart.direct.entry.entry_types import DirectEntryLimits
--- a/tests/features/steps/drained_domains_steps.py
+++ b/tests/features/steps/drained_domains_steps.py
@@ -20,8 +20,8 @@
 from egretcart.direct.connection.messages import AgentHello
 from egretcart.direct.connection.messages import RunTasks
 from egretcart.direct.connection.wire import find_violation
+from egretcart.direct.log.agent_decisions import RunEnded
 from egretcart.direct.log.decisions import NullDecisionLog
-from egretcart.direct.log.decisions import RunEnded
 from egretcart.direct.request.job import JobState
 from egretcart.direct.request.job import Room
 from egretcart.direct.request.job import TaskKey
--- a/tests/features/steps/job_release_steps.py
+++ b/tests/features/steps/job_release_steps.py
@@ -9,12 +9,12 @@
 from egretcart.direct.connection.messages import EntriesServed
 from egretcart.direct.connection.messages import EvictJob
 from egretcart.direct.connection.messages import JobEvicted
-from egretcart.direct.connection.messages import JobReleased
-from egretcart.direct.connection.messages import JobsTaken
-from egretcart.direct.connection.messages import ReleaseJob
 from egretcart.direct.connection.messages import RunTasks
 from egretcart.direct.connection.messages import StopTasks
 from egretcart.direct.connection.messages import TaskEnded
+from egretcart.direct.connection.peer_messages import JobReleased
+from egretcart.direct.connection.peer_messages import JobsTaken
+from egretcart.direct.connection.peer_messages import ReleaseJob
 from egretcart.direct.entry.entry import DirectEntry
 from egretcart.direct.entry.entry_types import Answer
 from egretcart.direct.entry.entry_types import DirectEntryLimits
