Tell agents of a waiting task that one of them may run

Cause, found by reading: agents are told of the entry's most urgent waiting task alone. If no agent may run it (the only one with its label was lost, or a job that can never be done was accepted while agents were being discovered), nobody was told of anything, and no other task was offered capacity. The new scenario failed before: no message.

--- a/egretcart/direct/entry/task_sender.py
+++ b/egretcart/direct/entry/task_sender.py
@@ -45,6 +45,9 @@
     unplaced : WaitingTasks or None
         The tasks that no agent could begin in the last dispatch; None if
         there were none.
+    offerable : WaitingTasks or None
+        Those of them from the first one on that some agent may run. What
+        agents are told of must not be a task that none of them may run.
     """
 
     def __init__(
@@ -64,12 +67,13 @@
         self.notices = notices
         self.lateness = lateness
         self.unplaced: WaitingTasks | None = None
+        self.offerable: WaitingTasks | None = None
 
     def dispatch(self, jobs: Iterable[HeldJob], now: float) -> None:
         """Send the waiting tasks of jobs, the most urgent ones first."""
-        self.unplaced = None
+        self.unplaced = self.offerable = None
         self._place_all([held for held in jobs if any(held.waiting())], now)
-        told = None if self.lateness.is_behind else self.unplaced
+        told = None if self.lateness.is_behind else self.offerable
         self.notices.send(told, now)
 
     def _place_all(self, waiting: list[HeldJob], now: float) -> None:
@@ -126,6 +130,12 @@
         if self.unplaced is None:
             self.unplaced = WaitingTasks(order=held.order, step=step, count=0)
         self.unplaced.count += 1
+        if self.offerable is None and any(
+            view.may_run(step) for view in self.agents.values()
+        ):
+            self.offerable = WaitingTasks(order=held.order, step=step, count=0)
+        if self.offerable is not None:
+            self.offerable.count += 1
 
     def _choose(self, held: HeldJob, task: HeldTask, now: float) -> str | None:
         step = held.job.steps[task.key.step]
--- a/tests/features/late_binding.feature
+++ b/tests/features/late_binding.feature
@@ -53,6 +53,9 @@
     And an entry that lets an offer expire is offered nothing for a time
     And an entry declines what it was offered for a more urgent task
 
+  Scenario: A task that no agent may run keeps no other from being offered room
+    Then agents are told of a task that they may run, though another is first
+
   Scenario: An entry that is behind uses no offers
     Then its tasks wait at agents while its ticks come late, and not later
 
--- a/tests/features/steps/late_binding_steps.py
+++ b/tests/features/steps/late_binding_steps.py
@@ -68,8 +68,20 @@
         assert (order().key(now) < fresh.key(now)) == is_first, now
 
 
-def job(job_id="a" * 16, *, tasks=1, route=ROUTES["last"], estimate_ms=100.0):
-    step = Step(count=tasks, room=Room(10, 10, 0), estimate_ms=estimate_ms)
+def job(
+    job_id="a" * 16,
+    *,
+    tasks=1,
+    route=ROUTES["last"],
+    estimate_ms=100.0,
+    requires="",
+):
+    step = Step(
+        count=tasks,
+        room=Room(10, 10, 0),
+        estimate_ms=estimate_ms,
+        requires=requires,
+    )
     return Job(job_id=job_id, payload="", steps=(step,)), route
 
 
@@ -86,9 +98,10 @@
     return entry
 
 
-def connect_agent(entry, agent_id, *, free, now):
+def connect_agent(entry, agent_id, *, free, now, labels=()):
     status = AgentStatus(
         agent_id=agent_id,
+        labels=labels,
         accepting=True,
         cpu_milli=10,
         memory_mb=10,
@@ -107,6 +120,21 @@
     ]
 
 
+@then("agents are told of a task that they may run, though another is first")
+def check_unrunnable_first(context):
+    entry = entry_with_agent()
+    connect_agent(entry, "other", free=0, now=1.0, labels=("special",))
+    first = job("b" * 16, requires="special", route=ROUTES["first"])
+    entry.submit(1, *first, 1.0)
+    entry.agent_disconnected("other", 1.01)
+    assert "b" * 16 in entry.jobs
+    effects = entry.submit(2, *job(), 1.02)
+    told = sent_to_agent(effects, TasksWaiting)
+    assert [message.priority for message in told] == [
+        ROUTES["last"].priority
+    ], told
+
+
 @then("an agent orders a task as its entry does")
 def check_same_order(context):
     entry = entry_with_agent(free=10)
