--- a/egretcart/direct/entry/pending_claims.py
+++ b/egretcart/direct/entry/pending_claims.py
@@ -14,6 +14,7 @@
 
 from egretcart.direct.connection.messages import EvictJob
 from egretcart.direct.connection.peer_messages import ReleaseJob
+from egretcart.direct.entry.entry_types import Answer
 from egretcart.direct.entry.entry_types import EntryEffect
 from egretcart.direct.entry.entry_types import SendToAgent
 from egretcart.direct.entry.entry_types import SendToPeer
@@ -209,6 +210,15 @@
         """Remove a claim."""
         del self.by_job[pending.job.job_id]
 
+    def interrupt(self) -> None:
+        """Answer the requests of all claims that their jobs may have run."""
+        for pending in list(self.by_job.values()):
+            self.remove(pending)
+            for request_id in pending.request_ids:
+                self.effects.append(
+                    Answer(request_id=request_id, interrupted=True)
+                )
+
     def remove_request(self, job_id: str, request_id: int) -> None:
         """Record that a caller no longer waits for its job."""
         pending = self.by_job.get(job_id)
--- a/tests/features/job_releases.feature
+++ b/tests/features/job_releases.feature
@@ -59,6 +59,11 @@
     When the link to that one is reset and it reports the job again
     Then it is asked again, and the job is accepted only after its answer
 
+  Scenario: An entry that has to end answers callers whose job it waits for
+    Given an entry that waits for another one to release a job
+    When the entry has to end at once
+    Then the caller is answered that its job may have run
+
   Scenario Outline: An owner that was paused first hears of takeovers
     Given an entry that runs a job at an agent
     When the entry is paused for 2 seconds and its agent connects again
--- a/tests/features/steps/job_release_steps.py
+++ b/tests/features/steps/job_release_steps.py
@@ -445,3 +445,19 @@
     assert not exchange.is_accepted()
     exchange.from_peer(JobReleased(number=asked[1][1].number))
     assert exchange.is_accepted()
+
+
+@when("the entry has to end at once")
+def interrupt(context):
+    exchange = context.exchange
+    exchange.effects += exchange.entry.interrupt(exchange.now)
+
+
+@then("the caller is answered that its job may have run")
+def check_interrupted(context):
+    answers = [
+        effect
+        for effect in context.exchange.effects
+        if isinstance(effect, Answer)
+    ]
+    assert [answer.interrupted for answer in answers] == [True], answers
