Do not raise a fencing token for a refusal of an older one

An agent polls twice at a time when its last answer is old. Three starts refused together also raised the token eightfold.

Ruled out: a task run twice (each has one run that ended 'done'); the metric (it counts each start that is sent).

The new scenario fails without the comparison.

Conclusion: only the refusal of the present token raises it.

--- a/egretcart/direct/agent/agent.py
+++ b/egretcart/direct/agent/agent.py
@@ -231,11 +231,21 @@
             self._start_waiting_and_notify(now)
         return self._pop_effects()
 
-    def raise_fencing_token(
-        self, clock_ms: int, now: float
+    def poll_refused(
+        self, request: PollRequest, clock_ms: int, now: float
     ) -> list[AgentEffect]:
-        """Raise the fencing token after the server has seen a higher one."""
-        self.backend.raise_fencing_token(clock_ms, now)
+        """Handle the refusal of a poll request for its fencing token.
+
+        Parameters
+        ----------
+        request : PollRequest
+        clock_ms : int
+            The server's clock, in milliseconds.
+        now : float
+        """
+        self.backend.token_refused(
+            request.fencing_token, now, clock_ms=clock_ms
+        )
         return []
 
     def poll_request(self, now: float, *, wait_ms: int) -> PollRequest | None:
--- a/egretcart/direct/agent/agent_process.py
+++ b/egretcart/direct/agent/agent_process.py
@@ -219,7 +219,7 @@
         except StaleTokenError as error:
             now = self.clock.monotonic()
             self._apply_effects(
-                self.agent.raise_fencing_token(error.clock_ms, now)
+                self.agent.poll_refused(request, error.clock_ms, now)
             )
             return True
         except IncarnationMismatchError:
--- a/egretcart/direct/agent/backend_exchange.py
+++ b/egretcart/direct/agent/backend_exchange.py
@@ -260,16 +260,20 @@
             if run.phase is RunPhase.STARTING:
                 run.phase = RunPhase.RUNNING
         else:
-            self._handle_start_refusal(run, answer, now)
+            self._handle_start_refusal(run, request, answer, now)
         return True
 
     def _handle_start_refusal(
-        self, run: Run, answer: StartAnswer, now: float
+        self,
+        run: Run,
+        request: StartRequest,
+        answer: StartAnswer,
+        now: float,
     ) -> None:
         if answer is StartAnswer.UNHEALTHY:
             self.backend.health.record_failure(run.key.job_id, now)
         if answer is StartAnswer.STALE_TOKEN:
-            self.backend.fencing_token *= 2
+            self.backend.token_refused(request.fencing_token, now)
         invalid = answer is StartAnswer.INVALID
         ending = Ending.INVALID if invalid else Ending.NOT_RUN
         self.queue.end(run, ending, answer.value, now)
--- a/egretcart/direct/agent/known_backend.py
+++ b/egretcart/direct/agent/known_backend.py
@@ -114,21 +114,31 @@
             wait_ms=wait_ms if renews else 0,
         )
 
-    def raise_fencing_token(self, clock_ms: int, now: float) -> None:
+    def token_refused(
+        self, token: int, now: float, *, clock_ms: int | None = None
+    ) -> None:
         """Raise the fencing token after the server has seen a higher one.
 
-        The server reports its clock, but not the token that it has seen. A
-        late request to a former incarnation may have carried a token far
-        above that clock, so each call at least doubles the agent's token.
+        The server reports at most its clock, not the token that it has
+        seen. A late request to a former incarnation may have carried a token
+        far above that clock, so the agent's token is at least doubled.
+
+        Requests overtake each other. A refusal of a token lower than the
+        agent's present one does not show that the server refuses that one;
+        raising it would make the server refuse starts that are on their way.
 
         Parameters
         ----------
-        clock_ms : int
-            The server's clock, in milliseconds.
+        token : int
+            The token that the server has refused.
         now : float
+        clock_ms : int or None, optional
+            The server's clock, in milliseconds, if it reported it.
         """
-        self.lease.update_clock(clock_ms, now)
-        self.fencing_token = max(2 * self.fencing_token, clock_ms)
+        if clock_ms is not None:
+            self.lease.update_clock(clock_ms, now)
+        if token >= self.fencing_token:
+            self.fencing_token = max(2 * token, clock_ms or 0)
 
     def log_change(self, state: str, cause: str, now: float) -> None:
         """Log a change of the server's state and what it rests on."""
--- a/egretcart/testing/direct_world.py
+++ b/egretcart/testing/direct_world.py
@@ -743,7 +743,7 @@
             def answer() -> None:
                 if listing is None:
                     clock_ms = int(backend.clock_ms)
-                    effects = agent.raise_fencing_token(clock_ms, self.now)
+                    effects = agent.poll_refused(request, clock_ms, self.now)
                 else:
                     effects = agent.receive_listing(
                         listing, request.lifetime, asked_at, self.now
--- a/tests/features/direct_decisions.feature
+++ b/tests/features/direct_decisions.feature
@@ -31,6 +31,10 @@
   Scenario: A fencing token far below the one that a server has seen
     Then an agent finds one that its server accepts in a few attempts
 
+  Scenario: Requests that overtake each other do not raise the fencing token
+    Then a poll that another one has overtaken leaves the token as it is
+    And starts that are refused together raise the token once
+
   Scenario: An agent that resumes ignores answers to earlier requests
     Then it accepts tasks only after a listing that it has requested since
 
--- a/tests/features/steps/direct_decisions_steps.py
+++ b/tests/features/steps/direct_decisions_steps.py
@@ -9,11 +9,13 @@
 from egretcart.direct.agent.agent import DirectAgent
 from egretcart.direct.agent.agent_types import DirectAgentLimits
 from egretcart.direct.agent.agent_types import EntryState
+from egretcart.direct.agent.agent_types import SendStartRequest
 from egretcart.direct.agent.agent_types import SendToEntry
 from egretcart.direct.agent.entry_links import EntryLinks
 from egretcart.direct.backend.backend import BackendIncarnation
 from egretcart.direct.backend.backend import BackendReport
 from egretcart.direct.backend.backend import Listing
+from egretcart.direct.backend.backend import StartAnswer
 from egretcart.direct.backend.health import BackendHealth
 from egretcart.direct.backend.health import HealthLimits
 from egretcart.direct.backend.lease import BackendLease
@@ -393,11 +395,44 @@
     agent = agent_with_server(clock_ms=200)
     seen_token, attempts = 3_000_000, 0
     while agent.poll_request(1.0, wait_ms=0).fencing_token < seen_token:
-        agent.raise_fencing_token(200, 1.0)
+        request = agent.poll_request(1.0, wait_ms=0)
+        agent.poll_refused(request, 200, 1.0)
         attempts += 1
     assert 0 < attempts < 20, attempts
 
 
+@then("a poll that another one has overtaken leaves the token as it is")
+def check_overtaken_poll(context):
+    agent = agent_with_server(clock_ms=200)
+    overtaken = agent.poll_request(1.0, wait_ms=0)
+    agent.receive_listing(listing_at(1.0), BACKEND_INCARNATION, 1.0, 1.01)
+    newest = agent.poll_request(1.02, wait_ms=0)
+    assert newest.fencing_token > overtaken.fencing_token
+    agent.poll_refused(overtaken, 5100, 1.03)
+    assert agent.fencing_token == newest.fencing_token
+    agent.poll_refused(newest, 5100, 1.04)
+    assert agent.fencing_token > newest.fencing_token
+
+
+@then("starts that are refused together raise the token once")
+def check_refused_starts(context):
+    agent = agent_with_server(clock_ms=200)
+    agent.receive_listing(listing_at(1.0), BACKEND_INCARNATION, 1.0, 1.01)
+    agent.entry_connected("entry", 1, 1.02)
+    tasks = RunTasks(
+        sequence=1, job_id="a" * 16, indexes=(0, 1, 2), run=1, cpu_milli=1
+    )
+    starts = [
+        effect.request
+        for effect in agent.receive("entry", tasks, 1.03)
+        if isinstance(effect, SendStartRequest)
+    ]
+    assert len(starts) == 3, starts
+    for start in starts:
+        agent.start_answered(start, StartAnswer.STALE_TOKEN, 1.04)
+    assert agent.fencing_token == 2 * starts[0].fencing_token
+
+
 @then("it accepts tasks only after a listing that it has requested since")
 def check_resumed(context):
     agent = agent_with_server()
