--- a/egretcart/direct/entry/entry.py
+++ b/egretcart/direct/entry/entry.py
@@ -283,7 +283,7 @@
     def interrupt(self, now: float) -> list[EntryEffect]:
         """Interrupt all waiting callers, so that they ask other entries."""
         self.endings.interrupt(now)
-        self.pending.interrupt()
+        self.pending.interrupt_all()
         return self._pop_effects(now)
 
     # Agents.
--- a/egretcart/direct/entry/peer_entries.py
+++ b/egretcart/direct/entry/peer_entries.py
@@ -136,11 +136,7 @@
                 job_id=pending.job.job_id, entry=entry_id, state="claimed"
             )
         )
-        self.pending.remove(pending)
-        for request_id in pending.request_ids:
-            self.state.effects.append(
-                Answer(request_id=request_id, interrupted=True)
-            )
+        self.pending.interrupt(pending)
 
     def _handle_release_job(
         self, entry_id: str, message: ReleaseJob, now: float
--- a/egretcart/direct/entry/pending_claims.py
+++ b/egretcart/direct/entry/pending_claims.py
@@ -210,14 +210,18 @@
         """Remove a claim."""
         del self.by_job[pending.job.job_id]
 
-    def interrupt(self) -> None:
+    def interrupt(self, pending: PendingClaim) -> None:
+        """Answer the requests of a claim that its job may have run."""
+        self.remove(pending)
+        for request_id in pending.request_ids:
+            self.effects.append(
+                Answer(request_id=request_id, interrupted=True)
+            )
+
+    def interrupt_all(self) -> None:
         """Answer the requests of all claims that their jobs may have run."""
         for pending in list(self.by_job.values()):
-            self.remove(pending)
-            for request_id in pending.request_ids:
-                self.effects.append(
-                    Answer(request_id=request_id, interrupted=True)
-                )
+            self.interrupt(pending)
 
     def remove_request(self, job_id: str, request_id: int) -> None:
         """Record that a caller no longer waits for its job."""
