Import neither the leader's messages nor uuid6 in direct dispatch

Cause: an entry or agent of direct dispatch imported all messages of the other kind of deployment for one class, the address of an entry, and the identities of jobs with uuid6 (which imports importlib.metadata, email and more) for one media type.

EntryAddress and JSON_MEDIA_TYPE have modules of their own now.

--- a/egretcart/__init__.py
+++ b/egretcart/__init__.py
@@ -17,7 +17,7 @@
 from egretcart.version.release import RELEASE
 
 if TYPE_CHECKING:
-    from egretcart.connection.messages import EntryAddress
+    from egretcart.connection.entry_address import EntryAddress
     from egretcart.connection.messages import Term
     from egretcart.process.agent.agent import Agent
     from egretcart.process.agent.agent_types import AbortExchange
@@ -78,7 +78,7 @@
 ]
 
 _MODULES = {
-    "EntryAddress": "egretcart.connection.messages",
+    "EntryAddress": "egretcart.connection.entry_address",
     "Term": "egretcart.connection.messages",
     "Agent": "egretcart.process.agent.agent",
     "AbortExchange": "egretcart.process.agent.agent_types",
--- a/egretcart/connection/http_server.py
+++ b/egretcart/connection/http_server.py
@@ -17,11 +17,11 @@
 from egretcart.connection.readable import is_readable
 from egretcart.connection.socket_io import receive_when_readable
 from egretcart.connection.socket_io import write_now
+from egretcart.request.media_types import JSON_MEDIA_TYPE
 from egretcart.request.problem import bad_request
 from egretcart.request.problem import Problem
 from egretcart.request.problem import PROBLEM_MEDIA_TYPE
 from egretcart.request.problem import unavailable
-from egretcart.request.reply import JSON_MEDIA_TYPE
 from egretcart.request.verdict import Verdict
 
 RECEIVE_BYTES = 64 * 1024
--- a/egretcart/connection/messages.py
+++ b/egretcart/connection/messages.py
@@ -7,6 +7,9 @@
 
 import dataclasses
 
+from egretcart.connection.entry_address import EntryAddress
+from egretcart.connection.entry_address import NO_ADDRESS
+
 
 @dataclasses.dataclass(frozen=True, order=True, slots=True)
 class Term:
@@ -72,31 +75,6 @@
         return frozenset(member.agent_id for member in self.members)
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class EntryAddress:
-    """The addresses of an entry and its share of the cells.
-
-    Attributes
-    ----------
-    entry_id : str
-    host, port : str and int
-        Address that other entries and agents connect to.
-    weight : int
-        Share of the cells that the entry should lead, relative to others.
-    failure_domain : str
-    http_host, http_port : str and int
-        Address of the entry's HTTP API for operators.
-    """
-
-    entry_id: str = ""
-    host: str = ""
-    port: int = 0
-    weight: int = 1
-    failure_domain: str = ""
-    http_host: str = ""
-    http_port: int = 0
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class AgentHello:
     """An agent introduces its backend server to an entry.
@@ -488,7 +466,7 @@
         Differs with every start of the entry's process.
     """
 
-    address: EntryAddress = EntryAddress()
+    address: EntryAddress = NO_ADDRESS
     incarnation: int = 0
 
 
--- a/egretcart/connection/validation.py
+++ b/egretcart/connection/validation.py
@@ -4,8 +4,8 @@
 import ipaddress
 from typing import Any
 
+from egretcart.connection.entry_address import EntryAddress
 from egretcart.connection.messages import AgentHello
-from egretcart.connection.messages import EntryAddress
 from egretcart.connection.messages import EntryHello
 from egretcart.connection.messages import EntryList
 from egretcart.connection.messages import FenceReply
--- a/egretcart/process/agent/agent_process.py
+++ b/egretcart/process/agent/agent_process.py
@@ -10,13 +10,13 @@
 import trio
 
 from egretcart.connection.dialler import Dialler
+from egretcart.connection.entry_address import EntryAddress
 from egretcart.connection.http_client import ExchangeError
 from egretcart.connection.http_client import HttpClient
 from egretcart.connection.http_listener import HttpListener
 from egretcart.connection.http_server import HttpLimits
 from egretcart.connection.link import Link
 from egretcart.connection.messages import AgentConfig
-from egretcart.connection.messages import EntryAddress
 from egretcart.connection.messages import EntryHello
 from egretcart.connection.messages import EntryList
 from egretcart.connection.messages import LeaderMessage
--- a/egretcart/process/entry/caller_api.py
+++ b/egretcart/process/entry/caller_api.py
@@ -25,11 +25,11 @@
 from egretcart.process.operators.operator_api import HEALTHY_BODY
 from egretcart.process.operators.operator_api import OperatorApi
 from egretcart.request.identity import parse_job_id
+from egretcart.request.media_types import JSON_MEDIA_TYPE
 from egretcart.request.problem import bad_request
 from egretcart.request.problem import PROBLEM_MEDIA_TYPE
 from egretcart.request.problem import problem_verdict
 from egretcart.request.problem import unavailable
-from egretcart.request.reply import JSON_MEDIA_TYPE
 from egretcart.request.reply import problem_reply
 from egretcart.request.reply import Reply
 from egretcart.request.verdict import Verdict
--- a/egretcart/process/entry/directory.py
+++ b/egretcart/process/entry/directory.py
@@ -10,7 +10,7 @@
 
 import xxhash
 
-from egretcart.connection.messages import EntryAddress
+from egretcart.connection.entry_address import EntryAddress
 from egretcart.connection.messages import EntryBeat
 from egretcart.connection.messages import Term
 from egretcart.request.identity import JobId
--- a/egretcart/process/entry/entry.py
+++ b/egretcart/process/entry/entry.py
@@ -11,12 +11,12 @@
 
 from collections.abc import Iterable
 
+from egretcart.connection.entry_address import EntryAddress
 from egretcart.connection.messages import AgentConfig
 from egretcart.connection.messages import AgentHello
 from egretcart.connection.messages import AgentMessage
 from egretcart.connection.messages import ConfigDocument
 from egretcart.connection.messages import ConfigRequest
-from egretcart.connection.messages import EntryAddress
 from egretcart.connection.messages import EntryBeat
 from egretcart.connection.messages import EntryList
 from egretcart.connection.messages import FenceReply
--- a/egretcart/process/entry/entry_process.py
+++ b/egretcart/process/entry/entry_process.py
@@ -8,13 +8,13 @@
 import trio
 
 from egretcart.connection.dialler import Dialler
+from egretcart.connection.entry_address import EntryAddress
 from egretcart.connection.http_listener import HttpListener
 from egretcart.connection.http_server import HttpLimits
 from egretcart.connection.link import Link
 from egretcart.connection.messages import AgentHello
 from egretcart.connection.messages import ConfigDocument
 from egretcart.connection.messages import ConfigRequest
-from egretcart.connection.messages import EntryAddress
 from egretcart.connection.messages import EntryBeat
 from egretcart.connection.messages import EntryHello
 from egretcart.connection.messages import EntryList
--- a/egretcart/process/store/platform_follower.py
+++ b/egretcart/process/store/platform_follower.py
@@ -10,7 +10,7 @@
 
 import trio
 
-from egretcart.connection.messages import EntryAddress
+from egretcart.connection.entry_address import EntryAddress
 from egretcart.connection.messages import Roster
 from egretcart.process.cell.rosters import cell_of_key
 from egretcart.process.cell.rosters import decode_roster
--- a/egretcart/process/store/registration.py
+++ b/egretcart/process/store/registration.py
@@ -6,7 +6,7 @@
 import msgspec
 import trio
 
-from egretcart.connection.messages import EntryAddress
+from egretcart.connection.entry_address import EntryAddress
 from egretcart.process.store.platform import Platform
 from egretcart.process.store.platform import PlatformError
 from egretcart.process.store.platform import PlatformRefusal
--- /dev/null
+++ b/egretcart/request/media_types.py
@@ -0,0 +1,3 @@
+"""Media types of replies."""
+
+JSON_MEDIA_TYPE = "application/json"
--- a/egretcart/request/reply.py
+++ b/egretcart/request/reply.py
@@ -7,9 +7,9 @@
 import msgspec
 
 from egretcart.request.identity import JobId
+from egretcart.request.media_types import JSON_MEDIA_TYPE
 from egretcart.request.problem import Problem
 
-JSON_MEDIA_TYPE = "application/json"
 HTTP_OK = 200
 HTTP_ACCEPTED = 202
 
--- /dev/null
+++ b/tests/features/start.feature
@@ -0,0 +1,17 @@
+Feature: A role imports only what it needs before it serves
+
+  While it starts, a process serves nothing; on a small machine the imports
+  alone take seconds.
+
+  Scenario Outline: What belongs to others is not imported
+    When a fresh interpreter imports the modules of the <role> role
+    Then no module of these is imported: <modules>
+
+    Examples:
+      | role  | modules                                                           |
+      | entry | adapter.agent_role, egretcart.direct.agent, egretcart.direct.backend.backend_report_store |
+      | agent | adapter.entry_role, egretcart.direct.entry, egretcart.direct.policy.admission |
+      | entry | egretcart.connection.messages, egretcart.process.entry, egretcart.process.agent, egretcart.process.cell |
+      | agent | egretcart.connection.messages, egretcart.process.entry, egretcart.process.agent, egretcart.process.cell |
+      | entry | egretcart.request.identity, uuid6, opentelemetry, prometheus_client, egretcart.process.metrics |
+      | agent | egretcart.request.identity, uuid6, opentelemetry, prometheus_client, egretcart.process.metrics |
--- a/tests/features/steps/bad_peer_steps.py
+++ b/tests/features/steps/bad_peer_steps.py
@@ -13,8 +13,8 @@
 
 from egretcart.connection.codec import encode_frame
 from egretcart.connection.codec import FrameBuffer
+from egretcart.connection.entry_address import EntryAddress
 from egretcart.connection.messages import AgentHello
-from egretcart.connection.messages import EntryAddress
 from egretcart.connection.messages import EntryBeat
 from egretcart.connection.messages import EntryHello
 from egretcart.connection.messages import FenceReply
--- a/tests/features/steps/config_machine.py
+++ b/tests/features/steps/config_machine.py
@@ -18,8 +18,8 @@
 from hypothesis.stateful import rule
 from hypothesis.stateful import RuleBasedStateMachine
 
+from egretcart.connection.entry_address import EntryAddress
 from egretcart.connection.messages import AgentConfig
-from egretcart.connection.messages import EntryAddress
 from egretcart.process.agent.agent import Agent
 from egretcart.process.agent.agent_types import AgentIdentity
 from egretcart.process.agent.agent_types import AgentLimits
--- a/tests/features/steps/handover_steps.py
+++ b/tests/features/steps/handover_steps.py
@@ -2,9 +2,9 @@
 from behave import then
 from behave import when
 
+from egretcart.connection.entry_address import EntryAddress
 from egretcart.connection.messages import AgentHello
 from egretcart.connection.messages import CellLeader
-from egretcart.connection.messages import EntryAddress
 from egretcart.connection.messages import EntryBeat
 from egretcart.connection.messages import Fence
 from egretcart.connection.messages import Term
--- a/tests/features/steps/peers_steps.py
+++ b/tests/features/steps/peers_steps.py
@@ -6,8 +6,8 @@
 from behave import when
 import msgspec
 
+from egretcart.connection.entry_address import EntryAddress
 from egretcart.connection.messages import CellLeader
-from egretcart.connection.messages import EntryAddress
 from egretcart.connection.messages import EntryBeat
 from egretcart.connection.messages import Forward
 from egretcart.connection.messages import Term
--- a/tests/features/steps/platform_metrics_steps.py
+++ b/tests/features/steps/platform_metrics_steps.py
@@ -11,7 +11,7 @@
 from platform_world import switch_faults
 import trio
 
-from egretcart.connection.messages import EntryAddress
+from egretcart.connection.entry_address import EntryAddress
 from egretcart.connection.traffic import TrafficCounters
 from egretcart.load.counters import parse_counters
 from egretcart.process.cell.limits import LeaderLimits
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -16,10 +16,10 @@
 from platform_world import switch_faults
 import trio
 
+from egretcart.connection.entry_address import EntryAddress
 from egretcart.connection.http_server import HttpConnection
 from egretcart.connection.http_server import HttpLimits
 from egretcart.connection.http_server import HttpResponse
-from egretcart.connection.messages import EntryAddress
 from egretcart.connection.messages import Roster
 from egretcart.process.cell.rosters import read_roster
 from egretcart.process.cell.rosters import roster_key
--- a/tests/features/steps/registration_steps.py
+++ b/tests/features/steps/registration_steps.py
@@ -8,7 +8,7 @@
 from processes import eventually
 import trio
 
-from egretcart.connection.messages import EntryAddress
+from egretcart.connection.entry_address import EntryAddress
 from egretcart.process.store.registration import list_entries
 from egretcart.process.store.registration import Registrar
 
--- a/tests/features/steps/simulated_hosts.py
+++ b/tests/features/steps/simulated_hosts.py
@@ -9,9 +9,9 @@
 import dataclasses
 import functools
 
+from egretcart.connection.entry_address import EntryAddress
 from egretcart.connection.messages import AgentConfig
 from egretcart.connection.messages import AgentHello
-from egretcart.connection.messages import EntryAddress
 from egretcart.connection.messages import EntryHello
 from egretcart.connection.messages import EntryList
 from egretcart.connection.messages import Fence
