Dial again while an attempt waits for a machine without power

Cause: after a loss of power of all machines, agents that were back first dialled entries whose machines had no power yet. What is sent to these is lost, the operating system repeats it after a second, and the dialler gave an attempt one second.

Now another attempt is made every 0.2 s while earlier ones wait, for a second in all; the first answer, also a refusal, ends them. The feature plays the restart on a mock clock; six of its seven scenarios failed with one attempt a second.

Ruled out: the store's list of entries and the redial pause of 0.1 s; entries connected to each other at 38.12 to 38.21 s.

--- a/egretcart/connection/dialler.py
+++ b/egretcart/connection/dialler.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from collections.abc import Iterable
+import contextlib
 from typing import Protocol
 
 import trio
@@ -11,11 +12,16 @@
 # A host behind a network partition does not answer. Without this limit, the
 # operating system would retry for minutes at ever longer intervals.
 CONNECT_TIMEOUT_S = 1.0
+# A packet that was sent to a machine without power is lost, and the operating
+# system repeats it only after a second. Another attempt is therefore made
+# this long after the last one, while that one waits for its answer.
+ATTEMPT_INTERVAL_S = 0.2
 # An address that has been unreachable for longer than this is no longer
 # dialled, unless it is a seed or `ensure_dialled` is called for it again.
 UNREACHABLE_EXPIRY_S = 30.0
 
 Endpoint = tuple[str, int]
+Connect = Callable[[str, int], Awaitable[trio.SocketStream]]
 
 
 class DialPolicy(Protocol):
@@ -63,6 +69,9 @@
         none.
     policy : DialPolicy, optional
         By default, all addresses are dialled.
+    connect : callable, optional
+        Async function that returns a stream to a host and port, or raises
+        `OSError`. By default, it opens a TCP connection.
 
     Attributes
     ----------
@@ -78,12 +87,14 @@
         run_connection: Callable[[trio.SocketStream], Awaitable[None]],
         own: Endpoint | None = None,
         policy: DialPolicy | None = None,
+        connect: Connect = trio.open_tcp_stream,
     ) -> None:
         self.nursery = nursery
         self.seeds = frozenset(seeds)
         self.run_connection = run_connection
         self.own = own
         self.policy = policy or DialAll()
+        self.connect = connect
         self.dialled_endpoints: set[Endpoint] = set()
         for host, port in self.seeds:
             self.ensure_dialled(host, port)
@@ -99,10 +110,8 @@
     async def _dial(self, endpoint: Endpoint) -> None:
         last_connected_at = trio.current_time()
         while self.policy.is_wanted(endpoint):
-            try:
-                with trio.fail_after(CONNECT_TIMEOUT_S):
-                    stream = await trio.open_tcp_stream(*endpoint)
-            except (OSError, trio.TooSlowError):
+            stream = await self._connect(endpoint)
+            if stream is None:
                 self.policy.mark_unreachable(endpoint)
                 unreachable_s = trio.current_time() - last_connected_at
                 if (
@@ -116,3 +125,33 @@
                 last_connected_at = trio.current_time()
             await trio.sleep(REDIAL_INTERVAL_S)
         self.dialled_endpoints.discard(endpoint)
+
+    async def _connect(self, endpoint: Endpoint) -> trio.SocketStream | None:
+        """Return a stream to an address, or None if it can't be reached.
+
+        Attempts overlap; the first answer, a connection or a refusal, ends
+        all of them.
+        """
+        streams: list[trio.SocketStream] = []
+        with trio.move_on_after(CONNECT_TIMEOUT_S):
+            async with trio.open_nursery() as attempts:
+                while True:
+                    attempts.start_soon(
+                        self._attempt, endpoint, streams, attempts.cancel_scope
+                    )
+                    await trio.sleep(ATTEMPT_INTERVAL_S)
+        for surplus in streams[1:]:
+            await trio.aclose_forcefully(surplus)
+        return streams[0] if streams else None
+
+    async def _attempt(
+        self,
+        endpoint: Endpoint,
+        streams: list[trio.SocketStream],
+        attempts: trio.CancelScope,
+    ) -> None:
+        """Connect once; add the stream to `streams` and end all attempts."""
+        # A refusal is an answer too: the machine has power.
+        with contextlib.suppress(OSError):
+            streams.append(await self.connect(*endpoint))
+        attempts.cancel()
--- /dev/null
+++ b/tests/features/dialling.feature
@@ -0,0 +1,25 @@
+Feature: A process reaches the others soon after all have lost power
+
+  Machines return within a second of each other. What was sent to one that had
+  no power yet is lost, and the operating system sends it again only after a
+  second.
+
+  Scenario Outline: An address is reached soon after its machine has power
+    When an address is dialled whose machine has power after <dark> s and answers after <answer> s
+    Then it is connected within <within> s of that, on one connection
+
+    Examples:
+      | dark | answer | within |
+      | 0.0  | 0.01   | 0.02   |
+      | 0.1  | 0.01   | 0.15   |
+      | 0.5  | 0.01   | 0.25   |
+      | 1.7  | 0.01   | 0.35   |
+      | 0.1  | 0.6    | 0.75   |
+
+  Scenario: A machine that has power and does not serve yet is dialled on
+    When an address is dialled whose machine has power after 0.1 s and serves after 0.8 s
+    Then it is connected within 0.15 s of that, on one connection
+
+  Scenario: What never answers is dialled for a second at a time
+    When an address is dialled whose machine never has power
+    Then it was dialled 5 times in its first second, and then found unreachable
