Import a role without the garbage collector

It is disabled until the role is imported and all imported objects are frozen; a test checks that it runs with the role.

--- a/tests/features/start.feature
+++ b/tests/features/start.feature
@@ -15,3 +15,7 @@
       | agent | egretcart.connection.messages, egretcart.process.entry, egretcart.process.agent, egretcart.process.cell |
       | entry | egretcart.request.identity, uuid6, opentelemetry, prometheus_client, egretcart.process.metrics |
       | agent | egretcart.request.identity, uuid6, opentelemetry, prometheus_client, egretcart.process.metrics |
+
+  Scenario: The garbage collector starts with the role
+    When the command line of the platform starts a stand-in for a role
+    Then the garbage collector was disabled for its imports and runs with it
--- a/tests/features/steps/start_steps.py
+++ b/tests/features/steps/start_steps.py
@@ -16,21 +16,48 @@
 import adapter.{role}_role
 print(*sys.modules, sep="\\n")
 """
+# Runs the command line with a module in place of that of the role.
+RUN_STAND_IN = """
+import gc
+import runpy
+import sys
 
+class StandIn:
+    @property
+    def run_entry(self):
+        print(gc.isenabled())
+        return self.run
 
-@when("a fresh interpreter imports the modules of the {role} role")
-def import_role(context, role):
+    async def run(self, path):
+        print(gc.isenabled(), gc.get_freeze_count() > 0)
+
+sys.modules["adapter.entry_role"] = StandIn()
+sys.argv = ["platform", "entry"]
+runpy.run_path("platform", run_name="__main__")
+"""
+
+
+def run_python(program):
     path = os.pathsep.join((str(ROOT / "platform"), str(ROOT)))
-    output = subprocess.run(
-        [sys.executable, "-c", IMPORT_ROLE.format(role=role)],
+    completed = subprocess.run(
+        [sys.executable, "-c", program],
         cwd=ROOT,
-        env={**os.environ, "PYTHONPATH": path},
+        env={
+            **os.environ,
+            "PYTHONPATH": path,
+            "EGRETCART_CONFIG": "not read by a stand-in",
+        },
         capture_output=True,
         text=True,
         timeout=TIME_LIMIT_S,
-        check=True,
-    ).stdout
-    context.imported = output.splitlines()
+    )
+    assert completed.returncode == 0, completed.stderr
+    return completed.stdout
+
+
+@when("a fresh interpreter imports the modules of the {role} role")
+def import_role(context, role):
+    context.imported = run_python(IMPORT_ROLE.format(role=role)).splitlines()
     assert f"adapter.{role}_role" in context.imported
 
 
@@ -43,3 +70,13 @@
             if module == name or module.startswith(f"{name}.")
         ]
         assert not found, f"imported: {', '.join(found)}"
+
+
+@when("the command line of the platform starts a stand-in for a role")
+def start_stand_in(context):
+    context.output = run_python(RUN_STAND_IN)
+
+
+@then("the garbage collector was disabled for its imports and runs with it")
+def check_collector(context):
+    assert context.output.splitlines() == ["False", "True True"]
