Give each deployment of a test a loopback network of its own

Cause: deployments of test processes side by side used the same addresses (127.0.0.11 to .22, and 127.N.0.x by the soak's seed), and drew their ports on 127.0.0.1 from the kernel's range, without holding them.

Now a deployment claims a network 127.A.B.0/24 by a socket that it holds, the kernel lets one process have it, and the ports are fixed ones below the kernel's range for outgoing connections. Logs of a process that is started again are kept.

Ruled out: locks in files (left behind by killed runs, and blind to other containers on the same loopback device).

--- a/tests/features/platform_adapter.feature
+++ b/tests/features/platform_adapter.feature
@@ -49,6 +49,10 @@
       | {"state":"draining","remainingMs":0}         | 0      | 0    |
       | {"state":"draining","remainingMs":-3,"coldLeftMs":-1} | 0 | 0 |
 
+  Scenario: Deployments side by side have addresses of their own
+    Then 40 deployments side by side share no address
+    And no outgoing connection can take one of their ports
+
   Scenario Outline: The kind of a job follows from its fields
     Then the job <job> is of kind <kind>
 
--- a/tests/features/steps/platform_adapter_steps.py
+++ b/tests/features/steps/platform_adapter_steps.py
@@ -5,15 +5,17 @@
 import pathlib
 import re
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
 import threading
 import time
+import unittest.mock
 
 from behave import given
 from behave import then
+import loopback
+from loopback import LoopbackNetwork
 import msgspec
 from platform_standins import REPORT_INTERVAL_S
 from platform_standins import RunnerStandIn
@@ -341,21 +343,21 @@
         self.runners = {}
         context.add_cleanup(self.close)
         self.store_port = self.stand_ins.serve(self.store.handle)
-        self.peer_port = free_port()
-        self.hosts = {
-            "entry-1": "127.0.0.11",
-            "entry-2": "127.0.0.12",
-            "agent-1": "127.0.0.21",
-            "agent-2": "127.0.0.22",
-        }
-        self.ports = {
-            name: ports_of_process(self.peer_port) for name in self.hosts
-        }
+        self._claim_addresses(("entry-1", "entry-2", "agent-1", "agent-2"))
         for name in ("agent-1", "agent-2"):
             self._start_agent(name)
         for name in ("entry-1", "entry-2"):
             self._start_entry(name)
 
+    def _claim_addresses(self, names):
+        """Get addresses that no deployment beside this one has."""
+        self.network = LoopbackNetwork()
+        self.hosts = {
+            name: self.network.host(n) for n, name in enumerate(names, 1)
+        }
+        self.ports = dict.fromkeys(names, self.network.ports)
+        self.peer_port = self.network.ports["peer"]
+
     def _settings(self, name):
         return {
             "node": name,
@@ -397,7 +399,7 @@
     def _start(self, name, role, more):
         path = pathlib.Path(self.folder.name) / f"{name}.json"
         path.write_text(json.dumps({**self._settings(name), **more}))
-        with path.with_suffix(".log").open("w") as log:
+        with path.with_suffix(".log").open("a") as log:
             self.processes[name] = subprocess.Popen(
                 [sys.executable, "platform", role],
                 cwd=ROOT,
@@ -436,6 +438,7 @@
             process.wait()
         self.stand_ins.close()
         self.folder.cleanup()
+        self.network.close()
 
 
 async def report_for_ever(runner, host, port):
@@ -451,29 +454,6 @@
         await trio.sleep(REPORT_INTERVAL_S)
 
 
-def free_ports(count):
-    """Return different ports that are free on 127.0.0.1."""
-    with contextlib.ExitStack() as stack:
-        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for probe in probes:
-            probe.bind(("127.0.0.1", 0))
-        return [probe.getsockname()[1] for probe in probes]
-
-
-def free_port():
-    return free_ports(1)[0]
-
-
-def ports_of_process(peer_port):
-    """Return a different port for each address of a process, by its part.
-
-    None of them is the port on which entries listen for other processes.
-    """
-    parts = ("front", "ready", "control", "metrics")
-    ports = set(free_ports(len(parts) + 1)) - {peer_port}
-    return dict(zip(parts, sorted(ports), strict=False))
-
-
 def wait_until(condition, limit_s, what):
     end = time.monotonic() + limit_s
     while not condition():
@@ -486,6 +466,31 @@
     return {"spec": "s", "steps": [step], "bestEffort": True, **fields}
 
 
+@then("{count:d} deployments side by side share no address")
+def check_addresses(context, count):
+    context.networks = []
+    for _ in range(count):
+        context.networks.append(LoopbackNetwork())
+        context.add_cleanup(context.networks[-1].close)
+    hosts = [network.host(1) for network in context.networks]
+    assert len(set(hosts)) == count, hosts
+    taken = context.networks[0]
+    with unittest.mock.patch.object(
+        loopback, "random_prefix", side_effect=[taken.prefix, "127.9.9"]
+    ):
+        other = LoopbackNetwork()
+    context.add_cleanup(other.close)
+    assert other.prefix == "127.9.9", other.prefix
+
+
+@then("no outgoing connection can take one of their ports")
+def check_ports(context):
+    first, last = map(int, loopback.PORT_RANGE_PATH.read_text().split())
+    ports = set(context.networks[0].ports.values())
+    assert len(ports) == len(loopback.PARTS), ports
+    assert not any(first <= port <= last for port in ports), ports
+
+
 @given("a store, two runners and the processes of the platform's roles")
 def start_deployment(context):
     deployment = context.deployment = Deployment(context)
--- a/tests/features/steps/soak_world.py
+++ b/tests/features/steps/soak_world.py
@@ -16,9 +16,7 @@
 
 from platform_adapter_steps import Deployment
 from platform_adapter_steps import desired_state
-from platform_adapter_steps import free_port
 from platform_adapter_steps import job
-from platform_adapter_steps import ports_of_process
 from platform_adapter_steps import report_for_ever
 from platform_standins import RunnerStandIn
 from platform_standins import StandIns
@@ -255,16 +253,10 @@
         self.processes = {}
         context.add_cleanup(self.close)
         self.store_port = self.stand_ins.serve(self.store.handle)
-        self.peer_port = free_port()
-        network = f"127.{1 + seed % 200}"
         self.entries = [f"entry-{n}" for n in range(1, 4)]
         self.agents = [f"agent-{n}" for n in range(1, 4)]
-        names = self.entries + self.agents
-        self.hosts = {
-            name: f"{network}.0.{n + 1}" for n, name in enumerate(names)
-        }
+        self._claim_addresses(self.entries + self.agents)
         self.store.put("op/config", self._desired_state())
-        self.ports = {name: ports_of_process(self.peer_port) for name in names}
         for name in self.agents:
             self._start_agent(name)
         for name in self.entries:
