Let the soak wait for what it starts and ends, and keep the logs of red runs

Now a killed process is started again once it has ended, and the entry that is to stop must first be ready within 60 s, which is a check that there was none of.

New checks: a start on top of the same task's run at the same backend server. A broken exchange is reported with the time when the request was sent, the error and what the entry has logged of the job. Logs of red runs are kept (--logs), and a seed may be run several times (--times).

--- a/tests/features/steps/soak_world.py
+++ b/tests/features/steps/soak_world.py
@@ -150,8 +150,13 @@
         def start_and_check(request):
             world.advance()
             before = len(self.backend.started)
+            former = self.backend.runs.get(request.key)
             answer = start(request)
             if len(self.backend.started) > before:
+                if former is not None:
+                    world.record_violation(
+                        f"{request.key} starts on top of its run {former.run}"
+                    )
                 world.check_start(self, request.key)
                 world.check_drain(self, request.key)
             return answer
@@ -406,22 +411,28 @@
             max_connections=1,
         )
         submitted_at = time.monotonic()
+        sent_at = []
         try:
             response = await client.exchange(
                 "POST",
                 f"/queue/{job_id}",
                 body=body,
                 time_limit_s=max(0.01, end - trio.current_time()),
+                check_before_send=lambda: sent_at.append(time.monotonic()),
             )
         except ExchangeError as error:
-            self._check_broken_exchange(name, job_id, submitted_at, error)
+            self._check_broken_exchange(
+                name, job_id, submitted_at, sent_at, error
+            )
             return None
         await client.aclose()
         if response.status not in (200, 502, 503):
             self.record_violation(f"{job_id} got status {response.status}")
         return response.status
 
-    def _check_broken_exchange(self, name, job_id, submitted_at, error):
+    def _check_broken_exchange(
+        self, name, job_id, submitted_at, sent_at, error
+    ):
         """Check that a planned stop breaks off no request that was read.
 
         The check applies only if the last fault was well before the stop.
@@ -432,11 +443,28 @@
         )
         broken = "no response" not in str(error)
         if is_fault_free and broken and error.verdict is Verdict.MAY_HAVE_RUN:
+            known = [line for line in self.lines(name) if job_id in line]
             self.record_violation(
                 f"{name} broke off {job_id}, submitted "
-                f"{submitted_at - stop:+.2f} s from its stop"
+                f"{submitted_at - stop:+.2f} s and sent "
+                f"{sent_at[0] - stop:+.2f} s from its stop: {error}; the "
+                f"entry has logged of it: {known}"
             )
 
+    async def _is_ready(self, name):
+        """Whether an entry tells the load balancer that it is ready."""
+        client = HttpClient(
+            host=self.hosts[name],
+            port=self.ports[name]["ready"],
+            max_connections=1,
+        )
+        try:
+            response = await client.exchange("GET", "/ready", time_limit_s=1.0)
+        except ExchangeError:
+            return False
+        await client.aclose()
+        return response.status == 200
+
     async def watch_versions(self):
         """Check that the version of an entry process never decreases."""
         while True:
@@ -504,11 +532,16 @@
         name = self.fault_random.choice(self.entries + self.agents)
         self.log_event(f"kill {name}")
         self._disturb(name)
+        delay_s = self.fault_random.uniform(0, 1.5)
         self._send_signal(name, signal.SIGKILL)
-        self._run_later(
-            self.fault_random.uniform(0, 1.5),
-            lambda: self._restart_if_ended(name),
-        )
+        process = self.processes[name]
+
+        async def restart():
+            await trio.sleep(delay_s)
+            await poll_until(lambda: process.poll() is not None)
+            self._restart_if_ended(name)
+
+        self.stand_ins.nursery.start_soon(restart)
 
     def _send_signal(self, name, number):
         self.processes[name].send_signal(number)
@@ -664,6 +697,13 @@
         await self._check_end()
 
     async def _check_planned_stop(self, name):
+        with trio.move_on_after(COMPLETION_TIMEOUT_S) as scope:
+            while True:
+                if await self._is_ready(name):
+                    break
+                await trio.sleep(RESUBMIT_DELAY_S)
+        if scope.cancelled_caught:
+            self.record_violation(f"{name} is not ready after the faults")
         self.log_event(f"stop {name}")
         self.stopped[name] = time.monotonic()
         process = self.processes[name]
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -1,17 +1,20 @@
 """Runs deployments under random faults, one run for each seed.
 
 Usage:
-  soak.py [--seeds=RANGE] [--seconds=S] [--jobs=N]
+  soak.py [--seeds=RANGE] [--seconds=S] [--jobs=N] [--times=N] [--logs=DIR]
 
 Options:
   --seeds=RANGE  First and last seed [default: 1-10].
   --seconds=S    Duration of the faults in each run [default: 12].
   --jobs=N       Runs in parallel [default: 2].
+  --times=N      Runs of each seed [default: 1].
+  --logs=DIR     Where the logs of failed runs are kept [default: target/soak].
 """
 
 import concurrent.futures
 import os
 import pathlib
+import shutil
 import sys
 
 from docopt import docopt
@@ -36,12 +39,20 @@
         self.cleanups.append(function)
 
 
-def soak(seed, seconds):
-    """Run one seed; return its events, violations and outcome."""
+def soak(seed, number, seconds, log_folder):
+    """Run one seed; return its events, violations and outcome.
+
+    The logs of its processes are kept if a promise was broken.
+    """
     cleanups = Cleanups()
     world = Soak(cleanups, seed)
     try:
         world.run(seconds)
+        if world.violations:
+            shutil.copytree(
+                world.folder.name,
+                log_folder / f"seed-{seed}-{number}-{os.getpid()}",
+            )
         return world.event_log, world.violations, world.outcome
     finally:
         for function in cleanups.cleanups:
@@ -53,19 +64,25 @@
     first, _, last = arguments["--seeds"].partition("-")
     seeds = range(int(first), int(last or first) + 1)
     seconds = float(arguments["--seconds"])
+    times = int(arguments["--times"])
+    log_folder = pathlib.Path(arguments["--logs"])
     failed = 0
     with concurrent.futures.ProcessPoolExecutor(
         int(arguments["--jobs"])
     ) as pool:
-        runs = {seed: pool.submit(soak, seed, seconds) for seed in seeds}
-        for seed, run in runs.items():
+        runs = [
+            (seed, pool.submit(soak, seed, number, seconds, log_folder))
+            for seed in seeds
+            for number in range(times)
+        ]
+        for seed, run in runs:
             event_log, violations, outcome = run.result()
             print(f"seed {seed}: {outcome}")
             failed += bool(violations)
             for line in (*event_log, *violations) if violations else ():
                 print(f"  {line}")
             sys.stdout.flush()
-    print(f"{len(seeds) - failed} passed, {failed} failed")
+    print(f"{len(runs) - failed} passed, {failed} failed")
     return 1 if failed else 0
 
 
