--- a/egretcart/direct/agent/known_backend.py
+++ b/egretcart/direct/agent/known_backend.py
@@ -148,6 +148,7 @@
                 state=state,
                 cause=cause,
                 answer_age_ms=round((now - self.lease.answered_at) * 1000),
+                labels=self.report.labels if self.report else (),
             )
         )
 
--- a/egretcart/direct/entry/job_admission.py
+++ b/egretcart/direct/entry/job_admission.py
@@ -259,6 +259,8 @@
                     else None
                 ),
                 expected_wait_ms=round(wait_ms),
+                estimate_ms=round(job.steps[0].estimate_ms),
+                data_rack=job.steps[0].data_rack,
             )
         )
 
--- a/egretcart/direct/log/agent_decisions.py
+++ b/egretcart/direct/log/agent_decisions.py
@@ -101,12 +101,15 @@
         What led to the change.
     answer_age_ms : int
         Time since the backend server's last answer.
+    labels : tuple of str
+        Labels of the backend server, its rack among them.
     """
 
     instance: str
     state: str
     cause: str
     answer_age_ms: int = 0
+    labels: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/egretcart/direct/log/decisions.py
+++ b/egretcart/direct/log/decisions.py
@@ -35,6 +35,10 @@
         How long the caller waits; None if it has set no limit.
     expected_wait_ms : int
         Estimated time until a task of the job may start.
+    estimate_ms : int
+        The caller's estimate of the run time of a task of its first step.
+    data_rack : str
+        Rack of the data of its first step; empty if there is none.
     """
 
     job_id: str
@@ -44,6 +48,8 @@
     objective_ms: int
     patience_ms: int | None
     expected_wait_ms: int
+    estimate_ms: int = 0
+    data_rack: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
