--- a/egretcart/direct/entry/entry.py
+++ b/egretcart/direct/entry/entry.py
@@ -25,6 +25,7 @@
 from egretcart.direct.log.decisions import DecisionLog
 from egretcart.direct.log.decisions import ProcessChanged
 from egretcart.direct.policy.capacity_offers import TickLateness
+from egretcart.direct.policy.data_racks import DataRacks
 from egretcart.direct.policy.placement import Placement
 from egretcart.direct.request.held_job import HeldJob
 from egretcart.direct.request.job import Job
@@ -118,12 +119,15 @@
             interval_s=limits.tick_interval_s,
             max_lateness_s=limits.notices.max_lateness_s,
         )
+        racks = DataRacks(
+            limits=limits.data_racks, far_factor=limits.far_factor
+        )
         self.sender = TaskSender(
             lateness=self.lateness,
             agents=state.agents,
             placement=Placement(
                 limits=limits.placement,
-                far_factor=limits.far_factor,
+                racks=racks,
                 source=source,
             ),
             effects=state.effects,
@@ -132,6 +136,7 @@
                 agents=state.agents,
                 effects=state.effects,
                 source=source,
+                racks=racks,
             ),
             log=log,
         )
