--- a/egretcart/direct/connection/views.py
+++ b/egretcart/direct/connection/views.py
@@ -189,16 +189,13 @@
             and (not label or label in self.status.labels)
         )
 
-    def is_near_data(self, step: Step) -> bool:
-        """Whether the data of the step is on the agent's rack, if on any."""
-        return not step.data_rack or step.data_rack in self.status.labels
-
     def run_ms(self, step: Step, far_factor: float) -> float:
         """Return the expected run time of a task of the step there."""
+        is_remote = step.data_rack and step.data_rack not in self.status.labels
         run_ms = (
             step.estimate_ms
             * self.slowdown
-            * (1.0 if self.is_near_data(step) else far_factor)
+            * (far_factor if is_remote else 1.0)
         )
         cold_ms = self.status.cold_ms
         if 0 < cold_ms < run_ms and self.slowdown > 1:
--- a/egretcart/direct/entry/agent_runs.py
+++ b/egretcart/direct/entry/agent_runs.py
@@ -183,9 +183,7 @@
         """Requeue a task, or fail its job."""
         task.phase = TaskPhase.WAITING
         task.expires_at = None
-        if ending is Ending.NOT_RUN:
-            task.returns += 1
-        else:
+        if ending is not Ending.NOT_RUN:
             task.has_run = True
         if ending in (Ending.FAILED, Ending.STOPPED, Ending.LOST):
             task.avoided_agents.add(task.agent_id)
--- a/egretcart/direct/entry/entry.py
+++ b/egretcart/direct/entry/entry.py
@@ -25,7 +25,6 @@
 from egretcart.direct.log.decisions import DecisionLog
 from egretcart.direct.log.decisions import ProcessChanged
 from egretcart.direct.policy.capacity_offers import TickLateness
-from egretcart.direct.policy.data_racks import DataRacks
 from egretcart.direct.policy.placement import Placement
 from egretcart.direct.request.held_job import HeldJob
 from egretcart.direct.request.job import Job
@@ -119,15 +118,12 @@
             interval_s=limits.tick_interval_s,
             max_lateness_s=limits.notices.max_lateness_s,
         )
-        racks = DataRacks(
-            limits=limits.data_racks, far_factor=limits.far_factor
-        )
         self.sender = TaskSender(
             lateness=self.lateness,
             agents=state.agents,
             placement=Placement(
                 limits=limits.placement,
-                racks=racks,
+                far_factor=limits.far_factor,
                 source=source,
             ),
             effects=state.effects,
@@ -136,7 +132,6 @@
                 agents=state.agents,
                 effects=state.effects,
                 source=source,
-                racks=racks,
             ),
             log=log,
         )
--- a/egretcart/direct/entry/entry_types.py
+++ b/egretcart/direct/entry/entry_types.py
@@ -5,7 +5,6 @@
 from egretcart.direct.connection.messages import Message
 from egretcart.direct.policy.admission import AdmissionLimits
 from egretcart.direct.policy.capacity_offers import NoticeLimits
-from egretcart.direct.policy.data_racks import DataRackLimits
 from egretcart.direct.policy.placement import PlacementLimits
 from egretcart.direct.policy.rescue import ReschedulingLimits
 from egretcart.direct.request.job import JobState
@@ -98,7 +97,6 @@
         that of its data.
     admission : AdmissionLimits
     notices : NoticeLimits
-    data_racks : DataRackLimits
     placement : PlacementLimits
     rescheduling : ReschedulingLimits
     recruiting : RecruitingLimits
@@ -124,9 +122,6 @@
         default_factory=AdmissionLimits
     )
     notices: NoticeLimits = dataclasses.field(default_factory=NoticeLimits)
-    data_racks: DataRackLimits = dataclasses.field(
-        default_factory=DataRackLimits
-    )
     placement: PlacementLimits = dataclasses.field(
         default_factory=PlacementLimits
     )
--- a/egretcart/direct/entry/task_sender.py
+++ b/egretcart/direct/entry/task_sender.py
@@ -152,7 +152,6 @@
             now=now,
             avoided_agents=frozenset(task.avoided_agents),
             step_tasks_by_agent=step_tasks_by_agent,
-            returns=task.returns,
         )
         return self.placement.choose(request, self.agents.items())
 
@@ -198,6 +197,5 @@
                 pace_percent=view.status.pace_percent,
                 status_age_ms=round((now - view.status_at) * 1000),
                 offer=offer,
-                near_data=view.is_near_data(step),
             )
         )
--- a/egretcart/direct/entry/waiting_notices.py
+++ b/egretcart/direct/entry/waiting_notices.py
@@ -15,7 +15,6 @@
 from egretcart.direct.entry.entry_types import EntryEffect
 from egretcart.direct.entry.entry_types import SendToAgent
 from egretcart.direct.policy.capacity_offers import NoticeLimits
-from egretcart.direct.policy.data_racks import DataRacks
 from egretcart.direct.request.job import Step
 from egretcart.direct.request.ordering import TaskOrder
 
@@ -59,8 +58,6 @@
         Where messages are added.
     source : random.Random
         Chooses the agents that are told.
-    racks : DataRacks
-        Those near the data of the waiting task are told first.
     """
 
     def __init__(
@@ -70,13 +67,11 @@
         agents: dict[str, AgentView],
         effects: list[EntryEffect],
         source: random.Random,
-        racks: DataRacks,
     ) -> None:
         self.limits = limits
         self.agents = agents
         self.effects = effects
         self.source = source
-        self.racks = racks
 
     def send(self, waiting: WaitingTasks | None, now: float) -> None:
         """Send the notices that are due, and decline the offers that are left.
@@ -135,11 +130,7 @@
         missing = waiting.count + self.limits.spare_agents - told_count
         if missing <= 0 or not others:
             return
-        self.source.shuffle(others)
-        ordered = self.racks.near_first(
-            waiting.step, ((one, self.agents[one]) for one in others)
-        )
-        for agent_id in ordered[:missing]:
+        for agent_id in self.source.sample(others, min(missing, len(others))):
             self._send(agent_id, self.agents[agent_id], waiting, now)
 
     def _told_rank(self, view: AgentView, now: float) -> int | None:
--- a/egretcart/direct/log/decisions.py
+++ b/egretcart/direct/log/decisions.py
@@ -194,8 +194,6 @@
         Age of the agent's last status.
     offer : int
         Number of the agent's offer that they use; 0 if none.
-    near_data : bool
-        Whether the data of the step is on the agent's rack, if on any.
     """
 
     job_id: str
@@ -208,7 +206,6 @@
     pace_percent: int
     status_age_ms: int
     offer: int = 0
-    near_data: bool = True
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/egretcart/direct/policy/placement.py
+++ b/egretcart/direct/policy/placement.py
@@ -3,8 +3,7 @@
 This handles a mixture of short and long tasks on backend servers of unequal
 speed, and servers that are cold for some time after their start. On fully
 occupied servers, a task goes where an agent has offered capacity; see
-`egretcart.direct.policy.capacity_offers`. Whether it stays near its data is
-decided in `egretcart.direct.policy.data_racks`.
+`egretcart.direct.policy.capacity_offers`.
 """
 
 from collections.abc import Iterable
@@ -12,7 +11,6 @@
 import random
 
 from egretcart.direct.connection.views import AgentView
-from egretcart.direct.policy.data_racks import DataRacks
 from egretcart.direct.request.job import Step
 
 
@@ -61,8 +59,6 @@
     step_tasks_by_agent : dict of str to int
         Number of tasks of the same step at each agent; used only if the
         step limits it.
-    returns : int
-        How often the task has come back as not run.
     """
 
     step: Step
@@ -74,7 +70,6 @@
     step_tasks_by_agent: dict[str, int] = dataclasses.field(
         default_factory=dict
     )
-    returns: int = 0
 
 
 class Placement:
@@ -83,7 +78,9 @@
     Parameters
     ----------
     limits : PlacementLimits
-    racks : DataRacks
+    far_factor : float
+        Factor by which a task's run time is longer on another rack than
+        that of its data.
     source : random.Random
         Random source, so that several entries choose different agents.
     """
@@ -92,11 +89,11 @@
         self,
         *,
         limits: PlacementLimits,
-        racks: DataRacks,
+        far_factor: float,
         source: random.Random,
     ) -> None:
         self.limits = limits
-        self.racks = racks
+        self.far_factor = far_factor
         self.source = source
 
     def choose(
@@ -163,39 +160,32 @@
 
         It is one of the slowest agents at which the task is on time, so
         that fast agents keep free capacity for long tasks. If the task is on
-        time at none, it is one of the fastest. In both cases it is one near
-        the task's data, if there is one.
+        time at none, it is one of the fastest.
         """
-        step = request.step
         limit_ms = request.time_left_ms * self.limits.on_time_share
-        on_time = [
-            item for item in fitting if self._run_ms(item, step) <= limit_ms
+        times = [
+            (view.run_ms(request.step, self.far_factor), agent_id, view)
+            for agent_id, view in fitting
         ]
+        on_time = [item for item in times if item[0] <= limit_ms]
         if on_time:
-            near = self.racks.choose_from(
-                step, on_time, returns=request.returns
-            )
-            slowest_ms = max(self._run_ms(item, step) for item in near)
-            least_ms = slowest_ms / self.limits.equal_time_factor
+            slowest = max(item[0] for item in on_time)
             candidates = [
-                item for item in near if self._run_ms(item, step) >= least_ms
+                item
+                for item in on_time
+                if item[0] * self.limits.equal_time_factor >= slowest
             ]
         else:
-            fastest_ms = min(self._run_ms(item, step) for item in fitting)
-            most_ms = fastest_ms * self.limits.equal_time_factor
-            fast = [
-                item for item in fitting if self._run_ms(item, step) <= most_ms
+            fastest = min(item[0] for item in times)
+            candidates = [
+                item
+                for item in times
+                if item[0] <= fastest * self.limits.equal_time_factor
             ]
-            candidates = self.racks.choose_from(
-                step, fast, returns=request.returns
-            )
         # Of two random candidates, choose the one with more free processors.
         # If all entries chose the emptiest agent, they would choose the same.
         sampled = self.source.sample(candidates, min(2, len(candidates)))
-        return max(sampled, key=lambda item: item[1].free.cpu_milli)[0]
-
-    def _run_ms(self, item: tuple[str, AgentView], step: Step) -> float:
-        return item[1].run_ms(step, self.racks.far_factor)
+        return max(sampled, key=lambda item: item[2].free.cpu_milli)[1]
 
     def _shortest_queue(
         self, request: PlacementRequest, usable: list[tuple[str, AgentView]]
@@ -213,7 +203,7 @@
             open_queues,
             key=lambda item: (
                 item[1].queued,
-                self._run_ms(item, request.step),
+                item[1].run_ms(request.step, self.far_factor),
                 self.source.random(),
             ),
         )[0]
--- a/egretcart/direct/request/held_job.py
+++ b/egretcart/direct/request/held_job.py
@@ -59,8 +59,6 @@
         although it may be cut off; 0 if there was none.
     has_run : bool
         Whether a run of the task may have begun.
-    returns : int
-        Number of runs that have come back as not run.
     """
 
     key: TaskKey
@@ -72,7 +70,6 @@
     expires_at: float | None = None
     kept_run: int = 0
     has_run: bool = False
-    returns: int = 0
 
 
 class HeldJob:
--- a/egretcart/testing/direct_world.py
+++ b/egretcart/testing/direct_world.py
@@ -881,7 +881,6 @@
         route: Route | None = None,
         fails: bool = False,
         entry_id: str | None = None,
-        data_rack: str = "",
     ) -> CallerRequest:
         """Submit a job of identical tasks to an entry.
 
@@ -903,8 +902,6 @@
         entry_id : str or None, optional
             The entry that gets the first submission if it is live; None for
             one chosen at random.
-        data_rack : str, optional
-            See `Step.data_rack`.
         """
         job_id = f"{len(self.requests):016x}"
         self.task_behaviours[job_id] = TaskSize(
@@ -914,7 +911,6 @@
             count=tasks,
             room=room,
             estimate_ms=work_ms if estimate_ms is None else estimate_ms,
-            data_rack=data_rack,
         )
         request = CallerRequest(
             job=Job(job_id=job_id, payload="payload", steps=(step,)),
--- a/tests/features/steps/leaving_steps.py
+++ b/tests/features/steps/leaving_steps.py
@@ -34,8 +34,6 @@
 from egretcart.direct.policy.admission import estimate_load
 from egretcart.direct.policy.leaving import should_move
 from egretcart.direct.policy.leaving import ThreatenedRun
-from egretcart.direct.policy.data_racks import DataRackLimits
-from egretcart.direct.policy.data_racks import DataRacks
 from egretcart.direct.policy.placement import Placement
 from egretcart.direct.policy.placement import PlacementLimits
 from egretcart.direct.policy.placement import PlacementRequest
@@ -165,9 +163,7 @@
     assert capacity_and_place(view) == (0, False)
     assert not view.can_begin(STEP.room, "")
     placement = Placement(
-        limits=PlacementLimits(),
-        racks=DataRacks(limits=DataRackLimits(), far_factor=1.5),
-        source=random.Random(1),
+        limits=PlacementLimits(), far_factor=1.5, source=random.Random(1)
     )
     request = PlacementRequest(step=STEP, time_left_ms=10_000)
     assert placement.choose(request, [("agent", view)]) is None
--- a/tests/features/steps/warming_steps.py
+++ b/tests/features/steps/warming_steps.py
@@ -12,8 +12,6 @@
 from egretcart.direct.backend.warmup import Warmup
 from egretcart.direct.connection.messages import AgentStatus
 from egretcart.direct.connection.views import AgentView
-from egretcart.direct.policy.data_racks import DataRackLimits
-from egretcart.direct.policy.data_racks import DataRacks
 from egretcart.direct.policy.placement import Placement
 from egretcart.direct.policy.placement import PlacementLimits
 from egretcart.direct.policy.placement import PlacementRequest
@@ -124,7 +122,7 @@
         for seed in range(10):
             placement = Placement(
                 limits=PlacementLimits(),
-                racks=DataRacks(limits=DataRackLimits(), far_factor=1.5),
+                far_factor=1.5,
                 source=random.Random(seed),
             )
             views = [
