--- a/egretcart/direct/agent/agent.py
+++ b/egretcart/direct/agent/agent.py
@@ -264,6 +264,12 @@
             self._start_waiting_and_notify(now)
         return self._pop_effects()
 
+    def poll_failed(self, asked_at: float, now: float) -> list[AgentEffect]:
+        """Record that the server did not answer a poll."""
+        if self.exchange.poll_failed(asked_at, now):
+            self._start_waiting_and_notify(now)
+        return self._pop_effects()
+
     def start_answered(
         self, request: StartRequest, answer: StartAnswer | None, now: float
     ) -> list[AgentEffect]:
@@ -412,6 +418,7 @@
         self.entry_checks.check(now)
         self.drain.tell_lagging(now)
         self.exchange.check_lease_expiry(now)
+        self.backend.log_suspicion(now)
         self.evictions.check_predecessor_lease(now)
         for run in self.runs:
             self.checks.check(run, now)
--- a/egretcart/direct/agent/agent_process.py
+++ b/egretcart/direct/agent/agent_process.py
@@ -29,6 +29,7 @@
 from egretcart.direct.backend.backend import StopRequest
 from egretcart.direct.backend.backend_report_store import BackendReportStore
 from egretcart.direct.backend.lease import LeaseLimits
+from egretcart.direct.backend.suspicion import SuspicionLimits
 from egretcart.direct.connection.messages import EntryHello
 from egretcart.direct.connection.messages import EntryPeers
 from egretcart.direct.connection.messages import PeerAddress
@@ -61,7 +62,8 @@
         lease=LeaseLimits(
             lease_ms=int(REQUESTED_LEASE_FRACTION * settings.max_lease_ms),
             max_lease_ms=settings.max_lease_ms,
-        )
+        ),
+        suspicion=SuspicionLimits(is_on=settings.suspects_servers),
     )
 
 
@@ -215,6 +217,9 @@
         except BackendCallError as error:
             if error.refused:
                 self._mark_backend_refused(request.lifetime, error)
+            else:
+                now = self.clock.monotonic()
+                self._apply_effects(self.agent.poll_failed(asked_at, now))
             return False
         except StaleTokenError as error:
             now = self.clock.monotonic()
--- a/egretcart/direct/agent/agent_statuses.py
+++ b/egretcart/direct/agent/agent_statuses.py
@@ -56,7 +56,7 @@
             and not self.queue.drain.is_drained
             and not self.backend.report.draining
             and not self.backend.lease_expired
-            and self.backend.is_answering(now)
+            and self.backend.may_get_tasks(now)
             and now >= self.backend.health.backoff_until
         )
 
--- a/egretcart/direct/agent/agent_types.py
+++ b/egretcart/direct/agent/agent_types.py
@@ -12,6 +12,7 @@
 from egretcart.direct.backend.backend import StopRequest
 from egretcart.direct.backend.health import HealthLimits
 from egretcart.direct.backend.lease import LeaseLimits
+from egretcart.direct.backend.suspicion import SuspicionLimits
 from egretcart.direct.connection.messages import AgentStatus
 from egretcart.direct.connection.messages import Message
 from egretcart.direct.connection.working_set import WorkingSetLimits
@@ -72,6 +73,7 @@
         Time limits of start and of stop requests, in seconds.
     lease : LeaseLimits
     health : HealthLimits
+    suspicion : SuspicionLimits
     progress : ProgressLimits
     working_set : WorkingSetLimits
     offers : OfferLimits
@@ -93,6 +95,9 @@
     stop_timeout_s: float = 0.25
     lease: LeaseLimits = dataclasses.field(default_factory=LeaseLimits)
     health: HealthLimits = dataclasses.field(default_factory=HealthLimits)
+    suspicion: SuspicionLimits = dataclasses.field(
+        default_factory=SuspicionLimits
+    )
     progress: ProgressLimits = dataclasses.field(
         default_factory=ProgressLimits
     )
--- a/egretcart/direct/agent/backend_exchange.py
+++ b/egretcart/direct/agent/backend_exchange.py
@@ -13,6 +13,8 @@
 from egretcart.direct.backend.backend import StartAnswer
 from egretcart.direct.backend.backend import StartRequest
 from egretcart.direct.backend.backend import StopRequest
+from egretcart.direct.backend.suspicion import ObservedRun
+from egretcart.direct.backend.suspicion import Suspicion
 from egretcart.direct.log.agent_decisions import RunUnanswered
 from egretcart.direct.log.decisions import DecisionLog
 from egretcart.direct.request.job import Ending
@@ -145,6 +147,7 @@
         if listing.born_ms != lifetime.born_ms:
             return self.mark_backend_ended("another lifetime answers", now)
         was_unresponsive = not self.backend.is_answering(now)
+        self.backend.suspicion.record_answer(now)
         self.backend.lease.update_clock(listing.clock_ms, now)
         self.backend.lease_expired = False
         self._process_ended_runs(listing, now)
@@ -160,6 +163,54 @@
             )
         if was_unresponsive:
             self.backend.log_change("answering", "a listing came", now)
+        self._judge_runs(now)
+        return True
+
+    def poll_failed(self, asked_at: float, now: float) -> bool:
+        """Record that the server did not answer a poll.
+
+        Parameters
+        ----------
+        asked_at, now : float
+            When the request was sent and when it failed.
+
+        Returns
+        -------
+        bool
+            Whether it is suspect now, and was not before.
+        """
+        if (
+            self.backend.report is None
+            or not self.backend.ready
+            or asked_at < self.backend.lease.answered_at
+            or asked_at < self.backend.resumed_at
+        ):
+            return False
+        self.backend.suspicion.record_failed_poll(now)
+        return self._log_suspicion(now)
+
+    def _judge_runs(self, now: float) -> None:
+        """Judge the server by what its runs have done until this listing."""
+        suspicion = self.backend.suspicion
+        suspicion.record_runs(
+            ObservedRun(
+                job_id=run.key.job_id,
+                age_s=now - run.progress.started_at,
+                still_s=now
+                - max(run.progress.last_progress_at, suspicion.worked_at),
+                estimate_ms=run.estimate_ms,
+            )
+            for run in self.queue.runs
+            if run.phase is RunPhase.RUNNING
+        )
+        self._log_suspicion(now)
+
+    def _log_suspicion(self, now: float) -> bool:
+        """Log a change; give queued runs back if the server is suspect."""
+        if not self.backend.log_suspicion(now):
+            return False
+        if self.backend.suspected is not Suspicion.NONE:
+            self.queue.reject_queued("the backend server is suspect", now)
         return True
 
     def _process_ended_runs(self, listing: Listing, now: float) -> None:
@@ -168,6 +219,8 @@
                 continue
             self.backend.acknowledged = ended.number
             run = self.queue.runs.find(ended.key, ended.run)
+            if ended.ending in (Ending.DONE, Ending.FAILED):
+                self.backend.suspicion.worked_at = now
             if run is not None:
                 self.queue.end(run, ended.ending, run.reason, now)
             if self.backend.orphaned_runs.get(ended.key) == ended.run:
--- a/egretcart/direct/agent/known_backend.py
+++ b/egretcart/direct/agent/known_backend.py
@@ -8,8 +8,11 @@
 from egretcart.direct.backend.backend import StopRequest
 from egretcart.direct.backend.health import BackendHealth
 from egretcart.direct.backend.lease import BackendLease
+from egretcart.direct.backend.suspicion import BackendSuspicion
+from egretcart.direct.backend.suspicion import Suspicion
 from egretcart.direct.backend.warmup import Warmup
 from egretcart.direct.log.agent_decisions import BackendChanged
+from egretcart.direct.log.agent_decisions import SUSPECT_STATE
 from egretcart.direct.log.decisions import DecisionLog
 from egretcart.direct.request.job import TaskKey
 
@@ -68,6 +71,8 @@
         self.acknowledged = 0
         self.lease = BackendLease(limits=limits.lease)
         self.health = BackendHealth(limits=limits.health)
+        self.suspicion = BackendSuspicion(limits=limits.suspicion)
+        self.suspected = Suspicion.NONE
         self.warmup = Warmup(limits=limits.progress)
         self.leaves_at: float | None = None
         self.orphaned_runs: dict[TaskKey, int] = {}
@@ -96,6 +101,25 @@
         """Whether the server has answered lately."""
         return now - self.lease.answered_at <= self.limits.backend_timeout_s
 
+    def may_get_tasks(self, now: float) -> bool:
+        """Whether the server has answered lately and is not suspect."""
+        return (
+            self.is_answering(now)
+            and self.suspicion.state(now) is Suspicion.NONE
+        )
+
+    def log_suspicion(self, now: float) -> bool:
+        """Log whether the server is suspect; return whether that changed."""
+        state = self.suspicion.state(now)
+        if state is self.suspected:
+            return False
+        former, self.suspected = self.suspected, state
+        if state is Suspicion.NONE:
+            self.log_change("trusted", f"it was {former.value}", now)
+        else:
+            self.log_change(SUSPECT_STATE, state.value, now)
+        return True
+
     def poll_request(self, now: float, *, wait_ms: int) -> PollRequest | None:
         """Return the next poll request; None if no server is known.
 
@@ -105,7 +129,10 @@
         """
         if self.report is None:
             return None
-        renews = self.is_answering(now) or not self.ready
+        # Requests that are not answered would only make the agent expect a
+        # later end of the lease.
+        is_silent = self.suspicion.state(now) is Suspicion.SILENT
+        renews = (self.is_answering(now) and not is_silent) or not self.ready
         return PollRequest(
             lifetime=self.report.lifetime,
             fencing_token=self.fencing_token,
@@ -166,6 +193,8 @@
         self.lease_expired = False
         self.lease.restart(report.clock_ms, now)
         self.health = BackendHealth(limits=self.limits.health)
+        self.suspicion = BackendSuspicion(limits=self.limits.suspicion)
+        self.suspected = Suspicion.NONE
         self.warmup.end(now)
         self.log_change("found", "a new lifetime reports", now)
 
--- a/egretcart/direct/agent/run_checks.py
+++ b/egretcart/direct/agent/run_checks.py
@@ -8,6 +8,7 @@
 from egretcart.direct.agent.entry_links import EntryLinks
 from egretcart.direct.agent.known_backend import KnownBackend
 from egretcart.direct.agent.run_queue import RunQueue
+from egretcart.direct.backend.suspicion import Suspicion
 from egretcart.direct.connection.messages import TaskLate
 from egretcart.direct.request.job import Ending
 
@@ -96,9 +97,10 @@
             or not self.backend.is_answering(now)
         ):
             return
-        if run.progress.is_stalled(now):
+        stands_still = self.backend.suspected is Suspicion.STALLED
+        if stands_still or run.progress.is_stalled(now):
             whole_ms = -1.0
-            if run.progress.percent == 0:
+            if stands_still or run.progress.percent == 0:
                 self.backend.health.record_failure(run.key.job_id, now)
         elif run.progress.is_late():
             whole_ms = run.progress.whole_ms() or 0.0
--- a/egretcart/direct/agent/run_queue.py
+++ b/egretcart/direct/agent/run_queue.py
@@ -179,7 +179,7 @@
             and not self.drain.is_drained
             and not self.backend.report.draining
             and not self.backend.orphaned_runs
-            and self.backend.is_answering(now)
+            and self.backend.may_get_tasks(now)
         )
 
     def _start_run(self, run: Run, free: Room, now: float) -> None:
--- a/egretcart/direct/log/agent_decisions.py
+++ b/egretcart/direct/log/agent_decisions.py
@@ -4,6 +4,9 @@
 
 from egretcart.direct.log.decisions import Decision
 
+# State of a backend server that gets no tasks for what it does.
+SUSPECT_STATE = "suspect"
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class RunStarted(Decision):
@@ -96,9 +99,10 @@
     instance : str
         Name of the backend server; empty if none is known.
     state : str
-        ``found``, ``answering``, ``draining``, ``lease lapsed`` or ``gone``.
+        ``found``, ``answering``, ``suspect``, ``trusted``, ``draining``,
+        ``lease lapsed`` or ``gone``.
     cause : str
-        What led to the change.
+        What led to the change; of ``suspect`` a value of `Suspicion`.
     answer_age_ms : int
         Time since the backend server's last answer.
     labels : tuple of str
--- a/egretcart/direct/process/metered_log.py
+++ b/egretcart/direct/process/metered_log.py
@@ -9,8 +9,10 @@
 from egretcart.connection.http_server import HttpRequest
 from egretcart.connection.http_server import HttpResponse
 from egretcart.connection.traffic import TrafficCounters
+from egretcart.direct.log.agent_decisions import BackendChanged
 from egretcart.direct.log.agent_decisions import RunEnded
 from egretcart.direct.log.agent_decisions import RunStarted
+from egretcart.direct.log.agent_decisions import SUSPECT_STATE
 from egretcart.direct.log.decisions import Decision
 from egretcart.direct.log.decisions import DecisionLog
 from egretcart.direct.log.decisions import DomainsDrained
@@ -27,6 +29,7 @@
 from egretcart.process.metric_table import RUN_ENDINGS
 from egretcart.process.metric_table import RUN_TIME
 from egretcart.process.metric_table import RUNS_THREATENED
+from egretcart.process.metric_table import SERVERS_SUSPECTED
 from egretcart.process.metrics import Metrics
 from egretcart.process.metrics import ProcessMetrics
 from egretcart.process.metrics import PROMETHEUS_CONTENT_TYPE
@@ -76,6 +79,9 @@
         elif isinstance(decision, LeavingRunJudged):
             verdict = "moved" if decision.moved else "kept"
             self.metrics.add(RUNS_THREATENED, label=verdict)
+        elif isinstance(decision, BackendChanged):
+            if decision.state == SUSPECT_STATE:
+                self.metrics.add(SERVERS_SUSPECTED, label=decision.cause)
         elif isinstance(decision, RunStarted):
             self.metrics.observe(QUEUE_TIME, decision.waited_ms / MS_PER_S)
         elif isinstance(decision, RunEnded):
--- a/egretcart/direct/process/settings.py
+++ b/egretcart/direct/process/settings.py
@@ -98,9 +98,13 @@
     ----------
     backend : str
         Address of the backend server, as ``host:port``.
+    suspects_servers : bool
+        Whether a backend server gets no tasks while it is silent or all of
+        its runs stand still.
     """
 
     backend: Name
+    suspects_servers: bool = False
 
 
 S = TypeVar("S", bound=DirectSettings)
--- a/egretcart/process/metric_table.py
+++ b/egretcart/process/metric_table.py
@@ -137,6 +137,12 @@
     "direct dispatch: runs that a leaving backend server may cut off",
     "verdict",
 )
+SERVERS_SUSPECTED = _counter(
+    "egretcart.servers.suspected",
+    "{change}",
+    "direct dispatch: times that an agent began to suspect its server",
+    "cause",
+)
 JOBS_REFUSED = _counter(
     "egretcart.jobs.refused",
     "{job}",
@@ -281,6 +287,7 @@
     RUN_TIME,
     RUN_ENDINGS,
     RUNS_THREATENED,
+    SERVERS_SUSPECTED,
     JOBS_REFUSED,
     DECISIONS,
     HEARTBEAT_TIME,
--- a/egretcart/testing/direct_world.py
+++ b/egretcart/testing/direct_world.py
@@ -29,6 +29,7 @@
 from egretcart.direct.agent.agent_types import SendToEntry
 from egretcart.direct.backend.backend import StartRequest
 from egretcart.direct.backend.backend import StopRequest
+from egretcart.direct.backend.suspicion import SuspicionLimits
 from egretcart.direct.connection.messages import AgentHello
 from egretcart.direct.connection.messages import Beat
 from egretcart.direct.connection.messages import PeerAddress
@@ -174,6 +175,8 @@
         are not recorded.
     working_set : WorkingSetLimits, optional
         How many entries an agent serves.
+    suspicion : SuspicionLimits, optional
+        When agents suspect their backend servers; never by default.
     failure_domains : tuple of str, optional
         Failure domains of the agents, assigned to them in turn. Without
         any, entries follow no drains.
@@ -196,6 +199,8 @@
     late : float
         Share of the unanswered calls that the backend server executes all
         the same, 2 to 12 s later; from 0 to 1.
+    unreachable : set of str
+        Agents whose backend server runs on, but breaks off each call.
     delay_s : float
         Time from the sending of a message to its arrival, in seconds.
     blocked_directions : set of (str, str)
@@ -238,11 +243,13 @@
         speeds: tuple[float, ...] = (1.0,),
         log: DecisionLog | None = None,
         working_set: WorkingSetLimits | None = None,
+        suspicion: SuspicionLimits | None = None,
         failure_domains: tuple[str, ...] = (),
     ) -> None:
         self.source = random.Random(seed)
         self.agent_limits = DirectAgentLimits(
-            working_set=working_set or WorkingSetLimits()
+            working_set=working_set or WorkingSetLimits(),
+            suspicion=suspicion or SuspicionLimits(),
         )
         self.capacity = capacity or Room(16_000, 65_536, 0)
         self.log = log or NullDecisionLog()
@@ -253,6 +260,7 @@
         self.task_behaviours: dict[str, TaskSize] = {}
         self.unanswered = 0.0
         self.late = 0.5
+        self.unreachable: set[str] = set()
         self.delay_s = 0.0005
         self.blocked_directions: set[tuple[str, str]] = set()
         self.links: dict[tuple[str, str], int] = {}
@@ -752,7 +760,11 @@
 
             return answer
 
-        self._call_backend(name, execute, lambda: None)
+        def fail() -> None:
+            effects = agent.poll_failed(asked_at, self.now)
+            self._apply_agent_effects(name, effects)
+
+        self._call_backend(name, execute, fail)
 
     def _send_start_request(self, name: str, request: StartRequest) -> None:
         agent = self.agents[name]
@@ -829,6 +841,9 @@
             if backend.is_up and backend.born_ms == born_ms:
                 execute()
 
+        if name in self.unreachable:
+            self.schedule(self.delay_s, lambda: deliver_to_agent(time_out))
+            return
         if self.source.random() >= self.unanswered and (
             self.backends[name].is_up
         ):
--- a/tests/features/steps/direct_decisions_steps.py
+++ b/tests/features/steps/direct_decisions_steps.py
@@ -354,13 +354,13 @@
 EVICT = EvictJob(number=7, job_id="a" * 16)
 
 
-def agent_with_server(*, ticked=True, clock_ms=5000):
+def agent_with_server(*, ticked=True, clock_ms=5000, limits=None, log=None):
     """Return an agent at 1.0 s whose server has reported."""
     agent = DirectAgent(
         agent_id="agent",
         incarnation=1,
-        limits=DirectAgentLimits(),
-        log=NullDecisionLog(),
+        limits=limits or DirectAgentLimits(),
+        log=log or NullDecisionLog(),
     )
     if ticked:
         agent.tick(1.0)
--- /dev/null
+++ b/tests/features/suspicion.feature
@@ -0,0 +1,27 @@
+Feature: A backend server that has fallen silent or stands still gets no tasks
+
+  Scenario: Servers that go down and up by turns harm few jobs
+    When 3 of 20 servers go down and up by turns
+    Then at most 0.06 of the jobs sent after half a second of that are late
+    And at least a third fewer of them are late than if no server is suspected
+    And no promise was broken
+
+  Scenario: Servers that answer and have stopped working harm few jobs
+    When 3 of 20 servers stop working and answer on
+    Then at most 0.06 of the jobs sent after half a second of that are late
+    And at least a third fewer of them are late than if no server is suspected
+    And no promise was broken
+
+  Scenario: What makes a server suspect
+    Then two failed polls make it silent, and one answer ends that
+    And it is held after its second silence, for longer after the third
+    And runs of three jobs that all stand still make it suspect
+    And one run that goes on, or ends, shows that it works
+    And a poll that was sent before the last answer says nothing
+
+  Scenario: One job never makes a server suspect
+    Then no runs of two jobs make it suspect, and no hold is endless
+
+  Scenario: Servers are suspected only where the settings say so
+    Then a server is never suspect without the setting
+    And suspicion is logged and counted
