--- a/egretcart/direct/agent/agent_types.py
+++ b/egretcart/direct/agent/agent_types.py
@@ -37,7 +37,8 @@
         Shortest time between two statuses to an entry, in seconds. An entry
         whose run has ended gets its status at once.
     max_statuses_per_s : float
-        Upper bound of the statuses to all entries together, per second.
+        Upper bound of the statuses to all entries together, per second in
+        the mean; in any one second, at most one more for each entry.
         It does not apply to statuses that are due after
         `heartbeat_interval_s` or after the end of a run. Each status takes
         about 0.2 ms both at the agent and at the entry, so that statuses
--- a/egretcart/direct/log/log_lines.py
+++ b/egretcart/direct/log/log_lines.py
@@ -20,15 +20,17 @@
 from egretcart.process.clock import Clock
 
 STDOUT = 1
-# Most lines of each kind in a second. The mean size of a line is 250 bytes,
-# so that all kinds of a busy process together stay below 2 MB a minute.
+# Most lines of each kind in any span of a second. The mean size of a line is
+# 250 bytes, so that all kinds of a busy process together stay below 2 MB a
+# minute.
 MAX_LINES_PER_KIND = 30
 # Lines that report how a request ended take precedence over all others.
 MAX_FINAL_LINES_PER_KIND = 100
 FINAL_KINDS = (JobAnswered, JobCancelled, JobRefused, ProcessChanged)
 MAX_WAITING_LINES = 2000
-# Time over which lines of a kind are counted for these limits.
-WINDOW_S = 1.0
+# Length of the spans for which these limits hold, and least time between two
+# reports of dropped lines.
+SPAN_S = 1.0
 
 
 class JsonDecisionLog:
@@ -43,8 +45,9 @@
     ----------
     waiting : deque of bytes
         Encoded lines that are not yet written.
-    written : Counter of str
-        Lines of each kind that were accepted in the current window.
+    written_at : dict of str to deque of float
+        When the last lines of each kind were accepted, as many as its limit,
+        in seconds on the monotonic clock.
     dropped : Counter of str
         Lines of each kind that were dropped since the last line that
         reported their number.
@@ -54,8 +57,8 @@
         Identifier of the eliot task that all lines of the process belong to.
     lines : int
         Lines that were accepted so far.
-    window_ends_at : float
-        When the current window ends, in seconds on the monotonic clock.
+    report_at : float
+        When dropped lines are reported, in seconds on the monotonic clock.
     lines_available : trio.Event
         Set if there are waiting lines.
     """
@@ -64,27 +67,33 @@
         self.process_id = process_id
         self.clock = clock
         self.waiting: deque[bytes] = deque()
-        self.written: Counter[str] = Counter()
+        self.written_at: dict[str, deque[float]] = {}
         self.dropped: Counter[str] = Counter()
         self.field_names: dict[str, tuple[str, ...]] = {}
         self.logger = eliot.Logger()
         self.task_id = str(uuid.uuid4())
         self.lines = 0
-        self.window_ends_at = 0.0
+        self.report_at = 0.0
         self.lines_available = trio.Event()
         eliot.add_destinations(self._enqueue_line)
 
     def write(self, decision: Decision) -> None:
         """Write one decision, or drop it if a limit is reached."""
         kind = type(decision).__name__
-        self._start_window_if_due()
-        final = isinstance(decision, FINAL_KINDS)
-        limit = MAX_FINAL_LINES_PER_KIND if final else MAX_LINES_PER_KIND
-        full = len(self.waiting) >= MAX_WAITING_LINES
-        if self.written[kind] >= limit or full:
+        now = self.clock.monotonic()
+        self._report_dropped_if_due(now)
+        times = self.written_at.get(kind)
+        if times is None:
+            final = isinstance(decision, FINAL_KINDS)
+            limit = MAX_FINAL_LINES_PER_KIND if final else MAX_LINES_PER_KIND
+            times = self.written_at[kind] = deque(maxlen=limit)
+        is_limited = len(times) == times.maxlen and now - times[0] < SPAN_S
+        if is_limited or len(self.waiting) >= MAX_WAITING_LINES:
+            if not self.dropped:
+                self.report_at = now + SPAN_S
             self.dropped[kind] += 1
             return
-        self.written[kind] += 1
+        times.append(now)
         names = self.field_names.get(kind)
         if names is None:
             names = self.field_names[kind] = tuple(
@@ -92,14 +101,8 @@
             )
         self._log(kind, {name: getattr(decision, name) for name in names})
 
-    def _start_window_if_due(self) -> None:
-        """Begin a new window if the last is over; report dropped lines."""
-        now = self.clock.monotonic()
-        if now < self.window_ends_at:
-            return
-        self.window_ends_at = now + WINDOW_S
-        self.written.clear()
-        if self.dropped:
+    def _report_dropped_if_due(self, now: float) -> None:
+        if self.dropped and now >= self.report_at:
             dropped, self.dropped = self.dropped, Counter()
             self._log("LinesLeftOut", {"lines": dict(dropped)})
 
