Name what made a job late, and what was drained when it was refused

Cause: `egretcart explain` ended with "ended by JobAnswered: completed" for a late job, and said of a refusal after waiting neither whether tasks had been placed nor what was drained; a server's notice 2 s before it was gone was not shown.

Now its last line says how late the answer was and which decision the longest part of the time belongs to: the wait at the entry, the way to the agent, the wait there, a run that did not count, the run, or the time after the last run that has a line. A refusal says whether tasks were placed; the drains that the entry knew, and a server's notice of leaving, stand among the lines. Lines and their parsing moved to log_line.py.

--- a/egretcart/direct/log/explain.py
+++ b/egretcart/direct/log/explain.py
@@ -1,12 +1,12 @@
 """Explains the history of one job from log lines of several processes."""
 
 from collections.abc import Iterable
-import dataclasses
-import json
 import math
-from typing import Any
 
-MESSAGE_PREFIX = "egretcart:"
+from egretcart.direct.log.delays import find_longest_delay
+from egretcart.direct.log.log_line import LogLine
+from egretcart.direct.log.log_line import parse_line
+
 # The clocks of machines differ slightly. Lines of one run whose times are as
 # close as CLOCK_TOLERANCE_S are sorted in this causal order instead.
 CAUSAL_ORDER = (
@@ -30,70 +30,13 @@
 # with the job's lines.
 STATE_CHANGE_WINDOW_S = 1.5
 STATE_CHANGE_KINDS = ("BackendChanged", "PeerChanged", "ProcessChanged")
+# A backend server that has said that it leaves may do so this much later.
+LEAVING_WINDOW_S = 10.0
+COMPLETED = "completed"
+WAITED_IN_VAIN = "waited in vain"
+# Any of them says that a task was sent to an agent.
+PLACED_KINDS = ("TasksPlaced", "RunStarted", "RunEnded", "TaskEndedAt")
 FINAL_KINDS = ("JobAnswered", "JobRefused", "JobCancelled", "JobYielded")
-HIDDEN_FIELDS = (
-    "timestamp",
-    "process",
-    "message_type",
-    "task_uuid",
-    "task_level",
-)
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class LogLine:
-    """One log line of a process.
-
-    Attributes
-    ----------
-    at : float
-        Unix time in seconds, by the clock of the process's machine.
-    process : str
-        Name of the process that wrote the line.
-    kind : str
-        Class name of the decision.
-    fields : dict
-        All fields of the line.
-    """
-
-    at: float
-    process: str
-    kind: str
-    fields: dict[str, Any]
-
-    @property
-    def process_ids(self) -> frozenset[str]:
-        """The process that wrote the line, and those that it names."""
-        found = (self.fields.get(key) for key in ("agent", "entry", "peer"))
-        return frozenset((self.process, *(name for name in found if name)))
-
-    def text(self, start: float) -> str:
-        """Return the line as printed, with its time since `start`."""
-        shown = " ".join(
-            f"{name}={value}"
-            for name, value in self.fields.items()
-            if name not in HIDDEN_FIELDS and name != "job_id" and value != ""
-        )
-        offset_ms = (self.at - start) * 1000
-        return f"{offset_ms:9.1f} ms  {self.process}  {self.kind}  {shown}"
-
-
-def parse_line(text: str) -> LogLine | None:
-    """Parse a log line; return None if the text is not one."""
-    start = text.find("{")
-    if start < 0:
-        return None
-    try:
-        fields: dict[str, Any] = json.loads(text[start:])
-        kind = fields["message_type"].removeprefix(MESSAGE_PREFIX)
-        return LogLine(
-            at=float(fields["timestamp"]),
-            process=fields["process"],
-            kind=kind,
-            fields=fields,
-        )
-    except (ValueError, KeyError, TypeError, AttributeError):
-        return None
 
 
 def explain(job_id: str, texts: Iterable[str]) -> list[str]:
@@ -121,7 +64,11 @@
         line for line in parsed if line.kind in STATE_CHANGE_KINDS
     ]
     shown = sorted(
-        [*job_lines, *_preceding_state_changes(job_lines, state_changes)],
+        [
+            *job_lines,
+            *_preceding_state_changes(job_lines, state_changes),
+            *_drains_in_force(job_lines, parsed),
+        ],
         key=_sort_key,
     )
     start = min(line.at for line in job_lines)
@@ -159,13 +106,40 @@
         state_change
         for state_change in state_changes
         if any(
-            0 <= line.at - state_change.at <= STATE_CHANGE_WINDOW_S
+            0 <= line.at - state_change.at <= _window_s(state_change)
             and state_change.process_ids & line.process_ids
             for line in abnormal_ends
         )
     ]
 
 
+def _window_s(state_change: LogLine) -> float:
+    """Return how long before the end of a run a state change is shown."""
+    is_leaving = state_change.fields.get("state") == "draining"
+    return LEAVING_WINDOW_S if is_leaving else STATE_CHANGE_WINDOW_S
+
+
+def _drains_in_force(
+    job_lines: list[LogLine], parsed: list[LogLine]
+) -> list[LogLine]:
+    """Return the drains that an entry knew when it refused the job."""
+    shown = []
+    for refusal in job_lines:
+        if refusal.kind != "JobRefused":
+            continue
+        known = [
+            line
+            for line in parsed
+            if line.kind == "DomainsDrained"
+            and line.process == refusal.process
+            and line.at <= refusal.at
+        ]
+        last = max(known, key=lambda line: line.at, default=None)
+        if last is not None and last.fields["domains"]:
+            shown.append(last)
+    return shown
+
+
 def _summary(job_lines: list[LogLine]) -> str:
     final = [line for line in job_lines if line.kind in FINAL_KINDS]
     if not final:
@@ -176,4 +150,28 @@
         )
     last = max(final, key=_sort_key)
     why = last.fields.get("cause") or last.fields.get("state", "")
-    return f"ended by {last.kind} of {last.process}: {why}"
+    detail = ""
+    if last.kind == "JobRefused":
+        detail = _refusal_detail(job_lines, last)
+    elif last.fields.get("state") == COMPLETED:
+        detail = _lateness_detail(job_lines, last)
+    return f"ended by {last.kind} of {last.process}: {why}{detail}"
+
+
+def _refusal_detail(job_lines: list[LogLine], refusal: LogLine) -> str:
+    """Return whether the tasks of a job that had waited were placed."""
+    if refusal.fields["cause"] != WAITED_IN_VAIN:
+        return ""
+    if any(line.kind in PLACED_KINDS for line in job_lines):
+        return "; tasks were placed, and none was done"
+    return "; no line has its tasks placed: no agent offered capacity"
+
+
+def _lateness_detail(job_lines: list[LogLine], answered: LogLine) -> str:
+    """Return how late an answer was, and what took the longest."""
+    late_ms = answered.fields["elapsed_ms"] - answered.fields["objective_ms"]
+    if late_ms <= 0:
+        return ""
+    longest = find_longest_delay(job_lines, answered)
+    what = longest or "the lines of its runs were left out"
+    return f", {late_ms} ms late; longest part: {what}"
--- a/egretcart/direct/log/summary.py
+++ b/egretcart/direct/log/summary.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from egretcart.direct.log.explain import CLOCK_TOLERANCE_S
-from egretcart.direct.log.explain import MESSAGE_PREFIX
+from egretcart.direct.log.log_line import MESSAGE_PREFIX
 
 # Upper bounds of the numbers of tasks in a group of job sizes.
 SIZE_BOUNDS = (3, 7, 11, 15)
