Start no other process when a platform role is imported

Cause: the roles' modules imported trio before the package egretcart, whose bootstrap keeps trio from looking up libpthread with ldconfig.

--- a/tests/features/start.feature
+++ b/tests/features/start.feature
@@ -19,3 +19,7 @@
   Scenario: The garbage collector starts with the role
     When the command line of the platform starts a stand-in for a role
     Then the garbage collector was disabled for its imports and runs with it
+
+  Scenario: A role starts no other process while it is imported
+    When the command line of the platform starts a stand-in for a role
+    Then no other process was started
--- a/tests/features/steps/start_steps.py
+++ b/tests/features/steps/start_steps.py
@@ -22,6 +22,14 @@
 import runpy
 import sys
 
+PROCESS_EVENTS = ("subprocess.Popen", "os.fork", "os.posix_spawn", "os.exec")
+
+def report_process(event, arguments):
+    if event in PROCESS_EVENTS:
+        print(event, arguments, file=sys.stderr)
+
+sys.addaudithook(report_process)
+
 class StandIn:
     @property
     def run_entry(self):
@@ -52,12 +60,14 @@
         timeout=TIME_LIMIT_S,
     )
     assert completed.returncode == 0, completed.stderr
-    return completed.stdout
+    return completed
 
 
 @when("a fresh interpreter imports the modules of the {role} role")
 def import_role(context, role):
-    context.imported = run_python(IMPORT_ROLE.format(role=role)).splitlines()
+    context.imported = run_python(
+        IMPORT_ROLE.format(role=role)
+    ).stdout.splitlines()
     assert f"adapter.{role}_role" in context.imported
 
 
@@ -74,9 +84,14 @@
 
 @when("the command line of the platform starts a stand-in for a role")
 def start_stand_in(context):
-    context.output = run_python(RUN_STAND_IN)
+    context.completed = run_python(RUN_STAND_IN)
 
 
 @then("the garbage collector was disabled for its imports and runs with it")
 def check_collector(context):
-    assert context.output.splitlines() == ["False", "True True"]
+    assert context.completed.stdout.splitlines() == ["False", "True True"]
+
+
+@then("no other process was started")
+def check_processes(context):
+    assert not context.completed.stderr, context.completed.stderr
