Leave the balancer's rotation while behind and the others have room

Cause: an entry on a slow machine goes on getting its share of the callers, since it answers readiness checks. What it can't carry waits in its loop.

Turns above 400 ms count as pauses, after which the entry closes all links to agents: it did so again and again.

Now an entry whose ticks come late in the mean by the shortest slack of the routes says not ready, while enough others have room (heartbeats between entries carry the lateness; an earlier release sends none and counts as one with room). It stays out for 4 s, longer if it must leave again soon; it returns at once if the others fall behind. Callers' open connections, which would stay with it, are closed once the balancer must have noticed.

--- a/egretcart/direct/connection/messages.py
+++ b/egretcart/direct/connection/messages.py
@@ -80,10 +80,14 @@
     interval_ms : int
         Interval between heartbeats on this link, in both directions, from
         now on, in milliseconds; 0 to leave it unchanged.
+    lateness_ms : int
+        By how much the ticks of the sending entry come late in the mean, in
+        milliseconds; sent to other entries only.
     """
 
     version: int = 0
     interval_ms: int = 0
+    lateness_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/egretcart/direct/connection/wire.thrift
+++ b/egretcart/direct/connection/wire.thrift
@@ -9,7 +9,11 @@
   3: optional PeerAddress address
 }
 struct EntryPeers { 1: optional list<PeerAddress> entries }
-struct Beat { 1: optional i64 version, 2: optional i32 interval_ms }
+struct Beat {
+  1: optional i64 version
+  2: optional i32 interval_ms
+  3: optional i32 lateness_ms
+}
 
 // From an entry to an agent.
 struct RunTasks {
--- a/egretcart/direct/entry/entry.py
+++ b/egretcart/direct/entry/entry.py
@@ -24,8 +24,10 @@
 from egretcart.direct.log.decisions import ConfigurationAccepted
 from egretcart.direct.log.decisions import DecisionLog
 from egretcart.direct.log.decisions import ProcessChanged
+from egretcart.direct.log.decisions import RotationChanged
 from egretcart.direct.policy.capacity_offers import TickLateness
 from egretcart.direct.policy.placement import Placement
+from egretcart.direct.policy.rotation import Rotation
 from egretcart.direct.request.held_job import HeldJob
 from egretcart.direct.request.job import Job
 from egretcart.direct.request.job import JobState
@@ -72,6 +74,8 @@
         Other entries' questions about jobs that they take over.
     recruiter : AgentRecruiter
     lateness : TickLateness
+    rotation : Rotation
+        Whether this entry stays in the balancer's rotation.
     sender : TaskSender
     endings : JobEndings
     admission : JobAdmission
@@ -118,6 +122,9 @@
             interval_s=limits.tick_interval_s,
             max_lateness_s=limits.notices.max_lateness_s,
         )
+        self.rotation = Rotation(
+            limits=limits.rotation, tick_interval_s=limits.tick_interval_s
+        )
         self.sender = TaskSender(
             lateness=self.lateness,
             agents=state.agents,
@@ -157,6 +164,7 @@
             releases=self.releases,
             recruiter=self.recruiter,
             drains=self.drains,
+            rotation=self.rotation,
         )
 
     # Standing orders of the operators.
@@ -176,6 +184,7 @@
         if configuration.version <= former:
             return False
         self.state.configuration = configuration
+        self.rotation.tolerate(configuration.shortest_slack_s)
         self.log.write(
             ConfigurationAccepted(
                 version=configuration.version,
@@ -227,6 +236,7 @@
                 for view in self.agents.values()
             )
             and self.admission.stop_deadline is None
+            and not self.rotation.is_out
         )
 
     def waiting_jobs(self, route: Route) -> int:
@@ -327,9 +337,11 @@
         self.peers.connected(entry_id, now)
         return self._pop_effects(now)
 
-    def peer_heartbeat_received(self, entry_id: str, now: float) -> None:
-        """Record a heartbeat on the link to another entry."""
-        self.peers.heartbeat_received(entry_id, now)
+    def peer_heartbeat_received(
+        self, entry_id: str, now: float, lateness_ms: int = 0
+    ) -> None:
+        """Record a heartbeat of another entry; see `Beat.lateness_ms`."""
+        self.peers.heartbeat_received(entry_id, now, lateness_ms)
 
     def peer_disconnected(self, entry_id: str) -> None:
         """Record that the link to another entry has ended."""
@@ -353,6 +365,7 @@
             self._resume_after_pause(now)
         if self.last_tick_at:
             self.lateness.record(now - self.last_tick_at)
+            self._decide_rotation(now)
         self.last_tick_at = now
         self.runs.check_silence(now)
         self.peers.check_silence(now)
@@ -365,6 +378,21 @@
         self._dispatch(now)
         return self._pop_effects(now)
 
+    def _decide_rotation(self, now: float) -> None:
+        """Leave the balancer's rotation, or return, if it is time."""
+        change = self.rotation.record(now - self.last_tick_at, now)
+        if change is not None:
+            self.log.write(
+                RotationChanged(
+                    state=change.value,
+                    lateness_ms=round(self.rotation.lateness_s * 1000),
+                    tolerated_ms=round(self.rotation.tolerated_s * 1000),
+                    others=len(self.rotation.others_s),
+                    others_with_room=self.rotation.others_with_room,
+                    interval_s=self.rotation.interval_s,
+                )
+            )
+
     def _resume_after_pause(self, now: float) -> None:
         """Close all links to agents, which have stopped this entry's runs."""
         paused_ms = round((now - self.last_tick_at) * 1000)
--- a/egretcart/direct/entry/entry_links.py
+++ b/egretcart/direct/entry/entry_links.py
@@ -209,7 +209,9 @@
     ) -> None:
         if isinstance(message, Beat):
             self.pull.record_version(peer_id, message.version)
-            self.entry.peer_heartbeat_received(peer_id, now)
+            self.entry.peer_heartbeat_received(
+                peer_id, now, message.lateness_ms
+            )
         elif isinstance(message, EntryPeers):
             self.add_entries(message.entries)
         elif isinstance(message, RoutingRequest):
--- a/egretcart/direct/entry/entry_process.py
+++ b/egretcart/direct/entry/entry_process.py
@@ -30,6 +30,7 @@
 # Time at the end of a graceful shutdown for sending the last answers.
 RESPONSE_FLUSH_S = 0.5
 MAX_CONNECTIONS = 3000
+CALLERS_LISTENER = 0
 
 
 class DirectEntryProcess:
@@ -278,9 +279,28 @@
                 self.entry.dispatch_waiting(self.clock.monotonic())
             )
 
+    def _follow_rotation(self, now: float) -> None:
+        """Close callers' connections once the balancer sends them elsewhere.
+
+        An open connection would stay with this entry.
+        """
+        rotation = self.entry.rotation
+        callers = self.listeners[CALLERS_LISTENER]
+        if self.entry.admission.stop_deadline is not None:
+            return
+        is_left = (
+            rotation.is_out
+            and now >= rotation.changed_at + READINESS_DETECTION_S
+        )
+        if is_left and not callers.stopping:
+            for connection in list(callers.connections):
+                connection.close_if_idle()
+        callers.stopping = is_left
+
     async def _tick(self) -> None:
         while True:
             now = self.clock.monotonic()
             self.links.apply_effects(self.entry.tick(now))
             self.links.pull_configuration(now)
+            self._follow_rotation(now)
             await trio.sleep(self.entry.limits.tick_interval_s)
--- a/egretcart/direct/entry/entry_types.py
+++ b/egretcart/direct/entry/entry_types.py
@@ -7,6 +7,7 @@
 from egretcart.direct.policy.capacity_offers import NoticeLimits
 from egretcart.direct.policy.placement import PlacementLimits
 from egretcart.direct.policy.rescue import ReschedulingLimits
+from egretcart.direct.policy.rotation import RotationLimits
 from egretcart.direct.request.job import JobState
 
 # The runs of a job that is taken over are numbered from this value times the
@@ -99,6 +100,7 @@
     notices : NoticeLimits
     placement : PlacementLimits
     rescheduling : ReschedulingLimits
+    rotation : RotationLimits
     recruiting : RecruitingLimits
     """
 
@@ -128,6 +130,9 @@
     rescheduling: ReschedulingLimits = dataclasses.field(
         default_factory=ReschedulingLimits
     )
+    rotation: RotationLimits = dataclasses.field(
+        default_factory=RotationLimits
+    )
     recruiting: RecruitingLimits = dataclasses.field(
         default_factory=RecruitingLimits
     )
--- a/egretcart/direct/entry/peer_entries.py
+++ b/egretcart/direct/entry/peer_entries.py
@@ -20,9 +20,12 @@
 from egretcart.direct.log.decisions import JobJoined
 from egretcart.direct.log.decisions import JobYielded
 from egretcart.direct.log.decisions import PeerChanged
+from egretcart.direct.policy.rotation import Rotation
 from egretcart.direct.request.job import JobState
 from egretcart.direct.version.drained_domains import DrainedDomains
 
+MS_PER_S = 1000
+
 
 class PeerEntries:
     """Exchanges heartbeats, claims and releases with other entries.
@@ -36,6 +39,7 @@
     releases : JobReleases
     recruiter : AgentRecruiter
     drains : DrainRelay
+    rotation : Rotation
 
     Attributes
     ----------
@@ -54,6 +58,7 @@
         releases: JobReleases,
         recruiter: AgentRecruiter,
         drains: DrainRelay,
+        rotation: Rotation,
     ) -> None:
         self.state = state
         self.endings = endings
@@ -62,6 +67,7 @@
         self.releases = releases
         self.recruiter = recruiter
         self.drains = drains
+        self.rotation = rotation
         self.last_heartbeat_at = 0.0
 
     def connected(self, entry_id: str, now: float) -> None:
@@ -75,10 +81,13 @@
         self.state.effects.append(SendToPeer(entry_id, taken))
         self.drains.peer_connected(entry_id)
 
-    def heartbeat_received(self, entry_id: str, now: float) -> None:
+    def heartbeat_received(
+        self, entry_id: str, now: float, lateness_ms: int
+    ) -> None:
         """Record a heartbeat on the link to another entry."""
         if entry_id in self.state.peers:
             self.state.peers[entry_id] = now
+            self.rotation.others_s[entry_id] = lateness_ms / MS_PER_S
 
     def disconnected(self, entry_id: str) -> None:
         """Record that the link to another entry has ended."""
@@ -87,6 +96,7 @@
         self._record_former_runs(entry_id)
         del self.state.peers[entry_id]
         del self.state.peers_connected_at[entry_id]
+        self.rotation.others_s.pop(entry_id, None)
         self.state.log.write(PeerChanged(peer=entry_id, state="disconnected"))
         self.pending.set_entry_expiry(
             entry_id, self.state.former_runs_expire_at[entry_id]
@@ -201,7 +211,10 @@
         if now - self.last_heartbeat_at < interval_s:
             return
         self.last_heartbeat_at = now
-        heartbeat = Beat(version=self.state.version)
+        heartbeat = Beat(
+            version=self.state.version,
+            lateness_ms=round(self.rotation.reported_s * MS_PER_S),
+        )
         unreported = self.state.claims.pop_unreported()
         for entry_id in self.state.peers:
             self.state.effects.append(SendToPeer(entry_id, heartbeat))
--- a/egretcart/direct/log/decisions.py
+++ b/egretcart/direct/log/decisions.py
@@ -418,6 +418,35 @@
     paused_ms: int = 0
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RotationChanged(Decision):
+    """An entry leaves the load balancer's rotation, or returns to it.
+
+    Attributes
+    ----------
+    state : str
+        ``left``; ``returned`` when it has room again; ``needed`` if it
+        returns as too many other entries are behind.
+    lateness_ms : int
+        By how much its ticks come late in the mean.
+    tolerated_ms : int
+        Lateness that the callers' objectives tolerate.
+    others : int
+        Number of other entries that have reported theirs.
+    others_with_room : int
+        Number of those that have room.
+    interval_s : float
+        Shortest time for which it stays out, or in if it was needed.
+    """
+
+    state: str
+    lateness_ms: int
+    tolerated_ms: int
+    others: int
+    others_with_room: int
+    interval_s: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class AgentsRecruited(Decision):
     """An entry asks some of its agents to serve another entry as well.
--- a/egretcart/direct/version/configuration.py
+++ b/egretcart/direct/version/configuration.py
@@ -92,6 +92,15 @@
     routes: tuple[Route, ...] = ()
     limits: RequestLimits = RequestLimits()
 
+    @property
+    def shortest_slack_s(self) -> float:
+        """Shortest slack of the routes' objectives that have one, in seconds.
+
+        0 if none has.
+        """
+        slacks_ms = [route.slack_ms for route in self.routes if route.slack_ms]
+        return min(slacks_ms, default=0.0) / 1000
+
     def route_of(self, host: str, path: str) -> Route | None:
         """Return the route that a request selects, or None."""
         matching = [
--- a/egretcart/testing/direct_world.py
+++ b/egretcart/testing/direct_world.py
@@ -677,7 +677,9 @@
         def arrive() -> None:
             entry = self.entries[entry_id]
             if isinstance(message, Beat):
-                entry.peer_heartbeat_received(name, self.now)
+                entry.peer_heartbeat_received(
+                    name, self.now, message.lateness_ms
+                )
             else:
                 effects = entry.receive_from_peer(name, message, self.now)
                 self._apply_entry_effects(entry_id, effects)
