Bound the time that requests take in a turn of the loop

Cause (trial, an instrument on the slowed entry): turns of 210 to 410 ms, of which requests took up to 254 ms, links 36 to 113 ms, the tick 29 to 79 ms. trio runs all tasks that can run before it looks at times again, so that heartbeats waited for all requests that had come; turns above 0.4 s then counted as pauses, the entry closed all links to agents, and the 15 new links made the next turn longer still: six pauses in 4 s in.

Now requests begin while a turn has 20 ms left for them, and then one in each turn, the oldest first. The new scenario fails without the bound.

--- a/egretcart/connection/http_server.py
+++ b/egretcart/connection/http_server.py
@@ -15,6 +15,7 @@
 from egretcart.connection.disconnect_watch import SENDING_ENDED
 from egretcart.connection.disconnect_watch import shared_watch
 from egretcart.connection.readable import is_readable
+from egretcart.connection.request_turns import shared_turns
 from egretcart.connection.socket_io import receive_when_readable
 from egretcart.connection.socket_io import write_now
 from egretcart.request.media_types import JSON_MEDIA_TYPE
@@ -171,6 +172,7 @@
     is_idle : bool
         Whether it waits for the first byte of a request.
     watch : DisconnectWatch
+    turns : RequestTurns
     protocol : h11.Connection
     opened_at : float
         When the connection was accepted, in seconds on the trio clock.
@@ -192,6 +194,7 @@
         self.receive_scope = trio.CancelScope()
         self.is_idle = False
         self.watch = shared_watch()
+        self.turns = shared_turns()
         self.protocol = h11.Connection(
             our_role=h11.SERVER,
             max_incomplete_event_size=limits.max_header_bytes,
@@ -290,6 +293,7 @@
                 return None
             deadline = trio.current_time() + self.limits.request_timeout_s
             self.receive_scope.deadline = deadline
+            await self.turns.enter()
             return await self._receive_request()
         if self.is_idle:
             # Data may have arrived since the wait was cancelled; the request
--- a/tests/features/connection_bounds.feature
+++ b/tests/features/connection_bounds.feature
@@ -15,6 +15,12 @@
     Given an HTTP server that is busy while 20 connections are opened
     Then all of them are accepted in one turn of its loop
 
+  Scenario: Many requests at a time do not keep a slow process from its timers
+    Given an HTTP server on a machine so slow that a request takes 30 ms
+    When 20 requests arrive, half of them while the others wait
+    Then no timer of the process is late by more than two requests take
+    And those that came first are handled first
+
   Scenario: A response does not wait for turns of the loop
     Given an HTTP server with short limits
     Then a response is sent in the turn in which its handler returns
--- a/tests/features/steps/connection_bounds_steps.py
+++ b/tests/features/steps/connection_bounds_steps.py
@@ -390,3 +390,77 @@
 
     assert context.run(scenario) == 200
     assert response.turns == 0, response.turns
+
+
+SLOW_REQUEST_S = 0.03
+TIMER_INTERVAL_S = 0.01
+
+
+class SlowMachine:
+    """Serves requests that take long, on a clock that only they advance."""
+
+    def __init__(self):
+        self.clock = trio.testing.MockClock(autojump_threshold=0.01)
+        self.handled = []
+        self.latest_timer_s = 0.0
+
+    async def handle(self, request):
+        self.handled.append(request.path)
+        self.clock.jump(SLOW_REQUEST_S)
+        return HttpResponse(body=b"{}")
+
+    async def watch_timer(self):
+        while True:
+            due_at = trio.current_time() + TIMER_INTERVAL_S
+            await trio.sleep_until(due_at)
+            late_s = trio.current_time() - due_at
+            self.latest_timer_s = max(self.latest_timer_s, late_s)
+
+    async def serve(self, paths):
+        """Serve requests that are there at once, in two halves."""
+        server = HttpListener(handler=self.handle, limits=HttpLimits())
+        listeners = await trio.open_tcp_listeners(0, host=HOST)
+        address = listeners[0].socket.getsockname()[:2]
+        half = len(paths) // 2
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(server.serve, listeners, nursery)
+            callers = [send_request(address, path) for path in paths[:half]]
+            nursery.start_soon(self.watch_timer)
+            await poll_until(lambda: self.handled)
+            callers += [send_request(address, path) for path in paths[half:]]
+            await poll_until(lambda: len(self.handled) == len(paths))
+            nursery.cancel_scope.cancel()
+        for caller in callers:
+            caller.close()
+
+
+def send_request(address, path):
+    caller = socket.create_connection(address)
+    caller.sendall(f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+    return caller
+
+
+@given("an HTTP server on a machine so slow that a request takes 30 ms")
+def slow_machine(context):
+    context.machine = SlowMachine()
+
+
+@when("{count:d} requests arrive, half of them while the others wait")
+def arrive_at_a_time(context, count):
+    machine = context.machine
+    context.paths = [f"/{number}" for number in range(count)]
+    trio.run(machine.serve, context.paths, clock=machine.clock)
+
+
+@then("no timer of the process is late by more than two requests take")
+def check_timers(context):
+    latest_s = context.machine.latest_timer_s
+    assert latest_s < 2 * SLOW_REQUEST_S + TIMER_INTERVAL_S, latest_s
+
+
+@then("those that came first are handled first")
+def check_order(context):
+    half = len(context.paths) // 2
+    handled = context.machine.handled
+    assert set(handled[:half]) == set(context.paths[:half]), handled
+    assert len(handled) == len(context.paths), handled
