--- a/egretcart/connection/http_listener.py
+++ b/egretcart/connection/http_listener.py
@@ -8,12 +8,12 @@
 from egretcart.connection.http_server import Handler
 from egretcart.connection.http_server import HttpConnection
 from egretcart.connection.http_server import HttpLimits
+from egretcart.connection.http_server import OVERLOAD_RETRY_AFTER_S
 from egretcart.connection.readable import is_readable
 from egretcart.request.problem import unavailable
 from egretcart.request.verdict import Verdict
 
 MAX_REFUSALS = 256
-OVERLOAD_RETRY_AFTER_S = 1.0
 CLOSE_POLL_INTERVAL_S = 0.02
 # Time for which a new connection is kept open at a stop: the request that it
 # was opened for may be under way.
--- a/egretcart/connection/http_server.py
+++ b/egretcart/connection/http_server.py
@@ -32,6 +32,7 @@
 MAX_KEPT_HEADS = 64
 END_OF_MESSAGE = h11.EndOfMessage()
 SHUTDOWN_RETRY_AFTER_S = 0.2
+OVERLOAD_RETRY_AFTER_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -293,7 +294,14 @@
                 return None
             deadline = trio.current_time() + self.limits.request_timeout_s
             self.receive_scope.deadline = deadline
-            await self.turns.enter()
+            if not await self.turns.enter():
+                raise RequestRefusedError(
+                    unavailable(
+                        "this entry is behind with its requests",
+                        verdict=Verdict.NOT_RUN,
+                        retry_after_s=OVERLOAD_RETRY_AFTER_S,
+                    )
+                )
             return await self._receive_request()
         if self.is_idle:
             # Data may have arrived since the wait was cancelled; the request
