--- a/egretcart/connection/request_turns.py
+++ b/egretcart/connection/request_turns.py
@@ -1,27 +1,15 @@
 """Bounds the time that requests take in one turn of the event loop."""
 
-from collections import deque
-import dataclasses
-
 import trio
 
-# Requests that begin later in a turn wait for another one.
+# Requests that begin later in a turn wait for the next one.
 REQUEST_TIME_PER_TURN_S = 0.02
-# Wait of the oldest request from which the newest one goes first: callers of
-# old ones leave soon, and none would be on time if all waited alike.
-NEWEST_FIRST_AFTER_S = 0.1
 # Wait after which a request is refused, so that its caller may ask elsewhere.
-MAX_WAIT_S = 0.5
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class _WaitingRequest:
-    since: float
-    may_begin: trio.Event
+MAX_WAIT_S = 1.0
 
 
 class RequestTurns(trio.abc.Instrument):
-    """Lets requests begin while a turn has time, and then one in each turn.
+    """Lets requests begin, the oldest first, while a turn has time left.
 
     trio runs all tasks that can run before it looks at times and sockets
     again. On a slow machine, many requests at a time would keep the process
@@ -32,39 +20,36 @@
     ends_at : float or None
         Until when requests may begin in this turn, in seconds on the trio
         clock; None before the first one of the turn.
-    waiting : deque of _WaitingRequest
-        Requests that wait, the oldest first.
-    is_releasing : bool
-        Whether a task lets them begin.
+    first : trio.Lock
+        Held by the oldest request that waits.
     """
 
     def __init__(self) -> None:
         self.ends_at: float | None = None
-        self.waiting: deque[_WaitingRequest] = deque()
-        self.is_releasing = False
+        self.first = trio.Lock()
 
     def after_io_wait(self, timeout: float) -> None:
         """Begin a new turn."""
         self.ends_at = None
 
     async def enter(self) -> bool:
-        """Wait until a request may begin; return False if it never may."""
-        if not self.waiting and self._has_time():
-            return True
-        request = _WaitingRequest(
-            since=trio.current_time(), may_begin=trio.Event()
-        )
-        self.waiting.append(request)
-        if not self.is_releasing:
-            self.is_releasing = True
-            trio.lowlevel.spawn_system_task(self._release)
+        """Wait until a request may begin; at once if the turn has time.
+
+        Return False if the request waits for too long; it must not begin.
+        """
         try:
-            with trio.move_on_after(MAX_WAIT_S):
-                await request.may_begin.wait()
+            self.first.acquire_nowait()
+        except trio.WouldBlock:
+            with trio.move_on_after(MAX_WAIT_S) as scope:
+                await self.first.acquire()
+            if scope.cancelled_caught:
+                return False
+        try:
+            while not self._has_time():
+                await trio.lowlevel.checkpoint()
         finally:
-            if not request.may_begin.is_set():
-                self.waiting.remove(request)
-        return request.may_begin.is_set()
+            self.first.release()
+        return True
 
     def _has_time(self) -> bool:
         now = trio.current_time()
@@ -72,20 +57,6 @@
             self.ends_at = now + REQUEST_TIME_PER_TURN_S
         return now < self.ends_at
 
-    async def _release(self) -> None:
-        """Let one request begin in each turn while some wait."""
-        while self.waiting:
-            await trio.lowlevel.checkpoint()
-            if self.waiting:
-                self._pop_next().may_begin.set()
-        self.is_releasing = False
-
-    def _pop_next(self) -> _WaitingRequest:
-        waited_s = trio.current_time() - self.waiting[0].since
-        if waited_s > NEWEST_FIRST_AFTER_S:
-            return self.waiting.pop()
-        return self.waiting.popleft()
-
 
 _TURNS: trio.lowlevel.RunVar[RequestTurns] = trio.lowlevel.RunVar(
     "egretcart.RequestTurns"
--- a/tests/features/connection_bounds.feature
+++ b/tests/features/connection_bounds.feature
@@ -21,6 +21,11 @@
     Then no timer of the process is late by more than two requests take
     And those that came first are handled first
 
+  Scenario: A request that a slow process can't begin in time is refused
+    Given an HTTP server on a machine so slow that a request takes 300 ms
+    When 20 requests arrive, half of them while the others wait
+    Then those that have waited for 1 s get status 503 and are not handled
+
   Scenario: A response does not wait for turns of the loop
     Given an HTTP server with short limits
     Then a response is sent in the turn in which its handler returns
