--- a/egretcart/connection/http_server.py
+++ b/egretcart/connection/http_server.py
@@ -16,7 +16,6 @@
 from egretcart.connection.disconnect_watch import shared_watch
 from egretcart.connection.readable import is_readable
 from egretcart.connection.request_turns import shared_turns
-from egretcart.connection.socket_io import receive_now
 from egretcart.connection.socket_io import receive_when_readable
 from egretcart.connection.socket_io import write_now
 from egretcart.request.media_types import JSON_MEDIA_TYPE
@@ -171,8 +170,6 @@
     ----------
     receive_scope : trio.CancelScope
         Scope in which a request is awaited and received.
-    is_new : bool
-        Whether nothing was received yet.
     is_idle : bool
         Whether it waits for the first byte of a request.
     watch : DisconnectWatch
@@ -196,7 +193,6 @@
         self.is_stopping = is_stopping
         self.opened_at = trio.current_time()
         self.receive_scope = trio.CancelScope()
-        self.is_new = True
         self.is_idle = False
         self.watch = shared_watch()
         self.turns = shared_turns()
@@ -334,14 +330,6 @@
         data, has_ended = self.protocol.trailing_data
         if data or has_ended:
             return bool(data)
-        if self.is_new:
-            # The first request often arrives before the connection is
-            # accepted; waiting for it would take a turn of the loop.
-            self.is_new = False
-            received = receive_now(self.stream, RECEIVE_BYTES)
-            if received is not None:
-                self.protocol.receive_data(received)
-                return bool(received)
         self.is_idle = True
         self.receive_scope.deadline = (
             trio.current_time() + self.limits.idle_timeout_s
--- a/egretcart/connection/socket_io.py
+++ b/egretcart/connection/socket_io.py
@@ -28,27 +28,12 @@
     """
     while True:
         await trio.lowlevel.wait_readable(stream.socket)
-        data = receive_now(stream, limit)
-        if data is not None:
-            return data
-
-
-def receive_now(stream: trio.SocketStream, limit: int) -> bytes | None:
-    """Return data that has arrived; None if there is none yet.
-
-    Nothing is returned at the end of the stream.
-
-    Raises
-    ------
-    trio.BrokenResourceError
-        If the connection is broken.
-    """
-    try:
-        return os.read(stream.socket.fileno(), limit)
-    except BlockingIOError:
-        return None
-    except OSError as error:
-        raise trio.BrokenResourceError(str(error)) from error
+        try:
+            return os.read(stream.socket.fileno(), limit)
+        except BlockingIOError:
+            continue
+        except OSError as error:
+            raise trio.BrokenResourceError(str(error)) from error
 
 
 def write_now(stream: trio.SocketStream, data: bytes) -> bytes:
