Go over the tasks of those jobs only that have some to send

Cause: each message of an agent, status or end, had the entry go over all tasks of all jobs, though nothing waited. Now a job counts its waiting tasks.

--- a/egretcart/direct/entry/agent_runs.py
+++ b/egretcart/direct/entry/agent_runs.py
@@ -181,7 +181,7 @@
         now: float,
     ) -> None:
         """Requeue a task, or fail its job."""
-        task.phase = TaskPhase.WAITING
+        held.set_phase(task, TaskPhase.WAITING)
         task.expires_at = None
         if ending is not Ending.NOT_RUN:
             task.has_run = True
--- a/egretcart/direct/entry/task_sender.py
+++ b/egretcart/direct/entry/task_sender.py
@@ -72,7 +72,11 @@
     def dispatch(self, jobs: Iterable[HeldJob], now: float) -> None:
         """Send the waiting tasks of jobs, the most urgent ones first."""
         self.unplaced = self.offerable = None
-        self._place_all([held for held in jobs if any(held.waiting())], now)
+        # Most jobs have nothing left to send, and most messages change none.
+        waiting = [
+            held for held in jobs if held.waiting_count and any(held.waiting())
+        ]
+        self._place_all(waiting, now)
         told = None if self.lateness.is_behind else self.offerable
         self.notices.send(told, now)
 
@@ -110,7 +114,7 @@
                 if not step.has_agent_constraints:
                     exhausted_resources.append(step.room)
                 continue
-            task.phase = TaskPhase.SENT
+            held.set_phase(task, TaskPhase.SENT)
             task.agent_id = agent_id
             task.run += 1
             view = self.agents[agent_id]
--- a/egretcart/direct/request/held_job.py
+++ b/egretcart/direct/request/held_job.py
@@ -109,6 +109,8 @@
         All tasks of the job.
     remaining_counts : list of int
         Number of tasks of each step that have not succeeded yet.
+    waiting_count : int
+        Number of tasks that wait, also for steps before theirs.
     """
 
     def __init__(
@@ -141,6 +143,7 @@
             for index in range(step.count):
                 key = TaskKey(job.job_id, number, index)
                 self.tasks[key] = HeldTask(key=key, run=first_run - 1)
+        self.waiting_count = len(self.tasks)
 
     @property
     def has_begun(self) -> bool:
@@ -187,16 +190,24 @@
 
     def waiting(self) -> Iterable[HeldTask]:
         """Yield the tasks that may be sent now."""
+        if not self.waiting_count:
+            return
         for task in self.tasks.values():
             if task.phase is TaskPhase.WAITING and self.is_step_ready(
                 task.key.step
             ):
                 yield task
 
+    def set_phase(self, task: HeldTask, phase: TaskPhase) -> None:
+        """Change how far one of the job's tasks has come."""
+        was_waiting = task.phase is TaskPhase.WAITING
+        self.waiting_count += (phase is TaskPhase.WAITING) - was_waiting
+        task.phase = phase
+
     def mark_done(self, task: HeldTask) -> None:
         """Record that a task has succeeded."""
         if task.phase is not TaskPhase.DONE:
-            task.phase = TaskPhase.DONE
+            self.set_phase(task, TaskPhase.DONE)
             self.remaining_counts[task.key.step] -= 1
 
     def step_tasks_by_agent(self, step: int) -> dict[str, int]:
