--- a/egretcart/direct/policy/rotation.py
+++ b/egretcart/direct/policy/rotation.py
@@ -39,7 +39,7 @@
     window_s: float = 1.0
     counted_share: float = 3.0
     room_share: float = 0.25
-    min_others_share: float = 0.5
+    min_others_share: float = 0.75
     min_interval_s: float = 4.0
     max_interval_s: float = 32.0
 
