--- a/tests/features/job_cost.feature
+++ b/tests/features/job_cost.feature
@@ -26,3 +26,8 @@
     When an agent sends 4 statuses, of which the third has changed
     Then it has sent "AgentStatus, Beat, AgentStatus, Beat"
     And an entry takes the heartbeat for a status of that time
+
+  Scenario: A dispatch goes over the tasks of those jobs that have some to send
+    When an entry has sent all tasks of 3 jobs
+    Then a dispatch goes over the tasks of no job
+    And once a task came back, it is sent again by the next dispatch
--- a/tests/features/steps/job_cost_steps.py
+++ b/tests/features/steps/job_cost_steps.py
@@ -1,6 +1,7 @@
 """Counts system calls, tasks and their steps; see `job_cost.feature`."""
 
 import contextlib
+import dataclasses
 import json
 import os
 import random
@@ -9,6 +10,9 @@
 from behave import then
 from behave import when
 import eliot
+from job_release_steps import Exchange
+from job_release_steps import JOB
+from job_release_steps import ROUTE
 import trio
 import trio.testing
 
@@ -23,13 +27,17 @@
 from egretcart.direct.connection.messages import AgentHello
 from egretcart.direct.connection.messages import AgentStatus
 from egretcart.direct.connection.messages import Beat
+from egretcart.direct.connection.messages import RunTasks
+from egretcart.direct.connection.messages import TaskEnded
 from egretcart.direct.connection.wire import DIRECT_PROTOCOL
 from egretcart.direct.entry.entry import DirectEntry
 from egretcart.direct.entry.entry_types import DirectEntryLimits
+from egretcart.direct.entry.entry_types import SendToAgent
 from egretcart.direct.log.decisions import NullDecisionLog
 from egretcart.direct.log.decisions import PeerChanged
 from egretcart.direct.log.log_lines import JsonDecisionLog
 from egretcart.direct.log.log_lines import STDOUT
+from egretcart.direct.request.job import Ending
 from egretcart.process.clock import SystemClock
 
 REQUEST = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{}"
@@ -288,3 +296,60 @@
     view = entry.state.agents["agent-1"]
     assert (view.status_at, view.last_message_at) == (3.0, 3.0)
     assert view.status == hello.status
+
+
+class CountedTasks(dict):
+    """Tasks of a job that count how often they are gone over."""
+
+    passes = 0
+
+    def values(self):
+        self.passes += 1
+        return super().values()
+
+
+def sent_tasks(effects):
+    return [
+        effect.message
+        for effect in effects
+        if isinstance(effect, SendToAgent)
+        and isinstance(effect.message, RunTasks)
+    ]
+
+
+@when("an entry has sent all tasks of {count:d} jobs")
+def send_all_tasks(context, count):
+    exchange = context.exchange = Exchange()
+    for number in range(count):
+        job = dataclasses.replace(JOB, job_id=f"{number:016x}")
+        effects = exchange.entry.submit(number, job, ROUTE, exchange.now)
+        assert len(sent_tasks(effects)) == 1
+    context.jobs = list(exchange.entry.jobs.values())
+    for held in context.jobs:
+        held.tasks = CountedTasks(held.tasks)
+
+
+@then("a dispatch goes over the tasks of no job")
+def check_no_passes(context):
+    context.exchange.entry.dispatch_waiting(context.exchange.now)
+    assert not any(held.tasks.passes for held in context.jobs)
+
+
+@then("once a task came back, it is sent again by the next dispatch")
+def check_sent_again(context):
+    entry, now = context.exchange.entry, context.exchange.now
+    first, *others = context.jobs
+    (task,) = first.tasks.values()
+    key = task.key
+    ended = TaskEnded(
+        job_id=key.job_id,
+        step=key.step,
+        index=key.index,
+        run=task.run,
+        ending=Ending.NOT_RUN.value,
+    )
+    entry.receive("agent", ended, now)
+    (again,) = sent_tasks(entry.dispatch_waiting(now))
+    assert (again.job_id, again.run) == (key.job_id, ended.run + 1), again
+    assert not any(held.tasks.passes for held in others)
+    assert [held.waiting_count for held in context.jobs] == [0, 0, 0]
