Log what is refused before a configuration is known

Cause: an entry without a configuration refused requests without a line or a count, so that refusals after a restart were put down to unknown agents.

Now each refused job leaves a JobRefused line and counts under its cause. The answers are unchanged. The scenario failed before (no line).

Weighed and not built: to let such requests wait.

--- a/egretcart/direct/entry/job_admission.py
+++ b/egretcart/direct/entry/job_admission.py
@@ -24,6 +24,7 @@
 from egretcart.direct.request.job import JobState
 from egretcart.direct.version.configuration import Route
 
+NO_CONFIGURATION_CAUSE = "no configuration is known yet"
 ALL_DRAINED_CAUSE = "all failure domains are drained"
 
 
@@ -193,6 +194,22 @@
             Answer(request_id=request_id, cause=cause, invalid=invalid)
         )
 
+    @property
+    def unconfigured_retry_s(self) -> float:
+        """Time after which to retry while no configuration is known, in s."""
+        return self.state.limits.admission.min_retry_s
+
+    def log_unconfigured(self, job_id: str) -> None:
+        """Log that a job is refused, as no configuration is known."""
+        self.state.log.write(
+            JobRefused(
+                job_id=job_id,
+                route="",
+                cause=NO_CONFIGURATION_CAUSE,
+                retry_after_s=math.ceil(self.unconfigured_retry_s),
+            )
+        )
+
     def _log_joined(self, job_id: str, state: str) -> None:
         self.state.log.write(JobJoined(job_id=job_id, state=state))
 
--- a/egretcart/direct/process/metered_log.py
+++ b/egretcart/direct/process/metered_log.py
@@ -40,6 +40,7 @@
 # job, which must not appear in a label.
 REFUSAL_CAUSES = frozenset(
     (
+        "no configuration is known yet",
         "no room in time",
         "waited in vain",
         "the entry leaves",
--- a/tests/features/start.feature
+++ b/tests/features/start.feature
@@ -23,3 +23,9 @@
   Scenario: A role starts no other process while it is imported
     When the command line of the platform starts a stand-in for a role
     Then no other process was started
+
+  Scenario: What is refused before a configuration is known leaves a line
+    Given an entry that has started and knows no configuration
+    When a caller submits job "00112233445566aa", asks for it and cancels it
+    Then each request gets status 503 and is to be repeated after 1 s
+    And the log has one line, that job "00112233445566aa" was refused for it
--- a/tests/features/steps/start_steps.py
+++ b/tests/features/steps/start_steps.py
@@ -2,13 +2,25 @@
 
 import os
 import pathlib
+import random
 import subprocess
 import sys
+import types
 
+from behave import given
 from behave import then
 from behave import when
+import trio
+
+from egretcart.connection.http_server import HttpRequest
+from egretcart.direct.entry.entry import DirectEntry
+from egretcart.direct.entry.entry_types import DirectEntryLimits
 
 ROOT = pathlib.Path(__file__).resolve().parents[3]
+sys.path.insert(0, str(ROOT / "platform"))
+
+from adapter.client_handlers import ClientRequestHandler  # noqa: E402
+
 TIME_LIMIT_S = 60
 IMPORT_ROLE = """
 import sys
@@ -95,3 +107,57 @@
 @then("no other process was started")
 def check_processes(context):
     assert not context.completed.stderr, context.completed.stderr
+
+
+class RecordingLog:
+    def __init__(self):
+        self.decisions = []
+
+    def write(self, decision):
+        self.decisions.append(decision)
+
+
+@given("an entry that has started and knows no configuration")
+def start_entry(context):
+    context.log = RecordingLog()
+    entry = DirectEntry(
+        entry_id="entry-1",
+        limits=DirectEntryLimits(),
+        log=context.log,
+        source=random.Random(1),
+    )
+    entry.tick(1.0)
+    context.handler = ClientRequestHandler(
+        process=types.SimpleNamespace(entry=entry)
+    )
+
+
+@when('a caller submits job "{job_id}", asks for it and cancels it')
+def send_requests(context, job_id):
+    context.responses = [
+        trio.run(
+            context.handler.handle,
+            HttpRequest(
+                method=method, path=f"/any/{job_id}", headers={}, body=b""
+            ),
+        )
+        for method in ("POST", "GET", "DELETE")
+    ]
+
+
+@then(
+    "each request gets status {status:d} and is to be repeated after"
+    " {retry_s:d} s"
+)
+def check_responses(context, status, retry_s):
+    for response in context.responses:
+        assert response.status == status, response
+        assert response.retry_after_s == retry_s, response
+
+
+@then('the log has one line, that job "{job_id}" was refused for it')
+def check_refusal(context, job_id):
+    (decision,) = context.log.decisions
+    assert type(decision).__name__ == "JobRefused"
+    assert decision.job_id == job_id
+    assert decision.cause == "no configuration is known yet"
