Let callers of the soak ask again while their job runs

Cause: the soak checks at each start that the task runs nowhere else, but no caller asked again while its first entry was still at work: its connections to entries broke only with the entry.

A job counts as refused if all of its submissions were, not only if it had one.

--- a/tests/features/steps/soak_world.py
+++ b/tests/features/steps/soak_world.py
@@ -33,6 +33,9 @@
 
 RESUBMIT_DELAY_S = 1.3
 CALLER_WAIT_LIMIT_S = 8.0
+# Share of submissions whose connection goes silent, unnoticed by the entry, so
+# that their callers submit the job again while it may be running.
+SILENT_CONNECTION_SHARE = 0.15
 FAULT_FREE_BEFORE_STOP_S = 3.0
 STOP_GRACE_S = 6.0
 RECOVERY_WAIT_S = 6.0
@@ -212,6 +215,8 @@
         Final status by job ID; 0 if the caller timed out.
     submission_counts : dict of str to int
         How often each job was submitted, by job ID.
+    refusal_counts : dict of str to int
+        How often each job was refused as not run, by job ID.
     stopped : dict of str to float
         Monotonic time of a planned stop, by entry name. Once the process has
         ended, `STOP_GRACE_S` is added.
@@ -246,6 +251,7 @@
         self.drained_since, self.disturbed_until = {}, {}
         self.violations, self.event_log = [], []
         self.answers, self.submission_counts = {}, {}
+        self.refusal_counts = {}
         self.stopped, self.last_fault_at = {}, time.monotonic()
         self.seen_versions = {}
         self.settings, self.commands = {}, {}
@@ -320,8 +326,7 @@
         for name, other in self.runners.items():
             if other is not runner and key in other.backend.runs:
                 self.record_violation(f"{key} runs at {name} at the same time")
-        refused = self.answers.get(key.job_id) == 503
-        if refused and self.submission_counts[key.job_id] == 1:
+        if self._is_refused(key.job_id):
             self.record_violation(f"{key} runs although its job was refused")
 
     def check_drain(self, runner, key):
@@ -384,19 +389,31 @@
         while trio.current_time() < end and job_id not in self.answers:
             self.submission_counts[job_id] += 1
             name = self.caller_random.choice(self.entries)
+            if self.caller_random.random() < SILENT_CONNECTION_SHARE:
+                # The entry does not learn that its answer will reach nobody.
+                self.stand_ins.nursery.start_soon(
+                    self._submit_once, name, job_id, body, end
+                )
+                await trio.sleep(RESUBMIT_DELAY_S)
+                continue
             status = await self._submit_once(name, job_id, body, end)
             if status in (200, 503):
                 self.answers[job_id] = status
-                self._check_refusal(job_id, status)
             else:
                 await trio.sleep(RESUBMIT_DELAY_S)
         self.open_jobs -= 1
         if job_id not in self.answers:
             self.answers[job_id] = 0
 
-    def _check_refusal(self, job_id, status):
-        """Check that a job refused at its only submission hasn't started."""
-        if status == 503 and self.submission_counts[job_id] == 1:
+    def _is_refused(self, job_id):
+        """Whether all submissions of a job were refused."""
+        return self.refusal_counts.get(job_id) == self.submission_counts.get(
+            job_id, 0
+        )
+
+    def _check_refusal(self, job_id):
+        """Check that a job whose submissions were all refused didn't start."""
+        if self._is_refused(job_id):
             for name, runner in self.runners.items():
                 if any(
                     key.job_id == job_id for key, _ in runner.backend.started
@@ -427,6 +444,11 @@
             )
             return None
         await client.aclose()
+        if response.status == 503:
+            self.refusal_counts[job_id] = 1 + self.refusal_counts.get(
+                job_id, 0
+            )
+            self._check_refusal(job_id)
         if response.status not in (200, 502, 503):
             self.record_violation(f"{job_id} got status {response.status}")
         return response.status
