Say that all failure domains are drained only after looking for agents

The refusal itself was right (500 ms expected until the next agent, objectives of 160 to 180 ms), its cause sent operators to their own drains.

Now the cause is "no room in time" until the time to find agents is over. The new scenario failed before with the wrong cause.

--- a/egretcart/direct/entry/job_admission.py
+++ b/egretcart/direct/entry/job_admission.py
@@ -255,7 +255,7 @@
         if retry_s is not None:
             cause = (
                 ALL_DRAINED_CAUSE
-                if self.drains.covers_all_agents
+                if self._are_all_agents_drained(now)
                 else "no room in time"
             )
             self._refuse(held, request_ids, cause, wait_ms, retry_s)
@@ -281,6 +281,11 @@
             )
         )
 
+    def _are_all_agents_drained(self, now: float) -> bool:
+        """Whether only drained agents were found, and others had time."""
+        has_searched = now >= self.state.discovery_ends_at
+        return has_searched and self.drains.covers_all_agents
+
     def _is_due_after_stop(self, held: HeldJob, now: float) -> bool:
         """Whether the latency objective ends after this entry has stopped."""
         return (
--- a/tests/features/drained_domains.feature
+++ b/tests/features/drained_domains.feature
@@ -71,6 +71,11 @@
     And all entries stay ready
     And jobs are accepted and completed again once "b" is taken back
 
+  Scenario: An entry that has found only drained agents so far
+    Given an entry that has just started, and is connected to one drained agent
+    Then a job is refused as "no room in time"
+    But once it has had time to find the others, as "all failure domains are drained"
+
   Scenario: A drain that comes and goes within a second
     Given a deployment of 3 failure domains under load
     When "a" is drained and taken back after 0.5 seconds
--- a/tests/features/steps/drained_domains_steps.py
+++ b/tests/features/steps/drained_domains_steps.py
@@ -1,3 +1,4 @@
+import dataclasses
 import random
 
 from behave import given
@@ -5,6 +6,8 @@
 from behave import when
 from direct_decisions_steps import BACKEND_INCARNATION
 from direct_decisions_steps import listing_at
+from direct_decisions_steps import ROUTE
+from direct_decisions_steps import STEP
 from direct_world_steps import inject_random_faults
 from direct_world_steps import submit_load
 from direct_world_steps import TASK_ROOM
@@ -12,16 +15,23 @@
 from drain_machine import DOMAIN_OF
 from drain_machine import DrainMachine
 from drain_machine import ENTRIES
+from job_release_steps import RecordingLog
 
 from egretcart.direct.agent.agent import DirectAgent
 from egretcart.direct.agent.agent_types import DirectAgentLimits
 from egretcart.direct.agent.agent_types import SendStartRequest
 from egretcart.direct.backend.backend import BackendReport
 from egretcart.direct.connection.messages import AgentHello
+from egretcart.direct.connection.messages import AgentStatus
+from egretcart.direct.connection.messages import Beat
 from egretcart.direct.connection.messages import RunTasks
 from egretcart.direct.connection.wire import find_violation
+from egretcart.direct.entry.entry import DirectEntry
+from egretcart.direct.entry.entry_types import DirectEntryLimits
 from egretcart.direct.log.agent_decisions import RunEnded
+from egretcart.direct.log.decisions import JobRefused
 from egretcart.direct.log.decisions import NullDecisionLog
+from egretcart.direct.request.job import Job
 from egretcart.direct.request.job import JobState
 from egretcart.direct.request.job import Room
 from egretcart.direct.request.job import TaskKey
@@ -439,3 +449,45 @@
     inject_random_faults(world, random.Random(seed))
     for domain in DOMAINS:
         world.drain(domain, drained=False)
+
+
+@given("an entry that has just started, and is connected to one drained agent")
+def start_entry_with_drained_agent(context):
+    context.recorded = RecordingLog()
+    context.entry = DirectEntry(
+        entry_id="entry",
+        limits=DirectEntryLimits(),
+        log=context.recorded,
+        source=random.Random(1),
+    )
+    context.entry.tick(1.0)
+    hello = AgentHello(
+        status=AgentStatus(agent_id="agent"), failure_domain="a"
+    )
+    context.entry.agent_connected(hello, 1.01)
+    context.entry.learn_drained_domains(DRAIN_OF_A, 1.02)
+
+
+def check_refused_as(context, cause, now):
+    # Of no use any more when the first other agent may be found.
+    step = dataclasses.replace(STEP, estimate_ms=40.0)
+    job = Job(job_id=f"{round(now):016x}", payload="", steps=(step,))
+    context.entry.submit(1, job, ROUTE, now)
+    refusal = context.recorded.decisions[-1]
+    assert isinstance(refusal, JobRefused), refusal
+    assert refusal.cause == cause, refusal
+
+
+@then('a job is refused as "{cause}"')
+def check_refused_early(context, cause):
+    check_refused_as(context, cause, 1.03)
+
+
+@then('once it has had time to find the others, as "{cause}"')
+def check_refused_late(context, cause):
+    limits, now = context.entry.limits, 1.03
+    while now < 1.0 + limits.discovery_wait_s:
+        now += limits.tick_interval_s
+        context.entry.receive("agent", Beat(), now)
+        context.entry.tick(now)
+    check_refused_as(context, cause, now)
