--- a/tests/features/steps/drain_following_steps.py
+++ b/tests/features/steps/drain_following_steps.py
@@ -395,7 +395,7 @@
             headers={"Host": "host.example"},
         )
         response = connection.getresponse()
-        response.read()
+        self.last_answer = response.read()
         connection.close()
         return response.status, response.headers.get("Retry-After")
 
@@ -442,7 +442,7 @@
     before = deployment.started()
     for name in ENTRIES:
         status, _ = deployment.submit(name)
-        assert status == 200, status
+        assert status == 200, (name, status, deployment.last_answer)
     begun = {
         name
         for name, count in deployment.started().items()
