--- a/egretcart/direct/entry/agent_runs.py
+++ b/egretcart/direct/entry/agent_runs.py
@@ -92,8 +92,7 @@
                 self.state.discovery_ends_at,
                 now + self.state.limits.discovery_wait_s,
             )
-        if self.state.lost_agents.pop(agent_id, None) is not None:
-            self.state.start_rates.clear()
+        self.state.lost_agents.pop(agent_id, None)
         self.pending.request_eviction(agent_id)
         self._reconcile(agent_id, hello, now)
 
@@ -110,7 +109,6 @@
         for task in self._tasks_sent_to(agent_id):
             task.expires_at = expires_at
         self.state.lost_agents[agent_id] = expires_at
-        self.state.start_rates.clear()
         self.pending.set_agent_expiry(agent_id, expires_at)
 
     def _tasks_sent_to(self, agent_id: str) -> list[HeldTask]:
@@ -185,9 +183,7 @@
         """Requeue a task, or fail its job."""
         held.set_phase(task, TaskPhase.WAITING)
         task.expires_at = None
-        if ending is Ending.NOT_RUN:
-            self.state.start_rates.record_not_run(task.key, task.run)
-        else:
+        if ending is not Ending.NOT_RUN:
             task.has_run = True
         if ending in (Ending.FAILED, Ending.STOPPED, Ending.LOST):
             task.avoided_agents.add(task.agent_id)
--- a/egretcart/direct/entry/entry.py
+++ b/egretcart/direct/entry/entry.py
@@ -134,7 +134,6 @@
                 source=source,
             ),
             effects=state.effects,
-            start_rates=state.start_rates,
             notices=WaitingNotices(
                 limits=limits.notices,
                 agents=state.agents,
@@ -150,7 +149,6 @@
             memory=self.memory,
             pending=self.pending,
             drains=self.drains,
-            source=source,
         )
         self.runs = AgentRuns(
             state=state,
@@ -373,7 +371,6 @@
         self.peers.check_silence(now)
         self.runs.expire_lost_runs(now)
         self.admission.refuse_overdue(now)
-        self.admission.refuse_hopeless(now)
         self.claims.remove_expired(now)
         self.memory.remove_old(now)
         self.runs.send_heartbeats(now)
@@ -401,7 +398,6 @@
         paused_ms = round((now - self.last_tick_at) * 1000)
         self.log.write(ProcessChanged(state="paused", paused_ms=paused_ms))
         self.resumed_at = now
-        self.state.start_rates.clear()
         self.state.discovery_ends_at = now + self.limits.discovery_wait_s
         self.runs.close_all("the entry was paused", now)
 
--- a/egretcart/direct/entry/entry_state.py
+++ b/egretcart/direct/entry/entry_state.py
@@ -4,7 +4,6 @@
 from egretcart.direct.entry.entry_types import DirectEntryLimits
 from egretcart.direct.entry.entry_types import EntryEffect
 from egretcart.direct.log.decisions import DecisionLog
-from egretcart.direct.policy.late_waits import StartRates
 from egretcart.direct.request.claims import ClaimTable
 from egretcart.direct.request.held_job import HeldJob
 from egretcart.direct.request.held_job import HeldTask
@@ -45,8 +44,6 @@
         still be active.
     claims : ClaimTable
         Jobs that this and other entries have accepted recently.
-    start_rates : StartRates
-        How quickly waiting tasks have begun lately.
     discovery_ends_at : float
         Until when agents are expected to connect and to accept tasks.
     effects : list of EntryEffect
@@ -68,7 +65,6 @@
         self.jobs: dict[str, HeldJob] = {}
         self.stopping_jobs: dict[str, HeldJob] = {}
         self.claims = ClaimTable(retention_s=limits.claim_retention_s)
-        self.start_rates = StartRates(limits=limits.late_waits)
         self.discovery_ends_at = 0.0
         self.effects: list[EntryEffect] = []
 
--- a/egretcart/direct/entry/entry_types.py
+++ b/egretcart/direct/entry/entry_types.py
@@ -5,7 +5,6 @@
 from egretcart.direct.connection.messages import Message
 from egretcart.direct.policy.admission import AdmissionLimits
 from egretcart.direct.policy.capacity_offers import NoticeLimits
-from egretcart.direct.policy.late_waits import LateWaitLimits
 from egretcart.direct.policy.placement import PlacementLimits
 from egretcart.direct.policy.rescue import ReschedulingLimits
 from egretcart.direct.policy.rotation import RotationLimits
@@ -98,7 +97,6 @@
         Factor by which a task's run time is longer on another rack than
         that of its data.
     admission : AdmissionLimits
-    late_waits : LateWaitLimits
     notices : NoticeLimits
     placement : PlacementLimits
     rescheduling : ReschedulingLimits
@@ -125,9 +123,6 @@
     admission: AdmissionLimits = dataclasses.field(
         default_factory=AdmissionLimits
     )
-    late_waits: LateWaitLimits = dataclasses.field(
-        default_factory=LateWaitLimits
-    )
     notices: NoticeLimits = dataclasses.field(default_factory=NoticeLimits)
     placement: PlacementLimits = dataclasses.field(
         default_factory=PlacementLimits
--- a/egretcart/direct/entry/job_admission.py
+++ b/egretcart/direct/entry/job_admission.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Iterable
 import math
-import random
 
 from egretcart.direct.entry.answer_memory import AnswerMemory
 from egretcart.direct.entry.drain_relay import DrainRelay
@@ -27,7 +26,6 @@
 
 NO_CONFIGURATION_CAUSE = "no configuration is known yet"
 ALL_DRAINED_CAUSE = "all failure domains are drained"
-HOPELESS_CAUSE = "can't begin in time"
 
 
 def _find_refusal_cause(job: Job, route: Route) -> str | None:
@@ -52,8 +50,6 @@
     memory : AnswerMemory
     pending : PendingClaims
     drains : DrainRelay
-    source : random.Random
-        Spreads the times after which callers may retry.
 
     Attributes
     ----------
@@ -70,14 +66,12 @@
         memory: AnswerMemory,
         pending: PendingClaims,
         drains: DrainRelay,
-        source: random.Random,
     ) -> None:
         self.state = state
         self.endings = endings
         self.memory = memory
         self.pending = pending
         self.drains = drains
-        self.source = source
         self.stop_deadline: float | None = None
 
     def submit(
@@ -429,81 +423,11 @@
 
         That is so if its wait passes the longest one by the next tick.
         """
-        next_tick_at = now + self.state.limits.tick_interval_s
-        return next_tick_at > self._longest_wait_until(held)
-
-    def _longest_wait_until(self, held: HeldJob) -> float:
-        """Return until when a job may wait that has not begun."""
         admission = self.state.limits.admission
         longest_ms = (
             admission.max_useful_share
             * admission.useful_latency_factor
             * held.objective_ms
         )
-        return held.accepted_at + longest_ms / 1000
-
-    def refuse_hopeless(self, now: float) -> None:
-        """Refuse jobs that can't be on time and won't begin in time either.
-
-        Nothing is refused while agents are expected to connect, nor while
-        one of them has free capacity for a task of the job.
-        """
-        rates = self.state.start_rates
-        tasks_by_job = {
-            held.job.job_id: sum(1 for _ in held.waiting())
-            for held in self.state.jobs.values()
-        }
-        late_jobs = [
-            held
-            for held in self.state.jobs.values()
-            if tasks_by_job[held.job.job_id] and held.order.goes_last(now)
-        ]
-        rates.observe(
-            tasks_wait=any(tasks_by_job.values()),
-            late_tasks_wait=bool(late_jobs),
-            now=now,
-        )
-        if now < self.state.discovery_ends_at:
-            return
-        tasks_ahead = 0
-        for held in sorted(late_jobs, key=lambda held: held.sort_key(now)):
-            begin_until = min(
-                self._longest_wait_until(held),
-                held.wait_deadline - held.critical_path_ms / 1000,
-            )
-            if (
-                held.has_begun
-                or not rates.is_hopeless(tasks_ahead, begin_until - now)
-                or self._has_room_now(held)
-            ):
-                tasks_ahead += tasks_by_job[held.job.job_id]
-                continue
-            wait_s = rates.late_wait_s(tasks_ahead) or 0.0
-            self.state.jobs.pop(held.job.job_id)
-            self._refuse(
-                held,
-                held.waiting_request_ids,
-                HOPELESS_CAUSE,
-                wait_s * 1000,
-                self._retry_when_room_s(sum(tasks_by_job.values())),
-            )
-
-    def _has_room_now(self, held: HeldJob) -> bool:
-        """Whether an agent has or holds free capacity for a task."""
-        step = held.job.steps[0]
-        return any(
-            view.may_run(step)
-            and (view.free.can_fit(step.room) or view.has_offer_for(step.room))
-            for view in self.state.agents.values()
-        )
-
-    def _retry_when_room_s(self, tasks_waiting: int) -> float:
-        """Return a time after which the tasks that wait now have begun."""
-        admission = self.state.limits.admission
-        wait_s = self.state.start_rates.wait_s(tasks_waiting) or 0.0
-        spread = self.state.limits.late_waits.retry_spread
-        return min(
-            admission.max_retry_s,
-            max(admission.min_retry_s, wait_s)
-            * self.source.uniform(1.0, 1.0 + spread),
-        )
+        next_tick_at = now + self.state.limits.tick_interval_s
+        return (next_tick_at - held.accepted_at) * 1000 > longest_ms
--- a/egretcart/direct/entry/task_sender.py
+++ b/egretcart/direct/entry/task_sender.py
@@ -11,7 +11,6 @@
 from egretcart.direct.log.decisions import DecisionLog
 from egretcart.direct.log.decisions import TasksPlaced
 from egretcart.direct.policy.capacity_offers import TickLateness
-from egretcart.direct.policy.late_waits import StartRates
 from egretcart.direct.policy.placement import Placement
 from egretcart.direct.policy.placement import PlacementRequest
 from egretcart.direct.request.held_job import HeldJob
@@ -39,8 +38,6 @@
     notices : WaitingNotices
     lateness : TickLateness
         While the entry is behind, it uses no offers.
-    start_rates : StartRates
-        Is told of the tasks that are sent to free capacity.
     log : DecisionLog
 
     Attributes
@@ -61,7 +58,6 @@
         effects: list[EntryEffect],
         notices: WaitingNotices,
         lateness: TickLateness,
-        start_rates: StartRates,
         log: DecisionLog,
     ) -> None:
         self.agents = agents
@@ -70,7 +66,6 @@
         self.log = log
         self.notices = notices
         self.lateness = lateness
-        self.start_rates = start_rates
         self.unplaced: WaitingTasks | None = None
         self.offerable: WaitingTasks | None = None
 
@@ -174,12 +169,6 @@
         agent_id, step_number, run, offer, may_wait = group
         step = held.job.steps[step_number]
         view = self.agents[agent_id]
-        if not may_wait:
-            is_late = held.order.goes_last(now)
-            for task in tasks:
-                self.start_rates.record_start(
-                    task.key, run, is_late=is_late, now=now
-                )
         indexes = tuple(task.key.index for task in tasks)
         message = RunTasks(
             sequence=view.sequence,
--- a/egretcart/direct/process/metered_log.py
+++ b/egretcart/direct/process/metered_log.py
@@ -43,7 +43,6 @@
         "no configuration is known yet",
         "no room in time",
         "waited in vain",
-        "can't begin in time",
         "the entry leaves",
         "all failure domains are drained",
     )
--- a/egretcart/direct/request/ordering.py
+++ b/egretcart/direct/request/ordering.py
@@ -67,10 +67,6 @@
         priority = min(self.priority, LATE_RANK - 1)
         return priority + (LATE_RANK if now > self.latest_start_at else 0)
 
-    def goes_last(self, now: float) -> bool:
-        """Whether the task goes after all that can be on time."""
-        return self.rank(now) >= LATE_RANK
-
     def key(self, now: float) -> tuple[int, float]:
         """Return the sort key; the lowest goes first."""
         return (self.rank(now), self.due_at)
