Refuse a job that has not begun before its caller leaves, not never

Cause: a job that had not begun was refused only after its latency objective, so a caller with a shorter wait limit left without an answer: its job was held to the end. Now it is refused, as not run and with a time after which to retry, once less than half of its estimated run time would be left after the next tick. Half, since estimates are wrong by two fifths at times and servers differ in speed.

--- a/egretcart/direct/entry/job_admission.py
+++ b/egretcart/direct/entry/job_admission.py
@@ -14,6 +14,7 @@
 from egretcart.direct.log.decisions import JobAccepted
 from egretcart.direct.log.decisions import JobJoined
 from egretcart.direct.log.decisions import JobRefused
+from egretcart.direct.policy.admission import can_end_in_time
 from egretcart.direct.policy.admission import estimate_load
 from egretcart.direct.policy.admission import retry_after_s
 from egretcart.direct.request.claims import Claim
@@ -401,12 +402,16 @@
             self.endings.cancel(held, "the caller took it back", now)
 
     def refuse_overdue(self, now: float) -> None:
-        """Refuse unstarted late jobs that can't be served any more."""
+        """Refuse unstarted jobs that can't be served any more."""
         for held in list(self.state.jobs.values()):
-            if held.has_begun or now < held.due_at:
+            if held.has_begun:
+                continue
+            must_end = self._caller_leaves_before_end(held, now)
+            if now < held.due_at and not must_end:
                 continue
             wait_ms, retry_s = self._estimate_wait(held, now)
-            if retry_s is None and not self._has_waited_long(held, now):
+            must_end = must_end or self._has_waited_long(held, now)
+            if retry_s is None and not must_end:
                 continue
             retry_s = retry_s or self.state.limits.admission.min_retry_s
             self.state.jobs.pop(held.job.job_id)
@@ -418,6 +423,19 @@
                 retry_s,
             )
 
+    def _caller_leaves_before_end(self, held: HeldJob, now: float) -> bool:
+        """Whether a caller won't be there at the end of its job.
+
+        That is so if its job can't end in time once it begins after the
+        next tick. It is told before it leaves, not at the end of its wait.
+        """
+        next_tick_at = now + self.state.limits.tick_interval_s
+        return not can_end_in_time(
+            (held.wait_deadline - next_tick_at) * 1000,
+            held.critical_path_ms,
+            self.state.limits.admission,
+        )
+
     def _has_waited_long(self, held: HeldJob, now: float) -> bool:
         """Whether a job would have been refused if its wait had been known.
 
--- a/egretcart/direct/policy/admission.py
+++ b/egretcart/direct/policy/admission.py
@@ -25,6 +25,9 @@
     useful_latency_factor : float
         Multiple of the latency objective up to which an answer is still of
         use to its caller.
+    least_run_share : float
+        Share of the estimated run time that a job takes at least: estimates
+        are wrong by two fifths at times, and servers differ in speed.
     max_useful_share : float
         Share of that time up to which a job is accepted: estimates are at
         times wrong by a factor of 1.5, and a caller that waits in vain is
@@ -35,6 +38,7 @@
     """
 
     useful_latency_factor: float = USEFUL_LATENCY_FACTOR
+    least_run_share: float = 0.5
     max_useful_share: float = MAX_USEFUL_SHARE
     min_retry_s: float = 1.0
     max_retry_s: float = 10.0
@@ -129,6 +133,23 @@
     )
 
 
+def can_end_in_time(
+    wait_left_ms: float, run_ms: float, limits: AdmissionLimits
+) -> bool:
+    """Whether a job that begins now may end while its caller waits.
+
+    Parameters
+    ----------
+    wait_left_ms : float
+        Time for which its caller still waits, in milliseconds.
+    run_ms : float
+        Run time of the job with enough capacity, from its estimates, in
+        milliseconds.
+    limits : AdmissionLimits
+    """
+    return wait_left_ms > run_ms * limits.least_run_share
+
+
 def retry_after_s(
     load: LoadEstimate,
     useful_ms: float,
--- a/egretcart/testing/direct_world.py
+++ b/egretcart/testing/direct_world.py
@@ -106,6 +106,8 @@
         answer the job is submitted again.
     answered_at : float
         Simulated time of the final answer, in seconds; 0 before it.
+    wait_limit_s : float
+        How long the caller waits, in seconds from `sent_at`.
     caller_disconnected : bool
         Whether the caller has abandoned the request. The job is not
         submitted again, and a later answer is ignored.
@@ -118,6 +120,7 @@
     submission_count: int = 0
     answer: Answer | None = None
     answered_at: float = 0.0
+    wait_limit_s: float = math.inf
     caller_disconnected: bool = False
 
     @property
@@ -898,6 +901,7 @@
         route: Route | None = None,
         fails: bool = False,
         entry_id: str | None = None,
+        wait_limit_s: float = math.inf,
     ) -> CallerRequest:
         """Submit a job of identical tasks to an entry.
 
@@ -919,6 +923,8 @@
         entry_id : str or None, optional
             The entry that gets the first submission if it is live; None for
             one chosen at random.
+        wait_limit_s : float, optional
+            How long the caller waits, in seconds; then it leaves.
         """
         job_id = f"{len(self.requests):016x}"
         self.task_behaviours[job_id] = TaskSize(
@@ -933,9 +939,12 @@
             job=Job(job_id=job_id, payload="payload", steps=(step,)),
             route=route or DEFAULT_ROUTE,
             sent_at=self.now,
+            wait_limit_s=wait_limit_s,
         )
         self.requests.append(request)
         self._submit_to_live_entry(request, entry_id)
+        if wait_limit_s < math.inf:
+            self.schedule(wait_limit_s, lambda: self._leave(request))
         return request
 
     def _submit_to_live_entry(
@@ -964,10 +973,19 @@
         self, name: str, number: int, request: CallerRequest
     ) -> None:
         effects = self.entries[name].submit(
-            number, request.job, request.route, self.now
+            number,
+            request.job,
+            request.route,
+            self.now,
+            wait_limit_s=request.sent_at + request.wait_limit_s - self.now,
         )
         self._apply_entry_effects(name, effects)
 
+    def _leave(self, request: CallerRequest) -> None:
+        """Let a caller leave that has waited for its whole time."""
+        if request.answer is None:
+            self.disconnect_caller(request)
+
     def disconnect_caller(self, request: CallerRequest) -> None:
         """Abandon a caller's request and notify the entry that handles it."""
         request.caller_disconnected = True
