--- a/egretcart/direct/agent/agent_process.py
+++ b/egretcart/direct/agent/agent_process.py
@@ -29,6 +29,7 @@
 from egretcart.direct.backend.backend import StopRequest
 from egretcart.direct.backend.backend_report_store import BackendReportStore
 from egretcart.direct.backend.lease import LeaseLimits
+from egretcart.direct.backend.suspicion import Suspicion
 from egretcart.direct.backend.suspicion import SuspicionLimits
 from egretcart.direct.connection.messages import EntryHello
 from egretcart.direct.connection.messages import EntryPeers
@@ -200,7 +201,12 @@
                 await trio.sleep(POLL_RETRY_DELAY_S)
 
     def _poll_if_due(self, now: float) -> None:
-        """Renew the lease by a separate poll if the last answer is old."""
+        """Renew the lease by a separate poll if the last answer is old.
+
+        The lease of a silent server is not renewed, so that there is no need.
+        """
+        if self.agent.backend.suspected is Suspicion.SILENT:
+            return
         age_s = now - self.agent.lease.answered_at
         if self.agent.report is not None and age_s > MAX_ANSWER_AGE_S:
             self.nursery.start_soon(self._poll_once, 0)
--- a/egretcart/direct/agent/run_queue.py
+++ b/egretcart/direct/agent/run_queue.py
@@ -12,6 +12,7 @@
 from egretcart.direct.agent.job_evictions import JobEvictions
 from egretcart.direct.agent.known_backend import KnownBackend
 from egretcart.direct.agent.run_table import RunTable
+from egretcart.direct.backend.suspicion import Suspicion
 from egretcart.direct.connection.messages import RunTasks
 from egretcart.direct.connection.messages import TAKEN_OVER_REASON
 from egretcart.direct.connection.messages import TaskEnded
@@ -211,9 +212,14 @@
             self.request_stop(run, now)
 
     def request_stop(self, run: Run, now: float) -> None:
-        """Ask the server to stop a run, unless that was done just now."""
+        """Ask the server to stop a run, unless that was done just now.
+
+        A silent server is asked once it answers its polls again.
+        """
         if self.backend.report is None or run.stop_answered_at:
             return
+        if self.backend.suspected is Suspicion.SILENT:
+            return
         if now - run.stop_sent_at < self.limits.stop_retry_interval_s:
             return
         run.stop_sent_at = now
--- a/tests/features/steps/suspicion_steps.py
+++ b/tests/features/steps/suspicion_steps.py
@@ -16,10 +16,13 @@
 from egretcart.connection.traffic import TrafficCounters
 from egretcart.direct.agent.agent_process import agent_limits
 from egretcart.direct.agent.agent_types import DirectAgentLimits
+from egretcart.direct.agent.agent_types import SendStartRequest
+from egretcart.direct.agent.agent_types import SendStopRequest
 from egretcart.direct.backend.suspicion import BackendSuspicion
 from egretcart.direct.backend.suspicion import ObservedRun
 from egretcart.direct.backend.suspicion import Suspicion
 from egretcart.direct.backend.suspicion import SuspicionLimits
+from egretcart.direct.connection.messages import RunTasks
 from egretcart.direct.log.agent_decisions import BackendChanged
 from egretcart.direct.log.decisions import NullDecisionLog
 from egretcart.direct.process.metered_log import MeteredLog
@@ -189,6 +192,37 @@
         assert agent.status(0, 1.2).accepting == (state is Suspicion.NONE)
 
 
+@then("a run at a silent server is stopped once the server answers")
+def check_stops(context):
+    agent = agent_with_server(limits=DirectAgentLimits(suspicion=ON))
+    agent.receive_listing(listing_at(1.0), BACKEND_INCARNATION, 1.0, 1.0)
+    agent.entry_connected("entry", 1, 1.0)
+    message = RunTasks(
+        job_id="a" * 16,
+        indexes=(0,),
+        run=1,
+        cpu_milli=10,
+        memory_mb=10,
+        estimate_ms=100,
+    )
+    [start] = [
+        effect.request
+        for effect in agent.receive("entry", message, 1.0)
+        if isinstance(effect, SendStartRequest)
+    ]
+    agent.start_answered(start, None, 1.01)
+
+    def stops(effects):
+        return sum(isinstance(effect, SendStopRequest) for effect in effects)
+
+    agent.poll_failed(1.02, 1.02)
+    agent.poll_failed(1.03, 1.03)
+    for now in (1.05, 1.1, 1.15):
+        assert not stops(agent.tick(now))
+    agent.receive_listing(listing_at(1.2), BACKEND_INCARNATION, 1.2, 1.2)
+    assert stops(agent.tick(1.21)) == 1
+
+
 RUNS = strategies.lists(
     strategies.builds(
         observed,
