--- a/egretcart/direct/agent/run_checks.py
+++ b/egretcart/direct/agent/run_checks.py
@@ -101,7 +101,9 @@
         if stands_still or run.progress.is_stalled(now):
             whole_ms = -1.0
             if stands_still or run.progress.percent == 0:
-                self.backend.health.record_failure(run.key.job_id, now)
+                self.backend.health.record_failure(
+                    run.key.job_id, now, run.progress.started_at
+                )
         elif run.progress.is_late():
             whole_ms = run.progress.whole_ms() or 0.0
         else:
--- a/egretcart/direct/agent/run_queue.py
+++ b/egretcart/direct/agent/run_queue.py
@@ -289,7 +289,7 @@
         self.runs.remove(run)
         run_ms = max(0, round((now - run.progress.started_at) * 1000))
         if ending is Ending.DONE:
-            self.backend.health.record_success()
+            self.backend.health.record_success(run.progress.started_at)
             if run.progress.sampled_percent == 0:
                 self.backend.warmup.record(
                     run.key.job_id,
@@ -299,7 +299,9 @@
                     now=now,
                 )
         elif ending is Ending.FAILED:
-            self.backend.health.record_failure(run.key.job_id, now)
+            self.backend.health.record_failure(
+                run.key.job_id, now, run.progress.started_at
+            )
         self.log.write(
             RunEnded(
                 job_id=run.key.job_id,
--- a/egretcart/direct/backend/health.py
+++ b/egretcart/direct/backend/health.py
@@ -3,9 +3,12 @@
 A server at which every task fails or stalls soon has free capacity again, so
 that without this module most of the tasks would be sent to it. Failures of a
 single job may be caused by its own tasks and do not count against the server.
+A server may fail all that it begins while what it has begun before ends well,
+so that a success only tells of the time from its start on.
 """
 
 import dataclasses
+import math
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -38,7 +41,10 @@
     Attributes
     ----------
     failed_jobs : set of str
-        Ids of jobs with a failed run since the last successful run.
+        Ids of jobs with a failed run, since the last successful run that
+        was started after a failed one.
+    failed_start_at : float
+        Latest start of a run that has failed; before all if none has.
     probing : bool
         Whether only one task at a time may run.
     backoff_until : float
@@ -51,18 +57,35 @@
     def __init__(self, *, limits: HealthLimits) -> None:
         self.limits = limits
         self.failed_jobs: set[str] = set()
+        self.failed_start_at = -math.inf
         self.probing = False
         self.backoff_until = 0.0
         self.backoff_s = limits.initial_backoff_s
 
-    def record_success(self) -> None:
-        """Record a run that succeeded."""
+    def record_success(self, started_at: float = math.inf) -> None:
+        """Record a run that succeeded, and when it was started.
+
+        It says nothing if a run that was started later has failed.
+        """
+        if started_at <= self.failed_start_at:
+            return
         self.failed_jobs.clear()
         self.probing = False
         self.backoff_s = self.limits.initial_backoff_s
 
-    def record_failure(self, job_id: str, now: float) -> None:
-        """Record a run that failed, stalled or was not accepted."""
+    def record_failure(
+        self, job_id: str, now: float, started_at: float = -math.inf
+    ) -> None:
+        """Record a run that failed, stalled or was not accepted.
+
+        Parameters
+        ----------
+        job_id : str
+        now : float
+        started_at : float, optional
+            When it was started.
+        """
+        self.failed_start_at = max(self.failed_start_at, started_at)
         self.failed_jobs.add(job_id)
         if len(self.failed_jobs) < self.limits.failed_jobs:
             return
--- a/tests/features/steps/suspicion_steps.py
+++ b/tests/features/steps/suspicion_steps.py
@@ -1,4 +1,5 @@
 import random
+from unittest import mock
 
 from behave import then
 from behave import when
@@ -18,18 +19,22 @@
 from egretcart.direct.agent.agent_types import DirectAgentLimits
 from egretcart.direct.agent.agent_types import SendStartRequest
 from egretcart.direct.agent.agent_types import SendStopRequest
+from egretcart.direct.backend.health import BackendHealth
 from egretcart.direct.backend.suspicion import BackendSuspicion
 from egretcart.direct.backend.suspicion import ObservedRun
 from egretcart.direct.backend.suspicion import Suspicion
 from egretcart.direct.backend.suspicion import SuspicionLimits
 from egretcart.direct.connection.messages import RunTasks
 from egretcart.direct.log.agent_decisions import BackendChanged
+from egretcart.direct.log.agent_decisions import RunEnded
 from egretcart.direct.log.decisions import NullDecisionLog
 from egretcart.direct.process.metered_log import MeteredLog
 from egretcart.direct.process.settings import DirectAgentSettings
+from egretcart.direct.request.job import Ending
 from egretcart.direct.request.job import JobState
 from egretcart.process.metric_table import SERVERS_SUSPECTED
 from egretcart.process.metrics import ProcessMetrics
+from egretcart.testing.fake_backend import TaskSize
 
 ON = SuspicionLimits(is_on=True)
 # What runs at a server when it goes bad is harmed in any case.
@@ -41,6 +46,23 @@
 PHASE_S = 0.9
 
 
+class KeptLog(NullDecisionLog):
+    def __init__(self):
+        self.kept = []
+
+    def write(self, decision):
+        self.kept.append(decision)
+
+
+def set_fault(world, name, fault):
+    """Let a server stop working or fail all that it begins, or end that."""
+    world.backends[name].hangs = fault == "hang"
+    failing = TaskSize(room=TASK_ROOM, work_ms=30.0, fails=True)
+    world.backends[name].behaviour_of = lambda key: (
+        failing if fault == "fail" else world.task_behaviours[key.job_id]
+    )
+
+
 def play(*, fault, servers, bad, suspicion):
     """Play a load while servers misbehave.
 
@@ -51,7 +73,12 @@
         later, that are late, and the world.
     """
     world = LoadedDeployment(
-        entries=4, agents=servers, seed=1, speeds=SPEEDS, suspicion=suspicion
+        entries=4,
+        agents=servers,
+        seed=1,
+        speeds=SPEEDS,
+        suspicion=suspicion,
+        log=KeptLog(),
     )
     world.run(2.0)
     source = random.Random(1)
@@ -79,11 +106,11 @@
             world.unreachable = set(names) if is_down else set()
         else:
             for name in names:
-                world.backends[name].hangs = is_bad
+                set_fault(world, name, fault if is_bad else "")
         world.run(source.uniform(0.004, 0.016))
     world.unreachable = set()
     for name in names:
-        world.backends[name].hangs = False
+        set_fault(world, name, "")
     world.run(8.0)
     known_at = begin + FAULT_AT_S + KNOWN_AFTER_S
     sent = [one for one in world.requests if one.sent_at > known_at]
@@ -127,6 +154,38 @@
     assert late <= before * 2 / 3, (late, before)
 
 
+def failed_runs(world):
+    return sum(
+        isinstance(decision, RunEnded)
+        and decision.ending == Ending.FAILED.value
+        for decision in world.log.kept
+    )
+
+
+@when(
+    "{bad:d} of {servers:d} servers fail what they begin and finish what they "
+    "had begun"
+)
+def play_fail(context, bad, servers):
+    played = {"fault": "fail", "servers": servers, "bad": bad}
+    context.late, context.world = play(**played, suspicion=ON)
+    record_success = BackendHealth.record_success
+    with mock.patch.object(
+        BackendHealth,
+        "record_success",
+        lambda health, started_at: record_success(health),
+    ):
+        context.late_before, context.world_before = play(
+            **played, suspicion=ON
+        )
+
+
+@then("at most half as many runs fail as if any success counted")
+def check_failed_runs(context):
+    failed = failed_runs(context.world), failed_runs(context.world_before)
+    assert failed[0] <= failed[1] / 2, (failed, context.late_before)
+
+
 def silent(suspicion, now):
     for _ in range(suspicion.limits.failed_polls):
         suspicion.record_failed_poll(now)
@@ -267,14 +326,6 @@
     assert suspicion.state(1.0) is Suspicion.NONE
 
 
-class KeptLog(NullDecisionLog):
-    def __init__(self):
-        self.kept = []
-
-    def write(self, decision):
-        self.kept.append(decision)
-
-
 @then("suspicion is logged and counted")
 def check_logged(context):
     kept, metrics = KeptLog(), ProcessMetrics(traffic=TrafficCounters())
--- a/tests/features/suspicion.feature
+++ b/tests/features/suspicion.feature
@@ -12,6 +12,12 @@
     And at least a third fewer of them are late than if no server is suspected
     And no promise was broken
 
+  Scenario: Servers that fail all that they begin harm few jobs
+    When 3 of 20 servers fail what they begin and finish what they had begun
+    Then at most 0.06 of the jobs sent after half a second of that are late
+    And at most half as many runs fail as if any success counted
+    And no promise was broken
+
   Scenario: What makes a server suspect
     Then two failed polls make it silent, and one answer ends that
     And it is held after its second silence, for longer after the third
