--- a/tests/features/steps/suspicion_steps.py
+++ b/tests/features/steps/suspicion_steps.py
@@ -6,12 +6,14 @@
 from direct_decisions_steps import agent_with_server
 from direct_decisions_steps import BACKEND_INCARNATION
 from direct_decisions_steps import listing_at
+from direct_world_steps import inject_fault
 from hypothesis import given as drawn
 from hypothesis import strategies
 from late_load_steps import LoadedDeployment
 from late_load_steps import PLACES_PER_AGENT
 from late_load_steps import ROUTES
 from late_load_steps import SPEEDS
+from late_load_steps import submit_two_queues
 from late_load_steps import TASK_ROOM
 
 from egretcart.connection.traffic import TrafficCounters
@@ -44,6 +46,8 @@
 LOAD_SHARE = 0.5
 FAULT_SECONDS = 6.0
 PHASE_S = 0.9
+# Share of the steps of a random load at which a server becomes unreachable.
+BREAK_SHARE = 0.03
 
 
 class KeptLog(NullDecisionLog):
@@ -154,6 +158,39 @@
     assert late <= before * 2 / 3, (late, before)
 
 
+@when(
+    "a deployment whose servers are suspected has random faults, seed {seed:d}"
+)
+def run_faults(context, seed):
+    source = random.Random(seed)
+    context.world = world = LoadedDeployment(
+        entries=3, agents=4, seed=seed, suspicion=ON, log=KeptLog()
+    )
+    world.run(2.0)
+
+    def fault():
+        inject_fault(world, source)
+        if source.random() < BREAK_SHARE:
+            name = source.choice(sorted(world.backends))
+            world.unreachable.add(name)
+            world.schedule(
+                source.uniform(0.1, 1.5),
+                lambda: world.unreachable.discard(name),
+            )
+
+    submit_two_queues(
+        world, source, share=0.9, seconds=FAULT_SECONDS, each_step=fault
+    )
+    world.unanswered = 0
+    world.unreachable.clear()
+    suspected = {
+        decision.cause
+        for decision in world.log.kept
+        if isinstance(decision, BackendChanged) and decision.state == "suspect"
+    }
+    assert "silent" in suspected, suspected
+
+
 def failed_runs(world):
     return sum(
         isinstance(decision, RunEnded)
--- a/tests/features/suspicion.feature
+++ b/tests/features/suspicion.feature
@@ -18,6 +18,17 @@
     And at most half as many runs fail as if any success counted
     And no promise was broken
 
+  Scenario Outline: Random faults break no promise where servers are suspected
+    When a deployment whose servers are suspected has random faults, seed <seed>
+    Then no promise was broken
+    And every caller that waited has its answer
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+
   Scenario: What makes a server suspect
     Then two failed polls make it silent, and one answer ends that
     And it is held after its second silence, for longer after the third
