--- a/egretcart/direct/backend/suspicion.py
+++ b/egretcart/direct/backend/suspicion.py
@@ -162,13 +162,14 @@
     def record_runs(self, runs: Iterable[ObservedRun]) -> None:
         """Judge the server by all runs that its last listing shows.
 
-        A run that has just started and shows no progress says nothing.
+        A run that has just started and shows no progress says nothing, and
+        neither does a long one that may be about to show some.
         """
         still_jobs = set()
         for run in runs:
             if run.still_s >= self._stall_s(run):
                 still_jobs.add(run.job_id)
-            elif run.still_s < run.age_s:
+            elif run.still_s < min(run.age_s, self.limits.stall_s):
                 self.is_stalled = False
                 return
         self.is_stalled = len(still_jobs) >= self.limits.stalled_jobs
--- a/tests/features/steps/suspicion_steps.py
+++ b/tests/features/steps/suspicion_steps.py
@@ -250,9 +250,9 @@
     assert held_s == [0.0, 1.0, 2.0, 2.0, 0.0], held_s
 
 
-def observed(job_id, still_s, *, age_s=1.0):
+def observed(job_id, still_s, *, age_s=1.0, estimate_ms=300.0):
     return ObservedRun(
-        job_id=job_id, age_s=age_s, still_s=still_s, estimate_ms=300.0
+        job_id=job_id, age_s=age_s, still_s=still_s, estimate_ms=estimate_ms
     )
 
 
@@ -268,6 +268,12 @@
     assert is_stalled(*still)
     assert is_stalled(*still, observed("d", 0.05, age_s=0.05))
     assert not is_stalled(*[observed(job_id, 0.1) for job_id in "abc"])
+    long_run = {"age_s": 5.0, "estimate_ms": 20_000.0}
+    assert is_stalled(*still, observed("d", 0.3, **long_run))
+    assert not is_stalled(*still, observed("d", 0.1, **long_run))
+    assert not is_stalled(
+        *still[:2], *[observed("d", 0.3, **long_run) for _ in range(3)]
+    )
 
 
 @then("one run that goes on, or ends, shows that it works")
