--- a/tests/features/steps/soak_world.py
+++ b/tests/features/steps/soak_world.py
@@ -314,7 +314,11 @@
             self.hosts[name],
             self.ports[name]["control"],
         )
-        self._start(name, "agent", {"backend": f"127.0.0.1:{port}"})
+        self._start(
+            name,
+            "agent",
+            {"backend": f"127.0.0.1:{port}", "suspects_servers": True},
+        )
 
     # Checks of the promises, on the event loop of the stand-ins.
 
