--- a/egretcart/direct/agent/agent_process.py
+++ b/egretcart/direct/agent/agent_process.py
@@ -223,7 +223,7 @@
         except BackendCallError as error:
             if error.refused:
                 self._mark_backend_refused(request.lifetime, error)
-            else:
+            elif not error.answered:
                 now = self.clock.monotonic()
                 self._apply_effects(self.agent.poll_failed(asked_at, now))
             return False
--- a/egretcart/direct/backend/backend.py
+++ b/egretcart/direct/backend/backend.py
@@ -251,11 +251,16 @@
     ----------
     refused : bool
         Whether the connection was refused, so that the server has ended.
+    answered : bool
+        Whether the server has answered, but turned the call away.
     """
 
-    def __init__(self, reason: str, *, refused: bool = False) -> None:
+    def __init__(
+        self, reason: str, *, refused: bool = False, answered: bool = False
+    ) -> None:
         super().__init__(reason)
         self.refused = refused
+        self.answered = answered
 
 
 class StaleTokenError(Exception):
--- a/tests/features/steps/suspicion_steps.py
+++ b/tests/features/steps/suspicion_steps.py
@@ -15,12 +15,15 @@
 from late_load_steps import SPEEDS
 from late_load_steps import submit_two_queues
 from late_load_steps import TASK_ROOM
+import trio
 
 from egretcart.connection.traffic import TrafficCounters
 from egretcart.direct.agent.agent_process import agent_limits
+from egretcart.direct.agent.agent_process import DirectAgentProcess
 from egretcart.direct.agent.agent_types import DirectAgentLimits
 from egretcart.direct.agent.agent_types import SendStartRequest
 from egretcart.direct.agent.agent_types import SendStopRequest
+from egretcart.direct.backend.backend import BackendCallError
 from egretcart.direct.backend.health import BackendHealth
 from egretcart.direct.backend.suspicion import BackendSuspicion
 from egretcart.direct.backend.suspicion import ObservedRun
@@ -39,6 +42,14 @@
 from egretcart.testing.fake_backend import TaskSize
 
 ON = SuspicionLimits(is_on=True)
+SETTINGS = DirectAgentSettings(
+    node="a",
+    host="b",
+    failure_domain="c",
+    peer_port=1,
+    store="d:1",
+    backend="e:1",
+)
 # What runs at a server when it goes bad is harmed in any case.
 KNOWN_AFTER_S = 0.5
 FAULT_AT_S = 1.0
@@ -283,6 +294,50 @@
     assert not is_stalled(*[observed(job_id, 0.05) for job_id in "abcd"])
 
 
+class FailingBackend:
+    """Answers no poll, or turns each away."""
+
+    def __init__(self, *, answered):
+        self.answered = answered
+
+    async def poll(self, request, *, time_limit_s):
+        raise BackendCallError("status 503", answered=self.answered)
+
+
+class StoppedClock:
+    def monotonic(self):
+        return 1.1
+
+    def unix_ms(self):
+        return 1
+
+
+@then("a server that answers polls by turning them away is not silent")
+def check_turned_away(context):
+    for answered, state in (
+        (True, Suspicion.NONE),
+        (False, Suspicion.SILENT),
+    ):
+        process = DirectAgentProcess(
+            settings=SETTINGS,
+            limits=DirectAgentLimits(suspicion=ON),
+            clock=StoppedClock(),
+            log=NullDecisionLog(),
+            traffic=TrafficCounters(),
+            backend=FailingBackend(answered=answered),
+            report_store=None,
+        )
+        process.agent = agent_with_server(
+            limits=DirectAgentLimits(suspicion=ON)
+        )
+        process.agent.receive_listing(
+            listing_at(1.0), BACKEND_INCARNATION, 1.0, 1.0
+        )
+        for _ in range(5):
+            trio.run(process._poll_once, 0)
+        assert process.agent.backend.suspicion.state(1.1) is state
+
+
 @then("a poll that was sent before the last answer says nothing")
 def check_old_poll(context):
     for asked_at, state in ((0.9, Suspicion.NONE), (1.1, Suspicion.SILENT)):
@@ -353,15 +408,7 @@
 
 @then("a server is never suspect without the setting")
 def check_setting(context):
-    settings = DirectAgentSettings(
-        node="a",
-        host="b",
-        failure_domain="c",
-        peer_port=1,
-        store="d:1",
-        backend="e:1",
-    )
-    limits = agent_limits(settings).suspicion
+    limits = agent_limits(SETTINGS).suspicion
     assert not limits.is_on
     suspicion = BackendSuspicion(limits=limits)
     silent(suspicion, 1.0)
--- a/tests/features/suspicion.feature
+++ b/tests/features/suspicion.feature
@@ -35,6 +35,7 @@
     And runs of three jobs that all stand still make it suspect
     And one run that goes on, or ends, shows that it works
     And a run at a silent server is stopped once the server answers
+    And a server that answers polls by turning them away is not silent
     And a poll that was sent before the last answer says nothing
 
   Scenario: One job never makes a server suspect
