--- a/tests/features/platform_adapter.feature
+++ b/tests/features/platform_adapter.feature
@@ -22,6 +22,7 @@
     Then a start is answered as started, stale run, too late and stale token
     And a poll lists each ended run until it is acknowledged
     And another incarnation, a lower token and no listener raise different errors
+    And a poll that is turned away has been answered, one without listener not
 
   Scenario Outline: An invalid report of a runner is refused
     Then the report <report> is refused with a reason
--- a/tests/features/steps/platform_adapter_steps.py
+++ b/tests/features/steps/platform_adapter_steps.py
@@ -26,6 +26,7 @@
 
 from egretcart.connection.http_client import ExchangeError
 from egretcart.connection.http_client import HttpClient
+from egretcart.connection.http_server import HttpResponse
 from egretcart.direct.backend.backend import BackendCallError
 from egretcart.direct.backend.backend import BackendIncarnation
 from egretcart.direct.backend.backend import IncarnationMismatchError
@@ -294,6 +295,27 @@
     assert error.refused
 
 
+@then("a poll that is turned away has been answered, one without listener not")
+def check_turned_away(context):
+    async def turn_away(request):
+        return HttpResponse(status=503)
+
+    port = context.stand_ins.serve(turn_away)
+    for used_port, answered in ((port, True), (1, False)):
+        client = Runner(
+            host="127.0.0.1",
+            port=used_port,
+            start_timeout_s=0.3,
+            stop_timeout_s=0.3,
+        )
+
+        async def poll_there(client=client):
+            return await client.poll(poll_request(context), time_limit_s=0.5)
+
+        error = raised_error(BackendCallError, call, context, poll_there)
+        assert error.answered is answered, error
+
+
 @then("the report {report} is refused with a reason")
 def check_report(context, report):
     kinds = (msgspec.DecodeError, ValueError)
