--- a/egretcart/connection/request_turns.py
+++ b/egretcart/connection/request_turns.py
@@ -2,8 +2,11 @@
 
 import trio
 
-# Requests that begin later in a turn wait for the next one.
-REQUEST_TIME_PER_TURN_S = 0.02
+# Requests that begin later in a turn wait for the next one: a fraction of the
+# time without heartbeats after which others take the process for lost.
+REQUEST_TIME_PER_TURN_S = 0.1
+# Requests that are woken for a turn; those that it has no time for wait on.
+MAX_WOKEN_PER_TURN = 16
 # Wait after which a request is refused, so that its caller may ask elsewhere.
 MAX_WAIT_S = 1.0
 
@@ -20,13 +23,16 @@
     ends_at : float or None
         Until when requests may begin in this turn, in seconds on the trio
         clock; None before the first one of the turn.
-    first : trio.Lock
-        Held by the oldest request that waits.
+    waiting : dict of object to trio.Event
+        Requests that wait, the oldest first, each with what wakes it.
+    is_waking : bool
+        Whether a task wakes them.
     """
 
     def __init__(self) -> None:
         self.ends_at: float | None = None
-        self.first = trio.Lock()
+        self.waiting: dict[object, trio.Event] = {}
+        self.is_waking = False
 
     def after_io_wait(self, timeout: float) -> None:
         """Begin a new turn."""
@@ -37,19 +43,31 @@
 
         Return False if the request waits for too long; it must not begin.
         """
+        if not self.waiting and self._has_time():
+            return True
+        request = object()
+        self.waiting[request] = trio.Event()
+        if not self.is_waking:
+            self.is_waking = True
+            trio.lowlevel.spawn_system_task(self._wake)
         try:
-            self.first.acquire_nowait()
-        except trio.WouldBlock:
-            with trio.move_on_after(MAX_WAIT_S) as scope:
-                await self.first.acquire()
-            if scope.cancelled_caught:
-                return False
-        try:
-            while not self._has_time():
-                await trio.lowlevel.checkpoint()
+            with trio.move_on_after(MAX_WAIT_S):
+                while True:
+                    await self.waiting[request].wait()
+                    if self._has_time():
+                        return True
+                    self.waiting[request] = trio.Event()
         finally:
-            self.first.release()
-        return True
+            del self.waiting[request]
+        return False
+
+    async def _wake(self) -> None:
+        """Wake the oldest requests in each turn while some wait."""
+        while self.waiting:
+            for event in list(self.waiting.values())[:MAX_WOKEN_PER_TURN]:
+                event.set()
+            await trio.lowlevel.checkpoint()
+        self.is_waking = False
 
     def _has_time(self) -> bool:
         now = trio.current_time()
