Keep entries ready while their agents learn that a drain has ended

A view now counts as taken back until the agent's next status. The new scenario failed before.

The scenario also began before the agents' servers had answered, so that a job or the first drain could meet an entry without any; it waits for them now.

--- a/egretcart/direct/connection/views.py
+++ b/egretcart/direct/connection/views.py
@@ -69,6 +69,9 @@
     is_drained : bool
         Whether nothing may begin in its failure domain, as far as the entry
         knows.
+    is_taken_back : bool
+        Whether that has ended since the last status, so that the agent may
+        not know yet that it accepts tasks again.
     status_at : float
         When the last status was received, or a heartbeat in its place.
     last_message_at : float
@@ -105,6 +108,7 @@
     ) -> None:
         self.failure_domain = failure_domain
         self.is_drained = False
+        self.is_taken_back = False
         self.last_message_at = now
         self.last_sent_at = 0.0
         self.heartbeat_interval_s = 0.0
@@ -121,6 +125,7 @@
         """Apply a newer status."""
         self.status = status
         self.status_at = now
+        self.is_taken_back = False
         for sequence in [s for s in self.sent if s <= status.sequence]:
             self.sent_resources -= self.sent.pop(sequence).room
         # These are read for each agent whenever a task is placed.
@@ -128,6 +133,12 @@
         self.free = status.free - self.sent_resources
         self.slowdown = status.pace_percent / PERCENT
 
+    def mark_drained(self, drained: bool) -> None:
+        """Record whether nothing may begin in its failure domain."""
+        if drained != self.is_drained:
+            self.is_taken_back = not drained
+        self.is_drained = drained
+
     def record_sent(self, room: Room, count: int, work_ms: float) -> int:
         """Record tasks that are being sent; return their sequence number."""
         self.sequence += 1
--- a/egretcart/direct/entry/drain_relay.py
+++ b/egretcart/direct/entry/drain_relay.py
@@ -69,7 +69,7 @@
         self._tell(entry_id)
 
     def _mark(self, view: AgentView) -> None:
-        view.is_drained = self.known.is_drained(view.failure_domain)
+        view.mark_drained(self.known.is_drained(view.failure_domain))
 
     def _tell(self, process_id: str) -> None:
         if not self.known.is_known:
--- a/egretcart/direct/entry/entry.py
+++ b/egretcart/direct/entry/entry.py
@@ -232,7 +232,7 @@
         return (
             self.configuration is not None
             and any(
-                view.status.accepting or view.is_drained
+                view.status.accepting or view.is_drained or view.is_taken_back
                 for view in self.agents.values()
             )
             and self.admission.stop_deadline is None
--- a/tests/features/drained_domains.feature
+++ b/tests/features/drained_domains.feature
@@ -71,6 +71,12 @@
     And all entries stay ready
     And jobs are accepted and completed again once "b" is taken back
 
+  Scenario: All failure domains are taken back at once
+    Given a deployment of 3 failure domains under load
+    When "a, b, c" is drained
+    Then all entries stay ready
+    And all entries stay ready while "a, b, c" are taken back
+
   Scenario: An entry that has found only drained agents so far
     Given an entry that has just started, and is connected to one drained agent
     Then a job is refused as "no room in time"
--- a/tests/features/steps/drain_following_steps.py
+++ b/tests/features/steps/drain_following_steps.py
@@ -424,6 +424,14 @@
             10,
             f"agents at {name}",
         )
+    for name in ("agent-1", "agent-2"):
+        wait_until(
+            lambda n=name: any(
+                '"state": "answering"' in line for line in deployment.lines(n)
+            ),
+            20,
+            f"the runner of {name}",
+        )
 
 
 @when('"{domain}" is drained in the store')
--- a/tests/features/steps/drained_domains_steps.py
+++ b/tests/features/steps/drained_domains_steps.py
@@ -380,7 +380,12 @@
 @then("all entries stay ready")
 def check_ready(context):
     context.world.run(3.0)
-    assert all(entry.is_ready for entry in context.world.entries.values())
+    check_ready_now(context.world)
+
+
+def check_ready_now(world):
+    unready = [n for n, entry in world.entries.items() if not entry.is_ready]
+    assert not unready, (world.now, unready)
 
 
 @then('jobs are accepted and completed again once "{name}" is taken back')
@@ -394,6 +399,15 @@
     assert not world.violations, world.violations[:3]
 
 
+@then('all entries stay ready while "{names}" are taken back')
+def check_ready_meanwhile(context, names):
+    for name in names.split(", "):
+        context.world.drain(name, drained=False)
+    for _ in range(1000):
+        context.world.run(0.001)
+        check_ready_now(context.world)
+
+
 @then('tasks begin in "{name}" again within {seconds:g} seconds')
 def check_begins_again(context, name, seconds):
     world = context.world
