--- a/tests/features/steps/drain_following_steps.py
+++ b/tests/features/steps/drain_following_steps.py
@@ -8,10 +8,10 @@
 from behave import given
 from behave import then
 from behave import when
-from platform_adapter_steps import Deployment
-from platform_adapter_steps import job
-from platform_adapter_steps import ROOT
-from platform_adapter_steps import wait_until
+from platform_deployment import Deployment
+from platform_deployment import job
+from platform_deployment import ROOT
+from platform_deployment import wait_until
 from platform_standins import StandIns
 from platform_standins import StoreStandIn
 import trio
--- a/tests/features/steps/soak_world.py
+++ b/tests/features/steps/soak_world.py
@@ -14,10 +14,10 @@
 import tempfile
 import time
 
-from platform_adapter_steps import Deployment
-from platform_adapter_steps import desired_state
-from platform_adapter_steps import job
-from platform_adapter_steps import report_for_ever
+from platform_deployment import Deployment
+from platform_deployment import desired_state
+from platform_deployment import job
+from platform_deployment import report_for_ever
 from platform_standins import RunnerStandIn
 from platform_standins import StandIns
 from platform_standins import StoreStandIn
