Log and count crashes of backend servers, and what ran there

Now one line names what a server ran when it ended unannounced, the last started first; TaskEnded carries what the crash counts against the run, and TaskEndedAt its sum. Nothing is decided by it yet.

--- a/egretcart/direct/agent/agent.py
+++ b/egretcart/direct/agent/agent.py
@@ -213,7 +213,12 @@
         return self._pop_effects()
 
     def mark_backend_ended(
-        self, reason: str, now: float, *, is_refused: bool = False
+        self,
+        reason: str,
+        now: float,
+        *,
+        is_refused: bool = False,
+        is_announced: bool = False,
     ) -> list[AgentEffect]:
         """Record that the known incarnation of the server has ended.
 
@@ -224,9 +229,11 @@
         is_refused : bool, optional
             Whether no server listens at the address now, so that all starts
             that were answered are over.
+        is_announced : bool, optional
+            Whether the server has said that it ends.
         """
         if self.exchange.mark_backend_ended(
-            reason, now, is_refused=is_refused
+            reason, now, is_refused=is_refused, is_announced=is_announced
         ):
             self._start_waiting_and_notify(now)
         return self._pop_effects()
--- a/egretcart/direct/agent/agent_process.py
+++ b/egretcart/direct/agent/agent_process.py
@@ -181,7 +181,9 @@
         if report is not None and report.lifetime.instance == instance:
             now = self.clock.monotonic()
             self._apply_effects(
-                self.agent.mark_backend_ended("it said that it ends", now)
+                self.agent.mark_backend_ended(
+                    "it said that it ends", now, is_announced=True
+                )
             )
 
     async def stop(self) -> None:
--- a/egretcart/direct/agent/agent_types.py
+++ b/egretcart/direct/agent/agent_types.py
@@ -17,6 +17,7 @@
 from egretcart.direct.connection.messages import Message
 from egretcart.direct.connection.working_set import WorkingSetLimits
 from egretcart.direct.policy.capacity_offers import OfferLimits
+from egretcart.direct.policy.crashes import CrashLimits
 from egretcart.direct.request.job import Room
 from egretcart.direct.request.job import TaskKey
 from egretcart.direct.request.ordering import TaskOrder
@@ -78,6 +79,7 @@
     progress : ProgressLimits
     working_set : WorkingSetLimits
     offers : OfferLimits
+    crashes : CrashLimits
     """
 
     heartbeat_interval_s: float = 0.15
@@ -106,6 +108,7 @@
         default_factory=WorkingSetLimits
     )
     offers: OfferLimits = dataclasses.field(default_factory=OfferLimits)
+    crashes: CrashLimits = dataclasses.field(default_factory=CrashLimits)
 
 
 class RunPhase(enum.Enum):
@@ -183,6 +186,9 @@
     carried_until : float
         When the run is certainly over if another incarnation of the server
         has executed its start request; 0 unless that is possible.
+    crash_weight : int
+        What the crash of its server counts against the run; 0 unless its
+        server has crashed.
     """
 
     key: TaskKey
@@ -207,6 +213,7 @@
     leaving_reported_at: float = 0.0
     is_listed: bool = False
     carried_until: float = 0.0
+    crash_weight: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/egretcart/direct/agent/backend_exchange.py
+++ b/egretcart/direct/agent/backend_exchange.py
@@ -15,11 +15,26 @@
 from egretcart.direct.backend.backend import StopRequest
 from egretcart.direct.backend.suspicion import ObservedRun
 from egretcart.direct.backend.suspicion import Suspicion
+from egretcart.direct.log.agent_decisions import BackendCrashed
 from egretcart.direct.log.agent_decisions import RunUnanswered
 from egretcart.direct.log.decisions import DecisionLog
+from egretcart.direct.policy.crashes import crash_weight
+from egretcart.direct.policy.crashes import RECENT_WEIGHT
 from egretcart.direct.request.job import Ending
 from egretcart.direct.request.job import TaskKey
 
+# Runs that are named in the line about a crash, the last started first.
+MAX_LOGGED_RUNS = 10
+
+
+def _describe_run(run: Run, now: float) -> str:
+    key = run.key
+    age_ms = round((now - run.progress.started_at) * 1000)
+    return (
+        f"{key.job_id}.{key.step}.{key.index} run {run.run}, "
+        f"{age_ms} ms, entry {run.entry_id}"
+    )
+
 
 class BackendExchange:
     """Applies a backend server's messages to the agent's runs.
@@ -88,13 +103,57 @@
             former is None
             or former.lifetime.instance == report.lifetime.instance
         )
-        self.queue.end_runs_of_incarnation(
-            "the backend server has started anew", now, carries=reused_name
-        )
+        reason = "the backend server has started anew"
+        if former is not None:
+            self._record_crash(former, reason, now)
+        self.queue.end_runs_of_incarnation(reason, now, carries=reused_name)
         self.backend.begin_incarnation(report, now)
 
+    def _record_crash(
+        self, report: BackendReport, cause: str, now: float
+    ) -> None:
+        """Record what an incarnation ran that has ended unannounced.
+
+        Parameters
+        ----------
+        report : BackendReport
+            Its last report.
+        cause : str
+        now : float
+        """
+        if report.draining:
+            return
+        runs = [
+            run for run in self.queue.runs.occupying() if not run.carried_until
+        ]
+        runs.sort(key=lambda run: run.progress.started_at, reverse=True)
+        answered_at = self.backend.lease.answered_at
+        for run in runs:
+            run.crash_weight = crash_weight(
+                run.progress.started_at,
+                answered_at,
+                self.queue.limits.crashes,
+            )
+        self.log.write(
+            BackendCrashed(
+                instance=report.lifetime.instance,
+                cause=cause,
+                answer_age_ms=round((now - answered_at) * 1000),
+                runs=len(runs),
+                recent=sum(run.crash_weight == RECENT_WEIGHT for run in runs),
+                last_started=tuple(
+                    _describe_run(run, now) for run in runs[:MAX_LOGGED_RUNS]
+                ),
+            )
+        )
+
     def mark_backend_ended(
-        self, reason: str, now: float, *, is_refused: bool = False
+        self,
+        reason: str,
+        now: float,
+        *,
+        is_refused: bool = False,
+        is_announced: bool = False,
     ) -> bool:
         """Record that the known incarnation of the server has ended.
 
@@ -105,10 +164,14 @@
         is_refused : bool, optional
             Whether no server listens at the address now, so that all starts
             that were answered are over.
+        is_announced : bool, optional
+            Whether the server has said that it ends.
         """
         if self.backend.report is None:
             return False
         self.backend.log_change("gone", reason, now)
+        if not is_announced:
+            self._record_crash(self.backend.report, reason, now)
         self.backend.report = None
         self.backend.ready = False
         self.backend.orphaned_runs.clear()
@@ -247,6 +310,7 @@
                 )
             run.is_listed = True
             run.carried_until = 0.0
+            run.crash_weight = 0
             if run.phase is RunPhase.UNCERTAIN:
                 run.phase = RunPhase.RUNNING
                 run.answered_at = now
--- a/egretcart/direct/agent/run_queue.py
+++ b/egretcart/direct/agent/run_queue.py
@@ -314,7 +314,13 @@
             )
         )
         self._send_task_ended(
-            run.entry_id, run.key, run.run, ending, run_ms, reason
+            run.entry_id,
+            run.key,
+            run.run,
+            ending,
+            run_ms,
+            reason,
+            crash_weight=run.crash_weight if ending is Ending.LOST else 0,
         )
         if self.links.evictions:
             self.evictions.confirm()
@@ -327,6 +333,8 @@
         ending: Ending,
         run_ms: int,
         reason: str,
+        *,
+        crash_weight: int = 0,
     ) -> None:
         message = TaskEnded(
             job_id=key.job_id,
@@ -336,6 +344,7 @@
             ending=ending.value,
             run_ms=run_ms,
             reason=reason,
+            crash_weight=crash_weight,
         )
         self.links.send(entry_id, message)
         self.links.entries_to_notify.add(entry_id)
--- a/egretcart/direct/connection/messages.py
+++ b/egretcart/direct/connection/messages.py
@@ -311,6 +311,9 @@
         the task at once.
     reason : str
         Why it ended like that; may be empty.
+    crash_weight : int
+        What the crash of its server counts against the task; 0 unless the
+        run ended with one.
     """
 
     job_id: str = ""
@@ -320,6 +323,7 @@
     ending: str = ""
     run_ms: int = 0
     reason: str = ""
+    crash_weight: int = 0
 
     @property
     def key(self) -> TaskKey:
--- a/egretcart/direct/connection/wire.thrift
+++ b/egretcart/direct/connection/wire.thrift
@@ -77,6 +77,7 @@
   5: optional string ending
   6: optional i64 run_ms
   7: optional string reason
+  8: optional i32 crash_weight
 }
 struct TaskLate {
   1: optional string job_id
--- a/egretcart/direct/entry/agent_runs.py
+++ b/egretcart/direct/entry/agent_runs.py
@@ -163,6 +163,7 @@
             if held.state is JobState.COMPLETED and held.waiting_request_ids:
                 self.endings.finish(held, JobState.COMPLETED, now)
         elif is_current and task.phase is not TaskPhase.WAITING:
+            task.crash_score += message.crash_weight
             self._requeue_or_fail(held, task, ending, message.reason, now)
             if (
                 message.reason == TAKEN_OVER_REASON
@@ -202,6 +203,7 @@
                     ending=ending.value,
                     reason=reason,
                     failures=task.failures,
+                    crash_score=task.crash_score,
                 )
             )
         if not held.waiting_request_ids:
--- a/egretcart/direct/log/agent_decisions.py
+++ b/egretcart/direct/log/agent_decisions.py
@@ -116,6 +116,34 @@
     labels: tuple[str, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class BackendCrashed(Decision):
+    """A backend server has ended without an announcement.
+
+    Attributes
+    ----------
+    instance : str
+        Name of the backend server.
+    cause : str
+        How that was noticed.
+    answer_age_ms : int
+        Time since its last answer.
+    runs : int
+        Number of runs that have ended with it.
+    recent : int
+        Number of those that had just been started.
+    last_started : tuple of str
+        The last started of these runs, with their ages and entries.
+    """
+
+    instance: str
+    cause: str
+    answer_age_ms: int
+    runs: int
+    recent: int
+    last_started: tuple[str, ...]
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class DrainApplied(Decision):
     """An agent begins or ends to refuse tasks, as its domain is drained.
--- a/egretcart/direct/log/decisions.py
+++ b/egretcart/direct/log/decisions.py
@@ -222,6 +222,8 @@
         Why it ended like that; may be empty.
     failures : int
         Number of failed runs of the task so far.
+    crash_score : int
+        Sum of what crashes of backend servers count against the task so far.
     """
 
     job_id: str
@@ -232,6 +234,7 @@
     ending: str
     reason: str
     failures: int
+    crash_score: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/egretcart/direct/log/explain.py
+++ b/egretcart/direct/log/explain.py
@@ -29,7 +29,12 @@
 # State changes within this time before the abnormal end of a run are shown
 # with the job's lines.
 STATE_CHANGE_WINDOW_S = 1.5
-STATE_CHANGE_KINDS = ("BackendChanged", "PeerChanged", "ProcessChanged")
+STATE_CHANGE_KINDS = (
+    "BackendChanged",
+    "BackendCrashed",
+    "PeerChanged",
+    "ProcessChanged",
+)
 # A backend server that has said that it leaves may do so this much later.
 LEAVING_WINDOW_S = 10.0
 COMPLETED = "completed"
--- a/egretcart/direct/process/metered_log.py
+++ b/egretcart/direct/process/metered_log.py
@@ -10,6 +10,7 @@
 from egretcart.connection.http_server import HttpResponse
 from egretcart.connection.traffic import TrafficCounters
 from egretcart.direct.log.agent_decisions import BackendChanged
+from egretcart.direct.log.agent_decisions import BackendCrashed
 from egretcart.direct.log.agent_decisions import RunEnded
 from egretcart.direct.log.agent_decisions import RunStarted
 from egretcart.direct.log.agent_decisions import SUSPECT_STATE
@@ -29,6 +30,7 @@
 from egretcart.process.metric_table import RUN_ENDINGS
 from egretcart.process.metric_table import RUN_TIME
 from egretcart.process.metric_table import RUNS_THREATENED
+from egretcart.process.metric_table import SERVERS_CRASHED
 from egretcart.process.metric_table import SERVERS_SUSPECTED
 from egretcart.process.metrics import Metrics
 from egretcart.process.metrics import ProcessMetrics
@@ -83,6 +85,8 @@
         elif isinstance(decision, BackendChanged):
             if decision.state == SUSPECT_STATE:
                 self.metrics.add(SERVERS_SUSPECTED, label=decision.cause)
+        elif isinstance(decision, BackendCrashed):
+            self.metrics.add(SERVERS_CRASHED)
         elif isinstance(decision, RunStarted):
             self.metrics.observe(QUEUE_TIME, decision.waited_ms / MS_PER_S)
         elif isinstance(decision, RunEnded):
--- a/egretcart/direct/request/held_job.py
+++ b/egretcart/direct/request/held_job.py
@@ -49,6 +49,8 @@
         Agent to which that run was sent; empty if there was none.
     failures : int
         Number of runs that have failed.
+    crash_score : int
+        Sum of what crashes of backend servers count against the task.
     avoided_agents : set of str
         Agents at which a run has failed, was stopped or was lost.
     expires_at : float or None
@@ -66,6 +68,7 @@
     run: int = 0
     agent_id: str = ""
     failures: int = 0
+    crash_score: int = 0
     avoided_agents: set[str] = dataclasses.field(default_factory=set)
     expires_at: float | None = None
     kept_run: int = 0
--- a/egretcart/process/metric_table.py
+++ b/egretcart/process/metric_table.py
@@ -143,6 +143,11 @@
     "direct dispatch: times that an agent began to suspect its server",
     "cause",
 )
+SERVERS_CRASHED = _counter(
+    "egretcart.servers.crashed",
+    "{crash}",
+    "direct dispatch: times that an agent's server ended unannounced",
+)
 JOBS_REFUSED = _counter(
     "egretcart.jobs.refused",
     "{job}",
@@ -288,6 +293,7 @@
     RUN_ENDINGS,
     RUNS_THREATENED,
     SERVERS_SUSPECTED,
+    SERVERS_CRASHED,
     JOBS_REFUSED,
     DECISIONS,
     HEARTBEAT_TIME,
