Show that a task crashes server after server, in failing scenarios

Cause: the entry counts only runs that end as failed. One that ends with its server is repeated at once at another agent, by the entry that knows of it and by any other that the caller asks later.

New finding: tasks that were lost together are sent to the next server together, so that several look like the cause.

--- a/egretcart/testing/direct_world.py
+++ b/egretcart/testing/direct_world.py
@@ -202,6 +202,9 @@
     late : float
         Share of the unanswered calls that the backend server executes all
         the same, 2 to 12 s later; from 0 to 1.
+    crash_downtime_s : float
+        Time after which a backend server restarts that a task has crashed,
+        in seconds.
     unreachable : set of str
         Agents whose backend server runs on, but breaks off each call.
     delay_s : float
@@ -263,6 +266,7 @@
         self.task_behaviours: dict[str, TaskSize] = {}
         self.unanswered = 0.0
         self.late = 0.5
+        self.crash_downtime_s = 3.0
         self.unreachable: set[str] = set()
         self.delay_s = 0.0005
         self.blocked_directions: set[tuple[str, str]] = set()
@@ -514,11 +518,22 @@
         A new incarnation starts after `downtime_s` seconds.
         """
         self.backends[name].crash()
+        self._schedule_restart(name, downtime_s)
+
+    def _schedule_restart(self, name: str, downtime_s: float) -> None:
+        """Restart a crashed backend server, which reports after a time."""
         born_ms = int(self.now * 1000)
         self.schedule(
             downtime_s, lambda: self.backends[name].restart(born_ms=born_ms)
         )
 
+    def _refuse_call(self, name: str) -> None:
+        """Let an agent find that no server listens at the address."""
+        effects = self.agents[name].mark_backend_ended(
+            "connection refused", self.now, is_refused=True
+        )
+        self._apply_agent_effects(name, effects)
+
     def _break_links(self, name: str) -> None:
         """Break the links of a killed process and its callers' connections."""
         for pair in [pair for pair in self.links if name in pair]:
@@ -531,7 +546,7 @@
                 del self.waiting[number]
                 self.schedule(
                     RESUBMIT_DELAY_S,
-                    functools.partial(self._submit_to_live_entry, request),
+                    functools.partial(self.submit_to_live_entry, request),
                 )
 
     def _handle_disconnect(self, name: str, other: str) -> None:
@@ -860,8 +875,14 @@
 
     def _advance_backends(self) -> None:
         for name, backend in self.backends.items():
+            crashes = len(backend.crashed_by)
             if backend.advance(SIMULATION_STEP_S * 5 * 1000):
                 self._run_if_active(name, self._poll_backend)
+            if len(backend.crashed_by) > crashes:
+                self._schedule_restart(name, self.crash_downtime_s)
+                self._deliver(
+                    name, name, functools.partial(self._refuse_call, name)
+                )
             self.violations += backend.violations
             backend.violations.clear()
 
@@ -900,6 +921,7 @@
         estimate_ms: float | None = None,
         route: Route | None = None,
         fails: bool = False,
+        crashes_after_ms: float = math.inf,
         entry_id: str | None = None,
         wait_limit_s: float = math.inf,
     ) -> CallerRequest:
@@ -920,6 +942,9 @@
             Route of the request; None for `DEFAULT_ROUTE`.
         fails : bool, optional
             Whether each task fails at its end.
+        crashes_after_ms : float, optional
+            Part of its work after which each task crashes its server, in
+            milliseconds; infinite if it doesn't.
         entry_id : str or None, optional
             The entry that gets the first submission if it is live; None for
             one chosen at random.
@@ -928,7 +953,10 @@
         """
         job_id = f"{len(self.requests):016x}"
         self.task_behaviours[job_id] = TaskSize(
-            room=room, work_ms=work_ms, fails=fails
+            room=room,
+            work_ms=work_ms,
+            fails=fails,
+            crashes_after_ms=crashes_after_ms,
         )
         step = Step(
             count=tasks,
@@ -942,14 +970,15 @@
             wait_limit_s=wait_limit_s,
         )
         self.requests.append(request)
-        self._submit_to_live_entry(request, entry_id)
+        self.submit_to_live_entry(request, entry_id)
         if wait_limit_s < math.inf:
             self.schedule(wait_limit_s, lambda: self._leave(request))
         return request
 
-    def _submit_to_live_entry(
+    def submit_to_live_entry(
         self, request: CallerRequest, entry_id: str | None = None
     ) -> None:
+        """Submit a job once more, unless its caller has its answer."""
         if request.answer is not None or request.caller_disconnected:
             return
         live = [
@@ -959,7 +988,7 @@
         ]
         if not live:
             self.schedule(
-                RESUBMIT_DELAY_S, lambda: self._submit_to_live_entry(request)
+                RESUBMIT_DELAY_S, lambda: self.submit_to_live_entry(request)
             )
             return
         request.submission_count += 1
@@ -1010,7 +1039,7 @@
                 del self.waiting[number]
                 self.schedule(
                     RESUBMIT_DELAY_S,
-                    lambda: self._submit_to_live_entry(request),
+                    lambda: self.submit_to_live_entry(request),
                 )
 
     def _handle_answer(self, name: str, answer: Answer) -> None:
@@ -1020,7 +1049,7 @@
         request, _ = pending
         if answer.interrupted:
             self.schedule(
-                RESUBMIT_DELAY_S, lambda: self._submit_to_live_entry(request)
+                RESUBMIT_DELAY_S, lambda: self.submit_to_live_entry(request)
             )
             return
         request.answer = answer
--- a/egretcart/testing/fake_backend.py
+++ b/egretcart/testing/fake_backend.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import math
 
 from egretcart.direct.backend.backend import BackendIncarnation
 from egretcart.direct.backend.backend import BackendReport
@@ -40,11 +41,15 @@
         Run time on a server of speed 1, in milliseconds.
     fails : bool
         Whether the task fails at its end.
+    crashes_after_ms : float
+        Part of its work after which the server crashes, in milliseconds;
+        infinite if it doesn't.
     """
 
     room: Room
     work_ms: float
     fails: bool = False
+    crashes_after_ms: float = math.inf
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -109,6 +114,8 @@
     violations : list of str
         Descriptions of the starts that exceeded its capacity, which a
         correct agent never requests.
+    crashed_by : list of TaskKey
+        Tasks that have crashed it, in order, over all incarnations.
     started : list of (TaskKey, int)
         All tasks and numbers of the runs that were started, in order, over
         all incarnations.
@@ -160,6 +167,7 @@
         self.cold_speed = 1.0
         self.is_up = True
         self.violations: list[str] = []
+        self.crashed_by: list[TaskKey] = []
         self.started: list[tuple[TaskKey, int]] = []
         self.born_ms = 0
         self.restart(born_ms=1)
@@ -216,7 +224,8 @@
     def advance(self, ms: float) -> bool:
         """Advance time by some milliseconds; return whether a run has ended.
 
-        All runs are lost when the clock passes the end of the lease.
+        All runs are lost when the clock passes the end of the lease, and when
+        one of them crashes the server.
         """
         if not self.is_up:
             return False
@@ -231,6 +240,10 @@
             is_cold = self.clock_ms <= self.cold_ms
             factor = self.cold_speed if is_cold else 1.0
             run.completed_ms += ms * self.speed * factor
+            if run.completed_ms >= run.size.crashes_after_ms:
+                self.crashed_by.append(key)
+                self.crash()
+                return False
             if run.completed_ms >= run.size.work_ms:
                 failed = self.fails_all or run.size.fails
                 self._end(key, Ending.FAILED if failed else Ending.DONE)
--- /dev/null
+++ b/tests/features/crashing_tasks.feature
@@ -0,0 +1,38 @@
+Feature: Tasks that crash the backend servers that start them
+
+  A server that crashes ends all of its runs. A task that crashes each server
+  must not be tried on one after the other, whichever process knows of it.
+
+  Scenario: A task that crashes its servers is given up after two of them
+    Given a deployment of 3 entries and 8 agents under half of its load
+    When a job comes with a task that crashes its server after 60 ms
+    Then its job is answered as failed
+    And that task has crashed 2 servers
+
+  Scenario: A task that crashes its servers late is given up after four
+    Given a deployment of 3 entries and 8 agents under half of its load
+    When a job comes with a task that crashes its server after 700 ms
+    Then its job is answered as failed
+    And that task has crashed 4 servers
+
+  Scenario: A crashing task of an entry that is killed is not tried anew
+    Given a deployment of 3 entries and 8 agents under half of its load
+    When a job comes with a task that crashes its server after 60 ms
+    And its entry is killed 0.4 s after each crash until it is answered
+    Then its job is answered as failed
+    And that task has crashed 2 servers
+
+  Scenario: An entry that starts later learns of crashing tasks
+    Given a deployment of 3 entries and 8 agents under half of its load
+    When a job comes with a task that crashes its server after 60 ms
+    And all entries but one are restarted once its job has failed
+    And its caller submits it again to another entry
+    Then its job is answered as failed
+    And that task has crashed 2 servers
+
+  Scenario: Jobs beside crashing tasks are not given up
+    Given a deployment of 3 entries and 8 agents under half of its load
+    When 3 jobs a second come for 4 s with a task that crashes its server
+    Then each task that crashes its servers has crashed 3 at most
+    And at most 2 of 100 other jobs have failed
+    And no promise was broken
