Give up a task under which two backend servers have crashed

Cause: a run that ended with its server counted nothing, so its task was repeated without a limit, by its entry and by any other that the caller asked later. Retries without a budget for ends that are not failures.

A task is given up after two crashes in full, and its job is answered as failed at once. Entries tell each other the scores with their heartbeats and on new links, so that the budget outlives the entry that knew of it.

--- a/egretcart/direct/connection/messages.py
+++ b/egretcart/direct/connection/messages.py
@@ -8,6 +8,7 @@
 from egretcart.direct.connection.offer_messages import CapacityOffered
 from egretcart.direct.connection.offer_messages import OfferDeclined
 from egretcart.direct.connection.offer_messages import TasksWaiting
+from egretcart.direct.connection.peer_messages import CrashScoresRaised
 from egretcart.direct.connection.peer_messages import JobReleased
 from egretcart.direct.connection.peer_messages import JobsTaken
 from egretcart.direct.connection.peer_messages import ReleaseJob
@@ -462,6 +463,7 @@
     | EntryPeers
     | Beat
     | JobsTaken
+    | CrashScoresRaised
     | ReleaseJob
     | JobReleased
     | Routing
--- a/egretcart/direct/connection/peer_messages.py
+++ b/egretcart/direct/connection/peer_messages.py
@@ -5,6 +5,8 @@
 
 import dataclasses
 
+from egretcart.direct.request.crash_scores import CrashScore
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class JobsTaken:
@@ -13,6 +15,13 @@
     job_ids: tuple[str, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CrashScoresRaised:
+    """Tasks under which backend servers have crashed recently."""
+
+    tasks: tuple[CrashScore, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class ReleaseJob:
     """Asks the entry that has accepted a job to yield it to the sender.
--- a/egretcart/direct/connection/wire.thrift
+++ b/egretcart/direct/connection/wire.thrift
@@ -112,6 +112,13 @@
 
 // Between entries.
 struct JobsTaken { 1: optional list<string> job_ids }
+struct CrashScore {
+  1: optional string job_id
+  2: optional i32 step
+  3: optional i32 index
+  4: optional i32 score
+}
+struct CrashScoresRaised { 1: optional list<CrashScore> tasks }
 struct ReleaseJob {
   1: optional i64 number
   2: optional string job_id
@@ -158,5 +165,6 @@
   22: optional TasksWaiting tasks_waiting
   23: optional CapacityOffered capacity_offered
   24: optional OfferDeclined offer_declined
+  25: optional CrashScoresRaised crash_scores_raised
 }
 struct Frame { 1: optional list<Message> messages }
--- a/egretcart/direct/entry/agent_runs.py
+++ b/egretcart/direct/entry/agent_runs.py
@@ -18,12 +18,14 @@
 from egretcart.direct.entry.entry_types import CloseAgent
 from egretcart.direct.entry.entry_types import RUN_NUMBERS_PER_TAKEOVER
 from egretcart.direct.entry.entry_types import SendToAgent
+from egretcart.direct.entry.job_endings import CRASHES_CAUSE
 from egretcart.direct.entry.job_endings import JobEndings
 from egretcart.direct.entry.leaving_runs import LeavingRuns
 from egretcart.direct.entry.pending_claims import PendingClaims
 from egretcart.direct.log.decisions import PeerChanged
 from egretcart.direct.log.decisions import TaskEndedAt
 from egretcart.direct.log.decisions import TaskMoved
+from egretcart.direct.policy.crashes import crashes_servers
 from egretcart.direct.policy.rescue import LateRun
 from egretcart.direct.policy.rescue import should_reschedule
 from egretcart.direct.request.held_job import HeldJob
@@ -163,7 +165,10 @@
             if held.state is JobState.COMPLETED and held.waiting_request_ids:
                 self.endings.finish(held, JobState.COMPLETED, now)
         elif is_current and task.phase is not TaskPhase.WAITING:
-            task.crash_score += message.crash_weight
+            if message.crash_weight:
+                task.crash_score = self.state.crash_scores.raise_score(
+                    task.key, message.crash_weight, now
+                )
             self._requeue_or_fail(held, task, ending, message.reason, now)
             if (
                 message.reason == TAKEN_OVER_REASON
@@ -214,6 +219,8 @@
             self.endings.finish(
                 held, JobState.FAILED, now, "a task failed too often"
             )
+        elif crashes_servers(task.crash_score, self.state.limits.crashes):
+            self.endings.finish(held, JobState.FAILED, now, CRASHES_CAUSE)
 
     def _handle_task_late(
         self, agent_id: str, message: TaskLate, now: float
--- a/egretcart/direct/entry/entry.py
+++ b/egretcart/direct/entry/entry.py
@@ -372,6 +372,7 @@
         self.runs.expire_lost_runs(now)
         self.admission.refuse_overdue(now)
         self.claims.remove_expired(now)
+        self.state.crash_scores.remove_expired(now)
         self.memory.remove_old(now)
         self.runs.send_heartbeats(now)
         self.peers.send_heartbeats(now)
--- a/egretcart/direct/entry/entry_state.py
+++ b/egretcart/direct/entry/entry_state.py
@@ -5,6 +5,7 @@
 from egretcart.direct.entry.entry_types import EntryEffect
 from egretcart.direct.log.decisions import DecisionLog
 from egretcart.direct.request.claims import ClaimTable
+from egretcart.direct.request.crash_scores import CrashScores
 from egretcart.direct.request.held_job import HeldJob
 from egretcart.direct.request.held_job import HeldTask
 from egretcart.direct.request.job import TaskKey
@@ -44,6 +45,8 @@
         still be active.
     claims : ClaimTable
         Jobs that this and other entries have accepted recently.
+    crash_scores : CrashScores
+        Tasks under which backend servers have crashed recently.
     discovery_ends_at : float
         Until when agents are expected to connect and to accept tasks.
     effects : list of EntryEffect
@@ -65,6 +68,7 @@
         self.jobs: dict[str, HeldJob] = {}
         self.stopping_jobs: dict[str, HeldJob] = {}
         self.claims = ClaimTable(retention_s=limits.claim_retention_s)
+        self.crash_scores = CrashScores(retention_s=limits.claim_retention_s)
         self.discovery_ends_at = 0.0
         self.effects: list[EntryEffect] = []
 
--- a/egretcart/direct/entry/entry_types.py
+++ b/egretcart/direct/entry/entry_types.py
@@ -5,6 +5,7 @@
 from egretcart.direct.connection.messages import Message
 from egretcart.direct.policy.admission import AdmissionLimits
 from egretcart.direct.policy.capacity_offers import NoticeLimits
+from egretcart.direct.policy.crashes import CrashLimits
 from egretcart.direct.policy.placement import PlacementLimits
 from egretcart.direct.policy.rescue import ReschedulingLimits
 from egretcart.direct.policy.rotation import RotationLimits
@@ -102,6 +103,7 @@
     rescheduling : ReschedulingLimits
     rotation : RotationLimits
     recruiting : RecruitingLimits
+    crashes : CrashLimits
     """
 
     tick_interval_s: float = 0.05
@@ -136,6 +138,7 @@
     recruiting: RecruitingLimits = dataclasses.field(
         default_factory=RecruitingLimits
     )
+    crashes: CrashLimits = dataclasses.field(default_factory=CrashLimits)
 
     @property
     def runs_expiry_s(self) -> float:
--- a/egretcart/direct/entry/job_admission.py
+++ b/egretcart/direct/entry/job_admission.py
@@ -8,6 +8,7 @@
 from egretcart.direct.entry.entry_state import EntryState
 from egretcart.direct.entry.entry_types import Answer
 from egretcart.direct.entry.entry_types import RUN_NUMBERS_PER_TAKEOVER
+from egretcart.direct.entry.job_endings import CRASHES_CAUSE
 from egretcart.direct.entry.job_endings import JobEndings
 from egretcart.direct.entry.pending_claims import PendingClaim
 from egretcart.direct.entry.pending_claims import PendingClaims
@@ -17,6 +18,7 @@
 from egretcart.direct.policy.admission import can_end_in_time
 from egretcart.direct.policy.admission import estimate_load
 from egretcart.direct.policy.admission import retry_after_s
+from egretcart.direct.policy.crashes import crashes_servers
 from egretcart.direct.request.claims import Claim
 from egretcart.direct.request.held_job import HeldJob
 from egretcart.direct.request.job import find_job_violation
@@ -246,6 +248,14 @@
             may_have_run=may_have_run,
             wait_limit_s=wait_limit_s,
         )
+        self._recall_crash_scores(held)
+        if any(
+            crashes_servers(task.crash_score, self.state.limits.crashes)
+            for task in held.tasks.values()
+        ):
+            held.waiting_request_ids |= request_ids
+            self.endings.answer(held, JobState.FAILED, now, CRASHES_CAUSE)
+            return
         if self._is_due_after_stop(held, now):
             min_retry_s = self.state.limits.admission.min_retry_s
             self._refuse(
@@ -282,6 +292,13 @@
             )
         )
 
+    def _recall_crash_scores(self, held: HeldJob) -> None:
+        """Apply what this or another entry knows of crashes under a job."""
+        if not self.state.crash_scores.known:
+            return
+        for task in held.tasks.values():
+            task.crash_score = self.state.crash_scores.score_of(task.key)
+
     def _are_all_agents_drained(self, now: float) -> bool:
         """Whether only drained agents were found, and others had time."""
         has_searched = now >= self.state.discovery_ends_at
--- a/egretcart/direct/entry/job_endings.py
+++ b/egretcart/direct/entry/job_endings.py
@@ -13,6 +13,8 @@
 from egretcart.direct.request.held_job import TaskPhase
 from egretcart.direct.request.job import JobState
 
+CRASHES_CAUSE = "backend servers have crashed under a task"
+
 
 class JobEndings:
     """Answers, cancels and yields accepted jobs, and stops their runs.
--- a/egretcart/direct/entry/peer_entries.py
+++ b/egretcart/direct/entry/peer_entries.py
@@ -3,6 +3,7 @@
 from egretcart.direct.connection.messages import Beat
 from egretcart.direct.connection.messages import PeerMessage
 from egretcart.direct.connection.messages import RecruitAgents
+from egretcart.direct.connection.peer_messages import CrashScoresRaised
 from egretcart.direct.connection.peer_messages import JobReleased
 from egretcart.direct.connection.peer_messages import JobsTaken
 from egretcart.direct.connection.peer_messages import ReleaseJob
@@ -79,6 +80,10 @@
         self.state.log.write(PeerChanged(peer=entry_id, state="connected"))
         taken = JobsTaken(job_ids=self.state.claims.own_job_ids())
         self.state.effects.append(SendToPeer(entry_id, taken))
+        scores = self.state.crash_scores.all_scores()
+        if scores:
+            raised = CrashScoresRaised(tasks=scores)
+            self.state.effects.append(SendToPeer(entry_id, raised))
         self.drains.peer_connected(entry_id)
 
     def heartbeat_received(
@@ -115,6 +120,9 @@
         if isinstance(message, JobsTaken):
             for job_id in message.job_ids:
                 self._handle_job_taken(entry_id, job_id, now)
+        elif isinstance(message, CrashScoresRaised):
+            for score in message.tasks:
+                self.state.crash_scores.learn(score, now)
         elif isinstance(message, ReleaseJob):
             self._handle_release_job(entry_id, message, now)
         elif isinstance(message, JobReleased):
@@ -216,8 +224,12 @@
             lateness_ms=round(self.rotation.reported_s * MS_PER_S),
         )
         unreported = self.state.claims.pop_unreported()
+        scores = self.state.crash_scores.pop_unreported()
         for entry_id in self.state.peers:
             self.state.effects.append(SendToPeer(entry_id, heartbeat))
             if unreported:
                 taken = JobsTaken(job_ids=unreported)
                 self.state.effects.append(SendToPeer(entry_id, taken))
+            if scores:
+                raised = CrashScoresRaised(tasks=scores)
+                self.state.effects.append(SendToPeer(entry_id, raised))
