Start suspects of a crash one at a time at a server

Cause: tasks that are lost with a server are sent on at the same moment, often to the same server, so that the next crash counted in full against all of them.

Now an agent starts a suspect only once the last one has run for 0.22 s, and a crash soon after the start of a suspect counts in full against that one alone.

--- a/egretcart/direct/agent/agent_types.py
+++ b/egretcart/direct/agent/agent_types.py
@@ -186,6 +186,8 @@
     carried_until : float
         When the run is certainly over if another incarnation of the server
         has executed its start request; 0 unless that is possible.
+    crash_score : int
+        What former crashes count against the task.
     crash_weight : int
         What the crash of its server counts against the run; 0 unless its
         server has crashed.
@@ -213,6 +215,7 @@
     leaving_reported_at: float = 0.0
     is_listed: bool = False
     carried_until: float = 0.0
+    crash_score: int = 0
     crash_weight: int = 0
 
 
--- a/egretcart/direct/agent/backend_exchange.py
+++ b/egretcart/direct/agent/backend_exchange.py
@@ -18,7 +18,8 @@
 from egretcart.direct.log.agent_decisions import BackendCrashed
 from egretcart.direct.log.agent_decisions import RunUnanswered
 from egretcart.direct.log.decisions import DecisionLog
-from egretcart.direct.policy.crashes import crash_weight
+from egretcart.direct.policy.crashes import crash_weights
+from egretcart.direct.policy.crashes import CrashedRun
 from egretcart.direct.policy.crashes import RECENT_WEIGHT
 from egretcart.direct.request.job import Ending
 from egretcart.direct.request.job import TaskKey
@@ -128,19 +129,25 @@
         ]
         runs.sort(key=lambda run: run.progress.started_at, reverse=True)
         answered_at = self.backend.lease.answered_at
-        for run in runs:
-            run.crash_weight = crash_weight(
-                run.progress.started_at,
-                answered_at,
-                self.queue.limits.crashes,
-            )
+        weights = crash_weights(
+            [
+                CrashedRun(
+                    started_at=run.progress.started_at, score=run.crash_score
+                )
+                for run in runs
+            ],
+            answered_at,
+            self.queue.limits.crashes,
+        )
+        for run, weight in zip(runs, weights, strict=True):
+            run.crash_weight = weight
         self.log.write(
             BackendCrashed(
                 instance=report.lifetime.instance,
                 cause=cause,
                 answer_age_ms=round((now - answered_at) * 1000),
                 runs=len(runs),
-                recent=sum(run.crash_weight == RECENT_WEIGHT for run in runs),
+                suspects=weights.count(RECENT_WEIGHT),
                 last_started=tuple(
                     _describe_run(run, now) for run in runs[:MAX_LOGGED_RUNS]
                 ),
--- a/egretcart/direct/agent/run_queue.py
+++ b/egretcart/direct/agent/run_queue.py
@@ -19,6 +19,7 @@
 from egretcart.direct.log.agent_decisions import RunEnded
 from egretcart.direct.log.agent_decisions import RunStarted
 from egretcart.direct.log.decisions import DecisionLog
+from egretcart.direct.policy.crashes import is_suspect
 from egretcart.direct.request.job import Ending
 from egretcart.direct.request.job import NO_ROOM
 from egretcart.direct.request.job import Room
@@ -121,13 +122,15 @@
                     estimate_ms=message.estimate_ms,
                     order=order_of_tasks(message, now),
                     max_per_agent=message.max_per_agent,
-                    may_wait=message.may_wait,
+                    may_wait=message.may_wait
+                    or is_suspect(message.crash_score),
                     received_at=now,
                     progress=RunProgress(
                         limits=self.limits.progress,
                         estimate_ms=message.estimate_ms,
                         started_at=now,
                     ),
+                    crash_score=message.crash_score,
                 )
             )
 
@@ -164,10 +167,21 @@
                 len(self.runs.occupying()), now
             ):
                 return
+            if self._waits_for_suspect(run, now):
+                continue
             if free.can_fit(run.room) and self.runs.is_below_agent_limit(run):
                 free -= run.room
                 self._start_run(run, free, now)
 
+    def _waits_for_suspect(self, run: Run, now: float) -> bool:
+        """Whether a suspect waits, as another one was started just now."""
+        return is_suspect(run.crash_score) and any(
+            is_suspect(other.crash_score)
+            and now - other.progress.started_at
+            < self.limits.crashes.suspect_interval_s
+            for other in self.runs.occupying()
+        )
+
     def may_start(self, now: float) -> bool:
         """Whether runs may be started now."""
         # Tasks that were queued while the process was paused may run
--- a/egretcart/direct/connection/messages.py
+++ b/egretcart/direct/connection/messages.py
@@ -130,6 +130,8 @@
     objective_ms : int
         The job's latency objective, in milliseconds; 0 from an earlier
         release.
+    crash_score : int
+        What crashes of backend servers count against each of these tasks.
     """
 
     sequence: int = 0
@@ -148,6 +150,7 @@
     may_wait: bool = False
     offer: int = 0
     objective_ms: int = 0
+    crash_score: int = 0
 
     @property
     def room(self) -> Room:
--- a/egretcart/direct/connection/wire.thrift
+++ b/egretcart/direct/connection/wire.thrift
@@ -33,6 +33,7 @@
   14: optional bool may_wait
   15: optional i32 offer
   16: optional i32 objective_ms
+  17: optional i32 crash_score
 }
 struct StopTasks { 1: optional string job_id, 2: optional i32 step, 3: optional list<i32> indexes }
 struct EvictJob { 1: optional i64 number, 2: optional string job_id }
--- a/egretcart/direct/entry/task_sender.py
+++ b/egretcart/direct/entry/task_sender.py
@@ -20,9 +20,9 @@
 from egretcart.direct.request.job import Room
 from egretcart.direct.request.job import Step
 
-# Agent, step, run and offer of tasks that are sent together, and whether they
-# may wait there.
-PlacedGroup = tuple[str, int, int, int, bool]
+# Agent, step, run, offer and crash score of tasks that are sent together, and
+# whether they may wait there.
+PlacedGroup = tuple[str, int, int, int, int, bool]
 
 
 class TaskSender:
@@ -121,7 +121,14 @@
             may_wait = not offer and not has_room
             if may_wait:
                 self._record_unplaced(held, step)
-            group = (agent_id, task.key.step, task.run, offer, may_wait)
+            group = (
+                agent_id,
+                task.key.step,
+                task.run,
+                offer,
+                task.crash_score,
+                may_wait,
+            )
             tasks_by_group.setdefault(group, []).append(task)
         for group, tasks in tasks_by_group.items():
             self._send_tasks(held, group, tasks, now)
@@ -162,7 +169,7 @@
         tasks: list[HeldTask],
         now: float,
     ) -> None:
-        agent_id, step_number, run, offer, may_wait = group
+        agent_id, step_number, run, offer, crash_score, may_wait = group
         step = held.job.steps[step_number]
         view = self.agents[agent_id]
         indexes = tuple(task.key.index for task in tasks)
@@ -183,6 +190,7 @@
             may_wait=may_wait,
             offer=offer,
             objective_ms=round(held.objective_ms),
+            crash_score=crash_score,
         )
         self.effects.append(SendToAgent(agent_id, message))
         self.log.write(
--- a/egretcart/direct/log/agent_decisions.py
+++ b/egretcart/direct/log/agent_decisions.py
@@ -130,8 +130,8 @@
         Time since its last answer.
     runs : int
         Number of runs that have ended with it.
-    recent : int
-        Number of those that had just been started.
+    suspects : int
+        Number of those that the crash counts against in full.
     last_started : tuple of str
         The last started of these runs, with their ages and entries.
     """
@@ -140,7 +140,7 @@
     cause: str
     answer_age_ms: int
     runs: int
-    recent: int
+    suspects: int
     last_started: tuple[str, ...]
 
 
--- a/egretcart/direct/policy/crashes.py
+++ b/egretcart/direct/policy/crashes.py
@@ -5,8 +5,12 @@
 soon after its start, so a crash counts in full against the runs that had just
 been started, and in part against all others: a task that crashes its servers
 later is found as well, after more crashes.
+
+The tasks that one crash counts against in full are suspects. Servers start
+them one at a time, so that the next crash tells which of them was the cause.
 """
 
+from collections.abc import Sequence
 import dataclasses
 
 # What one crash counts against a run that had just been started, and against
@@ -26,27 +30,59 @@
         which a crash of the server counts in full against it.
     max_crashes : int
         Crashes that count in full after which a task is given up.
+    suspect_interval_s : float
+        Time from the start of a suspect until its server starts another one,
+        in seconds: longer than `recent_start_s` and the time between two
+        answers of a server together.
     """
 
     recent_start_s: float = 0.1
     max_crashes: int = 2
+    suspect_interval_s: float = 0.22
 
 
-def crash_weight(
-    started_at: float, answered_at: float, limits: CrashLimits
-) -> int:
-    """Return what the crash of a server counts against one of its runs.
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CrashedRun:
+    """A run that a server had when it crashed.
 
-    Parameters
+    Attributes
     ----------
     started_at : float
-        When the start of the run was requested, in seconds.
+        When its start was requested, in seconds.
+    score : int
+        Sum of the weights of former crashes under its task.
+    """
+
+    started_at: float
+    score: int
+
+
+def is_suspect(score: int) -> bool:
+    """Whether a task may be the cause of a crash, by its score."""
+    return score >= RECENT_WEIGHT
+
+
+def crash_weights(
+    runs: Sequence[CrashedRun], answered_at: float, limits: CrashLimits
+) -> list[int]:
+    """Return what the crash of a server counts against each of its runs.
+
+    Parameters
+    ----------
+    runs : sequence of CrashedRun
     answered_at : float
         When the server answered last, in seconds on the same clock.
     limits : CrashLimits
     """
-    is_recent = answered_at - started_at <= limits.recent_start_s
-    return RECENT_WEIGHT if is_recent else OTHER_WEIGHT
+    recent = [
+        answered_at - run.started_at <= limits.recent_start_s for run in runs
+    ]
+    suspect = [
+        is_recent and is_suspect(run.score)
+        for is_recent, run in zip(recent, runs, strict=True)
+    ]
+    blamed = suspect if any(suspect) else recent
+    return [RECENT_WEIGHT if full else OTHER_WEIGHT for full in blamed]
 
 
 def crashes_servers(score: int, limits: CrashLimits) -> bool:
