Count lapses of silent servers against the tasks that they had

Now a lapse counts half against the runs that the server is known to have had, unless the agent itself was paused: a task is given up after four. A lapse can have other causes, so it never counts in full. A run whose server has not answered since it was requested counts nothing: the server was silent before.

Evidence: the scenario of a task that silences its servers failed before (no answer after 8 s) and passes.

--- a/egretcart/direct/agent/backend_exchange.py
+++ b/egretcart/direct/agent/backend_exchange.py
@@ -20,6 +20,7 @@
 from egretcart.direct.log.decisions import DecisionLog
 from egretcart.direct.policy.crashes import crash_weights
 from egretcart.direct.policy.crashes import CrashedRun
+from egretcart.direct.policy.crashes import OTHER_WEIGHT
 from egretcart.direct.policy.crashes import RECENT_WEIGHT
 from egretcart.direct.request.job import Ending
 from egretcart.direct.request.job import TaskKey
@@ -426,6 +427,16 @@
         self.backend.lease_expired = True
         if self.queue.runs:
             self.backend.log_change("lease lapsed", "it gives no answer", now)
+        if self.backend.resumed_at <= self.backend.lease.answered_at:
+            # The agent was there all the time, so the server may have
+            # crashed in silence. If it has not answered since a run was
+            # requested, it was silent before.
+            for run in self.queue.runs.occupying():
+                answered_at = max(
+                    run.answered_at, self.backend.lease.answered_at
+                )
+                if answered_at > run.progress.started_at:
+                    run.crash_weight = OTHER_WEIGHT
         self.queue.end_all_as_lost("the lease has lapsed", now)
 
     def _log_unanswered(self, run: Run, order: str) -> None:
--- a/egretcart/direct/policy/crashes.py
+++ b/egretcart/direct/policy/crashes.py
@@ -6,6 +6,9 @@
 been started, and in part against all others: a task that crashes its servers
 later is found as well, after more crashes.
 
+A server that falls silent until its lease lapses may have crashed or not, so
+that a lapse counts in part against all of its runs.
+
 The tasks that one crash counts against in full are suspects. Servers start
 them one at a time, so that the next crash tells which of them was the cause.
 """
@@ -14,7 +17,7 @@
 import dataclasses
 
 # What one crash counts against a run that had just been started, and against
-# any other run.
+# any other run; a lapse counts like the latter.
 RECENT_WEIGHT = 2
 OTHER_WEIGHT = 1
 
--- a/egretcart/testing/direct_world.py
+++ b/egretcart/testing/direct_world.py
@@ -209,6 +209,9 @@
     crash_downtime_s : float
         Time after which a backend server restarts that a task has crashed,
         in seconds.
+    crashes_silently : bool
+        Whether calls to a server that a task has crashed get no answer,
+        rather than being refused.
     unreachable : set of str
         Agents whose backend server runs on, but breaks off each call.
     delay_s : float
@@ -273,6 +276,7 @@
         self.unanswered = 0.0
         self.late = 0.5
         self.crash_downtime_s = 3.0
+        self.crashes_silently = False
         self.unreachable: set[str] = set()
         self.delay_s = 0.0005
         self.blocked_directions: set[tuple[str, str]] = set()
@@ -886,9 +890,9 @@
                 self._run_if_active(name, self._poll_backend)
             if len(backend.crashed_by) > crashes:
                 self._schedule_restart(name, self.crash_downtime_s)
-                self._deliver(
-                    name, name, functools.partial(self._refuse_call, name)
-                )
+                if not self.crashes_silently:
+                    refuse = functools.partial(self._refuse_call, name)
+                    self._deliver(name, name, refuse)
             self.violations += backend.violations
             backend.violations.clear()
 
--- a/tests/features/crashing_tasks.feature
+++ b/tests/features/crashing_tasks.feature
@@ -15,6 +15,13 @@
     Then its job is answered as failed
     And that task has crashed 4 servers
 
+  Scenario: A task that silences its servers is given up after four
+    Given a deployment of 3 entries and 8 agents under half of its load
+    And servers that crash leave calls unanswered
+    When a job comes with a task that crashes its server after 60 ms
+    Then its job is answered as failed
+    And that task has crashed 4 servers
+
   Scenario: A crashing task of an entry that is killed is not tried anew
     Given a deployment of 3 entries and 8 agents under half of its load
     When a job comes with a task that crashes its server after 60 ms
--- a/tests/features/steps/crashing_task_steps.py
+++ b/tests/features/steps/crashing_task_steps.py
@@ -85,6 +85,11 @@
     return world
 
 
+@given("servers that crash leave calls unanswered")
+def crash_silently(context):
+    context.world.crashes_silently = True
+
+
 @when("a job comes with a task that crashes its server after {after_ms:d} ms")
 def submit_one_crashing(context, after_ms):
     context.request = submit_crashing(context.world, after_ms)
