Test that servers get no more than they have when they shrink

Nothing had to change: the agent starts within the newest report, leaves what runs, and ignores reports that come late.

--- a/egretcart/testing/direct_world.py
+++ b/egretcart/testing/direct_world.py
@@ -67,6 +67,9 @@
 REDIAL_INTERVAL_S = 0.1
 # Interval of the backend servers' reports of their state.
 REPORT_INTERVAL_S = 1.5
+# Time from the shrinking of a server until it may get no more than it has: in
+# touch for 3 s, and one report later.
+RESIZE_NOTICE_S = 3.0 + REPORT_INTERVAL_S
 # Interval at which entries read the store again, in case that they have
 # missed a change.
 STORE_READ_INTERVAL_S = 1.0
@@ -530,6 +533,23 @@
         self.backends[name].crash()
         self._schedule_restart(name, downtime_s)
 
+    def resize_backend(self, name: str, capacity: Room) -> None:
+        """Change the capacity of a backend server while it runs.
+
+        What has shrunk is checked once the server had time to report it.
+        """
+        backend = self.backends[name]
+        backend.capacity = capacity
+
+        def apply_limit() -> None:
+            if backend.capacity == capacity:
+                backend.limit = capacity
+
+        if capacity.can_fit(backend.limit):
+            backend.limit = capacity
+        else:
+            self.schedule(RESIZE_NOTICE_S, apply_limit)
+
     def _schedule_restart(self, name: str, downtime_s: float) -> None:
         """Restart a crashed backend server, which reports after a time."""
         born_ms = int(self.now * 1000)
--- a/egretcart/testing/fake_backend.py
+++ b/egretcart/testing/fake_backend.py
@@ -92,6 +92,9 @@
 
     Attributes
     ----------
+    limit : Room
+        Capacity by which starts are checked; the reported one unless that
+        has shrunk a moment ago.
     fails_all : bool
         Whether all runs fail at their end.
     hangs : bool
@@ -153,7 +156,7 @@
     ) -> None:
         self.instance = instance
         self.service = service
-        self.capacity = capacity
+        self.capacity = self.limit = capacity
         self.behaviour_of = behaviour_of
         self.labels = labels
         self.speed = speed
@@ -293,7 +296,7 @@
             return StartAnswer.STALE_RUN
         size = self.behaviour_of(request.key)
         used = sum((run.size.room for run in self.runs.values()), NO_ROOM)
-        if not self.capacity.can_fit(used + size.room):
+        if not self.limit.can_fit(used + size.room):
             self.violations.append(
                 f"{request.key} on top of {used} exceeds the capacity"
             )
