--- a/egretcart/direct/entry/entry_state.py
+++ b/egretcart/direct/entry/entry_state.py
@@ -88,6 +88,8 @@
 
     def views_for(self, route: str) -> list[AgentView]:
         """Return the views of the agents that a route is expected to use."""
+        if not self.confinement.routes:
+            return list(self.agents.values())
         allowed = self.confinement.allowed_agents(route)
         if allowed is not None:
             return [
--- a/egretcart/direct/entry/job_admission.py
+++ b/egretcart/direct/entry/job_admission.py
@@ -28,6 +28,7 @@
 
 NO_CONFIGURATION_CAUSE = "no configuration is known yet"
 ALL_DRAINED_CAUSE = "all failure domains are drained"
+CONFINED_CAUSE = "its route is confined"
 
 
 def _find_refusal_cause(job: Job, route: Route) -> str | None:
@@ -263,11 +264,7 @@
             return
         wait_ms, retry_s = self._estimate_wait(held, now)
         if retry_s is not None:
-            cause = (
-                ALL_DRAINED_CAUSE
-                if self._are_all_agents_drained(now)
-                else "no room in time"
-            )
+            cause = self._no_room_cause(route, now)
             self._refuse(held, request_ids, cause, wait_ms, retry_s)
             return
         held.waiting_request_ids |= request_ids
@@ -299,6 +296,13 @@
         for task in held.tasks.values():
             task.crash_score = self.state.crash_scores.score_of(task.key)
 
+    def _no_room_cause(self, route: Route, now: float) -> str:
+        if self._are_all_agents_drained(now):
+            return ALL_DRAINED_CAUSE
+        if route.name in self.state.confinement.routes:
+            return CONFINED_CAUSE
+        return "no room in time"
+
     def _are_all_agents_drained(self, now: float) -> bool:
         """Whether only drained agents were found, and others had time."""
         has_searched = now >= self.state.discovery_ends_at
--- a/egretcart/direct/process/metered_log.py
+++ b/egretcart/direct/process/metered_log.py
@@ -20,6 +20,7 @@
 from egretcart.direct.log.decisions import JobAnswered
 from egretcart.direct.log.decisions import JobRefused
 from egretcart.direct.log.decisions import LeavingRunJudged
+from egretcart.direct.log.decisions import RoutesConfined
 from egretcart.direct.process.settings import split_address
 from egretcart.process.metric_table import DECISIONS
 from egretcart.process.metric_table import DOMAINS_DRAINED
@@ -27,6 +28,7 @@
 from egretcart.process.metric_table import JOBS_REFUSED
 from egretcart.process.metric_table import QUEUE_TIME
 from egretcart.process.metric_table import RESPONSE_TIME
+from egretcart.process.metric_table import ROUTES_CONFINED
 from egretcart.process.metric_table import RUN_ENDINGS
 from egretcart.process.metric_table import RUN_TIME
 from egretcart.process.metric_table import RUNS_THREATENED
@@ -47,6 +49,7 @@
         "waited in vain",
         "the entry leaves",
         "all failure domains are drained",
+        "its route is confined",
     )
 )
 OTHER_CAUSE = "not served"
@@ -92,6 +95,9 @@
         elif isinstance(decision, RunEnded):
             self.metrics.add(RUN_ENDINGS, label=decision.ending)
             self.metrics.observe(RUN_TIME, decision.run_ms / MS_PER_S)
+        elif isinstance(decision, RoutesConfined):
+            confined = len(decision.routes)
+            self.metrics.gauge(ROUTES_CONFINED, lambda: confined)
         elif isinstance(decision, DomainsDrained):
             count = len(decision.domains)
             self.metrics.gauge(DOMAINS_DRAINED, lambda: count)
--- a/egretcart/process/metric_table.py
+++ b/egretcart/process/metric_table.py
@@ -255,6 +255,11 @@
     "{version}",
     "accepted configuration versions that the store has lost",
 )
+ROUTES_CONFINED = _gauge(
+    "egretcart.routes.confined",
+    "{route}",
+    "direct dispatch: routes that may use only a part of the agents",
+)
 DOMAINS_DRAINED = _gauge(
     "egretcart.domains.drained",
     "{domain}",
@@ -313,6 +318,7 @@
     PLATFORM_CIRCUIT,
     PLATFORM_CIRCUIT_CHANGES,
     PLATFORM_VERSIONS_BEHIND,
+    ROUTES_CONFINED,
     DOMAINS_DRAINED,
     AGENTS_CONNECTED,
     REQUESTS_OPEN,
