--- a/egretcart/direct/agent/agent_types.py
+++ b/egretcart/direct/agent/agent_types.py
@@ -188,10 +188,9 @@
         has executed its start request; 0 unless that is possible.
     crash_score : int
         What former crashes count against the task.
-    crash : str
-        Name of the crash of its server; empty unless that has crashed.
     crash_weight : int
-        What that counts against the run.
+        What the crash of its server counts against the run; 0 unless its
+        server has crashed.
     """
 
     key: TaskKey
@@ -217,7 +216,6 @@
     is_listed: bool = False
     carried_until: float = 0.0
     crash_score: int = 0
-    crash: str = ""
     crash_weight: int = 0
 
 
--- a/egretcart/direct/agent/backend_exchange.py
+++ b/egretcart/direct/agent/backend_exchange.py
@@ -38,10 +38,6 @@
     )
 
 
-def _name_incarnation(incarnation: BackendIncarnation) -> str:
-    return f"{incarnation.instance}, born at {incarnation.born_ms} ms"
-
-
 class BackendExchange:
     """Applies a backend server's messages to the agent's runs.
 
@@ -145,7 +141,6 @@
             self.queue.limits.crashes,
         )
         for run, weight in zip(runs, weights, strict=True):
-            run.crash = _name_incarnation(report.lifetime)
             run.crash_weight = weight
         self.log.write(
             BackendCrashed(
@@ -323,7 +318,7 @@
                 )
             run.is_listed = True
             run.carried_until = 0.0
-            run.crash = ""
+            run.crash_weight = 0
             if run.phase is RunPhase.UNCERTAIN:
                 run.phase = RunPhase.RUNNING
                 run.answered_at = now
@@ -436,14 +431,11 @@
             # The agent was there all the time, so the server may have
             # crashed in silence. If it has not answered since a run was
             # requested, it was silent before.
-            name = _name_incarnation(self.backend.report.lifetime)
-            deadline_ms = self.backend.lease.deadline_ms
             for run in self.queue.runs.occupying():
                 answered_at = max(
                     run.answered_at, self.backend.lease.answered_at
                 )
                 if answered_at > run.progress.started_at:
-                    run.crash = f"{name}, lapse at {deadline_ms} ms"
                     run.crash_weight = OTHER_WEIGHT
         self.queue.end_all_as_lost("the lease has lapsed", now)
 
--- a/egretcart/direct/agent/run_queue.py
+++ b/egretcart/direct/agent/run_queue.py
@@ -334,8 +334,7 @@
             ending,
             run_ms,
             reason,
-            crash=run.crash if ending is Ending.LOST else "",
-            crash_weight=run.crash_weight,
+            crash_weight=run.crash_weight if ending is Ending.LOST else 0,
         )
         if self.links.evictions:
             self.evictions.confirm()
@@ -349,7 +348,6 @@
         run_ms: int,
         reason: str,
         *,
-        crash: str = "",
         crash_weight: int = 0,
     ) -> None:
         message = TaskEnded(
@@ -360,8 +358,7 @@
             ending=ending.value,
             run_ms=run_ms,
             reason=reason,
-            crash=crash,
-            crash_weight=crash_weight if crash else 0,
+            crash_weight=crash_weight,
         )
         self.links.send(entry_id, message)
         self.links.entries_to_notify.add(entry_id)
--- a/egretcart/direct/connection/messages.py
+++ b/egretcart/direct/connection/messages.py
@@ -8,7 +8,7 @@
 from egretcart.direct.connection.offer_messages import CapacityOffered
 from egretcart.direct.connection.offer_messages import OfferDeclined
 from egretcart.direct.connection.offer_messages import TasksWaiting
-from egretcart.direct.connection.peer_messages import CrashesReported
+from egretcart.direct.connection.peer_messages import CrashScoresRaised
 from egretcart.direct.connection.peer_messages import JobReleased
 from egretcart.direct.connection.peer_messages import JobsTaken
 from egretcart.direct.connection.peer_messages import ReleaseJob
@@ -315,11 +315,9 @@
         the task at once.
     reason : str
         Why it ended like that; may be empty.
-    crash : str
-        Name of the crash of its server, the same for all runs that it has
-        ended; empty unless the run ended with one.
     crash_weight : int
-        What that counts against the task.
+        What the crash of its server counts against the task; 0 unless the
+        run ended with one.
     """
 
     job_id: str = ""
@@ -329,7 +327,6 @@
     ending: str = ""
     run_ms: int = 0
     reason: str = ""
-    crash: str = ""
     crash_weight: int = 0
 
     @property
@@ -469,7 +466,7 @@
     | EntryPeers
     | Beat
     | JobsTaken
-    | CrashesReported
+    | CrashScoresRaised
     | ReleaseJob
     | JobReleased
     | Routing
--- a/egretcart/direct/connection/peer_messages.py
+++ b/egretcart/direct/connection/peer_messages.py
@@ -5,7 +5,7 @@
 
 import dataclasses
 
-from egretcart.direct.request.crash_scores import TaskCrashes
+from egretcart.direct.request.crash_scores import CrashScore
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -16,10 +16,10 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class CrashesReported:
+class CrashScoresRaised:
     """Tasks under which backend servers have crashed recently."""
 
-    tasks: tuple[TaskCrashes, ...] = ()
+    tasks: tuple[CrashScore, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/egretcart/direct/connection/wire.thrift
+++ b/egretcart/direct/connection/wire.thrift
@@ -78,8 +78,7 @@
   5: optional string ending
   6: optional i64 run_ms
   7: optional string reason
-  8: optional string crash
-  9: optional i32 crash_weight
+  8: optional i32 crash_weight
 }
 struct TaskLate {
   1: optional string job_id
@@ -114,15 +113,14 @@
 
 // Between entries.
 struct JobsTaken { 1: optional list<string> job_ids }
-struct TaskCrashes {
+struct CrashScore {
   1: optional string job_id
   2: optional i32 step
   3: optional i32 index
-  4: optional string route
-  5: optional list<string> crashes
-  6: optional list<i32> weights
+  4: optional i32 score
+  5: optional string route
 }
-struct CrashesReported { 1: optional list<TaskCrashes> tasks }
+struct CrashScoresRaised { 1: optional list<CrashScore> tasks }
 struct ReleaseJob {
   1: optional i64 number
   2: optional string job_id
@@ -169,6 +167,6 @@
   22: optional TasksWaiting tasks_waiting
   23: optional CapacityOffered capacity_offered
   24: optional OfferDeclined offer_declined
-  25: optional CrashesReported crashes_reported
+  25: optional CrashScoresRaised crash_scores_raised
 }
 struct Frame { 1: optional list<Message> messages }
--- a/egretcart/direct/entry/agent_runs.py
+++ b/egretcart/direct/entry/agent_runs.py
@@ -164,8 +164,10 @@
             if held.state is JobState.COMPLETED and held.waiting_request_ids:
                 self.endings.finish(held, JobState.COMPLETED, now)
         elif is_current and task.phase is not TaskPhase.WAITING:
-            if message.crash:
-                self._record_crash(held, task, message, now)
+            if message.crash_weight:
+                task.crash_score = self.state.crash_scores.raise_score(
+                    task.key, message.crash_weight, held.route.name, now
+                )
             self._requeue_or_fail(held, task, ending, message.reason, now)
             if (
                 message.reason == TAKEN_OVER_REASON
@@ -175,19 +177,6 @@
         if held.has_no_active_runs:
             self.state.stopping_jobs.pop(held.job.job_id, None)
 
-    def _record_crash(
-        self, held: HeldJob, task: HeldTask, message: TaskEnded, now: float
-    ) -> None:
-        scores = self.state.crash_scores
-        scores.record(
-            task.key,
-            held.route.name,
-            message.crash,
-            message.crash_weight,
-            now,
-        )
-        task.crash_score = scores.score_of(task.key)
-
     def _requeue_or_fail(
         self,
         held: HeldJob,
@@ -229,7 +218,7 @@
             self.endings.finish(
                 held, JobState.FAILED, now, "a task failed too often"
             )
-        elif self.state.crash_scores.is_given_up(task.key):
+        elif self.state.is_given_up(task.crash_score):
             self.state.confinement.record(
                 held.job.job_id, held.route.name, now
             )
--- a/egretcart/direct/entry/entry_state.py
+++ b/egretcart/direct/entry/entry_state.py
@@ -5,6 +5,7 @@
 from egretcart.direct.entry.entry_types import EntryEffect
 from egretcart.direct.log.decisions import DecisionLog
 from egretcart.direct.policy.confinement import Confinement
+from egretcart.direct.policy.crashes import crashes_servers
 from egretcart.direct.request.claims import ClaimTable
 from egretcart.direct.request.crash_scores import CrashScores
 from egretcart.direct.request.held_job import HeldJob
@@ -71,9 +72,7 @@
         self.jobs: dict[str, HeldJob] = {}
         self.stopping_jobs: dict[str, HeldJob] = {}
         self.claims = ClaimTable(retention_s=limits.claim_retention_s)
-        self.crash_scores = CrashScores(
-            limits=limits.crashes, retention_s=limits.claim_retention_s
-        )
+        self.crash_scores = CrashScores(retention_s=limits.claim_retention_s)
         self.confinement = Confinement(limits=limits.confinement)
         self.discovery_ends_at = 0.0
         self.effects: list[EntryEffect] = []
@@ -83,6 +82,10 @@
         """Version of the active configuration; 0 if there is none."""
         return self.configuration.version if self.configuration else 0
 
+    def is_given_up(self, score: int) -> bool:
+        """Whether a task of this crash score is given up."""
+        return crashes_servers(score, self.limits.crashes)
+
     def views_for(self, route: str) -> list[AgentView]:
         """Return the views of the agents that a route is expected to use."""
         if not self.confinement.routes:
--- a/egretcart/direct/entry/job_admission.py
+++ b/egretcart/direct/entry/job_admission.py
@@ -249,7 +249,10 @@
             wait_limit_s=wait_limit_s,
         )
         self._recall_crash_scores(held)
-        if any(self.state.crash_scores.is_given_up(key) for key in held.tasks):
+        if any(
+            self.state.is_given_up(task.crash_score)
+            for task in held.tasks.values()
+        ):
             held.waiting_request_ids |= request_ids
             self.endings.answer(held, JobState.FAILED, now, CRASHES_CAUSE)
             return
--- a/egretcart/direct/entry/peer_entries.py
+++ b/egretcart/direct/entry/peer_entries.py
@@ -3,7 +3,7 @@
 from egretcart.direct.connection.messages import Beat
 from egretcart.direct.connection.messages import PeerMessage
 from egretcart.direct.connection.messages import RecruitAgents
-from egretcart.direct.connection.peer_messages import CrashesReported
+from egretcart.direct.connection.peer_messages import CrashScoresRaised
 from egretcart.direct.connection.peer_messages import JobReleased
 from egretcart.direct.connection.peer_messages import JobsTaken
 from egretcart.direct.connection.peer_messages import ReleaseJob
@@ -22,7 +22,7 @@
 from egretcart.direct.log.decisions import JobYielded
 from egretcart.direct.log.decisions import PeerChanged
 from egretcart.direct.policy.rotation import Rotation
-from egretcart.direct.request.crash_scores import TaskCrashes
+from egretcart.direct.request.crash_scores import CrashScore
 from egretcart.direct.request.job import JobState
 from egretcart.direct.version.drained_domains import DrainedDomains
 
@@ -81,10 +81,10 @@
         self.state.log.write(PeerChanged(peer=entry_id, state="connected"))
         taken = JobsTaken(job_ids=self.state.claims.own_job_ids())
         self.state.effects.append(SendToPeer(entry_id, taken))
-        crashes = self.state.crash_scores.all_tasks()
-        if crashes:
-            reported = CrashesReported(tasks=crashes)
-            self.state.effects.append(SendToPeer(entry_id, reported))
+        scores = self.state.crash_scores.all_scores()
+        if scores:
+            raised = CrashScoresRaised(tasks=scores)
+            self.state.effects.append(SendToPeer(entry_id, raised))
         self.drains.peer_connected(entry_id)
 
     def heartbeat_received(
@@ -121,9 +121,9 @@
         if isinstance(message, JobsTaken):
             for job_id in message.job_ids:
                 self._handle_job_taken(entry_id, job_id, now)
-        elif isinstance(message, CrashesReported):
-            for task in message.tasks:
-                self._learn_crashes(task, now)
+        elif isinstance(message, CrashScoresRaised):
+            for score in message.tasks:
+                self._learn_crash_score(score, now)
         elif isinstance(message, ReleaseJob):
             self._handle_release_job(entry_id, message, now)
         elif isinstance(message, JobReleased):
@@ -133,10 +133,10 @@
         elif isinstance(message, DrainedDomains):
             self.drains.learn(message, entry_id, now)
 
-    def _learn_crashes(self, task: TaskCrashes, now: float) -> None:
-        self.state.crash_scores.learn(task, now)
-        if self.state.crash_scores.is_given_up(task.key):
-            self.state.confinement.record(task.job_id, task.route, now)
+    def _learn_crash_score(self, score: CrashScore, now: float) -> None:
+        self.state.crash_scores.learn(score, now)
+        if self.state.is_given_up(score.score):
+            self.state.confinement.record(score.job_id, score.route, now)
 
     def _handle_job_taken(
         self, entry_id: str, job_id: str, now: float
@@ -230,12 +230,12 @@
             lateness_ms=round(self.rotation.reported_s * MS_PER_S),
         )
         unreported = self.state.claims.pop_unreported()
-        crashes = self.state.crash_scores.pop_unreported()
+        scores = self.state.crash_scores.pop_unreported()
         for entry_id in self.state.peers:
             self.state.effects.append(SendToPeer(entry_id, heartbeat))
             if unreported:
                 taken = JobsTaken(job_ids=unreported)
                 self.state.effects.append(SendToPeer(entry_id, taken))
-            if crashes:
-                reported = CrashesReported(tasks=crashes)
-                self.state.effects.append(SendToPeer(entry_id, reported))
+            if scores:
+                raised = CrashScoresRaised(tasks=scores)
+                self.state.effects.append(SendToPeer(entry_id, raised))
--- a/egretcart/direct/policy/crashes.py
+++ b/egretcart/direct/policy/crashes.py
@@ -33,9 +33,6 @@
         which a crash of the server counts in full against it.
     max_crashes : int
         Crashes that count in full after which a task is given up.
-    max_any_crashes : int
-        Crashes of any weight after which a task is given up, also if other
-        tasks explain them.
     suspect_interval_s : float
         Time from the start of a suspect until its server starts another one,
         in seconds: longer than `recent_start_s` and the time between two
@@ -44,7 +41,6 @@
 
     recent_start_s: float = 0.1
     max_crashes: int = 2
-    max_any_crashes: int = 5
     suspect_interval_s: float = 0.22
 
 
@@ -92,19 +88,13 @@
     return [RECENT_WEIGHT if full else OTHER_WEIGHT for full in blamed]
 
 
-def crashes_servers(score: int, count: int, limits: CrashLimits) -> bool:
+def crashes_servers(score: int, limits: CrashLimits) -> bool:
     """Whether a task is given up as one that crashes its servers.
 
     Parameters
     ----------
     score : int
-        Sum of the weights of the crashes under the task that no other task
-        explains.
-    count : int
-        Number of all crashes under the task.
+        Sum of the weights of all crashes under the task.
     limits : CrashLimits
     """
-    return (
-        score >= limits.max_crashes * RECENT_WEIGHT
-        or count >= limits.max_any_crashes
-    )
+    return score >= limits.max_crashes * RECENT_WEIGHT
