Test each decision on crashes, at the agent and at the entry

What a crash and a lapse count, which ends are none, the order of suspects, what entries remember and tell, and where tasks of a confined route go.

--- a/tests/features/crashing_tasks.feature
+++ b/tests/features/crashing_tasks.feature
@@ -63,3 +63,49 @@
     And a route is not confined if no other one has jobs
     And a confined route is free again after 6 s
     And nothing is confined unless it is on
+
+  Scenario: What a crash counts against the runs that the server had
+    Given an agent whose server runs one task for 0.5 s and another for 20 ms
+    When the server is gone
+    Then the crash counts 1 and 2 against them
+    And the line of the crash names the last started run first
+    And the crash is counted
+
+  Scenario Outline: Not every end of a server is a crash
+    Given an agent whose server runs one task for 0.5 s and another for 20 ms
+    When <end>
+    Then the crash counts 0 and 0 against them
+
+    Examples:
+      | end                                |
+      | the server says that it ends       |
+      | the server drains and is gone      |
+      | the agent is paused for 3 s        |
+
+  Scenario: A lapse counts against runs that the server had
+    Given an agent whose server runs one task for 0.5 s and another for 20 ms
+    And a third one whose start it has not answered
+    When the lease lapses
+    Then the crash counts 1 and 1 against them
+    And it counts 0 against the third
+
+  Scenario: A run that the next incarnation has begun was not under the crash
+    Given an agent whose server runs one task for 0.5 s and another for 20 ms
+    And a third one whose start it has not answered
+    When another incarnation reports and lists the third one
+    And the new incarnation is gone
+    Then the crash counts 2 against the third, once
+
+  Scenario: Suspects start one at a time
+    Given an agent whose server runs one task for 0.5 s and another for 20 ms
+    When two suspects and another task come
+    Then one suspect and the other task start at once
+    And the other suspect starts after 0.22 s
+    And a crash 50 ms later counts in full against that suspect alone
+
+  Scenario: What an entry does with crashes
+    Then an entry that learns less than it knows keeps what it knows
+    And an entry forgets crashes after 20 s
+    And a job is refused as its route is confined while other routes have room
+    And a confined route's tasks go to its agents, and others elsewhere
+    And agents are not told of waiting tasks of a confined route
