Ask other entries for jobs that come right after a pause

Callers saw: a task that ran on two servers at a time.

Cause: an entry that was paused for 2.3 s read a request 41 ms after it woke. Its caller had submitted the job to another entry meanwhile, which ran it. All links of the paused entry were closed, so that it knew neither that claim nor which entries its agents serve, took the job for a new one, and started it once an agent had connected. Each of the two then took the other's claim for a concurrent one.

Now a job that comes within 0.3 s after a pause is a claim: it is accepted once that time is over, agents that connect have ended other entries' runs of it, and an entry that reports it as its own has released it. The wait is bounded by 0.6 s unless such an owner is known.

Evidence: two scenarios failed before (the entry sent the task at once) and pass, one of them with a request that is read before the first tick; a third shows that a new job starts 0.3 s after the pause. Ruled out: the soak's own check; the log lines of both entries show the runs overlap by 0.88 s.

--- a/egretcart/direct/entry/entry.py
+++ b/egretcart/direct/entry/entry.py
@@ -260,6 +260,8 @@
         wait_limit_s: float = math.inf,
     ) -> list[EntryEffect]:
         """Handle a request that submits a job, see `JobAdmission.submit`."""
+        if self._is_after_pause(now):
+            self._wait_for_claims(now)
         self.admission.submit(
             request_id, job, route, now, wait_limit_s=wait_limit_s
         )
@@ -414,9 +416,13 @@
         paused_ms = round((now - self.last_tick_at) * 1000)
         self.log.write(ProcessChanged(state="paused", paused_ms=paused_ms))
         self.resumed_at = now
+        self._wait_for_claims(now)
         self.state.discovery_ends_at = now + self.limits.discovery_wait_s
         self.runs.close_all("the entry was paused", now)
 
+    def _wait_for_claims(self, now: float) -> None:
+        self.state.claims_missing_until = now + self.limits.unconnected_wait_s
+
     def _dispatch(self, now: float) -> None:
         """Accept the jobs of resolved claims and send waiting tasks."""
         self.releases.answer_over(self.state.stopping_jobs)
@@ -434,11 +440,11 @@
         """
         if self._is_after_pause(now):
             return []
-        reported_at = self.resumed_at + self.limits.unconnected_wait_s
         return [
             held
             for held in self.jobs.values()
-            if now >= reported_at or held.accepted_at > self.resumed_at
+            if now >= self.state.claims_missing_until
+            or held.accepted_at > self.resumed_at
         ]
 
     def _is_after_pause(self, now: float) -> bool:
--- a/egretcart/direct/entry/entry_state.py
+++ b/egretcart/direct/entry/entry_state.py
@@ -51,6 +51,9 @@
         Tasks under which backend servers have crashed recently.
     confinement : Confinement
         Routes that may use only a part of the agents.
+    claims_missing_until : float
+        Until when other entries may still have to report, after this process
+        was paused, which jobs they have accepted meanwhile.
     discovery_ends_at : float
         Until when agents are expected to connect and to accept tasks.
     effects : list of EntryEffect
@@ -74,6 +77,7 @@
         self.claims = ClaimTable(retention_s=limits.claim_retention_s)
         self.crash_scores = CrashScores(retention_s=limits.claim_retention_s)
         self.confinement = Confinement(limits=limits.confinement)
+        self.claims_missing_until = 0.0
         self.discovery_ends_at = 0.0
         self.effects: list[EntryEffect] = []
 
--- a/egretcart/direct/entry/job_admission.py
+++ b/egretcart/direct/entry/job_admission.py
@@ -137,6 +137,22 @@
                 wait_deadline_at=math.inf,
                 wait_limit_s=wait_limit_s,
             )
+        elif now < self.state.claims_missing_until:
+            # Its caller may have submitted it elsewhere while this process
+            # was paused.
+            self.pending.start_claim(
+                request_id,
+                job,
+                route,
+                holders=self._unconnected_entries(),
+                peers=self.state.peers,
+                agents=self.state.agents,
+                lost_agents={},
+                former_expires_at=self.state.claims_missing_until,
+                wait_deadline_at=self.state.claims_missing_until
+                + self.state.limits.unconnected_wait_s,
+                wait_limit_s=wait_limit_s,
+            )
         elif unconnected := self._unconnected_entries():
             self.pending.start_claim(
                 request_id,
--- a/egretcart/direct/entry/pending_claims.py
+++ b/egretcart/direct/entry/pending_claims.py
@@ -176,6 +176,7 @@
             pending is not None
             and pending.expires_at.get(entry_id) != math.inf
         ):
+            pending.wait_deadline_at = math.inf
             self._ask(pending, entry_id, owner="")
 
     def _ask(self, pending: PendingClaim, entry_id: str, owner: str) -> None:
--- a/tests/features/job_releases.feature
+++ b/tests/features/job_releases.feature
@@ -28,6 +28,24 @@
     When the other one asks it for the job
     Then its caller is told to ask again, and the other one gets its answer
 
+  Scenario: A request that waited while its entry was paused runs once
+    Given an entry that was paused for 2 seconds
+    When a job comes that its caller has submitted elsewhere meanwhile
+    And the other entry connects and reports it
+    Then the entry asks the other one before it starts the job
+
+  Scenario: A job that comes before the first tick after a pause
+    Given an entry whose first tick after 2 seconds is still to come
+    When a job comes that its caller has submitted elsewhere meanwhile
+    And the other entry connects and reports it
+    Then the entry asks the other one before it starts the job
+
+  Scenario: New jobs hardly wait for an entry that was paused
+    Given an entry that was paused for 2 seconds
+    When a job comes that its caller has submitted elsewhere meanwhile
+    And no other entry reports it
+    Then the entry starts the job 0.3 s after the pause
+
   Scenario: An owner that can't be reached is asked through others
     Given an entry that shares agents with an unconnected one
     When a job comes that the unconnected entry may run
--- a/tests/features/steps/job_release_steps.py
+++ b/tests/features/steps/job_release_steps.py
@@ -461,3 +461,73 @@
         if isinstance(effect, Answer)
     ]
     assert [answer.interrupted for answer in answers] == [True], answers
+
+
+@given("an entry that was paused for {seconds:d} seconds")
+def start_paused_entry(context, seconds):
+    start_late_entry(context, seconds)
+    exchange = context.exchange
+    exchange.effects += exchange.entry.tick(exchange.now)
+    assert not exchange.entry.agents
+
+
+@given("an entry whose first tick after {seconds:d} seconds is still to come")
+def start_late_entry(context, seconds):
+    exchange = context.exchange = Exchange()
+    exchange.now += seconds
+    exchange.entry.peer_disconnected("entry-1")
+
+
+@when("a job comes that its caller has submitted elsewhere meanwhile")
+def submit_after_pause(context):
+    context.resumed_at = context.exchange.now
+    context.exchange.submit()
+
+
+def connect_agent_again(exchange):
+    exchange.now += 0.05
+    exchange.effects += exchange.entry.tick(exchange.now)
+    hello = AgentHello(status=exchange.status, settled=True)
+    exchange.effects += exchange.entry.agent_connected(hello, exchange.now)
+    exchange.from_agent(exchange.served)
+
+
+@when("the other entry connects and reports it")
+def report_after_pause(context):
+    exchange = context.exchange
+    connect_agent_again(exchange)
+    exchange.effects += exchange.entry.peer_connected("entry-1", exchange.now)
+    exchange.from_peer(JobsTaken(job_ids=(JOB.job_id,)))
+
+
+@when("no other entry reports it")
+def report_nothing(context):
+    connect_agent_again(context.exchange)
+
+
+def confirm_evictions(exchange):
+    for _, evict in exchange.sent(EvictJob):
+        exchange.from_agent(JobEvicted(number=evict.number))
+
+
+@then("the entry asks the other one before it starts the job")
+def check_asked_first(context):
+    exchange = context.exchange
+    confirm_evictions(exchange)
+    exchange.advance(0.5, alive=("entry-1",))
+    assert not exchange.sent(RunTasks), exchange.effects
+    ((_, release),) = exchange.sent(ReleaseJob)
+    exchange.from_peer(JobReleased(number=release.number))
+    exchange.advance(0.05, alive=("entry-1",))
+    assert len(exchange.sent(RunTasks)) == 1
+
+
+@then("the entry starts the job {wait_s:g} s after the pause")
+def check_started_soon(context, wait_s):
+    exchange = context.exchange
+    confirm_evictions(exchange)
+    left_s = context.resumed_at + wait_s - exchange.now
+    exchange.advance(left_s - 0.06)
+    assert not exchange.sent(RunTasks)
+    exchange.advance(0.12)
+    assert len(exchange.sent(RunTasks)) == 1
