--- a/egretcart/direct/agent/backend_exchange.py
+++ b/egretcart/direct/agent/backend_exchange.py
@@ -125,9 +125,7 @@
         """
         if report.draining:
             return
-        runs = [
-            run for run in self.queue.runs.occupying() if not run.carried_until
-        ]
+        runs = self.queue.runs.occupying()
         runs.sort(key=lambda run: run.progress.started_at, reverse=True)
         answered_at = self.backend.lease.answered_at
         weights = crash_weights(
--- a/tests/features/crashing_tasks.feature
+++ b/tests/features/crashing_tasks.feature
@@ -63,6 +63,7 @@
     And a route is not confined if no other one has jobs
     And a confined route is free again after 6 s
     And nothing is confined unless it is on
+    And the number of confined routes is a metric
 
   Scenario: What a crash counts against the runs that the server had
     Given an agent whose server runs one task for 0.5 s and another for 20 ms
@@ -96,6 +97,21 @@
     And the new incarnation is gone
     Then the crash counts 2 against the third, once
 
+  Scenario: A run of the next incarnation is not blamed for a planned end
+    Given an agent whose server runs one task for 0.5 s and another for 20 ms
+    And a third one whose start it has not answered
+    When another incarnation reports and lists the third one
+    And the new incarnation says that it ends
+    Then it counts 0 against the third
+
+  Scenario: A start that finds no server was not under its crash
+    Given an agent whose server runs one task for 0.5 s and another for 20 ms
+    And a third one whose start it has not answered
+    When the server is gone
+    And the start of the third one finds no server
+    Then the crash counts 1 and 2 against them
+    And it counts 0 against the third
+
   Scenario: Suspects start one at a time
     Given an agent whose server runs one task for 0.5 s and another for 20 ms
     When two suspects and another task come
--- a/tests/features/steps/crash_decision_steps.py
+++ b/tests/features/steps/crash_decision_steps.py
@@ -179,6 +179,21 @@
     apply(context, effects)
 
 
+@when("the new incarnation says that it ends")
+def announce_new_end(context):
+    announce_end(context)
+
+
+@when("the start of the third one finds no server")
+def refuse_third(context):
+    apply(
+        context,
+        context.agent.start_answered(
+            context.third, StartAnswer.NOT_SENT, 1.54
+        ),
+    )
+
+
 def weights(context):
     """Return what entries were told; an agent that was paused told nothing."""
     found = {run.key.job_id: run.crash_weight for run in context.runs}
--- a/tests/features/steps/crashing_task_steps.py
+++ b/tests/features/steps/crashing_task_steps.py
@@ -7,10 +7,15 @@
 from behave import when
 from direct_world_steps import TASK_ROOM
 
+from egretcart.connection.traffic import TrafficCounters
+from egretcart.direct.log.decisions import NullDecisionLog
 from egretcart.direct.log.decisions import RoutesConfined
 from egretcart.direct.policy.confinement import Confinement
 from egretcart.direct.policy.confinement import ConfinementLimits
+from egretcart.direct.process.metered_log import MeteredLog
 from egretcart.direct.request.job import JobState
+from egretcart.process.metric_table import ROUTES_CONFINED
+from egretcart.process.metrics import ProcessMetrics
 from egretcart.testing.direct_world import DEFAULT_ROUTE
 from egretcart.testing.direct_world import REPORT_INTERVAL_S
 from egretcart.testing.direct_world import SimulatedDeployment
@@ -320,3 +325,13 @@
 def check_off(_context):
     off = ConfinementLimits()
     assert not confinement_after("a", "a", "a", limits=off).routes
+
+
+@then("the number of confined routes is a metric")
+def check_metric(_context):
+    metrics = ProcessMetrics(traffic=TrafficCounters())
+    log = MeteredLog(log=NullDecisionLog(), metrics=metrics)
+    name = ROUTES_CONFINED.name.replace(".", "_")
+    for routes in (("a",), ()):
+        log.write(RoutesConfined(routes=routes, agents=(), given_up=2))
+        assert f"{name} {len(routes)}" in metrics.render().decode()
