--- a/tests/features/steps/soak_world.py
+++ b/tests/features/steps/soak_world.py
@@ -9,6 +9,7 @@
 import contextlib
 import functools
 import json
+import math
 import random
 import signal
 import tempfile
@@ -42,6 +43,11 @@
 # Long, because other work on the machine may slow the processes; a promise is
 # broken only if the awaited event doesn't happen at all.
 COMPLETION_TIMEOUT_S = 60.0
+# One job in so many has a task that crashes its server, after so much work.
+CRASHING_JOBS = 150
+CRASH_AFTER_MS = 60.0
+# A task that has crashed three runners may be started twice more.
+MAX_CRASHES = 5
 TASK_WORK_MS = (50.0, 120.0, 400.0, 1500.0)
 JOBS_PER_S = 12
 PROXY_DISTURBANCE_S = 2.0
@@ -147,7 +153,9 @@
         self.world = world
         self.last_advanced_at = time.monotonic()
         self.backend.behaviour_of = lambda key: TaskSize(
-            room=Room(1600, 64, 0), work_ms=work_ms(key.job_id)
+            room=Room(1600, 64, 0),
+            work_ms=work_ms(key.job_id),
+            crashes_after_ms=crashes_after_ms(key),
         )
         start = self.backend.start
 
@@ -174,10 +182,13 @@
 
     def advance(self):
         now = time.monotonic()
+        crashes = len(self.backend.crashed_by)
         self.ended |= self.backend.advance(
             (now - self.last_advanced_at) * 1000
         )
         self.last_advanced_at = now
+        if len(self.backend.crashed_by) > crashes:
+            self.world.check_crash(self)
 
     async def handle(self, request):
         if not self.backend.is_up:
@@ -194,6 +205,12 @@
     return TASK_WORK_MS[int(job_id, 16) % len(TASK_WORK_MS)]
 
 
+def crashes_after_ms(key):
+    """Return when a task crashes its server, which few tasks do."""
+    is_crashing = int(key.job_id, 16) % CRASHING_JOBS == 0 and key.index == 0
+    return CRASH_AFTER_MS if is_crashing else math.inf
+
+
 class Soak(Deployment):
     """One run of a deployment with the faults of one seed.
 
@@ -645,14 +662,31 @@
         else:
             proxy.silence(kind)
 
+    def check_crash(self, runner):
+        """Check how many runners a task has crashed; restart the last one."""
+        key = runner.backend.crashed_by[-1]
+        count = sum(
+            other.backend.crashed_by.count(key)
+            for other in self.runners.values()
+        )
+        self.log_event(f"{key} crashes {runner.backend.instance}")
+        if count > MAX_CRASHES:
+            self.record_violation(f"{key} crashes its runner no. {count}")
+        # The draw depends on timing, like those of the callers.
+        downtime_s = self.caller_random.uniform(0.5, 3)
+        self._restart_runner(runner.backend, downtime_s)
+
     def _crash_runner(self):
         name = self.fault_random.choice(self.agents)
         backend = self.runners[name].backend
         self.log_event(f"crash the runner of {name}")
         backend.crash()
+        self._restart_runner(backend, self.fault_random.uniform(0.5, 3))
+
+    def _restart_runner(self, backend, downtime_s):
         born_ms = int(time.time() * 1000)
         self._run_later(
-            self.fault_random.uniform(0.5, 3),
+            downtime_s,
             functools.partial(backend.restart, born_ms=born_ms),
         )
 
