--- a/tests/features/crashing_tasks.feature
+++ b/tests/features/crashing_tasks.feature
@@ -125,3 +125,5 @@
     And a job is refused as its route is confined while other routes have room
     And a confined route's tasks go to its agents, and others elsewhere
     And agents are not told of waiting tasks of a confined route
+    And a confined route's tasks are sent although others find no capacity
+    And neither counts on the other's agents
--- a/tests/features/steps/crash_decision_steps.py
+++ b/tests/features/steps/crash_decision_steps.py
@@ -377,3 +377,43 @@
     assert "2" * 16 in entry.jobs
     assert not sent_to_agent(told, TasksWaiting), told
     assert entry.state_of("2" * 16) is JobState.QUEUED
+
+
+def fill_other_agents(entry):
+    """Let all agents but those of the confined route be full."""
+    confined = entry.state.confinement.agents
+    for agent_id, view in entry.agents.items():
+        if agent_id not in confined:
+            status = dataclasses.replace(
+                view.status, free_cpu_milli=0, free_memory_mb=0
+            )
+            entry.receive(agent_id, status, 1.06)
+
+
+@then("a confined route's tasks are sent although others find no capacity")
+def check_sent_beside_others(_context):
+    entry = make_entry()
+    confine_route(entry)
+    fill_other_agents(entry)
+    effects = entry.submit(2, small_job("2" * 16), ROUTE, 1.06)
+    assert not sent_to_agent(effects, RunTasks), effects
+    effects = entry.submit(3, small_job("3" * 16), CONFINED, 1.06)
+    (tasks,) = sent_to_agent(effects, RunTasks)
+    assert tasks.job_id == "3" * 16
+
+
+@then("neither counts on the other's agents")
+def check_views(_context):
+    entry = make_entry()
+    agents = confine_route(entry)
+    for route in (CONFINED, ROUTE):
+        views = entry.state.views_for(route.name)
+        found = {view.status.agent_id for view in views}
+        expected = agents if route is CONFINED else set(entry.agents) - agents
+        assert found == expected, (route.name, found)
+    entry.submit(2, small_job("2" * 16), CONFINED, 1.06)
+    held = entry.jobs["2" * 16]
+    elsewhere = entry.state.free_agents_elsewhere(
+        held, held.tasks[key_of("2" * 16)]
+    )
+    assert {view.status.agent_id for view in elsewhere} < agents
