--- a/egretcart/direct/policy/confinement.py
+++ b/egretcart/direct/policy/confinement.py
@@ -55,8 +55,8 @@
     given_up : OrderedDict of str to (str, float)
         Route of each job that was given up lately as a task of it crashes
         servers, and when, by job id; the oldest first.
-    accepted_at : dict of str to float
-        When a job of each route was last accepted.
+    accepted_at : OrderedDict of str to float
+        When a job was last accepted by each of the two routes used last.
     routes : frozenset of str
         Routes that are confined.
     agents : frozenset of str
@@ -67,14 +67,19 @@
     def __init__(self, *, limits: ConfinementLimits) -> None:
         self.limits = limits
         self.given_up: OrderedDict[str, tuple[str, float]] = OrderedDict()
-        self.accepted_at: dict[str, float] = {}
+        self.accepted_at: OrderedDict[str, float] = OrderedDict()
         self.routes: frozenset[str] = frozenset()
         self.agents: frozenset[str] = frozenset()
 
     def record_accepted(self, route: str, now: float) -> None:
         """Record that a job was accepted by a route."""
-        if self.limits.is_on:
-            self.accepted_at[route] = now
+        if not self.limits.is_on:
+            return
+        self.accepted_at[route] = now
+        self.accepted_at.move_to_end(route)
+        # Two tell of any route whether another one is used.
+        if len(self.accepted_at) > 2:
+            self.accepted_at.popitem(last=False)
 
     def record(self, job_id: str, route: str, now: float) -> None:
         """Record that a job was given up, here or by another entry."""
--- a/tests/features/steps/crashing_task_steps.py
+++ b/tests/features/steps/crashing_task_steps.py
@@ -307,6 +307,11 @@
         confinement.record(job_id, "a", 1.0)
     confinement.update(["agent-0"], 1.0)
     assert not confinement.routes
+    for route in ("b", "c", "d", "a"):
+        confinement.record_accepted(route, 1.0)
+    assert len(confinement.accepted_at) == 2, "routes come and go"
+    confinement.update(["agent-0"], 1.0)
+    assert confinement.routes == {"a"}
 
 
 @then("a confined route is free again after {seconds:g} s")
