Start without parsing the Thrift IDL: commit the structs that it defines

Cause: a role parses its IDL file whenever it starts, which builds a parser first.

Scenarios that failed first: no IDL file is parsed.

--- a/egretcart/connection/codec.py
+++ b/egretcart/connection/codec.py
@@ -1,34 +1,27 @@
 """The codec of the messages in `egretcart.connection.messages`."""
 
 from collections.abc import Sequence
-import pathlib
 import typing
 
 from egretcart.connection import messages
+from egretcart.connection import wire_structs
 from egretcart.connection.frames import FrameCodec
 from egretcart.connection.frames import FrameError
 from egretcart.connection.frames import FrameSplitter
-from egretcart.connection.frames import load_idl
 from egretcart.connection.frames import MAX_FRAME_BYTES
 from egretcart.connection.messages import Message
 
 __all__ = [
     "CODEC",
     "MESSAGE_TYPES",
-    "WIRE_STRUCTS",
     "FrameBuffer",
     "FrameError",
     "decode_frame",
     "encode_frame",
 ]
 
-IDL_FILE = "wire.thrift"
-WIRE_STRUCTS = load_idl(
-    pathlib.Path(__file__).with_name(IDL_FILE),
-    module_name="egretcart_wire_thrift",
-)
 MESSAGE_TYPES: tuple[type, ...] = typing.get_args(messages.Message)
-CODEC = FrameCodec(structs=WIRE_STRUCTS, message_types=MESSAGE_TYPES)
+CODEC = FrameCodec(structs=wire_structs, message_types=MESSAGE_TYPES)
 
 
 def encode_frame(batch: Sequence[Message]) -> bytes:
--- a/egretcart/connection/frames.py
+++ b/egretcart/connection/frames.py
@@ -7,12 +7,10 @@
 from collections.abc import Iterable
 from collections.abc import Sequence
 import dataclasses
-import pathlib
 import re
 import typing
 from typing import Any
 
-import thriftpy2
 from thriftpy2.protocol import TCyBinaryProtocol
 from thriftpy2.transport import TCyMemoryBuffer
 import xxhash
@@ -28,19 +26,6 @@
     """A peer has sent bytes that are not a valid frame."""
 
 
-def load_idl(path: pathlib.Path, *, module_name: str) -> Any:
-    """Return the structs of a Thrift IDL file, as a module.
-
-    Parameters
-    ----------
-    path : pathlib.Path
-    module_name : str
-        Name of that module; ends in ``_thrift``.
-    """
-    with path.open() as idl:
-        return thriftpy2.load_fp(idl, module_name=module_name)
-
-
 def _field_name(message_type: type) -> str:
     words = re.findall("[A-Z][a-z]*", message_type.__name__)
     return "_".join(words).lower()
--- a/egretcart/direct/connection/wire.py
+++ b/egretcart/direct/connection/wire.py
@@ -1,13 +1,12 @@
 """The wire protocol of direct dispatch: codec, sizes, message checks."""
 
-import pathlib
 import typing
 from typing import Any
 
 from egretcart.connection.frames import FrameCodec
-from egretcart.connection.frames import load_idl
 from egretcart.connection.peer_link import LinkProtocol
 from egretcart.direct.connection import messages
+from egretcart.direct.connection import wire_structs
 from egretcart.direct.connection.messages import AgentHello
 from egretcart.direct.connection.messages import EntryHello
 from egretcart.direct.connection.messages import RunTasks
@@ -71,10 +70,7 @@
 
 DIRECT_PROTOCOL = LinkProtocol(
     codec=FrameCodec(
-        structs=load_idl(
-            pathlib.Path(__file__).with_name("wire.thrift"),
-            module_name="egretcart_direct_thrift",
-        ),
+        structs=wire_structs,
         message_types=typing.get_args(messages.Message),
     ),
     message_bytes=message_bytes,
--- a/tests/features/codec.feature
+++ b/tests/features/codec.feature
@@ -28,3 +28,6 @@
       | FenceReply    | newest_job_ms | -1           |
       | TaskResult    | retained    | true           |
       | TaskResult    | verdict     | "may_have_run" |
+
+  Scenario: The structs in the package are those of its IDL files
+    Then the generated module of each IDL file is up to date
--- a/tests/features/start.feature
+++ b/tests/features/start.feature
@@ -16,6 +16,15 @@
       | entry | egretcart.request.identity, uuid6, opentelemetry, prometheus_client, egretcart.process.metrics |
       | agent | egretcart.request.identity, uuid6, opentelemetry, prometheus_client, egretcart.process.metrics |
 
+  Scenario Outline: No IDL file is parsed
+    When a fresh interpreter imports the modules of the <role> role
+    Then it has parsed no IDL file
+
+    Examples:
+      | role  |
+      | entry |
+      | agent |
+
   Scenario: The garbage collector starts with the role
     When the command line of the platform starts a stand-in for a role
     Then the garbage collector was disabled for its imports and runs with it
--- a/tests/features/steps/codec_steps.py
+++ b/tests/features/steps/codec_steps.py
@@ -3,6 +3,8 @@
 import io
 import json
 import pathlib
+import subprocess
+import sys
 import types
 import typing
 
@@ -24,6 +26,7 @@
 from egretcart.connection.messages import EntryBeat
 from egretcart.connection.messages import FetchJob
 
+ROOT = pathlib.Path(__file__).resolve().parents[3]
 I32_FIELDS = {
     "port", "weight", "slots", "connections", "index", "attempt", "state",
     "running", "queued", "task", "cell", "status", "http_port",
@@ -108,7 +111,7 @@
 
     Each change is a text of the IDL file and its replacement.
     """
-    idl = pathlib.Path(codec.__file__).with_name(codec.IDL_FILE).read_text()
+    idl = pathlib.Path(codec.__file__).with_name("wire.thrift").read_text()
     for old, new in changes:
         assert old in idl
         idl = idl.replace(old, new, 1)
@@ -212,3 +215,13 @@
             elif dataclasses.is_dataclass(value):
                 assert value == type(value)(), (name, field.name)
     assert found == expected, found
+
+
+@then("the generated module of each IDL file is up to date")
+def check_generated_structs(context):
+    completed = subprocess.run(
+        [sys.executable, ROOT / "tools" / "generate_structs.py", "--check"],
+        capture_output=True,
+        text=True,
+    )
+    assert completed.returncode == 0, completed.stdout + completed.stderr
--- a/tests/features/steps/release_before.py
+++ b/tests/features/steps/release_before.py
@@ -6,7 +6,7 @@
 
 import sys
 
-from egretcart.connection.codec import WIRE_STRUCTS
+from egretcart.connection import wire_structs
 from egretcart.process.cli import main
 
 NEW_FIELDS_BY_STRUCT = {
@@ -20,7 +20,7 @@
 
 def remove_new_fields():
     for struct_name, names in NEW_FIELDS_BY_STRUCT.items():
-        spec = getattr(WIRE_STRUCTS, struct_name).thrift_spec
+        spec = getattr(wire_structs, struct_name).thrift_spec
         for number, field in list(spec.items()):
             if field[1] in names:
                 del spec[number]
--- a/tests/features/steps/start_steps.py
+++ b/tests/features/steps/start_steps.py
@@ -24,6 +24,8 @@
 TIME_LIMIT_S = 60
 IMPORT_ROLE = """
 import sys
+import ply.lex
+ply.lex.lex = lambda: print("a parser is built", file=sys.stderr)
 import adapter.main
 import adapter.{role}_role
 print(*sys.modules, sep="\\n")
@@ -77,9 +79,9 @@
 
 @when("a fresh interpreter imports the modules of the {role} role")
 def import_role(context, role):
-    context.imported = run_python(
-        IMPORT_ROLE.format(role=role)
-    ).stdout.splitlines()
+    completed = run_python(IMPORT_ROLE.format(role=role))
+    context.imported = completed.stdout.splitlines()
+    context.errors = completed.stderr
     assert f"adapter.{role}_role" in context.imported
 
 
@@ -94,6 +96,11 @@
         assert not found, f"imported: {', '.join(found)}"
 
 
+@then("it has parsed no IDL file")
+def check_parsed(context):
+    assert not context.errors, context.errors
+
+
 @when("the command line of the platform starts a stand-in for a role")
 def start_stand_in(context):
     context.completed = run_python(RUN_STAND_IN)
