--- a/egretcart/connection/entry_address.py
+++ b/egretcart/connection/entry_address.py
@@ -1,10 +1,9 @@
 """The addresses under which an entry is reached and registered."""
 
-import dataclasses
+import msgspec
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class EntryAddress:
+class EntryAddress(msgspec.Struct, frozen=True, kw_only=True):
     """The addresses of an entry and its share of the cells.
 
     Attributes
--- a/egretcart/connection/frames.py
+++ b/egretcart/connection/frames.py
@@ -6,11 +6,11 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
-import dataclasses
 import re
 import typing
 from typing import Any
 
+import msgspec
 from thriftpy2.protocol import TCyBinaryProtocol
 from thriftpy2.transport import TCyMemoryBuffer
 import xxhash
@@ -31,7 +31,9 @@
     return "_".join(words).lower()
 
 
-def _nested_type(annotation: Any) -> tuple[type | None, bool]:
+def _nested_type(
+    annotation: Any,
+) -> tuple[type[msgspec.Struct] | None, bool]:
     """Return an annotation's message class, and whether it is repeated.
 
     The class is None if the annotation contains none.
@@ -40,8 +42,8 @@
         nested, _ = _nested_type(argument)
         if nested is not None:
             return nested, typing.get_origin(annotation) is tuple
-    if dataclasses.is_dataclass(annotation):
-        return typing.cast(type, annotation), False
+    if isinstance(annotation, type) and issubclass(annotation, msgspec.Struct):
+        return annotation, False
     return None, False
 
 
@@ -52,7 +54,9 @@
     receiver restores the default.
     """
 
-    def __init__(self, message_type: type, structs: Any) -> None:
+    def __init__(
+        self, message_type: type[msgspec.Struct], structs: Any
+    ) -> None:
         self.message_type = message_type
         self.struct = getattr(structs, message_type.__name__)
         hints = typing.get_type_hints(message_type)
@@ -66,21 +70,21 @@
         self.sequences: list[str] = []
         self.text_sequences: list[str] = []
         self.nested: list[tuple[str, Any, _StructMapper, bool]] = []
-        for field in dataclasses.fields(message_type):
-            default = getattr(defaults, field.name)
-            nested, is_repeated = _nested_type(hints[field.name])
+        for name in message_type.__struct_fields__:
+            default = getattr(defaults, name)
+            nested, is_repeated = _nested_type(hints[name])
             if nested is not None:
                 mapper = _StructMapper(nested, structs)
-                self.nested.append((field.name, default, mapper, is_repeated))
-            elif hints[field.name] is str:
-                self.text.append((field.name, default))
-            elif typing.get_origin(hints[field.name]) is tuple:
-                is_text = typing.get_args(hints[field.name])[0] is str
+                self.nested.append((name, default, mapper, is_repeated))
+            elif hints[name] is str:
+                self.text.append((name, default))
+            elif typing.get_origin(hints[name]) is tuple:
+                is_text = typing.get_args(hints[name])[0] is str
                 (self.text_sequences if is_text else self.sequences).append(
-                    field.name
+                    name
                 )
             else:
-                self.plain.append((field.name, default))
+                self.plain.append((name, default))
         self.readers = self._make_readers()
 
     def to_struct(self, message: Any) -> Any:
@@ -149,7 +153,7 @@
         The protocol's Thrift structs; ``Message`` has one field for each
         message class, ``Frame`` has a list of ``Message``.
     message_types : tuple of type
-        Frozen data classes; each has the name of its struct.
+        Subclasses of `msgspec.Struct`; each has the name of its struct.
 
     Attributes
     ----------
@@ -160,7 +164,7 @@
     """
 
     def __init__(
-        self, *, structs: Any, message_types: tuple[type, ...]
+        self, *, structs: Any, message_types: tuple[type[msgspec.Struct], ...]
     ) -> None:
         self.structs = structs
         self.mappers = {
--- a/egretcart/connection/http_client.py
+++ b/egretcart/connection/http_client.py
@@ -1,12 +1,12 @@
 """HTTP client on h11 that gives a verdict for every failed exchange."""
 
 from collections.abc import Callable
-import dataclasses
 import functools
 import socket
 import struct
 
 import h11
+import msgspec
 import trio
 
 from egretcart.connection.readable import is_readable
@@ -46,8 +46,7 @@
         self.refused = refused
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ClientResponse:
+class ClientResponse(msgspec.Struct, frozen=True, kw_only=True):
     """A response that has arrived completely.
 
     Attributes
@@ -63,8 +62,7 @@
     body: bytes
 
 
-@dataclasses.dataclass(slots=True)
-class ClientConnection:
+class ClientConnection(msgspec.Struct):
     """A persistent connection, which exchanges one request at a time.
 
     Attributes
@@ -272,8 +270,7 @@
             await trio.aclose_forcefully(self.idle_connections.pop().stream)
 
 
-@dataclasses.dataclass(slots=True)
-class _ExchangeProgress:
+class _ExchangeProgress(msgspec.Struct):
     """The verdict of an exchange if it ended now without a response."""
 
     verdict: Verdict = Verdict.NOT_RUN
--- a/egretcart/connection/http_server.py
+++ b/egretcart/connection/http_server.py
@@ -3,12 +3,12 @@
 from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
-import dataclasses
 import functools
 import http
 import math
 
 import h11
+import msgspec
 import trio
 
 from egretcart.connection.disconnect_watch import BROKEN
@@ -35,8 +35,7 @@
 OVERLOAD_RETRY_AFTER_S = 1.0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class HttpLimits:
+class HttpLimits(msgspec.Struct, frozen=True, kw_only=True):
     """Limits of an HTTP server.
 
     Attributes
@@ -70,8 +69,7 @@
     allows_half_close: bool = True
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class HttpRequest:
+class HttpRequest(msgspec.Struct, frozen=True, kw_only=True):
     """A request that has arrived completely.
 
     Attributes
@@ -88,8 +86,7 @@
     body: bytes
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class HttpResponse:
+class HttpResponse(msgspec.Struct, frozen=True, kw_only=True):
     """A response with a body of known length, or in chunks.
 
     Attributes
--- a/egretcart/connection/messages.py
+++ b/egretcart/connection/messages.py
@@ -5,14 +5,13 @@
 never change, because other releases omit a field that has this value.
 """
 
-import dataclasses
+import msgspec
 
 from egretcart.connection.entry_address import EntryAddress
 from egretcart.connection.entry_address import NO_ADDRESS
 
 
-@dataclasses.dataclass(frozen=True, order=True, slots=True)
-class Term:
+class Term(msgspec.Struct, frozen=True, order=True):
     """The term of a cell's leader; serves as its fencing token.
 
     Attributes
@@ -35,8 +34,7 @@
 UNKNOWN_MS = -1
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class RosterMember:
+class RosterMember(msgspec.Struct, frozen=True, kw_only=True):
     """An agent of a cell.
 
     Attributes
@@ -51,8 +49,7 @@
     incarnation: int = 0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Roster:
+class Roster(msgspec.Struct, frozen=True, kw_only=True):
     """The agents of a cell, as agreed through the platform's store.
 
     Attributes
@@ -75,8 +72,7 @@
         return frozenset(member.agent_id for member in self.members)
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class AgentHello:
+class AgentHello(msgspec.Struct, frozen=True, kw_only=True):
     """An agent introduces its backend server to an entry.
 
     Attributes
@@ -108,8 +104,7 @@
     started_ms: int = 0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class TaskRecord:
+class TaskRecord(msgspec.Struct, frozen=True, kw_only=True):
     """A ledger's record of one task.
 
     Attributes
@@ -127,8 +122,7 @@
     state: int = 0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class JobRecord:
+class JobRecord(msgspec.Struct, frozen=True, kw_only=True):
     """A ledger's record of one job.
 
     Attributes
@@ -144,8 +138,7 @@
     tasks: tuple[TaskRecord, ...] = ()
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class FenceReply:
+class FenceReply(msgspec.Struct, frozen=True, kw_only=True):
     """An agent's answer to a fence.
 
     Attributes
@@ -181,8 +174,7 @@
     newest_job_ms: int = UNKNOWN_MS
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class LedgerReply:
+class LedgerReply(msgspec.Struct, frozen=True, kw_only=True):
     """An agent's answer to a ledger query.
 
     Attributes
@@ -197,8 +189,7 @@
     records: tuple[JobRecord, ...] = ()
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class HeartbeatReply:
+class HeartbeatReply(msgspec.Struct, frozen=True, kw_only=True):
     """An agent confirms the term that it has promised.
 
     Attributes
@@ -230,8 +221,7 @@
     config_version: int = 0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class TaskResult:
+class TaskResult(msgspec.Struct, frozen=True, kw_only=True):
     """The result of one attempt at a task.
 
     Attributes
@@ -280,8 +270,7 @@
     stamp_us: int = 0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Fence:
+class Fence(msgspec.Struct, frozen=True, kw_only=True):
     """A leader asks an agent to promise its term.
 
     An agent that has promised a term no longer obeys leaders of lower terms.
@@ -302,8 +291,7 @@
     by_query: bool = False
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Heartbeat:
+class Heartbeat(msgspec.Struct, frozen=True, kw_only=True):
     """A leader asks an agent to confirm its term, and renews its lease.
 
     The leader numbers these requests; all requests with one number are a
@@ -335,8 +323,7 @@
     config_version: int = 0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Start:
+class Start(msgspec.Struct, frozen=True, kw_only=True):
     """A leader asks an agent to start one attempt at a task.
 
     Attributes
@@ -380,8 +367,7 @@
     proven_stamp_us: int = 0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class CancelledTask:
+class CancelledTask(msgspec.Struct, frozen=True, kw_only=True):
     """A task to be cancelled, or a whole job.
 
     Attributes
@@ -395,8 +381,7 @@
     task: int = ALL_TASKS
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class CancelTasks:
+class CancelTasks(msgspec.Struct, frozen=True, kw_only=True):
     """A leader asks an agent to cancel tasks, possibly of many jobs.
 
     Attributes
@@ -410,8 +395,7 @@
     tasks: tuple[CancelledTask, ...] = ()
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class FetchJob:
+class FetchJob(msgspec.Struct, frozen=True, kw_only=True):
     """A leader asks an agent for the results of a job's finished tasks.
 
     Attributes
@@ -425,8 +409,7 @@
     job_id: bytes = b""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class LedgerQuery:
+class LedgerQuery(msgspec.Struct, frozen=True, kw_only=True):
     """A leader asks an agent for its ledger's records of some jobs.
 
     Attributes
@@ -448,15 +431,13 @@
     made_before_ms: int = 0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class EntryList:
+class EntryList(msgspec.Struct, frozen=True, kw_only=True):
     """The entries that the sender knows to be live."""
 
     entries: tuple[EntryAddress, ...] = ()
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class EntryHello:
+class EntryHello(msgspec.Struct, frozen=True, kw_only=True):
     """An entry introduces itself to another process.
 
     Attributes
@@ -470,8 +451,7 @@
     incarnation: int = 0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class CellLeader:
+class CellLeader(msgspec.Struct, frozen=True, kw_only=True):
     """A cell that the sender leads.
 
     Attributes
@@ -488,8 +468,7 @@
     term: Term = NO_TERM
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class EntryBeat:
+class EntryBeat(msgspec.Struct, frozen=True, kw_only=True):
     """A heartbeat from one entry to another.
 
     Attributes
@@ -511,8 +490,7 @@
     interval_ms: int = 250
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Forward:
+class Forward(msgspec.Struct, frozen=True, kw_only=True):
     """An entry forwards a caller's request to the leader of the job's cell.
 
     Attributes
@@ -537,8 +515,7 @@
     time_left_ms: int = 0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ForwardReply:
+class ForwardReply(msgspec.Struct, frozen=True, kw_only=True):
     """The leader's answer to a forwarded request.
 
     Attributes
@@ -563,8 +540,7 @@
     retry_after_ms: int = 0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ConfigRequest:
+class ConfigRequest(msgspec.Struct, frozen=True, kw_only=True):
     """Asks for the receiver's configuration if it is newer.
 
     Attributes
@@ -576,8 +552,7 @@
     version: int = 0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class CellRoster:
+class CellRoster(msgspec.Struct, frozen=True, kw_only=True):
     """The newest roster of a cell that the sender knows.
 
     Attributes
@@ -593,8 +568,7 @@
     roster: Roster | None = None
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ConfigDocument:
+class ConfigDocument(msgspec.Struct, frozen=True, kw_only=True):
     """An accepted configuration version, as JSON.
 
     Attributes
@@ -612,8 +586,7 @@
     rosters: tuple[CellRoster, ...] = ()
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class AgentConfig:
+class AgentConfig(msgspec.Struct, frozen=True, kw_only=True):
     """The part of a configuration version that an agent needs.
 
     Attributes
--- a/egretcart/connection/peer_link.py
+++ b/egretcart/connection/peer_link.py
@@ -2,11 +2,11 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-import dataclasses
 import math
 import socket
 from typing import Any
 
+import msgspec
 import trio
 
 from egretcart.connection.frames import FrameCodec
@@ -27,8 +27,7 @@
 TCP_USER_TIMEOUT_MS = 10_000
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class LinkProtocol:
+class LinkProtocol(msgspec.Struct, frozen=True, kw_only=True):
     """The protocol of a link: its codec, message sizes and checks.
 
     Attributes
--- a/egretcart/direct/agent/agent_types.py
+++ b/egretcart/direct/agent/agent_types.py
@@ -4,9 +4,10 @@
 clock.
 """
 
-import dataclasses
 import enum
 
+import msgspec
+
 from egretcart.connection.dialler import Endpoint
 from egretcart.direct.backend.backend import StartRequest
 from egretcart.direct.backend.backend import StopRequest
@@ -25,8 +26,7 @@
 from egretcart.direct.request.progress import RunProgress
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class DirectAgentLimits:
+class DirectAgentLimits(msgspec.Struct, frozen=True, kw_only=True):
     """Time limits and bounds of an agent.
 
     Attributes
@@ -96,19 +96,15 @@
     retire_notice_s: float = 0.5
     start_timeout_s: float = 0.25
     stop_timeout_s: float = 0.25
-    lease: LeaseLimits = dataclasses.field(default_factory=LeaseLimits)
-    health: HealthLimits = dataclasses.field(default_factory=HealthLimits)
-    suspicion: SuspicionLimits = dataclasses.field(
-        default_factory=SuspicionLimits
-    )
-    progress: ProgressLimits = dataclasses.field(
-        default_factory=ProgressLimits
-    )
-    working_set: WorkingSetLimits = dataclasses.field(
+    lease: LeaseLimits = msgspec.field(default_factory=LeaseLimits)
+    health: HealthLimits = msgspec.field(default_factory=HealthLimits)
+    suspicion: SuspicionLimits = msgspec.field(default_factory=SuspicionLimits)
+    progress: ProgressLimits = msgspec.field(default_factory=ProgressLimits)
+    working_set: WorkingSetLimits = msgspec.field(
         default_factory=WorkingSetLimits
     )
-    offers: OfferLimits = dataclasses.field(default_factory=OfferLimits)
-    crashes: CrashLimits = dataclasses.field(default_factory=CrashLimits)
+    offers: OfferLimits = msgspec.field(default_factory=OfferLimits)
+    crashes: CrashLimits = msgspec.field(default_factory=CrashLimits)
 
 
 class RunPhase(enum.Enum):
@@ -135,8 +131,7 @@
     STOPPING = "stopping"
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Run:
+class Run(msgspec.Struct, kw_only=True):
     """One run of a task at this agent.
 
     Attributes
@@ -219,8 +214,7 @@
     crash_weight: int = 0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Vacancy:
+class Vacancy(msgspec.Struct, frozen=True, kw_only=True):
     """The part of a status on which the choice of an agent depends most.
 
     Entries are told of its changes without waiting for a heartbeat.
@@ -241,8 +235,7 @@
     queued: int = 0
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class EntryState:
+class EntryState(msgspec.Struct, kw_only=True):
     """State of an entry as the agent knows it.
 
     Attributes
@@ -290,8 +283,7 @@
         )
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Eviction:
+class Eviction(msgspec.Struct, kw_only=True):
     """An entry that waits until other entries' runs of a job have ended.
 
     Attributes
@@ -307,37 +299,32 @@
     job_id: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SendToEntry:
+class SendToEntry(msgspec.Struct, frozen=True):
     """Effect: send a message on the entry's link."""
 
     entry_id: str
     message: Message
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SendStartRequest:
+class SendStartRequest(msgspec.Struct, frozen=True):
     """Effect: send a start request to the backend server."""
 
     request: StartRequest
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SendStopRequest:
+class SendStopRequest(msgspec.Struct, frozen=True):
     """Effect: send a stop request to the backend server."""
 
     request: StopRequest
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CloseEntryLink:
+class CloseEntryLink(msgspec.Struct, frozen=True):
     """Effect: close the entry's link; it may be opened again."""
 
     entry_id: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class DialEntry:
+class DialEntry(msgspec.Struct, frozen=True):
     """Effect: connect to an entry, unless that is under way already."""
 
     endpoint: Endpoint
--- a/egretcart/direct/agent/entry_links.py
+++ b/egretcart/direct/agent/entry_links.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Callable
 from collections.abc import Collection
-import dataclasses
+
+import msgspec
 
 from egretcart.direct.agent.agent_types import AgentEffect
 from egretcart.direct.agent.agent_types import EntryState
@@ -119,7 +120,7 @@
     def _status_for(self, state: EntryState, now: float) -> AgentStatus:
         status = self.status(state.sequence, now)
         if state.is_retiring(self.retire_after_s, now):
-            return dataclasses.replace(status, accepting=False)
+            return msgspec.structs.replace(status, accepting=False)
         return status
 
     def mark_unwanted(self, unwanted: Collection[str], now: float) -> None:
--- a/egretcart/direct/backend/backend.py
+++ b/egretcart/direct/backend/backend.py
@@ -1,16 +1,16 @@
 """Requests of an agent to its backend server, and the server's answers."""
 
-import dataclasses
 import enum
 from typing import Protocol
 
+import msgspec
+
 from egretcart.direct.request.job import Ending
 from egretcart.direct.request.job import Room
 from egretcart.direct.request.job import TaskKey
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class BackendIncarnation:
+class BackendIncarnation(msgspec.Struct, frozen=True):
     """One incarnation of a backend server; it knows nothing of earlier ones.
 
     Attributes
@@ -25,8 +25,7 @@
     born_ms: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class BackendReport:
+class BackendReport(msgspec.Struct, frozen=True, kw_only=True):
     """State of a backend server as it reports it.
 
     Attributes
@@ -68,8 +67,7 @@
     sequence: int = 0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class RunningTask:
+class RunningTask(msgspec.Struct, frozen=True, kw_only=True):
     """A run that the backend server lists as running.
 
     Attributes
@@ -86,8 +84,7 @@
     percent: float
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class EndedTask:
+class EndedTask(msgspec.Struct, frozen=True, kw_only=True):
     """A run that the backend server lists as ended.
 
     Attributes
@@ -107,8 +104,7 @@
     ending: Ending
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Listing:
+class Listing(msgspec.Struct, frozen=True, kw_only=True):
     """Running and ended runs at a backend server.
 
     Attributes
@@ -168,8 +164,7 @@
     NOT_SENT = "not_sent"
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class PollRequest:
+class PollRequest(msgspec.Struct, frozen=True, kw_only=True):
     """Request for a listing, which also renews the lease of all runs.
 
     Attributes
@@ -195,8 +190,7 @@
     wait_ms: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class StartRequest:
+class StartRequest(msgspec.Struct, frozen=True, kw_only=True):
     """Request to start a run of a task.
 
     Attributes
@@ -223,8 +217,7 @@
     deadline_ms: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class StopRequest:
+class StopRequest(msgspec.Struct, frozen=True, kw_only=True):
     """Request to stop a run, also one that has not been started yet.
 
     Attributes
--- a/egretcart/direct/backend/backend_report_store.py
+++ b/egretcart/direct/backend/backend_report_store.py
@@ -6,8 +6,6 @@
 start of an agent.
 """
 
-import dataclasses
-
 import msgspec
 import trio
 
@@ -26,7 +24,7 @@
 def encode_report(report: BackendReport) -> bytes:
     """Return a report as JSON, without fields that differ in each report."""
     return msgspec.json.encode(
-        dataclasses.replace(
+        msgspec.structs.replace(
             report, clock_ms=0, sequence=0, leaves_in_ms=None, cold_for_ms=0
         )
     )
--- a/egretcart/direct/backend/health.py
+++ b/egretcart/direct/backend/health.py
@@ -7,12 +7,12 @@
 so that a success only tells of the time from its start on.
 """
 
-import dataclasses
 import math
 
+import msgspec
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class HealthLimits:
+
+class HealthLimits(msgspec.Struct, frozen=True, kw_only=True):
     """When a backend server gets no tasks, and for how long.
 
     Attributes
--- a/egretcart/direct/backend/lease.py
+++ b/egretcart/direct/backend/lease.py
@@ -1,10 +1,9 @@
 """The agent's side of the lease under which a backend server runs tasks."""
 
-import dataclasses
+import msgspec
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class LeaseLimits:
+class LeaseLimits(msgspec.Struct, frozen=True, kw_only=True):
     """Times of the backend server's lease.
 
     Attributes
--- a/egretcart/direct/backend/suspicion.py
+++ b/egretcart/direct/backend/suspicion.py
@@ -8,9 +8,10 @@
 """
 
 from collections.abc import Iterable
-import dataclasses
 import enum
 
+import msgspec
+
 
 class Suspicion(enum.Enum):
     """Why a server gets no tasks.
@@ -33,8 +34,7 @@
     HELD = "held"
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class SuspicionLimits:
+class SuspicionLimits(msgspec.Struct, frozen=True, kw_only=True):
     """When a server is suspect, and for how long.
 
     Attributes
@@ -71,8 +71,7 @@
     memory_s: float = 5.0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ObservedRun:
+class ObservedRun(msgspec.Struct, frozen=True, kw_only=True):
     """A run at the server, as its last listing shows it.
 
     Attributes
--- a/egretcart/direct/connection/messages.py
+++ b/egretcart/direct/connection/messages.py
@@ -3,7 +3,7 @@
 Each class mirrors the struct of the same name in wire.thrift.
 """
 
-import dataclasses
+import msgspec
 
 from egretcart.direct.connection.offer_messages import CapacityOffered
 from egretcart.direct.connection.offer_messages import OfferDeclined
@@ -23,8 +23,7 @@
 TAKEN_OVER_REASON = "its job was taken over"
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class PeerAddress:
+class PeerAddress(msgspec.Struct, frozen=True, kw_only=True):
     """Where an entry listens for other processes.
 
     Attributes
@@ -45,8 +44,7 @@
         return self.host, self.port
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class EntryHello:
+class EntryHello(msgspec.Struct, frozen=True, kw_only=True):
     """The first message of an entry on a new link.
 
     Attributes
@@ -63,15 +61,13 @@
     address: PeerAddress = PeerAddress()
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class EntryPeers:
+class EntryPeers(msgspec.Struct, frozen=True, kw_only=True):
     """Addresses of entries that the sender knows."""
 
     entries: tuple[PeerAddress, ...] = ()
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Beat:
+class Beat(msgspec.Struct, frozen=True, kw_only=True):
     """A heartbeat.
 
     Attributes
@@ -91,8 +87,7 @@
     lateness_ms: int = 0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class RunTasks:
+class RunTasks(msgspec.Struct, frozen=True, kw_only=True):
     """An entry asks an agent to run tasks of one step.
 
     Attributes
@@ -158,8 +153,7 @@
         return Room(self.cpu_milli, self.memory_mb, self.accelerators)
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class RecruitAgents:
+class RecruitAgents(msgspec.Struct, frozen=True, kw_only=True):
     """An entry without free capacity asks another one for agents with some.
 
     Attributes
@@ -184,15 +178,13 @@
         return Room(self.cpu_milli, self.memory_mb, self.accelerators)
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ServeEntry:
+class ServeEntry(msgspec.Struct, frozen=True, kw_only=True):
     """An entry asks an agent to connect to another entry for a time."""
 
     address: PeerAddress = PeerAddress()
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class StopTasks:
+class StopTasks(msgspec.Struct, frozen=True, kw_only=True):
     """An entry asks an agent to stop tasks, whether they run or wait.
 
     Attributes
@@ -209,8 +201,7 @@
     indexes: tuple[int, ...] = ()
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class EvictJob:
+class EvictJob(msgspec.Struct, frozen=True, kw_only=True):
     """An entry that takes a job over asks to end other entries' runs of it.
 
     Attributes
@@ -224,8 +215,7 @@
     job_id: str = ""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class AgentStatus:
+class AgentStatus(msgspec.Struct, frozen=True, kw_only=True):
     """The capacity and state of an agent and its backend server.
 
     Attributes
@@ -296,8 +286,7 @@
         )
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class TaskEnded:
+class TaskEnded(msgspec.Struct, frozen=True, kw_only=True):
     """A run has ended, or was rejected by the agent.
 
     Attributes
@@ -335,8 +324,7 @@
         return TaskKey(self.job_id, self.step, self.index)
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class TaskLate:
+class TaskLate(msgspec.Struct, frozen=True, kw_only=True):
     """A run makes too little progress, or its backend server leaves first.
 
     Attributes
@@ -370,8 +358,7 @@
         return TaskKey(self.job_id, self.step, self.index)
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class HeldTask:
+class HeldTask(msgspec.Struct, frozen=True, kw_only=True):
     """A run of an entry's task at an agent, running or queued.
 
     Attributes
@@ -394,8 +381,7 @@
         return TaskKey(self.job_id, self.step, self.index)
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class AgentHello:
+class AgentHello(msgspec.Struct, frozen=True, kw_only=True):
     """The first message of an agent on a new link.
 
     Attributes
@@ -418,8 +404,7 @@
     failure_domain: str = ""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class JobEvicted:
+class JobEvicted(msgspec.Struct, frozen=True, kw_only=True):
     """Answers `EvictJob`: no other entry's run of the job is left here.
 
     Attributes
@@ -431,8 +416,7 @@
     number: int = 0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class EntriesServed:
+class EntriesServed(msgspec.Struct, frozen=True, kw_only=True):
     """The entries for which the agent may run tasks."""
 
     entry_ids: tuple[str, ...] = ()
--- a/egretcart/direct/connection/offer_messages.py
+++ b/egretcart/direct/connection/offer_messages.py
@@ -3,13 +3,12 @@
 Each class mirrors the struct of the same name in wire.thrift.
 """
 
-import dataclasses
+import msgspec
 
 from egretcart.direct.request.job import Room
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class TasksWaiting:
+class TasksWaiting(msgspec.Struct, frozen=True, kw_only=True):
     """An entry tells an agent which task it would send next, and how many.
 
     It replaces the last such message.
@@ -47,8 +46,7 @@
         return Room(self.cpu_milli, self.memory_mb, self.accelerators)
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class CapacityOffered:
+class CapacityOffered(msgspec.Struct, frozen=True, kw_only=True):
     """An agent holds capacity for tasks of an entry for a short time.
 
     Attributes
@@ -73,8 +71,7 @@
         return Room(self.cpu_milli, self.memory_mb, self.accelerators)
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class OfferDeclined:
+class OfferDeclined(msgspec.Struct, frozen=True, kw_only=True):
     """An entry does not use an offer of an agent, or the rest of it.
 
     Attributes
--- a/egretcart/direct/connection/peer_messages.py
+++ b/egretcart/direct/connection/peer_messages.py
@@ -3,27 +3,24 @@
 Each class mirrors the struct of the same name in wire.thrift.
 """
 
-import dataclasses
+import msgspec
 
 from egretcart.direct.request.crash_scores import CrashScore
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class JobsTaken:
+class JobsTaken(msgspec.Struct, frozen=True, kw_only=True):
     """Jobs that the sender has accepted recently."""
 
     job_ids: tuple[str, ...] = ()
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class CrashScoresRaised:
+class CrashScoresRaised(msgspec.Struct, frozen=True, kw_only=True):
     """Tasks under which backend servers have crashed recently."""
 
     tasks: tuple[CrashScore, ...] = ()
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ReleaseJob:
+class ReleaseJob(msgspec.Struct, frozen=True, kw_only=True):
     """Asks the entry that has accepted a job to yield it to the sender.
 
     Attributes
@@ -44,8 +41,7 @@
     claimant: str = ""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class JobReleased:
+class JobReleased(msgspec.Struct, frozen=True, kw_only=True):
     """Answers `ReleaseJob`: no run of the job is left for its owner.
 
     If the question was to be passed on and the owner could not be reached,
@@ -63,8 +59,7 @@
     state: str = ""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class RoutingRequest:
+class RoutingRequest(msgspec.Struct, frozen=True, kw_only=True):
     """Asks an entry for its active configuration, on the same link.
 
     Attributes
@@ -76,8 +71,7 @@
     version: int = 0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Routing:
+class Routing(msgspec.Struct, frozen=True, kw_only=True):
     """A configuration, sent to an entry that has asked for it.
 
     Attributes
--- a/egretcart/direct/connection/views.py
+++ b/egretcart/direct/connection/views.py
@@ -1,6 +1,6 @@
 """Views of agents at an entry: last status and tasks sent since then."""
 
-import dataclasses
+import msgspec
 
 from egretcart.direct.connection.messages import AgentStatus
 from egretcart.direct.connection.offer_messages import CapacityOffered
@@ -12,8 +12,7 @@
 PERCENT = 100
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SentTasks:
+class SentTasks(msgspec.Struct, frozen=True):
     """Sent tasks that no status accounts for yet.
 
     Attributes
@@ -31,8 +30,7 @@
     work_ms: float
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class SentNotice:
+class SentNotice(msgspec.Struct, frozen=True, kw_only=True):
     """The last notice that was sent to an agent.
 
     Attributes
@@ -161,7 +159,7 @@
                 continue
             self.has_answered_offer = True
             if offer.count > 1:
-                rest = dataclasses.replace(offer, count=offer.count - 1)
+                rest = msgspec.structs.replace(offer, count=offer.count - 1)
                 self.offers[place] = rest
             else:
                 del self.offers[place]
--- a/egretcart/direct/connection/working_set.py
+++ b/egretcart/direct/connection/working_set.py
@@ -8,15 +8,14 @@
 """
 
 from collections.abc import Iterable
-import dataclasses
 
+import msgspec
 import xxhash
 
 from egretcart.connection.dialler import Endpoint
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class WorkingSetLimits:
+class WorkingSetLimits(msgspec.Struct, frozen=True, kw_only=True):
     """Size of a working set.
 
     Attributes
--- a/egretcart/direct/entry/entry_types.py
+++ b/egretcart/direct/entry/entry_types.py
@@ -1,6 +1,6 @@
 """Limits and effects of an entry. Free of I/O."""
 
-import dataclasses
+import msgspec
 
 from egretcart.direct.connection.messages import Message
 from egretcart.direct.policy.admission import AdmissionLimits
@@ -17,8 +17,7 @@
 RUN_NUMBERS_PER_TAKEOVER = 1000
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class RecruitingLimits:
+class RecruitingLimits(msgspec.Struct, frozen=True, kw_only=True):
     """Bounds of recruiting, see `AgentRecruiter`.
 
     Attributes
@@ -37,8 +36,7 @@
     agents_sent: int = 2
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class DirectEntryLimits:
+class DirectEntryLimits(msgspec.Struct, frozen=True, kw_only=True):
     """Times and bounds of an entry.
 
     Attributes
@@ -124,24 +122,18 @@
     discovery_wait_s: float = 1.5
     first_discovery_s: float = 0.5
     far_factor: float = 1.5
-    admission: AdmissionLimits = dataclasses.field(
-        default_factory=AdmissionLimits
-    )
-    notices: NoticeLimits = dataclasses.field(default_factory=NoticeLimits)
-    placement: PlacementLimits = dataclasses.field(
-        default_factory=PlacementLimits
-    )
-    rescheduling: ReschedulingLimits = dataclasses.field(
+    admission: AdmissionLimits = msgspec.field(default_factory=AdmissionLimits)
+    notices: NoticeLimits = msgspec.field(default_factory=NoticeLimits)
+    placement: PlacementLimits = msgspec.field(default_factory=PlacementLimits)
+    rescheduling: ReschedulingLimits = msgspec.field(
         default_factory=ReschedulingLimits
     )
-    rotation: RotationLimits = dataclasses.field(
-        default_factory=RotationLimits
-    )
-    recruiting: RecruitingLimits = dataclasses.field(
+    rotation: RotationLimits = msgspec.field(default_factory=RotationLimits)
+    recruiting: RecruitingLimits = msgspec.field(
         default_factory=RecruitingLimits
     )
-    crashes: CrashLimits = dataclasses.field(default_factory=CrashLimits)
-    confinement: ConfinementLimits = dataclasses.field(
+    crashes: CrashLimits = msgspec.field(default_factory=CrashLimits)
+    confinement: ConfinementLimits = msgspec.field(
         default_factory=ConfinementLimits
     )
 
@@ -158,8 +150,7 @@
         )
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Answer:
+class Answer(msgspec.Struct, frozen=True, kw_only=True):
     """Effect: the answer to a caller's request.
 
     Attributes
@@ -188,31 +179,27 @@
     cause: str = ""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SendToAgent:
+class SendToAgent(msgspec.Struct, frozen=True):
     """Effect: send a message on the agent's link."""
 
     agent_id: str
     message: Message
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SendToPeer:
+class SendToPeer(msgspec.Struct, frozen=True):
     """Effect: send a message to another entry."""
 
     entry_id: str
     message: Message
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClosePeer:
+class ClosePeer(msgspec.Struct, frozen=True):
     """Effect: close the link to another entry; it is opened again."""
 
     entry_id: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CloseAgent:
+class CloseAgent(msgspec.Struct, frozen=True):
     """Effect: close the agent's link; it may connect again."""
 
     agent_id: str
--- a/egretcart/direct/entry/job_releases.py
+++ b/egretcart/direct/entry/job_releases.py
@@ -8,7 +8,8 @@
 
 from collections.abc import Container
 from collections.abc import Mapping
-import dataclasses
+
+import msgspec
 
 from egretcart.direct.connection.peer_messages import JobReleased
 from egretcart.direct.connection.peer_messages import ReleaseJob
@@ -16,8 +17,7 @@
 from egretcart.direct.entry.entry_types import SendToPeer
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class RelayedRelease:
+class RelayedRelease(msgspec.Struct, frozen=True, kw_only=True):
     """A question that was passed on to the owner of a job.
 
     Attributes
--- a/egretcart/direct/entry/pending_claims.py
+++ b/egretcart/direct/entry/pending_claims.py
@@ -8,10 +8,11 @@
 from collections.abc import Container
 from collections.abc import Iterable
 from collections.abc import Mapping
-import dataclasses
 import math
 import random
 
+import msgspec
+
 from egretcart.direct.connection.messages import EvictJob
 from egretcart.direct.connection.peer_messages import ReleaseJob
 from egretcart.direct.entry.entry_types import Answer
@@ -28,8 +29,7 @@
 RELAYS = 3
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class PendingClaim:
+class PendingClaim(msgspec.Struct, kw_only=True):
     """A job that waits until no run of it is left for another entry.
 
     Attributes
--- a/egretcart/direct/entry/waiting_notices.py
+++ b/egretcart/direct/entry/waiting_notices.py
@@ -4,10 +4,11 @@
 them offers capacity that comes free to the entry with the most urgent task.
 """
 
-import dataclasses
 import math
 import random
 
+import msgspec
+
 from egretcart.direct.connection.offer_messages import OfferDeclined
 from egretcart.direct.connection.offer_messages import TasksWaiting
 from egretcart.direct.connection.views import AgentView
@@ -24,8 +25,7 @@
 SHARE_FACTOR = 4
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class WaitingTasks:
+class WaitingTasks(msgspec.Struct, kw_only=True):
     """The tasks that no agent can begin.
 
     Attributes
--- a/egretcart/direct/log/agent_decisions.py
+++ b/egretcart/direct/log/agent_decisions.py
@@ -1,15 +1,12 @@
 """Records of the decisions of agents; see `egretcart.direct.log.decisions`."""
 
-import dataclasses
-
 from egretcart.direct.log.decisions import Decision
 
 # State of a backend server that gets no tasks for what it does.
 SUSPECT_STATE = "suspect"
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class RunStarted(Decision):
+class RunStarted(Decision, frozen=True, kw_only=True):
     """An agent requests the start of a run from its backend server.
 
     Attributes
@@ -31,8 +28,7 @@
     free_cpu_milli: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class RunEnded(Decision):
+class RunEnded(Decision, frozen=True, kw_only=True):
     """A run has ended at an agent.
 
     Attributes
@@ -55,8 +51,7 @@
     reason: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class OfferUnused(Decision):
+class OfferUnused(Decision, frozen=True, kw_only=True):
     """Capacity that an agent had offered to an entry is free again.
 
     Attributes
@@ -73,8 +68,7 @@
     held_ms: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class RunUnanswered(Decision):
+class RunUnanswered(Decision, frozen=True, kw_only=True):
     """A request to start or stop a run got no answer.
 
     Attributes
@@ -90,8 +84,7 @@
     order: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class BackendChanged(Decision):
+class BackendChanged(Decision, frozen=True, kw_only=True):
     """The state of a backend server changes, as its agent knows it.
 
     Attributes
@@ -116,8 +109,7 @@
     labels: tuple[str, ...] = ()
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class BackendCrashed(Decision):
+class BackendCrashed(Decision, frozen=True, kw_only=True):
     """A backend server has ended without an announcement.
 
     Attributes
@@ -144,8 +136,7 @@
     last_started: tuple[str, ...]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class DrainApplied(Decision):
+class DrainApplied(Decision, frozen=True, kw_only=True):
     """An agent begins or ends to refuse tasks, as its domain is drained.
 
     Attributes
--- a/egretcart/direct/log/decisions.py
+++ b/egretcart/direct/log/decisions.py
@@ -8,17 +8,16 @@
 seconds. The fields `job_id`, `step`, `index` and `run` name a run of a task.
 """
 
-import dataclasses
 from typing import Protocol
 
+import msgspec
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Decision:
+
+class Decision(msgspec.Struct, frozen=True, kw_only=True):
     """Base of all records."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class JobAccepted(Decision):
+class JobAccepted(Decision, frozen=True, kw_only=True):
     """An entry accepts a job.
 
     Attributes
@@ -52,8 +51,7 @@
     data_rack: str = ""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class JobRefused(Decision):
+class JobRefused(Decision, frozen=True, kw_only=True):
     """An entry refuses a job, none of whose tasks it has started.
 
     Attributes
@@ -82,8 +80,7 @@
     tasks: int = 0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class JobJoined(Decision):
+class JobJoined(Decision, frozen=True, kw_only=True):
     """A caller requests a job that is already known here.
 
     Attributes
@@ -97,8 +94,7 @@
     state: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class JobClaimed(Decision):
+class JobClaimed(Decision, frozen=True, kw_only=True):
     """An entry asks to end other entries' runs of a job before its own.
 
     Attributes
@@ -115,8 +111,7 @@
     asked: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class JobYielded(Decision):
+class JobYielded(Decision, frozen=True, kw_only=True):
     """An entry yields a job to another one.
 
     Attributes
@@ -132,8 +127,7 @@
     state: str
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class JobAnswered(Decision):
+class JobAnswered(Decision, frozen=True, kw_only=True):
     """An entry answers a job that has ended.
 
     Attributes
@@ -155,8 +149,7 @@
     cause: str = ""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class JobCancelled(Decision):
+class JobCancelled(Decision, frozen=True, kw_only=True):
     """An entry cancels a job.
 
     Attributes
@@ -172,8 +165,7 @@
     elapsed_ms: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class TasksPlaced(Decision):
+class TasksPlaced(Decision, frozen=True, kw_only=True):
     """An entry sends tasks to an agent.
 
     Attributes
@@ -208,8 +200,7 @@
     offer: int = 0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class TaskEndedAt(Decision):
+class TaskEndedAt(Decision, frozen=True, kw_only=True):
     """An entry records the end of a run that has not succeeded.
 
     Attributes
@@ -237,8 +228,7 @@
     crash_score: int = 0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class TaskMoved(Decision):
+class TaskMoved(Decision, frozen=True, kw_only=True):
     """An entry stops a late run, to run the task on another agent.
 
     Attributes
@@ -268,8 +258,7 @@
     elsewhere_pace: float
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class LeavingRunJudged(Decision):
+class LeavingRunJudged(Decision, frozen=True, kw_only=True):
     """An entry decides about a run whose server may leave before it ends.
 
     Attributes
@@ -309,8 +298,7 @@
     status_age_ms: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class PeerChanged(Decision):
+class PeerChanged(Decision, frozen=True, kw_only=True):
     """A process connects to another one, or loses it.
 
     Attributes
@@ -332,8 +320,7 @@
     silent_ms: int = 0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ConfigurationAccepted(Decision):
+class ConfigurationAccepted(Decision, frozen=True, kw_only=True):
     """An entry activates a configuration.
 
     Attributes
@@ -354,8 +341,7 @@
     routes: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class DomainsDrained(Decision):
+class DomainsDrained(Decision, frozen=True, kw_only=True):
     """A process learns that other failure domains are drained than before.
 
     Attributes
@@ -382,8 +368,7 @@
     former_age_ms: int = 0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class DependencyChanged(Decision):
+class DependencyChanged(Decision, frozen=True, kw_only=True):
     """A service that the process needs is lost, back, or gives bad data.
 
     Attributes
@@ -401,8 +386,7 @@
     cause: str = ""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ProcessChanged(Decision):
+class ProcessChanged(Decision, frozen=True, kw_only=True):
     """The process starts, stops, reloads its settings, or was paused.
 
     Attributes
@@ -421,8 +405,7 @@
     paused_ms: int = 0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class RotationChanged(Decision):
+class RotationChanged(Decision, frozen=True, kw_only=True):
     """An entry leaves the load balancer's rotation, or returns to it.
 
     Attributes
@@ -450,8 +433,7 @@
     interval_s: float
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class RoutesConfined(Decision):
+class RoutesConfined(Decision, frozen=True, kw_only=True):
     """Other routes are confined to a part of the agents than before.
 
     Attributes
@@ -470,8 +452,7 @@
     given_up: int
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class AgentsRecruited(Decision):
+class AgentsRecruited(Decision, frozen=True, kw_only=True):
     """An entry asks some of its agents to serve another entry as well.
 
     Attributes
--- a/egretcart/direct/log/log_lines.py
+++ b/egretcart/direct/log/log_lines.py
@@ -2,7 +2,6 @@
 
 from collections import Counter
 from collections import deque
-import dataclasses
 import os
 import time
 from typing import Any
@@ -51,8 +50,6 @@
     dropped : Counter of str
         Lines of each kind that were dropped since the last line that
         reported their number.
-    field_names : dict of str to tuple of str
-        Names of the fields of each kind that was written.
     task_id : str
         Identifier of the eliot task that all lines of the process belong to.
     lines : int
@@ -69,7 +66,6 @@
         self.waiting: deque[bytes] = deque()
         self.written_at: dict[str, deque[float]] = {}
         self.dropped: Counter[str] = Counter()
-        self.field_names: dict[str, tuple[str, ...]] = {}
         self.logger = eliot.Logger()
         self.task_id = str(uuid.uuid4())
         self.lines = 0
@@ -94,12 +90,7 @@
             self.dropped[kind] += 1
             return
         times.append(now)
-        names = self.field_names.get(kind)
-        if names is None:
-            names = self.field_names[kind] = tuple(
-                field.name for field in dataclasses.fields(decision)
-            )
-        self._log(kind, {name: getattr(decision, name) for name in names})
+        self._log(kind, msgspec.structs.asdict(decision))
 
     def _report_dropped_if_due(self, now: float) -> None:
         if self.dropped and now >= self.report_at:
--- a/egretcart/direct/policy/admission.py
+++ b/egretcart/direct/policy/admission.py
@@ -7,17 +7,17 @@
 """
 
 from collections.abc import Iterable
-import dataclasses
 import math
 
+import msgspec
+
 from egretcart.direct.connection.views import AgentView
 from egretcart.direct.request.job import Step
 from egretcart.direct.version.configuration import MAX_USEFUL_SHARE
 from egretcart.direct.version.configuration import USEFUL_LATENCY_FACTOR
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class AdmissionLimits:
+class AdmissionLimits(msgspec.Struct, frozen=True, kw_only=True):
     """When a job is refused.
 
     Attributes
@@ -44,8 +44,7 @@
     max_retry_s: float = 10.0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class LoadEstimate:
+class LoadEstimate(msgspec.Struct, frozen=True, kw_only=True):
     """An entry's estimate of the load of all agents, for one step.
 
     Attributes
--- a/egretcart/direct/policy/capacity_offers.py
+++ b/egretcart/direct/policy/capacity_offers.py
@@ -6,7 +6,8 @@
 """
 
 from collections.abc import Callable
-import dataclasses
+
+import msgspec
 
 from egretcart.direct.request.job import NO_ROOM
 from egretcart.direct.request.job import Room
@@ -16,8 +17,7 @@
 LATENESS_DECAY = 0.9
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class OfferLimits:
+class OfferLimits(msgspec.Struct, frozen=True, kw_only=True):
     """How long notices and offers are valid.
 
     Attributes
@@ -72,8 +72,7 @@
         return self.lateness_s > self.max_lateness_s
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class NoticeLimits:
+class NoticeLimits(msgspec.Struct, frozen=True, kw_only=True):
     """When agents are told again.
 
     Attributes
@@ -96,8 +95,7 @@
     max_lateness_s: float = 0.02
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class WaitingNotice:
+class WaitingNotice(msgspec.Struct, frozen=True, kw_only=True):
     """What an entry would send next, and how much of it.
 
     Attributes
@@ -117,8 +115,7 @@
     valid_until: float
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Offer:
+class Offer(msgspec.Struct, kw_only=True):
     """Capacity that is held for tasks of an entry.
 
     Attributes
--- a/egretcart/direct/policy/confinement.py
+++ b/egretcart/direct/policy/confinement.py
@@ -11,13 +11,13 @@
 from collections import Counter
 from collections import OrderedDict
 from collections.abc import Iterable
-import dataclasses
 import math
 import zlib
 
+import msgspec
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ConfinementLimits:
+
+class ConfinementLimits(msgspec.Struct, frozen=True, kw_only=True):
     """When a route is confined, and to how many agents.
 
     Attributes
--- a/egretcart/direct/policy/crashes.py
+++ b/egretcart/direct/policy/crashes.py
@@ -14,7 +14,8 @@
 """
 
 from collections.abc import Sequence
-import dataclasses
+
+import msgspec
 
 # What one crash counts against a run that had just been started, and against
 # any other run; a lapse counts like the latter.
@@ -22,8 +23,7 @@
 OTHER_WEIGHT = 1
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class CrashLimits:
+class CrashLimits(msgspec.Struct, frozen=True, kw_only=True):
     """When a crash counts in full, and when a task is given up.
 
     Attributes
@@ -44,8 +44,7 @@
     suspect_interval_s: float = 0.22
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class CrashedRun:
+class CrashedRun(msgspec.Struct, frozen=True, kw_only=True):
     """A run that a server had when it crashed.
 
     Attributes
--- a/egretcart/direct/policy/leaving.py
+++ b/egretcart/direct/policy/leaving.py
@@ -7,13 +7,12 @@
 stopped first, and its progress is lost.
 """
 
-import dataclasses
+import msgspec
 
 from egretcart.direct.policy.rescue import ReschedulingLimits
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ThreatenedRun:
+class ThreatenedRun(msgspec.Struct, frozen=True, kw_only=True):
     """A run at a server that leaves before the run is expected to end.
 
     Attributes
--- a/egretcart/direct/policy/placement.py
+++ b/egretcart/direct/policy/placement.py
@@ -7,15 +7,15 @@
 """
 
 from collections.abc import Iterable
-import dataclasses
 import random
 
+import msgspec
+
 from egretcart.direct.connection.views import AgentView
 from egretcart.direct.request.job import Step
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class PlacementLimits:
+class PlacementLimits(msgspec.Struct, frozen=True, kw_only=True):
     """How tasks are distributed over agents.
 
     Attributes
@@ -36,8 +36,7 @@
     max_queued: int = 2
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class PlacementRequest:
+class PlacementRequest(msgspec.Struct, frozen=True, kw_only=True):
     """What the placement of a task depends on.
 
     Attributes
@@ -70,9 +69,7 @@
     now: float = 0.0
     avoided_agents: frozenset[str] = frozenset()
     allowed_agents: frozenset[str] | None = None
-    step_tasks_by_agent: dict[str, int] = dataclasses.field(
-        default_factory=dict
-    )
+    step_tasks_by_agent: dict[str, int] = msgspec.field(default_factory=dict)
 
 
 class Placement:
--- a/egretcart/direct/policy/rescue.py
+++ b/egretcart/direct/policy/rescue.py
@@ -5,13 +5,12 @@
 late run is stopped first, and its progress is lost.
 """
 
-import dataclasses
+import msgspec
 
 from egretcart.direct.version.configuration import USEFUL_LATENCY_FACTOR
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ReschedulingLimits:
+class ReschedulingLimits(msgspec.Struct, frozen=True, kw_only=True):
     """When a run is rescheduled.
 
     Attributes
@@ -35,8 +34,7 @@
     useful_latency_factor: float = USEFUL_LATENCY_FACTOR
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class LateRun:
+class LateRun(msgspec.Struct, frozen=True, kw_only=True):
     """A late run that may be rescheduled.
 
     Attributes
--- a/egretcart/direct/policy/rotation.py
+++ b/egretcart/direct/policy/rotation.py
@@ -9,13 +9,13 @@
 that the entry stays.
 """
 
-import dataclasses
 import enum
 import math
 
+import msgspec
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class RotationLimits:
+
+class RotationLimits(msgspec.Struct, frozen=True, kw_only=True):
     """When an entry leaves the rotation and returns.
 
     Attributes
--- a/egretcart/direct/request/claims.py
+++ b/egretcart/direct/request/claims.py
@@ -5,11 +5,11 @@
 """
 
 from collections import OrderedDict
-import dataclasses
 
+import msgspec
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Claim:
+
+class Claim(msgspec.Struct, frozen=True):
     """Report of an entry that it accepted a job or took it over.
 
     Attributes
--- a/egretcart/direct/request/crash_scores.py
+++ b/egretcart/direct/request/crash_scores.py
@@ -5,13 +5,13 @@
 """
 
 from collections import OrderedDict
-import dataclasses
+
+import msgspec
 
 from egretcart.direct.request.job import TaskKey
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class CrashScore:
+class CrashScore(msgspec.Struct, frozen=True, kw_only=True):
     """What crashes of backend servers count against a task.
 
     Attributes
--- a/egretcart/direct/request/held_job.py
+++ b/egretcart/direct/request/held_job.py
@@ -1,10 +1,11 @@
 """Jobs that an entry has accepted, and their tasks. Free of I/O."""
 
 from collections.abc import Iterable
-import dataclasses
 import enum
 import math
 
+import msgspec
+
 from egretcart.direct.request.job import Job
 from egretcart.direct.request.job import JobState
 from egretcart.direct.request.job import TaskKey
@@ -33,8 +34,7 @@
     DONE = "done"
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class HeldTask:
+class HeldTask(msgspec.Struct, kw_only=True):
     """State of one task of an accepted job, as its entry keeps it.
 
     The message of the same name in messages.py describes a run at an agent.
@@ -69,7 +69,7 @@
     agent_id: str = ""
     failures: int = 0
     crash_score: int = 0
-    avoided_agents: set[str] = dataclasses.field(default_factory=set)
+    avoided_agents: set[str] = msgspec.field(default_factory=set)
     expires_at: float | None = None
     kept_run: int = 0
     has_run: bool = False
--- a/egretcart/direct/request/job.py
+++ b/egretcart/direct/request/job.py
@@ -3,12 +3,12 @@
 A job is answered on its caller's connection and not kept after that.
 """
 
-import dataclasses
 import enum
 
+import msgspec
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Room:
+
+class Room(msgspec.Struct, frozen=True):
     """Resources that a task requires, or that a backend server has.
 
     Attributes
@@ -63,8 +63,7 @@
 MAX_TASKS = 20_000
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Step:
+class Step(msgspec.Struct, frozen=True, kw_only=True):
     """Tasks of a job that have the same requirements.
 
     Attributes
@@ -129,8 +128,7 @@
     COUPLED = "coupled"
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Job:
+class Job(msgspec.Struct, frozen=True, kw_only=True):
     """What a caller submits.
 
     Attributes
@@ -159,13 +157,12 @@
             return f"step {number} has {step.count} tasks"
         if any(not 0 <= before < number for before in step.after):
             return f"step {number} comes after {step.after}"
-        if min(dataclasses.astuple(step.room)) < 0 or step.estimate_ms < 0:
+        if min(msgspec.structs.astuple(step.room)) < 0 or step.estimate_ms < 0:
             return f"step {number} asks for {step.room}"
     return None
 
 
-@dataclasses.dataclass(frozen=True, order=True, slots=True)
-class TaskKey:
+class TaskKey(msgspec.Struct, frozen=True, order=True):
     """Identifies one task of one job.
 
     Attributes
--- a/egretcart/direct/request/ordering.py
+++ b/egretcart/direct/request/ordering.py
@@ -4,7 +4,7 @@
 queues and entries.
 """
 
-import dataclasses
+import msgspec
 
 from egretcart.direct.version.configuration import MAX_USEFUL_SHARE
 from egretcart.direct.version.configuration import USEFUL_LATENCY_FACTOR
@@ -15,8 +15,7 @@
 LATE_RANK = 1_000_000
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class TaskOrder:
+class TaskOrder(msgspec.Struct, frozen=True, kw_only=True):
     """What the order of a waiting task depends on.
 
     Times are in seconds on the clock of the process that holds it.
--- a/egretcart/direct/request/progress.py
+++ b/egretcart/direct/request/progress.py
@@ -1,12 +1,12 @@
 """Progress of runs, and how much slower than estimated a server runs them."""
 
 from collections import OrderedDict
-import dataclasses
 import math
 
+import msgspec
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ProgressLimits:
+
+class ProgressLimits(msgspec.Struct, frozen=True, kw_only=True):
     """When a run counts as late.
 
     Attributes
--- a/egretcart/direct/version/configuration.py
+++ b/egretcart/direct/version/configuration.py
@@ -1,6 +1,5 @@
 """The routing configuration of direct dispatch: routes, limits, version."""
 
-import dataclasses
 import zlib
 
 import msgspec
@@ -18,8 +17,7 @@
 MAX_DOCUMENT_BYTES = 16 * 1024 * 1024
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Route:
+class Route(msgspec.Struct, frozen=True, kw_only=True):
     """Where callers submit the jobs of one service.
 
     Attributes
@@ -55,8 +53,7 @@
     needs_advice: bool = False
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class RequestLimits:
+class RequestLimits(msgspec.Struct, frozen=True, kw_only=True):
     """Bounds of callers' requests.
 
     Attributes
@@ -76,8 +73,7 @@
     idle_timeout_s: float = 120.0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class RoutingConfiguration:
+class RoutingConfiguration(msgspec.Struct, frozen=True, kw_only=True):
     """One accepted configuration.
 
     Attributes
--- a/egretcart/direct/version/configuration_pull.py
+++ b/egretcart/direct/version/configuration_pull.py
@@ -8,11 +8,11 @@
 
 from collections.abc import Callable
 from collections.abc import Sequence
-import dataclasses
 
+import msgspec
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ConfigurationPullLimits:
+
+class ConfigurationPullLimits(msgspec.Struct, frozen=True, kw_only=True):
     """Times of requests to other entries.
 
     Attributes
--- a/egretcart/direct/version/drained_domains.py
+++ b/egretcart/direct/version/drained_domains.py
@@ -7,7 +7,8 @@
 """
 
 from collections.abc import Iterable
-import dataclasses
+
+import msgspec
 
 from egretcart.direct.log.decisions import DecisionLog
 from egretcart.direct.log.decisions import DomainsDrained
@@ -15,8 +16,7 @@
 STORE_SOURCE = "store"
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class DrainedDomains:
+class DrainedDomains(msgspec.Struct, frozen=True, kw_only=True):
     """All failure domains that were drained at a revision of the store.
 
     It is also the message with which processes tell each other.
--- a/egretcart/process/agent/agent.py
+++ b/egretcart/process/agent/agent.py
@@ -11,7 +11,7 @@
 with proven stamps, see `egretcart.process.cell.quorum`.
 """
 
-import dataclasses
+import msgspec
 
 from egretcart.connection.messages import AgentConfig
 from egretcart.connection.messages import AgentHello
@@ -229,7 +229,7 @@
         if not self.requested_round or result.term != self.promised_term:
             return result
         round_number, self.requested_round = self.requested_round, 0
-        return dataclasses.replace(
+        return msgspec.structs.replace(
             result, round=round_number, stamp_us=self._stamp_us()
         )
 
@@ -397,7 +397,7 @@
         key = (start.job_id, start.task)
         started = self._reason_may_have_run(key, start)
         if started is not None:
-            refusal = dataclasses.replace(
+            refusal = msgspec.structs.replace(
                 self._refused_result(start, started),
                 verdict=Verdict.MAY_HAVE_RUN.value,
             )
@@ -537,6 +537,6 @@
                 succeeded=record.state is RecordState.SUCCEEDED,
                 retained=False,
             )
-            result = dataclasses.replace(result, term=fetch.term)
+            result = msgspec.structs.replace(result, term=fetch.term)
             effects.append(SendToEntry(entry_id, result))
         return effects
--- a/egretcart/process/agent/leases.py
+++ b/egretcart/process/agent/leases.py
@@ -12,7 +12,8 @@
 """
 
 from collections.abc import Iterable
-import dataclasses
+
+import msgspec
 
 from egretcart.connection.messages import Heartbeat
 from egretcart.connection.messages import Start
@@ -178,7 +179,7 @@
             member.granted_stamp_received_at = member.proven_stamp_received_at
         if not round_number and not proven_stamp_us:
             return effect
-        start = dataclasses.replace(
+        start = msgspec.structs.replace(
             effect.message,
             round=round_number,
             proven_stamp_us=proven_stamp_us,
--- a/egretcart/process/cell/roster_changes.py
+++ b/egretcart/process/cell/roster_changes.py
@@ -1,6 +1,6 @@
 """Changes of a cell's roster: the next one that its leader writes."""
 
-import dataclasses
+import msgspec
 
 from egretcart.connection.messages import AgentHello
 from egretcart.connection.messages import Roster
@@ -80,7 +80,7 @@
             agent_id=restarted[0].agent_id,
             incarnation=restarted[0].incarnation,
         )
-        return dataclasses.replace(
+        return msgspec.structs.replace(
             roster,
             version=roster.version + 1,
             members=tuple(
@@ -115,7 +115,7 @@
             joined = RosterMember(
                 agent_id=agent_id, incarnation=member.incarnation
             )
-            return dataclasses.replace(
+            return msgspec.structs.replace(
                 roster,
                 version=roster.version + 1,
                 members=(*roster.members, joined),
@@ -129,7 +129,7 @@
                 continue
             kept = tuple(m for m in roster.members if m != lost)
             now_ms = self.clock.unix_ms()
-            return dataclasses.replace(
+            return msgspec.structs.replace(
                 roster,
                 version=roster.version + 1,
                 members=kept,
--- a/egretcart/process/cell/rosters.py
+++ b/egretcart/process/cell/rosters.py
@@ -1,7 +1,5 @@
 """Storage of the cells' rosters in the platform's store."""
 
-import dataclasses
-
 import msgspec
 
 from egretcart.connection.messages import Roster
@@ -78,7 +76,7 @@
         predecessor of the roster.
     """
     key = roster_key(cell)
-    data = msgspec.json.encode(dataclasses.asdict(roster))
+    data = msgspec.json.encode(msgspec.structs.asdict(roster))
     try:
         stored = await platform.get(key)
         if stored is not None:
--- a/egretcart/process/store/platform.py
+++ b/egretcart/process/store/platform.py
@@ -1,9 +1,10 @@
 """Interface of the platform's key-value service, the store."""
 
 from collections.abc import Callable
-import dataclasses
 from typing import Protocol
 
+import msgspec
+
 from egretcart.request.verdict import Verdict
 
 
@@ -27,8 +28,7 @@
     """The store answered with a refusal: it does not execute the call."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StoredValue:
+class StoredValue(msgspec.Struct, frozen=True):
     """A value in the store.
 
     Attributes
@@ -42,8 +42,7 @@
     revision: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Listing:
+class Listing(msgspec.Struct, frozen=True):
     """The values of a range of keys.
 
     Attributes
@@ -59,8 +58,7 @@
     revision: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Change:
+class Change(msgspec.Struct, frozen=True):
     """A change that a watch reports.
 
     Attributes
@@ -78,8 +76,7 @@
     revision: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class KeyRange:
+class KeyRange(msgspec.Struct, frozen=True):
     """Keys from `start` up to, but not including, `end`."""
 
     start: str
@@ -91,8 +88,7 @@
     return KeyRange(prefix, prefix[:-1] + chr(ord(prefix[-1]) + 1))
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Put:
+class Put(msgspec.Struct, frozen=True, kw_only=True):
     """A write of a value.
 
     Attributes
--- a/egretcart/process/store/registration.py
+++ b/egretcart/process/store/registration.py
@@ -1,6 +1,5 @@
 """Registration of live entries under leases in the platform's store."""
 
-import dataclasses
 import random
 
 import msgspec
@@ -103,7 +102,7 @@
         if self.lease:
             return
         lease = await self.platform.grant_lease(LEASE_TTL_S)
-        value = msgspec.json.encode(dataclasses.asdict(self.address))
+        value = msgspec.json.encode(msgspec.structs.asdict(self.address))
         key = entry_key(self.address.entry_id)
         await self.platform.transact(
             {}, (Put(key=key, data=value, lease=lease),)
--- a/egretcart/request/problem.py
+++ b/egretcart/request/problem.py
@@ -1,6 +1,5 @@
 """Problem documents (RFC 9457) that carry a verdict."""
 
-import dataclasses
 import http
 
 import msgspec
@@ -10,8 +9,7 @@
 PROBLEM_MEDIA_TYPE = "application/problem+json"
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Problem:
+class Problem(msgspec.Struct, frozen=True, kw_only=True):
     """Why a request was refused or has failed.
 
     Attributes
--- a/tests/features/steps/codec_steps.py
+++ b/tests/features/steps/codec_steps.py
@@ -1,5 +1,4 @@
 import contextlib
-import dataclasses
 import io
 import json
 import pathlib
@@ -12,6 +11,7 @@
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
+import msgspec
 import thriftpy2
 from thriftpy2.protocol import TCyBinaryProtocol
 from thriftpy2.transport import TCyMemoryBuffer
@@ -58,7 +58,7 @@
         message_type,
         **{
             field.name: field_values(field, hints[field.name])
-            for field in dataclasses.fields(message_type)
+            for field in msgspec.structs.fields(message_type)
         },
     )
 
@@ -173,13 +173,13 @@
             return value.encode()
         if isinstance(value, tuple):
             return [value_of(item) for item in value]
-        if dataclasses.is_dataclass(value):
+        if isinstance(value, msgspec.Struct):
             return whole_struct(release, value)
         return value
 
     fields = {
         field.name: value_of(getattr(message, field.name))
-        for field in dataclasses.fields(message)
+        for field in msgspec.structs.fields(message)
     }
     return getattr(release, type(message).__name__)(**fields)
 
@@ -206,13 +206,13 @@
     }
     found = {}
     for name, kind in vars(messages).items():
-        if not (isinstance(kind, type) and dataclasses.is_dataclass(kind)):
+        if not (isinstance(kind, type) and issubclass(kind, msgspec.Struct)):
             continue
-        for field in dataclasses.fields(kind):
+        for field in msgspec.structs.fields(kind):
             value = getattr(kind(), field.name)
-            if value and not dataclasses.is_dataclass(value):
+            if value and not isinstance(value, msgspec.Struct):
                 found[name, field.name] = value
-            elif dataclasses.is_dataclass(value):
+            elif isinstance(value, msgspec.Struct):
                 assert value == type(value)(), (name, field.name)
     assert found == expected, found
 
--- a/tests/features/steps/crash_decision_steps.py
+++ b/tests/features/steps/crash_decision_steps.py
@@ -1,4 +1,3 @@
-import dataclasses
 import random
 
 from behave import given
@@ -10,6 +9,7 @@
 from direct_decisions_steps import ROUTE
 from late_binding_steps import connect_agent
 from late_binding_steps import sent_to_agent
+import msgspec
 
 from egretcart.connection.traffic import TrafficCounters
 from egretcart.direct.agent.agent_types import SendStartRequest
@@ -136,7 +136,7 @@
 
 @when("the server drains and is gone")
 def drain_server(context):
-    report = dataclasses.replace(
+    report = msgspec.structs.replace(
         context.agent.report, draining=True, sequence=5
     )
     apply(context, context.agent.receive_report(report, 1.53))
@@ -319,7 +319,7 @@
     assert not entry.state.crash_scores.known
 
 
-CONFINED = dataclasses.replace(ROUTE, name="confined")
+CONFINED = msgspec.structs.replace(ROUTE, name="confined")
 
 
 def small_job(job_id, count=1):
@@ -384,7 +384,7 @@
     confined = entry.state.confinement.agents
     for agent_id, view in entry.agents.items():
         if agent_id not in confined:
-            status = dataclasses.replace(
+            status = msgspec.structs.replace(
                 view.status, free_cpu_milli=0, free_memory_mb=0
             )
             entry.receive(agent_id, status, 1.06)
--- a/tests/features/steps/crashing_task_steps.py
+++ b/tests/features/steps/crashing_task_steps.py
@@ -1,11 +1,11 @@
 from collections import Counter
-import dataclasses
 import random
 
 from behave import given
 from behave import then
 from behave import when
 from direct_world_steps import TASK_ROOM
+import msgspec
 
 from egretcart.connection.traffic import TrafficCounters
 from egretcart.direct.log.decisions import NullDecisionLog
@@ -21,7 +21,7 @@
 from egretcart.testing.direct_world import SimulatedDeployment
 
 LIMITS = ConfinementLimits(is_on=True)
-CRASHING_ROUTE = dataclasses.replace(DEFAULT_ROUTE, name="crashing")
+CRASHING_ROUTE = msgspec.structs.replace(DEFAULT_ROUTE, name="crashing")
 LOAD_WORK_MS = 400
 LOAD_INTERVAL_S = 4 * LOAD_WORK_MS / 1000 / (8 * 10) / 0.5
 
--- a/tests/features/steps/direct_decisions_steps.py
+++ b/tests/features/steps/direct_decisions_steps.py
@@ -1,10 +1,10 @@
-import dataclasses
 import pathlib
 import random
 
 from behave import then
 from hypothesis import given
 from hypothesis import strategies
+import msgspec
 
 from egretcart.direct.agent.agent import DirectAgent
 from egretcart.direct.agent.agent_types import DirectAgentLimits
@@ -63,7 +63,7 @@
 
 def is_rescheduled(**changes):
     return should_reschedule(
-        dataclasses.replace(ON_TIME_RUN, **changes), ReschedulingLimits()
+        msgspec.structs.replace(ON_TIME_RUN, **changes), ReschedulingLimits()
     )
 
 
@@ -308,7 +308,7 @@
     kinds = decisions.Decision.__subclasses__()
     assert len(kinds) >= 18
     for kind in kinds:
-        names = [field.name for field in dataclasses.fields(kind)]
+        names = [field.name for field in msgspec.structs.fields(kind)]
         assert rows.get(kind.__name__) == ", ".join(names), kind
 
 
@@ -688,7 +688,7 @@
 def check_incarnation_token(context):
     agent = agent_with_server()
     former = agent.fencing_token
-    report = dataclasses.replace(
+    report = msgspec.structs.replace(
         agent.report, lifetime=BackendIncarnation("server", 2), clock_ms=10
     )
     agent.receive_report(report, 2.0)
--- a/tests/features/steps/drained_domains_steps.py
+++ b/tests/features/steps/drained_domains_steps.py
@@ -1,4 +1,3 @@
-import dataclasses
 import random
 
 from behave import given
@@ -16,6 +15,7 @@
 from drain_machine import DrainMachine
 from drain_machine import ENTRIES
 from job_release_steps import RecordingLog
+import msgspec
 
 from egretcart.direct.agent.agent import DirectAgent
 from egretcart.direct.agent.agent_types import DirectAgentLimits
@@ -416,7 +416,7 @@
         view.mark_drained(True)
         view.mark_drained(False)
         assert entry.is_ready
-        refusing = dataclasses.replace(view.status, accepting=False)
+        refusing = msgspec.structs.replace(view.status, accepting=False)
         view.update(refusing, world.now)
     assert not entry.is_ready
 
@@ -497,7 +497,7 @@
 
 def check_refused_as(context, cause, now):
     # Of no use any more when the first other agent may be found.
-    step = dataclasses.replace(STEP, estimate_ms=40.0)
+    step = msgspec.structs.replace(STEP, estimate_ms=40.0)
     job = Job(job_id=f"{round(now):016x}", payload="", steps=(step,))
     context.entry.submit(1, job, ROUTE, now)
     refusal = context.recorded.decisions[-1]
--- a/tests/features/steps/guard_steps.py
+++ b/tests/features/steps/guard_steps.py
@@ -1,6 +1,5 @@
 """Steps that run rules of the cell machine with and without a guard."""
 
-import dataclasses
 import functools
 import itertools
 from unittest import mock
@@ -8,6 +7,7 @@
 from behave import then
 from behave import when
 from cell_machine import CellMachine
+import msgspec
 
 from egretcart.connection.messages import Roster
 from egretcart.connection.messages import RosterMember
@@ -85,7 +85,7 @@
     def change(self, *arguments):
         roster = write(self, *arguments)
         uncertain_before_ms = self.quorum.roster.lost_before_ms
-        return roster and dataclasses.replace(
+        return roster and msgspec.structs.replace(
             roster, lost_before_ms=uncertain_before_ms
         )
 
@@ -94,7 +94,7 @@
 
 def drop_roster(receive):
     def fence_reply(self, agent_id, reply):
-        without_roster = dataclasses.replace(reply, roster=Roster())
+        without_roster = msgspec.structs.replace(reply, roster=Roster())
         return receive(self, agent_id, without_roster)
 
     return fence_reply
@@ -148,7 +148,7 @@
             for name, member in self.quorum.members.items()
             if name not in roster.agent_ids
         )
-        return dataclasses.replace(roster, members=roster.members + joined)
+        return msgspec.structs.replace(roster, members=roster.members + joined)
 
     return change
 
--- a/tests/features/steps/job_cost_steps.py
+++ b/tests/features/steps/job_cost_steps.py
@@ -1,7 +1,6 @@
 """Counts system calls, tasks and their steps; see `job_cost.feature`."""
 
 import contextlib
-import dataclasses
 import json
 import os
 import random
@@ -13,6 +12,7 @@
 from job_release_steps import Exchange
 from job_release_steps import JOB
 from job_release_steps import ROUTE
+import msgspec
 import trio
 import trio.testing
 
@@ -321,7 +321,7 @@
 def send_all_tasks(context, count):
     exchange = context.exchange = Exchange()
     for number in range(count):
-        job = dataclasses.replace(JOB, job_id=f"{number:016x}")
+        job = msgspec.structs.replace(JOB, job_id=f"{number:016x}")
         effects = exchange.entry.submit(number, job, ROUTE, exchange.now)
         assert len(sent_tasks(effects)) == 1
     context.jobs = list(exchange.entry.jobs.values())
--- a/tests/features/steps/late_binding_steps.py
+++ b/tests/features/steps/late_binding_steps.py
@@ -1,4 +1,3 @@
-import dataclasses
 import random
 
 from behave import given
@@ -9,6 +8,7 @@
 from hypothesis import given as drawn
 from hypothesis import strategies
 from late_load_steps import ROUTES
+import msgspec
 
 from egretcart.direct.agent.agent_types import SendStartRequest
 from egretcart.direct.agent.agent_types import SendToEntry
@@ -375,7 +375,7 @@
         now += 0.01
         if kind == "notice":
             room = Room(10 + number, 10, 0)
-            waits = dataclasses.replace(order(), priority=number)
+            waits = msgspec.structs.replace(order(), priority=number)
             offers.record_notice(entry_id, waits, room, number, now)
         elif kind == "use":
             offers.use(entry_id, number, 1 + number % 2)
--- a/tests/features/steps/leaving_steps.py
+++ b/tests/features/steps/leaving_steps.py
@@ -1,4 +1,3 @@
-import dataclasses
 import random
 
 from behave import given
@@ -12,6 +11,7 @@
 from direct_world_steps import TASK_ROOM
 from hypothesis import given as given_examples
 from hypothesis import strategies
+import msgspec
 
 from egretcart.direct.agent.agent_types import SendToEntry
 from egretcart.direct.backend.backend import BackendReport
@@ -106,7 +106,7 @@
     context.running = RunningTask(key=request.key, run=1, percent=percent)
     for step in range(1, ran // 40):
         now = 1.03 + step * 0.04
-        not_yet = dataclasses.replace(context.running, percent=0)
+        not_yet = msgspec.structs.replace(context.running, percent=0)
         list_running(agent, not_yet, now)
         agent.tick(now)
     list_running(agent, context.running, context.now)
--- a/tests/features/steps/one_agent_cell.py
+++ b/tests/features/steps/one_agent_cell.py
@@ -1,6 +1,6 @@
 """Cell of one agent that a new leader takes over, without processes."""
 
-import dataclasses
+from msgspec.structs import replace
 
 from egretcart.connection.messages import FenceReply
 from egretcart.connection.messages import LedgerQuery
@@ -122,7 +122,7 @@
 
     def reply(self, message):
         if isinstance(message, FenceReply) and not self.reports_newest_job:
-            message = dataclasses.replace(message, newest_job_ms=UNKNOWN_MS)
+            message = replace(message, newest_job_ms=UNKNOWN_MS)
         self.deliver(self.leadership.receive(AGENT_ID, message))
 
     def advance(self, seconds):
--- a/tests/features/steps/piggybacked_round_steps.py
+++ b/tests/features/steps/piggybacked_round_steps.py
@@ -1,10 +1,10 @@
-import dataclasses
 import pathlib
 import sys
 
 from behave import given
 from behave import then
 from behave import when
+from msgspec.structs import replace
 
 from egretcart.connection.messages import Fence
 from egretcart.connection.messages import FetchJob
@@ -308,7 +308,7 @@
 
     def receive(self, entry_id, message):
         if isinstance(message, Start):
-            message = dataclasses.replace(message, round=0, proven_stamp_us=0)
+            message = replace(message, round=0, proven_stamp_us=0)
         return super().receive(entry_id, message)
 
 
--- a/tests/features/steps/resizing_steps.py
+++ b/tests/features/steps/resizing_steps.py
@@ -1,4 +1,3 @@
-import dataclasses
 import random
 
 from behave import given
@@ -7,6 +6,7 @@
 from direct_decisions_steps import agent_with_server
 from direct_decisions_steps import BACKEND_INCARNATION
 from direct_decisions_steps import listing_at
+import msgspec
 
 from egretcart.direct.agent.agent_types import SendStartRequest
 from egretcart.direct.agent.agent_types import SendStopRequest
@@ -179,4 +179,4 @@
         if isinstance(effect, SendToEntry)
         and isinstance(effect.message, TaskEnded)
     ]
-    assert ended.ending == Ending.NOT_RUN.value, dataclasses.asdict(ended)
+    assert ended.ending == Ending.NOT_RUN.value, msgspec.structs.asdict(ended)
--- a/tests/features/steps/suspicion_steps.py
+++ b/tests/features/steps/suspicion_steps.py
@@ -1,13 +1,12 @@
 """Steps that check when an agent suspects its server."""
 
-import dataclasses
-
 from behave import then
 from direct_decisions_steps import agent_with_server
 from direct_decisions_steps import BACKEND_INCARNATION
 from direct_decisions_steps import listing_at
 from hypothesis import given as drawn
 from hypothesis import strategies
+import msgspec
 from suspicion_load_steps import KeptLog
 from suspicion_load_steps import ON
 import trio
@@ -234,7 +233,7 @@
     running = [
         RunningTask(key=key, run=1, percent=percent) for key in KEYS[:3]
     ]
-    listing = dataclasses.replace(
+    listing = msgspec.structs.replace(
         listing_at(seconds), running=tuple(running), ended=tuple(ended)
     )
     agent.receive_listing(listing, BACKEND_INCARNATION, seconds, seconds)
@@ -245,7 +244,7 @@
     agent = answering_agent()
     agent.entry_connected("entry", 1, 1.0)
     for key in KEYS:
-        message = dataclasses.replace(
+        message = msgspec.structs.replace(
             run_tasks(key.job_id), cpu_milli=1, memory_mb=1
         )
         for effect in agent.receive("entry", message, 1.0):
--- a/tools/measure_heartbeats.py
+++ b/tools/measure_heartbeats.py
@@ -8,11 +8,11 @@
 """
 
 from collections import defaultdict
-import dataclasses
 import json
 
 from measure_capacity import PACKET_OVERHEAD_BYTES
 from measure_capacity import SimulatedCell
+from msgspec.structs import replace
 
 from egretcart.connection.codec import encode_frame
 from egretcart.connection.messages import Heartbeat
@@ -65,9 +65,9 @@
     remaining: list[Message] = []
     for message in batch:
         if isinstance(message, Start):
-            message = dataclasses.replace(message, round=0, proven_stamp_us=0)
+            message = replace(message, round=0, proven_stamp_us=0)
         elif isinstance(message, TaskResult):
-            message = dataclasses.replace(message, round=0, stamp_us=0)
+            message = replace(message, round=0, stamp_us=0)
         if not isinstance(message, Heartbeat | HeartbeatReply):
             remaining.append(message)
     return remaining
