Plot the summary of explain, and count lines that can't be read

Lines that were cut are counted and the first are shown; a plot path that can't be written, or whose format is unknown, is an error.

A process now writes as many lines at a time as a pipe keeps together.

--- a/egretcart/direct/log/log_lines.py
+++ b/egretcart/direct/log/log_lines.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections import deque
 import os
+import select
 import time
 from typing import Any
 import uuid
@@ -163,16 +164,27 @@
             await self.lines_available.wait()
             self.lines_available = trio.Event()
             while self.waiting:
-                lines = b"".join(self.waiting)
-                self.waiting.clear()
                 try:
-                    await self._write_all(lines)
+                    await self._write_all(self._take_lines())
                 except OSError:
                     # Nothing reads the output any more, and there is no
                     # other place to report the error.
                     self.dropped["broken output"] += 1
                     return
 
+    def _take_lines(self) -> bytes:
+        """Remove and return the next lines, as many as a pipe keeps together.
+
+        Longer output of several processes to one pipe would be mixed.
+        """
+        lines = self.waiting.popleft()
+        while (
+            self.waiting
+            and len(lines) + len(self.waiting[0]) <= select.PIPE_BUF
+        ):
+            lines += self.waiting.popleft()
+        return lines
+
     async def _write_all(self, lines: bytes) -> None:
         """Write to standard output; wait while its reader does not read."""
         while lines:
--- a/egretcart/direct/log/summary.py
+++ b/egretcart/direct/log/summary.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from egretcart.direct.log.explain import CLOCK_TOLERANCE_S
+from egretcart.direct.log.log_line import LINE_START
 from egretcart.direct.log.log_line import MESSAGE_PREFIX
 
 # Upper bounds of the numbers of tasks in a group of job sizes.
@@ -28,6 +29,8 @@
 )
 MAX_REASONS_SHOWN = 3
 NAME_WIDTH = 18
+MAX_UNREADABLE_SHOWN = 3
+UNREADABLE_WIDTH = 100
 
 
 class JobLine(msgspec.Struct, frozen=True):
@@ -113,10 +116,13 @@
         In the order of their first lines.
     left_out : dict of str to int
         Number of lines of each kind that were not written.
+    unreadable : tuple of str
+        Texts that begin like a log line and are none, such as cut ones.
     """
 
     fates: tuple[JobFate, ...]
     left_out: dict[str, int]
+    unreadable: tuple[str, ...] = ()
 
     def text(self) -> list[str]:
         """Return the tables as printed, one line an element."""
@@ -139,6 +145,12 @@
                 f"{count} {kind}" for kind, count in self.left_out.items()
             )
             lines += ["", f"lines left out by the processes: {counts}"]
+        if self.unreadable:
+            lines += ["", f"unreadable lines: {len(self.unreadable)}, such as"]
+            lines += [
+                f"  {text[:UNREADABLE_WIDTH]}"
+                for text in self.unreadable[:MAX_UNREADABLE_SHOWN]
+            ]
         return lines
 
 
@@ -233,20 +245,28 @@
     """
     decoder = msgspec.json.Decoder(JobLine)
     lines = []
+    unreadable = []
     for text in texts:
-        start = text.find("{")
+        first = text.find(LINE_START)
+        start = max(text.find("{"), text.rfind(LINE_START))
         if start < 0:
             continue
+        if 0 <= first < start:
+            # Two processes wrote at once, and the first line was cut.
+            unreadable.append(text[first:start])
         try:
             lines.append(decoder.decode(text[start:].encode()))
         except (msgspec.DecodeError, UnicodeEncodeError):
-            continue
+            if first >= 0:
+                unreadable.append(text[start:].rstrip())
     lines.sort(key=_sort_time)
     reader = _FateReader(useful_latency_factor=useful_latency_factor)
     for line in lines:
         reader.read(line)
     return JobSummary(
-        fates=tuple(reader.fates), left_out=dict(reader.left_out)
+        fates=tuple(reader.fates),
+        left_out=dict(reader.left_out),
+        unreadable=tuple(unreadable),
     )
 
 
--- a/egretcart/process/cli.py
+++ b/egretcart/process/cli.py
@@ -12,6 +12,7 @@
 import trio
 
 from egretcart.direct.log.explain import explain
+from egretcart.direct.log.summary import JobSummary
 from egretcart.direct.log.summary import summarize
 from egretcart.direct.version.configuration import USEFUL_LATENCY_FACTOR
 from egretcart.load.command import load_command
@@ -60,7 +61,7 @@
   egretcart status [--platform=ADDRESS | --entry=ADDRESS]
   egretcart drain AGENT [--undo] [--reason=TEXT] [--yes] [--as=NAME]
             [--platform=ADDRESS | --entry=ADDRESS]
-  egretcart explain --summary [FILE...]
+  egretcart explain --summary [--plot=PATH] [FILE...]
   egretcart explain JOB_ID [FILE...]
   egretcart repair --reason=TEXT [--yes] [--as=NAME]
             [--platform=ADDRESS | --entry=ADDRESS]
@@ -93,6 +94,8 @@
                       variable EGRETCART_PLATFORM is the default.
   --entry=ADDRESS     HOST:PORT of any entry's HTTP API, in place of it; the
                       default is EGRETCART_ENTRY.
+  --plot=PATH         Also write the summary as a plot; the suffix names its
+                      format, such as .png or .svg. Needs matplotlib.
   --reason=TEXT       Why, for the audit trail.
   --yes               Do not ask before the change is made.
   --base=VERSION      Version that the file was made from; by default the
@@ -142,7 +145,7 @@
     if any(parsed[name] for name in OPERATOR_COMMANDS):
         return run_operator_command(parsed)
     if parsed["--summary"]:
-        return summary_command(parsed["FILE"])
+        return summary_command(parsed["FILE"], plot=parsed["--plot"])
     if parsed["explain"]:
         return explain_command(parsed["JOB_ID"], parsed["FILE"])
     if parsed["submit"]:
@@ -178,7 +181,7 @@
     return EXIT_OK
 
 
-def summary_command(files: list[str]) -> int:
+def summary_command(files: list[str], *, plot: str | None = None) -> int:
     """Print what became of all jobs; fail if no line names a job."""
     try:
         with fileinput.input(files, errors="replace") as lines:
@@ -192,6 +195,21 @@
         print("no line names a job", file=sys.stderr)
         return EXIT_FAILED
     print("\n".join(summary.text()))
+    return EXIT_OK if plot is None else _write_plot(summary, plot)
+
+
+def _write_plot(summary: JobSummary, path: str) -> int:
+    """Write the plot of a summary; fail if that is not possible."""
+    try:
+        from egretcart.direct.log.summary_plot import plot_summary
+    except ImportError as error:
+        print(f"--plot needs matplotlib: {error}", file=sys.stderr)
+        return EXIT_FAILED
+    try:
+        plot_summary(summary, pathlib.Path(path))
+    except (OSError, ValueError) as error:
+        print(f"{path}: {error}", file=sys.stderr)
+        return EXIT_FAILED
     return EXIT_OK
 
 
--- a/tests/features/explain.feature
+++ b/tests/features/explain.feature
@@ -61,3 +61,20 @@
     Given log lines of two entries and an agent about ten jobs
     Then the command prints a table of each
     And a summary of lines that name no job fails
+
+  Scenario: The command plots the summary
+    Given log lines of two entries and an agent about ten jobs
+    Then the command writes a plot that names each outcome, route and entry
+
+  Scenario Outline: A plot that can't be written is an error
+    Given log lines of two entries and an agent about ten jobs
+    Then the command fails for the plot path "<path>", after the tables
+
+    Examples:
+      | path                  |
+      | no/such/folder/a.svg  |
+      | plot.unknown          |
+
+  Scenario: Lines that can't be read are counted and named
+    Given log lines of two entries and an agent about ten jobs
+    Then a line that was cut is counted and shown in the summary
--- a/tests/features/job_lines.feature
+++ b/tests/features/job_lines.feature
@@ -32,6 +32,10 @@
     When a run of it ends
     Then its line is written at once
 
+  Scenario: Lines are written so that a pipe keeps them whole
+    Given an entry's log with 200 late jobs in one second
+    Then no write takes more than a pipe keeps together, or ends within a line
+
   Scenario: A job's late answer is explained though its agent's lines are missing
     Given the lines of an entry about a late job whose run was long
     Then its history ends with "completed, 150 ms late; longest part: 240 ms ran: TaskEndedAt of entry-1"
--- a/tests/features/steps/job_lines_steps.py
+++ b/tests/features/steps/job_lines_steps.py
@@ -3,11 +3,15 @@
 import collections
 import contextlib
 import json
+import select
+from unittest import mock
 
 from behave import given
 from behave import then
 from behave import when
 import eliot
+import trio
+import trio.testing
 
 from egretcart.direct.log.decisions import JobAccepted
 from egretcart.direct.log.decisions import JobAnswered
@@ -105,8 +109,9 @@
 }
 
 
-def write_all(decisions):
-    """Return the lines of a log that gets decisions within a second."""
+@contextlib.contextmanager
+def open_log(decisions):
+    """Yield a log that gets decisions within a second."""
     clock = ManualClock()
     log = JsonDecisionLog(process_id="entry-1", clock=clock)
     try:
@@ -114,12 +119,18 @@
             log.write(decision)
         clock.advance(2.0)
         log.write(answered("last"))
-        return [json.loads(line) for line in log.waiting]
+        yield log
     finally:
         with contextlib.suppress(ValueError):
             eliot.remove_destination(log._enqueue_line)
 
 
+def write_all(decisions):
+    """Return the lines of a log that gets decisions within a second."""
+    with open_log(decisions) as log:
+        return [json.loads(line) for line in log.waiting]
+
+
 def lines_by_job(lines):
     found = collections.defaultdict(list)
     for line in lines:
@@ -142,13 +153,14 @@
 
 @given("an entry's log with {count:d} late jobs in one second")
 def log_late_jobs(context, count):
-    context.lines = write_all(
+    context.decisions = [
         decision
         for number in range(count)
         for decision in decisions_of(
             f"job-{number}", answered(f"job-{number}", OBJECTIVE_MS + 1)
         )
-    )
+    ]
+    context.lines = write_all(context.decisions)
 
 
 @given("an entry's log with a job that has ended")
@@ -219,6 +231,32 @@
     assert [line for line in context.lines if line.get("index") == 0]
 
 
+@then("no write takes more than a pipe keeps together, or ends within a line")
+def check_writes(context):
+    written = []
+
+    def write(_, data):
+        written.append(data)
+        return len(data)
+
+    async def write_lines(log):
+        with trio.move_on_after(1.0):
+            await log.run()
+
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    with (
+        open_log(context.decisions) as log,
+        mock.patch("os.write", write),
+        mock.patch("os.set_blocking"),
+    ):
+        trio.run(write_lines, log, clock=clock)
+    lines = b"".join(written).splitlines()
+    assert len(lines) > len(context.lines) / 2
+    assert all(len(data) <= select.PIPE_BUF for data in written)
+    assert all(data.endswith(b"\n") for data in written)
+    assert len(written) < len(lines) / 4
+
+
 @given("the lines of an entry about a late job whose run was long")
 def log_long_run(context):
     late = JobAnswered(
--- a/tests/features/steps/summary_steps.py
+++ b/tests/features/steps/summary_steps.py
@@ -1,5 +1,6 @@
 import contextlib
 import io
+import json
 import pathlib
 import tempfile
 
@@ -9,6 +10,7 @@
 import hypothesis
 from hypothesis import strategies
 
+from egretcart.direct.log.summary import OUTCOMES
 from egretcart.direct.log.summary import summarize
 from egretcart.process.cli import main
 
@@ -122,7 +124,7 @@
     holds()
 
 
-def run_summary(lines):
+def run_summary(lines, *options):
     out, err = io.StringIO(), io.StringIO()
     with (
         tempfile.TemporaryDirectory() as folder,
@@ -131,7 +133,7 @@
     ):
         path = pathlib.Path(folder) / "lines.log"
         path.write_text("\n".join(lines) + "\n")
-        status = main(["explain", "--summary", str(path)])
+        status = main(["explain", "--summary", *options, str(path)])
     return status, out.getvalue(), err.getvalue()
 
 
@@ -162,3 +164,36 @@
 def check_no_job(context):
     status, _, err = run_summary(["none"])
     assert (status, err.strip()) == (1, "no line names a job")
+
+
+@then("the command writes a plot that names each outcome, route and entry")
+def check_plot(context):
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / "summary.svg"
+        status, _, errors = run_summary(context.lines, f"--plot={path}")
+        assert status == 0, errors
+        plot = path.read_text()
+    for name in (*OUTCOMES, "wide", "narrow", "entry-1", "entry-2"):
+        assert f"<!-- {name} -->" in plot, name
+
+
+@then('the command fails for the plot path "{path}", after the tables')
+def check_plot_error(context, path):
+    status, out, errors = run_summary(context.lines, f"--plot={path}")
+    assert status == 1
+    assert "entry-2" in out
+    assert errors.startswith(path), errors
+
+
+@then("a line that was cut is counted and shown in the summary")
+def check_unreadable(context):
+    fields = json.loads(context.lines[0])
+    kind = {"message_type": fields.pop("message_type")}
+    whole = json.dumps(kind | fields)
+    cut = whole[:-20]
+    status, out, _ = run_summary([*context.lines, cut])
+    assert status == 0
+    assert f"unreadable lines: 1, such as\n  {cut[:60]}" in out, out
+    _, merged_out, _ = run_summary([f"{cut}{whole}", *context.lines[1:]])
+    assert "unreadable lines: 1" in merged_out
+    assert out.splitlines()[1] == merged_out.splitlines()[1]
