--- a/tests/features/steps/summary_steps.py
+++ b/tests/features/steps/summary_steps.py
@@ -187,7 +187,8 @@
 
 @then("a line that was cut is counted and shown in the summary")
 def check_unreadable(context):
-    fields = json.loads(context.lines[0])
+    text = context.lines[0]
+    fields = json.loads(text[text.index("{") :])
     kind = {"message_type": fields.pop("message_type")}
     whole = json.dumps(kind | fields)
     cut = whole[:-20]
