Learn a change of a server's speed from three jobs

Two servers turn slow at 8 s: their runs take 4 to 17 times the estimates until 16 s, 65 runs are moved off them, and reading-checks are late by the dozen. An agent's slowdown is the mean of the last 20 jobs, so that it says 1.6 after five jobs at 7; and 20 jobs later, when the server is well again, it still says slow.

Hypothesis: three jobs in a row that each differ from the mean of the others by a factor of two tell of the server, not of wrong estimates.

--- a/egretcart/direct/request/progress.py
+++ b/egretcart/direct/request/progress.py
@@ -36,6 +36,12 @@
         server's slowdown tell: slowdowns are known to within 25 % only.
     max_slowdown : float
         Upper bound of a job's slowdown; the lower bound is its inverse.
+    change_jobs : int
+        Number of jobs in a row that tell that the server's speed has
+        changed.
+    change_factor : float
+        Factor by which the ratio of each of them differs from that of the
+        jobs before: estimates are wrong by two fifths at times.
     """
 
     stall_s: float = 0.35
@@ -46,6 +52,8 @@
     min_percent: float = 8
     estimate_doubt: float = 1.25
     max_slowdown: float = 20.0
+    change_jobs: int = 3
+    change_factor: float = 2.0
 
 
 class RunProgress:
@@ -177,6 +185,20 @@
         self.log_ratios[job_id] = (former + log_ratio) / 2
         while len(self.log_ratios) > self.limits.slowdown_jobs:
             self.log_ratios.popitem(last=False)
+        self._forget_before_change()
+
+    def _forget_before_change(self) -> None:
+        """Drop the jobs from before a change of the server's speed."""
+        ratios = list(self.log_ratios.values())
+        count = self.limits.change_jobs
+        former, recent = ratios[:-count], ratios[-count:]
+        if not former:
+            return
+        mean = sum(former) / len(former)
+        change = max(min(recent) - mean, mean - max(recent))
+        if change > math.log(self.limits.change_factor):
+            for _ in former:
+                self.log_ratios.popitem(last=False)
 
     def percent(self) -> int:
         """Return the geometric mean of the last ratios, in percent.
