--- a/egretcart/__init__.py
+++ b/egretcart/__init__.py
@@ -17,8 +17,8 @@
 from egretcart.version.release import RELEASE
 
 if TYPE_CHECKING:
+    from egretcart.connection.cell_types import Term
     from egretcart.connection.entry_address import EntryAddress
-    from egretcart.connection.messages import Term
     from egretcart.process.agent.agent import Agent
     from egretcart.process.agent.agent_types import AbortExchange
     from egretcart.process.agent.agent_types import AgentIdentity
@@ -79,7 +79,7 @@
 
 _MODULES = {
     "EntryAddress": "egretcart.connection.entry_address",
-    "Term": "egretcart.connection.messages",
+    "Term": "egretcart.connection.cell_types",
     "Agent": "egretcart.process.agent.agent",
     "AbortExchange": "egretcart.process.agent.agent_types",
     "AgentIdentity": "egretcart.process.agent.agent_types",
--- a/egretcart/connection/link.py
+++ b/egretcart/connection/link.py
@@ -4,12 +4,12 @@
 
 import trio
 
+from egretcart.connection.agent_messages import TaskResult
 from egretcart.connection.codec import CODEC
-from egretcart.connection.messages import Forward
-from egretcart.connection.messages import ForwardReply
+from egretcart.connection.entry_messages import Forward
+from egretcart.connection.entry_messages import ForwardReply
+from egretcart.connection.leader_messages import Start
 from egretcart.connection.messages import Message
-from egretcart.connection.messages import Start
-from egretcart.connection.messages import TaskResult
 from egretcart.connection.peer_link import HELLO_TIMEOUT_S
 from egretcart.connection.peer_link import LinkProtocol
 from egretcart.connection.peer_link import PeerLink
--- a/egretcart/connection/validation.py
+++ b/egretcart/connection/validation.py
@@ -4,19 +4,19 @@
 import ipaddress
 from typing import Any
 
+from egretcart.connection.agent_messages import AgentHello
+from egretcart.connection.agent_messages import FenceReply
+from egretcart.connection.agent_messages import LedgerReply
+from egretcart.connection.agent_messages import TaskResult
 from egretcart.connection.entry_address import EntryAddress
-from egretcart.connection.messages import AgentHello
-from egretcart.connection.messages import EntryHello
-from egretcart.connection.messages import EntryList
-from egretcart.connection.messages import FenceReply
-from egretcart.connection.messages import FetchJob
-from egretcart.connection.messages import Forward
-from egretcart.connection.messages import ForwardReply
-from egretcart.connection.messages import LedgerQuery
-from egretcart.connection.messages import LedgerReply
+from egretcart.connection.entry_messages import EntryHello
+from egretcart.connection.entry_messages import EntryList
+from egretcart.connection.entry_messages import Forward
+from egretcart.connection.entry_messages import ForwardReply
+from egretcart.connection.leader_messages import FetchJob
+from egretcart.connection.leader_messages import LedgerQuery
+from egretcart.connection.leader_messages import Start
 from egretcart.connection.messages import Message
-from egretcart.connection.messages import Start
-from egretcart.connection.messages import TaskResult
 
 JOB_ID_BYTES = 16
 MAX_NAME_CHARACTERS = 256
--- a/egretcart/process/agent/agent.py
+++ b/egretcart/process/agent/agent.py
@@ -13,24 +13,24 @@
 
 import msgspec
 
-from egretcart.connection.messages import AgentConfig
-from egretcart.connection.messages import AgentHello
-from egretcart.connection.messages import AgentMessage
-from egretcart.connection.messages import ALL_TASKS
-from egretcart.connection.messages import CancelTasks
-from egretcart.connection.messages import Fence
-from egretcart.connection.messages import FenceReply
-from egretcart.connection.messages import FetchJob
-from egretcart.connection.messages import Heartbeat
-from egretcart.connection.messages import HeartbeatReply
-from egretcart.connection.messages import JobRecord
-from egretcart.connection.messages import LeaderMessage
-from egretcart.connection.messages import LedgerQuery
-from egretcart.connection.messages import LedgerReply
-from egretcart.connection.messages import NO_TERM
-from egretcart.connection.messages import Roster
-from egretcart.connection.messages import Start
-from egretcart.connection.messages import TaskResult
+from egretcart.connection.agent_messages import AgentHello
+from egretcart.connection.agent_messages import AgentMessage
+from egretcart.connection.agent_messages import FenceReply
+from egretcart.connection.agent_messages import HeartbeatReply
+from egretcart.connection.agent_messages import JobRecord
+from egretcart.connection.agent_messages import LedgerReply
+from egretcart.connection.agent_messages import TaskResult
+from egretcart.connection.cell_types import ALL_TASKS
+from egretcart.connection.cell_types import NO_TERM
+from egretcart.connection.cell_types import Roster
+from egretcart.connection.entry_messages import AgentConfig
+from egretcart.connection.leader_messages import CancelTasks
+from egretcart.connection.leader_messages import Fence
+from egretcart.connection.leader_messages import FetchJob
+from egretcart.connection.leader_messages import Heartbeat
+from egretcart.connection.leader_messages import LeaderMessage
+from egretcart.connection.leader_messages import LedgerQuery
+from egretcart.connection.leader_messages import Start
 from egretcart.process.agent.agent_types import AbortExchange
 from egretcart.process.agent.agent_types import AgentEffect
 from egretcart.process.agent.agent_types import AgentIdentity
--- a/egretcart/process/agent/agent_observer.py
+++ b/egretcart/process/agent/agent_observer.py
@@ -1,9 +1,9 @@
 """Metrics and log of an agent's process, and the HTTP handler for them."""
 
+from egretcart.connection.agent_messages import TaskResult
 from egretcart.connection.http_server import HttpRequest
 from egretcart.connection.http_server import HttpResponse
 from egretcart.connection.http_server import problem_response
-from egretcart.connection.messages import TaskResult
 from egretcart.process.agent.agent import Agent
 from egretcart.process.agent.agent_types import AgentEffect
 from egretcart.process.agent.agent_types import BeginExchange
--- a/egretcart/process/agent/agent_process.py
+++ b/egretcart/process/agent/agent_process.py
@@ -11,17 +11,17 @@
 
 from egretcart.connection.dialler import Dialler
 from egretcart.connection.entry_address import EntryAddress
+from egretcart.connection.entry_messages import AgentConfig
+from egretcart.connection.entry_messages import EntryHello
+from egretcart.connection.entry_messages import EntryList
 from egretcart.connection.http_client import ExchangeError
 from egretcart.connection.http_client import HttpClient
 from egretcart.connection.http_listener import HttpListener
 from egretcart.connection.http_server import HttpLimits
+from egretcart.connection.leader_messages import LeaderMessage
+from egretcart.connection.leader_messages import Start
 from egretcart.connection.link import Link
-from egretcart.connection.messages import AgentConfig
-from egretcart.connection.messages import EntryHello
-from egretcart.connection.messages import EntryList
-from egretcart.connection.messages import LeaderMessage
 from egretcart.connection.messages import Message
-from egretcart.connection.messages import Start
 from egretcart.connection.traffic import TrafficCounters
 from egretcart.process.agent.agent import Agent
 from egretcart.process.agent.agent_observer import AgentObserver
--- a/egretcart/process/agent/agent_types.py
+++ b/egretcart/process/agent/agent_types.py
@@ -2,8 +2,8 @@
 
 import dataclasses
 
-from egretcart.connection.messages import AgentMessage
-from egretcart.connection.messages import Start
+from egretcart.connection.agent_messages import AgentMessage
+from egretcart.connection.leader_messages import Start
 from egretcart.process.cell.limits import LEASE_S
 from egretcart.request.verdict import Verdict
 
--- a/egretcart/process/agent/leases.py
+++ b/egretcart/process/agent/leases.py
@@ -15,10 +15,10 @@
 
 import msgspec
 
-from egretcart.connection.messages import Heartbeat
-from egretcart.connection.messages import Start
-from egretcart.connection.messages import TaskResult
-from egretcart.connection.messages import Term
+from egretcart.connection.agent_messages import TaskResult
+from egretcart.connection.cell_types import Term
+from egretcart.connection.leader_messages import Heartbeat
+from egretcart.connection.leader_messages import Start
 from egretcart.process.cell.effects import LeaderEffect
 from egretcart.process.cell.effects import SendToAgent
 from egretcart.process.cell.limits import LeaderLimits
--- a/egretcart/process/agent/ledger.py
+++ b/egretcart/process/agent/ledger.py
@@ -5,9 +5,9 @@
 import dataclasses
 import enum
 
-from egretcart.connection.messages import JobRecord
-from egretcart.connection.messages import TaskRecord
-from egretcart.connection.messages import TaskResult
+from egretcart.connection.agent_messages import JobRecord
+from egretcart.connection.agent_messages import TaskRecord
+from egretcart.connection.agent_messages import TaskResult
 from egretcart.request.identity import JobId
 
 
--- a/egretcart/process/cell/adoption.py
+++ b/egretcart/process/cell/adoption.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterable
 import dataclasses
 
-from egretcart.connection.messages import FetchJob
-from egretcart.connection.messages import JobRecord
+from egretcart.connection.agent_messages import JobRecord
+from egretcart.connection.leader_messages import FetchJob
 from egretcart.process.agent.ledger import RecordState
 from egretcart.process.cell.agent_load import AgentLoad
 from egretcart.process.cell.agent_load import TaskKey
--- a/egretcart/process/cell/attempts.py
+++ b/egretcart/process/cell/attempts.py
@@ -1,6 +1,6 @@
 """Handling of ended attempts at tasks, with retries of failed ones."""
 
-from egretcart.connection.messages import TaskResult
+from egretcart.connection.agent_messages import TaskResult
 from egretcart.process.cell.agent_load import TaskKey
 from egretcart.process.cell.agent_pool import AgentPool
 from egretcart.process.cell.effects import LeaderEffect
--- a/egretcart/process/cell/cell_index.py
+++ b/egretcart/process/cell/cell_index.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from collections.abc import Iterable
 
-from egretcart.connection.messages import AgentHello
+from egretcart.connection.agent_messages import AgentHello
 from egretcart.process.entry.directory import Cell
 from egretcart.process.entry.directory import cell_of_agent
 from egretcart.version.document import Configuration
--- a/egretcart/process/cell/cell_leaderships.py
+++ b/egretcart/process/cell/cell_leaderships.py
@@ -2,10 +2,10 @@
 
 import dataclasses
 
-from egretcart.connection.messages import CellLeader
-from egretcart.connection.messages import NO_TERM
-from egretcart.connection.messages import Roster
-from egretcart.connection.messages import Term
+from egretcart.connection.cell_types import NO_TERM
+from egretcart.connection.cell_types import Roster
+from egretcart.connection.cell_types import Term
+from egretcart.connection.entry_messages import CellLeader
 from egretcart.process.cell.effects import LeaderEffect
 from egretcart.process.cell.effects import RequestToken
 from egretcart.process.cell.effects import SendReply
--- a/egretcart/process/cell/effects.py
+++ b/egretcart/process/cell/effects.py
@@ -6,9 +6,9 @@
 
 import dataclasses
 
-from egretcart.connection.messages import LeaderMessage
-from egretcart.connection.messages import Roster
-from egretcart.connection.messages import Term
+from egretcart.connection.cell_types import Roster
+from egretcart.connection.cell_types import Term
+from egretcart.connection.leader_messages import LeaderMessage
 from egretcart.request.reply import Reply
 
 
--- a/egretcart/process/cell/job_table.py
+++ b/egretcart/process/cell/job_table.py
@@ -1,9 +1,9 @@
 """The unanswered jobs of a cell and the requests that wait for them."""
 
-from egretcart.connection.messages import ALL_TASKS
-from egretcart.connection.messages import CancelledTask
-from egretcart.connection.messages import CancelTasks
-from egretcart.connection.messages import Term
+from egretcart.connection.cell_types import ALL_TASKS
+from egretcart.connection.cell_types import Term
+from egretcart.connection.leader_messages import CancelledTask
+from egretcart.connection.leader_messages import CancelTasks
 from egretcart.process.cell.agent_load import AgentLoad
 from egretcart.process.cell.effects import LeaderEffect
 from egretcart.process.cell.effects import RequestToken
--- a/egretcart/process/cell/jobs.py
+++ b/egretcart/process/cell/jobs.py
@@ -9,10 +9,10 @@
 import functools
 import heapq
 
-from egretcart.connection.messages import JobRecord
-from egretcart.connection.messages import LedgerReply
-from egretcart.connection.messages import TaskResult
-from egretcart.connection.messages import Term
+from egretcart.connection.agent_messages import JobRecord
+from egretcart.connection.agent_messages import LedgerReply
+from egretcart.connection.agent_messages import TaskResult
+from egretcart.connection.cell_types import Term
 from egretcart.process.cell.agent_load import AgentLoad
 from egretcart.process.cell.attempts import AttemptManager
 from egretcart.process.cell.effects import LeaderEffect
--- a/egretcart/process/cell/known_jobs.py
+++ b/egretcart/process/cell/known_jobs.py
@@ -2,8 +2,8 @@
 
 import dataclasses
 
-from egretcart.connection.messages import JobRecord
-from egretcart.connection.messages import TaskResult
+from egretcart.connection.agent_messages import JobRecord
+from egretcart.connection.agent_messages import TaskResult
 from egretcart.process.agent.ledger import RecordState
 from egretcart.request.identity import JobId
 from egretcart.request.verdict import Verdict
--- a/egretcart/process/cell/leadership.py
+++ b/egretcart/process/cell/leadership.py
@@ -9,16 +9,16 @@
 import enum
 import random
 
-from egretcart.connection.messages import AgentHello
-from egretcart.connection.messages import AgentMessage
-from egretcart.connection.messages import Fence
-from egretcart.connection.messages import FenceReply
-from egretcart.connection.messages import HeartbeatReply
-from egretcart.connection.messages import LedgerReply
-from egretcart.connection.messages import Roster
-from egretcart.connection.messages import RosterMember
-from egretcart.connection.messages import TaskResult
-from egretcart.connection.messages import Term
+from egretcart.connection.agent_messages import AgentHello
+from egretcart.connection.agent_messages import AgentMessage
+from egretcart.connection.agent_messages import FenceReply
+from egretcart.connection.agent_messages import HeartbeatReply
+from egretcart.connection.agent_messages import LedgerReply
+from egretcart.connection.agent_messages import TaskResult
+from egretcart.connection.cell_types import Roster
+from egretcart.connection.cell_types import RosterMember
+from egretcart.connection.cell_types import Term
+from egretcart.connection.leader_messages import Fence
 from egretcart.process.agent.leases import LeaseManager
 from egretcart.process.cell.agent_load import AgentLoad
 from egretcart.process.cell.effects import LeaderEffect
--- a/egretcart/process/cell/ledger_queries.py
+++ b/egretcart/process/cell/ledger_queries.py
@@ -12,8 +12,8 @@
 import dataclasses
 import itertools
 
-from egretcart.connection.messages import LedgerQuery
-from egretcart.connection.messages import Term
+from egretcart.connection.cell_types import Term
+from egretcart.connection.leader_messages import LedgerQuery
 from egretcart.process.cell.effects import LeaderEffect
 from egretcart.process.cell.effects import RequestToken
 from egretcart.process.cell.effects import SendToAgent
--- a/egretcart/process/cell/quorum.py
+++ b/egretcart/process/cell/quorum.py
@@ -13,7 +13,7 @@
 
 import dataclasses
 
-from egretcart.connection.messages import Roster
+from egretcart.connection.cell_types import Roster
 
 
 def majority_of(size: int) -> int:
--- a/egretcart/process/cell/recovery.py
+++ b/egretcart/process/cell/recovery.py
@@ -4,8 +4,8 @@
 from collections.abc import Iterable
 from collections.abc import Set
 
-from egretcart.connection.messages import JobRecord
-from egretcart.connection.messages import LedgerReply
+from egretcart.connection.agent_messages import JobRecord
+from egretcart.connection.agent_messages import LedgerReply
 from egretcart.process.agent.occupied_slots import OccupiedSlots
 from egretcart.process.cell.adoption import Adoption
 from egretcart.process.cell.adoption import LostAgent
--- a/egretcart/process/cell/roster_changes.py
+++ b/egretcart/process/cell/roster_changes.py
@@ -2,9 +2,9 @@
 
 import msgspec
 
-from egretcart.connection.messages import AgentHello
-from egretcart.connection.messages import Roster
-from egretcart.connection.messages import RosterMember
+from egretcart.connection.agent_messages import AgentHello
+from egretcart.connection.cell_types import Roster
+from egretcart.connection.cell_types import RosterMember
 from egretcart.process.cell.agent_load import AgentLoad
 from egretcart.process.cell.limits import LeaderLimits
 from egretcart.process.cell.quorum import Quorum
--- a/egretcart/process/cell/rosters.py
+++ b/egretcart/process/cell/rosters.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from egretcart.connection.messages import Roster
+from egretcart.connection.cell_types import Roster
 from egretcart.process.entry.directory import Cell
 from egretcart.process.store.platform import Platform
 from egretcart.process.store.platform import PlatformError
--- a/egretcart/process/cell/starts.py
+++ b/egretcart/process/cell/starts.py
@@ -6,7 +6,7 @@
 import dataclasses
 import heapq
 
-from egretcart.connection.messages import Start
+from egretcart.connection.leader_messages import Start
 from egretcart.process.cell.agent_load import TaskKey
 from egretcart.process.cell.agent_pool import AgentPool
 from egretcart.process.cell.effects import LeaderEffect
--- a/egretcart/process/cell/takeover.py
+++ b/egretcart/process/cell/takeover.py
@@ -2,7 +2,7 @@
 
 import enum
 
-from egretcart.connection.messages import UNKNOWN_MS
+from egretcart.connection.cell_types import UNKNOWN_MS
 from egretcart.process.cell.limits import LeaderLimits
 from egretcart.process.cell.quorum import Quorum
 from egretcart.process.cell.roster_changes import RosterChanges
--- a/egretcart/process/cell/wasted_messages.py
+++ b/egretcart/process/cell/wasted_messages.py
@@ -7,12 +7,12 @@
 from collections.abc import Callable
 import enum
 
-from egretcart.connection.messages import AgentMessage
-from egretcart.connection.messages import ALL_TASKS
-from egretcart.connection.messages import CancelTasks
-from egretcart.connection.messages import LeaderMessage
-from egretcart.connection.messages import Start
-from egretcart.connection.messages import TaskResult
+from egretcart.connection.agent_messages import AgentMessage
+from egretcart.connection.agent_messages import TaskResult
+from egretcart.connection.cell_types import ALL_TASKS
+from egretcart.connection.leader_messages import CancelTasks
+from egretcart.connection.leader_messages import LeaderMessage
+from egretcart.connection.leader_messages import Start
 from egretcart.request.verdict import Verdict
 
 # Most items of each collection of ended or refused tasks and cancelled jobs.
--- a/egretcart/process/configuration/config_exchange.py
+++ b/egretcart/process/configuration/config_exchange.py
@@ -1,8 +1,8 @@
 """Exchange of configuration documents between entries."""
 
-from egretcart.connection.messages import CellRoster
-from egretcart.connection.messages import ConfigDocument
-from egretcart.connection.messages import ConfigRequest
+from egretcart.connection.entry_messages import CellRoster
+from egretcart.connection.entry_messages import ConfigDocument
+from egretcart.connection.entry_messages import ConfigRequest
 from egretcart.process.cell.cell_leaderships import CellLeaderships
 from egretcart.process.clock import Clock
 from egretcart.process.configuration.config_sync import ConfigSync
--- a/egretcart/process/entry/caller_requests.py
+++ b/egretcart/process/entry/caller_requests.py
@@ -7,8 +7,8 @@
 from result import Ok
 from result import Result
 
-from egretcart.connection.messages import Forward
-from egretcart.connection.messages import ForwardReply
+from egretcart.connection.entry_messages import Forward
+from egretcart.connection.entry_messages import ForwardReply
 from egretcart.process.cell.cell_leaderships import LeaderRequest
 from egretcart.process.cell.effects import RequestToken
 from egretcart.process.clock import Clock
--- a/egretcart/process/entry/directory.py
+++ b/egretcart/process/entry/directory.py
@@ -10,9 +10,9 @@
 
 import xxhash
 
+from egretcart.connection.cell_types import Term
 from egretcart.connection.entry_address import EntryAddress
-from egretcart.connection.messages import EntryBeat
-from egretcart.connection.messages import Term
+from egretcart.connection.entry_messages import EntryBeat
 from egretcart.request.identity import JobId
 
 
--- a/egretcart/process/entry/entry.py
+++ b/egretcart/process/entry/entry.py
@@ -11,19 +11,19 @@
 
 from collections.abc import Iterable
 
+from egretcart.connection.agent_messages import AgentHello
+from egretcart.connection.agent_messages import AgentMessage
+from egretcart.connection.agent_messages import FenceReply
+from egretcart.connection.agent_messages import HeartbeatReply
+from egretcart.connection.cell_types import Roster
 from egretcart.connection.entry_address import EntryAddress
-from egretcart.connection.messages import AgentConfig
-from egretcart.connection.messages import AgentHello
-from egretcart.connection.messages import AgentMessage
-from egretcart.connection.messages import ConfigDocument
-from egretcart.connection.messages import ConfigRequest
-from egretcart.connection.messages import EntryBeat
-from egretcart.connection.messages import EntryList
-from egretcart.connection.messages import FenceReply
-from egretcart.connection.messages import Forward
-from egretcart.connection.messages import ForwardReply
-from egretcart.connection.messages import HeartbeatReply
-from egretcart.connection.messages import Roster
+from egretcart.connection.entry_messages import AgentConfig
+from egretcart.connection.entry_messages import ConfigDocument
+from egretcart.connection.entry_messages import ConfigRequest
+from egretcart.connection.entry_messages import EntryBeat
+from egretcart.connection.entry_messages import EntryList
+from egretcart.connection.entry_messages import Forward
+from egretcart.connection.entry_messages import ForwardReply
 from egretcart.process.cell.cell_index import CellIndex
 from egretcart.process.cell.cell_leaderships import CellLeaderships
 from egretcart.process.cell.cell_leaderships import LeaderRequest
--- a/egretcart/process/entry/entry_effects.py
+++ b/egretcart/process/entry/entry_effects.py
@@ -2,14 +2,14 @@
 
 import dataclasses
 
-from egretcart.connection.messages import AgentConfig
-from egretcart.connection.messages import ConfigDocument
-from egretcart.connection.messages import ConfigRequest
-from egretcart.connection.messages import EntryBeat
-from egretcart.connection.messages import EntryList
-from egretcart.connection.messages import Forward
-from egretcart.connection.messages import ForwardReply
-from egretcart.connection.messages import Roster
+from egretcart.connection.cell_types import Roster
+from egretcart.connection.entry_messages import AgentConfig
+from egretcart.connection.entry_messages import ConfigDocument
+from egretcart.connection.entry_messages import ConfigRequest
+from egretcart.connection.entry_messages import EntryBeat
+from egretcart.connection.entry_messages import EntryList
+from egretcart.connection.entry_messages import Forward
+from egretcart.connection.entry_messages import ForwardReply
 from egretcart.process.cell.effects import SendToAgent
 from egretcart.process.entry.directory import Cell
 from egretcart.request.reply import Reply
--- a/egretcart/process/entry/entry_observer.py
+++ b/egretcart/process/entry/entry_observer.py
@@ -1,10 +1,10 @@
 """Metrics and state change log of an entry's process."""
 
-from egretcart.connection.messages import AgentMessage
-from egretcart.connection.messages import Forward
-from egretcart.connection.messages import ForwardReply
-from egretcart.connection.messages import Heartbeat
-from egretcart.connection.messages import HeartbeatReply
+from egretcart.connection.agent_messages import AgentMessage
+from egretcart.connection.agent_messages import HeartbeatReply
+from egretcart.connection.entry_messages import Forward
+from egretcart.connection.entry_messages import ForwardReply
+from egretcart.connection.leader_messages import Heartbeat
 from egretcart.process.cell.effects import SendToAgent
 from egretcart.process.cell.wasted_messages import WasteCause
 from egretcart.process.cell.wasted_messages import WastedMessageCounter
--- a/egretcart/process/entry/entry_process.py
+++ b/egretcart/process/entry/entry_process.py
@@ -7,26 +7,26 @@
 
 import trio
 
+from egretcart.connection.agent_messages import AgentHello
+from egretcart.connection.agent_messages import FenceReply
+from egretcart.connection.agent_messages import HeartbeatReply
+from egretcart.connection.agent_messages import LedgerReply
+from egretcart.connection.agent_messages import TaskResult
+from egretcart.connection.cell_types import Roster
 from egretcart.connection.dialler import Dialler
 from egretcart.connection.entry_address import EntryAddress
+from egretcart.connection.entry_messages import ConfigDocument
+from egretcart.connection.entry_messages import ConfigRequest
+from egretcart.connection.entry_messages import EntryBeat
+from egretcart.connection.entry_messages import EntryHello
+from egretcart.connection.entry_messages import EntryList
+from egretcart.connection.entry_messages import Forward
+from egretcart.connection.entry_messages import ForwardReply
 from egretcart.connection.http_listener import HttpListener
 from egretcart.connection.http_server import HttpLimits
+from egretcart.connection.leader_messages import Heartbeat
 from egretcart.connection.link import Link
-from egretcart.connection.messages import AgentHello
-from egretcart.connection.messages import ConfigDocument
-from egretcart.connection.messages import ConfigRequest
-from egretcart.connection.messages import EntryBeat
-from egretcart.connection.messages import EntryHello
-from egretcart.connection.messages import EntryList
-from egretcart.connection.messages import FenceReply
-from egretcart.connection.messages import Forward
-from egretcart.connection.messages import ForwardReply
-from egretcart.connection.messages import Heartbeat
-from egretcart.connection.messages import HeartbeatReply
-from egretcart.connection.messages import LedgerReply
 from egretcart.connection.messages import Message
-from egretcart.connection.messages import Roster
-from egretcart.connection.messages import TaskResult
 from egretcart.connection.traffic import TrafficCounters
 from egretcart.process.cell.effects import SendToAgent
 from egretcart.process.cell.limits import LeaderLimits
--- a/egretcart/process/entry/heartbeat_sender.py
+++ b/egretcart/process/entry/heartbeat_sender.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Iterable
 
-from egretcart.connection.messages import CellLeader
-from egretcart.connection.messages import EntryBeat
+from egretcart.connection.entry_messages import CellLeader
+from egretcart.connection.entry_messages import EntryBeat
 from egretcart.process.entry.directory import Cell
 from egretcart.process.entry.directory import Directory
 from egretcart.process.entry.entry_effects import EntryEffect
--- a/egretcart/process/store/platform_follower.py
+++ b/egretcart/process/store/platform_follower.py
@@ -10,8 +10,8 @@
 
 import trio
 
+from egretcart.connection.cell_types import Roster
 from egretcart.connection.entry_address import EntryAddress
-from egretcart.connection.messages import Roster
 from egretcart.process.cell.rosters import cell_of_key
 from egretcart.process.cell.rosters import decode_roster
 from egretcart.process.cell.rosters import ROSTERS_PREFIX
--- a/egretcart/testing/naive.py
+++ b/egretcart/testing/naive.py
@@ -14,6 +14,7 @@
 import msgspec
 import trio
 
+from egretcart.connection.agent_messages import TaskResult
 from egretcart.connection.http_client import ExchangeError
 from egretcart.connection.http_client import HttpClient
 from egretcart.connection.http_server import HttpConnection
@@ -21,8 +22,7 @@
 from egretcart.connection.http_server import HttpRequest
 from egretcart.connection.http_server import HttpResponse
 from egretcart.connection.http_server import problem_response
-from egretcart.connection.messages import Start
-from egretcart.connection.messages import TaskResult
+from egretcart.connection.leader_messages import Start
 from egretcart.connection.traffic import TrafficCounters
 from egretcart.process.cell.wasted_messages import ATTEMPT_MESSAGES
 from egretcart.process.cell.wasted_messages import WasteCause
--- a/tests/features/start.feature
+++ b/tests/features/start.feature
@@ -11,8 +11,8 @@
       | role  | modules                                                           |
       | entry | adapter.agent_role, egretcart.direct.agent, egretcart.direct.backend.backend_report_store |
       | agent | adapter.entry_role, egretcart.direct.entry, egretcart.direct.policy.admission |
-      | entry | egretcart.connection.messages, egretcart.process.entry, egretcart.process.agent, egretcart.process.cell |
-      | agent | egretcart.connection.messages, egretcart.process.entry, egretcart.process.agent, egretcart.process.cell |
+      | entry | egretcart.connection.entry_messages, egretcart.connection.leader_messages, egretcart.process.entry, egretcart.process.agent, egretcart.process.cell |
+      | agent | egretcart.connection.entry_messages, egretcart.connection.leader_messages, egretcart.process.entry, egretcart.process.agent, egretcart.process.cell |
       | entry | egretcart.request.identity, uuid6, opentelemetry, prometheus_client, egretcart.process.metrics |
       | agent | egretcart.request.identity, uuid6, opentelemetry, prometheus_client, egretcart.process.metrics |
 
--- a/tests/features/steps/backend_exchange_steps.py
+++ b/tests/features/steps/backend_exchange_steps.py
@@ -8,15 +8,15 @@
 import trio.lowlevel
 from trio.testing import MockClock
 
+from egretcart.connection.agent_messages import TaskResult
+from egretcart.connection.cell_types import Term
 from egretcart.connection.http_client import ExchangeError
 from egretcart.connection.http_client import HttpClient
 from egretcart.connection.http_client import MAX_IDLE_S
 from egretcart.connection.http_client import MAX_RESPONSE_BYTES
-from egretcart.connection.messages import Fence
-from egretcart.connection.messages import Heartbeat
-from egretcart.connection.messages import Start
-from egretcart.connection.messages import TaskResult
-from egretcart.connection.messages import Term
+from egretcart.connection.leader_messages import Fence
+from egretcart.connection.leader_messages import Heartbeat
+from egretcart.connection.leader_messages import Start
 from egretcart.process.agent.agent_process import AgentProcess
 from egretcart.process.agent.agent_types import AgentLimits
 from egretcart.process.cell.limits import LEASE_S
--- a/tests/features/steps/bad_peer_steps.py
+++ b/tests/features/steps/bad_peer_steps.py
@@ -11,19 +11,19 @@
 from raw_http import connect
 from raw_http import LIMIT_S
 
+from egretcart.connection.agent_messages import AgentHello
+from egretcart.connection.agent_messages import FenceReply
+from egretcart.connection.agent_messages import HeartbeatReply
+from egretcart.connection.agent_messages import TaskResult
+from egretcart.connection.cell_types import Term
 from egretcart.connection.codec import encode_frame
 from egretcart.connection.codec import FrameBuffer
 from egretcart.connection.entry_address import EntryAddress
-from egretcart.connection.messages import AgentHello
-from egretcart.connection.messages import EntryBeat
-from egretcart.connection.messages import EntryHello
-from egretcart.connection.messages import FenceReply
-from egretcart.connection.messages import Forward
-from egretcart.connection.messages import ForwardReply
-from egretcart.connection.messages import HeartbeatReply
-from egretcart.connection.messages import Start
-from egretcart.connection.messages import TaskResult
-from egretcart.connection.messages import Term
+from egretcart.connection.entry_messages import EntryBeat
+from egretcart.connection.entry_messages import EntryHello
+from egretcart.connection.entry_messages import Forward
+from egretcart.connection.entry_messages import ForwardReply
+from egretcart.connection.leader_messages import Start
 from egretcart.process.entry.entry_process import PEER_RECEIVE_TIMEOUT_S
 
 
--- a/tests/features/steps/codec_steps.py
+++ b/tests/features/steps/codec_steps.py
@@ -16,17 +16,26 @@
 from thriftpy2.protocol import TCyBinaryProtocol
 from thriftpy2.transport import TCyMemoryBuffer
 
+from egretcart.connection import agent_messages
+from egretcart.connection import cell_types
 from egretcart.connection import codec
+from egretcart.connection import entry_messages
 from egretcart.connection import frames
-from egretcart.connection import messages
+from egretcart.connection import leader_messages
 from egretcart.connection.codec import encode_frame
 from egretcart.connection.codec import FrameBuffer
 from egretcart.connection.codec import FrameError
 from egretcart.connection.codec import MESSAGE_TYPES
-from egretcart.connection.messages import EntryBeat
-from egretcart.connection.messages import FetchJob
+from egretcart.connection.entry_messages import EntryBeat
+from egretcart.connection.leader_messages import FetchJob
 
 ROOT = pathlib.Path(__file__).resolve().parents[3]
+MESSAGE_MODULES = (
+    agent_messages,
+    cell_types,
+    entry_messages,
+    leader_messages,
+)
 I32_FIELDS = {
     "port", "weight", "slots", "connections", "index", "attempt", "state",
     "running", "queued", "task", "cell", "status", "http_port",
@@ -205,7 +214,10 @@
         for row in context.table
     }
     found = {}
-    for name, kind in vars(messages).items():
+    kinds = {}
+    for module in MESSAGE_MODULES:
+        kinds.update(vars(module))
+    for name, kind in kinds.items():
         if not (isinstance(kind, type) and issubclass(kind, msgspec.Struct)):
             continue
         for field in msgspec.structs.fields(kind):
--- a/tests/features/steps/config_machine.py
+++ b/tests/features/steps/config_machine.py
@@ -19,7 +19,7 @@
 from hypothesis.stateful import RuleBasedStateMachine
 
 from egretcart.connection.entry_address import EntryAddress
-from egretcart.connection.messages import AgentConfig
+from egretcart.connection.entry_messages import AgentConfig
 from egretcart.process.agent.agent import Agent
 from egretcart.process.agent.agent_types import AgentIdentity
 from egretcart.process.agent.agent_types import AgentLimits
--- a/tests/features/steps/configuration_rules_steps.py
+++ b/tests/features/steps/configuration_rules_steps.py
@@ -11,11 +11,11 @@
 import msgspec
 from restore_machine import RestoreMachine
 
-from egretcart.connection.messages import AgentConfig
-from egretcart.connection.messages import Fence
-from egretcart.connection.messages import Heartbeat
-from egretcart.connection.messages import Start
-from egretcart.connection.messages import Term
+from egretcart.connection.cell_types import Term
+from egretcart.connection.entry_messages import AgentConfig
+from egretcart.connection.leader_messages import Fence
+from egretcart.connection.leader_messages import Heartbeat
+from egretcart.connection.leader_messages import Start
 from egretcart.process.agent.agent import Agent
 from egretcart.process.agent.agent_types import AgentIdentity
 from egretcart.process.agent.agent_types import AgentLimits
--- a/tests/features/steps/connection_bounds_steps.py
+++ b/tests/features/steps/connection_bounds_steps.py
@@ -11,12 +11,12 @@
 import trio.testing
 
 from egretcart.connection.codec import CODEC
+from egretcart.connection.entry_messages import Forward
 from egretcart.connection.frames import FrameSplitter
 from egretcart.connection.http_listener import HttpListener
 from egretcart.connection.http_server import HttpLimits
 from egretcart.connection.http_server import HttpResponse
 from egretcart.connection.link import Link
-from egretcart.connection.messages import Forward
 from egretcart.connection.peer_link import MAX_OUTBOX_BYTES
 from egretcart.process.agent.agent_process import HTTP_LIMITS
 from egretcart.process.planned_stop import poll_until
--- a/tests/features/steps/guard_steps.py
+++ b/tests/features/steps/guard_steps.py
@@ -9,8 +9,8 @@
 from cell_machine import CellMachine
 import msgspec
 
-from egretcart.connection.messages import Roster
-from egretcart.connection.messages import RosterMember
+from egretcart.connection.cell_types import Roster
+from egretcart.connection.cell_types import RosterMember
 from egretcart.process.agent.agent import Agent
 from egretcart.process.cell.leadership import Leadership
 from egretcart.process.cell.ledger_queries import LedgerQueries
--- a/tests/features/steps/handover_steps.py
+++ b/tests/features/steps/handover_steps.py
@@ -2,12 +2,12 @@
 from behave import then
 from behave import when
 
+from egretcart.connection.agent_messages import AgentHello
+from egretcart.connection.cell_types import Term
 from egretcart.connection.entry_address import EntryAddress
-from egretcart.connection.messages import AgentHello
-from egretcart.connection.messages import CellLeader
-from egretcart.connection.messages import EntryBeat
-from egretcart.connection.messages import Fence
-from egretcart.connection.messages import Term
+from egretcart.connection.entry_messages import CellLeader
+from egretcart.connection.entry_messages import EntryBeat
+from egretcart.connection.leader_messages import Fence
 from egretcart.process.cell.effects import SendToAgent
 from egretcart.process.cell.limits import LeaderLimits
 from egretcart.process.entry.entry import Entry
--- a/tests/features/steps/inquiry_steps.py
+++ b/tests/features/steps/inquiry_steps.py
@@ -5,15 +5,15 @@
 from behave import then
 from behave import when
 
-from egretcart.connection.messages import Fence
-from egretcart.connection.messages import FetchJob
-from egretcart.connection.messages import HeartbeatReply
-from egretcart.connection.messages import JobRecord
-from egretcart.connection.messages import LedgerQuery
-from egretcart.connection.messages import LedgerReply
-from egretcart.connection.messages import Start
-from egretcart.connection.messages import TaskRecord
-from egretcart.connection.messages import Term
+from egretcart.connection.agent_messages import HeartbeatReply
+from egretcart.connection.agent_messages import JobRecord
+from egretcart.connection.agent_messages import LedgerReply
+from egretcart.connection.agent_messages import TaskRecord
+from egretcart.connection.cell_types import Term
+from egretcart.connection.leader_messages import Fence
+from egretcart.connection.leader_messages import FetchJob
+from egretcart.connection.leader_messages import LedgerQuery
+from egretcart.connection.leader_messages import Start
 from egretcart.process.agent.agent import Agent
 from egretcart.process.agent.agent_types import AgentIdentity
 from egretcart.process.agent.agent_types import AgentLimits
--- a/tests/features/steps/late_resubmission_steps.py
+++ b/tests/features/steps/late_resubmission_steps.py
@@ -4,12 +4,12 @@
 from behave import then
 from behave import when
 
-from egretcart.connection.messages import FetchJob
-from egretcart.connection.messages import JobRecord
-from egretcart.connection.messages import Start
-from egretcart.connection.messages import TaskRecord
-from egretcart.connection.messages import TaskResult
-from egretcart.connection.messages import Term
+from egretcart.connection.agent_messages import JobRecord
+from egretcart.connection.agent_messages import TaskRecord
+from egretcart.connection.agent_messages import TaskResult
+from egretcart.connection.cell_types import Term
+from egretcart.connection.leader_messages import FetchJob
+from egretcart.connection.leader_messages import Start
 from egretcart.process.agent.ledger import RecordState
 from egretcart.process.cell.agent_load import AgentLoad
 from egretcart.process.cell.effects import RequestToken
--- a/tests/features/steps/lease_grant_steps.py
+++ b/tests/features/steps/lease_grant_steps.py
@@ -7,12 +7,12 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from egretcart.connection.messages import Fence
-from egretcart.connection.messages import Heartbeat
-from egretcart.connection.messages import Roster
-from egretcart.connection.messages import RosterMember
-from egretcart.connection.messages import TaskResult
-from egretcart.connection.messages import Term
+from egretcart.connection.agent_messages import TaskResult
+from egretcart.connection.cell_types import Roster
+from egretcart.connection.cell_types import RosterMember
+from egretcart.connection.cell_types import Term
+from egretcart.connection.leader_messages import Fence
+from egretcart.connection.leader_messages import Heartbeat
 from egretcart.process.agent.agent import Agent
 from egretcart.process.agent.agent_types import AgentIdentity
 from egretcart.process.agent.agent_types import AgentLimits
--- a/tests/features/steps/metrics_steps.py
+++ b/tests/features/steps/metrics_steps.py
@@ -7,11 +7,11 @@
 from hypothesis import strategies as st
 from processes import read_counters
 
+from egretcart.connection.agent_messages import TaskResult
 from egretcart.connection.control_types import CONTROL_TYPES
-from egretcart.connection.messages import CancelledTask
-from egretcart.connection.messages import CancelTasks
-from egretcart.connection.messages import Start
-from egretcart.connection.messages import TaskResult
+from egretcart.connection.leader_messages import CancelledTask
+from egretcart.connection.leader_messages import CancelTasks
+from egretcart.connection.leader_messages import Start
 from egretcart.connection.traffic import TrafficCounters
 from egretcart.load.counters import parse_counters
 from egretcart.process.agent.agent import Agent
--- a/tests/features/steps/one_agent_cell.py
+++ b/tests/features/steps/one_agent_cell.py
@@ -2,12 +2,12 @@
 
 from msgspec.structs import replace
 
-from egretcart.connection.messages import FenceReply
-from egretcart.connection.messages import LedgerQuery
-from egretcart.connection.messages import Roster
-from egretcart.connection.messages import RosterMember
-from egretcart.connection.messages import Term
-from egretcart.connection.messages import UNKNOWN_MS
+from egretcart.connection.agent_messages import FenceReply
+from egretcart.connection.cell_types import Roster
+from egretcart.connection.cell_types import RosterMember
+from egretcart.connection.cell_types import Term
+from egretcart.connection.cell_types import UNKNOWN_MS
+from egretcart.connection.leader_messages import LedgerQuery
 from egretcart.process.agent.agent import Agent
 from egretcart.process.agent.agent_types import AgentIdentity
 from egretcart.process.agent.agent_types import AgentLimits
--- a/tests/features/steps/peers_steps.py
+++ b/tests/features/steps/peers_steps.py
@@ -6,11 +6,11 @@
 from behave import when
 import msgspec
 
+from egretcart.connection.cell_types import Term
 from egretcart.connection.entry_address import EntryAddress
-from egretcart.connection.messages import CellLeader
-from egretcart.connection.messages import EntryBeat
-from egretcart.connection.messages import Forward
-from egretcart.connection.messages import Term
+from egretcart.connection.entry_messages import CellLeader
+from egretcart.connection.entry_messages import EntryBeat
+from egretcart.connection.entry_messages import Forward
 from egretcart.process.cell.limits import LeaderLimits
 from egretcart.process.entry.directory import Cell
 from egretcart.process.entry.entry import Entry
--- a/tests/features/steps/piggybacked_round_steps.py
+++ b/tests/features/steps/piggybacked_round_steps.py
@@ -6,14 +6,14 @@
 from behave import when
 from msgspec.structs import replace
 
-from egretcart.connection.messages import Fence
-from egretcart.connection.messages import FetchJob
-from egretcart.connection.messages import Heartbeat
-from egretcart.connection.messages import Roster
-from egretcart.connection.messages import RosterMember
-from egretcart.connection.messages import Start
-from egretcart.connection.messages import TaskResult
-from egretcart.connection.messages import Term
+from egretcart.connection.agent_messages import TaskResult
+from egretcart.connection.cell_types import Roster
+from egretcart.connection.cell_types import RosterMember
+from egretcart.connection.cell_types import Term
+from egretcart.connection.leader_messages import Fence
+from egretcart.connection.leader_messages import FetchJob
+from egretcart.connection.leader_messages import Heartbeat
+from egretcart.connection.leader_messages import Start
 from egretcart.process.agent.agent import Agent
 from egretcart.process.agent.agent_types import AgentIdentity
 from egretcart.process.agent.agent_types import AgentLimits
--- a/tests/features/steps/platform_steps.py
+++ b/tests/features/steps/platform_steps.py
@@ -16,11 +16,11 @@
 from platform_world import switch_faults
 import trio
 
+from egretcart.connection.cell_types import Roster
 from egretcart.connection.entry_address import EntryAddress
 from egretcart.connection.http_server import HttpConnection
 from egretcart.connection.http_server import HttpLimits
 from egretcart.connection.http_server import HttpResponse
-from egretcart.connection.messages import Roster
 from egretcart.process.cell.rosters import read_roster
 from egretcart.process.cell.rosters import roster_key
 from egretcart.process.cell.rosters import write_roster
--- a/tests/features/steps/policy_fake.py
+++ b/tests/features/steps/policy_fake.py
@@ -10,11 +10,11 @@
 from hypothesis import strategies as st
 import msgspec
 
-from egretcart.connection.messages import ALL_TASKS
-from egretcart.connection.messages import CancelTasks
-from egretcart.connection.messages import Start
-from egretcart.connection.messages import TaskResult
-from egretcart.connection.messages import Term
+from egretcart.connection.agent_messages import TaskResult
+from egretcart.connection.cell_types import ALL_TASKS
+from egretcart.connection.cell_types import Term
+from egretcart.connection.leader_messages import CancelTasks
+from egretcart.connection.leader_messages import Start
 from egretcart.process.cell.agent_load import AgentLoad
 from egretcart.process.cell.effects import RequestToken
 from egretcart.process.cell.effects import SendReply
--- a/tests/features/steps/policy_hedging_steps.py
+++ b/tests/features/steps/policy_hedging_steps.py
@@ -7,8 +7,8 @@
 from policy_fake import quantile
 from policy_fake import World
 
-from egretcart.connection.messages import JobRecord
-from egretcart.connection.messages import TaskRecord
+from egretcart.connection.agent_messages import JobRecord
+from egretcart.connection.agent_messages import TaskRecord
 from egretcart.process.agent.ledger import RecordState
 from egretcart.process.policy.hedging import (
     INITIAL_HEDGE_TOKENS as HEDGE_TOKENS,
--- a/tests/features/steps/policy_leaving_steps.py
+++ b/tests/features/steps/policy_leaving_steps.py
@@ -5,10 +5,10 @@
 from policy_fake import make_configuration
 from policy_fake import World
 
-from egretcart.connection.messages import CancelledTask
-from egretcart.connection.messages import CancelTasks
-from egretcart.connection.messages import Start
-from egretcart.connection.messages import Term
+from egretcart.connection.cell_types import Term
+from egretcart.connection.leader_messages import CancelledTask
+from egretcart.connection.leader_messages import CancelTasks
+from egretcart.connection.leader_messages import Start
 from egretcart.process.agent.agent import Agent
 from egretcart.process.agent.agent_types import AbortExchange
 from egretcart.process.agent.agent_types import AgentIdentity
--- a/tests/features/steps/policy_retry_steps.py
+++ b/tests/features/steps/policy_retry_steps.py
@@ -8,9 +8,9 @@
 from policy_fake import SLOTS
 from policy_fake import World
 
-from egretcart.connection.messages import JobRecord
-from egretcart.connection.messages import TaskRecord
-from egretcart.connection.messages import TaskResult
+from egretcart.connection.agent_messages import JobRecord
+from egretcart.connection.agent_messages import TaskRecord
+from egretcart.connection.agent_messages import TaskResult
 from egretcart.process.agent.ledger import RecordState
 from egretcart.process.cell.limits import LeaderLimits
 from egretcart.request.progress import TaskState
--- a/tests/features/steps/restarted_agent_steps.py
+++ b/tests/features/steps/restarted_agent_steps.py
@@ -9,10 +9,10 @@
 from one_agent_cell import OneAgentCell
 from one_agent_cell import TICK_S
 
-from egretcart.connection.messages import JobRecord
-from egretcart.connection.messages import Start
-from egretcart.connection.messages import TaskRecord
-from egretcart.connection.messages import Term
+from egretcart.connection.agent_messages import JobRecord
+from egretcart.connection.agent_messages import TaskRecord
+from egretcart.connection.cell_types import Term
+from egretcart.connection.leader_messages import Start
 from egretcart.process.agent.ledger import RecordState
 from egretcart.process.cell.agent_load import AgentLoad
 from egretcart.process.cell.effects import RequestToken
--- a/tests/features/steps/simulated_hosts.py
+++ b/tests/features/steps/simulated_hosts.py
@@ -9,13 +9,13 @@
 import dataclasses
 import functools
 
+from egretcart.connection.agent_messages import AgentHello
 from egretcart.connection.entry_address import EntryAddress
-from egretcart.connection.messages import AgentConfig
-from egretcart.connection.messages import AgentHello
-from egretcart.connection.messages import EntryHello
-from egretcart.connection.messages import EntryList
-from egretcart.connection.messages import Fence
-from egretcart.connection.messages import Start
+from egretcart.connection.entry_messages import AgentConfig
+from egretcart.connection.entry_messages import EntryHello
+from egretcart.connection.entry_messages import EntryList
+from egretcart.connection.leader_messages import Fence
+from egretcart.connection.leader_messages import Start
 from egretcart.process.agent.agent import Agent
 from egretcart.process.agent.agent_types import AbortExchange
 from egretcart.process.agent.agent_types import AgentIdentity
--- a/tests/features/steps/simulated_world.py
+++ b/tests/features/steps/simulated_world.py
@@ -14,7 +14,7 @@
 from simulated_hosts import MachineClock
 from simulated_hosts import SERVICE
 
-from egretcart.connection.messages import Roster
+from egretcart.connection.cell_types import Roster
 from egretcart.process.agent.agent_types import ExchangeOutcome
 from egretcart.process.entry.pending import CANCEL
 from egretcart.process.entry.pending import SUBMIT
--- a/tests/features/steps/takeover_model.py
+++ b/tests/features/steps/takeover_model.py
@@ -10,8 +10,8 @@
 from collections import deque
 import dataclasses
 
-from egretcart.connection.messages import Roster
-from egretcart.connection.messages import RosterMember
+from egretcart.connection.cell_types import Roster
+from egretcart.connection.cell_types import RosterMember
 from egretcart.process.cell.quorum import Quorum
 
 LEASE = 1
--- a/tools/measure_beats.py
+++ b/tools/measure_beats.py
@@ -11,9 +11,9 @@
 from measure_capacity import PACKET_OVERHEAD_BYTES
 
 from egretcart.connection.codec import encode_frame
-from egretcart.connection.messages import EntryAddress
-from egretcart.connection.messages import EntryBeat
-from egretcart.connection.messages import EntryList
+from egretcart.connection.entry_address import EntryAddress
+from egretcart.connection.entry_messages import EntryBeat
+from egretcart.connection.entry_messages import EntryList
 from egretcart.process.cell.limits import LeaderLimits
 from egretcart.process.entry.directory import Cell
 from egretcart.process.entry.directory import rank_entries
--- a/tools/measure_capacity.py
+++ b/tools/measure_capacity.py
@@ -16,20 +16,20 @@
 import time
 import tracemalloc
 
+from egretcart.connection.agent_messages import HeartbeatReply
+from egretcart.connection.agent_messages import TaskResult
+from egretcart.connection.cell_types import Term
 from egretcart.connection.codec import encode_frame
 from egretcart.connection.codec import FrameBuffer
-from egretcart.connection.messages import CellLeader
-from egretcart.connection.messages import EntryAddress
-from egretcart.connection.messages import EntryBeat
-from egretcart.connection.messages import Fence
-from egretcart.connection.messages import Heartbeat
-from egretcart.connection.messages import HeartbeatReply
-from egretcart.connection.messages import LeaderMessage
-from egretcart.connection.messages import LedgerQuery
+from egretcart.connection.entry_address import EntryAddress
+from egretcart.connection.entry_messages import CellLeader
+from egretcart.connection.entry_messages import EntryBeat
+from egretcart.connection.leader_messages import Fence
+from egretcart.connection.leader_messages import Heartbeat
+from egretcart.connection.leader_messages import LeaderMessage
+from egretcart.connection.leader_messages import LedgerQuery
+from egretcart.connection.leader_messages import Start
 from egretcart.connection.messages import Message
-from egretcart.connection.messages import Start
-from egretcart.connection.messages import TaskResult
-from egretcart.connection.messages import Term
 from egretcart.process.agent.agent import Agent
 from egretcart.process.agent.agent_types import AgentIdentity
 from egretcart.process.agent.agent_types import AgentLimits
--- a/tools/measure_heartbeats.py
+++ b/tools/measure_heartbeats.py
@@ -14,12 +14,12 @@
 from measure_capacity import SimulatedCell
 from msgspec.structs import replace
 
+from egretcart.connection.agent_messages import HeartbeatReply
+from egretcart.connection.agent_messages import TaskResult
 from egretcart.connection.codec import encode_frame
-from egretcart.connection.messages import Heartbeat
-from egretcart.connection.messages import HeartbeatReply
+from egretcart.connection.leader_messages import Heartbeat
+from egretcart.connection.leader_messages import Start
 from egretcart.connection.messages import Message
-from egretcart.connection.messages import Start
-from egretcart.connection.messages import TaskResult
 from egretcart.process.agent.agent import Agent
 from egretcart.process.agent.agent_types import BeginExchange
 from egretcart.process.agent.agent_types import ExchangeOutcome
