Choose any suitable agent, and guess no capacity while agents discover

Of two random agents among those that suit a task, the one with more free processors was chosen; and while agents discovered their servers, those that knew none counted as much as the others.

--- a/egretcart/direct/connection/views.py
+++ b/egretcart/direct/connection/views.py
@@ -173,11 +173,6 @@
         sent = sum(sent.count for sent in self.sent.values())
         return self.status.queued + (sent if overfull else 0)
 
-    @property
-    def knows_backend(self) -> bool:
-        """Whether the agent knows the capacity of its backend server."""
-        return self.status.cpu_milli > 0
-
     def may_run(self, step: Step) -> bool:
         """Whether tasks of the step may be sent there at all."""
         status = self.status
--- a/egretcart/direct/policy/admission.py
+++ b/egretcart/direct/policy/admission.py
@@ -94,9 +94,6 @@
 ) -> LoadEstimate:
     """Return an estimate of the load of all agents, for one step.
 
-    While agents discover their backend servers, those that know none yet
-    are assumed to add as much capacity as the others have on average.
-
     Parameters
     ----------
     step : Step
@@ -110,15 +107,9 @@
     discovery_wait_ms : float, optional
         See `LoadEstimate`.
     """
-    views = list(views)
     usable = [view for view in views if view.may_run(step)]
     task_cpu_milli = max(1, step.room.cpu_milli)
     capacity_cpu_milli = float(sum(view.status.cpu_milli for view in usable))
-    if usable and discovery_wait_ms is not None:
-        undiscovered = sum(
-            not view.knows_backend and not view.is_drained for view in views
-        )
-        capacity_cpu_milli *= 1 + undiscovered / len(usable)
     return LoadEstimate(
         capacity_cpu_milli=capacity_cpu_milli,
         discovery_wait_ms=discovery_wait_ms,
--- a/egretcart/direct/policy/placement.py
+++ b/egretcart/direct/policy/placement.py
@@ -185,10 +185,8 @@
                 for item in times
                 if item[0] <= fastest * self.limits.equal_time_factor
             ]
-        # Of two random candidates, choose the one with more free processors.
         # If all entries chose the emptiest agent, they would choose the same.
-        sampled = self.source.sample(candidates, min(2, len(candidates)))
-        return max(sampled, key=lambda item: item[2].free.cpu_milli)[1]
+        return self.source.choice(candidates)[1]
 
     def _shortest_queue(
         self, request: PlacementRequest, usable: list[tuple[str, AgentView]]
--- a/tools/ablation_patches.py
+++ b/tools/ablation_patches.py
@@ -97,13 +97,6 @@
             "limit_ms = -1.0",
         ),
     ),
-    "emptier-of-two": (
-        Patch(
-            f"{POLICY}/placement.py",
-            "self.source.sample(candidates, min(2, len(candidates)))",
-            "self.source.sample(candidates, 1)",
-        ),
-    ),
     "warm-before-cold": (
         Patch(
             f"{POLICY}/placement.py",
@@ -216,13 +209,6 @@
             "",
         ),
     ),
-    "guessed-capacity": (
-        Patch(
-            f"{POLICY}/admission.py",
-            "capacity_cpu_milli *= 1 + undiscovered / len(usable)",
-            "capacity_cpu_milli *= 1 + 0 * undiscovered / len(usable)",
-        ),
-    ),
     "no-refusal-while-discovering": (
         Patch(
             f"{POLICY}/admission.py",
