--- a/tests/features/steps/simulated_hosts.py
+++ b/tests/features/steps/simulated_hosts.py
@@ -6,9 +6,10 @@
 """
 
 from collections import deque
-import dataclasses
 import functools
 
+import msgspec
+
 from egretcart.connection.agent_messages import AgentHello
 from egretcart.connection.entry_address import EntryAddress
 from egretcart.connection.entry_messages import AgentConfig
@@ -69,7 +70,7 @@
 END_OF_FRAMES = object()
 # Turns a fence into one of the previous release, which neither sends nor reads
 # `by_query`, so that the reply holds the whole ledger.
-WITHOUT_QUERY = functools.partial(dataclasses.replace, by_query=False)
+WITHOUT_QUERY = functools.partial(msgspec.structs.replace, by_query=False)
 
 
 class MachineClock:
