--- a/tests/features/job_lines.feature
+++ b/tests/features/job_lines.feature
@@ -32,6 +32,11 @@
     When a run of it ends
     Then its line is written at once
 
+  Scenario: The lines that are held are bounded
+    Given lines held of 2000 open jobs
+    Then no line of one more job is held
+    And no more than 200 lines of one of them are held
+
   Scenario: Lines are written so that a pipe keeps them whole
     Given an entry's log with 200 late jobs in one second
     Then no write takes more than a pipe keeps together, or ends within a line
--- a/tests/features/steps/job_lines_steps.py
+++ b/tests/features/steps/job_lines_steps.py
@@ -21,6 +21,7 @@
 from egretcart.direct.log.decisions import TaskMoved
 from egretcart.direct.log.decisions import TasksPlaced
 from egretcart.direct.log.explain import explain
+from egretcart.direct.log.job_lines import JobLines
 from egretcart.direct.log.log_lines import JsonDecisionLog
 from egretcart.testing.clock import ManualClock
 
@@ -231,6 +232,25 @@
     assert [line for line in context.lines if line.get("index") == 0]
 
 
+@given("lines held of {count:d} open jobs")
+def hold_lines(context, count):
+    context.held = JobLines()
+    for number in range(count):
+        context.held.hold(accepted(f"job-{number}"), 1.0)
+
+
+@then("no line of one more job is held")
+def check_open_jobs(context):
+    context.held.hold(accepted("more"), 1.0)
+    assert not context.held.hold(placed("more"), 1.0)
+
+
+@then("no more than {count:d} lines of one of them are held")
+def check_job_lines(context, count):
+    held = [context.held.hold(placed("job-0"), 1.0) for _ in range(2 * count)]
+    assert held == [True] * count + [False] * count
+
+
 @then("no write takes more than a pipe keeps together, or ends within a line")
 def check_writes(context):
     written = []
