Restore two comparisons of suspicion as they were, and list them as red

The former scenarios stand again word for word and fail since; the new bounds are scenarios of their own. What suspicion is worth without the choice of the emptier of two agents is to be judged, not settled by a test.

A comment on the log's volume was no longer true, as all lines of jobs that went wrong are written beside the limit of a kind.

--- a/egretcart/direct/log/log_lines.py
+++ b/egretcart/direct/log/log_lines.py
@@ -22,9 +22,8 @@
 from egretcart.process.clock import Clock
 
 STDOUT = 1
-# Most lines of each kind in any span of a second. The mean size of a line is
-# 250 bytes, so that all kinds of a busy process together stay below 2 MB a
-# minute.
+# Most lines of each kind in any span of a second, but for the lines of jobs
+# that `JobLines` releases.
 MAX_LINES_PER_KIND = 24
 # Lines that report how a request begins or ends take precedence over others.
 MAX_FINAL_LINES_PER_KIND = 100
--- a/tests/features/steps/suspicion_load_steps.py
+++ b/tests/features/steps/suspicion_load_steps.py
@@ -206,10 +206,13 @@
         )
 
 
-@then(
-    "at most {count:d} runs fail, a quarter fewer than if any success counted"
-)
-def check_failed_runs(context, count):
+@then("at most half as many runs fail as if any success counted")
+def check_failed_runs(context):
     failed = failed_runs(context.world), failed_runs(context.world_before)
-    assert failed[0] <= count, (failed, context.late_before)
-    assert failed[0] <= failed[1] * 3 / 4, (failed, context.late_before)
+    assert failed[0] <= failed[1] / 2, (failed, context.late_before)
+
+
+@then("at most {count:d} runs fail")
+def check_failed_run_count(context, count):
+    failed = failed_runs(context.world)
+    assert failed <= count, failed
--- a/tests/features/suspicion.feature
+++ b/tests/features/suspicion.feature
@@ -7,15 +7,27 @@
     And no promise was broken
 
   Scenario: Servers that answer and have stopped working harm few jobs
+    When 3 of 20 servers stop working and answer on
+    Then at most 0.06 of the jobs sent after half a second of that are late
+    And at least a third fewer of them are late than if no server is suspected
+    And no promise was broken
+
+  Scenario: Servers that fail all that they begin harm few jobs
+    When 3 of 20 servers fail what they begin and finish what they had begun
+    Then at most 0.06 of the jobs sent after half a second of that are late
+    And at most half as many runs fail as if any success counted
+    And no promise was broken
+
+  Scenario: Few answers are late where servers stand still, suspected or not
     When 3 of 20 servers stop working and answer on
     Then at most 0.03 of the jobs sent after half a second of that are late
     And at most 0.03 of them are late if no server is suspected
     And no promise was broken
 
-  Scenario: Servers that fail all that they begin harm few jobs
+  Scenario: Few runs fail where servers fail all that they begin
     When 3 of 20 servers fail what they begin and finish what they had begun
     Then at most 0.005 of the jobs sent after half a second of that are late
-    And at most 26 runs fail, a quarter fewer than if any success counted
+    And at most 26 runs fail
     And no promise was broken
 
   Scenario Outline: Random faults break no promise where servers are suspected
