Review case 3: tasks start on runners of another service

Cause: a route's service is never compared with that of a runner. Change: a script shows it against the rule ROUTE.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,10 +1,7 @@
-"""A report of an unnamed service makes tasks run twice at the same time."""
+"""Tasks of one service's queue start on a runner of another service."""
 
 import asyncio
-import time
 
-from world import exchange
-from world import find_overlaps
 from world import has_trouble
 from world import job
 from world import new_id
@@ -14,61 +11,43 @@
 
 ENTRIES = 3
 AGENTS = 4
-TASK_S = 1.8
-JOBS = 6
-AFTERWARDS_S = 8.0
+LENGTH_S = 12.0
+JOBS_PER_S = 10
 
 
 async def main(folder):
-    world = World(folder, work_s=lambda task: TASK_S)
+    world = World(folder, work_s=lambda task: 0.2)
     try:
-        world.configure([route()])
+        world.configure(
+            [
+                route(),
+                route(name="r-2", prefix="/other-queue/", service="service-2"),
+            ],
+            services=("service-1", "service-2"),
+        )
         await world.open(ENTRIES, AGENTS)
         await world.until_ready()
-        document = job(count=4, est_ms=int(TASK_S * 1000))
-        clients = [
-            world.spawn(
-                world.submit(
-                    world.entries()[number % ENTRIES], document, new_id()
-                )
-            )
-            for number in range(JOBS)
-        ]
-        await asyncio.sleep(0.7)
-        runner = next(iter(world.runners.values()))
         if has_trouble():
-            # A report of another writer. It is whole and well-formed, but
-            # its service is named in no desired state.
-            report = {
-                **runner.report(),
-                "service": "service-9",
-                "addr": f"{world.network}.99:9",
-                "born": int(time.time() * 1000),
-                "seq": 1,
-            }
-            runner.seq -= 1
-            world.record.add("foreign report", at=runner.name, report=report)
-            status, _ = await exchange(
-                *runner.control, "PUT", "/runners/i-other", report
-            )
-            world.record.add("foreign report answered", status=status)
-        await asyncio.wait(clients)
-        began = world.record.now()
-        while world.record.now() < began + AFTERWARDS_S:
-            entry = world.entries()[0]
-            world.spawn(world.submit(entry, document, new_id()))
-            await asyncio.sleep(0.3)
-        later = [
-            event
-            for event in world.record.all("start", runner=runner.name)
-            if event["t"] > began + 2
-        ]
-        print(f"starts at {runner.name} afterwards: {len(later)}")
+            # An empty runner is added, the first one of the other service.
+            machine, runner = world.add_agent(AGENTS + 1, 1, "service-2")
+            await machine.start()
+            world.spawn(machine.watch())
+            await runner.start()
+            await asyncio.sleep(4.0)
+        clients = []
+        until = world.record.now() + LENGTH_S
+        while world.record.now() < until:
+            entry = world.entries()[len(clients) % ENTRIES]
+            clients.append(world.spawn(world.submit(entry, job(), new_id())))
+            await asyncio.sleep(1 / JOBS_PER_S)
+        await asyncio.wait(clients, timeout=20)
+        starts = world.record.all("start")
+        wrong = [e for e in starts if e["service"] != "service-1"]
+        print(f"{len(wrong)} of {len(starts)} starts on service-2's runner")
         return [
-            f"TWICE: {second['task']} starts at {second['runner']} as run "
-            f"{second['run']} at {second['t']}, while its run {first['run']} "
-            f"at {first['runner']} is running"
-            for first, second in find_overlaps(world.record)
+            f"ROUTE: {event['task']}, of a queue of service-1, starts on "
+            f"{event['runner']} of {event['service']} at {event['t']}"
+            for event in wrong
         ]
     finally:
         await world.close()
