--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -24,7 +24,7 @@
 import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
-# Bounds and settings of the site asiv-umido.
+# Bounds of the sites asiv-umido and jsvd-egret, which are the same here.
 HEARTBEAT_S = 1.5
 HOLD_MAX_MS = 1000
 STOP_S = 0.02
