Bound what jobs ask for, and send integers that do not fit as the nearest

Cause: the objective that follows from an estimate is sent in 32 bits, and neither estimates nor other values of a job had an upper bound. The encoder's exception left PeerLink.flush, and with it the process. The same with `antiAffinity` from 2^31 on, resources beyond 32 bits, and a sum of chained estimates. Ruled out: the decoder of jobs, which accepts any number; admission, which accepts the job; the agent, which never got the message. Change: the codec sends an integer beyond its field's range as the nearest one that fits, so that no message can fail to encode for its size. All steps of a job together have at most 20,000 tasks, as each step alone had before.

--- a/egretcart/connection/frames.py
+++ b/egretcart/connection/frames.py
@@ -12,6 +12,7 @@
 
 import msgspec
 from thriftpy2.protocol import TCyBinaryProtocol
+from thriftpy2.thrift import TType
 from thriftpy2.transport import TCyMemoryBuffer
 import xxhash
 
@@ -20,6 +21,7 @@
 HEADER_BYTES = LENGTH_BYTES + CHECKSUM_BYTES
 MAX_FRAME_BYTES = 64 * 1024 * 1024
 MAX_KEPT_FRAME_BYTES = 256
+INTEGER_BITS = {TType.BYTE: 8, TType.I16: 16, TType.I32: 32, TType.I64: 64}
 
 
 class FrameError(ValueError):
@@ -47,11 +49,40 @@
     return None, False
 
 
+class IntegerRange(msgspec.Struct, frozen=True, kw_only=True):
+    """Values that an integer field can have.
+
+    Attributes
+    ----------
+    least, most : int
+    """
+
+    least: int
+    most: int
+
+    def limited(self, value: int) -> int:
+        """Return the value in the range that is nearest to the given one."""
+        return min(max(value, self.least), self.most)
+
+
+def _integer_ranges(struct: Any) -> dict[str, IntegerRange]:
+    """Return the ranges of a struct's integers, and of its lists of them."""
+    ranges: dict[str, IntegerRange] = {}
+    for field in struct.thrift_spec.values():
+        kind, name, item_kind = field[:3]
+        bits = INTEGER_BITS.get(item_kind if kind == TType.LIST else kind)
+        if bits is not None:
+            half = 1 << (bits - 1)
+            ranges[name] = IntegerRange(least=-half, most=half - 1)
+    return ranges
+
+
 class _StructMapper:
     """Converts messages of one class to Thrift structs and back.
 
     A field that has its default value is omitted from the struct; the
-    receiver restores the default.
+    receiver restores the default. An integer beyond the range of its field is
+    sent as the nearest value in the range, so that every message can be sent.
     """
 
     def __init__(
@@ -61,13 +92,17 @@
         self.struct = getattr(structs, message_type.__name__)
         hints = typing.get_type_hints(message_type)
         defaults = message_type()
+        ranges = _integer_ranges(self.struct)
         # The message's fields, grouped by the conversion that their values
         # need: each with its name, and with its default unless the default
-        # is empty. A nested field also has the mapper of its class, and
-        # whether it is a sequence of messages.
+        # is empty. An integer and a sequence of them also have their range, a
+        # nested field the mapper of its class, and whether it is a sequence
+        # of messages.
         self.plain: list[tuple[str, Any]] = []
+        self.integers: list[tuple[str, int, IntegerRange]] = []
         self.text: list[tuple[str, str]] = []
         self.sequences: list[str] = []
+        self.integer_sequences: list[tuple[str, IntegerRange]] = []
         self.text_sequences: list[str] = []
         self.nested: list[tuple[str, Any, _StructMapper, bool]] = []
         for name in message_type.__struct_fields__:
@@ -78,11 +113,16 @@
                 self.nested.append((name, default, mapper, is_repeated))
             elif hints[name] is str:
                 self.text.append((name, default))
+            elif hints[name] is int:
+                self.integers.append((name, default, ranges[name]))
             elif typing.get_origin(hints[name]) is tuple:
-                is_text = typing.get_args(hints[name])[0] is str
-                (self.text_sequences if is_text else self.sequences).append(
-                    name
-                )
+                item = typing.get_args(hints[name])[0]
+                if item is int:
+                    self.integer_sequences.append((name, ranges[name]))
+                elif item is str:
+                    self.text_sequences.append(name)
+                else:
+                    self.sequences.append(name)
             else:
                 self.plain.append((name, default))
         self.readers = self._make_readers()
@@ -97,14 +137,8 @@
             value = getattr(message, name)
             if value != default:
                 setattr(struct, name, value.encode())
-        for name in self.sequences:
-            value = getattr(message, name)
-            if value:
-                setattr(struct, name, list(value))
-        for name in self.text_sequences:
-            value = getattr(message, name)
-            if value:
-                setattr(struct, name, [text.encode() for text in value])
+        self._set_integers(struct, message)
+        self._set_sequences(struct, message)
         for name, default, mapper, is_repeated in self.nested:
             value = getattr(message, name)
             if value == default:
@@ -115,6 +149,28 @@
                 setattr(struct, name, mapper.to_struct(value))
         return struct
 
+    def _set_integers(self, struct: Any, message: Any) -> None:
+        for name, default, allowed in self.integers:
+            value = getattr(message, name)
+            if value != default:
+                if not allowed.least <= value <= allowed.most:
+                    value = allowed.limited(value)
+                setattr(struct, name, value)
+
+    def _set_sequences(self, struct: Any, message: Any) -> None:
+        for name in self.sequences:
+            value = getattr(message, name)
+            if value:
+                setattr(struct, name, list(value))
+        for name, allowed in self.integer_sequences:
+            value = getattr(message, name)
+            if value:
+                setattr(struct, name, [allowed.limited(v) for v in value])
+        for name in self.text_sequences:
+            value = getattr(message, name)
+            if value:
+                setattr(struct, name, [text.encode() for text in value])
+
     def from_struct(self, struct: Any) -> Any:
         values: dict[str, Any] = {}
         for name, value in vars(struct).items():
@@ -127,8 +183,10 @@
         """Return the conversion of each field from its Thrift value."""
         readers: dict[str, Callable[[Any], Any] | None] = {}
         readers.update((name, None) for name, _ in self.plain)
+        readers.update((name, None) for name, _, _ in self.integers)
         readers.update((name, bytes.decode) for name, _ in self.text)
         readers.update((name, tuple) for name in self.sequences)
+        readers.update((name, tuple) for name, _ in self.integer_sequences)
         readers.update((name, _decode_texts) for name in self.text_sequences)
         for name, _, mapper, is_repeated in self.nested:
             readers[name] = (
--- a/egretcart/direct/request/held_job.py
+++ b/egretcart/direct/request/held_job.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from egretcart.direct.request.bounds import limited_span_ms
 from egretcart.direct.request.job import Job
 from egretcart.direct.request.job import JobState
 from egretcart.direct.request.job import TaskKey
@@ -238,14 +239,18 @@
 
 
 def estimate_critical_path_ms(job: Job) -> float:
-    """Return a job's run time with enough capacity, from its estimates."""
+    """Return a job's run time with enough capacity, from its estimates.
+
+    It is limited to `MAX_SPAN_MS`, as is the objective that follows from it.
+    """
     path_ms: list[float] = []
     for step in job.steps:
         before = max((path_ms[number] for number in step.after), default=0.0)
         path_ms.append(before + step.estimate_ms)
-    return max(path_ms, default=0.0)
+    return limited_span_ms(max(path_ms, default=0.0))
 
 
 def objective_ms(job: Job, route: Route) -> float:
     """Return the latency objective of a job, from its estimates."""
-    return route.stretch * estimate_critical_path_ms(job) + route.slack_ms
+    path_ms = estimate_critical_path_ms(job)
+    return limited_span_ms(route.stretch * path_ms + route.slack_ms)
--- a/egretcart/direct/request/job.py
+++ b/egretcart/direct/request/job.py
@@ -7,6 +7,10 @@
 
 import msgspec
 
+from egretcart.direct.request.bounds import MAX_ESTIMATE_MS
+from egretcart.direct.request.bounds import MAX_NAME_CHARACTERS
+from egretcart.direct.request.bounds import MAX_RESOURCE
+
 
 class Room(msgspec.Struct, frozen=True):
     """Resources that a task requires, or that a backend server has.
@@ -58,9 +62,10 @@
 
 
 NO_ROOM = Room()
-# Far above the size of any step; bounds what one request makes an entry
-# store.
+# Far above the size of any job; these bound what one request makes an entry
+# store and send.
 MAX_TASKS = 20_000
+MAX_PAYLOAD_BYTES = 16 * 1024
 
 
 class Step(msgspec.Struct, frozen=True, kw_only=True):
@@ -152,13 +157,47 @@
     """Return what is wrong with a job; None if it is valid."""
     if not job.steps:
         return f'job "{job.job_id}" has no steps'
+    payload_bytes = len(job.payload.encode())
+    if payload_bytes > MAX_PAYLOAD_BYTES:
+        return (
+            f"the payload has {payload_bytes} bytes; at most "
+            f"{MAX_PAYLOAD_BYTES} are accepted"
+        )
     for number, step in enumerate(job.steps):
-        if not 0 < step.count <= MAX_TASKS:
-            return f"step {number} has {step.count} tasks"
-        if any(not 0 <= before < number for before in step.after):
-            return f"step {number} comes after {step.after}"
-        if min(msgspec.structs.astuple(step.room)) < 0 or step.estimate_ms < 0:
-            return f"step {number} asks for {step.room}"
+        violation = _find_step_violation(step, number)
+        if violation is not None:
+            return f"step {number} {violation}"
+    tasks = sum(step.count for step in job.steps)
+    if tasks > MAX_TASKS:
+        return f"the job has {tasks} tasks; at most {MAX_TASKS} are accepted"
+    return None
+
+
+def _find_step_violation(step: Step, number: int) -> str | None:
+    if not 0 < step.count <= MAX_TASKS:
+        return f"has {step.count} tasks; 1 to {MAX_TASKS} are accepted"
+    for before in step.after:
+        if not 0 <= before < number:
+            return f"comes after step {before}; earlier ones are accepted"
+    resources = msgspec.structs.astuple(step.room)
+    if not all(0 <= amount <= MAX_RESOURCE for amount in resources):
+        return f"asks for {step.room}; 0 to {MAX_RESOURCE} are accepted"
+    if not 0 <= step.estimate_ms <= MAX_ESTIMATE_MS:
+        return (
+            f"has an estimate of {step.estimate_ms} ms; 0 to "
+            f"{MAX_ESTIMATE_MS} are accepted"
+        )
+    if not 0 <= step.max_per_agent <= MAX_TASKS:
+        return (
+            f"allows {step.max_per_agent} tasks on an agent; 0 to "
+            f"{MAX_TASKS} are accepted"
+        )
+    longest = max(len(step.requires), len(step.data_rack))
+    if longest > MAX_NAME_CHARACTERS:
+        return (
+            f"has a label of {longest} characters; at most "
+            f"{MAX_NAME_CHARACTERS} are accepted"
+        )
     return None
 
 
--- /dev/null
+++ b/tests/features/steps/external_bounds_steps.py
@@ -0,0 +1,191 @@
+import json
+import sys
+import typing
+
+from behave import given
+from behave import then
+from behave import when
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
+import msgspec
+from platform_deployment import ROOT
+
+from egretcart.connection import codec
+from egretcart.connection.frames import HEADER_BYTES
+from egretcart.direct.connection import messages
+from egretcart.direct.connection.wire import DIRECT_PROTOCOL
+from egretcart.direct.connection.wire import find_violation
+from egretcart.direct.request.job import JobState
+from egretcart.direct.request.job import Room
+from egretcart.testing.direct_world import CallerRequest
+from egretcart.testing.direct_world import DEFAULT_ROUTE
+from egretcart.testing.direct_world import SimulatedDeployment
+from egretcart.testing.fake_backend import TaskSize
+
+sys.path.insert(0, str(ROOT / "platform"))
+
+from adapter.jobs import decode_job
+
+ANY_INTEGER = st.integers(-(10**30), 10**30) | st.integers(-3, 3)
+STEP = {"count": 2, "cpu": 1600, "memMb": 64, "estMs": 100}
+SIZE = TaskSize(room=Room(1600, 64), work_ms=100)
+FURTHEST = (2**31 - 1, -(2**31), 2**63 - 1, -(2**63))
+ANSWER_S = 3.0
+
+
+class EncodedDeployment(SimulatedDeployment):
+    """A simulated deployment whose messages are encoded and decoded."""
+
+    def _send_to_agent(self, name, agent_id, message):
+        super()._send_to_agent(name, agent_id, transmitted(message))
+
+    def _send_to_entry(self, name, entry_id, message):
+        super()._send_to_entry(name, entry_id, transmitted(message))
+
+    def _send_to_peer(self, name, entry_id, message):
+        super()._send_to_peer(name, entry_id, transmitted(message))
+
+
+def transmitted(message):
+    """Return a message as its receiver decodes it."""
+    frame = DIRECT_PROTOCOL.codec.encode([message])
+    received = DIRECT_PROTOCOL.codec.decode(frame[HEADER_BYTES:])[0]
+    assert find_violation(received) is None, received
+    return received
+
+
+def integer_messages(types):
+    """Return messages whose integers have any size."""
+    return st.one_of(
+        st.builds(
+            message_type,
+            **{
+                name: ANY_INTEGER
+                for name, hint in typing.get_type_hints(message_type).items()
+                if hint is int
+            },
+        )
+        for message_type in types
+    )
+
+
+def check_nearest(used_codec, message):
+    """Check that each integer arrives as the nearest one that fits."""
+    frame = used_codec.encode([message])
+    received = used_codec.decode(frame[HEADER_BYTES:])[0]
+    for field in msgspec.structs.fields(message):
+        sent = getattr(message, field.name)
+        got = getattr(received, field.name)
+        if sent != got:
+            assert got in FURTHEST, (field.name, sent, got)
+            assert (sent > 0) == (got > 0)
+            assert abs(sent) > abs(got)
+
+
+@then("a message with integers of any size is sent with the nearest ones")
+def check_integers(context):
+    @settings(max_examples=200)
+    @for_all(integer_messages(typing.get_args(messages.Message)))
+    def check_direct(message):
+        check_nearest(DIRECT_PROTOCOL.codec, message)
+
+    @settings(max_examples=200)
+    @for_all(integer_messages(codec.MESSAGE_TYPES))
+    def check_own(message):
+        check_nearest(codec.CODEC, message)
+
+    check_direct()
+    check_own()
+
+
+@given("a simulated deployment whose messages are encoded")
+def start_encoded(context):
+    context.world = EncodedDeployment(entries=2, agents=3, seed=1)
+    context.world.run(2.0)
+
+
+def submit_body(world, body):
+    """Submit a job's body; return its request, or why it is no job."""
+    job_id = f"{len(world.requests):016x}"
+    try:
+        job = decode_job(job_id, body)
+    except msgspec.DecodeError as error:
+        return str(error)
+    world.task_behaviours[job_id] = SIZE
+    request = CallerRequest(
+        job=job, route=DEFAULT_ROUTE, sent_at=world.now, wait_limit_s=ANSWER_S
+    )
+    world.requests.append(request)
+    world.submit_to_live_entry(request)
+    world.schedule(
+        ANSWER_S, lambda: request.answer or world.disconnect_caller(request)
+    )
+    return request
+
+
+def submit_steps(world, steps):
+    document = {"spec": "s", "steps": steps, "bestEffort": True}
+    return submit_body(world, json.dumps(document).encode())
+
+
+@when("a caller submits a job with {values}")
+def submit_values(context, values):
+    fields = values[1:-1]
+    step = json.dumps(STEP)[1:-1]
+    body = f'{{"spec":"s","steps":[{{{step},{fields}}}],"bestEffort":true}}'
+    context.request = submit_body(context.world, body.encode())
+
+
+@when("a caller submits a job of {steps:d} steps with {count:d} tasks each")
+def submit_many(context, steps, count):
+    step = {**STEP, "count": count}
+    context.request = submit_steps(context.world, [step] * steps)
+
+
+@then("the job is completed")
+def check_completed(context):
+    context.world.run(ANSWER_S)
+    answer = context.request.answer
+    assert answer is not None, "no answer"
+    assert answer.state is JobState.COMPLETED, answer
+    assert not context.world.violations, context.world.violations
+
+
+@then("the job is refused with a reason that names {field}")
+def check_refused_job(context, field):
+    reason = context.request
+    if not isinstance(reason, str):
+        assert reason.answer.invalid, reason.answer
+        reason = reason.answer.cause
+    assert field in reason, reason
+
+
+ANY_STEP = st.fixed_dictionaries(
+    {"count": st.integers(1, 3)},
+    optional={
+        name: st.integers(0, 2000) | ANY_INTEGER
+        for name in ("cpu", "memMb", "gpu", "antiAffinity")
+    }
+    | {
+        "estMs": st.floats(allow_nan=False, allow_infinity=False),
+        "requires": st.sampled_from(["", "x" * 300]),
+        "dataRack": st.text(max_size=3),
+        "after": st.lists(st.integers(-1, 2), max_size=2),
+    },
+)
+
+
+@then("no job that Hypothesis makes up ends a process")
+def check_any_jobs(context):
+    world = context.world
+
+    @settings(max_examples=40)
+    @for_all(st.lists(ANY_STEP, min_size=1, max_size=3))
+    def check(steps):
+        request = submit_steps(world, steps)
+        world.run(0.5)
+        assert isinstance(request, str) or request.submission_count == 1
+        assert not world.violations, world.violations
+
+    check()
