Refuse documents that are nested too deeply, and limit callers' waits

Callers saw: broken connections, as a body nested 2,000 deep or a `Timeout-Ms` of thousands of digits ended the entry that read it. The same documents as a report, as a listing, in the store or in the settings ended agents and entries, and an operator's change that has a wrong value and is no JSON after it ended an entry of the project's own interface. Cause: msgspec raises RecursionError for nested documents, which is no DecodeError, and one of twenty decoders caught it; Python refuses to convert thousands of digits, and larger waits don't fit a float; a finding decoded a document again with another parser and its other exceptions. Change: `decode_json` is the one way in for JSON from other processes and raises DecodeError alone; a caller's wait counts as a week at most.

--- a/egretcart/connection/caller.py
+++ b/egretcart/connection/caller.py
@@ -10,6 +10,7 @@
 from egretcart.connection.http_client import ExchangeError
 from egretcart.connection.http_client import HttpClient
 from egretcart.request.identity import JobId
+from egretcart.request.json_decoding import decode_json
 
 EXCHANGE_RETRY_DELAY_S = 0.1
 MAX_CONNECTIONS = 4096
@@ -49,7 +50,7 @@
     Return None if it asks for no retry.
     """
     try:
-        parsed = msgspec.json.decode(response.body, type=_ComeBack)
+        parsed = decode_json(response.body, _ComeBack)
     except (msgspec.DecodeError, UnicodeDecodeError):
         parsed = _ComeBack()
     if parsed.retry_after_s is not None:
--- a/egretcart/direct/backend/backend_report_store.py
+++ b/egretcart/direct/backend/backend_report_store.py
@@ -15,6 +15,7 @@
 from egretcart.process.store.platform import Platform
 from egretcart.process.store.platform import PlatformError
 from egretcart.process.store.platform import Put
+from egretcart.request.json_decoding import decode_json
 
 BACKENDS_PREFIX = "egretcart/backends/"
 RETRY_DELAY_S = 1.0
@@ -38,7 +39,7 @@
     msgspec.DecodeError
         If the data is no report.
     """
-    return msgspec.json.decode(data, type=BackendReport)
+    return decode_json(data, BackendReport)
 
 
 class BackendReportStore:
--- a/egretcart/direct/process/settings.py
+++ b/egretcart/direct/process/settings.py
@@ -9,6 +9,8 @@
 from result import Ok
 from result import Result
 
+from egretcart.request.json_decoding import decode_json
+
 Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
 PositiveMs = Annotated[float, msgspec.Meta(gt=0)]
@@ -134,6 +136,6 @@
     """Return the settings of a file, or a description of the error."""
     try:
         data = path.read_bytes()
-        return Ok(msgspec.json.decode(data, type=settings_type))
+        return Ok(decode_json(data, settings_type))
     except (OSError, msgspec.DecodeError) as error:
         return Err(f"{path}: {error}")
--- a/egretcart/direct/version/configuration.py
+++ b/egretcart/direct/version/configuration.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from egretcart.request.json_decoding import decode_json
+
 # Multiple of a job's latency objective after which the answer is of no use to
 # its caller any more. It follows from the users' rules on the worth of late
 # answers.
@@ -127,4 +129,4 @@
         raise ValueError(f"{len(data)} bytes: {error}") from error
     if not decompressor.eof:
         raise ValueError(f"{len(data)} bytes are not one whole document")
-    return msgspec.json.decode(document, type=RoutingConfiguration)
+    return decode_json(document, RoutingConfiguration)
--- a/egretcart/load/command.py
+++ b/egretcart/load/command.py
@@ -20,6 +20,7 @@
 from egretcart.process.clock import SystemClock
 from egretcart.process.settings import Address
 from egretcart.process.settings import load_settings
+from egretcart.request.json_decoding import decode_json
 
 EXIT_OK = 0
 EXIT_WRONG_ANSWERS = 1
@@ -54,7 +55,7 @@
         return None
     finally:
         await client.aclose()
-    return msgspec.json.decode(response.body, type=BackendCounts)
+    return decode_json(response.body, BackendCounts)
 
 
 class _Snapshot:
--- a/egretcart/load/runner.py
+++ b/egretcart/load/runner.py
@@ -17,6 +17,7 @@
 from egretcart.process.clock import Clock
 from egretcart.request.identity import job_id_at
 from egretcart.request.identity import JobId
+from egretcart.request.json_decoding import decode_json
 
 HTTP_OK = 200
 CANCEL_TIMEOUT_S = 10.0
@@ -74,7 +75,7 @@
 
 def is_correct_answer(run: JobRun, answer: CallerAnswer) -> bool:
     """Return whether an answer has all results of this job, in order."""
-    decoded = msgspec.json.decode(answer.body, type=_Answer)
+    decoded = decode_json(answer.body, _Answer)
     expected = [
         {"echo": expected_echo(run.planned_job.number, task)}
         for task in range(len(run.planned_job.run_ms))
--- a/egretcart/process/cell/rosters.py
+++ b/egretcart/process/cell/rosters.py
@@ -6,6 +6,7 @@
 from egretcart.process.entry.directory import Cell
 from egretcart.process.store.platform import Platform
 from egretcart.process.store.platform import PlatformError
+from egretcart.request.json_decoding import decode_json
 from egretcart.request.verdict import Verdict
 
 ROSTERS_PREFIX = "egretcart/rosters/"
@@ -36,7 +37,7 @@
         If the data is no roster.
     """
     try:
-        return msgspec.json.decode(data, type=Roster)
+        return decode_json(data, Roster)
     except msgspec.DecodeError as error:
         raise PlatformError(
             f"the store holds no Roster: {error}", Verdict.NOT_RUN
--- a/egretcart/process/configuration/config_store.py
+++ b/egretcart/process/configuration/config_store.py
@@ -12,6 +12,7 @@
 from egretcart.process.store.platform import PlatformError
 from egretcart.process.store.platform import prefix_range
 from egretcart.process.store.platform import Put
+from egretcart.request.json_decoding import decode_json
 from egretcart.request.verdict import Verdict
 from egretcart.version.change import AuditEntry
 from egretcart.version.change import ChangeAttempt
@@ -184,7 +185,7 @@
 
 def _decode_stored(data: bytes, kind: type[T]) -> T:
     try:
-        return msgspec.json.decode(data, type=kind)
+        return decode_json(data, kind)
     except msgspec.DecodeError as error:
         raise PlatformError(
             f"the store holds no {kind.__name__}: {error}", Verdict.NOT_RUN
--- a/egretcart/process/configuration/config_sync.py
+++ b/egretcart/process/configuration/config_sync.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from egretcart.process.clock import Clock
+from egretcart.request.json_decoding import decode_json
 from egretcart.version.document import Configuration
 
 
@@ -206,6 +207,6 @@
     know.
     """
     try:
-        return msgspec.json.decode(data, type=Configuration)
+        return decode_json(data, Configuration)
     except msgspec.DecodeError:
         return None
--- a/egretcart/process/operators/operator_client.py
+++ b/egretcart/process/operators/operator_client.py
@@ -27,6 +27,7 @@
 from egretcart.process.store.etcd_platform import EtcdPlatform
 from egretcart.process.store.platform import PlatformError
 from egretcart.process.store.registration import list_entries
+from egretcart.request.json_decoding import decode_json
 from egretcart.request.verdict import Verdict
 from egretcart.version.change import AuditEntry
 from egretcart.version.change import ChangeOutcome
@@ -206,7 +207,7 @@
             )
             if response.status != HTTP_OK:
                 raise _error_from_response(response)
-            return msgspec.json.decode(response.body, type=kind)
+            return decode_json(response.body, kind)
         except ExchangeError as error:
             raise PlatformError(
                 f"entry {self.address.host}:{self.address.port}: {error}",
@@ -223,7 +224,7 @@
 
 def _error_from_response(response: ClientResponse) -> PlatformError:
     try:
-        problem = msgspec.json.decode(response.body, type=_ProblemBody)
+        problem = decode_json(response.body, _ProblemBody)
     except msgspec.DecodeError:
         return PlatformError(f"the entry answered {response.status}")
     return PlatformError(problem.detail, problem.verdict)
--- a/egretcart/process/store/etcd_answers.py
+++ b/egretcart/process/store/etcd_answers.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from egretcart.request.json_decoding import decode_json
+
 
 class Header(msgspec.Struct, frozen=True):
     """Header of an answer, with the revision of the whole store."""
@@ -119,4 +121,4 @@
     msgspec.DecodeError
         If the data is not an answer of this type.
     """
-    return msgspec.json.decode(data, type=kind, strict=False)
+    return decode_json(data, kind, strict=False)
--- a/egretcart/process/store/registration.py
+++ b/egretcart/process/store/registration.py
@@ -11,6 +11,7 @@
 from egretcart.process.store.platform import PlatformRefusal
 from egretcart.process.store.platform import prefix_range
 from egretcart.process.store.platform import Put
+from egretcart.request.json_decoding import decode_json
 
 ENTRIES_PREFIX = "egretcart/entries/"
 LEASE_TTL_S = 30
@@ -26,7 +27,7 @@
 def decode_address(data: bytes) -> EntryAddress | None:
     """Return a registered address, or None if it can't be read."""
     try:
-        return msgspec.json.decode(data, type=EntryAddress)
+        return decode_json(data, EntryAddress)
     except msgspec.DecodeError:
         return None
 
--- a/egretcart/request/job.py
+++ b/egretcart/request/job.py
@@ -11,6 +11,7 @@
 import xxhash
 
 from egretcart.request.identity import JobId
+from egretcart.request.json_decoding import decode_json
 
 DEFAULT_KIND = "default"
 DEFAULT_URGENCY = "normal"
@@ -155,8 +156,8 @@
         The error names the path of the invalid field and what is accepted.
     """
     try:
-        document = msgspec.json.decode(body, type=JobDocument)
-    except (msgspec.DecodeError, RecursionError) as error:
+        document = decode_json(body, JobDocument)
+    except msgspec.DecodeError as error:
         return Err(str(error))
     except UnicodeDecodeError:
         return Err("the body is not UTF-8; JSON in UTF-8 is accepted")
--- a/egretcart/request/problem.py
+++ b/egretcart/request/problem.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from egretcart.request.json_decoding import decode_json
 from egretcart.request.verdict import Verdict
 
 PROBLEM_MEDIA_TYPE = "application/problem+json"
@@ -75,7 +76,7 @@
         `MAY_HAVE_RUN` if the document states no valid verdict.
     """
     try:
-        return msgspec.json.decode(body, type=_VerdictOnly).verdict
+        return decode_json(body, _VerdictOnly).verdict
     except (msgspec.DecodeError, UnicodeDecodeError):
         return Verdict.MAY_HAVE_RUN
 
--- a/egretcart/version/check.py
+++ b/egretcart/version/check.py
@@ -12,6 +12,7 @@
 from result import Ok
 from result import Result
 
+from egretcart.request.json_decoding import decode_json
 from egretcart.version.document import Configuration
 from egretcart.version.document import Kind
 from egretcart.version.document import Service
@@ -66,7 +67,7 @@
         The finding names the first invalid value.
     """
     try:
-        return Ok(msgspec.json.decode(data, type=kind))
+        return Ok(decode_json(data, kind))
     except msgspec.ValidationError as error:
         return Err(_parse_validation_error(data, str(error)))
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
@@ -74,16 +75,20 @@
 
 
 def _parse_validation_error(data: bytes, message: str) -> Finding:
+    try:
+        document = decode_json(data, object)
+    except msgspec.DecodeError as error:
+        # What follows the first invalid value is no JSON at all.
+        return Finding(path=ROOT_PATH, found=str(error), accepted="JSON")
     located = ERROR_WITH_PATH.fullmatch(message)
     if located is None:
         return Finding(
-            path=ROOT_PATH,
-            found=_to_short_json(json.loads(data)),
-            accepted=message,
+            path=ROOT_PATH, found=_to_short_json(document), accepted=message
         )
-    path = located.group("path")
-    found = _to_short_json(_value_at(json.loads(data), path))
-    return Finding(path=path, found=found, accepted=located.group("rule"))
+    found = _to_short_json(_value_at(document, located.group("path")))
+    return Finding(
+        path=located.group("path"), found=found, accepted=located.group("rule")
+    )
 
 
 def _value_at(document: Any, path: str) -> Any:
--- a/tests/features/external_bounds.feature
+++ b/tests/features/external_bounds.feature
@@ -42,3 +42,38 @@
   Scenario: Jobs with any values end no process
     Given a simulated deployment whose messages are encoded
     Then no job that Hypothesis makes up ends a process
+
+  # Guards against processes that end on a document nested 5,000 deep.
+  Scenario Outline: A document nested too deeply is refused
+    Then a document nested too deeply is refused as <kind>
+
+    Examples:
+      | kind                     |
+      | a job                    |
+      | a report                 |
+      | a stored report          |
+      | a desired state          |
+      | settings                 |
+      | an operator's change     |
+      | a registered address     |
+
+  # Guards against an entry that ends on an operator's change that is cut off.
+  Scenario: A document with a wrong value that is no JSON later on is refused
+    Then each of these documents is refused with a finding
+      | document                 |
+      | {"base":"x", !           |
+      | {"change_id":7           |
+
+  # Guards against entries that end on a header of thousands of digits.
+  Scenario Outline: The time that a caller waits is limited
+    Then a caller that waits for <digits> digits of <digit> ms waits <wait_s> s
+
+    Examples:
+      | digits | digit | wait_s |
+      | 4      | 1     | 1.111  |
+      | 9      | 9     | 604800 |
+      | 400    | 9     | 604800 |
+      | 5000   | 9     | 604800 |
+      | 5000   | 0     | 0      |
+      | 0      | 0     | inf    |
+      | 3      | x     | inf    |
--- a/tests/features/steps/external_bounds_steps.py
+++ b/tests/features/steps/external_bounds_steps.py
@@ -1,5 +1,8 @@
 import json
+import pathlib
+import shutil
 import sys
+import tempfile
 import typing
 
 from behave import given
@@ -13,19 +16,28 @@
 
 from egretcart.connection import codec
 from egretcart.connection.frames import HEADER_BYTES
+from egretcart.direct.backend.backend_report_store import decode_stored_report
 from egretcart.direct.connection import messages
 from egretcart.direct.connection.wire import DIRECT_PROTOCOL
 from egretcart.direct.connection.wire import find_violation
+from egretcart.direct.process.settings import DirectEntrySettings
+from egretcart.direct.process.settings import load_direct_settings
 from egretcart.direct.request.job import JobState
 from egretcart.direct.request.job import Room
+from egretcart.process.store.registration import decode_address
 from egretcart.testing.direct_world import CallerRequest
 from egretcart.testing.direct_world import DEFAULT_ROUTE
 from egretcart.testing.direct_world import SimulatedDeployment
 from egretcart.testing.fake_backend import TaskSize
+from egretcart.version.change import ProposedChange
+from egretcart.version.check import decode_checked
 
 sys.path.insert(0, str(ROOT / "platform"))
 
+from adapter.client_handlers import parse_wait_limit_s
+from adapter.configuration import decode_configuration
 from adapter.jobs import decode_job
+from adapter.runner import decode_report
 
 ANY_INTEGER = st.integers(-(10**30), 10**30) | st.integers(-3, 3)
 STEP = {"count": 2, "cpu": 1600, "memMb": 64, "estMs": 100}
@@ -189,3 +201,56 @@
         assert not world.violations, world.violations
 
     check()
+
+
+NESTED = b"[" * 5000 + b"]" * 5000
+
+
+def decode_nested_change(data):
+    return decode_checked(data, ProposedChange).unwrap_err()
+
+
+def decode_nested_settings(data):
+    path = pathlib.Path(tempfile.mkdtemp()) / "settings.json"
+    path.write_bytes(data)
+    loaded = load_direct_settings(path, DirectEntrySettings)
+    shutil.rmtree(path.parent)
+    return loaded.unwrap_err()
+
+
+# Decoders that raise an error, or return what is wrong.
+DECODERS = {
+    "a job": lambda data: decode_job("0" * 16, data),
+    "a report": lambda data: decode_report("i-1", data),
+    "a stored report": decode_stored_report,
+    "a desired state": decode_configuration,
+    "settings": decode_nested_settings,
+    "an operator's change": decode_nested_change,
+    "a registered address": decode_address,
+}
+
+
+@then("a document nested too deeply is refused as {kind}")
+def check_nested(context, kind):
+    # A wrong value before it makes a finding describe the whole document.
+    for data in (NESTED, b'{"services":7,"x":' + NESTED + b"}"):
+        try:
+            found = DECODERS[kind](data)
+        except msgspec.DecodeError as error:
+            found = error
+        assert found is None or str(found), found
+
+
+@then("each of these documents is refused with a finding")
+def check_cut_off(context):
+    for row in context.table:
+        finding = decode_checked(row["document"].encode(), ProposedChange)
+        assert finding.unwrap_err().accepted == "JSON", finding
+
+
+@then(
+    "a caller that waits for {digits:d} digits of {digit} ms waits "
+    "{wait_s:g} s"
+)
+def check_wait_limit(context, digits, digit, wait_s):
+    assert parse_wait_limit_s(digits * digit) == wait_s
