Bound what backend servers report, list and answer

Callers saw: lost runs, as an agent ended on a report with a capacity or a cold time that no message holds (10^12, 10^25), on a listing with elements of another type, on a report whose id is no valid header value, or after a server had refused some 60 tokens in a row, each twice the last. Cause: the adapter decoded numbers of any size and rows of any type, and passed the id on as it was. The encoder of messages, of request bodies or of headers raised where nothing expects it. Change: reports and listings have bounded types where they are decoded; a report out of bounds is refused with its reason and a line, a listing is no answer. Times count as a week at most. The fencing token rises up to 2^53 - 1.

--- a/egretcart/direct/agent/known_backend.py
+++ b/egretcart/direct/agent/known_backend.py
@@ -14,6 +14,7 @@
 from egretcart.direct.log.agent_decisions import BackendChanged
 from egretcart.direct.log.agent_decisions import SUSPECT_STATE
 from egretcart.direct.log.decisions import DecisionLog
+from egretcart.direct.request.bounds import MAX_COUNTER
 from egretcart.direct.request.job import TaskKey
 
 MS_PER_S = 1000
@@ -165,7 +166,14 @@
         if clock_ms is not None:
             self.lease.update_clock(clock_ms, now)
         if token >= self.fencing_token:
-            self.fencing_token = max(2 * token, clock_ms or 0)
+            self._raise_fencing_token(max(2 * token, clock_ms or 0))
+
+    def _raise_fencing_token(self, token: int) -> None:
+        """Raise the fencing token, up to a bound.
+
+        A server that refuses any token would otherwise double it without end.
+        """
+        self.fencing_token = min(token, MAX_COUNTER)
 
     def log_change(self, state: str, cause: str, now: float) -> None:
         """Log a change of the server's state and what it rests on."""
@@ -187,7 +195,9 @@
         # The server's clock rises throughout its incarnation, so that each
         # incarnation of the agent has a higher token than the one before.
         # Late requests to a former incarnation of the instance are refused.
-        self.fencing_token = max(self.fencing_token + 1, report.clock_ms)
+        self._raise_fencing_token(
+            max(self.fencing_token + 1, report.clock_ms)
+        )
         self.acknowledged = 0
         self.ready = False
         self.lease_expired = False
--- a/egretcart/direct/backend/backend.py
+++ b/egretcart/direct/backend/backend.py
@@ -5,6 +5,10 @@
 
 import msgspec
 
+from egretcart.direct.request.bounds import Counter
+from egretcart.direct.request.bounds import InstanceName
+from egretcart.direct.request.bounds import Labels
+from egretcart.direct.request.bounds import Name
 from egretcart.direct.request.job import Ending
 from egretcart.direct.request.job import Room
 from egretcart.direct.request.job import TaskKey
@@ -21,8 +25,8 @@
         Unix time of its start, in milliseconds.
     """
 
-    instance: str
-    born_ms: int
+    instance: InstanceName
+    born_ms: Counter
 
 
 class BackendReport(msgspec.Struct, frozen=True, kw_only=True):
@@ -57,14 +61,14 @@
     """
 
     lifetime: BackendIncarnation
-    service: str
+    service: Name
     capacity: Room
-    labels: tuple[str, ...] = ()
+    labels: Labels = ()
     draining: bool = False
-    leaves_in_ms: int | None = None
-    cold_for_ms: int = 0
-    clock_ms: int = 0
-    sequence: int = 0
+    leaves_in_ms: Counter | None = None
+    cold_for_ms: Counter = 0
+    clock_ms: Counter = 0
+    sequence: Counter = 0
 
 
 class RunningTask(msgspec.Struct, frozen=True, kw_only=True):
--- a/egretcart/direct/request/bounds.py
+++ b/egretcart/direct/request/bounds.py
@@ -10,6 +10,7 @@
 import msgspec
 
 MAX_NAME_CHARACTERS = 256
+MAX_LABELS = 64
 MAX_RESOURCE = 2**31 - 1
 # A day.
 MAX_ESTIMATE_MS = 86_400_000
@@ -22,6 +23,9 @@
 Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARACTERS)]
 Resource = Annotated[int, msgspec.Meta(ge=0, le=MAX_RESOURCE)]
 Counter = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNTER)]
+# Visible ASCII characters: the name is sent in a header.
+InstanceName = Annotated[str, msgspec.Meta(pattern=r"\A[!-~]{1,128}\Z")]
+Labels = Annotated[tuple[Name, ...], msgspec.Meta(max_length=MAX_LABELS)]
 
 
 def limited_span_ms(span_ms: float) -> float:
--- a/egretcart/direct/request/job.py
+++ b/egretcart/direct/request/job.py
@@ -10,11 +10,14 @@
 from egretcart.direct.request.bounds import MAX_ESTIMATE_MS
 from egretcart.direct.request.bounds import MAX_NAME_CHARACTERS
 from egretcart.direct.request.bounds import MAX_RESOURCE
+from egretcart.direct.request.bounds import Resource
 
 
 class Room(msgspec.Struct, frozen=True):
     """Resources that a task requires, or that a backend server has.
 
+    A difference of two may be negative; one that is decoded may not.
+
     Attributes
     ----------
     cpu_milli : int
@@ -25,9 +28,9 @@
         Number of accelerators.
     """
 
-    cpu_milli: int = 0
-    memory_mb: int = 0
-    accelerators: int = 0
+    cpu_milli: Resource = 0
+    memory_mb: Resource = 0
+    accelerators: Resource = 0
 
     def __add__(self, other: "Room") -> "Room":
         return Room(
--- a/tests/features/external_bounds.feature
+++ b/tests/features/external_bounds.feature
@@ -77,3 +77,49 @@
       | 5000   | 0     | 0      |
       | 0      | 0     | inf    |
       | 3      | x     | inf    |
+
+  # Guards against agents that end on a report beyond the range of a message.
+  Scenario Outline: A report with an impossible value is refused
+    Then a report of "<instance>" with <fields> is refused
+
+    Examples:
+      | instance | fields                                       |
+      | i-1      | {"capacity":{"cpu":1000000000000,"memMb":1}} |
+      | i-1      | {"capacity":{"cpu":-1,"memMb":1}}            |
+      | i-1      | {"born":10000000000000000000000000}          |
+      | i-1      | {"born":-1}                                  |
+      | i-1      | {"clockMs":9007199254740992}                 |
+      | i-1      | {"seq":1e300}                                |
+      | i-1      | {"service":""}                               |
+      | i-1      | {"labels":"x"}                               |
+      | i 1      | {}                                           |
+      | i-é      | {}                                           |
+      |          | {}                                           |
+
+  Scenario Outline: The times in a report are limited
+    Then a report with <fields> leaves in <leaves> and is cold for <cold> ms
+
+    Examples:
+      | fields                                                | leaves    | cold      |
+      | {"state":"ready","coldLeftMs":10000000000000000000000000} | None  | 604800000 |
+      | {"state":"draining","remainingMs":9000000000}         | 604800000 | 0         |
+
+  # Guards against agents that end on a listing whose elements are of other
+  # types, or that no request can repeat.
+  Scenario Outline: A listing that can't be right is no answer
+    Given a runner stand-in
+    Then a poll that is answered <listing> has no usable answer
+
+    Examples:
+      | listing                                                     |
+      | {"clockMs":1,"running":[["t.0.0.0","x","",1]],"ended":[]}   |
+      | {"clockMs":1,"running":[["t.0.0.0",1,"",null]],"ended":[]}  |
+      | {"clockMs":1,"running":[["t",1,"",1]],"ended":[]}           |
+      | {"clockMs":1,"running":[],"ended":[["1","t.0.0.0",1,"done",""]]} |
+      | {"clockMs":10000000000000000000000000,"running":[],"ended":[]} |
+
+  # Guards against an agent that ends as its token doubles without end.
+  Scenario: A server that refuses every fencing token ends no agent
+    Given a simulated deployment whose messages are encoded
+    When a backend server refuses 200 polls for their fencing token
+    Then the agent's next requests can be sent
--- a/tests/features/steps/external_bounds_steps.py
+++ b/tests/features/steps/external_bounds_steps.py
@@ -16,6 +16,10 @@
 
 from egretcart.connection import codec
 from egretcart.connection.frames import HEADER_BYTES
+from egretcart.connection.http_server import HttpResponse
+from egretcart.direct.backend.backend import BackendCallError
+from egretcart.direct.backend.backend import BackendIncarnation
+from egretcart.direct.backend.backend import PollRequest
 from egretcart.direct.backend.backend_report_store import decode_stored_report
 from egretcart.direct.connection import messages
 from egretcart.direct.connection.wire import DIRECT_PROTOCOL
@@ -38,6 +42,7 @@
 from adapter.configuration import decode_configuration
 from adapter.jobs import decode_job
 from adapter.runner import decode_report
+from adapter.runner import Runner
 
 ANY_INTEGER = st.integers(-(10**30), 10**30) | st.integers(-3, 3)
 STEP = {"count": 2, "cpu": 1600, "memMb": 64, "estMs": 100}
@@ -254,3 +259,67 @@
 )
 def check_wait_limit(context, digits, digit, wait_s):
     assert parse_wait_limit_s(digits * digit) == wait_s
+
+
+REPORT = {
+    "service": "s",
+    "state": "ready",
+    "capacity": {"cpu": 1, "memMb": 1},
+    "seq": 1,
+    "clockMs": 1,
+    "born": 1,
+}
+
+
+@then('a report of "{instance}" with {fields} is refused')
+@then('a report of "" with {fields} is refused')
+def check_impossible_report(context, fields, instance=""):
+    body = json.dumps(REPORT)[:-1] + "," + fields[1:]
+    try:
+        report = decode_report(instance, body.replace(",}", "}").encode())
+    except ValueError as error:
+        assert str(error)
+        return
+    raise AssertionError(report)
+
+
+@then("a poll that is answered {listing} has no usable answer")
+def check_listing(context, listing):
+    async def answer(request):
+        return HttpResponse(body=listing.encode())
+
+    port = context.stand_ins.serve(answer)
+    client = Runner(
+        host="127.0.0.1", port=port, start_timeout_s=0.3, stop_timeout_s=0.3
+    )
+    request = PollRequest(
+        lifetime=BackendIncarnation("i-1", 1),
+        fencing_token=1,
+        acknowledged=0,
+        deadline_ms=None,
+        wait_ms=0,
+    )
+
+    async def poll():
+        return await client.poll(request, time_limit_s=0.5)
+
+    try:
+        listing = context.stand_ins.call(poll)
+    except BackendCallError as error:
+        assert "no listing" in str(error), error
+        return
+    raise AssertionError(listing)
+
+
+@when("a backend server refuses {count:d} polls for their fencing token")
+def refuse_tokens(context, count):
+    agent = context.agent = context.world.agents["agent-0"]
+    for _ in range(count):
+        request = agent.poll_request(context.world.now, wait_ms=0)
+        agent.poll_refused(request, 1, context.world.now)
+
+
+@then("the agent's next requests can be sent")
+def check_requests(context):
+    request = context.agent.poll_request(context.world.now, wait_ms=0)
+    assert json.loads(msgspec.json.encode(request))["fencing_token"] < 2**53
