Bound the settings, and the addresses that processes read from the store

Operators saw: a process that ended on a change of its settings, as a seed was not of the form host:port; one that ended as an entry was registered under a host name with an empty label, which name resolution refuses by an error that is no OSError. Cause: addresses of settings were split when they were used, and registered ones not checked at all; times and factors had no bounds. Change: settings are checked whole when they are read, so that wrong ones are logged and ignored on a change. A registered address that can't be reached is left out, with a line.

--- a/egretcart/direct/agent/known_backend.py
+++ b/egretcart/direct/agent/known_backend.py
@@ -195,9 +195,7 @@
         # The server's clock rises throughout its incarnation, so that each
         # incarnation of the agent has a higher token than the one before.
         # Late requests to a former incarnation of the instance are refused.
-        self._raise_fencing_token(
-            max(self.fencing_token + 1, report.clock_ms)
-        )
+        self._raise_fencing_token(max(self.fencing_token + 1, report.clock_ms))
         self.acknowledged = 0
         self.ready = False
         self.lease_expired = False
--- a/egretcart/direct/process/settings.py
+++ b/egretcart/direct/process/settings.py
@@ -9,11 +9,19 @@
 from result import Ok
 from result import Result
 
+from egretcart.connection.entry_address import find_address_violation
+from egretcart.connection.entry_address import MAX_PORT
+from egretcart.direct.request.bounds import MAX_SPAN_MS
 from egretcart.request.json_decoding import decode_json
 
-Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
+MAX_PORT_DIGITS = len(str(MAX_PORT))
+
+Port = Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT)]
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
-PositiveMs = Annotated[float, msgspec.Meta(gt=0)]
+PositiveMs = Annotated[float, msgspec.Meta(gt=0, le=MAX_SPAN_MS)]
+LeaseMs = Annotated[int, msgspec.Meta(ge=1, le=MAX_SPAN_MS)]
+GraceSeconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_SPAN_MS / 1000)]
+Factor = Annotated[float, msgspec.Meta(ge=0, le=1000)]
 
 
 class DirectSettings(
@@ -63,12 +71,18 @@
     store: Name
     control: str = ""
     seeds: tuple[str, ...] = ()
-    stop_grace_s: float = 6.0
-    max_lease_ms: int = 1000
-    far_factor: float = 1.5
+    stop_grace_s: GraceSeconds = 6.0
+    max_lease_ms: LeaseMs = 1000
+    far_factor: Factor = 1.5
     max_drain_delay_ms: PositiveMs | None = None
     metrics: str = ""
 
+    @property
+    def addresses(self) -> tuple[str, ...]:
+        """All addresses that are set, as ``host:port``."""
+        optional = (self.control, self.metrics)
+        return (self.store, *self.seeds, *filter(None, optional))
+
     @property
     def seed_endpoints(self) -> list[tuple[str, int]]:
         """Host and port where each seed listens for other processes."""
@@ -96,6 +110,11 @@
     readiness: Name
     confines_routes: bool = False
 
+    @property
+    def addresses(self) -> tuple[str, ...]:
+        """All addresses that are set, as ``host:port``."""
+        return (*super().addresses, self.callers, self.readiness)
+
 
 class DirectAgentSettings(DirectSettings, frozen=True, kw_only=True):
     """Settings of an agent.
@@ -112,6 +131,11 @@
     backend: Name
     suspects_servers: bool = False
 
+    @property
+    def addresses(self) -> tuple[str, ...]:
+        """All addresses that are set, as ``host:port``."""
+        return (*super().addresses, self.backend)
+
 
 S = TypeVar("S", bound=DirectSettings)
 
@@ -122,11 +146,15 @@
     Raises
     ------
     ValueError
-        If it is not of the form ``host:port``.
+        If it is not of the form ``host:port``, or nothing can be reached
+        there.
     """
     host, _, port = address.rpartition(":")
-    if not host or not port.isdigit():
-        raise ValueError(f'"{address}" is not of the form host:port')
+    if not host or not (port.isdecimal() and len(port) <= MAX_PORT_DIGITS):
+        raise ValueError(f"{address!r:.80} is not of the form host:port")
+    violation = find_address_violation(host, int(port))
+    if violation is not None:
+        raise ValueError(violation)
     return host, int(port)
 
 
@@ -135,7 +163,9 @@
 ) -> Result[S, str]:
     """Return the settings of a file, or a description of the error."""
     try:
-        data = path.read_bytes()
-        return Ok(decode_json(data, settings_type))
-    except (OSError, msgspec.DecodeError) as error:
+        settings = decode_json(path.read_bytes(), settings_type)
+        for address in settings.addresses:
+            split_address(address)
+    except (OSError, ValueError) as error:
         return Err(f"{path}: {error}")
+    return Ok(settings)
--- a/egretcart/direct/process/store_follower.py
+++ b/egretcart/direct/process/store_follower.py
@@ -92,7 +92,10 @@
         while True:
             listed_at = trio.current_time()
             try:
-                for address in await list_entries(self.platform):
+                addresses = await list_entries(
+                    self.platform, on_unreadable=self._log_unreadable
+                )
+                for address in addresses:
                     self.on_entry(
                         PeerAddress(
                             host=address.host,
@@ -110,6 +113,15 @@
             ):
                 await self._sleep_interval()
 
+    def _log_unreadable(self, key: str, error: ValueError) -> None:
+        self.state.log.write(
+            DependencyChanged(
+                name=STORE,
+                state="unreadable entry address",
+                cause=f"{key}: {error}",
+            )
+        )
+
     async def _sleep_interval(self) -> None:
         await trio.sleep(
             LIST_ENTRIES_INTERVAL_S * self.source.uniform(0.8, 1.2)
--- a/egretcart/direct/request/bounds.py
+++ b/egretcart/direct/request/bounds.py
@@ -9,6 +9,9 @@
 
 import msgspec
 
+from egretcart.connection.entry_address import HOST_PATTERN
+from egretcart.connection.entry_address import MAX_PORT
+
 MAX_NAME_CHARACTERS = 256
 MAX_LABELS = 64
 MAX_RESOURCE = 2**31 - 1
@@ -20,6 +23,9 @@
 # The largest integer that every implementation of JSON represents exactly.
 MAX_COUNTER = 2**53 - 1
 
+Amount = Annotated[int, msgspec.Meta(ge=0)]
+Port = Annotated[int, msgspec.Meta(ge=0, le=MAX_PORT)]
+Host = Annotated[str, msgspec.Meta(pattern=HOST_PATTERN)]
 Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARACTERS)]
 Resource = Annotated[int, msgspec.Meta(ge=0, le=MAX_RESOURCE)]
 Counter = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNTER)]
--- a/egretcart/process/store/platform_follower.py
+++ b/egretcart/process/store/platform_follower.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 import random
 
+import eliot
 import trio
 
 from egretcart.connection.cell_types import Roster
@@ -124,12 +125,22 @@
         if key == CONFIG_KEY:
             self.on_configuration(decode_configuration(data))
         elif key.startswith(ENTRIES_PREFIX):
-            address = decode_address(data)
-            if address is not None:
-                self.on_entry(address)
+            self._apply_address(key, data)
         elif key.startswith(ROSTERS_PREFIX):
             self._apply_roster(key, data)
 
+    def _apply_address(self, key: str, data: bytes) -> None:
+        try:
+            address = decode_address(data)
+        except ValueError as error:
+            eliot.log_message(
+                message_type="egretcart:unreadable_address",
+                key=key,
+                cause=str(error),
+            )
+            return
+        self.on_entry(address)
+
     def _apply_roster(self, key: str, data: bytes) -> None:
         cell = cell_of_key(key)
         try:
--- a/egretcart/process/store/registration.py
+++ b/egretcart/process/store/registration.py
@@ -1,11 +1,13 @@
 """Registration of live entries under leases in the platform's store."""
 
+from collections.abc import Callable
 import random
 
 import msgspec
 import trio
 
 from egretcart.connection.entry_address import EntryAddress
+from egretcart.connection.entry_address import find_address_violation
 from egretcart.process.store.platform import Platform
 from egretcart.process.store.platform import PlatformError
 from egretcart.process.store.platform import PlatformRefusal
@@ -24,22 +26,51 @@
     return f"{ENTRIES_PREFIX}{entry_id}"
 
 
-def decode_address(data: bytes) -> EntryAddress | None:
-    """Return a registered address, or None if it can't be read."""
-    try:
-        return decode_json(data, EntryAddress)
-    except msgspec.DecodeError:
-        return None
+def decode_address(data: bytes) -> EntryAddress:
+    """Return a registered address.
 
-
-async def list_entries(platform: Platform) -> tuple[EntryAddress, ...]:
+    Raises
+    ------
+    ValueError
+        If the data is no address at which a process can be reached.
+    """
+    address = decode_json(data, EntryAddress)
+    for host, port in (
+        (address.host, address.port),
+        (address.http_host, address.http_port),
+    ):
+        violation = find_address_violation(host, port)
+        if violation is not None:
+            raise ValueError(violation)
+    return address
+
+
+def _ignore(_key: str, _error: ValueError) -> None:
+    """Do nothing."""
+
+
+async def list_entries(
+    platform: Platform,
+    *,
+    on_unreadable: Callable[[str, ValueError], None] = _ignore,
+) -> tuple[EntryAddress, ...]:
     """Return the addresses of all registered entries.
 
-    Addresses that can't be read are left out.
+    Parameters
+    ----------
+    platform : Platform
+    on_unreadable : callable, optional
+        Called with the key of each address that can't be read, and why. It
+        is left out.
     """
     listing = await platform.list_range(prefix_range(ENTRIES_PREFIX))
-    found = [decode_address(value.data) for value in listing.values.values()]
-    return tuple(address for address in found if address is not None)
+    found: list[EntryAddress] = []
+    for key, value in listing.values.items():
+        try:
+            found.append(decode_address(value.data))
+        except ValueError as error:
+            on_unreadable(key, error)
+    return tuple(found)
 
 
 class Registrar:
--- a/tests/features/external_bounds.feature
+++ b/tests/features/external_bounds.feature
@@ -123,3 +123,29 @@
     Given a simulated deployment whose messages are encoded
     When a backend server refuses 200 polls for their fencing token
     Then the agent's next requests can be sent
+
+  Scenario Outline: A registered address that can't be reached is left out
+    Then a registered address with <fields> is refused
+
+    Examples:
+      | fields                         |
+      | {"host":"a..b","port":7}       |
+      | {"host":"a b","port":7}        |
+      | {"host":"1.2.3.4","port":70000} |
+      | {"host":"1.2.3.4","port":-1}   |
+
+  # Guards against processes that end on a change of their settings.
+  Scenario Outline: Settings that can't be right are refused
+    Then settings with <fields> are refused
+
+    Examples:
+      | fields                              |
+      | {"seeds":["10.1.0.13"]}             |
+      | {"seeds":["10.1.0.13:99999"]}       |
+      | {"seeds":["a..b:7"]}                |
+      | {"store":"nowhere"}                 |
+      | {"callers":"127.0.0.1:x"}           |
+      | {"max_lease_ms":0}                  |
+      | {"max_lease_ms":10000000000000000000000000} |
+      | {"stop_grace_s":-1}                 |
+      | {"far_factor":1e300}                |
