Bound the numbers of desired states

Callers saw: broken connections, as an entry ended on a desired state with a priority beyond 32 bits or an enormous stretch; and as an entry that had left the load balancer's rotation got objectives without slack, as it told others an infinite lateness. Cause: the numbers of a desired state were used as they came, also from other entries; "no tolerated lateness" was infinity, which is sent and logged as an integer. Change: numbers of a desired state count as their bound, as it would otherwise not be in force at all; a version or name out of bounds makes it unreadable, which is logged. What another entry sends must be within the bounds.

--- a/egretcart/direct/policy/rotation.py
+++ b/egretcart/direct/policy/rotation.py
@@ -14,6 +14,11 @@
 
 import msgspec
 
+from egretcart.direct.request.bounds import MAX_SPAN_MS
+
+# Longer than any tick is late. It is finite, as other entries are told it.
+MAX_TOLERATED_S = MAX_SPAN_MS / 1000
+
 
 class RotationLimits(msgspec.Struct, frozen=True, kw_only=True):
     """When an entry leaves the rotation and returns.
@@ -65,7 +70,7 @@
     ----------
     tolerated_s : float
         Mean lateness of ticks that callers tolerate, in seconds: the slack
-        of their objectives; infinite if the configuration sets none.
+        of their objectives; `MAX_TOLERATED_S` if the configuration sets none.
     lateness_s : float
         Mean lateness of the last ticks, in seconds.
     others_s : dict of str to float
@@ -85,7 +90,7 @@
     ) -> None:
         self.limits = limits
         self.tick_interval_s = tick_interval_s
-        self.tolerated_s = math.inf
+        self.tolerated_s = MAX_TOLERATED_S
         self.lateness_s = 0.0
         self.others_s: dict[str, float] = {}
         self.is_out = False
@@ -102,7 +107,9 @@
             Zero if their objectives have none: the entry then never leaves.
         """
         self.tolerated_s = (
-            max(slack_s, self.tick_interval_s) if slack_s > 0 else math.inf
+            max(slack_s, self.tick_interval_s)
+            if slack_s > 0
+            else MAX_TOLERATED_S
         )
 
     @property
--- a/egretcart/direct/version/configuration.py
+++ b/egretcart/direct/version/configuration.py
@@ -1,9 +1,13 @@
 """The routing configuration of direct dispatch: routes, limits, version."""
 
+from typing import Annotated
 import zlib
 
 import msgspec
 
+from egretcart.direct.request.bounds import Counter
+from egretcart.direct.request.bounds import MAX_SPAN_MS
+from egretcart.direct.request.bounds import Name
 from egretcart.request.json_decoding import decode_json
 
 # Multiple of a job's latency objective after which the answer is of no use to
@@ -17,6 +21,16 @@
 # Routes repeat their hosts and prefixes; a higher level gains little.
 COMPRESSION_LEVEL = 3
 MAX_DOCUMENT_BYTES = 16 * 1024 * 1024
+MAX_PATH_CHARACTERS = 4096
+MAX_PRIORITY = 2**31 - 1
+MAX_ATTEMPTS = 1_000_000
+MAX_STRETCH = 1_000_000.0
+MAX_HEADER_BYTES = 1024 * 1024
+MAX_BODY_BYTES = 16 * 1024 * 1024
+MAX_TIMEOUT_S = MAX_SPAN_MS / 1000
+
+Path = Annotated[str, msgspec.Meta(max_length=MAX_PATH_CHARACTERS)]
+Timeout = Annotated[float, msgspec.Meta(ge=0, le=MAX_TIMEOUT_S)]
 
 
 class Route(msgspec.Struct, frozen=True, kw_only=True):
@@ -44,14 +58,14 @@
         of such a route are refused, as that service is not asked.
     """
 
-    name: str
-    host: str
-    prefix: str
-    service: str
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
-    slack_ms: float = 0.0
+    name: Name
+    host: Name
+    prefix: Path
+    service: Name
+    priority: Annotated[int, msgspec.Meta(ge=0, le=MAX_PRIORITY)] = 0
+    max_attempts: Annotated[int, msgspec.Meta(ge=1, le=MAX_ATTEMPTS)] = 1
+    stretch: Annotated[float, msgspec.Meta(ge=0, le=MAX_STRETCH)] = 1.0
+    slack_ms: Annotated[float, msgspec.Meta(ge=0, le=MAX_SPAN_MS)] = 0.0
     needs_advice: bool = False
 
 
@@ -69,10 +83,14 @@
         seconds.
     """
 
-    max_header_bytes: int = 16 * 1024
-    max_body_bytes: int = 256 * 1024
-    header_timeout_s: float = 10.0
-    idle_timeout_s: float = 120.0
+    max_header_bytes: Annotated[
+        int, msgspec.Meta(ge=1, le=MAX_HEADER_BYTES)
+    ] = 16 * 1024
+    max_body_bytes: Annotated[int, msgspec.Meta(ge=0, le=MAX_BODY_BYTES)] = (
+        256 * 1024
+    )
+    header_timeout_s: Timeout = 10.0
+    idle_timeout_s: Timeout = 120.0
 
 
 class RoutingConfiguration(msgspec.Struct, frozen=True, kw_only=True):
@@ -86,7 +104,7 @@
     limits : RequestLimits
     """
 
-    version: int = 0
+    version: Counter = 0
     routes: tuple[Route, ...] = ()
     limits: RequestLimits = RequestLimits()
 
--- a/tests/features/external_bounds.feature
+++ b/tests/features/external_bounds.feature
@@ -124,6 +124,41 @@
     When a backend server refuses 200 polls for their fencing token
     Then the agent's next requests can be sent
 
+  # Guards against entries that end on a desired state with a far-off number.
+  Scenario Outline: A far-off number of a desired state counts as its bound
+    Given a simulated deployment whose messages are encoded
+    When operators apply a desired state with <fields>
+    And a caller submits a job with {"cpu":1600}
+    Then the job is completed
+
+    Examples:
+      | fields                                        |
+      | {"priority":10000000000000000000000000}       |
+      | {"priority":-1}                               |
+      | {"stretch":1e300}                             |
+      | {"sloMs":1e300}                               |
+      | {"sloMs":-5}                                  |
+      | {"attempts":-1}                               |
+      | {"attempts":10000000000000000000000000}       |
+
+  Scenario Outline: A desired state that can't be in force is refused
+    Then no desired state with <fields> is accepted
+
+    Examples:
+      | fields                                  |
+      | {"version":10000000000000000000000000}  |
+      | {"version":-1}                          |
+      | {"routes":[{"name":7}]}                 |
+
+  Scenario: A configuration of another entry is bounded as one of the store
+    Then another entry's configuration with a priority of 2147483648 is refused
+
+  # Guards against an entry that ends as it tells an unlimited lateness.
+  Scenario: An entry that has left the rotation gets objectives without slack
+    Given a simulated deployment whose messages are encoded
+    When an entry has left the rotation and objectives lose their slack
+    Then all entries know each other's lateness after 1 s
+
   Scenario Outline: A registered address that can't be reached is left out
     Then a registered address with <fields> is refused
 
