Bound the messages between processes, and log which one ends a link

Operators saw: a link that ended without a line when a peer sent bytes that are no message. By reading and by tests: a process dialled port 70000 or a host with an empty label and ended; offers of negative capacity or of billions of tasks were acted on; numbers of offers and of claims rose without end, and would no longer fit into a message after 2^31 of them. Cause: only names, endings and states of messages were checked. Change: message classes declare the bounds of their fields. The codec refuses a message out of bounds and sends none; PeerLink keeps what was wrong, and entries and agents write a line about it. Numbers begin anew before they overflow.

--- a/egretcart/connection/frames.py
+++ b/egretcart/connection/frames.py
@@ -65,24 +65,77 @@
         return min(max(value, self.least), self.most)
 
 
-def _integer_ranges(struct: Any) -> dict[str, IntegerRange]:
-    """Return the ranges of a struct's integers, and of its lists of them."""
+def _integer_ranges(
+    struct: Any, bounds: dict[str, msgspec.Meta]
+) -> dict[str, IntegerRange]:
+    """Return the ranges of a struct's integers, and of its lists of them.
+
+    Parameters
+    ----------
+    struct : Thrift struct
+    bounds : dict of str to msgspec.Meta
+        Declared bounds of fields; others have those of their Thrift type.
+    """
     ranges: dict[str, IntegerRange] = {}
     for field in struct.thrift_spec.values():
         kind, name, item_kind = field[:3]
         bits = INTEGER_BITS.get(item_kind if kind == TType.LIST else kind)
-        if bits is not None:
-            half = 1 << (bits - 1)
-            ranges[name] = IntegerRange(least=-half, most=half - 1)
+        if bits is None:
+            continue
+        least, most = -(1 << (bits - 1)), (1 << (bits - 1)) - 1
+        declared = bounds.get(name)
+        if declared is not None and declared.ge is not None:
+            least = max(least, int(declared.ge))
+        if declared is not None and declared.le is not None:
+            most = min(most, int(declared.le))
+        ranges[name] = IntegerRange(least=least, most=most)
     return ranges
 
 
+def _declared_bounds(message_type: type) -> dict[str, msgspec.Meta]:
+    """Return the bounds with which a message class annotates its fields."""
+    hints = typing.get_type_hints(message_type, include_extras=True)
+    return {
+        name: meta
+        for name, hint in hints.items()
+        for meta in getattr(hint, "__metadata__", ())
+        if isinstance(meta, msgspec.Meta)
+    }
+
+
+def _is_in_bounds(value: Any, bounds: msgspec.Meta) -> bool:
+    """Whether a received value is within the declared bounds."""
+    if isinstance(value, int):
+        return (bounds.ge is None or value >= bounds.ge) and (
+            bounds.le is None or value <= bounds.le
+        )
+    if bounds.max_length is not None and len(value) > bounds.max_length:
+        return False
+    return bounds.pattern is None or bool(re.search(bounds.pattern, value))
+
+
+def _bounded_reader(
+    name: str, bounds: msgspec.Meta, convert: Callable[[Any], Any] | None
+) -> Callable[[Any], Any]:
+    """Return a conversion that refuses values out of their bounds."""
+
+    def read(value: Any) -> Any:
+        converted = convert(value) if convert else value
+        if not _is_in_bounds(converted, bounds):
+            raise ValueError(f"{name} is {converted!r:.80}")
+        return converted
+
+    return read
+
+
 class _StructMapper:
     """Converts messages of one class to Thrift structs and back.
 
     A field that has its default value is omitted from the struct; the
     receiver restores the default. An integer beyond the range of its field is
     sent as the nearest value in the range, so that every message can be sent.
+    A class can annotate its fields with narrower bounds; a message beyond
+    these is not accepted.
     """
 
     def __init__(
@@ -92,7 +145,8 @@
         self.struct = getattr(structs, message_type.__name__)
         hints = typing.get_type_hints(message_type)
         defaults = message_type()
-        ranges = _integer_ranges(self.struct)
+        self.bounds = _declared_bounds(message_type)
+        ranges = _integer_ranges(self.struct, self.bounds)
         # The message's fields, grouped by the conversion that their values
         # need: each with its name, and with its default unless the default
         # is empty. An integer and a sequence of them also have their range, a
@@ -192,6 +246,8 @@
             readers[name] = (
                 mapper.from_structs if is_repeated else mapper.from_struct
             )
+        for name, bounds in self.bounds.items():
+            readers[name] = _bounded_reader(name, bounds, readers[name])
         return readers
 
     def from_structs(self, structs: Iterable[Any]) -> tuple[Any, ...]:
@@ -288,7 +344,7 @@
         Raises
         ------
         FrameError
-            If the data is not a valid frame.
+            If the data is not a valid frame, or a field is out of bounds.
         """
         try:
             protocol = TCyBinaryProtocol(
--- a/egretcart/connection/peer_link.py
+++ b/egretcart/connection/peer_link.py
@@ -103,6 +103,9 @@
         Set when the writer has something to send.
     run_scope : trio.CancelScope
         Cancelled when the link is closed.
+    violation : str
+        What the peer has sent that is invalid, which has ended the link;
+        empty if it has not.
     """
 
     def __init__(
@@ -130,6 +133,7 @@
         self.deadline_set = trio.Event()
         self.send_requested = trio.Event()
         self.run_scope = trio.CancelScope()
+        self.violation = ""
 
     def send(self, message: Any) -> None:
         """Queue a message and send it soon.
@@ -254,11 +258,13 @@
             self.traffic.bytes_received += len(data)
             try:
                 received = frames.feed(data)
-            except FrameError:
+            except FrameError as error:
+                self.violation = str(error)
                 return
             self._extend_receive_deadline()
             for message in received:
-                if self.protocol.find_violation(message) is not None:
+                self.violation = self.protocol.find_violation(message) or ""
+                if self.violation:
                     return
                 handle(message)
 
--- a/egretcart/direct/agent/agent_process.py
+++ b/egretcart/direct/agent/agent_process.py
@@ -34,6 +34,7 @@
 from egretcart.direct.connection.messages import EntryHello
 from egretcart.direct.connection.messages import EntryPeers
 from egretcart.direct.connection.messages import PeerAddress
+from egretcart.direct.connection.violations import log_violation
 from egretcart.direct.connection.wire import DIRECT_PROTOCOL
 from egretcart.direct.log.decisions import DecisionLog
 from egretcart.direct.process.settings import DirectAgentSettings
@@ -321,6 +322,7 @@
                 self._apply_effects(self.agent.receive(entry_id, message, now))
 
         await link.run(handle, first=[])
+        log_violation(self.agent.log, link, entry_id)
         if entry_id and self.links.get(entry_id) is link:
             del self.links[entry_id]
             self.agent.entry_disconnected(entry_id)
--- a/egretcart/direct/connection/messages.py
+++ b/egretcart/direct/connection/messages.py
@@ -3,6 +3,8 @@
 Each class mirrors the struct of the same name in wire.thrift.
 """
 
+from typing import Annotated
+
 import msgspec
 
 from egretcart.direct.connection.offer_messages import CapacityOffered
@@ -14,6 +16,13 @@
 from egretcart.direct.connection.peer_messages import ReleaseJob
 from egretcart.direct.connection.peer_messages import Routing
 from egretcart.direct.connection.peer_messages import RoutingRequest
+from egretcart.direct.request.bounds import Amount
+from egretcart.direct.request.bounds import Host
+from egretcart.direct.request.bounds import Labels
+from egretcart.direct.request.bounds import Name
+from egretcart.direct.request.bounds import Port
+from egretcart.direct.request.bounds import Resource
+from egretcart.direct.request.job import MAX_TASKS
 from egretcart.direct.request.job import Room
 from egretcart.direct.request.job import TaskKey
 from egretcart.direct.version.drained_domains import DrainedDomains
@@ -21,6 +30,9 @@
 # Reason with which an agent rejects tasks of an entry after another entry has
 # taken their job over.
 TAKEN_OVER_REASON = "its job was taken over"
+TaskIndexes = Annotated[tuple[int, ...], msgspec.Meta(max_length=MAX_TASKS)]
+PacePercent = Annotated[int, msgspec.Meta(ge=1)]
+Percent = Annotated[int, msgspec.Meta(ge=0, le=100)]
 
 
 class PeerAddress(msgspec.Struct, frozen=True, kw_only=True):
@@ -34,9 +46,9 @@
         Failure domain of its machine; empty if the sender does not know it.
     """
 
-    host: str = ""
-    port: int = 0
-    failure_domain: str = ""
+    host: Host = ""
+    port: Port = 0
+    failure_domain: Name = ""
 
     @property
     def endpoint(self) -> tuple[str, int]:
@@ -56,7 +68,7 @@
         Where other entries connect to it.
     """
 
-    entry_id: str = ""
+    entry_id: Name = ""
     incarnation: int = 0
     address: PeerAddress = PeerAddress()
 
@@ -82,9 +94,9 @@
         milliseconds; sent to other entries only.
     """
 
-    version: int = 0
-    interval_ms: int = 0
-    lateness_ms: int = 0
+    version: Amount = 0
+    interval_ms: Amount = 0
+    lateness_ms: Amount = 0
 
 
 class RunTasks(msgspec.Struct, frozen=True, kw_only=True):
@@ -130,22 +142,22 @@
     """
 
     sequence: int = 0
-    job_id: str = ""
-    step: int = 0
-    indexes: tuple[int, ...] = ()
-    run: int = 0
+    job_id: Name = ""
+    step: Amount = 0
+    indexes: TaskIndexes = ()
+    run: Amount = 0
     payload: str = ""
-    cpu_milli: int = 0
-    memory_mb: int = 0
-    accelerators: int = 0
-    estimate_ms: int = 0
-    priority: int = 0
+    cpu_milli: Resource = 0
+    memory_mb: Resource = 0
+    accelerators: Resource = 0
+    estimate_ms: Amount = 0
+    priority: Amount = 0
     time_left_ms: int = 0
-    max_per_agent: int = 0
+    max_per_agent: Amount = 0
     may_wait: bool = False
-    offer: int = 0
-    objective_ms: int = 0
-    crash_score: int = 0
+    offer: Amount = 0
+    objective_ms: Amount = 0
+    crash_score: Amount = 0
 
     @property
     def room(self) -> Room:
@@ -167,10 +179,10 @@
     """
 
     address: PeerAddress = PeerAddress()
-    cpu_milli: int = 0
-    memory_mb: int = 0
-    accelerators: int = 0
-    label: str = ""
+    cpu_milli: Resource = 0
+    memory_mb: Resource = 0
+    accelerators: Resource = 0
+    label: Name = ""
 
     @property
     def room(self) -> Room:
@@ -196,9 +208,9 @@
         Numbers of the tasks in the step.
     """
 
-    job_id: str = ""
-    step: int = 0
-    indexes: tuple[int, ...] = ()
+    job_id: Name = ""
+    step: Amount = 0
+    indexes: TaskIndexes = ()
 
 
 class EvictJob(msgspec.Struct, frozen=True, kw_only=True):
@@ -211,8 +223,8 @@
     job_id : str
     """
 
-    number: int = 0
-    job_id: str = ""
+    number: Amount = 0
+    job_id: Name = ""
 
 
 class AgentStatus(msgspec.Struct, frozen=True, kw_only=True):
@@ -255,23 +267,23 @@
         slowdown while it is cold.
     """
 
-    agent_id: str = ""
+    agent_id: Name = ""
     incarnation: int = 0
-    service_name: str = ""
-    labels: tuple[str, ...] = ()
+    service_name: Name = ""
+    labels: Labels = ()
     accepting: bool = False
-    cpu_milli: int = 0
-    memory_mb: int = 0
-    accelerators: int = 0
+    cpu_milli: Resource = 0
+    memory_mb: Resource = 0
+    accelerators: Resource = 0
     free_cpu_milli: int = 0
     free_memory_mb: int = 0
     free_accelerators: int = 0
-    queued: int = 0
-    queued_ms: int = 0
-    sequence: int = 0
-    pace_percent: int = 100
+    queued: Amount = 0
+    queued_ms: Amount = 0
+    sequence: Amount = 0
+    pace_percent: PacePercent = 100
     probing: bool = False
-    cold_ms: int = 0
+    cold_ms: Amount = 0
 
     @property
     def capacity(self) -> Room:
@@ -309,14 +321,14 @@
         run ended with one.
     """
 
-    job_id: str = ""
-    step: int = 0
-    index: int = 0
-    run: int = 0
+    job_id: Name = ""
+    step: Amount = 0
+    index: Amount = 0
+    run: Amount = 0
     ending: str = ""
-    run_ms: int = 0
+    run_ms: Amount = 0
     reason: str = ""
-    crash_weight: int = 0
+    crash_weight: Amount = 0
 
     @property
     def key(self) -> TaskKey:
@@ -344,13 +356,13 @@
         the run is expected to take longer; 0 if that isn't the case.
     """
 
-    job_id: str = ""
-    step: int = 0
-    index: int = 0
-    run: int = 0
+    job_id: Name = ""
+    step: Amount = 0
+    index: Amount = 0
+    run: Amount = 0
     whole_ms: int = 0
-    percent: int = 0
-    leaves_in_ms: int = 0
+    percent: Percent = 0
+    leaves_in_ms: Amount = 0
 
     @property
     def key(self) -> TaskKey:
@@ -370,10 +382,10 @@
         Number of the run, which rises with each run of the same task.
     """
 
-    job_id: str = ""
-    step: int = 0
-    index: int = 0
-    run: int = 0
+    job_id: Name = ""
+    step: Amount = 0
+    index: Amount = 0
+    run: Amount = 0
 
     @property
     def key(self) -> TaskKey:
@@ -401,7 +413,7 @@
     status: AgentStatus = AgentStatus()
     held: tuple[HeldTask, ...] = ()
     settled: bool = False
-    failure_domain: str = ""
+    failure_domain: Name = ""
 
 
 class JobEvicted(msgspec.Struct, frozen=True, kw_only=True):
@@ -413,7 +425,7 @@
         That of the `EvictJob`.
     """
 
-    number: int = 0
+    number: Amount = 0
 
 
 class EntriesServed(msgspec.Struct, frozen=True, kw_only=True):
--- a/egretcart/direct/connection/offer_messages.py
+++ b/egretcart/direct/connection/offer_messages.py
@@ -3,10 +3,17 @@
 Each class mirrors the struct of the same name in wire.thrift.
 """
 
+from typing import Annotated
+
 import msgspec
 
+from egretcart.direct.request.bounds import Amount
+from egretcart.direct.request.bounds import Resource
+from egretcart.direct.request.job import MAX_TASKS
 from egretcart.direct.request.job import Room
 
+TaskCount = Annotated[int, msgspec.Meta(ge=0, le=MAX_TASKS)]
+
 
 class TasksWaiting(msgspec.Struct, frozen=True, kw_only=True):
     """An entry tells an agent which task it would send next, and how many.
@@ -31,14 +38,14 @@
         Resources that the task requires; units as in `Room`.
     """
 
-    count: int = 0
-    priority: int = 0
+    count: TaskCount = 0
+    priority: Amount = 0
     time_left_ms: int = 0
     start_within_ms: int = 0
-    objective_ms: int = 0
-    cpu_milli: int = 0
-    memory_mb: int = 0
-    accelerators: int = 0
+    objective_ms: Amount = 0
+    cpu_milli: Resource = 0
+    memory_mb: Resource = 0
+    accelerators: Resource = 0
 
     @property
     def room(self) -> Room:
@@ -59,11 +66,11 @@
         Resources that are held for each; units as in `Room`.
     """
 
-    number: int = 0
-    count: int = 1
-    cpu_milli: int = 0
-    memory_mb: int = 0
-    accelerators: int = 0
+    number: Amount = 0
+    count: TaskCount = 1
+    cpu_milli: Resource = 0
+    memory_mb: Resource = 0
+    accelerators: Resource = 0
 
     @property
     def room(self) -> Room:
@@ -80,4 +87,4 @@
         Number of the offer.
     """
 
-    number: int = 0
+    number: Amount = 0
--- a/egretcart/direct/connection/peer_messages.py
+++ b/egretcart/direct/connection/peer_messages.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from egretcart.direct.request.bounds import Amount
+from egretcart.direct.request.bounds import Name
 from egretcart.direct.request.crash_scores import CrashScore
 
 
@@ -35,10 +37,10 @@
         The entry that takes the job over; empty if that is the sender.
     """
 
-    number: int = 0
-    job_id: str = ""
-    owner: str = ""
-    claimant: str = ""
+    number: Amount = 0
+    job_id: Name = ""
+    owner: Name = ""
+    claimant: Name = ""
 
 
 class JobReleased(msgspec.Struct, frozen=True, kw_only=True):
@@ -55,7 +57,7 @@
         Value of a `JobState` if the job has ended; else empty.
     """
 
-    number: int = 0
+    number: Amount = 0
     state: str = ""
 
 
@@ -68,7 +70,7 @@
         Version of the sender's active configuration; 0 for none.
     """
 
-    version: int = 0
+    version: Amount = 0
 
 
 class Routing(msgspec.Struct, frozen=True, kw_only=True):
@@ -81,5 +83,5 @@
         As `encode_routing` returns it.
     """
 
-    version: int = 0
+    version: Amount = 0
     document: bytes = b""
--- a/egretcart/direct/entry/entry_links.py
+++ b/egretcart/direct/entry/entry_links.py
@@ -18,6 +18,7 @@
 from egretcart.direct.connection.peer_messages import Routing
 from egretcart.direct.connection.peer_messages import RoutingRequest
 from egretcart.direct.connection.peer_registry import PeerRegistry
+from egretcart.direct.connection.violations import log_violation
 from egretcart.direct.connection.wire import DIRECT_PROTOCOL
 from egretcart.direct.entry.entry import DirectEntry
 from egretcart.direct.entry.entry_types import Answer
@@ -139,6 +140,7 @@
                     self.on_agent_message()
 
         await link.run(handle, first=[self._hello()])
+        log_violation(self.log, link, agent_id or peer_id)
         self._peer_disconnected(peer_id, link)
         if agent_id and self.agent_links.get(agent_id) is link:
             del self.agent_links[agent_id]
@@ -160,6 +162,7 @@
                 self._handle_peer_message(peer_id, link, message, now)
 
         await link.run(handle, first=[self._hello()])
+        log_violation(self.log, link, peer_id)
         self._peer_disconnected(peer_id, link)
 
     def _make_link(self, stream: trio.SocketStream) -> PeerLink:
--- a/egretcart/direct/entry/pending_claims.py
+++ b/egretcart/direct/entry/pending_claims.py
@@ -27,6 +27,9 @@
 # Entries that are asked to pass a question on; if the owner lives, most reach
 # it.
 RELAYS = 3
+# After it, numbers begin anew: those of runs follow from them, for which
+# messages have 32 bits.
+MAX_CLAIM_NUMBER = 1_000_000
 
 
 class PendingClaim(msgspec.Struct, kw_only=True):
@@ -138,7 +141,7 @@
         wait_limit_s : float
             How long the caller waits, in seconds.
         """
-        self.number += 1
+        self.number = self.number % MAX_CLAIM_NUMBER + 1
         pending = PendingClaim(
             request_ids={request_id},
             job=job,
--- a/egretcart/direct/log/decisions.py
+++ b/egretcart/direct/log/decisions.py
@@ -310,9 +310,10 @@
     peer : str
         Id of the other process.
     state : str
-        ``connected``, ``disconnected`` or ``given up``.
+        ``connected``, ``disconnected``, ``given up`` or ``invalid message``.
     cause : str
-        Why the other process was lost; may be empty.
+        Why the other process was lost, or what its message violates; may be
+        empty.
     silent_ms : int
         Time since the last message of an entry that an agent marks as
         lost; else 0.
--- a/egretcart/direct/policy/capacity_offers.py
+++ b/egretcart/direct/policy/capacity_offers.py
@@ -15,6 +15,8 @@
 
 # Of the lateness of a tick, what the next one counts at least.
 LATENESS_DECAY = 0.9
+# After it, numbers begin anew; messages have 32 bits for them.
+MAX_OFFER_NUMBER = 2**31 - 1
 
 
 class OfferLimits(msgspec.Struct, frozen=True, kw_only=True):
@@ -227,7 +229,7 @@
     def _add(
         self, entry_id: str, notice: WaitingNotice, count: int, now: float
     ) -> Offer:
-        self.last_number += 1
+        self.last_number = self.last_number % MAX_OFFER_NUMBER + 1
         offer = Offer(
             number=self.last_number,
             entry_id=entry_id,
--- a/egretcart/direct/request/crash_scores.py
+++ b/egretcart/direct/request/crash_scores.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from egretcart.direct.request.bounds import Amount
+from egretcart.direct.request.bounds import Name
 from egretcart.direct.request.job import TaskKey
 
 
@@ -26,11 +28,11 @@
         Name of the route by which the job was accepted.
     """
 
-    job_id: str = ""
-    step: int = 0
-    index: int = 0
-    score: int = 0
-    route: str = ""
+    job_id: Name = ""
+    step: Amount = 0
+    index: Amount = 0
+    score: Amount = 0
+    route: Name = ""
 
     @property
     def key(self) -> TaskKey:
--- a/egretcart/direct/request/job.py
+++ b/egretcart/direct/request/job.py
@@ -158,6 +158,11 @@
 
 def find_job_violation(job: Job) -> str | None:
     """Return what is wrong with a job; None if it is valid."""
+    if len(job.job_id) > MAX_NAME_CHARACTERS:
+        return (
+            f"the job's id has {len(job.job_id)} characters; at most "
+            f"{MAX_NAME_CHARACTERS} are accepted"
+        )
     if not job.steps:
         return f'job "{job.job_id}" has no steps'
     payload_bytes = len(job.payload.encode())
--- a/tests/features/external_bounds.feature
+++ b/tests/features/external_bounds.feature
@@ -159,6 +159,28 @@
     When an entry has left the rotation and objectives lose their slack
     Then all entries know each other's lateness after 1 s
 
+  # Guards against processes that act on what no process of ours sends.
+  Scenario Outline: A message out of bounds ends its link, with a line
+    Given a link to an entry
+    When its peer sends <message>
+    Then the link ends and the entry logs <cause>
+
+    Examples:
+      | message                                     | cause         |
+      | EntryPeers(entries=(PeerAddress(host="1.2.3.4", port=70000),)) | port |
+      | EntryPeers(entries=(PeerAddress(host="a..b", port=7),))        | host |
+      | EntryPeers(entries=(PeerAddress(host="x" * 64, port=7),))      | host |
+      | TasksWaiting(count=2000000000)              | count         |
+      | RunTasks(job_id="j", run=1, indexes=(0,), cpu_milli=-1) | cpu_milli |
+      | RunTasks(job_id="j", run=1, indexes=tuple(range(20001))) | indexes |
+      | AgentStatus(pace_percent=-1)                | pace_percent  |
+      | Beat(interval_ms=-1)                        | interval_ms   |
+
+  # Guards against numbers that no longer fit into a message after long use.
+  Scenario: Numbers of offers and claims begin anew
+    Then the number after 2147483647 offers is 1
+    And the number after 1000000 claims is 1
+
   Scenario Outline: A registered address that can't be reached is left out
     Then a registered address with <fields> is refused
 
