--- a/egretcart/direct/process/reload.py
+++ b/egretcart/direct/process/reload.py
@@ -25,7 +25,9 @@
     Parameters
     ----------
     path : pathlib.Path
-    settings_type : type
+    settings : DirectSettings
+        The settings with which the process has started. The file may have
+        changed since it was read for them.
     on_change : callable
         Called with the new settings.
     log : DecisionLog
@@ -33,23 +35,22 @@
     Attributes
     ----------
     last_data : bytes
-        Contents of the file when it was last read; empty if the first
-        reading failed.
+        Contents of the file when it was last read; empty before that.
     """
 
     def __init__(
         self,
         *,
         path: pathlib.Path,
-        settings_type: type[S],
+        settings: S,
         on_change: Callable[[S], None],
         log: DecisionLog,
     ) -> None:
         self.path = path
-        self.settings_type = settings_type
+        self.settings = settings
         self.on_change = on_change
         self.log = log
-        self.last_data = self._read_file()
+        self.last_data = b""
 
     def _read_file(self) -> bytes:
         try:
@@ -79,11 +80,12 @@
         if not data or data == self.last_data:
             return
         self.last_data = data
-        loaded = load_direct_settings(self.path, self.settings_type)
-        if isinstance(loaded, Ok):
-            self.log.write(ProcessChanged(state="settings changed"))
-            self.on_change(loaded.ok_value)
-        else:
+        loaded = load_direct_settings(self.path, type(self.settings))
+        if not isinstance(loaded, Ok):
             self.log.write(
                 ProcessChanged(state="settings wrong", cause=loaded.err_value)
             )
+        elif loaded.ok_value != self.settings:
+            self.settings = loaded.ok_value
+            self.log.write(ProcessChanged(state="settings changed"))
+            self.on_change(self.settings)
--- a/tests/features/start.feature
+++ b/tests/features/start.feature
@@ -33,6 +33,16 @@
     When the command line of the platform starts a stand-in for a role
     Then no other process was started
 
+  # Guards against roles that end on SIGHUP while they start.
+  Scenario: A signal that the settings have changed ends no role that starts
+    When the command line of the platform starts a stand-in for a role
+    Then a signal that the settings have changed did not end it
+
+  Scenario: A change of the settings while a role starts is not missed
+    Given settings that change after a role was started with them
+    When the settings are checked twice
+    Then the change is applied once
+
   Scenario: What is refused before a configuration is known leaves a line
     Given an entry that has started and knows no configuration
     When a caller submits job "00112233445566aa", asks for it and cancels it
--- a/tests/features/steps/external_bounds_steps.py
+++ b/tests/features/steps/external_bounds_steps.py
@@ -15,6 +15,7 @@
 import msgspec
 from platform_deployment import ROOT
 from raised_errors import raised_error
+from settings_documents import SETTINGS
 import trio
 
 from egretcart.connection import codec
@@ -84,16 +85,6 @@
     "sloMs": 60,
     "attempts": 4,
 }
-SETTINGS = {
-    "node": "entry-1",
-    "host": "127.0.0.1",
-    "failure_domain": "zone-1",
-    "peer_port": 7000,
-    "store": "127.0.0.1:1",
-    "seeds": ["127.0.0.1:1"],
-    "callers": "127.0.0.1:2",
-    "readiness": "127.0.0.1:3",
-}
 
 
 class EncodedDeployment(SimulatedDeployment):
--- a/tests/features/steps/start_steps.py
+++ b/tests/features/steps/start_steps.py
@@ -1,20 +1,26 @@
 """Steps for the modules that a role imports at its start."""
 
+import json
 import os
 import pathlib
 import random
 import subprocess
 import sys
+import tempfile
 import types
 
 from behave import given
 from behave import then
 from behave import when
+from settings_documents import SETTINGS
 import trio
 
 from egretcart.connection.http_server import HttpRequest
 from egretcart.direct.entry.entry import DirectEntry
 from egretcart.direct.entry.entry_types import DirectEntryLimits
+from egretcart.direct.process.reload import SettingsWatcher
+from egretcart.direct.process.settings import DirectEntrySettings
+from egretcart.direct.process.settings import load_direct_settings
 
 ROOT = pathlib.Path(__file__).resolve().parents[3]
 sys.path.insert(0, str(ROOT / "platform"))
@@ -34,6 +40,7 @@
 RUN_STAND_IN = """
 import gc
 import runpy
+import signal
 import sys
 
 PROCESS_EVENTS = ("subprocess.Popen", "os.fork", "os.posix_spawn", "os.exec")
@@ -48,6 +55,7 @@
     @property
     def run_entry(self):
         print(gc.isenabled())
+        signal.raise_signal(signal.SIGHUP)
         return self.run
 
     async def run(self, path):
@@ -111,6 +119,42 @@
     assert context.completed.stdout.splitlines() == ["False", "True True"]
 
 
+@then("a signal that the settings have changed did not end it")
+def check_signal(context):
+    assert context.completed.stdout.endswith("True True\n")
+
+
+@given("settings that change after a role was started with them")
+def change_settings(context):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    path = pathlib.Path(folder.name) / "settings.json"
+    path.write_text(json.dumps(SETTINGS))
+    started = load_direct_settings(path, DirectEntrySettings).unwrap()
+    path.write_text(json.dumps(SETTINGS | {"seeds": ["127.0.0.1:9"]}))
+    context.applied = []
+    context.log = RecordingLog()
+    context.watcher = SettingsWatcher(
+        path=path,
+        settings=started,
+        on_change=context.applied.append,
+        log=context.log,
+    )
+
+
+@when("the settings are checked twice")
+def check_settings_twice(context):
+    context.watcher.reload_if_changed()
+    context.watcher.reload_if_changed()
+
+
+@then("the change is applied once")
+def check_applied_once(context):
+    (applied,) = context.applied
+    assert applied.seeds == ("127.0.0.1:9",)
+    assert len(context.log.decisions) == 1
+
+
 @then("no other process was started")
 def check_processes(context):
     assert not context.completed.stderr, context.completed.stderr
