Use only agents of a route's service for all that is decided for the route

Cause: nothing read a route's service after it was decoded, and an entry read the service in an agent's status nowhere. Ruled out: the configuration, which is decoded whole, and the agent, which reports its server's service. Change: placement, estimates, offers, moves, recruiting and confinement ask for the service, as AgentView.may_run does. What one service needs no longer counts against another one: jobs ahead, exhausted resources, tasks that wait for a notice, runs that are being moved, jobs that were given up, drained agents. An agent between two servers counts for the service of the last one. A server of a service that no route names gets nothing. The fifth invariant of SimulatedDeployment checks each start in all simulations.

--- a/egretcart/direct/connection/messages.py
+++ b/egretcart/direct/connection/messages.py
@@ -139,6 +139,11 @@
         release.
     crash_score : int
         What crashes of backend servers count against each of these tasks.
+    service_name : str
+        Service whose backend servers may run the tasks; empty from an
+        earlier release.
+    requires : str
+        Label that the backend server must have; empty for any server.
     """
 
     sequence: int = 0
@@ -158,6 +163,8 @@
     offer: Amount = 0
     objective_ms: Amount = 0
     crash_score: Amount = 0
+    service_name: Name = ""
+    requires: Name = ""
 
     @property
     def room(self) -> Room:
@@ -176,6 +183,9 @@
         Resources that a task requires; units as in `Room`.
     label : str
         Label that the agents must have; empty for any.
+    service_name : str
+        Service that their backend servers must run; empty from an earlier
+        release.
     """
 
     address: PeerAddress = PeerAddress()
@@ -183,6 +193,7 @@
     memory_mb: Resource = 0
     accelerators: Resource = 0
     label: Name = ""
+    service_name: Name = ""
 
     @property
     def room(self) -> Room:
--- a/egretcart/direct/connection/offer_messages.py
+++ b/egretcart/direct/connection/offer_messages.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from egretcart.direct.request.bounds import Amount
+from egretcart.direct.request.bounds import Name
 from egretcart.direct.request.bounds import Resource
 from egretcart.direct.request.job import MAX_TASKS
 from egretcart.direct.request.job import Room
@@ -36,6 +37,9 @@
         The job's latency objective, in milliseconds.
     cpu_milli, memory_mb, accelerators : int
         Resources that the task requires; units as in `Room`.
+    service_name : str
+        Service whose backend servers may run the task; empty from an earlier
+        release, and if none waits.
     """
 
     count: TaskCount = 0
@@ -46,6 +50,7 @@
     cpu_milli: Resource = 0
     memory_mb: Resource = 0
     accelerators: Resource = 0
+    service_name: Name = ""
 
     @property
     def room(self) -> Room:
--- a/egretcart/direct/connection/views.py
+++ b/egretcart/direct/connection/views.py
@@ -70,6 +70,9 @@
     is_taken_back : bool
         Whether that has ended since the last status, so that the agent may
         not know yet that it accepts tasks again.
+    service : str
+        Service of the agent's backend server, or of its last one while it has
+        none; empty if it is not known.
     status_at : float
         When the last status was received, or a heartbeat in its place.
     last_message_at : float
@@ -117,10 +120,15 @@
         self.offers: list[CapacityOffered] = []
         self.has_answered_offer = False
         self.notice: SentNotice | None = None
+        self.service = ""
         self.update(status, now)
 
     def update(self, status: AgentStatus, now: float) -> None:
         """Apply a newer status."""
+        if status.service_name not in ("", self.service):
+            self.service = status.service_name
+            # The agent was told of tasks that it can't run any more.
+            self.notice = None
         self.status = status
         self.status_at = now
         self.is_taken_back = False
@@ -173,20 +181,29 @@
         sent = sum(sent.count for sent in self.sent.values())
         return self.status.queued + (sent if overfull else 0)
 
-    def may_run(self, step: Step) -> bool:
-        """Whether tasks of the step may be sent there at all."""
+    def may_be_of(self, service: str) -> bool:
+        """Whether the agent's server runs a service, or may turn out to."""
+        return self.service in ("", service)
+
+    def may_run(self, step: Step, service: str) -> bool:
+        """Whether tasks of a service's step may be sent there at all."""
         status = self.status
         return (
             status.accepting
+            and status.service_name == service
             and not self.is_drained
             and self.capacity.can_fit(step.room)
             and (not step.requires or step.requires in status.labels)
         )
 
-    def can_begin(self, room: Room, label: str) -> bool:
-        """Whether a task with these requirements would begin there now."""
+    def can_begin(self, room: Room, label: str, service: str) -> bool:
+        """Whether a task with these requirements would begin there now.
+
+        An earlier release names no service.
+        """
         return (
             self.status.accepting
+            and service in ("", self.status.service_name)
             and not self.is_drained
             and not self.status.probing
             and self.free.can_fit(room)
--- a/egretcart/direct/connection/wire.thrift
+++ b/egretcart/direct/connection/wire.thrift
@@ -34,6 +34,8 @@
   15: optional i32 offer
   16: optional i32 objective_ms
   17: optional i32 crash_score
+  18: optional string service_name
+  19: optional string requires
 }
 struct StopTasks { 1: optional string job_id, 2: optional i32 step, 3: optional list<i32> indexes }
 struct EvictJob { 1: optional i64 number, 2: optional string job_id }
@@ -47,6 +49,7 @@
   6: optional i32 cpu_milli
   7: optional i32 memory_mb
   8: optional i32 accelerators
+  9: optional string service_name
 }
 struct OfferDeclined { 1: optional i32 number }
 
@@ -137,6 +140,7 @@
   3: optional i64 memory_mb
   4: optional i64 accelerators
   5: optional string label
+  6: optional string service_name
 }
 struct ServeEntry { 1: optional PeerAddress address }
 
--- a/egretcart/direct/connection/wire_structs.py
+++ b/egretcart/direct/connection/wire_structs.py
@@ -75,6 +75,8 @@
         15: (TType.I32, "offer", False),
         16: (TType.I32, "objective_ms", False),
         17: (TType.I32, "crash_score", False),
+        18: (TType.STRING, "service_name", False),
+        19: (TType.STRING, "requires", False),
     }
     default_spec = [
         ("sequence", None),
@@ -94,6 +96,8 @@
         ("offer", None),
         ("objective_ms", None),
         ("crash_score", None),
+        ("service_name", None),
+        ("requires", None),
     ]
 
 
@@ -130,6 +134,7 @@
         6: (TType.I32, "cpu_milli", False),
         7: (TType.I32, "memory_mb", False),
         8: (TType.I32, "accelerators", False),
+        9: (TType.STRING, "service_name", False),
     }
     default_spec = [
         ("count", None),
@@ -140,6 +145,7 @@
         ("cpu_milli", None),
         ("memory_mb", None),
         ("accelerators", None),
+        ("service_name", None),
     ]
 
 
@@ -394,6 +400,7 @@
         3: (TType.I64, "memory_mb", False),
         4: (TType.I64, "accelerators", False),
         5: (TType.STRING, "label", False),
+        6: (TType.STRING, "service_name", False),
     }
     default_spec = [
         ("address", None),
@@ -401,6 +408,7 @@
         ("memory_mb", None),
         ("accelerators", None),
         ("label", None),
+        ("service_name", None),
     ]
 
 
--- a/egretcart/direct/entry/drain_relay.py
+++ b/egretcart/direct/entry/drain_relay.py
@@ -30,10 +30,9 @@
         self.state = state
         self.known = KnownDrainedDomains(log=state.log)
 
-    @property
-    def covers_all_agents(self) -> bool:
-        """Whether all connected agents are drained, and there are some."""
-        views = self.state.agents.values()
+    def covers_all_agents(self, service: str) -> bool:
+        """Whether all agents of a service are drained, and there are some."""
+        views = self.state.agents_of(service).values()
         return bool(views) and all(view.is_drained for view in views)
 
     def learn(self, drained: DrainedDomains, source: str, now: float) -> None:
--- a/egretcart/direct/entry/entry.py
+++ b/egretcart/direct/entry/entry.py
@@ -185,7 +185,7 @@
         )
         if configuration.version <= former:
             return False
-        self.state.configuration = configuration
+        self.state.activate(configuration)
         self.rotation.tolerate(configuration.shortest_slack_s)
         self.log.write(
             ConfigurationAccepted(
@@ -387,7 +387,10 @@
     def _update_confinement(self, now: float) -> None:
         """Confine routes whose jobs crash servers, or release them."""
         confinement = self.state.confinement
-        if confinement.update(self.agents, now):
+        services = {
+            agent_id: view.service for agent_id, view in self.agents.items()
+        }
+        if confinement.update(services, now):
             self.log.write(
                 RoutesConfined(
                     routes=tuple(sorted(confinement.routes)),
@@ -429,8 +432,8 @@
         for pending in self.pending.pop_ready(now, self.state.stopping_jobs):
             self.admission.admit_claimed(pending, now)
         self.sender.dispatch(self._dispatchable_jobs(now), now)
-        if self.sender.unplaced is not None:
-            self.recruiter.ask(self.sender.unplaced.step, now)
+        for unplaced in self.sender.unplaced.values():
+            self.recruiter.ask(unplaced.step, unplaced.service, now)
 
     def _dispatchable_jobs(self, now: float) -> list[HeldJob]:
         """Return the jobs whose tasks may be sent.
--- a/egretcart/direct/entry/entry_state.py
+++ b/egretcart/direct/entry/entry_state.py
@@ -11,6 +11,7 @@
 from egretcart.direct.request.held_job import HeldJob
 from egretcart.direct.request.held_job import HeldTask
 from egretcart.direct.request.job import TaskKey
+from egretcart.direct.version.configuration import Route
 from egretcart.direct.version.configuration import RoutingConfiguration
 
 
@@ -90,24 +91,37 @@
         """Whether a task of this crash score is given up."""
         return crashes_servers(score, self.limits.crashes)
 
-    def views_for(self, route: str) -> list[AgentView]:
+    def activate(self, configuration: RoutingConfiguration) -> None:
+        """Apply a configuration."""
+        self.configuration = configuration
+        self.confinement.services = {
+            route.name: route.service for route in configuration.routes
+        }
+
+    def agents_of(self, service: str) -> dict[str, AgentView]:
+        """Return the views of the agents of a service, by agent id.
+
+        Those whose service is not known yet are among them.
+        """
+        return {
+            agent_id: view
+            for agent_id, view in self.agents.items()
+            if view.may_be_of(service)
+        }
+
+    def views_for(self, route: Route) -> list[AgentView]:
         """Return the views of the agents that a route is expected to use."""
-        if not self.confinement.routes:
-            return list(self.agents.values())
-        allowed = self.confinement.allowed_agents(route)
+        views = self.agents_of(route.service)
+        allowed = self.confinement.allowed_agents(route.name)
         if allowed is not None:
             return [
-                view
-                for agent_id, view in self.agents.items()
-                if agent_id in allowed
+                view for agent_id, view in views.items() if agent_id in allowed
             ]
-        avoided = self.confinement.avoided_agents(route)
+        avoided = self.confinement.avoided_agents(route.name)
         others = [
-            view
-            for agent_id, view in self.agents.items()
-            if agent_id not in avoided
+            view for agent_id, view in views.items() if agent_id not in avoided
         ]
-        return others or list(self.agents.values())
+        return others or list(views.values())
 
     def free_agents_elsewhere(
         self, held: HeldJob, task: HeldTask
@@ -124,7 +138,7 @@
             if agent_id != task.agent_id
             and (allowed is None or agent_id in allowed)
             and agent_id not in task.avoided_agents
-            and view.may_run(step)
+            and view.may_run(step, held.route.service)
             and not view.status.probing
             and view.free.can_fit(step.room)
         ]
--- a/egretcart/direct/entry/job_admission.py
+++ b/egretcart/direct/entry/job_admission.py
@@ -286,7 +286,7 @@
         held.waiting_request_ids |= request_ids
         self.state.jobs[job.job_id] = held
         self.state.claims.record_own(job.job_id, now)
-        self.state.confinement.record_accepted(route.name, now)
+        self.state.confinement.record_accepted(route.name, route.service, now)
         self.state.log.write(
             JobAccepted(
                 job_id=job.job_id,
@@ -313,16 +313,16 @@
             task.crash_score = self.state.crash_scores.score_of(task.key)
 
     def _no_room_cause(self, route: Route, now: float) -> str:
-        if self._are_all_agents_drained(now):
+        if self._are_all_agents_drained(route.service, now):
             return ALL_DRAINED_CAUSE
         if route.name in self.state.confinement.routes:
             return CONFINED_CAUSE
         return "no room in time"
 
-    def _are_all_agents_drained(self, now: float) -> bool:
+    def _are_all_agents_drained(self, service: str, now: float) -> bool:
         """Whether only drained agents were found, and others had time."""
         has_searched = now >= self.state.discovery_ends_at
-        return has_searched and self.drains.covers_all_agents
+        return has_searched and self.drains.covers_all_agents(service)
 
     def _is_due_after_stop(self, held: HeldJob, now: float) -> bool:
         """Whether the latency objective ends after this entry has stopped."""
@@ -338,13 +338,16 @@
         The wait is in milliseconds. The time after which the caller may
         retry is in seconds, or None if the job can be served in time. Each
         other entry that shares agents with this one is assumed to have as
-        much work waiting as this one.
+        much work waiting as this one. Work for other services does not count.
         """
+        service = held.route.service
         sort_key = held.sort_key(now)
         jobs_ahead = [
             job
             for job in self.state.jobs.values()
-            if job is not held and job.sort_key(now) <= sort_key
+            if job is not held
+            and job.route.service == service
+            and job.sort_key(now) <= sort_key
         ]
         ahead_cpu_milli_ms = sum(
             job.unsent_cpu_milli_ms() for job in jobs_ahead
@@ -358,8 +361,10 @@
             discovery_wait_ms = discovery_wait_s * 1000
         load = estimate_load(
             held.job.steps[0],
-            self.state.views_for(held.route.name),
-            queued_cpu_milli_ms=ahead_cpu_milli_ms * self._entries_per_agent(),
+            self.state.views_for(held.route),
+            service=service,
+            queued_cpu_milli_ms=ahead_cpu_milli_ms
+            * self._entries_per_agent(service),
             far_factor=self.state.limits.far_factor,
             discovery_wait_ms=discovery_wait_ms,
         )
@@ -380,11 +385,11 @@
         wait_ms = min(load.wait_ms, 1e6)
         return wait_ms, retry_s
 
-    def _entries_per_agent(self) -> float:
-        """Return how many entries share an agent, in the mean."""
+    def _entries_per_agent(self, service: str) -> float:
+        """Return how many entries share an agent of a service, in the mean."""
         counts = [
             len(view.entries)
-            for view in self.state.agents.values()
+            for view in self.state.agents_of(service).values()
             if view.entries
         ]
         if not counts:
--- a/egretcart/direct/entry/leaving_runs.py
+++ b/egretcart/direct/entry/leaving_runs.py
@@ -23,14 +23,15 @@
 
     Attributes
     ----------
-    moving : list of HeldTask
-        Tasks whose run is being stopped, and that start anew elsewhere.
+    moving : list of (HeldTask, str)
+        Tasks whose run is being stopped, and that start anew elsewhere, with
+        their service.
     """
 
     def __init__(self, *, state: EntryState, endings: JobEndings) -> None:
         self.state = state
         self.endings = endings
-        self.moving: list[HeldTask] = []
+        self.moving: list[tuple[HeldTask, str]] = []
 
     def judge(
         self, held: HeldJob, task: HeldTask, message: TaskLate, now: float
@@ -50,7 +51,7 @@
         if moved or task.kept_run != task.run:
             self._log(run, task, moved, best, now)
         if moved:
-            self.moving.append(task)
+            self.moving.append((task, held.route.service))
             self.endings.stop_task(task)
         else:
             task.kept_run = task.run
@@ -64,7 +65,7 @@
         """
         room = held.job.steps[task.key.step].room
         views = self.state.free_agents_elsewhere(held, task)
-        if self._places(views, room) <= self._count_moving():
+        if self._places(views, room) <= self._count_moving(held.route.service):
             return None
         return min(views, key=lambda view: view.slowdown, default=None)
 
@@ -72,11 +73,14 @@
         most = len(self.moving) + 1
         return sum(view.free.count_fitting(room, most) for view in views)
 
-    def _count_moving(self) -> int:
+    def _count_moving(self, service: str) -> int:
+        """Return how many tasks of a service are being moved."""
         self.moving = [
-            task for task in self.moving if task.phase is TaskPhase.STOPPING
+            (task, of_service)
+            for task, of_service in self.moving
+            if task.phase is TaskPhase.STOPPING
         ]
-        return len(self.moving)
+        return sum(of_service == service for _, of_service in self.moving)
 
     def _log(
         self,
--- a/egretcart/direct/entry/recruiting.py
+++ b/egretcart/direct/entry/recruiting.py
@@ -42,8 +42,8 @@
     ----------
     address : PeerAddress
         Where agents connect to this entry.
-    asked_at : float
-        When other entries were last asked; 0 if never.
+    asked_at : dict of str to float
+        When other entries were last asked for agents of a service.
     """
 
     def __init__(
@@ -63,22 +63,31 @@
         self.log = log
         self.source = source
         self.address = PeerAddress()
-        self.asked_at = 0.0
+        self.asked_at: dict[str, float] = {}
 
-    def ask(self, step: Step, now: float) -> None:
-        """Ask other entries for agents that can begin a task of a step."""
+    def ask(self, step: Step, service: str, now: float) -> None:
+        """Ask other entries for agents that can begin a service's task.
+
+        Parameters
+        ----------
+        step : Step
+            The step that the task belongs to.
+        service : str
+        now : float
+        """
         if (
-            now - self.asked_at < self.limits.interval_s
+            now - self.asked_at.get(service, 0.0) < self.limits.interval_s
             or not self._has_unseen_agents()
         ):
             return
-        self.asked_at = now
+        self.asked_at[service] = now
         request = RecruitAgents(
             address=self.address,
             cpu_milli=step.room.cpu_milli,
             memory_mb=step.room.memory_mb,
             accelerators=step.room.accelerators,
             label=step.requires,
+            service_name=service,
         )
         count = min(len(self.peers), self.limits.entries_asked)
         for entry_id in self.source.sample(sorted(self.peers), count):
@@ -103,7 +112,9 @@
         suitable = [
             agent_id
             for agent_id, view in self.agents.items()
-            if view.can_begin(request.room, request.label)
+            if view.can_begin(
+                request.room, request.label, request.service_name
+            )
             and entry_id not in view.entries
         ]
         count = min(len(suitable), self.limits.agents_sent)
@@ -120,5 +131,6 @@
                 suitable=len(suitable),
                 cpu_milli=request.cpu_milli,
                 label=request.label,
+                service=request.service_name,
             )
         )
--- a/egretcart/direct/entry/task_sender.py
+++ b/egretcart/direct/entry/task_sender.py
@@ -45,10 +45,10 @@
 
     Attributes
     ----------
-    unplaced : WaitingTasks or None
-        The tasks that no agent could begin in the last dispatch; None if
-        there were none.
-    offerable : WaitingTasks or None
+    unplaced : dict of str to WaitingTasks
+        The tasks that no agent could begin in the last dispatch, of each
+        service that has some.
+    offerable : dict of str to WaitingTasks
         Those of them from the first one on that some agent may run. What
         agents are told of must not be a task that none of them may run.
     """
@@ -71,21 +71,22 @@
         self.notices = notices
         self.lateness = lateness
         self.confinement = confinement
-        self.unplaced: WaitingTasks | None = None
-        self.offerable: WaitingTasks | None = None
+        self.unplaced: dict[str, WaitingTasks] = {}
+        self.offerable: dict[str, WaitingTasks] = {}
 
     def dispatch(self, jobs: Iterable[HeldJob], now: float) -> None:
         """Send the waiting tasks of jobs, the most urgent ones first."""
-        self.unplaced = self.offerable = None
+        self.unplaced, self.offerable = {}, {}
         self._place_all([held for held in jobs if any(held.waiting())], now)
-        told = None if self.lateness.is_behind else self.offerable
+        told = {} if self.lateness.is_behind else self.offerable
         self.notices.send(told, now)
 
     def _place_all(self, waiting: list[HeldJob], now: float) -> None:
         waiting.sort(key=lambda held: held.sort_key(now))
-        exhausted_resources: list[Room] = []
+        exhausted_resources: dict[str, list[Room]] = {}
         for held in waiting:
-            self._place(held, exhausted_resources, now)
+            exhausted = exhausted_resources.setdefault(held.route.service, [])
+            self._place(held, exhausted, now)
 
     def _place(
         self, held: HeldJob, exhausted_resources: list[Room], now: float
@@ -96,8 +97,8 @@
         ----------
         held : HeldJob
         exhausted_resources : list of Room
-            Resources for which no agent accepts another task in this
-            dispatch; more are added here.
+            Resources for which no agent of the job's service accepts another
+            task in this dispatch; more are added here.
         now : float
         """
         tasks_by_group: dict[PlacedGroup, list[HeldTask]] = {}
@@ -148,15 +149,22 @@
         """
         if held.route.name in self.confinement.routes:
             return
-        if self.unplaced is None:
-            self.unplaced = WaitingTasks(order=held.order, step=step, count=0)
-        self.unplaced.count += 1
-        if self.offerable is None and any(
-            view.may_run(step) for view in self.agents.values()
+        service = held.route.service
+        if service not in self.unplaced:
+            self.unplaced[service] = self._first_waiting(held, step)
+        self.unplaced[service].count += 1
+        if service not in self.offerable and any(
+            view.may_run(step, service) for view in self.agents.values()
         ):
-            self.offerable = WaitingTasks(order=held.order, step=step, count=0)
-        if self.offerable is not None:
-            self.offerable.count += 1
+            self.offerable[service] = self._first_waiting(held, step)
+        if service in self.offerable:
+            self.offerable[service].count += 1
+
+    @staticmethod
+    def _first_waiting(held: HeldJob, step: Step) -> WaitingTasks:
+        return WaitingTasks(
+            order=held.order, step=step, service=held.route.service, count=0
+        )
 
     def _choose(self, held: HeldJob, task: HeldTask, now: float) -> str | None:
         step = held.job.steps[task.key.step]
@@ -167,6 +175,7 @@
         )
         request = PlacementRequest(
             step=step,
+            service=held.route.service,
             time_left_ms=(held.due_at - now) * 1000,
             may_queue=self.lateness.is_behind,
             rank=held.order.rank(now),
@@ -207,6 +216,8 @@
             offer=offer,
             objective_ms=round(held.objective_ms),
             crash_score=crash_score,
+            service_name=held.route.service,
+            requires=step.requires,
         )
         self.effects.append(SendToAgent(agent_id, message))
         self.log.write(
--- a/egretcart/direct/entry/waiting_notices.py
+++ b/egretcart/direct/entry/waiting_notices.py
@@ -4,6 +4,8 @@
 them offers capacity that comes free to the entry with the most urgent task.
 """
 
+from collections import Counter
+from collections.abc import Mapping
 import math
 import random
 
@@ -26,7 +28,7 @@
 
 
 class WaitingTasks(msgspec.Struct, kw_only=True):
-    """The tasks that no agent can begin.
+    """The tasks of a service that no agent can begin.
 
     Attributes
     ----------
@@ -34,12 +36,15 @@
         Order of the most urgent one.
     step : Step
         Its step.
+    service : str
+        Service whose backend servers run them.
     count : int
         Number of tasks, up to a bound.
     """
 
     order: TaskOrder
     step: Step
+    service: str
     count: int
 
 
@@ -58,6 +63,11 @@
         Where messages are added.
     source : random.Random
         Chooses the agents that are told.
+
+    Attributes
+    ----------
+    service_sizes : Counter of str
+        Number of agents of each service, when tasks last waited.
     """
 
     def __init__(
@@ -72,21 +82,28 @@
         self.agents = agents
         self.effects = effects
         self.source = source
+        self.service_sizes: Counter[str] = Counter()
 
-    def send(self, waiting: WaitingTasks | None, now: float) -> None:
+    def send(self, waiting: Mapping[str, WaitingTasks], now: float) -> None:
         """Send the notices that are due, and decline the offers that are left.
 
         Parameters
         ----------
-        waiting : WaitingTasks or None
-            The tasks that wait after a dispatch; None if there are none.
+        waiting : mapping of str to WaitingTasks
+            The tasks that wait after a dispatch, of each service that has
+            some.
         now : float
         """
+        if waiting:
+            self.service_sizes = Counter(
+                view.service for view in self.agents.values()
+            )
         for agent_id, view in self.agents.items():
             if view.offers or view.has_answered_offer:
-                self._answer(agent_id, view, waiting, now)
-        if waiting is not None:
-            self._tell(waiting, now)
+                told = waiting.get(view.service)
+                self._answer(agent_id, view, told, now)
+        for told in waiting.values():
+            self._tell(told, now)
 
     def _answer(
         self,
@@ -97,7 +114,7 @@
     ) -> None:
         """Correct the notice on which offers rest, and decline the others."""
         notice = view.notice
-        if waiting is None or not view.may_run(waiting.step):
+        if waiting is None or not self._may_run(view, waiting):
             if notice is not None:
                 view.notice = None
                 self.effects.append(SendToAgent(agent_id, TasksWaiting()))
@@ -120,7 +137,7 @@
         told_count = 0
         others = []
         for agent_id, view in self.agents.items():
-            if not view.may_run(waiting.step):
+            if not self._may_run(view, waiting):
                 continue
             told_rank = self._told_rank(view, now)
             if told_rank is not None and told_rank <= rank:
@@ -133,6 +150,10 @@
         for agent_id in self.source.sample(others, min(missing, len(others))):
             self._send(agent_id, self.agents[agent_id], waiting, now)
 
+    @staticmethod
+    def _may_run(view: AgentView, waiting: WaitingTasks) -> bool:
+        return view.may_run(waiting.step, waiting.service)
+
     def _told_rank(self, view: AgentView, now: float) -> int | None:
         """Return the rank of which an agent knows; None if of none."""
         notice = view.notice
@@ -143,8 +164,9 @@
         return notice.order.rank(now)
 
     def _count(self, waiting: WaitingTasks) -> int:
-        """Return how many tasks an agent is told of."""
-        share = math.ceil(SHARE_FACTOR * waiting.count / len(self.agents))
+        """Return how many tasks an agent of their service is told of."""
+        agents = self.service_sizes[waiting.service]
+        share = math.ceil(SHARE_FACTOR * waiting.count / agents)
         return min(share, waiting.count, self.limits.max_count)
 
     def _send(
@@ -165,5 +187,6 @@
             cpu_milli=room.cpu_milli,
             memory_mb=room.memory_mb,
             accelerators=room.accelerators,
+            service_name=waiting.service,
         )
         self.effects.append(SendToAgent(agent_id, message))
--- a/egretcart/direct/log/agent_decisions.py
+++ b/egretcart/direct/log/agent_decisions.py
@@ -100,6 +100,8 @@
         Time since the backend server's last answer.
     labels : tuple of str
         Labels of the backend server, its rack among them.
+    service : str
+        Service that it runs; empty if no server is known.
     """
 
     instance: str
@@ -107,6 +109,7 @@
     cause: str
     answer_age_ms: int = 0
     labels: tuple[str, ...] = ()
+    service: str = ""
 
 
 class BackendCrashed(Decision, frozen=True, kw_only=True):
--- a/egretcart/direct/log/decisions.py
+++ b/egretcart/direct/log/decisions.py
@@ -471,6 +471,8 @@
         Processors that a task requires, in thousandths.
     label : str
         Label that the task requires; empty for none.
+    service : str
+        Service of the task; empty if the other entry does not tell it.
     """
 
     entry: str
@@ -478,6 +480,7 @@
     suitable: int
     cpu_milli: int
     label: str
+    service: str
 
 
 class DecisionLog(Protocol):
--- a/egretcart/direct/policy/admission.py
+++ b/egretcart/direct/policy/admission.py
@@ -45,7 +45,7 @@
 
 
 class LoadEstimate(msgspec.Struct, frozen=True, kw_only=True):
-    """An entry's estimate of the load of all agents, for one step.
+    """An entry's estimate of the load of a service's agents, for one step.
 
     Attributes
     ----------
@@ -88,26 +88,29 @@
     step: Step,
     views: Iterable[AgentView],
     *,
+    service: str,
     queued_cpu_milli_ms: float,
     far_factor: float,
     discovery_wait_ms: float | None = None,
 ) -> LoadEstimate:
-    """Return an estimate of the load of all agents, for one step.
+    """Return an estimate of the load of a service's agents, for one step.
 
     Parameters
     ----------
     step : Step
     views : iterable of AgentView
+    service : str
+        Service whose backend servers run the step.
     queued_cpu_milli_ms : float
-        Estimated work that waits at the entries ahead of the step, in
-        thousandths of a processor times milliseconds.
+        Estimated work that waits at the entries ahead of the step for the
+        same service, in thousandths of a processor times milliseconds.
     far_factor : float
         Factor by which a task's run time is longer on another rack than
         that of its data.
     discovery_wait_ms : float, optional
         See `LoadEstimate`.
     """
-    usable = [view for view in views if view.may_run(step)]
+    usable = [view for view in views if view.may_run(step, service)]
     task_cpu_milli = max(1, step.room.cpu_milli)
     capacity_cpu_milli = float(sum(view.status.cpu_milli for view in usable))
     return LoadEstimate(
--- a/egretcart/direct/policy/placement.py
+++ b/egretcart/direct/policy/placement.py
@@ -43,6 +43,8 @@
     ----------
     step : Step
         The step that the task belongs to.
+    service : str
+        Service whose backend servers run the task.
     time_left_ms : float
         Time until the job's latency objective, in milliseconds; negative
         after it.
@@ -63,6 +65,7 @@
     """
 
     step: Step
+    service: str
     time_left_ms: float
     may_queue: bool = True
     rank: int = 0
@@ -127,7 +130,7 @@
     def _is_usable(
         self, agent_id: str, view: AgentView, request: PlacementRequest
     ) -> bool:
-        if not view.may_run(request.step):
+        if not view.may_run(request.step, request.service):
             return False
         allowed = request.allowed_agents
         if allowed is not None and agent_id not in allowed:
--- a/egretcart/testing/direct_world.py
+++ b/egretcart/testing/direct_world.py
@@ -4,11 +4,12 @@
 with a delay, in simulated time. Links can be blocked and broken, processes
 killed and paused, and backend servers can leave requests unanswered or
 execute them late. Operators drain failure domains through a store that can be
-out of reach. While it runs, the simulation checks four invariants: no task
+out of reach. While it runs, the simulation checks five invariants: no task
 runs on two backend servers at a time, no task of a refused job runs, no
-backend server is sent more than its capacity, and nothing is started in a
+backend server is sent more than its capacity, nothing is started in a
 failure domain that the agent knows to be drained, or that has been drained
-for longer than a bound.
+for longer than a bound, and a task starts only at a backend server of a
+service to which some configuration sends its route.
 """
 
 from collections.abc import Callable
@@ -190,6 +191,8 @@
     confinement : ConfinementLimits, optional
         When entries confine routes whose jobs crash servers; never by
         default.
+    services : tuple of str, optional
+        Services of the backend servers, assigned to them in turn.
 
     Attributes
     ----------
@@ -240,6 +243,10 @@
         violation, in seconds.
     unreached : set of str
         Entries that don't reach the store.
+    configuration : RoutingConfiguration
+        The newest one, which entries have from their start.
+    services_of_route : dict of str to set of str
+        Services to which any configuration has sent a route, by its name.
     waiting : dict of int to (CallerRequest, str)
         Submissions without an answer by request number, each with the name
         of its entry.
@@ -262,6 +269,7 @@
         suspicion: SuspicionLimits | None = None,
         failure_domains: tuple[str, ...] = (),
         confinement: ConfinementLimits | None = None,
+        services: tuple[str, ...] = (SERVICE,),
     ) -> None:
         self.source = random.Random(seed)
         self.agent_limits = DirectAgentLimits(
@@ -297,9 +305,10 @@
         self.waiting: dict[int, tuple[CallerRequest, str]] = {}
         self.requests: list[CallerRequest] = []
         self.violations: list[str] = []
-        self.configuration = RoutingConfiguration(
-            version=1, routes=(DEFAULT_ROUTE,)
-        )
+        self.services = services
+        self.configuration = RoutingConfiguration()
+        self.services_of_route: dict[str, set[str]] = {}
+        self.configure((DEFAULT_ROUTE,))
         for number in range(entries):
             self._add_entry(f"entry-{number}")
         for number in range(agents):
@@ -340,7 +349,7 @@
         self.processes[name] = SimulatedProcess(name=name)
         self.backends[name] = FakeBackend(
             instance=name,
-            service=SERVICE,
+            service=self.services[_number_of(name) % len(self.services)],
             capacity=self.capacity,
             behaviour_of=lambda key: self.task_behaviours[key.job_id],
             speed=speed,
@@ -381,11 +390,23 @@
         """Return the failure domain of an agent; empty if it has none."""
         if not self.failure_domains:
             return ""
-        number = int(name.rpartition("-")[2])
-        return self.failure_domains[number % len(self.failure_domains)]
+        return self.failure_domains[
+            _number_of(name) % len(self.failure_domains)
+        ]
 
     # Operators and the store.
 
+    def configure(self, routes: tuple[Route, ...]) -> None:
+        """Apply a new configuration with these routes at all entries."""
+        self.configuration = RoutingConfiguration(
+            version=self.configuration.version + 1, routes=routes
+        )
+        for route in routes:
+            services = self.services_of_route.setdefault(route.name, set())
+            services.add(route.service)
+        for entry in self.entries.values():
+            entry.configure(self.configuration, "world")
+
     def drain(self, domain: str, *, drained: bool = True) -> None:
         """Drain a failure domain, or take it back; entries are told."""
         self.drained = self.drained.with_change(
@@ -927,7 +948,16 @@
                 self.violations.append(
                     f"{self.now:.3f} {key} runs on both {other} and {name}"
                 )
+        service = self.backends[name].service
         for request in self.requests:
+            if request.job.job_id != key.job_id:
+                continue
+            allowed = self.services_of_route.get(request.route.name)
+            if allowed is not None and service not in allowed:
+                self.violations.append(
+                    f"{self.now:.3f} {key} of {request.route.name} starts on "
+                    f"{name} of {service}"
+                )
             answer = request.answer
             was_refused = (
                 answer is not None
@@ -935,7 +965,7 @@
                 and not answer.interrupted
                 and request.submission_count == 1
             )
-            if request.job.job_id == key.job_id and was_refused:
+            if was_refused:
                 self.violations.append(
                     f"{key} runs although its job was refused"
                 )
@@ -1107,6 +1137,11 @@
         ]
 
 
+def _number_of(name: str) -> int:
+    """Return the number in the name of a process."""
+    return int(name.rpartition("-")[2])
+
+
 def _link_key(sender: str, receiver: str) -> tuple[str, str]:
     """Return the key of a link in `links`, the same for both directions."""
     return (sender, receiver) if sender < receiver else (receiver, sender)
--- /dev/null
+++ b/tests/features/service_routing.feature
@@ -0,0 +1,33 @@
+Feature: Tasks run at the backend servers of their route's service
+
+  # Guards against tasks that start at a server of another service.
+  Scenario: A server of another service is added
+    Given a deployment of 3 entries and 5 agents, one of another service
+    When 20 jobs a second come for 10 s by the route of the first service
+    Then all jobs are completed
+    And no promise was broken
+
+  Scenario: Servers come back as those of another service
+    Given a deployment of 3 entries and 8 agents of two services in turn
+    When 40 jobs a second come for 10 s by the routes of both
+    And servers crash meanwhile and come back for another service
+    Then at least 200 jobs are completed
+    And no promise was broken
+
+  Scenario: What one service needs keeps nothing of another one waiting
+    Given a deployment of 3 entries and 8 agents of two services in turn
+    When the first service gets twice the work that it can do for 6 s
+    Then all jobs of the second service are completed on time
+    And no promise was broken
+
+  Scenario: What an entry decides for a route, it decides for its service
+    Then a job without a server of its service is refused at once
+    And a full server of another service is not counted
+    And work that waits for another service is not counted
+    And agents that serve others share their entries only with their service
+    And a route's drained agents are those of its service
+    And agents of each service are told of their waiting tasks
+    And an agent whose service has changed is told anew
+    And agents are recruited for a service
+    And a route is confined among those of its service
+    And a run is moved if its service has room for those that are moved
--- a/tests/features/steps/crash_decision_steps.py
+++ b/tests/features/steps/crash_decision_steps.py
@@ -36,6 +36,7 @@
 from egretcart.direct.request.job import Room
 from egretcart.direct.request.job import Step
 from egretcart.direct.request.job import TaskKey
+from egretcart.direct.version.configuration import RoutingConfiguration
 from egretcart.process.metric_table import SERVERS_CRASHED
 from egretcart.process.metrics import ProcessMetrics
 
@@ -289,6 +290,9 @@
         log=NullDecisionLog(),
         source=random.Random(1),
     )
+    entry.configure(
+        RoutingConfiguration(version=1, routes=(ROUTE, CONFINED)), "test"
+    )
     entry.tick(1.0)
     for number in range(agents):
         connect_agent(entry, f"agent-{number}", free=free, now=1.0)
@@ -407,7 +411,7 @@
     entry = make_entry()
     agents = confine_route(entry)
     for route in (CONFINED, ROUTE):
-        views = entry.state.views_for(route.name)
+        views = entry.state.views_for(route)
         found = {view.status.agent_id for view in views}
         expected = agents if route is CONFINED else set(entry.agents) - agents
         assert found == expected, (route.name, found)
--- a/tests/features/steps/crashing_task_steps.py
+++ b/tests/features/steps/crashing_task_steps.py
@@ -18,6 +18,7 @@
 from egretcart.process.metrics import ProcessMetrics
 from egretcart.testing.direct_world import DEFAULT_ROUTE
 from egretcart.testing.direct_world import REPORT_INTERVAL_S
+from egretcart.testing.direct_world import SERVICE
 from egretcart.testing.direct_world import SimulatedDeployment
 
 LIMITS = ConfinementLimits(is_on=True)
@@ -269,10 +270,12 @@
 def confinement_after(*given_up, limits=LIMITS):
     """Return the confinement after jobs of these routes were given up."""
     confinement = Confinement(limits=limits)
-    confinement.record_accepted("other", 1.0)
+    confinement.services = dict.fromkeys(("a", "b", "c"), SERVICE)
+    confinement.record_accepted("other", SERVICE, 1.0)
     for number, route in enumerate(given_up):
         confinement.record(f"job-{number}", route, 1.0)
-    confinement.update([f"agent-{n}" for n in range(8)], 1.0)
+    agents = {f"agent-{number}": SERVICE for number in range(8)}
+    confinement.update(agents, 1.0)
     return confinement
 
 
@@ -288,7 +291,7 @@
     assert not confinement.avoided_agents("a")
     confinement = confinement_after("a")
     confinement.record("job-0", "a", 1.0)
-    confinement.update(["agent-0"], 1.0)
+    confinement.update({"agent-0": SERVICE}, 1.0)
     assert not confinement.routes, "one job counted twice"
 
 
@@ -303,27 +306,27 @@
 def check_only_route(_context):
     confinement = Confinement(limits=LIMITS)
     for job_id in ("job-0", "job-1"):
-        confinement.record_accepted("a", 1.0)
+        confinement.record_accepted("a", SERVICE, 1.0)
         confinement.record(job_id, "a", 1.0)
-    confinement.update(["agent-0"], 1.0)
+    confinement.update({"agent-0": SERVICE}, 1.0)
     assert not confinement.routes
     for route in ("b", "c", "d", "a"):
-        confinement.record_accepted(route, 1.0)
-    assert len(confinement.accepted_at) == 2, "routes come and go"
-    confinement.update(["agent-0"], 1.0)
+        confinement.record_accepted(route, SERVICE, 1.0)
+    assert len(confinement.accepted_at[SERVICE]) == 2, "routes come and go"
+    confinement.update({"agent-0": SERVICE}, 1.0)
     assert confinement.routes == {"a"}
 
 
 @then("a confined route is free again after {seconds:g} s")
 def check_released(_context, seconds):
     confinement = confinement_after("a", "a")
-    confinement.record_accepted("other", 10.0)
-    assert not confinement.update(["agent-0"], 1.0 + seconds - 0.01)
+    confinement.record_accepted("other", SERVICE, 10.0)
+    assert not confinement.update({"agent-0": SERVICE}, 1.0 + seconds - 0.01)
     confinement.record("job-2", "a", 3.0)
     # It was given up before; the report of another entry is no news.
     confinement.record("job-2", "a", 5.0)
-    assert not confinement.update(["agent-0"], 3.0 + seconds - 0.01)
-    assert confinement.update(["agent-0"], 3.0 + seconds + 0.01)
+    assert not confinement.update({"agent-0": SERVICE}, 3.0 + seconds - 0.01)
+    assert confinement.update({"agent-0": SERVICE}, 3.0 + seconds + 0.01)
     assert not confinement.routes
     assert not confinement.agents
 
--- a/tests/features/steps/direct_decisions_steps.py
+++ b/tests/features/steps/direct_decisions_steps.py
@@ -494,6 +494,7 @@
     """Return the view of an agent; without capacity it knows no server."""
     status = AgentStatus(
         agent_id="agent",
+        service_name="service",
         accepting=cpu_milli > 0,
         cpu_milli=cpu_milli,
         memory_mb=cpu_milli,
@@ -507,6 +508,7 @@
     no_capacity = estimate_load(
         STEP,
         [view_of(0)] * 4,
+        service="service",
         queued_cpu_milli_ms=50_000.0,
         far_factor=1.5,
         discovery_wait_ms=300.0,
@@ -543,6 +545,7 @@
     for agent_id in ("agent-1", "agent-2"):
         status = AgentStatus(
             agent_id=agent_id,
+            service_name="service",
             accepting=True,
             cpu_milli=9,
             memory_mb=9,
--- a/tests/features/steps/job_release_steps.py
+++ b/tests/features/steps/job_release_steps.py
@@ -77,6 +77,7 @@
             self.entry.peer_connected(peer, self.now)
         status = AgentStatus(
             agent_id="agent",
+            service_name="service",
             accepting=True,
             cpu_milli=10,
             memory_mb=10,
--- a/tests/features/steps/late_binding_steps.py
+++ b/tests/features/steps/late_binding_steps.py
@@ -98,9 +98,10 @@
     return entry
 
 
-def connect_agent(entry, agent_id, *, free, now, labels=()):
+def connect_agent(entry, agent_id, *, free, now, labels=(), service="service"):
     status = AgentStatus(
         agent_id=agent_id,
+        service_name=service,
         labels=labels,
         accepting=True,
         cpu_milli=10,
--- a/tests/features/steps/leaving_steps.py
+++ b/tests/features/steps/leaving_steps.py
@@ -145,7 +145,13 @@
 
 
 def capacity_and_place(view):
-    load = estimate_load(STEP, [view], queued_cpu_milli_ms=0, far_factor=1.5)
+    load = estimate_load(
+        STEP,
+        [view],
+        service="service",
+        queued_cpu_milli_ms=0,
+        far_factor=1.5,
+    )
     return load.capacity_cpu_milli, load.has_free_capacity
 
 
@@ -153,19 +159,21 @@
 def check_no_estimate(context):
     accepting = AgentStatus(
         accepting=True, cpu_milli=10, memory_mb=10, free_cpu_milli=10,
-        free_memory_mb=10,
+        free_memory_mb=10, service_name="service",
     )  # fmt: skip
     view = AgentView(status=accepting, now=1.0)
-    assert view.may_run(STEP)
-    assert view.can_begin(STEP.room, "")
+    assert view.may_run(STEP, "service")
+    assert view.can_begin(STEP.room, "", "service")
     assert capacity_and_place(view) == (10, True)
     view.update(context.status, 1.1)
     assert capacity_and_place(view) == (0, False)
-    assert not view.can_begin(STEP.room, "")
+    assert not view.can_begin(STEP.room, "", "service")
     placement = Placement(
         limits=PlacementLimits(), far_factor=1.5, source=random.Random(1)
     )
-    request = PlacementRequest(step=STEP, time_left_ms=10_000)
+    request = PlacementRequest(
+        step=STEP, service="service", time_left_ms=10_000
+    )
     assert placement.choose(request, [("agent", view)]) is None
 
 
@@ -239,6 +247,7 @@
 def status_of(agent_id, *, room, accepting=True):
     return AgentStatus(
         agent_id=agent_id,
+        service_name="service",
         accepting=accepting,
         cpu_milli=16,
         memory_mb=16,
--- a/tests/features/steps/rotation_steps.py
+++ b/tests/features/steps/rotation_steps.py
@@ -33,6 +33,7 @@
 )
 STATUS = AgentStatus(
     agent_id="agent",
+    service_name="service",
     accepting=True,
     cpu_milli=10,
     memory_mb=10,
--- a/tests/features/steps/warming_steps.py
+++ b/tests/features/steps/warming_steps.py
@@ -103,6 +103,7 @@
 
 def view_of(*, cold_ms=0, free=8, pace_percent=100):
     status = AgentStatus(
+        service_name="service",
         accepting=True,
         cpu_milli=16,
         memory_mb=16,
@@ -117,7 +118,9 @@
 @then("a task goes to a cold server only if no warm one has room")
 def check_warm_first(context):
     step = Step(count=1, room=Room(4, 4, 0), estimate_ms=100.0)
-    request = PlacementRequest(step=step, time_left_ms=10_000)
+    request = PlacementRequest(
+        step=step, service="service", time_left_ms=10_000
+    )
     for warm_free, expected in ((8, "warm"), (0, "cold")):
         for seed in range(10):
             placement = Placement(
--- a/tests/features/steps/working_set_steps.py
+++ b/tests/features/steps/working_set_steps.py
@@ -324,6 +324,7 @@
     for number in range(3):
         status = AgentStatus(
             agent_id=f"agent-{number}",
+            service_name="service",
             accepting=True,
             cpu_milli=10,
             memory_mb=10,
@@ -339,7 +340,7 @@
 
 
 def requests_for_agents(entry, now):
-    entry.recruiter.ask(STEP, now)
+    entry.recruiter.ask(STEP, "service", now)
     return [
         effect.entry_id
         for effect in entry.dispatch_waiting(now)
