Let an agent refuse tasks that are not for its backend server

Callers could see: a task on a server of another service or without the label that its step requires, as a server had started anew as another one and its entry had not heard of it. Cause: an order named neither service nor label, and the agent is the only one that knows which server it is about to start a task at. Change: RunTasks has both, and the agent gives such tasks back as not run, also queued ones if its server reports another service or other labels in one lifetime. Notices of waiting tasks name their service, and no capacity is offered to those of others. Orders of an earlier release name neither and are run.

--- a/egretcart/direct/agent/backend_exchange.py
+++ b/egretcart/direct/agent/backend_exchange.py
@@ -82,6 +82,7 @@
         else:
             was_draining = current.draining
             was_cold = current.cold_for_ms > 0
+            self._check_kind(current, report, now)
         self.backend.apply_report(report, now)
         if report.draining and not was_draining:
             self._begin_draining(now)
@@ -91,6 +92,19 @@
             self.backend.log_change(state, cause, now)
         return True
 
+    def _check_kind(
+        self, former: BackendReport, report: BackendReport, now: float
+    ) -> None:
+        """Give queued runs back if the server is not what they were sent to.
+
+        Its service and labels are checked only when tasks arrive.
+        """
+        kind = (report.service, report.labels)
+        if kind != (former.service, former.labels):
+            reason = "the backend server has another service or other labels"
+            self.queue.reject_queued(reason, now)
+            self.queue.links.notify_all()
+
     def _begin_draining(self, now: float) -> None:
         """Give queued runs back, and tell all entries at once."""
         self.backend.log_change("draining", "it said so", now)
--- a/egretcart/direct/agent/capacity_offering.py
+++ b/egretcart/direct/agent/capacity_offering.py
@@ -64,7 +64,12 @@
             objective_s=message.objective_ms / MS_PER_S,
         )
         self.offers.record_notice(
-            entry_id, order, message.room, message.count, now
+            entry_id,
+            order,
+            message.room,
+            message.count,
+            now,
+            service=message.service_name,
         )
 
     def use(self, entry_id: str, message: RunTasks) -> None:
@@ -90,7 +95,9 @@
         report = self.queue.backend.report
         assert report is not None
         free = self.queue.runs.free(report.capacity, queued=True)
-        for offer in self.offers.make(free, self._is_served, now):
+        for offer in self.offers.make(
+            free, self._is_served, now, service=report.service
+        ):
             message = CapacityOffered(
                 number=offer.number,
                 count=offer.count,
--- a/egretcart/direct/agent/known_backend.py
+++ b/egretcart/direct/agent/known_backend.py
@@ -184,6 +184,7 @@
                 cause=cause,
                 answer_age_ms=round((now - self.lease.answered_at) * 1000),
                 labels=self.report.labels if self.report else (),
+                service=self.report.service if self.report else "",
             )
         )
 
--- a/egretcart/direct/agent/run_queue.py
+++ b/egretcart/direct/agent/run_queue.py
@@ -94,7 +94,7 @@
 
     def enqueue(self, entry_id: str, message: RunTasks, now: float) -> None:
         """Queue the tasks of a message; refuse those that can't be run."""
-        refusal = self._refusal_reason(message.room)
+        refusal = self._refusal_reason(message)
         if self.evictions.refuses(message.job_id, entry_id):
             refusal = TAKEN_OVER_REASON
         for index in message.indexes:
@@ -140,7 +140,7 @@
             if not run.may_wait:
                 self.end(run, Ending.NOT_RUN, "the room was taken", now)
 
-    def _refusal_reason(self, room: Room) -> str:
+    def _refusal_reason(self, message: RunTasks) -> str:
         """Return why a task can't be queued here; empty if it can."""
         if self.stopping:
             return "the agent is leaving"
@@ -150,8 +150,16 @@
             return "the backend server is not known"
         if self.backend.report.draining:
             return "the backend server is leaving"
-        if not self.backend.report.capacity.can_fit(room):
-            return f"{room} does not fit into {self.backend.report.capacity}"
+        # The entry may not know yet that another server has come.
+        if message.service_name not in ("", self.backend.report.service):
+            return f"the backend server is of {self.backend.report.service}"
+        if message.requires and (
+            message.requires not in self.backend.report.labels
+        ):
+            return f"the backend server lacks the label {message.requires}"
+        capacity = self.backend.report.capacity
+        if not capacity.can_fit(message.room):
+            return f"{message.room} does not fit into {capacity}"
         return ""
 
     def start_waiting(self, now: float) -> None:
--- a/egretcart/direct/policy/capacity_offers.py
+++ b/egretcart/direct/policy/capacity_offers.py
@@ -109,12 +109,15 @@
     count : int
         Number of tasks that wait, up to a bound.
     valid_until : float
+    service : str
+        Service whose backend servers may run them; empty if it is not known.
     """
 
     order: TaskOrder
     room: Room
     count: int
     valid_until: float
+    service: str = ""
 
 
 class Offer(msgspec.Struct, kw_only=True):
@@ -175,6 +178,8 @@
         room: Room,
         count: int,
         now: float,
+        *,
+        service: str = "",
     ) -> None:
         """Replace an entry's notice; one without tasks withdraws it."""
         self.notices.pop(entry_id, None)
@@ -184,6 +189,7 @@
                 room=room,
                 count=count,
                 valid_until=now + self.limits.notice_validity_s,
+                service=service,
             )
 
     def make(
@@ -191,6 +197,8 @@
         free: Room,
         is_served: Callable[[str], bool],
         now: float,
+        *,
+        service: str = "",
     ) -> list[Offer]:
         """Offer free capacity to the entries with the most urgent tasks.
 
@@ -201,12 +209,16 @@
         is_served : callable
             Whether an entry of a given id may send tasks here.
         now : float
+        service : str, optional
+            Service of the backend server; tasks of others are not offered
+            anything.
         """
         made: list[Offer] = []
         notices = [
             (entry_id, notice)
             for entry_id, notice in self.notices.items()
             if free.can_fit(notice.room)
+            and notice.service in ("", service)
             and now <= notice.valid_until
             and now >= self.pauses.get(entry_id, 0.0)
             and is_served(entry_id)
--- a/tests/features/service_routing.feature
+++ b/tests/features/service_routing.feature
@@ -31,3 +31,10 @@
     And agents are recruited for a service
     And a route is confined among those of its service
     And a run is moved if its service has room for those that are moved
+
+  # Guards against starts that an entry asks for before it knows the server.
+  Scenario: An agent refuses tasks that are not for its server
+    Then tasks of another service or with another label are refused
+    And tasks of an earlier release, which names neither, are run
+    And queued tasks are given back if the server's service changes
+    And no capacity is offered to tasks of another service
