Apply a newer desired state to the jobs that wait

Callers could see: a job that was sent again after a change of its route's service run by the former service, also if it had not begun; and a job that waited as a claim accepted by a route that needs advice by now. Found by reading. Cause: a job kept the route of its first submission to the end. Change: when a configuration becomes active, accepted jobs and claims get their route as it is now.

--- a/egretcart/direct/entry/entry.py
+++ b/egretcart/direct/entry/entry.py
@@ -186,6 +186,7 @@
         if configuration.version <= former:
             return False
         self.state.activate(configuration)
+        self.pending.apply_routes(configuration)
         self.rotation.tolerate(configuration.shortest_slack_s)
         self.log.write(
             ConfigurationAccepted(
--- a/egretcart/direct/entry/entry_state.py
+++ b/egretcart/direct/entry/entry_state.py
@@ -92,11 +92,17 @@
         return crashes_servers(score, self.limits.crashes)
 
     def activate(self, configuration: RoutingConfiguration) -> None:
-        """Apply a configuration."""
+        """Apply a configuration, also to the jobs that were accepted before.
+
+        A job whose route it no longer has keeps that route.
+        """
         self.configuration = configuration
+        routes = {route.name: route for route in configuration.routes}
         self.confinement.services = {
-            route.name: route.service for route in configuration.routes
+            name: route.service for name, route in routes.items()
         }
+        for held in (*self.jobs.values(), *self.stopping_jobs.values()):
+            held.route = routes.get(held.route.name, held.route)
 
     def agents_of(self, service: str) -> dict[str, AgentView]:
         """Return the views of the agents of a service, by agent id.
--- a/egretcart/direct/entry/pending_claims.py
+++ b/egretcart/direct/entry/pending_claims.py
@@ -23,6 +23,7 @@
 from egretcart.direct.log.decisions import JobClaimed
 from egretcart.direct.request.job import Job
 from egretcart.direct.version.configuration import Route
+from egretcart.direct.version.configuration import RoutingConfiguration
 
 # Entries that are asked to pass a question on; if the owner lives, most reach
 # it.
@@ -203,6 +204,12 @@
         evict = EvictJob(number=pending.number, job_id=pending.job.job_id)
         self.effects.append(SendToAgent(agent_id, evict))
 
+    def apply_routes(self, configuration: RoutingConfiguration) -> None:
+        """Let claims that wait use the routes of a newer configuration."""
+        routes = {route.name: route for route in configuration.routes}
+        for pending in self.by_job.values():
+            pending.route = routes.get(pending.route.name, pending.route)
+
     def find(self, number: int) -> PendingClaim | None:
         """Return the claim with a number, or None."""
         for pending in self.by_job.values():
--- a/tests/features/service_routing.feature
+++ b/tests/features/service_routing.feature
@@ -20,6 +20,12 @@
     Then all jobs of the second service are completed on time
     And no promise was broken
 
+  Scenario: A desired state sends a route to another service
+    Given a deployment of 3 entries and 8 agents of two services in turn
+    When its route is sent to the second service while jobs wait
+    Then what waits and what comes starts at the second service
+    And no promise was broken
+
   Scenario: What an entry decides for a route, it decides for its service
     Then a job without a server of its service is refused at once
     And a full server of another service is not counted
@@ -32,6 +38,10 @@
     And a route is confined among those of its service
     And a run is moved if its service has room for those that are moved
 
+  # Guards against starts by a desired state that is no longer in force.
+  Scenario: A claim that waits uses the desired state in force
+    Then a claimed job starts at the service to which its route was sent
+
   # Guards against starts that an entry asks for before it knows the server.
   Scenario: An agent refuses tasks that are not for its server
     Then tasks of another service or with another label are refused
