Refuse a claimed job whose route is not served any more

Callers could see: a job that another entry may have run accepted by a route that needs advice by now, so that none of its tasks can start. Cause: reasons to serve a job not at all were looked at once, when it arrived. Change: they are looked at again when its claim ends. It is answered as interrupted, as it may have run. Result: a step of service_routing.feature shows it; it was not run before the change.

--- a/egretcart/direct/entry/job_admission.py
+++ b/egretcart/direct/entry/job_admission.py
@@ -234,6 +234,11 @@
 
     def admit_claimed(self, pending: PendingClaim, now: float) -> None:
         """Accept or refuse a job whose claim need not wait any longer."""
+        cause = _find_refusal_cause(pending.job, pending.route)
+        if cause is not None:
+            # Its route has changed since, and another entry may have run it.
+            self._refuse_claimed(pending, cause)
+            return
         self._admit(
             pending.request_ids,
             pending.job,
@@ -244,6 +249,19 @@
             may_have_run=True,
         )
 
+    def _refuse_claimed(self, pending: PendingClaim, cause: str) -> None:
+        self.state.log.write(
+            JobRefused(
+                job_id=pending.job.job_id,
+                route=pending.route.name,
+                cause=cause,
+            )
+        )
+        for request_id in pending.request_ids:
+            self.state.effects.append(
+                Answer(request_id=request_id, cause=cause, interrupted=True)
+            )
+
     def _admit(
         self,
         request_ids: set[int],
--- a/tests/features/service_routing.feature
+++ b/tests/features/service_routing.feature
@@ -41,6 +41,7 @@
   # Guards against starts by a desired state that is no longer in force.
   Scenario: A claim that waits uses the desired state in force
     Then a claimed job starts at the service to which its route was sent
+    And a claimed job is not accepted if its route needs advice by now
 
   # Guards against starts that an entry asks for before it knows the server.
   Scenario: An agent refuses tasks that are not for its server
--- a/tests/features/steps/service_routing_steps.py
+++ b/tests/features/steps/service_routing_steps.py
@@ -373,25 +373,36 @@
         assert len(entry.runs.leaving.moving) == number
 
 
-@then("a claimed job starts at the service to which its route was sent")
-def check_claimed(context):
+def claim_then_configure(route):
+    """Return the effects of a claim that ends after its route has changed."""
     entry = make_entry((SERVICE, OTHER))
     job_id = f"{1:016x}"
     entry.peer_connected("entry-2", 1.0)
     entry.receive_from_peer("entry-2", JobsTaken(job_ids=(job_id,)), 1.0)
     assert not sent_to_agent(submit(entry, 1, DEFAULT_ROUTE), RunTasks)
-    entry.configure(
-        RoutingConfiguration(version=2, routes=(MOVED_ROUTE,)), "test"
-    )
-    pending = entry.pending.by_job[job_id]
-    pending.expires_at.clear()
-    effects = entry.tick(1.1)
+    entry.configure(RoutingConfiguration(version=2, routes=(route,)), "test")
+    entry.pending.by_job[job_id].expires_at.clear()
+    return entry.tick(1.1)
+
+
+@then("a claimed job starts at the service to which its route was sent")
+def check_claimed(context):
+    effects = claim_then_configure(MOVED_ROUTE)
     (tasks,) = sent_to_agent(effects, RunTasks)
     assert tasks.service_name == OTHER
     (target,) = {e.agent_id for e in effects if sent_to_agent([e], RunTasks)}
     assert target == "agent-1"
 
 
+@then("a claimed job is not accepted if its route needs advice by now")
+def check_claimed_advice(context):
+    advised = msgspec.structs.replace(DEFAULT_ROUTE, needs_advice=True)
+    effects = claim_then_configure(advised)
+    assert not sent_to_agent(effects, RunTasks)
+    (answer,) = answers(effects)
+    assert answer.interrupted, answer
+
+
 REPORT = BackendReport(
     lifetime=BackendIncarnation("i-1", 1),
     service=SERVICE,
