Let the backend server itself tell which reports are its own

Callers saw: tasks run twice for up to 0.5 s, and a server that was not used again, after a report of another writer had reached its agent. Cause: a report with another id and a later start counted as a new incarnation of the server, whoever had sent it: the runs of the real one counted as lost and began elsewhere, and its own reports as delayed. Change: while the server answers, another incarnation's report is set aside and the server polled at once. If it still answers as the one that is known, the report is dropped with a line; if it has ended, the report is used. What is born last counts only once it has listed its runs, and an incarnation that has listed none is not blamed for a crash. SimulatedDeployment answers polls for another server as the platform does. Two steps of older scenarios now pass on the answer to the poll, which the process sends by itself.

--- a/egretcart/direct/agent/agent_process.py
+++ b/egretcart/direct/agent/agent_process.py
@@ -175,6 +175,8 @@
         self._apply_effects(self.agent.receive_report(report, now))
         if self.agent.report is report:
             self.report_store.record(report)
+        elif self.agent.backend.candidate is report:
+            self.nursery.start_soon(self._poll_once, 0)
 
     def receive_shutdown_notice(self, instance: str) -> None:
         """Handle the backend server's notice that it shuts down."""
--- a/egretcart/direct/agent/backend_exchange.py
+++ b/egretcart/direct/agent/backend_exchange.py
@@ -16,6 +16,7 @@
 from egretcart.direct.backend.suspicion import ObservedRun
 from egretcart.direct.backend.suspicion import Suspicion
 from egretcart.direct.log.agent_decisions import BackendCrashed
+from egretcart.direct.log.agent_decisions import FOREIGN_REPORT_STATE
 from egretcart.direct.log.agent_decisions import RunUnanswered
 from egretcart.direct.log.decisions import DecisionLog
 from egretcart.direct.policy.crashes import crash_weights
@@ -76,6 +77,9 @@
             # The report was delayed, and its sender has ended meanwhile.
             return False
         if current is None or current.lifetime != report.lifetime:
+            if current is not None and self.backend.is_answering(now):
+                self._set_aside(report, now)
+                return False
             self._begin_backend_incarnation(report, now)
         elif report.sequence < current.sequence:
             return False
@@ -92,6 +96,29 @@
             self.backend.log_change(state, cause, now)
         return True
 
+    def _set_aside(self, report: BackendReport, now: float) -> None:
+        """Keep a report until a poll tells which incarnation is the server.
+
+        It comes from a new incarnation, or from another writer, which must
+        not end the runs of the server.
+        """
+        self.backend.candidate = report
+        self.backend.candidate_at = now
+
+    def _judge_candidate(self, asked_at: float, now: float) -> None:
+        """Drop a report set aside, as the current incarnation has answered."""
+        candidate = self.backend.candidate
+        if candidate is None or asked_at < self.backend.candidate_at:
+            return
+        self.backend.candidate = None
+        lifetime = candidate.lifetime
+        self.backend.log_change(
+            FOREIGN_REPORT_STATE,
+            f'"{lifetime.instance}" of {candidate.service}, born '
+            f"{lifetime.born_ms}, is not the server",
+            now,
+        )
+
     def _check_kind(
         self, former: BackendReport, report: BackendReport, now: float
     ) -> None:
@@ -137,7 +164,9 @@
         cause : str
         now : float
         """
-        if report.draining:
+        if report.draining or not self.backend.ready:
+            # Nothing was started at an incarnation that has listed no runs;
+            # it may not have been the server at all.
             return
         runs = self.queue.runs.occupying()
         runs.sort(key=lambda run: run.progress.started_at, reverse=True)
@@ -198,6 +227,9 @@
         self.queue.end_runs_of_incarnation(
             reason, now, carries=True, answered_are_over=is_refused
         )
+        candidate, self.backend.candidate = self.backend.candidate, None
+        if candidate is not None:
+            self.receive_report(candidate, now)
         return True
 
     def receive_listing(
@@ -229,12 +261,16 @@
             return False
         if listing.born_ms != lifetime.born_ms:
             return self.mark_backend_ended("another lifetime answers", now)
+        self._judge_candidate(asked_at, now)
         was_unresponsive = not self.backend.is_answering(now)
         self.backend.suspicion.record_answer(now)
         self.backend.lease.update_clock(listing.clock_ms, now)
         self.backend.lease_expired = False
         self._process_ended_runs(listing, now)
         self._process_running_runs(listing, asked_at, now)
+        self.backend.newest_born_ms = max(
+            self.backend.newest_born_ms, listing.born_ms
+        )
         if not self.backend.ready and not self.backend.orphaned_runs:
             self.backend.ready = True
             self.evictions.mark_predecessor_ended()
--- a/egretcart/direct/agent/known_backend.py
+++ b/egretcart/direct/agent/known_backend.py
@@ -33,9 +33,14 @@
     report : BackendReport or None
         Newest report of the server's current incarnation; None while no
         server is known.
+    candidate : BackendReport or None
+        Report of another incarnation, while it is not known whether the
+        server's current one has ended; None if there is none.
+    candidate_at : float
+        When it was received.
     newest_born_ms : int
-        Start of the newest incarnation of the server that has reported, in
-        Unix milliseconds; 0 if none has.
+        Start of the newest incarnation of the server that has listed its
+        runs, in Unix milliseconds; 0 if none has.
     fencing_token : int
         Sent with each request; the server refuses a token that is lower
         than one that it has seen.
@@ -67,6 +72,8 @@
         self.limits = limits
         self.log = log
         self.report: BackendReport | None = None
+        self.candidate: BackendReport | None = None
+        self.candidate_at = 0.0
         self.newest_born_ms = 0
         self.fencing_token = 0
         self.acknowledged = 0
@@ -192,7 +199,6 @@
         """Record that another incarnation of the server has reported."""
         self.orphaned_runs.clear()
         self.report = report
-        self.newest_born_ms = report.lifetime.born_ms
         # The server's clock rises throughout its incarnation, so that each
         # incarnation of the agent has a higher token than the one before.
         # Late requests to a former incarnation of the instance are refused.
--- a/egretcart/direct/log/agent_decisions.py
+++ b/egretcart/direct/log/agent_decisions.py
@@ -4,6 +4,7 @@
 
 # State of a backend server that gets no tasks for what it does.
 SUSPECT_STATE = "suspect"
+FOREIGN_REPORT_STATE = "foreign report"
 
 
 class RunStarted(Decision, frozen=True, kw_only=True):
@@ -93,7 +94,8 @@
         Name of the backend server; empty if none is known.
     state : str
         ``found``, ``answering``, ``suspect``, ``trusted``, ``draining``,
-        ``lease lapsed`` or ``gone``.
+        ``lease lapsed`` or ``gone``; or ``foreign report``, which another
+        writer has sent.
     cause : str
         What led to the change; of ``suspect`` a value of `Suspicion`.
     answer_age_ms : int
--- a/egretcart/testing/direct_world.py
+++ b/egretcart/testing/direct_world.py
@@ -28,6 +28,8 @@
 from egretcart.direct.agent.agent_types import DirectAgentLimits
 from egretcart.direct.agent.agent_types import SendStartRequest
 from egretcart.direct.agent.agent_types import SendToEntry
+from egretcart.direct.backend.backend import BackendIncarnation
+from egretcart.direct.backend.backend import BackendReport
 from egretcart.direct.backend.backend import StartRequest
 from egretcart.direct.backend.backend import StopRequest
 from egretcart.direct.backend.suspicion import SuspicionLimits
@@ -769,10 +771,15 @@
     def _send_backend_report(self, name: str) -> None:
         backend = self.backends[name]
         if backend.is_up:
-            effects = self.agents[name].receive_report(
-                backend.report(), self.now
-            )
-            self._apply_agent_effects(name, effects)
+            self.report_to_agent(name, backend.report())
+
+    def report_to_agent(self, name: str, report: BackendReport) -> None:
+        """Deliver a report, of its backend server or not, to an agent."""
+        agent = self.agents[name]
+        effects = agent.receive_report(report, self.now)
+        self._apply_agent_effects(name, effects)
+        if agent.backend.candidate is report:
+            self._poll_backend(name)
 
     def _apply_agent_effects(
         self, name: str, effects: list[AgentEffect]
@@ -818,9 +825,12 @@
 
         def execute() -> Callable[[], None]:
             listing = backend.poll(request)
+            is_other = request.lifetime.instance != backend.instance
 
             def answer() -> None:
-                if listing is None:
+                if is_other:
+                    effects = self._end_incarnation(name, request.lifetime)
+                elif listing is None:
                     clock_ms = int(backend.clock_ms)
                     effects = agent.poll_refused(request, clock_ms, self.now)
                 else:
@@ -837,6 +847,15 @@
 
         self._call_backend(name, execute, fail)
 
+    def _end_incarnation(
+        self, name: str, lifetime: BackendIncarnation
+    ) -> list[AgentEffect]:
+        """Tell an agent that another server has answered its poll."""
+        agent = self.agents[name]
+        if agent.report is None or agent.report.lifetime != lifetime:
+            return []
+        return agent.mark_backend_ended("another lifetime answers", self.now)
+
     def _send_start_request(self, name: str, request: StartRequest) -> None:
         agent = self.agents[name]
         backend = self.backends[name]
--- a/tests/features/service_routing.feature
+++ b/tests/features/service_routing.feature
@@ -49,3 +49,18 @@
     And tasks of an earlier release, which names neither, are run
     And queued tasks are given back if the server's service changes
     And no capacity is offered to tasks of another service
+
+  # Guards against a report of another writer that ends a server's runs, which
+  # then run twice.
+  Scenario: Reports of other writers reach agents
+    Given servers whose agents get reports of other writers
+    When jobs come for 8 s beside such reports
+    Then all jobs are completed
+    And no run was lost but those of the server that crashed
+    And each server is used until the end
+    And no promise was broken
+
+  Scenario: Which report is the server's is told by the server
+    Then a report of another writer that comes first keeps no server out
+    And a report set aside is used once the server has ended
+    And one that the server outlives is dropped
--- a/tests/features/steps/backend_incarnation_steps.py
+++ b/tests/features/steps/backend_incarnation_steps.py
@@ -94,6 +94,13 @@
     agent = context.agent
     agent.start_answered(context.unlisted, StartAnswer.STARTED, 1.07)
     report_new_incarnation(context, 1.09)
+    # The poll that follows is answered by the new incarnation.
+    collect(
+        context,
+        agent.receive_listing(
+            new_listing(41), BACKEND_INCARNATION, 1.09, 1.09
+        ),
+    )
 
 
 @when("the new incarnation reports")
--- a/tests/features/steps/crash_decision_steps.py
+++ b/tests/features/steps/crash_decision_steps.py
@@ -170,6 +170,12 @@
         clock_ms=40,
     )
     apply(context, context.agent.receive_report(report, 1.55))
+    # The poll that follows is answered by the new incarnation.
+    listing = Listing(clock_ms=41, born_ms=NEW_INCARNATION.born_ms)
+    effects = context.agent.receive_listing(
+        listing, BACKEND_INCARNATION, 1.55, 1.55
+    )
+    apply(context, effects)
     list_runs(context, [THIRD], 1.56, incarnation=NEW_INCARNATION)
 
 
--- a/tests/features/steps/service_routing_steps.py
+++ b/tests/features/steps/service_routing_steps.py
@@ -493,3 +493,93 @@
             and isinstance(effect.message, CapacityOffered)
         ]
         assert len(offers) == count, (service, offers)
+
+
+FOREIGN = BackendReport(
+    lifetime=BackendIncarnation("elsewhere", 2**40),
+    service="unknown",
+    capacity=Room(10, 10),
+    clock_ms=2**40,
+    sequence=1,
+)
+
+
+@given("servers whose agents get reports of other writers")
+def start_foreign(context):
+    context.world = make_world(2, 3, (SERVICE,))
+
+
+@when("jobs come for {seconds:d} s beside such reports")
+def submit_beside_reports(context, seconds):
+    world = context.world
+    submit_evenly(world, 20, seconds, (DEFAULT_ROUTE,))
+    for number in range(10 * seconds):
+        agent_id = f"agent-{number % 3}"
+        world.schedule(
+            number / 10,
+            lambda agent_id=agent_id: world.report_to_agent(agent_id, FOREIGN),
+        )
+    world.schedule(2.0, lambda: world.crash_backend("agent-0", downtime_s=0.5))
+    world.run(seconds + 6.0)
+
+
+@then("no run was lost but those of the server that crashed")
+def check_lost(context):
+    starts = [
+        start
+        for backend in context.world.backends.values()
+        for start in backend.started
+    ]
+    again = len(starts) - len({key for key, _ in starts})
+    assert again <= 10, again
+
+
+@then("each server is used until the end")
+def check_used(context):
+    for name, agent in context.world.agents.items():
+        assert agent.report.lifetime.instance == name, name
+        assert agent.backend.ready, name
+
+
+@then("a report of another writer that comes first keeps no server out")
+def check_first(context):
+    agent = DirectAgent(
+        agent_id="agent",
+        incarnation=1,
+        limits=DirectAgentLimits(),
+        log=NullDecisionLog(),
+    )
+    agent.receive_report(FOREIGN, 1.0)
+    agent.receive_report(REPORT, 1.01)
+    # The poll of the one that reported first is turned away.
+    agent.mark_backend_ended("another lifetime answers", 1.02)
+    assert agent.report is REPORT
+    listing = Listing(clock_ms=1001, born_ms=1)
+    agent.receive_listing(listing, REPORT.lifetime, 1.02, 1.03)
+    assert agent.backend.ready
+
+
+@then("a report set aside is used once the server has ended")
+def check_set_aside(context):
+    agent = make_agent()
+    second = msgspec.structs.replace(
+        REPORT, lifetime=BackendIncarnation("i-1", 2), clock_ms=5
+    )
+    agent.receive_report(second, 1.1)
+    assert agent.report is REPORT
+    agent.mark_backend_ended("refused", 1.11, is_refused=True)
+    assert agent.report is second
+
+
+@then("one that the server outlives is dropped")
+def check_dropped(context):
+    agent = make_agent()
+    agent.receive_report(FOREIGN, 1.1)
+    asked_before = Listing(clock_ms=1100, born_ms=1)
+    agent.receive_listing(asked_before, REPORT.lifetime, 1.09, 1.11)
+    assert agent.backend.candidate is FOREIGN
+    asked_since = Listing(clock_ms=1120, born_ms=1)
+    agent.receive_listing(asked_since, REPORT.lifetime, 1.11, 1.12)
+    assert agent.backend.candidate is None
+    agent.mark_backend_ended("refused", 1.2, is_refused=True)
+    assert agent.report is None
