--- a/tools/ablation_patches.py
+++ b/tools/ablation_patches.py
@@ -170,8 +170,8 @@
     "confinement": (
         Patch(
             f"{POLICY}/confinement.py",
-            "return count >= self.limits.given_up_jobs and 2 * count > len(",
-            "return count < 0 and 2 * count > len(",
+            "return count >= self.limits.given_up_jobs and 2 * count >",
+            "return count < 0 and 2 * count >",
         ),
     ),
     "rotation": (
@@ -191,8 +191,8 @@
     "recruiting": (
         Patch(
             f"{ENTRY}/recruiting.py",
-            "now - self.asked_at < self.limits.interval_s",
-            "now - self.asked_at < 1e9",
+            "now - self.asked_at.get(service, 0.0) < self.limits.interval_s",
+            "now - self.asked_at.get(service, 0.0) < 1e9",
         ),
     ),
     "request-turns": (
