Test the bounds with the processes of the platform's roles

Cause: the scenarios so far run the decoders and the decision logic, and none the processes that had ended.

--- a/tests/features/external_bounds.feature
+++ b/tests/features/external_bounds.feature
@@ -206,3 +206,9 @@
       | {"max_lease_ms":10000000000000000000000000} |
       | {"stop_grace_s":-1}                 |
       | {"far_factor":1e300}                |
+
+  # Guards against processes of the platform's roles that end on such a value.
+  Scenario: Values out of bounds end no process of the platform's roles
+    Given a store, two runners and the processes of the platform's roles
+    When callers, servers, operators and peers send values out of bounds
+    Then each process is the one that was started, and jobs are completed
--- a/tests/features/steps/external_bounds_steps.py
+++ b/tests/features/steps/external_bounds_steps.py
@@ -1,7 +1,9 @@
+import http.client
 import json
 import math
 import pathlib
 import random
+import socket
 import sys
 import tempfile
 import typing
@@ -13,6 +15,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 import msgspec
+from platform_deployment import desired_state
 from platform_deployment import ROOT
 from raised_errors import raised_error
 from settings_documents import SETTINGS
@@ -525,3 +528,91 @@
         assert load_direct_settings(path, DirectEntrySettings).is_ok()
         path.write_text(data)
         assert load_direct_settings(path, DirectEntrySettings).is_err()
+
+
+def send(deployment, name, part, request):
+    """Send one request to a process; return the status, or None."""
+    method, path, body, headers = request
+    connection = http.client.HTTPConnection(
+        deployment.hosts[name], deployment.ports[name][part], timeout=10
+    )
+    try:
+        connection.request(method, path, body=body, headers=headers)
+        return connection.getresponse().status
+    except (http.client.HTTPException, OSError):
+        return None
+    finally:
+        connection.close()
+
+
+def hostile_jobs():
+    host = {"Host": "host.example"}
+    for number, values in enumerate(
+        (
+            '{"estMs":1800000000}',
+            '{"estMs":1e300}',
+            '{"antiAffinity":4000000000}',
+            '{"cpu":1000000000000000000000000}',
+            '{"count":-1}',
+        )
+    ):
+        step = json.dumps(STEP)[:-1] + "," + values[1:]
+        body = f'{{"spec":"s","steps":[{step}],"bestEffort":true}}'
+        yield "POST", f"/queue/{number:016x}", body.encode(), host
+    long_wait = {**host, "Timeout-Ms": "9" * 5000}
+    body = json.dumps({"spec": "s", "steps": [STEP], "bestEffort": True})
+    yield "POST", "/queue/" + "e" * 16, body.encode(), long_wait
+    yield "POST", "/queue/" + "f" * 16, NESTED, host
+    yield "POST", "/queue/" + "f" * 16, b"\xff{", host
+
+
+def hostile_reports():
+    for values in (
+        '{"capacity":{"cpu":1000000000000,"memMb":1}}',
+        '{"coldLeftMs":10000000000000000000000000,"born":1}',
+        '{"clockMs":10000000000000000000000000}',
+    ):
+        body = json.dumps(REPORT)[:-1] + "," + values[1:]
+        yield "PUT", "/runners/i-9", body.encode(), {}
+    yield "PUT", "/runners/i-%C3%A9", json.dumps(REPORT).encode(), {}
+    yield "PUT", "/runners/i-9", NESTED, {}
+    yield "PUT", "/runners/i-9", b"\xff{", {}
+
+
+@when("callers, servers, operators and peers send values out of bounds")
+def send_out_of_bounds(context):
+    deployment = context.deployment
+    context.pids = {n: p.pid for n, p in deployment.processes.items()}
+    for name in ("entry-1", "entry-2"):
+        for request in hostile_jobs():
+            status = send(deployment, name, "front", request)
+            assert status is not None, request
+    for name in ("agent-1", "agent-2"):
+        for request in hostile_reports():
+            status = send(deployment, name, "control", request)
+            assert status is not None, request
+    put = deployment.store.put
+    put("op/config", NESTED)
+    put("op/config", desired_state(10**25))
+    put("egretcart/entries/bad", b'{"host":"a..b","port":70000}')
+    frame = unbounded_frame(
+        messages.EntryPeers(entries=(PeerAddress(host="a..b", port=70000),))
+    )
+    for name in ("entry-1", "entry-2"):
+        address = (deployment.hosts[name], deployment.peer_port)
+        with socket.create_connection(address, 10) as peer:
+            peer.sendall(frame)
+
+
+@then("each process is the one that was started, and jobs are completed")
+def check_processes(context):
+    deployment = context.deployment
+    body = {"spec": "s", "steps": [STEP], "bestEffort": True}
+    for number in range(4):
+        name = f"entry-{1 + number % 2}"
+        path = f"/queue/{number + 100:016x}"
+        answer = deployment.ask(name, "POST", path, body)
+        assert answer == (200, {"state": "completed"}), answer
+    for name, process in deployment.processes.items():
+        assert process.poll() is None, name
+        assert process.pid == context.pids[name]
