Send bad values and reports of other writers in the soak, and change a service

Cause: the soak knew neither values out of bounds nor a second service. Change: three times a second a job, a report of another writer or one out of bounds is sent to some process; one runner of three comes back as another one, of the other service, each time that it has crashed, and each start is checked against the service.

--- a/tests/features/steps/external_bounds_steps.py
+++ b/tests/features/steps/external_bounds_steps.py
@@ -8,6 +8,12 @@
 import tempfile
 import typing
 
+from bad_values import bad_jobs
+from bad_values import bad_reports
+from bad_values import NESTED
+from bad_values import REPORT
+from bad_values import STEP
+from bad_values import unbounded_frame
 from behave import given
 from behave import then
 from behave import when
@@ -22,9 +28,7 @@
 import trio
 
 from egretcart.connection import codec
-from egretcart.connection.frames import FrameCodec
 from egretcart.connection.frames import HEADER_BYTES
-from egretcart.connection.frames import IntegerRange
 from egretcart.connection.http_server import HttpResponse
 from egretcart.connection.traffic import TrafficCounters
 from egretcart.direct.backend.backend import BackendCallError
@@ -32,7 +36,6 @@
 from egretcart.direct.backend.backend import PollRequest
 from egretcart.direct.backend.backend_report_store import decode_stored_report
 from egretcart.direct.connection import messages
-from egretcart.direct.connection import wire_structs
 from egretcart.direct.connection.messages import PeerAddress
 from egretcart.direct.connection.offer_messages import TasksWaiting
 from egretcart.direct.connection.wire import DIRECT_PROTOCOL
@@ -73,12 +76,10 @@
 from adapter.runner import Runner
 
 ANY_INTEGER = st.integers(-(10**30), 10**30) | st.integers(-3, 3)
-STEP = {"count": 2, "cpu": 1600, "memMb": 64, "estMs": 100}
 SIZE = TaskSize(room=Room(1600, 64), work_ms=100)
 FURTHEST = {2**31 - 1, -(2**31), 2**63 - 1, -(2**63)}
 NO_BOUNDS = msgspec.Meta()
 ANSWER_S = 3.0
-ANY_32_BITS = IntegerRange(least=-(2**31), most=2**31 - 1)
 ROUTE = {
     "name": "route",
     "host": "host",
@@ -254,9 +255,6 @@
     check()
 
 
-NESTED = b"[" * 5000 + b"]" * 5000
-
-
 def decode_nested_change(data):
     return decode_checked(data, ProposedChange).unwrap_err()
 
@@ -306,16 +304,6 @@
     assert parse_wait_limit_s(digits * digit) == wait_s
 
 
-REPORT = {
-    "service": "s",
-    "state": "ready",
-    "capacity": {"cpu": 1, "memMb": 1},
-    "seq": 1,
-    "clockMs": 1,
-    "born": 1,
-}
-
-
 @then('a report of "{instance}" with {fields} is refused')
 @then('a report of "" with {fields} is refused')
 def check_impossible_report(context, fields, instance=""):
@@ -440,18 +428,6 @@
     )
 
 
-def unbounded_frame(message):
-    """Return a frame with a message whose bounds are not checked."""
-    kind = type(message)
-    encoder = FrameCodec(structs=wire_structs, message_types=(kind,))
-    mapper = encoder.mappers[kind][1]
-    for used in (mapper, *(nested[2] for nested in mapper.nested)):
-        used.integers = [
-            (name, default, ANY_32_BITS) for name, default, _ in used.integers
-        ]
-    return encoder.encode([message])
-
-
 @when("its peer sends {message}")
 def send_message(context, message):
     names = vars(messages) | {"TasksWaiting": TasksWaiting}
@@ -545,50 +521,16 @@
         connection.close()
 
 
-def hostile_jobs():
-    host = {"Host": "host.example"}
-    for number, values in enumerate(
-        (
-            '{"estMs":1800000000}',
-            '{"estMs":1e300}',
-            '{"antiAffinity":4000000000}',
-            '{"cpu":1000000000000000000000000}',
-            '{"count":-1}',
-        )
-    ):
-        step = json.dumps(STEP)[:-1] + "," + values[1:]
-        body = f'{{"spec":"s","steps":[{step}],"bestEffort":true}}'
-        yield "POST", f"/queue/{number:016x}", body.encode(), host
-    long_wait = {**host, "Timeout-Ms": "9" * 5000}
-    body = json.dumps({"spec": "s", "steps": [STEP], "bestEffort": True})
-    yield "POST", "/queue/" + "e" * 16, body.encode(), long_wait
-    yield "POST", "/queue/" + "f" * 16, NESTED, host
-    yield "POST", "/queue/" + "f" * 16, b"\xff{", host
-
-
-def hostile_reports():
-    for values in (
-        '{"capacity":{"cpu":1000000000000,"memMb":1}}',
-        '{"coldLeftMs":10000000000000000000000000,"born":1}',
-        '{"clockMs":10000000000000000000000000}',
-    ):
-        body = json.dumps(REPORT)[:-1] + "," + values[1:]
-        yield "PUT", "/runners/i-9", body.encode(), {}
-    yield "PUT", "/runners/i-%C3%A9", json.dumps(REPORT).encode(), {}
-    yield "PUT", "/runners/i-9", NESTED, {}
-    yield "PUT", "/runners/i-9", b"\xff{", {}
-
-
 @when("callers, servers, operators and peers send values out of bounds")
 def send_out_of_bounds(context):
     deployment = context.deployment
     context.pids = {n: p.pid for n, p in deployment.processes.items()}
     for name in ("entry-1", "entry-2"):
-        for request in hostile_jobs():
+        for request in bad_jobs("host.example"):
             status = send(deployment, name, "front", request)
             assert status is not None, request
     for name in ("agent-1", "agent-2"):
-        for request in hostile_reports():
+        for request in bad_reports():
             status = send(deployment, name, "control", request)
             assert status is not None, request
     put = deployment.store.put
--- a/tests/features/steps/soak_world.py
+++ b/tests/features/steps/soak_world.py
@@ -15,6 +15,9 @@
 import tempfile
 import time
 
+from bad_values import bad_jobs
+from bad_values import bad_reports
+from bad_values import REPORT
 from platform_deployment import Deployment
 from platform_deployment import desired_state
 from platform_deployment import job
@@ -60,6 +63,11 @@
 # agents that were undisturbed for STABLE_S, and so was the store.
 DRAIN_BOUND_S = 5.0
 STABLE_S = 2.0
+# The agent whose runner changes its service each time it starts anew, and the
+# services of the others and of a route that nobody uses.
+CHANGING_AGENT = "agent-3"
+SERVICES = ("service-1", "service-2")
+BAD_VALUES_PER_S = 3
 # Lines of the log of a process that has exited, to show its error.
 EXIT_LINES = 60
 
@@ -265,6 +273,7 @@
         # from changing the sequence of faults.
         self.caller_random = random.Random(f"callers of {seed}")
         self.drain_random = random.Random(f"drains of {seed}")
+        self.bad_random = random.Random(f"bad values of {seed}")
         self.drained_since, self.disturbed_until = {}, {}
         self.violations, self.event_log = [], []
         self.answers, self.submission_counts = {}, {}
@@ -349,6 +358,10 @@
                 self.record_violation(f"{key} runs at {name} at the same time")
         if self._is_refused(key.job_id):
             self.record_violation(f"{key} runs although its job was refused")
+        if runner.backend.service != SERVICES[0]:
+            self.record_violation(
+                f"{key} starts at a runner of {runner.backend.service}"
+            )
 
     def check_drain(self, runner, key):
         """Check that an undisturbed agent starts nothing that is drained."""
@@ -685,10 +698,12 @@
 
     def _restart_runner(self, backend, downtime_s):
         born_ms = int(time.time() * 1000)
-        self._run_later(
-            downtime_s,
-            functools.partial(backend.restart, born_ms=born_ms),
-        )
+
+        def restart():
+            self._change_service(backend)
+            backend.restart(born_ms=born_ms)
+
+        self._run_later(downtime_s, restart)
 
     def _change_runner_speed(self):
         backend = self.runners[self.fault_random.choice(self.agents)].backend
@@ -727,6 +742,62 @@
         ]
         return json.dumps(state).encode()
 
+    def _change_service(self, backend):
+        """Let a runner that starts anew be another one, of another service."""
+        if not backend.instance.startswith(f"i-{CHANGING_AGENT}"):
+            return
+        backend.service = SERVICES[backend.service == SERVICES[0]]
+        backend.instance += "x"
+        self.log_event(f"{backend.instance} is of {backend.service}")
+
+    async def send_bad_values(self):
+        """Send jobs and reports out of bounds, and those of other writers."""
+        jobs = [
+            (name, "front", request)
+            for name in self.entries
+            for request in bad_jobs(self.hosts[name])
+        ]
+        reports = [
+            (name, "control", request)
+            for name in self.agents
+            for request in (*bad_reports(), self._foreign_report())
+        ]
+        while self.is_submitting:
+            await trio.sleep(self.bad_random.expovariate(BAD_VALUES_PER_S))
+            choices = self.bad_random.choice((jobs, reports))
+            name, part, request = self.bad_random.choice(choices)
+            self.stand_ins.nursery.start_soon(
+                self._send_bad_value, name, part, request
+            )
+
+    @staticmethod
+    def _foreign_report():
+        report = {
+            **REPORT,
+            "capacity": {"cpu": 16000, "memMb": 65536},
+            "born": 2**42,
+        }
+        return "PUT", "/runners/i-foreign", json.dumps(report).encode(), {}
+
+    async def _send_bad_value(self, name, part, request):
+        method, path, body, headers = request
+        # The client names the host by itself, which selects the route here.
+        headers = {k: v for k, v in headers.items() if k != "Host"}
+        client = HttpClient(
+            host=self.hosts[name],
+            port=self.ports[name][part],
+            max_connections=1,
+        )
+        with contextlib.suppress(ExchangeError):
+            await client.exchange(
+                method,
+                path,
+                body=body,
+                headers=tuple(headers.items()),
+                time_limit_s=1.0,
+            )
+        await client.aclose()
+
     def _run_later(self, delay_s, action):
         async def act():
             await trio.sleep(delay_s)
@@ -742,6 +813,7 @@
         self.stand_ins.start_soon(self.submit_jobs)
         self.stand_ins.start_soon(self.watch_versions)
         self.stand_ins.start_soon(self.drain_domains)
+        self.stand_ins.start_soon(self.send_bad_values)
 
         async def inject_faults():
             end = trio.current_time() + seconds
