Give each bad job of the soak an id of its own

Cause, by its lines: the soak sent the same id to entry-3 and, 0.18 s later, to entry-1; both had accepted it before they told each other, within `concurrent_claim_window_s`. A caller sends an id again only 1.3 s after it got no answer, so that the check is right and the soak's sender was wrong.

--- a/tests/features/steps/soak_world.py
+++ b/tests/features/steps/soak_world.py
@@ -766,6 +766,11 @@
             await trio.sleep(self.bad_random.expovariate(BAD_VALUES_PER_S))
             choices = self.bad_random.choice((jobs, reports))
             name, part, request = self.bad_random.choice(choices)
+            if part == "front":
+                # A caller never sends an id to two entries at a time.
+                method, _, *rest = request
+                job_id = f"{self.bad_random.getrandbits(64):016x}"
+                request = (method, f"/queue/{job_id}", *rest)
             self.stand_ins.nursery.start_soon(
                 self._send_bad_value, name, part, request
             )
