--- a/tests/features/steps/service_routing_steps.py
+++ b/tests/features/steps/service_routing_steps.py
@@ -425,13 +425,17 @@
 )
 
 
-def make_agent():
-    agent = DirectAgent(
+def agent_without_server():
+    return DirectAgent(
         agent_id="agent",
         incarnation=1,
         limits=DirectAgentLimits(),
         log=NullDecisionLog(),
     )
+
+
+def make_agent():
+    agent = agent_without_server()
     agent.tick(1.0)
     agent.entry_connected("entry", 1, 1.0)
     agent.receive_report(REPORT, 1.0)
@@ -440,12 +444,12 @@
     return agent
 
 
-def ended(effects):
+def sent_to_entry(effects, message_type):
     return [
         effect.message
         for effect in effects
         if isinstance(effect, SendToEntry)
-        and isinstance(effect.message, TaskEnded)
+        and isinstance(effect.message, message_type)
     ]
 
 
@@ -454,7 +458,7 @@
     for fields in ({"service_name": OTHER}, {"requires": "b"}):
         message = msgspec.structs.replace(TASKS, **fields)
         effects = make_agent().receive("entry", message, 1.01)
-        (answer,) = ended(effects)
+        (answer,) = sent_to_entry(effects, TaskEnded)
         assert answer.ending == "not_run", answer
         assert not any(isinstance(e, SendStartRequest) for e in effects)
 
@@ -476,7 +480,8 @@
         second = msgspec.structs.replace(TASKS, sequence=2, indexes=(1,))
         agent.receive("entry", second, 1.01)
         report = msgspec.structs.replace(REPORT, sequence=2, **fields)
-        (answer,) = ended(agent.receive_report(report, 1.02))
+        effects = agent.receive_report(report, 1.02)
+        (answer,) = sent_to_entry(effects, TaskEnded)
         assert (answer.index, answer.ending) == (1, "not_run"), answer
 
 
@@ -487,12 +492,7 @@
             count=1, cpu_milli=4, memory_mb=4, service_name=service
         )
         effects = make_agent().receive("entry", notice, 1.01)
-        offers = [
-            effect
-            for effect in effects
-            if isinstance(effect, SendToEntry)
-            and isinstance(effect.message, CapacityOffered)
-        ]
+        offers = sent_to_entry(effects, CapacityOffered)
         assert len(offers) == count, (service, offers)
 
 
@@ -544,12 +544,7 @@
 
 @then("a report of another writer that comes first keeps no server out")
 def check_first(context):
-    agent = DirectAgent(
-        agent_id="agent",
-        incarnation=1,
-        limits=DirectAgentLimits(),
-        log=NullDecisionLog(),
-    )
+    agent = agent_without_server()
     agent.receive_report(FOREIGN, 1.0)
     agent.receive_report(REPORT, 1.01)
     # The poll of the one that reported first is turned away.
