Count agents of a service only where it is needed

Cause: an estimate of the wait made two tables of the agents of a service, and a dispatch counted the agents of each service, whether notices were due or not. Change: without confined routes the estimate filters by service itself; services are counted for the first notice of a dispatch.

--- a/egretcart/direct/entry/entry_state.py
+++ b/egretcart/direct/entry/entry_state.py
@@ -116,7 +116,12 @@
         }
 
     def views_for(self, route: Route) -> list[AgentView]:
-        """Return the views of the agents that a route is expected to use."""
+        """Return the views of the agents that a route is expected to use.
+
+        Without confined routes, agents of other services are among them.
+        """
+        if not self.confinement.routes:
+            return list(self.agents.values())
         views = self.agents_of(route.service)
         allowed = self.confinement.allowed_agents(route.name)
         if allowed is not None:
--- a/egretcart/direct/entry/job_admission.py
+++ b/egretcart/direct/entry/job_admission.py
@@ -410,8 +410,8 @@
         """Return how many entries share an agent of a service, in the mean."""
         counts = [
             len(view.entries)
-            for view in self.state.agents_of(service).values()
-            if view.entries
+            for view in self.state.agents.values()
+            if view.entries and view.service in ("", service)
         ]
         if not counts:
             return 1 + len(self.state.peers)
--- a/egretcart/direct/entry/task_sender.py
+++ b/egretcart/direct/entry/task_sender.py
@@ -150,15 +150,19 @@
         if held.route.name in self.confinement.routes:
             return
         service = held.route.service
-        if service not in self.unplaced:
-            self.unplaced[service] = self._first_waiting(held, step)
-        self.unplaced[service].count += 1
-        if service not in self.offerable and any(
+        unplaced = self.unplaced.get(service)
+        if unplaced is None:
+            unplaced = self._first_waiting(held, step)
+            self.unplaced[service] = unplaced
+        unplaced.count += 1
+        offerable = self.offerable.get(service)
+        if offerable is None and any(
             view.may_run(step, service) for view in self.agents.values()
         ):
-            self.offerable[service] = self._first_waiting(held, step)
-        if service in self.offerable:
-            self.offerable[service].count += 1
+            offerable = self._first_waiting(held, step)
+            self.offerable[service] = offerable
+        if offerable is not None:
+            offerable.count += 1
 
     @staticmethod
     def _first_waiting(held: HeldJob, step: Step) -> WaitingTasks:
--- a/egretcart/direct/entry/waiting_notices.py
+++ b/egretcart/direct/entry/waiting_notices.py
@@ -66,8 +66,9 @@
 
     Attributes
     ----------
-    service_sizes : Counter of str
-        Number of agents of each service, when tasks last waited.
+    service_sizes : Counter of str or None
+        Number of agents of each service; None until it is counted for the
+        notices of a dispatch.
     """
 
     def __init__(
@@ -82,7 +83,7 @@
         self.agents = agents
         self.effects = effects
         self.source = source
-        self.service_sizes: Counter[str] = Counter()
+        self.service_sizes: Counter[str] | None = None
 
     def send(self, waiting: Mapping[str, WaitingTasks], now: float) -> None:
         """Send the notices that are due, and decline the offers that are left.
@@ -94,10 +95,7 @@
             some.
         now : float
         """
-        if waiting:
-            self.service_sizes = Counter(
-                view.service for view in self.agents.values()
-            )
+        self.service_sizes = None
         for agent_id, view in self.agents.items():
             if view.offers or view.has_answered_offer:
                 told = waiting.get(view.service)
@@ -165,6 +163,10 @@
 
     def _count(self, waiting: WaitingTasks) -> int:
         """Return how many tasks an agent of their service is told of."""
+        if self.service_sizes is None:
+            self.service_sizes = Counter(
+                view.service for view in self.agents.values()
+            )
         agents = self.service_sizes[waiting.service]
         share = math.ceil(SHARE_FACTOR * waiting.count / agents)
         return min(share, waiting.count, self.limits.max_count)
