--- a/tests/features/service_routing.feature
+++ b/tests/features/service_routing.feature
@@ -64,3 +64,4 @@
     Then a report of another writer that comes first keeps no server out
     And a report set aside is used once the server has ended
     And one that the server outlives is dropped
+    And one that was never the server is not blamed for a crash
--- a/tests/features/steps/service_routing_steps.py
+++ b/tests/features/steps/service_routing_steps.py
@@ -29,6 +29,7 @@
 from egretcart.direct.entry.entry_types import DirectEntryLimits
 from egretcart.direct.entry.entry_types import SendToAgent
 from egretcart.direct.entry.entry_types import SendToPeer
+from egretcart.direct.log.agent_decisions import BackendCrashed
 from egretcart.direct.log.decisions import NullDecisionLog
 from egretcart.direct.policy.confinement import Confinement
 from egretcart.direct.policy.confinement import ConfinementLimits
@@ -425,17 +426,25 @@
 )
 
 
-def agent_without_server():
+class ListedLog:
+    def __init__(self):
+        self.decisions = []
+
+    def write(self, decision):
+        self.decisions.append(decision)
+
+
+def agent_without_server(log=None):
     return DirectAgent(
         agent_id="agent",
         incarnation=1,
         limits=DirectAgentLimits(),
-        log=NullDecisionLog(),
+        log=log or NullDecisionLog(),
     )
 
 
-def make_agent():
-    agent = agent_without_server()
+def make_agent(log=None):
+    agent = agent_without_server(log)
     agent.tick(1.0)
     agent.entry_connected("entry", 1, 1.0)
     agent.receive_report(REPORT, 1.0)
@@ -579,3 +588,17 @@
     assert agent.backend.candidate is None
     agent.mark_backend_ended("refused", 1.2, is_refused=True)
     assert agent.report is None
+
+
+@then("one that was never the server is not blamed for a crash")
+def check_no_blame(context):
+    log = ListedLog()
+    agent = make_agent(log)
+    agent.receive("entry", TASKS, 1.01)
+    agent.mark_backend_ended("refused", 1.02, is_refused=True)
+    # The run may begin at the next incarnation, and waits for it.
+    assert len(agent.runs) == 1
+    agent.receive_report(FOREIGN, 1.03)
+    agent.mark_backend_ended("another lifetime answers", 1.04)
+    crashes = [d for d in log.decisions if isinstance(d, BackendCrashed)]
+    assert len(crashes) == 1, crashes
