Log how a process has started, and which error has ended it

What was seen: users report processes that ended by themselves and have no logs of it. Cause: a process that ended by an error wrote a traceback to standard error and no line of its log; the lines that its reader had not taken yet were lost with it, and none said that it had started, or on what. Change: ProcessStarted (release, Python, machine, process, processor time) once it listens; ProcessChanged with the state failed and the error's place as its last line, or stopped; waiting lines are written at the end as far as standard output accepts them at once.

--- a/egretcart/direct/log/decisions.py
+++ b/egretcart/direct/log/decisions.py
@@ -391,14 +391,39 @@
     cause: str = ""
 
 
+class ProcessStarted(Decision, frozen=True, kw_only=True):
+    """The process listens at its addresses.
+
+    Attributes
+    ----------
+    pid : int
+    release : str
+        Release of egretcart.
+    python : str
+        Version of Python.
+    machine : str
+        Kind of machine, such as ``x86_64``.
+    cpu_ms : int
+        Processor time that the process has used to start.
+    """
+
+    pid: int
+    release: str
+    python: str
+    machine: str
+    cpu_ms: int
+
+
 class ProcessChanged(Decision, frozen=True, kw_only=True):
-    """The process starts, stops, reloads its settings, or was paused.
+    """The process stops, ends, reloads its settings, or was paused.
 
     Attributes
     ----------
     state : str
-        ``stopping`` or ``paused``, or how the settings file was found:
-        ``settings changed``, ``settings wrong`` or ``settings unreadable``.
+        ``stopping``, ``stopped`` when it ends as it was told to, ``failed``
+        when it ends by an error, or ``paused``; or how the settings file was
+        found: ``settings changed``, ``settings wrong`` or
+        ``settings unreadable``.
     cause : str
         The error; empty if there was none.
     paused_ms : int
--- a/egretcart/direct/log/log_lines.py
+++ b/egretcart/direct/log/log_lines.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections import deque
+import contextlib
 import os
 import select
 import time
@@ -18,6 +19,7 @@
 from egretcart.direct.log.decisions import JobCancelled
 from egretcart.direct.log.decisions import JobRefused
 from egretcart.direct.log.decisions import ProcessChanged
+from egretcart.direct.log.decisions import ProcessStarted
 from egretcart.direct.log.job_lines import JobLines
 from egretcart.process.clock import Clock
 
@@ -33,6 +35,7 @@
     JobCancelled,
     JobRefused,
     ProcessChanged,
+    ProcessStarted,
 )
 MAX_WAITING_LINES = 2000
 # Counted as if it were a kind: jobs that went wrong without all their lines.
@@ -54,6 +57,8 @@
     ----------
     waiting : deque of bytes
         Encoded lines that are not yet written.
+    unwritten : bytes
+        Rest of the lines of which a part is written.
     jobs : JobLines
         Lines of jobs that are held until it is known how the job went.
     written_at : dict of str to deque of float
@@ -76,6 +81,7 @@
         self.process_id = process_id
         self.clock = clock
         self.waiting: deque[bytes] = deque()
+        self.unwritten = b""
         self.jobs = JobLines()
         self.written_at: dict[str, deque[float]] = {}
         self.dropped: Counter[str] = Counter()
@@ -162,15 +168,25 @@
         while True:
             await self.lines_available.wait()
             self.lines_available = trio.Event()
-            while self.waiting:
+            while self.unwritten or self.waiting:
                 try:
-                    await self._write_all(self._take_lines())
+                    await self._write_waiting()
                 except OSError:
                     # Nothing reads the output any more, and there is no
                     # other place to report the error.
                     self.dropped["broken output"] += 1
                     return
 
+    def flush(self) -> None:
+        """Write the waiting lines that standard output accepts at once.
+
+        For the end of the process, when `run` does not run any more.
+        """
+        with contextlib.suppress(OSError):
+            os.set_blocking(STDOUT, False)
+            while self.unwritten or self.waiting:
+                self._write_now()
+
     def _take_lines(self) -> bytes:
         """Remove and return the next lines, as many as a pipe keeps together.
 
@@ -184,10 +200,15 @@
             lines += self.waiting.popleft()
         return lines
 
-    async def _write_all(self, lines: bytes) -> None:
-        """Write to standard output; wait while its reader does not read."""
-        while lines:
-            try:
-                lines = lines[os.write(STDOUT, lines) :]
-            except BlockingIOError:
-                await trio.lowlevel.wait_writable(STDOUT)
+    def _write_now(self) -> None:
+        """Write what standard output accepts at once of the next lines."""
+        if not self.unwritten:
+            self.unwritten = self._take_lines()
+        self.unwritten = self.unwritten[os.write(STDOUT, self.unwritten) :]
+
+    async def _write_waiting(self) -> None:
+        """Write the next lines; wait while their reader does not read."""
+        try:
+            self._write_now()
+        except BlockingIOError:
+            await trio.lowlevel.wait_writable(STDOUT)
