--- a/tests/features/start.feature
+++ b/tests/features/start.feature
@@ -48,3 +48,31 @@
     When a caller submits job "00112233445566aa", asks for it and cancels it
     Then each request gets status 503 and is to be repeated after 1 s
     And the log has one line, that job "00112233445566aa" was refused for it
+
+  # Guards against roles that end where only the build has installed libraries.
+  Scenario Outline: A role finds the libraries of the build by itself
+    Given a checkout with the libraries of the build
+    When the <role> role starts with no other libraries and no PYTHONPATH
+    Then it has imported its modules
+
+    Examples:
+      | role  |
+      | entry |
+      | agent |
+
+  Scenario Outline: A role without libraries says how they are built
+    Given a checkout with <libraries>
+    When the <role> role starts with no other libraries and no PYTHONPATH
+    Then it ends with status 1 and one line that names "<missing>" and the build
+
+    Examples:
+      | role  | libraries                                | missing       |
+      | entry | no libraries                             | trio          |
+      | agent | no libraries                             | trio          |
+      | entry | a library that is from another machine   | msgspec._core |
+      | agent | a library that is from another machine   | msgspec._core |
+
+  Scenario: A role without the name of its settings file says what is missing
+    Given a checkout with the libraries of the build
+    When the entry role starts without EGRETCART_CONFIG
+    Then it ends with status 1 and one line that names "EGRETCART_CONFIG"
