Hold signals until a role handles them

What was seen: a role that is told SIGTERM in the first 160 ms after its start ends by the signal (-15, 6 of 6) and not with status 0; SIGINT ends it with status 1 and a traceback of an import, or by the signal; SIGHUP in the first 40 ms ends it (-1), and on landings before in the first 160 ms. Cause: signals have their default effect until a task of the started role receives them; only SIGHUP was ignored from the first statement on, after an import of pathlib.

--- a/egretcart/direct/process/reload.py
+++ b/egretcart/direct/process/reload.py
@@ -66,6 +66,8 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._poll)
             with trio.open_signal_receiver(signal.SIGHUP) as signals:
+                # The program may have blocked it for its start.
+                signal.pthread_sigmask(signal.SIG_UNBLOCK, (signal.SIGHUP,))
                 async for _ in signals:
                     self.reload_if_changed()
 
