Wait at the start for settings and addresses

What was seen: a role whose settings file is missing, empty or half written when it starts, or one of whose addresses is held or not configured yet, ends with status 1 and a traceback. The platform starts it again, into the same trouble: three ends on two machines are a fault of the deployment. Cause: a start took what it needs to be there at its first look. The file is read each time, so that its correction ends the wait. All sockets are opened, or none, before anything is served; callers' last. A process that waits can be told to stop. An agent's settings without a control address, which ended it, count as wrong.

--- a/egretcart/direct/agent/agent_process.py
+++ b/egretcart/direct/agent/agent_process.py
@@ -38,7 +38,6 @@
 from egretcart.direct.connection.wire import DIRECT_PROTOCOL
 from egretcart.direct.log.decisions import DecisionLog
 from egretcart.direct.process.settings import DirectAgentSettings
-from egretcart.direct.process.settings import split_address
 from egretcart.process.clock import Clock
 from egretcart.process.planned_stop import poll_until
 
@@ -122,22 +121,26 @@
         self.dialler: Dialler
         self.nursery: trio.Nursery
 
-    async def serve(
-        self, nursery: trio.Nursery, *, report_handler: Handler
+    def serve(
+        self,
+        nursery: trio.Nursery,
+        listeners: dict[str, list[trio.SocketListener]],
+        *,
+        report_handler: Handler,
     ) -> None:
-        """Start listening and connecting; the nursery runs background tasks.
+        """Serve open sockets, and connect; the nursery runs the tasks.
 
         Parameters
         ----------
         nursery : trio.Nursery
+        listeners : dict of str to list of trio.SocketListener
+            Sockets of the addresses in `settings.listening`, by their name.
         report_handler : Handler
             Handles requests at the control address.
         """
         self.nursery = nursery
-        host, port = split_address(self.settings.control)
-        listeners = await trio.open_tcp_listeners(port, host=host)
         server = HttpListener(handler=report_handler, limits=REPORT_LIMITS)
-        nursery.start_soon(server.serve, listeners, nursery)
+        nursery.start_soon(server.serve, listeners["control"], nursery)
         self.dialler = Dialler(
             nursery=nursery,
             seeds=self.settings.seed_endpoints,
--- a/egretcart/direct/entry/entry_process.py
+++ b/egretcart/direct/entry/entry_process.py
@@ -16,7 +16,6 @@
 from egretcart.direct.entry.entry_types import DirectEntryLimits
 from egretcart.direct.log.decisions import DecisionLog
 from egretcart.direct.process.settings import DirectEntrySettings
-from egretcart.direct.process.settings import split_address
 from egretcart.direct.request.job import Job
 from egretcart.direct.version.configuration import Route
 from egretcart.direct.version.configuration import RoutingConfiguration
@@ -103,40 +102,38 @@
         self.listeners: list[HttpListener] = []
         self.nursery: trio.Nursery
 
-    async def serve(
+    def serve(
         self,
         nursery: trio.Nursery,
+        listeners: dict[str, list[trio.SocketListener]],
         *,
         callers: Handler,
         balancer: Handler,
         report_handler: Handler,
     ) -> None:
-        """Listen, connect, and return; the nursery runs the rest.
+        """Serve open sockets, and connect; the nursery runs the tasks.
 
         Parameters
         ----------
         nursery : trio.Nursery
+        listeners : dict of str to list of trio.SocketListener
+            Sockets of the addresses in `settings.listening`, by their name.
         callers : Handler
-            Handles requests of callers, at the address `settings.callers`.
+            Handles requests of callers.
         balancer : Handler
-            Handles readiness checks of the load balancer, at the address
-            `settings.readiness`.
+            Handles readiness checks of the load balancer.
         report_handler : Handler
-            Handles requests at the address `settings.control`, if it is not
-            empty.
+            Handles requests at the control address, if there is one.
         """
         self.nursery = nursery
-        peers = await trio.open_tcp_listeners(
-            self.settings.peer_port, host=self.settings.host
-        )
         nursery.start_soon(
-            trio.serve_listeners, self.links.serve_accepted, peers
+            trio.serve_listeners, self.links.serve_accepted, listeners["peers"]
         )
         self.links.start(nursery, self.settings.seed_endpoints)
-        await self._serve_http(self.settings.callers, callers)
-        await self._serve_http(self.settings.readiness, balancer)
-        if self.settings.control:
-            await self._serve_http(self.settings.control, report_handler)
+        self._serve_http(listeners["callers"], callers)
+        self._serve_http(listeners["readiness"], balancer)
+        if "control" in listeners:
+            self._serve_http(listeners["control"], report_handler)
         nursery.start_soon(self._tick)
         nursery.start_soon(self._run_dispatch_loop)
 
@@ -148,10 +145,10 @@
         for host, port in settings.seed_endpoints:
             self.add_entry(PeerAddress(host=host, port=port))
 
-    async def _serve_http(self, address: str, handler: Handler) -> None:
-        host, port = split_address(address)
+    def _serve_http(
+        self, listeners: list[trio.SocketListener], handler: Handler
+    ) -> None:
         listener = HttpListener(handler=handler, limits=self._http_limits())
-        listeners = await trio.open_tcp_listeners(port, host=host)
         self.nursery.start_soon(listener.serve, listeners, self.nursery)
         self.listeners.append(listener)
 
--- a/egretcart/direct/log/decisions.py
+++ b/egretcart/direct/log/decisions.py
@@ -421,9 +421,9 @@
     ----------
     state : str
         ``stopping``, ``stopped`` when it ends as it was told to, ``failed``
-        when it ends by an error, or ``paused``; or how the settings file was
-        found: ``settings changed``, ``settings wrong`` or
-        ``settings unreadable``.
+        when it ends by an error, ``paused``, or ``address not available``
+        while it waits to start; or how the settings file was found:
+        ``settings changed``, ``settings wrong`` or ``settings unreadable``.
     cause : str
         The error; empty if there was none.
     paused_ms : int
--- a/egretcart/direct/process/counted_log.py
+++ b/egretcart/direct/process/counted_log.py
@@ -4,12 +4,11 @@
 
 from egretcart.connection.traffic import TrafficCounters
 from egretcart.direct.log.decisions import DecisionLog
-from egretcart.direct.process.settings import DirectSettings
 
 
-async def open_metered_log(
+def open_metered_log(
     log: DecisionLog,
-    settings: DirectSettings,
+    listeners: list[trio.SocketListener] | None,
     traffic: TrafficCounters,
     nursery: trio.Nursery,
 ) -> DecisionLog:
@@ -19,19 +18,19 @@
     ----------
     log : DecisionLog
         Log that the decisions are written to.
-    settings : DirectSettings
-        Metrics are enabled if `settings.metrics` is an address.
+    listeners : list of trio.SocketListener or None
+        Sockets of the metrics' address; None if metrics are not enabled.
     traffic : TrafficCounters
         Counters of the process's links.
     nursery : trio.Nursery
         Runs the server of the metrics.
     """
-    if not settings.metrics:
+    if listeners is None:
         return log
     # The metrics modules take memory and time to import, so they are
     # imported on demand.
     from egretcart.direct.process.metered_log import MetricsServer
 
     server = MetricsServer(log=log, traffic=traffic)
-    await server.serve(settings.metrics, nursery)
+    server.serve(listeners, nursery)
     return server.log
--- a/egretcart/direct/process/metered_log.py
+++ b/egretcart/direct/process/metered_log.py
@@ -21,7 +21,6 @@
 from egretcart.direct.log.decisions import JobRefused
 from egretcart.direct.log.decisions import LeavingRunJudged
 from egretcart.direct.log.decisions import RoutesConfined
-from egretcart.direct.process.settings import split_address
 from egretcart.process.metric_table import DECISIONS
 from egretcart.process.metric_table import DOMAINS_DRAINED
 from egretcart.process.metric_table import JOBS
@@ -123,10 +122,10 @@
         self.metrics = ProcessMetrics(traffic=traffic)
         self.log = MeteredLog(log=log, metrics=self.metrics)
 
-    async def serve(self, address: str, nursery: trio.Nursery) -> None:
-        """Listen on an address; the nursery runs the server."""
-        host, port = split_address(address)
-        listeners = await trio.open_tcp_listeners(port, host=host)
+    def serve(
+        self, listeners: list[trio.SocketListener], nursery: trio.Nursery
+    ) -> None:
+        """Serve open sockets; the nursery runs the server."""
         server = HttpListener(handler=self._handle, limits=HTTP_LIMITS)
         nursery.start_soon(server.serve, listeners, nursery)
 
--- a/egretcart/direct/process/settings.py
+++ b/egretcart/direct/process/settings.py
@@ -83,6 +83,12 @@
         optional = (self.control, self.metrics)
         return (self.store, *self.seeds, *filter(None, optional))
 
+    @property
+    def listening(self) -> dict[str, str]:
+        """Addresses on which the process listens, by what they are for."""
+        optional = {"control": self.control, "metrics": self.metrics}
+        return {name: address for name, address in optional.items() if address}
+
     @property
     def seed_endpoints(self) -> list[tuple[str, int]]:
         """Host and port where each seed listens for other processes."""
@@ -115,9 +121,22 @@
         """All addresses that are set, as ``host:port``."""
         return (*super().addresses, self.callers, self.readiness)
 
+    @property
+    def listening(self) -> dict[str, str]:
+        """Addresses on which the process listens, by what they are for.
+
+        Callers come last, so that none connects before the others are open.
+        """
+        return {
+            "peers": f"{self.host}:{self.peer_port}",
+            **super().listening,
+            "readiness": self.readiness,
+            "callers": self.callers,
+        }
+
 
 class DirectAgentSettings(DirectSettings, frozen=True, kw_only=True):
-    """Settings of an agent.
+    """Settings of an agent; `control` must not be empty.
 
     Attributes
     ----------
@@ -134,7 +153,7 @@
     @property
     def addresses(self) -> tuple[str, ...]:
         """All addresses that are set, as ``host:port``."""
-        return (*super().addresses, self.backend)
+        return (*super().addresses, self.backend, self.control)
 
 
 S = TypeVar("S", bound=DirectSettings)
--- a/tests/features/process_start.feature
+++ b/tests/features/process_start.feature
@@ -25,3 +25,72 @@
       | role  |
       | entry |
       | agent |
+
+  # Guards against processes that end as their settings are not written yet.
+  Scenario Outline: Settings that are not valid yet delay the start
+    Given the <role> role with a settings file that is <state>
+    When it is started and has said that its settings are wrong
+    Then it keeps running
+    When its settings are written
+    Then it starts and accepts connections at its addresses
+    And it has said once why it has waited
+    And it stops when it is told to, with status 0
+
+    Examples:
+      | role  | state        |
+      | entry | missing      |
+      | entry | empty        |
+      | entry | half written |
+      | entry | of no role   |
+      | agent | missing      |
+      | agent | empty        |
+      | agent | half written |
+      | agent | of no role   |
+      | agent | without control address |
+
+  # Guards against processes that end as an address is not theirs yet.
+  Scenario Outline: An address that is not available yet delays the start
+    Given the <role> role with its settings
+    And another socket has its <address> address
+    When it is started and has said that the <address> address is not available
+    Then it keeps running
+    And none of its other addresses accepts connections
+    When the other socket is closed
+    Then it starts and accepts connections at its addresses
+    And it has said once why it has waited
+    And it stops when it is told to, with status 0
+
+    Examples:
+      | role  | address   |
+      | entry | peers     |
+      | entry | callers   |
+      | entry | readiness |
+      | entry | control   |
+      | agent | control   |
+
+  Scenario Outline: Corrected settings end the wait for an address
+    Given the <role> role with an address that its machine does not have
+    When it is started and has said that the control address is not available
+    And its settings are written
+    Then it starts and accepts connections at its addresses
+
+    Examples:
+      | role  |
+      | entry |
+      | agent |
+
+  Scenario Outline: A process that waits to start can be told to stop
+    Given the <role> role with a settings file that is missing
+    When it is started and has said that its settings are wrong
+    And it is sent <signal>
+    Then it ends with status 0 and says that it has stopped
+
+    Examples:
+      | role  | signal  |
+      | entry | SIGTERM |
+      | agent | SIGINT  |
+
+  Scenario: A second process of a role takes over when the first stops
+    Given the entry role with its settings
+    When it is started beside one that runs, which is told to stop
+    Then it starts and accepts connections at its addresses
--- a/tests/features/steps/process_start_steps.py
+++ b/tests/features/steps/process_start_steps.py
@@ -1,12 +1,20 @@
 """Steps for processes of the platform's roles whose start is disturbed."""
 
 import signal
+import socket
 
 from behave import given
 from behave import then
 from behave import when
+from platform_deployment import wait_until
 from role_process import RoleProcess
 
+START_LIMIT_S = 30
+# Longer than a process needs to end once it has said why.
+LISTEN_S = 0.5
+# Reserved for documentation: no machine has it.
+FOREIGN_ADDRESS = "192.0.2.1:1"
+
 
 @given("the {role} role with its settings")
 def prepare_role(context, role):
@@ -43,3 +51,96 @@
 @then("it stops when it is told to, with status {status:d}")
 def check_stops(context, status):
     assert context.process.stop() == status, context.process.output.read_text()
+
+
+@given("the {role} role with a settings file that is {state}")
+@given("the {role} role with a settings file that is without control address")
+def prepare_wrong_settings(context, role, state="without control address"):
+    context.process = process = RoleProcess(context, role)
+    whole = process.settings()
+    if state != "missing":
+        wrong = {
+            "empty": "",
+            "half written": whole[: len(whole) // 2],
+            "of no role": "{}",
+            "without control address": process.settings(control=""),
+        }
+        process.path.write_text(wrong[state])
+
+
+@given("the {role} role with an address that its machine does not have")
+def prepare_foreign_address(context, role):
+    context.process = RoleProcess(context, role)
+    context.process.write_settings(control=FOREIGN_ADDRESS)
+
+
+@given("another socket has its {address} address")
+def hold_address(context, address):
+    context.holder = socket.create_server(context.process.addresses[address])
+    context.add_cleanup(context.holder.close)
+
+
+@when("the other socket is closed")
+def release_address(context):
+    context.holder.close()
+
+
+@when("its settings are written")
+def write_settings(context):
+    context.process.write_settings()
+
+
+@when("it is started and has said that its settings are wrong")
+def start_with_wrong_settings(context):
+    start_and_wait(context, "settings wrong")
+
+
+@when("it is started and has said that the {address} address is not available")
+def start_without_address(context, address):
+    start_and_wait(context, "address not available")
+    (line,) = context.process.lines("ProcessChanged")
+    assert line["cause"].startswith(f"{address} "), line
+
+
+def start_and_wait(context, state):
+    context.process.start()
+    wait_until(
+        lambda: (
+            state in context.process.states() or not context.process.runs()
+        ),
+        START_LIMIT_S,
+        state,
+    )
+
+
+@then("it keeps running")
+def check_runs(context):
+    process = context.process
+    assert process.keeps_running(LISTEN_S), process.output.read_text()
+
+
+@then("none of its other addresses accepts connections")
+def check_closed(context):
+    for host, port in context.process.addresses.values():
+        if (host, port) == context.holder.getsockname():
+            continue
+        with socket.socket() as client:
+            assert client.connect_ex((host, port)), f"{host}:{port} accepts"
+
+
+@then("it has said once why it has waited")
+def check_said_once(context):
+    assert len(context.process.lines("ProcessChanged")) == 1
+
+
+@when("it is started beside one that runs, which is told to stop")
+def start_beside(context):
+    process = context.process
+    process.start()
+    process.wait_started()
+    first = process.process
+    context.add_cleanup(first.wait)
+    context.add_cleanup(first.kill)
+    start_and_wait(context, "address not available")
+    first.send_signal(signal.SIGTERM)
+    assert first.wait(START_LIMIT_S) == 0
