--- a/tests/features/process_start.feature
+++ b/tests/features/process_start.feature
@@ -94,3 +94,15 @@
     Given the entry role with its settings
     When it is started beside one that runs, which is told to stop
     Then it starts and accepts connections at its addresses
+
+  # Guards against log lines that are written into a connection.
+  Scenario Outline: A process without standard streams logs into no socket
+    Given the <role> role with its settings
+    When it is started with its standard streams closed
+    Then no socket has the number of a standard stream
+    And it stops when it is told to, with status 0
+
+    Examples:
+      | role  |
+      | entry |
+      | agent |
--- a/tests/features/steps/process_start_steps.py
+++ b/tests/features/steps/process_start_steps.py
@@ -144,3 +144,15 @@
     start_and_wait(context, "address not available")
     first.send_signal(signal.SIGTERM)
     assert first.wait(START_LIMIT_S) == 0
+
+
+@when("it is started with its standard streams closed")
+def start_without_streams(context):
+    context.process.start(closes_streams=True)
+    wait_until(context.process.accepts, START_LIMIT_S, "it accepts")
+
+
+@then("no socket has the number of a standard stream")
+def check_streams(context):
+    streams = context.process.standard_streams()
+    assert streams == ["/dev/null"] * 3, streams
--- a/tests/features/steps/role_process.py
+++ b/tests/features/steps/role_process.py
@@ -1,5 +1,6 @@
 """One process of a platform role, whose start is disturbed."""
 
+import functools
 import json
 import os
 import pathlib
@@ -16,6 +17,7 @@
 
 START_LIMIT_S = 30
 STOP_LIMIT_S = 30
+STANDARD_STREAMS = 3
 
 
 class RoleProcess:
@@ -77,7 +79,9 @@
     def write_settings(self, **changes):
         self.path.write_text(self.settings(**changes))
 
-    def start(self):
+    def start(self, *, closes_streams=False):
+        """Start the process, without standard streams if they are closed."""
+        close = functools.partial(os.closerange, 0, STANDARD_STREAMS)
         with self.output.open("w") as output:
             self.process = subprocess.Popen(
                 [sys.executable, "platform", self.role],
@@ -85,6 +89,7 @@
                 env={**os.environ, "EGRETCART_CONFIG": str(self.path)},
                 stdout=output,
                 stderr=subprocess.STDOUT,
+                preexec_fn=close if closes_streams else None,
             )
 
     def send_while_starting(self, number):
@@ -113,6 +118,14 @@
             if line["message_type"] == f"egretcart:{kind}"
         ]
 
+    def standard_streams(self):
+        """Return what the process has open as its standard streams."""
+        folder = pathlib.Path(f"/proc/{self.process.pid}/fd")
+        return [
+            str((folder / str(number)).readlink())
+            for number in range(STANDARD_STREAMS)
+        ]
+
     def states(self):
         return [line["state"] for line in self.lines("ProcessChanged")]
 
