Do not end a process at a HEAD or CONNECT request

Callers would see: any one request with the method HEAD or CONNECT, on any HTTP port of a role (callers, readiness, control; metrics if it gives a body), ends the process with status 1. Health checks and port scans send such requests.

Cause: h11 lets no body follow the head of a response to HEAD, or a 2xx response to CONNECT, and raises LocalProtocolError when one is sent. `HttpConnection.serve` expects errors of the connection alone, so the error reached the role's nursery.

Change: a response to HEAD has its head alone, and CONNECT gets status 405 before any handler.

--- a/egretcart/connection/http_server.py
+++ b/egretcart/connection/http_server.py
@@ -172,6 +172,9 @@
     watch : DisconnectWatch
     turns : RequestTurns
     protocol : h11.Connection
+    sends_bodies : bool
+        Whether responses to the current request have a body; those to HEAD
+        have none.
     opened_at : float
         When the connection was accepted, in seconds on the trio clock.
     """
@@ -191,6 +194,7 @@
         self.opened_at = trio.current_time()
         self.receive_scope = trio.CancelScope()
         self.is_idle = False
+        self.sends_bodies = True
         self.watch = shared_watch()
         self.turns = shared_turns()
         self.protocol = h11.Connection(
@@ -203,6 +207,7 @@
         try:
             while await self._serve_one():
                 self.protocol.start_next_cycle()
+                self.sends_bodies = True
         except* (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
         finally:
@@ -341,6 +346,14 @@
         head = await self._next_event()
         if not isinstance(head, h11.Request):
             return None
+        self.sends_bodies = head.method != b"HEAD"
+        if head.method == b"CONNECT":
+            raise RequestRefusedError(
+                bad_request(
+                    "CONNECT is not accepted",
+                    status=http.HTTPStatus.METHOD_NOT_ALLOWED,
+                )
+            )
         headers = {
             name.decode(): value.decode("latin-1")
             for name, value in head.headers
@@ -409,13 +422,10 @@
             response.retry_after_s,
             close or self.is_stopping(),
         )
+        body = response.body if self.sends_bodies else b""
         data = b"".join(
             self.protocol.send(event) or b""
-            for event in (
-                head,
-                h11.Data(data=response.body),
-                END_OF_MESSAGE,
-            )
+            for event in (head, h11.Data(data=body), END_OF_MESSAGE)
         )
         await self._send_all(data)
 
@@ -429,8 +439,9 @@
         await self._send_event(
             h11.Response(status_code=response.status, headers=headers)
         )
-        async for chunk in chunks:
-            await self._send_event(h11.Data(data=chunk))
+        if self.sends_bodies:
+            async for chunk in chunks:
+                await self._send_event(h11.Data(data=chunk))
         await self._send_event(h11.EndOfMessage())
 
     async def _send_event(self, event: h11.Event) -> None:
--- a/tests/features/connection_bounds.feature
+++ b/tests/features/connection_bounds.feature
@@ -6,6 +6,20 @@
     Then the senders get status 408 and the reader is dropped
     And the server answers a valid request
 
+  Scenario Outline: No method ends the process of a server
+    Given an HTTP server with short limits
+    When a <method> request is sent
+    Then it gets status <status> with its body <body>
+    And the server answers a valid request
+
+    Examples:
+      | method  | status | body     |
+      | HEAD    | 200    | left out |
+      | CONNECT | 405    | sent     |
+      | OPTIONS | 200    | sent     |
+      | TRACE   | 200    | sent     |
+      | PRI     | 200    | sent     |
+
   Scenario: More connections than the bound are refused
     Given an HTTP server with short limits
     When one connection more than the bound is opened
--- a/tests/features/steps/connection_bounds_steps.py
+++ b/tests/features/steps/connection_bounds_steps.py
@@ -30,6 +30,7 @@
 BODY_BYTES = 1 << 20
 PART_BYTES = 300_000
 TIMEOUT_S = 20
+RESPONSE_S = 0.2
 
 
 async def answer(request):
@@ -51,6 +52,16 @@
     return data
 
 
+async def receive_all_in_time(stream):
+    """Return what a server sends until it closes or says nothing more."""
+    data = b""
+    with trio.move_on_after(RESPONSE_S):
+        while chunk := await stream.receive_some(65536):
+            data += chunk
+    await stream.aclose()
+    return data
+
+
 def status_of(data):
     return int(data.split()[1])
 
@@ -108,6 +119,26 @@
     assert context.valid_stream == 200
 
 
+@when("a {method} request is sent")
+def send_method(context, method):
+    async def scenario(connect, server):
+        stream = await connect()
+        await stream.send_all(VALID_REQUEST.replace(b"GET", method.encode()))
+        response = await receive_all_in_time(stream)
+        valid_stream = await connect()
+        await valid_stream.send_all(VALID_REQUEST)
+        return response, status_of(await receive_head(valid_stream))
+
+    context.response, context.valid_stream = context.run(scenario)
+
+
+@then("it gets status {status:d} with its body {body}")
+def check_method(context, status, body):
+    head, _, content = context.response.partition(b"\r\n\r\n")
+    assert status_of(head) == status, head
+    assert bool(content) == (body == "sent"), content
+
+
 @when("one connection more than the bound is opened")
 def open_too_many(context):
     async def scenario(connect, server):
