Go on after errors of accepting connections

Users would see: a process that ends with status 1, or that stops doing anything. Four faults, each with a scenario: - At a planned stop, a lack of descriptors (EMFILE) while waiting connections are accepted ended the process; its open requests were broken off. - If connections took up all descriptors before the first one was served, `select.epoll()` of the disconnect watch failed and ended the process. - EACCES of accept (a security module) ended an entry or agent. - `trio.serve_listeners`, which accepts the links at an entry, writes a traceback to standard error ten times a second while descriptors lack. If standard error is a pipe that nothing reads, the whole process blocks in that write for ever.

An entry with 64 descriptors and an unread standard error, after 14 s of links beyond them, all closed since: readiness timed out, the process waited in anon_pipe_write. With ECONNABORTED, EPERM, EPROTO, ETIMEDOUT, ECONNRESET, EMFILE and ENOBUFS of accept4 none ended: trio's listener retries after the first five.

Change: `AcceptState` retries after 0.1 s, counts errors, and reports only when connections can't be accepted and when they are again. HTTP listeners use it also at a stop, and create the watch before they accept. `EntryLinks.serve_listeners` uses it for links; the entry's process has yet to call it in place of `trio.serve_listeners`.

--- a/egretcart/connection/http_listener.py
+++ b/egretcart/connection/http_listener.py
@@ -1,10 +1,11 @@
 """HTTP listener with a limit of connections and an orderly shutdown."""
 
-import errno
 import socket
 
 import trio
 
+from egretcart.connection.accepting import AcceptState
+from egretcart.connection.disconnect_watch import shared_watch
 from egretcart.connection.http_server import Handler
 from egretcart.connection.http_server import HttpConnection
 from egretcart.connection.http_server import HttpLimits
@@ -21,14 +22,6 @@
 # Limit of the wait for a connection that was to be accepted and has ended.
 ACCEPT_TIMEOUT_S = 0.1
 MAX_ACCEPTED_PER_TURN = 64
-# The process or the machine has no descriptor or memory left.
-ACCEPT_CAPACITY_ERRNOS = (
-    errno.EMFILE,
-    errno.ENFILE,
-    errno.ENOMEM,
-    errno.ENOBUFS,
-)
-ACCEPT_RETRY_S = 0.1
 
 
 class _Acceptor:
@@ -40,10 +33,14 @@
     Parameters
     ----------
     listener : trio.SocketListener
+    state : AcceptState
     """
 
-    def __init__(self, *, listener: trio.SocketListener) -> None:
+    def __init__(
+        self, *, listener: trio.SocketListener, state: AcceptState
+    ) -> None:
         self.listener = listener
+        self.state = state
         self.socket = socket.fromfd(
             listener.socket.fileno(),
             listener.socket.family,
@@ -56,13 +53,10 @@
 
         The list is empty if the process could not open any.
         """
-        try:
-            streams = [await self.listener.accept()]
-        except OSError as error:
-            if error.errno not in ACCEPT_CAPACITY_ERRNOS:
-                raise
-            await trio.sleep(ACCEPT_RETRY_S)
+        first = await self.state.accept(self.listener)
+        if first is None:
             return []
+        streams = [first]
         while len(streams) < MAX_ACCEPTED_PER_TURN:
             try:
                 accepted, _address = self.socket.accept()
@@ -96,6 +90,8 @@
         Whether each connection is closed after its next response.
     is_serving : bool
         Whether connections are accepted.
+    accept_state : AcceptState
+        Counts the errors of accepting connections.
     """
 
     def __init__(self, *, handler: Handler, limits: HttpLimits) -> None:
@@ -106,11 +102,14 @@
         self.stopping = False
         self.accept_scope = trio.CancelScope()
         self.is_serving = False
+        self.accept_state = AcceptState()
 
     async def serve(
         self, listeners: list[trio.SocketListener], nursery: trio.Nursery
     ) -> None:
         """Accept connections until `close` and serve them in `nursery`."""
+        # Created before connections can take up all descriptors.
+        shared_watch()
         self.is_serving = True
         with self.accept_scope:
             async with trio.open_nursery() as acceptors:
@@ -124,7 +123,7 @@
     async def _accept(
         self, listener: trio.SocketListener, nursery: trio.Nursery
     ) -> None:
-        acceptor = _Acceptor(listener=listener)
+        acceptor = _Acceptor(listener=listener, state=self.accept_state)
         with acceptor.socket:
             while True:
                 for stream in await acceptor.accept():
@@ -136,7 +135,9 @@
         """Serve the connections that would be reset with the listener."""
         while is_readable(listener):
             with trio.move_on_after(ACCEPT_TIMEOUT_S):
-                self._start(await listener.accept(), nursery)
+                stream = await self.accept_state.accept(listener)
+                if stream is not None:
+                    self._start(stream, nursery)
 
     def _start(self, stream: trio.SocketStream, nursery: trio.Nursery) -> None:
         """Serve a connection in the nursery, or refuse it there."""
--- a/egretcart/direct/entry/entry_links.py
+++ b/egretcart/direct/entry/entry_links.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from egretcart.connection.accepting import serve_streams
 from egretcart.connection.dialler import Dialler
 from egretcart.connection.peer_link import PeerLink
 from egretcart.connection.traffic import TrafficCounters
@@ -36,6 +37,8 @@
 from egretcart.direct.version.configuration_pull import ConfigurationPullLimits
 from egretcart.process.clock import Clock
 
+PEER_LISTENER = "peer listener"
+
 
 class EntryLinks:
     """Exchanges the messages of an entry with agents and other entries.
@@ -115,6 +118,23 @@
             policy=self.peers,
         )
 
+    async def serve_listeners(
+        self, listeners: list[trio.SocketListener]
+    ) -> None:
+        """Accept the links that agents and entries open, until cancelled."""
+        await serve_streams(
+            self.serve_accepted, listeners, on_change=self._accepting_changed
+        )
+
+    def _accepting_changed(self, error: str) -> None:
+        self.log.write(
+            DependencyChanged(
+                name=PEER_LISTENER,
+                state="lost" if error else "back",
+                cause=error,
+            )
+        )
+
     async def serve_accepted(self, stream: trio.SocketStream) -> None:
         """Exchange messages on a link that an agent or entry has opened."""
         link = self._make_link(stream)
--- /dev/null
+++ b/tests/features/accepting.feature
@@ -0,0 +1,22 @@
+Feature: A process goes on after errors of accepting connections
+
+  Scenario: A lack of descriptors at the first connection ends no process
+    Given an HTTP server without connections
+    When a caller connects while one descriptor is left
+    Then each caller is answered
+
+  Scenario: A lack of descriptors at a planned stop breaks off no request
+    Given an HTTP server with a request in progress
+    When it stops while two callers connect and no descriptor is left
+    Then each caller is answered
+
+  Scenario: A security module that forbids a connection ends no process
+    Given an HTTP server whose next connections are forbidden
+    When a caller connects
+    Then each caller is answered
+
+  Scenario: A lack of descriptors for links does not fill standard error
+    Given a server of links
+    When links are opened while no descriptor is left
+    Then the links are served once there are descriptors
+    And both changes are reported, and nothing is written to standard error
--- /dev/null
+++ b/tests/features/steps/accepting_steps.py
@@ -0,0 +1,191 @@
+"""Steps for errors of accepting connections, most of them real."""
+
+import contextlib
+import errno
+import io
+import os
+import resource
+import socket
+
+from behave import given
+from behave import then
+from behave import when
+import trio
+
+from egretcart.connection.accepting import RECOVERY_S
+from egretcart.connection.accepting import serve_streams
+from egretcart.connection.http_listener import HttpListener
+from egretcart.connection.http_server import HttpLimits
+from egretcart.connection.http_server import HttpResponse
+
+HOST = "127.0.0.1"
+REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+LACK_S = 0.4
+TIMEOUT_S = 20
+
+
+@contextlib.contextmanager
+def descriptors_left(count):
+    """Let this process open only so many descriptors more."""
+    spare = [os.dup(0) for _ in range(count + 1)]
+    limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (max(spare), limits[1]))
+    for descriptor in spare:
+        os.close(descriptor)
+    try:
+        yield
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+
+
+class Server:
+    """An HTTP server, and callers that connect without a turn of its loop."""
+
+    def __init__(self):
+        self.callers = []
+        self.is_answering = trio.Event()
+        self.http = HttpListener(handler=self.answer, limits=HttpLimits())
+
+    async def answer(self, request):
+        await self.is_answering.wait()
+        return HttpResponse(body=b"{}")
+
+    async def start(self, nursery):
+        self.listeners = await trio.open_tcp_listeners(0, host=HOST)
+        self.address = self.listeners[0].socket.getsockname()
+        nursery.start_soon(self.http.serve, self.listeners, nursery)
+        await trio.testing.wait_all_tasks_blocked()
+
+    def call(self):
+        caller = socket.create_connection(self.address)
+        caller.sendall(REQUEST)
+        self.callers.append(trio.socket.from_stdlib_socket(caller))
+
+    async def responses(self):
+        self.is_answering.set()
+        return [await caller.recv(100) for caller in self.callers]
+
+
+def run_server(context, scenario):
+    async def main():
+        server = Server()
+        with trio.fail_after(TIMEOUT_S):
+            async with trio.open_nursery() as nursery:
+                await server.start(nursery)
+                await scenario(server, nursery)
+                context.responses = await server.responses()
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+@given("an HTTP server without connections")
+@given("an HTTP server with a request in progress")
+@given("a server of links")
+def named_in_when(context):
+    context.forbidden = 0
+
+
+@given("an HTTP server whose next connections are forbidden")
+def forbid(context):
+    context.forbidden = 2
+
+
+@when("a caller connects while one descriptor is left")
+def connect_with_few(context):
+    async def scenario(server, nursery):
+        server.call()
+        with descriptors_left(1):
+            await trio.sleep(LACK_S)
+
+    run_server(context, scenario)
+
+
+@when("it stops while two callers connect and no descriptor is left")
+def stop_with_few(context):
+    async def scenario(server, nursery):
+        server.call()
+        await trio.testing.wait_all_tasks_blocked()
+        server.call()
+        server.call()
+        nursery.start_soon(server.http.close)
+        with descriptors_left(0):
+            await trio.sleep(LACK_S)
+
+    run_server(context, scenario)
+
+
+@when("a caller connects")
+def connect_forbidden(context):
+    async def scenario(server, nursery):
+        forbidden = [errno.EACCES] * context.forbidden
+        accept = server.listeners[0].accept
+
+        async def accept_unless_forbidden():
+            stream = await accept()
+            if forbidden:
+                await stream.aclose()
+                raise OSError(forbidden.pop(), "forbidden")
+            return stream
+
+        server.listeners[0].accept = accept_unless_forbidden
+        # The first is accepted by the call that was made before.
+        for _ in range(1 + context.forbidden):
+            server.call()
+            await trio.sleep(LACK_S)
+            server.callers.pop(0).close()
+        server.call()
+
+    run_server(context, scenario)
+
+
+@then("each caller is answered")
+def check_answered(context):
+    assert context.responses, "no caller"
+    for response in context.responses:
+        assert response.startswith(b"HTTP/1.1 200"), response
+
+
+@when("links are opened while no descriptor is left")
+def open_links(context):
+    async def serve_link(stream):
+        context.served += 1
+        await stream.aclose()
+
+    async def main():
+        listeners = await trio.open_tcp_listeners(0, host=HOST)
+        address = listeners[0].socket.getsockname()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                lambda: serve_streams(
+                    serve_link, listeners, on_change=context.changes.append
+                )
+            )
+            await trio.testing.wait_all_tasks_blocked()
+            links = [socket.create_connection(address) for _ in range(3)]
+            with descriptors_left(0):
+                await trio.sleep(LACK_S)
+            await trio.sleep(RECOVERY_S + LACK_S)
+            links.append(socket.create_connection(address))
+            await trio.sleep(LACK_S)
+            nursery.cancel_scope.cancel()
+        for link in links:
+            link.close()
+
+    context.served, context.changes = 0, []
+    context.errors = io.StringIO()
+    with contextlib.redirect_stderr(context.errors):
+        trio.run(main)
+
+
+@then("the links are served once there are descriptors")
+def check_links(context):
+    assert context.served == 4, context.served
+
+
+@then("both changes are reported, and nothing is written to standard error")
+def check_changes(context):
+    assert len(context.changes) == 2, context.changes
+    assert "Too many open files" in context.changes[0], context.changes
+    assert context.changes[1] == "", context.changes
+    assert not context.errors.getvalue(), context.errors.getvalue()
