Keep a link whose socket options are refused

Cause: `PeerLink.run` sets keepalive before it expects errors.

Evidence: real processes with every fifth or seventh setsockopt refused (strace, ENOPROTOOPT and EINVAL): entry-1 ended with status 1, OSError in `enable_keepalive`. Linux itself refused none on connections that peers had reset. The new scenario without the change: A link whose socket options are refused is served E OSError: [Errno 92] refused

Change: options that the operating system refuses are counted (`TrafficCounters.options_refused`); other errors still raise. Without keepalive, heartbeats and time limits end a link.

--- a/egretcart/connection/peer_link.py
+++ b/egretcart/connection/peer_link.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+import errno
 import math
 import socket
 from typing import Any
@@ -25,6 +26,16 @@
 KEEPALIVE_INTERVAL_S = 2
 KEEPALIVE_PROBES = 3
 TCP_USER_TIMEOUT_MS = 10_000
+# The operating system does not have an option, or does not allow it.
+OPTION_REFUSED_ERRNOS = (
+    errno.ENOPROTOOPT,
+    errno.EOPNOTSUPP,
+    errno.EINVAL,
+    errno.EPERM,
+    errno.EACCES,
+    errno.ENOMEM,
+    errno.ENOBUFS,
+)
 
 
 class LinkProtocol(msgspec.Struct, frozen=True, kw_only=True):
@@ -45,21 +56,30 @@
     find_violation: Callable[[Any], str | None]
 
 
-def enable_keepalive(stream: trio.abc.Stream) -> None:
+def enable_keepalive(
+    stream: trio.abc.Stream, traffic: TrafficCounters
+) -> None:
     """Let the operating system end the connection if the peer's host is gone.
 
-    Sets TCP keepalive and the limit for unacknowledged data.
+    Sets TCP keepalive and the limit for unacknowledged data. Options that
+    the operating system refuses are counted; without them, heartbeats and
+    time limits alone end the connection.
     """
     if not isinstance(stream, trio.SocketStream):
         return
-    stream.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for option, value in (
-        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
-        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
-        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        (socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
+    for level, option, value in (
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
     ):
-        stream.setsockopt(socket.IPPROTO_TCP, option, value)
+        try:
+            stream.setsockopt(level, option, value)
+        except OSError as error:
+            if error.errno not in OPTION_REFUSED_ERRNOS:
+                raise
+            traffic.options_refused += 1
 
 
 class PeerLink:
@@ -236,7 +256,7 @@
             self.outbox_bytes += self.protocol.message_bytes(message)
         if self.outbox:
             self.send_requested.set()
-        enable_keepalive(self.stream)
+        enable_keepalive(self.stream, self.traffic)
         self.require_receive_within(self.hello_timeout_s)
         with self.run_scope:
             try:
--- a/egretcart/connection/traffic.py
+++ b/egretcart/connection/traffic.py
@@ -12,6 +12,8 @@
     messages : Counter of type
         Messages sent, by their class.
     frames_sent, bytes_sent, bytes_received : int
+    options_refused : int
+        Options of sockets that the operating system has refused to set.
     """
 
     def __init__(self) -> None:
@@ -19,6 +21,7 @@
         self.frames_sent = 0
         self.bytes_sent = 0
         self.bytes_received = 0
+        self.options_refused = 0
 
     def sent(self, batch: Iterable[object], size: int) -> None:
         """Count a frame as sent.
--- a/tests/features/accepting.feature
+++ b/tests/features/socket_errors.feature
@@ -1,4 +1,4 @@
-Feature: A process goes on after errors of accepting connections
+Feature: Errors of sockets end no process
 
   Scenario: A lack of descriptors at the first connection ends no process
     Given an HTTP server without connections
@@ -20,3 +20,7 @@
     When links are opened while no descriptor is left
     Then the links are served once there are descriptors
     And both changes are reported, and nothing is written to standard error
+
+  Scenario: A link whose socket options are refused is served
+    Given a link whose socket refuses all options
+    Then it delivers its messages, and the refusals are counted
--- a/tests/features/steps/accepting_steps.py
+++ b/tests/features/steps/socket_error_steps.py
@@ -1,4 +1,4 @@
-"""Steps for errors of accepting connections, most of them real."""
+"""Steps for errors of sockets, most of them real."""
 
 import contextlib
 import errno
@@ -17,8 +17,13 @@
 from egretcart.connection.http_listener import HttpListener
 from egretcart.connection.http_server import HttpLimits
 from egretcart.connection.http_server import HttpResponse
+from egretcart.connection.peer_link import PeerLink
+from egretcart.connection.traffic import TrafficCounters
+from egretcart.direct.connection.messages import Beat
+from egretcart.direct.connection.wire import DIRECT_PROTOCOL
 
 HOST = "127.0.0.1"
+BEAT = Beat(lateness_ms=3)
 REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
 LACK_S = 0.4
 TIMEOUT_S = 20
@@ -189,3 +194,39 @@
     assert "Too many open files" in context.changes[0], context.changes
     assert context.changes[1] == "", context.changes
     assert not context.errors.getvalue(), context.errors.getvalue()
+
+
+@given("a link whose socket refuses all options")
+def refusing_link(context):
+    def refuse(*_):
+        raise OSError(errno.ENOPROTOOPT, "refused")
+
+    async def main():
+        listeners = await trio.open_tcp_listeners(0, host=HOST)
+        stream = await trio.open_tcp_stream(*listeners[0].socket.getsockname())
+        stream.setsockopt = refuse
+        link = PeerLink(
+            stream=stream, protocol=DIRECT_PROTOCOL, traffic=context.traffic
+        )
+        peer = PeerLink(
+            stream=await listeners[0].accept(), protocol=DIRECT_PROTOCOL
+        )
+
+        def receive(message):
+            context.received.append(message)
+            link.close()
+            peer.close()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(lambda: link.run(print, first=[BEAT]))
+            nursery.start_soon(lambda: peer.run(receive, first=[]))
+        await listeners[0].aclose()
+
+    context.traffic, context.received = TrafficCounters(), []
+    trio.run(main)
+
+
+@then("it delivers its messages, and the refusals are counted")
+def check_refusing_link(context):
+    assert context.received == [BEAT], context.received
+    assert context.traffic.options_refused > 0
