Treat a host that no thread can look up as unreachable

Users would see: where the settings or the store name hosts in place of IP addresses, and a limit of processes and threads (pids.max, RLIMIT_NPROC) is reached, every role that dials ends with status 1.

Cause: trio looks up names in a thread; `RuntimeError: can't start new thread` is no OSError, which is all that the dialler and the HTTP client expect.

Evidence: real processes whose store is at "localhost", clone fails with EAGAIN (strace): entry-1 and agent-1 ended with status 1, RuntimeError in `trio.socket.getaddrinfo`.

--- a/egretcart/connection/dialler.py
+++ b/egretcart/connection/dialler.py
@@ -8,6 +8,8 @@
 
 import trio
 
+from egretcart.connection.connecting import open_stream
+
 REDIAL_INTERVAL_S = 0.05
 # A host behind a network partition does not answer. Without this limit, the
 # operating system would retry for minutes at ever longer intervals.
@@ -87,7 +89,7 @@
         run_connection: Callable[[trio.SocketStream], Awaitable[None]],
         own: Endpoint | None = None,
         policy: DialPolicy | None = None,
-        connect: Connect = trio.open_tcp_stream,
+        connect: Connect = open_stream,
     ) -> None:
         self.nursery = nursery
         self.seeds = frozenset(seeds)
--- a/egretcart/connection/http_client.py
+++ b/egretcart/connection/http_client.py
@@ -9,6 +9,7 @@
 import msgspec
 import trio
 
+from egretcart.connection.connecting import open_stream
 from egretcart.connection.readable import is_readable
 from egretcart.connection.socket_io import receive_when_readable
 from egretcart.connection.socket_io import write_now
@@ -192,7 +193,7 @@
 
     async def _connect(self) -> ClientConnection:
         try:
-            stream = await trio.open_tcp_stream(self.host, self.port)
+            stream = await open_stream(self.host, self.port)
         except OSError as error:
             raise ExchangeError(
                 str(error), Verdict.NOT_RUN, refused=_is_refused(error)
--- a/egretcart/connection/http_stream.py
+++ b/egretcart/connection/http_stream.py
@@ -5,6 +5,7 @@
 import h11
 import trio
 
+from egretcart.connection.connecting import open_stream
 from egretcart.connection.http_client import ExchangeError
 from egretcart.connection.http_client import RECEIVE_BYTES
 from egretcart.request.verdict import Verdict
@@ -47,7 +48,7 @@
     stream: trio.SocketStream | None = None
     try:
         with trio.move_on_after(head_timeout_s) as head_scope:
-            stream = await trio.open_tcp_stream(host, port)
+            stream = await open_stream(host, port)
             await stream.send_all(_request(protocol, host, port, path, body))
             head = await _next_event(stream, protocol)
         if head_scope.cancelled_caught:
--- a/tests/features/socket_errors.feature
+++ b/tests/features/socket_errors.feature
@@ -24,3 +24,8 @@
   Scenario: A link whose socket options are refused is served
     Given a link whose socket refuses all options
     Then it delivers its messages, and the refusals are counted
+
+  Scenario: A lack of threads for looking up a host name ends no process
+    Given a host name, and a system that starts no more threads
+    When it is dialled and an exchange with it is tried
+    Then it is unreachable and nothing was sent
--- a/tests/features/steps/socket_error_steps.py
+++ b/tests/features/steps/socket_error_steps.py
@@ -6,6 +6,7 @@
 import os
 import resource
 import socket
+from unittest import mock
 
 from behave import given
 from behave import then
@@ -14,6 +15,10 @@
 
 from egretcart.connection.accepting import RECOVERY_S
 from egretcart.connection.accepting import serve_streams
+from egretcart.connection.dialler import DialAll
+from egretcart.connection.dialler import Dialler
+from egretcart.connection.http_client import ExchangeError
+from egretcart.connection.http_client import HttpClient
 from egretcart.connection.http_listener import HttpListener
 from egretcart.connection.http_server import HttpLimits
 from egretcart.connection.http_server import HttpResponse
@@ -21,6 +26,7 @@
 from egretcart.connection.traffic import TrafficCounters
 from egretcart.direct.connection.messages import Beat
 from egretcart.direct.connection.wire import DIRECT_PROTOCOL
+from egretcart.request.verdict import Verdict
 
 HOST = "127.0.0.1"
 BEAT = Beat(lateness_ms=3)
@@ -230,3 +236,44 @@
 def check_refusing_link(context):
     assert context.received == [BEAT], context.received
     assert context.traffic.options_refused > 0
+
+
+@given("a host name, and a system that starts no more threads")
+def no_threads(context):
+    context.endpoint = ("localhost", 1)
+
+
+@when("it is dialled and an exchange with it is tried")
+def dial_name(context):
+    policy = mock.Mock(wraps=DialAll())
+    host, port = context.endpoint
+    client = HttpClient(host=host, port=port, max_connections=1)
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            Dialler(
+                nursery=nursery,
+                seeds=[context.endpoint],
+                run_connection=mock.Mock(),
+                policy=policy,
+            )
+            try:
+                await client.exchange("GET", "/", time_limit_s=TIMEOUT_S)
+            except ExchangeError as error:
+                context.error = error
+            await trio.sleep(LACK_S)
+            nursery.cancel_scope.cancel()
+
+    # trio may have an idle thread left, so that none would have to be started.
+    with mock.patch(
+        "trio.to_thread.run_sync",
+        side_effect=RuntimeError("can't start new thread"),
+    ):
+        trio.run(main)
+    context.unreachable = policy.mark_unreachable.call_count
+
+
+@then("it is unreachable and nothing was sent")
+def check_name(context):
+    assert context.error.verdict is Verdict.NOT_RUN, context.error
+    assert context.unreachable > 1, context.unreachable
