End only one connection if it can't be watched

Users would see: where the user's watches (fs.epoll.max_user_watches) or the memory for them are used up, a process that ends with status 1 at the next request.

Cause: `epoll_ctl` may fail with ENOSPC or ENOMEM when a descriptor is added. The disconnect watch and the wait for data expected errors of the connection alone.

Evidence: real processes, every 29th epoll_ctl fails with ENOMEM (strace): agent-1 ended with status 1, OSError in `DisconnectWatch.cancelling`. The new scenario without the change: A lack of watched descriptors ends no process .E OSError: [Errno 28] no watch left

Change: a request that can't be watched gets status 503, not run; a connection whose data can't be waited for counts as broken; accepting is tried again.

Result: the scenario passes. The trials with real processes still end them, now by an error that they alone cause: they fail also changes of a watch, which need no memory, and trio raises FileExistsError.

--- a/egretcart/connection/accepting.py
+++ b/egretcart/connection/accepting.py
@@ -6,14 +6,15 @@
 
 import trio
 
-# The process or the machine has no descriptor or memory left, or a security
-# module forbids a connection. trio's listeners retry after errors that only
-# one connection had.
+# The process or the machine has no descriptor, watch or memory left, or a
+# security module forbids a connection. trio's listeners retry after errors
+# that only one connection had.
 RETRY_ERRNOS = (
     errno.EMFILE,
     errno.ENFILE,
     errno.ENOMEM,
     errno.ENOBUFS,
+    errno.ENOSPC,
     errno.EACCES,
 )
 RETRY_INTERVAL_S = 0.1
--- a/egretcart/connection/disconnect_watch.py
+++ b/egretcart/connection/disconnect_watch.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 import contextlib
+import errno
 import select
 
 import trio
@@ -11,6 +12,12 @@
 SENDING_ENDED = select.EPOLLRDHUP
 # Of a broken connection alone, which is always reported.
 BROKEN = 0
+# The user's watched descriptors or the memory for them are used up.
+FULL_ERRNOS = (errno.ENOSPC, errno.ENOMEM)
+
+
+class WatchFullError(Exception):
+    """The operating system watches no more connections."""
 
 
 class DisconnectWatch:
@@ -48,10 +55,20 @@
             Must not be closed in the block.
         event : int
             `SENDING_ENDED` or `BROKEN`.
+
+        Raises
+        ------
+        WatchFullError
+            Before the block is entered.
         """
         descriptor = stream.socket.fileno()
         # A scope may take a while to end; it needs no second report.
-        self.epoll.register(descriptor, event | select.EPOLLONESHOT)
+        try:
+            self.epoll.register(descriptor, event | select.EPOLLONESHOT)
+        except OSError as error:
+            if error.errno not in FULL_ERRNOS:
+                raise
+            raise WatchFullError(f"no watch: {error}") from error
         self.scopes[descriptor] = scope
         try:
             yield
--- a/egretcart/connection/http_server.py
+++ b/egretcart/connection/http_server.py
@@ -14,6 +14,7 @@
 from egretcart.connection.disconnect_watch import BROKEN
 from egretcart.connection.disconnect_watch import SENDING_ENDED
 from egretcart.connection.disconnect_watch import shared_watch
+from egretcart.connection.disconnect_watch import WatchFullError
 from egretcart.connection.readable import is_readable
 from egretcart.connection.request_turns import shared_turns
 from egretcart.connection.socket_io import receive_when_readable
@@ -282,8 +283,17 @@
         """
         event = BROKEN if self.limits.allows_half_close else SENDING_ENDED
         scope = trio.CancelScope()
-        with scope, self.watch.cancelling(scope, self.stream, event):
-            return await self.handler(request)
+        try:
+            with scope, self.watch.cancelling(scope, self.stream, event):
+                return await self.handler(request)
+        except WatchFullError as error:
+            return problem_response(
+                unavailable(
+                    str(error),
+                    verdict=Verdict.NOT_RUN,
+                    retry_after_s=OVERLOAD_RETRY_AFTER_S,
+                )
+            )
         return None
 
     async def _receive(self) -> HttpRequest | None:
--- a/egretcart/connection/socket_io.py
+++ b/egretcart/connection/socket_io.py
@@ -24,11 +24,12 @@
     Raises
     ------
     trio.BrokenResourceError
-        If the connection is broken.
+        If the connection is broken, or can't be waited for: the operating
+        system bounds how many descriptors may be watched (epoll).
     """
     while True:
-        await trio.lowlevel.wait_readable(stream.socket)
         try:
+            await trio.lowlevel.wait_readable(stream.socket)
             return os.read(stream.socket.fileno(), limit)
         except BlockingIOError:
             continue
--- a/tests/features/socket_errors.feature
+++ b/tests/features/socket_errors.feature
@@ -29,3 +29,8 @@
     Given a host name, and a system that starts no more threads
     When it is dialled and an exchange with it is tried
     Then it is unreachable and nothing was sent
+
+  Scenario: A lack of watched descriptors ends no process
+    Given an HTTP server without connections
+    When callers connect while the system watches no more descriptors
+    Then one caller is refused as not run and the next one is answered
--- a/tests/features/steps/socket_error_steps.py
+++ b/tests/features/steps/socket_error_steps.py
@@ -17,6 +17,7 @@
 from egretcart.connection.accepting import serve_streams
 from egretcart.connection.dialler import DialAll
 from egretcart.connection.dialler import Dialler
+from egretcart.connection.disconnect_watch import shared_watch
 from egretcart.connection.http_client import ExchangeError
 from egretcart.connection.http_client import HttpClient
 from egretcart.connection.http_listener import HttpListener
@@ -74,7 +75,7 @@
 
     async def responses(self):
         self.is_answering.set()
-        return [await caller.recv(100) for caller in self.callers]
+        return [await caller.recv(1000) for caller in self.callers]
 
 
 def run_server(context, scenario):
@@ -277,3 +278,32 @@
 def check_name(context):
     assert context.error.verdict is Verdict.NOT_RUN, context.error
     assert context.unreachable > 1, context.unreachable
+
+
+@when("callers connect while the system watches no more descriptors")
+def connect_unwatched(context):
+    error = OSError(errno.ENOSPC, "no watch left")
+
+    async def scenario(server, nursery):
+        server.is_answering.set()
+        with mock.patch("trio.lowlevel.wait_readable", side_effect=error):
+            server.call()
+            await trio.sleep(LACK_S)
+        server.callers.pop(0).close()
+        watch = shared_watch()
+        epoll, watch.epoll = watch.epoll, mock.Mock()
+        watch.epoll.register.side_effect = error
+        server.call()
+        await trio.sleep(LACK_S)
+        watch.epoll = epoll
+        server.call()
+
+    run_server(context, scenario)
+
+
+@then("one caller is refused as not run and the next one is answered")
+def check_unwatched(context):
+    refused, answered = context.responses
+    assert refused.startswith(b"HTTP/1.1 503"), refused
+    assert b'"verdict":"not_run"' in refused, refused
+    assert answered.startswith(b"HTTP/1.1 200"), answered
