End only the exchange if its connection can't be reset

Cause: `_reset_connection` runs after the errors of an exchange were handled.

Change: a refused option is counted (`HttpClient.resets_refused`), and the connection is closed in order. `set_option` is shared with the links.

--- a/egretcart/connection/http_client.py
+++ b/egretcart/connection/http_client.py
@@ -12,6 +12,7 @@
 from egretcart.connection.connecting import open_stream
 from egretcart.connection.readable import is_readable
 from egretcart.connection.socket_io import receive_when_readable
+from egretcart.connection.socket_io import set_option
 from egretcart.connection.socket_io import write_now
 from egretcart.request.verdict import Verdict
 
@@ -92,11 +93,18 @@
     port : int
     max_connections : int
         Connections that may be open at a time, including idle ones.
+
+    Attributes
+    ----------
+    resets_refused : int
+        Broken exchanges whose connection the operating system did not let
+        be reset, so that it was closed in order.
     """
 
     def __init__(self, *, host: str, port: int, max_connections: int) -> None:
         self.host = host
         self.port = port
+        self.resets_refused = 0
         self.idle_connections: list[ClientConnection] = []
         self.make_head = functools.lru_cache(MAX_KEPT_HEADS)(self._make_head)
         self.limiter = trio.CapacityLimiter(max_connections)
@@ -241,13 +249,25 @@
             ) from error
         finally:
             if response is None:
-                _reset_connection(stream)
+                self._reset_connection(stream)
             elif _is_reusable(connection.protocol):
                 connection.protocol.start_next_cycle()
                 self._return_to_pool(connection)
             else:
                 stream.socket.close()
 
+    def _reset_connection(self, stream: trio.SocketStream) -> None:
+        """Reset a connection, so that the server need not finish the exchange.
+
+        After an orderly close, the server may assume a half-closed connection
+        whose client still waits for the response.
+        """
+        if not set_option(
+            stream, socket.SOL_SOCKET, socket.SO_LINGER, ZERO_LINGER
+        ):
+            self.resets_refused += 1
+        stream.socket.close()
+
     def _return_to_pool(self, connection: ClientConnection) -> None:
         connection.idle_since = trio.current_time()
         self.idle_connections.append(connection)
@@ -297,16 +317,6 @@
     )
 
 
-def _reset_connection(stream: trio.SocketStream) -> None:
-    """Reset a connection, so that the server need not finish the exchange.
-
-    After an orderly close, the server may assume a half-closed connection
-    whose client still waits for the response.
-    """
-    stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, ZERO_LINGER)
-    stream.socket.close()
-
-
 def _is_refused(error: OSError) -> bool:
     """Return whether every address that was tried refused the connection."""
     causes = error.__cause__
--- a/egretcart/connection/peer_link.py
+++ b/egretcart/connection/peer_link.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
-import errno
 import math
 import socket
 from typing import Any
@@ -14,6 +13,7 @@
 from egretcart.connection.frames import FrameError
 from egretcart.connection.frames import FrameSplitter
 from egretcart.connection.socket_io import receive_when_readable
+from egretcart.connection.socket_io import set_option
 from egretcart.connection.socket_io import write_now
 from egretcart.connection.traffic import TrafficCounters
 
@@ -26,16 +26,6 @@
 KEEPALIVE_INTERVAL_S = 2
 KEEPALIVE_PROBES = 3
 TCP_USER_TIMEOUT_MS = 10_000
-# The operating system does not have an option, or does not allow it.
-OPTION_REFUSED_ERRNOS = (
-    errno.ENOPROTOOPT,
-    errno.EOPNOTSUPP,
-    errno.EINVAL,
-    errno.EPERM,
-    errno.EACCES,
-    errno.ENOMEM,
-    errno.ENOBUFS,
-)
 
 
 class LinkProtocol(msgspec.Struct, frozen=True, kw_only=True):
@@ -74,11 +64,7 @@
         (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
         (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
     ):
-        try:
-            stream.setsockopt(level, option, value)
-        except OSError as error:
-            if error.errno not in OPTION_REFUSED_ERRNOS:
-                raise
+        if not set_option(stream, level, option, value):
             traffic.options_refused += 1
 
 
--- a/egretcart/connection/socket_io.py
+++ b/egretcart/connection/socket_io.py
@@ -5,10 +5,22 @@
 small messages spends more time on that than on the messages.
 """
 
+import errno
 import os
 
 import trio
 
+# The operating system does not have an option, or does not allow it.
+OPTION_REFUSED_ERRNOS = (
+    errno.ENOPROTOOPT,
+    errno.EOPNOTSUPP,
+    errno.EINVAL,
+    errno.EPERM,
+    errno.EACCES,
+    errno.ENOMEM,
+    errno.ENOBUFS,
+)
+
 
 async def receive_when_readable(
     stream: trio.SocketStream, limit: int
@@ -51,3 +63,22 @@
         return data
     except OSError as error:
         raise trio.BrokenResourceError(str(error)) from error
+
+
+def set_option(
+    stream: trio.SocketStream, level: int, option: int, value: int | bytes
+) -> bool:
+    """Set an option of a socket; return False if it is refused.
+
+    Raises
+    ------
+    OSError
+        If the socket itself can't be used.
+    """
+    try:
+        stream.setsockopt(level, option, value)
+    except OSError as error:
+        if error.errno not in OPTION_REFUSED_ERRNOS:
+            raise
+        return False
+    return True
--- a/tests/features/socket_errors.feature
+++ b/tests/features/socket_errors.feature
@@ -34,3 +34,8 @@
     Given an HTTP server without connections
     When callers connect while the system watches no more descriptors
     Then one caller is refused as not run and the next one is answered
+
+  Scenario: A client that may not reset a connection ends no process
+    Given a client whose sockets refuse all options
+    When an exchange breaks
+    Then it ends with an exchange error, and the refusal is counted
--- a/tests/features/steps/socket_error_steps.py
+++ b/tests/features/steps/socket_error_steps.py
@@ -30,6 +30,7 @@
 from egretcart.request.verdict import Verdict
 
 HOST = "127.0.0.1"
+REFUSED = OSError(errno.ENOPROTOOPT, "refused")
 BEAT = Beat(lateness_ms=3)
 REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
 LACK_S = 0.4
@@ -205,13 +206,10 @@
 
 @given("a link whose socket refuses all options")
 def refusing_link(context):
-    def refuse(*_):
-        raise OSError(errno.ENOPROTOOPT, "refused")
-
     async def main():
         listeners = await trio.open_tcp_listeners(0, host=HOST)
         stream = await trio.open_tcp_stream(*listeners[0].socket.getsockname())
-        stream.setsockopt = refuse
+        stream.setsockopt = mock.Mock(side_effect=REFUSED)
         link = PeerLink(
             stream=stream, protocol=DIRECT_PROTOCOL, traffic=context.traffic
         )
@@ -307,3 +305,31 @@
     assert refused.startswith(b"HTTP/1.1 503"), refused
     assert b'"verdict":"not_run"' in refused, refused
     assert answered.startswith(b"HTTP/1.1 200"), answered
+
+
+@given("a client whose sockets refuse all options")
+def refusing_client(context):
+    context.refuse = mock.patch.object(
+        trio.SocketStream, "setsockopt", side_effect=REFUSED
+    )
+
+
+@when("an exchange breaks")
+def break_exchange(context):
+    async def main():
+        listeners = await trio.open_tcp_listeners(0, host=HOST)
+        host, port = listeners[0].socket.getsockname()
+        context.client = HttpClient(host=host, port=port, max_connections=1)
+        with context.refuse:
+            await context.client.exchange("GET", "/", time_limit_s=LACK_S)
+
+    try:
+        trio.run(main)
+    except ExchangeError as error:
+        context.error = error
+
+
+@then("it ends with an exchange error, and the refusal is counted")
+def check_refusing_client(context):
+    assert context.error.verdict is Verdict.MAY_HAVE_RUN, context.error
+    assert context.client.resets_refused == 1
