--- a/egretcart/connection/peer_link.py
+++ b/egretcart/connection/peer_link.py
@@ -13,6 +13,7 @@
 from egretcart.connection.frames import FrameError
 from egretcart.connection.frames import FrameSplitter
 from egretcart.connection.socket_io import receive_when_readable
+from egretcart.connection.socket_io import set_option
 from egretcart.connection.socket_io import write_now
 from egretcart.connection.traffic import TrafficCounters
 
@@ -45,21 +46,26 @@
     find_violation: Callable[[Any], str | None]
 
 
-def enable_keepalive(stream: trio.abc.Stream) -> None:
+def enable_keepalive(
+    stream: trio.abc.Stream, traffic: TrafficCounters
+) -> None:
     """Let the operating system end the connection if the peer's host is gone.
 
-    Sets TCP keepalive and the limit for unacknowledged data.
+    Sets TCP keepalive and the limit for unacknowledged data. Options that
+    the operating system refuses are counted; without them, heartbeats and
+    time limits alone end the connection.
     """
     if not isinstance(stream, trio.SocketStream):
         return
-    stream.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for option, value in (
-        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
-        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
-        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        (socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
+    for level, option, value in (
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
     ):
-        stream.setsockopt(socket.IPPROTO_TCP, option, value)
+        if not set_option(stream, level, option, value):
+            traffic.options_refused += 1
 
 
 class PeerLink:
@@ -236,7 +242,7 @@
             self.outbox_bytes += self.protocol.message_bytes(message)
         if self.outbox:
             self.send_requested.set()
-        enable_keepalive(self.stream)
+        enable_keepalive(self.stream, self.traffic)
         self.require_receive_within(self.hello_timeout_s)
         with self.run_scope:
             try:
