Accept links through a lack of descriptors, and log it at each listener

What was seen: an entry that is short of descriptors for 14 s no longer answers anything, for ever, if nobody reads its standard error (trial: it waited in anon_pipe_write). HTTP listeners went on, but said nothing. Cause: trio.serve_listeners writes a traceback to standard error ten times a second while it can't accept. Change: links are accepted by serve_listeners of the entry's links, and each listener logs when it can't accept connections and when it can again.

--- a/egretcart/connection/http_listener.py
+++ b/egretcart/connection/http_listener.py
@@ -1,5 +1,6 @@
 """HTTP listener with a limit of connections and an orderly shutdown."""
 
+from collections.abc import Callable
 import socket
 
 import trio
@@ -79,6 +80,8 @@
     handler : callable
         Async function from an `HttpRequest` to its `HttpResponse`.
     limits : HttpLimits
+    on_accept_change : callable, optional
+        See `AcceptState`.
 
     Attributes
     ----------
@@ -94,7 +97,13 @@
         Counts the errors of accepting connections.
     """
 
-    def __init__(self, *, handler: Handler, limits: HttpLimits) -> None:
+    def __init__(
+        self,
+        *,
+        handler: Handler,
+        limits: HttpLimits,
+        on_accept_change: Callable[[str], None] | None = None,
+    ) -> None:
         self.handler = handler
         self.limits = limits
         self.connections: set[HttpConnection] = set()
@@ -102,7 +111,7 @@
         self.stopping = False
         self.accept_scope = trio.CancelScope()
         self.is_serving = False
-        self.accept_state = AcceptState()
+        self.accept_state = AcceptState(on_change=on_accept_change)
 
     async def serve(
         self, listeners: list[trio.SocketListener], nursery: trio.Nursery
--- a/egretcart/direct/agent/agent_process.py
+++ b/egretcart/direct/agent/agent_process.py
@@ -31,6 +31,7 @@
 from egretcart.direct.backend.lease import LeaseLimits
 from egretcart.direct.backend.suspicion import Suspicion
 from egretcart.direct.backend.suspicion import SuspicionLimits
+from egretcart.direct.connection.accept_log import accept_logger
 from egretcart.direct.connection.messages import EntryHello
 from egretcart.direct.connection.messages import EntryPeers
 from egretcart.direct.connection.messages import PeerAddress
@@ -139,7 +140,11 @@
             Handles requests at the control address.
         """
         self.nursery = nursery
-        server = HttpListener(handler=report_handler, limits=REPORT_LIMITS)
+        server = HttpListener(
+            handler=report_handler,
+            limits=REPORT_LIMITS,
+            on_accept_change=accept_logger(self.agent.log, "control"),
+        )
         nursery.start_soon(server.serve, listeners["control"], nursery)
         self.dialler = Dialler(
             nursery=nursery,
--- a/egretcart/direct/entry/entry_links.py
+++ b/egretcart/direct/entry/entry_links.py
@@ -11,6 +11,7 @@
 from egretcart.connection.dialler import Dialler
 from egretcart.connection.peer_link import PeerLink
 from egretcart.connection.traffic import TrafficCounters
+from egretcart.direct.connection.accept_log import accept_logger
 from egretcart.direct.connection.messages import AgentHello
 from egretcart.direct.connection.messages import Beat
 from egretcart.direct.connection.messages import EntryHello
@@ -37,8 +38,6 @@
 from egretcart.direct.version.configuration_pull import ConfigurationPullLimits
 from egretcart.process.clock import Clock
 
-PEER_LISTENER = "peer listener"
-
 
 class EntryLinks:
     """Exchanges the messages of an entry with agents and other entries.
@@ -123,16 +122,9 @@
     ) -> None:
         """Accept the links that agents and entries open, until cancelled."""
         await serve_streams(
-            self.serve_accepted, listeners, on_change=self._accepting_changed
-        )
-
-    def _accepting_changed(self, error: str) -> None:
-        self.log.write(
-            DependencyChanged(
-                name=PEER_LISTENER,
-                state="lost" if error else "back",
-                cause=error,
-            )
+            self.serve_accepted,
+            listeners,
+            on_change=accept_logger(self.log, "peers"),
         )
 
     async def serve_accepted(self, stream: trio.SocketStream) -> None:
--- a/egretcart/direct/entry/entry_process.py
+++ b/egretcart/direct/entry/entry_process.py
@@ -9,6 +9,7 @@
 from egretcart.connection.http_server import Handler
 from egretcart.connection.http_server import HttpLimits
 from egretcart.connection.traffic import TrafficCounters
+from egretcart.direct.connection.accept_log import accept_logger
 from egretcart.direct.connection.messages import PeerAddress
 from egretcart.direct.entry.entry import DirectEntry
 from egretcart.direct.entry.entry_links import EntryLinks
@@ -126,14 +127,12 @@
             Handles requests at the control address, if there is one.
         """
         self.nursery = nursery
-        nursery.start_soon(
-            trio.serve_listeners, self.links.serve_accepted, listeners["peers"]
-        )
+        nursery.start_soon(self.links.serve_listeners, listeners["peers"])
         self.links.start(nursery, self.settings.seed_endpoints)
-        self._serve_http(listeners["callers"], callers)
-        self._serve_http(listeners["readiness"], balancer)
+        self._serve_http("callers", listeners, callers)
+        self._serve_http("readiness", listeners, balancer)
         if "control" in listeners:
-            self._serve_http(listeners["control"], report_handler)
+            self._serve_http("control", listeners, report_handler)
         nursery.start_soon(self._tick)
         nursery.start_soon(self._run_dispatch_loop)
 
@@ -146,10 +145,17 @@
             self.add_entry(PeerAddress(host=host, port=port))
 
     def _serve_http(
-        self, listeners: list[trio.SocketListener], handler: Handler
+        self,
+        name: str,
+        listeners: dict[str, list[trio.SocketListener]],
+        handler: Handler,
     ) -> None:
-        listener = HttpListener(handler=handler, limits=self._http_limits())
-        self.nursery.start_soon(listener.serve, listeners, self.nursery)
+        listener = HttpListener(
+            handler=handler,
+            limits=self._http_limits(),
+            on_accept_change=accept_logger(self.entry.log, name),
+        )
+        self.nursery.start_soon(listener.serve, listeners[name], self.nursery)
         self.listeners.append(listener)
 
     def _http_limits(self) -> HttpLimits:
--- a/tests/features/process_ends.feature
+++ b/tests/features/process_ends.feature
@@ -20,3 +20,33 @@
     Then each has ended with status 0
     And their first lines name release, Python, machine and process
     And their last lines say that they have stopped
+
+  # Guards against processes that end, or hang, as descriptors lack.
+  Scenario Outline: Connections beyond the descriptors end no process
+    Given the <role> role with its settings
+    And it has started with few descriptors and an output that nobody reads
+    When more connections than that are open for a while at its <address> address
+    Then it accepts connections again, and has said so once
+    And it stops when it is told to, with status 0
+
+    Examples:
+      | role  | address   |
+      | entry | peers     |
+      | entry | callers   |
+      | entry | readiness |
+      | agent | control   |
+
+  # Guards against processes that a method without a body ends.
+  Scenario Outline: A probe of any method ends no process
+    Given the <role> role with its settings
+    And it has started
+    When it is sent requests of each method at its <address> address
+    Then each is answered, and it accepts connections
+    And it stops when it is told to, with status 0
+
+    Examples:
+      | role  | address   |
+      | entry | callers   |
+      | entry | readiness |
+      | entry | control   |
+      | agent | control   |
--- a/tests/features/steps/process_start_steps.py
+++ b/tests/features/steps/process_start_steps.py
@@ -1,5 +1,6 @@
 """Steps for processes of the platform's roles whose start is disturbed."""
 
+import os
 import signal
 import socket
 
@@ -28,7 +29,12 @@
     context.process.send_while_starting(signal.Signals[name])
 
 
-@when("it has started")
+@given("it has started")
+def start_process(context):
+    context.process.start()
+    wait_started(context)
+
+
 @then("it starts and accepts connections at its addresses")
 def wait_started(context):
     context.process.wait_started()
@@ -148,7 +154,7 @@
 
 @when("it is started with its standard streams closed")
 def start_without_streams(context):
-    context.process.start(closes_streams=True)
+    context.process.start(lambda: os.closerange(0, 3))
     wait_until(context.process.accepts, START_LIMIT_S, "it accepts")
 
 
--- a/tests/features/steps/role_process.py
+++ b/tests/features/steps/role_process.py
@@ -1,6 +1,5 @@
 """One process of a platform role, whose start is disturbed."""
 
-import functools
 import json
 import os
 import pathlib
@@ -79,17 +78,16 @@
     def write_settings(self, **changes):
         self.path.write_text(self.settings(**changes))
 
-    def start(self, *, closes_streams=False):
-        """Start the process, without standard streams if they are closed."""
-        close = functools.partial(os.closerange, 0, STANDARD_STREAMS)
+    def start(self, prepare=None, *, error_output=subprocess.STDOUT):
+        """Start the process, in which a function is called before."""
         with self.output.open("w") as output:
             self.process = subprocess.Popen(
                 [sys.executable, "platform", self.role],
                 cwd=ROOT,
                 env={**os.environ, "EGRETCART_CONFIG": str(self.path)},
                 stdout=output,
-                stderr=subprocess.STDOUT,
-                preexec_fn=close if closes_streams else None,
+                stderr=error_output,
+                preexec_fn=prepare,
             )
 
     def send_while_starting(self, number):
