Hold back again the signals that come when a process ends

Cause: a receiver that closes restores the default effect of its signals and passes on those that it has not delivered. Change: receive_signals unblocks what the program had blocked, and blocks it again before its receiver closes.

--- a/egretcart/direct/process/reload.py
+++ b/egretcart/direct/process/reload.py
@@ -13,6 +13,7 @@
 from egretcart.direct.log.decisions import ProcessChanged
 from egretcart.direct.process.settings import DirectSettings
 from egretcart.direct.process.settings import load_direct_settings
+from egretcart.process.signals import receive_signals
 
 POLL_INTERVAL_S = 1.0
 
@@ -65,9 +66,7 @@
         """Watch until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._poll)
-            with trio.open_signal_receiver(signal.SIGHUP) as signals:
-                # The program may have blocked it for its start.
-                signal.pthread_sigmask(signal.SIG_UNBLOCK, (signal.SIGHUP,))
+            with receive_signals(signal.SIGHUP) as signals:
                 async for _ in signals:
                     self.reload_if_changed()
 
--- a/egretcart/process/planned_stop.py
+++ b/egretcart/process/planned_stop.py
@@ -3,13 +3,13 @@
 from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
-from collections.abc import Iterator
-import contextlib
 import signal
 from typing import Protocol
 
 import trio
 
+from egretcart.process.signals import receive_signals
+
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 ABORT_TIMEOUT_S = 3.0
 POLL_INTERVAL_S = 0.02
@@ -45,18 +45,6 @@
         await trio.sleep(POLL_INTERVAL_S)
 
 
-@contextlib.contextmanager
-def receive_stop_signals() -> Iterator[AsyncIterator[int]]:
-    """Receive the signals that ask a process to stop.
-
-    If the program has blocked them for its start, those that have come since
-    are received first.
-    """
-    with trio.open_signal_receiver(*STOP_SIGNALS) as signals:
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, STOP_SIGNALS)
-        yield signals
-
-
 async def run_until_signal(
     start: Callable[[trio.Nursery], Awaitable[Stoppable]],
 ) -> None:
@@ -70,7 +58,7 @@
         Returns the process once it has started; the nursery runs its tasks.
     """
     async with trio.open_nursery() as nursery:
-        with receive_stop_signals() as signals:
+        with receive_signals(*STOP_SIGNALS) as signals:
             async with trio.open_nursery() as starting:
                 starting.start_soon(
                     _cancel_at_next_signal, signals, nursery.cancel_scope
@@ -91,7 +79,7 @@
         Scope of the process's tasks; cancelled once it has stopped or
         aborted.
     """
-    with receive_stop_signals() as signals:
+    with receive_signals(*STOP_SIGNALS) as signals:
         await _stop_at_signal(process, signals)
     scope.cancel()
 
--- a/tests/features/process_ends.feature
+++ b/tests/features/process_ends.feature
@@ -50,3 +50,17 @@
       | entry | readiness |
       | entry | control   |
       | agent | control   |
+
+  # Guards against signals that end a process which is about to end.
+  Scenario Outline: Signals during a stop do not change how it ends
+    Given the <role> role with its settings
+    And it has started
+    When it is told to stop, and gets <signal> again and again
+    Then it ends with status 0 and says that it has stopped
+
+    Examples:
+      | role  | signal  |
+      | entry | SIGHUP  |
+      | agent | SIGHUP  |
+      | entry | SIGTERM |
+      | agent | SIGTERM |
--- a/tests/features/steps/process_start_steps.py
+++ b/tests/features/steps/process_start_steps.py
@@ -3,6 +3,7 @@
 import os
 import signal
 import socket
+import time
 
 from behave import given
 from behave import then
@@ -11,6 +12,7 @@
 from role_process import RoleProcess
 
 START_LIMIT_S = 30
+SIGNAL_INTERVAL_S = 0.002
 # Longer than a process needs to end once it has said why.
 LISTEN_S = 0.5
 # Reserved for documentation: no machine has it.
@@ -46,6 +48,16 @@
     context.process.process.send_signal(signal.Signals[name])
 
 
+@when("it is told to stop, and gets {name} again and again")
+def send_signals(context, name):
+    process = context.process.process
+    process.send_signal(signal.SIGTERM)
+    end = time.monotonic() + START_LIMIT_S
+    while process.poll() is None and time.monotonic() < end:
+        process.send_signal(signal.Signals[name])
+        time.sleep(SIGNAL_INTERVAL_S)
+
+
 @then("it ends with status {status:d} and says that it has stopped")
 def check_stopped(context, status):
     process = context.process
