--- a/tests/features/steps/platform_deployment.py
+++ b/tests/features/steps/platform_deployment.py
@@ -125,10 +125,20 @@
         )
 
     def _start(self, name, role, more):
-        path = pathlib.Path(self.folder.name) / f"{name}.json"
-        path.write_text(json.dumps({**self._settings(name), **more}))
+        self._write_settings(name, more)
+        self.processes[name] = self._start_process(name, role)
+
+    def settings_path(self, name):
+        return pathlib.Path(self.folder.name) / f"{name}.json"
+
+    def _write_settings(self, name, more):
+        settings = {**self._settings(name), **more}
+        self.settings_path(name).write_text(json.dumps(settings))
+
+    def _start_process(self, name, role):
+        path = self.settings_path(name)
         with path.with_suffix(".log").open("a") as log:
-            self.processes[name] = subprocess.Popen(
+            return subprocess.Popen(
                 [sys.executable, "platform", role],
                 cwd=ROOT,
                 env={**os.environ, "EGRETCART_CONFIG": str(path)},
--- a/tests/features/steps/soak_world.py
+++ b/tests/features/steps/soak_world.py
@@ -25,6 +25,10 @@
 from platform_standins import RunnerStandIn
 from platform_standins import StandIns
 from platform_standins import StoreStandIn
+from process_ends import EXIT_LINES
+from process_ends import ProcessEnds
+from start_troubles import draw_troubles
+from start_troubles import StartTroubles
 import trio
 
 from egretcart.connection.http_client import ExchangeError
@@ -41,6 +45,7 @@
 # that their callers submit the job again while it may be running.
 SILENT_CONNECTION_SHARE = 0.15
 FAULT_FREE_BEFORE_STOP_S = 3.0
+STOP_MARGIN_S = 0.5
 STOP_GRACE_S = 6.0
 RECOVERY_WAIT_S = 6.0
 # Long, because other work on the machine may slow the processes; a promise is
@@ -68,8 +73,8 @@
 CHANGING_AGENT = "agent-3"
 SERVICES = ("service-1", "service-2")
 BAD_VALUES_PER_S = 3
-# Lines of the log of a process that has exited, to show its error.
-EXIT_LINES = 60
+# Mean time between the requests on a connection that a caller keeps open.
+KEPT_REQUEST_INTERVAL_S = 0.3
 
 
 class Proxy:
@@ -265,16 +270,26 @@
         Callers that still wait for an answer.
     began : float
         Monotonic time at the start of the run.
+    ends : ProcessEnds
+        All processes that were started, and the check of their ends.
+    successors : dict of str to subprocess.Popen
+        Process that was started beside the one of that name, to follow it.
+    held_back : set of str
+        Names of the processes that are not to be started for now.
     """
 
     def __init__(self, context, seed):
+        self.seed = seed
         self.fault_random = random.Random(seed)
         # The callers' draws depend on timing; a separate generator keeps them
         # from changing the sequence of faults.
         self.caller_random = random.Random(f"callers of {seed}")
         self.drain_random = random.Random(f"drains of {seed}")
         self.bad_random = random.Random(f"bad values of {seed}")
+        self.kept_random = random.Random(f"kept connections of {seed}")
         self.drained_since, self.disturbed_until = {}, {}
+        self.ends = ProcessEnds(self)
+        self.successors, self.held_back = {}, set()
         self.violations, self.event_log = [], []
         self.answers, self.submission_counts = {}, {}
         self.refusal_counts = {}
@@ -457,11 +472,41 @@
                     )
 
     async def _submit_once(self, name, job_id, body, end):
-        client = HttpClient(
+        client = self._client(name)
+        status = await self._exchange_job(client, name, job_id, body, end)
+        if status is not None:
+            await client.aclose()
+        return status
+
+    def _client(self, name):
+        return HttpClient(
             host=self.hosts[name],
             port=self.ports[name]["front"],
             max_connections=1,
         )
+
+    async def use_open_connection(self, name):
+        """Submit jobs to an entry on a connection that is kept open."""
+        client = self._client(name)
+        while self.is_submitting:
+            job_id = f"{self.kept_random.getrandbits(64):016x}"
+            self.submission_counts[job_id] = 1
+            await self._exchange_job(
+                client,
+                name,
+                job_id,
+                json.dumps(job(count=1)).encode(),
+                trio.current_time() + CALLER_WAIT_LIMIT_S,
+                is_kept=True,
+            )
+            await trio.sleep(
+                self.kept_random.expovariate(1 / KEPT_REQUEST_INTERVAL_S)
+            )
+
+    async def _exchange_job(
+        self, client, name, job_id, body, end, *, is_kept=False
+    ):
+        """Submit a job; return the status, or None without a response."""
         submitted_at = time.monotonic()
         sent_at = []
         try:
@@ -473,11 +518,11 @@
                 check_before_send=lambda: sent_at.append(time.monotonic()),
             )
         except ExchangeError as error:
-            self._check_broken_exchange(
-                name, job_id, submitted_at, sent_at, error
-            )
+            if not is_kept or self._has_logged(name, job_id):
+                self._check_broken_exchange(
+                    name, job_id, submitted_at, sent_at, error
+                )
             return None
-        await client.aclose()
         if response.status == 503:
             self.refusal_counts[job_id] = 1 + self.refusal_counts.get(
                 job_id, 0
@@ -487,6 +532,9 @@
             self.record_violation(f"{job_id} got status {response.status}")
         return response.status
 
+    def _has_logged(self, name, job_id):
+        return any(job_id in line for line in self.lines(name))
+
     def _check_broken_exchange(
         self, name, job_id, submitted_at, sent_at, error
     ):
@@ -544,6 +592,8 @@
 
     async def _check_version(self, name):
         process, version = self.processes[name], self.version
+        if name in self.successors:
+            return
         client = HttpClient(
             host=self.hosts[name],
             port=self.ports[name]["front"],
@@ -558,6 +608,9 @@
         except ExchangeError:
             return
         await client.aclose()
+        if name in self.successors:
+            # Which of the two processes has answered is not known.
+            return
         seen = self.seen_versions.setdefault(process.pid, 0)
         if response.status == 200:
             self.seen_versions[process.pid] = max(seen, version)
@@ -588,10 +641,10 @@
             self._lose_replies,
             self._new_version,
         )
-        self.last_fault_at = time.monotonic()
+        self.mark_fault()
         self.fault_random.choice(faults)()
 
-    def _disturb(self, name, duration_s=0.0):
+    def disturb(self, name, duration_s=0.0):
         """Record that a process or the store is disturbed."""
         self.disturbed_until[name] = max(
             self.disturbed_until.get(name, 0.0),
@@ -601,7 +654,7 @@
     def _kill(self):
         name = self.fault_random.choice(self.entries + self.agents)
         self.log_event(f"kill {name}")
-        self._disturb(name)
+        self.disturb(name)
         delay_s = self.fault_random.uniform(0, 1.5)
         self._send_signal(name, signal.SIGKILL)
         process = self.processes[name]
@@ -609,31 +662,54 @@
         async def restart():
             await trio.sleep(delay_s)
             await poll_until(lambda: process.poll() is not None)
-            self._restart_if_ended(name)
+            self.restart_if_ended(name)
 
         self.stand_ins.nursery.start_soon(restart)
 
     def _send_signal(self, name, number):
-        self.processes[name].send_signal(number)
+        self.ends.tell(self.processes[name], number)
 
-    def _restart_if_ended(self, name):
-        process = self.processes[name]
-        if process.poll() is None:
+    def restart_if_ended(self, name):
+        """Start an ended process, or let its successor take its place."""
+        if self.processes[name].poll() is None or name in self.held_back:
             return
-        role, more = self.commands[name]
-        self._disturb(name)
-        self._start(name, role, more)
+        self.disturb(name)
+        successor = self.successors.pop(name, None)
+        if successor is not None and successor.poll() is None:
+            self.processes[name] = successor
+        else:
+            self.processes[name] = self._start_recorded(name)
+
+    def start_successor(self, name):
+        """Start a process beside the one of that name, to follow it."""
+        self.successors[name] = self._start_recorded(name)
+
+    def _start_recorded(self, name):
+        role, _ = self.commands[name]
+        process = self._start_process(name, role)
+        self.ends.add(name, process)
+        return process
 
     def _start(self, name, role, more):
+        """Start a process for the first time."""
         self.commands[name] = (role, more)
-        super()._start(name, role, more)
+        self._write_settings(name, more)
+        self.processes[name] = self._start_recorded(name)
+
+    def close(self):
+        self.ends.kill_all()
+        super().close()
+
+    def mark_fault(self):
+        """Record that a fault is happening."""
+        self.last_fault_at = time.monotonic()
 
     def _pause(self):
         name = self.fault_random.choice(self.entries + self.agents)
         duration_s = self.fault_random.uniform(0.1, 3)
         process = self.processes[name]
         self.log_event(f"pause {name} for {duration_s:.1f} s")
-        self._disturb(name, duration_s)
+        self.disturb(name, duration_s)
         process.send_signal(signal.SIGSTOP)
         self._run_later(
             duration_s, lambda: process.send_signal(signal.SIGCONT)
@@ -644,7 +720,7 @@
             ("busy", "silent", "lost", "gone", "leases")
         )
         self.log_event(f"store {mode}")
-        self._disturb("store")
+        self.disturb("store")
         if mode == "gone":
             self.store.history_from = self.store.revision
         elif mode == "leases":
@@ -653,7 +729,7 @@
         else:
             self.store.mode = mode
             duration_s = self.fault_random.uniform(0.5, 4)
-            self._disturb("store", duration_s)
+            self.disturb("store", duration_s)
             self._run_later(
                 duration_s, lambda: setattr(self.store, "mode", "sound")
             )
@@ -664,7 +740,7 @@
             ("reset", "client", "server", "both", "delay")
         )
         self.log_event(f"proxy of {name}: {kind}")
-        self._disturb(name.partition("'")[0], PROXY_DISTURBANCE_S)
+        self.disturb(name.partition("'")[0], PROXY_DISTURBANCE_S)
         if kind == "reset":
             proxy.reset()
         elif kind == "delay":
@@ -815,25 +891,42 @@
 
     def run(self, seconds):
         """Inject faults, wait for recovery, then stop an entry as planned."""
-        self.stand_ins.start_soon(self.submit_jobs)
-        self.stand_ins.start_soon(self.watch_versions)
-        self.stand_ins.start_soon(self.drain_domains)
-        self.stand_ins.start_soon(self.send_bad_values)
-
-        async def inject_faults():
-            end = trio.current_time() + seconds
-            await trio.sleep(2.0)
-            while trio.current_time() < end:
-                self.inject_fault()
-                await trio.sleep(self.fault_random.expovariate(2.0))
+        troubles = draw_troubles(
+            self.seed, self.entries + self.agents, seconds
+        )
+        self.troubles = StartTroubles(self, troubles)
+        self.stand_ins.call(self._run, seconds)
 
-        self.stand_ins.call(inject_faults)
-        self.stand_ins.call(self._recover_and_check)
+    async def _run(self, seconds):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.ends.watch)
+            for name in self.entries:
+                nursery.start_soon(self.use_open_connection, name)
+            self.troubles.start(nursery)
+            await self._run_faults(seconds)
+            self.ends.check()
+            nursery.cancel_scope.cancel()
+
+    async def _run_faults(self, seconds):
+        for task in (
+            self.submit_jobs,
+            self.watch_versions,
+            self.drain_domains,
+            self.send_bad_values,
+        ):
+            self.stand_ins.nursery.start_soon(task)
+        end = trio.current_time() + seconds
+        await trio.sleep(2.0)
+        while trio.current_time() < end:
+            self.inject_fault()
+            await trio.sleep(self.fault_random.expovariate(2.0))
+        await self._recover_and_check()
 
     async def _recover_and_check(self):
         self.log_event("no more faults")
         self.store.mode = "sound"
         await trio.sleep(RECOVERY_WAIT_S)
+        await self._wait_for_end_of_troubles()
         for name, process in self.processes.items():
             if process.poll() is not None:
                 last_lines = "\n".join(self.lines(name)[-EXIT_LINES:])
@@ -847,6 +940,14 @@
             await poll_until(lambda: not self.open_jobs)
         await self._check_end()
 
+    async def _wait_for_end_of_troubles(self):
+        """Wait until a planned stop is free of faults for its check."""
+        await poll_until(lambda: self.troubles.are_over)
+        quiet_until = (
+            self.last_fault_at + FAULT_FREE_BEFORE_STOP_S + STOP_MARGIN_S
+        )
+        await trio.sleep(max(0.0, quiet_until - time.monotonic()))
+
     async def _check_planned_stop(self, name):
         with trio.move_on_after(COMPLETION_TIMEOUT_S) as scope:
             while True:
@@ -858,7 +959,7 @@
         self.log_event(f"stop {name}")
         self.stopped[name] = time.monotonic()
         process = self.processes[name]
-        process.send_signal(signal.SIGTERM)
+        self.ends.tell(process, signal.SIGTERM)
         with trio.move_on_after(COMPLETION_TIMEOUT_S):
             await poll_until(lambda: process.poll() is not None)
         if process.poll() != 0:
@@ -866,7 +967,7 @@
                 f"{name} stopped with exit status {process.poll()}"
             )
         self.stopped[name] += STOP_GRACE_S
-        self._restart_if_ended(name)
+        self.restart_if_ended(name)
 
     async def _check_end(self):
         for name, runner in self.runners.items():
@@ -898,7 +999,10 @@
 
     @property
     def outcome(self):
-        """Numbers of jobs that were completed, refused and unanswered."""
+        """Numbers of jobs by their answer, of troubles, starts and ends."""
         answers = list(self.answers.values())
         counts = [answers.count(status) for status in (200, 503, 0)]
-        return "{} completed, {} refused, {} unanswered".format(*counts)
+        return (
+            "{} completed, {} refused, {} unanswered; {} troubles, "
+            "{} starts, {} ends"
+        ).format(*counts, len(self.troubles.troubles), *self.ends.count())
