--- a/tests/features/steps/process_ends.py
+++ b/tests/features/steps/process_ends.py
@@ -187,7 +187,7 @@
     def last_lines(self, record):
         """Return the last lines that were logged since a start."""
         lines = self.world.lines(record.name)[record.first_line :]
-        return "\n".join(lines[-EXIT_LINES:])
+        return "\n".join(lines[-EXIT_LINES:]) or "(no line in its log)"
 
     def count(self):
         """Return the numbers of starts and of ends that were checked."""
