--- a/tests/features/steps/process_ends.py
+++ b/tests/features/steps/process_ends.py
@@ -14,7 +14,21 @@
 STOP_BOUND_S = 6.0 + 4.0
 # Lines of the log of a process that has ended, to show its error.
 EXIT_LINES = 60
-SIGNAL_FIELDS = ("SigBlk", "SigIgn", "SigCgt")
+HANDLED_SIGNALS = (signal.SIGHUP, signal.SIGTERM)
+
+
+def signal_set(pid, field):
+    """Return the signals in a field of a process's status in /proc."""
+    try:
+        text = pathlib.Path(f"/proc/{pid}/status").read_text()
+    except (FileNotFoundError, ProcessLookupError):
+        return set()
+    for line in text.splitlines():
+        name, _, value = line.partition(":")
+        if name == field:
+            mask = int(value, 16)
+            return {n for n in signal.Signals if mask >> (n - 1) & 1}
+    return set()
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -63,17 +77,15 @@
         return status == 0 and self.told_at(signal.SIGTERM) is not None
 
     def has_begun(self):
-        """Whether the program's first statement, about SIGHUP, has run."""
-        path = pathlib.Path(f"/proc/{self.process.pid}/status")
-        try:
-            lines = path.read_text().splitlines()
-        except OSError:
-            return False
-        fields = dict(line.split(":\t", 1) for line in lines if ":\t" in line)
-        bit = 1 << (signal.SIGHUP - 1)
-        return any(
-            int(fields.get(field, "0"), 16) & bit for field in SIGNAL_FIELDS
-        )
+        """Whether the program's first statements, about signals, have run."""
+        held = signal_set(self.process.pid, "SigBlk")
+        caught = signal_set(self.process.pid, "SigCgt")
+        if (held | caught) & set(HANDLED_SIGNALS):
+            return True
+        # A process inherits which signals its parent ignores.
+        is_inherited = signal.getsignal(signal.SIGHUP) is signal.SIG_IGN
+        ignored = signal_set(self.process.pid, "SigIgn")
+        return signal.SIGHUP in ignored and not is_inherited
 
     def signals(self):
         """Return the signals that it was sent, with its age at each."""
--- a/tests/features/steps/start_troubles.py
+++ b/tests/features/steps/start_troubles.py
@@ -29,6 +29,10 @@
 EARLY_STOP_AGE_S = (0.1, 0.4)
 HOLD_S = (0.3, 2.5)
 BROKEN_S = (0.3, 1.5)
+# Shares of the processes that wait for an address or for settings which are
+# stopped meanwhile, and which get SIGHUP once their settings are there.
+STOPPED_SHARE = 0.25
+HANGUP_SHARE = 0.5
 RESTART_DELAY_S = (0.0, 0.5)
 OVERLAP_S = (0.0, 1.0)
 CHANGES = (3, 6)
@@ -198,7 +202,7 @@
             holder = socket.create_server(address)
         with holder:
             self.world.restart_if_ended(name)
-            await trio.sleep(duration_s)
+            await self._let_wait(name, source, duration_s)
 
     async def break_settings(self, name, source):
         """Start a process before its settings are there or complete."""
@@ -211,14 +215,18 @@
         async with self._held_back(name):
             self._break(path, text, state)
         self.world.restart_if_ended(name)
-        await trio.sleep(duration_s)
+        await self._let_wait(name, source, duration_s)
         await write(path, text)
+        if source.random() < HANGUP_SHARE:
+            record = self._record(name)
+            await self._wait_for_age(record, HANGUP_AGE_S[0])
+            self.ends.tell(record.process, signal.SIGHUP)
 
     async def overlap(self, name, source):
         """Start the successor of a process before that is told to stop."""
         delay_s = source.uniform(*OVERLAP_S)
         self.world.restart_if_ended(name)
-        record = self.ends.record_of(self.world.processes[name])
+        record = self._record(name)
         self.world.start_successor(name)
         self._note(name, f"stop {delay_s:.2f} s after the second start")
         await trio.sleep(delay_s)
@@ -237,7 +245,7 @@
         path = self.world.settings_path(name)
         text = path.read_text()
         self.world.restart_if_ended(name)
-        record = self.ends.record_of(self.world.processes[name])
+        record = self._record(name)
         await self._wait_for_age(record, HANGUP_AGE_S[0])
         change = functools.partial(self._change, record, path, write, text)
         async with trio.open_nursery() as nursery:
@@ -251,6 +259,9 @@
     def _role(self, name):
         return self.world.commands[name][0]
 
+    def _record(self, name):
+        return self.ends.record_of(self.world.processes[name])
+
     @contextlib.asynccontextmanager
     async def _held_back(self, name):
         """End a process; nothing else starts it in the meantime."""
@@ -269,7 +280,19 @@
         async with self._held_back(name):
             pass
         self.world.restart_if_ended(name)
-        return self.ends.record_of(self.world.processes[name])
+        return self._record(name)
+
+    async def _let_wait(self, name, source, duration_s):
+        """Let a process wait; some are stopped and started meanwhile."""
+        end = trio.current_time() + duration_s
+        if source.random() < STOPPED_SHARE:
+            record = self._record(name)
+            age_s = source.uniform(STOP_AGE_S[0], duration_s)
+            self._note(name, f"stop at {age_s:.2f} s")
+            await self._wait_for_age(record, age_s)
+            await self._stop(record)
+            self.world.restart_if_ended(name)
+        await trio.sleep(max(0.0, end - trio.current_time()))
 
     async def _wait_for_age(self, record, age_s):
         """Wait for an age and the program's first statement, or the end."""
@@ -341,7 +364,7 @@
         )
 
     def _record_not_serving(self, name, missing, ended_at):
-        record = self.ends.record_of(self.world.processes[name])
+        record = self._record(name)
         self.world.record_violation(
             f"{name} does not serve at {', '.join(missing)}, "
             f"{time.monotonic() - ended_at:.2f} s after its trouble: "
