--- a/tests/features/steps/process_ends_steps.py
+++ b/tests/features/steps/process_ends_steps.py
@@ -84,7 +84,7 @@
 def answer_nobody(context, seconds):
     world = context.soak = RecordingWorld(context)
     ended_at = time.monotonic() - SERVING_BOUND_S - seconds
-    trio.run(StartTroubles(world, [])._check_serving, NAME, ended_at)
+    trio.run(StartTroubles(world, []).check_serving, NAME, ended_at)
 
 
 @then("the violation names the process, its trouble and its last line")
--- a/tests/features/steps/soak_world.py
+++ b/tests/features/steps/soak_world.py
@@ -934,6 +934,7 @@
                     f"{name} has exited with status {process.returncode}:\n"
                     f"{last_lines}"
                 )
+        await self._check_all_serve()
         await self._check_planned_stop(self.fault_random.choice(self.entries))
         self.is_submitting = False
         with trio.move_on_after(COMPLETION_TIMEOUT_S):
@@ -948,6 +949,14 @@
         )
         await trio.sleep(max(0.0, quiet_until - time.monotonic()))
 
+    async def _check_all_serve(self):
+        """Check that all processes serve that have not exited."""
+        now = time.monotonic()
+        async with trio.open_nursery() as nursery:
+            for name, process in self.processes.items():
+                if process.poll() is None:
+                    nursery.start_soon(self.troubles.check_serving, name, now)
+
     async def _check_planned_stop(self, name):
         with trio.move_on_after(COMPLETION_TIMEOUT_S) as scope:
             while True:
--- a/tests/features/steps/start_troubles.py
+++ b/tests/features/steps/start_troubles.py
@@ -157,7 +157,7 @@
         self.world.restart_if_ended(name)
         self.world.mark_fault()
         self._describe(trouble, "is over")
-        await self._check_serving(name, time.monotonic())
+        await self.check_serving(name, time.monotonic())
 
     def _describe(self, trouble, state):
         description = f"{trouble.kind} {state}"
@@ -344,17 +344,22 @@
 
     # Whether a process serves.
 
-    async def _check_serving(self, name, ended_at):
-        missing = await self._unanswered(name)
-        while missing:
+    async def check_serving(self, name, ended_at):
+        """Wait until a process serves; record a violation if it doesn't.
+
+        Parameters
+        ----------
+        name : str
+        ended_at : float
+            Monotonic time of the end of its trouble.
+        """
+        while missing := await self._unanswered(name):
             if self._undisturbed_s(name, ended_at) > SERVING_BOUND_S:
                 self._record_not_serving(name, missing, ended_at)
                 return
             await trio.sleep(POLL_INTERVAL_S)
-            missing = await self._unanswered(name)
         self.world.log_event(
-            f"{name} serves {time.monotonic() - ended_at:.2f} s after its "
-            "trouble"
+            f"{name} serves {time.monotonic() - ended_at:.2f} s later"
         )
 
     def _undisturbed_s(self, name, ended_at):
