--- a/tests/features/steps/process_ends.py
+++ b/tests/features/steps/process_ends.py
@@ -14,6 +14,7 @@
 STOP_BOUND_S = 6.0 + 4.0
 # Lines of the log of a process that has ended, to show its error.
 EXIT_LINES = 60
+NS_PER_S = 1e9
 HANDLED_SIGNALS = (signal.SIGHUP, signal.SIGTERM)
 
 
@@ -31,6 +32,15 @@
     return set()
 
 
+def cpu_wait_s(task):
+    """Return how long a thread, by its path in /proc, waited for a CPU."""
+    try:
+        text = pathlib.Path(f"/proc/{task}/schedstat").read_text()
+    except (FileNotFoundError, ProcessLookupError):
+        return 0.0
+    return int(text.split()[1]) / NS_PER_S
+
+
 @dataclasses.dataclass(kw_only=True)
 class StartedProcess:
     """A process that the soak has started.
