--- a/tests/features/steps/process_ends.py
+++ b/tests/features/steps/process_ends.py
@@ -14,6 +14,8 @@
 STOP_BOUND_S = 6.0 + 4.0
 # Lines of the log of a process that has ended, to show its error.
 EXIT_LINES = 60
+# Ages at which a process was sent a signal, in the report of its end.
+MAX_AGES = 8
 NS_PER_S = 1e9
 HANDLED_SIGNALS = (signal.SIGHUP, signal.SIGTERM)
 
@@ -98,12 +100,16 @@
         return signal.SIGHUP in ignored and not is_inherited
 
     def signals(self):
-        """Return the signals that it was sent, with its age at each."""
+        """Return the signals that it was sent, with its ages at them."""
+        ages_s = {}
+        for number, at in self.told:
+            ages_s.setdefault(number, []).append(f"{at - self.started_at:.3f}")
         sent = [
-            f"{signal.Signals(number).name} at {at - self.started_at:.3f} s"
-            for number, at in self.told
+            f"{number.name} at {', '.join(ages[:MAX_AGES])} s"
+            + (f" and until {ages[-1]} s" if len(ages) > MAX_AGES else "")
+            for number, ages in ages_s.items()
         ]
-        return ", ".join(sent) or "no signal"
+        return "; ".join(sent) or "no signal"
 
 
 class ProcessEnds:
--- a/tests/features/steps/start_troubles.py
+++ b/tests/features/steps/start_troubles.py
@@ -39,6 +39,8 @@
 OVERLAP_S = (0.0, 1.0)
 CHANGES = (3, 6)
 CHANGES_DURATION_S = 1.0
+# Between the signals to a process that is stopping.
+REPEAT_INTERVAL_S = 0.02
 # Between the halves of a settings file that is rewritten in place.
 REWRITE_PAUSE_S = 0.02
 # A process serves so long after the end of its trouble, or of a disturbance
@@ -309,8 +311,16 @@
         await poll_until(lambda: not record.is_running())
 
     async def _stop_later(self, record, delay_s):
+        """Stop a process and send SIGHUP again and again until it ends."""
         await trio.sleep(delay_s)
-        await self._stop(record)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._repeat_hangups, record)
+            await self._stop(record)
+
+    async def _repeat_hangups(self, record):
+        while record.is_running():
+            await trio.sleep(REPEAT_INTERVAL_S)
+            self.ends.tell(record.process, signal.SIGHUP)
 
     async def _change(self, record, path, write, text, at_s, names):
         """Change the seeds in the settings and send SIGHUP."""
