--- a/egretcart/direct/entry/entry_links.py
+++ b/egretcart/direct/entry/entry_links.py
@@ -7,9 +7,11 @@
 
 import trio
 
+from egretcart.connection.accepting import serve_streams
 from egretcart.connection.dialler import Dialler
 from egretcart.connection.peer_link import PeerLink
 from egretcart.connection.traffic import TrafficCounters
+from egretcart.direct.connection.accept_log import accept_logger
 from egretcart.direct.connection.messages import AgentHello
 from egretcart.direct.connection.messages import Beat
 from egretcart.direct.connection.messages import EntryHello
@@ -115,6 +117,16 @@
             policy=self.peers,
         )
 
+    async def serve_listeners(
+        self, listeners: list[trio.SocketListener]
+    ) -> None:
+        """Accept the links that agents and entries open, until cancelled."""
+        await serve_streams(
+            self.serve_accepted,
+            listeners,
+            on_change=accept_logger(self.log, "peers"),
+        )
+
     async def serve_accepted(self, stream: trio.SocketStream) -> None:
         """Exchange messages on a link that an agent or entry has opened."""
         link = self._make_link(stream)
--- a/tests/features/steps/process_start_steps.py
+++ b/tests/features/steps/process_start_steps.py
@@ -1,5 +1,6 @@
 """Steps for processes of the platform's roles whose start is disturbed."""
 
+import os
 import signal
 import socket
 
@@ -28,7 +29,12 @@
     context.process.send_while_starting(signal.Signals[name])
 
 
-@when("it has started")
+@given("it has started")
+def start_process(context):
+    context.process.start()
+    wait_started(context)
+
+
 @then("it starts and accepts connections at its addresses")
 def wait_started(context):
     context.process.wait_started()
@@ -144,3 +150,15 @@
     start_and_wait(context, "address not available")
     first.send_signal(signal.SIGTERM)
     assert first.wait(START_LIMIT_S) == 0
+
+
+@when("it is started with its standard streams closed")
+def start_without_streams(context):
+    context.process.start(lambda: os.closerange(0, 3))
+    wait_until(context.process.accepts, START_LIMIT_S, "it accepts")
+
+
+@then("no socket has the number of a standard stream")
+def check_streams(context):
+    streams = context.process.standard_streams()
+    assert streams == ["/dev/null"] * 3, streams
--- a/tests/features/steps/role_process.py
+++ b/tests/features/steps/role_process.py
@@ -16,6 +16,7 @@
 
 START_LIMIT_S = 30
 STOP_LIMIT_S = 30
+STANDARD_STREAMS = 3
 
 
 class RoleProcess:
@@ -77,14 +78,16 @@
     def write_settings(self, **changes):
         self.path.write_text(self.settings(**changes))
 
-    def start(self):
+    def start(self, prepare=None, *, error_output=subprocess.STDOUT):
+        """Start the process, in which a function is called before."""
         with self.output.open("w") as output:
             self.process = subprocess.Popen(
                 [sys.executable, "platform", self.role],
                 cwd=ROOT,
                 env={**os.environ, "EGRETCART_CONFIG": str(self.path)},
                 stdout=output,
-                stderr=subprocess.STDOUT,
+                stderr=error_output,
+                preexec_fn=prepare,
             )
 
     def send_while_starting(self, number):
@@ -113,6 +116,14 @@
             if line["message_type"] == f"egretcart:{kind}"
         ]
 
+    def standard_streams(self):
+        """Return what the process has open as its standard streams."""
+        folder = pathlib.Path(f"/proc/{self.process.pid}/fd")
+        return [
+            str((folder / str(number)).readlink())
+            for number in range(STANDARD_STREAMS)
+        ]
+
     def states(self):
         return [line["state"] for line in self.lines("ProcessChanged")]
 
