Bound the lines that report dropped lines, too

No process was seen to end by it. Cause: the report of dropped lines was not counted against the bound of waiting lines. Change: it waits until there is room, and its counts go on.

--- a/egretcart/direct/log/log_lines.py
+++ b/egretcart/direct/log/log_lines.py
@@ -129,7 +129,8 @@
         self.dropped[kind] += 1
 
     def _report_dropped_if_due(self, now: float) -> None:
-        if self.dropped and now >= self.report_at:
+        has_room = len(self.waiting) < MAX_WAITING_LINES
+        if self.dropped and now >= self.report_at and has_room:
             dropped, self.dropped = self.dropped, Counter()
             self._log("LinesLeftOut", {"lines": dict(dropped)}, time.time())
 
--- a/tests/features/steps/sliding_span_steps.py
+++ b/tests/features/steps/sliding_span_steps.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 from behave import then
+from behave import when
 import eliot
 from hypothesis import given as each
 from hypothesis import strategies
@@ -107,6 +108,36 @@
     run()
 
 
+@when(
+    "{count:d} lines a second are logged for {hours:d} hours and nothing reads"
+    " them"
+)
+def log_unread(context, count, hours):
+    context.clock = ManualClock()
+    context.log = JsonDecisionLog(process_id="p-1", clock=context.clock)
+    context.add_cleanup(eliot.remove_destination, context.log._enqueue_line)
+    for _ in range(hours * 3600):
+        context.clock.advance(SPAN_S)
+        for _ in range(count):
+            context.log.write(PEER_LINE)
+
+
+@then("at most {most:d} lines wait to be written")
+def check_waiting(context, most):
+    assert len(context.log.waiting) <= most, len(context.log.waiting)
+
+
+@then("once they are read, the lines that were left out are reported")
+def check_reported(context):
+    left_out = context.log.dropped["PeerChanged"]
+    assert left_out
+    context.log.waiting.clear()
+    context.clock.advance(2 * SPAN_S)
+    context.log.write(FINAL_LINE)
+    report = json.loads(context.log.waiting[0])
+    assert report["lines"]["PeerChanged"] == left_out, report
+
+
 class ChangingStore:
     """An HTTP client of a store that answers watches after given times."""
 
