Listen only once all addresses of a process are bound

What was seen: a process that waits for one address listened at the others for a moment at each try and closed them again, ten times a second; who connected then was reset. Cause: each address was bound and listened at in turn. Change: all are bound first, and none listens before. Also: the soak's modules are named after it, as process_end_steps.py and process_start_steps.py are other features' steps.

--- a/egretcart/direct/process/settings.py
+++ b/egretcart/direct/process/settings.py
@@ -123,15 +123,12 @@
 
     @property
     def listening(self) -> dict[str, str]:
-        """Addresses on which the process listens, by what they are for.
-
-        Callers come last, so that none connects before the others are open.
-        """
+        """Addresses on which the process listens, by what they are for."""
         return {
             "peers": f"{self.host}:{self.peer_port}",
-            **super().listening,
-            "readiness": self.readiness,
             "callers": self.callers,
+            "readiness": self.readiness,
+            **super().listening,
         }
 
 
--- a/egretcart/direct/process/starting.py
+++ b/egretcart/direct/process/starting.py
@@ -1,6 +1,8 @@
 """Waits, at the start of a process, for its settings and its addresses."""
 
+import contextlib
 import pathlib
+import socket
 from typing import Generic
 from typing import TypeVar
 
@@ -17,6 +19,8 @@
 from egretcart.direct.process.settings import split_address
 
 RETRY_INTERVAL_S = 0.1
+# Connections that may wait to be accepted; the operating system lowers it.
+BACKLOG = 0xFFFF
 
 S = TypeVar("S", bound=DirectSettings)
 # By the names of `DirectSettings.listening`.
@@ -77,24 +81,59 @@
 async def _open_listeners(
     addresses: dict[str, str],
 ) -> Result[Listeners, ProcessChanged]:
-    """Open the sockets of all addresses, or of none."""
-    listeners: Listeners = {}
-    for name, address in addresses.items():
-        host, port = split_address(address)
-        try:
-            listeners[name] = await trio.open_tcp_listeners(port, host=host)
-        except OSError as error:
-            await _close_all(listeners)
-            return Err(
-                ProcessChanged(
-                    state="address not available",
-                    cause=f"{name} {address}: {error}",
-                )
-            )
-    return Ok(listeners)
-
-
-async def _close_all(listeners: Listeners) -> None:
-    for sockets in listeners.values():
-        for listener in sockets:
-            await listener.aclose()
+    """Open the sockets of all addresses, or of none.
+
+    None listens before all are bound, so that nobody connects to a process
+    that may have to wait.
+    """
+    sockets: dict[str, list[trio.socket.SocketType]] = {}
+    with contextlib.ExitStack() as opened:
+        for name, address in addresses.items():
+            try:
+                sockets[name] = await _bind(address, opened)
+            except OSError as error:
+                return _not_available(name, address, error)
+        for name, address in addresses.items():
+            try:
+                for bound in sockets[name]:
+                    bound.listen(BACKLOG)
+            except OSError as error:
+                return _not_available(name, address, error)
+        opened.pop_all()
+    return Ok(
+        {
+            name: [trio.SocketListener(bound) for bound in listening]
+            for name, listening in sockets.items()
+        }
+    )
+
+
+async def _bind(
+    address: str, opened: contextlib.ExitStack
+) -> list[trio.socket.SocketType]:
+    """Return a bound socket for each address that a host stands for."""
+    host, port = split_address(address)
+    found = await trio.socket.getaddrinfo(
+        host, port, type=socket.SOCK_STREAM, flags=socket.AI_PASSIVE
+    )
+    sockets = []
+    for family, kind, protocol, _name, endpoint in found:
+        bound = opened.enter_context(
+            trio.socket.socket(family, kind, protocol)
+        )
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if family == socket.AF_INET6:
+            bound.setsockopt(socket.IPPROTO_IPV6, socket.IPV6_V6ONLY, 1)
+        await bound.bind(endpoint)
+        sockets.append(bound)
+    return sockets
+
+
+def _not_available(
+    name: str, address: str, error: OSError
+) -> Err[ProcessChanged]:
+    return Err(
+        ProcessChanged(
+            state="address not available", cause=f"{name} {address}: {error}"
+        )
+    )
--- a/tests/features/steps/soak_ends_steps.py
+++ b/tests/features/steps/soak_ends_steps.py
@@ -4,12 +4,12 @@
 from behave import then
 from behave import when
 from loopback import LoopbackNetwork
-from process_ends import ProcessEnds
-from process_ends import STOP_BOUND_S
-from start_troubles import draw_troubles
-from start_troubles import KINDS
-from start_troubles import SERVING_BOUND_S
-from start_troubles import StartTroubles
+from soak_ends import ProcessEnds
+from soak_ends import STOP_BOUND_S
+from soak_troubles import draw_troubles
+from soak_troubles import KINDS
+from soak_troubles import SERVING_BOUND_S
+from soak_troubles import StartTroubles
 import trio
 
 NAME = "agent-1"
--- a/tests/features/steps/soak_troubles.py
+++ b/tests/features/steps/soak_troubles.py
@@ -14,7 +14,7 @@
 import threading
 import time
 
-from process_ends import cpu_wait_s
+from soak_ends import cpu_wait_s
 import trio
 
 from egretcart.connection.http_client import ExchangeError
--- a/tests/features/steps/soak_world.py
+++ b/tests/features/steps/soak_world.py
@@ -25,10 +25,10 @@
 from platform_standins import RunnerStandIn
 from platform_standins import StandIns
 from platform_standins import StoreStandIn
-from process_ends import EXIT_LINES
-from process_ends import ProcessEnds
-from start_troubles import draw_troubles
-from start_troubles import StartTroubles
+from soak_ends import EXIT_LINES
+from soak_ends import ProcessEnds
+from soak_troubles import draw_troubles
+from soak_troubles import StartTroubles
 import trio
 
 from egretcart.connection.http_client import ExchangeError
