Build libraries through links, two builds at a time, and check all imports

What was seen, by an independent review: the build fails each time where target/deps is a link or a file (NotADirectoryError; the former command removed it); of two builds at a time one fails, as each removes the other's folder; a folder without prometheus_client, which is imported on demand, is taken for built, and an entry with a metrics address ends by it. Change: what is in the folder's place is renamed aside, whatever it is; builds wait for each other; the check imports the metrics' modules too, and prints its errors only for libraries that were just installed.

--- a/tests/features/build.feature
+++ b/tests/features/build.feature
@@ -16,6 +16,15 @@
       | is newer and from other requirements  |
       | is newer and half finished            |
       | is from this machine but lacks a file |
+      | lacks a library imported on demand    |
+      | is a link to another folder           |
+      | is a link to nothing                  |
+      | is a file                             |
+
+  Scenario: Two builds at a time build one after the other
+    Given a checkout whose folder for libraries is missing
+    When the build command of the deploy file runs twice at a time
+    Then both succeed, and the libraries were installed once
 
   Scenario: A build that is cut short is begun anew
     Given a checkout whose folder for libraries is missing
--- a/tests/features/steps/build_steps.py
+++ b/tests/features/steps/build_steps.py
@@ -68,10 +68,17 @@
         (pip / "__main__.py").write_text(PIP_STAND_IN)
 
     def build(self, fault="none"):
+        process = self.start_build(fault)
+        output, errors = process.communicate(timeout=TIME_LIMIT_S)
+        return subprocess.CompletedProcess(
+            process.args, process.returncode, output, errors
+        )
+
+    def start_build(self, fault="none"):
         self.calls = self.count_calls()
         system = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         path = f"{pathlib.Path(sys.executable).parent}:{os.environ['PATH']}"
-        return subprocess.run(
+        return subprocess.Popen(
             ["sh", "-c", system["build"]],
             cwd=self.root,
             env={
@@ -82,9 +89,9 @@
                 "PIP_FAULT": fault,
                 "LIBRARIES": sysconfig.get_path("platlib"),
             },
-            capture_output=True,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
             text=True,
-            timeout=TIME_LIMIT_S,
         )
 
     def count_calls(self):
@@ -108,10 +115,15 @@
     if state == "is newer and half finished":
         (checkout.libraries / "trio").mkdir(parents=True)
         return
+    if state.startswith("is a "):
+        make_no_folder(checkout, state)
+        return
     assert checkout.build().returncode == 0
     _digest, abi, machine = checkout.built_for.split()
     if state == "is from this machine but lacks a file":
         (checkout.libraries / "msgspec").unlink()
+    elif state == "lacks a library imported on demand":
+        (checkout.libraries / "prometheus_client").unlink()
     else:
         former = {
             "is newer and from another machine": (machine, "linux-other"),
@@ -121,6 +133,33 @@
         checkout.write_built_for(checkout.built_for.replace(*former))
 
 
+def make_no_folder(checkout, state):
+    """Put a link or a file in the place of the folder."""
+    checkout.libraries.parent.mkdir()
+    if state == "is a file":
+        checkout.libraries.touch()
+        return
+    other = checkout.root / "other"
+    if state == "is a link to another folder":
+        other.mkdir()
+    checkout.libraries.symlink_to(other)
+
+
+@when("the build command of the deploy file runs twice at a time")
+def run_two_builds(context):
+    builds = [context.checkout.start_build() for _ in range(2)]
+    context.results = [
+        (build.communicate(timeout=TIME_LIMIT_S), build.returncode)
+        for build in builds
+    ]
+
+
+@then("both succeed, and the libraries were installed once")
+def check_two_builds(context):
+    assert [status for _, status in context.results] == [0, 0], context.results
+    assert context.checkout.count_calls() == 1
+
+
 @when("the build command of the deploy file runs")
 @when("the build command of the deploy file runs again")
 def run_build(context):
--- a/tools/build_libraries.py
+++ b/tools/build_libraries.py
@@ -6,7 +6,10 @@
 imported with them.
 """
 
+from collections.abc import Iterator
 import compileall
+import contextlib
+import fcntl
 import hashlib
 import os
 import pathlib
@@ -20,9 +23,15 @@
 SOURCES = (ROOT / "egretcart", ROOT / "platform")
 LIBRARIES = ROOT / "target" / "deps"
 UNFINISHED = ROOT / "target" / "deps.unfinished"
+FORMER = ROOT / "target" / "deps.former"
+LOCK = ROOT / "target" / "deps.lock"
 # Names what the libraries in the same folder were built for.
 BUILT_FOR = "built-for.txt"
-IMPORT_ROLES = "import adapter.main, adapter.entry_role, adapter.agent_role"
+# The last one is imported on demand.
+IMPORT_ROLES = (
+    "import adapter.main, adapter.entry_role, adapter.agent_role,"
+    " egretcart.direct.process.metered_log"
+)
 
 
 def build_target() -> str:
@@ -35,17 +44,16 @@
 def is_built(target: str) -> bool:
     """Return whether the folder has all libraries of a finished build."""
     try:
-        if (LIBRARIES / BUILT_FOR).read_text() != target:
+        if (LIBRARIES / BUILT_FOR).read_bytes() != target.encode():
             return False
-        check_imports(LIBRARIES)
-    except (FileNotFoundError, subprocess.CalledProcessError):
+    except OSError:
         return False
-    return True
+    return imports_roles(LIBRARIES, error_output=subprocess.DEVNULL)
 
 
 def install(target: str) -> None:
     """Install the libraries beside their folder, then replace it."""
-    shutil.rmtree(UNFINISHED, ignore_errors=True)
+    remove(UNFINISHED)
     command = ["install", "--quiet", "--no-input", "--require-hashes"]
     subprocess.run(
         [
@@ -55,31 +63,59 @@
         check=True,
     )
     compileall.compile_dir(UNFINISHED, quiet=2)
-    check_imports(UNFINISHED)
+    if not imports_roles(UNFINISHED):
+        raise ImportError("the roles can't be imported with the libraries")
     (UNFINISHED / BUILT_FOR).write_text(target)
-    shutil.rmtree(LIBRARIES, ignore_errors=True)
+    remove(FORMER)
+    with contextlib.suppress(FileNotFoundError):
+        LIBRARIES.rename(FORMER)
     UNFINISHED.rename(LIBRARIES)
+    remove(FORMER)
 
 
-def check_imports(libraries: pathlib.Path) -> None:
-    """Import the roles in a fresh interpreter, without site-packages."""
+def remove(path: pathlib.Path) -> None:
+    """Remove a folder, a link or a file, if there is one."""
+    if path.is_symlink() or path.is_file():
+        path.unlink()
+    elif path.exists():
+        shutil.rmtree(path)
+
+
+def imports_roles(
+    libraries: pathlib.Path, *, error_output: int | None = None
+) -> bool:
+    """Return whether a fresh interpreter imports the roles.
+
+    It has no site-packages, as the roles' interpreters.
+    """
     path = (libraries, ROOT / "platform", ROOT)
-    subprocess.run(
+    completed = subprocess.run(
         [sys.executable, "-S", "-c", IMPORT_ROLES],
         env={**os.environ, "PYTHONPATH": os.pathsep.join(map(str, path))},
-        check=True,
+        stderr=error_output,
+        check=False,
     )
+    return completed.returncode == 0
+
+
+@contextlib.contextmanager
+def only_build() -> Iterator[None]:
+    """Wait for other builds in this folder, and let others wait."""
+    LOCK.parent.mkdir(exist_ok=True)
+    with LOCK.open("w") as lock:
+        fcntl.flock(lock, fcntl.LOCK_EX)
+        yield
 
 
 def main() -> int:
     """Build what is missing; return the exit status."""
     target = build_target()
     try:
-        if not is_built(target):
-            install(target)
-    except subprocess.CalledProcessError as error:
-        words = " ".join(map(str, error.cmd))
-        print(f"the build failed: {words}", file=sys.stderr)
+        with only_build():
+            if not is_built(target):
+                install(target)
+    except (ImportError, OSError, subprocess.CalledProcessError) as error:
+        print(f"the build failed: {error}", file=sys.stderr)
         return 1
     for folder in SOURCES:
         compileall.compile_dir(folder, quiet=1)
