--- a/egretcart/direct/process/metered_log.py
+++ b/egretcart/direct/process/metered_log.py
@@ -9,6 +9,7 @@
 from egretcart.connection.http_server import HttpRequest
 from egretcart.connection.http_server import HttpResponse
 from egretcart.connection.traffic import TrafficCounters
+from egretcart.direct.connection.accept_log import accept_logger
 from egretcart.direct.log.agent_decisions import BackendChanged
 from egretcart.direct.log.agent_decisions import BackendCrashed
 from egretcart.direct.log.agent_decisions import RunEnded
@@ -126,7 +127,11 @@
         self, listeners: list[trio.SocketListener], nursery: trio.Nursery
     ) -> None:
         """Serve open sockets; the nursery runs the server."""
-        server = HttpListener(handler=self._handle, limits=HTTP_LIMITS)
+        server = HttpListener(
+            handler=self._handle,
+            limits=HTTP_LIMITS,
+            on_accept_change=accept_logger(self.log, "metrics"),
+        )
         nursery.start_soon(server.serve, listeners, nursery)
 
     async def _handle(self, request: HttpRequest) -> HttpResponse:
--- a/tests/features/process_ends.feature
+++ b/tests/features/process_ends.feature
@@ -64,3 +64,11 @@
       | agent | SIGHUP  |
       | entry | SIGTERM |
       | agent | SIGTERM |
+
+  # Guards against responses without a body after those to HEAD.
+  Scenario: Nonsense after a HEAD request is refused with a reason
+    Given the entry role with its settings
+    And it has started
+    When a HEAD request and then nonsense are sent on one connection
+    Then the nonsense is refused with status 400 and a body
+    And it stops when it is told to, with status 0
--- a/tests/features/process_start.feature
+++ b/tests/features/process_start.feature
@@ -15,6 +15,27 @@
       | entry | SIGINT  |
       | agent | SIGINT  |
 
+  Scenario Outline: Several signals during the start end it as one does
+    Given the <role> role with its settings
+    When it starts and is sent SIGTERM, SIGINT and SIGHUP as soon as Python runs
+    Then it ends with status 0 and says that it has stopped
+
+    Examples:
+      | role  |
+      | entry |
+      | agent |
+
+  # Guards against processes that no SIGINT stops, as their parent ignores it.
+  Scenario Outline: A job in the background keeps SIGINT until it handles it
+    Given the <role> role with its settings
+    When it starts as a job in the background and is sent SIGINT
+    Then it ends with status 0 and says that it has stopped
+
+    Examples:
+      | role  |
+      | entry |
+      | agent |
+
   Scenario Outline: A process that is told of changed settings starts
     Given the <role> role with its settings
     When it starts and is sent SIGHUP as soon as Python runs
--- a/tests/features/steps/process_probe_steps.py
+++ b/tests/features/steps/process_probe_steps.py
@@ -1,6 +1,7 @@
 """Steps for connections and requests that a running process is sent."""
 
 import contextlib
+import json
 import resource
 import socket
 import subprocess
@@ -95,3 +96,23 @@
     assert set(context.answers.values()) == {STATUS_LINE}, context.answers
     assert context.process.accepts()
     assert context.process.runs()
+
+
+@when("a HEAD request and then nonsense are sent on one connection")
+def send_nonsense(context):
+    address = context.process.addresses["callers"]
+    with socket.create_connection(address, timeout=LIMIT_S) as client:
+        client.sendall(b"HEAD / HTTP/1.1\r\nHost: host.example\r\n\r\n")
+        client.recv(len(STATUS_LINE))
+        client.sendall(b"nonsense\r\n\r\n")
+        context.answer = b""
+        while data := client.recv(4096):
+            context.answer += data
+
+
+@then("the nonsense is refused with status {status:d} and a body")
+def check_refused(context, status):
+    _, _, refusal = context.answer.partition(STATUS_LINE)
+    assert refusal.startswith(str(status).encode()), context.answer
+    _, _, body = refusal.partition(b"\r\n\r\n")
+    assert json.loads(body), context.answer
--- a/tests/features/steps/process_start_steps.py
+++ b/tests/features/steps/process_start_steps.py
@@ -25,10 +25,17 @@
     context.process.write_settings()
 
 
-@when("it starts and is sent {name} as soon as Python runs")
-def start_and_signal(context, name):
+@when("it starts and is sent {names} as soon as Python runs")
+def start_and_signal(context, names):
     context.process.start()
-    context.process.send_while_starting(signal.Signals[name])
+    for name in names.replace(" and ", ", ").split(", "):
+        context.process.send_while_starting(signal.Signals[name])
+
+
+@when("it starts as a job in the background and is sent SIGINT")
+def start_in_background(context):
+    context.process.start(lambda: signal.signal(signal.SIGINT, signal.SIG_IGN))
+    context.process.send_while_starting(signal.SIGINT)
 
 
 @given("it has started")
