--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -34,6 +34,7 @@
 HELD, BROKEN, UNUSABLE = 0, 1, 2
 BOUNDS = {
     "stableMs": 3000,
+    "ackMs": 4000,
     "graceS": 6,
     "holdMaxMs": HOLD_MAX_MS,
     "farX": 1.5,
