--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -435,52 +435,6 @@
         ]
 
 
-class Link:
-    """A TCP proxy between an agent and an entry, which can go silent.
-
-    While it is silent, it passes nothing on in either direction and accepts
-    no connection, as a partition does; what it holds then is dropped.
-    """
-
-    def __init__(self, host, port):
-        self.target = (host, port)
-        self.is_silent = False
-        self.server = None
-
-    async def start(self, host, port):
-        self.server = await asyncio.start_server(self._serve, host, port)
-
-    async def _serve(self, reader, writer):
-        writers = [writer]
-        try:
-            while self.is_silent:
-                await asyncio.sleep(0.05)
-            far_reader, far_writer = await asyncio.open_connection(
-                *self.target
-            )
-            writers.append(far_writer)
-            await asyncio.gather(
-                self._pass_on(reader, far_writer),
-                self._pass_on(far_reader, writer),
-            )
-        except OSError:
-            pass
-        finally:
-            for each in writers:
-                each.close()
-
-    async def _pass_on(self, reader, writer):
-        while data := await reader.read(65536):
-            if self.is_silent:
-                # What was sent into the partition is lost with it.
-                while self.is_silent:
-                    await asyncio.sleep(0.05)
-                raise ConnectionResetError
-            writer.write(data)
-            await writer.drain()
-        raise ConnectionResetError
-
-
 def render(template, fields):
     """Fill in a template of settings, as DEPLOY.md says."""
 
@@ -562,7 +516,7 @@
             self.start_process(name)
         await self._wait_until_ready()
 
-    def configure(self, version, **changes):
+    def configure(self, version, *, limits=None, **changes):
         """Write a desired state, as the operator does."""
         route = {
             "name": "r-1",
@@ -581,7 +535,13 @@
             "version": version,
             "routes": [route],
             "services": [{"name": SERVICE, "rejectsOverload": False}],
-            "limits": {"headerBytes": 16384, "bodyBytes": 262144},
+            "limits": {
+                "headerBytes": 16384,
+                "bodyBytes": 262144,
+                "headerTimeoutMs": 3000,
+                "idleTimeoutMs": 15000,
+                **(limits or {}),
+            },
         }
         self.store.put("op/config", json.dumps(state).encode())
 
